--- a/core/coord/coord.go
+++ b/core/coord/coord.go
@@ -48,6 +48,7 @@
 	moves   map[string]*move
 	sends   map[uint64]func(flow.Back)
 	plan    uint64
+	known   uint64 // how far every dispatcher that may serve has read
 
 	tick, sweep, save flow.Time
 	watchers          map[uint64]*watcher
@@ -150,7 +151,7 @@
 		return
 	}
 	c.till = max(c.till, a.Sent+budget.Tenure)
-	c.fleet.Steps = d.Steps
+	c.fleet.Steps, c.known = d.Steps, d.Known
 	c.fleet.Orders, c.fleet.Targets = map[string]ledger.Order{}, map[string]ledger.Target{}
 	for _, o := range d.Orders {
 		c.fleet.Orders[o.Engine] = o
--- a/core/coord/roll.go
+++ b/core/coord/roll.go
@@ -17,7 +17,7 @@
 type move struct {
 	order ledger.Order
 	url   string
-	phase string // commit, grace, send, confirm, close
+	phase string // commit, tell, grace, send, confirm, close
 	since flow.Time
 	due   flow.Time
 	open  bool
@@ -58,6 +58,7 @@
 
 var phases = map[string]func(*Coord, *move){
 	"commit":  (*Coord).commitOrder,
+	"tell":    (*Coord).tellOrder,
 	"grace":   (*Coord).graceOrder,
 	"send":    (*Coord).sendOrder,
 	"confirm": (*Coord).confirmOrder,
@@ -94,14 +95,22 @@
 		}
 		if a.Code == 200 {
 			c.counts["orders"]++
-			// Long enough for every dispatcher to have learned of it.
-			m.to(c, "grace", budget.Renew)
+			_ = json.Unmarshal(a.Body, &m.order)
+			m.to(c, "tell", 0)
 			return
 		}
 		delete(c.moves, m.order.Engine) // the policy will ask again if need be
 	})
 }
 
+// tellOrder waits until no dispatcher can start work on the engine any more:
+// each has read the order, or its tenure from before the order is over.
+func (c *Coord) tellOrder(m *move) {
+	if c.known >= m.order.Mod || c.now-m.since >= budget.Tenure {
+		m.to(c, "grace", 0)
+	}
+}
+
 // graceOrder lets streams on the engine end, for a while.
 func (c *Coord) graceOrder(m *move) {
 	c.readLoad(m, func(l dialect.Load) {
@@ -160,7 +169,7 @@
 		}
 		c.counts["order_sends"]++
 		if b.Unsent {
-			m.to(c, "grace", budget.Renew/2)
+			m.phase, m.due = "grace", c.now+budget.Renew/2
 			return
 		}
 		m.to(c, "confirm", budget.Renew/4)
--- a/core/ledger/query.go
+++ b/core/ledger/query.go
@@ -27,6 +27,7 @@
 	Coord   Coord     `json:"coord"`
 	Roster  []string  `json:"roster"`
 	Wall    int64     `json:"wall"`
+	Known   uint64    `json:"known"` // every dispatcher that may serve has seen up to here
 }
 
 // Since gives what changed after index have.
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -32,6 +32,12 @@
 	Disk           Disk
 }
 
+// sight is a dispatcher's last renewal and how much of the ledger it had.
+type sight struct {
+	at   flow.Time
+	have uint64
+}
+
 type wait struct {
 	addr string
 	ask  ask.Ask
@@ -48,9 +54,9 @@
 	writes map[uint64]wait
 	reads  map[uint64]wait
 	token  uint64
-	seen   map[string]flow.Time // dispatchers by their last renewal
-	coord  flow.Time            // the coordinator's last renewal
-	grant  uint64               // the term whose successor is being committed
+	seen   map[string]sight // dispatchers by their last renewal
+	coord  flow.Time        // the coordinator's last renewal
+	grant  uint64           // the term whose successor is being committed
 	wall   int64
 	formed flow.Time
 	role   string
@@ -60,7 +66,7 @@
 // New starts a store from its disk.
 func New(now flow.Time, p Props) (*Store, error) {
 	s := &Store{p: p, ledger: ledger.New(), addrs: map[string]string{}, writes: map[uint64]wait{},
-		reads: map[uint64]wait{}, seen: map[string]flow.Time{}, counts: map[string]int{}}
+		reads: map[uint64]wait{}, seen: map[string]sight{}, counts: map[string]int{}}
 	if d := p.Disk.Digest; d != nil {
 		l, err := ledger.Load(d.State)
 		if err != nil {
@@ -320,7 +326,7 @@
 		s.retry(s.reads[t], out)
 	}
 	s.writes, s.reads = map[uint64]wait{}, map[uint64]wait{}
-	s.seen = map[string]flow.Time{}
+	s.seen = map[string]sight{}
 	s.grant = 0
 }
 
@@ -389,12 +395,14 @@
 func (s *Store) renewed(now flow.Time, w wait) ledger.Result {
 	var r Renew
 	_ = json.Unmarshal(w.ask.Body, &r)
-	s.seen[r.ID] = now
+	s.seen[r.ID] = sight{now, max(s.seen[r.ID].have, r.Have)}
 	d := s.ledger.Since(r.Have)
 	d.Wall = s.wall
-	for id, at := range s.seen {
-		if now-at > budget.Tenure {
+	for id, x := range s.seen {
+		if now-x.at > 2*budget.Tenure {
 			delete(s.seen, id)
+		}
+		if now-x.at > budget.Tenure {
 			continue
 		}
 		d.Roster = append(d.Roster, id)
@@ -403,14 +411,29 @@
 	return ledger.Result{Code: 200, Body: body(d)}
 }
 
-func (s *Store) renewedCoord(_ flow.Time, w wait) ledger.Result {
+// known is how far every dispatcher that may hold a tenure has read. A leader
+// that is new may not have heard them all yet.
+func (s *Store) known(now flow.Time) uint64 {
+	if now-s.raft.Since() <= 2*budget.Tenure {
+		return 0
+	}
+	least := s.ledger.Index
+	for _, x := range s.seen {
+		if now-x.at <= 2*budget.Tenure {
+			least = min(least, x.have)
+		}
+	}
+	return least
+}
+
+func (s *Store) renewedCoord(now flow.Time, w wait) ledger.Result {
 	var c CoordRenew
 	_ = json.Unmarshal(w.ask.Body, &c)
 	if c.Term != s.ledger.Coord.Term || c.ID != s.ledger.Coord.ID {
 		return ledger.Result{Code: 409, Body: body(s.ledger.Coord)}
 	}
 	d := s.ledger.Since(0)
-	d.Wall = s.wall
+	d.Wall, d.Known = s.wall, s.known(now)
 	for i := range d.Steps {
 		d.Steps[i].Groups = nil // policies need no prompts
 	}
