--- a/rig/fleet/drive.go
+++ b/rig/fleet/drive.go
@@ -248,7 +248,7 @@
 // check tells from the text alone whether it is right, whole, and made by the
 // weights it is said to be made by.
 func (d *driver) check(doc ledger.StepDoc, e ledger.Entry) {
-	err := CheckEntry(doc, e)
+	err := standin.CheckEntry(doc, e)
 	if err != nil {
 		d.wrong("%s %s/%d: %v", doc.ID, e.Group, e.Sample, err)
 	}
@@ -263,36 +263,6 @@
 	}
 }
 
-// CheckEntry checks one listed result against the stand-ins' truth.
-func CheckEntry(doc ledger.StepDoc, e ledger.Entry) error {
-	var g ledger.Group
-	for _, x := range doc.Groups {
-		if x.ID == e.Group {
-			g = x
-		}
-	}
-	rev := func(at int) int {
-		for _, s := range e.Spans {
-			if at >= s.From && at < s.To {
-				return s.Revision
-			}
-		}
-		return -1
-	}
-	for _, s := range e.Spans {
-		if s.Revision < doc.Revision-doc.Lag || s.Revision > doc.Revision || doc.OneVersion && s.Revision != doc.Revision {
-			return errors.Errorf("made under weights %d, step allows %d back from %d", s.Revision, doc.Lag, doc.Revision)
-		}
-	}
-	if err := standin.Check(g.Prompt, e.Text, e.Sample, g.Tokens, standin.Usual.Stop, rev); err != nil {
-		return err
-	}
-	if e.Verdict.State == "given" && string(e.Verdict.Score) != standin.Score(e.Text) {
-		return errors.New("a verdict that the judge never gave on this text")
-	}
-	return nil
-}
-
 // consume makes application requests at the shape's rate.
 func (d *driver) consume(seed int64, end time.Time) {
 	t := time.NewTicker(time.Duration(float64(time.Second) / d.f.Shape.Rate))
--- /dev/null
+++ b/sim/actors.go
@@ -0,0 +1,547 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"fernlink/api"
+	"fernlink/core/budget"
+	"fernlink/core/dialect"
+	"fernlink/core/flow"
+	"fernlink/core/ledger"
+	"fernlink/rig/standin"
+)
+
+// Actors are the people outside: trainers, callers and operators. What they
+// saw is all that the checks rest on.
+type Actors struct {
+	w        *World
+	Steps    map[string]*seen
+	Order    []string
+	Bookings map[string]*booking
+	Attempts []*attempt
+	Done     int // steps whose results all came
+	Listed   int
+	Stop     bool
+	StepWait []time.Duration
+	Answered int
+	Refused  int
+	Unknown  int
+}
+
+type seen struct {
+	doc   ledger.StepDoc
+	list  []string // listed results as first seen, by place
+	keys  map[string]bool
+	acked bool
+	ended bool
+	began time.Duration
+}
+
+type booking struct {
+	id, key  string
+	tries    int
+	refused  int
+	answered bool
+	done     bool
+}
+
+type attempt struct {
+	id      string
+	read    uint64
+	state   string // open, acked, lost, invalid
+	version uint64
+	sent    time.Duration
+	acked   time.Duration
+}
+
+// NewActors puts nobody to work yet.
+func NewActors(w *World) *Actors {
+	a := &Actors{w: w, Steps: map[string]*seen{}, Bookings: map[string]*booking{}}
+	w.Out.Whole = a.whole
+	return a
+}
+
+func (a *Actors) disp() *Host {
+	ds := a.w.By("dispatcher")
+	return ds[a.w.Rand.Intn(len(ds))]
+}
+
+func (a *Actors) whole(x dialect.JudgeAsk) error {
+	s := a.Steps[x.Step]
+	if s == nil {
+		return fmt.Errorf("unknown step")
+	}
+	for _, g := range s.doc.Groups {
+		if g.ID == x.Group {
+			// The weights stand in each token.
+			return standin.Check(g.Prompt, x.Text, x.Sample, g.Tokens, standin.Usual.Stop, func(at int) int {
+				var rev int
+				_, _ = fmt.Sscanf(x.Text[at:], "r%02d", &rev)
+				return rev
+			})
+		}
+	}
+	return fmt.Errorf("unknown group")
+}
+
+// PlanDoc is a plan that can be told from all others by its own route.
+func PlanDoc(id string) api.Plan {
+	return api.Plan{
+		Pools: []api.Pool{{Name: ModelPool, Kind: "model"}, {Name: AppPool, Kind: "app"}},
+		Routes: []api.Route{{Name: "book", Path: "/book", Verbs: []string{"POST"}, Pool: AppPool, Once: true},
+			{Name: "look", Path: "/look", Verbs: []string{"GET"}, Pool: AppPool},
+			{Name: "own", Path: "/own-" + id, Verbs: []string{"GET"}, Pool: AppPool}},
+	}
+}
+
+// Plan puts a plan made from version read, and says it again until the
+// outcome is known.
+func (a *Actors) Plan(id string, read uint64, valid bool, then func(*attempt)) *attempt {
+	t := &attempt{id: id, read: read, state: "open", sent: a.w.Now}
+	a.Attempts = append(a.Attempts, t)
+	doc := PlanDoc(id)
+	if !valid {
+		doc.Routes[0].Pool = "nowhere"
+	}
+	// The schema refuses fields it does not know, so absent ones stay out.
+	body, _ := json.Marshal(map[string]any{"read": read, "request": "req-" + id, "plan": slim(doc)})
+	a.tryPlan(t, body, then)
+	return t
+}
+
+func slim(p api.Plan) map[string]any {
+	var pools, routes []any
+	for _, x := range p.Pools {
+		pools = append(pools, map[string]any{"name": x.Name, "kind": x.Kind})
+	}
+	for _, r := range p.Routes {
+		routes = append(routes, map[string]any{"name": r.Name, "path": r.Path, "verbs": r.Verbs, "pool": r.Pool, "once": r.Once})
+	}
+	return map[string]any{"pools": pools, "routes": routes}
+}
+
+func (a *Actors) tryPlan(t *attempt, body []byte, then func(*attempt)) {
+	c := Call("plan.put", nil, nil)
+	c.Body = body
+	answered := false
+	again := func() { a.w.After(300*time.Millisecond, func() { a.tryPlan(t, body, then) }) }
+	a.disp().Call(c, func(r flow.Reply) {
+		if answered || t.state != "open" {
+			return
+		}
+		answered = true
+		states := map[int]string{200: "acked", 409: "lost", 422: "invalid"}
+		s, ok := states[r.Code]
+		if !ok {
+			again()
+			return
+		}
+		var p ledger.Plan
+		_ = json.Unmarshal(r.Body, &p)
+		t.state, t.version, t.acked = s, p.Version, a.w.Now
+		if s == "lost" {
+			var x struct{ Version uint64 }
+			_ = json.Unmarshal(r.Body, &x)
+			t.version = x.Version
+		}
+		if then != nil {
+			then(t)
+		}
+	})
+	a.w.After(4*time.Second, func() {
+		if !answered {
+			answered = true
+			again()
+		}
+	})
+}
+
+// Operate keeps putting plans, now and then two at once, or an invalid one.
+func (a *Actors) Operate(every time.Duration) {
+	n := 0
+	var version uint64
+	busy := 0
+	done := func(t *attempt) {
+		busy--
+		version = max(version, t.version)
+	}
+	a.w.Every(every, func() bool {
+		if a.Stop {
+			return false
+		}
+		if busy > 0 {
+			return true
+		}
+		n++
+		busy++
+		a.Plan(fmt.Sprintf("p%d", n), version, true, done)
+		if a.w.Rand.Intn(3) == 0 {
+			n++
+			busy++
+			a.Plan(fmt.Sprintf("p%d", n), version, true, done)
+		}
+		if a.w.Rand.Intn(4) == 0 {
+			n++
+			a.Plan(fmt.Sprintf("bad%d", n), version, false, nil)
+		}
+		return true
+	})
+	a.w.Every(every/3, func() bool {
+		if len(a.Attempts) > 0 {
+			a.probe(a.Attempts[len(a.Attempts)-1-a.w.Rand.Intn(min(4, len(a.Attempts)))])
+		}
+		return !a.Stop
+	})
+}
+
+// newest gives the newest version acknowledged by a moment.
+func (a *Actors) newest(by time.Duration) uint64 {
+	var v uint64
+	for _, t := range a.Attempts {
+		if t.state == "acked" && t.acked <= by {
+			v = max(v, t.version)
+		}
+	}
+	return v
+}
+
+// probe asks a dispatcher for a route that only one plan has.
+func (a *Actors) probe(t *attempt) {
+	at := a.w.Now
+	h := a.disp()
+	h.Call(Web("GET", "/own-"+t.id, nil, ""), func(r flow.Reply) {
+		served := r.Code == 200 || r.Code == 504
+		if served && (t.state == "lost" || t.state == "invalid") {
+			a.w.Wrong("plan %s was %s and is in force at %s", t.id, t.state, h.Name)
+		}
+		if served && t.state == "acked" && a.newest(at-budget.Plan) > t.version {
+			a.w.Wrong("plan %s (version %d) is in force at %s, though version %d was acknowledged over 2 s before", t.id, t.version, h.Name, a.newest(at-budget.Plan))
+		}
+		// Not in force: only if no other plan may have come after it.
+		alone := true
+		for _, o := range a.Attempts {
+			if o != t && (o.state == "open" || o.state == "acked" && o.version > t.version) {
+				alone = false
+			}
+		}
+		if r.Code == 404 && t.state == "acked" && t.acked <= at-budget.Plan && alone {
+			a.w.Wrong("plan %s (version %d) is not in force at %s, %v after its acknowledgement", t.id, t.version, h.Name, at-t.acked)
+		}
+	})
+}
+
+// Consume makes bookings and lookups.
+func (a *Actors) Consume(every time.Duration) {
+	n := 0
+	a.w.Every(every, func() bool {
+		if a.Stop {
+			return false
+		}
+		n++
+		if n%2 == 0 {
+			a.look(n)
+			return true
+		}
+		b := &booking{id: fmt.Sprintf("b%d", n)}
+		if n%4 == 1 {
+			b.key = "key-" + b.id
+		}
+		a.Bookings[b.id] = b
+		a.book(b)
+		return true
+	})
+}
+
+func (a *Actors) look(n int) {
+	path := fmt.Sprintf("/look/%d", n)
+	a.disp().Call(Web("GET", path, nil, ""), func(r flow.Reply) {
+		if r.Code != 200 {
+			return
+		}
+		var b struct{ ID string }
+		if json.Unmarshal(r.Body, &b) != nil || b.ID != path {
+			a.w.Wrong("a lookup of %s was answered with %s", path, r.Body)
+		}
+	})
+}
+
+func (a *Actors) book(b *booking) {
+	b.tries++
+	answered := false
+	a.disp().Call(Web("POST", "/book/x", map[string]string{"id": b.id}, b.key), func(r flow.Reply) {
+		if answered {
+			return
+		}
+		answered = true
+		var x struct {
+			ID      string
+			Outcome string
+		}
+		_ = json.Unmarshal(r.Body, &x)
+		if r.Code == 200 {
+			if x.ID != b.id {
+				a.w.Wrong("booking %s was answered with %s", b.id, r.Body)
+			}
+			b.answered, b.done = true, true
+			a.Answered++
+			return
+		}
+		if x.Outcome == "refused" {
+			b.refused++
+			a.Refused++
+		} else {
+			a.Unknown++
+		}
+		if r.Code == 503 || r.Code == 429 {
+			if r.Head["Retry-After"] == "" {
+				a.w.Wrong("booking %s was refused without Retry-After", b.id)
+			}
+		}
+		// Only a caller with a key may say the same again.
+		if b.key != "" && b.tries < 4 {
+			a.w.After(time.Second, func() { a.book(b) })
+		}
+	})
+	a.w.After(5*time.Second, func() {
+		if !answered && b.key != "" && b.tries < 4 {
+			answered = true
+			a.Unknown++
+			a.book(b)
+		}
+	})
+}
+
+// Train opens one step after the other, each naming the next weights.
+type Train struct {
+	Name    string
+	Groups  int
+	Samples int
+	Tokens  int
+	Lag     int
+	One     bool
+	Most    time.Duration // a step is ended after this, done or not
+}
+
+// Train puts a trainer to work. It goes on to the next weights when a step is
+// done or has taken too long.
+func (a *Actors) Train(t Train) {
+	a.nextStep(t, 1)
+}
+
+func (a *Actors) prompt(step, group string) string {
+	var b strings.Builder
+	for i := 0; i < 24; i++ {
+		fmt.Fprintf(&b, "%07d ", i*7919) // what all groups share
+	}
+	x := a.w.Rand.Int63()
+	for i := 0; i < 24; i++ {
+		x = x*6364136223846793005 + 1442695040888963407
+		fmt.Fprintf(&b, "%07x ", uint64(x)>>36)
+	}
+	fmt.Fprintf(&b, "|%s|%s|", step, group)
+	return b.String()
+}
+
+func (a *Actors) nextStep(t Train, rev int) {
+	if a.Stop {
+		return
+	}
+	id := fmt.Sprintf("%s-%d", t.Name, rev)
+	doc := ledger.StepDoc{ID: id, Trainer: t.Name, Pool: ModelPool, Revision: rev, Lag: t.Lag, OneVersion: t.One, Judge: "http://10.3.0.1:80/judge", DeadlineMS: 60000}
+	for g := 0; g < t.Groups; g++ {
+		gid := fmt.Sprintf("g%d", g)
+		doc.Groups = append(doc.Groups, ledger.Group{ID: gid, Prompt: a.prompt(id, gid), Samples: t.Samples, Tokens: t.Tokens})
+	}
+	s := &seen{doc: doc, keys: map[string]bool{}, began: a.w.Now}
+	a.Steps[id] = s
+	a.Order = append(a.Order, id)
+	a.open(s, t, rev)
+}
+
+func (a *Actors) open(s *seen, t Train, rev int) {
+	if a.Stop {
+		return
+	}
+	got := false
+	a.disp().Call(Call("step.open", nil, s.doc), func(r flow.Reply) {
+		if got || s.acked {
+			return
+		}
+		got = true
+		if r.Code == 200 {
+			s.acked = true
+			a.follow(s, t, rev)
+			return
+		}
+		a.w.After(300*time.Millisecond, func() { a.open(s, t, rev) })
+	})
+	a.w.After(4*time.Second, func() {
+		if !got {
+			got = true
+			a.open(s, t, rev)
+		}
+	})
+}
+
+// follow reads the step's list until all is there or patience ends.
+func (a *Actors) follow(s *seen, t Train, rev int) {
+	a.w.Every(150*time.Millisecond, func() bool {
+		if s.ended {
+			return false
+		}
+		if a.Stop {
+			return true
+		}
+		a.read(s)
+		if len(s.list) == s.doc.Wanted() {
+			a.Done++
+			a.StepWait = append(a.StepWait, a.w.Now-s.began)
+			s.ended = true
+			a.end(s)
+			a.nextStep(t, rev+1)
+			return false
+		}
+		if a.w.Now-s.began > t.Most {
+			s.ended = true
+			a.end(s)
+			a.nextStep(t, rev+1)
+			return false
+		}
+		return true
+	})
+}
+
+func (a *Actors) read(s *seen) {
+	from := 0
+	if n := len(s.list); n > 0 && a.w.Rand.Intn(4) > 0 {
+		from = n
+	}
+	c := Call("step.results", map[string]string{"id": s.doc.ID}, nil)
+	c.Query["after"] = fmt.Sprint(from)
+	a.disp().Call(c, func(r flow.Reply) {
+		if r.Code != 200 {
+			if r.Code == 404 {
+				a.w.Wrong("step %s was acknowledged and is not there", s.doc.ID)
+			}
+			return
+		}
+		var p ledger.Pages
+		if json.Unmarshal(r.Body, &p) != nil {
+			a.w.Wrong("results of %s do not parse", s.doc.ID)
+			return
+		}
+		a.compare(s, from, p.Results)
+	})
+}
+
+func (a *Actors) compare(s *seen, from int, list []ledger.Entry) {
+	for i, e := range list {
+		at := from + i
+		raw := string(toJSON(e))
+		if at < len(s.list) {
+			if s.list[at] != raw {
+				a.w.Wrong("%s: the result at %d changed", s.doc.ID, at+1)
+			}
+			continue
+		}
+		k := fmt.Sprintf("%s/%d", e.Group, e.Sample)
+		if e.Seq != at+1 || s.keys[k] {
+			a.w.Wrong("%s: result %s at %d has place %d, seen before: %v", s.doc.ID, k, at+1, e.Seq, s.keys[k])
+		}
+		s.keys[k] = true
+		s.list = append(s.list, raw)
+		a.Listed++
+		if err := standin.CheckEntry(s.doc, e); err != nil {
+			a.w.Wrong("%s %s: %v", s.doc.ID, k, err)
+		}
+		if e.Verdict.State == "given" && a.w.Out.Judge.Given[ledger.Hash([]byte(e.Text))] == "" {
+			a.w.Wrong("%s %s: a verdict that the judge did not give", s.doc.ID, k)
+		}
+	}
+}
+
+func (a *Actors) end(s *seen) {
+	got := false
+	a.disp().Call(Call("step.end", map[string]string{"id": s.doc.ID}, nil), func(r flow.Reply) {
+		if got {
+			return
+		}
+		got = true
+		if r.Code == 200 {
+			if _, ok := a.w.Out.Ends[s.doc.ID]; !ok {
+				a.w.Out.Ends[s.doc.ID] = a.w.Now
+			}
+			return
+		}
+		a.w.After(300*time.Millisecond, func() { a.end(s) })
+	})
+	a.w.After(4*time.Second, func() {
+		if !got {
+			got = true
+			a.end(s)
+		}
+	})
+}
+
+// Check looks at the truth that the outside knows, once all is quiet.
+func (a *Actors) Check() {
+	o := a.w.Out
+	ran := map[string]int{}
+	for _, x := range o.Apps() {
+		for id, n := range x.Ran {
+			ran[id] += n
+		}
+	}
+	ids := make([]string, 0, len(a.Bookings))
+	for id := range a.Bookings {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		b := a.Bookings[id]
+		if ran[id] > 1 {
+			a.w.Wrong("booking %s ran %d times", id, ran[id])
+		}
+		if ran[id] > b.tries-b.refused {
+			a.w.Wrong("booking %s ran %d times, though %d of its %d tries were refused", id, ran[id], b.refused, b.tries)
+		}
+		if b.answered && ran[id] == 0 {
+			a.w.Wrong("booking %s was answered and never ran", id)
+		}
+	}
+	for _, m := range o.Models() {
+		if m.Reused > 0 {
+			a.w.Wrong("%s reused KV of other weights %d times", m.Name, m.Reused)
+		}
+		var fence uint64
+		for _, x := range m.Orders {
+			if !x.Took && x.Fence < fence {
+				a.w.Wrong("%s got an order of term %d after one of term %d", m.Name, x.Fence, fence)
+			}
+			fence = max(fence, x.Fence)
+		}
+		for _, b := range m.Begun {
+			a.late(m.Name, b.At)
+			for id, at := range o.Ends {
+				if b.At > at+budget.End && strings.Contains(b.Prompt, "|"+id+"|") {
+					a.w.Wrong("%s got work of step %s %v after its end", m.Name, id, b.At-at)
+				}
+			}
+		}
+	}
+	for _, x := range o.Apps() {
+		for _, at := range x.Begun {
+			a.late(x.Name, at)
+		}
+	}
+}
+
+func (a *Actors) late(name string, at time.Duration) {
+	if gone, ok := a.w.Out.Gone[name]; ok && at > gone+budget.Engine {
+		a.w.Wrong("%s got new work %v after it was drained or gone", name, at-gone)
+	}
+}
--- /dev/null
+++ b/sim/disk.go
@@ -0,0 +1,192 @@
+package sim
+
+import (
+	"errors"
+	"math/rand"
+	"os"
+	"sort"
+)
+
+var errPower = errors.New("sim: the power is gone")
+
+// Disk is a virtual data folder: what is not synced may be gone, torn or kept
+// after a loss of power; names need their own sync.
+type Disk struct {
+	rand  *rand.Rand
+	names map[string]*inode
+	safe  map[string]*inode
+	After int // operations until the power goes, when above zero
+	Dead  bool
+	Syncs int
+}
+
+type inode struct{ data, safe []byte }
+
+// NewDisk is a blank disk.
+func NewDisk(r *rand.Rand) *Disk {
+	return &Disk{rand: r, names: map[string]*inode{}, safe: map[string]*inode{}}
+}
+
+func (d *Disk) step() error {
+	if d.Dead {
+		return errPower
+	}
+	if d.After > 0 {
+		d.After--
+		if d.After == 0 {
+			d.Dead = true
+			return errPower
+		}
+	}
+	return nil
+}
+
+// Lose is a loss of power: each unsynced tail is cut at a random byte, and
+// each unsynced name is there or not.
+func (d *Disk) Lose() {
+	all := map[string]bool{}
+	for n := range d.names {
+		all[n] = true
+	}
+	for n := range d.safe {
+		all[n] = true
+	}
+	list := make([]string, 0, len(all))
+	for n := range all {
+		list = append(list, n)
+	}
+	sort.Strings(list)
+	left := map[string]*inode{}
+	for _, n := range list {
+		x := d.safe[n]
+		if d.names[n] != x && d.rand.Intn(2) == 0 {
+			x = d.names[n]
+		}
+		if x == nil {
+			continue
+		}
+		b := append([]byte(nil), x.safe...)
+		if tail := len(x.data) - len(x.safe); tail > 0 && string(x.data[:len(x.safe)]) == string(x.safe) {
+			b = append([]byte(nil), x.data[:len(x.safe)+d.rand.Intn(tail+1)]...)
+		}
+		left[n] = &inode{b, append([]byte(nil), b...)}
+	}
+	d.names, d.safe = left, map[string]*inode{}
+	for n, x := range left {
+		d.safe[n] = x
+	}
+	d.After, d.Dead = 0, false
+}
+
+// List names the files.
+func (d *Disk) List() ([]string, error) {
+	if err := d.step(); err != nil {
+		return nil, err
+	}
+	out := make([]string, 0, len(d.names))
+	for n := range d.names {
+		out = append(out, n)
+	}
+	sort.Strings(out)
+	return out, nil
+}
+
+// Read gives a whole file.
+func (d *Disk) Read(name string) ([]byte, error) {
+	if err := d.step(); err != nil {
+		return nil, err
+	}
+	x := d.names[name]
+	if x == nil {
+		return nil, os.ErrNotExist
+	}
+	return append([]byte(nil), x.data...), nil
+}
+
+// Write replaces a file, unsynced.
+func (d *Disk) Write(name string, b []byte) error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	d.names[name] = &inode{data: append([]byte(nil), b...)}
+	return nil
+}
+
+// Append adds to a file, unsynced.
+func (d *Disk) Append(name string, b []byte) error {
+	x := d.names[name]
+	if x == nil {
+		return os.ErrNotExist
+	}
+	err := d.step()
+	if err != nil && !d.Dead {
+		return err
+	}
+	x.data = append(x.data, b...) // on the last operation it may have got there
+	return err
+}
+
+// Truncate cuts a file.
+func (d *Disk) Truncate(name string, n int64) error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	x := d.names[name]
+	if x == nil {
+		return os.ErrNotExist
+	}
+	x.data = append([]byte(nil), x.data[:n]...)
+	if int64(len(x.safe)) > n {
+		x.safe = append([]byte(nil), x.data...)
+	}
+	return nil
+}
+
+// Sync brings a file to disk.
+func (d *Disk) Sync(name string) error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	d.Syncs++
+	x := d.names[name]
+	if x == nil {
+		return os.ErrNotExist
+	}
+	x.safe = append([]byte(nil), x.data...)
+	return nil
+}
+
+// Rename moves a file over another.
+func (d *Disk) Rename(a, b string) error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	x := d.names[a]
+	if x == nil {
+		return os.ErrNotExist
+	}
+	delete(d.names, a)
+	d.names[b] = x
+	return nil
+}
+
+// Remove deletes a file.
+func (d *Disk) Remove(name string) error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	delete(d.names, name)
+	return nil
+}
+
+// SyncDir brings the names to disk.
+func (d *Disk) SyncDir() error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	d.safe = map[string]*inode{}
+	for n, x := range d.names {
+		d.safe[n] = x
+	}
+	return nil
+}
--- /dev/null
+++ b/sim/fleet.go
@@ -0,0 +1,158 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"fernlink/core/flow"
+	"fernlink/core/node"
+	"fernlink/core/raft"
+)
+
+// Shape is the size of a virtual fleet.
+type Shape struct {
+	Areas                       []string
+	Stores, Coords, Dispatchers int
+	Models, Apps                int
+	Keep                        int // log entries before a digest
+}
+
+// Small keeps stories quick; the two deployments are the users' own.
+var (
+	Small     = Shape{Areas: []string{"a", "b", "c"}, Stores: 3, Coords: 2, Dispatchers: 2, Models: 4, Apps: 2, Keep: 256}
+	FibrArmor = Shape{Areas: []string{"brest", "rennes", "vannes"}, Stores: 3, Coords: 2, Dispatchers: 3, Models: 11, Apps: 3, Keep: 256}
+	Waterland = Shape{Areas: []string{"edam", "hoorn", "monnickendam", "purmerend"}, Stores: 3, Coords: 2, Dispatchers: 3, Models: 9, Apps: 4, Keep: 256}
+)
+
+// Pools of every virtual fleet.
+const (
+	ModelPool = "model"
+	AppPool   = "app"
+)
+
+// Build makes a fleet and starts it.
+func Build(seed int64, s Shape) *World {
+	w := New(seed)
+	w.Out = newOutside(w)
+	area := func(i int) string { return s.Areas[i%len(s.Areas)] }
+	for i := 0; i < s.Models; i++ {
+		w.Out.AddModel(fmt.Sprintf("model-%d", i+1), ModelPool, area(i), 0)
+	}
+	for i := 0; i < s.Apps; i++ {
+		w.Out.AddApp(fmt.Sprintf("app-%d", i+1), AppPool, area(i))
+	}
+	n := s.Stores + s.Coords + s.Dispatchers
+	addr := func(i int) string { return fmt.Sprintf("10.0.0.%d:1", i+1) }
+	var form []string
+	for i := 0; i < s.Stores; i++ {
+		form = append(form, addr(i))
+	}
+	seeds := []string{addr(0), addr(s.Stores), addr(n - 1)}
+	for i := 0; i < n; i++ {
+		p := node.Props{Addr: addr(i), Web: fmt.Sprintf("10.0.0.%d:2", i+1), Area: area(i), Seeds: seeds, Keep: s.Keep, BlocksMost: 65536}
+		name := ""
+		if i < s.Stores {
+			name, p.Roles, p.Form = fmt.Sprintf("store-%d", i+1), []string{"store"}, form
+		} else if i < s.Stores+s.Coords {
+			name, p.Roles = fmt.Sprintf("coord-%d", i-s.Stores+1), []string{"coordinator"}
+		} else {
+			name, p.Roles = fmt.Sprintf("disp-%d", i-s.Stores-s.Coords+1), []string{"dispatcher"}
+			p.Platform = "http://10.3.0.2:80/engines"
+		}
+		w.AddHost(name, p, i < s.Stores+s.Coords)
+	}
+	for _, h := range w.Hosts {
+		h.Start()
+	}
+	return w
+}
+
+// By gives the hosts of a role.
+func (w *World) By(role string) []*Host {
+	var out []*Host
+	for _, h := range w.Hosts {
+		if h.Has(role) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// Host gives a host by name.
+func (w *World) Host(name string) *Host {
+	for _, h := range w.Hosts {
+		if h.Name == name {
+			return h
+		}
+	}
+	return nil
+}
+
+// Leader gives the store that leads, if one says so; of two, the newer.
+func (w *World) Leader() *Host {
+	var best *Host
+	var term uint64
+	for _, h := range w.By("store") {
+		if !h.Up {
+			continue
+		}
+		if s := h.Node.Stats(h.clock()).Store; s.Role == raft.Leader && s.Term >= term {
+			best, term = h, s.Term
+		}
+	}
+	return best
+}
+
+// Acting gives the coordinator that acts, if one does.
+func (w *World) Acting() *Host {
+	for _, h := range w.By("coordinator") {
+		if h.Up && h.Node.Stats(h.clock()).Coord.Acting {
+			return h
+		}
+	}
+	return nil
+}
+
+// Serving says whether every running dispatcher serves with its engines.
+func (w *World) Serving() bool {
+	for _, h := range w.By("dispatcher") {
+		if !h.Up || h.Froze {
+			return false
+		}
+		if s := h.Node.Stats(h.clock()).Disp; !s.Serving || s.Engines == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Ask makes one request and waits for its answer in virtual time.
+func (w *World) Ask(h *Host, c flow.Call, most time.Duration) (flow.Reply, bool) {
+	var got flow.Reply
+	done := false
+	h.Call(c, func(r flow.Reply) { got, done = r, true })
+	w.Until(most, func() bool { return done })
+	return got, done
+}
+
+// Call is a request with a JSON body.
+func Call(name string, vars map[string]string, body any) flow.Call {
+	c := flow.Call{Name: name, Vars: vars, Query: map[string]string{}, Head: map[string]string{}}
+	if body != nil {
+		c.Body, _ = json.Marshal(body)
+	}
+	return c
+}
+
+// Web is an application request.
+func Web(verb, path string, body any, key string) flow.Call {
+	c := Call("app", nil, body)
+	c.Verb, c.Path = verb, path
+	if key != "" {
+		c.Head["Idempotency-Key"] = key
+	}
+	return c
+}
+
+func jsonInto(b []byte, v any) error { return json.Unmarshal(b, v) }
--- /dev/null
+++ b/sim/host.go
@@ -0,0 +1,289 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"fernlink/core/coord"
+	"fernlink/core/flow"
+	"fernlink/core/gossip"
+	"fernlink/core/node"
+	"fernlink/shell/disk"
+)
+
+const tick = 20 * time.Millisecond
+
+// Host is one machine with one process of fernlink on it.
+type Host struct {
+	w     *World
+	Props node.Props
+	Name  string
+	Disk  *Disk // nil without one
+	Node  *node.Node
+	log   *disk.Log
+	Up    bool
+	Froze bool
+	life  int // counts starts, so that news of a past life is dropped
+
+	inbox  []flow.Event
+	due    bool
+	origin time.Duration
+	rate   float64 // how fast its clock runs
+	calls  map[uint64]func(flow.Reply)
+	callID uint64
+	sends  map[uint64]func() // cuts
+	mute   map[uint64]bool   // sends whose connection lost bytes
+	Notes  []string
+	starts int64
+}
+
+// AddHost puts a machine into the world, not yet started.
+func (w *World) AddHost(name string, p node.Props, withDisk bool) *Host {
+	h := &Host{w: w, Props: p, Name: name, rate: 0.995 + w.Rand.Float64()*0.01, origin: time.Duration(w.Rand.Int63n(int64(time.Hour)))}
+	if withDisk {
+		h.Disk = NewDisk(w.Rand)
+	}
+	w.Hosts = append(w.Hosts, h)
+	w.at[p.Addr] = h
+	w.web[p.Web] = h
+	return h
+}
+
+// clock is the host's own elapsed time, which also counts frozen time.
+func (h *Host) clock() flow.Time { return h.origin + time.Duration(float64(h.w.Now)*h.rate) }
+
+func (h *Host) wall() int64 { return 1_700_000_000_000 + h.w.Now.Milliseconds() }
+
+// Start runs the process from what its disk holds.
+func (h *Host) Start() {
+	if h.Up {
+		return
+	}
+	h.starts++
+	h.life++
+	p := h.Props
+	p.Inc = h.wall() + h.starts
+	p.Seed = h.w.Rand.Int63()
+	if h.Props.ID == "" {
+		p.ID = fmt.Sprintf("%s-%d-%x", h.Name, h.starts, h.w.Rand.Uint32())
+	}
+	if h.Disk != nil {
+		if !h.load(&p) {
+			return
+		}
+	}
+	n, err := node.New(h.clock(), p)
+	if err != nil {
+		h.Notes = append(h.Notes, err.Error())
+		return
+	}
+	h.Node, h.Up, h.Froze = n, true, false
+	h.inbox, h.due = nil, false
+	h.calls, h.sends = map[uint64]func(flow.Reply){}, map[uint64]func(){}
+	h.mute = map[uint64]bool{}
+	life := h.life
+	h.w.Every(tick, func() bool {
+		if !h.Up || h.life != life {
+			return false
+		}
+		h.turn()
+		return true
+	})
+}
+
+func (h *Host) load(p *node.Props) bool {
+	id, err := disk.Identify(h.Disk, p.ID, p.Inc)
+	if err == nil {
+		p.ID, p.Inc, p.Data = id.ID, id.Inc, true
+		h.log, p.Disk, err = disk.Open(h.Disk)
+	}
+	if err != nil {
+		h.Notes = append(h.Notes, "start: "+err.Error())
+		h.w.trace(h.Name, "does not start", err.Error())
+		return false
+	}
+	p.Checkpoint, _ = h.Disk.Read(coord.File)
+	if b, err := h.Disk.Read("known.json"); err == nil {
+		if json.Unmarshal(b, &p.Known) != nil {
+			p.Known = gossip.Known{}
+		}
+	}
+	return true
+}
+
+// ID is who the running process is.
+func (h *Host) ID() string {
+	if h.Node == nil {
+		return ""
+	}
+	return h.Node.Stats(h.clock()).ID
+}
+
+// offer puts an event into the process's holding.
+func (h *Host) offer(life int, e flow.Event) {
+	if !h.Up || h.life != life || len(h.inbox) > 4096 {
+		return
+	}
+	h.inbox = append(h.inbox, e)
+	if h.due {
+		return
+	}
+	h.due = true
+	h.w.After(h.w.between(20*time.Microsecond, 200*time.Microsecond), func() {
+		if h.life == life {
+			h.due = false
+			h.turn()
+		}
+	})
+}
+
+func (h *Host) turn() {
+	if !h.Up || h.Froze {
+		return
+	}
+	in := h.inbox
+	h.inbox = nil
+	for {
+		out := h.Node.Advance(h.clock(), h.wall(), in)
+		if len(out.Save) > 0 {
+			if err := h.log.Save(out.Save); err != nil {
+				h.Notes = append(h.Notes, "save: "+err.Error())
+				h.Lose(false)
+				return
+			}
+			h.Node.Synced()
+		}
+		h.emit(out)
+		if out.Halt != "" {
+			h.w.Wrong("%s halted: %s", h.Name, out.Halt)
+			h.Kill()
+			return
+		}
+		if len(out.Save) == 0 {
+			return
+		}
+		in = nil
+	}
+}
+
+func (h *Host) emit(out flow.Outbox) {
+	life := h.life
+	for _, n := range out.Notes {
+		h.Notes = append(h.Notes, fmt.Sprint(h.w.Now, " ", n.Part, ": ", n.Text, " ", n.Args))
+	}
+	for _, l := range out.Lines {
+		to := h.w.at[l.To]
+		if to == nil {
+			continue
+		}
+		h.w.trace(h.Name, l.Kind, l.To, len(l.Body))
+		h.w.Net.Send(h.Name, to.Name, func() { to.offer(to.life, flow.Event{Line: &l}) })
+	}
+	for _, r := range out.Replies {
+		f := h.calls[r.ID]
+		if f == nil {
+			continue
+		}
+		if !r.More {
+			delete(h.calls, r.ID)
+		}
+		h.w.Net.Flow(h.Name, "outside", func() { f(r) })
+	}
+	for _, id := range out.Cuts {
+		if f := h.sends[id]; f != nil {
+			delete(h.sends, id)
+			f()
+		}
+	}
+	for _, s := range out.Sends {
+		h.w.Out.send(h, life, s)
+	}
+	for _, f := range out.Files {
+		if h.Disk != nil {
+			_ = disk.PutFile(h.Disk, f.Name, f.Body)
+		}
+	}
+}
+
+// Call makes a request of this host from outside. The answer may never come.
+func (h *Host) Call(c flow.Call, f func(flow.Reply)) {
+	h.w.Net.Flow("outside", h.Name, func() {
+		if !h.Up {
+			h.w.Net.Flow(h.Name, "outside", func() { f(flow.Reply{Code: 0}) })
+			return
+		}
+		h.callID++
+		c.ID = h.callID
+		h.calls[c.ID] = f
+		h.offer(h.life, flow.Event{Call: &c})
+	})
+}
+
+// Kill ends the process; the machine and its disk go on.
+func (h *Host) Kill() {
+	if !h.Up {
+		return
+	}
+	h.Up, h.Froze = false, false
+	h.life++
+	ids := make([]uint64, 0, len(h.sends))
+	for id := range h.sends {
+		ids = append(ids, id)
+	}
+	sortIDs(ids)
+	for _, id := range ids {
+		h.sends[id]()
+	}
+	calls := h.calls
+	h.sends, h.calls, h.Node = map[uint64]func(){}, map[uint64]func(flow.Reply){}, nil
+	ids = ids[:0]
+	for id := range calls {
+		ids = append(ids, id)
+	}
+	sortIDs(ids)
+	for _, id := range ids {
+		f := calls[id]
+		h.w.Net.Flow(h.Name, "outside", func() { f(flow.Reply{Code: 0}) }) // the connection broke
+	}
+}
+
+// Lose is a loss of power; with disk, the disk is gone too.
+func (h *Host) Lose(withDisk bool) {
+	h.Kill()
+	if h.Disk == nil {
+		return
+	}
+	if withDisk {
+		h.Disk = NewDisk(h.w.Rand)
+		return
+	}
+	h.Disk.Lose()
+}
+
+// Freeze stops the machine for a while; what comes in waits.
+func (h *Host) Freeze(d time.Duration) {
+	if !h.Up {
+		return
+	}
+	h.Froze = true
+	life := h.life
+	h.w.After(d, func() {
+		if h.life == life {
+			h.Froze = false
+			h.turn()
+		}
+	})
+}
+
+// Has says whether the host runs a role.
+func (h *Host) Has(role string) bool { return strings.Contains(strings.Join(h.Props.Roles, ","), role) }
+
+func sortIDs(ids []uint64) {
+	for i := 1; i < len(ids); i++ {
+		for j := i; j > 0 && ids[j] < ids[j-1]; j-- {
+			ids[j], ids[j-1] = ids[j-1], ids[j]
+		}
+	}
+}
--- /dev/null
+++ b/sim/sweep.go
@@ -0,0 +1,123 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"fernlink/core/budget"
+)
+
+// Outcome is what one seed came to.
+type Outcome struct {
+	Seed   int64
+	Bad    []string
+	Marks  []string
+	Kinds  map[string]int
+	Heal   time.Duration
+	Listed int
+	Steps  int
+	Trace  uint64
+}
+
+// Storm runs a fleet under a random schedule of faults, then one last fault,
+// and measures how long it takes to be whole again (issue of the guarantees).
+func Storm(seed int64, shape Shape, faults int) Outcome {
+	w := Build(seed, shape)
+	a := NewActors(w)
+	for _, m := range w.Out.Models() {
+		m.KeepCache = true
+	}
+	if !w.Until(budget.Heal*2, func() bool { return w.Serving() && w.Acting() != nil }) {
+		w.Wrong("the fleet did not form")
+		return w.outcome(a, 0)
+	}
+	a.Plan("first", 0, true, nil)
+	w.Run(time.Second)
+	a.Operate(1500 * time.Millisecond)
+	a.Consume(150 * time.Millisecond)
+	a.Train(Train{Name: "one", Groups: 4, Samples: 3, Tokens: 64, One: true, Most: 12 * time.Second})
+	w.Run(3 * time.Second)
+	for i := 0; i < faults; i++ {
+		Faults[w.Rand.Intn(len(Faults))].do(w)
+		w.Run(w.between(200*time.Millisecond, 3*time.Second))
+	}
+	w.Mend()
+	last := Faults[w.Rand.Intn(3)] // a kill, and the fleet has to get over it
+	last.do(w)
+	w.Run(100 * time.Millisecond)
+	heal, ok := a.Healed(2 * budget.Heal)
+	if !ok {
+		w.Wrong("service was not back %v after the last fault", 2*budget.Heal)
+	} else if heal > budget.Heal {
+		w.Wrong("service was back only %v after the last fault", heal)
+	}
+	w.Run(5 * time.Second)
+	a.Stop = true
+	w.Run(6 * time.Second)
+	a.Final()
+	a.Check()
+	return w.outcome(a, heal)
+}
+
+func (w *World) outcome(a *Actors, heal time.Duration) Outcome {
+	return Outcome{w.Seed, w.Bad, w.Marks, w.Kinds, heal, a.Listed, a.Done, w.Trace}
+}
+
+// Healed waits until bookings, plans and results all go through again, and
+// gives the time that took.
+func (a *Actors) Healed(most time.Duration) (time.Duration, bool) {
+	w := a.w
+	from := w.Now
+	b0, l0 := a.Answered, a.Listed
+	planned := false
+	id := fmt.Sprintf("heal-%d", w.Now)
+	var put func(read uint64)
+	put = func(read uint64) {
+		a.Plan(id, read, true, func(t *attempt) {
+			if t.state == "acked" {
+				planned = true
+				return
+			}
+			id += "x"
+			put(t.version)
+		})
+	}
+	put(a.newest(w.Now))
+	for w.Now < from+most {
+		w.Run(50 * time.Millisecond)
+		if planned && a.Answered > b0 && a.Listed > l0 && w.Serving() && w.Acting() != nil {
+			return w.Now - from, true
+		}
+	}
+	return w.Now - from, false
+}
+
+// Final reads everything once more: what was acknowledged must be there.
+func (a *Actors) Final() {
+	w := a.w
+	ds := w.By("dispatcher")
+	for i, id := range a.Order {
+		s := a.Steps[id]
+		if !s.acked || i < len(a.Order)-20 {
+			continue // retired by now, perhaps
+		}
+		c := Call("step.results", map[string]string{"id": id}, nil)
+		r, ok := w.Ask(ds[i%len(ds)], c, 3*time.Second)
+		if !ok || r.Code != 200 {
+			w.Wrong("step %s is not readable at the end: %d %s", id, r.Code, r.Body)
+			continue
+		}
+		var p struct {
+			Results []any
+		}
+		_ = jsonInto(r.Body, &p)
+		if len(p.Results) < len(s.list) {
+			w.Wrong("step %s lists %d results, %d were seen", id, len(p.Results), len(s.list))
+		}
+	}
+	r, ok := w.Ask(ds[0], Call("plan.get", nil, nil), 3*time.Second)
+	var p struct{ Version uint64 }
+	if !ok || r.Code != 200 || jsonInto(r.Body, &p) != nil || p.Version < a.newest(w.Now) {
+		w.Wrong("plan %d was acknowledged; at the end there is %d", a.newest(w.Now), p.Version)
+	}
+}
