Retries avoid an engine that broke; a finished text on a broken stream is no partial

The engine had sent finish_reason, then its stream broke before the end mark; the text was kept as a partial and resumed. Then a story with two such engines got no results at all: every retry went back to the engine that held the prefix, which was the one that broke. Ruled out: reordered stream events (the virtual network no longer reorders bytes of one connection), and the ledger's own check, which cannot know where a text ends. Conclusion: a partial needs a stream that was not said to be finished, and an engine that broke stands behind the others until it serves whole again.

--- a/core/disp/engines.go
+++ b/core/disp/engines.go
@@ -17,7 +17,16 @@
 	bad    bool // refused or broke since its last good report
 	mine   int  // generations and requests of this dispatcher on it
 	others int  // of everyone else, at the last report
-	speed  flow.Time
+	// An engine that breaks stream after stream rests for longer each time.
+	strikes int
+	rest    flow.Time
+}
+
+func (e *engine) strike(now flow.Time) {
+	e.strikes++
+	if e.strikes >= 2 {
+		e.rest = now + min(budget.Beat<<min(e.strikes, 8), budget.Heal)
+	}
 }
 
 func (d *Disp) readList() {
--- a/core/disp/gen.go
+++ b/core/disp/gen.go
@@ -71,13 +71,22 @@
 			break
 		}
 	}
-	if r.tokens > 0 && r.had+r.tokens > g.tokens {
-		g.kept = append(append([]piece(nil), r.base...), piece{r.text.String(), r.rev})
-		g.tokens = r.had + r.tokens
+	if ps, n := r.partial(); n > g.tokens {
+		g.kept, g.tokens = ps, n
 		d.counts["partials"]++
 	}
 }
 
+// partial is what another run may go on from. A text that was said to be
+// finished, on a stream that then broke, is none: going on would run past its
+// end (design 8.6).
+func (r *run) partial() ([]piece, int) {
+	if r.tokens == 0 || r.finish == "stop" || r.finish == "length" {
+		return r.base, r.had
+	}
+	return append(append([]piece(nil), r.base...), piece{r.text.String(), r.rev}), r.had + r.tokens
+}
+
 // placeAll starts held generations where their prefix lies (design 8.2).
 func (d *Disp) placeAll() {
 	if !d.fresh() || d.plan == nil {
@@ -170,28 +179,37 @@
 	return false
 }
 
-// seats gives the engines that may take the generation under its weights.
+// seats gives the engines that may take the generation under its weights. The
+// one that failed it last, and those that broke several streams of late, come
+// in only when there is no other.
 func (d *Disp) seats(g *gen, not *engine) ([]place.Seat, []*engine) {
+	seats, engines := d.seatsOf(g, func(e *engine) bool { return e != not && e != g.shy && d.now >= e.rest })
+	if len(seats) == 0 {
+		seats, engines = d.seatsOf(g, func(e *engine) bool { return e != not })
+	}
+	for _, s := range seats {
+		if s.Busy < s.Slots {
+			return seats, engines
+		}
+	}
+	return nil, nil
+}
+
+func (d *Disp) seatsOf(g *gen, ok func(*engine) bool) ([]place.Seat, []*engine) {
 	var seats []place.Seat
 	var engines []*engine
-	open := false
 	for _, id := range sortedKeys(d.engines) {
 		e := d.engines[id]
-		if e == not || e.Kind != "model" || e.Pool != g.step.doc.Pool || !d.usable(e) || !g.step.allows(e.load.Revision) {
+		if !ok(e) || e.Kind != "model" || e.Pool != g.step.doc.Pool || !d.usable(e) || !g.step.allows(e.load.Revision) {
 			continue
 		}
 		if len(g.kept) > 0 && !g.step.mixes() && g.kept[len(g.kept)-1].rev != e.load.Revision {
 			continue
 		}
-		open = open || e.busy() < e.load.Slots
-		s := place.Seat{ID: id, Area: e.Area, Busy: e.busy(), Slots: e.load.Slots, Index: g.group.hint[id]}
-		s.Local = d.hits(e, g.group.blocks)
-		seats = append(seats, s)
+		seats = append(seats, place.Seat{ID: id, Area: e.Area, Busy: e.busy(), Slots: e.load.Slots,
+			Local: d.hits(e, g.group.blocks), Index: g.group.hint[id]})
 		engines = append(engines, e)
 	}
-	if !open {
-		return nil, nil
-	}
 	return seats, engines
 }
 
@@ -371,6 +389,10 @@
 	g := r.gen
 	g.leave(d, r, cut)
 	d.counts["failed_runs"]++
+	if r.finish != "abort" {
+		g.shy = r.engine
+		r.engine.strike(d.now)
+	}
 	if len(g.runs) == 0 && g.state == sent {
 		g.state = held
 		g.again = d.now + budget.Beat*flow.Time(min(g.tries, 10)) // a growing pause
@@ -398,7 +420,8 @@
 	text := join(ps)
 	g.whole = ledger.Entry{Group: g.group.doc.ID, Sample: g.sample, Text: text, Finish: r.finish, Engine: r.engine.ID,
 		Spans: spans, Prompt: r.prompt, Cached: r.cached, Tokens: r.had + r.tokens}
-	g.kept, g.tokens = nil, 0
+	g.kept, g.tokens, g.shy = nil, 0, nil
+	r.engine.strikes = 0
 	d.learn(r)
 	g.step.times = append(g.step.times, d.now-g.since)
 	g.state = "judging"
@@ -436,10 +459,7 @@
 
 func (d *Disp) twin(g *gen, r *run) {
 	kept, tokens := g.kept, g.tokens
-	if r.tokens > 0 {
-		g.kept = append(append([]piece(nil), r.base...), piece{r.text.String(), r.rev})
-		g.tokens = r.had + r.tokens
-	}
+	g.kept, g.tokens = r.partial()
 	seats, engines := d.seats(g, r.engine)
 	if i := -1; len(seats) > 0 {
 		if i = place.Policies[d.policy()](d.want(g), seats); i >= 0 {
--- a/core/disp/step.go
+++ b/core/disp/step.go
@@ -47,6 +47,7 @@
 	kept   []piece // the partial that a next run goes on from
 	tokens int
 	tries  int
+	shy    *engine // failed it last
 	since  flow.Time
 	again  flow.Time
 	judge  uint64
--- a/sim/outside.go
+++ b/sim/outside.go
@@ -52,12 +52,20 @@
 }
 
 type stream struct {
+	said bool // a finish was passed on
 	h    *Host
 	life int
 	id   uint64
 	sent int
 }
 
+// over passes a finish on, once, and swallows what comes after it.
+func (s *stream) over(*standin.Event) bool {
+	was := s.said
+	s.said = true
+	return was
+}
+
 // AppHost is an application engine on its machine.
 type AppHost struct {
 	*standin.App
@@ -408,6 +416,10 @@
 			o.back(m.Name, s.h, s.life, flow.Back{ID: s.id, End: true, Code: 200}) // a clean end, too soon
 			return true
 		},
+		"lastword": func(o *Outside, m *Model, s *stream, e *standin.Event) bool {
+			// Everything but the end mark: the text was said to be finished.
+			return !strings.Contains(string(e.Data), `"finish_reason":null`) && !e.End && s.over(e)
+		},
 		"garbage": func(o *Outside, m *Model, s *stream, e *standin.Event) bool {
 			if s.sent == 4 {
 				e.Data = []byte(`{"choices":[{"text":`)
--- /dev/null
+++ b/sim/story_test.go
@@ -0,0 +1,554 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"fernlink/core/budget"
+	"fernlink/core/dialect"
+	"fernlink/core/flow"
+	"fernlink/core/ledger"
+	"fernlink/core/raft"
+	"fernlink/rig/standin"
+)
+
+// story is a fleet that serves under a plan, with nobody at work yet.
+type story struct {
+	*testing.T
+	w *World
+	a *Actors
+}
+
+func given(t *testing.T, seed int64) *story {
+	t.Helper()
+	w := Build(seed, Small)
+	a := NewActors(w)
+	s := &story{t, w, a}
+	s.then(w.Until(2*budget.Heal, func() bool { return w.Serving() && w.Acting() != nil }), "the fleet forms")
+	done := false
+	a.Plan("first", 0, true, func(x *attempt) { done = x.state == "acked" })
+	s.then(w.Until(5*time.Second, func() bool { return done }), "the first plan is acknowledged")
+	w.Run(budget.Plan)
+	return s
+}
+
+// then says what must hold now.
+func (s *story) then(ok bool, format string, a ...any) {
+	s.Helper()
+	if !ok {
+		s.Fatalf("at %v it does not hold that "+format, append([]any{s.w.Now}, a...)...)
+	}
+}
+
+// end runs the checkers over all that was seen.
+func (s *story) end() {
+	s.Helper()
+	s.a.Stop = true
+	s.w.Run(6 * time.Second)
+	s.a.Final()
+	s.a.Check()
+	for _, b := range s.w.Bad {
+		s.Error(b)
+	}
+}
+
+func (s *story) train(name string) {
+	s.a.Train(Train{Name: name, Groups: 4, Samples: 3, Tokens: 64, One: true, Most: 15 * time.Second})
+}
+
+func (s *story) disp(i int) *Host { return s.w.By("dispatcher")[i] }
+
+func (s *story) ask(h *Host, c flow.Call) flow.Reply {
+	s.Helper()
+	r, ok := s.w.Ask(h, c, 6*time.Second)
+	s.then(ok, "%s answers %s", h.Name, c.Name)
+	return r
+}
+
+func doc(a *Actors, id string, rev, groups, tokens int) ledger.StepDoc {
+	d := ledger.StepDoc{ID: id, Trainer: "t", Pool: ModelPool, Revision: rev, OneVersion: true, Judge: "http://10.3.0.1:80/judge", DeadlineMS: 20000}
+	for g := 0; g < groups; g++ {
+		d.Groups = append(d.Groups, ledger.Group{ID: fmt.Sprintf("g%d", g), Prompt: a.prompt(id, fmt.Sprintf("g%d", g)), Samples: 2, Tokens: tokens})
+	}
+	return d
+}
+
+// open opens a step and follows its list without ending it.
+func (s *story) open(d ledger.StepDoc) *seen {
+	s.Helper()
+	x := &seen{doc: d, keys: map[string]bool{}, began: s.w.Now}
+	s.a.Steps[d.ID] = x
+	s.a.Order = append(s.a.Order, d.ID)
+	r := s.ask(s.disp(0), Call("step.open", nil, d))
+	s.then(r.Code == 200, "step %s opens: %d %s", d.ID, r.Code, r.Body)
+	x.acked = true
+	s.w.Every(100*time.Millisecond, func() bool { s.a.read(x); return len(x.list) < d.Wanted() && !s.a.Stop })
+	return x
+}
+
+func (s *story) sum(f func(*Model) int) int {
+	n := 0
+	for _, m := range s.w.Out.Models() {
+		n += f(m)
+	}
+	return n
+}
+
+// Given a trainer and callers at work, when the store's leader is killed,
+// then another leads, and results and bookings go on within the bound.
+func TestLeaderKilled(t *testing.T) {
+	s := given(t, 11)
+	s.train("one")
+	s.a.Consume(100 * time.Millisecond)
+	s.w.Run(4 * time.Second)
+	old := s.w.Leader()
+	old.Kill()
+	heal, ok := s.a.Healed(2 * budget.Heal)
+	s.then(ok && heal <= budget.Heal, "service is back in time: %v", heal)
+	s.then(s.w.Leader() != old, "another leads")
+	old.Start()
+	s.w.Run(3 * time.Second)
+	s.end()
+}
+
+// Given a roll-out under way, when the acting coordinator is killed, then
+// results go on meanwhile, the standby takes over under a higher term, and
+// the engines end up at the step's weights.
+func TestCoordinatorKilled(t *testing.T) {
+	s := given(t, 12)
+	s.train("one")
+	s.w.Run(3 * time.Second)
+	old := s.w.Acting()
+	term := old.Node.Stats(old.clock()).Coord.Term
+	had := s.a.Listed
+	old.Kill()
+	s.then(s.w.Until(budget.Heal, func() bool {
+		h := s.w.Acting()
+		return h != nil && h.Node.Stats(h.clock()).Coord.Term > term
+	}), "the standby acts under a higher term")
+	s.then(s.w.Until(budget.Heal, func() bool { return s.a.Done >= 3 && s.a.Listed > had+12 }), "steps with new weights get done: %d", s.a.Done)
+	s.end()
+}
+
+// Given no coordinator at all, when a step is open at weights that engines
+// have, then its results all come: the index is only advice.
+func TestServesWithoutCoordinator(t *testing.T) {
+	s := given(t, 13)
+	x := s.open(doc(s.a, "s1", 1, 4, 32))
+	s.then(s.w.Until(budget.Heal, func() bool { return len(x.list) == x.doc.Wanted() }), "the first step is done")
+	for _, h := range s.w.By("coordinator") {
+		h.Kill()
+	}
+	y := s.open(doc(s.a, "s2", 1, 4, 32))
+	s.then(s.w.Until(budget.Heal, func() bool { return len(y.list) == y.doc.Wanted() }), "a step is done without a coordinator")
+	s.end()
+}
+
+// Given long generations, when the busiest engine vanishes in mid-stream,
+// then its partials are resumed elsewhere and all results come whole.
+func TestEngineVanishesMidStream(t *testing.T) {
+	s := given(t, 14)
+	for _, m := range s.w.Out.Models() {
+		m.Pace.Stop = 0
+		m.Slow = 4
+	}
+	d := doc(s.a, "long", 1, 4, 200)
+	s.open(d)
+	busy := func() *Model {
+		var best *Model
+		for _, m := range s.w.Out.Models() {
+			if best == nil || len(m.jobs) > len(best.jobs) {
+				best = m
+			}
+		}
+		return best
+	}
+	s.then(s.w.Until(budget.Heal, func() bool { return len(busy().jobs) > 1 }), "generations run")
+	s.w.Run(time.Second)
+	gone := busy()
+	s.w.Out.Crash(gone, 0)
+	at := s.w.Now
+	resumed := func() (n int64) {
+		for _, h := range s.w.By("dispatcher") {
+			n += h.Node.Stats(h.clock()).Disp.Counts["resumed"]
+		}
+		return n
+	}
+	s.then(s.w.Until(budget.Heal, func() bool { return resumed() > 0 }), "a partial is resumed elsewhere")
+	// What the stand-in makes without a stop is only ended by its length.
+	s.a.w.Out.Whole = nil
+	x := s.a.Steps["long"]
+	s.then(s.w.Until(20*time.Second, func() bool { return len(x.list) == d.Wanted() }), "all results come: %d", len(x.list))
+	for _, raw := range x.list {
+		var e ledger.Entry
+		_ = json.Unmarshal([]byte(raw), &e)
+		s.then(len(e.Text) == 200*standin.TokenBytes, "the text of %s/%d is whole", e.Group, e.Sample)
+	}
+	for _, b := range gone.Begun {
+		s.then(b.At <= at+budget.Engine, "the vanished engine got no new work after the bound")
+	}
+}
+
+// Given callers at work, when a dispatcher is cut off from every sibling,
+// then it refuses at once with Retry-After, no plan slips back on it, and it
+// serves again when the cut ends.
+func TestDispatcherCutOff(t *testing.T) {
+	s := given(t, 15)
+	s.a.Operate(700 * time.Millisecond)
+	s.a.Consume(100 * time.Millisecond)
+	s.w.Run(2 * time.Second)
+	cut := s.disp(0)
+	var sibs []string
+	for _, h := range s.w.Hosts {
+		if h != cut {
+			sibs = append(sibs, h.Name)
+		}
+	}
+	s.w.Net.Split([]string{cut.Name}, sibs)
+	s.w.Run(budget.Tenure + 200*time.Millisecond)
+	began := s.w.Now
+	r := s.ask(cut, Web("POST", "/book/x", map[string]string{"id": "late"}, ""))
+	s.then(r.Code == 503 && r.Head["Retry-After"] != "", "it refuses with Retry-After: %d", r.Code)
+	s.then(s.w.Now-began < 100*time.Millisecond, "at once: %v", s.w.Now-began)
+	s.w.Run(3 * time.Second)
+	s.w.Net.Heal()
+	s.then(s.w.Until(budget.Heal, s.w.Serving), "it serves again")
+	s.end()
+}
+
+// Given an engine that says a text is finished and then breaks its stream,
+// when the generation is made again, then the listed text ends where the
+// weights end it. (Found by a sweep: seed 34 went on past the end.)
+func TestFinishedThenBroken(t *testing.T) {
+	s := given(t, 16)
+	for _, m := range s.w.Out.Models()[:2] {
+		m.Lie = "lastword"
+	}
+	s.train("one")
+	s.w.Run(8 * time.Second)
+	s.then(s.a.Listed > 12, "results come: %d", s.a.Listed)
+	s.end()
+}
+
+// Given two operators who both read version 1, when both put a plan, then one
+// is acknowledged, the other told the present version, and only the first is
+// ever in force.
+func TestOperatorsRace(t *testing.T) {
+	s := given(t, 17)
+	var got []*attempt
+	for _, id := range []string{"left", "right"} {
+		s.a.Plan(id, 1, true, func(x *attempt) { got = append(got, x) })
+	}
+	s.then(s.w.Until(5*time.Second, func() bool { return len(got) == 2 }), "both are answered")
+	won, lost := got[0], got[1]
+	if won.state != "acked" {
+		won, lost = lost, won
+	}
+	s.then(won.state == "acked" && won.version == 2 && lost.state == "lost" && lost.version == 2, "one wins and one is told version 2: %+v %+v", won, lost)
+	for i := 0; i < 40; i++ {
+		s.a.probe(won)
+		s.a.probe(lost)
+		s.w.Run(100 * time.Millisecond)
+	}
+	s.end()
+}
+
+// Given a plan with several faults, when it is put, then all are told by
+// their JSON pointers and nothing changes.
+func TestInvalidPlan(t *testing.T) {
+	s := given(t, 18)
+	c := Call("plan.put", nil, nil)
+	c.Body = []byte(`{"read":1,"request":"r","plan":{"pools":[{"name":"p","kind":"oven"}],"routes":[{"name":"a","path":"no","pool":"p","extra":1}]}}`)
+	r := s.ask(s.disp(0), c)
+	for _, at := range []string{"/plan/pools/0/kind", "/plan/routes/0/path", "/plan/routes/0/extra"} {
+		s.then(r.Code == 422 && strings.Contains(string(r.Body), `"`+at+`"`), "%s is told: %d %s", at, r.Code, r.Body)
+	}
+	c.Body = []byte(`{"read":1,"request":"r","plan":{"pools":[{"name":"p","kind":"app"}],"routes":[{"name":"a","path":"/x","pool":"q"},{"name":"a","path":"/x","pool":"p"},{"name":"c","path":"/v1/x","pool":"p"}],"placement":"best"}}`)
+	r = s.ask(s.disp(0), c)
+	for _, at := range []string{"/plan/routes/0/pool", "/plan/routes/1/name", "/plan/routes/1", "/plan/routes/2/path", "/plan/placement"} {
+		s.then(r.Code == 422 && strings.Contains(string(r.Body), `"`+at+`"`), "%s is told: %d %s", at, r.Code, r.Body)
+	}
+	c.Body = []byte(`{"read":`)
+	s.then(s.ask(s.disp(0), c).Code == 400, "what is not JSON is 400")
+	r = s.ask(s.disp(1), Call("plan.get", nil, nil))
+	s.then(r.Code == 200 && strings.Contains(string(r.Body), `"version":1`), "version 1 stands: %s", r.Body)
+	for call, vars := range map[string]map[string]string{"step.get": {"id": "none"}, "step.results": {"id": "none"}, "engine.get": {"id": "none"}, "plan.version": {"version": "9"}} {
+		r := s.ask(s.disp(0), Call(call, vars, nil))
+		s.then(r.Code == 404, "%s of what is unknown is 404: %d", call, r.Code)
+	}
+	s.end()
+}
+
+// Given an application engine that runs a booking and then breaks off, when
+// the caller says it again at another dispatcher, then it ran once, the
+// outcome is told as unknown, and it is never called refused.
+func TestOutcomeUnknown(t *testing.T) {
+	s := given(t, 19)
+	for _, x := range s.w.Out.Apps() {
+		x.Break = true
+	}
+	b := Web("POST", "/book/x", map[string]string{"id": "b1"}, "k1")
+	r := s.ask(s.disp(0), b)
+	s.then(r.Code == 502 && strings.Contains(string(r.Body), `"unknown"`), "unknown is told: %d %s", r.Code, r.Body)
+	for _, x := range s.w.Out.Apps() {
+		x.Break = false
+	}
+	r = s.ask(s.disp(1), b)
+	s.then(r.Code == 502 && strings.Contains(string(r.Body), `"unknown"`), "and told again: %d %s", r.Code, r.Body)
+	ran := 0
+	for _, x := range s.w.Out.Apps() {
+		ran += x.Ran["b1"]
+	}
+	s.then(ran == 1, "it ran once: %d", ran)
+	r = s.ask(s.disp(0), Web("POST", "/book/x", map[string]string{"id": "b2"}, "k2"))
+	s.then(r.Code == 200, "the next one is answered")
+	again := s.ask(s.disp(1), Web("POST", "/book/x", map[string]string{"id": "b2"}, "k2"))
+	s.then(again.Code == 200 && string(again.Body) == string(r.Body) && again.Head["Idempotent-Replay"] != "", "a repeat gets the recorded answer")
+	other := s.ask(s.disp(1), Web("POST", "/book/x", map[string]string{"id": "b3"}, "k2"))
+	s.then(other.Code == 422, "the key with another body is 422: %d", other.Code)
+	s.end()
+}
+
+// Given no application engine that is there, when a booking comes, then it is
+// refused at once with Retry-After, and never runs when engines come back.
+func TestRefusedNeverRuns(t *testing.T) {
+	s := given(t, 20)
+	for _, x := range s.w.Out.Apps() {
+		s.w.Out.CrashApp(x)
+	}
+	s.w.Run(budget.Engine)
+	began := s.w.Now
+	r := s.ask(s.disp(0), Web("POST", "/book/x", map[string]string{"id": "b1"}, "k1"))
+	s.then(r.Code == 503 && r.Head["Retry-After"] != "" && strings.Contains(string(r.Body), `"refused"`), "it is refused: %d %s", r.Code, r.Body)
+	s.then(s.w.Now-began < 300*time.Millisecond, "at once: %v", s.w.Now-began)
+	for _, x := range s.w.Out.Apps() {
+		s.w.Out.RiseApp(x)
+	}
+	s.w.Run(2 * time.Second)
+	r = s.ask(s.disp(1), Web("POST", "/book/x", map[string]string{"id": "b1"}, "k1"))
+	s.then(r.Code == 409, "the key stays refused: %d %s", r.Code, r.Body)
+	for _, x := range s.w.Out.Apps() {
+		s.then(x.Ran["b1"] == 0, "it never ran")
+	}
+	s.end()
+}
+
+// Given a coordinator frozen in mid-roll-out, when another takes over and the
+// first wakes, then no engine hears an order of the old term after the new.
+func TestFrozenCoordinatorWakes(t *testing.T) {
+	for seed := int64(30); seed < 34; seed++ {
+		s := given(t, seed)
+		s.train("one")
+		s.w.Run(time.Duration(seed-29) * 700 * time.Millisecond)
+		old := s.w.Acting()
+		s.then(old != nil, "one acts")
+		old.Freeze(8 * time.Second)
+		s.w.Run(10 * time.Second)
+		s.then(s.w.Acting() != nil && s.w.Acting() != old, "another acts")
+		s.end()
+	}
+}
+
+// Given a result and a plan that were acknowledged, when every store loses
+// power at that moment, then both are there after the restart.
+func TestPowerLossEverywhere(t *testing.T) {
+	s := given(t, 21)
+	x := s.open(doc(s.a, "s1", 1, 4, 24))
+	s.then(s.w.Until(budget.Heal, func() bool { return len(x.list) == x.doc.Wanted() }), "the step is done")
+	done := false
+	s.a.Plan("second", 1, true, func(p *attempt) {
+		done = p.state == "acked"
+		for _, h := range s.w.By("store") {
+			h.Lose(false)
+		}
+	})
+	s.then(s.w.Until(5*time.Second, func() bool { return done }), "the plan is acknowledged")
+	s.w.Run(time.Second)
+	for _, h := range s.w.By("store") {
+		h.Start()
+	}
+	s.then(s.w.Until(budget.Heal, s.w.Serving), "the fleet serves again")
+	s.end()
+}
+
+// Given one seed, when it is run twice, then all that happens is the same.
+func TestReplaysExactly(t *testing.T) {
+	a, b := Storm(7, Small, 5), Storm(7, Small, 5)
+	if a.Trace != b.Trace || a.Listed != b.Listed {
+		t.Fatalf("two runs of one seed differ: %x and %x", a.Trace, b.Trace)
+	}
+}
+
+// Given a judge that answers for another text, or not at all, when the step's
+// deadline comes, then results are listed without a verdict, and say so.
+func TestNoVerdictIsMadeUp(t *testing.T) {
+	for _, mode := range []string{"other", "fail"} {
+		s := given(t, 22)
+		s.w.Out.Judge.Mode = mode
+		d := doc(s.a, "s1", 1, 3, 24)
+		d.DeadlineMS = 6000
+		x := s.open(d)
+		s.w.Run(5 * time.Second)
+		s.then(len(x.list) == 0, "nothing is listed while a verdict may come")
+		s.then(s.w.Until(4*time.Second, func() bool { return len(x.list) == d.Wanted() }), "all are listed at the deadline: %d", len(x.list))
+		for _, raw := range x.list {
+			s.then(strings.Contains(raw, `"state":"none"`) && strings.Contains(raw, "by the deadline"), "the result says that there is no verdict")
+		}
+		s.end()
+	}
+}
+
+// Given engines that keep their cache over new weights, when steps move on,
+// then no generation reuses KV of other weights: the salt guards it.
+func TestNoKVAcrossWeights(t *testing.T) {
+	s := given(t, 23)
+	for _, m := range s.w.Out.Models() {
+		m.KeepCache = true
+	}
+	s.train("one")
+	s.a.Train(Train{Name: "lag", Groups: 3, Samples: 2, Tokens: 96, Lag: 1, Most: 10 * time.Second})
+	s.w.Run(15 * time.Second)
+	s.then(s.sum(func(m *Model) int { return m.Swaps }) > 8, "weights changed many times")
+	s.then(s.sum(func(m *Model) int { return m.Hits }) > 0, "and KV was reused")
+	s.end()
+}
+
+// Given a dispatcher cut from the coordinator for so long that batches are
+// lost, when the cut ends, then its slices are found stale and sent whole.
+func TestStaleSliceIsSentWhole(t *testing.T) {
+	s := given(t, 24)
+	s.train("one")
+	s.w.Run(3 * time.Second)
+	c := s.w.Acting()
+	s.w.Net.Split([]string{s.disp(0).Name}, []string{c.Name})
+	s.w.Run(15 * time.Second)
+	s.w.Net.Heal()
+	s.then(s.w.Until(5*time.Second, func() bool { return c.Node.Stats(c.clock()).Coord.Gate["gap"] > 0 }), "the gap is seen")
+	s.then(s.w.Until(5*time.Second, func() bool { return c.Node.Stats(c.clock()).Coord.Stale == 0 }), "and mended")
+	s.end()
+}
+
+// Given a checkpoint that is damaged, when its coordinator takes the tenure
+// again, then it starts cold, says so, and the index fills anew.
+func TestCorruptCheckpoint(t *testing.T) {
+	s := given(t, 25)
+	s.train("one")
+	s.w.Run(budget.Digest + 2*time.Second)
+	c := s.w.Acting()
+	b, err := c.Disk.Read("index.ckpt")
+	s.then(err == nil && len(b) > 100, "a checkpoint was written")
+	whole := c.Node.Stats(c.clock()).Coord.Blocks
+	s.then(whole > 0, "the index holds blocks")
+	for _, h := range s.w.By("coordinator") {
+		h.Kill()
+	}
+	b[len(b)/2] ^= 1
+	_ = c.Disk.Write("index.ckpt", b)
+	c.Start()
+	s.then(s.w.Until(budget.Heal, func() bool { return s.w.Acting() == c }), "it acts again")
+	st := c.Node.Stats(c.clock()).Coord
+	s.then(st.Cold, "it started cold")
+	s.then(s.w.Until(10*time.Second, func() bool { return c.Node.Stats(c.clock()).Coord.Blocks > 0 }), "the index fills anew")
+	s.end()
+}
+
+// Given a step with generations running, when it is ended, then no leftover
+// reaches an engine after the bound, and what ran is cut.
+func TestEndedStepStops(t *testing.T) {
+	s := given(t, 26)
+	for _, m := range s.w.Out.Models() {
+		m.Pace.Stop, m.Slow = 0, 10
+	}
+	s.a.w.Out.Whole = nil
+	d := doc(s.a, "s1", 1, 16, 2000)
+	s.open(d)
+	jobs := func() int { return s.sum(func(m *Model) int { return len(m.jobs) }) }
+	s.then(s.w.Until(budget.Heal, func() bool { return jobs() > 16 }), "generations run: %d", jobs())
+	// One dispatcher is cut from the stores, and so never hears of the end.
+	var stores []string
+	for _, h := range s.w.By("store") {
+		stores = append(stores, h.Name)
+	}
+	s.w.Net.Split([]string{s.disp(0).Name}, stores)
+	r := s.ask(s.disp(1), Call("step.end", map[string]string{"id": "s1"}, nil))
+	s.then(r.Code == 200, "the step ends: %d", r.Code)
+	s.w.Out.Ends["s1"] = s.w.Now
+	s.w.Run(budget.End)
+	s.then(jobs() == 0, "nothing of it runs after the bound: %d", jobs())
+	s.w.Net.Heal()
+	s.end()
+}
+
+// Given engines at work, when the platform drains one and takes another off
+// its list, then neither gets new work after the bound.
+func TestDrained(t *testing.T) {
+	s := given(t, 27)
+	s.train("one")
+	s.a.Consume(50 * time.Millisecond)
+	s.w.Run(3 * time.Second)
+	s.w.setState("model-1", "draining")
+	s.w.Out.Relist(func(l *dialect.Listed) bool { return l.ID != "app-1" })
+	s.w.Run(10 * time.Second)
+	s.then(s.a.Listed > 24, "results go on: %d", s.a.Listed)
+	s.end()
+}
+
+// Given a store machine whose disk is lost, when an empty machine at a new
+// address is taken in, promoted, and the dead one taken out by hand, then
+// nothing acknowledged is lost and one more loss is survived.
+func TestStoreReplacedByHand(t *testing.T) {
+	s := given(t, 28)
+	s.train("one")
+	s.a.Consume(100 * time.Millisecond)
+	s.w.Run(3 * time.Second)
+	dead := s.w.Host("store-2")
+	if s.w.Leader() == dead {
+		dead = s.w.Host("store-1")
+	}
+	id := dead.ID()
+	dead.Lose(true)
+	p := dead.Props
+	p.Addr, p.Web, p.Form = "10.0.9.9:1", "10.0.9.9:2", nil
+	fresh := s.w.AddHost("store-new", p, true)
+	fresh.Start()
+	s.w.Run(3 * time.Second)
+	d := s.disp(1)
+	s.then(s.ask(d, Call("store.vote", map[string]string{"id": fresh.ID()}, nil)).Code == 404, "a stranger is not promoted")
+	r := s.ask(d, Call("store.add", nil, map[string]string{"addr": p.Addr}))
+	s.then(r.Code == 200, "the blank machine is a learner: %d %s", r.Code, r.Body)
+	s.then(s.w.Until(5*time.Second, func() bool {
+		return s.ask(d, Call("store.vote", map[string]string{"id": fresh.ID()}, nil)).Code == 200
+	}), "it catches up and votes")
+	s.then(s.ask(d, Call("store.remove", map[string]string{"id": id}, nil)).Code == 200, "the dead one is taken out")
+	s.w.Run(time.Second)
+	lead := s.w.Leader()
+	s.then(len(lead.Node.Stats(lead.clock()).Store.Members) == 3, "three members")
+	lead.Kill()
+	heal, ok := s.a.Healed(2 * budget.Heal)
+	s.then(ok && heal <= budget.Heal, "one more loss is survived: %v", heal)
+	s.end()
+}
+
+// Given a store cut off with its log ahead, when it comes back, then what it
+// had alone is gone and nobody saw it.
+func TestLeaderCutOffAlone(t *testing.T) {
+	s := given(t, 29)
+	old := s.w.Leader()
+	var rest []string
+	for _, h := range s.w.Hosts {
+		if h != old && !h.Has("dispatcher") {
+			rest = append(rest, h.Name)
+		}
+	}
+	s.w.Net.Split([]string{old.Name}, rest)
+	s.a.Plan("alone", 1, true, nil)
+	s.a.Consume(100 * time.Millisecond)
+	s.w.Run(5 * time.Second)
+	s.then(old.Node.Stats(old.clock()).Store.Role != raft.Leader, "it stepped down")
+	s.w.Net.Heal()
+	s.w.Run(3 * time.Second)
+	s.end()
+}
