--- /dev/null
+++ b/props/props_test.go
@@ -0,0 +1,39 @@
+package props
+
+import (
+	"testing"
+)
+
+// Given props with many faults, when they are checked, then each is told at
+// its place.
+func TestEveryFaultIsTold(t *testing.T) {
+	cases := map[string][]string{
+		`{"addr":"here","web":"127.0.0.1:2","area":"a","seeds":[],"roles":["cook"],"colour":1}`: {"/addr", "/colour", "/roles/0", "/seeds"},
+		`{}`: {""},
+		`{"addr":"127.0.0.1:1","web":"127.0.0.1:1","area":"a","seeds":["127.0.0.1:99999"],"roles":["store","dispatcher"]}`:                                {"/seeds/0", "/web", "/data", "/platform"},
+		`{"addr":"127.0.0.1:1","web":"127.0.0.1:2","area":"a","seeds":["127.0.0.1:1"],"roles":["coordinator"],"policies_off":["rolout"]}`:                 {"/policies_off"},
+		`{"addr":"127.0.0.1:1","web":"127.0.0.1:2","area":"a","seeds":["127.0.0.1:1"],"roles":["store"],"data":"x","form":["127.0.0.1:3","127.0.0.1:4"]}`: {"/form", "/form"},
+	}
+	for in, want := range cases {
+		_, bad, err := Check([]byte(in))
+		if err != nil {
+			t.Errorf("%s: %v", in, err)
+		}
+		got := map[string]int{}
+		for _, f := range bad {
+			got[f.At]++
+		}
+		for _, at := range want {
+			if got[at] == 0 {
+				t.Errorf("%s: nothing told at %q: %v", in, at, bad)
+			}
+		}
+	}
+	if _, _, err := Check([]byte(`{`)); err == nil {
+		t.Error("not JSON passed")
+	}
+	good := `{"addr":"127.0.0.1:1","web":"127.0.0.1:2","area":"a","seeds":["127.0.0.1:3"],"roles":["dispatcher"],"platform":"http://127.0.0.1:9/engines"}`
+	if p, bad, err := Check([]byte(good)); err != nil || len(bad) > 0 || p.Keep != Keep {
+		t.Errorf("good props: %v %v", bad, err)
+	}
+}
--- /dev/null
+++ b/shell/disk/disk_test.go
@@ -0,0 +1,142 @@
+package disk
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"fernlink/core/flow"
+)
+
+func entries(from, to uint64) []flow.Entry {
+	var out []flow.Entry
+	for i := from; i <= to; i++ {
+		out = append(out, flow.Entry{Index: i, Term: 1, Kind: "cmd", Data: json.RawMessage(`{"n":1}`)})
+	}
+	return out
+}
+
+func open(t *testing.T, dir string) (*Log, uint64, error) {
+	t.Helper()
+	f, err := OpenFolder(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, d, err := Open(f)
+	if err != nil {
+		return nil, 0, err
+	}
+	last := uint64(0)
+	if d.Digest != nil {
+		last = d.Digest.Index
+	}
+	if n := len(d.Entries); n > 0 {
+		last = d.Entries[n-1].Index
+	}
+	return l, last, nil
+}
+
+func segment(t *testing.T, dir string) string {
+	t.Helper()
+	m, _ := filepath.Glob(filepath.Join(dir, "log-*.seg"))
+	if len(m) != 1 {
+		t.Fatalf("segments: %v", m)
+	}
+	return m[0]
+}
+
+// Given a log whose last frame is torn at each byte, when it is opened, then
+// what was synced before is there and the torn frame is cut off.
+func TestTornTail(t *testing.T) {
+	dir := t.TempDir()
+	l, _, err := open(t, dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Save([]flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: entries(1, 5)}}); err != nil {
+		t.Fatal(err)
+	}
+	seg := segment(t, dir)
+	before, _ := os.ReadFile(seg)
+	if err := l.Save([]flow.Save{{Add: entries(6, 7)}}); err != nil {
+		t.Fatal(err)
+	}
+	after, _ := os.ReadFile(seg)
+	for cut := len(before); cut <= len(after); cut++ {
+		other := t.TempDir()
+		if err := os.WriteFile(filepath.Join(other, filepath.Base(seg)), after[:cut], 0o644); err != nil {
+			t.Fatal(err)
+		}
+		_, last, err := open(t, other)
+		want := uint64(5)
+		if cut == len(after) {
+			want = 7
+		}
+		if err != nil || last != want {
+			t.Fatalf("cut at %d: last %d, %v", cut, last, err)
+		}
+	}
+}
+
+// Given a log that is damaged before its tail, when it is opened, then that
+// is a stop, not a shorter log.
+func TestCorruptionBeforeTail(t *testing.T) {
+	dir := t.TempDir()
+	l, _, err := open(t, dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Save([]flow.Save{{Add: entries(1, 5)}})
+	seg := segment(t, dir)
+	b, _ := os.ReadFile(seg)
+	at := len(b) - 20
+	_ = l.Save([]flow.Save{{Add: entries(6, 7)}})
+	b, _ = os.ReadFile(seg)
+	b[at] ^= 1
+	_ = os.WriteFile(seg, b, 0o644)
+	if _, _, err := open(t, dir); !errors.Is(err, ErrCorrupt) {
+		t.Fatalf("a damaged log opened: %v", err)
+	}
+}
+
+// Given a digest, when the log is opened, then entries before it are gone,
+// those after it are there, and a damaged digest is a stop.
+func TestDigest(t *testing.T) {
+	dir := t.TempDir()
+	l, _, err := open(t, dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Save([]flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: entries(1, 9)}})
+	_ = l.Save([]flow.Save{{Digest: &flow.Digest{Index: 6, Term: 1, Conf: json.RawMessage(`{}`), State: json.RawMessage(`{}`)}}, {Add: entries(10, 11)}})
+	f, _ := OpenFolder(dir)
+	_, d, err := Open(f)
+	if err != nil || d.Digest.Index != 6 || len(d.Entries) != 5 || d.Entries[0].Index != 7 || d.Hard.Cluster != "c" {
+		t.Fatalf("%v %+v", err, d)
+	}
+	m, _ := filepath.Glob(filepath.Join(dir, "digest-*.json"))
+	b, _ := os.ReadFile(m[0])
+	b[len(b)/2] ^= 1
+	_ = os.WriteFile(m[0], b, 0o644)
+	if _, _, err := open(t, dir); !errors.Is(err, ErrCorrupt) {
+		t.Fatalf("a damaged digest opened: %v", err)
+	}
+}
+
+// Given a blank folder, when it is opened twice, then it has one identity and
+// a growing incarnation; a log without its identity is damaged.
+func TestIdentity(t *testing.T) {
+	f, _ := OpenFolder(t.TempDir())
+	a, err := Identify(f, "fresh", 10)
+	b, err2 := Identify(f, "other", 5)
+	if err != nil || err2 != nil || a.ID != "fresh" || b.ID != "fresh" || b.Inc <= a.Inc {
+		t.Fatalf("%+v %+v %v %v", a, b, err, err2)
+	}
+	g, _ := OpenFolder(t.TempDir())
+	_ = g.Write(segName(1), nil)
+	if _, err := Identify(g, "x", 1); !errors.Is(err, ErrCorrupt) {
+		t.Fatalf("a log without an identity: %v", err)
+	}
+}
--- /dev/null
+++ b/shell/link/link_test.go
@@ -0,0 +1,74 @@
+package link
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"fernlink/core/flow"
+)
+
+func closed(t *testing.T, c net.Conn) bool {
+	t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(30 * time.Second)) // a hang guard
+	_, err := c.Read(make([]byte, 1))
+	return err == io.EOF || err != nil && !err.(net.Error).Timeout()
+}
+
+// Given a link, when malformed, foreign, other-version or oversize lines come,
+// then the connection is closed and counted, and good ones still pass.
+func TestStraysAreClosed(t *testing.T) {
+	got := make(chan flow.Event, 8)
+	l, err := Open("127.0.0.1:0", log.NewNopLogger(), func(e flow.Event) bool { got <- e; return true })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	mine := "mine"
+	l.Cluster.Store(&mine)
+	line := func(v int, c string) []byte {
+		b, _ := json.Marshal(flow.Line{Ver: v, Cluster: c, Kind: "gossip", Body: json.RawMessage(`{}`)})
+		return append(b, '\n')
+	}
+	bad := map[string][]byte{
+		"malformed": []byte("hello\n"),
+		"foreign":   line(flow.Version, "theirs"),
+		"version":   line(flow.Version+1, "mine"),
+		"oversize":  append(bytes.Repeat([]byte("x"), LineMost+10), '\n'),
+	}
+	n := int64(0)
+	for name, b := range bad {
+		c, err := net.Dial("tcp", l.ear.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _, _ = c.Write(b) }()
+		if !closed(t, c) {
+			t.Errorf("%s: the connection stays open", name)
+		}
+		n++
+		if l.Strays.Load() != n {
+			t.Errorf("%s: %d strays counted", name, l.Strays.Load())
+		}
+		_ = c.Close()
+	}
+	c, err := net.Dial("tcp", l.ear.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = c.Write(line(flow.Version, "mine"))
+	select {
+	case e := <-got:
+		if e.Line == nil || e.Line.Kind != "gossip" {
+			t.Errorf("got %+v", e)
+		}
+	case <-time.After(30 * time.Second):
+		t.Error("a good line did not pass")
+	}
+}
