--- a/cmd/fernlink/main.go
+++ b/cmd/fernlink/main.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/integrii/flaggy"
+	"go.uber.org/dig"
 	"go.uber.org/fx"
 
 	"fernlink/core/ledger"
@@ -23,7 +24,7 @@
 	flaggy.SetName("fernlink")
 	flaggy.SetDescription("a rollout scheduler for trainers")
 	flaggy.SetVersion(Version)
-	flaggy.DefaultParser.ShowHelpOnUnexpected = false
+	flaggy.DefaultParser.ShowHelpOnUnexpected = true
 	var n nodeFlags
 	sub := flaggy.NewSubcommand("node")
 	sub.Description = "run one node until SIGTERM"
@@ -84,7 +85,7 @@
 	}
 	app := fx.New(fx.NopLogger, daemon.Module(p), fx.StopTimeout(10*time.Second))
 	if err := app.Err(); err != nil {
-		fmt.Fprintln(os.Stderr, "fernlink:", err)
+		fmt.Fprintln(os.Stderr, "fernlink:", dig.RootCause(err))
 		return 1
 	}
 	if err := app.Start(context.Background()); err != nil {
--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -29,7 +29,7 @@
 func main() {
 	flaggy.SetName("rig")
 	flaggy.SetDescription("stand-ins and whole fleets, for development only")
-	flaggy.DefaultParser.ShowHelpOnUnexpected = false
+	flaggy.DefaultParser.ShowHelpOnUnexpected = true
 	o := &opts{addr: "127.0.0.1:9000", id: "one", pool: "draft", shape: "fibrarmor", seconds: 20, seed: 1, rev: 0}
 	verbs := []struct {
 		name, about string
--- a/core/ask/ask.go
+++ b/core/ask/ask.go
@@ -5,10 +5,10 @@
 
 import (
 	"encoding/json"
-	"sort"
 
 	"fernlink/core/budget"
 	"fernlink/core/flow"
+	"fernlink/core/sorted"
 )
 
 // Ask is a question to the leader; Told is its answer.
@@ -91,12 +91,7 @@
 
 // Advance sends what is due and gives up what is late.
 func (a *Asker) Advance(now flow.Time, stores []string, out *flow.Outbox) {
-	ids := make([]uint64, 0, len(a.open))
-	for id := range a.open {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	for _, id := range ids {
+	for _, id := range sorted.Keys(a.open) {
 		o := a.open[id]
 		if now >= o.limit {
 			delete(a.open, id)
--- a/core/coord/coord.go
+++ b/core/coord/coord.go
@@ -18,6 +18,7 @@
 	"fernlink/core/index/view"
 	"fernlink/core/ledger"
 	"fernlink/core/prefix"
+	"fernlink/core/sorted"
 	"fernlink/core/store"
 )
 
@@ -186,7 +187,7 @@
 func (c *Coord) standDown() {
 	c.out.Note("coord", "stood down", "term", c.term)
 	c.term, c.till, c.plan = 0, 0, 0
-	for _, id := range keys(c.watchers) {
+	for _, id := range sorted.Keys(c.watchers) {
 		c.closeWatch(id, "this coordinator stood down")
 	}
 	for id := range c.sends {
@@ -308,15 +309,6 @@
 	return bad
 }
 
-func keys[T any](m map[uint64]T) []uint64 {
-	out := make([]uint64, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
-	return out
-}
-
 // Stats is the coordinator's part of the one snapshot (design 10.4): is the
 // view complete, how old is it, are the loops alive, what do policies do.
 type Stats struct {
--- a/core/coord/roll.go
+++ b/core/coord/roll.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"sort"
 
 	"fernlink/core/ask"
 	"fernlink/core/budget"
@@ -10,6 +9,7 @@
 	"fernlink/core/flow"
 	"fernlink/core/index/policy"
 	"fernlink/core/ledger"
+	"fernlink/core/sorted"
 )
 
 // move is one weight order on its way (design 8.5). It goes through its
@@ -37,12 +37,7 @@
 // inherit takes over orders that an earlier term left standing. By now its
 // tenure and its longest send are over (design 9.2).
 func (c *Coord) inherit() {
-	ids := make([]string, 0, len(c.fleet.Orders))
-	for id := range c.fleet.Orders {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	for _, id := range ids {
+	for _, id := range sorted.Keys(c.fleet.Orders) {
 		o, r := c.fleet.Orders[id], c.views.Registry[id]
 		if o.State != "ordered" || c.moves[id] != nil || r == nil {
 			continue
@@ -67,12 +62,7 @@
 
 func (c *Coord) roll() {
 	c.inherit()
-	ids := make([]string, 0, len(c.moves))
-	for id := range c.moves {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	for _, id := range ids {
+	for _, id := range sorted.Keys(c.moves) {
 		m := c.moves[id]
 		if !m.open && c.now >= m.due {
 			phases[m.phase](c, m)
--- a/core/coord/watch.go
+++ b/core/coord/watch.go
@@ -4,13 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"hash/crc32"
-	"sort"
 	"strconv"
 	"strings"
 
 	"fernlink/core/flow"
 	"fernlink/core/index/gate"
 	"fernlink/core/index/view"
+	"fernlink/core/sorted"
 )
 
 const keepFeed = 1024 // changes kept for a watcher that comes back
@@ -42,47 +42,35 @@
 	End    string `json:"end,omitempty"`
 }
 
-// slices are what plug-ins may subscribe to, one at a time.
-var slices = map[string]func(*view.Views, string) (any, bool){
-	"engines": func(v *view.Views, k string) (any, bool) { r, ok := v.Registry[k]; return r, ok },
-	"prefixes": func(v *view.Views, k string) (any, bool) {
-		d, ok := v.Directory[k]
-		if !ok {
-			return nil, false
-		}
-		revs := map[int]int{}
-		for _, b := range d {
-			revs[b.Rev]++
-		}
-		return map[string]any{"blocks": len(d), "bytes": v.Engines[k], "by_revision": revs}, true
-	},
-	"usage": func(v *view.Views, k string) (any, bool) {
-		n, ok := v.Trainers[k]
-		return map[string]any{"bytes": n}, ok
-	},
+// slice is one part of the live state that a plug-in may subscribe to.
+type slice struct {
+	keys func(*view.Views) []string
+	get  func(*view.Views, string) (any, bool)
 }
 
-func all(v *view.Views, slice string) []string {
-	seen := map[string]bool{}
-	tables := map[string]func(){
-		"engines": func() {
-			for k := range v.Registry {
-				seen[k] = true
-			}
-		},
-		"prefixes": func() {
-			for k := range v.Directory {
-				seen[k] = true
+var slices = map[string]slice{
+	"engines": {
+		func(v *view.Views) []string { return v.IDs() },
+		func(v *view.Views, k string) (any, bool) { r, ok := v.Registry[k]; return r, ok },
+	},
+	"prefixes": {
+		func(v *view.Views) []string { return sorted.Keys(v.Directory) },
+		func(v *view.Views, k string) (any, bool) {
+			d, ok := v.Directory[k]
+			revs := map[int]int{}
+			for _, b := range d {
+				revs[b.Rev]++
 			}
+			return map[string]any{"blocks": len(d), "bytes": v.Engines[k], "by_revision": revs}, ok
 		},
-		"usage": func() {
-			for k := range v.Trainers {
-				seen[k] = true
-			}
+	},
+	"usage": {
+		func(v *view.Views) []string { return sorted.Keys(v.Trainers) },
+		func(v *view.Views, k string) (any, bool) {
+			n, ok := v.Trainers[k]
+			return map[string]any{"bytes": n}, ok
 		},
-	}
-	tables[slice]()
-	return sorted(seen)
+	},
 }
 
 func (c *Coord) cursor(at uint64) string { return fmt.Sprintf("%d-%d", c.term, at) }
@@ -106,10 +94,10 @@
 
 // feed turns what changed in the views into lines, and gives them out.
 func (c *Coord) feed() {
-	for _, slice := range []string{"engines", "prefixes", "usage"} {
+	for _, slice := range sorted.Keys(slices) {
 		f := c.feedOf(slice)
 		for _, k := range c.views.Changed(slice) {
-			v, ok := slices[slice](c.views, k)
+			v, ok := slices[slice].get(c.views, k)
 			f.lines = append(f.lines, change{f.next, c.line(mark{Cursor: c.cursor(f.next), Slice: slice, Key: k, Gone: !ok, Value: value(v, ok)})})
 			f.next++
 		}
@@ -117,7 +105,7 @@
 			f.lines = append([]change(nil), f.lines[n-keepFeed:]...)
 		}
 	}
-	for _, id := range keys(c.watchers) {
+	for _, id := range sorted.Keys(c.watchers) {
 		w := c.watchers[id]
 		f := c.feedOf(w.slice)
 		var body []byte
@@ -145,7 +133,7 @@
 func (c *Coord) Watch(now flow.Time, call flow.Call, out *flow.Outbox) {
 	c.now, c.out = now, out
 	slice := call.Vars["slice"]
-	if slices[slice] == nil {
+	if _, ok := slices[slice]; !ok {
 		out.Answer(call.ID, 404, map[string]string{"error": "no such slice; there are engines, prefixes and usage"}, nil)
 		return
 	}
@@ -167,8 +155,8 @@
 		}
 	} else {
 		body = c.line(mark{Cursor: c.cursor(w.at), Reset: true, Slice: slice})
-		for _, k := range all(c.views, slice) {
-			v, _ := slices[slice](c.views, k)
+		for _, k := range slices[slice].keys(c.views) {
+			v, _ := slices[slice].get(c.views, k)
 			body = append(body, c.line(mark{Cursor: c.cursor(w.at), Slice: slice, Key: k, Value: v})...)
 		}
 	}
@@ -240,12 +228,3 @@
 	}
 	c.cold = false
 }
-
-func sorted(m map[string]bool) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Strings(out)
-	return out
-}
--- a/core/disp/admin.go
+++ b/core/disp/admin.go
@@ -12,6 +12,7 @@
 	"fernlink/core/ledger"
 	"fernlink/core/place"
 	"fernlink/core/raft"
+	"fernlink/core/sorted"
 )
 
 var calls = map[string]func(*Disp, flow.Call){
@@ -199,7 +200,7 @@
 // Engines gives all engines as this dispatcher sees them.
 func (d *Disp) Engines() []EngineView {
 	out := []EngineView{}
-	for _, id := range sortedKeys(d.engines) {
+	for _, id := range sorted.Keys(d.engines) {
 		out = append(out, d.view(id))
 	}
 	return out
--- a/core/disp/app.go
+++ b/core/disp/app.go
@@ -8,6 +8,7 @@
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
+	"fernlink/core/sorted"
 )
 
 // The states of a request. A refusal is only given from held, and a send
@@ -142,7 +143,7 @@
 		return
 	}
 	var best *engine
-	for _, id := range sortedKeys(d.engines) {
+	for _, id := range sorted.Keys(d.engines) {
 		e := d.engines[id]
 		if e.Kind != "app" || e.Pool != q.route.Pool || q.tried[id] || !d.usable(e) {
 			continue
--- a/core/disp/disp.go
+++ b/core/disp/disp.go
@@ -7,7 +7,6 @@
 import (
 	"encoding/json"
 	"math/rand"
-	"sort"
 
 	"fernlink/api"
 	"fernlink/core/ask"
@@ -15,6 +14,7 @@
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
 	"fernlink/core/ledger"
+	"fernlink/core/sorted"
 	"fernlink/core/store"
 )
 
@@ -184,29 +184,20 @@
 	for _, id := range x.Open {
 		open[id] = true
 	}
-	for _, id := range sortedKeys(d.steps) {
+	for _, id := range sorted.Keys(d.steps) {
 		if !open[id] {
 			d.dropStep(id)
 		}
 	}
 }
 
-func sortedKeys[T any](m map[string]T) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Strings(out)
-	return out
-}
-
 // lapse cuts what still runs once the tenure is gone for a while: an ended
 // step's leftovers may be among it (design 8.4).
 func (d *Disp) lapse() {
 	if d.now < d.till+budget.End/4 || d.till == 0 {
 		return
 	}
-	for _, id := range sortedKeys(d.steps) {
+	for _, id := range sorted.Keys(d.steps) {
 		for _, g := range d.steps[id].gens {
 			g.stop(d)
 		}
--- a/core/disp/engines.go
+++ b/core/disp/engines.go
@@ -4,6 +4,7 @@
 	"fernlink/core/budget"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
+	"fernlink/core/sorted"
 )
 
 // engine is one back end as this dispatcher knows it (design 5.4).
@@ -60,7 +61,7 @@
 		}
 		e.Listed = l
 	}
-	for _, id := range sortedKeys(d.engines) {
+	for _, id := range sorted.Keys(d.engines) {
 		if !seen[id] {
 			d.forget(id)
 			d.drop(d.engines[id])
@@ -70,7 +71,7 @@
 }
 
 func (d *Disp) readLoads() {
-	for _, id := range sortedKeys(d.engines) {
+	for _, id := range sorted.Keys(d.engines) {
 		e := d.engines[id]
 		if d.now < e.due || e.open {
 			continue
--- a/core/disp/events.go
+++ b/core/disp/events.go
@@ -6,6 +6,7 @@
 	"fernlink/core/budget"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
+	"fernlink/core/sorted"
 )
 
 // Event is one cache fact that this dispatcher derived (design 9.1).
@@ -189,7 +190,7 @@
 	}
 	d.evDue = d.now + budget.Batch
 	line := Batches{Term: d.coord.Term}
-	for _, id := range sortedKeys(d.slices) {
+	for _, id := range sorted.Keys(d.slices) {
 		s, e := d.slices[id], d.engines[id]
 		if e == nil {
 			continue
@@ -224,7 +225,7 @@
 
 // whole is all that is known of the engine start, as events.
 func (s *slice) whole(tail []Event) []Event {
-	blocks := sortedKeys(s.blocks)
+	blocks := sorted.Keys(s.blocks)
 	out := []Event{{Kind: "store", Rev: s.rev, Blocks: blocks}}
 	for _, e := range tail {
 		if e.Kind == "sign" {
--- a/core/disp/gen.go
+++ b/core/disp/gen.go
@@ -11,6 +11,7 @@
 	"fernlink/core/ledger"
 	"fernlink/core/place"
 	"fernlink/core/prefix"
+	"fernlink/core/sorted"
 )
 
 // run is one try of a generation on one engine.
@@ -108,7 +109,7 @@
 func (d *Disp) byTurn() []*step {
 	runs := map[string]int{}
 	var out []*step
-	for _, id := range sortedKeys(d.steps) {
+	for _, id := range sorted.Keys(d.steps) {
 		s := d.steps[id]
 		out = append(out, s)
 		for _, g := range s.gens {
@@ -198,7 +199,7 @@
 func (d *Disp) seatsOf(g *gen, ok func(*engine) bool) ([]place.Seat, []*engine) {
 	var seats []place.Seat
 	var engines []*engine
-	for _, id := range sortedKeys(d.engines) {
+	for _, id := range sorted.Keys(d.engines) {
 		e := d.engines[id]
 		if !ok(e) || e.Kind != "model" || e.Pool != g.step.doc.Pool || !d.usable(e) || !g.step.allows(e.load.Revision) {
 			continue
@@ -434,7 +435,7 @@
 	if !d.fresh() || d.plan == nil {
 		return
 	}
-	for _, id := range sortedKeys(d.steps) {
+	for _, id := range sorted.Keys(d.steps) {
 		s := d.steps[id]
 		mid := s.middle()
 		tail := len(s.times) > 0 && len(s.gens)*5 <= s.doc.Wanted()
@@ -473,7 +474,7 @@
 // judgeAll sends whole texts to the judge, and again while it does not give
 // a verdict on this very text (design 8.3).
 func (d *Disp) judgeAll() {
-	for _, id := range sortedKeys(d.steps) {
+	for _, id := range sorted.Keys(d.steps) {
 		s := d.steps[id]
 		for _, g := range s.gens {
 			if g.state != "judging" || g.judge != 0 || d.now < g.again {
@@ -518,7 +519,7 @@
 
 // listAll lists whole results, until the ledger has said what it kept.
 func (d *Disp) listAll() {
-	for _, id := range sortedKeys(d.steps) {
+	for _, id := range sorted.Keys(d.steps) {
 		s := d.steps[id]
 		for _, g := range s.gens {
 			if g.state != "listing" || d.now < g.again {
--- a/core/disp/step.go
+++ b/core/disp/step.go
@@ -9,6 +9,7 @@
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
 	"fernlink/core/prefix"
+	"fernlink/core/sorted"
 )
 
 func itoa(n uint64) string { return strconv.FormatUint(n, 10) }
@@ -109,7 +110,7 @@
 	if !d.fresh() {
 		return
 	}
-	for _, id := range sortedKeys(d.steps) {
+	for _, id := range sorted.Keys(d.steps) {
 		s := d.steps[id]
 		moved := false
 		for _, doc := range s.doc.Groups {
@@ -181,7 +182,7 @@
 	if !d.fresh() {
 		return
 	}
-	for _, id := range sortedKeys(d.steps) {
+	for _, id := range sorted.Keys(d.steps) {
 		s := d.steps[id]
 		if s.ending || d.now < s.late+budget.Heal {
 			continue
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -5,10 +5,10 @@
 import (
 	"math/rand"
 	"slices"
-	"sort"
 
 	"fernlink/core/budget"
 	"fernlink/core/flow"
+	"fernlink/core/sorted"
 )
 
 // Entry is what a process says of itself.
@@ -151,21 +151,12 @@
 		to[far[g.turn%len(far)]] = true
 	}
 	delete(to, g.self.Addr)
-	for _, a := range keys(to) {
+	for _, a := range sorted.Keys(to) {
 		out.Line(a, "gossip", b)
 	}
 }
 
-func (g *Gossip) addrs() []string { return keys(g.seats) }
-
-func keys[T any](m map[string]T) []string {
-	out := make([]string, 0, len(m))
-	for a := range m {
-		out = append(out, a)
-	}
-	sort.Strings(out)
-	return out
-}
+func (g *Gossip) addrs() []string { return sorted.Keys(g.seats) }
 
 // Live gives the siblings whose beats still grow, by address.
 func (g *Gossip) Live(now flow.Time) []Entry {
--- a/core/index/view/view.go
+++ b/core/index/view/view.go
@@ -4,13 +4,12 @@
 package view
 
 import (
-	"sort"
-
 	"fernlink/core/dialect"
 	"fernlink/core/disp"
 	"fernlink/core/flow"
 	"fernlink/core/index/journal"
 	"fernlink/core/prefix"
+	"fernlink/core/sorted"
 )
 
 // Row is one live engine in the registry.
@@ -59,11 +58,7 @@
 
 // Changed takes the keys of a slice that changed since it was last asked.
 func (v *Views) Changed(slice string) []string {
-	out := make([]string, 0, len(v.changed[slice]))
-	for k := range v.changed[slice] {
-		out = append(out, k)
-	}
-	sort.Strings(out)
+	out := sorted.Keys(v.changed[slice])
 	delete(v.changed, slice)
 	return out
 }
@@ -230,10 +225,5 @@
 
 // IDs lists the registry in order.
 func (v *Views) IDs() []string {
-	out := make([]string, 0, len(v.Registry))
-	for id := range v.Registry {
-		out = append(out, id)
-	}
-	sort.Strings(out)
-	return out
+	return sorted.Keys(v.Registry)
 }
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -5,6 +5,8 @@
 	"encoding/hex"
 	"encoding/json"
 	"sort"
+
+	"fernlink/core/sorted"
 )
 
 // Ledger is the folded state. Its fields are exported for the digest only;
@@ -386,7 +388,7 @@
 	_ = json.Unmarshal(c.Body, &d)
 	d.Mod = l.Index
 	if l.Drains[d.Engine] == nil && len(l.Drains) >= KeepDrains {
-		for _, id := range sortedKeys(l.Drains) {
+		for _, id := range sorted.Keys(l.Drains) {
 			if !l.Drains[id].On {
 				delete(l.Drains, id)
 				break
--- a/core/ledger/query.go
+++ b/core/ledger/query.go
@@ -2,7 +2,8 @@
 
 import (
 	"encoding/json"
-	"sort"
+
+	"fernlink/core/sorted"
 )
 
 // Key names one sample of a step.
@@ -36,7 +37,7 @@
 	if p := l.Plan(); p.Version > 0 && p.Mod > have {
 		d.Plan = &p
 	}
-	for _, id := range sortedKeys(l.Steps) {
+	for _, id := range sorted.Keys(l.Steps) {
 		s := l.Steps[id]
 		if s.State != "open" {
 			if s.Mod > have {
@@ -53,17 +54,17 @@
 			d.Listed = append(d.Listed, Key{id, s.List[i].Group, s.List[i].Sample})
 		}
 	}
-	for _, id := range sortedKeys(l.Orders) {
+	for _, id := range sorted.Keys(l.Orders) {
 		if o := l.Orders[id]; o.Mod > have {
 			d.Orders = append(d.Orders, *o)
 		}
 	}
-	for _, id := range sortedKeys(l.Targets) {
+	for _, id := range sorted.Keys(l.Targets) {
 		if t := l.Targets[id]; t.Mod > have {
 			d.Targets = append(d.Targets, *t)
 		}
 	}
-	for _, id := range sortedKeys(l.Drains) {
+	for _, id := range sorted.Keys(l.Drains) {
 		if x := l.Drains[id]; x.Mod > have {
 			d.Drains = append(d.Drains, *x)
 		}
@@ -71,15 +72,6 @@
 	return d
 }
 
-func sortedKeys[T any](m map[string]T) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Strings(out)
-	return out
-}
-
 // Page asks for a step's results after a cursor.
 type Page struct {
 	Step  string `json:"step"`
@@ -146,7 +138,7 @@
 
 func (l *Ledger) listSteps(json.RawMessage) Result {
 	out := []Sum{}
-	for _, id := range sortedKeys(l.Steps) {
+	for _, id := range sorted.Keys(l.Steps) {
 		out = append(out, l.Sum(l.Steps[id]))
 	}
 	return good(map[string]any{"steps": out})
@@ -172,10 +164,10 @@
 
 func (l *Ledger) getRoll(json.RawMessage) Result {
 	t, o := []Target{}, []Order{}
-	for _, id := range sortedKeys(l.Targets) {
+	for _, id := range sorted.Keys(l.Targets) {
 		t = append(t, *l.Targets[id])
 	}
-	for _, id := range sortedKeys(l.Orders) {
+	for _, id := range sorted.Keys(l.Orders) {
 		o = append(o, *l.Orders[id])
 	}
 	return good(map[string]any{"targets": t, "orders": o, "coordinator": l.Coord})
--- a/core/node/stats.go
+++ b/core/node/stats.go
@@ -3,12 +3,12 @@
 import (
 	"bytes"
 	"fmt"
-	"sort"
 
 	"fernlink/core/coord"
 	"fernlink/core/disp"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
+	"fernlink/core/sorted"
 	"fernlink/core/store"
 )
 
@@ -62,12 +62,7 @@
 	var b bytes.Buffer
 	put := func(name string, v any) { fmt.Fprintf(&b, "fernlink_%s %v\n", name, v) }
 	counts := func(name string, m map[string]int64) {
-		ks := make([]string, 0, len(m))
-		for k := range m {
-			ks = append(ks, k)
-		}
-		sort.Strings(ks)
-		for _, k := range ks {
+		for _, k := range sorted.Keys(m) {
 			fmt.Fprintf(&b, "fernlink_%s{kind=%q} %d\n", name, k, m[k])
 		}
 	}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -3,9 +3,8 @@
 package place
 
 import (
-	"sort"
-
 	"fernlink/core/prefix"
+	"fernlink/core/sorted"
 )
 
 // Seat is one usable engine as a policy sees it.
@@ -37,12 +36,7 @@
 
 // Names lists the policies.
 func Names() []string {
-	out := make([]string, 0, len(Policies))
-	for n := range Policies {
-		out = append(out, n)
-	}
-	sort.Strings(out)
-	return out
+	return sorted.Keys(Policies)
 }
 
 func free(s Seat) bool { return s.Busy < s.Slots }
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"math/rand"
-	"slices"
 	"sort"
 
 	"fernlink/core/ask"
@@ -14,6 +13,7 @@
 	"fernlink/core/gossip"
 	"fernlink/core/ledger"
 	"fernlink/core/raft"
+	"fernlink/core/sorted"
 )
 
 // Disk is what a data folder gave at the start.
@@ -319,10 +319,10 @@
 // void gives back what a lost leadership left open. Whether a write took
 // effect is not known here; the asker tries again and the ledger sorts it out.
 func (s *Store) void(out *flow.Outbox) {
-	for _, at := range keys(s.writes) {
+	for _, at := range sorted.Keys(s.writes) {
 		s.retry(s.writes[at], out)
 	}
-	for _, t := range keys(s.reads) {
+	for _, t := range sorted.Keys(s.reads) {
 		s.retry(s.reads[t], out)
 	}
 	s.writes, s.reads = map[uint64]wait{}, map[uint64]wait{}
@@ -330,15 +330,6 @@
 	s.grant = 0
 }
 
-func keys[T any](m map[uint64]T) []uint64 {
-	out := make([]uint64, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
-}
-
 func (s *Store) apply(a raft.Applied, out *flow.Outbox) {
 	if a.Digest != nil {
 		l, err := ledger.Load(a.Digest.State)
--- a/rig/standin/engine.go
+++ b/rig/standin/engine.go
@@ -13,6 +13,7 @@
 
 	"fernlink/core/dialect"
 	"fernlink/core/prefix"
+	"fernlink/core/sorted"
 )
 
 // TokenBytes is the size of a stand-in's token.
@@ -269,12 +270,7 @@
 			e.cache = map[string]*held{}
 		}
 	}
-	ids := make([]uint64, 0, len(e.jobs))
-	for id := range e.jobs {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(a, b int) bool { return ids[a] < ids[b] })
-	for _, id := range ids {
+	for _, id := range sorted.Keys(e.jobs) {
 		j := e.jobs[id]
 		for j.ready > 0 && now >= j.ready && e.jobs[id] != nil {
 			out = append(out, e.one(id, j)...)
@@ -324,12 +320,7 @@
 		return 200, nil
 	}
 	var out []Event
-	ids := make([]uint64, 0, len(e.jobs))
-	for id := range e.jobs {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(a, b int) bool { return ids[a] < ids[b] })
-	for _, id := range ids {
+	for _, id := range sorted.Keys(e.jobs) {
 		out = append(out, Event{Job: id, Data: e.event("", "abort", 0, false, e.jobs[id])}, Event{Job: id, Data: []byte(dialect.Done)}, Event{Job: id, End: true})
 		delete(e.jobs, id)
 	}
--- a/sim/actors.go
+++ b/sim/actors.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"sort"
 	"strings"
 	"time"
 
@@ -12,6 +11,7 @@
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
+	"fernlink/core/sorted"
 	"fernlink/rig/standin"
 )
 
@@ -497,12 +497,7 @@
 			ran[id] += n
 		}
 	}
-	ids := make([]string, 0, len(a.Bookings))
-	for id := range a.Bookings {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	for _, id := range ids {
+	for _, id := range sorted.Keys(a.Bookings) {
 		b := a.Bookings[id]
 		if ran[id] > 1 {
 			a.w.Wrong("booking %s ran %d times", id, ran[id])
--- a/sim/disk.go
+++ b/sim/disk.go
@@ -4,7 +4,8 @@
 	"errors"
 	"math/rand"
 	"os"
-	"sort"
+
+	"fernlink/core/sorted"
 )
 
 var errPower = errors.New("sim: the power is gone")
@@ -51,11 +52,7 @@
 	for n := range d.safe {
 		all[n] = true
 	}
-	list := make([]string, 0, len(all))
-	for n := range all {
-		list = append(list, n)
-	}
-	sort.Strings(list)
+	list := sorted.Keys(all)
 	left := map[string]*inode{}
 	for _, n := range list {
 		x := d.safe[n]
@@ -83,12 +80,7 @@
 	if err := d.step(); err != nil {
 		return nil, err
 	}
-	out := make([]string, 0, len(d.names))
-	for n := range d.names {
-		out = append(out, n)
-	}
-	sort.Strings(out)
-	return out, nil
+	return sorted.Keys(d.names), nil
 }
 
 // Read gives a whole file.
--- a/sim/host.go
+++ b/sim/host.go
@@ -10,6 +10,7 @@
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
 	"fernlink/core/node"
+	"fernlink/core/sorted"
 	"fernlink/shell/disk"
 )
 
@@ -228,22 +229,12 @@
 	}
 	h.Up, h.Froze = false, false
 	h.life++
-	ids := make([]uint64, 0, len(h.sends))
-	for id := range h.sends {
-		ids = append(ids, id)
-	}
-	sortIDs(ids)
-	for _, id := range ids {
+	for _, id := range sorted.Keys(h.sends) {
 		h.sends[id]()
 	}
 	calls := h.calls
 	h.sends, h.calls, h.Node = map[uint64]func(){}, map[uint64]func(flow.Reply){}, nil
-	ids = ids[:0]
-	for id := range calls {
-		ids = append(ids, id)
-	}
-	sortIDs(ids)
-	for _, id := range ids {
+	for _, id := range sorted.Keys(calls) {
 		f := calls[id]
 		h.w.Net.Flow(h.Name, "outside", func() { f(flow.Reply{Code: 0}) }) // the connection broke
 	}
@@ -280,11 +271,3 @@
 
 // Has says whether the host runs a role.
 func (h *Host) Has(role string) bool { return strings.Contains(strings.Join(h.Props.Roles, ","), role) }
-
-func sortIDs(ids []uint64) {
-	for i := 1; i < len(ids); i++ {
-		for j := i; j > 0 && ids[j] < ids[j-1]; j-- {
-			ids[j], ids[j-1] = ids[j-1], ids[j]
-		}
-	}
-}
--- a/sim/outside.go
+++ b/sim/outside.go
@@ -10,6 +10,7 @@
 
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
+	"fernlink/core/sorted"
 	"fernlink/rig/standin"
 )
 
@@ -173,7 +174,7 @@
 func (o *Outside) Crash(m *Model, rev int) {
 	m.Up = false
 	m.life++
-	for _, id := range jobIDs(m.jobs) {
+	for _, id := range sorted.Keys(m.jobs) {
 		o.broken(m, id)
 	}
 	e := standin.NewEngine(m.ID, fmt.Sprintf("%s-%d", m.ID, m.life), m.Pool, rev)
@@ -186,15 +187,6 @@
 // Rise starts a crashed engine.
 func (o *Outside) Rise(m *Model) { m.Up = true }
 
-func jobIDs(m map[uint64]*stream) []uint64 {
-	out := make([]uint64, 0, len(m))
-	for id := range m {
-		out = append(out, id)
-	}
-	sortIDs(out)
-	return out
-}
-
 func (o *Outside) broken(m *Model, id uint64) {
 	s := m.jobs[id]
 	delete(m.jobs, id)
--- a/sim/story_test.go
+++ b/sim/story_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"fernlink/api"
 	"fernlink/core/budget"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
@@ -633,3 +634,110 @@
 	s.then(s.w.Until(15*time.Second, func() bool { return len(x.list) == d.Wanted() }), "all results come from the others: %d", len(x.list))
 	s.end()
 }
+
+// Given engines that lie in each way that is known, when steps run, then every
+// result comes from somewhere honest and is whole and truly labelled.
+func TestLyingEngines(t *testing.T) {
+	for i, lie := range []string{"early", "garbage", "weights", "silent", "lastword"} {
+		s := given(t, int64(50+i))
+		for _, m := range s.w.Out.Models()[:2] {
+			m.Lie = lie
+		}
+		s.train("one")
+		s.w.Run(12 * time.Second)
+		s.then(s.a.Listed >= 24, "%s: results come: %d", lie, s.a.Listed)
+		s.end()
+	}
+}
+
+// Given one engine that is a hundred times slower than the others, when a step
+// runs, then its long tail is tried again elsewhere and the step ends soon.
+func TestLongTail(t *testing.T) {
+	s := given(t, 60)
+	s.w.Out.Models()[0].Slow = 100
+	x := s.open(doc(s.a, "s1", 1, 12, 64))
+	s.then(s.w.Until(8*time.Second, func() bool { return len(x.list) == x.doc.Wanted() }), "all results come: %d of %d", len(x.list), x.doc.Wanted())
+	twins := int64(0)
+	for _, h := range s.w.By("dispatcher") {
+		twins += h.Node.Stats(h.clock()).Disp.Counts["twins"]
+	}
+	s.then(twins > 0, "some had a second run")
+	s.end()
+}
+
+// Given slow application engines and a route's bound on requests under way,
+// when more come at one dispatcher, then the rest are told 429 at once, with
+// when to come back, and never run.
+func TestFullHolding(t *testing.T) {
+	s := given(t, 61)
+	for _, x := range s.w.Out.Apps() {
+		x.Slow = time.Second
+	}
+	var codes [600]int
+	for i := 0; i < 100; i++ {
+		id := fmt.Sprintf("b%d", i)
+		s.disp(0).Call(Web("POST", "/book/x", map[string]string{"id": id}, ""), func(r flow.Reply) {
+			codes[r.Code]++
+			if r.Code == 429 && r.Head["Retry-After"] == "" {
+				s.w.Wrong("429 without Retry-After")
+			}
+		})
+	}
+	s.w.Run(200 * time.Millisecond)
+	s.then(codes[429] == 100-api.RouteMost, "those over the bound are told at once: %v", codes[429])
+	s.w.Run(5 * time.Second)
+	ran := 0
+	for _, x := range s.w.Out.Apps() {
+		ran += len(x.Ran)
+	}
+	s.then(codes[200] == api.RouteMost && ran == api.RouteMost, "the others run: %d answered, %d ran", codes[200], ran)
+	s.end()
+}
+
+// Given a plug-in that watches one slice, when it comes back with its cursor,
+// it gets what it missed and nothing else; with a cursor of another term, or
+// one that is too old, it gets a reset mark and the full state.
+func TestWatchWithCursor(t *testing.T) {
+	s := given(t, 62)
+	c := s.w.Acting()
+	var lines []string
+	watch := func(h *Host, slice, cursor string) {
+		call := Call("watch", map[string]string{"slice": slice}, nil)
+		if cursor != "" {
+			call.Query["cursor"] = cursor
+		}
+		h.Call(call, func(r flow.Reply) {
+			lines = append(lines, strings.Split(strings.TrimSpace(string(r.Body)), "\n")...)
+		})
+	}
+	type line struct {
+		Cursor, Slice, Key, End string
+		Reset                   bool
+	}
+	parse := func(raw string) (l line) { _ = json.Unmarshal([]byte(raw), &l); return }
+	watch(c, "engines", "")
+	s.w.Run(time.Second)
+	s.then(len(lines) == 7 && parse(lines[0]).Reset, "a reset and six engines come first: %q", lines)
+	s.train("one")
+	s.w.Run(3 * time.Second)
+	s.then(len(lines) > 7, "changes follow")
+	for _, l := range lines {
+		s.then(parse(l).Slice == "engines", "only of the slice asked for: %s", l)
+	}
+	at := parse(lines[len(lines)-3]).Cursor
+	missed := lines[len(lines)-2:]
+	lines = nil
+	watch(c, "engines", at)
+	s.w.Run(20 * time.Millisecond)
+	s.then(len(lines) >= 2 && lines[0] == missed[0] && lines[1] == missed[1], "what was missed comes: %q, not %q", lines, missed)
+	lines = nil
+	watch(c, "engines", "9-1")
+	s.w.Run(20 * time.Millisecond)
+	s.then(len(lines) > 0 && parse(lines[0]).Reset, "another term's cursor is reset: %q", lines)
+	lines = nil
+	watch(s.disp(0), "engines", "")
+	watch(c, "nothing", "")
+	s.w.Run(100 * time.Millisecond)
+	s.then(len(lines) == 2 && strings.Contains(lines[0]+lines[1], "the coordinator serves this") && strings.Contains(lines[0]+lines[1], "no such slice"), "others point to the coordinator: %q", lines)
+	s.end()
+}
