--- a/rig/fleet/drive.go
+++ b/rig/fleet/drive.go
@@ -17,28 +17,29 @@
 
 // Report is what a run came to.
 type Report struct {
-	Shape       string           `json:"shape"`
-	Seconds     float64          `json:"seconds"`
-	Ready       float64          `json:"seconds_to_ready"`
-	Steps       int              `json:"steps_done"`
-	Listed      int              `json:"results_listed"`
-	Judged      int              `json:"results_judged"`
-	Checked     int              `json:"texts_checked"`
-	Wrong       []string         `json:"wrong,omitempty"`
-	StepP50     float64          `json:"step_seconds_p50"`
-	HitRate     float64          `json:"prefix_hit_rate"`
-	Recomputed  int              `json:"prefill_tokens_recomputed"`
-	Prompt      int              `json:"prompt_tokens"`
-	PlanTimes   []float64        `json:"plan_delivery_seconds"`
-	Asked       int              `json:"requests_asked"`
-	Answered    int              `json:"requests_answered"`
-	Refused     int              `json:"requests_refused"`
-	Unknown     int              `json:"requests_unknown"`
-	Twice       int              `json:"bookings_run_twice"`
-	Swaps       int              `json:"weight_changes"`
-	Reused      int              `json:"kv_reused_across_weights"`
-	Memory      map[string]int64 `json:"memory_bytes"`
-	StoreWrites int              `json:"store_writes"`
+	Shape       string             `json:"shape"`
+	Seconds     float64            `json:"seconds"`
+	Ready       float64            `json:"seconds_to_ready"`
+	Steps       int                `json:"steps_done"`
+	Listed      int                `json:"results_listed"`
+	Judged      int                `json:"results_judged"`
+	Checked     int                `json:"texts_checked"`
+	Wrong       []string           `json:"wrong,omitempty"`
+	StepP50     float64            `json:"step_seconds_p50"`
+	HitRate     float64            `json:"prefix_hit_rate"`
+	Recomputed  int                `json:"prefill_tokens_recomputed"`
+	Prompt      int                `json:"prompt_tokens"`
+	PlanTimes   []float64          `json:"plan_delivery_seconds"`
+	Asked       int                `json:"requests_asked"`
+	Answered    int                `json:"requests_answered"`
+	Refused     int                `json:"requests_refused"`
+	Unknown     int                `json:"requests_unknown"`
+	Twice       int                `json:"bookings_run_twice"`
+	Swaps       int                `json:"weight_changes"`
+	Reused      int                `json:"kv_reused_across_weights"`
+	Memory      map[string]int64   `json:"memory_bytes"`
+	CPU         map[string]float64 `json:"cpu_seconds"`
+	StoreWrites int                `json:"store_writes"`
 }
 
 type driver struct {
@@ -134,6 +135,7 @@
 func (f *Fleet) Drive(length time.Duration, seed int64) Report {
 	d := &driver{f: f, rng: rand.New(rand.NewSource(seed))}
 	d.rep.Shape, d.rep.Memory = f.Shape.Name, map[string]int64{}
+	d.rep.CPU = map[string]float64{}
 	began := time.Now()
 	version, took, err := f.PutPlan(0, f.Shape.Plan)
 	if err != nil {
@@ -351,7 +353,7 @@
 		}
 	}
 	for _, p := range d.f.Nodes {
-		d.rep.Memory[p.Name] = p.Memory()
+		d.rep.Memory[p.Name], d.rep.CPU[p.Name] = p.Memory(), p.CPU()
 		if p.Role == "store" {
 			var s struct {
 				Store struct {
--- a/rig/fleet/fleet.go
+++ b/rig/fleet/fleet.go
@@ -276,6 +276,23 @@
 	return res * int64(os.Getpagesize())
 }
 
+// CPU is the processor time that a process has used.
+func (p *Proc) CPU() float64 {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(b), ") ")
+	f := strings.Fields(rest)
+	if len(f) < 13 {
+		return 0
+	}
+	var user, sys float64
+	_, _ = fmt.Sscan(f[11], &user)
+	_, _ = fmt.Sscan(f[12], &sys)
+	return (user + sys) / 100 // clock ticks are 10 ms on Linux
+}
+
 var client = &http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // Do makes one request.
