--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -16,12 +17,13 @@
 	"fernlink/rig/fleet"
 	"fernlink/rig/serve"
 	"fernlink/rig/standin"
+	"fernlink/sim"
 )
 
 type opts struct {
 	addr, id, pool, shape, dir string
 	seconds                    int
-	seed                       int
+	seed, from, to, faults     int
 	keep, drill                bool
 	rev                        int
 }
@@ -30,7 +32,7 @@
 	flaggy.SetName("rig")
 	flaggy.SetDescription("stand-ins and whole fleets, for development only")
 	flaggy.DefaultParser.ShowHelpOnUnexpected = true
-	o := &opts{addr: "127.0.0.1:9000", id: "one", pool: "draft", shape: "fibrarmor", seconds: 20, seed: 1, rev: 0}
+	o := &opts{addr: "127.0.0.1:9000", id: "one", pool: "draft", shape: "fibrarmor", seconds: 20, seed: 1, rev: 0, from: 1, to: 100, faults: 10}
 	verbs := []struct {
 		name, about string
 		run         func(*opts) error
@@ -40,6 +42,7 @@
 		{"judge", "a judge", judge},
 		{"platform", "the platform's list of engines", platform},
 		{"fleet", "a whole fleet: drive it for a while and report, or keep it up", runFleet},
+		{"sweep", "storms over many seeds in the simulator", sweep},
 		{"drill", "a whole fleet: kill and freeze its processes and time the healing", runFleet},
 	}
 	subs := make([]*flaggy.Subcommand, len(verbs))
@@ -54,6 +57,9 @@
 		s.String(&o.dir, "", "dir", "folder for the fleet's files (a temporary one unless said)")
 		s.Int(&o.seconds, "", "seconds", "how long to drive")
 		s.Int(&o.seed, "", "seed", "seed of the traffic")
+		s.Int(&o.from, "", "from", "first seed of a sweep")
+		s.Int(&o.to, "", "to", "last seed of a sweep")
+		s.Int(&o.faults, "", "faults", "faults in each storm")
 		s.Bool(&o.keep, "", "keep", "keep the fleet up until interrupted, without traffic")
 		flaggy.AttachSubcommand(s, 1)
 		subs[i] = s
@@ -85,6 +91,16 @@
 
 func platform(o *opts) error { return serve.Run(o.addr, serve.Platform(&standin.Platform{})) }
 
+func sweep(o *opts) error {
+	sum := sim.Sweep(int64(o.from), int64(o.to), o.faults, runtime.NumCPU())
+	b, _ := json.MarshalIndent(sum, "", "  ")
+	fmt.Println(string(b))
+	if len(sum.Found) > 0 {
+		return fmt.Errorf("%d of %d seeds found something", len(sum.Found), sum.Seeds)
+	}
+	return nil
+}
+
 func runFleet(o *opts) error {
 	names := []string{o.shape}
 	if o.shape == "both" {
--- a/sim/sweep.go
+++ b/sim/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"time"
 
 	"fernlink/core/budget"
@@ -129,3 +130,59 @@
 func ShapeOf(seed int64) Shape {
 	return []Shape{Small, Merged, FibrArmor, Small, Waterland}[seed%5]
 }
+
+// Summary is what a sweep over seeds came to.
+type Summary struct {
+	Seeds   int            `json:"seeds"`
+	Faults  map[string]int `json:"faults_by_kind"`
+	Steps   int            `json:"steps_done"`
+	Listed  int            `json:"results_listed"`
+	HealP50 float64        `json:"heal_seconds_p50"`
+	HealP95 float64        `json:"heal_seconds_p95"`
+	HealMax float64        `json:"heal_seconds_max"`
+	MaxSeed int64          `json:"slowest_seed"`
+	Found   []Outcome      `json:"found,omitempty"`
+}
+
+// Sweep runs storms over many seeds, several at a time. Each is a world of its
+// own, so the order does not matter.
+func Sweep(from, to int64, faults, tasks int) Summary {
+	seeds, out := make(chan int64), make(chan Outcome)
+	for i := 0; i < tasks; i++ {
+		go func() {
+			for s := range seeds {
+				out <- Storm(s, ShapeOf(s), faults)
+			}
+		}()
+	}
+	go func() {
+		for s := from; s <= to; s++ {
+			seeds <- s
+		}
+		close(seeds)
+	}()
+	sum := Summary{Faults: map[string]int{}}
+	var heal []float64
+	for s := from; s <= to; s++ {
+		o := <-out
+		sum.Seeds++
+		sum.Steps += o.Steps
+		sum.Listed += o.Listed
+		for k, n := range o.Kinds {
+			sum.Faults[k] += n
+		}
+		heal = append(heal, o.Heal.Seconds())
+		if o.Heal.Seconds() >= sum.HealMax {
+			sum.HealMax, sum.MaxSeed = o.Heal.Seconds(), o.Seed
+		}
+		if len(o.Bad) > 0 {
+			sum.Found = append(sum.Found, o)
+		}
+	}
+	sort.Float64s(heal)
+	if n := len(heal); n > 0 {
+		sum.HealP50, sum.HealP95 = heal[n/2], heal[n*95/100]
+	}
+	sort.Slice(sum.Found, func(a, b int) bool { return sum.Found[a].Seed < sum.Found[b].Seed })
+	return sum
+}
