--- a/sim/storm_test.go
+++ b/sim/storm_test.go
@@ -2,23 +2,25 @@
 
 import (
 	"os"
+	"runtime"
 	"strconv"
 	"testing"
 )
 
-// Given a fleet under random faults, when all are over, then nothing that
-// must never happen did, and service is back in time. STORM_SEEDS=from-to
-// sweeps other seeds.
+// Given fleets under random faults, when all are over, then nothing that must
+// never happen did, and service is back in time. STORM_FROM and STORM_TO run
+// other seeds; scripts/sweep runs many.
 func TestStorm(t *testing.T) {
 	from, to := int64(1), int64(8)
 	if s := os.Getenv("STORM_FROM"); s != "" {
 		from, _ = strconv.ParseInt(s, 10, 64)
 		to, _ = strconv.ParseInt(os.Getenv("STORM_TO"), 10, 64)
 	}
-	for seed := from; seed <= to; seed++ {
-		o := Storm(seed, ShapeOf(seed), 10)
-		if len(o.Bad) > 0 {
-			t.Errorf("seed %d: %q\nfaults: %q", seed, o.Bad, o.Marks)
-		}
+	sum := Sweep(from, to, 10, runtime.NumCPU())
+	for _, o := range sum.Found {
+		t.Errorf("seed %d: %q\nfaults: %q", o.Seed, o.Bad, o.Marks)
+	}
+	if sum.Listed == 0 {
+		t.Error("no result was listed at all")
 	}
 }
--- a/sim/story_test.go
+++ b/sim/story_test.go
@@ -898,3 +898,53 @@
 	s.then(s.w.Until(budget.Heal, func() bool { return len(x.list) == x.doc.Wanted() }), "all results come: %d", len(x.list))
 	s.end()
 }
+
+// Given steps and callers at work, when a release replaces every engine by a
+// new one at a new address, each taken off the list at short notice, then none
+// gets work after the bound, partials are resumed elsewhere, and steps go on.
+func TestReleaseOneByOne(t *testing.T) {
+	s := given(t, 100)
+	for _, m := range s.w.Out.Models() {
+		m.Slow = 4
+	}
+	s.a.Train(Train{Name: "one", Groups: 8, Samples: 4, Tokens: 64, One: true, Most: 20 * time.Second})
+	s.a.Consume(100 * time.Millisecond)
+	s.w.Run(2 * time.Second)
+	for i, m := range s.w.Out.Models() {
+		s.w.Out.AddModel(fmt.Sprintf("fresh-%d", i+1), ModelPool, m.Area, 0).Slow = 4
+		s.w.Run(2 * time.Second)
+		s.w.Out.Relist(func(l *dialect.Listed) bool { return l.ID != m.Name })
+		s.w.Run(500 * time.Millisecond)
+		s.w.Out.Crash(m, 0)
+	}
+	had := s.a.Done
+	s.then(s.w.Until(20*time.Second, func() bool { return s.a.Done >= had+2 }), "steps go on on the new engines: %d", s.a.Done)
+	resumed := int64(0)
+	for _, h := range s.w.By("dispatcher") {
+		resumed += h.Node.Stats(h.clock()).Disp.Counts["resumed"]
+	}
+	s.then(resumed > 0, "partials were resumed")
+	s.end()
+}
+
+// Given engines with so little memory that they drop prefixes by themselves,
+// when steps run, then all results are right and only hits are missed, and the
+// index does not believe in more than an engine can hold.
+func TestSilentDropsCostHitsOnly(t *testing.T) {
+	s := given(t, 101)
+	for _, m := range s.w.Out.Models() {
+		m.Blocks = 12
+	}
+	s.a.Train(Train{Name: "one", Groups: 12, Samples: 4, Tokens: 48, One: true, Most: 20 * time.Second})
+	s.w.Run(10 * time.Second)
+	s.then(s.a.Done >= 2, "steps are done: %d", s.a.Done)
+	c := s.w.Acting()
+	st := c.Node.Stats(c.clock()).Coord
+	s.then(st.Counts["forgotten"] > 0, "the index forgets by estimate: %v", st.Counts)
+	missed := int64(0)
+	for _, h := range s.w.By("dispatcher") {
+		missed += h.Node.Stats(h.clock()).Disp.Counts["hits_missed"]
+	}
+	t.Logf("hits missed: %d, forgotten: %d", missed, st.Counts["forgotten"])
+	s.end()
+}
