--- a/cmd/fernlink/main.go
+++ b/cmd/fernlink/main.go
@@ -30,7 +30,7 @@
 	sub.Description = "run one node until SIGTERM"
 	n.bind(sub)
 	flaggy.AttachSubcommand(sub, 1)
-	tools := bindTools()
+	tools := append(bindTools(), bindCheck())
 	flaggy.Parse()
 	if sub.Used {
 		os.Exit(n.run())
