--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -9,11 +9,14 @@
 	"os/signal"
 	"path/filepath"
 	"runtime"
+	"sort"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
 
+	"fernlink/core/place"
 	"fernlink/rig/fleet"
 	"fernlink/rig/serve"
 	"fernlink/rig/standin"
@@ -22,6 +25,7 @@
 
 type opts struct {
 	addr, id, pool, shape, dir string
+	load                       string
 	seconds                    int
 	seed, from, to, faults     int
 	keep, drill                bool
@@ -42,6 +46,7 @@
 		{"judge", "a judge", judge},
 		{"platform", "the platform's list of engines", platform},
 		{"fleet", "a whole fleet: drive it for a while and report, or keep it up", runFleet},
+		{"bench", "placement policies side by side in the simulator, on the same seeds", bench},
 		{"sweep", "storms over many seeds in the simulator", sweep},
 		{"drill", "a whole fleet: kill and freeze its processes and time the healing", runFleet},
 	}
@@ -57,6 +62,7 @@
 		s.String(&o.dir, "", "dir", "folder for the fleet's files (a temporary one unless said)")
 		s.Int(&o.seconds, "", "seconds", "how long to drive")
 		s.Int(&o.seed, "", "seed", "seed of the traffic")
+		s.String(&o.load, "", "load", "only this load of a bench")
 		s.Int(&o.from, "", "from", "first seed of a sweep")
 		s.Int(&o.to, "", "to", "last seed of a sweep")
 		s.Int(&o.faults, "", "faults", "faults in each storm")
@@ -91,6 +97,69 @@
 
 func platform(o *opts) error { return serve.Run(o.addr, serve.Platform(&standin.Platform{})) }
 
+// bench runs each load under each policy on the same seeds and prints medians.
+func bench(o *opts) error {
+	shape := map[string]sim.Shape{"fibrarmor": sim.FibrArmor, "waterland": sim.Waterland}[o.shape]
+	if shape.Stores == 0 {
+		return fmt.Errorf("no shape %q", o.shape)
+	}
+	policies := place.Names()
+	type key struct{ load, policy int }
+	got := map[key][]sim.Figures{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	free := make(chan bool, runtime.NumCPU())
+	for i, l := range sim.Loads {
+		if o.load != "" && o.load != l.Name {
+			continue
+		}
+		for j, p := range policies {
+			for s := o.from; s <= o.to; s++ {
+				wg.Add(1)
+				free <- true
+				go func() {
+					defer wg.Done()
+					f := sim.Bench(int64(s), shape, l, p, time.Duration(o.seconds)*time.Second)
+					<-free
+					mu.Lock()
+					got[key{i, j}] = append(got[key{i, j}], f)
+					mu.Unlock()
+				}()
+			}
+		}
+	}
+	wg.Wait()
+	fmt.Println("| load | policy | step s | hit rate | prefill tokens a result | runs a result | thrown tokens a result | idle | writes a result | lines/s | KB/s | wrong |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for i, l := range sim.Loads {
+		for j, p := range policies {
+			fs := got[key{i, j}]
+			if len(fs) == 0 {
+				continue
+			}
+			mid := func(of func(sim.Figures) float64) float64 {
+				var v []float64
+				for _, f := range fs {
+					v = append(v, of(f))
+				}
+				sort.Float64s(v)
+				return v[len(v)/2]
+			}
+			wrong := 0
+			for _, f := range fs {
+				wrong += f.Wrong
+			}
+			fmt.Printf("| %s | %s | %.2f | %.3f | %.1f | %.2f | %.1f | %.2f | %.2f | %.0f | %.0f | %d |\n", l.Name, p,
+				mid(func(f sim.Figures) float64 { return f.Step }), mid(func(f sim.Figures) float64 { return f.HitRate }),
+				mid(func(f sim.Figures) float64 { return f.Prefill }), mid(func(f sim.Figures) float64 { return f.Runs }),
+				mid(func(f sim.Figures) float64 { return f.Thrown }), mid(func(f sim.Figures) float64 { return f.Idle }),
+				mid(func(f sim.Figures) float64 { return f.Writes }), mid(func(f sim.Figures) float64 { return f.Lines }),
+				mid(func(f sim.Figures) float64 { return f.Bytes / 1000 }), wrong)
+		}
+	}
+	return nil
+}
+
 func sweep(o *opts) error {
 	sum := sim.Sweep(int64(o.from), int64(o.to), o.faults, runtime.NumCPU())
 	b, _ := json.MarshalIndent(sum, "", "  ")
--- a/rig/standin/engine.go
+++ b/rig/standin/engine.go
@@ -52,6 +52,7 @@
 	Prefills int // prompt tokens computed
 	Hits     int // prompt tokens taken from the cache
 	Starts   int // generations started
+	Made     int // tokens made
 	Orders   []Ordered
 	Swaps    int
 }
@@ -292,6 +293,7 @@
 	t, end := Token(j.sum, j.seed, e.Rev, e.Pace.Stop)
 	j.sum = Extend(j.sum, t)
 	j.made++
+	e.Made++
 	finish := ""
 	if end {
 		finish = "stop"
--- a/sim/actors.go
+++ b/sim/actors.go
@@ -31,6 +31,8 @@
 	Answered int
 	Refused  int
 	Unknown  int
+	Tokens   int // in all results
+	common   []string
 	StopAt   int // how often a stand-in's text ends by itself
 }
 
@@ -123,7 +125,11 @@
 	for _, r := range p.Routes {
 		routes = append(routes, map[string]any{"name": r.Name, "path": r.Path, "verbs": r.Verbs, "pool": r.Pool, "once": r.Once})
 	}
-	return map[string]any{"pools": pools, "routes": routes}
+	out := map[string]any{"pools": pools, "routes": routes}
+	if p.Placement != "" {
+		out["placement"] = p.Placement
+	}
+	return out
 }
 
 func (a *Actors) tryPlan(t *attempt, body []byte, then func(*attempt)) {
@@ -326,6 +332,7 @@
 	Lag     int
 	One     bool
 	Most    time.Duration // a step is ended after this, done or not
+	next    func()        // opens the next step, if it is not the usual one
 }
 
 // Train puts a trainer to work. It goes on to the next weights when a step is
@@ -352,6 +359,10 @@
 	if a.Stop {
 		return
 	}
+	if t.next != nil {
+		t.next()
+		return
+	}
 	id := fmt.Sprintf("%s-%d", t.Name, rev)
 	doc := ledger.StepDoc{ID: id, Trainer: t.Name, Pool: ModelPool, Revision: rev, Lag: t.Lag, OneVersion: t.One, Judge: "http://10.3.0.1:80/judge", DeadlineMS: 60000}
 	for g := 0; g < t.Groups; g++ {
@@ -464,6 +475,7 @@
 		s.keys[k] = true
 		s.list = append(s.list, raw)
 		a.Listed++
+		a.Tokens += e.Tokens
 		if err := standin.CheckEntry(s.doc, e, a.StopAt); err != nil {
 			a.w.Wrong("%s %s: %v", s.doc.ID, k, err)
 		}
--- a/sim/net.go
+++ b/sim/net.go
@@ -11,6 +11,7 @@
 	Least, Most time.Duration
 	Late        float64 // share of lines that come late by up to a second
 	Twice       float64 // share of lines that come twice
+	Count       func(bytes int)
 }
 
 // Cut stops everything from one end to another, one way.
--- a/sim/outside.go
+++ b/sim/outside.go
@@ -182,7 +182,7 @@
 	e := standin.NewEngine(m.ID, fmt.Sprintf("%s-%d", m.ID, m.life), m.Pool, rev)
 	e.KeepCache, e.Blocks, e.Slots = m.KeepCache, m.Blocks, m.Slots
 	e.Reused, e.Orders, e.Starts, e.Swaps = m.Reused, m.Orders, m.Starts, m.Swaps
-	e.Hits, e.Prefills = m.Hits, m.Prefills
+	e.Hits, e.Prefills, e.Made = m.Hits, m.Prefills, m.Made
 	m.Engine, m.jobs = e, map[uint64]*stream{}
 }
 
