--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -36,14 +36,26 @@
 	Stores  []string `json:"stores"`
 }
 
-// Body is one gossip line.
+// Beat stands for an entry that the other side knows but for its beat.
+type Beat struct {
+	Addr string `json:"a"`
+	Inc  int64  `json:"i"`
+	Beat uint64 `json:"b"`
+}
+
+// Body is one gossip line: whole entries where something is new, and every
+// fourth time; beats otherwise.
 type Body struct {
-	Entries []Entry `json:"entries"`
+	Entries []Entry `json:"entries,omitempty"`
+	Beats   []Beat  `json:"beats,omitempty"`
 	Known   Known   `json:"known"`
 }
 
+const wholeEvery = 4
+
 type seat struct {
 	entry Entry
+	fresh flow.Time // when more than the beat was new
 	grew  flow.Time
 	heard flow.Time // straight from itself
 }
@@ -57,6 +69,8 @@
 	seats map[string]*seat
 	next  flow.Time
 	turn  int
+	was   Entry     // this node's entry as it was last told
+	since flow.Time // and since when it is so
 	// Those that are told at once what is known here.
 	answer map[string]bool
 }
@@ -114,15 +128,59 @@
 			g.answer[from] = true // it is new here, or does not know what was before it
 		}
 		if s == nil {
-			s = &seat{entry: e, grew: now}
+			s = &seat{entry: e, grew: now, fresh: now}
 			g.seats[e.Addr] = s
 		} else if e.Inc > s.entry.Inc || e.Inc == s.entry.Inc && e.Beat > s.entry.Beat {
+			if !same(s.entry, e) {
+				s.fresh = now
+			}
 			s.entry, s.grew = e, now
 		}
 		if e.Addr == from {
 			s.heard = now
 		}
 	}
+	for _, x := range b.Beats {
+		s := g.seats[x.Addr]
+		if s == nil || x.Inc != s.entry.Inc {
+			continue // a whole entry will come
+		}
+		if x.Beat > s.entry.Beat {
+			s.entry.Beat, s.grew = x.Beat, now
+		}
+		if x.Addr == from {
+			s.heard = now
+		}
+	}
+}
+
+// same says whether two entries differ in nothing but their beats.
+func same(a, b Entry) bool {
+	return a.ID == b.ID && a.Inc == b.Inc && a.Web == b.Web && a.Area == b.Area && a.Cluster == b.Cluster && a.Blank == b.Blank &&
+		slices.Equal(a.Roles, b.Roles) && slices.Equal(a.Sees, b.Sees)
+}
+
+// body is what one round tells.
+func (g *Gossip) body(now flow.Time) Body {
+	b := Body{Known: g.known}
+	whole := g.turn%wholeEvery == 0
+	put := func(e Entry, fresh flow.Time) {
+		if whole || now-fresh < wholeEvery*budget.Gossip {
+			b.Entries = append(b.Entries, e)
+		} else {
+			b.Beats = append(b.Beats, Beat{e.Addr, e.Inc, e.Beat})
+		}
+	}
+	for _, a := range g.addrs() {
+		if s := g.seats[a]; now-s.grew <= budget.Lost {
+			put(s.entry, s.fresh)
+		}
+	}
+	if !same(g.self, g.was) {
+		g.was, g.since = g.self, now
+	}
+	put(g.self, g.since)
+	return b
 }
 
 // Advance beats and spreads when it is time.
@@ -154,7 +212,8 @@
 			g.self.Sees = append(g.self.Sees, addr)
 		}
 	}
-	b := Body{Entries: append(g.Live(now), g.self), Known: g.known}
+	g.turn++
+	b := g.body(now)
 	to := map[string]bool{}
 	for i := 0; i < 2 && len(live) > 0; i++ {
 		to[live[g.rand.Intn(len(live))]] = true
@@ -162,7 +221,6 @@
 	// One address beyond the live ones each time: a seed, or a store.
 	far := append(append([]string{}, g.seeds...), g.known.Stores...)
 	if len(far) > 0 {
-		g.turn++
 		to[far[g.turn%len(far)]] = true
 	}
 	delete(to, g.self.Addr)
--- a/sim/bench.go
+++ b/sim/bench.go
@@ -37,19 +37,20 @@
 
 // Figures are what one bench run came to, in counts and simulated time.
 type Figures struct {
-	Load     string  `json:"load"`
-	Policy   string  `json:"policy"`
-	Steps    int     `json:"steps"`
-	Step     float64 `json:"step_seconds_p50"`
-	HitRate  float64 `json:"prefix_hit_rate"`
-	Prefill  float64 `json:"prefill_tokens_a_result"`
-	Runs     float64 `json:"runs_a_result"`
-	Idle     float64 `json:"idle_share"`
-	Writes   float64 `json:"store_writes_a_result"`
-	Lines    float64 `json:"lines_a_second"`
-	Bytes    float64 `json:"line_bytes_a_second"`
-	Wrong    int     `json:"wrong"`
-	Thrown   float64 `json:"tokens_thrown_away_a_result"`
+	Load     string         `json:"load"`
+	Policy   string         `json:"policy"`
+	Steps    int            `json:"steps"`
+	Step     float64        `json:"step_seconds_p50"`
+	HitRate  float64        `json:"prefix_hit_rate"`
+	Prefill  float64        `json:"prefill_tokens_a_result"`
+	Runs     float64        `json:"runs_a_result"`
+	Idle     float64        `json:"idle_share"`
+	Writes   float64        `json:"store_writes_a_result"`
+	Lines    float64        `json:"lines_a_second"`
+	Bytes    float64        `json:"line_bytes_a_second"`
+	Wrong    int            `json:"wrong"`
+	Thrown   float64        `json:"tokens_thrown_away_a_result"`
+	Kinds    map[string]int `json:"line_bytes_by_kind"`
 	lines    int
 	bytes    int
 	busy, of time.Duration
@@ -86,7 +87,8 @@
 		}
 		return n
 	}
-	w.Net.Count = func(n int) { f.lines++; f.bytes += n }
+	f.Kinds = map[string]int{}
+	w.Net.Count = func(kind string, n int) { f.lines++; f.bytes += n; f.Kinds[kind] += n }
 	w.Every(10*time.Millisecond, func() bool {
 		for _, m := range w.Out.Models() {
 			f.busy += 10 * time.Millisecond * time.Duration(min(len(m.jobs), m.Slots))
--- a/sim/host.go
+++ b/sim/host.go
@@ -188,7 +188,7 @@
 		}
 		h.w.trace(h.Name, l.Kind, l.To, len(l.Body))
 		if h.w.Net.Count != nil {
-			h.w.Net.Count(len(l.Body))
+			h.w.Net.Count(l.Kind, len(l.Body))
 		}
 		h.w.Net.Send(h.Name, to.Name, func() { to.offer(to.life, flow.Event{Line: &l}) })
 	}
--- a/sim/net.go
+++ b/sim/net.go
@@ -9,9 +9,9 @@
 	cut         map[string]bool
 	last        map[string]time.Duration
 	Least, Most time.Duration
-	Late        float64 // share of lines that come late by up to a second
-	Twice       float64 // share of lines that come twice
-	Count       func(bytes int)
+	Late        float64                      // share of lines that come late by up to a second
+	Twice       float64                      // share of lines that come twice
+	Count       func(kind string, bytes int) // sees each line between siblings
 }
 
 // Cut stops everything from one end to another, one way.
