--- a/core/coord/coord.go
+++ b/core/coord/coord.go
@@ -362,3 +362,14 @@
 	}
 	return s
 }
+
+// Rows counts what each table keeps.
+func (c *Coord) Rows(to map[string]int) {
+	to["index_engines"], to["index_gate"], to["coord_sends"], to["moves"], to["watchers"] = len(c.views.Registry), len(c.gate.Engines), len(c.sends), len(c.moves), len(c.watchers)
+	for _, d := range c.views.Directory {
+		to["index_blocks"] += len(d)
+	}
+	for _, f := range c.feeds {
+		to["feed_lines"] += len(f.lines)
+	}
+}
--- a/core/disp/app.go
+++ b/core/disp/app.go
@@ -286,6 +286,9 @@
 	if d.reqs[q.call.ID] == q {
 		delete(d.reqs, q.call.ID)
 		d.busy[q.route.Name]--
+		if d.busy[q.route.Name] == 0 {
+			delete(d.busy, q.route.Name)
+		}
 	}
 }
 
--- a/core/disp/disp.go
+++ b/core/disp/disp.go
@@ -45,7 +45,6 @@
 	coord   ledger.Coord
 	orders  map[string]ledger.Order
 	drains  map[string]bool
-	targets map[string]ledger.Target
 
 	engines  map[string]*engine
 	listDue  flow.Time
@@ -66,7 +65,7 @@
 // New starts a dispatcher without a tenure.
 func New(p Props) *Disp {
 	return &Disp{p: p, steps: map[string]*step{}, orders: map[string]ledger.Order{}, drains: map[string]bool{},
-		targets: map[string]ledger.Target{}, engines: map[string]*engine{}, sends: map[uint64]func(flow.Back){},
+		engines: map[string]*engine{}, sends: map[uint64]func(flow.Back){},
 		reqs: map[uint64]*req{}, busy: map[string]int{}, slices: map[string]*slice{}, lookups: map[uint64]*group{},
 		counts: map[string]int64{}}
 }
@@ -169,12 +168,10 @@
 			e.due = d.now // read its new weights soon
 		}
 	}
-	for _, t := range x.Targets {
-		d.targets[t.Pool] = t
-	}
 	for _, r := range x.Drains {
 		d.drains[r.Engine] = r.On
 	}
+	d.prune()
 	for i, doc := range x.Steps {
 		if d.steps[doc.ID] == nil {
 			d.addStep(doc, flow.Time(x.Wall-x.Opened[i])*1e6)
@@ -196,6 +193,21 @@
 	}
 }
 
+// prune forgets orders and drains of engines that are not there, once they are
+// more than the ledger itself keeps.
+func (d *Disp) prune() {
+	for _, id := range sorted.Keys(d.orders) {
+		if len(d.orders) > ledger.KeepOrders && d.engines[id] == nil {
+			delete(d.orders, id)
+		}
+	}
+	for _, id := range sorted.Keys(d.drains) {
+		if len(d.drains) > ledger.KeepDrains && d.engines[id] == nil {
+			delete(d.drains, id)
+		}
+	}
+}
+
 // lapse cuts what still runs once the tenure is gone for a while: an ended
 // step's leftovers may be among it (design 8.4).
 func (d *Disp) lapse() {
@@ -208,3 +220,14 @@
 		}
 	}
 }
+
+// Rows counts what each table keeps.
+func (d *Disp) Rows(to map[string]int) {
+	to["sends"], to["requests"], to["engines"], to["work_steps"], to["lookups"] = len(d.sends), len(d.reqs), len(d.engines), len(d.steps), len(d.lookups)
+	to["order_copies"], to["drain_copies"], to["busy_routes"] = len(d.orders), len(d.drains), len(d.busy)
+	for _, s := range d.slices {
+		to["blocks"] += len(s.blocks)
+		to["events"] += len(s.events)
+		to["batches"] += len(s.open)
+	}
+}
--- a/core/disp/events.go
+++ b/core/disp/events.go
@@ -59,6 +59,10 @@
 	Seq    uint64 `json:"n"`
 }
 
+// keepEvents bounds the events that wait while no coordinator is known; beyond
+// it the slice is sent whole later.
+const keepEvents = 512
+
 const keepBatches = 8 // batches kept for sending again; older ones make a gap
 
 // slice is what this dispatcher knows of one engine start's cache, and its
@@ -185,6 +189,11 @@
 
 // report sends the batches, about once a second (design 9.1).
 func (d *Disp) report() {
+	for _, s := range d.slices {
+		if len(s.events) > keepEvents {
+			s.events, s.full = nil, true
+		}
+	}
 	if d.now < d.evDue || d.coord.Addr == "" {
 		return
 	}
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -256,3 +256,6 @@
 	s := g.seats[addr]
 	return s != nil && s.heard > 0 && now-s.heard <= budget.Lost
 }
+
+// Rows counts the entries kept.
+func (g *Gossip) Rows() int { return len(g.seats) }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -47,7 +47,6 @@
 	disp   *disp.Disp
 	coord  *coord.Coord
 	ids    uint64
-	owner  map[uint64]string // whose a send or a call is
 	counts map[string]int64
 	burst  map[string]flow.Time
 	known  gossip.Known
@@ -57,7 +56,7 @@
 
 // New starts a node.
 func New(now flow.Time, p Props) (*Node, error) {
-	n := &Node{p: p, owner: map[uint64]string{}, counts: map[string]int64{}, burst: map[string]flow.Time{}, began: now, known: p.Known}
+	n := &Node{p: p, counts: map[string]int64{}, burst: map[string]flow.Time{}, began: now, known: p.Known}
 	r := func() *rand.Rand { p.Seed++; return rand.New(rand.NewSource(p.Seed * 7919)) }
 	self := gossip.Entry{ID: p.ID, Inc: p.Inc, Addr: p.Addr, Web: p.Web, Area: p.Area, Roles: p.Roles}
 	n.gossip = gossip.New(gossip.Props{Self: self, Known: p.Known, Seeds: p.Seeds, Rand: r()})
@@ -84,11 +83,14 @@
 
 func (n *Node) runs(role string) bool { return slices.Contains(n.p.Roles, role) }
 
+// parts own sends; an id's rest names its part, so that no table has to.
+var parts = []string{"disp", "coord"}
+
 func (n *Node) idsOf(part string) func() uint64 {
+	at := uint64(slices.Index(parts, part))
 	return func() uint64 {
 		n.ids++
-		n.owner[n.ids] = part
-		return n.ids
+		return n.ids*uint64(len(parts)) + at
 	}
 }
 
@@ -185,13 +187,7 @@
 		}
 	}
 	if e.Back != nil {
-		part := n.owner[e.Back.ID]
-		if e.Back.End {
-			delete(n.owner, e.Back.ID)
-		}
-		if f, ok := backs[part]; ok {
-			f(n, now, *e.Back, out)
-		}
+		backs[parts[e.Back.ID%uint64(len(parts))]](n, now, *e.Back, out)
 	}
 }
 
--- a/core/node/stats.go
+++ b/core/node/stats.go
@@ -23,6 +23,7 @@
 	Live    []gossip.Entry   `json:"siblings"`
 	Asks    int              `json:"asks_open"`
 	Counts  map[string]int64 `json:"counts"`
+	Rows    map[string]int   `json:"rows"` // entities in each table
 	Store   *store.Stats     `json:"store,omitempty"`
 	Disp    *disp.Stats      `json:"dispatcher,omitempty"`
 	Coord   *coord.Stats     `json:"coordinator,omitempty"`
@@ -35,17 +36,21 @@
 	for k, v := range n.counts {
 		s.Counts[k] = v
 	}
+	s.Rows = map[string]int{"siblings": n.gossip.Rows(), "bursts": len(n.burst)}
 	if n.store != nil {
 		x := n.store.Stats()
 		s.Store = &x
+		n.store.Rows(s.Rows)
 	}
 	if n.disp != nil {
 		x := n.disp.Stats(now)
 		s.Disp = &x
+		n.disp.Rows(s.Rows)
 	}
 	if n.coord != nil {
 		x := n.coord.Stats(now)
 		s.Coord = &x
+		n.coord.Rows(s.Rows)
 	}
 	return s
 }
@@ -68,6 +73,9 @@
 	}
 	put("up_seconds", s.Up)
 	put("siblings", len(s.Live))
+	for _, k := range sorted.Keys(s.Rows) {
+		fmt.Fprintf(&b, "fernlink_rows{table=%q} %d\n", k, s.Rows[k])
+	}
 	put("asks_open", s.Asks)
 	counts("node_total", s.Counts)
 	if x := s.Store; x != nil {
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -481,3 +481,11 @@
 	d.Listed = nil
 	return ledger.Result{Code: 200, Body: body(d)}
 }
+
+// Rows counts what each table keeps.
+func (s *Store) Rows(to map[string]int) {
+	l := s.ledger
+	to["log"], to["waiting_writes"], to["waiting_reads"], to["dispatchers"] = s.raft.LogLen(), len(s.writes), len(s.reads), len(s.seen)
+	to["plans"], to["steps"], to["claims"], to["orders"], to["drains"] = len(l.Plans), len(l.Steps), len(l.Claims), len(l.Orders), len(l.Drains)
+	to["step_ids_gone"], to["member_addresses"] = len(l.Gone), len(s.addrs)
+}
--- a/sim/actors.go
+++ b/sim/actors.go
@@ -85,7 +85,8 @@
 			return standin.Check(g.Prompt, x.Text, x.Sample, g.Tokens, a.StopAt, func(at int) int {
 				var rev int
 				_, _ = fmt.Sscanf(x.Text[at:], "r%02d", &rev)
-				return rev
+				// Two digits stand there: the nearest below the step's own.
+				return s.doc.Revision - ((s.doc.Revision-rev)%100+100)%100
 			})
 		}
 	}
--- a/sim/story_test.go
+++ b/sim/story_test.go
@@ -949,3 +949,38 @@
 	t.Logf("hits missed: %d, forgotten: %d", missed, st.Counts["forgotten"])
 	s.end()
 }
+
+// Given a busy fleet, when it has run for a while, then no table goes on
+// growing: what it keeps later on is what it kept before.
+func TestNothingGrows(t *testing.T) {
+	s := given(t, 120)
+	s.a.Train(Train{Name: "one", Groups: 4, Samples: 2, Tokens: 24, One: true, Most: 10 * time.Second})
+	s.a.Consume(100 * time.Millisecond)
+	s.a.Operate(3 * time.Second)
+	rows := func() map[string]int {
+		most := map[string]int{}
+		for i := 0; i < 40; i++ { // the most over a while, since tables breathe
+			s.w.Run(500 * time.Millisecond)
+			for _, h := range s.w.Hosts {
+				for k, n := range h.Node.Stats(h.clock()).Rows {
+					most[k] = max(most[k], n)
+				}
+			}
+		}
+		return most
+	}
+	s.w.Run(50 * time.Second)
+	before := rows()
+	s.w.Run(70 * time.Second)
+	after := rows()
+	// These grow up to the bounds that the design names.
+	bound := map[string]int{"claims": ledger.KeepClaims, "step_ids_gone": ledger.KeepGone, "feed_lines": 3 * 1024, "log": 2 * Small.Keep, "plans": ledger.KeepPlans}
+	for k, n := range after {
+		if most, ok := bound[k]; ok {
+			s.then(n <= most, "%s stays within %d: %d", k, most, n)
+			continue
+		}
+		s.then(n <= before[k]+before[k]/4+8, "%s does not grow: %d, then %d", k, before[k], n)
+	}
+	s.end()
+}
