A leader's digest ends the old log on disk too, also when the power goes midway

Cause: found by reading. A follower that takes a digest forgets its whole log in memory, but its disk kept the entries past the digest's end. After a restart an old entry of a low term stood behind committed ones of a higher term; the vote rule looks at the last entry, so the member could hand its vote to a candidate that lacks what is committed. Ruled out: the member's own digests, which keep their suffix rightly. Before: the test finds entries 7 to 9 of term 1 behind a digest at 6 of term 3. After: none, also with the digest on disk and the next segment not yet there. Conclusion: what memory forgets, the disk must forget in the same save.

--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -477,7 +477,7 @@
 	if m.Digest.Index > r.commit {
 		r.setDigest(m.Digest)
 		r.stable = r.last()
-		r.save(flow.Save{Digest: m.Digest})
+		r.save(flow.Save{Digest: m.Digest, Cut: m.Digest.Index + 1})
 		r.out.Applied = append(r.out.Applied, Applied{Digest: m.Digest})
 	}
 	r.back(m, "", Msg{Kind: "appr", Term: r.hard.Term, Round: m.Round, Index: m.Digest.Index, OK: true})
--- a/shell/disk/disk.go
+++ b/shell/disk/disk.go
@@ -54,6 +54,15 @@
 	Saves []flow.Save `json:"saves"`
 }
 
+// digestFile is a digest as it lies on disk. One that came from a leader ends
+// the log before it: entries in segments up to Seg that go past it are void,
+// also if the power went before the next segment was started.
+type digestFile struct {
+	Digest flow.Digest `json:"digest"`
+	Ends   bool        `json:"ends,omitempty"`
+	Seg    uint64      `json:"seg"`
+}
+
 func segName(n uint64) string { return fmt.Sprintf("log-%016d.seg", n) }
 func digName(n uint64) string { return fmt.Sprintf("digest-%016d.json", n) }
 
@@ -101,6 +110,7 @@
 func Open(fs FS) (*Log, store.Disk, error) {
 	l := &Log{fs: fs}
 	var d store.Disk
+	var file digestFile
 	names, err := fs.List()
 	if err != nil {
 		return nil, d, errors.Wrap(err, "disk: list")
@@ -121,17 +131,19 @@
 		if err != nil {
 			return nil, d, errors.Wrap(err, "disk: digest")
 		}
-		var x flow.Digest
-		if _, ok := unframe(b, &x); !ok {
+		if _, ok := unframe(b, &file); !ok {
 			return nil, d, errors.Wrap(ErrCorrupt, digName(digs[0]))
 		}
-		d.Digest, l.base = &x, x.Index
+		d.Digest, l.base = &file.Digest, file.Digest.Index
 	}
 	for i, s := range segs {
 		if err := l.replay(s, i == len(segs)-1); err != nil {
 			return nil, d, err
 		}
 		l.seg = s
+		if file.Ends && s <= file.Seg {
+			l.tail = nil
+		}
 	}
 	// Entries that the digest stands for are not needed any more.
 	for len(l.tail) > 0 && l.tail[0].Index <= l.base {
@@ -281,7 +293,7 @@
 }
 
 func (l *Log) digest(s flow.Save) error {
-	if err := l.put(digName(s.Digest.Index), frame(s.Digest)); err != nil {
+	if err := l.put(digName(s.Digest.Index), frame(digestFile{*s.Digest, s.Cut > 0, l.seg})); err != nil {
 		return err
 	}
 	l.fold(s)
--- a/shell/disk/disk_test.go
+++ b/shell/disk/disk_test.go
@@ -3,11 +3,14 @@
 import (
 	"encoding/json"
 	"errors"
+	"math/rand"
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"fernlink/core/flow"
+	"fernlink/core/raft"
 )
 
 func entries(from, to uint64) []flow.Entry {
@@ -140,3 +143,39 @@
 		t.Fatalf("a log without an identity: %v", err)
 	}
 }
+
+// Given a member whose log goes on past where a leader's digest ends, when it
+// takes the digest and starts again, then nothing of that old log stands after
+// it: it could hand a vote to somebody who lacks what is committed.
+func TestDigestFromLeaderEndsTheOldLog(t *testing.T) {
+	dir := t.TempDir()
+	l, _, err := open(t, dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	old := entries(1, 9)
+	if err := l.Save([]flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: old}}); err != nil {
+		t.Fatal(err)
+	}
+	r := raft.New(0, raft.Props{ID: "a", Rand: rand.New(rand.NewSource(1)), Beat: time.Second, Elect: time.Hour, Hard: flow.Hard{Cluster: "c", Term: 1}, Entries: old})
+	r.Step(raft.Msg{Kind: "dig", From: "b", ToID: "a", Term: 3, Digest: &flow.Digest{Index: 6, Term: 3, Conf: json.RawMessage(`{}`), State: json.RawMessage(`{}`)}})
+	before := segment(t, dir)
+	kept, _ := os.ReadFile(before)
+	if err := l.Save(r.Advance(0).Saves); err != nil {
+		t.Fatal(err)
+	}
+	look := func(when string) {
+		t.Helper()
+		f, _ := OpenFolder(dir)
+		_, d, err := Open(f)
+		if err != nil || d.Digest == nil || d.Digest.Index != 6 || len(d.Entries) != 0 {
+			t.Fatalf("%s: %v: digest %v, entries left: %v", when, err, d.Digest != nil, d.Entries)
+		}
+	}
+	// The power goes after the digest is there and before the next segment is.
+	next := segment(t, dir)
+	_ = os.Remove(next)
+	_ = os.WriteFile(before, kept, 0o644)
+	look("power lost midway")
+	look("started again")
+}
