--- a/sim/story_test.go
+++ b/sim/story_test.go
@@ -984,3 +984,68 @@
 	}
 	s.end()
 }
+
+// Given a roll-out of weights, when the store's leader dies at each point of
+// it, then the roll-out still comes to its end, and no engine hears of two
+// orderers.
+func TestLeaderDiesAtEachPointOfARollOut(t *testing.T) {
+	for i := 0; i < 8; i++ {
+		s := given(t, int64(130+i))
+		x := s.open(doc(s.a, "s1", 1, 4, 24))
+		s.w.Run(time.Duration(i) * 90 * time.Millisecond)
+		l := s.w.Leader()
+		l.Kill()
+		s.w.After(3*time.Second, l.Start)
+		s.then(s.w.Until(budget.Heal, func() bool { return len(x.list) == x.doc.Wanted() }), "the step is done: %d", len(x.list))
+		s.end()
+	}
+}
+
+// Given groups under way at both dispatchers, when one dies for good, then the
+// other takes its groups over, and every sample is listed once.
+func TestDispatcherDiesMidGroup(t *testing.T) {
+	s := given(t, 140)
+	for _, m := range s.w.Out.Models() {
+		m.Slow = 6
+	}
+	x := s.open(doc(s.a, "s1", 1, 8, 64))
+	s.then(s.w.Until(budget.Heal, func() bool { return len(x.list) > 2 }), "some are listed")
+	s.disp(0).Kill()
+	s.then(s.w.Until(budget.Heal, func() bool { return len(x.list) == x.doc.Wanted() }), "all are: %d of %d", len(x.list), x.doc.Wanted())
+	s.disp(0).Start()
+	s.w.Run(2 * time.Second)
+	s.end()
+}
+
+// Given a judge's verdict on a text, when a second has passed, then the result
+// can be read at every dispatcher.
+func TestListedWithinASecond(t *testing.T) {
+	s := given(t, 141)
+	judged := map[string]time.Duration{}
+	whole := s.w.Out.Whole
+	s.w.Out.Whole = func(a dialect.JudgeAsk) error {
+		judged[fmt.Sprintf("%s/%d", a.Group, a.Sample)] = s.w.Now
+		return whole(a)
+	}
+	x := s.open(doc(s.a, "s1", 1, 6, 48))
+	late := time.Duration(0)
+	s.then(s.w.Until(budget.Heal, func() bool {
+		for _, h := range s.w.By("dispatcher") {
+			r := s.ask(h, Call("step.results", map[string]string{"id": "s1"}, nil))
+			var p ledger.Pages
+			_ = json.Unmarshal(r.Body, &p)
+			there := map[string]bool{}
+			for _, e := range p.Results {
+				there[fmt.Sprintf("%s/%d", e.Group, e.Sample)] = true
+			}
+			for k, at := range judged {
+				if !there[k] {
+					late = max(late, s.w.Now-at)
+				}
+			}
+		}
+		return len(x.list) == x.doc.Wanted()
+	}), "all are listed")
+	s.then(late <= budget.Listed, "none is missing a second after the judge was asked: %v", late)
+	s.end()
+}
