--- a/sim/repair_test.go
+++ b/sim/repair_test.go
@@ -53,6 +53,7 @@
 // speaks up, then it is taken in, caught up and made a voter, the dead one is
 // taken out, and one more loss is survived without losing anything.
 func TestLostVoterIsReplaced(t *testing.T) {
+	t.Parallel()
 	s := given(t, 70)
 	s.train("one")
 	s.a.Consume(100 * time.Millisecond)
@@ -76,6 +77,7 @@
 // Given a voter whose disk is replaced by a blank one, when it starts at its
 // old address, then it comes back as somebody new: learner first.
 func TestBlankDiskAtTheOldAddress(t *testing.T) {
+	t.Parallel()
 	s := given(t, 71)
 	s.train("one")
 	s.w.Run(2 * time.Second)
@@ -93,6 +95,7 @@
 // so twice, and the leader dies midway, then it is emptied all the same and
 // is not taken in again.
 func TestEmptyingSurvivesTheLeader(t *testing.T) {
+	t.Parallel()
 	s := given(t, 72)
 	s.train("one")
 	s.fresh("spare", 1, "b")
@@ -117,6 +120,7 @@
 // Given three voters and nobody to spare, when an operator empties one, then
 // that is refused with the reason and leaves no trace.
 func TestRefusedMoves(t *testing.T) {
+	t.Parallel()
 	s := given(t, 73)
 	before := fmt.Sprint(s.members())
 	for id := range s.members() {
@@ -139,6 +143,7 @@
 // address, one after the other, and so are all seeds, then all is still there
 // and a coordinator that restarts finds the fleet by what it remembers.
 func TestAllSeedsReplaced(t *testing.T) {
+	t.Parallel()
 	s := given(t, 74)
 	s.train("one")
 	for i, name := range []string{"store-1", "store-2", "store-3"} {
@@ -167,6 +172,7 @@
 // Given voters of which two stand in one area, when a machine of an area
 // without a voter is ready, then voters come to be spread.
 func TestVotersSpreadOverAreas(t *testing.T) {
+	t.Parallel()
 	s := given(t, 75)
 	dead := s.follower()
 	dead.Lose(true)
@@ -188,6 +194,7 @@
 
 // Given the only copy, when an operator empties it, then that is refused.
 func TestLastCopyStays(t *testing.T) {
+	t.Parallel()
 	w := Build(76, Shape{Areas: []string{"a"}, Stores: 1, Coords: 1, Dispatchers: 1, Models: 1, Apps: 1, Keep: 256})
 	s := &story{t, w, NewActors(w)}
 	s.then(w.Until(2*budget.Heal, w.Serving), "a fleet of one store serves")
--- a/sim/storm_test.go
+++ b/sim/storm_test.go
@@ -11,6 +11,7 @@
 // never happen did, and service is back in time. STORM_FROM and STORM_TO run
 // other seeds; scripts/sweep runs many.
 func TestStorm(t *testing.T) {
+	t.Parallel()
 	from, to := int64(1), int64(8)
 	if s := os.Getenv("STORM_FROM"); s != "" {
 		from, _ = strconv.ParseInt(s, 10, 64)
--- a/sim/story_test.go
+++ b/sim/story_test.go
@@ -103,6 +103,7 @@
 // Given a trainer and callers at work, when the store's leader is killed,
 // then another leads, and results and bookings go on within the bound.
 func TestLeaderKilled(t *testing.T) {
+	t.Parallel()
 	s := given(t, 11)
 	s.train("one")
 	s.a.Consume(100 * time.Millisecond)
@@ -121,6 +122,7 @@
 // results go on meanwhile, the standby takes over under a higher term, and
 // the engines end up at the step's weights.
 func TestCoordinatorKilled(t *testing.T) {
+	t.Parallel()
 	s := given(t, 12)
 	s.train("one")
 	s.w.Run(3 * time.Second)
@@ -139,6 +141,7 @@
 // Given no coordinator at all, when a step is open at weights that engines
 // have, then its results all come: the index is only advice.
 func TestServesWithoutCoordinator(t *testing.T) {
+	t.Parallel()
 	s := given(t, 13)
 	x := s.open(doc(s.a, "s1", 1, 4, 32))
 	s.then(s.w.Until(budget.Heal, func() bool { return len(x.list) == x.doc.Wanted() }), "the first step is done")
@@ -153,6 +156,7 @@
 // Given long generations, when the busiest engine vanishes in mid-stream,
 // then its partials are resumed elsewhere and all results come whole.
 func TestEngineVanishesMidStream(t *testing.T) {
+	t.Parallel()
 	s := given(t, 14)
 	for _, m := range s.w.Out.Models() {
 		m.Pace.Stop = 0
@@ -198,6 +202,7 @@
 // then it refuses at once with Retry-After, no plan slips back on it, and it
 // serves again when the cut ends.
 func TestDispatcherCutOff(t *testing.T) {
+	t.Parallel()
 	s := given(t, 15)
 	s.a.Operate(700 * time.Millisecond)
 	s.a.Consume(100 * time.Millisecond)
@@ -225,6 +230,7 @@
 // when the generation is made again, then the listed text ends where the
 // weights end it. (Found by a sweep: seed 34 went on past the end.)
 func TestFinishedThenBroken(t *testing.T) {
+	t.Parallel()
 	s := given(t, 16)
 	for _, m := range s.w.Out.Models()[:2] {
 		m.Lie = "lastword"
@@ -239,6 +245,7 @@
 // is acknowledged, the other told the present version, and only the first is
 // ever in force.
 func TestOperatorsRace(t *testing.T) {
+	t.Parallel()
 	s := given(t, 17)
 	var got []*attempt
 	for _, id := range []string{"left", "right"} {
@@ -261,6 +268,7 @@
 // Given a plan with several faults, when it is put, then all are told by
 // their JSON pointers and nothing changes.
 func TestInvalidPlan(t *testing.T) {
+	t.Parallel()
 	s := given(t, 18)
 	c := Call("plan.put", nil, nil)
 	c.Body = []byte(`{"read":1,"request":"r","plan":{"pools":[{"name":"p","kind":"oven"}],"routes":[{"name":"a","path":"no","pool":"p","extra":1}]}}`)
@@ -288,6 +296,7 @@
 // the caller says it again at another dispatcher, then it ran once, the
 // outcome is told as unknown, and it is never called refused.
 func TestOutcomeUnknown(t *testing.T) {
+	t.Parallel()
 	s := given(t, 19)
 	for _, x := range s.w.Out.Apps() {
 		x.Break = true
@@ -317,6 +326,7 @@
 // Given no application engine that is there, when a booking comes, then it is
 // refused at once with Retry-After, and never runs when engines come back.
 func TestRefusedNeverRuns(t *testing.T) {
+	t.Parallel()
 	s := given(t, 20)
 	for _, x := range s.w.Out.Apps() {
 		s.w.Out.CrashApp(x)
@@ -341,6 +351,7 @@
 // Given a coordinator frozen in mid-roll-out, when another takes over and the
 // first wakes, then no engine hears an order of the old term after the new.
 func TestFrozenCoordinatorWakes(t *testing.T) {
+	t.Parallel()
 	for seed := int64(30); seed < 34; seed++ {
 		s := given(t, seed)
 		s.train("one")
@@ -357,6 +368,7 @@
 // Given a result and a plan that were acknowledged, when every store loses
 // power at that moment, then both are there after the restart.
 func TestPowerLossEverywhere(t *testing.T) {
+	t.Parallel()
 	s := given(t, 21)
 	x := s.open(doc(s.a, "s1", 1, 4, 24))
 	s.then(s.w.Until(budget.Heal, func() bool { return len(x.list) == x.doc.Wanted() }), "the step is done")
@@ -378,6 +390,7 @@
 
 // Given one seed, when it is run twice, then all that happens is the same.
 func TestReplaysExactly(t *testing.T) {
+	t.Parallel()
 	a, b := Storm(7, Small, 5), Storm(7, Small, 5)
 	if a.Trace != b.Trace || a.Listed != b.Listed {
 		t.Fatalf("two runs of one seed differ: %x and %x", a.Trace, b.Trace)
@@ -387,6 +400,7 @@
 // Given a judge that answers for another text, or not at all, when the step's
 // deadline comes, then results are listed without a verdict, and say so.
 func TestNoVerdictIsMadeUp(t *testing.T) {
+	t.Parallel()
 	for _, mode := range []string{"other", "fail"} {
 		s := given(t, 22)
 		s.w.Out.Judge.Mode = mode
@@ -406,6 +420,7 @@
 // Given engines that keep their cache over new weights, when steps move on,
 // then no generation reuses KV of other weights: the salt guards it.
 func TestNoKVAcrossWeights(t *testing.T) {
+	t.Parallel()
 	s := given(t, 23)
 	for _, m := range s.w.Out.Models() {
 		m.KeepCache = true
@@ -421,6 +436,7 @@
 // Given a dispatcher cut from the coordinator for so long that batches are
 // lost, when the cut ends, then its slices are found stale and sent whole.
 func TestStaleSliceIsSentWhole(t *testing.T) {
+	t.Parallel()
 	s := given(t, 24)
 	s.train("one")
 	s.w.Run(3 * time.Second)
@@ -436,6 +452,7 @@
 // Given a checkpoint that is damaged, when its coordinator takes the tenure
 // again, then it starts cold, says so, and the index fills anew.
 func TestCorruptCheckpoint(t *testing.T) {
+	t.Parallel()
 	s := given(t, 25)
 	x := s.open(doc(s.a, "s1", 1, 6, 32))
 	s.then(s.w.Until(budget.Heal, func() bool { return len(x.list) == x.doc.Wanted() }), "a step is done")
@@ -462,6 +479,7 @@
 // Given a step with generations running, when it is ended, then no leftover
 // reaches an engine after the bound, and what ran is cut.
 func TestEndedStepStops(t *testing.T) {
+	t.Parallel()
 	s := given(t, 26)
 	for _, m := range s.w.Out.Models() {
 		m.Pace.Stop, m.Slow = 0, 10
@@ -489,6 +507,7 @@
 // Given engines at work, when the platform drains one and takes another off
 // its list, then neither gets new work after the bound.
 func TestDrained(t *testing.T) {
+	t.Parallel()
 	s := given(t, 27)
 	s.train("one")
 	s.a.Consume(50 * time.Millisecond)
@@ -503,6 +522,7 @@
 // Given a store cut off with its log ahead, when it comes back, then what it
 // had alone is gone and nobody saw it.
 func TestLeaderCutOffAlone(t *testing.T) {
+	t.Parallel()
 	s := given(t, 29)
 	old := s.w.Leader()
 	var rest []string
@@ -524,6 +544,7 @@
 // Given a dispatcher that freezes between making a send and writing it, when
 // the step is ended meanwhile and it wakes, then no engine hears of it.
 func TestFrozenBetweenCheckAndSend(t *testing.T) {
+	t.Parallel()
 	s := given(t, 40)
 	for _, m := range s.w.Out.Models() {
 		m.Pace.Stop, m.Slow = 0, 2
@@ -554,6 +575,7 @@
 // it, when another has taken over and ordered the same engine, then the old
 // order never reaches the engine.
 func TestOrderFrozenBetweenCheckAndSend(t *testing.T) {
+	t.Parallel()
 	s := given(t, 41)
 	var froze *Host
 	s.w.Out.OnSend = func(h *Host, x flow.Send) {
@@ -571,6 +593,7 @@
 
 // Given a calm fleet, when time passes, then the tenure stays where it is.
 func TestCalmHandover(t *testing.T) {
+	t.Parallel()
 	s := given(t, 42)
 	c := s.w.Acting()
 	s.w.Run(20 * time.Second)
@@ -581,6 +604,7 @@
 // Given an engine whose weights change in mid-stream without an order, when
 // its generations end, then no result claims one revision for all its text.
 func TestLyingEngineChangesInMidStream(t *testing.T) {
+	t.Parallel()
 	s := given(t, 43)
 	for _, m := range s.w.Out.Models() {
 		m.Pace.Stop, m.Slow = 0, 4
@@ -605,6 +629,7 @@
 // Given engines that lie in each way that is known, when steps run, then every
 // result comes from somewhere honest and is whole and truly labelled.
 func TestLyingEngines(t *testing.T) {
+	t.Parallel()
 	for i, lie := range []string{"early", "garbage", "weights", "silent", "lastword"} {
 		s := given(t, int64(50+i))
 		for _, m := range s.w.Out.Models()[:2] {
@@ -620,6 +645,7 @@
 // Given one engine that is a hundred times slower than the others, when a step
 // runs, then its long tail is tried again elsewhere and the step ends soon.
 func TestLongTail(t *testing.T) {
+	t.Parallel()
 	s := given(t, 60)
 	s.w.Out.Models()[0].Slow = 100
 	x := s.open(doc(s.a, "s1", 1, 12, 64))
@@ -636,6 +662,7 @@
 // when more come at one dispatcher, then the rest are told 429 at once, with
 // when to come back, and never run.
 func TestFullHolding(t *testing.T) {
+	t.Parallel()
 	s := given(t, 61)
 	for _, x := range s.w.Out.Apps() {
 		x.Slow = time.Second
@@ -665,6 +692,7 @@
 // it gets what it missed and nothing else; with a cursor of another term, or
 // one that is too old, it gets a reset mark and the full state.
 func TestWatchWithCursor(t *testing.T) {
+	t.Parallel()
 	s := given(t, 62)
 	c := s.w.Acting()
 	var lines []string
@@ -712,6 +740,7 @@
 // then it is in force at every dispatcher within the bound, and the last of
 // its routes serves.
 func TestPlanGrows(t *testing.T) {
+	t.Parallel()
 	s := given(t, 63)
 	version := uint64(1)
 	for _, n := range []int{100, 1000, 5000} {
@@ -737,6 +766,7 @@
 // the operator says the same again, then the plan is there once, and a plan
 // that was acknowledged never goes.
 func TestLeaderDiesAroundTheAcknowledgement(t *testing.T) {
+	t.Parallel()
 	for i := 0; i < 12; i++ {
 		s := given(t, int64(80+i))
 		var x *attempt
@@ -757,6 +787,7 @@
 // weights, then it sends nothing there under the old salt. (Found by a sweep:
 // seeds 2030, 2056 and others reused KV of the weights before.)
 func TestOrderDoneBeforeLoadIsRead(t *testing.T) {
+	t.Parallel()
 	for seed := int64(90); seed < 98; seed++ {
 		s := given(t, seed)
 		for _, m := range s.w.Out.Models() {
@@ -772,6 +803,7 @@
 // then its siblings hear it at once, not once they forgot the one before.
 // (Found by a sweep: seed 2277 was whole again only after 20 s.)
 func TestStartsUnderAnEarlierClock(t *testing.T) {
+	t.Parallel()
 	s := given(t, 64)
 	h := s.disp(0) // which is nobody's seed
 	h.Kill()
@@ -786,6 +818,7 @@
 // between two of its reports and gets work meant for its start before, then
 // what it made of that is never reused. (Found by a sweep: seed 2043.)
 func TestRestartedBetweenReports(t *testing.T) {
+	t.Parallel()
 	for seed := int64(110); seed < 114; seed++ {
 		s := given(t, seed)
 		for _, m := range s.w.Out.Models() {
@@ -806,6 +839,7 @@
 // Given a leader whose wall clock jumps ahead by days, when a caller repeats
 // a booking whose key is minutes old, then it still does not run again.
 func TestClockJumpForgetsNoKey(t *testing.T) {
+	t.Parallel()
 	s := given(t, 66)
 	b := Web("POST", "/book/x", map[string]string{"id": "b1"}, "k1")
 	s.then(s.ask(s.disp(0), b).Code == 200, "it is answered")
@@ -827,6 +861,7 @@
 // though the identity on its disk is. (Found by a sweep: seed 4126 ran a
 // booking twice.)
 func TestEarlierStartsClaimIsNotOnesOwn(t *testing.T) {
+	t.Parallel()
 	s := givenShape(t, 67, Merged)
 	h := s.follower()
 	for _, x := range s.w.Out.Apps() {
@@ -854,6 +889,7 @@
 // clock that is days ahead, then the step is still open and gets its results.
 // (Found by a sweep: seed 3071 ended it as long past its deadline.)
 func TestClockJumpEndsNoStep(t *testing.T) {
+	t.Parallel()
 	s := givenShape(t, 68, Merged)
 	for _, m := range s.w.Out.Models() {
 		m.Slow = 20
@@ -878,6 +914,7 @@
 // step still gets its results. (Found by a sweep: seed 3084 waited for the
 // step's deadline.)
 func TestConnectionsLostWithoutAWord(t *testing.T) {
+	t.Parallel()
 	s := given(t, 69)
 	for _, m := range s.w.Out.Models() {
 		m.Slow = 8
@@ -904,6 +941,7 @@
 // new one at a new address, each taken off the list at short notice, then none
 // gets work after the bound, partials are resumed elsewhere, and steps go on.
 func TestReleaseOneByOne(t *testing.T) {
+	t.Parallel()
 	s := given(t, 100)
 	for _, m := range s.w.Out.Models() {
 		m.Slow = 4
@@ -932,6 +970,7 @@
 // when steps run, then all results are right and only hits are missed, and the
 // index does not believe in more than an engine can hold.
 func TestSilentDropsCostHitsOnly(t *testing.T) {
+	t.Parallel()
 	s := given(t, 101)
 	for _, m := range s.w.Out.Models() {
 		m.Blocks = 12
@@ -953,6 +992,7 @@
 // Given a busy fleet, when it has run for a while, then no table goes on
 // growing: what it keeps later on is what it kept before.
 func TestNothingGrows(t *testing.T) {
+	t.Parallel()
 	s := given(t, 120)
 	s.a.Train(Train{Name: "one", Groups: 4, Samples: 2, Tokens: 24, One: true, Most: 10 * time.Second})
 	s.a.Consume(100 * time.Millisecond)
@@ -989,6 +1029,7 @@
 // it, then the roll-out still comes to its end, and no engine hears of two
 // orderers.
 func TestLeaderDiesAtEachPointOfARollOut(t *testing.T) {
+	t.Parallel()
 	for i := 0; i < 8; i++ {
 		s := given(t, int64(130+i))
 		x := s.open(doc(s.a, "s1", 1, 4, 24))
@@ -1004,6 +1045,7 @@
 // Given groups under way at both dispatchers, when one dies for good, then the
 // other takes its groups over, and every sample is listed once.
 func TestDispatcherDiesMidGroup(t *testing.T) {
+	t.Parallel()
 	s := given(t, 140)
 	for _, m := range s.w.Out.Models() {
 		m.Slow = 6
@@ -1020,6 +1062,7 @@
 // Given a judge's verdict on a text, when a second has passed, then the result
 // can be read at every dispatcher.
 func TestListedWithinASecond(t *testing.T) {
+	t.Parallel()
 	s := given(t, 141)
 	judged := map[string]time.Duration{}
 	whole := s.w.Out.Whole
