--- a/sim/story_test.go
+++ b/sim/story_test.go
@@ -92,6 +92,16 @@
 	return x
 }
 
+// count adds up one counter over the dispatchers that are up.
+func (s *story) count(name string) (n int64) {
+	for _, h := range s.w.By("dispatcher") {
+		if h.Up {
+			n += h.Node.Stats(h.clock()).Disp.Counts[name]
+		}
+	}
+	return n
+}
+
 func (s *story) sum(f func(*Model) int) int {
 	n := 0
 	for _, m := range s.w.Out.Models() {
@@ -179,13 +189,7 @@
 	gone := busy()
 	s.w.Out.Crash(gone, 0)
 	at := s.w.Now
-	resumed := func() (n int64) {
-		for _, h := range s.w.By("dispatcher") {
-			n += h.Node.Stats(h.clock()).Disp.Counts["resumed"]
-		}
-		return n
-	}
-	s.then(s.w.Until(budget.Heal, func() bool { return resumed() > 0 }), "a partial is resumed elsewhere")
+	s.then(s.w.Until(budget.Heal, func() bool { return s.count("resumed") > 0 }), "a partial is resumed elsewhere")
 	x := s.a.Steps["long"]
 	s.then(s.w.Until(20*time.Second, func() bool { return len(x.list) == d.Wanted() }), "all results come: %d", len(x.list))
 	for _, raw := range x.list {
@@ -650,10 +654,7 @@
 	s.w.Out.Models()[0].Slow = 100
 	x := s.open(doc(s.a, "s1", 1, 12, 64))
 	s.then(s.w.Until(8*time.Second, func() bool { return len(x.list) == x.doc.Wanted() }), "all results come: %d of %d", len(x.list), x.doc.Wanted())
-	twins := int64(0)
-	for _, h := range s.w.By("dispatcher") {
-		twins += h.Node.Stats(h.clock()).Disp.Counts["twins"]
-	}
+	twins := s.count("twins")
 	s.then(twins > 0, "some had a second run")
 	s.end()
 }
@@ -958,10 +959,7 @@
 	}
 	had := s.a.Done
 	s.then(s.w.Until(20*time.Second, func() bool { return s.a.Done >= had+2 }), "steps go on on the new engines: %d", s.a.Done)
-	resumed := int64(0)
-	for _, h := range s.w.By("dispatcher") {
-		resumed += h.Node.Stats(h.clock()).Disp.Counts["resumed"]
-	}
+	resumed := s.count("resumed")
 	s.then(resumed > 0, "partials were resumed")
 	s.end()
 }
@@ -981,10 +979,7 @@
 	c := s.w.Acting()
 	st := c.Node.Stats(c.clock()).Coord
 	s.then(st.Counts["forgotten"] > 0, "the index forgets by estimate: %v", st.Counts)
-	missed := int64(0)
-	for _, h := range s.w.By("dispatcher") {
-		missed += h.Node.Stats(h.clock()).Disp.Counts["hits_missed"]
-	}
+	missed := s.count("hits_missed")
 	t.Logf("hits missed: %d, forgotten: %d", missed, st.Counts["forgotten"])
 	s.end()
 }
