--- a/cmd/fernlink/tools.go
+++ b/cmd/fernlink/tools.go
@@ -53,6 +53,9 @@
 		{"list", "print targets and orders", "GET", "/v1/weights", false, ""},
 		{"put", "name a pool's next weights from a file", "PUT", "/v1/weights/%s", true, "pool"},
 	},
+	"usage": {
+		{"get", "print bytes held by trainer and by engine", "GET", "/v1/usage", false, ""},
+	},
 	"status": {
 		{"get", "print a node's status", "GET", "/status", false, ""},
 	},
@@ -65,7 +68,7 @@
 	"store add":       func(a string) string { return fmt.Sprintf(`{"addr":%q}`, a) },
 }
 
-var order = []string{"plan", "step", "engines", "store", "weights", "status"}
+var order = []string{"plan", "step", "engines", "store", "weights", "usage", "status"}
 
 func bindTools() []tool {
 	var out []tool
--- a/core/coord/watch.go
+++ b/core/coord/watch.go
@@ -163,6 +163,11 @@
 	out.Replies = append(out.Replies, flow.Reply{ID: call.ID, Code: 200, Head: map[string]string{"Content-Type": "application/x-ndjson"}, Body: body, More: true})
 }
 
+// Usage answers with the usage view as it is now.
+func (c *Coord) Usage(_ flow.Time, call flow.Call, out *flow.Outbox) {
+	out.Answer(call.ID, 200, map[string]any{"term": c.term, "bytes_by_trainer": c.views.Trainers, "bytes_by_engine": c.views.Engines}, nil)
+}
+
 func cut(s string) (uint64, uint64) {
 	a, b, _ := strings.Cut(s, "-")
 	t, _ := strconv.ParseUint(a, 10, 64)
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -308,15 +308,23 @@
 			Head: map[string]string{"Content-Type": "text/plain; version=0.0.4"}})
 	},
 	"watch": func(n *Node, now flow.Time, c flow.Call, out *flow.Outbox) {
-		if n.coord != nil && n.coord.Acting(now) {
-			n.coord.Watch(now, c, out)
-			return
-		}
-		n.toCoord(now, c, out)
+		n.onCoord(now, c, out, (*coord.Coord).Watch)
+	},
+	"usage": func(n *Node, now flow.Time, c flow.Call, out *flow.Outbox) {
+		n.onCoord(now, c, out, (*coord.Coord).Usage)
 	},
 }
 
-// toCoord points a watcher to the acting coordinator.
+// onCoord serves a call of the views where they are, or points there.
+func (n *Node) onCoord(now flow.Time, c flow.Call, out *flow.Outbox, f func(*coord.Coord, flow.Time, flow.Call, *flow.Outbox)) {
+	if n.coord != nil && n.coord.Acting(now) {
+		f(n.coord, now, c, out)
+		return
+	}
+	n.toCoord(now, c, out)
+}
+
+// toCoord points a caller to the acting coordinator.
 func (n *Node) toCoord(now flow.Time, c flow.Call, out *flow.Outbox) {
 	if n.disp != nil {
 		at := n.disp.Stats(now).Coord.Addr
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -67,6 +67,7 @@
 	{"POST", "/v1/stores", "store.add"},
 	{"POST", "/v1/stores/{id}/promote", "store.vote"},
 	{"DELETE", "/v1/stores/{id}", "store.remove"},
+	{"GET", "/v1/usage", "usage"},
 	{"GET", "/v1/watch/{slice}", "watch"},
 }
 
--- a/sim/story_test.go
+++ b/sim/story_test.go
@@ -1087,3 +1087,28 @@
 	s.then(late <= budget.Listed, "none is missing a second after the judge was asked: %v", late)
 	s.end()
 }
+
+// Given a step's prefixes in engines' caches, when usage is asked for, then
+// the coordinator tells it by trainer and by engine, the two add up alike, and
+// other nodes point there.
+func TestUsageByTrainer(t *testing.T) {
+	t.Parallel()
+	s := given(t, 142)
+	x := s.open(doc(s.a, "s1", 1, 4, 24))
+	s.then(s.w.Until(budget.Heal, func() bool { return len(x.list) == x.doc.Wanted() }), "a step is done")
+	s.w.Run(2 * budget.Batch)
+	r := s.ask(s.w.Acting(), Call("usage", nil, nil))
+	var u struct {
+		Trainers map[string]int64 `json:"bytes_by_trainer"`
+		Engines  map[string]int64 `json:"bytes_by_engine"`
+	}
+	_ = json.Unmarshal(r.Body, &u)
+	sum := int64(0)
+	for _, n := range u.Engines {
+		sum += n
+	}
+	s.then(r.Code == 200 && u.Trainers["t"] > 0 && u.Trainers["t"] == sum, "usage of the trainer is told: %s", r.Body)
+	r = s.ask(s.disp(0), Call("usage", nil, nil))
+	s.then(r.Code == 307 && strings.HasPrefix(r.Head["Location"], "http://"), "others point to the coordinator: %d", r.Code)
+	s.end()
+}
