--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -26,25 +26,49 @@
 // Version is the line version this build speaks (design 5.1).
 const Version = 2
 
-// Call is a request that a consumer, trainer or operator made of this node.
+// Field is one header of a request or of an answer, as it was written.
+type Field struct {
+	Name  string `json:"n"`
+	Value string `json:"v"`
+}
+
+// Get gives the first field of a name in its canonical spelling, or "".
+func Get(fields []Field, name string) string {
+	for _, f := range fields {
+		if f.Name == name {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+// Call is a request that a caller, trainer or operator made of this node.
+// Fields are its headers but for those that concern one connection only; Path
+// has no query, which is whole in Query["?"].
 type Call struct {
-	ID    uint64
-	Name  string
-	Vars  map[string]string
-	Query map[string]string
-	Head  map[string]string
-	Verb  string
-	Path  string
-	Body  []byte
+	ID     uint64
+	Name   string
+	Host   string
+	Vars   map[string]string
+	Query  map[string]string
+	Head   map[string]string
+	Fields []Field
+	Verb   string
+	Path   string
+	Body   []byte
 }
 
 // Reply answers a Call. More keeps the answer open for further lines.
+// Cut breaks the connection instead, so that what was sent so far does not look
+// whole.
 type Reply struct {
-	ID   uint64
-	Code int
-	Head map[string]string
-	Body []byte
-	More bool
+	ID     uint64
+	Code   int
+	Head   map[string]string
+	Fields []Field
+	Body   []byte
+	More   bool
+	Cut    bool
 }
 
 // Send is a request this node makes of an engine, a judge or the platform.
@@ -59,12 +83,20 @@
 	Limit  Time
 	Stream bool
 	Once   bool
+	Keep   bool    // a kept connection may carry it; never a repeat of it
+	Host   string  // the Host header, where it is not the address's
+	Fields []Field // headers as they are to be written, beside Head
+	Name   string  // the header that an answer must carry back ...
+	Match  string  // ... with this value; an answer with another is a surplus one
+	Raw    bool    // a stream's events come whole, as they were written
 }
 
-// Back is news of a Send: one streamed event, or its end. Unsent says that
-// no byte can have left this machine.
+// Back is news of a Send: the head of a streamed answer (Open), one streamed
+// event, or its end. Unsent says that no byte can have left this machine.
 type Back struct {
 	ID     uint64
+	Open   bool
+	Fields []Field
 	Event  []byte
 	End    bool
 	Code   int
--- /dev/null
+++ b/core/ledger/lottypes.go
@@ -0,0 +1,100 @@
+package ledger
+
+import "fernlink/core/flow"
+
+// LotItem is one request of a lot. Group is shared by those of one prompt.
+type LotItem struct {
+	ID     string       `json:"id"`
+	Group  string       `json:"g,omitempty"`
+	Path   string       `json:"p"`
+	Fields []flow.Field `json:"h,omitempty"`
+	Body   []byte       `json:"b,omitempty"`
+	Tokens int          `json:"t,omitempty"` // of the prompt and the most out, summed
+}
+
+// LotDoc is a lot as it was handed in: requests that run after the answer.
+type LotDoc struct {
+	ID     string    `json:"id"`
+	Host   string    `json:"host"`
+	Path   string    `json:"path"`  // where it was handed in; with Host it finds the route
+	Route  string    `json:"route"` // the route's name at that time
+	Owner  string    `json:"owner"` // the dispatcher that runs it first
+	Model  string    `json:"model,omitempty"`
+	Step   int       `json:"step"`
+	Least  int       `json:"least,omitempty"`  // the oldest weights that may make its texts
+	Wanted int       `json:"wanted,omitempty"` // whole groups that the trainer waits for
+	Single bool      `json:"single,omitempty"` // one version a text
+	Tries  int       `json:"tries"`            // answers of 500 after which an item may be given up
+	WaitMS int64     `json:"wait_ms"`          // how long after the hand-in an item may be given up
+	DueMS  int64     `json:"due_ms"`
+	KeepMS int64     `json:"keep_ms"` // for how long after the hand-in results stay readable
+	Items  []LotItem `json:"items"`
+	Opened int64     `json:"opened,omitempty"` // ledger time, set when it is committed
+	AgeMS  int64     `json:"age_ms,omitempty"` // how old it was when it was told to an owner
+}
+
+// Results' states.
+const (
+	LotComplete  = "complete"
+	LotAbandoned = "abandoned"
+)
+
+// LotResult is one listed result. Its position is its number in the list.
+type LotResult struct {
+	Item     string `json:"i"`
+	State    string `json:"s"`
+	Text     string `json:"t,omitempty"`
+	Versions []int  `json:"v,omitempty"` // every version that made an event of the text
+}
+
+// ListLot lists results in one lot, in this order, but for items that are
+// listed already.
+type ListLot struct {
+	Lot     string      `json:"lot"`
+	Results []LotResult `json:"results"`
+}
+
+// OwnLot moves a lot to another dispatcher, if Was still owns it.
+type OwnLot struct {
+	Lot   string `json:"lot"`
+	Was   string `json:"was"`
+	Owner string `json:"owner"`
+}
+
+// ReadLot asks for the results from a position on: at most Bytes of them, but
+// at least one where one exists.
+type ReadLot struct {
+	Lot   string `json:"lot"`
+	From  int    `json:"from"`
+	Bytes int    `json:"bytes"`
+}
+
+// LotRead answers it.
+type LotRead struct {
+	Total   int         `json:"total"`
+	Next    int         `json:"next"`
+	Listed  int         `json:"listed"`
+	Ended   bool        `json:"ended,omitempty"`
+	Results []LotResult `json:"results"`
+}
+
+// LotItems answers an owner that asks for what is left of its lot: Doc has only
+// the items that are not listed.
+type LotItems struct {
+	Doc    LotDoc `json:"doc"`
+	Listed int    `json:"listed"`
+	Ended  bool   `json:"ended,omitempty"`
+}
+
+// FindItem asks for one item's body that is not listed.
+type FindItem struct {
+	Lot  string `json:"lot"`
+	Item string `json:"item"`
+}
+
+// LotRow is what a dispatcher hears of a lot with its renewals.
+type LotRow struct {
+	ID    string `json:"id"`
+	Owner string `json:"owner"`
+	Ended bool   `json:"ended,omitempty"`
+}
