--- /dev/null
+++ b/core/serve/env/env.go
@@ -0,0 +1,89 @@
+// Package env is what the rooms of the serving side share: the moment, the
+// outbox, sends and questions to the store (design 12.1). It holds no table of
+// any room.
+package env
+
+import (
+	"math/rand"
+
+	"fernlink/core/ask"
+	"fernlink/core/dialect"
+	"fernlink/core/flow"
+)
+
+// Env is one process's shared part. Now and Out are set anew each turn.
+type Env struct {
+	Now    flow.Time
+	Out    *flow.Outbox
+	Me     string // names this very start of the process
+	Zone   string
+	Asker  *ask.Asker
+	Rand   *rand.Rand
+	Tongue dialect.Tongue
+	IDs    func() uint64
+	Counts map[string]int64
+	Fresh  func() bool // the view of the ledger is under a tenure (design 5.2)
+
+	sends map[uint64]func(flow.Back)
+}
+
+// Turn sets the moment and where what is wanted goes.
+func (e *Env) Turn(now flow.Time, out *flow.Outbox) { e.Now, e.Out = now, out }
+
+// Send starts a send; f hears all news of it, the last with End.
+func (e *Env) Send(s flow.Send, f func(flow.Back)) uint64 {
+	if e.sends == nil {
+		e.sends = map[uint64]func(flow.Back){}
+	}
+	s.ID = e.IDs()
+	e.sends[s.ID] = f
+	e.Out.Sends = append(e.Out.Sends, s)
+	return s.ID
+}
+
+// Cut ends a send; nothing more is heard of it.
+func (e *Env) Cut(id uint64) {
+	if _, ok := e.sends[id]; ok {
+		delete(e.sends, id)
+		e.Out.Cuts = append(e.Out.Cuts, id)
+	}
+}
+
+// Back takes news of a send.
+func (e *Env) Back(b flow.Back) {
+	f := e.sends[b.ID]
+	if f == nil {
+		return
+	}
+	if b.End {
+		delete(e.sends, b.ID)
+	}
+	f(b)
+}
+
+// Sends counts those that are under way.
+func (e *Env) Sends() int { return len(e.sends) }
+
+// Ask puts a question to the store's leader; f runs in a turn of its own.
+func (e *Env) Ask(limit flow.Time, kind string, body any, f func(ask.Answer)) {
+	e.Asker.Put(e.Now, limit, kind, body, func(now flow.Time, a ask.Answer) {
+		e.Now = now
+		f(a)
+	})
+}
+
+// Refuse answers a call that has not run and never will, and when to come back.
+func (e *Env) Refuse(call uint64, why string, again flow.Time) {
+	e.Counts["refused"]++
+	e.Out.Answer(call, 503, Problem{why}, e.After(again))
+}
+
+// After is the head that says when to come back.
+func (e *Env) After(again flow.Time) map[string]string {
+	return map[string]string{"Retry-After": seconds(again)}
+}
+
+// Problem is the body of an answer of this node's own.
+type Problem struct {
+	Error string `json:"error"`
+}
--- /dev/null
+++ b/core/serve/fleet/fleet.go
@@ -0,0 +1,201 @@
+// Package fleet is who knows the platform's list (design 12.6): the acting
+// coordinator reads it and tells all dispatchers; one that hears nobody reads it
+// itself, so that an engine that drains is known everywhere in time.
+package fleet
+
+import (
+	"reflect"
+
+	"fernlink/core/budget"
+	"fernlink/core/dialect"
+	"fernlink/core/flow"
+	"fernlink/core/gossip"
+	"fernlink/core/serve/engines"
+	"fernlink/core/serve/env"
+)
+
+// News is what the reader tells others. Seats are sent when they changed and to
+// those that lack them; a line without them says that the list still stands.
+type News struct {
+	Term  uint64         `json:"term"`
+	Seq   uint64         `json:"seq"`
+	Seats []dialect.Seat `json:"seats,omitempty"`
+	Whole bool           `json:"whole,omitempty"` // Seats are the list
+	Rows  []Row          `json:"rows,omitempty"`
+}
+
+// Row is one engine's weights of one model, as the roll-out knows them.
+type Row struct {
+	Engine string `json:"e"`
+	Model  string `json:"m"`
+	Held   int    `json:"v,omitempty"`
+	Busy   bool   `json:"b,omitempty"` // it takes new weights just now
+}
+
+// Acting tells the term of this node's coordinator, until when it holds the
+// tenure, and whether it does.
+type Acting func() (term uint64, till flow.Time, ok bool)
+
+// Fleet is one node's reader or listener.
+type Fleet struct {
+	env     *env.Env
+	engines *engines.Table
+	acting  Acting
+	live    []gossip.Entry
+
+	list    []dialect.Seat
+	seq     uint64
+	term    uint64 // of whom the list was heard
+	heard   flow.Time
+	asked   flow.Time
+	due     flow.Time
+	open    bool
+	pages   []dialect.Seat
+	rows    []Row
+	told    flow.Time
+	started bool
+}
+
+// New starts without a list.
+func New(e *env.Env, t *engines.Table, acting Acting) *Fleet {
+	return &Fleet{env: e, engines: t, acting: acting}
+}
+
+// Known says that a list was read or heard.
+func (f *Fleet) Known() bool { return f.started }
+
+// pagesMost bounds one reading.
+const pagesMost = 512
+
+// alone is for how long nobody was heard before a node reads for itself.
+const alone = 3 * budget.List
+
+// Advance reads the list where that is this node's part.
+func (f *Fleet) Advance(live []gossip.Entry) {
+	f.live = live
+	now := f.env.Now
+	_, _, acts := f.acting()
+	if len(f.rows) > 0 && acts {
+		f.tell(News{Rows: f.rows})
+		f.rows = nil
+	}
+	if f.open || now < f.due || f.env.Tongue.ListURL == "" {
+		return
+	}
+	if !acts && f.started && now-f.heard < alone {
+		return
+	}
+	f.open, f.pages = true, nil
+	f.due = now + budget.List
+	if !acts {
+		f.due = now + 2*budget.List + flow.Time(f.env.Rand.Int63n(int64(budget.List)))
+	}
+	f.read("", 0)
+}
+
+func (f *Fleet) read(page string, n int) {
+	until := f.env.Now + budget.PollLimit
+	f.env.Counts["list_calls"]++
+	f.env.Send(flow.Send{Verb: "GET", URL: f.env.Tongue.ListURL + f.env.Tongue.ListQuery(page), Until: until, Limit: until, Keep: true}, func(b flow.Back) {
+		seats, next, err := f.env.Tongue.ReadList(b.Body)
+		if b.Err != "" || b.Code != 200 || err != nil {
+			f.open = false
+			f.env.Counts["list_failures"]++
+			if b.Code == 429 {
+				f.due = f.env.Now + budget.List + flow.Time(f.env.Rand.Int63n(int64(2*budget.List)))
+			}
+			return // the last list stands
+		}
+		f.pages = append(f.pages, seats...)
+		if next != "" && n < pagesMost {
+			f.read(next, n+1)
+			return
+		}
+		f.open = false
+		f.took(f.pages)
+	})
+}
+
+// took takes a list that this node has read.
+func (f *Fleet) took(list []dialect.Seat) {
+	changed := !f.started || !same(f.list, list)
+	if changed {
+		f.list = list
+		f.seq++
+		f.engines.Take(list)
+	}
+	f.started = true
+	if _, _, acts := f.acting(); !acts {
+		return
+	}
+	n := News{}
+	if changed {
+		n.Seats, n.Whole = list, true
+	}
+	f.tell(n)
+}
+
+// same compares lists but for the count-down of engines that warm up.
+func same(a, b []dialect.Seat) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		x, y := a[i], b[i]
+		if x.WarmMS > 0 && y.WarmMS > 0 {
+			x.WarmMS = y.WarmMS
+		}
+		if !reflect.DeepEqual(x, y) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *Fleet) tell(n News) {
+	term, _, ok := f.acting()
+	if !ok {
+		return
+	}
+	f.term, f.heard = term, f.env.Now
+	n.Term, n.Seq = term, f.seq
+	for _, e := range f.live {
+		if e.Has("dispatcher") && !e.Left {
+			f.env.Out.Line(e.Addr, "fleet", n)
+		}
+	}
+}
+
+// Weights are told to all with the next turn.
+func (f *Fleet) Weights(r Row) { f.rows = append(f.rows, r) }
+
+// Take takes the reader's news.
+func (f *Fleet) Take(from string, n News) {
+	if n.Term < f.term {
+		return
+	}
+	if _, _, acts := f.acting(); acts && n.Term == f.term {
+		return // one's own
+	}
+	if n.Term > f.term {
+		f.term, f.seq = n.Term, 0
+	}
+	f.heard = f.env.Now
+	if n.Whole {
+		f.seq, f.list, f.started = n.Seq, n.Seats, true
+		f.engines.Take(n.Seats)
+	} else if n.Seq != f.seq && f.env.Now-f.asked > budget.Renew {
+		f.asked = f.env.Now
+		f.env.Out.Line(from, "fleet.ask", f.seq)
+	}
+	for _, r := range n.Rows {
+		f.engines.Weights(r.Engine, r.Model, r.Held, r.Busy)
+	}
+}
+
+// Asked gives the list to one that lacks it.
+func (f *Fleet) Asked(from string) {
+	if term, _, ok := f.acting(); ok && f.started {
+		f.env.Out.Line(from, "fleet", News{Term: term, Seq: f.seq, Seats: f.list, Whole: true})
+	}
+}
--- /dev/null
+++ b/core/serve/lots/calls.go
@@ -0,0 +1,221 @@
+package lots
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"fernlink/core/ask"
+	"fernlink/core/budget"
+	"fernlink/core/dialect"
+	"fernlink/core/flow"
+	"fernlink/core/ledger"
+	"fernlink/core/serve/env"
+	"fernlink/core/serve/route"
+	"fernlink/core/sorted"
+)
+
+// Put hands a lot in: it is kept by the ledger before it is accepted.
+func (t *Table) Put(c flow.Call, r *route.Route, keep flow.Time) {
+	id := flow.Get(c.Fields, t.env.Tongue.Attempt)
+	doc, err := t.env.Tongue.ReadLot(id, c.Body)
+	if id == "" || err != nil {
+		t.env.Out.Answer(c.ID, 400, env.Problem{Error: "the lot can't be read"}, nil)
+		return
+	}
+	if !t.env.Fresh() || t.leaving {
+		t.env.Refuse(c.ID, "the store is not heard just now", budget.Renew)
+		return
+	}
+	doc.Host, doc.Path, doc.Route, doc.Owner = c.Host, c.Path, r.Name, t.env.Me
+	doc.Single, doc.Tries, doc.WaitMS, doc.DueMS, doc.KeepMS = r.Single, r.Tries, int64(r.WaitMS), int64(r.DueMS), keep.Milliseconds()
+	came := t.env.Now
+	t.putting[c.ID] = true
+	t.env.Ask(budget.AskLimit, "lot.put", doc, func(a ask.Answer) {
+		delete(t.putting, c.ID)
+		var x struct {
+			Fresh bool `json:"fresh"`
+		}
+		if a.Code == 200 && json.Unmarshal(a.Body, &x) == nil {
+			t.env.Counts["lots_taken"]++
+			t.env.Out.Answer(c.ID, 202, struct{}{}, nil)
+			if x.Fresh {
+				t.Adopt(doc, t.env.Now-came)
+			}
+			return
+		}
+		codes := map[int]func(){
+			429: func() { t.env.Refuse(c.ID, "too many open lots", budget.Listed) },
+			400: func() { t.env.Out.Answer(c.ID, 400, a.Body, nil) },
+			409: func() { t.env.Out.Answer(c.ID, 409, a.Body, nil) },
+		}
+		if f := codes[a.Code]; f != nil {
+			f()
+			return
+		}
+		// Whether the store took it is not known: no promise goes with this.
+		t.env.Out.Answer(c.ID, 504, env.Problem{Error: "the store did not answer in time"}, nil)
+	})
+}
+
+// fetch asks for the items of a lot that fell to this node.
+func (t *Table) fetch(id string) {
+	if t.asked[id] || t.leaving {
+		return
+	}
+	t.asked[id] = true
+	t.env.Ask(budget.AskLimit, "lot.items", id, func(a ask.Answer) {
+		delete(t.asked, id)
+		var x ledger.LotItems
+		if a.Code == 0 {
+			t.fetch(id)
+			return
+		}
+		if a.Code != 200 || json.Unmarshal(a.Body, &x) != nil || x.Ended || x.Doc.Owner != t.env.Me {
+			return
+		}
+		t.Adopt(x.Doc, flow.Time(x.Doc.AgeMS)*time.Millisecond)
+	})
+}
+
+// End ends a lot for its trainer.
+func (t *Table) End(c flow.Call) {
+	id := c.Vars["id"]
+	t.env.Ask(budget.AskLimit, "lot.end", id, func(a ask.Answer) {
+		if a.Code == 200 {
+			t.drop(id)
+			t.env.Out.Answer(c.ID, 200, struct{}{}, nil)
+			return
+		}
+		t.told(c, a)
+	})
+}
+
+// told passes a store's other answer on: 404 only as its own word.
+func (t *Table) told(c flow.Call, a ask.Answer) {
+	if a.Code == 404 || a.Code == 400 {
+		t.env.Out.Answer(c.ID, a.Code, a.Body, nil)
+		return
+	}
+	t.env.Refuse(c.ID, "the store did not answer in time", budget.Renew)
+}
+
+// Item gives the body of an item that is not listed.
+func (t *Table) Item(c flow.Call) {
+	q := ledger.FindItem{Lot: c.Vars["id"], Item: c.Query[t.env.Tongue.Item]}
+	t.env.Ask(budget.AskLimit, "lot.item", q, func(a ask.Answer) {
+		var x struct {
+			Body []byte `json:"body"`
+		}
+		if a.Code != 200 || json.Unmarshal(a.Body, &x) != nil {
+			t.told(c, a)
+			return
+		}
+		t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: c.ID, Code: 200, Body: x.Body,
+			Fields: []flow.Field{{Name: "Content-Type", Value: "application/octet-stream"}}})
+	})
+}
+
+// PageBytes bounds the results in one answer; one more than that comes alone.
+const PageBytes = 900 << 10
+
+// readersMost bounds the readers that wait.
+const readersMost = 1024
+
+// reader is a call that reads results, and may wait for some.
+type reader struct {
+	call flow.Call
+	from int
+	till flow.Time
+	next flow.Time
+	open bool
+}
+
+// Read gives the results of a lot from a position on.
+func (t *Table) Read(c flow.Call) {
+	from, err := 0, error(nil)
+	if word := c.Query[t.env.Tongue.After]; word != "" {
+		from, err = strconv.Atoi(word)
+	}
+	if err != nil || from < 0 {
+		t.env.Out.Answer(c.ID, 400, env.Problem{Error: "the position can't be read"}, nil)
+		return
+	}
+	wait, _ := strconv.ParseFloat(flow.Get(c.Fields, t.env.Tongue.Wait), 64)
+	if len(t.readers) >= readersMost || t.leaving {
+		wait = 0
+	}
+	r := &reader{call: c, from: from, till: t.env.Now + flow.Time(min(max(wait, 0), 5000)*1e6)}
+	t.readers[c.ID] = r
+	t.ask(r)
+}
+
+func (t *Table) ask(r *reader) {
+	r.open = true
+	id := r.call.Vars["id"]
+	t.env.Ask(budget.Listed, "lot.read", ledger.ReadLot{Lot: id, From: r.from, Bytes: PageBytes}, func(a ask.Answer) {
+		r.open = false
+		if t.readers[r.call.ID] != r {
+			return
+		}
+		var x ledger.LotRead
+		if a.Code != 200 || json.Unmarshal(a.Body, &x) != nil {
+			delete(t.readers, r.call.ID)
+			t.told(r.call, a)
+			return
+		}
+		if len(x.Results) == 0 && !x.Ended && x.Listed < x.Total && t.env.Now < r.till {
+			r.next = t.env.Now + budget.Listed/6
+			return
+		}
+		delete(t.readers, r.call.ID)
+		t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: r.call.ID, Code: 200,
+			Fields: []flow.Field{{Name: "Content-Type", Value: "application/json"}},
+			Body:   t.env.Tongue.WritePage(dialect.LotPage{Total: x.Total, Next: x.Next, Results: x.Results})})
+	})
+}
+
+// wake asks again for readers that wait.
+func (t *Table) wake() {
+	for _, id := range sorted.Keys(t.readers) {
+		if r := t.readers[id]; !r.open && t.env.Now >= r.next {
+			t.ask(r)
+		}
+	}
+}
+
+// Gone hears that a reader went away.
+func (t *Table) Gone(call uint64) { delete(t.readers, call) }
+
+// Bounds of one listing.
+const (
+	flushEvery = budget.Listed / 25
+	flushBytes = 256 << 10
+)
+
+// flush lists finished items, one command at a time for each lot, so that their
+// order is this node's.
+func (t *Table) flush() {
+	for _, id := range sorted.Keys(t.rows) {
+		l := t.rows[id]
+		if l.flight > 0 || len(l.ready) == 0 || t.env.Now-l.flushed < flushEvery {
+			continue
+		}
+		n, size := 0, 0
+		for n < len(l.ready) && (n == 0 || size < flushBytes) {
+			size += len(l.ready[n].Text)
+			n++
+		}
+		l.flight, l.flushed = n, t.env.Now
+		t.env.Ask(budget.AskLimit, "lot.list", ledger.ListLot{Lot: id, Results: l.ready[:n:n]}, func(a ask.Answer) {
+			l.flight = 0
+			if a.Code == 0 || a.Code >= 500 || a.Code == 429 {
+				return // it is said again
+			}
+			l.ready = l.ready[n:]
+			if l.left == 0 && len(l.ready) == 0 && t.rows[id] == l {
+				l.items, l.groups = nil, nil // all is listed; the lot stays until it is ended
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/serve/lots/lots.go
@@ -0,0 +1,266 @@
+// Package lots is the owner's side of lots (design 12.5): which item runs where,
+// what became of it, and its listing in the ledger. What the ledger has listed
+// never moves; everything here may be lost with the process and is made again.
+package lots
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"fernlink/core/flow"
+	"fernlink/core/ledger"
+	"fernlink/core/serve/engines"
+	"fernlink/core/serve/env"
+	"fernlink/core/serve/route"
+	"fernlink/core/sorted"
+)
+
+// Table is the lots that this node owns, and the calls that wait for results.
+type Table struct {
+	env     *env.Env
+	engines *engines.Table
+	routes  func() *route.Table
+	rows    map[string]*lot
+	asked   map[string]bool // lots whose items are being fetched
+	readers map[uint64]*reader
+	putting map[uint64]bool // hand-ins that are not answered yet
+	leaving bool
+}
+
+// New makes an empty table.
+func New(e *env.Env, t *engines.Table, routes func() *route.Table) *Table {
+	return &Table{env: e, engines: t, routes: routes, rows: map[string]*lot{}, asked: map[string]bool{},
+		readers: map[uint64]*reader{}, putting: map[uint64]bool{}}
+}
+
+// lot is an open lot that this node owns.
+type lot struct {
+	doc     ledger.LotDoc
+	opened  flow.Time
+	items   []*item // those that are not listed, in the lot's order
+	byID    map[string]*item
+	groups  []*group
+	ready   []ledger.LotResult // finished and not listed yet
+	flight  int                // how many of them a listing under way has
+	flushed flow.Time          // when the last listing was asked for
+	left    int                // items that are not finished
+	sizes   []float64          // tokens of whole texts
+}
+
+// group is the items of one prompt.
+type group struct {
+	id    string
+	items []*item
+	home  *engines.Engine // where its prompt was read
+	left  int             // items that are not finished
+	rank  int             // its place in the lot
+}
+
+// Item states.
+const (
+	held = iota
+	running
+	done
+)
+
+// item is one request of a lot.
+type item struct {
+	ledger.LotItem
+	lot   *lot
+	group *group
+	state int
+	runs  []*run
+	kept  text // the longest text of a run that broke off
+	fails int  // answers of 500
+	out   int  // the most tokens that come out, by its own word
+	again flow.Time
+}
+
+// text is what came of an item so far.
+type text struct {
+	events   []string // the data of its events
+	last     int      // the id of the newest event, -1 for none
+	versions []int
+	now      int // the version that makes it just now
+}
+
+func (t text) clone() text {
+	t.events, t.versions = slices.Clone(t.events), slices.Clone(t.versions)
+	return t
+}
+
+// made is the version that made the newest event, 0 where none is known.
+func (t text) made() int {
+	if n := len(t.versions); n > 0 {
+		return t.versions[n-1]
+	}
+	return 0
+}
+
+// name adds the version that made an event.
+func (t *text) name(v int) {
+	if v > 0 && !slices.Contains(t.versions, v) {
+		t.versions = append(t.versions, v)
+	}
+}
+
+// Len counts open lots here, and what is under way for them.
+func (t *Table) Len() int { return len(t.rows) }
+
+// Quiet says that nothing is under way that is worth waiting for at a stop.
+func (t *Table) Quiet() bool {
+	for _, l := range t.rows {
+		if len(l.ready) > 0 {
+			return false
+		}
+		for _, i := range l.items {
+			if len(i.runs) > 0 {
+				return false
+			}
+		}
+	}
+	return len(t.readers)+len(t.putting) == 0
+}
+
+// Leave stops starting items; what runs is seen to its end.
+func (t *Table) Leave() { t.leaving = true }
+
+// Adopt takes a lot over: the items in doc are those that are not listed.
+func (t *Table) Adopt(doc ledger.LotDoc, age flow.Time) {
+	if t.rows[doc.ID] != nil {
+		return
+	}
+	l := &lot{doc: doc, opened: t.env.Now - age, byID: map[string]*item{}, left: len(doc.Items)}
+	at := map[string]*group{}
+	for _, x := range doc.Items {
+		name := x.Group
+		if name == "" {
+			name = "=" + x.ID
+		}
+		g := at[name]
+		if g == nil {
+			g = &group{id: name, rank: len(l.groups)}
+			at[name] = g
+			l.groups = append(l.groups, g)
+		}
+		i := &item{LotItem: x, lot: l, group: g, kept: text{last: -1}}
+		i.out = outOf(flow.Get(x.Fields, t.env.Tongue.Tokens))
+		g.items = append(g.items, i)
+		g.left++
+		l.items = append(l.items, i)
+		l.byID[x.ID] = i
+	}
+	l.doc.Items = nil
+	t.rows[doc.ID] = l
+	t.env.Counts["lots_adopted"]++
+}
+
+// outOf reads the most tokens that come out, of "PROMPT,MOST".
+func outOf(word string) int {
+	for i := 0; i < len(word); i++ {
+		if word[i] == ',' {
+			n, _ := strconv.Atoi(word[i+1:])
+			return n
+		}
+	}
+	return 0
+}
+
+// Heard takes what the ledger says of lots (design 5.2).
+func (t *Table) Heard(rows []ledger.LotRow) {
+	for _, r := range rows {
+		switch {
+		case r.Ended || r.Owner != t.env.Me:
+			t.drop(r.ID)
+		case t.rows[r.ID] == nil:
+			t.fetch(r.ID)
+		}
+	}
+}
+
+// drop ends all work on a lot.
+func (t *Table) drop(id string) {
+	l := t.rows[id]
+	if l == nil {
+		return
+	}
+	delete(t.rows, id)
+	for _, i := range l.items {
+		t.stop(i)
+	}
+}
+
+// stop cuts all runs of an item.
+func (t *Table) stop(i *item) {
+	for _, r := range i.runs {
+		r.engine.End()
+		t.env.Cut(r.id)
+	}
+	i.runs = nil
+}
+
+// Advance runs the room's systems.
+func (t *Table) Advance() {
+	t.expire()
+	t.watch()
+	t.place()
+	t.second()
+	t.flush()
+	t.wake()
+}
+
+func (t *Table) ordered() []*lot {
+	var out []*lot
+	for _, id := range sorted.Keys(t.rows) {
+		out = append(out, t.rows[id])
+	}
+	slices.SortStableFunc(out, func(a, b *lot) int { return int(a.due() - b.due()) })
+	return out
+}
+
+// due is when all results are due, by this node's clock.
+func (l *lot) due() flow.Time { return l.opened + flow.Time(l.doc.DueMS)*time.Millisecond }
+
+// expire abandons what may be given up: the lot's time is over, or its route is
+// gone.
+func (t *Table) expire() {
+	for _, id := range sorted.Keys(t.rows) {
+		l := t.rows[id]
+		over := l.doc.WaitMS > 0 && t.env.Now-l.opened > flow.Time(l.doc.WaitMS)*time.Millisecond+time.Second
+		if !over && t.routes() != nil && t.env.Fresh() {
+			over = t.pool(l) == nil
+		}
+		if !over {
+			continue
+		}
+		for _, i := range l.items {
+			if i.state != done {
+				t.finish(i, ledger.LotResult{Item: i.ID, State: ledger.LotAbandoned})
+			}
+		}
+	}
+}
+
+// pool gives the route of a lot, or nil where there is none any more.
+func (t *Table) pool(l *lot) *route.Route {
+	r := t.routes().Find(l.doc.Host, l.doc.Path)
+	if r == nil || r.Kind != route.Samples {
+		return nil
+	}
+	return r
+}
+
+// finish ends an item with its result.
+func (t *Table) finish(i *item, r ledger.LotResult) {
+	t.stop(i)
+	if i.state == done {
+		return
+	}
+	i.state = done
+	i.kept = text{last: -1}
+	i.group.left--
+	i.lot.left--
+	i.lot.ready = append(i.lot.ready, r)
+	t.env.Counts["items_"+r.State]++
+}
--- /dev/null
+++ b/core/serve/lots/runs.go
@@ -0,0 +1,254 @@
+package lots
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"fernlink/core/flow"
+	"fernlink/core/ledger"
+	"fernlink/core/serve/engines"
+)
+
+// run is one send of an item to an engine.
+type run struct {
+	item   *item
+	engine *engines.Engine
+	id     uint64
+	text   text
+	from   int // events that it was begun with
+	began  flow.Time
+	last   flow.Time // the last news of it
+	first  bool      // an event has come
+	gap    float64   // a smoothed time between its events, in ms
+}
+
+// start sends an item, going on from a text where there is one.
+func (t *Table) start(i *item, e *engines.Engine, from text) {
+	now, w := t.env.Now, t.env.Tongue.Words
+	r := &run{item: i, engine: e, text: from.clone(), from: len(from.events), began: now, last: now}
+	fields := make([]flow.Field, 0, len(i.Fields)+5)
+	for _, f := range i.Fields {
+		if f.Name != w.Attempt && f.Name != w.LastEvent && f.Name != w.Expect && f.Name != w.ExpectWeights && f.Name != w.TimeLeft {
+			fields = append(fields, f)
+		}
+	}
+	limit := time.Minute
+	if i.lot.doc.WaitMS > 0 {
+		limit = max(time.Second, i.lot.opened+flow.Time(i.lot.doc.WaitMS)*time.Millisecond-now)
+	}
+	fields = append(fields, flow.Field{Name: w.Attempt, Value: i.ID}, flow.Field{Name: w.Expect, Value: e.ID},
+		flow.Field{Name: w.TimeLeft, Value: strconv.FormatInt(limit.Milliseconds(), 10)})
+	if from.last >= 0 {
+		fields = append(fields, flow.Field{Name: w.LastEvent, Value: strconv.Itoa(from.last)})
+		if i.lot.doc.Single {
+			fields = append(fields, flow.Field{Name: w.ExpectWeights, Value: strconv.Itoa(from.made())})
+		}
+	}
+	i.state = running
+	i.runs = append(i.runs, r)
+	e.Begin()
+	t.env.Counts["items_sent"]++
+	r.id = t.env.Send(flow.Send{Verb: "POST", URL: "http://" + e.Addr + i.Path, Host: i.lot.doc.Host, Fields: fields, Body: i.Body,
+		Until: now + time.Second, Limit: now + limit, Keep: true, Raw: true, Stream: true, Name: w.Attempt, Match: i.ID}, func(b flow.Back) { t.back(r, b) })
+}
+
+// back takes news of a run.
+func (t *Table) back(r *run, b flow.Back) {
+	switch {
+	case b.End:
+		t.ended(r, b)
+	case b.Open:
+		t.opened(r, b)
+	default:
+		t.event(r, b.Event)
+	}
+}
+
+// learn takes what an engine's head says of its weights and its load.
+func (t *Table) learn(r *run, fields []flow.Field) int {
+	w := t.env.Tongue.Words
+	if word := flow.Get(fields, w.Load); word != "" {
+		t.engines.Load(r.engine, word)
+	}
+	v := lastNumber(flow.Get(fields, w.Weights))
+	r.engine.Learn(r.item.lot.doc.Model, v)
+	return v
+}
+
+// lastNumber reads the newest of versions that are separated by commas.
+func lastNumber(word string) int {
+	best := 0
+	for _, p := range strings.Split(word, ",") {
+		if n, err := strconv.Atoi(strings.TrimSpace(p)); err == nil {
+			best = max(best, n)
+		}
+	}
+	return best
+}
+
+func (t *Table) opened(r *run, b flow.Back) {
+	r.last = t.env.Now
+	t.engines.Good(r.engine)
+	v := t.learn(r, b.Fields)
+	if v > 0 {
+		r.text.now = v
+	}
+	if !t.allowed(r) {
+		t.give(r)
+	}
+}
+
+// allowed says whether a run's present weights may make its text.
+func (t *Table) allowed(r *run) bool {
+	d := &r.item.lot.doc
+	if r.text.now > 0 && r.text.now < d.Least {
+		return false
+	}
+	return !d.Single || len(r.text.versions) == 0 || r.text.now == 0 || slices.Equal(r.text.versions, []int{r.text.now})
+}
+
+// event takes one event: what it says of the weights counts from it on.
+func (t *Table) event(r *run, block []byte) {
+	now := t.env.Now
+	id, data, any := -1, "", false
+	mark := strings.ToLower(t.env.Tongue.Weights) + ":"
+	for _, l := range strings.Split(string(block), "\n") {
+		switch {
+		case strings.HasPrefix(l, mark):
+			if n, err := strconv.Atoi(strings.TrimSpace(l[len(mark):])); err == nil {
+				r.text.now = n
+				r.engine.Learn(r.item.lot.doc.Model, n)
+			}
+		case strings.HasPrefix(l, "id:"):
+			if n, err := strconv.Atoi(strings.TrimSpace(l[3:])); err == nil {
+				id = n
+			}
+		case strings.HasPrefix(l, "data:"):
+			d := strings.TrimPrefix(l[5:], " ")
+			if any {
+				d = data + "\n" + d
+			}
+			data, any = d, true
+		}
+	}
+	t.engines.Good(r.engine)
+	if !any {
+		return
+	}
+	if !t.allowed(r) || id < 0 || r.text.last >= 0 && id != r.text.last+1 {
+		t.give(r) // not what was asked for: nothing of it is joined
+		return
+	}
+	if r.first {
+		gap := float64(now-r.last) / 1e6
+		r.gap += (gap - r.gap) / 4
+		r.engine.Took(gap)
+	}
+	r.first, r.last = true, now
+	r.text.last = id
+	r.text.events = append(r.text.events, data)
+	r.text.name(r.text.now)
+}
+
+// leave takes a run off its item, and keeps the text where it is the longest.
+func (t *Table) leave(r *run) {
+	i := r.item
+	i.runs = slices.DeleteFunc(i.runs, func(x *run) bool { return x == r })
+	if len(r.text.events) > len(i.kept.events) && i.state != done {
+		i.kept = r.text
+	}
+	if len(i.runs) == 0 && i.state == running {
+		i.state = held
+	}
+}
+
+// give cuts a run whose text can't be used from here on.
+func (t *Table) give(r *run) {
+	r.engine.End()
+	t.env.Cut(r.id)
+	t.leave(r)
+}
+
+// ended hears the end of a run.
+func (t *Table) ended(r *run, b flow.Back) {
+	r.engine.End()
+	i := r.item
+	w := t.env.Tongue.Words
+	if len(b.Fields) > 0 {
+		t.learn(r, b.Fields)
+	}
+	t.leave(r)
+	if i.state == done || t.rows[i.lot.doc.ID] != i.lot {
+		return
+	}
+	switch {
+	case b.Err != "" && b.Unsent:
+		t.engines.Bad(r.engine)
+	case b.Err != "":
+		t.engines.Bad(r.engine)
+		t.env.Counts["runs_broken"]++
+	case b.Code == 421:
+		t.moved(r, b)
+	case flow.Get(b.Fields, w.NotRun) != "":
+		t.engines.Full(r.engine)
+	case b.Code == 422:
+		t.finish(i, ledger.LotResult{Item: i.ID, State: ledger.LotAbandoned})
+	case b.Code == 500:
+		i.fails++
+		if i.lot.doc.Tries > 0 && i.fails >= i.lot.doc.Tries {
+			t.finish(i, ledger.LotResult{Item: i.ID, State: ledger.LotAbandoned})
+		}
+	case b.Code == 200 && len(r.text.events) > 0 && t.allowed(r):
+		t.engines.Good(r.engine)
+		t.finish(i, ledger.LotResult{Item: i.ID, State: ledger.LotComplete, Text: strings.Join(r.text.events, "\n"), Versions: r.text.versions})
+	default:
+		t.engines.Full(r.engine)
+	}
+}
+
+// moved hears that other weights, or another start, are at an engine. A partial
+// that no engine can go on from is let go.
+func (t *Table) moved(r *run, b flow.Back) {
+	if id := flow.Get(b.Fields, t.env.Tongue.Instance); id != "" && id != r.engine.ID {
+		t.engines.Stale(r.engine)
+		return
+	}
+	t.engines.Full(r.engine)
+}
+
+// Silences after which a run is doubted, and given up.
+const (
+	firstMost = 400 * time.Millisecond // before its first event
+	gapMost   = 250 * time.Millisecond // between events, at least
+	gapTimes  = 8
+	lostAfter = 2500 * time.Millisecond // nothing will come any more
+)
+
+// doubt says that a run has been silent for longer than it should.
+func (r *run) doubt(now flow.Time) bool {
+	if !r.first {
+		return now-r.last > firstMost
+	}
+	return now-r.last > max(gapMost, flow.Time(r.gap*gapTimes*1e6))
+}
+
+// watch looks for runs that went silent, and for engines that left.
+func (t *Table) watch() {
+	now := t.env.Now
+	for _, id := range sortedIDs(t.rows) {
+		for _, i := range t.rows[id].items {
+			for _, r := range slices.Clone(i.runs) {
+				if !r.doubt(now) {
+					continue
+				}
+				t.engines.Bad(r.engine)
+				if now-r.last > lostAfter || r.engine.Gone {
+					t.env.Counts["runs_silent"]++
+					t.give(r)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/serve/requests/requests.go
@@ -0,0 +1,381 @@
+// Package requests carries plain requests of callers to engines and their
+// answers back (design 12.4). A request is one row with one state; what was
+// refused never runs, and one that may run only once is sent again only where
+// it is proven that it did not run.
+package requests
+
+import (
+	"strconv"
+	"time"
+
+	"fernlink/core/flow"
+	"fernlink/core/serve/engines"
+	"fernlink/core/serve/env"
+	"fernlink/core/serve/route"
+	"fernlink/core/sorted"
+)
+
+// Ratios of a route's bounds.
+const (
+	hedgePart  = 3 // a repeatable request gets a second engine after a third of its target
+	refusePart = 5 // and is refused after a fifth of it, when no engine can be had
+	againPart  = 4 // a refused caller may come back after a quarter of it
+)
+
+// margin is what is kept for the way back to the caller.
+const margin = 5 * time.Millisecond
+
+// Most bounds the requests that are held or under way at one node.
+const Most = 4096
+
+// Request is one try of a caller.
+type Request struct {
+	call   flow.Call
+	route  *route.Route
+	pool   string
+	came   flow.Time
+	late   flow.Time // its deadline
+	tried  []*engines.Engine
+	sends  int // engines that it was sent to
+	tries  []*try
+	hedge  flow.Time // when a second engine is asked, 0 for never
+	ran    bool      // it may have run somewhere
+	stream *stream   // what was passed on of a series of events
+	over   bool
+	last   flow.Back // the newest answer that is not to be trusted as final
+}
+
+// try is one send of it.
+type try struct {
+	engine *engines.Engine
+	id     uint64
+	at     flow.Time
+}
+
+// Table is all requests by call.
+type Table struct {
+	env     *env.Env
+	engines *engines.Table
+	rows    map[uint64]*Request
+}
+
+// New makes an empty table.
+func New(e *env.Env, t *engines.Table) *Table {
+	return &Table{env: e, engines: t, rows: map[uint64]*Request{}}
+}
+
+// Len counts the requests that are held or under way.
+func (t *Table) Len() int { return len(t.rows) }
+
+// Take takes a request that a route serves.
+func (t *Table) Take(c flow.Call, r *route.Route) {
+	now := t.env.Now
+	q := &Request{call: c, route: r, pool: r.Pick(t.env.Rand), came: now, late: now + r.Limit}
+	if left, err := strconv.ParseFloat(flow.Get(c.Fields, t.env.Tongue.TimeLeft), 64); err == nil {
+		q.late = min(q.late, now+flow.Time(left*1e6))
+	}
+	if len(t.rows) >= Most {
+		t.env.Refuse(c.ID, "too much at once", t.again(q))
+		return
+	}
+	t.rows[c.ID] = q
+	if r.Kind == route.Stream {
+		q.stream = &stream{after: -1}
+		if n, err := strconv.Atoi(flow.Get(c.Fields, t.env.Tongue.LastEvent)); err == nil {
+			q.stream.after = n
+		}
+	}
+	t.place(q)
+}
+
+func (t *Table) again(q *Request) flow.Time {
+	return max(min(q.route.Target/againPart, (q.late-t.env.Now)/4), time.Millisecond)
+}
+
+// repeats says whether the request may run more than once.
+func (q *Request) repeats() bool {
+	return q.route.Kind == route.Again || q.route.Kind == route.Stream && q.route.Resumable
+}
+
+func (q *Request) most() int { return max(q.route.Tries, 1) }
+
+// place sends the request, or leaves it held.
+func (t *Table) place(q *Request) bool {
+	if q.sends >= q.most() || q.late-t.env.Now <= margin {
+		return false
+	}
+	e := t.engines.Spare(q.pool, q.tried)
+	if e == nil {
+		return false
+	}
+	t.send(q, e)
+	return true
+}
+
+func (t *Table) send(q *Request, e *engines.Engine) {
+	now, w := t.env.Now, t.env.Tongue.Words
+	q.sends++
+	q.tried = append(q.tried, e)
+	x := &try{engine: e, at: now}
+	q.tries = append(q.tries, x)
+	url := "http://" + e.Addr + q.call.Path
+	if s := q.call.Query["?"]; s != "" {
+		url += "?" + s
+	}
+	fields := make([]flow.Field, 0, len(q.call.Fields)+2)
+	for _, f := range q.call.Fields {
+		if f.Name != w.TimeLeft && f.Name != w.Expect && (f.Name != w.LastEvent || q.stream == nil) {
+			fields = append(fields, f)
+		}
+	}
+	fields = append(fields, flow.Field{Name: w.TimeLeft, Value: strconv.FormatInt(max(1, (q.late-now-margin).Milliseconds()), 10)},
+		flow.Field{Name: w.Expect, Value: e.ID})
+	if q.stream != nil && q.stream.after >= 0 {
+		fields = append(fields, flow.Field{Name: w.LastEvent, Value: strconv.Itoa(q.stream.after)})
+	}
+	s := flow.Send{Verb: q.call.Verb, URL: url, Host: q.call.Host, Fields: fields, Body: q.call.Body, Until: q.late, Limit: q.late,
+		Keep: q.repeats(), Raw: q.stream != nil, Stream: q.stream != nil, Once: !q.repeats(),
+		Name: w.Attempt, Match: flow.Get(q.call.Fields, w.Attempt)}
+	if s.Match == "" {
+		s.Name = ""
+	}
+	if q.repeats() && q.stream == nil && q.route.Target > 0 {
+		q.hedge = now + q.route.Target/hedgePart
+	}
+	e.Begin()
+	x.id = t.env.Send(s, func(b flow.Back) { t.back(q, x, b) })
+}
+
+func (q *Request) drop(x *try) {
+	for i, y := range q.tries {
+		if y == x {
+			q.tries = append(q.tries[:i:i], q.tries[i+1:]...)
+			return
+		}
+	}
+}
+
+// back takes news of a try.
+func (t *Table) back(q *Request, x *try, b flow.Back) {
+	w := t.env.Tongue.Words
+	if !b.End {
+		t.part(q, x, b)
+		return
+	}
+	x.engine.End()
+	q.drop(x)
+	if word := flow.Get(b.Fields, w.Load); word != "" {
+		t.engines.Load(x.engine, word)
+	}
+	if q.over {
+		if b.Err == "" {
+			t.engines.Good(x.engine)
+		}
+		return
+	}
+	if q.stream != nil && q.stream.open == x {
+		t.closed(q, x, b)
+		return
+	}
+	outcomes[t.outcome(b)](t, q, x, b)
+}
+
+// Outcomes of a try.
+const (
+	whole   = "whole"   // an engine's own answer
+	notRun  = "not run" // the engine says that it did not run the request
+	moved   = "moved"   // another start, or other weights, are there
+	unsent  = "unsent"  // no byte left this machine
+	failed  = "failed"  // an engine's own failure: it ran
+	unknown = "unknown" // it may have run
+)
+
+func (t *Table) outcome(b flow.Back) string {
+	w := t.env.Tongue.Words
+	switch {
+	case b.Err != "" && b.Unsent:
+		return unsent
+	case b.Err != "":
+		return unknown
+	case b.Code == 421:
+		return moved
+	case flow.Get(b.Fields, w.NotRun) != "":
+		return notRun
+	case b.Code >= 500:
+		return failed
+	}
+	return whole
+}
+
+var outcomes map[string]func(*Table, *Request, *try, flow.Back)
+
+func init() {
+	outcomes = map[string]func(*Table, *Request, *try, flow.Back){
+		whole: func(t *Table, q *Request, x *try, b flow.Back) {
+			t.engines.Good(x.engine)
+			x.engine.Took(float64(t.env.Now-x.at) / 1e6)
+			t.pass(q, b)
+		},
+		notRun: func(t *Table, q *Request, x *try, b flow.Back) {
+			t.engines.Full(x.engine)
+			t.next(q, b)
+		},
+		moved: func(t *Table, q *Request, x *try, b flow.Back) {
+			t.engines.Stale(x.engine)
+			t.next(q, b)
+		},
+		unsent: func(t *Table, q *Request, x *try, b flow.Back) {
+			t.engines.Bad(x.engine)
+			q.sends-- // it reached no engine
+			t.next(q, b)
+		},
+		failed: func(t *Table, q *Request, x *try, b flow.Back) {
+			q.ran, q.last = true, b
+			t.engines.Good(x.engine)
+			if !q.repeats() {
+				t.pass(q, b)
+				return
+			}
+			t.next(q, b)
+		},
+		unknown: func(t *Table, q *Request, x *try, b flow.Back) {
+			q.ran = true
+			t.engines.Bad(x.engine)
+			t.next(q, b)
+		},
+	}
+}
+
+// next goes on after a try that brought no answer to pass on.
+func (t *Table) next(q *Request, b flow.Back) {
+	if len(q.tries) > 0 {
+		return // another engine is still at work
+	}
+	if q.ran && !q.repeats() {
+		t.lost(q)
+		return
+	}
+	if t.place(q) {
+		return
+	}
+	if q.sends >= q.most() || q.ran {
+		t.giveUp(q)
+	}
+	// Otherwise it is held until an engine can be had, or it is given up.
+}
+
+// giveUp ends a request that no engine is at work on.
+func (t *Table) giveUp(q *Request) {
+	if q.over {
+		return
+	}
+	if q.stream != nil && q.stream.begun {
+		t.broken(q)
+		return
+	}
+	if q.ran && q.last.Code != 0 {
+		t.pass(q, q.last) // an engine's own failure, as it came
+		return
+	}
+	if q.ran && !q.repeats() {
+		t.lost(q)
+		return
+	}
+	t.finish(q)
+	t.env.Refuse(q.call.ID, "no engine can take this just now", t.again(q))
+}
+
+// lost ends a request that may have run and must not run again.
+func (t *Table) lost(q *Request) {
+	t.finish(q)
+	t.env.Counts["unknown"]++
+	t.env.Out.Answer(q.call.ID, 502, env.Problem{Error: "whether this request ran is not known"}, nil)
+}
+
+// pass hands an engine's answer on as it came.
+func (t *Table) pass(q *Request, b flow.Back) {
+	t.finish(q)
+	t.env.Counts["passed"]++
+	t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: q.call.ID, Code: b.Code, Fields: b.Fields, Body: b.Body})
+}
+
+func (t *Table) finish(q *Request) {
+	q.over = true
+	delete(t.rows, q.call.ID)
+}
+
+// Advance looks after what is held, late, or slow.
+func (t *Table) Advance() {
+	now := t.env.Now
+	for _, id := range sorted.Keys(t.rows) {
+		if q := t.rows[id]; q != nil {
+			t.look(q, now)
+		}
+	}
+}
+
+func (t *Table) look(q *Request, now flow.Time) {
+	switch {
+	case len(q.tries) == 0:
+		t.held(q, now)
+	case now >= q.late:
+		t.late(q)
+	case q.stream != nil:
+		t.silent(q, now)
+	case q.hedge > 0 && now >= q.hedge && q.sends < q.most():
+		q.hedge = 0
+		t.engines.Slow(q.tries[0].engine, now-q.tries[0].at)
+		if t.place(q) {
+			t.env.Counts["hedged"]++
+		}
+	}
+}
+
+// held gives a request up once waiting for an engine would cost its caller more
+// than coming back.
+func (t *Table) held(q *Request, now flow.Time) {
+	if t.place(q) {
+		return
+	}
+	if now >= q.late-margin || now-q.came >= max(q.route.Target/refusePart, margin) || q.sends >= q.most() {
+		t.giveUp(q)
+	}
+}
+
+// late ends a request whose time is over while an engine is at work on it.
+func (t *Table) late(q *Request) {
+	if q.stream != nil && q.stream.begun {
+		t.broken(q)
+		return
+	}
+	t.finish(q)
+	t.env.Counts["late"]++
+	t.env.Out.Answer(q.call.ID, 504, env.Problem{Error: "no engine answered in time"}, nil)
+}
+
+// Gone hears that a caller went away. What is held is never sent; a stream is
+// ended, and a plain request is seen to its end by its engine.
+func (t *Table) Gone(call uint64) {
+	q := t.rows[call]
+	if q == nil {
+		return
+	}
+	t.finish(q)
+	if q.stream == nil {
+		return
+	}
+	for _, x := range q.tries {
+		x.engine.End()
+		t.env.Cut(x.id)
+	}
+	q.tries = nil
+}
+
+// Leave refuses what is held: this process stops.
+func (t *Table) Leave() {
+	for _, id := range sorted.Keys(t.rows) {
+		if q := t.rows[id]; len(q.tries) == 0 {
+			t.giveUp(q)
+		}
+	}
+}
--- /dev/null
+++ b/core/serve/rollout/rollout.go
@@ -0,0 +1,186 @@
+// Package rollout brings engines to the newest weights (design 12.7). Only the
+// acting coordinator orders, under its term as fence; each order is sent under a
+// fresh tenure and followed until the engine says that it holds the version.
+package rollout
+
+import (
+	"slices"
+
+	"fernlink/core/budget"
+	"fernlink/core/dialect"
+	"fernlink/core/flow"
+	"fernlink/core/serve/engines"
+	"fernlink/core/serve/env"
+	"fernlink/core/serve/fleet"
+	"fernlink/core/sorted"
+)
+
+// Roll is the roll-outs of one node's coordinator.
+type Roll struct {
+	env     *env.Env
+	engines *engines.Table
+	fleet   *fleet.Fleet
+	acting  fleet.Acting
+	targets map[string]int // by model
+	jobs    map[string]*job
+	term    uint64
+}
+
+// job is one order to one engine.
+type job struct {
+	engine *engines.Engine
+	model  string
+	rev    int
+	sent   bool // it may be under way at the engine
+	open   bool
+	due    flow.Time
+	since  flow.Time
+	shown  bool // told to dispatchers as busy
+	told   flow.Time
+}
+
+// New has no targets.
+func New(e *env.Env, t *engines.Table, f *fleet.Fleet, acting fleet.Acting) *Roll {
+	return &Roll{env: e, engines: t, fleet: f, acting: acting, targets: map[string]int{}, jobs: map[string]*job{}}
+}
+
+// Target hears the newest version named for a model.
+func (r *Roll) Target(model string, rev int) {
+	if rev > r.targets[model] {
+		r.targets[model] = rev
+	}
+}
+
+// share is the part of a model's engines that take weights at once.
+const share = 3
+
+// Times: ratios of the bound in which an engine must be known to be gone.
+const (
+	look   = budget.Engine / 15 // between two readings of an engine
+	resend = budget.Engine / 2  // an order that shows no effect is sent again
+	sendBy = budget.Engine / 4  // an order's call
+)
+
+// Advance starts orders and follows them.
+func (r *Roll) Advance() {
+	term, till, ok := r.acting()
+	if !ok || term != r.term {
+		r.jobs = map[string]*job{}
+		r.term = term
+		if !ok {
+			return
+		}
+	}
+	for _, m := range sorted.Keys(r.targets) {
+		r.begin(m, r.targets[m])
+	}
+	for _, id := range sorted.Keys(r.jobs) {
+		r.follow(id, r.jobs[id], till)
+	}
+}
+
+func (r *Roll) begin(model string, rev int) {
+	var behind []*engines.Engine
+	all, busy := 0, 0
+	for _, e := range r.engines.All() {
+		if _, has := e.Models[model]; !has || e.Draining {
+			continue
+		}
+		all++
+		if j := r.jobs[e.ID]; j != nil {
+			if j.model == model {
+				busy++
+			}
+			continue
+		}
+		if e.Held[model] < rev {
+			behind = append(behind, e)
+		}
+	}
+	slices.SortStableFunc(behind, func(a, b *engines.Engine) int { return r.engines.Busy(a) - r.engines.Busy(b) })
+	for _, e := range behind {
+		if busy >= max(1, (all+share-1)/share) {
+			return
+		}
+		busy++
+		r.jobs[e.ID] = &job{engine: e, model: model, rev: rev, due: r.env.Now}
+	}
+}
+
+func (r *Roll) follow(id string, j *job, till flow.Time) {
+	now := r.env.Now
+	if j.engine.Gone {
+		r.close(id, j)
+		return
+	}
+	if j.engine.Held[j.model] >= j.rev && !j.open {
+		r.close(id, j)
+		return
+	}
+	if !j.shown || now-j.told > look*4 {
+		j.shown, j.told = true, now
+		r.show(j, true)
+	}
+	if j.open || now < j.due {
+		return
+	}
+	if !j.sent {
+		r.order(j, till)
+		return
+	}
+	r.read(j)
+}
+
+func (r *Roll) show(j *job, busy bool) {
+	r.engines.Weights(j.engine.ID, j.model, j.engine.Held[j.model], busy)
+	r.fleet.Weights(fleet.Row{Engine: j.engine.ID, Model: j.model, Held: j.engine.Held[j.model], Busy: busy})
+}
+
+func (r *Roll) close(id string, j *job) {
+	delete(r.jobs, id)
+	r.show(j, false)
+}
+
+// order sends the order. Without an answer it may have been taken.
+func (r *Roll) order(j *job, till flow.Time) {
+	now := r.env.Now
+	j.open, j.sent, j.since = true, true, now
+	r.env.Counts["weight_orders"]++
+	body := r.env.Tongue.WriteOrder(dialect.WeightOrder{Model: j.model, Revision: j.rev, Mode: "hold", Owner: r.env.Me, Fence: r.term})
+	until := min(till, now+sendBy)
+	r.env.Send(flow.Send{Verb: "POST", URL: "http://" + j.engine.Addr + r.env.Tongue.OrderPath, Body: body, Until: until, Limit: now + sendBy, Keep: true,
+		Fields: []flow.Field{{Name: "Content-Type", Value: "application/json"}, {Name: r.env.Tongue.Expect, Value: j.engine.ID}}}, func(b flow.Back) {
+		j.open = false
+		j.due = r.env.Now + look*2
+		switch {
+		case b.Err != "" && b.Unsent, b.Code == 400, b.Code == 429, b.Code == 503:
+			j.sent, j.due = false, r.env.Now+look
+		case b.Code == 200:
+			j.engine.Learn(j.model, j.rev)
+		case b.Code == 412:
+			r.env.Out.Note("rollout", "an engine has seen a higher fence", "engine", j.engine.ID, "term", r.term)
+			j.due = r.env.Now + resend
+		}
+	})
+}
+
+// read asks the engine for what it holds.
+func (r *Roll) read(j *job) {
+	j.open = true
+	until := r.env.Now + sendBy
+	r.env.Counts["reports_read"]++
+	r.env.Send(flow.Send{Verb: "GET", URL: "http://" + j.engine.Addr + r.env.Tongue.ReportPath, Until: until, Limit: until, Keep: true}, func(b flow.Back) {
+		j.open = false
+		j.due = r.env.Now + look
+		x, err := r.env.Tongue.ReadReport(b.Body)
+		if b.Err != "" || b.Code != 200 || err != nil {
+			return
+		}
+		for _, m := range sorted.Keys(x.Models) {
+			j.engine.Learn(m, x.Models[m])
+		}
+		if j.engine.Held[j.model] < j.rev && !x.Busy && r.env.Now-j.since > resend {
+			j.sent = false
+		}
+	})
+}
--- /dev/null
+++ b/core/serve/serve.go
@@ -0,0 +1,205 @@
+// Package serve wires the rooms of the serving side (design 12): host routes,
+// lots, engines, the platform's list and weight roll-outs. It holds no row of
+// any table; it only runs the rooms' systems in the order of a tick.
+package serve
+
+import (
+	"encoding/json"
+	"math/rand"
+	"time"
+
+	"fernlink/api"
+	"fernlink/core/ask"
+	"fernlink/core/dialect"
+	"fernlink/core/flow"
+	"fernlink/core/gossip"
+	"fernlink/core/ledger"
+	"fernlink/core/serve/engines"
+	"fernlink/core/serve/env"
+	"fernlink/core/serve/fleet"
+	"fernlink/core/serve/lots"
+	"fernlink/core/serve/requests"
+	"fernlink/core/serve/rollout"
+	"fernlink/core/serve/route"
+)
+
+// Props are the options of the serving side.
+type Props struct {
+	ID, Zone string // ID names this very start of the process
+	Tongue   dialect.Tongue
+	Asker    *ask.Asker
+	Rand     *rand.Rand
+	IDs      func() uint64
+	Keep     flow.Time    // for how long after its hand-in a lot's results stay
+	Fresh    func() bool  // the view of the ledger is under a tenure
+	Acting   fleet.Acting // of this node's coordinator
+}
+
+// Serve is the serving side of one node.
+type Serve struct {
+	p        Props
+	env      *env.Env
+	routes   *route.Table
+	engines  *engines.Table
+	requests *requests.Table
+	lots     *lots.Table
+	fleet    *fleet.Fleet
+	roll     *rollout.Roll
+	leaving  bool
+}
+
+// New starts without a plan or an engine.
+func New(p Props) *Serve {
+	s := &Serve{p: p, env: &env.Env{Me: p.ID, Zone: p.Zone, Asker: p.Asker, Rand: p.Rand, Tongue: p.Tongue, IDs: p.IDs,
+		Counts: map[string]int64{}, Fresh: p.Fresh}}
+	s.engines = engines.New(s.env)
+	s.requests = requests.New(s.env, s.engines)
+	s.lots = lots.New(s.env, s.engines, func() *route.Table { return s.routes })
+	s.fleet = fleet.New(s.env, s.engines, p.Acting)
+	s.roll = rollout.New(s.env, s.engines, s.fleet, p.Acting)
+	return s
+}
+
+// Bind sets where answers to asks write what they want done.
+func (s *Serve) Bind(now flow.Time, out *flow.Outbox) { s.env.Turn(now, out) }
+
+// Advance runs the rooms' systems.
+func (s *Serve) Advance(now flow.Time, live []gossip.Entry, out *flow.Outbox) {
+	s.env.Turn(now, out)
+	s.fleet.Advance(live)
+	s.roll.Advance()
+	s.requests.Advance()
+	s.lots.Advance()
+}
+
+// Back takes news of a send.
+func (s *Serve) Back(now flow.Time, b flow.Back, out *flow.Outbox) {
+	s.env.Turn(now, out)
+	s.env.Back(b)
+}
+
+// Gone hears that a caller went away.
+func (s *Serve) Gone(now flow.Time, call uint64, out *flow.Outbox) {
+	s.env.Turn(now, out)
+	s.requests.Gone(call)
+	s.lots.Gone(call)
+}
+
+// Heard folds what a renewal brought: a plan only where it is newer.
+func (s *Serve) Heard(now flow.Time, d ledger.Delta, version uint64, p *api.Plan) {
+	s.env.Now = now
+	if p != nil && (s.routes == nil || version > s.routes.Version) {
+		s.routes = route.New(version, p)
+	}
+	for _, t := range d.Targets {
+		s.roll.Target(t.Pool, t.Revision)
+	}
+	s.lots.Heard(d.Lots)
+}
+
+// Leave begins a clean stop.
+func (s *Serve) Leave(now flow.Time, out *flow.Outbox) {
+	s.env.Turn(now, out)
+	s.leaving = true
+	s.requests.Leave()
+	s.lots.Leave()
+}
+
+// Left says that nothing is under way any more.
+func (s *Serve) Left() bool { return s.requests.Len() == 0 && s.lots.Quiet() }
+
+var calls = map[string]func(*Serve, flow.Call){
+	"request":       (*Serve).request,
+	"ready":         (*Serve).ready,
+	"lot.read":      func(s *Serve, c flow.Call) { s.lots.Read(c) },
+	"lot.end":       func(s *Serve, c flow.Call) { s.lots.End(c) },
+	"lot.item":      func(s *Serve, c flow.Call) { s.lots.Item(c) },
+	"machine.empty": (*Serve).noMachine,
+	"machine.state": (*Serve).noMachine,
+}
+
+// Serves says whether a call is this side's.
+func Serves(name string) bool { _, ok := calls[name]; return ok }
+
+// Call takes a call.
+func (s *Serve) Call(now flow.Time, c flow.Call, out *flow.Outbox) {
+	s.env.Turn(now, out)
+	calls[c.Name](s, c)
+}
+
+// again is when a caller may come back to a node that knows no plan yet.
+const again = 200 * time.Millisecond
+
+// request takes a caller's request. That there is no route is only said under a
+// tenure: a node that may be behind says when to come back.
+func (s *Serve) request(c flow.Call) {
+	r := s.routes.Find(c.Host, c.Path)
+	if r == nil {
+		if s.routes == nil || !s.p.Fresh() {
+			s.env.Refuse(c.ID, "this node may be behind", again)
+			return
+		}
+		s.env.Out.Answer(c.ID, 404, env.Problem{Error: "no route serves this"}, nil)
+		return
+	}
+	if r.Kind == route.Samples {
+		s.lots.Put(c, r, s.p.Keep)
+		return
+	}
+	s.requests.Take(c, r)
+}
+
+// ready says whether this node wants callers.
+func (s *Serve) ready(c flow.Call) {
+	if s.leaving || s.routes == nil || !s.fleet.Known() {
+		s.env.Out.Answer(c.ID, 503, map[string]bool{"ready": false}, nil)
+		return
+	}
+	s.env.Out.Answer(c.ID, 200, map[string]bool{"ready": true}, nil)
+}
+
+func (s *Serve) noMachine(c flow.Call) {
+	s.env.Out.Answer(c.ID, 404, env.Problem{Error: "no such machine keeps data"}, nil)
+}
+
+var lines = map[string]func(*Serve, flow.Line){
+	"fleet": func(s *Serve, l flow.Line) {
+		var n fleet.News
+		if json.Unmarshal(l.Body, &n) == nil {
+			s.fleet.Take(l.Addr, n)
+		}
+	},
+	"fleet.ask": func(s *Serve, l flow.Line) { s.fleet.Asked(l.Addr) },
+}
+
+// Line takes a line of another node, if it is this side's.
+func (s *Serve) Line(now flow.Time, l flow.Line, out *flow.Outbox) bool {
+	f, ok := lines[l.Kind]
+	if ok {
+		s.env.Turn(now, out)
+		f(s, l)
+	}
+	return ok
+}
+
+// Stats is the serving side's part of the one snapshot (design 10.4).
+type Stats struct {
+	Plan    uint64           `json:"plan_version"`
+	Open    int              `json:"requests_open"`
+	Lots    int              `json:"lots_owned"`
+	Sends   int              `json:"sends_open"`
+	Counts  map[string]int64 `json:"counts"`
+	Engines []engines.View   `json:"engines"`
+}
+
+// Stats gives the snapshot.
+func (s *Serve) Stats() Stats {
+	x := Stats{Open: s.requests.Len(), Lots: s.lots.Len(), Sends: s.env.Sends(), Counts: map[string]int64{}, Engines: s.engines.Views()}
+	if s.routes != nil {
+		x.Plan = s.routes.Version
+	}
+	for k, v := range s.env.Counts {
+		x.Counts[k] = v
+	}
+	return x
+}
