Lots in the ledger, plans with callers' versions, owners of lots

Requests lie on the shelf in stretches, texts one by one; memory has ids and rows. The leader gives a lot whose owner is lost another.

--- a/core/ledger/digest.go
+++ b/core/ledger/digest.go
@@ -28,6 +28,7 @@
 	Orders  map[string]*Order  `json:"orders"`
 	Targets map[string]*Target `json:"targets"`
 	Drains  map[string]*Drain  `json:"drains"`
+	Lots    []lotRow           `json:"lots,omitempty"`
 }
 
 type stepRow struct {
@@ -82,7 +83,7 @@
 		l.put(PageItem, n, filed[n])
 	}
 	d := digest{Index: l.Index, Clock: l.Clock, Bounds: l.Bounds, Keys: l.Keys.Digest(), Owners: l.Owners, Coord: l.Coord,
-		Orders: l.Orders, Targets: l.Targets, Drains: l.Drains}
+		Orders: l.Orders, Targets: l.Targets, Drains: l.Drains, Lots: l.lotRows()}
 	for _, p := range l.Plans {
 		p.Doc = nil
 		d.Plans = append(d.Plans, p)
@@ -118,6 +119,9 @@
 			out = append(out, flow.Ref{Kind: DocItem, ID: s.Item})
 		}
 	}
+	for _, t := range d.Lots {
+		out = append(out, flow.Ref{Kind: DocItem, ID: t.Item})
+	}
 	if n := len(d.Plans); n > 0 {
 		out = append(out, flow.Ref{Kind: DocItem, ID: d.Plans[n-1].Mod})
 	}
@@ -163,6 +167,11 @@
 		l.Steps[s.Doc.ID] = s
 		l.Kept[s.Doc.Trainer] += s.Bytes
 	}
+	for _, r := range d.Lots {
+		if err := l.loadLot(r, items[flow.Ref{Kind: DocItem, ID: r.Item}]); err != nil {
+			return nil, errors.Wrap(err, "a lot does not read")
+		}
+	}
 	if n := len(l.Plans); n > 0 {
 		if l.Plans[n-1].Doc = items[flow.Ref{Kind: DocItem, ID: l.Plans[n-1].Mod}]; l.Plans[n-1].Doc == nil {
 			return nil, errors.Wrap(ErrDigest, "the plan's document is missing")
@@ -186,7 +195,8 @@
 	for _, p := range l.Plans {
 		out[DocItem] = append(out[DocItem], p.Mod)
 	}
-	for _, k := range []string{AnswerItem, TextItem, DocItem} {
+	l.lotItemsKept(out)
+	for _, k := range []string{AnswerItem, TextItem, DocItem, LotPartItem, LotTextItem} {
 		slices.Sort(out[k])
 	}
 	return out
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -27,13 +27,16 @@
 	Orders  map[string]*Order
 	Targets map[string]*Target
 	Drains  map[string]*Drain
+	Lots    map[string]*Lot
+	lotsDue int64 // no lot is to be retired before
+	recent  texts // of lots
 	box     flow.Shelf
 }
 
 // New is an empty ledger.
 func New() *Ledger {
 	return &Ledger{Bounds: Usual, Steps: map[string]*Step{}, Kept: map[string]int64{}, Keys: keys.New(), Owners: map[uint64]string{},
-		Orders: map[string]*Order{}, Targets: map[string]*Target{}, Drains: map[string]*Drain{}}
+		Orders: map[string]*Order{}, Targets: map[string]*Target{}, Drains: map[string]*Drain{}, Lots: map[string]*Lot{}}
 }
 
 // Kinds of items.
@@ -41,7 +44,7 @@
 	TextItem   = "text"   // a result
 	AnswerItem = "answer" // what a run-once request came to
 	PageItem   = "page"   // a page of keys
-	DocItem    = "doc"    // a plan or a step
+	DocItem    = "doc"    // a plan, a step or the head of a lot
 	sizeOf     = 64       // what a row of a list counts for besides its bytes
 )
 
@@ -76,6 +79,10 @@
 	"order.state": (*Ledger).stateOrder,
 	"target.put":  (*Ledger).putTarget,
 	"drain.put":   (*Ledger).putDrain,
+	"lot.put":     (*Ledger).putLot,
+	"lot.list":    (*Ledger).listLot,
+	"lot.end":     (*Ledger).endLot,
+	"lot.own":     (*Ledger).ownLot,
 }
 
 // Knows says whether a command kind exists.
@@ -131,7 +138,11 @@
 		return fail(400, "plan does not parse")
 	}
 	for _, old := range l.Plans {
-		if p.Request != "" && old.Request == p.Request {
+		if p.Version != 0 && old.Version == p.Version && old.Hash == Hash(p.Doc) {
+			old.Doc = nil
+			return good(old) // a repeat, whichever node it came through
+		}
+		if p.Version == 0 && p.Request != "" && old.Request == p.Request {
 			if old.Hash != Hash(p.Doc) {
 				return Result{Code: 422, Body: raw(problem{Error: "this request id was used for another plan", Version: old.Version})}
 			}
@@ -143,7 +154,10 @@
 	if p.Read != now.Version {
 		return Result{Code: 409, Body: raw(problem{Error: "the plan has moved on", Version: now.Version})}
 	}
-	next := Plan{Version: now.Version + 1, Request: p.Request, Hash: Hash(p.Doc), Doc: p.Doc, Mod: l.Index, At: c.At}
+	if p.Version != 0 && p.Version <= now.Version {
+		return Result{Code: 422, Body: raw(problem{Error: "a plan's version must be above the one in force", Version: now.Version})}
+	}
+	next := Plan{Version: max(p.Version, now.Version+1), Request: p.Request, Hash: Hash(p.Doc), Doc: p.Doc, Mod: l.Index, At: c.At}
 	if n := len(l.Plans); n > 0 {
 		l.Plans[n-1].Doc = nil
 	}
--- a/core/ledger/query.go
+++ b/core/ledger/query.go
@@ -27,6 +27,7 @@
 	Orders  []Order   `json:"orders,omitempty"`
 	Targets []Target  `json:"targets,omitempty"`
 	Drains  []Drain   `json:"drains,omitempty"`
+	Lots    []LotRow  `json:"lots,omitempty"`
 	Coord   Coord     `json:"coord"`
 	Roster  []string  `json:"roster"`
 	Wall    int64     `json:"wall"`
@@ -35,7 +36,7 @@
 
 // Since gives what changed after index have.
 func (l *Ledger) Since(have uint64) Delta {
-	d := Delta{Index: l.Index, Coord: l.Coord}
+	d := Delta{Index: l.Index, Coord: l.Coord, Lots: l.lotsSince(have)}
 	if p := l.Plan(); p.Version > 0 && p.Mod > have {
 		d.Plan = &p
 	}
@@ -95,6 +96,9 @@
 	"step.list":   (*Ledger).listSteps,
 	"result.page": (*Ledger).page,
 	"roll.get":    (*Ledger).getRoll,
+	"lot.read":    (*Ledger).readLot,
+	"lot.items":   (*Ledger).lotItems,
+	"lot.item":    (*Ledger).lotItem,
 }
 
 // Asks says whether a query kind exists.
--- a/core/ledger/types.go
+++ b/core/ledger/types.go
@@ -36,8 +36,12 @@
 	At      int64           `json:"at"`
 }
 
-// PutPlan replaces the plan that stands at version Read.
+// PutPlan replaces the plan that stands at version Read. Where Version is above
+// zero it is the caller's own for the new one, which must be above Read, and
+// names the put when it is said again; otherwise versions go up by one, and
+// Request names it.
 type PutPlan struct {
+	Version uint64          `json:"version,omitempty"`
 	Read    uint64          `json:"read"`
 	Request string          `json:"request"`
 	Doc     json.RawMessage `json:"doc"`
--- /dev/null
+++ b/core/store/owners.go
@@ -0,0 +1,66 @@
+package store
+
+import (
+	"fernlink/core/budget"
+	"fernlink/core/flow"
+	"fernlink/core/ledger"
+	"fernlink/core/prefix"
+	"fernlink/core/raft"
+	"fernlink/core/sorted"
+)
+
+// owners gives each lot whose owner is lost, or left, another (design 8.7). A
+// leader that is new may not have heard the owner yet, and waits; whoever lost
+// its place has no tenure any more by then (design 5.2).
+func (s *Store) owners(now flow.Time) {
+	if now < s.owned || s.raft.Role() != raft.Leader || !s.raft.Ready() || s.timed != s.raft.Term() {
+		return
+	}
+	s.owned = now + budget.Beat
+	led := now-s.raft.Since() >= budget.Lost
+	rows := s.ledger.LotRows()
+	if len(s.lots) > len(rows) {
+		for id := range s.lots {
+			if now-s.lots[id] >= budget.Lost {
+				delete(s.lots, id)
+			}
+		}
+	}
+	for _, r := range rows {
+		x, heard := s.seen[r.Owner]
+		if heard && x.left || led && (!heard || now-x.at > budget.Lost) {
+			s.move(now, r)
+		}
+	}
+}
+
+// disown moves the lots of a dispatcher that is gone at once.
+func (s *Store) disown(now flow.Time, id string) {
+	for _, r := range s.ledger.LotRows() {
+		if r.Owner == id {
+			s.move(now, r)
+		}
+	}
+}
+
+// move proposes an owner by rendezvous over those that renewed of late.
+func (s *Store) move(now flow.Time, r ledger.LotRow) {
+	if at, moved := s.lots[r.ID]; moved && now-at < budget.Lost {
+		return
+	}
+	next, most := "", uint64(0)
+	for _, id := range sorted.Keys(s.seen) {
+		x := s.seen[id]
+		if id == r.Owner || x.left || now-x.at > budget.Tenure {
+			continue
+		}
+		if w := prefix.Weight(r.ID, id); next == "" || w > most {
+			next, most = id, w
+		}
+	}
+	if next == "" {
+		return
+	}
+	s.lots[r.ID] = now
+	s.propose("lot.own", ledger.OwnLot{Lot: r.ID, Was: r.Owner, Owner: next})
+}
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -28,6 +28,8 @@
 type Props struct {
 	ID, Addr, Area string
 	Form           []string // the addresses expected at first formation
+	First          bool     // this is the first start of all, with empty disks: it forms without waiting for others to speak up
+	Want           int      // voters wanted, where that is more than were formed (design 4.8)
 	Keep           int      // log entries kept before a digest is made
 	Bounds         ledger.Bounds
 	Rand           *rand.Rand
@@ -97,20 +99,22 @@
 	pull      *pull
 	blob      []byte // the newest digest as it is sent in pieces
 	blobAt    uint64
-	checked   bool      // the shelf was told what must be there
-	bounded   uint64    // the term in which the bounds were looked at
-	ear       ear       // of the acting coordinator
-	earOf     uint64    // its term
-	freed     uint64    // the term whose holder gave it up
-	moved     flow.Time // when leadership is handed on next
-	orphan    flow.Time // when lost claims are looked for next
+	checked   bool                 // the shelf was told what must be there
+	bounded   uint64               // the term in which the bounds were looked at
+	ear       ear                  // of the acting coordinator
+	earOf     uint64               // its term
+	freed     uint64               // the term whose holder gave it up
+	moved     flow.Time            // when leadership is handed on next
+	orphan    flow.Time            // when lost claims are looked for next
+	lots      map[string]flow.Time // when this leader gave a lot another owner
+	owned     flow.Time            // when owners of lots are looked at next
 }
 
 // New starts a store from its disk.
 func New(now flow.Time, p Props) (*Store, error) {
 	s := &Store{p: p, ledger: ledger.New(), addrs: map[string]string{}, writes: map[uint64]wait{},
 		reads: map[uint64]wait{}, seen: map[string]sight{}, counts: map[string]int{},
-		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}}
+		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, lots: map[string]flow.Time{}}
 	if d := p.Disk.Digest; d != nil {
 		l, err := ledger.Load(d.State, p.Disk.Items)
 		if err != nil {
@@ -241,6 +245,7 @@
 		"coord.grant":   (*Store).refuse,
 		"claim.lost":    (*Store).refuse,
 		"bounds.put":    (*Store).refuse,
+		"lot.own":       (*Store).refuse,
 		"store.list":    (*Store).readOwn,
 		"store.add":     (*Store).add,
 		"store.promote": (*Store).promote,
@@ -363,11 +368,12 @@
 }
 
 // goneDisp forgets a dispatcher that stopped: it has cut all that it sent.
-func (s *Store) goneDisp(_ flow.Time, w wait, out *flow.Outbox) {
+func (s *Store) goneDisp(now flow.Time, w wait, out *flow.Outbox) {
 	var id string
 	_ = json.Unmarshal(w.ask.Body, &id)
 	delete(s.seen, id)
 	s.heardMore = true
+	s.disown(now, id)
 	s.tell(w, 200, struct{}{}, out)
 }
 
@@ -424,6 +430,7 @@
 		out.Save = append(out.Save, s.raft.Advance(now).Saves...)
 	}
 	s.orphans(now)
+	s.owners(now)
 	if s.raft.Ready() && s.timed != s.raft.Term() {
 		// Only now is all that was committed before in the ledger.
 		s.timed, s.stamp, s.lead = s.raft.Term(), s.ledger.Clock, now
@@ -451,6 +458,7 @@
 	s.writes, s.reads = map[uint64]wait{}, map[uint64]wait{}
 	s.seen = map[string]sight{}
 	s.grant = 0
+	s.lots = map[string]flow.Time{}
 }
 
 func (s *Store) apply(a raft.Applied, out *flow.Outbox) {
@@ -563,7 +571,7 @@
 // nudges are the commands that others should hear of soon. They renew at once
 // then; what is promised rests on the renewals alone (design 5.2).
 var nudges = map[string]bool{"plan.put": true, "step.open": true, "step.end": true, "order.put": true, "order.state": true,
-	"target.put": true, "drain.put": true}
+	"target.put": true, "drain.put": true, "lot.put": true, "lot.end": true, "lot.own": true}
 
 func (s *Store) nudge(now flow.Time, out *flow.Outbox) {
 	if s.raft.Role() != raft.Leader {
@@ -609,7 +617,7 @@
 	for i := range d.Steps {
 		d.Steps[i].Groups = nil // policies need no prompts
 	}
-	d.Listed = nil
+	d.Listed, d.Lots = nil, nil
 	if d.Plan != nil && d.Plan.Version == c.Plan {
 		d.Plan = nil
 	}
@@ -622,6 +630,10 @@
 	to["log"], to["waiting_writes"], to["waiting_reads"], to["dispatchers"] = s.raft.LogLen(), len(s.writes), len(s.reads), len(s.seen)
 	to["plans"], to["steps"], to["keys"], to["orders"], to["drains"] = len(l.Plans), len(l.Steps), l.Keys.Len(), len(l.Orders), len(l.Drains)
 	to["claims_open"], to["member_addresses"], to["fetches"] = len(l.Owners), len(s.addrs), len(s.fetches)
+	to["lots"] = len(l.Lots)
+	for _, x := range l.Lots {
+		to["lot_results"] += len(x.List)
+	}
 	for _, x := range l.Steps {
 		to["results"] += len(x.List)
 	}
