platform: words, settings, configurations and doors of the platform

Plans and routes of api have the fields that configurations fill; their schema does not know them yet. No tests yet.

--- a/api/api.go
+++ b/api/api.go
@@ -109,9 +109,14 @@
 
 // Pool, Route, Pin and Plan are a service plan as it is used.
 type Pool struct {
-	Name string  `json:"name"`
-	Kind string  `json:"kind"`
-	Keep float64 `json:"keep_share"`
+	Name     string   `json:"name"`
+	Kind     string   `json:"kind"`
+	Keep     float64  `json:"keep_share"`
+	Health   string   `json:"health,omitempty"`
+	Conns    int      `json:"conns,omitempty"`
+	Slots    int      `json:"slots,omitempty"`
+	KvTokens int      `json:"kv_tokens,omitempty"`
+	Models   []string `json:"models,omitempty"`
 }
 
 type Route struct {
@@ -122,6 +127,32 @@
 	Once    bool     `json:"once"`
 	Timeout int      `json:"timeout_ms"`
 	Most    int      `json:"most"`
+
+	Host      string  `json:"host,omitempty"`
+	Kind      string  `json:"kind,omitempty"`
+	Split     []Share `json:"split,omitempty"`
+	Tries     int     `json:"tries,omitempty"`
+	TargetMS  int     `json:"target_ms,omitempty"`
+	Rank      int     `json:"rank,omitempty"`
+	DueMS     int     `json:"due_ms,omitempty"`
+	WaitMS    int     `json:"wait_ms,omitempty"`
+	Single    bool    `json:"one_version,omitempty"`
+	Sticky    bool    `json:"sticky,omitempty"`
+	Resumable bool    `json:"resumable,omitempty"`
+}
+
+// Share is a pool's part of a route's requests.
+type Share struct {
+	Pool  string `json:"pool"`
+	Share int    `json:"share"`
+}
+
+// Limits are what callers may send, in bytes, and how long they may take, in ms.
+type Limits struct {
+	HeaderBytes int `json:"header_bytes,omitempty"`
+	BodyBytes   int `json:"body_bytes,omitempty"`
+	HeaderMS    int `json:"header_ms,omitempty"`
+	IdleMS      int `json:"idle_ms,omitempty"`
 }
 
 type Pin struct {
@@ -135,6 +166,9 @@
 	Pins      []Pin   `json:"pins"`
 	Placement string  `json:"placement"`
 
+	Limits *Limits         `json:"limits,omitempty"`
+	Source json.RawMessage `json:"source,omitempty"`
+
 	byPath map[string][]int32 // routes by path, in their order
 }
 
@@ -151,6 +185,7 @@
 type PlanPut struct {
 	Read    uint64          `json:"read"`
 	Request string          `json:"request"`
+	Version uint64          `json:"version,omitempty"`
 	Plan    json.RawMessage `json:"plan"`
 }
 
--- a/props/props.go
+++ b/props/props.go
@@ -43,6 +43,45 @@
 	Stop     int      `json:"stop_seconds,omitempty"`
 	Listen   string   `json:"listen,omitempty"`
 	Off      []string `json:"policies_off,omitempty"`
+
+	Name       string            `json:"name,omitempty"`
+	Front      string            `json:"front,omitempty"`       // callers' door
+	Ready      string            `json:"ready,omitempty"`       // where this node says whether it takes callers
+	Control    string            `json:"control,omitempty"`     // operators' door
+	FirstStart bool              `json:"first_start,omitempty"` // of the whole fleet, with empty disks
+	Counted    bool              `json:"counted,omitempty"`     // one of the machines that CoreLosses counts
+	CoreLosses int               `json:"core_losses,omitempty"` // machines that may be lost at once
+	CPUShare   float64           `json:"cpu_share,omitempty"`   // of a core
+	MemoryMB   int               `json:"memory_mb,omitempty"`
+	Files      int               `json:"fds,omitempty"`
+	DiskMB     int               `json:"disk_mb,omitempty"`
+	ListRate   float64           `json:"list_rate,omitempty"`   // reads of the platform list a second, of all nodes together
+	ListLagMS  int               `json:"list_lag_ms,omitempty"` // how old that list may be
+	Region     string            `json:"region,omitempty"`
+	Zones      map[string]string `json:"zones,omitempty"` // each zone's region
+	Times      *Times            `json:"bounds,omitempty"`
+}
+
+// Times are what the place that a node runs at asks of it, in milliseconds; 0
+// is one that it does not name.
+type Times struct {
+	Apply   int `json:"apply_ms,omitempty"`    // a plan is in force everywhere
+	Revert  int `json:"revert_ms,omitempty"`   // no older plan is in force again
+	Drain   int `json:"drain_ms,omitempty"`    // an engine that is to leave still serves
+	Contact int `json:"contact_ms,omitempty"`  // for how long a caller of the control side looks for it
+	Ack     int `json:"ack_ms,omitempty"`      // an order is answered
+	Recover int `json:"recover_ms,omitempty"`  // all is well again after a fault
+	Sync    int `json:"sync_ms,omitempty"`     // a machine that is back counts as lost
+	Grace   int `json:"grace_ms,omitempty"`    // between the word to stop and the end
+	Cancel  int `json:"cancel_ms,omitempty"`   // work that nobody waits for is over
+	Settle  int `json:"settle_ms,omitempty"`   // what was done can be read
+	Lease   int `json:"lease_ms,omitempty"`    // a place is held
+	Thaw    int `json:"thaw_ms,omitempty"`     // a machine that wakes may act on what it knew
+	Finish  int `json:"finish_ms,omitempty"`   // open lots after the last caller
+	Report  int `json:"report_ms,omitempty"`   // results stay readable
+	Pass    int `json:"pass_ms,omitempty"`     // bytes may wait on their way through
+	Reuse   int `json:"reuse_ms,omitempty"`    // an engine's address may be another's
+	SeedLag int `json:"seed_lag_ms,omitempty"` // the list of seeds is behind
 }
 
 // Defaults where the props are silent.
@@ -144,6 +183,11 @@
 	if p.Listen != "" {
 		one("/listen", p.Listen)
 	}
+	for at, a := range map[string]string{"/front": p.Front, "/ready": p.Ready, "/control": p.Control} {
+		if a != "" {
+			one(at, a)
+		}
+	}
 	for i, s := range p.Seeds {
 		one("/seeds/"+strconv.Itoa(i), s)
 	}
