--- a/cmd/fernlink/main.go
+++ b/cmd/fernlink/main.go
@@ -30,11 +30,19 @@
 	sub.Description = "run one node until SIGTERM"
 	n.bind(sub)
 	flaggy.AttachSubcommand(sub, 1)
+	var v serveFlags
+	on := flaggy.NewSubcommand("serve")
+	on.Description = "run one node on the platform until SIGTERM"
+	v.bind(on)
+	flaggy.AttachSubcommand(on, 1)
 	tools := append(bindTools(), bindCheck())
 	flaggy.Parse()
 	if sub.Used {
 		os.Exit(n.run())
 	}
+	if on.Used {
+		os.Exit(v.run())
+	}
 	for _, t := range tools {
 		if t.sub.Used {
 			os.Exit(t.run())
@@ -85,7 +93,12 @@
 		tell(bad)
 		return 2
 	}
-	app := fx.New(fx.NopLogger, daemon.Module(p), fx.StopTimeout(75*time.Second))
+	return start(p, daemon.Platform{})
+}
+
+// start runs one node until it is told to stop.
+func start(p props.Props, x daemon.Platform) int {
+	app := fx.New(fx.NopLogger, daemon.Module(p, x), fx.StopTimeout(75*time.Second))
 	if err := app.Err(); err != nil {
 		fmt.Fprintln(os.Stderr, "fernlink:", dig.RootCause(err))
 		return 1
--- /dev/null
+++ b/cmd/fernlink/serve.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/integrii/flaggy"
+
+	"fernlink/platform"
+	"fernlink/shell/daemon"
+)
+
+// serveFlags are those of `fernlink serve`.
+type serveFlags struct{ settings string }
+
+func (v *serveFlags) bind(s *flaggy.Subcommand) {
+	s.String(&v.settings, "s", "settings", "settings file; $"+platform.SettingsEnv+" where it is not given")
+}
+
+// memoryPart is the share of the machine's memory that the heap may fill.
+const memoryPart = 0.6
+
+func (v *serveFlags) run() int {
+	if v.settings == "" {
+		v.settings = os.Getenv(platform.SettingsEnv)
+	}
+	p, bad, err := platform.Settings(v.settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fernlink:", err)
+		return 2
+	}
+	if len(bad) > 0 {
+		for _, f := range bad {
+			fmt.Fprintf(os.Stderr, "fernlink: settings %s: %s\n", f.At, f.Text)
+		}
+		return 2
+	}
+	if p.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(p.MemoryMB<<20) * memoryPart))
+	}
+	t := platform.Tongue(p.Platform)
+	last, _ := os.ReadFile(v.settings)
+	seeds := func() ([]string, bool) {
+		b, changed := platform.Changed(v.settings, last)
+		if !changed {
+			return nil, false
+		}
+		last = b
+		q, bad, err := platform.Settings(v.settings)
+		return q.Seeds, err == nil && len(bad) == 0 && len(q.Seeds) > 0
+	}
+	return start(p, daemon.Platform{Tongue: &t, Doors: platform.Doors(p), Seeds: seeds})
+}
--- a/core/coord/coord.go
+++ b/core/coord/coord.go
@@ -82,6 +82,12 @@
 // Acting says whether this coordinator holds a fresh tenure.
 func (c *Coord) Acting(now flow.Time) bool { return c.term > 0 && now < c.till }
 
+// Tenure tells the term, until when it holds, and whether this coordinator acts
+// and does not stop.
+func (c *Coord) Tenure(now flow.Time) (uint64, flow.Time, bool) {
+	return c.term, c.till, c.Acting(now) && !c.leaving
+}
+
 // Bind sets where answers to asks write what they want done.
 func (c *Coord) Bind(now flow.Time, out *flow.Outbox) { c.now, c.out = now, out }
 
--- a/core/disp/disp.go
+++ b/core/disp/disp.go
@@ -27,6 +27,8 @@
 	Asker          *ask.Asker
 	IDs            func() uint64
 	BlocksMost     int // prefix blocks remembered for one engine
+	// Heard, if any, is told of each renewal and the plan that stands after it.
+	Heard func(flow.Time, ledger.Delta, uint64, *api.Plan)
 }
 
 // Disp is one dispatcher.
@@ -136,6 +138,9 @@
 // fresh says whether this dispatcher may start work (design 5.2).
 func (d *Disp) fresh() bool { return d.now < d.till && !d.leaving }
 
+// Fresh says whether the view of the ledger is under a tenure.
+func (d *Disp) Fresh(now flow.Time) bool { return now < d.till }
+
 func (d *Disp) renew() {
 	if d.now < d.next || d.leaving {
 		return
@@ -184,6 +189,9 @@
 		d.roster, d.rosters = x.Roster, d.rosters+1
 	}
 	d.index, d.coord = x.Index, x.Coord
+	if d.p.Heard != nil {
+		d.p.Heard(d.now, x, d.version, d.plan)
+	}
 	for _, o := range x.Orders {
 		d.Nudge() // the coordinator waits to hear that this was read
 		d.orders[o.Engine] = o
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -115,8 +115,9 @@
 	Stray string // why a connection from a sibling was closed
 	Saved uint64 // the newest batch of saves that is on disk
 	Shelf *Fetched
-	Stop  bool // an operator wants this process to end (design 5.5)
-	Full  bool // a batch is tried again: the disk has no room
+	Stop  bool     // an operator wants this process to end (design 5.5)
+	Full  bool     // a batch is tried again: the disk has no room
+	Seeds []string // the settings name these seeds from now on
 }
 
 // Note is a log line: a short sentence with its part's prefix.
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -89,6 +89,9 @@
 	return &Gossip{self: p.Self, known: p.Known, seeds: p.Seeds, rand: p.Rand, seats: map[string]*seat{}, answer: map[string]bool{}}
 }
 
+// Reseed takes other seeds, as the settings name them now.
+func (g *Gossip) Reseed(seeds []string) { g.seeds = seeds }
+
 // Tell says what the node's own entry is to carry from now on.
 func (g *Gossip) Tell(blank bool, known Known) {
 	g.self.Blank = blank
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -8,13 +8,16 @@
 	"math/rand"
 	"slices"
 
+	"fernlink/api"
 	"fernlink/core/ask"
 	"fernlink/core/budget"
 	"fernlink/core/coord"
+	"fernlink/core/dialect"
 	"fernlink/core/disp"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
 	"fernlink/core/ledger"
+	"fernlink/core/serve"
 	"fernlink/core/store"
 )
 
@@ -39,6 +42,10 @@
 	Disk       store.Disk
 	Checkpoint []byte
 	Known      gossip.Known
+	First      bool            // the first start of all, with empty disks
+	Want       int             // voters wanted, 0 for as many as formed
+	Tongue     *dialect.Tongue // how a platform speaks; nil where none is served
+	LotKeep    flow.Time       // for how long a lot's results stay readable
 }
 
 // Node is one process.
@@ -49,6 +56,7 @@
 	store  *store.Store
 	disp   *disp.Disp
 	coord  *coord.Coord
+	serve  *serve.Serve
 	ids    uint64
 	counts map[string]int64
 	burst  map[string]flow.Time
@@ -81,18 +89,30 @@
 	n.gossip = gossip.New(gossip.Props{Self: self, Known: p.Known, Seeds: p.Seeds, Rand: r()})
 	n.asker = ask.New(uint64(p.Inc) << 20)
 	if n.runs("store") {
-		s, err := store.New(now, store.Props{ID: p.ID, Addr: p.Addr, Area: p.Area, Form: p.Form, Keep: p.Keep, Bounds: p.Bounds, Rand: r(), Disk: p.Disk})
+		s, err := store.New(now, store.Props{ID: p.ID, Addr: p.Addr, Area: p.Area, Form: p.Form, Keep: p.Keep, Bounds: p.Bounds, Rand: r(), Disk: p.Disk, First: p.First, Want: p.Want})
 		if err != nil {
 			return nil, err
 		}
 		n.store = s
 	}
+	me := fmt.Sprintf("%s.%x", p.ID, p.Inc)
+	var heard func(flow.Time, ledger.Delta, uint64, *api.Plan)
+	if n.runs("dispatcher") && p.Tongue != nil {
+		n.serve = serve.New(serve.Props{ID: me, Zone: p.Area, Tongue: *p.Tongue, Asker: n.asker, Rand: r(), IDs: n.idsOf("serve"), Keep: p.LotKeep,
+			Fresh: func() bool { return n.disp.Fresh(n.now) },
+			Acting: func() (uint64, flow.Time, bool) {
+				if n.coord == nil {
+					return 0, 0, false
+				}
+				return n.coord.Tenure(n.now)
+			}})
+		heard = n.serve.Heard
+	}
 	if n.runs("dispatcher") {
 		// A start is somebody of its own: what an earlier one claimed or
 		// numbered is not this one's, though the identity on disk is.
-		me := fmt.Sprintf("%s.%x", p.ID, p.Inc)
 		n.disp = disp.New(disp.Props{ID: me, Addr: p.Addr, Area: p.Area, Platform: p.Platform, Rand: r(), Asker: n.asker,
-			IDs: n.idsOf("disp"), BlocksMost: p.BlocksMost})
+			IDs: n.idsOf("disp"), BlocksMost: p.BlocksMost, Heard: heard})
 	}
 	if n.runs("coordinator") {
 		n.coord = coord.New(coord.Props{ID: p.ID, Addr: p.Addr, Asker: n.asker, IDs: n.idsOf("coord"), File: p.Checkpoint, Off: p.Off, Keeps: p.Data})
@@ -103,7 +123,7 @@
 func (n *Node) runs(role string) bool { return slices.Contains(n.p.Roles, role) }
 
 // parts own sends; an id's rest names its part, so that no table has to.
-var parts = []string{"disp", "coord"}
+var parts = []string{"disp", "coord", "serve"}
 
 func (n *Node) idsOf(part string) func() uint64 {
 	at := uint64(slices.Index(parts, part))
@@ -129,6 +149,9 @@
 	if n.coord != nil {
 		n.coord.Bind(now, &out)
 	}
+	if n.serve != nil {
+		n.serve.Bind(now, &out)
+	}
 	for _, e := range in {
 		n.event(now, wall, e, &out)
 	}
@@ -179,6 +202,9 @@
 	if n.coord != nil {
 		n.coord.Advance(now, n.Cluster(), out)
 	}
+	if n.serve != nil {
+		n.serve.Advance(now, live, out)
+	}
 	n.gossip.Advance(now, out)
 }
 
@@ -240,6 +266,9 @@
 	if n.coord != nil {
 		n.coord.Leave()
 	}
+	if n.serve != nil {
+		n.serve.Leave(now, out)
+	}
 }
 
 // leaving goes on with it, and says when it is over. Others hear of it once
@@ -248,7 +277,7 @@
 	if n.stop == 0 {
 		return
 	}
-	done := (n.disp == nil || n.disp.Left()) && (n.coord == nil || n.coord.Left(now))
+	done := (n.serve == nil || n.serve.Left()) && (n.disp == nil || n.disp.Left()) && (n.coord == nil || n.coord.Left(now))
 	if n.store != nil {
 		n.store.Leave(now)
 		done = done && n.store.Left()
@@ -264,6 +293,9 @@
 	if e.Stop {
 		n.leave(now, out)
 	}
+	if len(e.Seeds) > 0 {
+		n.gossip.Reseed(e.Seeds)
+	}
 	if e.Saved != 0 {
 		n.synced(e.Saved, out)
 	}
@@ -290,6 +322,9 @@
 		if n.coord != nil {
 			n.coord.Gone(e.Gone)
 		}
+		if n.serve != nil {
+			n.serve.Gone(now, e.Gone, out)
+		}
 	}
 	if e.Back != nil {
 		backs[parts[e.Back.ID%uint64(len(parts))]](n, now, *e.Back, out)
@@ -299,6 +334,7 @@
 var backs = map[string]func(*Node, flow.Time, flow.Back, *flow.Outbox){
 	"disp":  func(n *Node, now flow.Time, b flow.Back, out *flow.Outbox) { n.disp.Back(now, b, out) },
 	"coord": func(n *Node, now flow.Time, b flow.Back, out *flow.Outbox) { n.coord.Back(now, b, out) },
+	"serve": func(n *Node, now flow.Time, b flow.Back, out *flow.Outbox) { n.serve.Back(now, b, out) },
 }
 
 // Foreign says why a line must not be heard, or "".
@@ -410,6 +446,9 @@
 		return
 	}
 	f, ok := lines[l.Kind]
+	if !ok && n.serve != nil && n.serve.Line(now, l, out) {
+		return
+	}
 	if !ok {
 		n.counts["malformed_lines"]++
 		return
@@ -465,6 +504,10 @@
 		f(n, now, c, out)
 		return
 	}
+	if n.serve != nil && serve.Serves(c.Name) {
+		n.serve.Call(now, c, out)
+		return
+	}
 	if n.disp == nil || !disp.Serves(c.Name) {
 		out.Answer(c.ID, 503, map[string]string{"error": "this node runs no dispatcher"}, map[string]string{"Retry-After": "5"})
 		return
--- a/core/node/stats.go
+++ b/core/node/stats.go
@@ -8,6 +8,7 @@
 	"fernlink/core/disp"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
+	"fernlink/core/serve"
 	"fernlink/core/sorted"
 	"fernlink/core/store"
 )
@@ -28,6 +29,7 @@
 	Store   *store.Stats     `json:"store,omitempty"`
 	Disp    *disp.Stats      `json:"dispatcher,omitempty"`
 	Coord   *coord.Stats     `json:"coordinator,omitempty"`
+	Serve   *serve.Stats     `json:"serving,omitempty"`
 }
 
 // Stats gives the snapshot.
@@ -54,6 +56,10 @@
 		s.Coord = &x
 		n.coord.Rows(s.Rows)
 	}
+	if n.serve != nil {
+		x := n.serve.Stats()
+		s.Serve = &x
+	}
 	return s
 }
 
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -127,8 +127,8 @@
 	calls[c.Name](s, c)
 }
 
-// again is when a caller may come back to a node that knows no plan yet.
-const again = 200 * time.Millisecond
+// backIn is when a caller may come back to a node that knows no plan yet.
+const backIn = 200 * time.Millisecond
 
 // request takes a caller's request. That there is no route is only said under a
 // tenure: a node that may be behind says when to come back.
@@ -136,7 +136,7 @@
 	r := s.routes.Find(c.Host, c.Path)
 	if r == nil {
 		if s.routes == nil || !s.p.Fresh() {
-			s.env.Refuse(c.ID, "this node may be behind", again)
+			s.env.Refuse(c.ID, "this node may be behind", backIn)
 			return
 		}
 		s.env.Out.Answer(c.ID, 404, env.Problem{Error: "no route serves this"}, nil)
--- /dev/null
+++ b/core/serve/serve_test.go
@@ -0,0 +1,460 @@
+package serve
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"fernlink/api"
+	"fernlink/core/dialect"
+	"fernlink/core/flow"
+	"fernlink/core/ledger"
+	"fernlink/core/serve/route"
+)
+
+var (
+	many    = api.Route{Name: "r", Host: "h", Path: "/a/", Kind: route.Again, Pool: "app", Timeout: 1000, TargetMS: 150, Tries: 2}
+	once    = api.Route{Name: "o", Host: "h", Path: "/o/", Kind: route.Once, Pool: "app", Timeout: 1000, TargetMS: 150, Tries: 3}
+	stream  = api.Route{Name: "s", Host: "h", Path: "/s/", Kind: route.Stream, Pool: "llm", Timeout: 5000, TargetMS: 400, Tries: 3, Resumable: true}
+	samples = api.Route{Name: "l", Host: "h", Path: "/l/", Kind: route.Samples, Pool: "llm", Timeout: 5000, TargetMS: 500, Tries: 2, DueMS: 4000, WaitMS: 40000, Single: true}
+)
+
+func given(t *testing.T, seats ...dialect.Seat) *world {
+	w := newWorld(t)
+	w.list(seats...)
+	w.renew(plan(many, once, stream, samples))
+	return w
+}
+
+func two(t *testing.T) *world {
+	return given(t, seat("e1", "10.0.0.1:1", "app", 4), seat("e2", "10.0.0.2:1", "app", 4),
+		seat("m1", "10.0.1.1:1", "llm", 4, "m"), seat("m2", "10.0.1.2:1", "llm", 4, "m"))
+}
+
+func (w *world) app() []flow.Send { return append(w.at("10.0.0.1:1"), w.at("10.0.0.2:1")...) }
+func (w *world) llm() []flow.Send { return append(w.at("10.0.1.1:1"), w.at("10.0.1.2:1")...) }
+
+func TestAnAnswerPassesAsItCame(t *testing.T) {
+	w := two(t)
+	id := w.ask("h", "/a/x", 500)
+	x := w.app()
+	w.want(len(x) == 1 && x[0].Match == "t1", "one send with the try's id: %v", x)
+	w.want(flow.Get(x[0].Fields, "Expect") != "", "names the engine's start")
+	left, _ := strconv.Atoi(flow.Get(x[0].Fields, "Left"))
+	w.want(left > 400 && left <= 500, "carries the deadline on: %d", left)
+	w.end(x[0], 201, "body", flow.Field{Name: "Seal", Value: "s"})
+	r := w.reply(id)
+	w.want(r.Code == 201 && string(r.Body) == "body" && flow.Get(r.Fields, "Seal") == "s", "%+v", r)
+}
+
+func TestTheLongestPrefixOfTheHostServes(t *testing.T) {
+	w := newWorld(t)
+	w.list(seat("e1", "10.0.0.1:1", "app", 4), seat("m1", "10.0.1.1:1", "llm", 4, "m"))
+	deep := many
+	deep.Name, deep.Path, deep.Pool = "d", "/a/b/", "llm"
+	w.renew(plan(many, deep))
+	w.ask("h", "/a/b/c", 500)
+	w.want(len(w.llm()) == 1 && len(w.app()) == 0, "the deeper route")
+	w.ask("h", "/a/bc", 500)
+	w.want(len(w.app()) == 1, "a prefix ends with a slash")
+	w.want(w.reply(w.ask("other", "/a/b", 500)).Code == 404, "hosts differ")
+	w.fresh = false
+	r := w.reply(w.ask("other", "/a/b", 500))
+	w.want(r.Code == 503 && r.Head["Retry-After"] != "", "a node that may be behind does not say 404: %+v", r)
+}
+
+func TestWhatDidNotRunGoesToAnotherEngine(t *testing.T) {
+	for _, code := range []int{503, 429, 421} {
+		w := two(t)
+		id := w.ask("h", "/o/x", 500)
+		x := w.app()[0]
+		f := flow.Field{Name: "Not-Run", Value: "1"}
+		if code == 421 {
+			f = flow.Field{Name: "Inst", Value: "other"}
+		}
+		w.end(x, code, "", f)
+		y := w.app()
+		w.want(len(y) == 1 && y[0].URL != x.URL, "%d: another engine is asked", code)
+		w.end(y[0], 200, "ok")
+		w.want(w.reply(id).Code == 200, "%d: answered", code)
+	}
+}
+
+func TestOnceIsNeverSentAgainAfterDoubt(t *testing.T) {
+	w := two(t)
+	id := w.ask("h", "/o/x", 500)
+	w.fail(w.app()[0], false)
+	w.pass(time.Second)
+	w.want(len(w.app()) == 0, "no second send")
+	w.want(w.reply(id).Code == 502, "no promise: %d", w.reply(id).Code)
+}
+
+func TestOnceThatNeverLeftIsSentAgain(t *testing.T) {
+	w := two(t)
+	id := w.ask("h", "/o/x", 500)
+	w.fail(w.app()[0], true)
+	w.end(w.app()[0], 200, "ok")
+	w.want(w.reply(id).Code == 200, "answered")
+}
+
+func TestRepeatableGoesOnAfterDoubt(t *testing.T) {
+	w := two(t)
+	id := w.ask("h", "/a/x", 500)
+	w.fail(w.app()[0], false)
+	w.end(w.app()[0], 200, "ok")
+	w.want(w.reply(id).Code == 200, "answered")
+}
+
+func TestASlowEngineIsHedgedWithinTheTries(t *testing.T) {
+	w := two(t)
+	id := w.ask("h", "/a/x", 900)
+	w.pass(60 * time.Millisecond)
+	w.want(len(w.app()) == 2, "a second engine after a third of the target")
+	w.pass(300 * time.Millisecond)
+	w.want(len(w.app()) == 2, "no more than the tries")
+	x := w.app()
+	w.end(x[1], 200, "fast")
+	w.want(string(w.reply(id).Body) == "fast", "the first answer is passed on")
+	n := len(w.replies)
+	w.end(x[0], 200, "slow")
+	w.want(len(w.replies) == n, "and only that one")
+}
+
+func TestRefusedEarlyWithWhenToComeBack(t *testing.T) {
+	w := given(t)
+	id := w.ask("h", "/a/x", 900)
+	w.pass(40 * time.Millisecond)
+	r := w.reply(id)
+	w.want(r.Code == 503 && r.Head["Retry-After"] != "", "refused within a quarter of its target: %+v", r)
+}
+
+func TestRefusedNeverRunsLater(t *testing.T) {
+	w := two(t)
+	id := w.ask("h", "/o/x", 900)
+	for range 3 {
+		for _, x := range w.app() {
+			w.end(x, 503, "", flow.Field{Name: "Not-Run", Value: "1"})
+		}
+		w.pass(50 * time.Millisecond)
+	}
+	w.want(w.reply(id).Code == 503, "refused: %d", w.reply(id).Code)
+	w.pass(2 * time.Second)
+	w.want(len(w.app()) == 0, "and never sent")
+}
+
+func TestADrainingEngineGetsNothing(t *testing.T) {
+	w := two(t)
+	s := seat("e1", "10.0.0.1:1", "app", 4)
+	s.Draining = true
+	w.list(s, seat("e2", "10.0.0.2:1", "app", 4))
+	for range 8 {
+		w.ask("h", "/a/x", 500)
+	}
+	w.want(len(w.at("10.0.0.1:1")) == 0 && len(w.at("10.0.0.2:1")) == 8, "only the other")
+}
+
+func TestAStreamGoesOnAtAnotherEngine(t *testing.T) {
+	w := two(t)
+	id := w.ask("h", "/s/x", 5000)
+	x := w.llm()[0]
+	w.head(x, 1)
+	w.event(x, 0, "a")
+	w.event(x, 1, "b")
+	w.fail(x, false)
+	y := w.llm()
+	w.want(len(y) == 1 && flow.Get(y[0].Fields, "Last-Event-Id") == "1", "asked to go on after 1: %+v", y)
+	w.head(y[0], 1)
+	w.event(y[0], 2, "c")
+	w.done(y[0])
+	heads, text, ends := 0, "", 0
+	for _, r := range w.replies {
+		if r.ID != id {
+			continue
+		}
+		if r.Code != 0 {
+			heads++
+		}
+		text += string(r.Body)
+		if !r.More {
+			ends++
+		}
+	}
+	w.want(heads == 1 && ends == 1 && text == "id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\ndata: c\n\n", "%d heads, %d ends, %q", heads, ends, text)
+}
+
+func TestAStreamThatCanNotGoOnDoesNotLookComplete(t *testing.T) {
+	w := two(t)
+	id := w.ask("h", "/s/x", 5000)
+	for range 3 {
+		for _, x := range w.llm() {
+			w.head(x, 1)
+			w.event(x, 0, "a")
+			w.fail(x, false)
+		}
+		w.pass(400 * time.Millisecond)
+	}
+	w.want(w.reply(id).Cut, "cut: %+v", w.reply(id))
+}
+
+// lot hands in groups of so many items.
+func (w *world) lot(groups, size, least int) (string, flow.Reply) {
+	var items []ledger.LotItem
+	for g := range groups {
+		for n := range size {
+			items = append(items, ledger.LotItem{ID: fmt.Sprintf("g%d-%d", g, n), Group: fmt.Sprintf("g%d", g), Path: "/l/i", Body: []byte("p"), Tokens: 10})
+		}
+	}
+	b, _ := json.Marshal(ledger.LotDoc{Model: "m", Least: least, Wanted: groups, Items: items})
+	id := w.call("request", flow.Call{Host: "h", Verb: "POST", Path: "/l/x", Body: b, Fields: []flow.Field{{Name: "Try", Value: "lot1"}}})
+	w.turn(0)
+	return "lot1", w.reply(id)
+}
+
+func (w *world) read(lot string, from int) dialect.LotPage {
+	id := w.call("lot.read", flow.Call{Vars: map[string]string{"id": lot}, Query: map[string]string{"after": strconv.Itoa(from)}})
+	var p dialect.LotPage
+	_ = json.Unmarshal(w.reply(id).Body, &p)
+	return p
+}
+
+// serveItem runs a whole item.
+func (w *world) serveItem(x flow.Send, v int) {
+	w.head(x, v)
+	w.event(x, 0, "a-"+x.Match)
+	w.event(x, 1, "b")
+	w.done(x)
+}
+
+func TestALotRunsAndIsListedInPlaces(t *testing.T) {
+	w := two(t)
+	lot, r := w.lot(3, 2, 1)
+	w.want(r.Code == 202, "accepted: %+v", r)
+	for n := 0; n < 6; {
+		for _, x := range w.llm() {
+			w.serveItem(x, 1)
+			n++
+		}
+		w.pass(100 * time.Millisecond)
+	}
+	p := w.read(lot, 0)
+	w.want(p.Total == 6 && p.Next == 6 && len(p.Results) == 6, "%+v", p)
+	seen := map[string]bool{}
+	for _, x := range p.Results {
+		w.want(x.State == ledger.LotComplete && x.Text == "a-"+x.Item+"\nb" && len(x.Versions) == 1 && x.Versions[0] == 1, "%+v", x)
+		seen[x.Item] = true
+	}
+	w.want(len(seen) == 6, "each once")
+	q := w.read(lot, 4)
+	w.want(len(q.Results) == 2 && q.Results[0].Item == p.Results[4].Item, "places stay")
+}
+
+func TestAGroupStaysWhereItsPromptWasRead(t *testing.T) {
+	w := two(t)
+	w.lot(2, 4, 1)
+	for _, at := range []string{"10.0.1.1:1", "10.0.1.2:1"} {
+		groups := map[string]bool{}
+		for _, x := range w.at(at) {
+			groups[x.Match[:2]] = true
+		}
+		w.want(len(w.at(at)) == 4 && len(groups) == 1, "one group an engine: %v", groups)
+	}
+}
+
+func TestNoMoreThanTheSlots(t *testing.T) {
+	w := two(t)
+	w.lot(5, 4, 1)
+	w.pass(200 * time.Millisecond)
+	w.want(len(w.at("10.0.1.1:1")) <= 4 && len(w.at("10.0.1.2:1")) <= 4, "slots are kept")
+}
+
+func TestABrokenItemGoesOnFromItsText(t *testing.T) {
+	w := two(t)
+	lot, _ := w.lot(1, 1, 1)
+	x := w.llm()[0]
+	w.head(x, 1)
+	w.event(x, 0, "a")
+	w.event(x, 1, "b")
+	w.fail(x, false)
+	w.turn(10 * time.Millisecond)
+	y := w.llm()
+	w.want(len(y) == 1 && flow.Get(y[0].Fields, "Last-Event-Id") == "1" && flow.Get(y[0].Fields, "Expect-W") == "1", "%+v", y)
+	w.head(y[0], 1)
+	w.event(y[0], 2, "c")
+	w.done(y[0])
+	w.pass(200 * time.Millisecond)
+	p := w.read(lot, 0)
+	w.want(len(p.Results) == 1 && p.Results[0].Text == "a\nb\nc", "%+v", p)
+}
+
+func TestAGapIsNeverJoined(t *testing.T) {
+	w := two(t)
+	lot, _ := w.lot(1, 1, 1)
+	x := w.llm()[0]
+	w.head(x, 1)
+	w.event(x, 0, "a")
+	w.event(x, 2, "c")
+	w.want(w.cuts[x.ID], "the run is cut")
+	w.pass(100 * time.Millisecond)
+	y := w.llm()
+	w.want(len(y) == 1 && flow.Get(y[0].Fields, "Last-Event-Id") == "0", "it goes on after what it has: %+v", y)
+	_ = lot
+}
+
+func TestOneVersionATextAndNoneTooOld(t *testing.T) {
+	w := two(t)
+	lot, _ := w.lot(1, 1, 1)
+	x := w.llm()[0]
+	w.head(x, 1)
+	w.event(x, 0, "a")
+	w.event(x, 1, "b", "weights: 2")
+	w.want(w.cuts[x.ID], "a change in mid-text ends the run")
+	w.pass(100 * time.Millisecond)
+	for _, y := range w.llm() {
+		w.head(y, 2)
+		w.event(y, 0, "x")
+		w.done(y)
+	}
+	w.pass(300 * time.Millisecond)
+	for _, r := range w.read(lot, 0).Results {
+		w.want(len(r.Versions) == 1, "%+v", r)
+	}
+}
+
+func TestTooOldWeightsMakeNoText(t *testing.T) {
+	w := two(t)
+	w.lot(1, 1, 2)
+	w.want(len(w.llm()) == 0, "engines that are known to be behind get nothing")
+	w.list(seat("m1", "10.0.1.1:1", "llm", 4, "m"), seat("m3", "10.0.1.3:1", "llm", 4))
+	x := w.at("10.0.1.3:1")
+	w.want(len(x) == 1, "one that does not say is tried")
+	w.head(x[0], 1)
+	w.want(w.cuts[x[0].ID], "and cut when it turns out to be behind")
+}
+
+func TestAnEndedLotStopsAtOnce(t *testing.T) {
+	w := two(t)
+	lot, _ := w.lot(4, 4, 1)
+	n := len(w.llm())
+	w.want(n == 8, "running: %d", n)
+	id := w.call("lot.end", flow.Call{Vars: map[string]string{"id": lot}})
+	w.pass(50 * time.Millisecond)
+	w.want(w.reply(id).Code == 200 && len(w.llm()) == 0 && len(w.cuts) == 8, "all cut")
+	id = w.call("lot.end", flow.Call{Vars: map[string]string{"id": lot}})
+	w.want(w.reply(id).Code == 200, "said twice")
+}
+
+func TestGivenUpOnlyByRule(t *testing.T) {
+	w := two(t)
+	lot, _ := w.lot(2, 1, 1)
+	x := w.llm()
+	w.end(x[0], 422, "")
+	w.end(x[1], 500, "")
+	w.pass(100 * time.Millisecond)
+	p := w.read(lot, 0)
+	w.want(len(p.Results) == 1 && p.Results[0].State == ledger.LotAbandoned && p.Results[0].Item == x[0].Match, "%+v", p)
+	w.end(w.llm()[0], 500, "")
+	w.pass(100 * time.Millisecond)
+	p = w.read(lot, 0)
+	w.want(len(p.Results) == 2 && p.Results[1].State == ledger.LotAbandoned, "after as many failures as tries: %+v", p)
+}
+
+func TestALotWithoutTheStoreGetsNoPromise(t *testing.T) {
+	w := two(t)
+	w.silent = true
+	b, _ := json.Marshal(ledger.LotDoc{Model: "m", Items: []ledger.LotItem{{ID: "i", Path: "/l/i"}}})
+	id := w.call("request", flow.Call{Host: "h", Verb: "POST", Path: "/l/x", Body: b, Fields: []flow.Field{{Name: "Try", Value: "lot1"}}})
+	w.pass(4 * time.Second)
+	w.want(w.reply(id).Code == 504, "in doubt: %d", w.reply(id).Code)
+	w.fresh = false
+	id = w.call("request", flow.Call{Host: "h", Verb: "POST", Path: "/l/x", Body: b, Fields: []flow.Field{{Name: "Try", Value: "lot2"}}})
+	w.want(w.reply(id).Code == 503, "never asked, so refused")
+}
+
+func TestALotThatMovesIsFetchedWithoutWhatIsListed(t *testing.T) {
+	w := two(t)
+	lot, _ := w.lot(1, 2, 1)
+	w.serveItem(w.llm()[0], 1)
+	w.pass(100 * time.Millisecond)
+	own := func(was, to string) {
+		b, _ := json.Marshal(ledger.OwnLot{Lot: lot, Was: was, Owner: to})
+		c, _ := json.Marshal(ledger.Command{Kind: "lot.own", At: w.now.Milliseconds(), Body: b})
+		w.index++
+		w.want(w.led.Apply(w.index, c).Code == 200, "moved")
+		w.renew(nil)
+	}
+	own("me", "other")
+	w.want(len(w.llm()) == 0, "its runs are cut")
+	own("other", "me")
+	w.pass(50 * time.Millisecond)
+	x := w.llm()
+	w.want(len(x) == 1, "only what is not listed: %d", len(x))
+	w.serveItem(x[0], 1)
+	w.pass(100 * time.Millisecond)
+	w.want(len(w.read(lot, 0).Results) == 2, "whole")
+}
+
+func TestASilentRunGetsASecondOne(t *testing.T) {
+	w := two(t)
+	lot, _ := w.lot(1, 1, 1)
+	x := w.llm()[0]
+	w.head(x, 1)
+	w.event(x, 0, "a")
+	w.pass(600 * time.Millisecond)
+	y := w.llm()
+	w.want(len(y) == 2, "a second run beside it: %d", len(y))
+	second := y[0]
+	if second.ID == x.ID {
+		second = y[1]
+	}
+	w.want(flow.Get(second.Fields, "Last-Event-Id") == "0", "from its text")
+	w.head(second, 1)
+	w.event(second, 1, "b")
+	w.done(second)
+	w.want(w.cuts[x.ID], "the other is cut")
+	w.pass(100 * time.Millisecond)
+	w.want(w.read(lot, 0).Results[0].Text == "a\nb", "the first whole text is listed")
+}
+
+func TestWeightsReachAThirdAtATime(t *testing.T) {
+	w := newWorld(t)
+	w.acting = true
+	var seats []dialect.Seat
+	for n := range 6 {
+		seats = append(seats, seat(fmt.Sprint("m", n), fmt.Sprintf("10.0.1.%d:1", n), "llm", 4, "m"))
+	}
+	w.list(seats...)
+	b, _ := json.Marshal(ledger.Target{Pool: "m", Revision: 2})
+	c, _ := json.Marshal(ledger.Command{Kind: "target.put", At: 1, Body: b})
+	w.index++
+	w.led.Apply(w.index, c)
+	w.renew(plan(samples))
+	most, done := 0, map[string]bool{}
+	for range 400 {
+		w.turn(10 * time.Millisecond)
+		orders := 0
+		for n := range 6 {
+			at := fmt.Sprintf("10.0.1.%d:1", n)
+			for _, x := range w.at(at) {
+				if x.Verb == "POST" {
+					var o dialect.WeightOrder
+					_ = json.Unmarshal(x.Body, &o)
+					w.want(o.Fence == 7 && o.Revision == 2 && o.Mode == "hold", "%+v", o)
+					w.want(!done[at], "ordered twice")
+					done[at] = true
+					w.end(x, 202, "")
+					continue
+				}
+				orders++
+				if w.now.Milliseconds()%300 < 10 {
+					rep, _ := json.Marshal(dialect.Report{Models: map[string]int{"m": 2}})
+					w.end(x, 200, string(rep))
+				}
+			}
+		}
+		most = max(most, orders)
+	}
+	w.want(len(done) == 6, "all were ordered: %d", len(done))
+	w.want(most <= 2, "a third at once: %d", most)
+}
--- a/shell/daemon/daemon.go
+++ b/shell/daemon/daemon.go
@@ -15,6 +15,8 @@
 	"go.uber.org/fx"
 
 	"fernlink/core/coord"
+	"fernlink/core/dialect"
+	"fernlink/core/door"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
 	"fernlink/core/node"
@@ -75,17 +77,31 @@
 	return f, nil
 }
 
-func makeNode(p props.Props, f Folder) (*node.Node, error) {
+// Platform is how the platform speaks, where this node serves one.
+type Platform struct {
+	Tongue *dialect.Tongue
+	Doors  []door.Door
+	Seeds  func() ([]string, bool) // the settings' seeds, where they changed since the last call
+}
+
+func makeNode(p props.Props, f Folder, x Platform) (*node.Node, error) {
 	var seed [8]byte
 	if _, err := rand.Read(seed[:]); err != nil {
 		return nil, errors.Wrap(err, "daemon: seed")
 	}
-	return node.New(clock.Now(), node.Props{ID: f.Identity.ID, Inc: f.Identity.Inc, Addr: p.Addr, Web: p.Web, Area: p.Area, Roles: p.Roles,
-		Seeds: p.Seeds, Form: p.Form, Platform: p.Platform, Seed: int64(binary.LittleEndian.Uint64(seed[:]) >> 8), Keep: p.Keep, Bounds: p.Bounds(), BlocksMost: p.Blocks,
+	list, keep := p.Platform, flow.Time(0)
+	if x.Tongue != nil {
+		list = "" // the serving side reads it
+	}
+	if p.Times != nil {
+		keep = flow.Time(p.Times.Report) * time.Millisecond
+	}
+	return node.New(clock.Now(), node.Props{Tongue: x.Tongue, LotKeep: keep, First: p.FirstStart, Want: 2*p.CoreLosses + 1, ID: f.Identity.ID, Inc: f.Identity.Inc, Addr: p.Addr, Web: p.Web, Area: p.Area, Roles: p.Roles,
+		Seeds: p.Seeds, Form: p.Form, Platform: list, Seed: int64(binary.LittleEndian.Uint64(seed[:]) >> 8), Keep: p.Keep, Bounds: p.Bounds(), BlocksMost: p.Blocks,
 		Off: p.Off, Stop: time.Duration(p.Stop) * time.Second, Data: f.FS != nil, Disk: f.Disk, Checkpoint: f.Checkpoint, Known: f.Known})
 }
 
-func makeLoop(p props.Props, f Folder, n *node.Node, logger log.Logger) (*run.Loop, error) {
+func makeLoop(p props.Props, f Folder, x Platform, n *node.Node, logger log.Logger) (*run.Loop, error) {
 	l := run.New(logger)
 	l.Node, l.Log, l.FS = n, f.Log, f.FS
 	listen := p.Listen
@@ -96,7 +112,7 @@
 	if l.Link, err = link.Open(listen, logger, l.Offer); err != nil {
 		return nil, err
 	}
-	if l.Web, err = web.Open(p.Web, l.Offer); err != nil {
+	if l.Web, err = web.Open(web.Options{Addr: p.Web, In: l.Offer, Doors: x.Doors}); err != nil {
 		l.Link.Close()
 		return nil, err
 	}
@@ -105,14 +121,18 @@
 }
 
 // Module is the daemon.
-func Module(p props.Props) fx.Option {
+func Module(p props.Props, x Platform) fx.Option {
 	return fx.Module("fernlink",
-		fx.Supply(p),
+		fx.Supply(p, x),
 		fx.Provide(run.Logger, openFolder, makeNode, makeLoop),
 		fx.Invoke(func(life fx.Lifecycle, quit fx.Shutdowner, l *run.Loop, logger log.Logger) {
+			watch, end := context.WithCancel(context.Background())
 			life.Append(fx.Hook{
 				OnStart: func(context.Context) error {
 					l.Start()
+					if x.Seeds != nil {
+						go reload(watch, x.Seeds, l, logger)
+					}
 					go func() {
 						if err, ok := <-l.Halted; ok {
 							_ = logger.Log("part", "daemon", "msg", "stopped by a mishap", "mishap", err)
@@ -123,6 +143,7 @@
 					return nil
 				},
 				OnStop: func(ctx context.Context) error {
+					end()
 					l.Stop(ctx)
 					_ = logger.Log("part", "daemon", "msg", "stopped")
 					return nil
