--- a/api/api.go
+++ b/api/api.go
@@ -7,6 +7,7 @@
 	_ "embed"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -112,6 +113,18 @@
 	Name string  `json:"name"`
 	Kind string  `json:"kind"`
 	Keep float64 `json:"keep_share"`
+
+	Health   string   `json:"health,omitempty"`    // the path that tells whether an engine is well
+	Conns    int      `json:"conns,omitempty"`     // connections to one engine
+	Slots    int      `json:"slots,omitempty"`     // requests that one engine runs at once
+	KvTokens int      `json:"kv_tokens,omitempty"` // tokens of memory that one engine has
+	Models   []string `json:"models,omitempty"`    // each with weights of its own
+}
+
+// Share is a pool's part of a route's requests.
+type Share struct {
+	Pool  string `json:"pool"`
+	Share int    `json:"share"`
 }
 
 type Route struct {
@@ -122,6 +135,27 @@
 	Once    bool     `json:"once"`
 	Timeout int      `json:"timeout_ms"`
 	Most    int      `json:"most"`
+
+	// A route with a host serves that host alone and is matched elsewhere.
+	Host      string  `json:"host,omitempty"`
+	Kind      string  `json:"kind,omitempty"` // again, once, stream or samples
+	Split     []Share `json:"split,omitempty"`
+	Tries     int     `json:"tries,omitempty"`
+	TargetMS  int     `json:"target_ms,omitempty"`
+	Rank      int     `json:"rank,omitempty"`
+	DueMS     int     `json:"due_ms,omitempty"`
+	WaitMS    int     `json:"wait_ms,omitempty"`
+	Single    bool    `json:"one_version,omitempty"`
+	Sticky    bool    `json:"sticky,omitempty"`
+	Resumable bool    `json:"resumable,omitempty"`
+}
+
+// Limits bound what callers send, in bytes and milliseconds; 0 is the usual.
+type Limits struct {
+	HeaderBytes int `json:"header_bytes,omitempty"`
+	BodyBytes   int `json:"body_bytes,omitempty"`
+	HeaderMS    int `json:"header_ms,omitempty"`
+	IdleMS      int `json:"idle_ms,omitempty"`
 }
 
 type Pin struct {
@@ -135,6 +169,9 @@
 	Pins      []Pin   `json:"pins"`
 	Placement string  `json:"placement"`
 
+	Limits *Limits         `json:"limits,omitempty"`
+	Source json.RawMessage `json:"source,omitempty"` // what it was made from
+
 	byPath map[string][]int32 // routes by path, in their order
 }
 
@@ -142,13 +179,18 @@
 func (p *Plan) Index() {
 	p.byPath = make(map[string][]int32, len(p.Routes))
 	for i, r := range p.Routes {
+		if r.Host != "" {
+			continue
+		}
 		at := strings.TrimSuffix(r.Path, "/")
 		p.byPath[at] = append(p.byPath[at], int32(i))
 	}
 }
 
-// PlanPut is a whole new plan made from the version Read.
+// PlanPut is a whole new plan made from the version Read. Version is its own,
+// or 0 for the next.
 type PlanPut struct {
+	Version uint64          `json:"version,omitempty"`
 	Read    uint64          `json:"read"`
 	Request string          `json:"request"`
 	Plan    json.RawMessage `json:"plan"`
@@ -160,7 +202,10 @@
 	RouteMost    = 64
 )
 
-// Serves says whether a route takes this request.
+// HostTimeout is the longest time-out of a route with a host, in milliseconds.
+const HostTimeout = 600_000
+
+// Serves says whether a route takes this request, whatever its host.
 func (r Route) Serves(verb, path string) bool {
 	if !under(r.Path, path) {
 		return false
@@ -208,6 +253,48 @@
 	return nil
 }
 
+// Names says whether a pool of the plan has weights under a name: a model pool's
+// own, or that of a model which a pool lists.
+func (p *Plan) Names(name string) bool {
+	for _, x := range p.Pools {
+		if x.Name == name && x.Kind == "model" || slices.Contains(x.Models, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// hosted checks a route with a host.
+func (r Route) hosted(pools map[string]*Pool, seen map[[2]string]bool, bad func(field, text string, a ...any)) {
+	if k := [2]string{r.Host, r.Path}; seen[k] {
+		bad("/path", "host %q has this path twice", r.Host)
+	} else {
+		seen[k] = true
+	}
+	if !strings.HasPrefix(r.Path, "/") || !strings.HasSuffix(r.Path, "/") {
+		bad("/path", "must begin and end with a slash")
+	}
+	if r.Kind == "" {
+		bad("/kind", "a route with a host needs a kind")
+	}
+	if r.Timeout <= 0 || r.Timeout > HostTimeout {
+		bad("/timeout_ms", "a route with a host needs a time-out of 1 to %d", HostTimeout)
+	}
+	if pools[r.Pool] == nil {
+		bad("/pool", "no pool %q in this plan", r.Pool)
+	}
+	sum := 0
+	for i, x := range r.Split {
+		if pools[x.Pool] == nil {
+			bad("/split/"+strconv.Itoa(i)+"/pool", "no pool %q in this plan", x.Pool)
+		}
+		sum += x.Share
+	}
+	if len(r.Split) > 0 && sum == 0 {
+		bad("/split", "the shares add up to 0")
+	}
+}
+
 // Meaning checks what a schema can't say (design 6.1). policies are the
 // placement policies that exist.
 func (p *Plan) Meaning(policies []string) []ledger.Fault {
@@ -215,24 +302,29 @@
 	bad := func(at, text string, a ...any) {
 		out = append(out, ledger.Fault{At: at, Text: fmt.Sprintf(text, a...)})
 	}
-	seen := map[string]bool{}
+	pools := make(map[string]*Pool, len(p.Pools))
 	for i, x := range p.Pools {
-		if seen[x.Name] {
+		if pools[x.Name] != nil {
 			bad("/pools/"+strconv.Itoa(i)+"/name", "pool %q is named twice", x.Name)
+		} else {
+			pools[x.Name] = &p.Pools[i]
 		}
-		seen[x.Name] = true
 		if x.Kind == "app" && x.Keep != 0 {
 			bad("/pools/"+strconv.Itoa(i)+"/keep_share", "only model pools roll weights out")
 		}
 	}
-	names, taken := map[string]bool{}, map[string]int{}
+	names, taken, hosts := map[string]bool{}, map[string]int{}, map[[2]string]bool{}
 	for i, r := range p.Routes {
 		at := "/routes/" + strconv.Itoa(i)
 		if names[r.Name] {
 			bad(at+"/name", "route %q is named twice", r.Name)
 		}
 		names[r.Name] = true
-		x := p.Pool(r.Pool)
+		if r.Host != "" {
+			r.hosted(pools, hosts, func(field, text string, a ...any) { bad(at+field, text, a...) })
+			continue
+		}
+		x := pools[r.Pool]
 		if x == nil {
 			bad(at+"/pool", "no pool %q in this plan", r.Pool)
 		} else if x.Kind != "app" {
@@ -258,7 +350,7 @@
 		}
 	}
 	for i, x := range p.Pins {
-		if q := p.Pool(x.Pool); q == nil || q.Kind != "model" {
+		if q := pools[x.Pool]; q == nil || q.Kind != "model" {
 			bad("/pins/"+strconv.Itoa(i)+"/pool", "no model pool %q in this plan", x.Pool)
 		}
 	}
--- a/core/disp/admin.go
+++ b/core/disp/admin.go
@@ -121,7 +121,7 @@
 		d.out.Answer(c.ID, 422, faults{"does not make sense", bad}, nil)
 		return
 	}
-	d.up(c, "plan.put", ledger.PutPlan{Read: p.Read, Request: p.Request, Doc: p.Plan})
+	d.up(c, "plan.put", ledger.PutPlan{Version: p.Version, Read: p.Read, Request: p.Request, Doc: p.Plan})
 }
 
 func (d *Disp) stepOpen(c flow.Call) {
@@ -158,11 +158,9 @@
 		return
 	}
 	t.Pool = c.Vars["pool"]
-	if d.plan != nil {
-		if x := d.plan.Pool(t.Pool); x == nil || x.Kind != "model" {
-			d.out.Answer(c.ID, 404, answer{Error: "no such model pool in the plan in force"}, nil)
-			return
-		}
+	if d.plan != nil && !d.plan.Names(t.Pool) {
+		d.out.Answer(c.ID, 404, answer{Error: "no such model pool or model in the plan in force"}, nil)
+		return
 	}
 	d.up(c, "target.put", t)
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -28,6 +28,8 @@
 	Roles      []string
 	Seeds      []string
 	Form       []string
+	First      bool // see store.Props
+	Want       int
 	Platform   string
 	Seed       int64
 	Keep       int
@@ -81,7 +83,7 @@
 	n.gossip = gossip.New(gossip.Props{Self: self, Known: p.Known, Seeds: p.Seeds, Rand: r()})
 	n.asker = ask.New(uint64(p.Inc) << 20)
 	if n.runs("store") {
-		s, err := store.New(now, store.Props{ID: p.ID, Addr: p.Addr, Area: p.Area, Form: p.Form, Keep: p.Keep, Bounds: p.Bounds, Rand: r(), Disk: p.Disk})
+		s, err := store.New(now, store.Props{ID: p.ID, Addr: p.Addr, Area: p.Area, Form: p.Form, First: p.First, Want: p.Want, Keep: p.Keep, Bounds: p.Bounds, Rand: r(), Disk: p.Disk})
 		if err != nil {
 			return nil, err
 		}
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -574,7 +574,11 @@
 	}
 }
 
-const most = 64 // entries in one message
+// One message has so many entries, and about so many bytes of them, at most.
+const (
+	most      = 64
+	mostBytes = 4 << 20
+)
 
 func (r *Raft) feed(id string, beat bool) {
 	p := r.peers[id]
@@ -594,6 +598,12 @@
 	}
 	from := p.next - r.base.Index - 1
 	to := min(from+most, uint64(len(r.log)))
+	size := 0
+	for i := from; i < to; i++ {
+		if size += len(r.log[i].Data); size > mostBytes && i > from {
+			to = i // a line has a longest, and the rest follows
+		}
+	}
 	add := append([]flow.Entry(nil), r.log[from:to]...)
 	r.send(id, Msg{Kind: "app", Term: r.hard.Term, Index: prev, LogTerm: t, Commit: r.commit, Round: r.round, Add: add})
 	if !beat {
--- a/core/store/members.go
+++ b/core/store/members.go
@@ -45,6 +45,9 @@
 	}
 	if s.formed == 0 {
 		s.formed = now + budget.Lost // a node that knows a cluster may still speak up
+		if s.p.First {
+			s.formed = now + 2*budget.Beat
+		}
 	}
 	if now < s.formed {
 		return
--- a/core/store/repair.go
+++ b/core/store/repair.go
@@ -19,7 +19,7 @@
 	if now < s.look || s.raft.Role() != raft.Leader || !s.raft.Ready() || s.raft.Busy() {
 		return
 	}
-	s.look = now + 5*budget.Beat
+	s.look = now + budget.Beat
 	s.taken = map[string]string{}
 	for _, e := range live {
 		s.taken[e.Addr] = e.ID
@@ -31,6 +31,7 @@
 			continue
 		}
 		if _, _, err := s.raft.Change(next); err == nil {
+			s.look = now // the next is looked for as soon as this is committed
 			s.counts["writes"]++
 			out.Note("store", what, "members", len(next.Members), "voters", next.Voters())
 		}
@@ -45,6 +46,7 @@
 	(*Store).trim,
 	(*Store).fill,
 	(*Store).spread,
+	(*Store).grow,
 	(*Store).forgetLearner,
 }
 
@@ -74,11 +76,34 @@
 // emptied, or it is lost.
 func (s *Store) gone(m raft.Member, now flow.Time) bool { return m.Leave || s.lost(m, now) }
 
-// lost says that a member is silent for long, or silent while somebody else
-// speaks from its address: its disk was replaced.
+// lost says that a member is silent for long, sooner where another stands ready
+// for its area, and soonest where somebody else speaks from its address: its
+// disk was replaced.
 func (s *Store) lost(m raft.Member, now flow.Time) bool {
 	quiet := s.raft.Silent(m.ID, now)
-	return quiet >= budget.Heal || quiet >= budget.Lost && s.taken[m.Addr] != "" && s.taken[m.Addr] != m.ID
+	return quiet >= budget.Heal || quiet >= budget.Lost && s.standby(m, now) || s.replaced(m, now)
+}
+
+// replaced says that a silent member's address speaks with another identity.
+func (s *Store) replaced(m raft.Member, now flow.Time) bool {
+	return s.raft.Silent(m.ID, now) >= budget.Lost/4 && s.taken[m.Addr] != "" && s.taken[m.Addr] != m.ID
+}
+
+// standby says whether a learner is ready to take a voter's place: one of its
+// area, or of an area without a sound voter.
+func (s *Store) standby(lost raft.Member, now flow.Time) bool {
+	c, held := s.raft.Conf(), map[string]bool{}
+	for _, m := range c.Members {
+		if m.Voter && !m.Leave && s.raft.Silent(m.ID, now) < budget.Lost {
+			held[m.Area] = true
+		}
+	}
+	for _, m := range c.Members {
+		if !m.Voter && !m.Leave && (m.Area == lost.Area || !held[m.Area]) && s.ready(m.ID, now) {
+			return true
+		}
+	}
+	return false
 }
 
 // fill promotes a ready learner where fewer sound voters stand than wanted.
@@ -153,8 +178,8 @@
 		if m.Leave {
 			n = 3
 		}
-		if s.lost(m, now) {
-			n = 4
+		if s.raft.Silent(m.ID, now) >= budget.Lost || s.replaced(m, now) {
+			n = 4 // whoever takes its place votes already
 		}
 		if n > score {
 			worst, score = i, n
@@ -195,6 +220,22 @@
 	return c.With(m), "promoted a learner of an area without a voter"
 }
 
+// grow wants more voters than the cluster was formed with, once there are as
+// many sound machines. An even number survives no more than one less.
+func (s *Store) grow(now flow.Time, c raft.Conf, _ []gossip.Entry) (raft.Conf, string) {
+	n, sound := s.p.Want-1+s.p.Want%2, 0
+	for _, m := range c.Members {
+		if m.Voter && !s.gone(m, now) || !m.Voter && !m.Leave && s.ready(m.ID, now) {
+			sound++
+		}
+	}
+	if n <= want(c) || sound < n {
+		return c, ""
+	}
+	c.Want = n
+	return c, "wants more voters"
+}
+
 // forgetLearner drops a learner that has been silent for very long.
 func (s *Store) forgetLearner(now flow.Time, c raft.Conf, _ []gossip.Entry) (raft.Conf, string) {
 	for _, m := range c.Members {
