outcall: kept connections, surplus answers, raw streams, headers as given

Engines name the request in each answer, so a connection may carry one request after another without a mix-up. A request is still written once: only a kept connection whose write took no byte is replaced by a new one. Ruled out: net/http's transport, which repeats requests by itself.

--- a/shell/outcall/outcall.go
+++ b/shell/outcall/outcall.go
@@ -1,32 +1,33 @@
 // Package outcall makes this node's requests of engines, judges and the
-// platform (design 7.3). Each request has its own connection and is written
-// once: there is no pool, and so nothing that could replay it.
+// platform (design 7.3). Each request is written once. A kept connection carries
+// one request at a time, is owned by one task at any time, and is never a
+// reason to repeat a request that may have put out a byte.
 package outcall
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"io"
 	"net"
-	"net/http"
-	"net/url"
-	"strings"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"fernlink/core/flow"
 	"fernlink/shell/clock"
+	"fernlink/shell/sock"
 )
 
 // Mishaps of this layer.
 var (
 	ErrLate   = errors.New("outcall: too late to start")
 	ErrBroken = errors.New("outcall: the answer is not whole")
+	errAddr   = errors.New("outcall: bad address")
+	errField  = errors.New("outcall: a header can't be written")
 )
 
-// BodyMost is the largest whole answer; EventMost the longest streamed event.
+// BodyMost is the largest whole answer; EventMost the longest streamed event;
+// both in bytes.
 const (
 	BodyMost  = 8 << 20
 	EventMost = 1 << 20
@@ -36,49 +37,77 @@
 type Caller struct {
 	In   func(flow.Event)
 	mu   sync.Mutex
-	open map[uint64]context.CancelFunc
+	open map[uint64]*task
 	wg   sync.WaitGroup
 	stop bool
+	pool pool
+	dial net.Dialer
+}
+
+// task is one send that is under way. Its connection and quit are under the
+// caller's lock, so that a cut closes them only while the task owns them.
+type task struct {
+	flow.Send
+	cut  atomic.Bool
+	conn net.Conn
+	quit context.CancelFunc
 }
 
 // New is a caller that tells In what came back.
-func New(in func(flow.Event)) *Caller { return &Caller{In: in, open: map[uint64]context.CancelFunc{}} }
+func New(in func(flow.Event)) *Caller {
+	return &Caller{In: in, open: map[uint64]*task{}, dial: sock.Dialer()}
+}
 
 // Start begins a send.
 func (c *Caller) Start(s flow.Send) {
-	ctx, quit := context.WithTimeout(context.Background(), s.Limit-clock.Now())
+	t := &task{Send: s}
 	c.mu.Lock()
 	if c.stop {
 		c.mu.Unlock()
-		quit()
 		return
 	}
-	c.open[s.ID] = quit
+	c.open[s.ID] = t
 	c.wg.Add(1)
 	c.mu.Unlock()
 	go func() {
 		defer c.wg.Done()
-		b := c.run(ctx, s)
-		b.ID, b.End = s.ID, true
+		b := c.run(t)
+		b.End = true
 		c.mu.Lock()
-		_, live := c.open[s.ID]
-		delete(c.open, s.ID)
-		c.mu.Unlock()
-		quit()
-		if live {
-			c.In(flow.Event{Back: &b})
+		if c.open[s.ID] == t {
+			delete(c.open, s.ID)
 		}
+		c.mu.Unlock()
+		c.tell(t, b)
 	}()
 }
 
+// tell passes news of a send on, unless it was cut.
+func (c *Caller) tell(t *task, b flow.Back) {
+	if !t.cut.Load() {
+		b.ID = t.ID
+		c.In(flow.Event{Back: &b})
+	}
+}
+
 // Cut aborts a send; nothing more is heard of it.
 func (c *Caller) Cut(id uint64) {
 	c.mu.Lock()
-	quit := c.open[id]
-	delete(c.open, id)
-	c.mu.Unlock()
-	if quit != nil {
-		quit()
+	defer c.mu.Unlock()
+	if t := c.open[id]; t != nil {
+		c.abort(t)
+	}
+}
+
+// abort ends a task's waiting; mu is held.
+func (c *Caller) abort(t *task) {
+	delete(c.open, t.ID)
+	t.cut.Store(true)
+	if t.quit != nil {
+		t.quit()
+	}
+	if t.conn != nil {
+		_ = t.conn.Close()
 	}
 }
 
@@ -86,99 +115,112 @@
 func (c *Caller) Close() {
 	c.mu.Lock()
 	c.stop = true
-	for id, quit := range c.open {
-		quit()
-		delete(c.open, id)
+	for _, t := range c.open {
+		c.abort(t)
 	}
 	c.mu.Unlock()
 	c.wg.Wait()
+	c.pool.close()
 }
 
-// gate lets nothing out after its time, and knows whether anything went.
-type gate struct {
-	net.Conn
-	until flow.Time
-	sent  bool
-}
-
-func (g *gate) Write(b []byte) (int, error) {
-	if !g.sent && clock.Now() >= g.until {
-		return 0, ErrLate
-	}
-	g.sent = true
-	return g.Conn.Write(b)
-}
-
-func (c *Caller) run(ctx context.Context, s flow.Send) flow.Back {
-	fail := func(err error, unsent bool) flow.Back { return flow.Back{Err: err.Error(), Unsent: unsent} }
-	u, err := url.Parse(s.URL)
-	if err != nil || u.Host == "" {
-		return fail(errors.New("outcall: bad address"), true)
-	}
-	if clock.Now() >= s.Until {
-		return fail(ErrLate, true)
-	}
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", u.Host)
+func (c *Caller) run(t *task) flow.Back {
+	to, target, err := split(t.URL)
 	if err != nil {
-		return fail(err, true)
-	}
-	defer conn.Close()
-	free := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer free()
-	req, err := http.NewRequest(s.Verb, s.URL, bytes.NewReader(s.Body))
-	if err != nil {
-		return fail(err, true)
-	}
-	for k, v := range s.Head {
-		req.Header.Set(k, v)
+		return failed(err, true)
 	}
-	req.Close = true
-	g := &gate{Conn: conn, until: s.Until}
-	if err := req.Write(g); err != nil {
-		return fail(err, !g.sent)
+	head := heads.Get().(*[]byte)
+	defer heads.Put(head)
+	if *head, err = request((*head)[:0], t, to, target); err != nil {
+		return failed(err, true)
 	}
-	res, err := http.ReadResponse(bufio.NewReader(conn), req)
-	if err != nil {
-		return fail(err, false)
-	}
-	defer res.Body.Close()
-	b := flow.Back{Code: res.StatusCode, Head: map[string]string{}}
-	for _, k := range []string{"Content-Type", "Retry-After", "Location"} {
-		if v := res.Header.Get(k); v != "" {
-			b.Head[k] = v
+	for kept := t.Keep; ; kept = false {
+		if clock.Now() >= t.Until {
+			return failed(ErrLate, true)
 		}
+		l, err := c.line(t, to, kept)
+		if err != nil {
+			return failed(err, true)
+		}
+		g := &gate{Conn: l.conn, until: t.Until}
+		err = send(g, *head, t.Body)
+		if err != nil && !g.sent && l.used && err != ErrLate {
+			c.drop(t, l)
+			continue // over a new connection: nothing left on this one
+		}
+		if err != nil {
+			c.drop(t, l)
+			return failed(err, !g.sent)
+		}
+		return c.answer(t, l)
 	}
-	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
-		return fail(ErrBroken, false) // no length and no end mark: never known whole
-	}
-	if s.Stream && res.StatusCode == 200 {
-		if err := c.events(s.ID, res.Body); err != nil {
-			b.Err = err.Error()
+}
+
+func failed(err error, unsent bool) flow.Back { return flow.Back{Err: err.Error(), Unsent: unsent} }
+
+// line gives the task a connection: a kept one where it may be one and one is
+// there, and otherwise a new one.
+func (c *Caller) line(t *task, to string, kept bool) (*line, error) {
+	limit := time.Now().Add(t.Limit - clock.Now())
+	if kept {
+		if l := c.pool.take(to); l != nil {
+			if !c.own(t, l) {
+				return nil, context.Canceled
+			}
+			_ = l.conn.SetDeadline(limit)
+			return l, nil
 		}
-		return b
 	}
-	b.Body, err = io.ReadAll(io.LimitReader(res.Body, BodyMost+1))
-	if err == nil && len(b.Body) > BodyMost {
-		err = errors.Wrap(ErrBroken, "larger than is allowed")
+	wait := min(t.Limit, t.Until) - clock.Now()
+	ctx, quit := context.WithTimeout(context.Background(), min(wait, sock.Connect))
+	defer quit()
+	c.mu.Lock()
+	t.quit = quit
+	c.mu.Unlock()
+	if t.cut.Load() {
+		return nil, context.Canceled
 	}
+	conn, err := c.dial.DialContext(ctx, "tcp", to)
 	if err != nil {
-		return fail(err, false)
+		return nil, errors.Wrap(err, "outcall")
+	}
+	l := &line{conn: conn, to: to}
+	if !c.own(t, l) {
+		return nil, context.Canceled
 	}
-	return b
+	_ = conn.SetDeadline(limit)
+	return l, nil
 }
 
-// events reads server-sent events up to the clean end of the body.
-func (c *Caller) events(id uint64, body io.Reader) error {
-	s := bufio.NewScanner(body)
-	s.Buffer(make([]byte, 0, 4096), EventMost)
-	for s.Scan() {
-		line := s.Text()
-		data, ok := strings.CutPrefix(line, "data:")
-		if !ok {
-			continue
-		}
-		c.In(flow.Event{Back: &flow.Back{ID: id, Event: []byte(strings.TrimSpace(data))}})
+// own makes a connection the task's, unless the task was cut.
+func (c *Caller) own(t *task, l *line) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t.quit = nil
+	if t.cut.Load() {
+		_ = l.conn.Close()
+		return false
+	}
+	t.conn = l.conn
+	return true
+}
+
+// drop closes the task's connection.
+func (c *Caller) drop(t *task, l *line) {
+	c.mu.Lock()
+	t.conn = nil
+	c.mu.Unlock()
+	_ = l.conn.Close()
+}
+
+// keep hands the task's connection back for others, until the time given.
+func (c *Caller) keep(t *task, l *line, till flow.Time) {
+	c.mu.Lock()
+	t.conn = nil
+	cut := t.cut.Load()
+	c.mu.Unlock()
+	if cut {
+		_ = l.conn.Close()
+		return
 	}
-	return s.Err()
+	c.pool.put(l, till)
 }
