web: doors of their own, limits that change, answers that are cut, drain

A gateway serves application and control traffic at addresses of their own. net/http's limits of time are fixed once it serves, so the connection sets the bound of its state where the server takes a deadline away. Draining leaves idle connections open: a request may be on its way there. The last part of a stream no longer goes out under the deadline of the part before it.

--- a/shell/run/run.go
+++ b/shell/run/run.go
@@ -83,6 +83,7 @@
 // Stop lets the node hand on what it has, then ends the loop and the shells. The
 // node bounds the first itself (design 5.5).
 func (l *Loop) Stop(ctx context.Context) {
+	l.Web.Drain()
 	l.Put(flow.Event{Stop: true})
 	select {
 	case <-l.left:
--- /dev/null
+++ b/shell/web/limits.go
@@ -0,0 +1,222 @@
+package web
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// BodyMost is the largest request in bytes, where nothing else is said.
+const BodyMost = 8 << 20
+
+// headerMost is the most that any limit lets a header have; drainMost how much
+// of a body that is too large is read off, so that its sender hears why, and
+// drainWait for how long.
+const (
+	headerMost = 1 << 20
+	drainMost  = 16 << 20
+	drainWait  = 2 * time.Second
+)
+
+// Limits bound what a client may send: bytes of a header and of a body, how long
+// a header may take from its first byte (a new connection's from its start), and
+// how long a client may say nothing between requests or within a body. What is
+// zero or less stays as it was.
+type Limits struct {
+	HeaderBytes, BodyBytes int
+	Header, Idle           time.Duration
+}
+
+// Limit changes the limits. They hold for what is read from now on.
+func (w *Web) Limit(l Limits) {
+	for {
+		was := w.limits.Load()
+		now := *was
+		if l.HeaderBytes > 0 {
+			now.HeaderBytes = min(l.HeaderBytes, headerMost)
+		}
+		if l.BodyBytes > 0 {
+			now.BodyBytes = l.BodyBytes
+		}
+		if l.Header > 0 {
+			now.Header = l.Header
+		}
+		if l.Idle > 0 {
+			now.Idle = l.Idle
+		}
+		if w.limits.CompareAndSwap(was, &now) {
+			return
+		}
+	}
+}
+
+// guard holds requests against the limit of headers, and says when the
+// connection ends with the answer.
+func (w *Web) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+		head := rw.Header()
+		head["Date"] = nil
+		if w.ending.Load() {
+			head["Connection"] = closing
+		}
+		if headerBytes(req) > w.limits.Load().HeaderBytes {
+			head["Connection"] = closing
+			problem(rw, 431, "the header is larger than is taken here")
+			return
+		}
+		next.ServeHTTP(rw, req)
+	})
+}
+
+var closing = []string{"close"}
+
+func headerBytes(req *http.Request) int {
+	n := len(req.Method) + len(req.RequestURI) + len(req.Host) + len(" HTTP/1.1\r\nHost: \r\n\r\n")
+	for k, vs := range req.Header {
+		for _, v := range vs {
+			n += len(k) + len(v) + 4
+		}
+	}
+	return n
+}
+
+var errLarge = errors.New("web: larger than is taken")
+
+// body reads a request's body whole.
+func (w *Web) body(rw http.ResponseWriter, req *http.Request) ([]byte, error) {
+	if req.ContentLength == 0 {
+		return nil, nil
+	}
+	l := w.limits.Load()
+	ctl := http.NewResponseController(rw)
+	defer func() { _ = ctl.SetReadDeadline(time.Time{}) }()
+	if req.ContentLength > int64(l.BodyBytes) {
+		if req.Header.Get("Expect") == "" { // one that expects a word first has not sent it
+			drain(ctl, req.Body)
+		}
+		return nil, errLarge
+	}
+	in := &patient{req.Body, ctl, l.Idle}
+	if n := req.ContentLength; n > 0 && n <= 64<<10 { // it is not trusted with more
+		b := make([]byte, n)
+		_, err := io.ReadFull(in, b)
+		return b, err
+	}
+	var b bytes.Buffer
+	_, err := b.ReadFrom(io.LimitReader(in, int64(l.BodyBytes)+1))
+	if err == nil && b.Len() > l.BodyBytes {
+		drain(ctl, req.Body)
+		err = errLarge
+	}
+	return b.Bytes(), err
+}
+
+func drain(ctl *http.ResponseController, body io.Reader) {
+	_ = ctl.SetReadDeadline(time.Now().Add(drainWait))
+	_, _ = io.CopyN(io.Discard, body, drainMost)
+}
+
+// patient waits a bounded time for each piece of a body.
+type patient struct {
+	in   io.Reader
+	ctl  *http.ResponseController
+	wait time.Duration
+}
+
+func (p *patient) Read(b []byte) (int, error) {
+	_ = p.ctl.SetReadDeadline(time.Now().Add(p.wait))
+	return p.in.Read(b)
+}
+
+// listener gives connections that know the limits.
+type listener struct {
+	net.Listener
+	w *Web
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
+	}
+	return &conn{TCPConn: tcp, w: l.w}, nil
+}
+
+// The states of a connection: its next header is being read, a request is being
+// answered, or nothing was heard since the last answer.
+const (
+	reading int32 = iota
+	busy
+	idle
+)
+
+// conn bounds how long its client may be silent. The server's own limits of time
+// are fixed once it serves; so it has none, and each time that it takes a
+// deadline away, the one of the connection's state is set in its place.
+type conn struct {
+	*net.TCPConn
+	w  *Web
+	at atomic.Int32
+}
+
+// state follows what the server knows of a connection.
+func state(nc net.Conn, s http.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	switch s {
+	case http.StateNew:
+		c.at.Store(reading)
+		c.bound(c.w.limits.Load().Header)
+	case http.StateActive:
+		c.at.Store(busy)
+		_ = c.TCPConn.SetReadDeadline(time.Time{})
+	case http.StateIdle:
+		c.at.Store(idle) // the server takes its deadline away next
+	}
+}
+
+func (c *conn) bound(d time.Duration) { _ = c.TCPConn.SetReadDeadline(time.Now().Add(d)) }
+
+// SetReadDeadline keeps the bound of the connection's state where the server
+// wants none.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	if t.IsZero() {
+		switch c.at.Load() {
+		case reading:
+			return nil
+		case idle:
+			c.bound(c.w.limits.Load().Idle)
+			return nil
+		}
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// Read begins the time of a header with its first byte.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 && c.at.CompareAndSwap(idle, reading) {
+		c.bound(c.w.limits.Load().Header)
+	}
+	return n, err
+}
+
+// hostOf is a request's host in lower case and without its port.
+func hostOf(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(strings.Trim(host, "[]"))
+}
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -20,26 +19,54 @@
 	"fernlink/core/flow"
 )
 
-// BodyMost is the largest request; WatchMost the lines a slow watcher may lag.
+// WatchMost is the lines a slow watcher may lag, StreamMost the parts that a
+// slow reader at a door may lag, and LagMost how many bytes of them.
 const (
-	BodyMost  = 8 << 20
-	WatchMost = 256
+	WatchMost  = 256
+	StreamMost = 1024
+	LagMost    = 16 << 20
 )
 
+// writeWait is how long one part of an answer may take to be written.
+const writeWait = 10 * time.Second
+
+// Options say where a web listens. In takes what comes, and says no when there
+// is no room. Addr is the administration API's.
+type Options struct {
+	Addr  string
+	In    func(flow.Event) bool
+	Doors []Door
+}
+
+// Door is one more address, with its own routes. Rest names the call of
+// everything else there; "" answers it with 404.
+type Door struct {
+	Addr   string
+	Routes []DoorRoute
+	Rest   string
+}
+
+// DoorRoute names the calls of one verb (any when it is "") and path, which is
+// a template of gorilla/mux; a path without a variable goes before those with
+// one. Into may rewrite a call, or answer it at once. Back may rewrite an answer
+// that is whole. Both may be nil, and run in the request's task.
+type DoorRoute struct {
+	Verb, Path, Name string
+	Into             func(*flow.Call) *flow.Reply
+	Back             func(flow.Reply) flow.Reply
+}
+
 // Web is the server.
 type Web struct {
 	In func(flow.Event) bool
 
-	ids  atomic.Uint64
-	mu   sync.Mutex
-	open map[uint64]*call
-	srv  *http.Server
-	ear  net.Listener
-}
-
-type call struct {
-	parts chan flow.Reply
-	slow  bool
+	ids    atomic.Uint64
+	limits atomic.Pointer[Limits]
+	ending atomic.Bool
+	mu     sync.Mutex
+	open   map[uint64]*call
+	srvs   []*http.Server
+	ears   []net.Listener
 }
 
 type route struct{ verb, path, name string }
@@ -71,23 +98,60 @@
 	{"GET", "/v1/watch/{slice}", "watch"},
 }
 
-// Open listens and serves.
+// Open listens and serves the administration API alone.
 func Open(addr string, in func(flow.Event) bool) (*Web, error) {
-	ear, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, errors.Wrap(err, "web: listen")
+	return OpenDoors(Options{Addr: addr, In: in})
+}
+
+// OpenDoors listens and serves the administration API and doors.
+func OpenDoors(o Options) (*Web, error) {
+	w := &Web{In: o.In, open: map[uint64]*call{}}
+	w.limits.Store(&Limits{HeaderBytes: 64 << 10, BodyBytes: BodyMost, Header: 10 * time.Second, Idle: 2 * time.Minute})
+	hands := []http.Handler{w.admin()}
+	addrs := []string{o.Addr}
+	for _, d := range o.Doors {
+		hands, addrs = append(hands, w.door(d)), append(addrs, d.Addr)
+	}
+	for _, addr := range addrs {
+		ear, err := net.Listen("tcp", addr)
+		if err != nil {
+			for _, e := range w.ears {
+				_ = e.Close()
+			}
+			return nil, errors.Wrap(err, "web: listen")
+		}
+		w.ears = append(w.ears, ear)
+	}
+	for i, ear := range w.ears {
+		srv := &http.Server{Handler: w.guard(hands[i]), MaxHeaderBytes: headerMost, ConnState: state, DisableGeneralOptionsHandler: true}
+		w.srvs = append(w.srvs, srv)
+		go func() { _ = srv.Serve(&listener{ear, w}) }()
 	}
-	w := &Web{In: in, open: map[uint64]*call{}, ear: ear}
-	w.srv = &http.Server{Handler: w.router(), ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10}
-	go func() { _ = w.srv.Serve(ear) }()
 	return w, nil
 }
 
+// Addr is where the administration API listens (0) or a door (1 and on, in the
+// order of the options).
+func (w *Web) Addr(i int) net.Addr { return w.ears[i].Addr() }
+
+// Drain has each answer from now on close its connection. New connections and
+// requests are still served (design 5.5). Idle connections stay, since a
+// request may be on its way there.
+func (w *Web) Drain() { w.ending.Store(true) }
+
 // Close stops taking requests and gives open ones a moment to end.
 func (w *Web) Close(ctx context.Context) {
-	if w.srv.Shutdown(ctx) != nil {
-		_ = w.srv.Close()
+	var wg sync.WaitGroup
+	for _, srv := range w.srvs {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if srv.Shutdown(ctx) != nil {
+				_ = srv.Close()
+			}
+		}()
 	}
+	wg.Wait()
 }
 
 func problem(rw http.ResponseWriter, code int, text string, more ...string) {
@@ -99,12 +163,16 @@
 	_ = json.NewEncoder(rw).Encode(map[string]string{"error": text})
 }
 
-func (w *Web) router() http.Handler {
+func (w *Web) admin() http.Handler {
 	r := mux.NewRouter()
 	r.UseEncodedPath()
 	allow := map[string][]string{}
+	plain := func(name string) http.HandlerFunc {
+		x := &DoorRoute{Name: name}
+		return func(rw http.ResponseWriter, req *http.Request) { w.serve(rw, req, x, mux.Vars(req), WatchMost) }
+	}
 	for _, x := range Routes {
-		r.Methods(x.verb).Path(x.path).HandlerFunc(w.serve(x.name))
+		r.Methods(x.verb).Path(x.path).HandlerFunc(plain(x.name))
 		allow[x.path] = append(allow[x.path], x.verb)
 	}
 	r.Methods("GET").Path("/v1/schema").HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
@@ -118,99 +186,58 @@
 		})
 	}
 	r.PathPrefix("/v1/").HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { problem(rw, 404, "no such door in the API") })
-	r.PathPrefix("/").HandlerFunc(w.serve("app"))
+	r.PathPrefix("/").HandlerFunc(plain("app"))
 	return r
 }
 
-func (w *Web) serve(name string) http.HandlerFunc {
-	return func(rw http.ResponseWriter, req *http.Request) {
-		body, err := io.ReadAll(http.MaxBytesReader(rw, req.Body, BodyMost))
-		if err != nil {
-			var big *http.MaxBytesError
-			if errors.As(err, &big) {
-				problem(rw, 413, "larger than is taken here")
-				return
+// door serves one door's routes.
+func (w *Web) door(d Door) http.Handler {
+	r := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	routes := map[*mux.Route]*DoorRoute{}
+	fixed := map[[2]string]*DoorRoute{} // by verb and path
+	for i := range d.Routes {
+		x := &d.Routes[i]
+		if key := [2]string{x.Verb, x.Path}; !strings.Contains(x.Path, "{") {
+			if fixed[key] == nil {
+				fixed[key] = x
 			}
-			problem(rw, 400, "the request broke off")
-			return
+			continue
 		}
-		c := flow.Call{ID: w.ids.Add(1), Name: name, Vars: mux.Vars(req), Query: map[string]string{}, Head: map[string]string{},
-			Verb: req.Method, Path: req.URL.EscapedPath(), Body: body}
-		for k, v := range req.URL.Query() {
-			c.Query[k] = v[0]
+		m := r.NewRoute().Path(x.Path).HandlerFunc(http.NotFound)
+		if x.Verb != "" {
+			m.Methods(x.Verb)
 		}
-		c.Query["?"] = req.URL.RawQuery
-		for _, k := range []string{"Content-Type", "Accept", "Idempotency-Key"} {
-			if v := req.Header.Get(k); v != "" {
-				c.Head[k] = v
-			}
+		routes[m] = x
+	}
+	rest := &DoorRoute{Name: d.Rest}
+	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+		path := pathOf(req)
+		x := fixed[[2]string{req.Method, path}]
+		if x == nil {
+			x = fixed[[2]string{"", path}]
 		}
-		x := &call{parts: make(chan flow.Reply, WatchMost)}
-		w.mu.Lock()
-		w.open[c.ID] = x
-		w.mu.Unlock()
-		defer func() {
-			w.mu.Lock()
-			delete(w.open, c.ID)
-			w.mu.Unlock()
-		}()
-		if !w.In(flow.Event{Call: &c}) {
-			problem(rw, 503, "too much at once", "Retry-After", "1")
+		if x != nil {
+			w.serve(rw, req, x, nil, StreamMost)
 			return
 		}
-		w.answer(rw, req, c.ID, x)
-	}
-}
-
-func (w *Web) answer(rw http.ResponseWriter, req *http.Request, id uint64, x *call) {
-	first := true
-	for {
-		select {
-		case <-req.Context().Done():
-			w.In(flow.Event{Gone: id})
+		var m mux.RouteMatch
+		if len(routes) > 0 && r.Match(req, &m) && m.MatchErr == nil {
+			w.serve(rw, req, routes[m.Route], m.Vars, StreamMost)
 			return
-		case p, ok := <-x.parts:
-			if !ok {
-				// Only a watcher that lags gets here: the reason, then the end.
-				_, _ = rw.Write([]byte(`{"end":"too slow: the watcher fell behind"}` + "\n"))
-				w.In(flow.Event{Gone: id})
-				return
-			}
-			if first {
-				for k, v := range p.Head {
-					rw.Header().Set(k, v)
-				}
-				rw.WriteHeader(p.Code)
-				first = false
-			}
-			ctl := http.NewResponseController(rw)
-			if p.More {
-				_ = ctl.SetWriteDeadline(time.Now().Add(10 * time.Second))
-			}
-			if _, err := rw.Write(p.Body); err != nil {
-				w.In(flow.Event{Gone: id})
-				return
-			}
-			if !p.More {
-				return
-			}
-			_ = ctl.Flush()
 		}
-	}
+		if d.Rest == "" {
+			problem(rw, 404, "there is nothing here")
+			return
+		}
+		w.serve(rw, req, rest, nil, StreamMost)
+	})
 }
 
-// Reply hands an answer to the task that owns the request. It never waits.
-func (w *Web) Reply(p flow.Reply) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	x := w.open[p.ID]
-	if x == nil || x.slow {
-		return
-	}
-	select {
-	case x.parts <- p:
-	default:
-		x.slow = true
-		close(x.parts)
+// pathOf is a request's path as it was written.
+func pathOf(req *http.Request) string {
+	if strings.HasPrefix(req.RequestURI, "/") {
+		path, _, _ := strings.Cut(req.RequestURI, "?")
+		return path
 	}
+	return req.URL.EscapedPath()
 }
--- a/shell/web/web_test.go
+++ b/shell/web/web_test.go
@@ -33,7 +33,7 @@
 	}
 	defer w.Close(context.Background())
 	ask := func(verb, path string, body []byte) (int, string, http.Header) {
-		req, _ := http.NewRequest(verb, "http://"+w.ear.Addr().String()+path, bytes.NewReader(body))
+		req, _ := http.NewRequest(verb, "http://"+w.Addr(0).String()+path, bytes.NewReader(body))
 		res, err := (&http.Client{Timeout: 30 * time.Second}).Do(req)
 		if err != nil {
 			t.Fatal(err)
@@ -86,7 +86,7 @@
 	defer w.Close(context.Background())
 	res := make(chan string, 1)
 	go func() {
-		r, err := http.Get("http://" + w.ear.Addr().String() + "/v1/watch/usage")
+		r, err := http.Get("http://" + w.Addr(0).String() + "/v1/watch/usage")
 		if err != nil {
 			res <- err.Error()
 			return
