--- a/shell/daemon/daemon.go
+++ b/shell/daemon/daemon.go
@@ -112,7 +112,7 @@
 	if l.Link, err = link.Open(listen, logger, l.Offer); err != nil {
 		return nil, err
 	}
-	if l.Web, err = web.Open(web.Options{Addr: p.Web, In: l.Offer, Doors: x.Doors}); err != nil {
+	if l.Web, err = web.OpenDoors(web.Options{Addr: p.Web, In: l.Offer, Doors: x.Doors}); err != nil {
 		l.Link.Close()
 		return nil, err
 	}
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"fernlink/api"
+	"fernlink/core/door"
 	"fernlink/core/flow"
 )
 
@@ -38,23 +39,11 @@
 	Doors []Door
 }
 
-// Door is one more address, with its own routes. Rest names the call of
-// everything else there; "" answers it with 404.
-type Door struct {
-	Addr   string
-	Routes []DoorRoute
-	Rest   string
-}
-
-// DoorRoute names the calls of one verb (any when it is "") and path, which is
-// a template of gorilla/mux; a path without a variable goes before those with
-// one. Into may rewrite a call, or answer it at once. Back may rewrite an answer
-// that is whole. Both may be nil, and run in the request's task.
-type DoorRoute struct {
-	Verb, Path, Name string
-	Into             func(*flow.Call) *flow.Reply
-	Back             func(flow.Reply) flow.Reply
-}
+// Door and DoorRoute describe one more address at which a node takes requests.
+type (
+	Door      = door.Door
+	DoorRoute = door.DoorRoute
+)
 
 // Web is the server.
 type Web struct {
