--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -14,6 +14,7 @@
 // Entry is what a process says of itself.
 type Entry struct {
 	ID      string   `json:"id"`
+	Name    string   `json:"name,omitempty"` // the machine's, by which operators call it
 	Inc     int64    `json:"inc"`
 	Beat    uint64   `json:"beat"`
 	Addr    string   `json:"addr"`
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -24,6 +24,7 @@
 // Props are the options of a node.
 type Props struct {
 	ID         string
+	Name       string // the machine's, by which operators call it
 	Inc        int64
 	Addr       string
 	Web        string
@@ -85,7 +86,7 @@
 func New(now flow.Time, p Props) (*Node, error) {
 	n := &Node{p: p, counts: map[string]int64{}, burst: map[string]flow.Time{}, began: now, known: p.Known}
 	r := func() *rand.Rand { p.Seed++; return rand.New(rand.NewSource(p.Seed * 7919)) }
-	self := gossip.Entry{ID: p.ID, Inc: p.Inc, Addr: p.Addr, Web: p.Web, Area: p.Area, Roles: p.Roles}
+	self := gossip.Entry{ID: p.ID, Name: p.Name, Inc: p.Inc, Addr: p.Addr, Web: p.Web, Area: p.Area, Roles: p.Roles}
 	n.gossip = gossip.New(gossip.Props{Self: self, Known: p.Known, Seeds: p.Seeds, Rand: r()})
 	n.asker = ask.New(uint64(p.Inc) << 20)
 	if n.runs("store") {
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -45,6 +45,7 @@
 	lots     *lots.Table
 	fleet    *fleet.Fleet
 	roll     *rollout.Roll
+	live     []gossip.Entry
 	leaving  bool
 }
 
@@ -66,6 +67,7 @@
 // Advance runs the rooms' systems.
 func (s *Serve) Advance(now flow.Time, live []gossip.Entry, out *flow.Outbox) {
 	s.env.Turn(now, out)
+	s.live = live
 	s.fleet.Advance(live)
 	s.roll.Advance()
 	s.requests.Advance()
@@ -114,8 +116,8 @@
 	"lot.read":      func(s *Serve, c flow.Call) { s.lots.Read(c) },
 	"lot.end":       func(s *Serve, c flow.Call) { s.lots.End(c) },
 	"lot.item":      func(s *Serve, c flow.Call) { s.lots.Item(c) },
-	"machine.empty": (*Serve).noMachine,
-	"machine.state": (*Serve).noMachine,
+	"machine.empty": (*Serve).machine,
+	"machine.state": (*Serve).machine,
 }
 
 // Serves says whether a call is this side's.
@@ -158,8 +160,16 @@
 	s.env.Out.Answer(c.ID, 200, map[string]bool{"ready": true}, nil)
 }
 
-func (s *Serve) noMachine(c flow.Call) {
-	s.env.Out.Answer(c.ID, 404, env.Problem{Error: "no such machine keeps data"}, nil)
+// machine answers an operator who wants a reserve machine emptied, or asks how
+// far that is: it keeps nothing until it is made a store (design 12.8).
+func (s *Serve) machine(c flow.Call) {
+	for _, e := range s.live {
+		if e.Name == c.Vars["id"] && e.Has("reserve") {
+			s.env.Out.Answer(c.ID, 200, map[string]string{"state": "emptied"}, nil)
+			return
+		}
+	}
+	s.env.Out.Answer(c.ID, 404, env.Problem{Error: "no such machine stands by for data"}, nil)
 }
 
 var lines = map[string]func(*Serve, flow.Line){
