--- a/props/props.go
+++ b/props/props.go
@@ -183,9 +183,9 @@
 	if p.Listen != "" {
 		one("/listen", p.Listen)
 	}
-	for at, a := range map[string]string{"/front": p.Front, "/ready": p.Ready, "/control": p.Control} {
-		if a != "" {
-			one(at, a)
+	for _, x := range [][2]string{{"/front", p.Front}, {"/ready", p.Ready}, {"/control", p.Control}} {
+		if x[1] != "" {
+			one(x[0], x[1])
 		}
 	}
 	for i, s := range p.Seeds {
