--- a/props/props_test.go
+++ b/props/props_test.go
@@ -15,6 +15,8 @@
 		`{"addr":"127.0.0.1:1","web":"127.0.0.1:2","area":"a","seeds":["127.0.0.1:1"],"roles":["coordinator"],"policies_off":["rolout"]}`:                 {"/policies_off"},
 		`{"addr":"127.0.0.1:1","web":"127.0.0.1:2","area":"a","seeds":["127.0.0.1:1"],"roles":["store"],"data":"x","form":["127.0.0.1:3","127.0.0.1:4"]}`: {"/form", "/form"},
 	}
+	cases[`{"addr":"127.0.0.1:1","web":"127.0.0.1:2","area":"a","seeds":["127.0.0.1:3"],"roles":["coordinator"],"front":"127.0.0.1:99999","ready":"999.0.0.1:1","control":"127.0.0.1:70000"}`] = []string{"/front", "/ready", "/control"}
+	cases[`{"addr":"127.0.0.1:1","web":"127.0.0.1:2","area":"a","seeds":["127.0.0.1:3"],"roles":["coordinator"],"front":"here","cpu_share":0,"list_rate":-1,"bounds":{"apply_ms":1.5,"ack_s":3},"zones":{"a":1}}`] = []string{"/front", "/cpu_share", "/list_rate", "/bounds/apply_ms", "/bounds/ack_s", "/zones/a"}
 	for in, want := range cases {
 		_, bad, err := Check([]byte(in))
 		if err != nil {
