--- a/shell/link/link.go
+++ b/shell/link/link.go
@@ -1,15 +1,16 @@
 // Package link carries JSON lines between siblings over TCP (design 5.1). A
-// task owns each connection; lines to a sibling wait in a bounded holding and
-// are dropped when it is full, since every core sends again what matters.
+// task owns each connection; lines to a sibling wait in a bounded holding, and
+// the oldest is dropped when it is full, since every core sends again what
+// matters. What waits goes out in one write.
 package link
 
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -18,12 +19,23 @@
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/node"
+	"fernlink/shell/sock"
 )
 
 // LineMost is the longest line that is read.
 const LineMost = 32 << 20
 
-const holding = 512
+// holding is how many lines wait for a sibling; batch the bytes after which no
+// more are gathered for one write; pauseLeast and pauseMost are the waits before
+// a sibling that could not be reached is tried again; pace is how many bytes a
+// second a write may count on beyond its first moments.
+const (
+	holding    = 512
+	batch      = 64 << 10
+	pauseLeast = budget.Beat / 2
+	pauseMost  = budget.Ask
+	pace       = 4 << 20
+)
 
 // Link is the set of connections.
 type Link struct {
@@ -49,7 +61,8 @@
 
 // Open listens.
 func Open(addr string, logger log.Logger, in func(flow.Event) bool) (*Link, error) {
-	ear, err := net.Listen("tcp", addr)
+	conf := net.ListenConfig{Control: sock.Control}
+	ear, err := conf.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "link: listen")
 	}
@@ -90,11 +103,18 @@
 	defer c.Close()
 	free := context.AfterFunc(l.stop, func() { _ = c.Close() })
 	defer free()
-	s := bufio.NewScanner(c)
-	s.Buffer(make([]byte, 0, 4096), LineMost)
-	for s.Scan() {
-		var x flow.Line
-		if err := json.Unmarshal(s.Bytes(), &x); err != nil {
+	in := reader{in: bufio.NewReaderSize(c, 16<<10)}
+	var last names
+	for {
+		b, err := in.next()
+		if err == errLong {
+			l.stray(c, "line too long")
+		}
+		if err != nil {
+			return
+		}
+		x, err := unpack(b, &last)
+		if err != nil {
 			l.stray(c, "malformed line")
 			return
 		}
@@ -104,9 +124,6 @@
 		}
 		l.In(flow.Event{Line: &x}) // a full holding drops the line
 	}
-	if errors.Is(s.Err(), bufio.ErrTooLong) {
-		l.stray(c, "line too long")
-	}
 }
 
 // stray counts a connection that is closed for what it said, and logs once
@@ -137,9 +154,16 @@
 		l.forget()
 	}
 	w.used = time.Now()
-	select {
-	case w.lines <- x:
-	default:
+	for {
+		select {
+		case w.lines <- x:
+			return
+		default:
+		}
+		select {
+		case <-w.lines: // the oldest says least
+		default:
+		}
 	}
 }
 
@@ -153,51 +177,133 @@
 	}
 }
 
+// speak owns the connection to one sibling.
 func (l *Link) speak(ctx context.Context, to string, w *wire) {
 	defer l.wg.Done()
-	var c net.Conn
-	defer func() {
-		if c != nil {
-			_ = c.Close()
-		}
-	}()
-	d := net.Dialer{Timeout: budget.Ask}
+	s := speaker{to: to, dial: sock.Dialer(), pause: pauseLeast}
+	defer s.close()
+	free := context.AfterFunc(ctx, s.abort)
+	defer free()
+	var buf []byte
 	for {
-		var x flow.Line
+		if cap(buf) > 2*batch {
+			buf = nil
+		}
+		buf = buf[:0]
 		select {
 		case <-ctx.Done():
 			return
-		case x = <-w.lines:
+		case x := <-w.lines:
+			buf = add(buf, x)
 		}
-		b, err := json.Marshal(x)
-		if err != nil {
+		for more := true; more && len(buf) < batch; {
+			select {
+			case x := <-w.lines:
+				buf = add(buf, x)
+			default:
+				more = false
+			}
+		}
+		if len(buf) == 0 || s.say(ctx, buf) {
 			continue
 		}
-		b = append(b, '\n')
-		for try := 0; try < 2; try++ {
-			if c == nil {
-				if c, err = d.DialContext(ctx, "tcp", to); err != nil {
-					c = nil
-					break
-				}
-			}
-			_ = c.SetWriteDeadline(time.Now().Add(budget.Lost))
-			if _, err = c.Write(b); err == nil {
-				break
-			}
-			_ = c.Close()
-			c = nil
+		// Nobody there: what waits is old by the time somebody is.
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(s.pause):
 		}
-		if c == nil {
-			// Nobody there: what waits is old by the time somebody is.
+		s.pause = min(2*s.pause, pauseMost)
+		for len(w.lines) > holding/8 {
 			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(budget.Beat):
+			case <-w.lines:
+			default:
 			}
-			for len(w.lines) > holding/8 {
-				<-w.lines
+		}
+	}
+}
+
+// add packs a line behind others, unless it is too long to be taken.
+func add(buf []byte, x flow.Line) []byte {
+	b, err := pack(buf, x)
+	if err != nil || len(b)-len(buf) > LineMost {
+		return buf
+	}
+	return b
+}
+
+// speaker is a connection to a sibling, made anew when it breaks.
+type speaker struct {
+	to    string
+	dial  net.Dialer
+	pause time.Duration
+	made  time.Time
+	raw   syscall.RawConn
+	mu    sync.Mutex
+	conn  net.Conn
+	over  bool
+}
+
+// say writes lines in one go. A broken connection is replaced once; a sibling
+// may hear lines twice.
+func (s *speaker) say(ctx context.Context, b []byte) bool {
+	if s.conn != nil && !sock.Quiet(s.raw) { // a sibling says nothing here: it closed
+		s.close()
+		if time.Since(s.made) < pauseMost {
+			return false // it doesn't want what it hears
+		}
+	}
+	for try := 0; try < 2; try++ {
+		fresh := s.conn == nil
+		if fresh && !s.open(ctx) {
+			return false
+		}
+		_ = s.conn.SetWriteDeadline(time.Now().Add(sock.Unheard + time.Duration(len(b))*time.Second/pace))
+		if _, err := s.conn.Write(b); err == nil {
+			if !fresh {
+				s.pause = pauseLeast
 			}
+			return true
 		}
+		s.close()
+		if fresh {
+			return false
+		}
+	}
+	return false
+}
+
+func (s *speaker) open(ctx context.Context) bool {
+	c, err := s.dial.DialContext(ctx, "tcp", s.to)
+	if err != nil {
+		return false
+	}
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil || s.over {
+		_ = c.Close()
+		return false
+	}
+	s.conn, s.raw, s.made = c, raw, time.Now()
+	return true
+}
+
+func (s *speaker) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil {
+		_ = s.conn.Close()
+		s.conn = nil
+	}
+}
+
+// abort ends a write that is under way, and lets no connection be made.
+func (s *speaker) abort() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.over = true
+	if s.conn != nil {
+		_ = s.conn.Close()
 	}
 }
