--- a/shell/link/link.go
+++ b/shell/link/link.go
@@ -208,12 +208,7 @@
 			continue
 		}
 		// Nobody there: what waits is old by the time somebody is.
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(s.pause):
-		}
-		s.pause = min(2*s.pause, pauseMost)
+		s.rest(ctx)
 		for len(w.lines) > holding/8 {
 			select {
 			case <-w.lines:
@@ -249,8 +244,8 @@
 func (s *speaker) say(ctx context.Context, b []byte) bool {
 	if s.conn != nil && !sock.Quiet(s.raw) { // a sibling says nothing here: it closed
 		s.close()
-		if time.Since(s.made) < pauseMost {
-			return false // it doesn't want what it hears
+		if time.Since(s.made) < pauseMost { // and soon, so it may not want what it hears
+			s.rest(ctx)
 		}
 	}
 	for try := 0; try < 2; try++ {
@@ -273,6 +268,15 @@
 	return false
 }
 
+// rest waits before a connection is tried again, longer each time.
+func (s *speaker) rest(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(s.pause):
+	}
+	s.pause = min(2*s.pause, pauseMost)
+}
+
 func (s *speaker) open(ctx context.Context) bool {
 	c, err := s.dial.DialContext(ctx, "tcp", s.to)
 	if err != nil {
--- /dev/null
+++ b/shell/web/door_test.go
@@ -0,0 +1,486 @@
+package web
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"fernlink/core/flow"
+)
+
+// hall is a web with one door and a core that is a function.
+type hall struct {
+	*Web
+	t     *testing.T
+	calls chan flow.Call
+	gone  chan uint64
+}
+
+func opened(t *testing.T, d Door, core func(*Web, flow.Call)) *hall {
+	t.Helper()
+	h := &hall{t: t, calls: make(chan flow.Call, 64), gone: make(chan uint64, 64)}
+	ready := make(chan bool)
+	d.Addr = "127.0.0.1:0"
+	w, err := OpenDoors(Options{Addr: "127.0.0.1:0", Doors: []Door{d}, In: func(e flow.Event) bool {
+		<-ready
+		if e.Call != nil {
+			h.calls <- *e.Call
+			if core != nil {
+				core(h.Web, *e.Call)
+			}
+		}
+		if e.Gone != 0 {
+			h.gone <- e.Gone
+		}
+		return true
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.Web = w
+	close(ready)
+	t.Cleanup(func() {
+		ctx, quit := context.WithCancel(context.Background())
+		quit()
+		w.Close(ctx)
+	})
+	return h
+}
+
+func ok(w *Web, c flow.Call) { w.Reply(flow.Reply{ID: c.ID, Code: 200, Body: []byte(c.Name)}) }
+
+// line is a connection to the door.
+type line struct {
+	net.Conn
+	t *testing.T
+	r *bufio.Reader
+}
+
+func (h *hall) dial() *line {
+	h.t.Helper()
+	c, err := net.Dial("tcp", h.Addr(1).String())
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(30 * time.Second)) // a hang guard
+	return &line{c, h.t, bufio.NewReader(c)}
+}
+
+// ask writes a request and reads its answer as it stands: the lines of its head
+// and its body.
+func (l *line) ask(request string) ([]string, string) {
+	l.t.Helper()
+	_, _ = io.WriteString(l, request)
+	res, raw, err := l.answer()
+	if err != nil {
+		l.t.Fatalf("%.80q: %v", request, err)
+	}
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		l.t.Fatalf("%.80q: %v", request, err)
+	}
+	return raw, string(b)
+}
+
+func (l *line) answer() (*http.Response, []string, error) {
+	var head bytes.Buffer
+	var raw []string
+	for {
+		s, err := l.r.ReadString('\n')
+		head.WriteString(s)
+		if err != nil {
+			return nil, nil, err
+		}
+		if s == "\r\n" {
+			break
+		}
+		raw = append(raw, strings.TrimSuffix(s, "\r\n"))
+	}
+	res, err := http.ReadResponse(bufio.NewReader(io.MultiReader(&head, l.r)), nil)
+	return res, raw, err
+}
+
+func (l *line) closed() bool {
+	_, err := l.r.ReadByte()
+	var ne net.Error
+	return err != nil && !(errors.As(err, &ne) && ne.Timeout())
+}
+
+func wait[T any](t *testing.T, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(30 * time.Second): // a hang guard
+		t.Fatal("hangs")
+	}
+	panic("unreachable")
+}
+
+// Given a door with routes, when requests come, then each finds its route by
+// verb and exact path, and the rest has one name or none.
+func TestDoorRoutes(t *testing.T) {
+	routes := []DoorRoute{
+		{Verb: "POST", Path: "/v1/{thing}", Name: "thing"},
+		{Verb: "POST", Path: "/v1/text", Name: "text"},
+		{Path: "/any", Name: "any"},
+		{Verb: "GET", Path: "/lot/{id}/{rest:.*}", Name: "lot"},
+	}
+	for _, rest := range []string{"rest", ""} {
+		h := opened(t, Door{Routes: routes, Rest: rest}, ok)
+		l := h.dial()
+		for ask, want := range map[string]string{
+			"POST /v1/text": "text", "POST /v1/chat": "thing", "GET /v1/text": rest, "DELETE /any": "any", "POST /any": "any", "POST /any/": rest,
+			"GET /lot/a%2Fb/c/d": "lot", "GET //any": rest, "GET /x/../any": rest, "GET /status": rest, "POST /v1/a/b": rest,
+		} {
+			head, body := l.ask(ask + " HTTP/1.1\r\nHost: x\r\n\r\n")
+			if want == "" {
+				if !strings.Contains(head[0], "404") {
+					t.Errorf("%s: %q", ask, head[0])
+				}
+				continue
+			}
+			if body != want {
+				t.Errorf("%s: %q %q, want %q", ask, head, body, want)
+			}
+		}
+	}
+}
+
+// Given a request with all sorts of headers and an odd path, when it comes at a
+// door, then the call has what was written but what concerns the connection.
+func TestDoorCall(t *testing.T) {
+	h := opened(t, Door{Routes: []DoorRoute{{Verb: "PUT", Path: "/a/{id}", Name: "a"}}, Rest: "rest"}, ok)
+	l := h.dial()
+	l.ask("PUT /a/%41%2f|x?q=1&q=2&r=%20+&;z HTTP/1.1\r\nHOST: App.Example:8080\r\nx-b: 2\r\nX-A: 1\r\nx-b:  3 \r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\nTe: x\r\n" +
+		"Upgrade: h2c\r\nProxy-Authorization: z\r\nContent-Type: a/b\r\nTransfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\nX-T: 1\r\n\r\n")
+	c := wait(t, h.calls)
+	fields := "[{Content-Type a/b} {X-A 1} {X-B 2} {X-B 3}]"
+	if c.Name != "a" || c.Host != "app.example" || c.Verb != "PUT" || c.Path != "/a/%41%2f|x" || c.Query["?"] != "q=1&q=2&r=%20+&;z" || c.Query["q"] != "1" || c.Query["r"] != "  " ||
+		string(c.Body) != "abcde" || fmt.Sprint(c.Fields) != fields || c.Head["Content-Type"] != "a/b" {
+		t.Errorf("%+v\n%s", c, c.Body)
+	}
+	for host, want := range map[string]string{"[::1]:80": "::1", "[FE80::1]": "fe80::1", "10.0.0.1": "10.0.0.1", "X": "x"} {
+		l.ask("GET / HTTP/1.1\r\nHost: " + host + "\r\n\r\n")
+		if c := wait(t, h.calls); c.Host != want || c.Name != "rest" {
+			t.Errorf("%s: %q", host, c.Host)
+		}
+	}
+}
+
+// Given routes that rewrite, when calls and answers pass, then the core sees the
+// rewritten call, or none, and the client the rewritten answer.
+func TestDoorRewrites(t *testing.T) {
+	h := opened(t, Door{Routes: []DoorRoute{
+		{Verb: "GET", Path: "/in", Name: "in", Into: func(c *flow.Call) *flow.Reply { c.Name, c.ID = "other", 99; return nil }},
+		{Verb: "GET", Path: "/no", Name: "no", Into: func(*flow.Call) *flow.Reply { return &flow.Reply{Code: 422, Body: []byte("no")} }},
+		{Verb: "GET", Path: "/back", Name: "back", Back: func(p flow.Reply) flow.Reply { p.Body = append(p.Body, '!'); return p }},
+		{Verb: "GET", Path: "/more", Name: "more", Back: func(p flow.Reply) flow.Reply { p.Body = append(p.Body, '!'); return p }},
+	}}, func(w *Web, c flow.Call) {
+		if c.Name == "more" {
+			w.Reply(flow.Reply{ID: c.ID, Code: 200, Body: []byte("1"), More: true})
+		}
+		ok(w, c)
+	})
+	l := h.dial()
+	for path, want := range map[string]string{"/in": "200 other", "/no": "422 no", "/back": "200 back!", "/more": "200 1more"} {
+		head, body := l.ask("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n")
+		if got := strings.Fields(head[0])[1] + " " + body; got != want {
+			t.Errorf("%s: %q, want %q", path, got, want)
+		}
+	}
+	if len(h.calls) != 3 {
+		t.Errorf("%d calls", len(h.calls))
+	}
+}
+
+// Given answers with headers as a core gives them, when they are written, then
+// nothing is added but the length, and nothing of the connection passes.
+func TestDoorAnswers(t *testing.T) {
+	var give flow.Reply
+	h := opened(t, Door{Rest: "rest"}, func(w *Web, c flow.Call) {
+		give.ID = c.ID
+		w.Reply(give)
+	})
+	l := h.dial()
+	f := func(s ...string) (out []flow.Field) {
+		for i := 0; i < len(s); i += 2 {
+			out = append(out, flow.Field{Name: s[i], Value: s[i+1]})
+		}
+		return out
+	}
+	big := bytes.Repeat([]byte("<html>"), 20000)
+	for _, x := range []struct {
+		verb string
+		p    flow.Reply
+		want string
+	}{
+		{"GET", flow.Reply{Code: 200, Body: []byte("<html>")}, "HTTP/1.1 200 OK|Content-Length: 6"},
+		{"GET", flow.Reply{Code: 200, Body: big}, "HTTP/1.1 200 OK|Content-Length: 120000"},
+		{"GET", flow.Reply{Code: 500}, "HTTP/1.1 500 Internal Server Error|Content-Length: 0"},
+		{"GET", flow.Reply{Code: 204}, "HTTP/1.1 204 No Content"},
+		{"GET", flow.Reply{Code: 304, Fields: f("ETag", "1")}, "HTTP/1.1 304 Not Modified|ETag: 1"},
+		{"HEAD", flow.Reply{Code: 200}, "HTTP/1.1 200 OK"},
+		{"GET", flow.Reply{Code: 7}, "HTTP/1.1 500 Internal Server Error|Content-Length: 0"},
+		{"GET", flow.Reply{Code: 200, Fields: f("x-a", "1", "x-a", "2", "Connection", "close", "transfer-encoding", "chunked", "Content-Length", "9"), Head: map[string]string{"Content-Type": "a/b"}, Body: []byte("x")},
+			"HTTP/1.1 200 OK|Content-Length: 1|Content-Type: a/b|x-a: 1|x-a: 2"},
+	} {
+		give = x.p
+		_, _ = io.WriteString(l, x.verb+" / HTTP/1.1\r\nHost: x\r\n\r\n")
+		var raw []string
+		for {
+			s, err := l.r.ReadString('\n')
+			if err != nil {
+				t.Fatal(err)
+			}
+			if s == "\r\n" {
+				break
+			}
+			raw = append(raw, strings.TrimSuffix(s, "\r\n"))
+		}
+		if got := strings.Join(raw, "|"); got != x.want {
+			t.Errorf("got  %s\nwant %s", got, x.want)
+		}
+		_, _ = io.CopyN(io.Discard, l.r, int64(len(x.p.Body)))
+	}
+}
+
+// Given a streamed answer, when its parts come one by one, then each is there
+// before the next, and only an end shows a whole body; a cut shows none.
+func TestDoorStreams(t *testing.T) {
+	h := opened(t, Door{Rest: "rest"}, nil)
+	for _, cut := range []bool{false, true} {
+		l := h.dial()
+		_, _ = io.WriteString(l, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		id := wait(t, h.calls).ID
+		h.Reply(flow.Reply{ID: id, Code: 200, Fields: []flow.Field{{Name: "Content-Type", Value: "text/event-stream"}}, More: true})
+		res, raw, err := l.answer()
+		if err != nil || strings.Join(raw, "|") != "HTTP/1.1 200 OK|Content-Type: text/event-stream|Transfer-Encoding: chunked" {
+			t.Fatalf("%q %v", raw, err)
+		}
+		b := make([]byte, 3)
+		for i := range 3 {
+			h.Reply(flow.Reply{ID: id, Body: fmt.Appendf(nil, "e%d\n", i), More: true})
+			if _, err := io.ReadFull(res.Body, b); err != nil || string(b) != fmt.Sprintf("e%d\n", i) {
+				t.Fatalf("%q %v", b, err)
+			}
+		}
+		h.Reply(flow.Reply{ID: id, Cut: cut})
+		rest, err := io.ReadAll(res.Body)
+		if (err != nil) != cut || len(rest) != 0 {
+			t.Errorf("cut %v: %q %v", cut, rest, err)
+		}
+		if cut && !l.closed() {
+			t.Error("the connection is open")
+		}
+	}
+	// A cut before anything was said.
+	l := h.dial()
+	_, _ = io.WriteString(l, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	h.Reply(flow.Reply{ID: wait(t, h.calls).ID, Cut: true})
+	if !l.closed() {
+		t.Error("an answer after a cut")
+	}
+}
+
+// Given a reader of a stream that reads nothing, when it falls too far behind,
+// then it is cut, the core is told, and nothing was dropped before.
+func TestDoorSlowReader(t *testing.T) {
+	h := opened(t, Door{Rest: "rest"}, nil)
+	l := h.dial()
+	_, _ = io.WriteString(l, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	id := wait(t, h.calls).ID
+	for i := range 20 * StreamMost { // far more than the connection's own buffers take
+		h.Reply(flow.Reply{ID: id, Code: 200, Body: fmt.Appendf(nil, "%08d %s\n", i, strings.Repeat("x", 4<<10)), More: true})
+	}
+	res, _, err := l.answer()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := bufio.NewReader(res.Body)
+	for i := 0; ; i++ {
+		s, err := got.ReadString('\n')
+		if err == io.EOF {
+			t.Fatal("the stream looks whole")
+		}
+		if err != nil {
+			break
+		}
+		if !strings.HasPrefix(s, fmt.Sprintf("%08d ", i)) {
+			t.Fatalf("part %d is missing: %.20q", i, s)
+		}
+	}
+	if wait(t, h.gone) != id {
+		t.Error("somebody else is gone")
+	}
+}
+
+// Given a caller at a door who goes away, when the core has not answered, then
+// it is told.
+func TestDoorGone(t *testing.T) {
+	h := opened(t, Door{Rest: "rest"}, nil)
+	for _, request := range []string{"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok"} {
+		l := h.dial()
+		_, _ = io.WriteString(l, request)
+		id := wait(t, h.calls).ID
+		_ = l.Close()
+		if wait(t, h.gone) != id {
+			t.Error("somebody else is gone")
+		}
+	}
+}
+
+// Given limits that change while requests come, when a header or a body is
+// larger, then it is refused with what is wrong, and one at the limit passes.
+func TestLimitsOfSize(t *testing.T) {
+	h := opened(t, Door{Rest: "rest"}, ok)
+	want := func(request, code string) {
+		t.Helper()
+		l := h.dial()
+		head, body := l.ask(request)
+		if !strings.Contains(head[0], " "+code+" ") {
+			t.Errorf("%.40q: %q, want %s", request, head[0], code)
+		}
+		if code == "200" {
+			return
+		}
+		var v map[string]string
+		if json.Unmarshal([]byte(body), &v) != nil || v["error"] == "" || !l.closed() {
+			t.Errorf("%.40q: %q", request, body)
+		}
+	}
+	header := func(n int) string { return "GET / HTTP/1.1\r\nHost: x\r\nX-A: " + strings.Repeat("a", n) + "\r\n\r\n" }
+	sized := func(n int) string {
+		return fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", n, strings.Repeat("b", n))
+	}
+	chunked := func(n int) string {
+		return fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", n, strings.Repeat("b", n))
+	}
+	want(header(8000), "200")
+	want(header(70<<10), "431")
+	want(sized(100000), "200")
+	h.Limit(Limits{HeaderBytes: 4000, BodyBytes: 5000})
+	want(header(3900), "200")
+	want(header(4000), "431")
+	want(sized(5000), "200")
+	want(sized(5001), "413")
+	want(sized(1<<20), "413")
+	want(chunked(5000), "200")
+	want(chunked(5001), "413")
+	want("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5001\r\nExpect: 100-continue\r\n\r\n", "413")
+	h.Limit(Limits{HeaderBytes: 100 << 10})
+	want(header(70<<10), "200")
+	want(sized(5001), "413") // what was not named stays
+	if l := h.dial(); true {
+		if head, _ := l.ask(header(2 << 20)); !strings.Contains(head[0], " 431 ") {
+			t.Errorf("above every limit: %q", head[0])
+		}
+	}
+}
+
+// Given clients that are slow with a header or a body, or idle, when their time
+// is over, then they are closed; one that is waiting for its answer is not.
+func TestLimitsOfTime(t *testing.T) {
+	h := opened(t, Door{Rest: "rest"}, nil)
+	h.Limit(Limits{Header: 30 * time.Millisecond, Idle: 30 * time.Millisecond})
+	for name, start := range map[string]string{"silent": "", "half a header": "GET / HTTP/1.1\r\nHo", "half a body": "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nok"} {
+		l := h.dial()
+		_, _ = io.WriteString(l, start)
+		said, err := io.ReadAll(l.r)
+		if err != nil || len(said) > 0 && !strings.HasPrefix(string(said), "HTTP/1.1 400 ") {
+			t.Errorf("%s: %q %v", name, said, err)
+		}
+	}
+	l := h.dial()
+	for _, request := range []string{"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok"} {
+		_, _ = io.WriteString(l, request)
+		c := wait(t, h.calls)
+		for range 3 {
+			if !h.dial().closed() {
+				t.Error("a silent one is open")
+			}
+		}
+		if len(h.gone) > 0 {
+			t.Fatal("a caller who waits is closed")
+		}
+		ok(h.Web, c)
+		if _, body := l.ask(""); body != "rest" {
+			t.Errorf("%q", body)
+		}
+	}
+	if !l.closed() {
+		t.Error("an idle one is open")
+	}
+	h.Limit(Limits{Header: time.Hour, Idle: time.Hour})
+	l = h.dial()
+	_, _ = io.WriteString(l, "GET / HTTP/1.1\r\nHost: x\r\n\r\nGET /half HT")
+	ok(h.Web, wait(t, h.calls))
+	l.ask("")
+	h.Limit(Limits{Header: 30 * time.Millisecond})
+	_, _ = io.WriteString(l, "TP/1.1\r\nHost: x\r\n\r\n")
+	if c := wait(t, h.calls); c.Path != "/half" {
+		t.Errorf("%+v", c)
+	} else {
+		ok(h.Web, c)
+	}
+	l.ask("")
+}
+
+// Given a web that drains, when requests come on old and new connections, then
+// they are served, and each answer closes its connection.
+func TestDrain(t *testing.T) {
+	h := opened(t, Door{Rest: "rest"}, ok)
+	const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+	old := h.dial()
+	if head, _ := old.ask(request); len(head) != 2 {
+		t.Errorf("before: %q", head)
+	}
+	h.Drain()
+	for _, l := range []*line{old, h.dial()} {
+		head, body := l.ask(request)
+		if body != "rest" || !strings.Contains(strings.Join(head, "|"), "|Connection: close") || !l.closed() {
+			t.Errorf("%q %q", head, body)
+		}
+	}
+	if head, _ := h.dial().ask("GET / HTTP/1.1\r\nHost: x\r\nX-A: " + strings.Repeat("a", 70<<10) + "\r\n\r\n"); strings.Count(strings.Join(head, "|"), "Connection: close") != 1 {
+		t.Errorf("%q", head)
+	}
+}
+
+func BenchmarkDoor(b *testing.B) {
+	var w *Web
+	ready := make(chan bool)
+	w, err := OpenDoors(Options{Addr: "127.0.0.1:0", Doors: []Door{{Addr: "127.0.0.1:0", Rest: "rest"}}, In: func(e flow.Event) bool {
+		<-ready
+		w.Reply(flow.Reply{ID: e.Call.ID, Code: 200, Body: []byte("ok")})
+		return true
+	}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	close(ready)
+	defer w.Close(context.Background())
+	c, err := net.Dial("tcp", w.Addr(1).String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	buf := make([]byte, 4096)
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = io.WriteString(c, "POST /v1/text HTTP/1.1\r\nHost: x\r\nX-A: 1\r\nContent-Length: 2\r\n\r\nok")
+		if _, err := c.Read(buf); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/shell/web/limits.go
+++ b/shell/web/limits.go
@@ -15,11 +15,13 @@
 // BodyMost is the largest request in bytes, where nothing else is said.
 const BodyMost = 8 << 20
 
-// headerMost is the most that any limit lets a header have; drainMost how much
-// of a body that is too large is read off, so that its sender hears why, and
-// drainWait for how long.
+// headerMost is the most that any limit lets a header have; trustMost how much
+// room a body gets on its word of its length; drainMost how much of a body that
+// is too large is read off, so that its sender hears why, and drainWait for how
+// long. Sizes are in bytes.
 const (
 	headerMost = 1 << 20
+	trustMost  = 64 << 10
 	drainMost  = 16 << 20
 	drainWait  = 2 * time.Second
 )
@@ -88,38 +90,45 @@
 
 var errLarge = errors.New("web: larger than is taken")
 
-// body reads a request's body whole.
+// body reads a request's body whole. What is left of one that is not taken is
+// not waited for.
 func (w *Web) body(rw http.ResponseWriter, req *http.Request) ([]byte, error) {
 	if req.ContentLength == 0 {
 		return nil, nil
 	}
 	l := w.limits.Load()
 	ctl := http.NewResponseController(rw)
-	defer func() { _ = ctl.SetReadDeadline(time.Time{}) }()
-	if req.ContentLength > int64(l.BodyBytes) {
-		if req.Header.Get("Expect") == "" { // one that expects a word first has not sent it
-			drain(ctl, req.Body)
-		}
+	b, err := read(&patient{req.Body, ctl, l.Idle}, req.ContentLength, int64(l.BodyBytes))
+	if err == errLarge && req.Header.Get("Expect") == "" { // one that expects a word first has not sent it
+		_ = ctl.SetReadDeadline(time.Now().Add(drainWait))
+		_, _ = io.CopyN(io.Discard, req.Body, drainMost)
+	}
+	if err != nil {
+		_ = ctl.SetReadDeadline(time.Now())
+		return nil, err
+	}
+	_ = ctl.SetReadDeadline(time.Time{})
+	return b, nil
+}
+
+// read takes a body of a size in bytes, below zero when that is unknown.
+func read(in io.Reader, size, most int64) ([]byte, error) {
+	if size > most {
 		return nil, errLarge
 	}
-	in := &patient{req.Body, ctl, l.Idle}
-	if n := req.ContentLength; n > 0 && n <= 64<<10 { // it is not trusted with more
-		b := make([]byte, n)
+	if size > 0 && size <= trustMost {
+		b := make([]byte, size)
 		_, err := io.ReadFull(in, b)
 		return b, err
 	}
 	var b bytes.Buffer
-	_, err := b.ReadFrom(io.LimitReader(in, int64(l.BodyBytes)+1))
-	if err == nil && b.Len() > l.BodyBytes {
-		drain(ctl, req.Body)
-		err = errLarge
+	if _, err := b.ReadFrom(io.LimitReader(in, most+1)); err != nil {
+		return nil, err
 	}
-	return b.Bytes(), err
-}
-
-func drain(ctl *http.ResponseController, body io.Reader) {
-	_ = ctl.SetReadDeadline(time.Now().Add(drainWait))
-	_, _ = io.CopyN(io.Discard, body, drainMost)
+	if int64(b.Len()) > most {
+		return nil, errLarge
+	}
+	return b.Bytes(), nil
 }
 
 // patient waits a bounded time for each piece of a body.
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -192,7 +193,7 @@
 
 // door serves one door's routes.
 func (w *Web) door(d Door) http.Handler {
-	r := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	r := mux.NewRouter()
 	routes := map[*mux.Route]*DoorRoute{}
 	fixed := map[[2]string]*DoorRoute{} // by verb and path
 	for i := range d.Routes {
@@ -220,10 +221,13 @@
 			w.serve(rw, req, x, nil, StreamMost)
 			return
 		}
-		var m mux.RouteMatch
-		if len(routes) > 0 && r.Match(req, &m) && m.MatchErr == nil {
-			w.serve(rw, req, routes[m.Route], m.Vars, StreamMost)
-			return
+		if len(routes) > 0 {
+			var m mux.RouteMatch
+			asWritten := &http.Request{Method: req.Method, Host: req.Host, Header: req.Header, URL: &url.URL{Path: path}}
+			if r.Match(asWritten, &m) && m.MatchErr == nil {
+				w.serve(rw, req, routes[m.Route], m.Vars, StreamMost)
+				return
+			}
 		}
 		if d.Rest == "" {
 			problem(rw, 404, "there is nothing here")
