--- a/core/store/repair.go
+++ b/core/store/repair.go
@@ -24,12 +24,22 @@
 	for _, e := range live {
 		s.taken[e.Addr] = e.ID
 	}
+	for id, at := range s.silent {
+		if now-at >= 2*budget.Lost {
+			delete(s.silent, id)
+		}
+	}
 	c := s.raft.Conf()
 	for _, f := range rules {
 		next, what := f(s, now, c, live)
 		if what == "" {
 			continue
 		}
+		for _, m := range c.Members {
+			if next.Find(m.ID) < 0 && s.raft.Silent(m.ID, now) >= budget.Lost/4 {
+				s.silent[m.ID] = now
+			}
+		}
 		if _, _, err := s.raft.Change(next); err == nil {
 			s.look = now // the next is looked for as soon as this is committed
 			s.counts["writes"]++
@@ -51,13 +61,14 @@
 }
 
 // takeIn makes every store machine that speaks up and is no member a learner,
-// but not one that was retired.
+// but not one that was retired. One that was taken out for its silence a moment
+// ago may still be spoken of by others.
 func (s *Store) takeIn(_ flow.Time, c raft.Conf, live []gossip.Entry) (raft.Conf, string) {
 	if len(c.Members) >= mostMembers {
 		return c, ""
 	}
 	for _, e := range live {
-		if !e.Has("store") || e.Cluster != s.raft.Cluster() || c.Find(e.ID) >= 0 || slices.Contains(c.Retired, e.ID) {
+		if _, silent := s.silent[e.ID]; silent || !e.Has("store") || e.Cluster != s.raft.Cluster() || c.Find(e.ID) >= 0 || slices.Contains(c.Retired, e.ID) {
 			continue
 		}
 		return c.With(raft.Member{ID: e.ID, Addr: e.Addr, Area: e.Area}), "took in a learner"
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -107,6 +107,7 @@
 	moved     flow.Time            // when leadership is handed on next
 	orphan    flow.Time            // when lost claims are looked for next
 	lots      map[string]flow.Time // when this leader gave a lot another owner
+	silent    map[string]flow.Time // when silent members were taken out
 	owned     flow.Time            // when owners of lots are looked at next
 }
 
@@ -114,7 +115,7 @@
 func New(now flow.Time, p Props) (*Store, error) {
 	s := &Store{p: p, ledger: ledger.New(), addrs: map[string]string{}, writes: map[uint64]wait{},
 		reads: map[uint64]wait{}, seen: map[string]sight{}, counts: map[string]int{},
-		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, lots: map[string]flow.Time{}}
+		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, lots: map[string]flow.Time{}, silent: map[string]flow.Time{}}
 	if d := p.Disk.Digest; d != nil {
 		l, err := ledger.Load(d.State, p.Disk.Items)
 		if err != nil {
