--- a/core/ledger/lots_test.go
+++ b/core/ledger/lots_test.go
@@ -415,7 +415,9 @@
 				func() (string, any) { return "lot.own", OwnLot{id, "d1", "d2"} },
 				func() (string, any) { return "step.open", stepDoc(id, 1, 0, true) },
 				func() (string, any) { return "result.add", AddEntry{id, entry(m%4, "abcd", Span{0, 4, 1})} },
-				func() (string, any) { return "plan.put", PutPlan{Read: uint64(m % 3), Version: uint64(m % 9), Doc: raw(m)} },
+				func() (string, any) {
+					return "plan.put", PutPlan{Read: uint64(m % 3), Version: uint64(m % 9), Doc: raw(m)}
+				},
 			}
 			kind, body := kinds[m%len(kinds)]()
 			x, y := at(a, sec, kind, body), at(b, sec, kind, body)
--- a/core/store/owners.go
+++ b/core/store/owners.go
@@ -21,7 +21,7 @@
 	rows := s.ledger.LotRows()
 	if len(s.lots) > len(rows) {
 		for id := range s.lots {
-			if now-s.lots[id] >= budget.Lost {
+			if now-s.lots[id].at >= budget.Lost {
 				delete(s.lots, id)
 			}
 		}
@@ -29,7 +29,7 @@
 	for _, r := range rows {
 		x, heard := s.seen[r.Owner]
 		if heard && x.left || led && (!heard || now-x.at > budget.Lost) {
-			s.move(now, r)
+			s.move(now, r, heard && x.left)
 		}
 	}
 }
@@ -38,14 +38,21 @@
 func (s *Store) disown(now flow.Time, id string) {
 	for _, r := range s.ledger.LotRows() {
 		if r.Owner == id {
-			s.move(now, r)
+			s.move(now, r, true)
 		}
 	}
 }
 
-// move proposes an owner by rendezvous over those that renewed of late.
-func (s *Store) move(now flow.Time, r ledger.LotRow) {
-	if at, moved := s.lots[r.ID]; moved && now-at < budget.Lost {
+// given is when this leader took a lot from whom.
+type given struct {
+	at  flow.Time
+	was string
+}
+
+// move proposes an owner by rendezvous over those that renewed of late. A lot is
+// not moved again for a while, unless the one who got it says that it leaves.
+func (s *Store) move(now flow.Time, r ledger.LotRow, left bool) {
+	if g, moved := s.lots[r.ID]; moved && now-g.at < budget.Lost && (g.was == r.Owner || !left) {
 		return
 	}
 	next, most := "", uint64(0)
@@ -61,6 +68,6 @@
 	if next == "" {
 		return
 	}
-	s.lots[r.ID] = now
+	s.lots[r.ID] = given{now, r.Owner}
 	s.propose("lot.own", ledger.OwnLot{Lot: r.ID, Was: r.Owner, Owner: next})
 }
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -106,7 +106,7 @@
 	freed     uint64               // the term whose holder gave it up
 	moved     flow.Time            // when leadership is handed on next
 	orphan    flow.Time            // when lost claims are looked for next
-	lots      map[string]flow.Time // when this leader gave a lot another owner
+	lots      map[string]given     // when this leader gave a lot another owner
 	silent    map[string]flow.Time // when silent members were taken out
 	owned     flow.Time            // when owners of lots are looked at next
 }
@@ -115,7 +115,7 @@
 func New(now flow.Time, p Props) (*Store, error) {
 	s := &Store{p: p, ledger: ledger.New(), addrs: map[string]string{}, writes: map[uint64]wait{},
 		reads: map[uint64]wait{}, seen: map[string]sight{}, counts: map[string]int{},
-		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, lots: map[string]flow.Time{}, silent: map[string]flow.Time{}}
+		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, lots: map[string]given{}, silent: map[string]flow.Time{}}
 	if d := p.Disk.Digest; d != nil {
 		l, err := ledger.Load(d.State, p.Disk.Items)
 		if err != nil {
@@ -459,7 +459,7 @@
 	s.writes, s.reads = map[uint64]wait{}, map[uint64]wait{}
 	s.seen = map[string]sight{}
 	s.grant = 0
-	s.lots = map[string]flow.Time{}
+	s.lots = map[string]given{}
 }
 
 func (s *Store) apply(a raft.Applied, out *flow.Outbox) {
