--- a/cmd/fernlink/check/check.go
+++ b/cmd/fernlink/check/check.go
@@ -129,6 +129,8 @@
 		}
 		if put.Read != now {
 			r.add("fault", "/read", "was made from version %d; version %d is in force", put.Read, now)
+		} else if put.Version != 0 && put.Version <= now {
+			r.add("fault", "/version", "is not above version %d, which is in force", now)
 		}
 	}
 	var plan api.Plan
--- a/cmd/fernlink/check/check_test.go
+++ b/cmd/fernlink/check/check_test.go
@@ -57,6 +57,12 @@
 	if !has(r, "fault", "/routes/0/pool", "no pool") || len(r.Findings) != 1 {
 		t.Errorf("a plan without meaning: %+v", r.Findings)
 	}
+	for version, want := range map[int]bool{4: true, 5: false} {
+		put := fmt.Sprintf(`{"read":4,"request":"r","version":%d,"plan":{"pools":[{"name":"shop","kind":"app"}],"routes":[]}}`, version)
+		if r = Plan([]byte(put), fleet()); has(r, "fault", "/version", "not above") != want {
+			t.Errorf("version %d over 4: %+v", version, r.Findings)
+		}
+	}
 	f := fleet()
 	f.Stores[2].Area = "z"
 	r = Plan([]byte(`{"pools":[{"name":"shop","kind":"app"}],"routes":[]}`), f)
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -267,3 +267,39 @@
 		t.Error("nobody leads although all are there")
 	}
 }
+
+// Given a member that is behind by large entries, when it is fed, then no message
+// has more than the bound and one entry, and all of them come in their order.
+func TestLargeEntriesInManyMessages(t *testing.T) {
+	x := newTrio(5)
+	x.run(3 * time.Second)
+	l := x.leader()
+	behind := "b"
+	if l.id == behind {
+		behind = "c"
+	}
+	x.cut[behind] = true
+	big := make([]byte, 1<<20)
+	for i := range big {
+		big[i] = '1'
+	}
+	for i := 0; i < 30; i++ {
+		_, _, _ = l.Propose("cmd", json.RawMessage(big))
+	}
+	x.run(time.Second)
+	x.cut[behind] = false
+	for end := x.now + 5*time.Second; x.now < end; x.step() {
+		for _, d := range x.mail {
+			size := 0
+			for _, e := range d.Msg.Add {
+				size += len(e.Data)
+			}
+			if size > mostBytes+len(big) {
+				t.Fatalf("a message has %d bytes", size)
+			}
+		}
+	}
+	if n := len(x.done[behind]); n != 30 {
+		t.Errorf("%d entries came", n)
+	}
+}
--- a/sim/replace_test.go
+++ b/sim/replace_test.go
@@ -83,8 +83,9 @@
 	s.then(s.w.Until(10*time.Second, func() bool { return len(s.members()) == 4 }), "a learner of another area")
 	s.w.Run(2 * time.Second)
 	dead.Freeze(budget.Heal - 4*time.Second)
-	s.w.Run(budget.Heal)
-	s.then(s.members()[id].Voter && s.voters() == 3, "it votes: %v", s.members())
+	for end := s.w.Now + budget.Heal; s.w.Now < end; s.w.Run(20 * time.Millisecond) {
+		s.then(s.members()[id].Voter && s.voters() == 3, "it votes: %v", s.members())
+	}
 	s.end()
 }
 
