A leader sends only pulses to a member that is silent

Cause: entries for a member behind a cut were queued at every pulse, up to 4 MiB a message and 512 messages; the leader's process went over its memory. Ruled out: the ledger's state (small), the shelf (on disk). After: TestNothingPilesUpForASilentMember, seen to fail before.

--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -577,7 +577,7 @@
 // One message has so many entries, and about so many bytes of them, at most.
 const (
 	most      = 64
-	mostBytes = 4 << 20
+	mostBytes = 1 << 20
 )
 
 func (r *Raft) feed(id string, beat bool) {
@@ -585,6 +585,10 @@
 	if p == nil || id == r.id {
 		return
 	}
+	quiet := r.now-p.heard > 2*r.beat
+	if quiet && !beat {
+		return // the next pulse asks where it stands; what it lacks follows its answer
+	}
 	prev := p.next - 1
 	t, ok := r.term(prev)
 	if !ok {
@@ -599,6 +603,9 @@
 	from := p.next - r.base.Index - 1
 	to := min(from+most, uint64(len(r.log)))
 	size := 0
+	if quiet {
+		to = from // entries would only pile up on the way to somebody who is not there
+	}
 	for i := from; i < to; i++ {
 		if size += len(r.log[i].Data); size > mostBytes && i > from {
 			to = i // a line has a longest, and the rest follows
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -303,3 +303,41 @@
 		t.Errorf("%d entries came", n)
 	}
 }
+
+// A leader sends nothing but pulses to a member that does not answer: entries
+// would pile up on the way to it, and fill the leader's memory.
+func TestNothingPilesUpForASilentMember(t *testing.T) {
+	x := newTrio(3)
+	x.run(3 * time.Second)
+	l := x.leader()
+	if l == nil {
+		t.Fatal("no leader")
+	}
+	gone := "b"
+	if l.id == gone {
+		gone = "c"
+	}
+	x.cut[gone] = true
+	x.run(time.Second)
+	big := json.RawMessage(fmt.Sprintf(`"%01000d"`, 0))
+	sent := 0
+	for range 100 {
+		if _, _, err := l.Propose("cmd", big); err != nil {
+			t.Fatal(err)
+		}
+		x.step()
+		for _, d := range x.mail {
+			if d.Msg.ToID == gone {
+				sent += len(d.Msg.Add)
+			}
+		}
+	}
+	if sent != 0 {
+		t.Fatalf("%d entries were sent to a member that is silent", sent)
+	}
+	x.cut[gone] = false
+	x.run(2 * time.Second)
+	if x.all[gone].Commit() != l.Commit() {
+		t.Fatalf("it did not catch up: %d of %d", x.all[gone].Commit(), l.Commit())
+	}
+}
--- a/core/serve/rollout/rollout.go
+++ b/core/serve/rollout/rollout.go
@@ -148,15 +148,13 @@
 	r.env.Counts["weight_orders"]++
 	body := r.env.Tongue.WriteOrder(dialect.WeightOrder{Model: j.model, Revision: j.rev, Mode: "hold", Owner: r.env.Me, Fence: r.term})
 	until := min(till, now+sendBy)
-	r.env.Send(flow.Send{Verb: "POST", URL: "http://" + j.engine.Addr + r.env.Tongue.OrderPath, Body: body, Until: until, Limit: now + sendBy, Keep: true,
+	r.send(flow.Send{Verb: "POST", URL: "http://" + j.engine.Addr + r.env.Tongue.OrderPath, Body: body, Until: until, Limit: now + sendBy,
 		Fields: []flow.Field{{Name: "Content-Type", Value: "application/json"}, {Name: r.env.Tongue.Expect, Value: j.engine.ID}}}, func(b flow.Back) {
 		j.open = false
 		j.due = r.env.Now + look*2
 		switch {
 		case b.Err != "" && b.Unsent, b.Code == 400, b.Code == 429, b.Code == 503:
 			j.sent, j.due = false, r.env.Now+look
-		case b.Code == 200:
-			j.engine.Learn(j.model, j.rev)
 		case b.Code == 412:
 			r.env.Out.Note("rollout", "an engine has seen a higher fence", "engine", j.engine.ID, "term", r.term)
 			j.due = r.env.Now + resend
@@ -164,12 +162,20 @@
 	})
 }
 
+// send makes a call on a kept connection. Answers to reports and orders carry no
+// id: what comes is only trusted as far as a report reads as one, and an order's
+// effect is always read.
+func (r *Roll) send(s flow.Send, f func(flow.Back)) {
+	s.Keep = true
+	r.env.Send(s, f)
+}
+
 // read asks the engine for what it holds.
 func (r *Roll) read(j *job) {
 	j.open = true
 	until := r.env.Now + sendBy
 	r.env.Counts["reports_read"]++
-	r.env.Send(flow.Send{Verb: "GET", URL: "http://" + j.engine.Addr + r.env.Tongue.ReportPath, Until: until, Limit: until, Keep: true}, func(b flow.Back) {
+	r.send(flow.Send{Verb: "GET", URL: "http://" + j.engine.Addr + r.env.Tongue.ReportPath, Until: until, Limit: until}, func(b flow.Back) {
 		j.open = false
 		j.due = r.env.Now + look
 		x, err := r.env.Tongue.ReadReport(b.Body)
