--- a/shell/sock/sock.go
+++ b/shell/sock/sock.go
@@ -16,7 +16,7 @@
 // connection may take.
 const (
 	Unheard = budget.Lost
-	Connect = budget.Lost / 2
+	Connect = budget.Lost / 8
 )
 
 // Control sets the options of a socket before it is connected or listens;
