--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -19,7 +19,7 @@
 	Renew     = Tenure / 5      // how often it is renewed
 	Nudge     = Renew / 15      // least time between renewals that a nudge brings on
 	Beat      = Heal / 120      // a leader's pulse
-	Elect     = Heal / 16       // least silence before an election; the most is twice that
+	Elect     = Heal / 24       // least silence before an election; the most is twice that
 	Gossip    = Heal / 48       // how often a node gossips
 	Lost      = Heal / 6        // a sibling without beats counts as lost
 	Poll      = Engine / 6      // how often an engine's own load is read
--- a/core/disp/disp.go
+++ b/core/disp/disp.go
@@ -37,17 +37,18 @@
 	now flow.Time
 	out *flow.Outbox
 
-	till    flow.Time // the tenure's end; nothing starts after it
-	next    flow.Time // the next renewal
-	asked   flow.Time // the last one
-	index   uint64
-	version uint64
-	plan    *api.Plan
-	steps   map[string]*step
-	roster  []string
-	coord   ledger.Coord
-	orders  map[string]ledger.Order
-	drains  map[string]bool
+	till     flow.Time // the tenure's end; nothing starts after it
+	next     flow.Time // the next renewal
+	asked    flow.Time // the last one
+	renewing bool      // it is not answered yet
+	index    uint64
+	version  uint64
+	plan     *api.Plan
+	steps    map[string]*step
+	roster   []string
+	coord    ledger.Coord
+	orders   map[string]ledger.Order
+	drains   map[string]bool
 
 	engines  map[string]*engine
 	listDue  flow.Time
@@ -142,12 +143,14 @@
 func (d *Disp) Fresh(now flow.Time) bool { return now < d.till }
 
 func (d *Disp) renew() {
-	if d.now < d.next || d.leaving {
+	if d.now < d.next || d.leaving || d.renewing && d.now-d.asked < budget.Ask {
 		return
 	}
+	d.renewing = true
 	d.next, d.asked = d.now+budget.Renew, d.now
 	d.p.Asker.Put(d.now, budget.Tenure, "renew", store.Renew{ID: d.p.ID, Have: d.index, Heard: d.heard}, func(now flow.Time, a ask.Answer) {
 		var x ledger.Delta
+		d.renewing = false
 		if a.Code != 0 {
 			d.heard++
 		}
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -213,6 +213,7 @@
 	Term    uint64 `json:"term"`
 	Vote    string `json:"vote"`
 	Unsure  bool   `json:"unsure,omitempty"` // entries that it acknowledged may be gone
+	Commit  uint64 `json:"commit,omitempty"` // known to be committed when this was written
 }
 
 // Entry is one record of the replicated log.
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -61,6 +61,7 @@
 	votes   map[string]bool
 	doubts  map[string]bool // those who vote and are unsure
 	peers   map[string]*progress
+	met     bool // a leader was heard since the start
 	round   uint64
 	reads   []read
 	due     flow.Time
@@ -92,6 +93,9 @@
 	}
 	r.stable = r.last()
 	r.heard = now
+	// What was known to be committed is applied at once, and not when the first
+	// leader speaks: then others wait for it.
+	r.commit = max(r.commit, min(p.Hard.Commit, r.last()))
 	r.reset()
 	return r
 }
@@ -146,8 +150,15 @@
 	return r.log[i-r.base.Index-1].Term, true
 }
 
+// reset draws when the next election is due. A member that has heard no leader
+// since its start asks sooner: where there is one, the others pass its pre-vote
+// over (design 4.1).
 func (r *Raft) reset() {
-	r.due = r.now + r.elect + flow.Time(r.rand.Int63n(int64(r.elect)))
+	least := r.elect
+	if !r.met {
+		least /= 4
+	}
+	r.due = r.now + least + flow.Time(r.rand.Int63n(int64(least)))
 }
 
 // Plain readings of the state.
@@ -195,7 +206,11 @@
 	r.due = r.now
 }
 
-func (r *Raft) hardCopy() *flow.Hard { h := r.hard; return &h }
+func (r *Raft) hardCopy() *flow.Hard {
+	h := r.hard
+	h.Commit = r.commit
+	return &h
+}
 
 func (r *Raft) save(s flow.Save) { r.out.Saves = append(r.out.Saves, s) }
 
@@ -206,7 +221,7 @@
 	}
 	e := flow.Entry{Index: r.last() + 1, Term: r.hard.Term, Kind: kind, Data: data}
 	r.push(e)
-	r.save(flow.Save{Add: []flow.Entry{e}})
+	r.save(flow.Save{Hard: r.hardCopy(), Add: []flow.Entry{e}})
 	for _, m := range r.conf.Members {
 		r.feed(m.ID, false)
 	}
@@ -379,7 +394,7 @@
 }
 
 func (r *Raft) crown() {
-	r.role, r.leader = Leader, r.id
+	r.role, r.leader, r.met = Leader, r.id, true
 	r.since, r.quorum, r.heard = r.now, r.now, r.now
 	r.peers = map[string]*progress{}
 	r.reads = nil
@@ -456,7 +471,7 @@
 		r.back(m, "", Msg{Kind: "appr", Term: r.hard.Term, Round: m.Round, Hint: r.last()})
 		return false
 	}
-	r.role, r.leader = Follower, m.From
+	r.role, r.leader, r.met = Follower, m.From, true
 	r.heard = r.now
 	r.reset()
 	return true
@@ -491,6 +506,7 @@
 		s.Add = append(s.Add, e)
 	}
 	if s.Cut > 0 || len(s.Add) > 0 {
+		s.Hard = r.hardCopy()
 		r.save(s)
 	}
 	end := m.Index + uint64(len(m.Add))
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -62,7 +62,7 @@
 
 // KeepBytes is how much the log may hold before a digest is made, whatever the
 // number of its entries.
-const KeepBytes = 8 << 20
+const KeepBytes = 2 << 20
 
 type wait struct {
 	addr string
