Lots of a pool keep one owner; texts of lots that ended are kept for their return

Cause: owners of lots on the same engines knew each other's load only from heads of answers; the one with more held items refilled each free slot first. Ruled out: the most tokens out as a hint of length (a constant for each route).

--- a/core/ledger/lots.go
+++ b/core/ledger/lots.go
@@ -314,7 +314,7 @@
 	var out []LotRow
 	for id, t := range l.Lots {
 		if !t.Ended {
-			out = append(out, LotRow{ID: id, Owner: t.Doc.Owner})
+			out = append(out, LotRow{ID: id, Owner: t.Doc.Owner, Pool: t.Doc.Pool})
 		}
 	}
 	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
@@ -326,7 +326,7 @@
 	var out []LotRow
 	for id, t := range l.Lots {
 		if t.Mod > have {
-			out = append(out, LotRow{id, t.Doc.Owner, t.Ended})
+			out = append(out, LotRow{id, t.Doc.Owner, t.Ended, t.Doc.Pool})
 		}
 	}
 	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
--- a/core/ledger/lots_test.go
+++ b/core/ledger/lots_test.go
@@ -368,7 +368,7 @@
 			t.Errorf("%+v: %d", c.o, r.Code)
 		}
 	}
-	if d := l.Since(have); !reflect.DeepEqual(d.Lots, []LotRow{{"a", "d2", false}}) {
+	if d := l.Since(have); !reflect.DeepEqual(d.Lots, []LotRow{{"a", "d2", false, ""}}) {
 		t.Errorf("told: %+v", d.Lots)
 	}
 	have = l.Index
@@ -377,7 +377,7 @@
 		t.Errorf("a listing was told: %+v", d.Lots)
 	}
 	do(l, "lot.end", "b")
-	if d := l.Since(have); !reflect.DeepEqual(d.Lots, []LotRow{{"b", "d1", true}}) {
+	if d := l.Since(have); !reflect.DeepEqual(d.Lots, []LotRow{{"b", "d1", true, ""}}) {
 		t.Errorf("an end: %+v", d.Lots)
 	}
 	have = l.Index
@@ -387,7 +387,7 @@
 	if r := do(l, "lot.own", OwnLot{"b", "d1", "d2"}); r.Code != 409 {
 		t.Errorf("an ended lot moved: %d", r.Code)
 	}
-	if d := l.Since(0); !reflect.DeepEqual(d.Lots, []LotRow{{"a", "d2", false}, {"b", "d1", true}}) || !reflect.DeepEqual(l.LotRows(), []LotRow{{"a", "d2", false}}) {
+	if d := l.Since(0); !reflect.DeepEqual(d.Lots, []LotRow{{"a", "d2", false}, {"b", "d1", true}}) || !reflect.DeepEqual(l.LotRows(), []LotRow{{"a", "d2", false, ""}}) {
 		t.Errorf("all: %+v", d.Lots)
 	}
 }
--- a/core/ledger/lottypes.go
+++ b/core/ledger/lottypes.go
@@ -16,9 +16,10 @@
 type LotDoc struct {
 	ID     string    `json:"id"`
 	Host   string    `json:"host"`
-	Path   string    `json:"path"`  // where it was handed in; with Host it finds the route
-	Route  string    `json:"route"` // the route's name at that time
-	Owner  string    `json:"owner"` // the dispatcher that runs it first
+	Path   string    `json:"path"`           // where it was handed in; with Host it finds the route
+	Route  string    `json:"route"`          // the route's name at that time
+	Owner  string    `json:"owner"`          // the dispatcher that runs it
+	Pool   string    `json:"pool,omitempty"` // of engines; its lots keep together
 	Model  string    `json:"model,omitempty"`
 	Step   int       `json:"step"`
 	Least  int       `json:"least,omitempty"`  // the oldest weights that may make its texts
@@ -97,4 +98,5 @@
 	ID    string `json:"id"`
 	Owner string `json:"owner"`
 	Ended bool   `json:"ended,omitempty"`
+	Pool  string `json:"pool,omitempty"`
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"math/rand"
 	"slices"
 
@@ -96,7 +95,7 @@
 		}
 		n.store = s
 	}
-	me := fmt.Sprintf("%s.%x", p.ID, p.Inc)
+	me := serve.Name(p.ID, p.Inc)
 	var heard func(flow.Time, ledger.Delta, uint64, *api.Plan)
 	if n.runs("dispatcher") && p.Tongue != nil {
 		n.serve = serve.New(serve.Props{ID: me, Zone: p.Area, Tongue: *p.Tongue, Asker: n.asker, Rand: r(), IDs: n.idsOf("serve"), Keep: p.LotKeep,
--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -27,7 +27,10 @@
 		t.env.Refuse(c.ID, "the store is not heard just now", budget.Renew)
 		return
 	}
-	doc.Host, doc.Path, doc.Route, doc.Owner = c.Host, c.Path, r.Name, t.env.Me
+	doc.Host, doc.Path, doc.Route, doc.Pool = c.Host, c.Path, r.Name, r.Pool
+	if doc.Owner = t.last[r.Pool]; doc.Owner == "" || t.addr(doc.Owner) == "" {
+		doc.Owner = t.env.Me
+	}
 	doc.Single, doc.Tries, doc.WaitMS, doc.DueMS, doc.KeepMS = r.Single, r.Tries, int64(r.WaitMS), int64(r.DueMS), keep.Milliseconds()
 	came := t.env.Now
 	t.putting[c.ID] = true
@@ -40,7 +43,7 @@
 			t.env.Counts["lots_taken"]++
 			t.env.Out.Answer(c.ID, 202, struct{}{}, nil)
 			if x.Fresh {
-				t.Adopt(doc, t.env.Now-came)
+				t.hand(doc, t.env.Now-came)
 			}
 			return
 		}
@@ -58,6 +61,26 @@
 	})
 }
 
+// hand gives a lot that was just committed to its owner.
+func (t *Table) hand(doc ledger.LotDoc, age flow.Time) {
+	if doc.Owner == t.env.Me {
+		t.Adopt(doc, age)
+		return
+	}
+	if to := t.addr(doc.Owner); to != "" {
+		doc.AgeMS = age.Milliseconds()
+		t.env.Out.Line(to, "lot.hand", doc)
+	}
+}
+
+// Handed takes a lot from the node that took it. Where it was moved meanwhile,
+// the next renewal takes it away again.
+func (t *Table) Handed(doc ledger.LotDoc) {
+	if doc.Owner == t.env.Me && !t.leaving {
+		t.Adopt(doc, flow.Time(doc.AgeMS)*time.Millisecond)
+	}
+}
+
 // fetch asks for the items of a lot that fell to this node.
 func (t *Table) fetch(id string) {
 	if t.asked[id] || t.leaving {
--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -4,10 +4,11 @@
 package lots
 
 import (
+	"cmp"
 	"slices"
-	"strconv"
 	"time"
 
+	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
 	"fernlink/core/serve/engines"
@@ -21,16 +22,20 @@
 	env     *env.Env
 	engines *engines.Table
 	routes  func() *route.Table
+	addr    func(owner string) string // of a live dispatcher that does not stop, or ""
 	rows    map[string]*lot
-	asked   map[string]bool // lots whose items are being fetched
+	asked   map[string]bool      // lots whose items are being fetched
+	wanted  map[string]flow.Time // lots that fell to this node, and when to fetch them
+	last    map[string]string    // pool, who owned its newest lot
+	shelf   shelf                // texts of items that may come again
 	readers map[uint64]*reader
 	putting map[uint64]bool // hand-ins that are not answered yet
 	leaving bool
 }
 
 // New makes an empty table.
-func New(e *env.Env, t *engines.Table, routes func() *route.Table) *Table {
-	return &Table{env: e, engines: t, routes: routes, rows: map[string]*lot{}, asked: map[string]bool{},
+func New(e *env.Env, t *engines.Table, routes func() *route.Table, addr func(string) string) *Table {
+	return &Table{env: e, engines: t, routes: routes, addr: addr, rows: map[string]*lot{}, asked: map[string]bool{}, wanted: map[string]flow.Time{}, last: map[string]string{}, shelf: shelf{},
 		readers: map[uint64]*reader{}, putting: map[uint64]bool{}}
 }
 
@@ -73,7 +78,6 @@
 	runs  []*run
 	kept  text // the longest text of a run that broke off
 	fails int  // answers of 500
-	out   int  // the most tokens that come out, by its own word
 	again flow.Time
 }
 
@@ -145,7 +149,7 @@
 			l.groups = append(l.groups, g)
 		}
 		i := &item{LotItem: x, lot: l, group: g, kept: text{last: -1}}
-		i.out = outOf(flow.Get(x.Fields, t.env.Tongue.Tokens))
+		i.kept = t.shelf.take(x.ID, &doc)
 		g.items = append(g.items, i)
 		g.left++
 		l.items = append(l.items, i)
@@ -156,25 +160,34 @@
 	t.env.Counts["lots_adopted"]++
 }
 
-// outOf reads the most tokens that come out, of "PROMPT,MOST".
-func outOf(word string) int {
-	for i := 0; i < len(word); i++ {
-		if word[i] == ',' {
-			n, _ := strconv.Atoi(word[i+1:])
-			return n
-		}
-	}
-	return 0
-}
-
 // Heard takes what the ledger says of lots (design 5.2).
 func (t *Table) Heard(rows []ledger.LotRow) {
 	for _, r := range rows {
+		if r.Pool != "" {
+			t.last[r.Pool] = r.Owner
+		}
 		switch {
 		case r.Ended || r.Owner != t.env.Me:
+			delete(t.wanted, r.ID)
 			t.drop(r.ID)
 		case t.rows[r.ID] == nil:
-			t.fetch(r.ID)
+			t.wanted[r.ID] = t.env.Now + handTime
+		}
+	}
+}
+
+// handTime is how long the node that took a lot may need to hand it over; then
+// its owner fetches it.
+const handTime = budget.Listed / 5
+
+// fetches asks for lots that fell to this node and were not handed to it.
+func (t *Table) fetches() {
+	for _, id := range sorted.Keys(t.wanted) {
+		if t.rows[id] != nil {
+			delete(t.wanted, id)
+		} else if t.env.Now >= t.wanted[id] {
+			delete(t.wanted, id)
+			t.fetch(id)
 		}
 	}
 }
@@ -187,7 +200,15 @@
 	}
 	delete(t.rows, id)
 	for _, i := range l.items {
+		for _, r := range i.runs {
+			if len(r.text.events) > len(i.kept.events) {
+				i.kept = r.text
+			}
+		}
 		t.stop(i)
+		if i.state != done {
+			t.shelf.put(i.ID, i.kept, t.env.Now)
+		}
 	}
 }
 
@@ -202,6 +223,7 @@
 
 // Advance runs the room's systems.
 func (t *Table) Advance() {
+	t.fetches()
 	t.expire()
 	t.watch()
 	t.place()
@@ -215,10 +237,22 @@
 	for _, id := range sorted.Keys(t.rows) {
 		out = append(out, t.rows[id])
 	}
-	slices.SortStableFunc(out, func(a, b *lot) int { return int(a.due() - b.due()) })
+	late := func(l *lot) int {
+		if t.env.Now > l.due()+lateAfter {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(out, func(a, b *lot) int {
+		return cmp.Or(cmp.Compare(late(a), late(b)), cmp.Compare(a.due(), b.due()))
+	})
 	return out
 }
 
+// lateAfter is how long past its due time a lot's results still count as in
+// time: they go before those of lots that are late already.
+const lateAfter = budget.Listed / 2
+
 // due is when all results are due, by this node's clock.
 func (l *lot) due() flow.Time { return l.opened + flow.Time(l.doc.DueMS)*time.Millisecond }
 
--- a/core/store/owners.go
+++ b/core/store/owners.go
@@ -1,6 +1,8 @@
 package store
 
 import (
+	"cmp"
+
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
@@ -61,7 +63,8 @@
 		if id == r.Owner || x.left || now-x.at > budget.Tenure {
 			continue
 		}
-		if w := prefix.Weight(r.ID, id); next == "" || w > most {
+		// The lots of a pool keep together, so that one place knows its engines.
+		if w := prefix.Weight(cmp.Or(r.Pool, r.ID), id); next == "" || w > most {
 			next, most = id, w
 		}
 	}
