--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -388,6 +388,8 @@
 	w.want(len(w.llm()) == 0, "its runs are cut")
 	own("other", "me")
 	w.pass(50 * time.Millisecond)
+	w.want(len(w.llm()) == 0, "the node that took it has a moment to hand it over")
+	w.pass(250 * time.Millisecond)
 	x := w.llm()
 	w.want(len(x) == 1, "only what is not listed: %d", len(x))
 	w.serveItem(x[0], 1)
