--- a/api/api.go
+++ b/api/api.go
@@ -11,6 +11,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/pkg/errors"
 	"github.com/santhosh-tekuri/jsonschema/v6"
@@ -27,22 +28,26 @@
 // ErrJSON says that an input is not JSON at all.
 var ErrJSON = errors.New("api: not JSON")
 
-var defs = compile("plan", "plan_put", "step", "weights_put", "drain_put", "store_add")
+// schemas are the definitions that are asked for, each made once: compiling all
+// at the start costs every process more than it holds afterwards.
+var schemas sync.Map
 
-func compile(names ...string) map[string]*jsonschema.Schema {
+// schema gives one definition of the shared schema.
+func schema(name string) *jsonschema.Schema {
+	if s, ok := schemas.Load(name); ok {
+		return s.(*jsonschema.Schema)
+	}
 	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(Schema))
 	if err != nil {
 		panic(err) // the schema is part of the build
 	}
-	out := map[string]*jsonschema.Schema{}
-	for _, n := range names {
-		c := jsonschema.NewCompiler()
-		if err := c.AddResource("fernlink://api/schema.json", doc); err != nil {
-			panic(err)
-		}
-		out[n] = c.MustCompile("fernlink://api/schema.json#/$defs/" + n)
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("fernlink://api/schema.json", doc); err != nil {
+		panic(err)
 	}
-	return out
+	s := c.MustCompile("fernlink://api/schema.json#/$defs/" + name)
+	schemas.Store(name, s)
+	return s
 }
 
 // Check reads body as the named definition. It gives every fault it finds,
@@ -52,7 +57,7 @@
 	if err != nil {
 		return nil, ErrJSON
 	}
-	if bad := Faults(defs[def].Validate(doc)); len(bad) > 0 {
+	if bad := Faults(schema(def).Validate(doc)); len(bad) > 0 {
 		return bad, nil
 	}
 	if err := json.Unmarshal(body, into); err != nil {
--- a/cmd/fernlink/serve.go
+++ b/cmd/fernlink/serve.go
@@ -18,6 +18,10 @@
 	s.String(&v.settings, "s", "settings", "settings file; $"+platform.SettingsEnv+" where it is not given")
 }
 
+// gcPercent is how much the heap may grow between collections: memory is dearer
+// here than processor time (docs/measurements.md).
+const gcPercent = 30
+
 // memoryPart is the share of the machine's memory that the heap may fill.
 const memoryPart = 0.6
 
@@ -39,6 +43,7 @@
 	if p.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(p.MemoryMB<<20) * memoryPart))
 	}
+	debug.SetGCPercent(gcPercent)
 	t := platform.Tongue(p.Platform)
 	last, _ := os.ReadFile(v.settings)
 	seeds := func() ([]string, bool) {
--- a/props/props.go
+++ b/props/props.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"sync"
 
 	"github.com/pkg/errors"
 	"github.com/santhosh-tekuri/jsonschema/v6"
@@ -136,7 +137,8 @@
 	return Check(b)
 }
 
-var compiled = func() *jsonschema.Schema {
+// compiled is the schema, made when it is first asked for.
+var compiled = sync.OnceValue(func() *jsonschema.Schema {
 	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema))
 	if err != nil {
 		panic(err) // the schema is part of the build
@@ -146,7 +148,7 @@
 		panic(err)
 	}
 	return c.MustCompile("fernlink://props/schema.json")
-}()
+})
 
 // Check checks props by schema, then by meaning, and lists every fault.
 func Check(b []byte) (Props, []ledger.Fault, error) {
@@ -155,7 +157,7 @@
 	if err != nil {
 		return p, nil, errors.Wrap(ErrRead, "not JSON")
 	}
-	if bad := api.Faults(compiled.Validate(doc)); len(bad) > 0 {
+	if bad := api.Faults(compiled().Validate(doc)); len(bad) > 0 {
 		return p, bad, nil
 	}
 	if err := json.Unmarshal(b, &p); err != nil {
