One level for the log; traces of requests, lots, orders and lists at debug

Lines had no level, and nothing told what became of one request or item. Notes now have a level, warn is for what follows a fault. Usual: info for node, warn for serve.

--- a/cmd/fernlink/main.go
+++ b/cmd/fernlink/main.go
@@ -55,7 +55,7 @@
 type nodeFlags struct {
 	file, addr, web, area, data, platform string
 	listen                                string
-	seeds, roles, form, off               string
+	seeds, roles, form, off, level        string
 }
 
 func (n *nodeFlags) bind(s *flaggy.Subcommand) {
@@ -69,12 +69,13 @@
 	s.String(&n.data, "", "data", "data folder")
 	s.String(&n.platform, "", "platform", "URL of the platform list")
 	s.String(&n.form, "", "form", "addresses of the stores that form a new cluster, with commas")
+	s.String(&n.level, "", "log-level", "error, warn, info or debug (info)")
 	s.String(&n.off, "", "policies-off", "coordinator policies to switch off, with commas")
 }
 
 func (n *nodeFlags) run() int {
 	flags := map[string]any{}
-	for k, v := range map[string]string{"addr": n.addr, "web": n.web, "area": n.area, "data": n.data, "platform": n.platform, "listen": n.listen} {
+	for k, v := range map[string]string{"addr": n.addr, "web": n.web, "area": n.area, "data": n.data, "platform": n.platform, "listen": n.listen, "log_level": n.level} {
 		if v != "" {
 			flags[k] = v
 		}
--- a/cmd/fernlink/serve.go
+++ b/cmd/fernlink/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"runtime/debug"
@@ -12,12 +13,15 @@
 )
 
 // serveFlags are those of `fernlink serve`.
-type serveFlags struct{ settings string }
+type serveFlags struct{ settings, level string }
 
 func (v *serveFlags) bind(s *flaggy.Subcommand) {
+	s.String(&v.level, "", "log-level", "error, warn, info or debug (warn)")
 	s.String(&v.settings, "s", "settings", "settings file; $"+platform.SettingsEnv+" where it is not given")
 }
 
+var levels = map[string]bool{"error": true, "warn": true, "info": true, "debug": true}
+
 // memoryPart is the share of the machine's memory that the heap may fill.
 const memoryPart = 0.6
 
@@ -36,6 +40,10 @@
 		}
 		return 2
 	}
+	if p.LogLevel = cmp.Or(v.level, "warn"); !levels[p.LogLevel] {
+		fmt.Fprintf(os.Stderr, "fernlink: --log-level is error, warn, info or debug, not %q\n", p.LogLevel)
+		return 2
+	}
 	if p.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(p.MemoryMB<<20) * memoryPart))
 	}
--- a/core/coord/coord.go
+++ b/core/coord/coord.go
@@ -183,7 +183,7 @@
 	c.next = c.now
 	c.save = c.now + budget.Digest
 	c.sweep = c.now + budget.Sweep
-	c.out.Note("coord", "took the tenure", "term", c.term, "cold", c.cold)
+	flow.Warn.Note(c.out, "coord", "took the tenure", "term", c.term, "cold", c.cold)
 }
 
 func (c *Coord) renewed(term uint64, a ask.Answer) {
@@ -235,7 +235,7 @@
 }
 
 func (c *Coord) standDown() {
-	c.out.Note("coord", "stood down", "term", c.term)
+	flow.Warn.Note(c.out, "coord", "stood down", "term", c.term)
 	c.term, c.till, c.plan = 0, 0, 0
 	for _, id := range sorted.Keys(c.watchers) {
 		c.closeWatch(id, "this coordinator stood down")
--- a/core/coord/watch.go
+++ b/core/coord/watch.go
@@ -198,7 +198,7 @@
 func (c *Coord) checkpoint() {
 	b, err := json.Marshal(saved{c.cluster, c.term, c.journal.Offset, c.gate, c.views})
 	if err != nil {
-		c.out.Note("coord", "checkpoint failed", "mishap", err.Error())
+		flow.Warn.Note(c.out, "coord", "checkpoint failed", "mishap", err.Error())
 		return
 	}
 	head := fmt.Sprintf("%08x %d\n", crc32.ChecksumIEEE(b), len(b))
@@ -218,12 +218,12 @@
 	var sum uint32
 	var n int
 	if _, err := fmt.Sscanf(head, "%08x %d", &sum, &n); err != nil || !ok || n != len(body) || crc32.ChecksumIEEE([]byte(body)) != sum {
-		c.out.Note("coord", "checkpoint is corrupt, starting cold")
+		flow.Warn.Note(c.out, "coord", "checkpoint is corrupt, starting cold")
 		return
 	}
 	s := saved{Gate: gate.New(), Views: view.New()}
 	if json.Unmarshal([]byte(body), &s) != nil || s.Cluster != c.cluster || s.Gate == nil || s.Views == nil {
-		c.out.Note("coord", "checkpoint is of another cluster or form, starting cold")
+		flow.Warn.Note(c.out, "coord", "checkpoint is of another cluster or form, starting cold")
 		return
 	}
 	c.gate, c.views = s.Gate, s.Views
--- a/core/disp/gen.go
+++ b/core/disp/gen.go
@@ -559,7 +559,7 @@
 				}
 				if a.Code == 422 {
 					// The ledger's own check: never listed, made anew.
-					d.out.Note("disp", "a result was not listed", "step", id, "group", g.group.doc.ID, "why", string(a.Body))
+					flow.Warn.Note(d.out, "disp", "a result was not listed", "step", id, "group", g.group.doc.ID, "why", string(a.Body))
 					d.counts["unlisted"]++
 					g.whole, g.state, g.again, g.tries = ledger.Entry{}, held, now+budget.Listed, 0
 					return
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -120,11 +120,23 @@
 	Seeds []string // the settings name these seeds from now on
 }
 
+// Level is how much a note matters; the usual is Info.
+type Level int8
+
+// The levels of notes. A note at Debug is only made where somebody wants it.
+const (
+	Debug Level = iota - 1
+	Info
+	Warn
+	Error
+)
+
 // Note is a log line: a short sentence with its part's prefix.
 type Note struct {
-	Part string
-	Text string
-	Args []any
+	Level Level
+	Part  string
+	Text  string
+	Args  []any
 }
 
 // Outbox gathers what a core wants done. Save goes to the disk's task in the
@@ -250,14 +262,19 @@
 
 // Note adds a log line.
 func (o *Outbox) Note(part, text string, args ...any) {
-	o.Notes = append(o.Notes, Note{part, text, args})
+	o.Notes = append(o.Notes, Note{Info, part, text, args})
+}
+
+// Note adds a log line at a level of its own.
+func (l Level) Note(o *Outbox, part, text string, args ...any) {
+	o.Notes = append(o.Notes, Note{l, part, text, args})
 }
 
 // Line adds a line to a sibling.
 func (o *Outbox) Line(to, kind string, body any) {
 	raw, err := json.Marshal(body)
 	if err != nil {
-		o.Note("flow", "dropped a line that does not marshal", "kind", kind, "mishap", err.Error())
+		Error.Note(o, "flow", "dropped a line that does not marshal", "kind", kind, "mishap", err.Error())
 		return
 	}
 	o.Lines = append(o.Lines, Line{Ver: Version, Kind: kind, To: to, Body: raw})
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -45,6 +45,7 @@
 	First      bool            // the first start of all, with empty disks
 	Want       int             // voters wanted, 0 for as many as formed
 	Tongue     *dialect.Tongue // how a platform speaks; nil where none is served
+	Debug      bool            // notes at the debug level are wanted
 	LotKeep    flow.Time       // for how long a lot's results stay readable
 }
 
@@ -98,7 +99,7 @@
 	me := serve.Name(p.ID, p.Inc)
 	var heard func(flow.Time, ledger.Delta, uint64, *api.Plan)
 	if n.runs("dispatcher") && p.Tongue != nil {
-		n.serve = serve.New(serve.Props{ID: me, Zone: p.Area, Tongue: *p.Tongue, Asker: n.asker, Rand: r(), IDs: n.idsOf("serve"), Keep: p.LotKeep,
+		n.serve = serve.New(serve.Props{Debug: p.Debug, ID: me, Zone: p.Area, Tongue: *p.Tongue, Asker: n.asker, Rand: r(), IDs: n.idsOf("serve"), Keep: p.LotKeep,
 			Fresh: func() bool { return n.disp.Fresh(n.now) },
 			Acting: func() (uint64, flow.Time, bool) {
 				if n.coord == nil {
@@ -304,7 +305,7 @@
 	}
 	if e.Full && !n.full {
 		n.full = true
-		out.Note("node", "the disk has no room; what was to be saved is tried again")
+		flow.Warn.Note(out, "node", "the disk has no room; what was to be saved is tried again")
 	}
 	if e.Line != nil {
 		n.line(now, wall, *e.Line, out)
@@ -437,7 +438,7 @@
 	if why := Foreign(l, n.Cluster()); why != "" {
 		n.counts["foreign_lines"]++
 		if now-n.burst[l.Addr] > budget.Heal || n.burst[l.Addr] == 0 {
-			out.Note("node", "a sibling "+why, "addr", l.Addr, "version", l.Ver)
+			flow.Warn.Note(out, "node", "a sibling "+why, "addr", l.Addr, "version", l.Ver)
 		}
 		if len(n.burst) > 256 {
 			n.burst = map[string]flow.Time{}
--- a/core/serve/engines/engines.go
+++ b/core/serve/engines/engines.go
@@ -130,6 +130,9 @@
 	e.strike++
 	e.rest = t.env.Now + flow.Time(min(restLeast<<min(e.strike-1, 8), restMost))*1e6
 	t.env.Counts["engine_mishaps"]++
+	if t.env.Debug {
+		t.env.Trace("engines", "rests", "engine", e.ID, "mishaps", e.strike, "ms", (e.rest - t.env.Now).Milliseconds())
+	}
 }
 
 // Full hears that it turned a request away.
--- a/core/serve/env/env.go
+++ b/core/serve/env/env.go
@@ -22,6 +22,7 @@
 	Tongue dialect.Tongue
 	IDs    func() uint64
 	Counts map[string]int64
+	Debug  bool        // trace notes are wanted; without it nothing of them is made
 	Fresh  func() bool // the view of the ledger is under a tenure (design 5.2)
 
 	sends map[uint64]func(flow.Back)
@@ -30,6 +31,12 @@
 // Turn sets the moment and where what is wanted goes.
 func (e *Env) Turn(now flow.Time, out *flow.Outbox) { e.Now, e.Out = now, out }
 
+// Trace adds a note at the debug level. Callers look at Debug first, so that
+// one that is off costs nothing.
+func (e *Env) Trace(part, text string, args ...any) {
+	flow.Debug.Note(e.Out, part, text, args...)
+}
+
 // Send starts a send; f hears all news of it, the last with End.
 func (e *Env) Send(s flow.Send, f func(flow.Back)) uint64 {
 	if e.sends == nil {
--- a/core/serve/fleet/fleet.go
+++ b/core/serve/fleet/fleet.go
@@ -101,6 +101,9 @@
 		if b.Err != "" || b.Code != 200 || err != nil {
 			f.open = false
 			f.env.Counts["list_failures"]++
+			if f.env.Debug {
+				f.env.Trace("fleet", "list not read", "code", b.Code, "mishap", b.Err)
+			}
 			if b.Code == 429 {
 				f.due = f.env.Now + budget.List + flow.Time(f.env.Rand.Int63n(int64(2*budget.List)))
 			}
@@ -123,6 +126,9 @@
 		f.list = list
 		f.seq++
 		f.engines.Take(list)
+		if f.env.Debug {
+			f.env.Trace("fleet", "list changed", "engines", len(list), "seq", f.seq)
+		}
 	}
 	f.started = true
 	if _, _, acts := f.acting(); !acts {
@@ -184,6 +190,9 @@
 	if n.Whole {
 		f.seq, f.list, f.started = n.Seq, n.Seats, true
 		f.engines.Take(n.Seats)
+		if f.env.Debug {
+			f.env.Trace("fleet", "list heard", "engines", len(n.Seats), "seq", n.Seq, "term", n.Term, "from", from)
+		}
 	} else if n.Seq != f.seq && f.env.Now-f.asked > budget.Renew {
 		f.asked = f.env.Now
 		f.env.Out.Line(from, "fleet.ask", f.seq)
--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -20,10 +20,16 @@
 	id := flow.Get(c.Fields, t.env.Tongue.Attempt)
 	doc, err := t.env.Tongue.ReadLot(id, c.Body)
 	if id == "" || err != nil {
+		if t.env.Debug {
+			t.env.Trace("lots", "refused", "lot", id, "why", "the lot can't be read")
+		}
 		t.env.Out.Answer(c.ID, 400, env.Problem{Error: "the lot can't be read"}, nil)
 		return
 	}
 	if !t.env.Fresh() || t.leaving {
+		if t.env.Debug {
+			t.env.Trace("lots", "refused", "lot", id, "why", "the store is not heard just now")
+		}
 		t.env.Refuse(c.ID, "the store is not heard just now", budget.Renew)
 		return
 	}
@@ -39,6 +45,9 @@
 		var x struct {
 			Fresh bool `json:"fresh"`
 		}
+		if t.env.Debug {
+			t.env.Trace("lots", handIn[a.Code == 200], "lot", id, "code", a.Code, "items", len(doc.Items))
+		}
 		if a.Code == 200 && json.Unmarshal(a.Body, &x) == nil {
 			t.env.Counts["lots_taken"]++
 			t.env.Out.Answer(c.ID, 202, struct{}{}, nil)
@@ -81,6 +90,9 @@
 	}
 }
 
+// handIn names what came of a hand-in.
+var handIn = map[bool]string{true: "accepted", false: "refused"}
+
 // fetch asks for the items of a lot that fell to this node.
 func (t *Table) fetch(id string) {
 	if t.asked[id] || t.leaving {
@@ -105,6 +117,9 @@
 func (t *Table) End(c flow.Call) {
 	id := c.Vars["id"]
 	t.env.Ask(budget.AskLimit, "lot.end", id, func(a ask.Answer) {
+		if t.env.Debug {
+			t.env.Trace("lots", "ended", "lot", id, "code", a.Code)
+		}
 		if a.Code == 200 {
 			t.drop(id)
 			t.env.Out.Answer(c.ID, 200, struct{}{}, nil)
@@ -235,6 +250,11 @@
 			if a.Code == 0 || a.Code >= 500 || a.Code == 429 {
 				return // it is said again
 			}
+			if t.env.Debug {
+				for _, r := range l.ready[:n] {
+					t.env.Trace("lots", "listed", "lot", id, "item", r.Item, "state", r.State, "code", a.Code)
+				}
+			}
 			l.ready = l.ready[n:]
 			if l.left == 0 && len(l.ready) == 0 && t.rows[id] == l {
 				l.items, l.groups = nil, nil // all is listed; the lot stays until it is ended
--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -158,6 +158,9 @@
 	l.doc.Items = nil
 	t.rows[doc.ID] = l
 	t.env.Counts["lots_adopted"]++
+	if t.env.Debug {
+		t.env.Trace("lots", "adopted", "lot", doc.ID, "left", l.left, "age_ms", age.Milliseconds())
+	}
 }
 
 // Heard takes what the ledger says of lots (design 5.2).
@@ -199,6 +202,9 @@
 		return
 	}
 	delete(t.rows, id)
+	if t.env.Debug {
+		t.env.Trace("lots", "let go", "lot", id, "left", l.left)
+	}
 	for _, i := range l.items {
 		for _, r := range i.runs {
 			if len(r.text.events) > len(i.kept.events) {
@@ -212,6 +218,11 @@
 	}
 }
 
+// trace notes what became of an item.
+func (t *Table) trace(i *item, text string, args ...any) {
+	t.env.Trace("lots", text, append([]any{"lot", i.lot.doc.ID, "item", i.ID}, args...)...)
+}
+
 // stop cuts all runs of an item.
 func (t *Table) stop(i *item) {
 	for _, r := range i.runs {
@@ -297,4 +308,7 @@
 	i.lot.left--
 	i.lot.ready = append(i.lot.ready, r)
 	t.env.Counts["items_"+r.State]++
+	if t.env.Debug {
+		t.trace(i, "finished", "state", r.State)
+	}
 }
--- a/core/serve/lots/runs.go
+++ b/core/serve/lots/runs.go
@@ -51,6 +51,9 @@
 	i.runs = append(i.runs, r)
 	e.Begin()
 	t.env.Counts["items_sent"]++
+	if t.env.Debug {
+		t.trace(i, "sent", "engine", e.ID, "run", len(i.runs), "from", r.from)
+	}
 	r.id = t.env.Send(flow.Send{Verb: "POST", URL: "http://" + e.Addr + i.Path, Host: i.lot.doc.Host, Fields: fields, Body: i.Body,
 		Until: now + time.Second, Limit: now + limit, Keep: true, Raw: true, Stream: true, Name: w.Attempt, Match: i.ID}, func(b flow.Back) { t.back(r, b) })
 }
@@ -142,6 +145,9 @@
 		t.give(r) // not what was asked for: nothing of it is joined
 		return
 	}
+	if t.env.Debug && !r.first {
+		t.trace(r.item, "first token", "engine", r.engine.ID)
+	}
 	if r.first {
 		gap := float64(now-r.last) / 1e6
 		r.gap += (gap - r.gap) / 4
@@ -167,6 +173,9 @@
 
 // give cuts a run whose text can't be used from here on.
 func (t *Table) give(r *run) {
+	if t.env.Debug {
+		t.trace(r.item, "run given up", "engine", r.engine.ID, "events", len(r.text.events))
+	}
 	r.engine.End()
 	t.env.Cut(r.id)
 	t.leave(r)
@@ -176,6 +185,9 @@
 func (t *Table) ended(r *run, b flow.Back) {
 	r.engine.End()
 	i := r.item
+	if t.env.Debug {
+		t.trace(i, "run over", "engine", r.engine.ID, "code", b.Code, "events", len(r.text.events), "mishap", b.Err)
+	}
 	w := t.env.Tongue.Words
 	if len(b.Fields) > 0 && !r.open {
 		t.learn(r, b.Fields) // a stream's head was heard when it opened, and is old by now
--- a/core/serve/requests/requests.go
+++ b/core/serve/requests/requests.go
@@ -67,6 +67,11 @@
 // Len counts the requests that are held or under way.
 func (t *Table) Len() int { return len(t.rows) }
 
+// trace notes what became of a request, by the name of its try.
+func (t *Table) trace(q *Request, text string, args ...any) {
+	t.env.Trace("requests", text, append([]any{"request", flow.Get(q.call.Fields, t.env.Tongue.Attempt), "call", q.call.ID}, args...)...)
+}
+
 // Take takes a request that a route serves.
 func (t *Table) Take(c flow.Call, r *route.Route) {
 	now := t.env.Now
@@ -74,7 +79,13 @@
 	if left, err := strconv.ParseFloat(flow.Get(c.Fields, t.env.Tongue.TimeLeft), 64); err == nil {
 		q.late = min(q.late, now+flow.Time(left*1e6))
 	}
+	if t.env.Debug {
+		t.trace(q, "accepted", "route", r.Name, "pool", q.pool)
+	}
 	if len(t.rows) >= Most {
+		if t.env.Debug {
+			t.trace(q, "refused", "why", "too much at once")
+		}
 		t.env.Refuse(c.ID, "too much at once", t.again(q))
 		return
 	}
@@ -143,6 +154,9 @@
 		q.hedge = now + q.route.Target/hedgePart
 	}
 	e.Begin()
+	if t.env.Debug {
+		t.trace(q, "sent", "engine", e.ID, "try", q.sends)
+	}
 	x.id = t.env.Send(s, func(b flow.Back) { t.back(q, x, b) })
 }
 
@@ -164,6 +178,9 @@
 	}
 	x.engine.End()
 	q.drop(x)
+	if t.env.Debug {
+		t.trace(q, "answered", "engine", x.engine.ID, "code", b.Code, "outcome", t.outcome(b), "mishap", b.Err)
+	}
 	if word := flow.Get(b.Fields, w.Load); word != "" {
 		t.engines.Load(x.engine, word)
 	}
@@ -282,6 +299,9 @@
 		return
 	}
 	t.finish(q)
+	if t.env.Debug {
+		t.trace(q, "refused", "why", "no engine can take this just now")
+	}
 	t.env.Refuse(q.call.ID, "no engine can take this just now", t.again(q))
 }
 
@@ -289,6 +309,9 @@
 func (t *Table) lost(q *Request) {
 	t.finish(q)
 	t.env.Counts["unknown"]++
+	if t.env.Debug {
+		t.trace(q, "unknown", "why", "it may have run")
+	}
 	t.env.Out.Answer(q.call.ID, 502, env.Problem{Error: "whether this request ran is not known"}, nil)
 }
 
@@ -296,6 +319,9 @@
 func (t *Table) pass(q *Request, b flow.Back) {
 	t.finish(q)
 	t.env.Counts["passed"]++
+	if t.env.Debug {
+		t.trace(q, "passed", "code", b.Code)
+	}
 	t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: q.call.ID, Code: b.Code, Fields: b.Fields, Body: b.Body})
 }
 
@@ -350,6 +376,9 @@
 	}
 	t.finish(q)
 	t.env.Counts["late"]++
+	if t.env.Debug {
+		t.trace(q, "late", "tries", q.sends)
+	}
 	t.env.Out.Answer(q.call.ID, 504, env.Problem{Error: "no engine answered in time"}, nil)
 }
 
@@ -361,6 +390,9 @@
 		return
 	}
 	t.finish(q)
+	if t.env.Debug {
+		t.trace(q, "caller gone")
+	}
 	if q.stream == nil {
 		return
 	}
--- a/core/serve/requests/streams.go
+++ b/core/serve/requests/streams.go
@@ -57,6 +57,9 @@
 		if !s.begun {
 			// One answer keeps the head of its first engine.
 			s.begun = true
+			if t.env.Debug {
+				t.trace(q, "first token", "engine", x.engine.ID)
+			}
 			t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: q.call.ID, Code: b.Code, Fields: b.Fields, More: true})
 		}
 		return
@@ -98,6 +101,9 @@
 	if b.Err == "" {
 		t.finish(q)
 		t.env.Counts["passed"]++
+		if t.env.Debug {
+			t.trace(q, "passed", "last", s.after)
+		}
 		t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: q.call.ID})
 		return
 	}
@@ -119,6 +125,9 @@
 	}
 	q.tries = nil
 	t.env.Counts["streams_broken"]++
+	if t.env.Debug {
+		t.trace(q, "broken", "last", q.stream.after)
+	}
 	t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: q.call.ID, Cut: true})
 }
 
--- a/core/serve/rollout/rollout.go
+++ b/core/serve/rollout/rollout.go
@@ -138,6 +138,9 @@
 
 func (r *Roll) close(id string, j *job) {
 	delete(r.jobs, id)
+	if r.env.Debug {
+		r.env.Trace("rollout", "order over", "engine", id, "model", j.model, "version", j.engine.Held[j.model], "gone", j.engine.Gone)
+	}
 	r.show(j, false)
 }
 
@@ -146,17 +149,23 @@
 	now := r.env.Now
 	j.open, j.sent, j.since = true, true, now
 	r.env.Counts["weight_orders"]++
+	if r.env.Debug {
+		r.env.Trace("rollout", "ordered", "engine", j.engine.ID, "model", j.model, "version", j.rev, "term", r.term)
+	}
 	body := r.env.Tongue.WriteOrder(dialect.WeightOrder{Model: j.model, Revision: j.rev, Mode: "hold", Owner: r.env.Me, Fence: r.term})
 	until := min(till, now+sendBy)
 	r.send(flow.Send{Verb: "POST", URL: "http://" + j.engine.Addr + r.env.Tongue.OrderPath, Body: body, Until: until, Limit: now + sendBy,
 		Fields: []flow.Field{{Name: "Content-Type", Value: "application/json"}, {Name: r.env.Tongue.Expect, Value: j.engine.ID}}}, func(b flow.Back) {
 		j.open = false
 		j.due = r.env.Now + look*2
+		if r.env.Debug {
+			r.env.Trace("rollout", "order answered", "engine", j.engine.ID, "code", b.Code, "mishap", b.Err)
+		}
 		switch {
 		case b.Err != "" && b.Unsent, b.Code == 400, b.Code == 429, b.Code == 503:
 			j.sent, j.due = false, r.env.Now+look
 		case b.Code == 412:
-			r.env.Out.Note("rollout", "an engine has seen a higher fence", "engine", j.engine.ID, "term", r.term)
+			flow.Warn.Note(r.env.Out, "rollout", "an engine has seen a higher fence", "engine", j.engine.ID, "term", r.term)
 			j.due = r.env.Now + resend
 		}
 	})
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -33,6 +33,7 @@
 	IDs      func() uint64
 	Keep     flow.Time    // for how long after its hand-in a lot's results stay
 	Fresh    func() bool  // the view of the ledger is under a tenure
+	Debug    bool         // trace notes are wanted
 	Acting   fleet.Acting // of this node's coordinator
 }
 
@@ -53,7 +54,7 @@
 // New starts without a plan or an engine.
 func New(p Props) *Serve {
 	s := &Serve{p: p, env: &env.Env{Me: p.ID, Zone: p.Zone, Asker: p.Asker, Rand: p.Rand, Tongue: p.Tongue, IDs: p.IDs,
-		Counts: map[string]int64{}, Fresh: p.Fresh}}
+		Counts: map[string]int64{}, Fresh: p.Fresh, Debug: p.Debug}}
 	s.engines = engines.New(s.env)
 	s.requests = requests.New(s.env, s.engines)
 	s.lots = lots.New(s.env, s.engines, func() *route.Table { return s.routes }, s.addr)
@@ -152,6 +153,9 @@
 func (s *Serve) request(c flow.Call) {
 	r := s.routes.Find(c.Host, c.Path)
 	if r == nil {
+		if s.env.Debug {
+			s.env.Trace("serve", "refused", "request", flow.Get(c.Fields, s.p.Tongue.Attempt), "call", c.ID, "why", "no route is known", "host", c.Host, "path", c.Path)
+		}
 		if s.routes == nil || !s.p.Fresh() {
 			s.env.Refuse(c.ID, "this node may be behind", backIn)
 			return
--- a/core/serve/world_test.go
+++ b/core/serve/world_test.go
@@ -37,6 +37,7 @@
 	order   []uint64
 	cuts    map[uint64]bool
 	replies []flow.Reply
+	notes   []flow.Note
 	calls   uint64
 	version uint64
 }
@@ -118,6 +119,7 @@
 				w.asker.Take(w.now, "store", ask.Told{ID: a.ID, Code: r.Code, Body: r.Body})
 			}
 		}
+		w.notes, out.Notes = append(w.notes, out.Notes...), nil
 		if len(out.Lines)+len(out.Sends)+len(out.Replies)+len(out.Cuts) == 0 {
 			return
 		}
--- a/core/store/pull.go
+++ b/core/store/pull.go
@@ -150,7 +150,7 @@
 		p.need, err = ledger.Needs(d.State)
 	}
 	if err != nil || d.Index != p.offer.Index || d.Term != p.offer.Term {
-		out.Note("store", "a digest from the leader does not read, trying again")
+		flow.Warn.Note(out, "store", "a digest from the leader does not read, trying again")
 		s.pull = nil
 		return
 	}
@@ -211,7 +211,7 @@
 	}
 	l, err := ledger.Load(p.digest.State, items)
 	if err != nil {
-		out.Note("store", "a digest from the leader does not load, trying again", "mishap", err.Error())
+		flow.Warn.Note(out, "store", "a digest from the leader does not load, trying again", "mishap", err.Error())
 		s.pull = nil
 		return
 	}
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -441,7 +441,7 @@
 	}
 	if r := s.raft.Role(); r != s.role {
 		if r == raft.Leader || s.role == raft.Leader {
-			out.Note("store", "role changed", "role", r, "term", s.raft.Term())
+			flow.Warn.Note(out, "store", "role changed", "role", r, "term", s.raft.Term())
 		}
 		s.role = r
 	}
--- a/props/props.go
+++ b/props/props.go
@@ -43,6 +43,7 @@
 	Stop     int      `json:"stop_seconds,omitempty"`
 	Listen   string   `json:"listen,omitempty"`
 	Off      []string `json:"policies_off,omitempty"`
+	LogLevel string   `json:"log_level,omitempty"` // error, warn, info or debug; "" is info
 
 	Name       string            `json:"name,omitempty"`
 	Front      string            `json:"front,omitempty"`       // callers' door
--- a/shell/daemon/daemon.go
+++ b/shell/daemon/daemon.go
@@ -7,10 +7,12 @@
 	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
+	"os"
 	"slices"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 	"go.uber.org/fx"
 
@@ -73,7 +75,7 @@
 			f.Known = gossip.Known{}
 		}
 	}
-	_ = logger.Log("part", "daemon", "msg", "data folder opened", "id", f.Identity.ID, "entries", len(f.Disk.Entries))
+	_ = level.Info(logger).Log("part", "daemon", "msg", "data folder opened", "id", f.Identity.ID, "entries", len(f.Disk.Entries))
 	return f, nil
 }
 
@@ -96,14 +98,14 @@
 	if p.Times != nil {
 		keep = flow.Time(p.Times.Report) * time.Millisecond
 	}
-	return node.New(clock.Now(), node.Props{Name: p.Name, Tongue: x.Tongue, LotKeep: keep, First: p.FirstStart, Want: 2*p.CoreLosses + 1, ID: f.Identity.ID, Inc: f.Identity.Inc, Addr: p.Addr, Web: p.Web, Area: p.Area, Roles: p.Roles,
+	return node.New(clock.Now(), node.Props{Debug: p.LogLevel == "debug", Name: p.Name, Tongue: x.Tongue, LotKeep: keep, First: p.FirstStart, Want: 2*p.CoreLosses + 1, ID: f.Identity.ID, Inc: f.Identity.Inc, Addr: p.Addr, Web: p.Web, Area: p.Area, Roles: p.Roles,
 		Seeds: p.Seeds, Form: p.Form, Platform: list, Seed: int64(binary.LittleEndian.Uint64(seed[:]) >> 8), Keep: p.Keep, Bounds: p.Bounds(), BlocksMost: p.Blocks,
 		Off: p.Off, Stop: time.Duration(p.Stop) * time.Second, Data: f.FS != nil, Disk: f.Disk, Checkpoint: f.Checkpoint, Known: f.Known})
 }
 
 func makeLoop(p props.Props, f Folder, x Platform, n *node.Node, logger log.Logger) (*run.Loop, error) {
 	l := run.New(logger)
-	l.Node, l.Log, l.FS = n, f.Log, f.FS
+	l.Node, l.Log, l.FS, l.Least = n, f.Log, f.FS, run.Levels[p.LogLevel]
 	listen := p.Listen
 	if listen == "" {
 		listen = p.Addr
@@ -124,7 +126,7 @@
 func Module(p props.Props, x Platform) fx.Option {
 	return fx.Module("fernlink",
 		fx.Supply(p, x),
-		fx.Provide(run.Logger, openFolder, makeNode, makeLoop),
+		fx.Provide(func() log.Logger { return run.Logger(os.Stderr, p.LogLevel) }, openFolder, makeNode, makeLoop),
 		fx.Invoke(func(life fx.Lifecycle, quit fx.Shutdowner, l *run.Loop, logger log.Logger) {
 			watch, end := context.WithCancel(context.Background())
 			life.Append(fx.Hook{
@@ -135,17 +137,17 @@
 					}
 					go func() {
 						if err, ok := <-l.Halted; ok {
-							_ = logger.Log("part", "daemon", "msg", "stopped by a mishap", "mishap", err)
+							_ = level.Error(logger).Log("part", "daemon", "msg", "stopped by a mishap", "mishap", err)
 							_ = quit.Shutdown(fx.ExitCode(3))
 						}
 					}()
-					_ = logger.Log("part", "daemon", "msg", "started", "addr", p.Addr, "web", p.Web, "area", p.Area)
+					_ = level.Info(logger).Log("part", "daemon", "msg", "started", "addr", p.Addr, "web", p.Web, "area", p.Area)
 					return nil
 				},
 				OnStop: func(ctx context.Context) error {
 					end()
 					l.Stop(ctx)
-					_ = logger.Log("part", "daemon", "msg", "stopped")
+					_ = level.Info(logger).Log("part", "daemon", "msg", "stopped")
 					return nil
 				},
 			})
--- a/shell/daemon/reload.go
+++ b/shell/daemon/reload.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"fernlink/core/budget"
 	"fernlink/core/flow"
@@ -33,7 +34,7 @@
 		case <-t.C:
 		}
 		if s, changed := seeds(); changed {
-			_ = logger.Log("part", "daemon", "msg", "settings name other seeds", "seeds", len(s))
+			_ = level.Info(logger).Log("part", "daemon", "msg", "settings name other seeds", "seeds", len(s))
 			l.Put(flow.Event{Seeds: s})
 		}
 	}
--- a/shell/link/link.go
+++ b/shell/link/link.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
 	"fernlink/core/budget"
@@ -133,7 +134,7 @@
 	l.In(flow.Event{Stray: why})
 	now := time.Now().Unix()
 	if was := l.last.Load(); now-was > int64(budget.Heal/time.Second) && l.last.CompareAndSwap(was, now) {
-		_ = l.Logger.Log("msg", "closed a connection", "why", why, "from", c.RemoteAddr().String())
+		_ = level.Warn(l.Logger).Log("msg", "closed a connection", "why", why, "from", c.RemoteAddr().String())
 	}
 }
 
--- a/shell/run/run.go
+++ b/shell/run/run.go
@@ -7,10 +7,11 @@
 import (
 	"context"
 	"encoding/json"
-	"os"
+	"io"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
 	"fernlink/core/budget"
@@ -34,6 +35,7 @@
 	Log    *disk.Log
 	FS     disk.FS // nil without a data folder
 	Logger log.Logger
+	Least  flow.Level // notes below it are not written
 
 	events chan flow.Event
 	Link   *link.Link
@@ -144,7 +146,7 @@
 		}
 		for _, f := range c.files {
 			if err := disk.PutFile(l.FS, f.Name, f.Body); err != nil {
-				_ = l.Logger.Log("part", "run", "msg", "a file was not written, trying again later", "file", f.Name, "mishap", err)
+				_ = level.Warn(l.Logger).Log("part", "run", "msg", "a file was not written, trying again later", "file", f.Name, "mishap", err)
 			}
 		}
 		l.Put(flow.Event{}) // it is free again
@@ -247,7 +249,9 @@
 
 func (l *Loop) emit(out flow.Outbox) {
 	for _, n := range out.Notes {
-		_ = l.Logger.Log(append([]any{"part", n.Part, "msg", n.Text}, n.Args...)...)
+		if n.Level >= l.Least {
+			_ = write[n.Level](l.Logger).Log(append([]any{"part", n.Part, "msg", n.Text}, n.Args...)...)
+		}
 	}
 	for _, x := range out.Lines {
 		l.Link.Send(x)
@@ -263,7 +267,14 @@
 	}
 }
 
-// Logger is the daemon's log.
-func Logger() log.Logger {
-	return log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "ts", log.DefaultTimestampUTC)
+var write = map[flow.Level]func(log.Logger) log.Logger{flow.Debug: level.Debug, flow.Info: level.Info, flow.Warn: level.Warn, flow.Error: level.Error}
+
+// Levels are the names of the log's levels.
+var Levels = map[string]flow.Level{"debug": flow.Debug, "info": flow.Info, "warn": flow.Warn, "error": flow.Error}
+
+// Logger is the process's one log: lines below the named level are not written;
+// "" is info.
+func Logger(to io.Writer, least string) log.Logger {
+	all := log.With(log.NewLogfmtLogger(log.NewSyncWriter(to)), "ts", log.DefaultTimestampUTC)
+	return level.NewFilter(all, level.Allow(level.ParseDefault(least, level.InfoValue())))
 }
