fernlink folder: reads a data folder without changing it and says what is whole

After a fault nobody could tell what a folder holds but by starting its node, which cuts torn tails. The look shares the reading of frames, trays and needs with the start, behind a folder that cuts nothing; one that changes meanwhile is looked at again. Exit 0 whole, 1 damaged or unsure, 2 can't be read.

--- /dev/null
+++ b/cmd/fernlink/folder.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/integrii/flaggy"
+
+	"fernlink/shell/disk"
+)
+
+// bindFolder adds `fernlink folder`. It ends with 0 when the folder is whole, 1
+// when it is damaged or unsure, 2 when it can't be read.
+func bindFolder() tool {
+	sub := flaggy.NewSubcommand("folder")
+	sub.Description = "read a data folder without changing it and say what is whole"
+	dir, form := "", "text"
+	sub.AddPositionalValue(&dir, "dir", 1, true, "data folder; its node may be running")
+	sub.String(&form, "o", "output", "text or json")
+	flaggy.AttachSubcommand(sub, 1)
+	return tool{sub, func() int { return folder(os.Stdout, os.Stderr, dir, form) }}
+}
+
+func folder(out, mishaps io.Writer, dir, form string) int {
+	if form != "text" && form != "json" {
+		fmt.Fprintln(mishaps, "fernlink: --output is text or json")
+		return 2
+	}
+	r, err := disk.Inspect(&disk.Folder{Path: dir})
+	if err != nil {
+		fmt.Fprintln(mishaps, "fernlink:", err)
+		return 2
+	}
+	if form == "json" {
+		b, _ := json.MarshalIndent(r, "", "  ")
+		fmt.Fprintln(out, string(b))
+	} else {
+		writeFolder(out, r)
+	}
+	if !r.Whole() {
+		return 1
+	}
+	return 0
+}
+
+func writeFolder(out io.Writer, r disk.Report) {
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	row := func(name, text string, a ...any) { fmt.Fprintf(w, "%s\t%s\n", name, fmt.Sprintf(text, a...)) }
+	if id := r.Identity; id != nil {
+		row("identity", "%s, start %d", id.ID, id.Inc)
+	}
+	if r.Cluster != "" {
+		row("cluster", "%s, term %d, vote %q", r.Cluster, r.Term, r.Vote)
+	}
+	for _, s := range r.Segments {
+		row("segment", "%s: %d frames, %d bytes, tail %s", s.Name, s.Frames, s.Bytes, s.Tail)
+	}
+	if s := r.Snapshot; s != nil {
+		row("snapshot", "index %d, term %d, %d bytes, %d members (%d voters)", s.Index, s.Term, s.Bytes, s.Members, s.Voters)
+	}
+	if r.Entries > 0 {
+		row("entries", "%d to %d", r.First, r.Last)
+	}
+	for _, k := range r.Shelf {
+		row("shelf", "%s: %d items, %d trays, %d bytes", k.Name, k.Items, k.Trays, k.Bytes)
+	}
+	if r.Snapshot != nil {
+		row("needs", "%d items, %d missing", r.Needs, len(r.Missing))
+	}
+	if r.Cluster != "" {
+		row("plan", "version %d", r.Plan)
+		row("open", "%d steps, %d lots; %d lots ended", r.Steps, len(r.Lots), r.LotsEnded)
+	}
+	for _, l := range r.Lots {
+		row("lot", "%s: %d of %d listed, owner %s", l.ID, l.Listed, l.Total, l.Owner)
+	}
+	for _, n := range r.Other {
+		row("beside", "%s", n)
+	}
+	for _, n := range r.Notes {
+		row("note", "%s", n)
+	}
+	for _, f := range r.Findings {
+		row("FINDING", "%s", f)
+	}
+	if r.Whole() {
+		row("whole", "yes")
+	} else {
+		row("whole", "no")
+	}
+	_ = w.Flush()
+}
--- a/shell/disk/disk.go
+++ b/shell/disk/disk.go
@@ -92,6 +92,21 @@
 	return n, err == nil
 }
 
+// parts gives the numbers of segments, oldest first, and digests, newest first.
+func parts(names []string) (segs, digs []uint64) {
+	for _, n := range names {
+		if x, ok := number(n, "log-", ".seg"); ok {
+			segs = append(segs, x)
+		}
+		if x, ok := number(n, "digest-", ".json"); ok {
+			digs = append(digs, x)
+		}
+	}
+	sort.Slice(segs, func(a, b int) bool { return segs[a] < segs[b] })
+	sort.Slice(digs, func(a, b int) bool { return digs[a] > digs[b] })
+	return segs, digs
+}
+
 func frame(v any) []byte {
 	b, err := json.Marshal(v)
 	if err != nil {
@@ -133,17 +148,7 @@
 	if err != nil {
 		return nil, d, errors.Wrap(err, "disk: list")
 	}
-	var segs, digs []uint64
-	for _, n := range names {
-		if x, ok := number(n, "log-", ".seg"); ok {
-			segs = append(segs, x)
-		}
-		if x, ok := number(n, "digest-", ".json"); ok {
-			digs = append(digs, x)
-		}
-	}
-	sort.Slice(segs, func(a, b int) bool { return segs[a] < segs[b] })
-	sort.Slice(digs, func(a, b int) bool { return digs[a] > digs[b] })
+	segs, digs := parts(names)
 	if len(digs) > 0 {
 		b, err := fs.Read(digName(digs[0]))
 		if err != nil {
@@ -210,30 +215,41 @@
 	if err != nil {
 		return errors.Wrap(err, "disk: segment")
 	}
-	at := 0
+	_, at := l.frames(b)
+	if at == len(b) {
+		return nil
+	}
+	if !last || whole(b[at:]) {
+		return errors.Wrapf(ErrCorrupt, "%s at byte %d", name, at)
+	}
+	l.doubt = ended(b)
+	if err := l.fs.Truncate(name, int64(at)); err != nil {
+		return errors.Wrap(ErrSync, err.Error())
+	}
+	return errors.Wrap(l.fs.Sync(name), "disk: cut the torn tail")
+}
+
+// frames folds the frames of a segment up to the first that does not read, and
+// gives how many there are and where they end.
+func (l *Log) frames(b []byte) (n, at int) {
 	for at < len(b) {
 		var r record
-		n, ok := unframe(b[at:], &r)
+		size, ok := unframe(b[at:], &r)
 		if !ok {
-			if !last || whole(b[at:]) {
-				return errors.Wrapf(ErrCorrupt, "%s at byte %d", name, at)
-			}
-			// A frame that was torn has no end mark; one that has was whole once,
-			// and what it held may have been acknowledged (design 4.6).
-			l.doubt = b[len(b)-1] == '\n'
-			if err := l.fs.Truncate(name, int64(at)); err != nil {
-				return errors.Wrap(ErrSync, err.Error())
-			}
-			return errors.Wrap(l.fs.Sync(name), "disk: cut the torn tail")
+			break
 		}
 		for _, s := range r.Saves {
 			l.fold(s)
 		}
-		at += n
+		n, at = n+1, at+size
 	}
-	return nil
+	return n, at
 }
 
+// ended tells a damaged last frame from a torn one, which has no end mark: what
+// was whole once may have been acknowledged (design 4.6).
+func ended(b []byte) bool { return b[len(b)-1] == '\n' }
+
 // whole says whether a readable frame comes after the first line of b.
 func whole(b []byte) bool {
 	for {
--- /dev/null
+++ b/shell/disk/inspect.go
@@ -0,0 +1,346 @@
+package disk
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"fernlink/core/flow"
+	"fernlink/core/ledger"
+	"fernlink/core/raft"
+	"fernlink/core/sorted"
+)
+
+// Report is what a data folder holds, and whether it is whole. Sizes are in
+// bytes.
+type Report struct {
+	Identity   *Identity  `json:"identity,omitempty"`
+	Cluster    string     `json:"cluster,omitempty"`
+	Term       uint64     `json:"term"`
+	Vote       string     `json:"vote,omitempty"`
+	Unsure     bool       `json:"unsure"` // entries that it acknowledged may be gone
+	Segments   []Segment  `json:"segments"`
+	Snapshot   *Snapshot  `json:"snapshot,omitempty"`
+	Entries    int        `json:"entries"` // after the snapshot
+	First      uint64     `json:"first,omitempty"`
+	Last       uint64     `json:"last,omitempty"`
+	Shelf      []Kind     `json:"shelf"`
+	Needs      int        `json:"needs"` // items that the snapshot names
+	Missing    []flow.Ref `json:"missing,omitempty"`
+	Plan       uint64     `json:"plan_version"`
+	Steps      int        `json:"steps_open"`
+	Lots       []LotState `json:"lots_open"`
+	LotsEnded  int        `json:"lots_ended"`
+	Other      []string   `json:"other_files,omitempty"`
+	Notes      []string   `json:"notes,omitempty"`    // worth knowing, and no damage
+	Findings   []string   `json:"findings,omitempty"` // damage or doubt
+	unreadable bool
+}
+
+// Segment is one file of the log.
+type Segment struct {
+	Name   string `json:"name"`
+	Bytes  int    `json:"bytes"`
+	Frames int    `json:"frames"`
+	Tail   string `json:"tail"` // whole, torn or damaged
+	At     int    `json:"at,omitempty"`
+}
+
+// Snapshot is the newest digest of the ledger.
+type Snapshot struct {
+	Name    string `json:"name"`
+	Bytes   int    `json:"bytes"`
+	Index   uint64 `json:"index"`
+	Term    uint64 `json:"term"`
+	Voters  int    `json:"voters"`
+	Members int    `json:"members"`
+}
+
+// Kind is one row of trays on the shelf.
+type Kind struct {
+	Name  string `json:"kind"`
+	Trays int    `json:"trays"`
+	Items int    `json:"items"`
+	Bytes int64  `json:"bytes"`
+}
+
+// LotState is an open lot as the folder knows it.
+type LotState struct {
+	ID     string `json:"id"`
+	Owner  string `json:"owner"`
+	Listed int    `json:"listed"`
+	Total  int    `json:"total"`
+}
+
+// Whole says that nothing is damaged and nothing in doubt.
+func (r Report) Whole() bool { return len(r.Findings) == 0 }
+
+func (r *Report) find(text string, a ...any) {
+	r.Findings = append(r.Findings, fmt.Sprintf(text, a...))
+}
+func (r *Report) note(text string, a ...any) { r.Notes = append(r.Notes, fmt.Sprintf(text, a...)) }
+
+// ErrUnreadable says that a folder can't be read.
+var ErrUnreadable = errors.New("disk: the folder can't be read")
+
+// still looks at a folder and changes nothing: what would be cut off stays.
+type still struct{ FS }
+
+func (still) Truncate(string, int64) error { return nil }
+func (still) Sync(string) error            { return nil }
+
+// looks is how often a folder is read that changes while it is read.
+const looks = 5
+
+// Inspect reads a data folder without changing it (design 4.6, 4.9, 4.10). Its
+// node may be running: a look that finds something amiss while files came or
+// went is made again.
+func Inspect(fs FS) (Report, error) {
+	for n := 1; ; n++ {
+		before, err := fs.List()
+		if err != nil {
+			return Report{}, errors.Wrap(ErrUnreadable, err.Error())
+		}
+		r := look(still{fs}, slices.Clone(before))
+		if r.Whole() && !r.unreadable {
+			return r, nil
+		}
+		after, err := fs.List()
+		if err != nil {
+			return Report{}, errors.Wrap(ErrUnreadable, err.Error())
+		}
+		if slices.Equal(before, after) || n == looks {
+			if r.unreadable {
+				return r, errors.Wrap(ErrUnreadable, strings.Join(r.Findings, "; "))
+			}
+			return r, nil
+		}
+	}
+}
+
+func look(fs FS, names []string) Report {
+	r := Report{Segments: []Segment{}, Shelf: []Kind{}, Lots: []LotState{}}
+	segs, digs := parts(names)
+	r.identity(fs, names, len(segs) > 0)
+	l := &Log{fs: fs}
+	file := r.snapshot(l, digs)
+	shelf := r.shelf(fs, names)
+	for i, s := range segs {
+		r.segment(l, s, i == len(segs)-1)
+		if file != nil && file.Ends && s <= file.Seg {
+			l.tail = nil
+		}
+	}
+	for len(l.tail) > 0 && l.tail[0].Index <= l.base {
+		l.tail = l.tail[1:]
+	}
+	r.entries(l)
+	if len(segs) == 0 && len(digs) > 0 {
+		r.find("a snapshot without a log")
+	}
+	r.state(file, shelf, l.tail)
+	for _, n := range names {
+		_, seg := number(n, "log-", ".seg")
+		_, dig := number(n, "digest-", ".json")
+		if !seg && !dig && n != "identity" && !strings.HasPrefix(n, "shelf-") {
+			r.Other = append(r.Other, n)
+		}
+		if n == "new" || strings.HasSuffix(n, ".new") {
+			r.note("%s was not finished; it counts for nothing", n)
+		}
+	}
+	if len(names) == 0 {
+		r.find("the folder is blank: a new one and one that was emptied look alike")
+	}
+	return r
+}
+
+// read reads a file. One that is there and can't be read makes the look void.
+func (r *Report) read(fs FS, name string) ([]byte, bool) {
+	b, err := fs.Read(name)
+	if err != nil {
+		r.unreadable = true
+		r.find("%s can't be read: %v", name, err)
+	}
+	return b, err == nil
+}
+
+func (r *Report) identity(fs FS, names []string, log bool) {
+	if !slices.Contains(names, "identity") {
+		if log {
+			r.find("a log without an identity")
+		}
+		return
+	}
+	b, ok := r.read(fs, "identity")
+	if !ok {
+		return
+	}
+	var id Identity
+	if _, ok := unframe(b, &id); !ok || id.ID == "" {
+		r.find("the identity is damaged")
+		return
+	}
+	r.Identity = &id
+}
+
+func (r *Report) snapshot(l *Log, digs []uint64) *digestFile {
+	if len(digs) == 0 {
+		return nil
+	}
+	name := digName(digs[0])
+	b, ok := r.read(l.fs, name)
+	if !ok {
+		return nil
+	}
+	var f digestFile
+	if _, ok := unframe(b, &f); !ok {
+		r.find("%s is damaged", name)
+		return nil
+	}
+	r.Snapshot = &Snapshot{Name: name, Bytes: len(b), Index: f.Digest.Index, Term: f.Digest.Term}
+	var c raft.Conf
+	if json.Unmarshal(f.Digest.Conf, &c) == nil {
+		r.Snapshot.Voters, r.Snapshot.Members = c.Voters(), len(c.Members)
+	}
+	if f.Digest.Index != digs[0] {
+		r.find("%s holds the snapshot of %d", name, f.Digest.Index)
+	}
+	l.base = f.Digest.Index
+	return &f
+}
+
+func (r *Report) segment(l *Log, n uint64, last bool) {
+	x := Segment{Name: segName(n), Tail: "whole"}
+	b, ok := r.read(l.fs, x.Name)
+	if !ok {
+		return
+	}
+	x.Bytes = len(b)
+	x.Frames, x.At = l.frames(b)
+	switch {
+	case x.At == len(b):
+		x.At = 0
+	case !last || whole(b[x.At:]):
+		x.Tail = "damaged"
+		r.find("%s is damaged at byte %d, before its tail", x.Name, x.At)
+	case ended(b):
+		x.Tail = "damaged"
+		r.find("%s is damaged at byte %d: its last frame was whole once and may have been acknowledged", x.Name, x.At)
+	default:
+		x.Tail = "torn"
+		r.note("%s is torn at byte %d: the frame was never acknowledged, or is being written", x.Name, x.At)
+	}
+	r.Segments = append(r.Segments, x)
+}
+
+func (r *Report) entries(l *Log) {
+	h := l.hard
+	r.Cluster, r.Term, r.Vote, r.Unsure = h.Cluster, h.Term, h.Vote, h.Unsure
+	if h.Unsure {
+		r.find("this member is unsure of its tail: entries that it acknowledged may be gone")
+	}
+	if r.Entries = len(l.tail); r.Entries == 0 {
+		return
+	}
+	r.First, r.Last = l.tail[0].Index, l.tail[r.Entries-1].Index
+	if r.First != l.base+1 {
+		r.find("entries start at %d after a snapshot at %d", r.First, l.base)
+	}
+	if uint64(r.Entries) != r.Last-r.First+1 {
+		r.find("entries %d to %d are %d in number", r.First, r.Last, r.Entries)
+	}
+}
+
+func (r *Report) shelf(fs FS, names []string) *Shelf {
+	s := &Shelf{fs: fs, racks: map[string]*rack{}}
+	s.fill(slices.Clone(names))
+	for _, k := range sorted.Keys(s.racks) {
+		x := Kind{Name: k}
+		for i, t := range s.racks[k].trays {
+			b, ok := r.read(fs, t.name)
+			if !ok {
+				continue
+			}
+			last := i == len(s.racks[k].trays)-1
+			if err := s.scan(t, last); err != nil {
+				r.find("%v", err)
+				continue
+			}
+			if int64(len(b)) > t.size && last {
+				r.note("%s has %d bytes behind byte %d that do not read: never synced, or being written", t.name, int64(len(b))-t.size, t.size)
+			}
+			x.Trays, x.Items, x.Bytes = x.Trays+1, x.Items+len(t.ids), x.Bytes+t.size
+		}
+		r.Shelf = append(r.Shelf, x)
+	}
+	return s
+}
+
+// state folds what the folder holds and holds the shelf against the snapshot.
+func (r *Report) state(file *digestFile, shelf *Shelf, tail []flow.Entry) {
+	led := ledger.New()
+	if file != nil {
+		refs, err := ledger.Needs(file.Digest.State)
+		if err != nil {
+			r.find("the snapshot does not read: %v", err)
+			return
+		}
+		items := map[flow.Ref][]byte{}
+		if got, err := shelf.fetch(flow.Fetch{Refs: refs}); err == nil {
+			r.Missing = got.Missing
+			for _, p := range got.Parts {
+				items[p.Ref] = p.Body
+			}
+		} else {
+			r.find("%v", err)
+		}
+		if led, err = ledger.Load(file.Digest.State, items); err != nil {
+			r.Needs = len(refs)
+			r.find("the snapshot does not load, %d items are missing: %v", len(r.Missing), err)
+			return
+		}
+		r.Missing = nil
+		all := led.Items()
+		for _, kind := range sorted.Keys(all) {
+			for _, id := range all[kind] {
+				r.Needs++
+				if t, _ := shelf.find(flow.Ref{Kind: kind, ID: id}); t == nil {
+					r.Missing = append(r.Missing, flow.Ref{Kind: kind, ID: id})
+				}
+			}
+		}
+		if n := len(r.Missing); n > 0 {
+			r.find("the shelf lacks %d items that the snapshot names, first %s %d", n, r.Missing[0].Kind, r.Missing[0].ID)
+		}
+	}
+	if file == nil && len(tail) > 0 && tail[0].Index > 1 {
+		return // said already: what came before is not here
+	}
+	for _, e := range tail {
+		if e.Kind == "cmd" {
+			led.Apply(e.Index, e.Data)
+			led.Box() // what it wants of the shelf is the node's to do
+		}
+	}
+	if len(tail) > 0 {
+		r.note("plan, steps and lots are as of entry %d, which need not have committed", tail[len(tail)-1].Index)
+	}
+	r.Plan = led.Plan().Version
+	for _, id := range sorted.Keys(led.Steps) {
+		if led.Steps[id].State == "open" {
+			r.Steps++
+		}
+	}
+	for _, id := range sorted.Keys(led.Lots) {
+		t := led.Lots[id]
+		if t.Ended {
+			r.LotsEnded++
+			continue
+		}
+		r.Lots = append(r.Lots, LotState{id, t.Doc.Owner, len(t.List), len(t.IDs)})
+	}
+}
--- a/shell/disk/shelf.go
+++ b/shell/disk/shelf.go
@@ -79,6 +79,19 @@
 // never synced, and its items still stand in the log.
 func openShelf(fs FS, names []string) (*Shelf, error) {
 	s := &Shelf{fs: fs, racks: map[string]*rack{}}
+	s.fill(names)
+	for _, r := range s.racks {
+		for i, t := range r.trays {
+			if err := s.scan(t, i == len(r.trays)-1); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return s, nil
+}
+
+// fill puts the trays of a folder into their racks, unread.
+func (s *Shelf) fill(names []string) {
 	sort.Strings(names)
 	for _, name := range names {
 		rest, ok := strings.CutPrefix(name, "shelf-")
@@ -90,14 +103,6 @@
 		r := s.rack(kind)
 		r.trays, r.next = append(r.trays, &tray{name: name}), n+1
 	}
-	for _, r := range s.racks {
-		for i, t := range r.trays {
-			if err := s.scan(t, i == len(r.trays)-1); err != nil {
-				return nil, err
-			}
-		}
-	}
-	return s, nil
 }
 
 func (s *Shelf) scan(t *tray, last bool) error {
