fernlink timeline: what became of a request, a lot or an engine, from nodes' logs

Reads logfmt, also behind a prefix with a time and a node's name, of several files or standard input; without a name it counts events and times stages.

--- a/cmd/fernlink/main.go
+++ b/cmd/fernlink/main.go
@@ -35,7 +35,7 @@
 	on.Description = "run one node on the platform until SIGTERM"
 	v.bind(on)
 	flaggy.AttachSubcommand(on, 1)
-	tools := append(bindTools(), bindCheck(), bindFolder())
+	tools := append(bindTools(), bindCheck(), bindFolder(), bindTimeline())
 	flaggy.Parse()
 	if sub.Used {
 		os.Exit(n.run())
--- /dev/null
+++ b/cmd/fernlink/timeline/timeline.go
@@ -0,0 +1,338 @@
+// Package timeline reads the logs of nodes and prints what became of a request,
+// a lot or an engine, or where the time went. It reads whole lines of key=value
+// and skips what is none, so a log with other text around it may be given.
+package timeline
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+	"github.com/pkg/errors"
+)
+
+// Field is one key and value of a line.
+type Field struct{ Key, Value string }
+
+// Event is one line: At is in seconds, of the prefix's clock where a line has
+// one, else of its own time stamp.
+type Event struct {
+	At     float64
+	Node   string
+	Part   string
+	Text   string
+	Fields []Field // all others, in their order
+}
+
+// Get gives the value of a field, or "".
+func (e Event) Get(key string) string {
+	for _, f := range e.Fields {
+		if f.Key == key {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+// Bounds on what is read: lines kept, and bytes of one line.
+const (
+	EventsMost = 1 << 21
+	LineMost   = 1 << 20
+)
+
+// ErrMany says that more lines match than are kept.
+var ErrMany = errors.New("timeline: more lines than can be sorted; name a request, a lot or an engine, or give less")
+
+// Log is what was read.
+type Log struct {
+	Events  []Event
+	Lines   int // that were read
+	Skipped int // that are no log lines
+
+	bare int // lines without a prefix's clock
+}
+
+// Filter picks events; empty fields let all through. All that are given must
+// hold.
+type Filter struct{ Request, Lot, Item, Engine, Node string }
+
+// none says that nothing is asked for by name.
+func (f Filter) none() bool { return f == Filter{} }
+
+func (f Filter) takes(e Event) bool {
+	for _, x := range []struct{ want, got string }{{f.Request, e.Get("request")}, {f.Lot, e.Get("lot")}, {f.Item, e.Get("item")}, {f.Engine, e.Get("engine")}, {f.Node, e.Node}} {
+		if x.want != "" && x.want != x.got {
+			return false
+		}
+	}
+	return true
+}
+
+// Read adds the lines of one log. Where they don't name their node, name does.
+func (l *Log) Read(in io.Reader, name string, f Filter) error {
+	r := bufio.NewReaderSize(in, 64<<10)
+	for {
+		line, err := readLine(r)
+		if len(line) > 0 {
+			l.Lines++
+			if e, ok := parse(line, name); !ok {
+				l.Skipped++
+			} else if f.takes(e.Event) {
+				if len(l.Events) >= EventsMost {
+					return ErrMany
+				}
+				if e.bare {
+					l.bare++
+				}
+				l.Events = append(l.Events, e.Event)
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "timeline: read")
+		}
+	}
+}
+
+// readLine gives one line; what is beyond LineMost is let go.
+func readLine(r *bufio.Reader) ([]byte, error) {
+	var out []byte
+	for {
+		piece, more, err := r.ReadLine()
+		if len(out)+len(piece) <= LineMost {
+			out = append(out, piece...)
+		}
+		if err != nil || !more {
+			return out, err
+		}
+	}
+}
+
+type parsed struct {
+	Event
+	bare bool
+}
+
+// parse reads one line. Words before the first key=value are a prefix: a time in
+// seconds and a node's name.
+func parse(line []byte, name string) (parsed, bool) {
+	p := parsed{Event: Event{Node: name}, bare: true}
+	d := logfmt.NewDecoder(bytes.NewReader(line))
+	if !d.ScanRecord() {
+		return p, false
+	}
+	began := false
+	for d.ScanKeyval() {
+		k, v := string(d.Key()), string(d.Value())
+		if d.Value() == nil && !began {
+			if s, err := strconv.ParseFloat(strings.TrimSuffix(strings.Trim(k, "[]"), "s"), 64); err == nil && !math.IsNaN(s) && !math.IsInf(s, 0) {
+				p.At, p.bare = s, false
+			} else {
+				p.Node = strings.TrimRight(k, ":")
+			}
+			continue
+		}
+		began = true
+		switch k {
+		case "ts":
+			t, err := time.Parse(time.RFC3339Nano, v)
+			if err != nil {
+				return p, false
+			}
+			if p.bare {
+				p.At = float64(t.UnixMicro()) / 1e6
+			}
+		case "part":
+			p.Part = v
+		case "msg":
+			p.Text = v
+		case "level":
+		default:
+			p.Fields = append(p.Fields, Field{k, v})
+		}
+	}
+	return p, d.Err() == nil && p.Text != ""
+}
+
+// sort orders events by time; those of one moment stay as they were read.
+func (l *Log) sort() {
+	slices.SortStableFunc(l.Events, func(a, b Event) int {
+		switch {
+		case a.At < b.At:
+			return -1
+		case a.At > b.At:
+			return 1
+		}
+		return 0
+	})
+}
+
+// Write prints the timeline of what the filter lets through, or the summary
+// where it names nothing. It says whether there was anything.
+func (l *Log) Write(out io.Writer, f Filter) bool {
+	l.sort()
+	if l.bare > 0 && l.bare < len(l.Events) {
+		fmt.Fprintln(out, "some lines have a prefix with a time and some have none: their order is not known")
+	}
+	if f.none() {
+		l.summary(out)
+	} else {
+		l.lines(out, f)
+	}
+	return len(l.Events) > 0
+}
+
+func (l *Log) lines(out io.Writer, f Filter) {
+	if len(l.Events) == 0 {
+		fmt.Fprintf(out, "nothing of it in %d lines\n", l.Lines)
+		return
+	}
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	first, last := l.Events[0].At, l.Events[0].At
+	fmt.Fprintf(w, "TIME\tAFTER\tSINCE LAST\tNODE\tPART\tEVENT\n")
+	for _, e := range l.Events {
+		var rest []string
+		for _, x := range e.Fields {
+			if x.Value != "" && (x.Key != "request" || f.Request == "") && (x.Key != "lot" || f.Lot == "") && (x.Key != "engine" || f.Engine == "") {
+				rest = append(rest, x.Key+"="+quoted(x.Value))
+			}
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", clock(e.At), span(e.At-first), span(e.At-last), e.Node, e.Part, strings.TrimSpace(e.Text+"  "+strings.Join(rest, " ")))
+		last = e.At
+	}
+	_ = w.Flush()
+}
+
+func quoted(v string) string {
+	if strings.ContainsAny(v, " \t\n\"=") {
+		return strconv.Quote(v)
+	}
+	return v
+}
+
+// clock writes a moment: seconds of a run, or a date and time.
+func clock(at float64) string {
+	if math.Abs(at) < 1e8 {
+		return strconv.FormatFloat(at, 'f', 4, 64)
+	}
+	return time.UnixMicro(int64(math.Round(at * 1e6))).UTC().Format("2006-01-02T15:04:05.000Z")
+}
+
+func span(s float64) string { return strconv.FormatFloat(s*1000, 'f', 1, 64) + "ms" }
+
+// stage is a stretch of the life of something between two events.
+type stage struct {
+	name, part string
+	from, to   []string
+	key        []string // whose life it is
+}
+
+// stages are what the summary times. Events are those of the serving side's
+// rooms (design 12).
+var stages = []stage{
+	{"request: accepted to sent", "requests", []string{"accepted"}, []string{"sent"}, []string{"request"}},
+	{"request: sent to first token", "requests", []string{"sent"}, []string{"first token"}, []string{"request"}},
+	{"request: sent to answered", "requests", []string{"sent"}, []string{"answered"}, []string{"request", "engine"}},
+	{"request: accepted to its end", "requests", []string{"accepted"}, []string{"passed", "refused", "late", "unknown", "broken", "caller gone"}, []string{"request"}},
+	{"lot: accepted to ended", "lots", []string{"accepted"}, []string{"ended"}, []string{"lot"}},
+	{"item: sent to first token", "lots", []string{"sent"}, []string{"first token"}, []string{"lot", "item", "engine"}},
+	{"item: first token to finished", "lots", []string{"first token"}, []string{"finished"}, []string{"lot", "item"}},
+	{"item: finished to listed", "lots", []string{"finished"}, []string{"listed"}, []string{"lot", "item"}},
+	{"weights: ordered to over", "rollout", []string{"ordered"}, []string{"order over"}, []string{"engine", "model"}},
+}
+
+func (s stage) id(e Event) string {
+	var out []string
+	for _, k := range s.key {
+		out = append(out, e.Get(k))
+	}
+	return strings.Join(out, " ")
+}
+
+type took struct {
+	time float64
+	id   string
+	node string
+}
+
+// times gives every stretch of a stage, the longest first, and how many have not
+// ended.
+func (l *Log) times(s stage) (out []took, open int) {
+	began := map[string]float64{}
+	for _, e := range l.Events {
+		if e.Part != s.part {
+			continue
+		}
+		id := s.id(e)
+		if slices.Contains(s.from, e.Text) {
+			if _, ok := began[id]; !ok {
+				began[id] = e.At
+			}
+			continue
+		}
+		if at, ok := began[id]; ok && slices.Contains(s.to, e.Text) {
+			out = append(out, took{e.At - at, id, e.Node})
+			delete(began, id)
+		}
+	}
+	sort.SliceStable(out, func(a, b int) bool { return out[a].time > out[b].time })
+	return out, len(began)
+}
+
+// rank is the value at a part of a list with the longest first.
+func rank(t []took, part float64) float64 { return t[int(float64(len(t)-1)*(1-part))].time }
+
+func (l *Log) summary(out io.Writer) {
+	fmt.Fprintf(out, "%d lines, %d of them no log lines\n", l.Lines, l.Skipped)
+	if len(l.Events) == 0 {
+		return
+	}
+	nodes, counts := map[string]bool{}, map[[3]string]int{}
+	for _, e := range l.Events {
+		nodes[e.Node] = true
+		counts[[3]string{e.Part, e.Text, e.Get("why")}]++
+	}
+	first, last := l.Events[0].At, l.Events[len(l.Events)-1].At
+	fmt.Fprintf(out, "%d nodes, from %s to %s (%s s)\n\n", len(nodes), clock(first), clock(last), strconv.FormatFloat(last-first, 'f', 3, 64))
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	fmt.Fprintf(w, "COUNT\tPART\tEVENT\tWHY\n")
+	keys := make([][3]string, 0, len(counts))
+	for k := range counts {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(a, b int) bool {
+		if x, y := counts[keys[a]], counts[keys[b]]; x != y {
+			return x > y
+		}
+		return slices.Compare(keys[a][:], keys[b][:]) < 0
+	})
+	for _, k := range keys {
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", counts[k], k[0], k[1], k[2])
+	}
+	_ = w.Flush()
+	fmt.Fprintln(out)
+	w = tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	fmt.Fprintf(w, "STAGE\tENDED\tOPEN\tMEDIAN\t95 OF 100\tSLOWEST\tOF\tAT\n")
+	for _, s := range stages {
+		t, open := l.times(s)
+		if len(t) == 0 {
+			if open > 0 {
+				fmt.Fprintf(w, "%s\t0\t%d\t\t\t\t\t\n", s.name, open)
+			}
+			continue
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s\t%s\t%s\t%s\n", s.name, len(t), open, span(rank(t, 0.5)), span(rank(t, 0.95)), span(t[0].time), t[0].id, t[0].node)
+	}
+	_ = w.Flush()
+}
