A plan's limits reach the callers' door; operators' doors keep the usual ones

A plan's limits were kept and never used: a body of 20 MB that it allows was refused with 413. The serving side hands them out when the plan changes. They hold where requests pass on, so no plan can shut out the next.

--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -139,6 +139,13 @@
 	Args  []any
 }
 
+// Limits bound what callers send at the front door, in bytes and as times; 0 is
+// the usual.
+type Limits struct {
+	HeaderBytes, BodyBytes int
+	Header, Idle           Time
+}
+
 // Outbox gathers what a core wants done. Save goes to the disk's task in the
 // order given; Batch comes back as Event.Saved once it is synced, and a node
 // keeps what depends on it until then (design 4.2).
@@ -153,6 +160,7 @@
 	Files   []File
 	Shelf   []Shelf
 	Fetch   []Fetch
+	Limits  *Limits // those of a plan that came in force
 	Halt    string
 	Done    bool // all that a clean stop waits for is over
 }
@@ -255,6 +263,9 @@
 	o.Files = append(o.Files, x.Files...)
 	o.Shelf = append(o.Shelf, x.Shelf...)
 	o.Fetch = append(o.Fetch, x.Fetch...)
+	if x.Limits != nil {
+		o.Limits = x.Limits
+	}
 	if x.Halt != "" {
 		o.Halt = x.Halt
 	}
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -94,6 +94,7 @@
 	s.env.Now = now
 	if p != nil && (s.routes == nil || version > s.routes.Version) {
 		s.routes = route.New(version, p)
+		s.env.Out.Limits = limits(p.Limits)
 	}
 	for _, t := range d.Targets {
 		s.roll.Target(t.Pool, t.Revision)
@@ -101,6 +102,15 @@
 	s.lots.Heard(d.Lots)
 }
 
+// limits are a plan's own for callers, which hold from now on.
+func limits(l *api.Limits) *flow.Limits {
+	if l == nil {
+		return &flow.Limits{}
+	}
+	ms := func(n int) flow.Time { return flow.Time(n) * time.Millisecond }
+	return &flow.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, Header: ms(l.HeaderMS), Idle: ms(l.IdleMS)}
+}
+
 // Leave begins a clean stop.
 func (s *Serve) Leave(now flow.Time, out *flow.Outbox) {
 	s.env.Turn(now, out)
--- a/shell/run/run.go
+++ b/shell/run/run.go
@@ -253,6 +253,9 @@
 			_ = write[n.Level](l.Logger).Log(append([]any{"part", n.Part, "msg", n.Text}, n.Args...)...)
 		}
 	}
+	if out.Limits != nil {
+		l.Web.Limit(web.Limits(*out.Limits).Or(web.Usual))
+	}
 	for _, x := range out.Lines {
 		l.Link.Send(x)
 	}
--- a/shell/run/run_test.go
+++ b/shell/run/run_test.go
@@ -1,13 +1,19 @@
 package run
 
 import (
+	"bufio"
 	"bytes"
+	"context"
+	"io"
+	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log/level"
 
 	"fernlink/core/flow"
+	"fernlink/shell/web"
 )
 
 // Given each level, when notes of all levels come, then those below it are not
@@ -37,3 +43,62 @@
 		}
 	}
 }
+
+// Given a plan's limits, when they come out of the core, then callers are held to
+// them at once and operators are not, and a plan that says nothing brings the
+// usual ones back.
+func TestLimitsReachTheFrontDoor(t *testing.T) {
+	l := New(Logger(io.Discard, "error"))
+	var err error
+	l.Web, err = web.OpenDoors(web.Options{Addr: "127.0.0.1:0", Doors: []web.Door{{Addr: "127.0.0.1:0", Rest: "request"}, {Addr: "127.0.0.1:0", Routes: []web.DoorRoute{{Verb: "PUT", Path: "/config", Name: "plan.put"}}}}, In: l.Offer})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Web.Close(context.Background())
+	quit := make(chan bool)
+	defer close(quit)
+	go func() {
+		for {
+			select {
+			case <-quit:
+				return
+			case e := <-l.events:
+				if e.Call != nil {
+					l.Web.Reply(flow.Reply{ID: e.Call.ID, Code: 200})
+				}
+			}
+		}
+	}()
+	const front, control = 1, 2
+	say := func(door int, text string) string {
+		c, err := net.Dial("tcp", l.Web.Addr(door).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, text)
+		line, _ := bufio.NewReader(c).ReadString('\n')
+		return strings.TrimSpace(line)
+	}
+	header := "PUT /config HTTP/1.1\r\nHost: x\r\nX-A: " + strings.Repeat("a", 2000) + "\r\n\r\n"
+	body := "PUT /config HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n" + strings.Repeat("b", 2000)
+	want := func(door int, text, code string) {
+		t.Helper()
+		if got := say(door, text); !strings.HasPrefix(got, "HTTP/1.1 "+code) {
+			t.Errorf("door %d: %q, want %s", door, got, code)
+		}
+	}
+	want(front, header, "200")
+	want(front, body, "200")
+	l.emit(flow.Outbox{Limits: &flow.Limits{HeaderBytes: 1000, BodyBytes: 1000, Header: 30 * time.Millisecond}})
+	want(front, header, "431")
+	want(front, body, "413")
+	want(control, header, "200")
+	want(control, body, "200")
+	if got := say(front, "PUT /config HTTP/1.1\r\nHo"); got != "" && !strings.HasPrefix(got, "HTTP/1.1 400") {
+		t.Errorf("a slow header: %q", got)
+	}
+	l.emit(flow.Outbox{Limits: &flow.Limits{}})
+	want(front, header, "200")
+	want(front, body, "200")
+}
--- a/shell/web/limits.go
+++ b/shell/web/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"net"
 	"net/http"
@@ -35,7 +36,18 @@
 	Header, Idle           time.Duration
 }
 
-// Limit changes the limits. They hold for what is read from now on.
+// Usual are the limits where nothing is said. The administration API and doors
+// that pass nothing on always have them.
+var Usual = Limits{HeaderBytes: 64 << 10, BodyBytes: BodyMost, Header: 10 * time.Second, Idle: 2 * time.Minute}
+
+// Or gives the limits with others where they say nothing.
+func (l Limits) Or(x Limits) Limits {
+	return Limits{cmp.Or(l.HeaderBytes, x.HeaderBytes), cmp.Or(l.BodyBytes, x.BodyBytes), cmp.Or(l.Header, x.Header), cmp.Or(l.Idle, x.Idle)}
+}
+
+// Limit changes the limits of doors that pass requests on. They hold for what is
+// read from now on. Operators' doors keep the usual ones, so that no plan can
+// shut out the next.
 func (w *Web) Limit(l Limits) {
 	for {
 		was := w.limits.Load()
@@ -60,14 +72,14 @@
 
 // guard holds requests against the limit of headers, and says when the
 // connection ends with the answer.
-func (w *Web) guard(next http.Handler) http.Handler {
+func (w *Web) guard(next http.Handler, l *limits) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
 		head := rw.Header()
 		head["Date"] = nil
 		if w.ending.Load() {
 			head["Connection"] = closing
 		}
-		if headerBytes(req) > w.limits.Load().HeaderBytes {
+		if headerBytes(req) > l.Load().HeaderBytes {
 			head["Connection"] = closing
 			problem(rw, 431, "the header is larger than is taken here")
 			return
@@ -92,11 +104,10 @@
 
 // body reads a request's body whole. What is left of one that is not taken is
 // not waited for.
-func (w *Web) body(rw http.ResponseWriter, req *http.Request) ([]byte, error) {
+func (w *Web) body(rw http.ResponseWriter, req *http.Request, l *Limits) ([]byte, error) {
 	if req.ContentLength == 0 {
 		return nil, nil
 	}
-	l := w.limits.Load()
 	ctl := http.NewResponseController(rw)
 	b, err := read(&patient{req.Body, ctl, l.Idle}, req.ContentLength, int64(l.BodyBytes))
 	if err == errLarge && req.Header.Get("Expect") == "" { // one that expects a word first has not sent it
@@ -146,7 +157,7 @@
 // listener gives connections that know the limits.
 type listener struct {
 	net.Listener
-	w *Web
+	limits *limits
 }
 
 func (l *listener) Accept() (net.Conn, error) {
@@ -158,7 +169,7 @@
 	if !ok {
 		return c, nil
 	}
-	return &conn{TCPConn: tcp, w: l.w}, nil
+	return &conn{TCPConn: tcp, limits: l.limits}, nil
 }
 
 // The states of a connection: its next header is being read, a request is being
@@ -174,8 +185,8 @@
 // deadline away, the one of the connection's state is set in its place.
 type conn struct {
 	*net.TCPConn
-	w  *Web
-	at atomic.Int32
+	limits *limits
+	at     atomic.Int32
 }
 
 // state follows what the server knows of a connection.
@@ -187,7 +198,7 @@
 	switch s {
 	case http.StateNew:
 		c.at.Store(reading)
-		c.bound(c.w.limits.Load().Header)
+		c.bound(c.limits.Load().Header)
 	case http.StateActive:
 		c.at.Store(busy)
 		_ = c.TCPConn.SetReadDeadline(time.Time{})
@@ -206,7 +217,7 @@
 		case reading:
 			return nil
 		case idle:
-			c.bound(c.w.limits.Load().Idle)
+			c.bound(c.limits.Load().Idle)
 			return nil
 		}
 	}
@@ -217,7 +228,7 @@
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	if n > 0 && c.at.CompareAndSwap(idle, reading) {
-		c.bound(c.w.limits.Load().Header)
+		c.bound(c.limits.Load().Header)
 	}
 	return n, err
 }
--- a/shell/web/serve.go
+++ b/shell/web/serve.go
@@ -24,8 +24,8 @@
 }
 
 // serve turns a request into a call and writes its answer.
-func (w *Web) serve(rw http.ResponseWriter, req *http.Request, r *DoorRoute, vars map[string]string, most int) {
-	body, err := w.body(rw, req)
+func (w *Web) serve(rw http.ResponseWriter, req *http.Request, r *DoorRoute, vars map[string]string, s side) {
+	body, err := w.body(rw, req, s.limits.Load())
 	if err == errLarge {
 		problem(rw, 413, "larger than is taken here", "Connection", "close")
 		return
@@ -56,7 +56,7 @@
 		}
 		c.ID = id
 	}
-	x := &call{most: most, wake: make(chan struct{}, 1)}
+	x := &call{most: s.most, wake: make(chan struct{}, 1)}
 	w.mu.Lock()
 	w.open[id] = x
 	w.mu.Unlock()
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -51,7 +51,8 @@
 	In func(flow.Event) bool
 
 	ids    atomic.Uint64
-	limits atomic.Pointer[Limits]
+	limits limits // of doors that pass requests on
+	own    limits // of all others
 	ending atomic.Bool
 	mu     sync.Mutex
 	open   map[uint64]*call
@@ -59,6 +60,16 @@
 	ears   []net.Listener
 }
 
+// limits are those in force at some doors.
+type limits = atomic.Pointer[Limits]
+
+// side is what requests of one door share: the parts that a slow reader may lag,
+// and the limits.
+type side struct {
+	most   int
+	limits *limits
+}
+
 type route struct{ verb, path, name string }
 
 // Routes are the administration API.
@@ -96,11 +107,17 @@
 // OpenDoors listens and serves the administration API and doors.
 func OpenDoors(o Options) (*Web, error) {
 	w := &Web{In: o.In, open: map[uint64]*call{}}
-	w.limits.Store(&Limits{HeaderBytes: 64 << 10, BodyBytes: BodyMost, Header: 10 * time.Second, Idle: 2 * time.Minute})
-	hands := []http.Handler{w.admin()}
+	w.limits.Store(&Usual)
+	w.own.Store(&Usual)
+	sides := []side{{WatchMost, &w.own}}
+	hands := []http.Handler{w.admin(sides[0])}
 	addrs := []string{o.Addr}
 	for _, d := range o.Doors {
-		hands, addrs = append(hands, w.door(d)), append(addrs, d.Addr)
+		s := side{StreamMost, &w.own}
+		if d.Rest != "" {
+			s.limits = &w.limits
+		}
+		sides, hands, addrs = append(sides, s), append(hands, w.door(d, s)), append(addrs, d.Addr)
 	}
 	for _, addr := range addrs {
 		ear, err := net.Listen("tcp", addr)
@@ -113,9 +130,9 @@
 		w.ears = append(w.ears, ear)
 	}
 	for i, ear := range w.ears {
-		srv := &http.Server{Handler: w.guard(hands[i]), MaxHeaderBytes: headerMost, ConnState: state, DisableGeneralOptionsHandler: true}
+		srv := &http.Server{Handler: w.guard(hands[i], sides[i].limits), MaxHeaderBytes: headerMost, ConnState: state, DisableGeneralOptionsHandler: true}
 		w.srvs = append(w.srvs, srv)
-		go func() { _ = srv.Serve(&listener{ear, w}) }()
+		go func() { _ = srv.Serve(&listener{ear, sides[i].limits}) }()
 	}
 	return w, nil
 }
@@ -153,13 +170,13 @@
 	_ = json.NewEncoder(rw).Encode(map[string]string{"error": text})
 }
 
-func (w *Web) admin() http.Handler {
+func (w *Web) admin(s side) http.Handler {
 	r := mux.NewRouter()
 	r.UseEncodedPath()
 	allow := map[string][]string{}
 	plain := func(name string) http.HandlerFunc {
 		x := &DoorRoute{Name: name}
-		return func(rw http.ResponseWriter, req *http.Request) { w.serve(rw, req, x, mux.Vars(req), WatchMost) }
+		return func(rw http.ResponseWriter, req *http.Request) { w.serve(rw, req, x, mux.Vars(req), s) }
 	}
 	for _, x := range Routes {
 		r.Methods(x.verb).Path(x.path).HandlerFunc(plain(x.name))
@@ -181,7 +198,7 @@
 }
 
 // door serves one door's routes.
-func (w *Web) door(d Door) http.Handler {
+func (w *Web) door(d Door, s side) http.Handler {
 	r := mux.NewRouter()
 	routes := map[*mux.Route]*DoorRoute{}
 	fixed := map[[2]string]*DoorRoute{} // by verb and path
@@ -207,14 +224,14 @@
 			x = fixed[[2]string{"", path}]
 		}
 		if x != nil {
-			w.serve(rw, req, x, nil, StreamMost)
+			w.serve(rw, req, x, nil, s)
 			return
 		}
 		if len(routes) > 0 {
 			var m mux.RouteMatch
 			asWritten := &http.Request{Method: req.Method, Host: req.Host, Header: req.Header, URL: &url.URL{Path: path}}
 			if r.Match(asWritten, &m) && m.MatchErr == nil {
-				w.serve(rw, req, routes[m.Route], m.Vars, StreamMost)
+				w.serve(rw, req, routes[m.Route], m.Vars, s)
 				return
 			}
 		}
@@ -222,7 +239,7 @@
 			problem(rw, 404, "there is nothing here")
 			return
 		}
-		w.serve(rw, req, rest, nil, StreamMost)
+		w.serve(rw, req, rest, nil, s)
 	})
 }
 
