--- a/cmd/fernlink/main.go
+++ b/cmd/fernlink/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -56,6 +57,7 @@
 	file, addr, web, area, data, platform string
 	listen                                string
 	seeds, roles, form, off, level        string
+	profile                               string
 }
 
 func (n *nodeFlags) bind(s *flaggy.Subcommand) {
@@ -70,6 +72,7 @@
 	s.String(&n.platform, "", "platform", "URL of the platform list")
 	s.String(&n.form, "", "form", "addresses of the stores that form a new cluster, with commas")
 	s.String(&n.level, "", "log-level", "error, warn, info or debug (info)")
+	bindProfile(s, &n.profile)
 	s.String(&n.off, "", "policies-off", "coordinator policies to switch off, with commas")
 }
 
@@ -94,11 +97,22 @@
 		tell(bad)
 		return 2
 	}
-	return start(p, daemon.Platform{})
+	return start(p, daemon.Platform{}, n.profile)
 }
 
 // start runs one node until it is told to stop.
-func start(p props.Props, x daemon.Platform) int {
+func start(p props.Props, x daemon.Platform, dir string) (code int) {
+	measured, err := profile(dir, cmp.Or(p.Name, p.Addr))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fernlink:", err)
+		return 1
+	}
+	defer func() {
+		if err := measured(); err != nil {
+			fmt.Fprintln(os.Stderr, "fernlink:", err)
+			code = max(code, 1)
+		}
+	}()
 	app := fx.New(fx.NopLogger, daemon.Module(p, x), fx.StopTimeout(75*time.Second))
 	if err := app.Err(); err != nil {
 		fmt.Fprintln(os.Stderr, "fernlink:", dig.RootCause(err))
--- a/cmd/fernlink/serve.go
+++ b/cmd/fernlink/serve.go
@@ -13,10 +13,11 @@
 )
 
 // serveFlags are those of `fernlink serve`.
-type serveFlags struct{ settings, level string }
+type serveFlags struct{ settings, level, profile string }
 
 func (v *serveFlags) bind(s *flaggy.Subcommand) {
 	s.String(&v.level, "", "log-level", "error, warn, info or debug (warn)")
+	bindProfile(s, &v.profile)
 	s.String(&v.settings, "s", "settings", "settings file; $"+platform.SettingsEnv+" where it is not given")
 }
 
@@ -58,5 +59,5 @@
 		q, bad, err := platform.Settings(v.settings)
 		return q.Seeds, err == nil && len(bad) == 0 && len(q.Seeds) > 0
 	}
-	return start(p, daemon.Platform{Tongue: &t, Doors: platform.Doors(p), Seeds: seeds})
+	return start(p, daemon.Platform{Tongue: &t, Doors: platform.Doors(p), Seeds: seeds}, v.profile)
 }
