--- a/cmd/fernlink/main.go
+++ b/cmd/fernlink/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -35,7 +36,7 @@
 	on.Description = "run one node on the platform until SIGTERM"
 	v.bind(on)
 	flaggy.AttachSubcommand(on, 1)
-	tools := append(bindTools(), bindCheck())
+	tools := append(bindTools(), bindCheck(), bindFolder(), bindTimeline())
 	flaggy.Parse()
 	if sub.Used {
 		os.Exit(n.run())
@@ -55,7 +56,8 @@
 type nodeFlags struct {
 	file, addr, web, area, data, platform string
 	listen                                string
-	seeds, roles, form, off               string
+	seeds, roles, form, off, level        string
+	profile                               string
 }
 
 func (n *nodeFlags) bind(s *flaggy.Subcommand) {
@@ -69,12 +71,14 @@
 	s.String(&n.data, "", "data", "data folder")
 	s.String(&n.platform, "", "platform", "URL of the platform list")
 	s.String(&n.form, "", "form", "addresses of the stores that form a new cluster, with commas")
+	s.String(&n.level, "", "log-level", "error, warn, info or debug (info)")
+	bindProfile(s, &n.profile)
 	s.String(&n.off, "", "policies-off", "coordinator policies to switch off, with commas")
 }
 
 func (n *nodeFlags) run() int {
 	flags := map[string]any{}
-	for k, v := range map[string]string{"addr": n.addr, "web": n.web, "area": n.area, "data": n.data, "platform": n.platform, "listen": n.listen} {
+	for k, v := range map[string]string{"addr": n.addr, "web": n.web, "area": n.area, "data": n.data, "platform": n.platform, "listen": n.listen, "log_level": n.level} {
 		if v != "" {
 			flags[k] = v
 		}
@@ -93,11 +97,22 @@
 		tell(bad)
 		return 2
 	}
-	return start(p, daemon.Platform{})
+	return start(p, daemon.Platform{}, n.profile)
 }
 
 // start runs one node until it is told to stop.
-func start(p props.Props, x daemon.Platform) int {
+func start(p props.Props, x daemon.Platform, dir string) (code int) {
+	measured, err := profile(dir, cmp.Or(p.Name, p.Addr))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fernlink:", err)
+		return 1
+	}
+	defer func() {
+		if err := measured(); err != nil {
+			fmt.Fprintln(os.Stderr, "fernlink:", err)
+			code = max(code, 1)
+		}
+	}()
 	app := fx.New(fx.NopLogger, daemon.Module(p, x), fx.StopTimeout(75*time.Second))
 	if err := app.Err(); err != nil {
 		fmt.Fprintln(os.Stderr, "fernlink:", dig.RootCause(err))
--- a/cmd/fernlink/serve.go
+++ b/cmd/fernlink/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"runtime/debug"
@@ -12,9 +13,11 @@
 )
 
 // serveFlags are those of `fernlink serve`.
-type serveFlags struct{ settings string }
+type serveFlags struct{ settings, level, profile string }
 
 func (v *serveFlags) bind(s *flaggy.Subcommand) {
+	s.String(&v.level, "", "log-level", "error, warn, info or debug (warn)")
+	bindProfile(s, &v.profile)
 	s.String(&v.settings, "s", "settings", "settings file; $"+platform.SettingsEnv+" where it is not given")
 }
 
@@ -22,6 +25,8 @@
 // here than processor time (docs/measurements.md).
 const gcPercent = 30
 
+var levels = map[string]bool{"error": true, "warn": true, "info": true, "debug": true}
+
 // memoryPart is the share of the machine's memory that the heap may fill.
 const memoryPart = 0.6
 
@@ -40,6 +45,10 @@
 		}
 		return 2
 	}
+	if p.LogLevel = cmp.Or(v.level, "warn"); !levels[p.LogLevel] {
+		fmt.Fprintf(os.Stderr, "fernlink: --log-level is error, warn, info or debug, not %q\n", p.LogLevel)
+		return 2
+	}
 	if p.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(p.MemoryMB<<20) * memoryPart))
 	}
@@ -55,5 +64,5 @@
 		q, bad, err := platform.Settings(v.settings)
 		return q.Seeds, err == nil && len(bad) == 0 && len(q.Seeds) > 0
 	}
-	return start(p, daemon.Platform{Tongue: &t, Doors: platform.Doors(p), Seeds: seeds})
+	return start(p, daemon.Platform{Tongue: &t, Doors: platform.Doors(p), Seeds: seeds}, v.profile)
 }
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -120,11 +120,30 @@
 	Seeds []string // the settings name these seeds from now on
 }
 
+// Level is how much a note matters; the usual is Info.
+type Level int8
+
+// The levels of notes. A note at Debug is only made where somebody wants it.
+const (
+	Debug Level = iota - 1
+	Info
+	Warn
+	Error
+)
+
 // Note is a log line: a short sentence with its part's prefix.
 type Note struct {
-	Part string
-	Text string
-	Args []any
+	Level Level
+	Part  string
+	Text  string
+	Args  []any
+}
+
+// Limits bound what callers send at the front door, in bytes and as times; 0 is
+// the usual.
+type Limits struct {
+	HeaderBytes, BodyBytes int
+	Header, Idle           Time
 }
 
 // Outbox gathers what a core wants done. Save goes to the disk's task in the
@@ -141,6 +160,7 @@
 	Files   []File
 	Shelf   []Shelf
 	Fetch   []Fetch
+	Limits  *Limits // those of a plan that came in force
 	Halt    string
 	Done    bool // all that a clean stop waits for is over
 }
@@ -243,6 +263,9 @@
 	o.Files = append(o.Files, x.Files...)
 	o.Shelf = append(o.Shelf, x.Shelf...)
 	o.Fetch = append(o.Fetch, x.Fetch...)
+	if x.Limits != nil {
+		o.Limits = x.Limits
+	}
 	if x.Halt != "" {
 		o.Halt = x.Halt
 	}
@@ -250,14 +273,19 @@
 
 // Note adds a log line.
 func (o *Outbox) Note(part, text string, args ...any) {
-	o.Notes = append(o.Notes, Note{part, text, args})
+	o.Notes = append(o.Notes, Note{Info, part, text, args})
+}
+
+// Note adds a log line at a level of its own.
+func (l Level) Note(o *Outbox, part, text string, args ...any) {
+	o.Notes = append(o.Notes, Note{l, part, text, args})
 }
 
 // Line adds a line to a sibling.
 func (o *Outbox) Line(to, kind string, body any) {
 	raw, err := json.Marshal(body)
 	if err != nil {
-		o.Note("flow", "dropped a line that does not marshal", "kind", kind, "mishap", err.Error())
+		Error.Note(o, "flow", "dropped a line that does not marshal", "kind", kind, "mishap", err.Error())
 		return
 	}
 	o.Lines = append(o.Lines, Line{Ver: Version, Kind: kind, To: to, Body: raw})
--- a/core/ledger/lots.go
+++ b/core/ledger/lots.go
@@ -314,19 +314,24 @@
 	var out []LotRow
 	for id, t := range l.Lots {
 		if !t.Ended {
-			out = append(out, LotRow{ID: id, Owner: t.Doc.Owner, Pool: t.Doc.Pool})
+			out = append(out, t.row(id))
 		}
 	}
 	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
 	return out
 }
 
+// row is what dispatchers hear of a lot.
+func (t *Lot) row(id string) LotRow {
+	return LotRow{ID: id, Owner: t.Doc.Owner, Ended: t.Ended, Pool: t.Doc.Pool, Model: t.Doc.Model, Least: t.Doc.Least}
+}
+
 // lotsSince gives the rows that changed after an index.
 func (l *Ledger) lotsSince(have uint64) []LotRow {
 	var out []LotRow
 	for id, t := range l.Lots {
 		if t.Mod > have {
-			out = append(out, LotRow{id, t.Doc.Owner, t.Ended, t.Doc.Pool})
+			out = append(out, t.row(id))
 		}
 	}
 	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
--- a/core/ledger/lottypes.go
+++ b/core/ledger/lottypes.go
@@ -99,4 +99,6 @@
 	Owner string `json:"owner"`
 	Ended bool   `json:"ended,omitempty"`
 	Pool  string `json:"pool,omitempty"`
+	Model string `json:"model,omitempty"`
+	Least int    `json:"least,omitempty"` // the oldest weights that may make its texts
 }
--- a/core/serve/rollout/rollout.go
+++ b/core/serve/rollout/rollout.go
@@ -21,7 +21,7 @@
 	engines *engines.Table
 	fleet   *fleet.Fleet
 	acting  fleet.Acting
-	targets map[string]int // by model
+	targets map[string]target // by model
 	jobs    map[string]*job
 	term    uint64
 }
@@ -41,16 +41,50 @@
 
 // New has no targets.
 func New(e *env.Env, t *engines.Table, f *fleet.Fleet, acting fleet.Acting) *Roll {
-	return &Roll{env: e, engines: t, fleet: f, acting: acting, targets: map[string]int{}, jobs: map[string]*job{}}
+	return &Roll{env: e, engines: t, fleet: f, acting: acting, targets: map[string]target{}, jobs: map[string]*job{}}
+}
+
+// target is what is wanted of a model's engines.
+type target struct {
+	rev   int
+	since flow.Time // when it was heard
+	// slack is how many versions behind the newest the last two lots allowed.
+	slack [2]int
+	lots  int
 }
 
 // Target hears the newest version named for a model.
 func (r *Roll) Target(model string, rev int) {
-	if rev > r.targets[model] {
-		r.targets[model] = rev
+	if t := r.targets[model]; rev > t.rev {
+		t.rev, t.since = rev, r.env.Now
+		r.targets[model] = t
 	}
 }
 
+// Lot hears the oldest version that a new lot of a model allows. Engines that
+// the next lot will allow as well need not take each version: each then takes
+// one of so many, in turn, and the others go on serving (design 12.7).
+func (r *Roll) Lot(model string, least int) {
+	t := r.targets[model]
+	t.slack[t.lots%len(t.slack)] = max(0, t.rev-least)
+	t.lots++
+	r.targets[model] = t
+}
+
+// least is the version below which an engine takes the newest: what the next lot
+// will allow, as far as earlier ones tell, or the newest itself when it has
+// stood for long.
+func (t target) least(now flow.Time) int {
+	if t.lots < len(t.slack) || now-t.since > settled {
+		return t.rev
+	}
+	return t.rev - min(t.slack[0], t.slack[1])
+}
+
+// settled is how long the newest version stands before all engines take it,
+// whatever lots allow.
+const settled = budget.Heal
+
 // share is the part of a model's engines that take weights at once.
 const share = 3
 
@@ -79,7 +113,8 @@
 	}
 }
 
-func (r *Roll) begin(model string, rev int) {
+func (r *Roll) begin(model string, t target) {
+	rev, least := t.rev, t.least(r.env.Now)
 	var behind []*engines.Engine
 	all, busy := 0, 0
 	for _, e := range r.engines.All() {
@@ -93,7 +128,7 @@
 			}
 			continue
 		}
-		if e.Held[model] < rev {
+		if e.Held[model] < least {
 			behind = append(behind, e)
 		}
 	}
@@ -138,6 +173,9 @@
 
 func (r *Roll) close(id string, j *job) {
 	delete(r.jobs, id)
+	if r.env.Debug {
+		r.env.Trace("rollout", "order over", "engine", id, "model", j.model, "version", j.engine.Held[j.model], "gone", j.engine.Gone)
+	}
 	r.show(j, false)
 }
 
@@ -146,17 +184,23 @@
 	now := r.env.Now
 	j.open, j.sent, j.since = true, true, now
 	r.env.Counts["weight_orders"]++
+	if r.env.Debug {
+		r.env.Trace("rollout", "ordered", "engine", j.engine.ID, "model", j.model, "version", j.rev, "term", r.term)
+	}
 	body := r.env.Tongue.WriteOrder(dialect.WeightOrder{Model: j.model, Revision: j.rev, Mode: "hold", Owner: r.env.Me, Fence: r.term})
 	until := min(till, now+sendBy)
 	r.send(flow.Send{Verb: "POST", URL: "http://" + j.engine.Addr + r.env.Tongue.OrderPath, Body: body, Until: until, Limit: now + sendBy,
 		Fields: []flow.Field{{Name: "Content-Type", Value: "application/json"}, {Name: r.env.Tongue.Expect, Value: j.engine.ID}}}, func(b flow.Back) {
 		j.open = false
 		j.due = r.env.Now + look*2
+		if r.env.Debug {
+			r.env.Trace("rollout", "order answered", "engine", j.engine.ID, "code", b.Code, "mishap", b.Err)
+		}
 		switch {
 		case b.Err != "" && b.Unsent, b.Code == 400, b.Code == 429, b.Code == 503:
 			j.sent, j.due = false, r.env.Now+look
 		case b.Code == 412:
-			r.env.Out.Note("rollout", "an engine has seen a higher fence", "engine", j.engine.ID, "term", r.term)
+			flow.Warn.Note(r.env.Out, "rollout", "an engine has seen a higher fence", "engine", j.engine.ID, "term", r.term)
 			j.due = r.env.Now + resend
 		}
 	})
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -33,6 +33,7 @@
 	IDs      func() uint64
 	Keep     flow.Time    // for how long after its hand-in a lot's results stay
 	Fresh    func() bool  // the view of the ledger is under a tenure
+	Debug    bool         // trace notes are wanted
 	Acting   fleet.Acting // of this node's coordinator
 }
 
@@ -47,13 +48,14 @@
 	fleet    *fleet.Fleet
 	roll     *rollout.Roll
 	live     []gossip.Entry
+	open     map[string]bool // lots that were heard of and are open
 	leaving  bool
 }
 
 // New starts without a plan or an engine.
 func New(p Props) *Serve {
-	s := &Serve{p: p, env: &env.Env{Me: p.ID, Zone: p.Zone, Asker: p.Asker, Rand: p.Rand, Tongue: p.Tongue, IDs: p.IDs,
-		Counts: map[string]int64{}, Fresh: p.Fresh}}
+	s := &Serve{p: p, open: map[string]bool{}, env: &env.Env{Me: p.ID, Zone: p.Zone, Asker: p.Asker, Rand: p.Rand, Tongue: p.Tongue, IDs: p.IDs,
+		Counts: map[string]int64{}, Fresh: p.Fresh, Debug: p.Debug}}
 	s.engines = engines.New(s.env)
 	s.requests = requests.New(s.env, s.engines)
 	s.lots = lots.New(s.env, s.engines, func() *route.Table { return s.routes }, s.addr)
@@ -93,13 +95,31 @@
 	s.env.Now = now
 	if p != nil && (s.routes == nil || version > s.routes.Version) {
 		s.routes = route.New(version, p)
+		s.env.Out.Limits = limits(p.Limits)
 	}
 	for _, t := range d.Targets {
 		s.roll.Target(t.Pool, t.Revision)
 	}
+	for _, l := range d.Lots {
+		if l.Ended {
+			delete(s.open, l.ID)
+		} else if !s.open[l.ID] {
+			s.open[l.ID] = true
+			s.roll.Lot(l.Model, l.Least)
+		}
+	}
 	s.lots.Heard(d.Lots)
 }
 
+// limits are a plan's own for callers, which hold from now on.
+func limits(l *api.Limits) *flow.Limits {
+	if l == nil {
+		return &flow.Limits{}
+	}
+	ms := func(n int) flow.Time { return flow.Time(n) * time.Millisecond }
+	return &flow.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, Header: ms(l.HeaderMS), Idle: ms(l.IdleMS)}
+}
+
 // Leave begins a clean stop.
 func (s *Serve) Leave(now flow.Time, out *flow.Outbox) {
 	s.env.Turn(now, out)
@@ -152,6 +172,9 @@
 func (s *Serve) request(c flow.Call) {
 	r := s.routes.Find(c.Host, c.Path)
 	if r == nil {
+		if s.env.Debug {
+			s.env.Trace("serve", "refused", "request", flow.Get(c.Fields, s.p.Tongue.Attempt), "call", c.ID, "why", "no route is known", "host", c.Host, "path", c.Path)
+		}
 		if s.routes == nil || !s.p.Fresh() {
 			s.env.Refuse(c.ID, "this node may be behind", backIn)
 			return
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -480,3 +480,63 @@
 	w.turn(10 * time.Millisecond)
 	w.want(len(w.at("10.0.1.1:1")) == 4, "its slots are filled again: %d", len(w.at("10.0.1.1:1")))
 }
+
+// Where lots allow one version less than the newest, an engine takes every other
+// version; once the newest has stood for long, all take it.
+func TestEnginesTakeNoMoreVersionsThanLotsNeed(t *testing.T) {
+	w := newWorld(t)
+	w.acting = true
+	var seats []dialect.Seat
+	for n := range 4 {
+		seats = append(seats, seat(fmt.Sprint("m", n), fmt.Sprintf("10.0.1.%d:1", n), "llm", 4, "m"))
+	}
+	w.list(seats...)
+	held := map[string]int{}
+	orders := 0
+	run := func(d time.Duration) {
+		for ; d > 0; d -= 10 * time.Millisecond {
+			w.turn(10 * time.Millisecond)
+			for n := range 4 {
+				at := fmt.Sprintf("10.0.1.%d:1", n)
+				for _, x := range w.at(at) {
+					switch x.URL {
+					case "http://" + at + "/order":
+						var o dialect.WeightOrder
+						_ = json.Unmarshal(x.Body, &o)
+						held[at] = o.Revision
+						orders++
+						w.end(x, 202, "")
+					case "http://" + at + "/report":
+						rep, _ := json.Marshal(dialect.Report{Models: map[string]int{"m": held[at]}})
+						w.end(x, 200, string(rep))
+					}
+				}
+			}
+		}
+	}
+	say := func(kind string, v any) {
+		b, _ := json.Marshal(v)
+		c, _ := json.Marshal(ledger.Command{Kind: kind, At: w.now.Milliseconds(), Body: b})
+		w.index++
+		w.want(w.led.Apply(w.index, c).Code == 200, "%s", kind)
+		w.renew(nil)
+	}
+	w.renew(plan(samples))
+	for v := 2; v <= 9; v++ {
+		say("target.put", ledger.Target{Pool: "m", Revision: v})
+		run(time.Second)
+		say("lot.put", ledger.LotDoc{ID: fmt.Sprint("l", v), Owner: "other", Model: "m", Least: v - 1, KeepMS: 1000, Items: []ledger.LotItem{{ID: "i", Path: "/l/i"}}})
+		run(time.Second)
+		for at, h := range held {
+			w.want(h >= v-1, "%s holds %d when %d is allowed", at, h, v-1)
+		}
+		if v == 3 {
+			orders = 0 // from here on it is known what lots allow
+		}
+	}
+	w.want(orders > 0 && orders <= 6*2+2, "half of the engines a version: %d orders for six versions", orders)
+	run(13 * time.Second)
+	for at, h := range held {
+		w.want(h == 9, "%s holds %d after the newest stood for long", at, h)
+	}
+}
