--- a/core/ask/ask.go
+++ b/core/ask/ask.go
@@ -25,6 +25,7 @@
 	Leader string          `json:"leader,omitempty"`
 	Code   int             `json:"code"`
 	Body   json.RawMessage `json:"body,omitempty"`
+	Any    bool            `json:"any,omitempty"` // a member's own view: it need not lead
 }
 
 // Answer is what comes back to the asker. Code 0 means given up: whether the
@@ -85,7 +86,9 @@
 		}
 		return
 	}
-	a.learn(now, from)
+	if !t.Any {
+		a.learn(now, from)
+	}
 	delete(a.open, t.ID)
 	o.done(now, Answer{t.Code, t.Body, o.sent})
 }
--- a/core/serve/engines/engines.go
+++ b/core/serve/engines/engines.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"fernlink/core/budget"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
 	"fernlink/core/serve/env"
@@ -196,13 +197,19 @@
 	return best
 }
 
+// linger is how long an idle connection is likely to stay open.
+const linger = budget.Listed
+
 func (t *Table) score(e *Engine) float64 {
 	s := (1 + float64(t.Busy(e))/float64(max(e.Slots, 1))) * max(e.Pace, 1)
 	if e.WarmMS > 0 {
 		s *= 2
 	}
 	if e.Zone != t.env.Zone {
-		s *= 1.1
+		s *= 1.2
+	}
+	if t.env.Now-e.seen < linger {
+		s *= 0.8 // a connection to it is likely to be open still
 	}
 	if e.strike > 0 {
 		s *= 8
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -11,6 +11,7 @@
 
 	"fernlink/api"
 	"fernlink/core/ask"
+	"fernlink/core/budget"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
@@ -50,6 +51,7 @@
 	live     []gossip.Entry
 	open     map[string]bool // lots that were heard of and are open
 	leaving  bool
+	asking   bool // a store was asked for its plan
 }
 
 // New starts without a plan or an engine.
@@ -71,12 +73,39 @@
 func (s *Serve) Advance(now flow.Time, live []gossip.Entry, out *flow.Outbox) {
 	s.env.Turn(now, out)
 	s.live = live
+	s.glimpse()
 	s.fleet.Advance(live)
 	s.roll.Advance()
 	s.requests.Advance()
 	s.lots.Advance()
 }
 
+// glimpse asks any store for the plan that it knows, while this node has none:
+// after a fault of all machines callers need not wait for an election.
+func (s *Serve) glimpse() {
+	if s.routes != nil || s.asking || s.leaving {
+		return
+	}
+	s.asking = true
+	s.env.Ask(budget.Listed, "plan.seen", nil, func(a ask.Answer) {
+		s.asking = false
+		var x ledger.Plan
+		var p api.Plan
+		if a.Code != 200 || json.Unmarshal(a.Body, &x) != nil || json.Unmarshal(x.Doc, &p) != nil {
+			return
+		}
+		s.adopt(x.Version, &p)
+	})
+}
+
+// adopt takes a plan, only where it is newer than the one in force.
+func (s *Serve) adopt(version uint64, p *api.Plan) {
+	if s.routes == nil || version > s.routes.Version {
+		s.routes = route.New(version, p)
+		s.env.Out.Limits = limits(p.Limits)
+	}
+}
+
 // Back takes news of a send.
 func (s *Serve) Back(now flow.Time, b flow.Back, out *flow.Outbox) {
 	s.env.Turn(now, out)
@@ -93,9 +122,8 @@
 // Heard folds what a renewal brought: a plan only where it is newer.
 func (s *Serve) Heard(now flow.Time, d ledger.Delta, version uint64, p *api.Plan) {
 	s.env.Now = now
-	if p != nil && (s.routes == nil || version > s.routes.Version) {
-		s.routes = route.New(version, p)
-		s.env.Out.Limits = limits(p.Limits)
+	if p != nil {
+		s.adopt(version, p)
 	}
 	for _, t := range d.Targets {
 		s.roll.Target(t.Pool, t.Revision)
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -540,3 +540,18 @@
 		w.want(h == 9, "%s holds %d after the newest stood for long", at, h)
 	}
 }
+
+// A node that has just started serves plain requests by the plan that any store
+// knows, before there is a leader; it takes no lot and says no 404 by it.
+func TestAPlanIsKnownBeforeALeaderIs(t *testing.T) {
+	w := newWorld(t)
+	w.fresh = false
+	w.known = plan(many, samples)
+	w.list(seat("e1", "10.0.0.1:1", "app", 4))
+	id := w.ask("h", "/a/x", 500)
+	w.end(w.app()[0], 200, "ok")
+	w.want(w.reply(id).Code == 200, "served: %d", w.reply(id).Code)
+	w.want(w.reply(w.ask("h", "/none/", 500)).Code == 503, "no 404 from a view that may be old")
+	w.want(w.reply(w.ask("h", "/l/x", 500)).Code != 202, "no lot without a tenure")
+	w.want(w.reply(w.call("ready", flow.Call{})).Code == 200, "and is ready")
+}
--- a/core/serve/world_test.go
+++ b/core/serve/world_test.go
@@ -30,7 +30,8 @@
 	have   uint64
 	fresh  bool
 	acting bool
-	silent bool // the store answers nothing
+	silent bool      // the store answers nothing
+	known  *api.Plan // what a store without a leader gives
 	seats  []dialect.Seat
 
 	sends   map[uint64]flow.Send
@@ -128,6 +129,14 @@
 
 func (w *world) answer(a ask.Ask) ledger.Result {
 	var r ledger.Result
+	if a.Kind == "plan.seen" {
+		if w.known == nil {
+			return ledger.Result{Code: 404}
+		}
+		doc, _ := json.Marshal(w.known)
+		body, _ := json.Marshal(ledger.Plan{Version: 1, Doc: doc})
+		return ledger.Result{Code: 200, Body: body}
+	}
 	if ledger.Knows(a.Kind) {
 		w.index++
 		b, _ := json.Marshal(ledger.Command{Kind: a.Kind, At: w.now.Milliseconds(), Body: a.Body})
