A lot uses as many slots as it needs to be whole in time

Cause: idle connections to engines close between lots; each slot used is one more connection made anew for each lot.

--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -27,6 +27,8 @@
 	asked   map[string]bool      // lots whose items are being fetched
 	wanted  map[string]flow.Time // lots that fell to this node, and when to fetch them
 	last    map[string]string    // pool, who owned its newest lot
+	paces   map[string]*pace     // by route
+	share   map[string]int       // slots of each engine in use, by pool, where that is bounded
 	shelf   shelf                // texts of items that may come again
 	readers map[uint64]*reader
 	putting map[uint64]bool // hand-ins that are not answered yet
@@ -35,7 +37,7 @@
 
 // New makes an empty table.
 func New(e *env.Env, t *engines.Table, routes func() *route.Table, addr func(string) string) *Table {
-	return &Table{env: e, engines: t, routes: routes, addr: addr, rows: map[string]*lot{}, asked: map[string]bool{}, wanted: map[string]flow.Time{}, last: map[string]string{}, shelf: shelf{},
+	return &Table{env: e, engines: t, routes: routes, addr: addr, rows: map[string]*lot{}, asked: map[string]bool{}, wanted: map[string]flow.Time{}, last: map[string]string{}, paces: map[string]*pace{}, shelf: shelf{},
 		readers: map[uint64]*reader{}, putting: map[uint64]bool{}}
 }
 
@@ -76,8 +78,9 @@
 	group *group
 	state int
 	runs  []*run
-	kept  text // the longest text of a run that broke off
-	fails int  // answers of 500
+	kept  text      // the longest text of a run that broke off
+	fails int       // answers of 500
+	begun flow.Time // its first send
 	again flow.Time
 }
 
--- a/core/serve/lots/place.go
+++ b/core/serve/lots/place.go
@@ -10,8 +10,10 @@
 
 func sortedIDs(m map[string]*lot) []string { return sorted.Keys(m) }
 
-// free is how many more requests an engine can run at once.
-func (t *Table) free(e *engines.Engine) int { return e.Slots - t.engines.Busy(e) }
+// free is how many more requests an engine is to run at once.
+func (t *Table) free(r *route.Route, e *engines.Engine) int {
+	return t.slots(r, e.Slots) - t.engines.Busy(e)
+}
 
 // fits says whether an engine may make a text that is going on from one.
 func (t *Table) fits(l *lot, e *engines.Engine, from text) bool {
@@ -31,13 +33,16 @@
 	if t.leaving || !t.env.Fresh() {
 		return
 	}
-	for _, l := range t.ordered() {
+	lots := t.ordered()
+	t.spread(lots)
+	for _, l := range lots {
 		r := t.pool(l)
 		if r == nil || l.left == 0 {
 			continue
 		}
 		t.placeLot(l, r)
 	}
+	t.share = nil // second runs may have any free slot
 }
 
 func (t *Table) placeLot(l *lot, r *route.Route) {
@@ -97,7 +102,7 @@
 	n := 0
 	for _, e := range t.pools(r) {
 		if t.fits(l, e, text{last: -1}) {
-			n += max(0, t.free(e))
+			n += max(0, t.free(r, e))
 		}
 	}
 	return n
@@ -106,13 +111,13 @@
 // seat picks the engine for an item: the one that read its group's prompt while
 // it has room, else the one with the most room for its pace.
 func (t *Table) seat(l *lot, g *group, r *route.Route, from text, not []*engines.Engine) *engines.Engine {
-	if h := g.home; h != nil && !slices.Contains(not, h) && t.fits(l, h, from) && t.free(h) > 0 && h.Sound() {
+	if h := g.home; h != nil && !slices.Contains(not, h) && t.fits(l, h, from) && t.free(r, h) > 0 && h.Sound() {
 		return h
 	}
 	var best *engines.Engine
 	var most float64
 	for _, e := range t.pools(r) {
-		n := t.free(e)
+		n := t.free(r, e)
 		if n <= 0 || slices.Contains(not, e) || !t.fits(l, e, from) {
 			continue
 		}
--- a/core/serve/lots/runs.go
+++ b/core/serve/lots/runs.go
@@ -48,6 +48,9 @@
 		}
 	}
 	i.state = running
+	if i.begun == 0 {
+		i.begun = now
+	}
 	i.runs = append(i.runs, r)
 	e.Begin()
 	t.env.Counts["items_sent"]++
@@ -215,6 +218,10 @@
 		}
 	case b.Code == 200 && len(r.text.events) > 0 && t.allowed(r):
 		t.engines.Good(r.engine)
+		if t.paces[i.lot.doc.Route] == nil {
+			t.paces[i.lot.doc.Route] = &pace{}
+		}
+		t.paces[i.lot.doc.Route].took(t.env.Now - i.begun)
 		t.finish(i, ledger.LotResult{Item: i.ID, State: ledger.LotComplete, Text: strings.Join(r.text.events, "\n"), Versions: r.text.versions})
 	default:
 		t.engines.Full(r.engine)
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -464,7 +464,11 @@
 // The head of a stream tells an engine's load at its beginning; when the stream
 // ends that is old, and must not keep slots from the next items.
 func TestAnOldWordOnLoadKeepsNoSlots(t *testing.T) {
-	w := two(t)
+	hasty := samples
+	hasty.DueMS = 400 // all slots are needed
+	w := newWorld(t)
+	w.list(seat("m1", "10.0.1.1:1", "llm", 4, "m"), seat("m2", "10.0.1.2:1", "llm", 4, "m"))
+	w.renew(plan(hasty))
 	w.lot(6, 4, 1)
 	f := []flow.Field{{Name: "Weights", Value: "1"}, {Name: "Load", Value: "4,0,4"}}
 	x := w.at("10.0.1.1:1")
@@ -555,3 +559,24 @@
 	w.want(w.reply(w.ask("h", "/l/x", 500)).Code != 202, "no lot without a tenure")
 	w.want(w.reply(w.call("ready", flow.Call{})).Code == 200, "and is ready")
 }
+
+// Once it is known how long texts take, a lot uses no more slots than it needs to
+// be whole in time; when time gets short, it uses all.
+func TestALotUsesTheSlotsItNeeds(t *testing.T) {
+	w := two(t)
+	w.lot(8, 4, 1)
+	w.want(len(w.llm()) == 8, "all while nothing is known: %d", len(w.llm()))
+	for _, x := range w.llm() {
+		w.head(x, 1)
+		w.event(x, 0, "a")
+	}
+	w.pass(200 * time.Millisecond)
+	for _, x := range w.llm() {
+		w.event(x, 1, "b")
+		w.done(x)
+	}
+	w.turn(10 * time.Millisecond)
+	w.want(len(w.llm()) == 4, "24 texts of 0.2 s in 2.6 s: two an engine, not %d in all", len(w.llm()))
+	w.pass(2500 * time.Millisecond)
+	w.want(len(w.llm()) == 8, "all when time is short: %d", len(w.llm()))
+}
