--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -577,6 +577,12 @@
 	}
 	w.turn(10 * time.Millisecond)
 	w.want(len(w.llm()) == 4, "24 texts of 0.2 s in 2.6 s: two an engine, not %d in all", len(w.llm()))
-	w.pass(2500 * time.Millisecond)
+	for n := range 25 {
+		for _, x := range w.llm() {
+			w.head(x, 1)
+			w.event(x, n, "c") // what runs goes on, so no engine is doubted
+		}
+		w.pass(100 * time.Millisecond)
+	}
 	w.want(len(w.llm()) == 8, "all when time is short: %d", len(w.llm()))
 }
