serve says what is wrong as a new user meets it; tests of each way, and of the tools' exit codes

Without a settings file it said 'open : no such file'; text that is no UTF-8 was told without its place.

--- a/cmd/fernlink/main.go
+++ b/cmd/fernlink/main.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 	"time"
@@ -97,36 +98,36 @@
 		tell(bad)
 		return 2
 	}
-	return start(p, daemon.Platform{}, n.profile)
+	return start(p, daemon.Platform{}, n.profile, os.Stderr)
 }
 
 // start runs one node until it is told to stop.
-func start(p props.Props, x daemon.Platform, dir string) (code int) {
+func start(p props.Props, x daemon.Platform, dir string, mishaps io.Writer) (code int) {
 	measured, err := profile(dir, cmp.Or(p.Name, p.Addr))
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "fernlink:", err)
+		fmt.Fprintln(mishaps, "fernlink:", err)
 		return 1
 	}
 	defer func() {
 		if err := measured(); err != nil {
-			fmt.Fprintln(os.Stderr, "fernlink:", err)
+			fmt.Fprintln(mishaps, "fernlink:", err)
 			code = max(code, 1)
 		}
 	}()
 	app := fx.New(fx.NopLogger, daemon.Module(p, x), fx.StopTimeout(75*time.Second))
 	if err := app.Err(); err != nil {
-		fmt.Fprintln(os.Stderr, "fernlink:", dig.RootCause(err))
+		fmt.Fprintln(mishaps, "fernlink:", dig.RootCause(err))
 		return 1
 	}
 	if err := app.Start(context.Background()); err != nil {
-		fmt.Fprintln(os.Stderr, "fernlink:", err)
+		fmt.Fprintln(mishaps, "fernlink:", err)
 		return 1
 	}
 	sig := <-app.Wait()
 	ctx, quit := context.WithTimeout(context.Background(), 70*time.Second)
 	defer quit()
 	if err := app.Stop(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "fernlink:", err)
+		fmt.Fprintln(mishaps, "fernlink:", err)
 		return 1
 	}
 	return sig.ExitCode
--- a/cmd/fernlink/serve.go
+++ b/cmd/fernlink/serve.go
@@ -3,12 +3,14 @@
 import (
 	"cmp"
 	"fmt"
+	"io"
 	"os"
 	"runtime/debug"
 
 	"github.com/integrii/flaggy"
 
 	"fernlink/platform"
+	"fernlink/props"
 	"fernlink/shell/daemon"
 )
 
@@ -30,23 +32,33 @@
 // memoryPart is the share of the machine's memory that the heap may fill.
 const memoryPart = 0.6
 
-func (v *serveFlags) run() int {
+// read gives the props of the settings, or says all that is wrong with them.
+func (v *serveFlags) read(mishaps io.Writer) (props.Props, bool) {
 	if v.settings == "" {
-		v.settings = os.Getenv(platform.SettingsEnv)
+		fmt.Fprintln(mishaps, "fernlink: name the settings file with --settings or in $"+platform.SettingsEnv)
+		return props.Props{}, false
 	}
 	p, bad, err := platform.Settings(v.settings)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "fernlink:", err)
-		return 2
+		fmt.Fprintln(mishaps, "fernlink:", err)
+		return p, false
 	}
-	if len(bad) > 0 {
-		for _, f := range bad {
-			fmt.Fprintf(os.Stderr, "fernlink: settings %s: %s\n", f.At, f.Text)
-		}
-		return 2
+	for _, f := range bad {
+		fmt.Fprintf(mishaps, "fernlink: settings %s: %s\n", cmp.Or(f.At, v.settings), f.Text)
 	}
 	if p.LogLevel = cmp.Or(v.level, "warn"); !levels[p.LogLevel] {
-		fmt.Fprintf(os.Stderr, "fernlink: --log-level is error, warn, info or debug, not %q\n", p.LogLevel)
+		fmt.Fprintf(mishaps, "fernlink: --log-level is error, warn, info or debug, not %q\n", p.LogLevel)
+		return p, false
+	}
+	return p, len(bad) == 0
+}
+
+func (v *serveFlags) run() int {
+	if v.settings == "" {
+		v.settings = os.Getenv(platform.SettingsEnv)
+	}
+	p, ok := v.read(os.Stderr)
+	if !ok {
 		return 2
 	}
 	if p.MemoryMB > 0 {
@@ -64,5 +76,5 @@
 		q, bad, err := platform.Settings(v.settings)
 		return q.Seeds, err == nil && len(bad) == 0 && len(q.Seeds) > 0
 	}
-	return start(p, daemon.Platform{Tongue: &t, Doors: platform.Doors(p), Seeds: seeds}, v.profile)
+	return start(p, daemon.Platform{Tongue: &t, Doors: platform.Doors(p), Seeds: seeds}, v.profile, os.Stderr)
 }
--- /dev/null
+++ b/cmd/fernlink/serve_test.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"fernlink/cmd/fernlink/timeline"
+	"fernlink/platform"
+	"fernlink/shell/daemon"
+)
+
+// free gives so many ports that were free a moment ago, one after the other.
+func free(t *testing.T, n int) []int {
+	t.Helper()
+	var out []int
+	for range n {
+		ear, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ear.Close()
+		out = append(out, ear.Addr().(*net.TCPAddr).Port)
+	}
+	return out
+}
+
+// settings writes a settings file that is good but for the given changes, each
+// "key=value" or "-key".
+func settings(t *testing.T, changes ...string) string {
+	t.Helper()
+	p := free(t, 5)
+	lines := map[string]string{"NodeName": "edge-1", "Serves": "edge,control_plane", "Ip": "127.0.0.1", "Zone": "north",
+		"PortRange": fmt.Sprintf("%d,%d", p[0], p[0]+9), "SeedNodes": fmt.Sprintf("127.0.0.1:%d", p[3]), "Bootstrap": "true", "DataDir": filepath.Join(t.TempDir(), "data"),
+		"BindAddrs.Front": fmt.Sprintf("127.0.0.1:%d", p[1]), "BindAddrs.Readiness": fmt.Sprintf("127.0.0.1:%d", p[2]), "BindAddrs.Control": fmt.Sprintf("127.0.0.1:%d", p[3]),
+		"CloudApi.Address": fmt.Sprintf("127.0.0.1:%d", p[4])}
+	for _, c := range changes {
+		if k, v, ok := strings.Cut(c, "="); ok {
+			lines[k] = v
+		} else {
+			delete(lines, strings.TrimPrefix(c, "-"))
+		}
+	}
+	var b strings.Builder
+	for k, v := range lines {
+		b.WriteString(k + "=" + v + "\n")
+	}
+	file := filepath.Join(t.TempDir(), "boot.conf")
+	if err := os.WriteFile(file, []byte(b.String()), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// Given settings that are wrong in each way that a new user may get them wrong,
+// when they are read, then each fault is told with its key, and nothing starts.
+func TestServeSaysWhatIsWrong(t *testing.T) {
+	for _, x := range []struct {
+		v    serveFlags
+		want []string
+	}{
+		{serveFlags{}, []string{"name the settings file with --settings or in $" + platform.SettingsEnv}},
+		{serveFlags{settings: filepath.Join(t.TempDir(), "none")}, []string{"no such file or directory"}},
+		{serveFlags{settings: t.TempDir()}, []string{"is a directory"}},
+		{serveFlags{settings: settings(t, "-NodeName", "Ip=ten", "Zone=a b", "PortRange=9", "BindAddrs.Front=banana", "Serves=edge,moon", "Bootstrap=perhaps")},
+			[]string{"settings BindAddrs.Front: not an IP number and port", "settings Bootstrap: neither true nor false", "settings Ip: not an IPv4 number", "settings NodeName: is missing",
+				"settings PortRange: not two ports", `settings Serves: nothing here serves "moon"`, "settings Zone: not a name"}},
+		{serveFlags{settings: settings(t, "NodeName=\xff")}, []string{"boot.conf: not text in UTF-8"}},
+		{serveFlags{settings: settings(t), level: "loud"}, []string{`--log-level is error, warn, info or debug, not "loud"`}},
+	} {
+		var b bytes.Buffer
+		if _, ok := x.v.read(&b); ok {
+			t.Errorf("%+v is taken", x.v)
+		}
+		lines := strings.Split(strings.TrimSpace(b.String()), "\n")
+		if len(lines) != len(x.want) {
+			t.Errorf("%+v: %q", x.v, lines)
+			continue
+		}
+		for i, w := range x.want {
+			if !strings.HasPrefix(lines[i], "fernlink: ") || !strings.Contains(lines[i], w) {
+				t.Errorf("%q, want %q", lines[i], w)
+			}
+		}
+	}
+	if p, ok := (&serveFlags{settings: settings(t)}).read(os.Stderr); !ok || p.LogLevel != "warn" {
+		t.Errorf("good ones: %+v", p)
+	}
+}
+
+// Given a port that is taken and a data folder that can't be made, when a node
+// is to start, then it ends with 1 and says which.
+func TestServeThatCanNotStart(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	file := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(file, nil, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	for change, want := range map[string]string{"BindAddrs.Front=" + taken.Addr().String(): taken.Addr().String() + ": bind: address already in use", "DataDir=" + file + "/data": file} {
+		var b bytes.Buffer
+		p, ok := (&serveFlags{settings: settings(t, change)}).read(&b)
+		if !ok {
+			t.Fatal(b.String())
+		}
+		p.LogLevel = "error"
+		tongue := platform.Tongue(p.Platform)
+		if code := start(p, daemon.Platform{Tongue: &tongue, Doors: platform.Doors(p)}, "", &b); code != 1 || !strings.Contains(b.String(), want) {
+			t.Errorf("%s: %d %q", change, code, b.String())
+		}
+	}
+}
+
+// Given a folder for profiles, when what is measured ends, then both files are
+// there; without one nothing is done; one that can't be made is said.
+func TestProfile(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "a", "b")
+	end, err := profile(dir, "10.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := end(); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"cpu-10.0.0.1-1.pprof", "heap-10.0.0.1-1.pprof"} {
+		if s, err := os.Stat(filepath.Join(dir, name)); err != nil || s.Size() == 0 {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if end, err := profile("", "x"); err != nil || end() != nil {
+		t.Errorf("without a folder: %v", err)
+	}
+	if _, err := profile(filepath.Join(dir, "cpu-10.0.0.1-1.pprof", "c"), "x"); err == nil {
+		t.Error("a folder that can't be made")
+	}
+}
+
+// Given a folder and logs, when the tools are run, then their exit codes say
+// what came of it.
+func TestToolsExitCodes(t *testing.T) {
+	var out, mishaps bytes.Buffer
+	none := filepath.Join(t.TempDir(), "none")
+	if c := folder(&out, &mishaps, none, "text"); c != 2 || !strings.Contains(mishaps.String(), "can't be read") {
+		t.Errorf("%d %q", c, mishaps.String())
+	}
+	if c := folder(&out, &mishaps, t.TempDir(), "text"); c != 1 || !strings.Contains(out.String(), "blank") {
+		t.Errorf("%d %q", c, out.String())
+	}
+	if c := folder(&out, &mishaps, t.TempDir(), "xml"); c != 2 {
+		t.Errorf("%d", c)
+	}
+	log := filepath.Join(t.TempDir(), "edge-1.log")
+	if err := os.WriteFile(log, []byte("ts=2026-06-21T05:08:58Z level=debug part=lots msg=accepted lot=l1 items=2\n"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	f := timeline.Filter{Lot: "l1"}
+	for _, x := range []struct {
+		logs []string
+		in   string
+		want int
+	}{{[]string{log}, "", 0}, {nil, "ts=2026-06-21T05:08:58Z msg=x lot=l1\n", 0}, {nil, "words\n", 1}, {[]string{none}, "", 2}} {
+		out.Reset()
+		if c := lines(strings.NewReader(x.in), &out, &mishaps, x.logs, f); c != x.want {
+			t.Errorf("%v: %d %q", x.logs, c, out.String())
+		}
+	}
+}
