--- a/shell/disk/inspect.go
+++ b/shell/disk/inspect.go
@@ -138,8 +138,8 @@
 		l.tail = l.tail[1:]
 	}
 	r.entries(l)
-	if len(segs) == 0 && len(digs) > 0 {
-		r.find("a snapshot without a log")
+	if len(segs) == 0 && len(digs)+len(r.Shelf) > 0 {
+		r.find("a snapshot or a shelf without a log")
 	}
 	r.state(file, shelf, l.tail)
 	for _, n := range names {
--- a/shell/disk/inspect_test.go
+++ b/shell/disk/inspect_test.go
@@ -158,14 +158,19 @@
 		"torn tail":          {cut(segment, 5), true, "is torn at byte"},
 		"damaged last frame": {flip(segment, -10), false, "may have been acknowledged"},
 		"damaged before":     {flip(segment, 20), false, "before its tail"},
-		"no segment":         {func(t *testing.T, d string) { _ = os.Remove(segment(t, d)) }, false, "a snapshot without a log"},
-		"snapshot":           {flip(file(digName(4)), 40), false, "digest-0000000000000004.json is damaged"},
-		"no snapshot":        {gone(file(digName(4))), false, "entries start at 5 after a snapshot at 0"},
-		"no identity":        {gone(file("identity")), false, "a log without an identity"},
-		"identity":           {flip(file("identity"), 20), false, "the identity is damaged"},
-		"a lost tray":        {gone(partTray), false, "the shelf lacks 2 items"},
-		"a damaged item":     {flip(partTray, -2), false, "the shelf lacks 1 items"},
-		"unfinished":         {func(_ *testing.T, d string) { _ = os.WriteFile(filepath.Join(d, "new"), []byte("x"), 0o644) }, true, "new was not finished"},
+		"no segment":         {func(t *testing.T, d string) { _ = os.Remove(segment(t, d)) }, false, "a snapshot or a shelf without a log"},
+		"only a shelf": {func(t *testing.T, d string) {
+			for _, n := range []string{segment(t, d), filepath.Join(d, digName(4)), filepath.Join(d, "identity")} {
+				_ = os.Remove(n)
+			}
+		}, false, "a shelf without a log"},
+		"snapshot":       {flip(file(digName(4)), 40), false, "digest-0000000000000004.json is damaged"},
+		"no snapshot":    {gone(file(digName(4))), false, "entries start at 5 after a snapshot at 0"},
+		"no identity":    {gone(file("identity")), false, "a log without an identity"},
+		"identity":       {flip(file("identity"), 20), false, "the identity is damaged"},
+		"a lost tray":    {gone(partTray), false, "the shelf lacks 2 items"},
+		"a damaged item": {flip(partTray, -2), false, "the shelf lacks 1 items"},
+		"unfinished":     {func(_ *testing.T, d string) { _ = os.WriteFile(filepath.Join(d, "new"), []byte("x"), 0o644) }, true, "new was not finished"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			dir := filled(t)
