--- a/shell/disk/fuzz_test.go
+++ b/shell/disk/fuzz_test.go
@@ -52,3 +52,43 @@
 		}
 	})
 }
+
+// Given any bytes on the disk, when a folder is looked at, then nothing is
+// changed, and one that is said to be whole opens.
+func FuzzInspect(f *testing.F) {
+	seg := frame(record{Saves: []flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: entries(1, 3)}}})
+	dig := frame(digestFile{Digest: flow.Digest{Index: 2, Term: 1, Conf: json.RawMessage(`{}`), State: ledger.New().Digest()}})
+	id := frame(Identity{ID: "me", Inc: 1})
+	f.Add(seg, dig, cover(3, []byte("abc")), id)
+	f.Add(seg, []byte{}, []byte{}, id)
+	f.Add(seg[:len(seg)-3], []byte{}, cover(3, []byte("abc"))[:20], id)
+	f.Add(append(append([]byte{}, seg...), "00000000 2 {}\n"...), dig, []byte{}, id[:9])
+	f.Fuzz(func(t *testing.T, a, b, c, d []byte) {
+		dir, err := OpenFolder(t.TempDir())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for name, x := range map[string][]byte{segName(1): a, digName(2): b, trayName("text", 1): c, "identity": d} {
+			if len(x) > 0 {
+				_ = dir.Write(name, x)
+			}
+		}
+		before := content(t, dir.Path)
+		r, err := Inspect(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if content(t, dir.Path) != before {
+			t.Fatal("the folder was changed")
+		}
+		if !r.Whole() {
+			return
+		}
+		if _, err := Identify(dir, "fresh", 1); err != nil {
+			t.Fatalf("it is said to be whole: %v", err)
+		}
+		if _, _, err := Open(dir); err != nil {
+			t.Fatalf("it is said to be whole: %v", err)
+		}
+	})
+}
--- a/shell/disk/inspect_test.go
+++ b/shell/disk/inspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand"
 	"os"
 	"path/filepath"
 	"strings"
@@ -231,3 +232,69 @@
 		t.Errorf("%v %+v", err, r)
 	}
 }
+
+// Given a folder with any one damage, when it is looked at, then it is only said
+// to be whole where a start would take it, with all that the snapshot names and
+// all entries but those of a torn last frame.
+func TestInspectAgreesWithTheStart(t *testing.T) {
+	from := filled(t)
+	es, err := os.ReadDir(from)
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole, broken := 0, 0
+	for seed := range int64(250) {
+		r := rand.New(rand.NewSource(seed))
+		dir := t.TempDir()
+		hit := r.Intn(len(es))
+		for i, e := range es {
+			b, err := os.ReadFile(filepath.Join(from, e.Name()))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if i == hit && len(b) > 0 {
+				at := r.Intn(len(b))
+				switch r.Intn(3) {
+				case 0:
+					b[at] ^= byte(1 + r.Intn(255))
+				case 1:
+					b = b[:at]
+				case 2:
+					clear(b[at:])
+				}
+			}
+			if err := os.WriteFile(filepath.Join(dir, e.Name()), b, 0o644); err != nil {
+				t.Fatal(err)
+			}
+		}
+		rep, err := Inspect(&Folder{dir})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := &Folder{dir}
+		_, idErr := Identify(f, "fresh", 1)
+		_, d, openErr := Open(f)
+		if !rep.Whole() {
+			broken++
+			continue
+		}
+		whole++
+		if idErr != nil || openErr != nil || len(d.Entries) != rep.Entries || d.Hard.Unsure {
+			t.Errorf("seed %d: %s is said to be whole: %v %v, %d entries of %d", seed, es[hit].Name(), idErr, openErr, len(d.Entries), rep.Entries)
+		}
+		if d.Digest != nil {
+			led, err := ledger.Load(d.Digest.State, d.Items)
+			if err != nil {
+				t.Errorf("seed %d: %v", seed, err)
+				continue
+			}
+			l, _, err := Open(f)
+			if err != nil || l.Shelf.only(led.Items(), true) != nil {
+				t.Errorf("seed %d: the shelf lacks something: %v", seed, err)
+			}
+		}
+	}
+	if whole < 10 || broken < 10 {
+		t.Errorf("%d whole, %d broken", whole, broken)
+	}
+}
