--- a/sim/outside.go
+++ b/sim/outside.go
@@ -33,6 +33,7 @@
 	OnSend func(*Host, flow.Send)
 	// Whole checks a text that the judge is sent, if set.
 	Whole func(dialect.JudgeAsk) error
+	Site  *Site // the users' platform, where the fleet serves on it
 }
 
 // Model is a model engine on its machine.
@@ -310,6 +311,9 @@
 }
 
 func (o *Outside) target(host string) target {
+	if o.Site != nil {
+		return o.Site.target(host)
+	}
 	if m := o.Model[host]; m != nil {
 		return target{m.Name, m.Up, func(h *Host, life int, s flow.Send, path string) { o.model(m, h, life, s, path) }}
 	}
--- /dev/null
+++ b/sim/serve_faults.go
@@ -0,0 +1,441 @@
+package sim
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"time"
+
+	"fernlink/core/flow"
+	"fernlink/core/node"
+)
+
+// Grace is how long a process may take to end once it was told to.
+const Grace = 8 * time.Second
+
+// Kill ends a machine's process, with its power or its disk where said, and
+// starts it again.
+func (s *Site) Kill(h *Host, power, wipe bool, down time.Duration) {
+	s.Touch(h)
+	if power || wipe {
+		h.Lose(wipe)
+	} else {
+		h.Kill()
+	}
+	s.w.After(down, func() { s.Start(h) })
+}
+
+// Start starts a machine again.
+func (s *Site) Start(h *Host) {
+	if h.Retired {
+		return
+	}
+	s.Touch(h)
+	h.Start()
+}
+
+// Freeze stops a machine for a while.
+func (s *Site) Freeze(h *Host, d time.Duration) {
+	s.Touch(h)
+	h.Freeze(d)
+	s.w.After(d, func() { s.Touch(h) })
+}
+
+// Term stops a process in order and starts it again after a while.
+func (s *Site) Term(h *Host, down time.Duration, then func()) {
+	s.Touch(h)
+	s.planned[h] = s.w.Now
+	life := h.life
+	h.Stop()
+	began := s.w.Now
+	s.w.Every(20*time.Millisecond, func() bool {
+		if h.Up && h.life == life && s.w.Now-began < Grace {
+			return true
+		}
+		if h.Up && h.life == life {
+			s.Count["stops that took too long"]++
+			h.Kill()
+		}
+		s.w.After(down, func() {
+			s.Start(h)
+			if then != nil {
+				then()
+			}
+		})
+		return false
+	})
+}
+
+// Roll stops and starts machines one after the other.
+func (s *Site) Roll(hosts []*Host, pause time.Duration) {
+	if len(hosts) == 0 {
+		return
+	}
+	s.Term(hosts[0], time.Second, func() { s.w.After(pause, func() { s.Roll(hosts[1:], pause) }) })
+}
+
+// Replace puts an empty machine at another address in a core machine's place,
+// and names it to all as a seed.
+func (s *Site) Replace(h *Host) *Host {
+	s.Touch(h)
+	h.Lose(true)
+	h.Retired = true
+	x := s.Add(h.Props.Roles, h.Props.Area, true)
+	old := h.Props.Addr
+	for _, o := range s.w.Hosts {
+		o.Props.Seeds = slices.Clone(o.Props.Seeds)
+		for i, a := range o.Props.Seeds {
+			if a == old {
+				o.Props.Seeds[i] = x.Props.Addr
+			}
+		}
+		if o.Up {
+			o.offer(o.life, flow.Event{Seeds: o.Props.Seeds})
+		}
+	}
+	s.Touch(x)
+	return x
+}
+
+// Add puts a further machine into the fleet.
+func (s *Site) Add(roles []string, zone string, disk bool) *Host {
+	n := len(s.w.Hosts)
+	p := node.Props{Addr: siteHost(n) + ":7000", Web: siteHost(n) + ":7001", Area: zone, Seeds: s.w.Hosts[0].Props.Seeds, Keep: 256, Want: 3, Tongue: &s.tongue, LotKeep: 2 * time.Minute, Roles: roles}
+	p.Name = fmt.Sprintf("more-%d", n)
+	h := s.w.AddHost(p.Name, p, disk)
+	h.Start()
+	s.Touch(h)
+	return h
+}
+
+// Cut cuts the ways from some machines to others, and joins them later.
+func (s *Site) Cut(from, to []*Host, both bool, d time.Duration) {
+	var touched []*Host
+	for _, a := range from {
+		for _, b := range to {
+			if a == b {
+				continue
+			}
+			s.w.Net.Cut(a.Name, b.Name)
+			if both {
+				s.w.Net.Cut(b.Name, a.Name)
+			}
+			touched = append(touched, a, b)
+		}
+	}
+	touch := func() {
+		core := 0
+		for _, h := range touched {
+			if h.Has("store") {
+				core++
+			}
+		}
+		if core > 1 {
+			s.coreBad = s.w.Now
+		}
+	}
+	touch()
+	s.w.After(d, func() {
+		for _, a := range from {
+			for _, b := range to {
+				s.w.Net.Join(a.Name, b.Name)
+				s.w.Net.Join(b.Name, a.Name)
+			}
+		}
+		touch()
+	})
+}
+
+// Dispatchers gives the machines that serve callers.
+func (s *Site) Dispatchers() []*Host { return s.w.By("dispatcher") }
+
+// Release replaces the engines of a pool one after the other.
+func (s *Site) Release(pool string, reuse bool) {
+	var next func(list []*SiteEngine)
+	next = func(list []*SiteEngine) {
+		if len(list) == 0 || s.off {
+			return
+		}
+		e := list[0]
+		if !e.Up {
+			next(list[1:])
+			return
+		}
+		e.Replace(false)
+		e.Retire(func() {
+			if reuse {
+				s.w.After(2*time.Second, func() {
+					s.AddEngine(map[string]string{"app": "other", "other": "app", "llm": "app"}[e.Pool], e.Zone, e.Addr)
+				})
+			}
+			next(list[1:])
+		})
+	}
+	next(s.Pool(pool))
+}
+
+// siteFault is one trouble of a storm; it says whether it could come about.
+type siteFault struct {
+	kind string
+	do   func(*Site, *rand.Rand) bool
+}
+
+func pick[T any](r *rand.Rand, list []T) (x T, ok bool) {
+	if len(list) == 0 {
+		return x, false
+	}
+	return list[r.Intn(len(list))], true
+}
+
+func (s *Site) up(list []*Host) []*Host {
+	var out []*Host
+	for _, h := range list {
+		if h.works() {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+func (s *Site) onCore(r *rand.Rand, f func(*Host)) bool {
+	if s.w.Leader() == nil || !s.w.Repaired() || len(s.up(s.Core())) < len(s.Core()) {
+		return false // one at a time is what the fleet is to survive
+	}
+	h, ok := pick(r, s.Core())
+	if ok {
+		f(h)
+	}
+	return ok
+}
+
+func (s *Site) onEdge(r *rand.Rand, f func(*Host)) bool {
+	h, ok := pick(r, s.up(s.Dispatchers()))
+	if ok && !h.Has("store") {
+		f(h)
+		return true
+	}
+	return false
+}
+
+func (s *Site) onEngine(r *rand.Rand, f func(*SiteEngine)) bool {
+	all := s.Pool([]string{"app", "other", "llm"}[r.Intn(3)])
+	if len(all) < 2 {
+		return false
+	}
+	f(all[r.Intn(len(all))])
+	return true
+}
+
+func (s *Site) others(h *Host) []*Host {
+	var out []*Host
+	for _, x := range s.w.Hosts {
+		if x != h && !x.Retired {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// Change gives configurations: routes are added, moved, split and taken away.
+func (s *Site) change(r *rand.Rand) func([]siteRoute) []siteRoute {
+	n := r.Intn(4)
+	name := s.name("r")
+	return func(list []siteRoute) []siteRoute {
+		list = slices.Clone(list)
+		switch {
+		case n == 0 && len(list) > 5:
+			list = slices.Delete(list, len(list)-1, len(list))
+		case n == 1 && len(list) > 0:
+			list[0].Pools = [][]string{{"app"}, {"other"}, {"app", "other"}}[r.Intn(3)]
+		default:
+			list = append(list, siteRoute{name, siteName, "/" + name + "/", "idempotent", []string{[]string{"app", "other"}[r.Intn(2)]}, false})
+		}
+		return list
+	}
+}
+
+func (s *Site) seconds(r *rand.Rand, from, to float64) time.Duration {
+	return time.Duration((from + r.Float64()*(to-from)) * 1e9)
+}
+
+// SiteFaults are the troubles of a site, as its sheet names them.
+var SiteFaults = []siteFault{
+	{"kill a core machine", func(s *Site, r *rand.Rand) bool {
+		return s.onCore(r, func(h *Host) { s.Kill(h, false, false, s.seconds(r, 0.5, 6)) })
+	}},
+	{"power of a core machine", func(s *Site, r *rand.Rand) bool {
+		return s.onCore(r, func(h *Host) { s.Kill(h, true, false, s.seconds(r, 0.5, 6)) })
+	}},
+	{"wipe a core machine", func(s *Site, r *rand.Rand) bool {
+		return s.onCore(r, func(h *Host) { s.Kill(h, true, true, s.seconds(r, 0.5, 6)) })
+	}},
+	{"replace a core machine", func(s *Site, r *rand.Rand) bool { return s.onCore(r, func(h *Host) { s.Replace(h) }) }},
+	{"freeze a core machine", func(s *Site, r *rand.Rand) bool {
+		return s.onCore(r, func(h *Host) { s.Freeze(h, s.seconds(r, 0.3, 6)) })
+	}},
+	{"cut a core machine off", func(s *Site, r *rand.Rand) bool {
+		return s.onCore(r, func(h *Host) { s.Cut([]*Host{h}, s.others(h), true, s.seconds(r, 2, 9)) })
+	}},
+	{"cut a core machine one way out", func(s *Site, r *rand.Rand) bool {
+		return s.onCore(r, func(h *Host) { s.Cut([]*Host{h}, s.others(h), false, s.seconds(r, 2, 9)) })
+	}},
+	{"cut a core machine one way in", func(s *Site, r *rand.Rand) bool {
+		return s.onCore(r, func(h *Host) { s.Cut(s.others(h), []*Host{h}, false, s.seconds(r, 2, 9)) })
+	}},
+	{"cut two core machines from each other", func(s *Site, r *rand.Rand) bool {
+		return s.onCore(r, func(h *Host) {
+			x := s.Core()[0]
+			if x == h {
+				x = s.Core()[1]
+			}
+			s.Cut([]*Host{h}, []*Host{x}, r.Intn(2) == 0, s.seconds(r, 2, 9))
+		})
+	}},
+	{"kill an edge machine", func(s *Site, r *rand.Rand) bool {
+		return s.onEdge(r, func(h *Host) { s.Kill(h, false, false, s.seconds(r, 0.5, 6)) })
+	}},
+	{"freeze an edge machine", func(s *Site, r *rand.Rand) bool {
+		return s.onEdge(r, func(h *Host) { s.Freeze(h, s.seconds(r, 0.3, 6)) })
+	}},
+	{"cut an edge machine from the core", func(s *Site, r *rand.Rand) bool {
+		return s.onEdge(r, func(h *Host) { s.Cut([]*Host{h}, s.Core(), r.Intn(2) == 0, s.seconds(r, 2, 9)) })
+	}},
+	{"stop machines in turn", func(s *Site, r *rand.Rand) bool {
+		if s.w.Leader() == nil || !s.w.Repaired() || len(s.up(s.Dispatchers())) < len(s.Dispatchers()) {
+			return false
+		}
+		all := s.Dispatchers()
+		r.Shuffle(len(all), func(a, b int) { all[a], all[b] = all[b], all[a] })
+		s.Roll(all[:2], s.seconds(r, 0.5, 2))
+		return true
+	}},
+	{"add a machine", func(s *Site, r *rand.Rand) bool {
+		if len(s.w.Hosts) > 14 {
+			return false
+		}
+		s.Add([]string{"dispatcher"}, s.Shape.Zones[r.Intn(len(s.Shape.Zones))], false)
+		return true
+	}},
+	{"crash an engine", func(s *Site, r *rand.Rand) bool {
+		return s.onEngine(r, func(e *SiteEngine) {
+			e.Crash()
+			s.w.After(s.seconds(r, 0.5, 4), func() { e.Replace(r.Intn(3) == 0) })
+		})
+	}},
+	{"dark engine", func(s *Site, r *rand.Rand) bool {
+		return s.onEngine(r, func(e *SiteEngine) {
+			e.Dark = true
+			s.w.After(s.seconds(r, 0.5, 5), func() { e.Dark = false })
+		})
+	}},
+	{"slow engine", func(s *Site, r *rand.Rand) bool {
+		return s.onEngine(r, func(e *SiteEngine) {
+			e.Slow = 2 + 6*r.Float64()
+			s.w.After(s.seconds(r, 2, 8), func() { e.Slow = 1 })
+		})
+	}},
+	{"engine in trouble", func(s *Site, r *rand.Rand) bool {
+		return s.onEngine(r, func(e *SiteEngine) {
+			e.Cut, e.Garble, e.Surplus, e.Fails = r.Float64()/3, r.Float64()/3, r.Float64()/2, r.Float64()/4
+			s.w.After(s.seconds(r, 2, 8), func() { e.Cut, e.Garble, e.Surplus, e.Fails = 0, 0, 0, 0 })
+		})
+	}},
+	{"release", func(s *Site, r *rand.Rand) bool {
+		s.Release([]string{"app", "other", "llm"}[r.Intn(3)], r.Intn(2) == 0)
+		return true
+	}},
+	{"engine taken away", func(s *Site, r *rand.Rand) bool {
+		return s.onEngine(r, func(e *SiteEngine) {
+			if len(s.Pool(e.Pool)) > 2 {
+				e.Retire(nil)
+			}
+		})
+	}},
+	{"platform away", func(s *Site, r *rand.Rand) bool {
+		s.Dark = true
+		s.w.After(s.seconds(r, 1, 5), func() { s.Dark = false })
+		return true
+	}},
+	{"configuration", func(s *Site, r *rand.Rand) bool {
+		n := s.Newest()
+		if n != nil {
+			s.Configure(n.Rev, s.change(r), s.Bounds.Ack, s.shown404)
+		}
+		return n != nil
+	}},
+	{"configurations race", func(s *Site, r *rand.Rand) bool {
+		n := s.Newest()
+		if n == nil {
+			return false
+		}
+		a := s.Configure(n.Rev, s.change(r), s.Bounds.Ack, s.shown404)
+		b := s.Configure(n.Rev, s.change(r), s.Bounds.Ack, s.shown404)
+		s.w.After(s.Bounds.Ack+2*time.Second, func() {
+			if a.State == cfgTaken && b.State == cfgTaken {
+				s.wrong("CONFIG", "versions %d and %d on top of %d are both acknowledged", a.Rev, b.Rev, n.Rev)
+			}
+		})
+		return true
+	}},
+	{"storm of configurations", func(s *Site, r *rand.Rand) bool {
+		left := 6
+		var next func(*siteConfig)
+		next = func(c *siteConfig) {
+			n := s.Newest()
+			if left--; left > 0 && n != nil && !s.off {
+				s.Configure(n.Rev, s.change(r), s.Bounds.Ack, func(c *siteConfig) { s.shown404(c); next(c) })
+			}
+		}
+		next(nil)
+		return true
+	}},
+	{"invalid configurations", func(s *Site, r *rand.Rand) bool {
+		for _, f := range []func(map[string]any){
+			func(d map[string]any) { d["RouteTable"].([]any)[0].(map[string]any)["Backend"] = "nobody" },
+			func(d map[string]any) { d["RouteTable"].([]any)[0].(map[string]any)["LimitMs"] = 0 },
+			func(d map[string]any) {
+				x := d["RouteTable"].([]any)
+				d["RouteTable"] = append(x, x[0])
+			},
+			func(d map[string]any) { d["Revision"] = 1 },
+			func(d map[string]any) { delete(d, "Backends") },
+		} {
+			s.Invalid(f)
+		}
+		return true
+	}},
+	{"empty a reserve machine", func(s *Site, r *rand.Rand) bool {
+		h, ok := pick(r, s.w.By("reserve"))
+		if !ok || !h.Up {
+			return false
+		}
+		at, _ := pick(r, s.Dispatchers())
+		s.Door(at, "control", "POST", "/retire/"+h.Props.Name, "", nil, []byte(`{"RampS":5}`), func(x flow.Reply) {
+			s.Count[fmt.Sprint("retire ", x.Code)]++
+		})
+		return true
+	}},
+}
+
+// shown404 has each machine asked on the routes that a configuration changed.
+func (s *Site) shown404(c *siteConfig) {
+	paths := []string{"/never/" + s.name("n")}
+	for _, old := range s.Configs {
+		if old.Rev != c.Base && old.Rev != c.Rev {
+			continue
+		}
+		for _, r := range old.Routes {
+			if r.Kind == "idempotent" {
+				paths = append(paths, r.Path+"probe")
+			}
+		}
+	}
+	n := 0
+	s.w.Every(400*time.Millisecond, func() bool {
+		for _, h := range s.Dispatchers() {
+			s.Probe(h, siteName, paths[(n+s.w.Rand.Intn(len(paths)))%len(paths)])
+		}
+		n++
+		return n < 10
+	})
+}
--- /dev/null
+++ b/sim/serve_trainer.go
@@ -0,0 +1,484 @@
+package sim
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"fernlink/core/flow"
+	"fernlink/core/sorted"
+)
+
+// siteItem is one item of a lot, and of a later lot that it came back in.
+type siteItem struct {
+	id, path, body, group string
+	out                   int
+	never                 bool // engines say that it can never be done
+	lots                  []*siteLot
+}
+
+// siteLot is one lot that a trainer handed in.
+type siteLot struct {
+	s          *Site
+	id, zone   string
+	step       int
+	least      int
+	desired    int
+	path       string
+	items      []*siteItem
+	body       []byte
+	sent, due  time.Duration
+	accepted   time.Duration // 0 while no 202 came
+	taker      *Host
+	lastCode   int
+	promised   bool // every answer so far was a promise
+	ended      time.Duration
+	ender      *Host
+	seen       []siteOutput
+	place      map[string]int
+	readAt     map[int]time.Duration // when a position was first read
+	MetGroups  int
+	closed     bool
+	answers    int
+	Unanswered int
+}
+
+type siteOutput struct {
+	InstanceId, State, Message string
+	WeightVersions             []int
+}
+
+type sitePage struct {
+	Total, NextToken *int
+	Outputs          []siteOutput
+}
+
+// Trainer asks for step after step.
+type Trainer struct {
+	s             *Site
+	Zone          string
+	Groups, Size  int
+	Desired       int
+	Every, Due    time.Duration
+	Step          int
+	Lots          []*siteLot
+	carry         [][]*siteItem
+	Steps, Missed int
+	shared        string
+}
+
+// AddTrainer starts a trainer: a lot each so often, of groups of items.
+func (s *Site) AddTrainer(zone string, groups, size, desired int, every, due time.Duration) *Trainer {
+	t := &Trainer{s: s, Zone: zone, Groups: groups, Size: size, Desired: desired, Every: every, Due: due, shared: s.name("5a")}
+	t.open()
+	return t
+}
+
+func (t *Trainer) open() {
+	s := t.s
+	if s.off {
+		return
+	}
+	l := &siteLot{s: s, id: s.name("l"), zone: t.Zone, step: t.Step, least: max(t.Step, 1), desired: t.Desired, sent: s.w.Now, due: s.w.Now + t.Due, place: map[string]int{}, readAt: map[int]time.Duration{}, promised: true}
+	l.path = "/sync/" + l.id
+	groups := t.carry
+	if len(groups) > t.Desired/2 {
+		groups = groups[:t.Desired/2]
+	}
+	t.carry = nil
+	for len(groups) < t.Groups {
+		var g []*siteItem
+		name := s.name("g")
+		for range t.Size {
+			i := &siteItem{id: s.name("i"), group: name, out: 6 + s.w.Rand.Intn(14), never: s.w.Rand.Intn(400) == 0}
+			i.path, i.body = "/sync/"+strconv.Itoa(t.Step)+"/"+i.id, "body of "+i.id
+			s.items[i.id] = i
+			g = append(g, i)
+		}
+		groups = append(groups, g)
+	}
+	reqs := []any{}
+	for _, g := range groups {
+		for _, i := range g {
+			i.lots = append(i.lots, l)
+			l.items = append(l.items, i)
+			reqs = append(reqs, map[string]any{"InstanceId": i.id, "Path": i.path, "Body": base64.StdEncoding.EncodeToString([]byte(i.body)), "Tokens": 516 + i.out, "GroupId": i.group,
+				"Headers": map[string]string{"Model": siteModel, "Token-Counts": fmt.Sprintf("516,%d", i.out), "Prompt-Prefix": fmt.Sprintf("%s:400,%s:100,%s:16", t.shared, i.group, i.id)}})
+		}
+	}
+	l.body, _ = json.Marshal(map[string]any{"TrainStep": t.Step, "Model": siteModel, "MinVersion": l.least, "Desired": t.Desired, "Requests": reqs})
+	t.Lots = append(t.Lots, l)
+	s.lots = append(s.lots, l)
+	s.Count["lots"]++
+	l.put(100 * time.Millisecond)
+	l.read(0)
+	t.wait(l)
+}
+
+// wait looks whether the trainer has what it waits for, or gives up.
+func (t *Trainer) wait(l *siteLot) {
+	s := t.s
+	whole, broken := l.whole()
+	if s.off {
+		return
+	}
+	if len(whole) < t.Desired && s.w.Now < l.due {
+		s.w.After(50*time.Millisecond, func() { t.wait(l) })
+		return
+	}
+	l.MetGroups = len(whole)
+	t.Steps++
+	s.Count["groups wanted"] += t.Desired
+	s.Count["groups met"] += min(len(whole), t.Desired)
+	if len(whole) < t.Desired {
+		t.Missed++
+		s.Count["steps missed"]++
+	}
+	l.closed = true
+	if l.accepted > 0 {
+		l.end(50 * time.Millisecond)
+		t.carry = broken
+	}
+	t.Step++
+	s.w.After(500*time.Millisecond, func() { // it trains
+		s.Name(t.Step+1, nil)
+		s.w.After(max(0, t.Every-(s.w.Now-l.sent)), t.open)
+	})
+}
+
+// whole gives the groups of which all items are listed, and the others.
+func (l *siteLot) whole() (whole, broken [][]*siteItem) {
+	by := map[string][]*siteItem{}
+	var order []string
+	for _, i := range l.items {
+		if by[i.group] == nil {
+			order = append(order, i.group)
+		}
+		by[i.group] = append(by[i.group], i)
+	}
+	for _, g := range order {
+		ok := true
+		for _, i := range by[g] {
+			p, listed := l.place[i.id]
+			ok = ok && listed && l.seen[p].State == "complete"
+		}
+		if ok {
+			whole = append(whole, by[g])
+		} else {
+			broken = append(broken, by[g])
+		}
+	}
+	return whole, broken
+}
+
+// Name names the next version of the weights, until it is noted.
+func (s *Site) Name(v int, then func()) {
+	if v > s.named[siteModel]+1 || s.off {
+		return
+	}
+	s.named[siteModel] = max(s.named[siteModel], v)
+	body, _ := json.Marshal(map[string]any{"Model": siteModel, "Revision": v})
+	hosts := s.w.By("dispatcher")
+	done := false
+	end := func(code int) {
+		if done {
+			return
+		}
+		done = true
+		if code/100 == 2 {
+			if then != nil {
+				then()
+			}
+			return
+		}
+		s.w.After(200*time.Millisecond, func() { s.Name(v, then) })
+	}
+	s.Door(hosts[s.w.Rand.Intn(len(hosts))], "control", "POST", "/version-put", "", nil, body, func(r flow.Reply) { end(r.Code) })
+	s.w.After(time.Second, func() { end(0) })
+}
+
+// put hands the lot in, to one machine after the other.
+func (l *siteLot) put(pause time.Duration) {
+	s := l.s
+	if l.accepted > 0 || l.closed || s.w.Now > l.due {
+		return
+	}
+	h := s.Enter(l.zone)
+	done := false
+	var gone func()
+	end := func(r flow.Reply) {
+		if done {
+			return
+		}
+		done = true
+		l.lastCode = r.Code
+		l.answers++
+		s.Count[fmt.Sprint("lot put ", r.Code)]++
+		if r.Code == 202 {
+			l.accepted, l.taker, l.promised = s.w.Now, h, false
+			return
+		}
+		if !slices.Contains([]int{429, 503, 408, 421}, r.Code) {
+			l.promised = false
+		}
+		if r.Code/100 == 4 && r.Code != 429 && r.Code != 408 && r.Code != 421 {
+			s.wrong("DENIED", "lot %s was denied with %d %s by %s", l.id, r.Code, r.Body, h.Name)
+			return
+		}
+		wait := pause
+		if v, err := strconv.ParseFloat(r.Head["Retry-After"], 64); err == nil {
+			wait = min(max(wait, time.Duration(v*1e9)), (l.due-s.w.Now)/3)
+		}
+		s.w.After(wait, func() { l.put(min(2*pause, time.Second)) })
+	}
+	gone = s.Door(h, "front", "POST", l.path, siteName, []flow.Field{{Name: "Attempt-Id", Value: l.id}, {Name: "Content-Type", Value: "application/json"}}, l.body, end)
+	s.w.After(1500*time.Millisecond, func() {
+		if !done {
+			gone()
+			l.promised = false
+			end(flow.Reply{})
+		}
+	})
+}
+
+// read reads what is new, or now and then what is old, until the lot is closed.
+func (l *siteLot) read(pos int) {
+	s := l.s
+	if l.closed || s.off {
+		return
+	}
+	if l.accepted == 0 {
+		s.w.After(100*time.Millisecond, func() { l.read(0) })
+		return
+	}
+	from := len(l.seen)
+	if s.w.Rand.Intn(6) == 0 {
+		from = s.w.Rand.Intn(from + 1)
+	}
+	wait := 0
+	if s.w.Rand.Intn(2) == 0 {
+		wait = 1000
+	}
+	l.page(s.Enter(l.zone), from, wait, func(int) { s.w.After(400*time.Millisecond, func() { l.read(0) }) })
+}
+
+// page reads the results from a position on and checks them; listed is below
+// zero where none came.
+func (l *siteLot) page(h *Host, from, wait int, then func(listed int)) {
+	s := l.s
+	sent, done := s.w.Now, false
+	var fields []flow.Field
+	if wait > 0 {
+		fields = []flow.Field{{Name: "Wait-Ms", Value: strconv.Itoa(wait)}}
+	}
+	gone := s.Door(h, "front", "GET", fmt.Sprintf("/lots/%s?SinceToken=%d", l.id, from), siteName, fields, nil, func(r flow.Reply) {
+		if done {
+			return
+		}
+		done = true
+		then(l.got(h, sent, from, r))
+	})
+	s.w.After(time.Duration(wait)*time.Millisecond+1500*time.Millisecond, func() {
+		if !done {
+			done = true
+			gone()
+			then(-1)
+		}
+	})
+}
+
+func (l *siteLot) got(h *Host, sent time.Duration, from int, r flow.Reply) int {
+	s := l.s
+	touch := s.InTouch(h, sent)
+	s.Count[fmt.Sprint("lot read ", r.Code)]++
+	if r.Code == 404 || r.Code == 410 {
+		if touch && l.accepted > 0 && sent > l.accepted+s.Bounds.Settle {
+			s.wrong("LOST", "%s answers %d for lot %s, accepted at %v", h.Name, r.Code, l.id, l.accepted)
+		}
+		return -1
+	}
+	if r.Code != 200 {
+		return -1
+	}
+	var p sitePage
+	if json.Unmarshal(r.Body, &p) != nil || p.Total == nil || p.NextToken == nil || *p.Total != len(l.items) || *p.NextToken != from+len(p.Outputs) {
+		s.wrong("MIXED", "lot %s of %d items read from %d: %.200s", l.id, len(l.items), from, r.Body)
+		return -1
+	}
+	if len(p.Outputs) == 0 && from < len(l.seen) && touch && sent > l.readAt[from]+s.Bounds.Settle {
+		s.wrong("LOST", "%s has nothing at %d of lot %s", h.Name, from, l.id)
+	}
+	for n, o := range p.Outputs {
+		at := from + n
+		if at < len(l.seen) {
+			if fmt.Sprint(l.seen[at]) != fmt.Sprint(o) {
+				s.wrong("TWICE", "position %d of lot %s holds %v, and %v before", at, l.id, o, l.seen[at])
+			}
+			continue
+		}
+		l.seen = append(l.seen, o)
+		l.readAt[at] = s.w.Now
+		l.check(at, o)
+	}
+	return len(p.Outputs)
+}
+
+// check holds one new result against what engines made.
+func (l *siteLot) check(at int, o siteOutput) {
+	s := l.s
+	s.Count["results "+o.State]++
+	i := s.items[o.InstanceId]
+	if i == nil || !slices.Contains(l.items, i) {
+		s.wrong("MIXED", "lot %s lists %q, which is none of its items", l.id, o.InstanceId)
+		return
+	}
+	if p, twice := l.place[i.id]; twice {
+		s.wrong("TWICE", "lot %s holds item %s at %d and %d", l.id, i.id, p, at)
+	}
+	l.place[i.id] = at
+	if o.State == "abandoned" {
+		if !i.never && l.ended == 0 && !l.closed && s.w.Now < l.sent+40*time.Second && s.Count["failed items "+i.id] < 3 {
+			s.wrong("MIXED", "lot %s abandons %s early", l.id, i.id)
+		}
+		return
+	}
+	lines := strings.Split(o.Message, "\n")
+	if o.State != "complete" || len(lines) != i.out {
+		s.wrong("MIXED", "lot %s lists %s as %s with %d of %d events", l.id, i.id, o.State, len(lines), i.out)
+		return
+	}
+	made := map[int]bool{}
+	for n, d := range lines {
+		s.joins(i.id, n, d, lines[:n+1], true)
+		if p := strings.Split(d, ":"); len(p) == 4 {
+			v, _ := strconv.Atoi(p[2])
+			made[v] = true
+		}
+	}
+	said := slices.Clone(o.WeightVersions)
+	slices.Sort(said)
+	if !slices.Equal(said, sorted.Keys(made)) {
+		s.wrong("VERSION", "lot %s says %v of %s, made under %v", l.id, o.WeightVersions, i.id, sorted.Keys(made))
+	}
+	for _, v := range said {
+		if v < l.least {
+			s.wrong("VERSION", "lot %s allows %d, and %s was made under %d", l.id, l.least, i.id, v)
+		}
+	}
+	if s.Shape.Single && len(said) != 1 {
+		s.wrong("VERSION", "%s of lot %s was made under %v", i.id, l.id, said)
+	}
+}
+
+// end ends the lot, until that is acknowledged.
+func (l *siteLot) end(pause time.Duration) {
+	s := l.s
+	if l.ended > 0 {
+		return
+	}
+	h := s.Enter(l.zone)
+	done := false
+	end := func(code int) {
+		if done {
+			return
+		}
+		done = true
+		if code == 200 {
+			if l.ended == 0 {
+				l.ended, l.ender = s.w.Now, h
+			}
+			return
+		}
+		s.w.After(pause, func() { l.end(min(2*pause, time.Second)) })
+	}
+	s.Door(h, "front", "DELETE", "/lots/"+l.id, siteName, nil, nil, func(r flow.Reply) { end(r.Code) })
+	s.w.After(1500*time.Millisecond, func() { end(0) })
+}
+
+// itemRan checks an item that an engine begins to work on.
+func (s *Site) itemRan(i *siteItem, j *siteJob, e *SiteEngine) {
+	open, taken, ever := false, false, false
+	var late time.Duration
+	for _, l := range i.lots {
+		open = open || l.ended == 0 || s.w.Now <= l.ended+s.Bounds.Cancel
+		late = max(late, l.ended)
+		taken = taken || !l.promised || l.answers == 0
+	}
+	if !open && s.InTouch(j.h, late) {
+		s.wrong("UNASKED", "%s sends item %s %v after its lot was ended", j.h.Name, i.id, s.w.Now-late)
+	}
+	for _, c := range s.Configs {
+		ever = ever || c.allows(siteName, i.lots[0].path, e.Pool)
+	}
+	if !ever {
+		s.wrong("ROUTE", "item %s was run by %s", i.id, e.Pool)
+	}
+	if i.never {
+		e.drop(j)
+		e.back(j.h, j.life, flow.Back{ID: j.send.ID, End: true, Code: 422, Fields: e.head(j)})
+	}
+}
+
+// final checks what was promised of all lots.
+func (s *Site) final() {
+	hosts := s.w.By("dispatcher")
+	for _, l := range s.lots {
+		if l.promised && l.answers > 0 && l.accepted == 0 {
+			for _, i := range l.items {
+				for _, r := range s.runs[i.id] {
+					if len(i.lots) == 1 {
+						s.wrong("REFUSED", "lot %s was refused %d times, and item %s ran at %v", l.id, l.answers, i.id, r.at)
+					}
+				}
+			}
+		}
+	}
+	from := max(0, len(s.lots)-12)
+	for n, l := range s.lots[from:] {
+		if l.accepted == 0 {
+			continue
+		}
+		most, good := len(l.seen), false
+		for tries := 0; tries < 20 && !good; tries++ {
+			done := false
+			l.page(hosts[(n+tries)%len(hosts)], 0, 0, func(listed int) { done, good = true, listed >= most })
+			s.w.Until(3*time.Second, func() bool { return done })
+		}
+		if !good {
+			s.wrong("LOST", "lot %s can't be read at the end up to %d", l.id, most)
+		}
+		if l.ended > 0 || l.closed {
+			continue
+		}
+		for _, i := range l.items {
+			if _, listed := l.place[i.id]; !listed {
+				s.finalItem(l, i, hosts)
+				break
+			}
+		}
+	}
+}
+
+func (s *Site) finalItem(l *siteLot, i *siteItem, hosts []*Host) {
+	for tries := 0; tries < 10; tries++ {
+		code, body, done := 0, "", false
+		s.Door(hosts[tries%len(hosts)], "front", "GET", "/items/"+l.id+"?InstanceId="+i.id, siteName, nil, nil, func(r flow.Reply) { code, body, done = r.Code, string(r.Body), true })
+		s.w.Until(1500*time.Millisecond, func() bool { return done })
+		if code == 200 {
+			if body != i.body {
+				s.wrong("MIXED", "item %s of lot %s gives %q", i.id, l.id, body)
+			}
+			return
+		}
+		l.page(hosts[tries%len(hosts)], 0, 0, func(int) {}) // perhaps it is listed by now
+		s.w.Run(time.Second)
+		if _, listed := l.place[i.id]; listed {
+			return
+		}
+	}
+	s.wrong("LOST", "item %s of lot %s does not give its body", i.id, l.id)
+}
