--- a/rig/fleet/fleet.go
+++ b/rig/fleet/fleet.go
@@ -164,7 +164,7 @@
 	judge, plat := take(), take()
 	f.Judge, f.List = "http://"+judge+"/judge", "http://"+plat+"/engines"
 	f.add(&Proc{Name: "judge", Web: judge, Role: "judge", Args: []string{rig, "judge", "--addr", judge}})
-	f.add(&Proc{Name: "platform", Web: plat, Role: "platform", Args: []string{rig, "platform", "--addr", plat}})
+	f.add(&Proc{Name: "platform", Web: plat, Role: "platform", Args: []string{rig, "list", "--addr", plat}})
 	var addrs, webs []string
 	for i := 0; i < nodes; i++ {
 		addrs, webs = append(addrs, take()), append(webs, take())
--- /dev/null
+++ b/rig/site/day.go
@@ -0,0 +1,464 @@
+package site
+
+import (
+	"bytes"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Report is what a day came to.
+type Report struct {
+	Day     string   `json:"day"`
+	Ready   float64  `json:"seconds_to_the_first_configuration"`
+	Asked   int      `json:"asked"`
+	Served  int      `json:"served"`
+	Texts   int      `json:"streams"`
+	Lots    int      `json:"lots"`
+	Whole   int      `json:"lots_read_whole"`
+	Items   int      `json:"results"`
+	Version int      `json:"weights"`
+	Broken  int      `json:"answers_that_engines_broke_off"`
+	Wrong   []string `json:"wrong,omitempty"`
+}
+
+const host = "rollouts.example"
+
+// day drives one site.
+type day struct {
+	*site
+	rep    Report
+	ids    atomic.Int64
+	config int
+	body   []byte
+	client *http.Client
+}
+
+func (d *day) id(kind string) string { return fmt.Sprintf("%s%08x", kind, d.ids.Add(1)) }
+
+// ask makes one call on a connection of its own.
+func (d *day) ask(verb, url, host string, head map[string]string, body []byte, most time.Duration) (int, http.Header, []byte, error) {
+	r, err := http.NewRequest(verb, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, nil, errors.Wrap(err, "site")
+	}
+	r.Host, r.Close = host, true
+	for k, v := range head {
+		r.Header.Set(k, v)
+	}
+	c := *d.client
+	c.Timeout = most
+	x, err := c.Do(r)
+	if err != nil {
+		return 0, nil, nil, errors.Wrap(err, "site")
+	}
+	defer x.Body.Close()
+	b, err := io.ReadAll(x.Body)
+	return x.StatusCode, x.Header, b, errors.Wrap(err, "site")
+}
+
+func (d *day) plan(rev int, book string) []byte {
+	pools := []any{}
+	for _, p := range []string{"app", "other", "llm"} {
+		x := map[string]any{"Label": p, "HealthPath": "/health", "MaxConns": 160, "Protocol": "h1", "Tls": false}
+		if p == "llm" {
+			x["Engine"] = map[string]any{"Capacity": 8, "KvCapacity": 90000, "Models": []any{map[string]any{"Label": model}}}
+		}
+		pools = append(pools, x)
+	}
+	route := func(name, kind, pool string, more map[string]any) map[string]any {
+		x := map[string]any{"Label": name, "Hostname": host, "PathPrefix": "/" + name + "/", "RouteKind": kind, "LimitMs": 2000, "TargetMs": 300, "Rank": 1, "Backend": pool, "MaxTries": 3}
+		for k, v := range more {
+			x[k] = v
+		}
+		return x
+	}
+	b, _ := json.Marshal(map[string]any{"Revision": rev, "Backends": pools, "RouteTable": []any{
+		route("book", "idempotent", book, nil), route("pay", "mutating", "app", nil),
+		route("chat", "streaming", "llm", map[string]any{"LimitMs": 8000, "TargetMs": 500, "Sticky": true, "Resumable": true}),
+		route("sync", "sampling", "llm", map[string]any{"LimitMs": 8000, "TargetMs": 500, "MaxWaitS": 40.0, "DueMs": 5000, "OnPolicy": true, "Sticky": true, "Resumable": true}),
+	}, "Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 33554432, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}})
+	return b
+}
+
+// put has a configuration taken, by any machine.
+func (d *day) put(rev int, book string, most time.Duration) error {
+	body := d.plan(rev, book)
+	end := time.Now().Add(most)
+	for n := 0; time.Now().Before(end); n++ {
+		m := d.machines[n%len(d.machines)]
+		code, _, b, _ := d.ask("PUT", m.control()+"/config", "", map[string]string{"If-Match": strconv.Itoa(d.config)}, body, time.Second)
+		if code == 200 {
+			d.config, d.body = rev, body
+			return nil
+		}
+		if code == 400 || code == 412 {
+			return errors.Errorf("site: the configuration %d got %d %s", rev, code, b)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return errors.Errorf("site: the configuration %d was never taken", rev)
+}
+
+// request makes one request of a client, with its tries.
+func (d *day) request(n int) {
+	kind := []string{"book", "pay", "chat"}[n%3]
+	d.mu.Lock()
+	d.rep.Asked++
+	d.mu.Unlock()
+	limit := time.Now().Add(2 * time.Second)
+	for try := range 3 {
+		left := time.Until(limit)
+		if left <= 0 {
+			return
+		}
+		id := d.id("t")
+		head := map[string]string{"Attempt-Id": id, "Time-Left-Ms": strconv.FormatInt(left.Milliseconds(), 10)}
+		if kind == "chat" {
+			head["Model"], head["Token-Counts"], head["Prompt-Prefix"] = model, "400,20", "5a:300,"+id+":100"
+		}
+		path := "/" + kind + "/x?q=" + id
+		code, back, body, err := d.ask("POST", d.machines[(n+try)%len(d.machines)].front()+path, host, head, []byte("body "+id), left)
+		if kind == "pay" {
+			d.t.mu.Lock()
+			runs := d.t.runs[id]
+			d.t.mu.Unlock()
+			if runs > 1 {
+				d.t.bad("TWICE: %s ran %d times", id, runs)
+			}
+			if (code == 503 || code == 429) && runs > 0 {
+				d.t.bad("REFUSED: %s got %d and ran", id, code)
+			}
+		}
+		if err == nil && code == 200 {
+			d.check(kind, id, path, back, body)
+			return
+		}
+		if err == nil && code/100 == 4 && code != 429 && code != 408 && code != 421 {
+			d.t.bad("DENIED: %s on %s got %d %s", id, path, code, body)
+			return
+		}
+		if kind == "pay" && code != 503 && code != 429 {
+			return // it may have run
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (d *day) check(kind, id, path string, head http.Header, body []byte) {
+	d.t.mu.Lock()
+	sealed, known := d.t.seals[head.Get("Engine-Seal")]
+	d.t.mu.Unlock()
+	of, whole, _ := strings.Cut(sealed, "\n")
+	if !known || of != id {
+		d.t.bad("MIXED: %s has the stamp %q", id, head.Get("Engine-Seal"))
+	}
+	d.mu.Lock()
+	d.rep.Served++
+	d.mu.Unlock()
+	if kind != "chat" {
+		if whole != string(body) || !strings.Contains(whole, path) || !strings.HasSuffix(whole, "body "+id) {
+			d.t.bad("MIXED: %s got %q, the engine said %q", id, body, whole)
+		}
+		return
+	}
+	var data []string
+	for _, l := range strings.Split(string(body), "\n") {
+		if x, ok := strings.CutPrefix(l, "data: "); ok {
+			data = append(data, x)
+		}
+	}
+	d.text("stream", id, 20, data)
+	d.mu.Lock()
+	d.rep.Texts++
+	d.mu.Unlock()
+}
+
+// text checks the events of a text, and gives the versions that made it.
+func (d *day) text(what, id string, most int, data []string) map[int]bool {
+	made := map[int]bool{}
+	if len(data) != most {
+		d.t.bad("ORDER: the %s %s has %d of %d events", what, id, len(data), most)
+	}
+	for n, x := range data {
+		p := strings.Split(x, ":")
+		if len(p) != 3 || p[0] != id || p[1] != strconv.Itoa(n) {
+			d.t.bad("ORDER: the %s %s has %q in the place of %d", what, id, x, n)
+			return made
+		}
+		v, _ := strconv.Atoi(p[2])
+		made[v] = true
+	}
+	return made
+}
+
+type result struct {
+	InstanceId, State, Message string
+	WeightVersions             []int
+}
+
+// lot hands a lot in, reads it until its time is over, and ends it.
+func (d *day) lot(step int) {
+	id := d.id("l")
+	most := map[string]int{}
+	reqs := []any{}
+	for g := range 6 {
+		for range 4 {
+			i := d.id("i")
+			most[i] = 8 + len(most)%12
+			reqs = append(reqs, map[string]any{"InstanceId": i, "Path": "/sync/" + strconv.Itoa(step) + "/" + i, "Body": base64.StdEncoding.EncodeToString([]byte(i)), "Tokens": 500, "GroupId": fmt.Sprint(id, g),
+				"Headers": map[string]string{"Model": model, "Token-Counts": fmt.Sprintf("480,%d", most[i]), "Prompt-Prefix": fmt.Sprintf("5a:300,%d:180", g)}})
+		}
+	}
+	body, _ := json.Marshal(map[string]any{"TrainStep": step, "Model": model, "MinVersion": step, "Desired": 6, "Requests": reqs})
+	end := time.Now().Add(6 * time.Second)
+	taken := false
+	for n := step; !taken && time.Now().Before(end); n++ {
+		code, _, b, _ := d.ask("POST", d.machines[n%len(d.machines)].front()+"/sync/"+id, host, map[string]string{"Attempt-Id": id, "Content-Type": "application/json"}, body, 1500*time.Millisecond)
+		taken = code == 202
+		if code/100 == 4 && code != 429 {
+			d.t.bad("DENIED: lot %s got %d %s", id, code, b)
+			return
+		}
+		if !taken {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	d.mu.Lock()
+	d.rep.Lots++
+	d.mu.Unlock()
+	if !taken {
+		return
+	}
+	var seen []result
+	place := map[string]bool{}
+	for n := step; len(seen) < len(most) && time.Now().Before(end); n++ {
+		from := len(seen)
+		if n%4 == 3 {
+			from /= 2
+		}
+		code, _, b, _ := d.ask("GET", fmt.Sprintf("%s/lots/%s?SinceToken=%d", d.machines[n%len(d.machines)].front(), id, from), host, map[string]string{"Wait-Ms": "300"}, nil, 1800*time.Millisecond)
+		var page struct {
+			Total, NextToken int
+			Outputs          []result
+		}
+		if code != 200 {
+			if code == 404 {
+				d.t.bad("LOST: lot %s got 404", id)
+			}
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		if json.Unmarshal(b, &page) != nil || page.Total != len(most) || page.NextToken != from+len(page.Outputs) {
+			d.t.bad("MIXED: lot %s reads %.200s", id, b)
+		}
+		for k, o := range page.Outputs {
+			if from+k < len(seen) {
+				if fmt.Sprint(seen[from+k]) != fmt.Sprint(o) {
+					d.t.bad("TWICE: position %d of lot %s changed", from+k, id)
+				}
+				continue
+			}
+			if _, mine := most[o.InstanceId]; !mine || place[o.InstanceId] || o.State != "complete" {
+				d.t.bad("MIXED: lot %s lists %s as %s", id, o.InstanceId, o.State)
+			}
+			place[o.InstanceId] = true
+			made := d.text("item", o.InstanceId, most[o.InstanceId], strings.Split(o.Message, "\n"))
+			if len(made) != 1 || len(o.WeightVersions) != 1 || !made[o.WeightVersions[0]] || o.WeightVersions[0] < step {
+				d.t.bad("VERSION: %s of step %d says %v, made under %v", o.InstanceId, step, o.WeightVersions, made)
+			}
+			seen = append(seen, o)
+		}
+	}
+	d.mu.Lock()
+	d.rep.Items += len(seen)
+	if len(seen) == len(most) {
+		d.rep.Whole++
+	}
+	d.mu.Unlock()
+	for n := range 20 {
+		if code, _, _, _ := d.ask("DELETE", d.machines[n%len(d.machines)].front()+"/lots/"+id, host, nil, nil, 1500*time.Millisecond); code == 200 {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	d.t.bad("lot %s could not be ended", id)
+}
+
+// name names a version of the weights.
+func (d *day) name(v int) {
+	d.t.mu.Lock()
+	d.t.named = max(d.t.named, v)
+	d.t.mu.Unlock()
+	for n := range 40 {
+		if code, _, _, _ := d.ask("POST", d.machines[n%len(d.machines)].control()+"/version-put", "", map[string]string{"Content-Type": "application/json"},
+			fmt.Appendf(nil, `{"Model":%q,"Revision":%d}`, model, v), time.Second); code/100 == 2 {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	d.t.bad("version %d was never noted", v)
+}
+
+// Day runs one day: calm, or with troubles one after the other.
+func Day(bin, dir string, troubled bool, length time.Duration) (Report, error) {
+	name := map[bool]string{false: "calm", true: "troubled"}[troubled]
+	folder := filepath.Join(dir, name)
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return Report{}, errors.Wrap(err, "site")
+	}
+	s, err := start(bin, folder)
+	if s != nil {
+		defer s.close()
+	}
+	if err != nil {
+		return Report{}, err
+	}
+	d := &day{site: s, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
+	d.rep.Day = name
+	began := time.Now()
+	if err := d.put(1, "app", 20*time.Second); err != nil {
+		return d.rep, err
+	}
+	d.rep.Ready = time.Since(began).Seconds()
+	if err := d.wait(10 * time.Second); err != nil {
+		return d.rep, err
+	}
+	for _, m := range s.machines { // later starts are not the first
+		if err := s.write(m, false); err != nil {
+			return d.rep, err
+		}
+	}
+	end := time.Now().Add(length)
+	var all sync.WaitGroup
+	run := func(f func()) {
+		all.Add(1)
+		go func() { defer all.Done(); f() }()
+	}
+	run(func() {
+		for n := 0; time.Now().Before(end); n++ {
+			run(func() { d.request(n) })
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+	run(func() {
+		for step := 1; time.Now().Before(end); step++ {
+			d.lot(step)
+			d.name(step + 1)
+			d.rep.Version = step + 1
+		}
+	})
+	if troubled {
+		run(func() { d.troubles(length) })
+	} else {
+		run(func() {
+			time.Sleep(length / 2)
+			if err := d.put(4, "other", 4*time.Second); err != nil {
+				d.t.bad("%v", err)
+			}
+		})
+	}
+	all.Wait()
+	d.readBack()
+	d.t.mu.Lock()
+	defer d.t.mu.Unlock()
+	d.rep.Broken, d.rep.Wrong = d.t.drops, d.t.wrong
+	return d.rep, nil
+}
+
+// wait lets all machines become ready.
+func (d *day) wait(most time.Duration) error {
+	end := time.Now().Add(most)
+	for _, m := range d.machines {
+		for {
+			if code, _, _, _ := d.ask("GET", "http://"+m.ip+":8082/ready", "", nil, nil, time.Second); code == 200 {
+				break
+			}
+			if time.Now().After(end) {
+				return errors.Errorf("site: %s is not ready", m.name)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// troubles befall the site one after the other.
+func (d *day) troubles(length time.Duration) {
+	part := length / 8
+	again := func(m *machine) {
+		if err := d.launch(m); err != nil {
+			d.t.bad("%v", err)
+		}
+	}
+	for _, f := range []func(){
+		func() {
+			for _, e := range d.engines {
+				e.mu.Lock()
+				e.rough = true
+				e.mu.Unlock()
+			}
+		},
+		func() { d.kill(d.machines[0]); time.Sleep(300 * time.Millisecond); again(d.machines[0]) },
+		func() {
+			_ = d.machines[3].cmd.Process.Signal(syscall.SIGSTOP)
+			time.Sleep(700 * time.Millisecond)
+			_ = d.machines[3].cmd.Process.Signal(syscall.SIGCONT)
+		},
+		func() {
+			e := d.engines[1]
+			e.crash()
+			time.Sleep(300 * time.Millisecond)
+			d.remove(e)
+			if _, err := d.add(e.pool, e.zone); err != nil {
+				d.t.bad("%v", err)
+			}
+		},
+		func() {
+			if !d.term(d.machines[1]) {
+				d.t.bad("%s did not stop in time", d.machines[1].name)
+			}
+			again(d.machines[1])
+		},
+		func() {
+			if err := d.put(d.config+2, "other", 8*time.Second); err != nil {
+				d.t.bad("%v", err)
+			}
+		},
+	} {
+		time.Sleep(part)
+		f()
+	}
+}
+
+// readBack reads the configuration at the end, from every machine.
+func (d *day) readBack() {
+	for _, m := range d.machines {
+		ok := false
+		for end := time.Now().Add(6 * time.Second); !ok && time.Now().Before(end); {
+			code, _, b, _ := d.ask("GET", m.control()+"/config", "", nil, nil, time.Second)
+			ok = code == 200
+			if ok && strings.TrimSpace(string(b)) != string(d.body) {
+				d.t.bad("CONFIG: %s gives %.200s", m.name, b)
+			}
+			if !ok {
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+		if !ok {
+			d.t.bad("CONFIG: %s gives none at the end", m.name)
+		}
+	}
+}
--- /dev/null
+++ b/rig/site/site.go
@@ -0,0 +1,221 @@
+package site
+
+import (
+	"fmt"
+	"math/rand"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// machine is one machine with its process.
+type machine struct {
+	name, ip, zone string
+	settings       string
+	disk           bool
+	cmd            *exec.Cmd
+}
+
+func (m *machine) front() string { return "http://" + m.ip + ":8081" }
+
+func (m *machine) control() string { return "http://" + m.ip + ":8083" }
+
+// site is a fleet, its engines and the platform's list.
+type site struct {
+	dir, bin string
+	machines []*machine
+	t        *truth
+	mu       sync.Mutex
+	engines  []*engine
+	srv      *http.Server
+	next     int
+	net      string
+}
+
+// Zones of every site here.
+var zones = []string{"a", "b", "c"}
+
+// fresh is an unused loopback network: every machine has the same ports.
+func fresh() (string, error) {
+	for range 50 {
+		n := fmt.Sprintf("127.%d.%d", 20+rand.Intn(200), rand.Intn(256))
+		l, err := net.Listen("tcp", n+".1:7000")
+		if err == nil {
+			return n, l.Close()
+		}
+	}
+	return "", errors.New("site: no free network on loopback")
+}
+
+func start(bin, dir string) (*site, error) {
+	n, err := fresh()
+	if err != nil {
+		return nil, err
+	}
+	s := &site{dir: dir, bin: bin, net: n, t: &truth{runs: map[string]int{}, seals: map[string]string{}, named: 1}}
+	for i := range 8 {
+		if _, err := s.add([]string{"app", "llm", "llm", "app", "llm", "llm", "other", "other"}[i], zones[i%3]); err != nil {
+			return s, err
+		}
+	}
+	l, err := net.Listen("tcp", n+".250:9000")
+	if err != nil {
+		return s, errors.Wrap(err, "site: list")
+	}
+	s.srv = &http.Server{Handler: http.HandlerFunc(s.list), ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = s.srv.Serve(l) }()
+	for i := range 4 {
+		m := &machine{name: fmt.Sprintf("edge-%d", i+1), ip: fmt.Sprintf("%s.%d", n, i+1), zone: zones[i%3], disk: i < 3}
+		s.machines = append(s.machines, m)
+	}
+	for _, m := range s.machines {
+		if err := s.write(m, true); err != nil {
+			return s, err
+		}
+		if err := s.launch(m); err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+// write writes a machine's settings file.
+func (s *site) write(m *machine, first bool) error {
+	var seeds []string
+	for _, x := range s.machines {
+		if x.disk {
+			seeds = append(seeds, x.ip+":8083")
+		}
+	}
+	lines := []string{"NodeName=" + m.name, "Serves=edge,control_plane", "Ip=" + m.ip, "Zone=" + m.zone, "Region=here", "PortRange=7000,7009",
+		"BindAddrs.Front=" + m.ip + ":8081", "BindAddrs.Readiness=" + m.ip + ":8082", "BindAddrs.Control=" + m.ip + ":8083",
+		"SeedNodes=" + strings.Join(seeds, ","), fmt.Sprintf("Bootstrap=%v", first), "FaultBudget.Machines=1", "Limits.CpuShare=0.5", "Limits.MemoryMb=284", "Limits.MaxFds=4100",
+		"CloudApi.Address=" + s.net + ".250:9000", "CloudApi.RatePerS=20", "CloudApi.MaxLagMs=200", "Bounds.ApplyMs=2000", "Bounds.DrainMs=3000", "Bounds.ContactMs=3000", "Bounds.AckMs=4000",
+		"Bounds.GraceS=8", "Bounds.RecoverS=12", "Bounds.ReportS=120", "Bounds.CancelMs=3000", "Bounds.SettleMs=1000"}
+	if m.disk {
+		data := filepath.Join(s.dir, m.name)
+		if err := os.MkdirAll(data, 0o755); err != nil {
+			return errors.Wrap(err, "site")
+		}
+		lines = append(lines, "DataDir="+data, "Limits.DiskMb=64")
+	}
+	m.settings = filepath.Join(s.dir, m.name+".conf")
+	return errors.Wrap(os.WriteFile(m.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o644), "site")
+}
+
+func (s *site) launch(m *machine) error {
+	out, err := os.OpenFile(filepath.Join(s.dir, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return errors.Wrap(err, "site: log")
+	}
+	defer out.Close()
+	c := exec.Command(filepath.Join(s.bin, "fernlink"), "serve", "--settings", m.settings)
+	c.Stdout, c.Stderr = out, out
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := c.Start(); err != nil {
+		return errors.Wrap(err, "site: start "+m.name)
+	}
+	m.cmd = c
+	return nil
+}
+
+// kill ends a machine's process at once.
+func (s *site) kill(m *machine) {
+	_ = m.cmd.Process.Kill()
+	_, _ = m.cmd.Process.Wait()
+}
+
+// term stops a process in order and says whether it ended within its grace.
+func (s *site) term(m *machine) bool {
+	_ = m.cmd.Process.Signal(syscall.SIGTERM)
+	done := make(chan struct{})
+	p := m.cmd.Process
+	go func() { _, _ = p.Wait(); close(done) }()
+	select {
+	case <-done:
+		return true
+	case <-time.After(8 * time.Second):
+		_ = p.Kill()
+		<-done
+		return false
+	}
+}
+
+func (s *site) close() {
+	for _, m := range s.machines {
+		if m.cmd != nil {
+			_ = m.cmd.Process.Signal(syscall.SIGCONT)
+			s.kill(m)
+		}
+	}
+	if s.srv != nil {
+		_ = s.srv.Close()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.engines {
+		_ = e.srv.Close()
+	}
+}
+
+// add starts an engine and lists it.
+func (s *site) add(pool, zone string) (*engine, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next++
+	e := &engine{t: s.t, id: fmt.Sprintf("i-%d-%d", s.next, os.Getpid()), pool: pool, zone: zone, slots: 8}
+	if err := e.start(s.net + ".200:0"); err != nil {
+		return nil, errors.Wrap(err, "site: engine")
+	}
+	s.t.mu.Lock()
+	e.version = s.t.named
+	s.t.mu.Unlock()
+	s.engines = append(s.engines, e)
+	return e, nil
+}
+
+// remove takes an engine off the list.
+func (s *site) remove(e *engine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, x := range s.engines {
+		if x == e {
+			s.engines = append(s.engines[:i:i], s.engines[i+1:]...)
+			return
+		}
+	}
+}
+
+// list is the platform's list, four engines a page.
+func (s *site) list(w http.ResponseWriter, r *http.Request) {
+	from := 0
+	_, _ = fmt.Sscanf(r.URL.Query().Get("PageToken"), "p-%d", &from)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	page := map[string]any{"NextToken": nil}
+	rows := []any{}
+	for i := from; i < min(from+4, len(s.engines)); i++ {
+		e := s.engines[i]
+		e.mu.Lock()
+		state := "ready"
+		if e.draining {
+			state = "draining"
+		}
+		rows = append(rows, map[string]any{"InstanceId": e.id, "Backend": e.pool, "Address": e.addr, "Zone": e.zone, "Revision": "v1", "Capacity": e.slots, "State": state,
+			"WarmupLeftMs": 0, "Phase": "mixed", "Models": e.report()["Models"]})
+		e.mu.Unlock()
+	}
+	if from+4 < len(s.engines) {
+		page["NextToken"] = fmt.Sprintf("p-%d", from+4)
+	}
+	page["Instances"] = rows
+	say(w, 200, page)
+}
--- a/sim/serve_story_test.go
+++ b/sim/serve_story_test.go
@@ -95,7 +95,8 @@
 func TestSiteAddressesReused(t *testing.T) {
 	t.Parallel()
 	s := site(t, 4, LittleSite)
-	for range 4 {
+	s.ListLag = 1500 * time.Millisecond
+	for range 6 {
 		for _, p := range []string{"app", "llm", "other"} {
 			e := s.Pool(p)[0]
 			e.Crash()
@@ -109,6 +110,19 @@
 	s.over(t)
 }
 
+// Given lots with work left, when their trainers end them at any machine, then
+// no item of theirs reaches an engine much later.
+func TestSiteEndedLotsStop(t *testing.T) {
+	t.Parallel()
+	s := site(t, 14, LittleSite)
+	for _, e := range s.Pool("llm") {
+		e.Slow = 12
+	}
+	s.w.Run(25 * time.Second)
+	s.wantCount(t, "steps missed")
+	s.over(t)
+}
+
 // Given engines that break streams off, when callers read them, then each sees
 // its events once and in order, and what was broken does not look whole.
 func TestSiteStreamsInOrder(t *testing.T) {
