rig scale: hollow fleets and lines through what each role spends

Ruled out: sim/ itself, whose hosts are served by the older engines' dialect and whose one queue of events uses one processor; rig/scale runs the same cores in rounds of a node's own tick, on four.

--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -15,10 +15,12 @@
 	"time"
 
 	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
 
 	"fernlink/core/ledger"
 	"fernlink/core/place"
 	"fernlink/rig/fleet"
+	"fernlink/rig/scale"
 	"fernlink/rig/serve"
 	"fernlink/rig/standin"
 	"fernlink/sim"
@@ -33,13 +35,16 @@
 	keep, drill                bool
 	rev                        int
 	spread                     []spread
+	axis, out                  string
+	whole                      bool
+	nodes, engines             int
 }
 
 func main() {
 	flaggy.SetName("rig")
 	flaggy.SetDescription("stand-ins and whole fleets, for development only")
 	flaggy.DefaultParser.ShowHelpOnUnexpected = true
-	o := &opts{addr: "127.0.0.1:9000", id: "one", pool: "draft", shape: "fibrarmor", seconds: 20, seed: 1, rev: 0, from: 1, to: 100, faults: 10, runs: 1, hours: 24, keys: 6}
+	o := &opts{addr: "127.0.0.1:9000", id: "one", pool: "draft", shape: "fibrarmor", seconds: 20, seed: 1, rev: 0, from: 1, to: 100, faults: 10, runs: 1, hours: 24, keys: 6, nodes: 840, engines: 10000}
 	verbs := []struct {
 		name, about string
 		run         func(*opts) error
@@ -52,6 +57,7 @@
 		{"bench", "placement policies side by side in the simulator, on the same seeds", bench},
 		{"sweep", "storms over many seeds in the simulator", sweep},
 		{"day", "hours at a deployment's whole rates of keys, steps and results on simulated stores, with faults", day},
+		{"scale", "how each role's cost grows, on hollow fleets in one process; --whole takes one large fleet through changes and losses", runScale},
 		{"drill", "a whole fleet: kill and freeze its processes and time the healing", runFleet},
 	}
 	subs := make([]*flaggy.Subcommand, len(verbs))
@@ -73,6 +79,11 @@
 		s.Int(&o.hours, "", "hours", "how long a day is")
 		s.Int(&o.keys, "", "keys", "run-once requests a second of a day")
 		s.Int(&o.runs, "", "runs", "how many fleets a drill goes through")
+		s.String(&o.axis, "", "axis", "only this size of a scale is varied")
+		s.String(&o.out, "", "out", "folder for a scale's slopes as JSON and its plots")
+		s.Bool(&o.whole, "", "whole", "one hollow fleet of --nodes and --engines instead of slopes")
+		s.Int(&o.nodes, "", "nodes", "hollow nodes of a whole scale")
+		s.Int(&o.engines, "", "engines", "hollow engines of a whole scale")
 		s.Bool(&o.keep, "", "keep", "keep the fleet up until interrupted, without traffic")
 		flaggy.AttachSubcommand(s, 1)
 		subs[i] = s
@@ -83,6 +94,9 @@
 			o.drill = v.name == "drill"
 			if err := v.run(o); err != nil {
 				fmt.Fprintln(os.Stderr, "rig:", err)
+				if errors.As(err, &scale.Beyond{}) {
+					os.Exit(2)
+				}
 				os.Exit(1)
 			}
 			return
@@ -194,6 +208,10 @@
 	return nil
 }
 
+func runScale(o *opts) error {
+	return scale.Run(scale.Props{Axis: o.axis, Whole: o.whole, Nodes: o.nodes, Engines: o.engines, Folder: o.out, Out: os.Stdout, Notes: os.Stderr})
+}
+
 func sweep(o *opts) error {
 	sum := sim.Sweep(int64(o.from), int64(o.to), o.faults, runtime.NumCPU())
 	b, _ := json.MarshalIndent(sum, "", "  ")
--- /dev/null
+++ b/rig/scale/fit.go
@@ -0,0 +1,49 @@
+// Package scale measures how a fleet's cost grows (docs/CAPACITY.md): hollow
+// nodes are real cores in one process on a virtual clock, hollow engines are rows
+// that answer. Each size is varied alone, and a line is fitted through what each
+// role spent.
+package scale
+
+import "gonum.org/v1/gonum/stat"
+
+// Point is one measured value at one size.
+type Point struct {
+	X float64 `json:"x"`
+	Y float64 `json:"y"`
+}
+
+// Fit is a line through points: Slope for each unit of X, Base at none, and how
+// much of the spread the line explains (R2, 1 is all of it).
+type Fit struct {
+	Slope  float64 `json:"slope"`
+	Base   float64 `json:"base"`
+	R2     float64 `json:"r2"`
+	Worst  float64 `json:"worst_residual"` // the largest distance from the line, as a share of the largest value
+	Points []Point `json:"points"`
+}
+
+// Line fits a line by least squares. Values that are all the same are flat, with
+// R2 of 1.
+func Line(points []Point) Fit {
+	xs, ys := make([]float64, len(points)), make([]float64, len(points))
+	least, most := points[0].Y, points[0].Y
+	for i, p := range points {
+		xs[i], ys[i] = p.X, p.Y
+		least, most = min(least, p.Y), max(most, p.Y)
+	}
+	f := Fit{Points: points, R2: 1}
+	if least == most {
+		f.Base = least
+		return f
+	}
+	f.Base, f.Slope = stat.LinearRegression(xs, ys, nil, false)
+	f.R2 = stat.RSquared(xs, ys, nil, f.Base, f.Slope)
+	for i := range xs {
+		d := ys[i] - f.Base - f.Slope*xs[i]
+		f.Worst = max(f.Worst, max(d, -d)/max(most, -least))
+	}
+	return f
+}
+
+// At gives the line's value at a size.
+func (f Fit) At(x float64) float64 { return f.Base + f.Slope*x }
--- /dev/null
+++ b/rig/scale/report.go
@@ -0,0 +1,209 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// Props are the options of a run.
+type Props struct {
+	Axis    string // only this one; all of them where it is empty
+	Whole   bool   // one fleet of Nodes and Engines through changes and losses
+	Nodes   int
+	Engines int
+	Folder  string // for slopes as JSON and plots; none where it is empty
+	Out     io.Writer
+	Notes   io.Writer
+}
+
+// Beyond says that a run does not fit on this machine.
+type Beyond struct{ Need, Have float64 } // bytes
+
+// Error tells both in GB.
+func (b Beyond) Error() string {
+	return fmt.Sprintf("this would need about %.1f GB of memory, and half of this machine's is %.1f GB; nothing was started", b.Need/1e9, b.Have/1e9)
+}
+
+// Bytes that a hollow fleet takes in memory, as `rig scale --axis things` and the
+// heap of a node against nodes and engines show.
+const (
+	nodeBytes   = 300e3 // a node that knows nobody
+	seatBytes   = 700   // a sibling that a node knows
+	engineBytes = 1100  // an engine that a node knows
+	rowBytes    = 260   // an engine in a list on its way
+)
+
+// Need tells how many bytes of memory a fleet would take here.
+func Need(s Size) float64 {
+	n, e := float64(s.Nodes), float64(s.Engines)
+	return 200e6 + n*(nodeBytes+n*seatBytes+e*(engineBytes+rowBytes))
+}
+
+// half is half of the machine's memory, in bytes.
+func half() float64 {
+	var i unix.Sysinfo_t
+	if unix.Sysinfo(&i) != nil {
+		return 2e9
+	}
+	return float64(i.Totalram) * float64(i.Unit) / 2
+}
+
+// Fits refuses a fleet that would take more than half of the machine's memory.
+func Fits(s Size) error {
+	if need, have := Need(s), half(); need > have {
+		return Beyond{need, have}
+	}
+	return nil
+}
+
+// Run carries out what is asked for.
+func Run(p Props) error {
+	if p.Whole {
+		return whole(p)
+	}
+	var all []Slope
+	known := false
+	tell := func(s string) { fmt.Fprintln(p.Notes, s) }
+	for _, a := range Axes {
+		if p.Axis != "" && p.Axis != a.Name {
+			continue
+		}
+		known = true
+		for _, x := range a.Values {
+			if err := Fits(a.Base(x)); err != nil {
+				return err
+			}
+		}
+		s, err := a.Measure(tell)
+		if err != nil {
+			return err
+		}
+		table(p.Out, a.Name+", a "+a.Unit, s)
+		all = append(all, s...)
+	}
+	for _, x := range Extras {
+		if p.Axis != "" && p.Axis != x.Name {
+			continue
+		}
+		known = true
+		s, err := x.Measure()
+		if err != nil {
+			return err
+		}
+		table(p.Out, x.Name, s)
+		all = append(all, s...)
+	}
+	if !known {
+		return errors.Errorf("no such axis %q", p.Axis)
+	}
+	return keep(p.Folder, all)
+}
+
+// round3 writes a number with about three digits.
+func round3(x float64) string {
+	if x == 0 {
+		return "0"
+	}
+	if a := math.Abs(x); a >= 1000 {
+		return fmt.Sprintf("%.0f", x)
+	}
+	return fmt.Sprintf("%.3g", x)
+}
+
+func table(to io.Writer, title string, s []Slope) {
+	if len(s) == 0 {
+		return
+	}
+	fmt.Fprintf(to, "\n## %s\n\n| role | what, a %s | each one more | at none | R2 | worst | measured |\n|---|---|---|---|---|---|---|\n", title, s[0].Per)
+	for _, x := range s {
+		most := 0.0
+		var points []string
+		for _, p := range x.Points {
+			most = max(most, math.Abs(p.Y))
+			points = append(points, round3(p.X)+": "+round3(p.Y))
+		}
+		if most == 0 {
+			continue
+		}
+		fmt.Fprintf(to, "| %s | %s | %s | %s | %.3f | %.0f%% | %s |\n", x.Role, x.What, round3(x.Slope), round3(x.Base), x.R2, 100*x.Worst, strings.Join(points, ", "))
+	}
+}
+
+// drawn are the slopes that have a plot of their own, by axis, role and cost.
+var drawn = map[string]string{
+	"nodes/dispatcher/bytes_out":      "bytes a second that a node sends",
+	"nodes/dispatcher/cpu_ms":         "processor time of a node, ms a second",
+	"nodes/store leader/cpu_ms":       "processor time of the store's leader, ms a second",
+	"nodes/store leader/bytes_out":    "bytes a second that the store's leader sends",
+	"list-change/dispatcher/in.fleet": "bytes to a node for two changes of the list",
+	"routes/dispatcher/in.told":       "bytes to a node for a changed configuration",
+	"weights/dispatcher/in.fleet":     "bytes to a node for a weight roll-out",
+	"weights/coordinator/cpu_ms":      "processor time of the coordinator for a weight roll-out, ms",
+	"items/store leader/cpu_ms":       "processor time of the store's leader for a lot, ms",
+	"items/lot owner/cpu_ms":          "processor time of a lot's owner, ms",
+	"engines/fleet/heap a node":       "memory of a node, bytes",
+	"requests/lot owner/cpu_ms":       "processor time of a node for requests, ms a second",
+	"restarts/dispatcher/bytes_in":    "bytes to a node in the 6 s of some restarts",
+	"voters/store leader/bytes_out":   "bytes that the leader sends for 512 results",
+}
+
+// keep writes slopes and plots into a folder.
+func keep(folder string, all []Slope) error {
+	if folder == "" {
+		return nil
+	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return errors.Wrap(err, "scale")
+	}
+	by := map[string][]Slope{}
+	for _, s := range all {
+		by[s.Axis] = append(by[s.Axis], s)
+		if title := drawn[s.Axis+"/"+s.Role+"/"+s.What]; title != "" {
+			if err := draw(folder, title, s); err != nil {
+				return err
+			}
+		}
+	}
+	for axis, s := range by {
+		b, _ := json.MarshalIndent(s, "", " ")
+		if err := os.WriteFile(filepath.Join(folder, axis+".json"), append(b, '\n'), 0o644); err != nil {
+			return errors.Wrap(err, "scale")
+		}
+	}
+	return nil
+}
+
+// draw plots the points and the line of a slope.
+func draw(folder, title string, s Slope) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text = title, s.Unit
+	p.Title.Padding = vg.Points(6)
+	p.Y.Min = 0
+	var pts plotter.XYs
+	for _, x := range s.Points {
+		pts = append(pts, plotter.XY{X: x.X, Y: x.Y})
+	}
+	dots, err := plotter.NewScatter(pts)
+	if err != nil {
+		return errors.Wrap(err, "scale")
+	}
+	last := s.Points[len(s.Points)-1].X
+	line, err := plotter.NewLine(plotter.XYs{{X: 0, Y: s.Base}, {X: last, Y: s.At(last)}})
+	if err != nil {
+		return errors.Wrap(err, "scale")
+	}
+	p.Add(plotter.NewGrid(), line, dots)
+	name := strings.NewReplacer(" ", "-", ".", "-", "_", "-", "'", "").Replace(s.Axis + "-" + s.Role + "-" + s.What)
+	return errors.Wrap(p.Save(12*vg.Centimeter, 8*vg.Centimeter, filepath.Join(folder, name+".svg")), "scale")
+}
--- /dev/null
+++ b/rig/scale/things.go
@@ -0,0 +1,184 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"net"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"golang.org/x/sys/unix"
+
+	"fernlink/api"
+	"fernlink/core/dialect"
+	"fernlink/core/flow"
+	"fernlink/core/gossip"
+	"fernlink/core/ledger"
+	"fernlink/core/serve/engines"
+	"fernlink/core/serve/env"
+	"fernlink/core/serve/lots"
+	"fernlink/core/serve/route"
+	"fernlink/platform"
+	"fernlink/shell/link"
+)
+
+// Extra is a measurement without a fleet.
+type Extra struct {
+	Name    string
+	Measure func() ([]Slope, error)
+}
+
+// Extras are what is measured apart: memory of single things, and the link.
+var Extras = []Extra{{"things", things}, {"wire", wire}}
+
+// thing makes n of a kind, so that their memory can be told.
+type thing struct {
+	role, what string
+	values     []float64
+	make       func(n int) any
+}
+
+var thingsOf = []thing{
+	{"every node", "bytes in memory, a sibling", []float64{100, 200, 400, 800}, func(n int) any {
+		g := gossip.New(gossip.Props{Self: gossip.Entry{ID: "self", Addr: "self"}, Rand: rand.New(rand.NewSource(1))})
+		for i := range n {
+			b, _ := json.Marshal(gossip.Body{Entries: []gossip.Entry{{ID: fmt.Sprintf("node-%d-1", i), Name: fmt.Sprintf("node-%d", i), Inc: 1, Beat: 1, Addr: addrOf(i),
+				Web: addrOf(i) + "1", Area: zoneOf(i % 24), Roles: []string{"dispatcher"}, Cluster: "c-node-0-1"}}})
+			var x gossip.Body // as it comes from a line, so that no text is shared
+			_ = json.Unmarshal(b, &x)
+			g.Take(0, addrOf(i), x)
+		}
+		return g
+	}},
+	{"dispatcher", "bytes in memory, an engine", []float64{1000, 2500, 5000, 10000}, func(n int) any {
+		t := engines.New(&env.Env{Counts: map[string]int64{}})
+		var list []dialect.Seat
+		for i := range n {
+			b, _ := json.Marshal(dialect.Seat{ID: fmt.Sprintf("i-%08x", i), Addr: addrOf(i), Pool: pool(i % 12), Zone: zoneOf(i % 24), Slots: 8, Models: map[string]int{model(i % 12): 1}})
+			var s dialect.Seat
+			_ = json.Unmarshal(b, &s)
+			list = append(list, s)
+		}
+		t.Take(list)
+		return []any{t, list} // the reader and each listener keep the list, too
+	}},
+	{"dispatcher", "bytes in memory, a route", []float64{200, 400, 800, 1600}, func(n int) any {
+		var p api.Plan
+		_ = json.Unmarshal(plan(1, 12, n), &p)
+		p.Index()
+		return []any{&p, route.New(1, &p)}
+	}},
+	{"lot owner", "bytes in memory, an item that is not listed", []float64{2048, 4096, 8192, 16384}, func(n int) any {
+		t := lots.New(&env.Env{Counts: map[string]int64{}, Tongue: platform.Tongue("10.255.0.1:80")}, nil, func() *route.Table { return nil })
+		doc, err := platform.Tongue("10.255.0.1:80").ReadLot("lot", lotBody("lot", n))
+		if err != nil {
+			panic(err)
+		}
+		t.Adopt(doc, 0)
+		return t
+	}},
+	{"store", "bytes in memory, an item of a kept lot, listed", []float64{2048, 4096, 8192, 16384}, func(n int) any {
+		l := ledger.New()
+		doc, _ := platform.Tongue("10.255.0.1:80").ReadLot("lot", lotBody("lot", n))
+		apply := func(i uint64, kind string, body any) {
+			b, _ := json.Marshal(body)
+			c, _ := json.Marshal(ledger.Command{Kind: kind, At: int64(i), Body: b})
+			l.Apply(i, c)
+			l.Box() // its bulk lies on the shelf
+		}
+		apply(1, "lot.put", doc)
+		for i := range n {
+			apply(uint64(i+2), "lot.list", ledger.ListLot{Lot: "lot", Results: []ledger.LotResult{{Item: doc.Items[i].ID, State: ledger.LotComplete}}})
+		}
+		return l
+	}},
+}
+
+func things() ([]Slope, error) {
+	var out []Slope
+	for _, t := range thingsOf {
+		var pts []Point
+		t.make(10) // what is made once
+		for _, x := range t.values {
+			before := heap()
+			v := t.make(int(x))
+			pts = append(pts, Point{x, heap() - before})
+			runtime.KeepAlive(v)
+		}
+		out = append(out, Slope{"things", t.what, "thing", t.role, t.what, Line(pts)})
+	}
+	return out, nil
+}
+
+// processTime is the processor time of this whole process.
+func processTime() time.Duration {
+	var u unix.Rusage
+	_ = unix.Getrusage(unix.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// wire measures what a line costs on loopback, writer and reader together, over
+// real sockets with the link's own writing and reading.
+func wire() ([]Slope, error) {
+	sizes := []float64{200, 2000, 8000, 32000, 128000}
+	var pack, both []Point
+	free := func() (string, error) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		defer l.Close()
+		return l.Addr().String(), nil
+	}
+	for _, size := range sizes {
+		line := flow.Line{Ver: flow.Version, Cluster: "c-node-0-1", Kind: "told", From: "node-0-1", Addr: "10.1.0.1:7000", Body: json.RawMessage(`{"x":"` + strings.Repeat("roster ", int(size)/7) + `"}`)}
+		const times = 5000
+		runtime.LockOSThread()
+		from := threadTime()
+		var buf []byte
+		for range times {
+			buf, _ = link.Pack(buf[:0], line)
+			if _, err := link.Unpack(buf[:len(buf)-1]); err != nil {
+				return nil, err
+			}
+		}
+		pack = append(pack, Point{float64(len(buf)), float64(threadTime()-from) / 1e3 / times})
+		runtime.UnlockOSThread()
+		addr, err := free()
+		if err != nil {
+			return nil, err
+		}
+		here, err := free()
+		if err != nil {
+			return nil, err
+		}
+		got := make(chan bool, times)
+		ear, err := link.Open(addr, log.NewNopLogger(), func(flow.Event) bool { got <- true; return true })
+		if err != nil {
+			return nil, err
+		}
+		mouth, err := link.Open(here, log.NewNopLogger(), func(flow.Event) bool { return true })
+		if err != nil {
+			ear.Close()
+			return nil, err
+		}
+		line.To = addr
+		mouth.Send(line)
+		<-got
+		cpu := processTime()
+		for range times {
+			mouth.Send(line)
+			<-got
+		}
+		both = append(both, Point{float64(len(buf)), float64(processTime()-cpu) / 1e3 / times})
+		mouth.Close()
+		ear.Close()
+	}
+	return []Slope{
+		{"wire", "byte of a line", "line", "link", "us to write and read a line in memory", Line(pack)},
+		{"wire", "byte of a line", "line", "link", "us of both ends for a line over loopback, one at a time", Line(both)},
+	}, nil
+}
--- /dev/null
+++ b/rig/scale/whole.go
@@ -0,0 +1,3 @@
+package scale
+
+func whole(p Props) error { return nil }
--- /dev/null
+++ b/rig/scale/world.go
@@ -0,0 +1,463 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"fernlink/core/ask"
+	"fernlink/core/flow"
+	"fernlink/core/ledger"
+	"fernlink/core/node"
+	"fernlink/platform"
+	"fernlink/shell/link"
+)
+
+// Round is the hollow fleet's clock step: a node's own tick (design 3.1). What is
+// said in a round is heard in a later one.
+const Round = 10 * time.Millisecond
+
+// Workers bounds the processors that a run uses at once.
+const Workers = 4
+
+const (
+	ahead  = 16 // rounds that a line may be on its way
+	inHost = 1  // rounds to another machine of the region
+	far    = 3  // rounds to another region
+)
+
+// Size is what a run is made of.
+type Size struct {
+	Stores  int           `json:"stores"`
+	Coords  int           `json:"coordinators"`
+	Nodes   int           `json:"nodes"` // in all, stores and coordinators among them
+	Engines int           `json:"engines"`
+	Models  int           `json:"models"` // engines are shared out over them
+	Regions int           `json:"regions"`
+	Zones   int           `json:"zones"`
+	Routes  int           `json:"routes"`
+	Lazy    bool          `json:"lazy"`    // nodes that hear nothing take a turn only every fifth round
+	Swap    time.Duration `json:"swap_ns"` // how long an engine needs for new weights
+}
+
+// Spent is what one host spent and said since the counts were cleared.
+type Spent struct {
+	CPU           time.Duration
+	Out, In       int64 // lines
+	Sent, Heard   int64 // bytes, as the link writes them
+	Kinds         map[string]int64
+	Sends, Reads  int64 // calls of engines and of the list, and bytes of their answers
+	KindsIn       map[string]int64
+	Calls         int64
+	Writes, Bytes int64 // saves to disk, and their bytes
+}
+
+// Host is one hollow machine: a real node without a socket or a disk.
+type Host struct {
+	Name, Addr string
+	Region     int
+	Zone       int
+	Roles      []string
+	Node       *node.Node
+	Up         bool
+	Spent      Spent
+	Plan       uint64 // the version that is in force here
+	Serving    bool   // it has had a tenure since its start
+
+	at     int
+	world  *World
+	starts int64
+	queue  [ahead][]flow.Event
+	in     []flow.Event
+	out    flow.Outbox
+	shelf  map[flow.Ref][]byte
+	calls  map[uint64]func(flow.Reply)
+	callID uint64
+	idle   int
+}
+
+// World is a hollow fleet.
+type World struct {
+	Size   Size
+	Hosts  []*Host
+	Out    *outside
+	Now    time.Duration
+	byAddr map[string]*Host
+	round  int
+	told   map[uint64]func(ledger.Result)
+	asks   uint64
+	tongue func() node.Props
+	later  map[int][]func()
+	lead   *Host
+	acts   *Host
+}
+
+// New makes a fleet that is not started.
+func New(s Size) *World {
+	w := &World{Size: s, byAddr: map[string]*Host{}, told: map[uint64]func(ledger.Result){}, later: map[int][]func(){}}
+	w.Out = newOutside(w)
+	var form []string
+	for i := range s.Stores {
+		form = append(form, addrOf(i))
+	}
+	seeds := []string{addrOf(0), addrOf(min(1, s.Nodes-1)), addrOf(min(2, s.Nodes-1))}
+	for i := range s.Nodes {
+		zone := i % s.Zones
+		h := &Host{Name: fmt.Sprintf("node-%d", i), Addr: addrOf(i), Zone: zone, Region: zone % s.Regions, Roles: []string{"dispatcher"}, at: i, world: w,
+			shelf: map[flow.Ref][]byte{}}
+		if i < s.Stores {
+			h.Roles = []string{"store"}
+		} else if i < s.Stores+s.Coords {
+			h.Roles = []string{"coordinator", "dispatcher"}
+		}
+		w.Hosts, w.byAddr[h.Addr] = append(w.Hosts, h), h
+	}
+	w.tongue = func() node.Props {
+		t := platform.Tongue("10.255.0.1:80")
+		return node.Props{Seeds: seeds, Form: form, Keep: 1 << 30, Bounds: ledger.Usual, BlocksMost: 65536, First: true, Tongue: &t, LotKeep: time.Hour}
+	}
+	return w
+}
+
+func addrOf(i int) string { return fmt.Sprintf("10.%d.%d.%d:7000", 1+i/62500, i/250%250, 1+i%250) }
+
+func zoneOf(i int) string { return fmt.Sprintf("zone-%d", i) }
+
+// Start starts a host with an empty disk.
+func (h *Host) Start() {
+	h.starts++
+	p := h.world.tongue()
+	p.ID = fmt.Sprintf("%s-%d", h.Name, h.starts)
+	p.Name, p.Addr, p.Web, p.Area, p.Roles = h.Name, h.Addr, h.Addr+"1", zoneOf(h.Zone), h.Roles
+	p.Inc, p.Seed = 1_700_000_000_000+h.world.Now.Milliseconds()+h.starts, int64(h.at)*1009+h.starts
+	if h.Has("store") && h.starts > 1 {
+		p.Form, p.First = nil, false
+	}
+	n, err := node.New(h.clock(), p)
+	if err != nil {
+		panic(err) // a blank disk can't be wrong
+	}
+	h.Node, h.Up, h.queue, h.calls, h.shelf = n, true, [ahead][]flow.Event{}, map[uint64]func(flow.Reply){}, map[flow.Ref][]byte{}
+	h.clear()
+}
+
+// Kill ends a host.
+func (h *Host) Kill() {
+	h.Up, h.Node, h.shelf, h.Plan, h.Serving = false, nil, nil, 0, false
+	if h.world.lead == h {
+		h.world.lead = nil
+	}
+	if h.world.acts == h {
+		h.world.acts = nil
+	}
+}
+
+// Has says whether a host runs a role.
+func (h *Host) Has(role string) bool {
+	for _, r := range h.Roles {
+		if r == role {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Host) clear() { h.Spent = Spent{Kinds: map[string]int64{}, KindsIn: map[string]int64{}} }
+
+// clock is a host's own elapsed time.
+func (h *Host) clock() flow.Time {
+	return time.Hour + time.Duration(h.at)*time.Millisecond + h.world.Now
+}
+
+func (h *Host) offer(rounds int, e flow.Event) {
+	if h.Up {
+		k := (h.world.round + min(max(rounds, 1), ahead-1)) % ahead
+		h.queue[k] = append(h.queue[k], e)
+	}
+}
+
+// Clear forgets what was spent so far.
+func (w *World) Clear() {
+	for _, h := range w.Hosts {
+		h.clear()
+	}
+}
+
+// After does f in a later round, between two turns of the hosts.
+func (w *World) After(d time.Duration, f func()) {
+	k := w.round + max(1, int(d/Round))
+	w.later[k] = append(w.later[k], f)
+}
+
+// Run lets time pass.
+func (w *World) Run(d time.Duration) { w.Until(d, func() bool { return false }) }
+
+// Until lets time pass until ok, at most d, and says whether it came to be.
+func (w *World) Until(d time.Duration, ok func() bool) bool {
+	for end := w.Now + d; w.Now < end; {
+		if ok() {
+			return true
+		}
+		w.turn()
+	}
+	return ok()
+}
+
+// turn is one round: all hosts advance side by side, then what they said is
+// carried, in the order of the hosts.
+func (w *World) turn() {
+	w.round++
+	w.Now += Round
+	for _, f := range w.later[w.round] {
+		f()
+	}
+	delete(w.later, w.round)
+	var wg sync.WaitGroup
+	var next atomic.Int64
+	for range Workers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			runtime.LockOSThread()
+			defer runtime.UnlockOSThread()
+			for {
+				i := int(next.Add(1)) - 1
+				if i >= len(w.Hosts) {
+					return
+				}
+				w.Hosts[i].advance()
+			}
+		}()
+	}
+	wg.Wait()
+	for _, h := range w.Hosts {
+		if h.Up {
+			h.emit()
+		}
+	}
+}
+
+func (h *Host) advance() {
+	h.out = flow.Outbox{}
+	if !h.Up {
+		return
+	}
+	k := h.world.round % ahead
+	h.in, h.queue[k] = h.queue[k], nil
+	h.idle++
+	if h.world.Size.Lazy && len(h.in) == 0 && (h.idle+h.at)%5 != 0 {
+		return
+	}
+	was := threadTime()
+	h.out = h.Node.Advance(h.clock(), 1_700_000_000_000+h.world.Now.Milliseconds(), h.in)
+	h.Spent.CPU += threadTime() - was
+	h.in = nil
+}
+
+func threadTime() time.Duration {
+	var t unix.Timespec
+	_ = unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &t)
+	return time.Duration(t.Nano())
+}
+
+// wireSize is how many bytes the link writes for a line.
+func wireSize(x flow.Line) int64 {
+	body := x.Body
+	x.Body = json.RawMessage("0")
+	b, _ := link.Pack(nil, x)
+	return int64(len(b) - 1 + len(body))
+}
+
+func (w *World) rounds(a, b *Host) int {
+	if a.Region != b.Region {
+		return far
+	}
+	return inHost
+}
+
+func (h *Host) emit() {
+	w, o := h.world, h.out
+	h.out = flow.Outbox{}
+	for _, n := range o.Notes {
+		h.note(n)
+	}
+	if len(o.Save) > 0 {
+		h.Spent.Writes++
+		for _, s := range o.Save {
+			for _, e := range s.Add {
+				h.Spent.Bytes += int64(len(e.Data))
+			}
+		}
+		h.offer(1, flow.Event{Saved: o.Batch})
+	}
+	for _, s := range o.Shelf {
+		for _, x := range s.Put {
+			h.shelf[x.Ref] = x.Body
+		}
+		for _, r := range s.Drop {
+			delete(h.shelf, r)
+		}
+	}
+	for _, f := range o.Fetch {
+		h.fetched(f)
+	}
+	for i := range o.Lines {
+		l := &o.Lines[i]
+		n := wireSize(*l)
+		h.Spent.Out++
+		h.Spent.Sent += n
+		h.Spent.Kinds[l.Kind] += n
+		if l.To == operator {
+			w.heard(*l)
+			continue
+		}
+		if to := w.byAddr[l.To]; to != nil && to.Up {
+			to.Spent.In++
+			to.Spent.Heard += n
+			to.Spent.KindsIn[l.Kind] += n
+			to.offer(w.rounds(h, to), flow.Event{Line: l})
+		}
+	}
+	for _, r := range o.Replies {
+		if f := h.calls[r.ID]; f != nil {
+			if !r.More {
+				delete(h.calls, r.ID)
+			}
+			f(r)
+		}
+	}
+	for _, s := range o.Sends {
+		h.Spent.Sends++
+		w.Out.send(h, s)
+	}
+	if o.Halt != "" {
+		panic("scale: " + h.Name + " halted: " + o.Halt)
+	}
+}
+
+func (h *Host) fetched(f flow.Fetch) {
+	got := flow.Fetched{ID: f.ID}
+	for _, r := range f.Refs {
+		b, ok := h.shelf[r]
+		if !ok {
+			got.Missing = append(got.Missing, r)
+			continue
+		}
+		if !f.Check {
+			got.Parts = append(got.Parts, flow.Part{Ref: r, Size: len(b), Body: b})
+		}
+	}
+	h.offer(1, flow.Event{Shelf: &got})
+}
+
+// Call makes a request of a host from outside.
+func (h *Host) Call(c flow.Call, f func(flow.Reply)) {
+	if !h.Up {
+		return
+	}
+	h.callID++
+	h.Spent.Calls++
+	c.ID = h.callID
+	if f == nil {
+		f = func(flow.Reply) {}
+	}
+	h.calls[c.ID] = f
+	h.offer(1, flow.Event{Call: &c})
+}
+
+// operator is the address of the hollow operator, who asks the store's leader.
+const operator = "10.254.0.1:1"
+
+// Ask puts a command or a question to the store's leader, as a node does.
+func (w *World) Ask(kind string, body any, f func(ledger.Result)) {
+	raw, _ := json.Marshal(body)
+	w.asks++
+	id := w.asks
+	lead := w.Leader()
+	if lead == nil {
+		w.After(10*Round, func() { w.Ask(kind, body, f) })
+		return
+	}
+	a, _ := json.Marshal(ask.Ask{ID: id, Kind: kind, Body: raw})
+	w.told[id] = func(r ledger.Result) {
+		if r.Code == 0 {
+			w.After(5*Round, func() { w.Ask(kind, body, f) })
+			return
+		}
+		if f != nil {
+			f(r)
+		}
+	}
+	lead.offer(1, flow.Event{Line: &flow.Line{Ver: flow.Version, Cluster: lead.Node.Cluster(), Kind: "ask", From: "operator", Addr: operator, Body: a}})
+	w.After(100*Round, func() { // the leader may have died
+		if w.told[id] != nil {
+			delete(w.told, id)
+			w.Ask(kind, body, f)
+		}
+	})
+}
+
+func (w *World) heard(l flow.Line) {
+	var t ask.Told
+	if l.Kind != "told" || json.Unmarshal(l.Body, &t) != nil || w.told[t.ID] == nil {
+		return
+	}
+	f := w.told[t.ID]
+	delete(w.told, t.ID)
+	if t.Retry {
+		t.Code = 0
+	}
+	f(ledger.Result{Code: t.Code, Body: t.Body})
+}
+
+// Leader gives the store that leads, or nil.
+func (w *World) Leader() *Host { return w.lead }
+
+// Acting gives the coordinator that acts, or nil.
+func (w *World) Acting() *Host { return w.acts }
+
+// notes are what the hollow fleet hears of its nodes' own logs.
+var notes = map[string]func(*World, *Host, map[string]any){
+	"role changed": func(w *World, h *Host, a map[string]any) {
+		if a["role"] == "leader" {
+			w.lead = h
+		} else if w.lead == h {
+			w.lead = nil
+		}
+	},
+	"took the tenure": func(w *World, h *Host, _ map[string]any) { w.acts = h },
+	"stood down": func(w *World, h *Host, _ map[string]any) {
+		if w.acts == h {
+			w.acts = nil
+		}
+	},
+	"plan in force":   func(w *World, h *Host, a map[string]any) { h.Plan, _ = a["version"].(uint64) },
+	"took up serving": func(w *World, h *Host, _ map[string]any) { h.Serving = true },
+}
+
+func (h *Host) note(n flow.Note) {
+	f := notes[n.Text]
+	if f == nil {
+		return
+	}
+	args := map[string]any{}
+	for i := 0; i+1 < len(n.Args); i += 2 {
+		args[fmt.Sprint(n.Args[i])] = n.Args[i+1]
+	}
+	f(h.world, h, args)
+}
+
+// All says whether every running host that serves callers is as wanted.
+func (w *World) All(ok func(*Host) bool) bool {
+	for _, h := range w.Hosts {
+		if h.Up && h.Has("dispatcher") && !ok(h) {
+			return false
+		}
+	}
+	return true
+}
