--- a/rig/scale/axes.go
+++ b/rig/scale/axes.go
@@ -161,11 +161,20 @@
 // force at every node.
 func (w *World) change(version uint64, routes int) time.Duration {
 	from := w.Now
-	w.Ask("plan.put", ledger.PutPlan{Version: version, Read: version - 1, Request: fmt.Sprint("p", version), Doc: plan(version, w.Size.Models, routes)}, nil)
+	w.putPlan(version, routes, nil)
 	w.Until(time.Minute, func() bool { return w.All(func(h *Host) bool { return h.Plan >= version }) })
 	return w.Now - from
 }
 
+// putPlan puts a configuration, and does f once that is acknowledged.
+func (w *World) putPlan(version uint64, routes int, f func()) {
+	w.Ask("plan.put", ledger.PutPlan{Version: version, Read: version - 1, Request: fmt.Sprint("p", version), Doc: plan(version, w.Size.Models, routes)}, func(ledger.Result) {
+		if f != nil {
+			f()
+		}
+	})
+}
+
 // weights names a version of all models' weights, and gives how long it took
 // until all engines had it.
 func (w *World) weights(v int) time.Duration {
@@ -261,7 +270,7 @@
 		}
 	}
 	w.Run(time.Duration(len(w.Hosts)) * Round / 4)
-	w.Ask("plan.put", ledger.PutPlan{Version: 1, Request: "p1", Doc: plan(1, w.Size.Models, w.Size.Routes)}, nil)
+	w.putPlan(1, w.Size.Routes, nil)
 	return w.Until(time.Minute, func() bool {
 		return w.All(func(h *Host) bool { return h.Plan >= 1 && h.Serving })
 	})
@@ -307,6 +316,7 @@
 			sum["bytes_in"] += float64(s.Heard) * per
 			sum["calls"] += float64(s.Sends) * per
 			sum["list_bytes"] += float64(s.Reads) * per
+			sum["longest_turn_ms"] += float64(s.Turn) / 1e6
 			sum["disk_bytes"] += float64(s.Bytes) * per
 			for k, v := range s.Kinds {
 				sum["out."+k] += float64(v) * per
--- a/rig/scale/fit.go
+++ b/rig/scale/fit.go
@@ -4,7 +4,11 @@
 // role spent.
 package scale
 
-import "gonum.org/v1/gonum/stat"
+import (
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+)
 
 // Point is one measured value at one size.
 type Point struct {
@@ -12,9 +16,10 @@
 	Y float64 `json:"y"`
 }
 
-// Fit is a line through points: Slope for each unit of X, Base at none, and how
-// much of the spread the line explains (R2, 1 is all of it).
+// Fit is a line through points: Slope for each unit of X to the Power of 1 or 2,
+// Base at none, and how much of the spread the line explains (R2, 1 is all of it).
 type Fit struct {
+	Power  int     `json:"power"`
 	Slope  float64 `json:"slope"`
 	Base   float64 `json:"base"`
 	R2     float64 `json:"r2"`
@@ -22,28 +27,37 @@
 	Points []Point `json:"points"`
 }
 
-// Line fits a line by least squares. Values that are all the same are flat, with
-// R2 of 1.
+// Line fits a line by least squares, over sizes as they are and over their
+// squares, and gives the one that is clearly the better, the plain one in doubt.
+// Values that are all the same are flat, with R2 of 1.
 func Line(points []Point) Fit {
+	one, two := line(points, 1), line(points, 2)
+	if two.R2 > one.R2 && one.R2 < 0.99 && 1-two.R2 < (1-one.R2)/2 {
+		return two
+	}
+	return one
+}
+
+func line(points []Point, power int) Fit {
 	xs, ys := make([]float64, len(points)), make([]float64, len(points))
 	least, most := points[0].Y, points[0].Y
 	for i, p := range points {
-		xs[i], ys[i] = p.X, p.Y
+		xs[i], ys[i] = math.Pow(p.X, float64(power)), p.Y
 		least, most = min(least, p.Y), max(most, p.Y)
 	}
-	f := Fit{Points: points, R2: 1}
+	f := Fit{Points: points, R2: 1, Power: power}
 	if least == most {
 		f.Base = least
 		return f
 	}
 	f.Base, f.Slope = stat.LinearRegression(xs, ys, nil, false)
 	f.R2 = stat.RSquared(xs, ys, nil, f.Base, f.Slope)
-	for i := range xs {
-		d := ys[i] - f.Base - f.Slope*xs[i]
+	for _, p := range points {
+		d := p.Y - f.At(p.X)
 		f.Worst = max(f.Worst, max(d, -d)/max(most, -least))
 	}
 	return f
 }
 
 // At gives the line's value at a size.
-func (f Fit) At(x float64) float64 { return f.Base + f.Slope*x }
+func (f Fit) At(x float64) float64 { return f.Base + f.Slope*math.Pow(x, float64(f.Power)) }
--- a/rig/scale/outside.go
+++ b/rig/scale/outside.go
@@ -77,6 +77,21 @@
 	})
 }
 
+// lose takes the engines of a zone away, and off the list two seconds later.
+func (o *outside) lose(zone int) int {
+	var left []*engine
+	for _, e := range o.engines {
+		if e.zone == zone {
+			e.gone = true
+			continue
+		}
+		left = append(left, e)
+	}
+	n := len(o.engines) - len(left)
+	o.w.After(2*time.Second, func() { o.engines, o.pages = left, nil })
+	return n
+}
+
 func model(i int) string { return fmt.Sprintf("model-%02d", i) }
 func pool(i int) string  { return fmt.Sprintf("pool-%02d", i) }
 
--- a/rig/scale/report.go
+++ b/rig/scale/report.go
@@ -7,6 +7,7 @@
 	"math"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -67,8 +68,9 @@
 	return nil
 }
 
-// Run carries out what is asked for.
+// Run carries out what is asked for, on Workers processors at most.
 func Run(p Props) error {
+	runtime.GOMAXPROCS(Workers)
 	if p.Whole {
 		return whole(p)
 	}
@@ -125,7 +127,7 @@
 	if len(s) == 0 {
 		return
 	}
-	fmt.Fprintf(to, "\n## %s\n\n| role | what, a %s | each one more | at none | R2 | worst | measured |\n|---|---|---|---|---|---|---|\n", title, s[0].Per)
+	fmt.Fprintf(to, "\n## %s\n\n| role | what, a %s | each one more, or each square | at none | R2 | worst | measured |\n|---|---|---|---|---|---|---|\n", title, s[0].Per)
 	for _, x := range s {
 		most := 0.0
 		var points []string
@@ -136,7 +138,11 @@
 		if most == 0 {
 			continue
 		}
-		fmt.Fprintf(to, "| %s | %s | %s | %s | %.3f | %.0f%% | %s |\n", x.Role, x.What, round3(x.Slope), round3(x.Base), x.R2, 100*x.Worst, strings.Join(points, ", "))
+		slope := round3(x.Slope)
+		if x.Power == 2 {
+			slope += " (square)"
+		}
+		fmt.Fprintf(to, "| %s | %s | %s | %s | %.3f | %.0f%% | %s |\n", x.Role, x.What, slope, round3(x.Base), x.R2, 100*x.Worst, strings.Join(points, ", "))
 	}
 }
 
@@ -199,7 +205,12 @@
 		return errors.Wrap(err, "scale")
 	}
 	last := s.Points[len(s.Points)-1].X
-	line, err := plotter.NewLine(plotter.XYs{{X: 0, Y: s.Base}, {X: last, Y: s.At(last)}})
+	var bend plotter.XYs
+	for i := range 41 {
+		x := last * float64(i) / 40
+		bend = append(bend, plotter.XY{X: x, Y: s.At(x)})
+	}
+	line, err := plotter.NewLine(bend)
 	if err != nil {
 		return errors.Wrap(err, "scale")
 	}
--- a/rig/scale/whole.go
+++ b/rig/scale/whole.go
@@ -1,3 +1,278 @@
 package scale
 
-func whole(p Props) error { return nil }
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fernlink/core/flow"
+)
+
+// Phase is one part of a whole run. Seconds are simulated: the virtual clock
+// does not count processor time, which is told beside them.
+type Phase struct {
+	Name    string             `json:"name"`
+	Seconds float64            `json:"seconds"`
+	Times   map[string]float64 `json:"times,omitempty"` // seconds from the phase's start
+	Lines   int64              `json:"lines"`
+	Bytes   int64              `json:"bytes"`     // between nodes
+	List    int64              `json:"list"`      // bytes of the list that were read
+	Roles   Measured           `json:"roles"`     // totals
+	Longest map[string]float64 `json:"longest"`   // turn of any host of a role, in ms of processor time
+	Heap    float64            `json:"heap"`      // bytes, at the end
+	Wall    float64            `json:"wall_time"` // seconds that the phase took here
+}
+
+// Whole is what became of a whole run.
+type Whole struct {
+	Size   Size    `json:"size"`
+	Phases []Phase `json:"phases"`
+	Bad    []string
+}
+
+// WholeSize is the fleet of a whole run.
+func WholeSize(nodes, engines int) Size {
+	return Size{Stores: 5, Coords: 3, Nodes: nodes, Engines: engines, Models: 12, Regions: 9, Zones: 24, Routes: 1000, Lazy: true, Swap: time.Second}
+}
+
+type wholeRun struct {
+	w    *World
+	rep  Whole
+	out  io.Writer
+	from time.Duration // of the phase
+}
+
+// phase runs one part and keeps what it came to.
+func (r *wholeRun) phase(name string, f func(times map[string]float64)) {
+	w, from, began := r.w, r.w.Now, time.Now()
+	r.from = from
+	w.Clear()
+	read := w.Out.Read
+	p := Phase{Name: name, Times: map[string]float64{}, Longest: map[string]float64{}}
+	f(p.Times)
+	window := w.Now - from
+	p.Seconds, p.Wall, p.List = window.Seconds(), time.Since(began).Seconds(), w.Out.Read-read
+	p.Roles = w.measure(window, true)
+	for _, h := range w.Hosts {
+		p.Lines += h.Spent.Out
+		p.Bytes += h.Spent.Sent
+		for _, x := range roleOf {
+			if h.Up && x.is(w, h) {
+				p.Longest[x.name] = max(p.Longest[x.name], float64(h.Spent.Turn)/1e6)
+			}
+		}
+	}
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	p.Heap = float64(m.HeapAlloc)
+	r.rep.Phases = append(r.rep.Phases, p)
+	fmt.Fprintf(r.out, "\n## %s\n\n%.2f s simulated, %.0f s here; %d lines, %.1f MB between nodes, %.1f MB of the list read; heap %.2f GB\n", name, p.Seconds, p.Wall, p.Lines, float64(p.Bytes)/1e6, float64(p.List)/1e6, p.Heap/1e9)
+	for _, k := range sortedKeys(p.Times) {
+		fmt.Fprintf(r.out, "- %s: %.2f\n", k, p.Times[k])
+	}
+	fmt.Fprintf(r.out, "\n| role | processor ms | longest turn, ms | lines out | bytes out | bytes in | largest kinds in |\n|---|---|---|---|---|---|---|\n")
+	for _, x := range roleOf {
+		m := p.Roles[x.name]
+		if len(m) == 0 {
+			continue
+		}
+		var kinds []string
+		for _, k := range sortedKeys(m) {
+			if kind, ok := strings.CutPrefix(k, "in."); ok && m[k] > m["bytes_in"]/50 {
+				kinds = append(kinds, kind+" "+round3(m[k]))
+			}
+		}
+		fmt.Fprintf(r.out, "| %s | %s | %s | %s | %s | %s | %s |\n", x.name, round3(m["cpu_ms"]), round3(p.Longest[x.name]), round3(m["lines_out"]), round3(m["bytes_out"]), round3(m["bytes_in"]), strings.Join(kinds, ", "))
+	}
+}
+
+func sortedKeys(m map[string]float64) []string {
+	var out []string
+	for k := range m {
+		out = append(out, k)
+	}
+	for i := range out {
+		for j := i; j > 0 && out[j] < out[j-1]; j-- {
+			out[j], out[j-1] = out[j-1], out[j]
+		}
+	}
+	return out
+}
+
+func (r *wholeRun) bad(format string, a ...any) {
+	r.rep.Bad = append(r.rep.Bad, fmt.Sprintf(format, a...))
+	fmt.Fprintf(r.out, "\n**"+format+"**\n", a...)
+}
+
+// reach notes when shares of the nodes have a configuration in force.
+func (r *wholeRun) reach(version uint64, times map[string]float64, most time.Duration) {
+	w, from := r.w, r.from
+	ok := w.Until(most, func() bool {
+		have, all := 0, 0
+		for _, h := range w.Hosts {
+			if h.Up && h.Has("dispatcher") {
+				all++
+				if h.Plan >= version {
+					have++
+				}
+			}
+		}
+		for _, s := range []struct {
+			name  string
+			share float64
+		}{{"in force at the first node", 0}, {"at half of the nodes", 0.5}, {"at 99 of 100", 0.99}, {"everywhere", 1}} {
+			if _, known := times[s.name]; !known && have > 0 && float64(have) >= s.share*float64(all) {
+				times[s.name] = (w.Now - from).Seconds()
+			}
+		}
+		return have == all
+	})
+	if !ok {
+		r.bad("the configuration %d is not in force everywhere after %v", version, most)
+	}
+}
+
+func (r *wholeRun) put(version uint64, times map[string]float64) {
+	w, from := r.w, r.w.Now
+	w.putPlan(version, w.Size.Routes, func() { times["acknowledged"] = (w.Now - from).Seconds() })
+}
+
+// whole takes one fleet through a configuration change, a weight roll-out, its
+// leader's loss and a zone's loss.
+func whole(p Props) error {
+	size := WholeSize(p.Nodes, p.Engines)
+	if err := size.check(); err != nil {
+		return err
+	}
+	if err := Fits(size); err != nil {
+		return err
+	}
+	rep := Take(size, p.Out)
+	if p.Folder != "" {
+		if err := os.MkdirAll(p.Folder, 0o755); err != nil {
+			return errors.Wrap(err, "scale")
+		}
+		b, _ := json.MarshalIndent(rep, "", " ")
+		if err := os.WriteFile(filepath.Join(p.Folder, fmt.Sprintf("whole-%d-%d.json", p.Nodes, p.Engines)), append(b, '\n'), 0o644); err != nil {
+			return errors.Wrap(err, "scale")
+		}
+	}
+	if len(rep.Bad) > 0 {
+		return errors.Errorf("scale: %s", strings.Join(rep.Bad, "; "))
+	}
+	return nil
+}
+
+// check refuses a size that is none.
+func (s Size) check() error {
+	if s.Nodes < s.Stores+s.Coords+s.Zones {
+		return errors.Errorf("scale: at least %d nodes are needed", s.Stores+s.Coords+s.Zones)
+	}
+	if s.Engines < s.Models {
+		return errors.Errorf("scale: at least %d engines are needed", s.Models)
+	}
+	return nil
+}
+
+// Take takes a fleet of a size through the phases, and tells out of each.
+func Take(size Size, out io.Writer) Whole {
+	defer debug.SetGCPercent(debug.SetGCPercent(25))
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(int64(half())))
+	w := New(size)
+	r := &wholeRun{w: w, rep: Whole{Size: size}, out: out}
+	fmt.Fprintf(out, "# %d hollow nodes, %d hollow engines, %d regions, %d zones, %d routes; all simulated times are without processor time\n",
+		size.Nodes, size.Engines, size.Regions, size.Zones, size.Routes)
+	ready := false
+	r.phase("cold start until every node serves", func(map[string]float64) { ready = w.Ready() })
+	if !ready {
+		r.bad("the fleet does not serve")
+		return r.rep
+	}
+	w.Run(3 * time.Second)
+	r.phase("quiet, 2 s", func(map[string]float64) { w.Run(2 * time.Second) })
+	r.phase("a changed configuration", func(t map[string]float64) {
+		r.put(2, t)
+		r.reach(2, t, time.Minute)
+	})
+	r.phase("two changes of the list, 3 s", func(map[string]float64) {
+		w.Out.replace(7)
+		w.Run(3 * time.Second)
+	})
+	r.phase("new weights on all engines", func(t map[string]float64) {
+		d := w.weights(2)
+		t["all engines"] = d.Seconds()
+		if !w.Out.allHold(2) {
+			r.bad("not all engines have the weights after %v", d)
+		}
+	})
+	r.phase("the leader is lost, and a configuration is put at once", func(t map[string]float64) {
+		from := w.Now
+		w.lead.Kill()
+		r.put(3, t)
+		w.Until(20*time.Second, func() bool { return w.lead != nil })
+		t["another leads"] = (w.Now - from).Seconds()
+		r.reach(3, t, time.Minute)
+	})
+	r.zone()
+	return r.rep
+}
+
+// zone loses the acting coordinator's zone, which owns a lot that is under way.
+func (r *wholeRun) zone() {
+	w := r.w
+	if w.acts == nil {
+		w.Until(20*time.Second, func() bool { return w.acts != nil })
+	}
+	if w.acts == nil {
+		r.bad("no coordinator acts before the zone's loss")
+		return
+	}
+	zone := w.acts.Zone
+	var owner *Host
+	for _, h := range w.Hosts {
+		if h.Up && h.Zone == zone && !h.Has("store") && !h.Has("coordinator") {
+			owner = h
+		}
+	}
+	if owner == nil {
+		r.bad("no node of zone %d can own a lot", zone)
+		return
+	}
+	const items = 2048
+	r.phase("a zone is lost: its nodes, engines, the acting coordinator, and the owner of a lot", func(t map[string]float64) {
+		listed, taken := false, false
+		w.Out.Events, w.Out.Text, w.Out.Takes = 8, 64, 500*time.Millisecond
+		owner.Call(flow.Call{Name: "request", Host: lotHost, Verb: "POST", Path: "/lots/", Body: lotBody("zone-lot", items), Query: map[string]string{},
+			Fields: []flow.Field{{Name: "Attempt-Id", Value: "zone-lot"}}}, func(p flow.Reply) { taken = p.Code == 202 })
+		if !w.Until(10*time.Second, func() bool { return taken }) {
+			r.bad("the lot was not taken")
+			return
+		}
+		from, nodes := w.Now, 0
+		r.from = from
+		w.Clear()
+		for _, h := range w.Hosts {
+			if h.Zone == zone && h.Up {
+				h.Kill()
+				nodes++
+			}
+		}
+		t["(nodes lost)"], t["(engines lost)"] = float64(nodes), float64(w.Out.lose(zone))
+		w.listed("zone-lot", items, func() { listed = true; t["the lot is whole"] = (w.Now - from).Seconds() })
+		r.put(4, t)
+		r.reach(4, t, time.Minute)
+		w.Until(30*time.Second, func() bool { return w.acts != nil })
+		t["another coordinator acts"] = (w.Now - from).Seconds()
+		if !w.Until(time.Minute, func() bool { return listed }) {
+			r.bad("the lot is not whole a minute after its owner's zone was lost")
+		}
+	})
+}
--- a/rig/scale/world.go
+++ b/rig/scale/world.go
@@ -54,7 +54,8 @@
 	Sends, Reads  int64 // calls of engines and of the list, and bytes of their answers
 	KindsIn       map[string]int64
 	Calls         int64
-	Writes, Bytes int64 // saves to disk, and their bytes
+	Writes, Bytes int64         // saves to disk, and their bytes
+	Turn          time.Duration // processor time of its longest turn
 }
 
 // Host is one hollow machine: a real node without a socket or a disk.
@@ -108,6 +109,9 @@
 	seeds := []string{addrOf(0), addrOf(min(1, s.Nodes-1)), addrOf(min(2, s.Nodes-1))}
 	for i := range s.Nodes {
 		zone := i % s.Zones
+		if i >= s.Stores && i < s.Stores+s.Coords {
+			zone = (i - s.Stores) % s.Zones // beside a store, so that a zone's loss takes both
+		}
 		h := &Host{Name: fmt.Sprintf("node-%d", i), Addr: addrOf(i), Zone: zone, Region: zone % s.Regions, Roles: []string{"dispatcher"}, at: i, world: w,
 			shelf: map[flow.Ref][]byte{}}
 		if i < s.Stores {
@@ -255,7 +259,9 @@
 	}
 	was := threadTime()
 	h.out = h.Node.Advance(h.clock(), 1_700_000_000_000+h.world.Now.Milliseconds(), h.in)
-	h.Spent.CPU += threadTime() - was
+	was = threadTime() - was
+	h.Spent.CPU += was
+	h.Spent.Turn = max(h.Spent.Turn, was)
 	h.in = nil
 }
 
