--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -35,7 +35,7 @@
 	keep, drill                bool
 	rev                        int
 	spread                     []spread
-	axis, out                  string
+	axis, out, slopes          string
 	whole                      bool
 	nodes, engines             int
 }
@@ -81,6 +81,7 @@
 		s.Int(&o.runs, "", "runs", "how many fleets a drill goes through")
 		s.String(&o.axis, "", "axis", "only this size of a scale is varied")
 		s.String(&o.out, "", "out", "folder for a scale's slopes as JSON and its plots")
+		s.String(&o.slopes, "", "slopes", "folder of a scale's kept slopes: what each role would spend at full size")
 		s.Bool(&o.whole, "", "whole", "one hollow fleet of --nodes and --engines instead of slopes")
 		s.Int(&o.nodes, "", "nodes", "hollow nodes of a whole scale")
 		s.Int(&o.engines, "", "engines", "hollow engines of a whole scale")
@@ -209,7 +210,7 @@
 }
 
 func runScale(o *opts) error {
-	return scale.Run(scale.Props{Axis: o.axis, Whole: o.whole, Nodes: o.nodes, Engines: o.engines, Folder: o.out, Out: os.Stdout, Notes: os.Stderr})
+	return scale.Run(scale.Props{Axis: o.axis, Whole: o.whole, Nodes: o.nodes, Engines: o.engines, From: o.slopes, Folder: o.out, Out: os.Stdout, Notes: os.Stderr})
 }
 
 func sweep(o *opts) error {
--- a/rig/scale/report.go
+++ b/rig/scale/report.go
@@ -23,6 +23,7 @@
 	Whole   bool   // one fleet of Nodes and Engines through changes and losses
 	Nodes   int
 	Engines int
+	From    string // a folder of kept slopes: what each role would spend at full size
 	Folder  string // for slopes as JSON and plots; none where it is empty
 	Out     io.Writer
 	Notes   io.Writer
@@ -74,6 +75,13 @@
 	if p.Whole {
 		return whole(p)
 	}
+	if p.From != "" {
+		s, err := Load(p.From)
+		if err != nil {
+			return err
+		}
+		return Forecast(p.Out, s, Wanted)
+	}
 	var all []Slope
 	known := false
 	tell := func(s string) { fmt.Fprintln(p.Notes, s) }
--- a/rig/scale/scale_test.go
+++ b/rig/scale/scale_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"math"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
+
+	"github.com/pkg/errors"
 )
 
 // Given points on a known line, when they are fitted, then the line comes back;
@@ -38,3 +43,83 @@
 		t.Errorf("the lot is not listed: %v %v", d, more)
 	}
 }
+
+// Given points on a square, when they are fitted, then the square is told.
+func TestSquare(t *testing.T) {
+	f := Line([]Point{{10, 203}, {20, 803}, {40, 3203}, {80, 12803}})
+	if f.Power != 2 || math.Abs(f.Slope-2) > 1e-9 || math.Abs(f.Base-3) > 1e-6 || math.Abs(f.At(840)-(2*840*840+3)) > 1 {
+		t.Errorf("%+v", f)
+	}
+}
+
+// Given sizes beyond the machine, when a run is asked for, then it says what it
+// would need and starts nothing.
+func TestBeyondTheMachine(t *testing.T) {
+	var out strings.Builder
+	err := Run(Props{Whole: true, Nodes: 84_000, Engines: 10_000_000, Out: &out, Notes: &out})
+	var b Beyond
+	if !errors.As(err, &b) || b.Need <= b.Have || !strings.Contains(err.Error(), "nothing was started") {
+		t.Errorf("%v", err)
+	}
+	if out.Len() > 0 {
+		t.Errorf("it began: %s", out.String())
+	}
+	for _, p := range []Props{{Whole: true, Nodes: 3, Engines: 100}, {Whole: true, Nodes: 840, Engines: 0}, {Axis: "no such"}} {
+		p.Out, p.Notes = &out, &out
+		if err := Run(p); err == nil || out.Len() > 0 {
+			t.Errorf("%+v: %v, %s", p, err, out.String())
+		}
+	}
+}
+
+// Given a small whole fleet, when it goes through changes and losses, then
+// nothing is found and every phase has its figures.
+func TestSmallWhole(t *testing.T) {
+	var out strings.Builder
+	rep := Take(WholeSize(48, 240), &out)
+	if len(rep.Bad) > 0 {
+		t.Error(rep.Bad)
+	}
+	if len(rep.Phases) != 7 {
+		t.Fatalf("%d phases", len(rep.Phases))
+	}
+	for _, p := range rep.Phases {
+		if p.Seconds <= 0 || p.Bytes == 0 || p.Roles["dispatcher"]["cpu_ms"] <= 0 {
+			t.Errorf("%+v", p)
+		}
+	}
+	last := rep.Phases[6].Times
+	if last["the lot is whole"] <= 0 || last["(nodes lost)"] < 2 || last["(engines lost)"] != 10 {
+		t.Errorf("%v", last)
+	}
+}
+
+// Given one axis, when it is measured and kept, then its slopes read back and
+// every cost of the page's table names a slope that an axis has.
+func TestAxisIsKept(t *testing.T) {
+	a := Axes[1]
+	a.Values = []float64{50, 100, 150, 200}
+	s, err := a.Measure(func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	folder := t.TempDir()
+	if err := keep(folder, s); err != nil {
+		t.Fatal(err)
+	}
+	if b, err := os.ReadFile(filepath.Join(folder, "engines.json")); err != nil || !strings.Contains(string(b), "heap a node") {
+		t.Errorf("%v", err)
+	}
+	if _, err := os.Stat(filepath.Join(folder, "engines-fleet-heap-a-node.svg")); err != nil {
+		t.Error(err)
+	}
+	names := map[string]bool{}
+	for _, n := range axisNames() {
+		names[n] = true
+	}
+	for _, r := range rows {
+		if axis, _, _ := strings.Cut(r.key, "/"); !names[axis] {
+			t.Errorf("%s: no such axis", r.key)
+		}
+	}
+}
