--- a/rig/scale/forecast.go
+++ b/rig/scale/forecast.go
@@ -22,6 +22,8 @@
 	Routes                                   float64 // of a configuration; taken
 	Text                                     float64 // bytes of an item's text; taken: four a token
 	Voters                                   float64 // taken
+
+	told, sent float64 // copies of a changed configuration to a node, and by the leader, in the runs
 }
 
 // Wanted is the users' plan for two years.
@@ -78,38 +80,44 @@
 	how             string
 }
 
-// rate is a slope times a size; valueAt is the line's value at a size.
+// rate is the slope of a plain line times a size.
 func rate(of func(Full) float64) func(Fit, Full) float64 {
-	return func(s Fit, f Full) float64 { return s.Slope * of(f) }
+	return func(s Fit, f Full) float64 { return line(s.Points, 1).Slope * of(f) }
 }
 
+// valueAt is the line's value at a size.
 func valueAt(of func(Full) float64) func(Fit, Full) float64 {
 	return func(s Fit, f Full) float64 { return s.At(of(f)) }
 }
 
+// grown is what a size adds, so many times a second.
+func grown(size, often func(Full) float64) func(Fit, Full) float64 {
+	return func(s Fit, f Full) float64 { return (s.At(size(f)) - s.Base) * often(f) }
+}
+
 func nodesOf(f Full) float64   { return f.Nodes }
 func enginesOf(f Full) float64 { return f.Engines }
 
-// changeRate is how many routes a node hears of, a second; runs show one to two
-// copies for each change (two at a change alone), so the slope of one is halved.
-func changeRate(f Full) float64   { return f.Routes * f.Changes / day / 2 }
-func listRate(f Full) float64     { return f.Engines * f.ListChanges() / 2 }
-func rollRate(f Full) float64     { return f.Engines / f.Roll }
+// changeRate is how many routes a node hears of, a second, each once: how often a
+// run tells them to a node depends on how its renewals lie.
+func changeRate(f Full) float64   { return f.Routes * f.Changes / day / f.told }
+func leaderRoutes(f Full) float64 { return f.Routes * f.Changes / day * f.Nodes / f.sent }
+func listRate(f Full) float64     { return f.ListChanges() / 2 } // the run has two changes
+func rollRate(f Full) float64     { return 1 / f.Roll }
 func requestRate(f Full) float64  { return f.Requests / f.Nodes }
-func leaderRoutes(f Full) float64 { return changeRate(f) * f.Nodes / 9 } // the run had nine that hear of plans
 
 // rows are the costs of each role, in the order of the page.
 var rows = []row{
 	{"node", "gossip, out", "nodes/dispatcher/out.gossip", "bytes/s", valueAt(nodesOf), "x nodes"},
 	{"node", "gossip, in", "nodes/dispatcher/in.gossip", "bytes/s", valueAt(nodesOf), "x nodes"},
 	{"node", "renewals' answers, in", "nodes/dispatcher/in.told", "bytes/s", valueAt(nodesOf), "x nodes"},
-	{"node", "changed configurations, in", "routes/dispatcher/in.told", "bytes/s", rate(changeRate), "x routes x changes a second, one copy"},
-	{"node", "the list, in", "list-change/dispatcher/in.fleet", "bytes/s", rate(listRate), "x engines x changes of the list a second"},
-	{"node", "weights, in", "weights/dispatcher/in.fleet", "bytes/s", rate(rollRate), "x engines, each roll-out"},
+	{"node", "changed configurations, in", "routes/dispatcher/in.told", "bytes/s", rate(changeRate), "x routes x changes a second, each once"},
+	{"node", "the list, in", "list-change/dispatcher/in.fleet", "bytes/s", grown(enginesOf, listRate), "x engines x changes of the list a second"},
+	{"node", "weights, in", "weights/dispatcher/in.fleet", "bytes/s", grown(enginesOf, rollRate), "x engines, each roll-out"},
 	{"node", "gossip, renewals and ticks", "nodes/dispatcher/cpu_ms", "ms/s", valueAt(nodesOf), "x nodes"},
 	{"node", "changed configurations", "routes/dispatcher/cpu_ms", "ms/s", rate(changeRate), "x routes x changes a second"},
-	{"node", "the list", "list-change/dispatcher/cpu_ms", "ms/s", rate(listRate), "x engines x changes of the list a second"},
-	{"node", "weights", "weights/dispatcher/cpu_ms", "ms/s", rate(rollRate), "x engines, each roll-out"},
+	{"node", "the list", "list-change/dispatcher/cpu_ms", "ms/s", grown(enginesOf, listRate), "x engines x changes of the list a second"},
+	{"node", "weights", "weights/dispatcher/cpu_ms", "ms/s", grown(enginesOf, rollRate), "x engines, each roll-out"},
 	{"node", "callers' requests (not control)", "requests/lot owner/cpu_ms", "ms/s", rate(requestRate), "x requests a second at a node"},
 	{"node", "callers' requests, choice of an engine (not control)", "pool/lot owner/cpu_ms", "ms/s",
 		func(s Fit, f Full) float64 { return s.Slope / 100 * f.Engines / f.Trainers * requestRate(f) }, "x engines of a pool x requests a second"},
@@ -117,8 +125,8 @@
 	{"node", "heap for engines", "engines/fleet/heap a node", "bytes", rate(enginesOf), "x engines"},
 	{"node", "heap for routes", "routes/fleet/heap a node", "bytes", rate(func(f Full) float64 { return f.Routes }), "x routes"},
 
-	{"store leader", "answers to renewals, out", "nodes/store leader/out.told", "bytes/s", valueAt(nodesOf), "x nodes, squared"},
-	{"store leader", "gossip, in", "nodes/store leader/in.gossip", "bytes/s", valueAt(nodesOf), "x nodes, squared"},
+	{"store leader", "answers to renewals, out", "nodes/store leader/out.told", "bytes/s", valueAt(nodesOf), "x nodes"},
+	{"store leader", "gossip, in", "nodes/store leader/in.gossip", "bytes/s", valueAt(nodesOf), "x nodes"},
 	{"store leader", "changed configurations, out", "routes/store leader/out.told", "bytes/s", rate(leaderRoutes), "x routes x changes a second x nodes"},
 	{"store leader", "items, out to followers", "voters/store leader/out.raft", "bytes/s",
 		func(s Fit, f Full) float64 { return s.Slope / 512 * f.ItemRate() * (f.Voters - 1) }, "x items a second x followers, texts of 256 bytes"},
@@ -126,7 +134,7 @@
 		func(s Fit, f Full) float64 {
 			return s.Slope / 512 / 2 * (f.Text - 256) * f.ItemRate() * (f.Voters - 1)
 		}, "x further bytes of text x items a second x followers"},
-	{"store leader", "renewals and gossip", "nodes/store leader/cpu_ms", "ms/s", valueAt(nodesOf), "x nodes, squared"},
+	{"store leader", "renewals and gossip", "nodes/store leader/cpu_ms", "ms/s", valueAt(nodesOf), "x nodes"},
 	{"store leader", "changed configurations", "routes/store leader/cpu_ms", "ms/s", rate(leaderRoutes), "x routes x changes a second x nodes"},
 	{"store leader", "items", "items/store leader/cpu_ms", "ms/s", rate(Full.ItemRate), "x items a second"},
 	{"store leader", "items' texts", "text/store leader/cpu_ms", "ms/s",
@@ -134,8 +142,8 @@
 	{"store leader", "heap for items kept an hour", "things/store/bytes in memory, an item of a kept lot, listed", "bytes",
 		func(s Fit, f Full) float64 { return s.Slope * f.ItemRate() * 3600 }, "x items of an hour"},
 
-	{"store follower", "gossip, in", "nodes/store follower/in.gossip", "bytes/s", valueAt(nodesOf), "x nodes, squared"},
-	{"store follower", "gossip", "nodes/store follower/cpu_ms", "ms/s", valueAt(nodesOf), "x nodes, squared"},
+	{"store follower", "gossip, in", "nodes/store follower/in.gossip", "bytes/s", valueAt(nodesOf), "x nodes"},
+	{"store follower", "gossip", "nodes/store follower/cpu_ms", "ms/s", valueAt(nodesOf), "x nodes"},
 	{"store follower", "items", "items/store follower/cpu_ms", "ms/s", rate(Full.ItemRate), "x items a second"},
 	{"store follower", "items, to disk", "items/store follower/disk_bytes", "bytes/s", rate(Full.ItemRate), "x items a second, texts of 256 bytes"},
 	{"store follower", "items' texts, to disk", "text/store follower/disk_bytes", "bytes/s",
@@ -143,11 +151,11 @@
 
 	{"coordinator", "the list, read", "engines/coordinator/list_bytes", "bytes/s", valueAt(enginesOf), "x engines"},
 	{"coordinator", "the list, out", "list-change/coordinator/out.fleet", "bytes/s",
-		func(s Fit, f Full) float64 { return s.Slope / 8 * f.Nodes * listRate(f) }, "x engines x nodes x changes of the list a second"},
+		func(s Fit, f Full) float64 { return s.Slope / 8 * f.Nodes * f.Engines * listRate(f) }, "x engines x nodes x changes of the list a second"},
 	{"coordinator", "weights, out", "weights/coordinator/out.fleet", "bytes/s",
-		func(s Fit, f Full) float64 { return s.Slope / 8 * f.Nodes * rollRate(f) }, "x engines x nodes, each roll-out"},
+		func(s Fit, f Full) float64 { return s.Slope / 8 * f.Nodes * f.Engines * rollRate(f) }, "x engines x nodes, each roll-out"},
 	{"coordinator", "reading the list", "engines/coordinator/cpu_ms", "ms/s", valueAt(enginesOf), "x engines"},
-	{"coordinator", "a roll-out, ms in all", "weights/coordinator/cpu_ms", "ms", valueAt(enginesOf), "x engines, squared, 12 nodes"},
+	{"coordinator", "a roll-out, ms in all", "weights/coordinator/cpu_ms", "ms", valueAt(enginesOf), "x engines, 12 nodes"},
 
 	{"lot owner", "items", "items/lot owner/cpu_ms", "ms/s", rate(func(f Full) float64 { return f.Items / f.Step }), "x items a second of one trainer"},
 	{"lot owner", "events of items", "events/lot owner/cpu_ms", "ms/s",
@@ -158,6 +166,8 @@
 
 // Forecast writes what each role would spend at a size, from kept slopes.
 func Forecast(to io.Writer, s Slopes, f Full) error {
+	f.told = line(s["routes/dispatcher/in.told"].Points, 1).Slope / s["routes/fleet/bytes of the configuration"].Slope
+	f.sent = line(s["routes/store leader/out.told"].Points, 1).Slope / s["routes/fleet/bytes of the configuration"].Slope
 	fmt.Fprintf(to, "| role | cost | slope (axis/role/what) | R2 | how often | at full size |\n|---|---|---|---|---|---|\n")
 	for _, r := range rows {
 		fit, ok := s[r.key]
