--- a/rig/scale/report.go
+++ b/rig/scale/report.go
@@ -231,6 +231,6 @@
 		return errors.Wrap(err, "scale")
 	}
 	p.Add(plotter.NewGrid(), line, dots)
-	name := strings.NewReplacer(" ", "-", ".", "-", "_", "-", "'", "").Replace(s.Axis + "-" + s.Role + "-" + s.What)
+	name := strings.NewReplacer(",", "", " ", "-", ".", "-", "_", "-", "'", "").Replace(s.Axis + "-" + s.Role + "-" + s.What)
 	return errors.Wrap(p.Save(12*vg.Centimeter, 8*vg.Centimeter, filepath.Join(folder, name+".svg")), "scale")
 }
