Entries on their way to a member are bounded in bytes; fewer members stand by

A pulse has no entries now, 2 MiB are on their way at most, and one learner a bearable loss stands by; the story of voters counts members by that rule.

--- a/core/ask/ask.go
+++ b/core/ask/ask.go
@@ -45,6 +45,9 @@
 	to    string // where the last try went
 }
 
+// perByte is what a large question may need on its way before it is asked again.
+const perByte = budget.Ask / (512 << 10)
+
 // Asker holds one node's open asks.
 type Asker struct {
 	next   uint64
@@ -130,7 +133,7 @@
 		if o.sent < 0 {
 			o.sent = now
 		}
-		o.again, o.to = now+budget.Ask, to
+		o.again, o.to = now+budget.Ask+flow.Time(len(o.ask.Body))*perByte, to
 		out.Line(to, "ask", o.ask)
 	}
 }
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -27,6 +27,7 @@
 
 type progress struct {
 	match, next uint64
+	flight      int // bytes of entries sent on trust and not acknowledged
 	round       uint64
 	heard       flow.Time
 }
@@ -577,13 +578,19 @@
 	p.heard = r.now
 	p.round = max(p.round, m.Round)
 	if m.OK {
+		for i := max(p.match, r.base.Index) + 1; i <= min(m.Index, r.last()); i++ {
+			p.flight -= len(r.log[i-r.base.Index-1].Data)
+		}
 		p.match = max(p.match, m.Index)
 		p.next = max(p.next, p.match+1)
 	} else {
 		if m.Unsure {
 			p.match = min(p.match, m.Hint) // what it had acknowledged is gone
 		}
-		p.next = max(p.match+1, min(p.next, m.Hint+1))
+		p.next, p.flight = max(p.match+1, min(p.next, m.Hint+1)), 0
+	}
+	if p.flight < 0 || p.next == p.match+1 {
+		p.flight = 0
 	}
 	if p.next <= r.last() {
 		r.feed(m.From, false)
@@ -594,6 +601,9 @@
 const (
 	most      = 64
 	mostBytes = 1 << 20
+	// So many bytes of entries are on their way to one member at most: what a slow
+	// way can't carry yet would only fill this member's memory.
+	window = 2 << 20
 )
 
 func (r *Raft) feed(id string, beat bool) {
@@ -613,25 +623,27 @@
 		}
 		return
 	}
-	if p.next > r.last() && !beat {
-		return
+	if !beat && (p.next > r.last() || p.flight >= window) {
+		return // what is left follows the next answer
 	}
 	from := p.next - r.base.Index - 1
 	to := min(from+most, uint64(len(r.log)))
 	size := 0
-	if quiet {
-		to = from // entries would only pile up on the way to somebody who is not there
+	if beat {
+		to = from // a pulse has no entries: whoever lacks some says so
 	}
 	for i := from; i < to; i++ {
-		if size += len(r.log[i].Data); size > mostBytes && i > from {
+		n := len(r.log[i].Data)
+		if size+n > mostBytes && i > from {
 			to = i // a line has a longest, and the rest follows
+			break
 		}
+		size += n
 	}
 	add := append([]flow.Entry(nil), r.log[from:to]...)
 	r.send(id, Msg{Kind: "app", Term: r.hard.Term, Index: prev, LogTerm: t, Commit: r.commit, Round: r.round, Add: add})
-	if !beat {
-		p.next += uint64(len(add)) // sent on trust; a refusal moves it back
-	}
+	p.next += uint64(len(add)) // sent on trust; a refusal moves it back
+	p.flight += size
 }
 
 func (r *Raft) lead() {
@@ -678,7 +690,7 @@
 		r.pulse = r.now + r.beat
 		for _, m := range r.conf.Members {
 			if p := r.peers[m.ID]; p != nil && p.next > p.match+1 && r.now-p.heard > 2*r.beat {
-				p.next = p.match + 1 // nothing heard of what was sent on trust
+				p.next, p.flight = p.match+1, 0 // nothing heard of what was sent on trust
 			}
 			r.feed(m.ID, true)
 		}
--- a/core/store/repair.go
+++ b/core/store/repair.go
@@ -63,8 +63,16 @@
 // takeIn makes every store machine that speaks up and is no member a learner,
 // but not one that was retired. One that was taken out for its silence a moment
 // ago may still be spoken of by others.
-func (s *Store) takeIn(_ flow.Time, c raft.Conf, live []gossip.Entry) (raft.Conf, string) {
-	if len(c.Members) >= mostMembers {
+func (s *Store) takeIn(now flow.Time, c raft.Conf, live []gossip.Entry) (raft.Conf, string) {
+	heard := 0
+	for _, m := range c.Members {
+		if m.ID == s.p.ID || s.raft.Silent(m.ID, now) < budget.Lost {
+			heard++
+		}
+	}
+	// One stands by for each voter that may be lost; each more would be one more
+	// copy of all that is written.
+	if wants := max(want(c), s.p.Want); len(c.Members) >= mostMembers || heard >= wants+(wants-1)/2 {
 		return c, ""
 	}
 	for _, e := range live {
