--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -5,6 +5,7 @@
 import (
 	"math/rand"
 	"slices"
+	"strconv"
 
 	"fernlink/core/budget"
 	"fernlink/core/flow"
@@ -21,12 +22,35 @@
 	Web     string   `json:"web"`
 	Area    string   `json:"area"`
 	Roles   []string `json:"roles"`
+	Cpu     int      `json:"cpu,omitempty"` // thousandths of a core that its machine gives it, 0 where unknown
 	Cluster string   `json:"cluster,omitempty"`
 	Blank   bool     `json:"blank,omitempty"` // a store machine with an empty disk
 	Left    bool     `json:"left,omitempty"`  // it is stopping: nobody counts on it
 	Sees    []string `json:"sees,omitempty"`  // blank stores it hears, by address
 }
 
+// Start names this very start of the process.
+func (e Entry) Start() string { return e.ID + "." + strconv.FormatInt(e.Inc, 16) }
+
+// Able gives the dispatchers among live entries that do not stop and whose
+// machines are not much smaller than the largest: work that one process does for
+// many goes to them.
+func Able(live []Entry) []Entry {
+	most := 0
+	for _, e := range live {
+		if e.Has("dispatcher") && !e.Left {
+			most = max(most, e.Cpu)
+		}
+	}
+	var out []Entry
+	for _, e := range live {
+		if e.Has("dispatcher") && !e.Left && 2*e.Cpu >= most {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // Has says whether the process runs a role.
 func (e Entry) Has(role string) bool { return slices.Contains(e.Roles, role) }
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -24,6 +24,7 @@
 type Props struct {
 	ID         string
 	Name       string // the machine's, by which operators call it
+	Cpu        int    // thousandths of a core that the machine gives, 0 where unknown
 	Inc        int64
 	Addr       string
 	Web        string
@@ -86,7 +87,7 @@
 func New(now flow.Time, p Props) (*Node, error) {
 	n := &Node{p: p, counts: map[string]int64{}, burst: map[string]flow.Time{}, began: now, known: p.Known}
 	r := func() *rand.Rand { p.Seed++; return rand.New(rand.NewSource(p.Seed * 7919)) }
-	self := gossip.Entry{ID: p.ID, Name: p.Name, Inc: p.Inc, Addr: p.Addr, Web: p.Web, Area: p.Area, Roles: p.Roles}
+	self := gossip.Entry{ID: p.ID, Name: p.Name, Cpu: p.Cpu, Inc: p.Inc, Addr: p.Addr, Web: p.Web, Area: p.Area, Roles: p.Roles}
 	n.gossip = gossip.New(gossip.Props{Self: self, Known: p.Known, Seeds: p.Seeds, Rand: r()})
 	n.asker = ask.New(uint64(p.Inc) << 20)
 	if n.runs("store") {
@@ -96,7 +97,7 @@
 		}
 		n.store = s
 	}
-	me := serve.Name(p.ID, p.Inc)
+	me := self.Start()
 	var heard func(flow.Time, ledger.Delta, uint64, *api.Plan)
 	if n.runs("dispatcher") && p.Tongue != nil {
 		n.serve = serve.New(serve.Props{Debug: p.Debug, ID: me, Zone: p.Area, Tongue: *p.Tongue, Asker: n.asker, Rand: r(), IDs: n.idsOf("serve"), Keep: p.LotKeep,
@@ -204,7 +205,7 @@
 		n.coord.Advance(now, n.Cluster(), out)
 	}
 	if n.serve != nil {
-		n.serve.Advance(now, live, out)
+		n.serve.Advance(now, append(live[:len(live):len(live)], n.gossip.Self()), out)
 	}
 	n.gossip.Advance(now, out)
 }
--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"strconv"
 	"time"
 
@@ -9,7 +10,9 @@
 	"fernlink/core/budget"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
+	"fernlink/core/gossip"
 	"fernlink/core/ledger"
+	"fernlink/core/prefix"
 	"fernlink/core/serve/env"
 	"fernlink/core/serve/route"
 	"fernlink/core/sorted"
@@ -34,9 +37,7 @@
 		return
 	}
 	doc.Host, doc.Path, doc.Route, doc.Pool = c.Host, c.Path, r.Name, r.Pool
-	if doc.Owner = t.last[r.Pool]; doc.Owner == "" || t.addr(doc.Owner) == "" {
-		doc.Owner = t.env.Me
-	}
+	doc.Owner = t.ownerOf(r.Pool, doc.Model)
 	doc.Single, doc.Tries, doc.WaitMS, doc.DueMS, doc.KeepMS = r.Single, r.Tries, int64(r.WaitMS), int64(r.DueMS), keep.Milliseconds()
 	came := t.env.Now
 	t.putting[c.ID] = true
@@ -70,6 +71,52 @@
 	})
 }
 
+// slotsEach is how many slots of engines one core of an owner can serve; a pool
+// that has more is shared out by model.
+const slotsEach = 200
+
+// ownerOf picks who runs a new lot: whoever ran the pool's last one, this node
+// itself, or another where its machine is too small.
+func (t *Table) ownerOf(pool, model string) string {
+	able := gossip.Able(t.live())
+	slots, most := 0, 0
+	for _, e := range t.engines.Pool(pool) {
+		slots += e.Slots
+	}
+	for _, e := range able {
+		most = max(most, e.Cpu)
+	}
+	key := pool
+	if slots*1000 > most*slotsEach && most > 0 {
+		key += "/" + model
+	}
+	best, weight := t.env.Me, uint64(0)
+	for _, e := range able {
+		id := e.Start()
+		if id == t.last[key] {
+			return id
+		}
+		w := prefix.Weight(key, id)
+		if id == t.env.Me && key == pool {
+			w = math.MaxUint64 // it has the items already
+		}
+		if w > weight {
+			best, weight = id, w
+		}
+	}
+	return best
+}
+
+// addr is where a dispatcher that is alive and does not stop is, or "".
+func (t *Table) addr(owner string) string {
+	for _, e := range t.live() {
+		if !e.Left && e.Has("dispatcher") && e.Start() == owner {
+			return e.Addr
+		}
+	}
+	return ""
+}
+
 // hand gives a lot that was just committed to its owner.
 func (t *Table) hand(doc ledger.LotDoc, age flow.Time) {
 	if doc.Owner == t.env.Me {
--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -10,6 +10,7 @@
 
 	"fernlink/core/budget"
 	"fernlink/core/flow"
+	"fernlink/core/gossip"
 	"fernlink/core/ledger"
 	"fernlink/core/serve/engines"
 	"fernlink/core/serve/env"
@@ -22,11 +23,11 @@
 	env     *env.Env
 	engines *engines.Table
 	routes  func() *route.Table
-	addr    func(owner string) string // of a live dispatcher that does not stop, or ""
+	live    func() []gossip.Entry
 	rows    map[string]*lot
 	asked   map[string]bool      // lots whose items are being fetched
 	wanted  map[string]flow.Time // lots that fell to this node, and when to fetch them
-	last    map[string]string    // pool, who owned its newest lot
+	last    map[string]string    // pool, and pool and model, who owned the newest lot
 	paces   map[string]*pace     // by route
 	share   map[string]int       // slots of each engine in use, by pool, where that is bounded
 	shelf   shelf                // texts of items that may come again
@@ -36,8 +37,8 @@
 }
 
 // New makes an empty table.
-func New(e *env.Env, t *engines.Table, routes func() *route.Table, addr func(string) string) *Table {
-	return &Table{env: e, engines: t, routes: routes, addr: addr, rows: map[string]*lot{}, asked: map[string]bool{}, wanted: map[string]flow.Time{}, last: map[string]string{}, paces: map[string]*pace{}, shelf: shelf{},
+func New(e *env.Env, t *engines.Table, routes func() *route.Table, live func() []gossip.Entry) *Table {
+	return &Table{env: e, engines: t, routes: routes, live: live, rows: map[string]*lot{}, asked: map[string]bool{}, wanted: map[string]flow.Time{}, last: map[string]string{}, paces: map[string]*pace{}, shelf: shelf{},
 		readers: map[uint64]*reader{}, putting: map[uint64]bool{}}
 }
 
@@ -190,7 +191,7 @@
 func (t *Table) Heard(rows []ledger.LotRow) {
 	for _, r := range rows {
 		if r.Pool != "" {
-			t.last[r.Pool] = r.Owner
+			t.last[r.Pool], t.last[r.Pool+"/"+r.Model] = r.Owner, r.Owner
 		}
 		switch {
 		case r.Ended || r.Owner != t.env.Me:
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -6,7 +6,6 @@
 import (
 	"encoding/json"
 	"math/rand"
-	"strconv"
 	"time"
 
 	"fernlink/api"
@@ -60,7 +59,7 @@
 		Counts: map[string]int64{}, Fresh: p.Fresh, Debug: p.Debug}}
 	s.engines = engines.New(s.env)
 	s.requests = requests.New(s.env, s.engines)
-	s.lots = lots.New(s.env, s.engines, func() *route.Table { return s.routes }, s.addr)
+	s.lots = lots.New(s.env, s.engines, func() *route.Table { return s.routes }, func() []gossip.Entry { return s.live })
 	s.fleet = fleet.New(s.env, s.engines, p.Acting)
 	s.roll = rollout.New(s.env, s.engines, s.fleet, p.Acting)
 	return s
@@ -181,20 +180,6 @@
 // backIn is when a caller may come back to a node that knows no plan yet.
 const backIn = 200 * time.Millisecond
 
-// addr is where a dispatcher that is alive and does not stop is, by the name of
-// its start, or "".
-func (s *Serve) addr(owner string) string {
-	for _, e := range s.live {
-		if !e.Left && e.Has("dispatcher") && Name(e.ID, e.Inc) == owner {
-			return e.Addr
-		}
-	}
-	return ""
-}
-
-// Name names one start of a process.
-func Name(id string, inc int64) string { return id + "." + strconv.FormatInt(inc, 16) }
-
 // request takes a caller's request. That there is no route is only said under a
 // tenure: a node that may be behind says when to come back.
 func (s *Serve) request(c flow.Call) {
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -10,6 +10,7 @@
 	"fernlink/api"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
+	"fernlink/core/gossip"
 	"fernlink/core/ledger"
 	"fernlink/core/serve/route"
 )
@@ -384,9 +385,9 @@
 		w.want(w.led.Apply(w.index, c).Code == 200, "moved")
 		w.renew(nil)
 	}
-	own("me", "other")
+	own("me.0", "other")
 	w.want(len(w.llm()) == 0, "its runs are cut")
-	own("other", "me")
+	own("other", "me.0")
 	w.pass(50 * time.Millisecond)
 	w.want(len(w.llm()) == 0, "the node that took it has a moment to hand it over")
 	w.pass(250 * time.Millisecond)
@@ -586,3 +587,24 @@
 	}
 	w.want(len(w.llm()) == 8, "all when time is short: %d", len(w.llm()))
 }
+
+// A node whose machine is small hands the lots that it takes to one that is large
+// enough, and a large one keeps them; the next lot of the pool goes the same way.
+func TestLotsGoToMachinesThatAreLargeEnough(t *testing.T) {
+	for _, c := range []struct{ me, other, handed int }{{64, 400, 1}, {400, 64, 0}, {400, 400, 0}} {
+		w := two(t)
+		w.cpu = c.me
+		w.others = []gossip.Entry{{ID: "big", Addr: "big", Roles: []string{"dispatcher"}, Cpu: c.other}}
+		w.turn(10 * time.Millisecond)
+		w.lines = nil
+		_, r := w.lot(1, 2, 1)
+		w.want(r.Code == 202, "accepted: %+v", r)
+		n := 0
+		for _, l := range w.lines {
+			if l.Kind == "lot.hand" && l.To == "big" {
+				n++
+			}
+		}
+		w.want(n == c.handed && (len(w.llm()) == 0) == (c.handed == 1), "%+v: handed %d, sent %d", c, n, len(w.llm()))
+	}
+}
--- a/core/serve/world_test.go
+++ b/core/serve/world_test.go
@@ -30,8 +30,11 @@
 	have   uint64
 	fresh  bool
 	acting bool
-	silent bool      // the store answers nothing
-	known  *api.Plan // what a store without a leader gives
+	silent bool           // the store answers nothing
+	others []gossip.Entry // other live dispatchers
+	cpu    int
+	lines  []flow.Line // what was said to other nodes
+	known  *api.Plan   // what a store without a leader gives
 	seats  []dialect.Seat
 
 	sends   map[uint64]flow.Send
@@ -66,7 +69,7 @@
 	w := &world{t: t, asker: ask.New(0), led: ledger.New(), shelf: map[flow.Ref][]byte{}, fresh: true, now: time.Second,
 		sends: map[uint64]flow.Send{}, cuts: map[uint64]bool{}}
 	ids := uint64(0)
-	w.s = New(Props{ID: "me", Zone: "a", Tongue: words(), Asker: w.asker, Rand: rand.New(rand.NewSource(1)), Keep: time.Minute,
+	w.s = New(Props{ID: "me.0", Zone: "a", Tongue: words(), Asker: w.asker, Rand: rand.New(rand.NewSource(1)), Keep: time.Minute,
 		IDs:    func() uint64 { ids++; return ids },
 		Fresh:  func() bool { return w.fresh },
 		Acting: func() (uint64, flow.Time, bool) { return 7, w.now + time.Second, w.acting }})
@@ -78,7 +81,7 @@
 func (w *world) turn(d flow.Time) {
 	w.now += d
 	var out flow.Outbox
-	w.s.Advance(w.now, []gossip.Entry{{Addr: "me", Roles: []string{"dispatcher"}}}, &out)
+	w.s.Advance(w.now, append(w.others, gossip.Entry{ID: "me", Addr: "me", Roles: []string{"dispatcher"}, Cpu: w.cpu}), &out)
 	w.take(&out)
 }
 
@@ -112,6 +115,7 @@
 		w.replies = append(w.replies, out.Replies...)
 		out.Replies = nil
 		w.s.Bind(w.now, out)
+		w.lines = append(w.lines, lines...)
 		for _, l := range lines {
 			if l.Kind == "ask" && !w.silent {
 				var a ask.Ask
--- a/core/store/owners.go
+++ b/core/store/owners.go
@@ -5,6 +5,7 @@
 
 	"fernlink/core/budget"
 	"fernlink/core/flow"
+	"fernlink/core/gossip"
 	"fernlink/core/ledger"
 	"fernlink/core/prefix"
 	"fernlink/core/raft"
@@ -14,7 +15,11 @@
 // owners gives each lot whose owner is lost, or left, another (design 8.7). A
 // leader that is new may not have heard the owner yet, and waits; whoever lost
 // its place has no tenure any more by then (design 5.2).
-func (s *Store) owners(now flow.Time) {
+func (s *Store) owners(now flow.Time, live []gossip.Entry) {
+	s.able = map[string]bool{}
+	for _, e := range gossip.Able(live) {
+		s.able[e.Start()] = true
+	}
 	if now < s.owned || s.raft.Role() != raft.Leader || !s.raft.Ready() || s.timed != s.raft.Term() {
 		return
 	}
@@ -60,7 +65,7 @@
 	next, most := "", uint64(0)
 	for _, id := range sorted.Keys(s.seen) {
 		x := s.seen[id]
-		if id == r.Owner || x.left || now-x.at > budget.Tenure {
+		if id == r.Owner || x.left || now-x.at > budget.Tenure || len(s.able) > 0 && !s.able[id] {
 			continue
 		}
 		// The lots of a pool keep together, so that one place knows its engines.
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -103,6 +103,7 @@
 	bounded   uint64               // the term in which the bounds were looked at
 	ear       ear                  // of the acting coordinator
 	earOf     uint64               // its term
+	able      map[string]bool      // dispatchers on machines that are large enough
 	freed     uint64               // the term whose holder gave it up
 	moved     flow.Time            // when leadership is handed on next
 	orphan    flow.Time            // when lost claims are looked for next
@@ -448,7 +449,7 @@
 		out.Save = append(out.Save, s.raft.Advance(now).Saves...)
 	}
 	s.orphans(now)
-	s.owners(now)
+	s.owners(now, append(live[:len(live):len(live)], self))
 	if s.raft.Ready() && s.timed != s.raft.Term() {
 		// Only now is all that was committed before in the ledger.
 		s.timed, s.stamp, s.lead = s.raft.Term(), s.ledger.Clock, now
--- a/rig/scale/things.go
+++ b/rig/scale/things.go
@@ -72,7 +72,7 @@
 		return []any{&p, route.New(1, &p)}
 	}},
 	{"lot owner", "bytes in memory, an item that is not listed", []float64{2048, 4096, 8192, 16384}, func(n int) any {
-		t := lots.New(&env.Env{Counts: map[string]int64{}, Tongue: platform.Tongue("10.255.0.1:80")}, nil, func() *route.Table { return nil }, func(string) string { return "" })
+		t := lots.New(&env.Env{Counts: map[string]int64{}, Tongue: platform.Tongue("10.255.0.1:80")}, nil, func() *route.Table { return nil }, func() []gossip.Entry { return nil })
 		doc, err := platform.Tongue("10.255.0.1:80").ReadLot("lot", lotBody("lot", n))
 		if err != nil {
 			panic(err)
