--- a/sim/serve_site.go
+++ b/sim/serve_site.go
@@ -120,7 +120,7 @@
 	for _, p := range []struct {
 		pool string
 		n    int
-	}{{"app", shape.Apps}, {"other", shape.Others}, {"llm", shape.Models}} {
+	}{{"app", shape.Apps}, {"other", shape.Others}, {"llm", shape.Models - shape.Models/3}, {"llm2", shape.Models / 3}} {
 		for i := 0; i < p.n; i++ {
 			s.AddEngine(p.pool, zone(i), "")
 		}
