--- a/sim/serve_client.go
+++ b/sim/serve_client.go
@@ -207,7 +207,7 @@
 
 func (s *Site) cutByEngine(t *siteTry) bool {
 	for _, r := range s.runs[t.id] {
-		if r.broke || r.engine.Dark || r.engine.Slow > 1 {
+		if r.broke || r.engine.Dark {
 			return true
 		}
 	}
--- a/sim/serve_story_test.go
+++ b/sim/serve_story_test.go
@@ -185,6 +185,47 @@
 	s.over(t)
 }
 
+// Given long texts under way, when versions are named, then they finish first,
+// and none goes on with memory made under another version.
+func TestSiteRunsFinishFirst(t *testing.T) {
+	t.Parallel()
+	s := site(t, 16, LittleSite)
+	for _, e := range append(s.Pool("llm"), s.Pool("llm2")...) {
+		e.Slow = 6
+	}
+	before := s.Count["loads"]
+	s.w.Run(15 * time.Second)
+	if s.Count["loads"] < before+4 {
+		t.Errorf("only %d loads", s.Count["loads"]-before)
+	}
+	s.over(t)
+}
+
+// Given a machine that is cut off, when a route is added that it can't know of,
+// then it says when to come back, and not that there is none.
+func TestSiteBehind(t *testing.T) {
+	t.Parallel()
+	s := site(t, 17, LittleSite)
+	h := s.w.Host("edge-4")
+	s.Cut([]*Host{h}, s.others(h), true, 20*time.Second)
+	s.w.Run(4 * time.Second)
+	c := s.Configure(s.Newest().Rev, func(list []siteRoute) []siteRoute {
+		return append(slices.Clone(list), siteRoute{"new", siteName, "/new/", "idempotent", []string{"app"}, false})
+	}, s.Bounds.Ack, nil)
+	s.w.Run(3 * time.Second)
+	if c.State != cfgTaken {
+		t.Fatalf("the configuration is %s", c.State)
+	}
+	a := &siteAsk{zone: "a", route: c.Routes[len(c.Routes)-1], late: s.w.Now + time.Second}
+	x := s.try(a, h)
+	s.w.Run(500 * time.Millisecond)
+	if x.code != 503 {
+		t.Errorf("a machine that is cut off answers %d on a new route", x.code)
+	}
+	s.w.Run(16 * time.Second)
+	s.over(t)
+}
+
 // Given pools that are released, when engines drain one after the other, then
 // no machine sends to one that it should know to be gone.
 func TestSiteRelease(t *testing.T) {
@@ -203,7 +244,11 @@
 func TestSiteStopsInTurn(t *testing.T) {
 	t.Parallel()
 	s := site(t, 10, LittleSite)
-	s.hurt = map[*Host]time.Duration{}
+	for _, p := range []string{"app", "llm", "llm2"} {
+		for _, e := range s.Pool(p) {
+			e.Slow = 3
+		}
+	}
 	from := s.w.Now
 	s.Roll(s.Dispatchers(), 3*time.Second)
 	s.w.Run(30 * time.Second)
