--- a/sim/serve_config.go
+++ b/sim/serve_config.go
@@ -183,6 +183,9 @@
 			return
 		default:
 			c.unclear = true
+			if c.Valid && max(s.coreBad+s.Bounds.Contact, s.linkBad) < c.sent {
+				s.wrong("ACK", "the configuration %d, sent at %v, has no answer while the core is settled", c.Rev, c.sent)
+			}
 		}
 		if then != nil {
 			then(c)
@@ -235,6 +238,23 @@
 	}
 }
 
+// proper says whether every configuration that may be in force for a request has
+// a route for it.
+func (s *Site) proper(t *siteTry) bool {
+	least := 0
+	for _, c := range s.Configs {
+		if c.State == cfgTaken && c.Acked <= t.sent-s.Bounds.Apply {
+			least = max(least, c.Rev)
+		}
+	}
+	for _, c := range s.Configs {
+		if c.State != cfgRefused && c.Rev >= least && c.find(t.host, t.path) == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // handled checks what a machine did with a request against what may be in force.
 // Without a pool, it said that there is no route.
 func (s *Site) handled(t *siteTry, pool string) {
--- a/sim/serve_faults.go
+++ b/sim/serve_faults.go
@@ -271,17 +271,17 @@
 // SiteFaults are the troubles of a site, as its sheet names them.
 var SiteFaults = []siteFault{
 	{"kill a core machine", func(s *Site, r *rand.Rand) bool {
-		return s.onCore(r, func(h *Host) { s.Kill(h, false, false, s.seconds(r, 0.5, 6)) })
+		return s.onCore(r, func(h *Host) { s.Kill(h, false, false, s.seconds(r, 0.5, 12)) })
 	}},
 	{"power of a core machine", func(s *Site, r *rand.Rand) bool {
-		return s.onCore(r, func(h *Host) { s.Kill(h, true, false, s.seconds(r, 0.5, 6)) })
+		return s.onCore(r, func(h *Host) { s.Kill(h, true, false, s.seconds(r, 0.5, 12)) })
 	}},
 	{"wipe a core machine", func(s *Site, r *rand.Rand) bool {
-		return s.onCore(r, func(h *Host) { s.Kill(h, true, true, s.seconds(r, 0.5, 6)) })
+		return s.onCore(r, func(h *Host) { s.Kill(h, true, true, s.seconds(r, 0.5, 12)) })
 	}},
 	{"replace a core machine", func(s *Site, r *rand.Rand) bool { return s.onCore(r, func(h *Host) { s.Replace(h) }) }},
 	{"freeze a core machine", func(s *Site, r *rand.Rand) bool {
-		return s.onCore(r, func(h *Host) { s.Freeze(h, s.seconds(r, 0.3, 6)) })
+		return s.onCore(r, func(h *Host) { s.Freeze(h, s.seconds(r, 0.3, 10)) })
 	}},
 	{"cut a core machine off", func(s *Site, r *rand.Rand) bool {
 		return s.onCore(r, func(h *Host) { s.Cut([]*Host{h}, s.others(h), true, s.seconds(r, 2, 18)) })
@@ -341,10 +341,10 @@
 		return true
 	}},
 	{"kill an edge machine", func(s *Site, r *rand.Rand) bool {
-		return s.onEdge(r, func(h *Host) { s.Kill(h, false, false, s.seconds(r, 0.5, 6)) })
+		return s.onEdge(r, func(h *Host) { s.Kill(h, false, false, s.seconds(r, 0.5, 12)) })
 	}},
 	{"freeze an edge machine", func(s *Site, r *rand.Rand) bool {
-		return s.onEdge(r, func(h *Host) { s.Freeze(h, s.seconds(r, 0.3, 6)) })
+		return s.onEdge(r, func(h *Host) { s.Freeze(h, s.seconds(r, 0.3, 10)) })
 	}},
 	{"cut an edge machine from the core", func(s *Site, r *rand.Rand) bool {
 		return s.onEdge(r, func(h *Host) { s.Cut([]*Host{h}, s.Core(), r.Intn(2) == 0, s.seconds(r, 2, 18)) })
--- a/sim/serve_site.go
+++ b/sim/serve_site.go
@@ -73,7 +73,7 @@
 	fails   map[string]int          // failures of items
 	holding map[*Host]bool          // it is in trouble that lasts
 	coreBad time.Duration
-	coreMin time.Duration // since when more than half of the core is connected
+	linkBad time.Duration // when a link was last in trouble
 
 	names   int
 	runs    map[string][]*siteRun // by the request's id
@@ -207,6 +207,9 @@
 	if 2*len(most) <= len(s.Core()) {
 		s.coreBad = s.w.Now
 	}
+	if len(s.w.Net.cut) > 0 || s.w.Net.Late+s.w.Net.Twice > 0 {
+		s.linkBad = s.w.Now
+	}
 	for _, h := range s.w.Hosts {
 		ok := h.works() && !s.holding[h]
 		for _, c := range most {
