A new leader moves lots when every earlier tenure is over, 1.5 s after it leads

Cause: it waited for 2 s, the silence that takes an owner it has heard for lost. Ruled out: less than a tenure; an owner that lives might lose lots it may still run.

--- a/core/store/owners.go
+++ b/core/store/owners.go
@@ -14,15 +14,15 @@
 )
 
 // owners gives each lot whose owner is lost, or left, another (design 8.7). A
-// leader that is new may not have heard the owner yet, and waits; whoever lost
-// its place has no tenure any more by then (design 5.2). An earlier start of a node
-// that renews is over, whoever heard it.
+// leader that is new may not have heard the owner yet, and waits until every
+// tenure from before its term is over (design 5.2). An earlier start of a node that
+// renews is over, whoever heard it.
 func (s *Store) owners(now flow.Time) {
 	if now < s.owned || s.raft.Role() != raft.Leader || !s.raft.Ready() || s.timed != s.raft.Term() {
 		return
 	}
 	s.owned = now + budget.Beat
-	led := now-s.raft.Since() >= budget.Lost
+	led := now-s.raft.Since() >= budget.Tenure
 	rows := s.ledger.LotRows()
 	if len(s.lots) > len(rows) {
 		for id := range s.lots {
--- a/sim/lot_test.go
+++ b/sim/lot_test.go
@@ -258,3 +258,23 @@
 	l.Start()
 	s.end()
 }
+
+// Given a leader that is lost together with an owner of lots, when another leads,
+// then the lots move as soon as no tenure from before can stand.
+func TestLotsOfAnOwnerThatNoLeaderHears(t *testing.T) {
+	t.Parallel()
+	s := given(t, 423)
+	a, b := s.outsider("a", 1), s.outsider("b", 2)
+	s.w.Run(2 * time.Second)
+	s.then(a.tell("lot.put", lotOf("lot", "a", 10), nil) == 200, "a lot is taken")
+	a.mute = true
+	l := s.w.Leader()
+	l.Kill()
+	s.then(s.w.Until(budget.Heal, func() bool { x := s.w.Leader(); return x != nil && x != l }), "another leads")
+	from := s.w.Now
+	s.then(s.w.Until(budget.Heal, func() bool { o := b.lots["lot"].Owner; return o != "" && o != "a" }), "it moves: %v", b.lots)
+	took := s.w.Now - from
+	s.then(took >= budget.Tenure-budget.Beat && took < budget.Lost, "in time: %v", took)
+	l.Start()
+	s.end()
+}
