--- a/core/disp/disp.go
+++ b/core/disp/disp.go
@@ -188,7 +188,7 @@
 			d.out.Note("disp", "plan in force", "version", d.version)
 		}
 	}
-	if !slices.Equal(d.roster, x.Roster) {
+	if len(x.Open) > 0 && !slices.Equal(d.roster, x.Roster) {
 		d.roster, d.rosters = x.Roster, d.rosters+1
 	}
 	d.index, d.coord = x.Index, x.Coord
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -66,7 +66,8 @@
 	round   uint64
 	reads   []read
 	due     flow.Time
-	pulse   flow.Time
+	pulse   flow.Time // when the next pulse is due
+	pulsed  flow.Time // when the last one went out
 	heard   flow.Time
 	quorum  flow.Time
 	since   flow.Time
@@ -249,7 +250,8 @@
 	if !r.Ready() {
 		return false
 	}
-	r.pulse = r.now // the next round goes out with this Advance
+	// The next round goes out soon; one proves all reads that came before it.
+	r.pulse = min(r.pulse, max(r.now, r.pulsed+r.beat/10))
 	r.reads = append(r.reads, read{token, r.round + 1, r.commit})
 	return true
 }
@@ -687,7 +689,7 @@
 	}
 	if r.now >= r.pulse {
 		r.round++
-		r.pulse = r.now + r.beat
+		r.pulse, r.pulsed = r.now+r.beat, r.now
 		for _, m := range r.conf.Members {
 			if p := r.peers[m.ID]; p != nil && p.next > p.match+1 && r.now-p.heard > 2*r.beat {
 				p.next, p.flight = p.match+1, 0 // nothing heard of what was sent on trust
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -578,8 +578,8 @@
 		if now-x.at > 2*budget.Tenure {
 			delete(s.seen, id)
 		}
-		if now-x.at > budget.Tenure || x.left {
-			continue
+		if now-x.at > budget.Tenure || x.left || len(d.Open) == 0 {
+			continue // only steps are shared out by the roster
 		}
 		d.Roster = append(d.Roster, id)
 	}
