--- a/core/serve/requests/streams.go
+++ b/core/serve/requests/streams.go
@@ -98,7 +98,7 @@
 func (t *Table) closed(q *Request, x *try, b flow.Back) {
 	s := q.stream
 	s.open = nil
-	if b.Err == "" {
+	if b.Err == "" && b.Code < 300 {
 		t.finish(q)
 		t.env.Counts["passed"]++
 		if t.env.Debug {
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -608,3 +608,16 @@
 		w.want(n == c.handed && (len(w.llm()) == 0) == (c.handed == 1), "%+v: handed %d, sent %d", c, n, len(w.llm()))
 	}
 }
+
+// A stream that was open and then ends as a failure is not complete.
+func TestAFailureAfterTheHeadIsNoCleanEnd(t *testing.T) {
+	w := two(t)
+	id := w.ask("h", "/s/x", 5000)
+	x := w.llm()[0]
+	w.head(x, 1)
+	w.event(x, 0, "a")
+	w.end(x, 504, "deadline")
+	w.want(w.reply(id).More && !w.reply(id).Cut, "not ended: %+v", w.reply(id))
+	y := w.llm()
+	w.want(len(y) == 1 && flow.Get(y[0].Fields, "Last-Event-Id") == "0", "it goes on elsewhere")
+}
