--- a/sim/serve_faults.go
+++ b/sim/serve_faults.go
@@ -105,7 +105,10 @@
 func (s *Site) Add(roles []string, zone string, disk bool) *Host {
 	n := len(s.w.Hosts)
 	p := node.Props{Addr: siteHost(n) + ":7000", Web: siteHost(n) + ":7001", Area: zone, Seeds: s.w.Hosts[0].Props.Seeds, Keep: 256, Want: 3, Tongue: &s.tongue, LotKeep: 2 * time.Minute, Roles: roles}
-	p.Name = fmt.Sprintf("more-%d", n)
+	p.Name, p.Cpu = fmt.Sprintf("more-%d", n), s.Shape.EdgeCpu
+	if disk {
+		p.Cpu = s.Shape.CoreCpu
+	}
 	h := s.w.AddHost(p.Name, p, disk)
 	h.Start()
 	s.Touch(h)
--- a/sim/serve_site.go
+++ b/sim/serve_site.go
@@ -34,12 +34,13 @@
 	Load                        time.Duration
 	Single                      bool // one version a text
 	Fenced                      bool // engines check fences
+	CoreCpu, EdgeCpu            int  // thousandths of a core
 }
 
 // Sites that stories use: a quick one and one of a deployment's size.
 var (
-	LittleSite = SiteShape{Zones: []string{"a", "b", "c"}, Core: 3, Edge: 1, Reserve: 1, Apps: 2, Others: 2, Models: 4, Slots: 4, Memory: 20000, Load: 400 * time.Millisecond, Single: true, Fenced: true}
-	FourZones  = SiteShape{Zones: []string{"a", "b", "c", "d"}, Core: 4, Edge: 4, Reserve: 2, Apps: 2, Others: 2, Models: 6, Slots: 6, Memory: 40000, Load: 250 * time.Millisecond, Single: true, Fenced: true}
+	LittleSite = SiteShape{Zones: []string{"a", "b", "c"}, Core: 3, Edge: 1, Reserve: 1, Apps: 2, Others: 2, Models: 4, Slots: 4, Memory: 20000, Load: 400 * time.Millisecond, Single: true, Fenced: true, CoreCpu: 720, EdgeCpu: 300}
+	FourZones  = SiteShape{Zones: []string{"a", "b", "c", "d"}, Core: 4, Edge: 4, Reserve: 2, Apps: 2, Others: 2, Models: 6, Slots: 6, Memory: 40000, Load: 250 * time.Millisecond, Single: true, Fenced: true, CoreCpu: 656, EdgeCpu: 400}
 )
 
 // listAt is where the platform keeps its list.
@@ -135,9 +136,10 @@
 	for i := 0; i < n; i++ {
 		p := node.Props{Addr: siteHost(i) + ":7000", Web: siteHost(i) + ":7001", Area: zone(i), Seeds: seeds, Keep: 256, Want: 3, Tongue: &s.tongue, LotKeep: 2 * time.Minute, First: true}
 		name, disk := fmt.Sprintf("edge-%d", i+1), false
+		p.Cpu = shape.EdgeCpu
 		switch {
 		case i < shape.Core:
-			name, disk = fmt.Sprintf("core-%d", i+1), true
+			name, disk, p.Cpu = fmt.Sprintf("core-%d", i+1), true, shape.CoreCpu
 			p.Roles = []string{"dispatcher", "store", "coordinator"}
 			if i < len(form) {
 				p.Form = form
--- a/sim/serve_story_test.go
+++ b/sim/serve_story_test.go
@@ -115,8 +115,8 @@
 func TestSiteEndedLotsStop(t *testing.T) {
 	t.Parallel()
 	s := site(t, 14, LittleSite)
-	for _, e := range s.Pool("llm") {
-		e.Slow = 12
+	for _, e := range append(s.Pool("llm"), s.Pool("llm2")...) {
+		e.Slow = 30
 	}
 	s.w.Run(25 * time.Second)
 	s.wantCount(t, "steps missed")
