--- a/core/store/store.go
+++ b/core/store/store.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"math/rand"
+	"slices"
 	"sort"
 
 	"fernlink/core/ask"
@@ -403,8 +404,10 @@
 	}
 }
 
-// Left says that this store leads no more.
-func (s *Store) Left() bool { return s.raft.Role() != raft.Leader }
+// Left says that this store leads no more, or that nobody else could.
+func (s *Store) Left() bool {
+	return s.raft.Role() != raft.Leader || !slices.ContainsFunc(s.raft.Conf().Members, func(m raft.Member) bool { return m.Voter && m.ID != s.p.ID })
+}
 
 // Advance runs the store's systems.
 func (s *Store) Advance(now flow.Time, wall int64, live []gossip.Entry, self gossip.Entry, out *flow.Outbox) {
--- a/sim/stop_test.go
+++ b/sim/stop_test.go
@@ -223,3 +223,18 @@
 	s.then(!p.Paused && len(p.Waiting)+len(p.Ordered) == 0, "and nothing is left: %+v", p)
 	s.end()
 }
+
+// Given the only store of a small fleet, when it is asked to stop, then it does
+// not wait for another to take over, for there is none.
+func TestCleanStopOfTheOnlyStore(t *testing.T) {
+	t.Parallel()
+	s := givenShape(t, 232, Shape{Areas: []string{"a"}, Stores: 1, Merged: true, Models: 2, Apps: 1, Keep: 256})
+	h := s.w.Leader()
+	from := s.w.Now
+	h.Stop()
+	s.then(s.w.Until(2*budget.Stop, func() bool { return !h.Up }), "it is gone")
+	s.then(s.w.Now-from < budget.Stop/2, "soon: %v", s.w.Now-from)
+	h.Start()
+	s.then(s.w.Until(budget.Heal, func() bool { return s.w.Serving() && s.w.Acting() != nil }), "it comes back")
+	s.end()
+}
