--- a/core/node/node.go
+++ b/core/node/node.go
@@ -404,6 +404,9 @@
 			var a disp.Ack
 			if n.disp != nil && n.parse(l, &a) {
 				n.disp.Acked(a)
+				if n.serve != nil {
+					n.serve.Acked(a)
+				}
 			}
 		},
 		"handed": func(n *Node, _ flow.Time, _ int64, l flow.Line, _ *flow.Outbox) {
@@ -418,10 +421,13 @@
 				n.coord.Lookup(now, l.Addr, q, out)
 			}
 		},
-		"looked": func(n *Node, now flow.Time, _ int64, l flow.Line, _ *flow.Outbox) {
+		"looked": func(n *Node, now flow.Time, _ int64, l flow.Line, out *flow.Outbox) {
 			var q disp.Looked
 			if n.disp != nil && n.parse(l, &q) {
 				n.disp.Looked(now, q)
+				if n.serve != nil {
+					n.serve.Looked(now, q, out)
+				}
 			}
 		},
 	}
--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -14,6 +14,7 @@
 	"fernlink/core/ledger"
 	"fernlink/core/serve/engines"
 	"fernlink/core/serve/env"
+	"fernlink/core/serve/prefixes"
 	"fernlink/core/serve/route"
 	"fernlink/core/sorted"
 )
@@ -24,6 +25,7 @@
 	engines *engines.Table
 	routes  func() *route.Table
 	live    func() []gossip.Entry
+	index   *prefixes.Table
 	rows    map[string]*lot
 	asked   map[string]bool      // lots whose items are being fetched
 	wanted  map[string]flow.Time // lots that fell to this node, and when to fetch them
@@ -37,8 +39,8 @@
 }
 
 // New makes an empty table.
-func New(e *env.Env, t *engines.Table, routes func() *route.Table, live func() []gossip.Entry) *Table {
-	return &Table{env: e, engines: t, routes: routes, live: live, rows: map[string]*lot{}, asked: map[string]bool{}, wanted: map[string]flow.Time{}, last: map[string]string{}, paces: map[string]*pace{}, shelf: shelf{},
+func New(e *env.Env, t *engines.Table, routes func() *route.Table, live func() []gossip.Entry, index *prefixes.Table) *Table {
+	return &Table{env: e, engines: t, routes: routes, live: live, index: index, rows: map[string]*lot{}, asked: map[string]bool{}, wanted: map[string]flow.Time{}, last: map[string]string{}, paces: map[string]*pace{}, shelf: shelf{},
 		readers: map[uint64]*reader{}, putting: map[uint64]bool{}}
 }
 
@@ -61,6 +63,7 @@
 	id    string
 	items []*item
 	home  *engines.Engine // where its prompt was read
+	parts []string        // the shared parts of its prompt
 	left  int             // items that are not finished
 	rank  int             // its place in the lot
 }
@@ -168,7 +171,7 @@
 		}
 		g := at[name]
 		if g == nil {
-			g = &group{id: name, rank: len(l.groups)}
+			g = &group{id: name, rank: len(l.groups), parts: prefixes.Parts(doc.Model, flow.Get(x.Fields, t.env.Tongue.Prompt))}
 			at[name] = g
 			l.groups = append(l.groups, g)
 		}
@@ -181,12 +184,37 @@
 	}
 	l.doc.Items = nil
 	t.rows[doc.ID] = l
+	t.advise(l)
 	t.env.Counts["lots_adopted"]++
 	if t.env.Debug {
 		t.env.Trace("lots", "adopted", "lot", doc.ID, "left", l.left, "age_ms", age.Milliseconds())
 	}
 }
 
+// advise looks for engines that hold the groups' prompts already: by this node's
+// own table, else by the index, whose advice counts for groups that have no place
+// when it comes.
+func (t *Table) advise(l *lot) {
+	r := t.pool(l)
+	if r == nil {
+		return
+	}
+	pool := t.pools(r)
+	for _, g := range l.groups {
+		if g.home = t.index.Local(pool, l.doc.Model, g.parts); g.home != nil {
+			continue
+		}
+		t.index.Ask(l.doc.Model, g.parts, func(hits map[string]int) {
+			most := 0
+			for _, id := range sorted.Keys(hits) {
+				if e := t.engines.Get(id); e != nil && hits[id] > most && g.home == nil {
+					g.home, most = e, hits[id]
+				}
+			}
+		})
+	}
+}
+
 // Heard takes what the ledger says of lots (design 5.2).
 func (t *Table) Heard(rows []ledger.LotRow) {
 	for _, r := range rows {
--- a/core/serve/lots/runs.go
+++ b/core/serve/lots/runs.go
@@ -156,6 +156,9 @@
 		r.gap += (gap - r.gap) / 4
 		r.engine.Took(gap)
 	}
+	if !r.first {
+		t.index.Stored(r.engine, r.item.lot.doc.Model, r.text.now, r.item.group.parts, r.item.lot.doc.Route)
+	}
 	r.first, r.last = true, now
 	r.text.last = id
 	r.text.events = append(r.text.events, data)
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -12,6 +12,7 @@
 	"fernlink/core/ask"
 	"fernlink/core/budget"
 	"fernlink/core/dialect"
+	"fernlink/core/disp"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
 	"fernlink/core/ledger"
@@ -19,6 +20,7 @@
 	"fernlink/core/serve/env"
 	"fernlink/core/serve/fleet"
 	"fernlink/core/serve/lots"
+	"fernlink/core/serve/prefixes"
 	"fernlink/core/serve/requests"
 	"fernlink/core/serve/rollout"
 	"fernlink/core/serve/route"
@@ -43,6 +45,7 @@
 	env      *env.Env
 	routes   *route.Table
 	engines  *engines.Table
+	index    *prefixes.Table
 	requests *requests.Table
 	lots     *lots.Table
 	fleet    *fleet.Fleet
@@ -58,8 +61,9 @@
 	s := &Serve{p: p, open: map[string]bool{}, env: &env.Env{Me: p.ID, Zone: p.Zone, Asker: p.Asker, Rand: p.Rand, Tongue: p.Tongue, IDs: p.IDs,
 		Counts: map[string]int64{}, Fresh: p.Fresh, Debug: p.Debug}}
 	s.engines = engines.New(s.env)
+	s.index = prefixes.New(s.env)
 	s.requests = requests.New(s.env, s.engines)
-	s.lots = lots.New(s.env, s.engines, func() *route.Table { return s.routes }, func() []gossip.Entry { return s.live })
+	s.lots = lots.New(s.env, s.engines, func() *route.Table { return s.routes }, func() []gossip.Entry { return s.live }, s.index)
 	s.fleet = fleet.New(s.env, s.engines, p.Acting)
 	s.roll = rollout.New(s.env, s.engines, s.fleet, p.Acting)
 	return s
@@ -77,6 +81,7 @@
 	s.roll.Advance()
 	s.requests.Advance()
 	s.lots.Advance()
+	s.index.Advance()
 }
 
 // glimpse asks any store for the plan that it knows, while this node has none:
@@ -124,6 +129,7 @@
 	if p != nil {
 		s.adopt(version, p)
 	}
+	s.index.Coord(d.Coord.Term, d.Coord.Addr)
 	for _, t := range d.Targets {
 		s.roll.Target(t.Pool, t.Revision)
 	}
@@ -155,6 +161,14 @@
 	s.lots.Leave()
 }
 
+// Acked and Looked take what the acting coordinator says to events and questions.
+func (s *Serve) Acked(a disp.Ack) { s.index.Acked(a) }
+
+func (s *Serve) Looked(now flow.Time, l disp.Looked, out *flow.Outbox) {
+	s.env.Turn(now, out)
+	s.index.Looked(l)
+}
+
 // Left says that nothing is under way any more.
 func (s *Serve) Left() bool { return s.requests.Len() == 0 && s.lots.Quiet() }
 
