--- a/core/serve/prefixes/prefixes.go
+++ b/core/serve/prefixes/prefixes.go
@@ -46,7 +46,6 @@
 	term  uint64
 	due   flow.Time
 	asks  map[uint64]func(hits map[string]int)
-	next  uint64
 }
 
 // New makes an empty table.
@@ -159,8 +158,7 @@
 	if t.coord == "" || len(parts) == 0 || len(t.asks) >= asksMost {
 		return
 	}
-	t.next++
-	id := t.next<<1 | 1 // odd: steps' questions are even or another's
+	id := t.env.IDs()
 	t.asks[id] = func(hits map[string]int) {
 		out := map[string]int{}
 		for k, n := range hits {
