--- a/sim/serve_storm_test.go
+++ b/sim/serve_storm_test.go
@@ -23,3 +23,12 @@
 	}
 	t.Logf("%v", sum.Risks)
 }
+
+// Given a seed, when its storm is played again, then all happens as before.
+func TestSiteReplays(t *testing.T) {
+	t.Parallel()
+	a, b := SiteStorm(3, 4), SiteStorm(3, 4)
+	if a.Trace != b.Trace {
+		t.Errorf("seed 3 came to %x and to %x", a.Trace, b.Trace)
+	}
+}
