Lots of a silent owner move after 1 s, and are fetched at once; homes follow the route

The place of a group is only used while the route uses its pool: with the index's advice TestSiteLotsFollowTheirRoute saw items at the pool that the route had left.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -29,6 +29,7 @@
 	Ask       = Heal / 24       // how long an ask waits before it is tried elsewhere
 	AskLimit  = Heal / 4        // how long an ask is tried at all
 	OrderSend = Tenure * 2 / 3  // how long a weight order may be on its way
+	Owner     = Tenure * 2 / 3  // silence before the lots of a dispatcher get another owner
 	Take      = 2 * Tenure      // silence before another coordinator may be granted the tenure
 	Stop      = Heal / 2        // how long a clean stop may take, where the props are silent
 	Lookup    = Listed / 25     // what a dispatcher spends on asking the index
--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -29,6 +29,7 @@
 	rows    map[string]*lot
 	asked   map[string]bool      // lots whose items are being fetched
 	wanted  map[string]flow.Time // lots that fell to this node, and when to fetch them
+	others  map[string]bool      // open lots that were another's
 	last    map[string]string    // pool, and pool and model, who owned the newest lot
 	paces   map[string]*pace     // by route
 	share   map[string]int       // slots of each engine in use, by pool, where that is bounded
@@ -40,7 +41,7 @@
 
 // New makes an empty table.
 func New(e *env.Env, t *engines.Table, routes func() *route.Table, live func() []gossip.Entry, index *prefixes.Table) *Table {
-	return &Table{env: e, engines: t, routes: routes, live: live, index: index, rows: map[string]*lot{}, asked: map[string]bool{}, wanted: map[string]flow.Time{}, last: map[string]string{}, paces: map[string]*pace{}, shelf: shelf{},
+	return &Table{env: e, engines: t, routes: routes, live: live, index: index, rows: map[string]*lot{}, asked: map[string]bool{}, wanted: map[string]flow.Time{}, others: map[string]bool{}, last: map[string]string{}, paces: map[string]*pace{}, shelf: shelf{},
 		readers: map[uint64]*reader{}, putting: map[uint64]bool{}}
 }
 
@@ -225,9 +226,16 @@
 		case r.Ended || r.Owner != t.env.Me:
 			delete(t.wanted, r.ID)
 			t.drop(r.ID)
+		case t.rows[r.ID] == nil && t.others[r.ID]:
+			t.fetch(r.ID) // it was another's: nobody hands it over
 		case t.rows[r.ID] == nil:
 			t.wanted[r.ID] = t.env.Now + handTime
 		}
+		if r.Ended {
+			delete(t.others, r.ID)
+		} else if r.Owner != t.env.Me {
+			t.others[r.ID] = true
+		}
 	}
 }
 
--- a/core/serve/lots/place.go
+++ b/core/serve/lots/place.go
@@ -111,7 +111,7 @@
 // seat picks the engine for an item: the one that read its group's prompt while
 // it has room, else the one with the most room for its pace.
 func (t *Table) seat(l *lot, g *group, r *route.Route, from text, not []*engines.Engine) *engines.Engine {
-	if h := g.home; h != nil && !slices.Contains(not, h) && t.fits(l, h, from) && t.free(r, h) > 0 && h.Sound() {
+	if h := g.home; h != nil && r.Uses(h.Pool) && !slices.Contains(not, h) && t.fits(l, h, from) && t.free(r, h) > 0 && h.Sound() {
 		return h
 	}
 	var best *engines.Engine
--- a/core/store/owners.go
+++ b/core/store/owners.go
@@ -15,8 +15,8 @@
 )
 
 // owners gives each lot whose owner is lost, or left, another (design 8.7). A
-// leader that is new may not have heard the owner yet, and waits until every
-// tenure from before its term is over (design 5.2). An earlier start of a node that
+// leader that is new may not have heard the owner yet, and waits for as long as a
+// silent owner is waited for: whoever lives renews several times in it. An earlier start of a node that
 // renews is over, whoever heard it.
 func (s *Store) owners(now flow.Time, live []gossip.Entry) {
 	s.able = map[string]bool{}
@@ -27,7 +27,7 @@
 		return
 	}
 	s.owned = now + budget.Beat
-	led := now-s.raft.Since() >= budget.Tenure
+	led := now-s.raft.Since() >= budget.Owner
 	rows := s.ledger.LotRows()
 	if len(s.lots) > len(rows) {
 		for id := range s.lots {
@@ -39,7 +39,7 @@
 	starts := s.starts(now)
 	for _, r := range rows {
 		x, heard := s.seen[r.Owner]
-		if over := starts.after(r.Owner) || heard && x.left; over || led && (!heard || now-x.at > budget.Lost) {
+		if over := starts.after(r.Owner) || heard && x.left; over || led && (!heard || now-x.at > budget.Owner) {
 			s.move(now, r, over)
 		}
 	}
