--- a/core/coord/coord.go
+++ b/core/coord/coord.go
@@ -153,7 +153,7 @@
 	c.next, c.last = c.now+budget.Renew, c.now
 	if c.term == 0 {
 		kind = "coord.take"
-		c.next = c.now + budget.Take/4
+		c.next = c.now + budget.Take/12
 	}
 	c.p.Asker.Put(c.now, budget.Tenure, kind, body, func(now flow.Time, a ask.Answer) {
 		c.now = now
--- a/core/serve/rollout/rollout.go
+++ b/core/serve/rollout/rollout.go
@@ -61,9 +61,9 @@
 	}
 }
 
-// Lot hears the oldest version that a new lot of a model allows. Engines that
-// the next lot will allow as well need not take each version: each then takes
-// one of so many, in turn, and the others go on serving (design 12.7).
+// Lot hears the oldest version that a new lot of a model allows. Engines of several
+// models that the next lot will allow as well need not take each version: each then
+// takes one of so many, in turn, and the others go on serving (design 12.7).
 func (r *Roll) Lot(model string, least int) {
 	t := r.targets[model]
 	t.slack[t.lots%len(t.slack)] = max(0, t.rev-least)
@@ -131,7 +131,11 @@
 			}
 			continue
 		}
-		if e.Held[model] < least {
+		want := rev
+		if len(e.Models) > 1 {
+			want = least // a load takes slots from the other models
+		}
+		if e.Held[model] < want {
 			behind = append(behind, e)
 		}
 	}
