--- a/rig/scale/axes.go
+++ b/rig/scale/axes.go
@@ -113,7 +113,7 @@
 			w.Run(6 * time.Second)
 			return 6 * time.Second
 		}},
-	{Name: "refill", Unit: "byte of each of 2048 items' texts that a blank store lacks", Values: []float64{512, 1024, 2048, 4096}, Totals: true,
+	{Name: "refill", Unit: "byte of each of 2048 items' texts that a blank store lacks", Values: []float64{2048, 4096, 8192, 16384, 32768}, Totals: true,
 		Base: func(float64) Size { s := small(12, 400); s.Models = 1; return s },
 		Run: func(w *World, x float64, more map[string]float64) time.Duration {
 			w.lot(more, 2048, 4, int(x)/4)
--- /dev/null
+++ b/shell/link/wire_test.go
@@ -0,0 +1,26 @@
+package link
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+
+	"fernlink/core/flow"
+)
+
+// Given a line, when it is packed behind another, then it reads back as it was.
+func TestPackUnpack(t *testing.T) {
+	x := flow.Line{Ver: flow.Version, Cluster: "c", Kind: "k", From: "f", Addr: "a", Body: json.RawMessage(`{"x":[1,"y"]}`)}
+	first, err := Pack(nil, x)
+	if err != nil {
+		t.Fatal(err)
+	}
+	both, err := Pack(first, x)
+	if err != nil || len(both) != 2*len(first) {
+		t.Fatalf("%d bytes after %d: %v", len(both), len(first), err)
+	}
+	got, err := Unpack(both[len(first) : len(both)-1])
+	if err != nil || !reflect.DeepEqual(got, x) {
+		t.Errorf("%+v, %v", got, err)
+	}
+}
