Not ready without a tenure for 3 s; late streams leave nothing at engines

What stories of sites showed: a machine behind a cut went on taking callers whose routes it could not know; a stream past its deadline left its engine at work; an address of another start without a name was asked again every 25 ms. Roll-outs look for engines that are behind every 50 ms, not every turn.

--- a/core/serve/lots/runs.go
+++ b/core/serve/lots/runs.go
@@ -21,6 +21,7 @@
 	began  flow.Time
 	last   flow.Time // the last news of it
 	open   bool      // its head has come
+	bound  bool      // it named the weights that it goes on under
 	first  bool      // an event has come
 	gap    float64   // a smoothed time between its events, in ms
 }
@@ -43,7 +44,7 @@
 		flow.Field{Name: w.TimeLeft, Value: strconv.FormatInt(limit.Milliseconds(), 10)})
 	if from.last >= 0 {
 		fields = append(fields, flow.Field{Name: w.LastEvent, Value: strconv.Itoa(from.last)})
-		if i.lot.doc.Single {
+		if r.bound = i.lot.doc.Single; r.bound {
 			fields = append(fields, flow.Field{Name: w.ExpectWeights, Value: strconv.Itoa(from.made())})
 		}
 	}
@@ -234,7 +235,8 @@
 // moved hears that other weights, or another start, are at an engine. A partial
 // that no engine can go on from is let go.
 func (t *Table) moved(r *run, b flow.Back) {
-	if id := flow.Get(b.Fields, t.env.Tongue.Instance); id != "" && id != r.engine.ID {
+	id := flow.Get(b.Fields, t.env.Tongue.Instance)
+	if id != "" && id != r.engine.ID || id == "" && !r.bound {
 		t.engines.Stale(r.engine)
 		return
 	}
--- a/core/serve/requests/requests.go
+++ b/core/serve/requests/requests.go
@@ -375,6 +375,9 @@
 		return
 	}
 	t.finish(q)
+	if q.stream != nil {
+		t.cutAll(q)
+	}
 	t.env.Counts["late"]++
 	if t.env.Debug {
 		t.trace(q, "late", "tries", q.sends)
@@ -393,9 +396,13 @@
 	if t.env.Debug {
 		t.trace(q, "caller gone")
 	}
-	if q.stream == nil {
-		return
+	if q.stream != nil {
+		t.cutAll(q)
 	}
+}
+
+// cutAll ends what engines do for a request.
+func (t *Table) cutAll(q *Request) {
 	for _, x := range q.tries {
 		x.engine.End()
 		t.env.Cut(x.id)
--- a/core/serve/requests/streams.go
+++ b/core/serve/requests/streams.go
@@ -119,11 +119,7 @@
 // broken ends a stream so that it does not look complete.
 func (t *Table) broken(q *Request) {
 	t.finish(q)
-	for _, x := range q.tries {
-		x.engine.End()
-		t.env.Cut(x.id)
-	}
-	q.tries = nil
+	t.cutAll(q)
 	t.env.Counts["streams_broken"]++
 	if t.env.Debug {
 		t.trace(q, "broken", "last", q.stream.after)
--- a/core/serve/rollout/rollout.go
+++ b/core/serve/rollout/rollout.go
@@ -24,6 +24,7 @@
 	targets map[string]target // by model
 	jobs    map[string]*job
 	term    uint64
+	next    flow.Time // when engines that are behind are looked for next
 }
 
 // job is one order to one engine.
@@ -108,8 +109,11 @@
 			return
 		}
 	}
-	for _, m := range sorted.Keys(r.targets) {
-		r.begin(m, r.targets[m])
+	if r.env.Now >= r.next {
+		r.next = r.env.Now + look/4
+		for _, m := range sorted.Keys(r.targets) {
+			r.begin(m, r.targets[m])
+		}
 	}
 	for _, id := range sorted.Keys(r.jobs) {
 		r.follow(id, r.jobs[id], till)
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -53,7 +53,8 @@
 	live     []gossip.Entry
 	open     map[string]bool // lots that were heard of and are open
 	leaving  bool
-	asking   bool // a store was asked for its plan
+	fresh    flow.Time // when there was a tenure last, or the start
+	asking   bool      // a store was asked for its plan
 }
 
 // New starts without a plan or an engine.
@@ -76,6 +77,9 @@
 func (s *Serve) Advance(now flow.Time, live []gossip.Entry, out *flow.Outbox) {
 	s.env.Turn(now, out)
 	s.live = live
+	if s.fresh == 0 || s.p.Fresh() {
+		s.fresh = now
+	}
 	s.glimpse()
 	s.fleet.Advance(live)
 	s.roll.Advance()
@@ -216,9 +220,10 @@
 	s.requests.Take(c, r)
 }
 
-// ready says whether this node wants callers.
+// ready says whether this node wants callers: not when it has been without a tenure
+// for long, since others may know newer routes, and take lots.
 func (s *Serve) ready(c flow.Call) {
-	if s.leaving || s.routes == nil || !s.fleet.Known() {
+	if s.leaving || s.routes == nil || !s.fleet.Known() || s.env.Now-s.fresh > budget.Engine {
 		s.env.Out.Answer(c.ID, 503, map[string]bool{"ready": false}, nil)
 		return
 	}
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -648,3 +648,38 @@
 	w.prompted("b", "g", "p1", 2)
 	w.want(len(w.at("10.0.1.1:1")) == 0 && len(w.at("10.0.2.1:1")) == 2, "only the new pool")
 }
+
+// A node that is cut off from the stores for long sends callers elsewhere.
+func TestNotReadyWithoutATenureForLong(t *testing.T) {
+	w := two(t)
+	w.want(w.reply(w.call("ready", flow.Call{})).Code == 200, "ready")
+	w.fresh = false
+	w.pass(2900 * time.Millisecond)
+	w.want(w.reply(w.call("ready", flow.Call{})).Code == 200, "still ready after less than 3 s")
+	w.pass(200 * time.Millisecond)
+	w.want(w.reply(w.call("ready", flow.Call{})).Code == 503, "not ready")
+	w.fresh = true
+	w.turn(10 * time.Millisecond)
+	w.want(w.reply(w.call("ready", flow.Call{})).Code == 200, "ready again")
+}
+
+// A stream whose time is over before its first event leaves no engine at work.
+func TestALateStreamLeavesNothingBehind(t *testing.T) {
+	w := two(t)
+	id := w.ask("h", "/s/x", 150)
+	w.pass(200 * time.Millisecond)
+	w.want(w.reply(id).Code == 504 && len(w.llm()) == 0, "%d, %d at engines", w.reply(id).Code, len(w.llm()))
+}
+
+// Where another start answers without its name, it is not asked again at once.
+func TestAnAddressOfAnotherStartRests(t *testing.T) {
+	w := two(t)
+	w.lot(1, 1, 1)
+	x := w.llm()[0]
+	w.end(x, 421, "")
+	w.pass(300 * time.Millisecond)
+	for _, y := range w.llm() {
+		w.want(y.URL != x.URL, "the same address again")
+	}
+	w.want(len(w.llm()) == 1, "elsewhere")
+}
