Seeds that run no store are left out of the first formation

Cause: where all edge machines serve the control side a platform may name one without a disk as a seed; the cluster then never formed. Seen to fail before in TestSeedsThatRunNoStore.

--- a/core/store/members.go
+++ b/core/store/members.go
@@ -27,14 +27,18 @@
 		}
 		at[e.Addr] = e
 	}
-	least := s.p.Form[0]
-	for _, addr := range s.p.Form {
+	form := s.expected(at)
+	if len(form) == 0 {
+		return
+	}
+	least := form[0]
+	for _, addr := range form {
 		e, ok := at[addr]
 		if !ok || !e.Has("store") || !e.Blank {
 			return
 		}
 		least = min(least, addr)
-		for _, other := range s.p.Form {
+		for _, other := range form {
 			if other != addr && !slices.Contains(e.Sees, other) {
 				return
 			}
@@ -52,8 +56,8 @@
 	if now < s.formed {
 		return
 	}
-	c := raft.Conf{Cluster: "c-" + s.p.ID, Want: len(s.p.Form)}
-	for _, addr := range s.p.Form {
+	c := raft.Conf{Cluster: "c-" + s.p.ID, Want: len(form)}
+	for _, addr := range form {
 		e := at[addr]
 		c = c.With(raft.Member{ID: e.ID, Addr: e.Addr, Area: e.Area, Voter: true})
 	}
@@ -62,6 +66,26 @@
 	out.Note("store", "formed a cluster", "cluster", c.Cluster, "voters", len(c.Members))
 }
 
+// expected gives the stores that form the cluster together. At the first start of
+// all the machines that are named may be seeds that run no store: once all are
+// heard, those are left out, by everybody alike.
+func (s *Store) expected(at map[string]gossip.Entry) []string {
+	if !s.p.First {
+		return s.p.Form
+	}
+	var out []string
+	for _, addr := range s.p.Form {
+		e, ok := at[addr]
+		if !ok {
+			return nil
+		}
+		if e.Has("store") {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
 // MemberView is one store machine as operators see it.
 type MemberView struct {
 	raft.Member
--- a/sim/form_test.go
+++ b/sim/form_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -27,3 +28,33 @@
 		t.Errorf("the slowest took %v", worst)
 	}
 }
+
+// Given seeds of which one runs no store, when all machines start for the first
+// time, then the others form the cluster, and it grows to what is wanted.
+func TestSeedsThatRunNoStore(t *testing.T) {
+	t.Parallel()
+	shape := Small
+	shape.Spare = 1
+	w := Prepare(435, shape)
+	stores, others := w.By("store"), w.By("dispatcher")
+	form := []string{stores[0].Props.Addr, stores[1].Props.Addr}
+	for _, h := range others {
+		if !slices.Contains(h.Props.Roles, "store") {
+			form = append(form, h.Props.Addr)
+			break
+		}
+	}
+	if len(form) != 3 {
+		t.Fatal("no dispatcher without a store")
+	}
+	for _, h := range w.Hosts {
+		h.Props.First, h.Props.Want, h.Props.Form = true, 3, nil
+		if h == stores[0] || h == stores[1] {
+			h.Props.Form = form
+		}
+		h.Start()
+	}
+	s := &story{t, w, NewActors(w)}
+	s.then(w.Until(2*budget.Heal, w.Serving), "the fleet serves")
+	s.then(w.Until(budget.Heal, func() bool { return s.voters() == 3 }), "three vote: %v", s.members())
+}
