--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -23,6 +23,10 @@
 	Body    json.RawMessage `json:"b"`
 }
 
+// Entries is the kind of lines that carry entries of the log. They keep their
+// order among themselves, and others may overtake them (design 5.1).
+const Entries = "log"
+
 // Version is the line version this build speaks (design 5.1).
 const Version = 2
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -350,6 +350,12 @@
 	return ""
 }
 
+func raftLine(n *Node, now flow.Time, _ int64, l flow.Line, _ *flow.Outbox) {
+	if n.store != nil && !n.choked() {
+		n.store.Raft(now, l)
+	}
+}
+
 var lines map[string]func(*Node, flow.Time, int64, flow.Line, *flow.Outbox)
 
 func init() {
@@ -360,11 +366,8 @@
 				n.gossip.Take(now, l.Addr, b)
 			}
 		},
-		"raft": func(n *Node, now flow.Time, _ int64, l flow.Line, _ *flow.Outbox) {
-			if n.store != nil && !n.choked() {
-				n.store.Raft(now, l)
-			}
-		},
+		"raft":       raftLine,
+		flow.Entries: raftLine,
 		"ask": func(n *Node, now flow.Time, _ int64, l flow.Line, _ *flow.Outbox) {
 			if n.store != nil && !n.choked() {
 				n.store.Ask(now, l, &n.box)
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -27,7 +27,8 @@
 
 type progress struct {
 	match, next uint64
-	flight      int // bytes of entries sent on trust and not acknowledged
+	flight      int       // bytes of entries sent on trust and not acknowledged
+	moved       flow.Time // when it acknowledged more, or entries were first on their way
 	round       uint64
 	heard       flow.Time
 }
@@ -583,7 +584,9 @@
 		for i := max(p.match, r.base.Index) + 1; i <= min(m.Index, r.last()); i++ {
 			p.flight -= len(r.log[i-r.base.Index-1].Data)
 		}
-		p.match = max(p.match, m.Index)
+		if m.Index > p.match {
+			p.match, p.moved = m.Index, r.now
+		}
 		p.next = max(p.next, p.match+1)
 	} else {
 		if m.Unsure {
@@ -618,6 +621,9 @@
 		return // the next pulse asks where it stands; what it lacks follows its answer
 	}
 	prev := p.next - 1
+	if beat && p.flight > 0 && p.match > 0 {
+		prev = p.match // a pulse may overtake what is on its way
+	}
 	t, ok := r.term(prev)
 	if !ok {
 		if r.digest != nil && beat {
@@ -644,6 +650,9 @@
 	}
 	add := append([]flow.Entry(nil), r.log[from:to]...)
 	r.send(id, Msg{Kind: "app", Term: r.hard.Term, Index: prev, LogTerm: t, Commit: r.commit, Round: r.round, Add: add})
+	if p.flight == 0 {
+		p.moved = r.now
+	}
 	p.next += uint64(len(add)) // sent on trust; a refusal moves it back
 	p.flight += size
 }
@@ -691,7 +700,7 @@
 		r.round++
 		r.pulse, r.pulsed = r.now+r.beat, r.now
 		for _, m := range r.conf.Members {
-			if p := r.peers[m.ID]; p != nil && p.next > p.match+1 && r.now-p.heard > 2*r.beat {
+			if p := r.peers[m.ID]; p != nil && p.next > p.match+1 && (r.now-p.heard > 2*r.beat || r.now-p.moved > 2*r.elect) {
 				p.next, p.flight = p.match+1, 0 // nothing heard of what was sent on trust
 			}
 			r.feed(m.ID, true)
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -426,7 +426,11 @@
 			d.Addr = s.addrs[d.Msg.ToID]
 		}
 		if d.Addr != "" {
-			out.Line(d.Addr, "raft", d.Msg)
+			kind := "raft"
+			if len(d.Msg.Add) > 0 {
+				kind = flow.Entries
+			}
+			out.Line(d.Addr, kind, d.Msg)
 		}
 	}
 	if o.Lost {
--- a/shell/link/link.go
+++ b/shell/link/link.go
@@ -138,6 +138,21 @@
 	}
 }
 
+// bulk is the size from which a line goes by a connection of its own, as entries
+// of the log do, so that pulses and votes don't wait behind it; few may wait.
+const (
+	bulk     = 16 << 10
+	bulkMost = 64
+)
+
+// lane tells the connection that a line goes by, and how many may wait for it.
+func lane(x flow.Line) (key string, room int) {
+	if x.Kind == flow.Entries || len(x.Body) > bulk {
+		return x.To + "#", bulkMost
+	}
+	return x.To, holding
+}
+
 // Send puts a line into its sibling's holding.
 func (l *Link) Send(x flow.Line) {
 	l.mu.Lock()
@@ -145,11 +160,12 @@
 	if l.stop.Err() != nil {
 		return
 	}
-	w := l.out[x.To]
+	key, room := lane(x)
+	w := l.out[key]
 	if w == nil {
 		ctx, quit := context.WithCancel(l.stop)
-		w = &wire{lines: make(chan flow.Line, holding), quit: quit}
-		l.out[x.To] = w
+		w = &wire{lines: make(chan flow.Line, room), quit: quit}
+		l.out[key] = w
 		l.wg.Add(1)
 		go l.speak(ctx, x.To, w)
 		l.forget()
@@ -210,7 +226,7 @@
 		}
 		// Nobody there: what waits is old by the time somebody is.
 		s.rest(ctx)
-		for len(w.lines) > holding/8 {
+		for len(w.lines) > cap(w.lines)/8 {
 			select {
 			case <-w.lines:
 			default:
