--- a/core/node/node.go
+++ b/core/node/node.go
@@ -47,6 +47,7 @@
 	Want       int             // voters wanted, 0 for as many as formed
 	Tongue     *dialect.Tongue // how a platform speaks; nil where none is served
 	Debug      bool            // notes at the debug level are wanted
+	ListRate   float64         // calls a second that the platform's list takes of all nodes
 	LotKeep    flow.Time       // for how long a lot's results stay readable
 }
 
@@ -101,7 +102,8 @@
 	var heard func(flow.Time, ledger.Delta, uint64, *api.Plan)
 	if n.runs("dispatcher") && p.Tongue != nil {
 		n.serve = serve.New(serve.Props{Debug: p.Debug, ID: me, Zone: p.Area, Tongue: *p.Tongue, Asker: n.asker, Rand: r(), IDs: n.idsOf("serve"), Keep: p.LotKeep,
-			Fresh: func() bool { return n.disp.Fresh(n.now) },
+			Fresh:    func() bool { return n.disp.Fresh(n.now) },
+			ListRate: p.ListRate,
 			Acting: func() (uint64, flow.Time, bool) {
 				if n.coord == nil {
 					return 0, 0, false
