--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -201,8 +201,9 @@
 	})
 }
 
-// PageBytes bounds the results in one answer; one more than that comes alone.
-const PageBytes = 900 << 10
+// PageBytes bounds the results in one answer; one more than that comes alone. The
+// leader holds several copies of each page that is on its way, so pages are small.
+const PageBytes = 192 << 10
 
 // readersMost bounds the readers that wait.
 const readersMost = 1024
