--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -638,15 +638,16 @@
 // route's pool: a configuration counts for more than a prefix.
 func TestAPlaceInAPoolThatTheRouteLeftIsNoPlace(t *testing.T) {
 	w := newWorld(t)
-	w.list(seat("m1", "10.0.1.1:1", "llm", 4, "m"), seat("n1", "10.0.2.1:1", "llm2", 4, "m"))
+	w.list(seat("m1", "10.0.1.1:1", "llm", 1, "m"), seat("n1", "10.0.2.1:1", "llm2", 1, "m"))
 	w.renew(plan(samples))
-	w.prompted("a", "g", "p1", 1)
-	w.serveItem(w.at("10.0.1.1:1")[0], 1)
+	w.prompted("a", "g", "p1", 3)
+	w.want(len(w.at("10.0.1.1:1")) == 1, "the first is placed")
 	moved := samples
 	moved.Pool = "llm2"
 	w.renew(plan(moved))
-	w.prompted("b", "g", "p1", 2)
-	w.want(len(w.at("10.0.1.1:1")) == 0 && len(w.at("10.0.2.1:1")) == 2, "only the new pool")
+	w.serveItem(w.at("10.0.1.1:1")[0], 1)
+	w.turn(10 * time.Millisecond)
+	w.want(len(w.at("10.0.1.1:1")) == 0 && len(w.at("10.0.2.1:1")) == 1, "the next goes to the new pool")
 }
 
 // A node that is cut off from the stores for long sends callers elsewhere.
