--- a/core/node/node.go
+++ b/core/node/node.go
@@ -47,7 +47,6 @@
 	Want       int             // voters wanted, 0 for as many as formed
 	Tongue     *dialect.Tongue // how a platform speaks; nil where none is served
 	Debug      bool            // notes at the debug level are wanted
-	ListRate   float64         // calls a second that the platform's list takes of all nodes
 	LotKeep    flow.Time       // for how long a lot's results stay readable
 }
 
@@ -102,8 +101,7 @@
 	var heard func(flow.Time, ledger.Delta, uint64, *api.Plan)
 	if n.runs("dispatcher") && p.Tongue != nil {
 		n.serve = serve.New(serve.Props{Debug: p.Debug, ID: me, Zone: p.Area, Tongue: *p.Tongue, Asker: n.asker, Rand: r(), IDs: n.idsOf("serve"), Keep: p.LotKeep,
-			Fresh:    func() bool { return n.disp.Fresh(n.now) },
-			ListRate: p.ListRate,
+			Fresh: func() bool { return n.disp.Fresh(n.now) },
 			Acting: func() (uint64, flow.Time, bool) {
 				if n.coord == nil {
 					return 0, 0, false
--- a/core/serve/fleet/fleet.go
+++ b/core/serve/fleet/fleet.go
@@ -59,34 +59,14 @@
 	nth     int       // its number
 	again   flow.Time // 0: no page waits
 	slowed  bool      // this reading met the platform's bound on calls
-	rate    float64
-	length  int // pages of the last whole reading
 	rows    []Row
 	told    flow.Time
 	started bool
 }
 
 // New starts without a list.
-// Rate is how many calls a second the platform takes of all nodes together, 0 where
-// that is not known.
-func New(e *env.Env, t *engines.Table, acting Acting, rate float64) *Fleet {
-	return &Fleet{env: e, engines: t, acting: acting, rate: rate}
-}
-
-// pause is how long a node that reads for itself waits before it reads again: while
-// nobody acts all do, and together they must leave half of the platform's rate.
-func (f *Fleet) pause() flow.Time {
-	least := 2 * budget.List
-	if f.rate <= 0 {
-		return least
-	}
-	n := 0
-	for _, e := range f.live {
-		if e.Has("dispatcher") {
-			n++
-		}
-	}
-	return max(least, flow.Time(2*float64(n*max(f.length, 1))/f.rate*float64(time.Second)))
+func New(e *env.Env, t *engines.Table, acting Acting) *Fleet {
+	return &Fleet{env: e, engines: t, acting: acting}
 }
 
 // Known says that a list was read or heard.
@@ -128,7 +108,7 @@
 	f.open, f.pages, f.slowed = true, nil, false
 	f.due = now + budget.List
 	if !acts {
-		f.due = now + f.pause() + flow.Time(f.env.Rand.Int63n(int64(budget.List)))
+		f.due = now + 2*budget.List + flow.Time(f.env.Rand.Int63n(int64(budget.List)))
 	}
 	f.read("", 0)
 }
@@ -188,7 +168,6 @@
 		if f.slowed {
 			f.due = max(f.due, f.env.Now+budget.List)
 		}
-		f.length = n + 1
 		f.took(f.pages)
 	})
 }
--- a/core/serve/list_test.go
+++ b/core/serve/list_test.go
@@ -177,16 +177,3 @@
 		}
 	}
 }
-
-// While nobody acts all nodes read the list, and keep to half of its rate together.
-func TestNodesThatReadAloneShareTheRate(t *testing.T) {
-	w := newWorld(t)
-	for n := range 15 {
-		w.others = append(w.others, gossip.Entry{ID: fmt.Sprint("o", n), Addr: fmt.Sprint("o", n), Roles: []string{"dispatcher"}})
-	}
-	w.turn(10 * time.Millisecond)
-	before := w.s.env.Counts["list_calls"]
-	w.pass(30 * time.Second)
-	n := w.s.env.Counts["list_calls"] - before
-	w.want(n >= 3 && n <= 5, "sixteen nodes at four a second: %d reads in 30 s", n)
-}
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -37,7 +37,6 @@
 	Fresh    func() bool  // the view of the ledger is under a tenure
 	Debug    bool         // trace notes are wanted
 	Acting   fleet.Acting // of this node's coordinator
-	ListRate float64      // calls a second that the platform's list takes of all nodes, 0 where unknown
 }
 
 // Serve is the serving side of one node.
@@ -66,7 +65,7 @@
 	s.index = prefixes.New(s.env)
 	s.requests = requests.New(s.env, s.engines)
 	s.lots = lots.New(s.env, s.engines, func() *route.Table { return s.routes }, func() []gossip.Entry { return s.live }, s.index)
-	s.fleet = fleet.New(s.env, s.engines, p.Acting, p.ListRate)
+	s.fleet = fleet.New(s.env, s.engines, p.Acting)
 	s.roll = rollout.New(s.env, s.engines, s.fleet, p.Acting)
 	return s
 }
--- a/core/serve/world_test.go
+++ b/core/serve/world_test.go
@@ -69,7 +69,7 @@
 	w := &world{t: t, asker: ask.New(0), led: ledger.New(), shelf: map[flow.Ref][]byte{}, fresh: true, now: time.Second,
 		sends: map[uint64]flow.Send{}, cuts: map[uint64]bool{}}
 	ids := uint64(0)
-	w.s = New(Props{ID: "me.0", Zone: "a", Tongue: words(), Asker: w.asker, Rand: rand.New(rand.NewSource(1)), Keep: time.Minute, ListRate: 4,
+	w.s = New(Props{ID: "me.0", Zone: "a", Tongue: words(), Asker: w.asker, Rand: rand.New(rand.NewSource(1)), Keep: time.Minute,
 		IDs:    func() uint64 { ids++; return ids },
 		Fresh:  func() bool { return w.fresh },
 		Acting: func() (uint64, flow.Time, bool) { return 7, w.now + time.Second, w.acting }})
