--- a/core/serve/fleet/fleet.go
+++ b/core/serve/fleet/fleet.go
@@ -60,7 +60,6 @@
 	again   flow.Time // 0: no page waits
 	slowed  bool      // this reading met the platform's bound on calls
 	rows    []Row
-	told    flow.Time
 	started bool
 }
 
--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -56,7 +56,6 @@
 	flight  int                // how many of them a listing under way has
 	flushed flow.Time          // when the last listing was asked for
 	left    int                // items that are not finished
-	sizes   []float64          // tokens of whole texts
 }
 
 // group is the items of one prompt.
@@ -66,7 +65,6 @@
 	home  *engines.Engine // where its prompt was read
 	parts []string        // the shared parts of its prompt
 	left  int             // items that are not finished
-	rank  int             // its place in the lot
 }
 
 // Item states.
@@ -172,7 +170,7 @@
 		}
 		g := at[name]
 		if g == nil {
-			g = &group{id: name, rank: len(l.groups), parts: prefixes.Parts(doc.Model, flow.Get(x.Fields, t.env.Tongue.Prompt))}
+			g = &group{id: name, parts: prefixes.Parts(doc.Model, flow.Get(x.Fields, t.env.Tongue.Prompt))}
 			at[name] = g
 			l.groups = append(l.groups, g)
 		}
