--- a/shell/link/speak_test.go
+++ b/shell/link/speak_test.go
@@ -60,14 +60,14 @@
 	return b.I
 }
 
-// Given two siblings, when many short and some long lines are sent, then they
+// Given two peers, when many short and some long lines are sent, then they
 // come in order and unchanged.
 func TestInOrder(t *testing.T) {
 	got := make(chan flow.Line, 1024)
 	there := opened(t, "127.0.0.1:0", lines(got))
 	here := opened(t, "127.0.0.1:0", lines(nil))
-	to := there.ear.Addr().String()
-	for i := range holding / 2 {
+	to := there.socket.Addr().String()
+	for i := range queueSize / 2 {
 		x := line(to, i, strings.Repeat("x", i%50*1000))
 		here.Send(x)
 		if i%10 == 0 {
@@ -86,18 +86,18 @@
 // Given many lines that wait, when they are sent at once, then they come in
 // order, over one connection.
 func TestOneConnection(t *testing.T) {
-	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ear.Close()
+	defer socket.Close()
 	here := opened(t, "127.0.0.1:0", lines(nil))
-	to := ear.Addr().String()
-	const many = holding / 2
+	to := socket.Addr().String()
+	const many = queueSize / 2
 	for i := range many {
 		here.Send(line(to, i, "x"))
 	}
-	c, err := ear.Accept()
+	c, err := socket.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -113,18 +113,18 @@
 	}
 }
 
-// Given a sibling that closes each connection after a line, when more is sent,
+// Given a peer that closes each connection after a line, when more is sent,
 // then each line finds its way over the next connection, and none is lost.
 func TestClosedIsSeen(t *testing.T) {
-	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ear.Close()
+	defer socket.Close()
 	got := make(chan string, 8)
 	go func() {
 		for {
-			c, err := ear.Accept()
+			c, err := socket.Accept()
 			if err != nil {
 				return
 			}
@@ -135,46 +135,46 @@
 	}()
 	here := opened(t, "127.0.0.1:0", lines(nil))
 	for i := range 4 {
-		here.Send(line(ear.Addr().String(), i, ""))
+		here.Send(line(socket.Addr().String(), i, ""))
 		if s := wait(t, got); !strings.Contains(s, fmt.Sprintf(`"i":%d,`, i)) {
 			t.Fatalf("%d: %q", i, s)
 		}
 	}
 }
 
-// Given a sibling that is away, when lines are sent to it, then sending never
+// Given a peer that is away, when lines are sent to it, then sending never
 // waits, and those that still wait reach it once it is there.
 func TestComesBack(t *testing.T) {
-	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	to := ear.Addr().String()
-	_ = ear.Close()
+	to := socket.Addr().String()
+	_ = socket.Close()
 	here := opened(t, "127.0.0.1:0", lines(nil))
-	for i := range 2 * holding {
+	for i := range 2 * queueSize {
 		here.Send(line(to, i, strings.Repeat("x", batch)))
 	}
 	got := make(chan flow.Line, 1024)
 	opened(t, to, lines(got))
-	if i := number(t, wait(t, got)); i < holding {
-		t.Errorf("line %d is older than the holding", i)
+	if i := number(t, wait(t, got)); i < queueSize {
+		t.Errorf("line %d is older than the queue", i)
 	}
 }
 
-// Given a sibling that reads nothing, when lines are sent until nothing more
+// Given a peer that reads nothing, when lines are sent until nothing more
 // goes out, then sending never waits, and neither does closing.
-func TestStuckSibling(t *testing.T) {
-	ear, err := net.Listen("tcp", "127.0.0.1:0")
+func TestStuckPeer(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ear.Close()
+	defer socket.Close()
 	here := opened(t, "127.0.0.1:0", lines(nil))
-	for i := range 2 * holding {
-		here.Send(line(ear.Addr().String(), i, strings.Repeat("x", batch)))
+	for i := range 2 * queueSize {
+		here.Send(line(socket.Addr().String(), i, strings.Repeat("x", batch)))
 	}
-	c, err := ear.Accept()
+	c, err := socket.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -196,7 +196,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := net.Dial("tcp", here.ear.Addr().String())
+	c, err := net.Dial("tcp", here.socket.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/shell/outcall/outcall.go
+++ b/shell/outcall/outcall.go
@@ -18,7 +18,7 @@
 	"fernlink/shell/sock"
 )
 
-// Mishaps of this layer.
+// Failures of this layer.
 var (
 	ErrLate   = errors.New("outcall: too late to start")
 	ErrBroken = errors.New("outcall: the answer is not whole")
--- a/shell/run/run.go
+++ b/shell/run/run.go
@@ -24,8 +24,8 @@
 	"fernlink/shell/web"
 )
 
-// Holding is how many events may wait for the loop.
-const Holding = 4096
+// QueueSize is how many events may wait for the loop.
+const QueueSize = 4096
 
 const tick = budget.Beat / 10
 
@@ -53,11 +53,11 @@
 
 // New makes a loop without its shells.
 func New(logger log.Logger) *Loop {
-	return &Loop{Logger: logger, events: make(chan flow.Event, Holding), quit: make(chan struct{}), done: make(chan struct{}), Halted: make(chan error, 1),
+	return &Loop{Logger: logger, events: make(chan flow.Event, QueueSize), quit: make(chan struct{}), done: make(chan struct{}), Halted: make(chan error, 1),
 		chores: make(chan chore), rest: make(chan struct{}), left: make(chan struct{})}
 }
 
-// Offer puts an event into the holding, unless it is full.
+// Offer puts an event into the queue, unless it is full.
 func (l *Loop) Offer(e flow.Event) bool {
 	select {
 	case l.events <- e:
@@ -104,21 +104,21 @@
 // small files. What gathers while it works is the next.
 type chore struct {
 	batch uint64
-	shelf []flow.Shelf
+	blobs []flow.BlobChange
 	saves []flow.Save
 	fetch []flow.Fetch
 	files []flow.File
 }
 
-func (c chore) empty() bool { return len(c.shelf)+len(c.saves)+len(c.fetch)+len(c.files) == 0 }
+func (c chore) empty() bool { return len(c.blobs)+len(c.saves)+len(c.fetch)+len(c.files) == 0 }
 
 // disk owns the data folder. A disk without room is tried again for as long as
-// it takes; any other mishap ends the node (design 4.6).
+// it takes; any other failure ends the node (design 4.6).
 func (l *Loop) disk() {
 	defer close(l.rest)
 	for c := range l.chores {
-		for len(c.saves)+len(c.shelf) > 0 {
-			err := l.Log.Save(c.shelf, c.saves)
+		for len(c.saves)+len(c.blobs) > 0 {
+			err := l.Log.Save(c.blobs, c.saves)
 			if err == nil {
 				if len(c.saves) > 0 {
 					l.Put(flow.Event{Saved: c.batch})
@@ -142,11 +142,11 @@
 				l.fail(err)
 				return
 			}
-			l.Put(flow.Event{Shelf: &got})
+			l.Put(flow.Event{Blobs: &got})
 		}
 		for _, f := range c.files {
 			if err := disk.PutFile(l.FS, f.Name, f.Body); err != nil {
-				_ = level.Warn(l.Logger).Log("part", "run", "msg", "a file was not written, trying again later", "file", f.Name, "mishap", err)
+				_ = level.Warn(l.Logger).Log("part", "run", "msg", "a file was not written, trying again later", "file", f.Name, "failure", err)
 			}
 		}
 		l.Put(flow.Event{}) // it is free again
@@ -174,7 +174,7 @@
 			in = append(in, e)
 		case <-t.C:
 		}
-		for more := true; more && len(in) < Holding/4; {
+		for more := true; more && len(in) < QueueSize/4; {
 			select {
 			case e := <-l.events:
 				in = append(in, e)
@@ -192,13 +192,13 @@
 
 func (l *Loop) turn(in []flow.Event) error {
 	out := l.Node.Advance(clock.Now(), clock.Wall(), in)
-	if len(out.Save)+len(out.Shelf)+len(out.Fetch) > 0 && l.Log == nil {
+	if len(out.Save)+len(out.Blobs)+len(out.Fetch) > 0 && l.Log == nil {
 		return errors.New("run: a store without a data folder")
 	}
 	if len(out.Save) > 0 {
 		l.todo.batch, l.todo.saves = out.Batch, append(l.todo.saves, out.Save...)
 	}
-	l.todo.shelf = append(l.todo.shelf, out.Shelf...)
+	l.todo.blobs = append(l.todo.blobs, out.Blobs...)
 	l.todo.fetch = append(l.todo.fetch, out.Fetch...)
 	if l.FS != nil {
 		l.todo.files = append(l.todo.files, out.Files...)
--- a/shell/run/run_test.go
+++ b/shell/run/run_test.go
@@ -47,10 +47,10 @@
 // Given a plan's limits, when they come out of the core, then callers are held to
 // them at once and operators are not, and a plan that says nothing brings the
 // usual ones back.
-func TestLimitsReachTheFrontDoor(t *testing.T) {
+func TestLimitsReachTheFrontListener(t *testing.T) {
 	l := New(Logger(io.Discard, "error"))
 	var err error
-	l.Web, err = web.OpenDoors(web.Options{Addr: "127.0.0.1:0", Doors: []web.Door{{Addr: "127.0.0.1:0", Rest: "request"}, {Addr: "127.0.0.1:0", Routes: []web.DoorRoute{{Verb: "PUT", Path: "/config", Name: "plan.put"}}}}, In: l.Offer})
+	l.Web, err = web.OpenListeners(web.Options{Addr: "127.0.0.1:0", Listeners: []web.Listener{{Addr: "127.0.0.1:0", Rest: "request"}, {Addr: "127.0.0.1:0", Routes: []web.Route{{Verb: "PUT", Path: "/config", Name: "plan.put"}}}}, In: l.Offer})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -70,8 +70,8 @@
 		}
 	}()
 	const front, control = 1, 2
-	say := func(door int, text string) string {
-		c, err := net.Dial("tcp", l.Web.Addr(door).String())
+	say := func(listener int, text string) string {
+		c, err := net.Dial("tcp", l.Web.Addr(listener).String())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -82,10 +82,10 @@
 	}
 	header := "PUT /config HTTP/1.1\r\nHost: x\r\nX-A: " + strings.Repeat("a", 2000) + "\r\n\r\n"
 	body := "PUT /config HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n" + strings.Repeat("b", 2000)
-	want := func(door int, text, code string) {
+	want := func(listener int, text, code string) {
 		t.Helper()
-		if got := say(door, text); !strings.HasPrefix(got, "HTTP/1.1 "+code) {
-			t.Errorf("door %d: %q, want %s", door, got, code)
+		if got := say(listener, text); !strings.HasPrefix(got, "HTTP/1.1 "+code) {
+			t.Errorf("listener %d: %q, want %s", listener, got, code)
 		}
 	}
 	want(front, header, "200")
--- a/shell/sock/sock_test.go
+++ b/shell/sock/sock_test.go
@@ -23,18 +23,18 @@
 // both end when bytes go unacknowledged, and small writes don't wait.
 func TestOptions(t *testing.T) {
 	conf := net.ListenConfig{Control: Control}
-	ear, err := conf.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	socket, err := conf.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ear.Close()
+	defer socket.Close()
 	d := Dialer()
-	a, err := d.Dial("tcp", ear.Addr().String())
+	a, err := d.Dial("tcp", socket.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer a.Close()
-	b, err := ear.Accept()
+	b, err := socket.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -65,15 +65,15 @@
 		"reset":   {func(_, there *net.TCPConn) { _ = there.SetLinger(0); _ = there.Close() }, false},
 		"closed":  {func(here, _ *net.TCPConn) { _ = here.Close() }, false},
 	} {
-		ear, err := net.Listen("tcp", "127.0.0.1:0")
+		socket, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
-		a, err := net.Dial("tcp", ear.Addr().String())
+		a, err := net.Dial("tcp", socket.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
-		b, err := ear.Accept()
+		b, err := socket.Accept()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -82,6 +82,6 @@
 		if got := Quiet(r); got != x.want {
 			t.Errorf("%s: %v", name, got)
 		}
-		_, _, _ = a.Close(), b.Close(), ear.Close()
+		_, _, _ = a.Close(), b.Close(), socket.Close()
 	}
 }
--- a/shell/web/limits.go
+++ b/shell/web/limits.go
@@ -36,7 +36,7 @@
 	Header, Idle           time.Duration
 }
 
-// Usual are the limits where nothing is said. The administration API and doors
+// Usual are the limits where nothing is said. The administration API and listeners
 // that pass nothing on always have them.
 var Usual = Limits{HeaderBytes: 64 << 10, BodyBytes: BodyMost, Header: 10 * time.Second, Idle: 2 * time.Minute}
 
@@ -45,8 +45,8 @@
 	return Limits{cmp.Or(l.HeaderBytes, x.HeaderBytes), cmp.Or(l.BodyBytes, x.BodyBytes), cmp.Or(l.Header, x.Header), cmp.Or(l.Idle, x.Idle)}
 }
 
-// Limit changes the limits of doors that pass requests on. They hold for what is
-// read from now on. Operators' doors keep the usual ones, so that no plan can
+// Limit changes the limits of listeners that pass requests on. They hold for what is
+// read from now on. Operators' listeners keep the usual ones, so that no plan can
 // shut out the next.
 func (w *Web) Limit(l Limits) {
 	for {
@@ -155,12 +155,12 @@
 }
 
 // listener gives connections that know the limits.
-type listener struct {
+type limitedListener struct {
 	net.Listener
 	limits *limits
 }
 
-func (l *listener) Accept() (net.Conn, error) {
+func (l *limitedListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
--- a/shell/web/door_test.go
+++ b/shell/web/listener_test.go
@@ -17,7 +17,7 @@
 	"fernlink/core/flow"
 )
 
-// hall is a web with one door and a core that is a function.
+// hall is a web with one listener and a core that is a function.
 type hall struct {
 	*Web
 	t     *testing.T
@@ -25,12 +25,12 @@
 	gone  chan uint64
 }
 
-func opened(t *testing.T, d Door, core func(*Web, flow.Call)) *hall {
+func opened(t *testing.T, d Listener, core func(*Web, flow.Call)) *hall {
 	t.Helper()
 	h := &hall{t: t, calls: make(chan flow.Call, 64), gone: make(chan uint64, 64)}
 	ready := make(chan bool)
 	d.Addr = "127.0.0.1:0"
-	w, err := OpenDoors(Options{Addr: "127.0.0.1:0", Doors: []Door{d}, In: func(e flow.Event) bool {
+	w, err := OpenListeners(Options{Addr: "127.0.0.1:0", Listeners: []Listener{d}, In: func(e flow.Event) bool {
 		<-ready
 		if e.Call != nil {
 			h.calls <- *e.Call
@@ -58,7 +58,7 @@
 
 func ok(w *Web, c flow.Call) { w.Reply(flow.Reply{ID: c.ID, Code: 200, Body: []byte(c.Name)}) }
 
-// line is a connection to the door.
+// line is a connection to the listener.
 type line struct {
 	net.Conn
 	t *testing.T
@@ -127,17 +127,17 @@
 	panic("unreachable")
 }
 
-// Given a door with routes, when requests come, then each finds its route by
+// Given a listener with routes, when requests come, then each finds its route by
 // verb and exact path, and the rest has one name or none.
-func TestDoorRoutes(t *testing.T) {
-	routes := []DoorRoute{
+func TestListenerRoutes(t *testing.T) {
+	routes := []Route{
 		{Verb: "POST", Path: "/v1/{thing}", Name: "thing"},
 		{Verb: "POST", Path: "/v1/text", Name: "text"},
 		{Path: "/any", Name: "any"},
 		{Verb: "GET", Path: "/lot/{id}/{rest:.*}", Name: "lot"},
 	}
 	for _, rest := range []string{"rest", ""} {
-		h := opened(t, Door{Routes: routes, Rest: rest}, ok)
+		h := opened(t, Listener{Routes: routes, Rest: rest}, ok)
 		l := h.dial()
 		for ask, want := range map[string]string{
 			"POST /v1/text": "text", "POST /v1/chat": "thing", "GET /v1/text": rest, "DELETE /any": "any", "POST /any": "any", "POST /any/": rest,
@@ -158,9 +158,9 @@
 }
 
 // Given a request with all sorts of headers and an odd path, when it comes at a
-// door, then the call has what was written but what concerns the connection.
-func TestDoorCall(t *testing.T) {
-	h := opened(t, Door{Routes: []DoorRoute{{Verb: "PUT", Path: "/a/{id}", Name: "a"}}, Rest: "rest"}, ok)
+// listener, then the call has what was written but what concerns the connection.
+func TestListenerCall(t *testing.T) {
+	h := opened(t, Listener{Routes: []Route{{Verb: "PUT", Path: "/a/{id}", Name: "a"}}, Rest: "rest"}, ok)
 	l := h.dial()
 	l.ask("PUT /a/%41%2f|x?q=1&q=2&r=%20+&;z HTTP/1.1\r\nHOST: App.Example:8080\r\nx-b: 2\r\nX-A: 1\r\nx-b:  3 \r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\nTe: x\r\n" +
 		"Upgrade: h2c\r\nProxy-Authorization: z\r\nContent-Type: a/b\r\nTransfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\nX-T: 1\r\n\r\n")
@@ -180,8 +180,8 @@
 
 // Given routes that rewrite, when calls and answers pass, then the core sees the
 // rewritten call, or none, and the client the rewritten answer.
-func TestDoorRewrites(t *testing.T) {
-	h := opened(t, Door{Routes: []DoorRoute{
+func TestListenerRewrites(t *testing.T) {
+	h := opened(t, Listener{Routes: []Route{
 		{Verb: "GET", Path: "/in", Name: "in", Into: func(c *flow.Call) *flow.Reply { c.Name, c.ID = "other", 99; return nil }},
 		{Verb: "GET", Path: "/no", Name: "no", Into: func(*flow.Call) *flow.Reply { return &flow.Reply{Code: 422, Body: []byte("no")} }},
 		{Verb: "GET", Path: "/back", Name: "back", Back: func(p flow.Reply) flow.Reply { p.Body = append(p.Body, '!'); return p }},
@@ -206,9 +206,9 @@
 
 // Given answers with headers as a core gives them, when they are written, then
 // nothing is added but the length, and nothing of the connection passes.
-func TestDoorAnswers(t *testing.T) {
+func TestListenerAnswers(t *testing.T) {
 	var give flow.Reply
-	h := opened(t, Door{Rest: "rest"}, func(w *Web, c flow.Call) {
+	h := opened(t, Listener{Rest: "rest"}, func(w *Web, c flow.Call) {
 		give.ID = c.ID
 		w.Reply(give)
 	})
@@ -257,8 +257,8 @@
 
 // Given a streamed answer, when its parts come one by one, then each is there
 // before the next, and only an end shows a whole body; a cut shows none.
-func TestDoorStreams(t *testing.T) {
-	h := opened(t, Door{Rest: "rest"}, nil)
+func TestListenerStreams(t *testing.T) {
+	h := opened(t, Listener{Rest: "rest"}, nil)
 	for _, cut := range []bool{false, true} {
 		l := h.dial()
 		_, _ = io.WriteString(l, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
@@ -295,8 +295,8 @@
 
 // Given a reader of a stream that reads nothing, when it falls too far behind,
 // then it is cut, the core is told, and nothing was dropped before.
-func TestDoorSlowReader(t *testing.T) {
-	h := opened(t, Door{Rest: "rest"}, nil)
+func TestListenerSlowReader(t *testing.T) {
+	h := opened(t, Listener{Rest: "rest"}, nil)
 	l := h.dial()
 	_, _ = io.WriteString(l, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 	id := wait(t, h.calls).ID
@@ -325,10 +325,10 @@
 	}
 }
 
-// Given a caller at a door who goes away, when the core has not answered, then
+// Given a caller at a listener who goes away, when the core has not answered, then
 // it is told.
-func TestDoorGone(t *testing.T) {
-	h := opened(t, Door{Rest: "rest"}, nil)
+func TestListenerGone(t *testing.T) {
+	h := opened(t, Listener{Rest: "rest"}, nil)
 	for _, request := range []string{"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok"} {
 		l := h.dial()
 		_, _ = io.WriteString(l, request)
@@ -343,7 +343,7 @@
 // Given limits that change while requests come, when a header or a body is
 // larger, then it is refused with what is wrong, and one at the limit passes.
 func TestLimitsOfSize(t *testing.T) {
-	h := opened(t, Door{Rest: "rest"}, ok)
+	h := opened(t, Listener{Rest: "rest"}, ok)
 	want := func(request, code string) {
 		t.Helper()
 		l := h.dial()
@@ -391,7 +391,7 @@
 // Given clients that are slow with a header or a body, or idle, when their time
 // is over, then they are closed; one that is waiting for its answer is not.
 func TestLimitsOfTime(t *testing.T) {
-	h := opened(t, Door{Rest: "rest"}, nil)
+	h := opened(t, Listener{Rest: "rest"}, nil)
 	h.Limit(Limits{Header: 30 * time.Millisecond, Idle: 30 * time.Millisecond})
 	for name, start := range map[string]string{"silent": "", "half a header": "GET / HTTP/1.1\r\nHo", "half a body": "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nok"} {
 		l := h.dial()
@@ -439,7 +439,7 @@
 // Given a web that drains, when requests come on old and new connections, then
 // they are served, and each answer closes its connection.
 func TestDrain(t *testing.T) {
-	h := opened(t, Door{Rest: "rest"}, ok)
+	h := opened(t, Listener{Rest: "rest"}, ok)
 	const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 	old := h.dial()
 	if head, _ := old.ask(request); len(head) != 2 {
@@ -460,7 +460,7 @@
 func BenchmarkDoor(b *testing.B) {
 	var w *Web
 	ready := make(chan bool)
-	w, err := OpenDoors(Options{Addr: "127.0.0.1:0", Doors: []Door{{Addr: "127.0.0.1:0", Rest: "rest"}}, In: func(e flow.Event) bool {
+	w, err := OpenListeners(Options{Addr: "127.0.0.1:0", Listeners: []Listener{{Addr: "127.0.0.1:0", Rest: "rest"}}, In: func(e flow.Event) bool {
 		<-ready
 		w.Reply(flow.Reply{ID: e.Call.ID, Code: 200, Body: []byte("ok")})
 		return true
--- a/shell/web/serve.go
+++ b/shell/web/serve.go
@@ -24,7 +24,7 @@
 }
 
 // serve turns a request into a call and writes its answer.
-func (w *Web) serve(rw http.ResponseWriter, req *http.Request, r *DoorRoute, vars map[string]string, s side) {
+func (w *Web) serve(rw http.ResponseWriter, req *http.Request, r *Route, vars map[string]string, s side) {
 	body, err := w.body(rw, req, s.limits.Load())
 	if err == errLarge {
 		problem(rw, 413, "larger than is taken here", "Connection", "close")
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -17,12 +17,12 @@
 	"github.com/pkg/errors"
 
 	"fernlink/api"
-	"fernlink/core/door"
 	"fernlink/core/flow"
+	"fernlink/core/listener"
 )
 
 // WatchMost is the lines a slow watcher may lag, StreamMost the parts that a
-// slow reader at a door may lag, and LagMost how many bytes of them.
+// slow reader at a listener may lag, and LagMost how many bytes of them.
 const (
 	WatchMost  = 256
 	StreamMost = 1024
@@ -35,35 +35,35 @@
 // Options say where a web listens. In takes what comes, and says no when there
 // is no room. Addr is the administration API's.
 type Options struct {
-	Addr  string
-	In    func(flow.Event) bool
-	Doors []Door
+	Addr      string
+	In        func(flow.Event) bool
+	Listeners []Listener
 }
 
-// Door and DoorRoute describe one more address at which a node takes requests.
+// Listener and Route describe one more address at which a node takes requests.
 type (
-	Door      = door.Door
-	DoorRoute = door.DoorRoute
+	Listener = listener.Listener
+	Route    = listener.Route
 )
 
 // Web is the server.
 type Web struct {
 	In func(flow.Event) bool
 
-	ids    atomic.Uint64
-	limits limits // of doors that pass requests on
-	own    limits // of all others
-	ending atomic.Bool
-	mu     sync.Mutex
-	open   map[uint64]*call
-	srvs   []*http.Server
-	ears   []net.Listener
+	ids     atomic.Uint64
+	limits  limits // of listeners that pass requests on
+	own     limits // of all others
+	ending  atomic.Bool
+	mu      sync.Mutex
+	open    map[uint64]*call
+	srvs    []*http.Server
+	sockets []net.Listener
 }
 
-// limits are those in force at some doors.
+// limits are those in force at some listeners.
 type limits = atomic.Pointer[Limits]
 
-// side is what requests of one door share: the parts that a slow reader may lag,
+// side is what requests of one listener share: the parts that a slow reader may lag,
 // and the limits.
 type side struct {
 	most   int
@@ -101,45 +101,45 @@
 
 // Open listens and serves the administration API alone.
 func Open(addr string, in func(flow.Event) bool) (*Web, error) {
-	return OpenDoors(Options{Addr: addr, In: in})
+	return OpenListeners(Options{Addr: addr, In: in})
 }
 
-// OpenDoors listens and serves the administration API and doors.
-func OpenDoors(o Options) (*Web, error) {
+// OpenListeners listens and serves the administration API and listeners.
+func OpenListeners(o Options) (*Web, error) {
 	w := &Web{In: o.In, open: map[uint64]*call{}}
 	w.limits.Store(&Usual)
 	w.own.Store(&Usual)
 	sides := []side{{WatchMost, &w.own}}
 	hands := []http.Handler{w.admin(sides[0])}
 	addrs := []string{o.Addr}
-	for _, d := range o.Doors {
+	for _, d := range o.Listeners {
 		s := side{StreamMost, &w.own}
 		if d.Rest != "" {
 			s.limits = &w.limits
 		}
-		sides, hands, addrs = append(sides, s), append(hands, w.door(d, s)), append(addrs, d.Addr)
+		sides, hands, addrs = append(sides, s), append(hands, w.listener(d, s)), append(addrs, d.Addr)
 	}
 	for _, addr := range addrs {
-		ear, err := net.Listen("tcp", addr)
+		socket, err := net.Listen("tcp", addr)
 		if err != nil {
-			for _, e := range w.ears {
+			for _, e := range w.sockets {
 				_ = e.Close()
 			}
 			return nil, errors.Wrap(err, "web: listen")
 		}
-		w.ears = append(w.ears, ear)
+		w.sockets = append(w.sockets, socket)
 	}
-	for i, ear := range w.ears {
+	for i, socket := range w.sockets {
 		srv := &http.Server{Handler: w.guard(hands[i], sides[i].limits), MaxHeaderBytes: headerMost, ConnState: state, DisableGeneralOptionsHandler: true}
 		w.srvs = append(w.srvs, srv)
-		go func() { _ = srv.Serve(&listener{ear, sides[i].limits}) }()
+		go func() { _ = srv.Serve(&limitedListener{socket, sides[i].limits}) }()
 	}
 	return w, nil
 }
 
-// Addr is where the administration API listens (0) or a door (1 and on, in the
+// Addr is where the administration API listens (0) or a listener (1 and on, in the
 // order of the options).
-func (w *Web) Addr(i int) net.Addr { return w.ears[i].Addr() }
+func (w *Web) Addr(i int) net.Addr { return w.sockets[i].Addr() }
 
 // Drain has each answer from now on close its connection. New connections and
 // requests are still served (design 5.5). Idle connections stay, since a
@@ -175,7 +175,7 @@
 	r.UseEncodedPath()
 	allow := map[string][]string{}
 	plain := func(name string) http.HandlerFunc {
-		x := &DoorRoute{Name: name}
+		x := &Route{Name: name}
 		return func(rw http.ResponseWriter, req *http.Request) { w.serve(rw, req, x, mux.Vars(req), s) }
 	}
 	for _, x := range Routes {
@@ -192,16 +192,16 @@
 			problem(rw, 405, "this method is not allowed here", "Allow", verbs)
 		})
 	}
-	r.PathPrefix("/v1/").HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { problem(rw, 404, "no such door in the API") })
+	r.PathPrefix("/v1/").HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { problem(rw, 404, "no such listener in the API") })
 	r.PathPrefix("/").HandlerFunc(plain("app"))
 	return r
 }
 
-// door serves one door's routes.
-func (w *Web) door(d Door, s side) http.Handler {
+// listener serves one listener's routes.
+func (w *Web) listener(d Listener, s side) http.Handler {
 	r := mux.NewRouter()
-	routes := map[*mux.Route]*DoorRoute{}
-	fixed := map[[2]string]*DoorRoute{} // by verb and path
+	routes := map[*mux.Route]*Route{}
+	fixed := map[[2]string]*Route{} // by verb and path
 	for i := range d.Routes {
 		x := &d.Routes[i]
 		if key := [2]string{x.Verb, x.Path}; !strings.Contains(x.Path, "{") {
@@ -216,7 +216,7 @@
 		}
 		routes[m] = x
 	}
-	rest := &DoorRoute{Name: d.Rest}
+	rest := &Route{Name: d.Rest}
 	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
 		path := pathOf(req)
 		x := fixed[[2]string{req.Method, path}]
--- a/shell/web/web_test.go
+++ b/shell/web/web_test.go
@@ -15,7 +15,7 @@
 // Given a server before a core that echoes call names, when requests are
 // unknown, of the wrong method, too large or too many, then each is answered
 // at once with what is wrong.
-func TestDoors(t *testing.T) {
+func TestListeners(t *testing.T) {
 	var w *Web
 	full := false
 	in := func(e flow.Event) bool {
@@ -43,7 +43,7 @@
 		return res.StatusCode, string(b), res.Header
 	}
 	if c, b, _ := ask("GET", "/v1/steps/abc", nil); c != 200 || b != "step.get abc /v1/steps/abc" {
-		t.Errorf("a known door: %d %q", c, b)
+		t.Errorf("a known listener: %d %q", c, b)
 	}
 	if c, b, _ := ask("POST", "/book/x?y=1", []byte("{}")); c != 200 || !strings.HasPrefix(b, "app ") {
 		t.Errorf("application traffic: %d %q", c, b)
@@ -52,7 +52,7 @@
 		t.Errorf("a wrong method: %d %q", c, h.Get("Allow"))
 	}
 	if c, _, _ := ask("GET", "/v1/nothing", nil); c != 404 {
-		t.Errorf("an unknown door: %d", c)
+		t.Errorf("an unknown listener: %d", c)
 	}
 	if c, _, _ := ask("PUT", "/v1/plan", make([]byte, BodyMost+1)); c != 413 {
 		t.Errorf("too large: %d", c)
@@ -92,7 +92,7 @@
 			return
 		}
 		defer r.Body.Close()
-		<-full // reads nothing until the holding ran over
+		<-full // reads nothing until the queue ran over
 		b, _ := io.ReadAll(r.Body)
 		res <- string(b)
 	}()
--- a/sim/day.go
+++ b/sim/day.go
@@ -15,8 +15,8 @@
 	"fernlink/core/store"
 )
 
-// DayProps are the options of a day.
-type DayProps struct {
+// DayConfig are the options of a day.
+type DayConfig struct {
 	Seed     int64
 	Shape    Shape
 	Hours    float64
@@ -62,7 +62,7 @@
 
 // Day runs the machines with disks for hours at the deployment's whole rates of
 // keys, steps and results, with faults throughout, and reads old things again.
-func Day(p DayProps) DayReport {
+func Day(p DayConfig) DayReport {
 	w := New(p.Seed)
 	w.Out = newOutside(w)
 	disks := p.Shape.Stores + p.Shape.Spare
@@ -72,7 +72,7 @@
 		form = append(form, addr(i))
 	}
 	for i := 0; i < disks; i++ {
-		x := node.Props{Addr: addr(i), Web: fmt.Sprintf("10.0.0.%d:2", i+1), Area: p.Shape.Areas[i%len(p.Shape.Areas)], Seeds: []string{addr(0), addr(1), addr(2)},
+		x := node.Config{Addr: addr(i), Web: fmt.Sprintf("10.0.0.%d:2", i+1), Area: p.Shape.Areas[i%len(p.Shape.Areas)], Seeds: []string{addr(0), addr(1), addr(2)},
 			Roles: []string{"store"}, Keep: 4096, Bounds: p.Shape.Bounds}
 		if i < p.Shape.Stores {
 			x.Form = form
@@ -93,7 +93,7 @@
 	c.begun = w.Now
 	heard := uint64(0)
 	w.Every(budget.Renew, func() bool { // a dispatcher that lives
-		c.asker.Put(w.Now, budget.Tenure, "renew", store.Renew{ID: "crowd", Have: 1 << 60, Heard: heard}, func(time.Duration, ask.Answer) { heard++ })
+		c.asker.Put(w.Now, budget.Lease, "renew", store.Renew{ID: "crowd", Have: 1 << 60, Heard: heard}, func(time.Duration, ask.Answer) { heard++ })
 		return true
 	})
 	per := time.Second / time.Duration(p.Keys)
@@ -192,7 +192,7 @@
 	})
 }
 
-func (c *crowd) step(p DayProps) {
+func (c *crowd) step(p DayConfig) {
 	id := fmt.Sprintf("s%d", c.n)
 	rev := int((c.w.Now-c.begun)/p.Every) + 1
 	d := ledger.StepDoc{ID: id, Trainer: fmt.Sprint("t", rev%2), Pool: "pool", Revision: rev, Lag: 1, DeadlineMS: 60000}
@@ -261,7 +261,7 @@
 	}
 }
 
-// sizes are rows, the digest, the disk by part and what a store needs for keys.
+// sizes are rows, the snapshot, the disk by part and what a store needs for keys.
 func (c *crowd) sizes() map[string]int {
 	l := c.w.Leader()
 	for _, h := range c.w.By("store") {
@@ -277,8 +277,8 @@
 	for _, k := range []string{"keys", "steps", "results", "log", "claims_open"} {
 		out[k] = st.Rows[k]
 	}
-	out["digest_bytes"] = st.Store.Digest
-	items, bytes := l.log.Shelf.Stats()
+	out["snapshot_bytes"] = st.Store.Snapshot
+	items, bytes := l.log.Blobs.Stats()
 	for k, n := range bytes {
 		out["disk_"+k], out["items_"+k] = int(n), int(items[k])
 	}
--- a/sim/disk.go
+++ b/sim/disk.go
@@ -90,12 +90,12 @@
 }
 
 // prime gives a blank disk what a store of a cluster would have on it.
-func (d *Disk) prime(id, cluster string, shelf []flow.Shelf, g flow.Digest) {
+func (d *Disk) prime(id, cluster string, blobs []flow.BlobChange, g flow.Snapshot) {
 	b, _ := json.Marshal(disk.Identity{ID: id})
 	_ = disk.PutFile(d, "identity", []byte(fmt.Sprintf("%08x %d %s\n", crc32.ChecksumIEEE(b), len(b), b)))
 	l, _, err := disk.Open(d)
 	if err == nil {
-		err = l.Save(shelf, []flow.Save{{Hard: &flow.Hard{Cluster: cluster, Term: 1}}, {Digest: &g}})
+		err = l.Save(blobs, []flow.Save{{Hard: &flow.Hard{Cluster: cluster, Term: 1}}, {Snapshot: &g}})
 	}
 	if err != nil {
 		panic(err) // a disk that nothing happened to
--- a/sim/faults.go
+++ b/sim/faults.go
@@ -209,7 +209,7 @@
 		w.Mark("lie", "%s %s", m.Name, m.Lie)
 		w.After(w.between(500*time.Millisecond, 3*time.Second), func() { m.Lie = "" })
 	}},
-	{"judge-mishap", func(w *World) {
+	{"judge-failure", func(w *World) {
 		kinds := []string{"fail", "other", "hang"}
 		k := kinds[w.Rand.Intn(len(kinds))]
 		w.Mark("judge", "%s", k)
@@ -217,11 +217,11 @@
 		w.After(w.between(300*time.Millisecond, 3*time.Second), func() { w.Out.Hang, w.Out.Judge.Mode = false, "" })
 	}},
 	{"area-loss", func(w *World) {
-		area := w.someHost().Props.Area
+		area := w.someHost().Config.Area
 		d := w.between(500*time.Millisecond, 4*time.Second)
 		w.Mark("area-loss", "%s for %v", area, d)
 		for _, h := range w.Hosts {
-			if h.Props.Area == area && h.Up {
+			if h.Config.Area == area && h.Up {
 				h.Lose(false)
 				w.After(d, h.Start)
 			}
@@ -381,7 +381,7 @@
 	}
 	w.Mark("disk-loss", "%s, replaced at a new address after %v", h.Name, d)
 	h.Retired = true
-	p := h.Props
+	p := h.Config
 	p.Addr, p.Web, p.Form = fmt.Sprintf("10.0.9.%d:1", w.lost), fmt.Sprintf("10.0.9.%d:2", w.lost), nil
 	name := fmt.Sprintf("%s-new", h.Name)
 	w.After(d, func() { w.AddHost(name, p, true).Start() })
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -16,7 +16,7 @@
 	Areas                       []string
 	Stores, Coords, Dispatchers int
 	Models, Apps                int
-	Keep                        int  // log entries before a digest
+	Keep                        int  // log entries before a snapshot
 	Merged                      bool // the stores run every role, and there is nobody else
 	Bounds                      ledger.Bounds
 	Spare                       int  // further machines with a disk: learners that stand ready
@@ -67,7 +67,7 @@
 	}
 	seeds := []string{addr(0), addr(min(disks, n-1)), addr(n - 1)}
 	for i := 0; i < n; i++ {
-		p := node.Props{Addr: addr(i), Web: fmt.Sprintf("10.0.0.%d:2", i+1), Area: area(i), Seeds: seeds, Keep: s.Keep, Bounds: s.Bounds, BlocksMost: 65536}
+		p := node.Config{Addr: addr(i), Web: fmt.Sprintf("10.0.0.%d:2", i+1), Area: area(i), Seeds: seeds, Keep: s.Keep, Bounds: s.Bounds, BlocksMost: 65536}
 		name := ""
 		if i < disks {
 			name, p.Roles, p.Form = fmt.Sprintf("store-%d", i+1), []string{"store"}, form
--- a/sim/form_test.go
+++ b/sim/form_test.go
@@ -37,10 +37,10 @@
 	shape.Spare = 1
 	w := Prepare(435, shape)
 	stores, others := w.By("store"), w.By("dispatcher")
-	form := []string{stores[0].Props.Addr, stores[1].Props.Addr}
+	form := []string{stores[0].Config.Addr, stores[1].Config.Addr}
 	for _, h := range others {
-		if !slices.Contains(h.Props.Roles, "store") {
-			form = append(form, h.Props.Addr)
+		if !slices.Contains(h.Config.Roles, "store") {
+			form = append(form, h.Config.Addr)
 			break
 		}
 	}
@@ -48,9 +48,9 @@
 		t.Fatal("no dispatcher without a store")
 	}
 	for _, h := range w.Hosts {
-		h.Props.First, h.Props.Want, h.Props.Form = true, 3, nil
+		h.Config.First, h.Config.Want, h.Config.Form = true, 3, nil
 		if h == stores[0] || h == stores[1] {
-			h.Props.Form = form
+			h.Config.Form = form
 		}
 		h.Start()
 	}
--- a/sim/host.go
+++ b/sim/host.go
@@ -20,7 +20,7 @@
 // Host is one machine with one process of fernlink on it.
 type Host struct {
 	w       *World
-	Props   node.Props
+	Config  node.Config
 	Name    string
 	Disk    *Disk // nil without one
 	Node    *node.Node
@@ -42,7 +42,7 @@
 	starts int64
 	Jump   time.Duration // how far its wall clock is off
 	saves  []flow.Save   // what waits for the disk
-	shelf  []flow.Shelf
+	blobs  []flow.BlobChange
 	fetch  []flow.Fetch
 	hear   func(flow.Line) // somebody who is no node of the fleet
 	batch  uint64
@@ -50,8 +50,8 @@
 }
 
 // AddHost puts a machine into the world, not yet started.
-func (w *World) AddHost(name string, p node.Props, withDisk bool) *Host {
-	h := &Host{w: w, Props: p, Name: name, rate: 0.995 + w.Rand.Float64()*0.01, origin: time.Duration(w.Rand.Int63n(int64(time.Hour)))}
+func (w *World) AddHost(name string, p node.Config, withDisk bool) *Host {
+	h := &Host{w: w, Config: p, Name: name, rate: 0.995 + w.Rand.Float64()*0.01, origin: time.Duration(w.Rand.Int63n(int64(time.Hour)))}
 	if withDisk {
 		h.Disk = NewDisk(w.Rand)
 	}
@@ -73,10 +73,10 @@
 	}
 	h.starts++
 	h.life++
-	p := h.Props
+	p := h.Config
 	p.Inc = h.wall() + h.starts
 	p.Seed = h.w.Rand.Int63()
-	if h.Props.ID == "" {
+	if h.Config.ID == "" {
 		p.ID = fmt.Sprintf("%s-%d-%x", h.Name, h.starts, h.w.Rand.Uint32())
 	}
 	if h.Disk != nil {
@@ -96,7 +96,7 @@
 	}
 	h.Node, h.Up, h.Froze = n, true, false
 	h.inbox, h.due = nil, false
-	h.saves, h.shelf, h.fetch, h.busy = nil, nil, nil, false
+	h.saves, h.blobs, h.fetch, h.busy = nil, nil, nil, false
 	h.calls, h.sends = map[uint64]func(flow.Reply){}, map[uint64]func(){}
 	h.mute = map[uint64]bool{}
 	life := h.life
@@ -109,7 +109,7 @@
 	})
 }
 
-func (h *Host) load(p *node.Props) bool {
+func (h *Host) load(p *node.Config) bool {
 	id, err := disk.Identify(h.Disk, p.ID, p.Inc)
 	if err == nil {
 		p.ID, p.Inc, p.Data = id.ID, id.Inc, true
@@ -137,7 +137,7 @@
 	return h.Node.Stats(h.clock()).ID
 }
 
-// offer puts an event into the process's holding.
+// offer puts an event into the process's queue.
 func (h *Host) offer(life int, e flow.Event) {
 	if !h.Up || h.life != life || len(h.inbox) > 4096 {
 		return
@@ -165,7 +165,7 @@
 	if len(out.Save) > 0 {
 		h.batch, h.saves = out.Batch, append(h.saves, out.Save...)
 	}
-	h.shelf, h.fetch = append(h.shelf, out.Shelf...), append(h.fetch, out.Fetch...)
+	h.blobs, h.fetch = append(h.blobs, out.Blobs...), append(h.fetch, out.Fetch...)
 	h.save()
 	h.emit(out)
 	if out.Done {
@@ -181,7 +181,7 @@
 
 // save is the disk's task: one chore at a time, what gathers is the next.
 func (h *Host) save() {
-	if h.busy || len(h.saves)+len(h.shelf)+len(h.fetch) == 0 {
+	if h.busy || len(h.saves)+len(h.blobs)+len(h.fetch) == 0 {
 		return
 	}
 	h.busy = true
@@ -191,7 +191,7 @@
 			return
 		}
 		h.busy = false
-		err := h.log.Save(h.shelf, h.saves)
+		err := h.log.Save(h.blobs, h.saves)
 		if errors.Is(err, disk.ErrFull) {
 			h.offer(life, flow.Event{Full: true})
 			h.w.After(500*time.Millisecond, func() {
@@ -208,7 +208,7 @@
 		}
 		fetch := h.fetch
 		saved := len(h.saves) > 0
-		h.saves, h.shelf, h.fetch = nil, nil, nil
+		h.saves, h.blobs, h.fetch = nil, nil, nil
 		if saved {
 			h.offer(life, flow.Event{Saved: h.batch})
 		}
@@ -219,7 +219,7 @@
 				h.Lose(false)
 				return
 			}
-			h.offer(life, flow.Event{Shelf: &got})
+			h.offer(life, flow.Event{Blobs: &got})
 		}
 	})
 }
@@ -239,7 +239,7 @@
 			h.w.Net.Count(l.Kind, len(l.Body))
 		}
 		if to.hear != nil {
-			l.Cluster, l.From, l.Addr = h.Node.Cluster(), h.Name, h.Props.Addr
+			l.Cluster, l.From, l.Addr = h.Node.Cluster(), h.Name, h.Config.Addr
 			h.w.Net.Send(h.Name, to.Name, func() { to.hear(l) })
 			continue
 		}
@@ -336,4 +336,6 @@
 }
 
 // Has says whether the host runs a role.
-func (h *Host) Has(role string) bool { return strings.Contains(strings.Join(h.Props.Roles, ","), role) }
+func (h *Host) Has(role string) bool {
+	return strings.Contains(strings.Join(h.Config.Roles, ","), role)
+}
--- a/sim/lot_test.go
+++ b/sim/lot_test.go
@@ -38,7 +38,7 @@
 	s.w.at[addr] = h
 	var stores []string
 	for _, x := range s.w.By("store") {
-		stores = append(stores, x.Props.Addr)
+		stores = append(stores, x.Config.Addr)
 	}
 	s.w.Every(tick, func() bool {
 		var out flow.Outbox
@@ -52,7 +52,7 @@
 	})
 	s.w.Every(budget.Renew, func() bool {
 		if !o.mute {
-			o.asker.Put(s.w.Now, budget.Tenure, "renew", store.Renew{ID: name, Have: o.have, Heard: o.heard}, func(_ time.Duration, a ask.Answer) { o.renewed(a) })
+			o.asker.Put(s.w.Now, budget.Lease, "renew", store.Renew{ID: name, Have: o.have, Heard: o.heard}, func(_ time.Duration, a ask.Answer) { o.renewed(a) })
 		}
 		return true
 	})
@@ -108,7 +108,7 @@
 }
 
 // Given lots under way, when their owner falls silent, then each gets one owner
-// of those that live, not before the old one's tenure is over; and when an owner
+// of those that live, not before the old one's lease is over; and when an owner
 // says that it is gone, its lots move at once.
 func TestLotsOfALostOwner(t *testing.T) {
 	t.Parallel()
@@ -135,7 +135,7 @@
 	}
 	s.then(s.w.Until(budget.Heal, moved), "lots move: %v", b.lots)
 	took := s.w.Now - from
-	s.then(took > budget.Owner-budget.Renew && took < budget.Tenure, "in time: %v", took)
+	s.then(took > budget.Owner-budget.Renew && took < budget.Lease, "in time: %v", took)
 	s.then(b.lots["lot5"].Owner == "a" && b.moves == 5, "each once, and none that ended: %d %v", b.moves, b.lots)
 	var left ledger.LotItems
 	s.then(b.tell("lot.items", "lot0", &left) == 200 && len(left.Doc.Items) == 6 && left.Listed == 4 && left.Doc.AgeMS > 6000, "its owner hears what is left: %d, %d ms", len(left.Doc.Items), left.Doc.AgeMS)
@@ -274,7 +274,7 @@
 	from := s.w.Now
 	s.then(s.w.Until(budget.Heal, func() bool { o := b.lots["lot"].Owner; return o != "" && o != "a" }), "it moves: %v", b.lots)
 	took := s.w.Now - from
-	s.then(took >= budget.Owner-budget.Beat && took < budget.Tenure, "in time: %v", took)
+	s.then(took >= budget.Owner-budget.Beat && took < budget.Lease, "in time: %v", took)
 	l.Start()
 	s.end()
 }
--- a/sim/net.go
+++ b/sim/net.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Net is the virtual network between named ends: hosts by sibling address,
+// Net is the virtual network between named ends: hosts by peer address,
 // engines by id, and "outside" for callers.
 type Net struct {
 	w           *World
@@ -11,7 +11,7 @@
 	Least, Most time.Duration
 	Late        float64                      // share of lines that come late by up to a second
 	Twice       float64                      // share of lines that come twice
-	Count       func(kind string, bytes int) // sees each line between siblings
+	Count       func(kind string, bytes int) // sees each line between peers
 }
 
 // Cut stops everything from one end to another, one way.
@@ -55,7 +55,7 @@
 	return true
 }
 
-// Send does f at the other end, if it gets there. Lines between siblings may
+// Send does f at the other end, if it gets there. Lines between peers may
 // come late or twice, since connections break and are made anew.
 func (n *Net) Send(from, to string, f func()) {
 	if !n.Open(from, to) {
--- a/sim/outside.go
+++ b/sim/outside.go
@@ -346,7 +346,7 @@
 	if !m.Up {
 		return
 	}
-	doors := map[string]func(){
+	listeners := map[string]func(){
 		"/load": func() {
 			if m.Leaves = 0; m.Gone > o.w.Now {
 				m.Leaves = (m.Gone - o.w.Now).Milliseconds()
@@ -365,7 +365,7 @@
 		},
 		"/v1/completions": func() { o.complete(m, h, life, s) },
 	}
-	if f, ok := doors[path]; ok {
+	if f, ok := listeners[path]; ok {
 		f()
 		return
 	}
--- a/sim/repair_test.go
+++ b/sim/repair_test.go
@@ -39,7 +39,7 @@
 
 // fresh starts an empty store machine at a new address.
 func (s *story) fresh(name string, n int, area string) *Host {
-	p := s.w.Host("store-1").Props
+	p := s.w.Host("store-1").Config
 	p.Addr, p.Web, p.Area, p.Form = fmt.Sprintf("10.0.9.%d:1", n), fmt.Sprintf("10.0.9.%d:2", n), area, nil
 	h := s.w.AddHost(name, p, true)
 	h.Start()
@@ -68,7 +68,7 @@
 	dead := s.follower()
 	id := dead.ID()
 	dead.Lose(true)
-	n := s.fresh("store-new", 1, dead.Props.Area)
+	n := s.fresh("store-new", 1, dead.Config.Area)
 	s.then(s.w.Until(2*budget.Heal+5*time.Second, func() bool {
 		m := s.members()
 		_, old := m[id]
@@ -156,7 +156,7 @@
 	for i, name := range []string{"store-1", "store-2", "store-3"} {
 		h := s.w.Host(name)
 		id := h.ID()
-		s.fresh(fmt.Sprintf("new-%d", i+1), i+1, h.Props.Area)
+		s.fresh(fmt.Sprintf("new-%d", i+1), i+1, h.Config.Area)
 		s.then(s.w.Until(15*time.Second, func() bool { return len(s.members()) == 4 }), "the new one is a learner: %v", s.members())
 		s.then(s.w.Until(15*time.Second, func() bool {
 			return s.ask(s.disp(0), Call("store.remove", map[string]string{"id": id}, nil)).Code == 200
@@ -183,10 +183,10 @@
 	s := given(t, 75)
 	dead := s.follower()
 	dead.Lose(true)
-	area := s.w.Leader().Props.Area
+	area := s.w.Leader().Config.Area
 	s.fresh("same", 1, area)
 	s.then(s.w.Until(3*budget.Heal, func() bool { return s.voters() == 3 && len(s.members()) == 3 }), "the loss is repaired in an area that has one: %v", s.members())
-	s.fresh("other", 2, dead.Props.Area)
+	s.fresh("other", 2, dead.Config.Area)
 	s.then(s.w.Until(2*budget.Heal, func() bool {
 		areas := map[string]bool{}
 		for _, m := range s.members() {
--- a/sim/replace_test.go
+++ b/sim/replace_test.go
@@ -17,7 +17,7 @@
 		s.train("one")
 		s.a.Consume(50 * time.Millisecond)
 		s.bulky(14)
-		s.digested()
+		s.snapshoted()
 		h := s.follower()
 		old := h.ID()
 		h.Lose(true)
@@ -46,7 +46,7 @@
 	s.train("one")
 	dead := s.follower()
 	id := dead.ID()
-	n := s.fresh("ready", 1, dead.Props.Area)
+	n := s.fresh("ready", 1, dead.Config.Area)
 	s.then(s.w.Until(10*time.Second, func() bool { return len(s.members()) == 4 }), "it is a learner")
 	s.w.Run(2 * time.Second)
 	dead.Freeze(4 * time.Second)
@@ -78,7 +78,7 @@
 	s := given(t, 431)
 	dead := s.follower()
 	id := dead.ID()
-	area := s.w.Leader().Props.Area
+	area := s.w.Leader().Config.Area
 	s.fresh("elsewhere", 1, area) // that area has its voter
 	s.then(s.w.Until(10*time.Second, func() bool { return len(s.members()) == 4 }), "a learner of another area")
 	s.w.Run(2 * time.Second)
@@ -99,7 +99,7 @@
 		shape.Spare = c.spare
 		w := Prepare(432, shape)
 		for _, h := range w.By("store") {
-			h.Props.Want = c.want
+			h.Config.Want = c.want
 			h.Start()
 		}
 		for _, h := range w.Hosts {
@@ -131,7 +131,7 @@
 	for _, first := range []bool{false, true} {
 		w := Prepare(433, Small)
 		for _, h := range w.Hosts {
-			h.Props.First = first
+			h.Config.First = first
 			h.Start()
 		}
 		if !w.Until(2*budget.Heal, func() bool { return w.Leader() != nil }) {
--- a/sim/serve_client.go
+++ b/sim/serve_client.go
@@ -85,7 +85,7 @@
 		fields = append(fields, flow.Field{Name: "Last-Event-Id", Value: strconv.Itoa(n - 1)})
 	}
 	began, last := false, s.w.Now
-	gone := s.Door(h, "front", t.verb, t.path, t.host, fields, []byte(t.body), func(r flow.Reply) {
+	gone := s.Listener(h, "front", t.verb, t.path, t.host, fields, []byte(t.body), func(r flow.Reply) {
 		last = s.w.Now
 		if t.over {
 			return
@@ -283,7 +283,7 @@
 
 // Probe asks one machine on a path once, to see which configuration it has.
 func (s *Site) Probe(h *Host, host, path string) {
-	a := &siteAsk{zone: h.Props.Area, route: siteRoute{"probe", host, path, "idempotent", nil, false}, began: s.w.Now, late: s.w.Now + time.Second}
+	a := &siteAsk{zone: h.Config.Area, route: siteRoute{"probe", host, path, "idempotent", nil, false}, began: s.w.Now, late: s.w.Now + time.Second}
 	if s.ready[h] < 2 {
 		s.try(a, h).probe = true
 	}
--- a/sim/serve_config.go
+++ b/sim/serve_config.go
@@ -191,7 +191,7 @@
 			then(c)
 		}
 	}
-	s.Door(h, "control", "PUT", "/config", "", []flow.Field{{Name: "If-Match", Value: strconv.Itoa(c.Base)}}, c.body, func(r flow.Reply) {
+	s.Listener(h, "control", "PUT", "/config", "", []flow.Field{{Name: "If-Match", Value: strconv.Itoa(c.Base)}}, c.body, func(r flow.Reply) {
 		if r.Code == 200 && !strings.HasPrefix(string(c.body), "{") {
 			return
 		}
@@ -207,7 +207,7 @@
 	for try := 0; s.w.Now < limit; try++ {
 		h := hosts[try%len(hosts)]
 		done := false
-		s.Door(h, "control", "GET", "/config", "", nil, nil, func(r flow.Reply) {
+		s.Listener(h, "control", "GET", "/config", "", nil, nil, func(r flow.Reply) {
 			if done || r.Code != 200 {
 				return
 			}
--- a/sim/serve_faults.go
+++ b/sim/serve_faults.go
@@ -84,17 +84,17 @@
 	s.Touch(h)
 	h.Lose(true)
 	h.Retired = true
-	x := s.Add(h.Props.Roles, h.Props.Area, true)
-	old := h.Props.Addr
+	x := s.Add(h.Config.Roles, h.Config.Area, true)
+	old := h.Config.Addr
 	for _, o := range s.w.Hosts {
-		o.Props.Seeds = slices.Clone(o.Props.Seeds)
-		for i, a := range o.Props.Seeds {
+		o.Config.Seeds = slices.Clone(o.Config.Seeds)
+		for i, a := range o.Config.Seeds {
 			if a == old {
-				o.Props.Seeds[i] = x.Props.Addr
+				o.Config.Seeds[i] = x.Config.Addr
 			}
 		}
 		if o.Up {
-			o.offer(o.life, flow.Event{Seeds: o.Props.Seeds})
+			o.offer(o.life, flow.Event{Seeds: o.Config.Seeds})
 		}
 	}
 	s.Touch(x)
@@ -104,7 +104,7 @@
 // Add puts a further machine into the fleet.
 func (s *Site) Add(roles []string, zone string, disk bool) *Host {
 	n := len(s.w.Hosts)
-	p := node.Props{Addr: siteHost(n) + ":7000", Web: siteHost(n) + ":7001", Area: zone, Seeds: s.w.Hosts[0].Props.Seeds, Keep: 256, Want: 3, Tongue: &s.tongue, LotKeep: 2 * time.Minute, Roles: roles}
+	p := node.Config{Addr: siteHost(n) + ":7000", Web: siteHost(n) + ":7001", Area: zone, Seeds: s.w.Hosts[0].Config.Seeds, Keep: 256, Want: 3, Codec: &s.codec, LotKeep: 2 * time.Minute, Roles: roles}
 	p.Name, p.Cpu = fmt.Sprintf("more-%d", n), s.Shape.EdgeCpu
 	if disk {
 		p.Cpu = s.Shape.CoreCpu
@@ -308,11 +308,11 @@
 		return s.onCore(r, func(h *Host) {
 			d := h.Disk
 			d.Slow = s.seconds(r, 0.02, 0.3)
-			s.holding[h] = true
+			s.troubled[h] = true
 			s.coreBad = s.w.Now
 			s.w.After(s.seconds(r, 2, 8), func() {
 				d.Slow = 0
-				delete(s.holding, h)
+				delete(s.troubled, h)
 				s.coreBad = s.w.Now
 			})
 		})
@@ -332,11 +332,11 @@
 	{"lines late and twice", func(s *Site, r *rand.Rand) bool {
 		s.w.Net.Late, s.w.Net.Twice = 0.02, 0.05
 		for _, h := range s.w.Hosts {
-			s.holding[h] = true
+			s.troubled[h] = true
 		}
 		s.w.After(s.seconds(r, 1, 5), func() {
 			s.w.Net.Late, s.w.Net.Twice = 0, 0
-			s.holding = map[*Host]bool{}
+			s.troubled = map[*Host]bool{}
 			for _, h := range s.w.Hosts {
 				s.Touch(h)
 			}
@@ -462,7 +462,7 @@
 			return false
 		}
 		at, _ := pick(r, s.Dispatchers())
-		s.Door(at, "control", "POST", "/retire/"+h.Props.Name, "", nil, []byte(`{"RampS":5}`), func(x flow.Reply) {
+		s.Listener(at, "control", "POST", "/retire/"+h.Config.Name, "", nil, []byte(`{"RampS":5}`), func(x flow.Reply) {
 			s.Count[fmt.Sprint("retire ", x.Code)]++
 		})
 		return true
--- a/sim/serve_site.go
+++ b/sim/serve_site.go
@@ -7,13 +7,13 @@
 	"strings"
 	"time"
 
+	"fernlink/config"
 	"fernlink/core/dialect"
-	"fernlink/core/door"
 	"fernlink/core/flow"
+	"fernlink/core/listener"
 	"fernlink/core/node"
 	"fernlink/core/sorted"
 	"fernlink/platform"
-	"fernlink/props"
 )
 
 // SiteBounds are the bounds that the users' platform holds a fleet to.
@@ -49,11 +49,11 @@
 // Site is the users' platform in virtual time: what is outside of the fleet, and
 // the truth of what reached it. Its checks look at nothing else.
 type Site struct {
-	w      *World
-	Shape  SiteShape
-	Bounds SiteBounds
-	tongue dialect.Tongue
-	doors  map[string]door.Door
+	w         *World
+	Shape     SiteShape
+	Bounds    SiteBounds
+	codec     dialect.Codec
+	listeners map[string]listener.Listener
 
 	Engines []*SiteEngine
 	at      map[string]*SiteEngine
@@ -67,14 +67,14 @@
 	Calls   int // of the list
 	Dark    bool
 
-	ready   map[*Host]int // misses in a row
-	cause   map[*Host]time.Duration
-	planned map[*Host]time.Duration // when it was told to stop
-	hurt    map[*Host]time.Duration // when it last met unplanned trouble
-	fails   map[string]int          // failures of items
-	holding map[*Host]bool          // it is in trouble that lasts
-	coreBad time.Duration
-	linkBad time.Duration // when a link was last in trouble
+	ready    map[*Host]int // misses in a row
+	cause    map[*Host]time.Duration
+	planned  map[*Host]time.Duration // when it was told to stop
+	hurt     map[*Host]time.Duration // when it last met unplanned trouble
+	fails    map[string]int          // failures of items
+	troubled map[*Host]bool          // it is in trouble that lasts
+	coreBad  time.Duration
+	linkBad  time.Duration // when a link was last in trouble
 
 	names   int
 	runs    map[string][]*siteRun // by the request's id
@@ -108,14 +108,14 @@
 func BuildSite(seed int64, shape SiteShape) *Site {
 	w := New(seed)
 	w.Out = newOutside(w)
-	s := &Site{w: w, Shape: shape, Bounds: UsualSite, tongue: platform.Tongue(listAt), at: map[string]*SiteEngine{}, ListLag: 700 * time.Millisecond, Rate: 40,
-		listed: map[int64]int{}, ready: map[*Host]int{}, cause: map[*Host]time.Duration{}, planned: map[*Host]time.Duration{}, hurt: map[*Host]time.Duration{}, fails: map[string]int{}, holding: map[*Host]bool{},
+	s := &Site{w: w, Shape: shape, Bounds: UsualSite, codec: platform.Codec(listAt), at: map[string]*SiteEngine{}, ListLag: 700 * time.Millisecond, Rate: 40,
+		listed: map[int64]int{}, ready: map[*Host]int{}, cause: map[*Host]time.Duration{}, planned: map[*Host]time.Duration{}, hurt: map[*Host]time.Duration{}, fails: map[string]int{}, troubled: map[*Host]bool{},
 		runs: map[string][]*siteRun{}, byRun: map[int]*siteRun{}, seals: map[string]sealed{}, tries: map[string]*siteTry{}, items: map[string]*siteItem{},
 		floors: map[string][]floor{}, Count: map[string]int{}, named: map[string]int{siteModel: 1}}
 	w.Out.Site = s
-	s.doors = map[string]door.Door{}
-	for i, d := range platform.Doors(props.Props{Front: "front", Ready: "ready", Control: "control"}) {
-		s.doors[[]string{"front", "ready", "control"}[i]] = d
+	s.listeners = map[string]listener.Listener{}
+	for i, d := range platform.Listeners(config.Config{Front: "front", Ready: "ready", Control: "control"}) {
+		s.listeners[[]string{"front", "ready", "control"}[i]] = d
 	}
 	zone := func(i int) string { return shape.Zones[i%len(shape.Zones)] }
 	for _, p := range []struct {
@@ -134,7 +134,7 @@
 	}
 	form = append(form, seeds[:len(seeds)-1+len(seeds)%2]...)
 	for i := 0; i < n; i++ {
-		p := node.Props{Addr: siteHost(i) + ":7000", Web: siteHost(i) + ":7001", Area: zone(i), Seeds: seeds, Keep: 256, Want: 3, Tongue: &s.tongue, LotKeep: 2 * time.Minute, First: true}
+		p := node.Config{Addr: siteHost(i) + ":7000", Web: siteHost(i) + ":7001", Area: zone(i), Seeds: seeds, Keep: 256, Want: 3, Codec: &s.codec, LotKeep: 2 * time.Minute, First: true}
 		name, disk := fmt.Sprintf("edge-%d", i+1), false
 		p.Cpu = shape.EdgeCpu
 		switch {
@@ -154,7 +154,7 @@
 		w.AddHost(name, p, disk).Start()
 	}
 	for _, h := range w.Hosts {
-		h.Props.First, h.Props.Form = false, nil // only the first start of all forms the core
+		h.Config.First, h.Config.Form = false, nil // only the first start of all forms the core
 	}
 	w.Every(100*time.Millisecond, func() bool { s.watch(); return true })
 	w.Every(time.Second, func() bool { s.poll(); return true })
@@ -213,7 +213,7 @@
 		s.linkBad = s.w.Now
 	}
 	for _, h := range s.w.Hosts {
-		ok := h.works() && !s.holding[h]
+		ok := h.works() && !s.troubled[h]
 		for _, c := range most {
 			ok = ok && s.joined(h, c)
 		}
@@ -248,7 +248,7 @@
 func (s *Site) poll() {
 	for _, h := range s.w.By("dispatcher") {
 		got := false
-		s.Door(h, "ready", "GET", "/ready", "", nil, nil, func(r flow.Reply) {
+		s.Listener(h, "ready", "GET", "/ready", "", nil, nil, func(r flow.Reply) {
 			if r.Code == 200 {
 				got, s.ready[h] = true, 0
 			}
@@ -269,7 +269,7 @@
 		if ok {
 			any = append(any, h)
 		}
-		if h.Props.Area == zone {
+		if h.Config.Area == zone {
 			all = append(all, h)
 			if ok {
 				in = append(in, h)
@@ -292,10 +292,10 @@
 // unread marks the reply of a connection that nobody took.
 const unread = "unread"
 
-// Door makes a call at one of a machine's doors, and gives what ends it early.
+// Listener makes a call at one of a machine's listeners, and gives what ends it early.
 // A reply without an id says that the connection broke.
-func (s *Site) Door(h *Host, which, verb, path, host string, fields []flow.Field, body []byte, f func(flow.Reply)) (gone func()) {
-	d := s.doors[which]
+func (s *Site) Listener(h *Host, which, verb, path, host string, fields []flow.Field, body []byte, f func(flow.Reply)) (gone func()) {
+	d := s.listeners[which]
 	at, query, _ := strings.Cut(path, "?")
 	c := flow.Call{Name: d.Rest, Host: host, Verb: verb, Path: at, Fields: fields, Body: body, Vars: map[string]string{}, Query: map[string]string{"?": query}, Head: map[string]string{}}
 	if q, err := url.ParseQuery(query); err == nil {
--- a/sim/serve_trainer.go
+++ b/sim/serve_trainer.go
@@ -197,7 +197,7 @@
 		}
 		s.w.After(200*time.Millisecond, func() { s.Name(v, then) })
 	}
-	s.Door(hosts[s.w.Rand.Intn(len(hosts))], "control", "POST", "/version-put", "", nil, body, func(r flow.Reply) { end(r.Code) })
+	s.Listener(hosts[s.w.Rand.Intn(len(hosts))], "control", "POST", "/version-put", "", nil, body, func(r flow.Reply) { end(r.Code) })
 	s.w.After(time.Second, func() { end(0) })
 }
 
@@ -238,7 +238,7 @@
 		}
 		s.w.After(wait, func() { l.put(min(2*pause, time.Second)) })
 	}
-	gone = s.Door(h, "front", "POST", l.path, siteName, []flow.Field{{Name: "Attempt-Id", Value: l.id}, {Name: "Content-Type", Value: "application/json"}}, l.body, end)
+	gone = s.Listener(h, "front", "POST", l.path, siteName, []flow.Field{{Name: "Attempt-Id", Value: l.id}, {Name: "Content-Type", Value: "application/json"}}, l.body, end)
 	s.w.After(1500*time.Millisecond, func() {
 		if !done {
 			gone()
@@ -278,7 +278,7 @@
 	if wait > 0 {
 		fields = []flow.Field{{Name: "Wait-Ms", Value: strconv.Itoa(wait)}}
 	}
-	gone := s.Door(h, "front", "GET", fmt.Sprintf("/lots/%s?SinceToken=%d", l.id, from), siteName, fields, nil, func(r flow.Reply) {
+	gone := s.Listener(h, "front", "GET", fmt.Sprintf("/lots/%s?SinceToken=%d", l.id, from), siteName, fields, nil, func(r flow.Reply) {
 		if done {
 			return
 		}
@@ -409,7 +409,7 @@
 		}
 		s.w.After(pause, func() { l.end(min(2*pause, time.Second)) })
 	}
-	s.Door(h, "front", "DELETE", "/lots/"+l.id, siteName, nil, nil, func(r flow.Reply) { end(r.Code) })
+	s.Listener(h, "front", "DELETE", "/lots/"+l.id, siteName, nil, nil, func(r flow.Reply) { end(r.Code) })
 	s.w.After(1500*time.Millisecond, func() { end(0) })
 }
 
@@ -494,7 +494,7 @@
 func (s *Site) finalItem(l *siteLot, i *siteItem, hosts []*Host) {
 	for tries := 0; tries < 10; tries++ {
 		code, body, done := 0, "", false
-		s.Door(hosts[tries%len(hosts)], "front", "GET", "/items/"+l.id+"?InstanceId="+i.id, siteName, nil, nil, func(r flow.Reply) { code, body, done = r.Code, string(r.Body), true })
+		s.Listener(hosts[tries%len(hosts)], "front", "GET", "/items/"+l.id+"?InstanceId="+i.id, siteName, nil, nil, func(r flow.Reply) { code, body, done = r.Code, string(r.Body), true })
 		s.w.Until(1500*time.Millisecond, func() bool { return done })
 		if code == 200 {
 			if body != i.body {
--- a/sim/digest_test.go
+++ b/sim/snapshot_test.go
@@ -32,26 +32,26 @@
 func (s *story) stats(h *Host) *store.Stats { return h.Node.Stats(h.clock()).Store }
 
 // behind replaces a follower by an empty machine, runs until the new one is in
-// the midst of its digest, and gives it.
+// the midst of its snapshot, and gives it.
 func (s *story) behind() *Host {
 	s.Helper()
 	s.train("one")
 	s.a.Consume(50 * time.Millisecond)
 	s.bulky(6)
-	s.digested()
+	s.snapshoted()
 	dead := s.follower()
 	dead.Lose(true)
 	dead.Retired = true
-	h := s.fresh("store-new", 1, dead.Props.Area)
-	s.then(s.w.Until(budget.Heal, func() bool { return h.Up && s.stats(h).Pulled > 3 }), "it fetches a digest")
+	h := s.fresh("store-new", 1, dead.Config.Area)
+	s.then(s.w.Until(budget.Heal, func() bool { return h.Up && s.stats(h).Pulled > 3 }), "it fetches a snapshot")
 	return h
 }
 
-// digested runs until the leader's log stands for all but the last entries.
-func (s *story) digested() {
+// snapshoted runs until the leader's log stands for all but the last entries.
+func (s *story) snapshoted() {
 	s.Helper()
-	was := s.stats(s.w.Leader()).Digest
-	s.then(s.w.Until(time.Minute, func() bool { l := s.w.Leader(); return l != nil && s.stats(l).Digest != was }), "a digest is made")
+	was := s.stats(s.w.Leader()).Snapshot
+	s.then(s.w.Until(time.Minute, func() bool { l := s.w.Leader(); return l != nil && s.stats(l).Snapshot != was }), "a snapshot is made")
 }
 
 func (s *story) caughtUp(h *Host) {
@@ -69,37 +69,37 @@
 }
 
 // Given a state of many pieces, when an empty machine takes a lost one's place,
-// then it catches up while pulses, traffic and steps go on, and nothing is
+// then it catches up while heartbeats, traffic and steps go on, and nothing is
 // missing on it (design 4.10).
-func TestDigestInPieces(t *testing.T) {
+func TestSnapshotInPieces(t *testing.T) {
 	t.Parallel()
 	s := given(t, 210)
 	h := s.behind()
 	l, term := s.w.Leader(), s.stats(s.w.Leader()).Term
 	listed := s.a.Listed
-	s.then(s.w.Until(budget.Heal, func() bool { return s.stats(h).Pulling == false }), "it has the digest")
+	s.then(s.w.Until(budget.Heal, func() bool { return s.stats(h).Pulling == false }), "it has the snapshot")
 	s.w.Run(2 * time.Second)
 	s.then(s.w.Leader() == l && s.stats(l).Term == term, "the leader kept its office")
 	s.then(s.a.Listed > listed, "steps went on")
 	s.caughtUp(h)
 }
 
-// Given a machine in the midst of a digest, when the leader dies, then it goes
+// Given a machine in the midst of a snapshot, when the leader dies, then it goes
 // on with the next leader's, and what it had stays.
-func TestLeaderDiesMidDigest(t *testing.T) {
+func TestLeaderDiesMidSnapshot(t *testing.T) {
 	t.Parallel()
 	s := given(t, 211)
 	h := s.behind()
 	l := s.w.Leader()
 	l.Kill()
 	s.w.After(3*time.Second, l.Start)
-	s.then(s.w.Until(3*budget.Heal, func() bool { return !s.stats(h).Pulling && s.stats(h).Applied > 0 }), "it has the digest")
+	s.then(s.w.Until(3*budget.Heal, func() bool { return !s.stats(h).Pulling && s.stats(h).Applied > 0 }), "it has the snapshot")
 	s.caughtUp(h)
 }
 
-// Given a machine in the midst of a digest, when its power goes, then it starts
-// with what was synced, and never with half a digest.
-func TestPowerLossMidDigest(t *testing.T) {
+// Given a machine in the midst of a snapshot, when its power goes, then it starts
+// with what was synced, and never with half a snapshot.
+func TestPowerLossMidSnapshot(t *testing.T) {
 	t.Parallel()
 	for seed := int64(212); seed < 215; seed++ {
 		s := given(t, seed)
@@ -109,13 +109,13 @@
 		s.w.Run(time.Second)
 		h.Start()
 		s.then(h.Up, "it starts: %q", h.Notes)
-		s.then(s.w.Until(3*budget.Heal, func() bool { return !s.stats(h).Pulling && s.stats(h).Applied > 0 }), "it has the digest")
+		s.then(s.w.Until(3*budget.Heal, func() bool { return !s.stats(h).Pulling && s.stats(h).Applied > 0 }), "it has the snapshot")
 		s.caughtUp(h)
 	}
 }
 
 // Given pieces that are old, doubled or of another leader, when they come, then
-// they are dropped and counted, and the digest is whole.
+// they are dropped and counted, and the snapshot is whole.
 func TestStrayPieces(t *testing.T) {
 	t.Parallel()
 	s := given(t, 219)
@@ -131,7 +131,7 @@
 	_, _ = fmt.Sscanf(h.Notes[len(h.Notes)-1][strings.Index(h.Notes[len(h.Notes)-1], "[index"):], "[index %d]", &index)
 	body, _ := json.Marshal(map[string]any{"i": index, "f": "nobody", "at": 0, "n": 4, "s": []byte("null")})
 	h.offer(h.life, flow.Event{Line: &flow.Line{Ver: flow.Version, Kind: "piece", Addr: "10.9.9.9:1", Body: body}})
-	s.then(s.w.Until(2*budget.Heal, func() bool { return !s.stats(h).Pulling && s.stats(h).Applied > 0 }), "it has the digest")
+	s.then(s.w.Until(2*budget.Heal, func() bool { return !s.stats(h).Pulling && s.stats(h).Applied > 0 }), "it has the snapshot")
 	s.then(s.stats(h).Strays > 0, "strays are counted")
 	s.then(!strings.Contains(strings.Join(h.Notes, " "), "does not read"), "and none is taken for the leader's: %q", h.Notes)
 	s.w.Net.Twice, s.w.Net.Late = 0, 0
@@ -146,7 +146,7 @@
 	s := given(t, 220)
 	s.train("one")
 	s.a.Consume(50 * time.Millisecond)
-	s.digested()
+	s.snapshoted()
 	l := s.w.Leader()
 	n := 0
 	for name, x := range l.Disk.names {
@@ -278,15 +278,15 @@
 
 // full makes a state of a day's keys and an hour's results, with the items that
 // it names, as a store's disk has it.
-func full(keys, steps int) (*ledger.Ledger, json.RawMessage, []flow.Shelf) {
+func full(keys, steps int) (*ledger.Ledger, json.RawMessage, []flow.BlobChange) {
 	l := ledger.New()
-	var shelf []flow.Shelf
+	var blobs []flow.BlobChange
 	do := func(kind string, at int64, body any) {
 		b, _ := json.Marshal(body)
 		c, _ := json.Marshal(ledger.Command{Kind: kind, At: at, Body: b})
 		l.Apply(l.Index+1, c)
 		if x, any := l.Box(); any {
-			shelf = append(shelf, x)
+			blobs = append(blobs, x)
 		}
 	}
 	for i := 0; i < keys; i++ {
@@ -306,11 +306,11 @@
 		}
 		do("step.end", at, id)
 	}
-	d := l.Digest()
+	d := l.Snapshot()
 	if x, any := l.Box(); any {
-		shelf = append(shelf, x)
+		blobs = append(blobs, x)
 	}
-	return l, d, shelf
+	return l, d, blobs
 }
 
 // Given stores that hold a day's keys and an hour's results, when one is lost
@@ -323,17 +323,17 @@
 	if os.Getenv("FULL") != "" {
 		keys, steps = 518_400, 1200
 	}
-	l, state, shelf := full(keys, steps)
+	l, state, blobs := full(keys, steps)
 	w := Prepare(224, FibrArmor)
 	var conf raft.Conf
 	conf.Cluster, conf.Want = "c-full", 3
 	stores := w.By("store")
 	for i, h := range stores {
-		conf = conf.With(raft.Member{ID: fmt.Sprint("s", i), Addr: h.Props.Addr, Area: h.Props.Area, Voter: true})
+		conf = conf.With(raft.Member{ID: fmt.Sprint("s", i), Addr: h.Config.Addr, Area: h.Config.Area, Voter: true})
 	}
 	raw, _ := json.Marshal(conf)
 	for i, h := range stores {
-		h.Disk.prime(fmt.Sprint("s", i), conf.Cluster, shelf, flow.Digest{Index: l.Index, Term: 1, Conf: raw, State: state})
+		h.Disk.prime(fmt.Sprint("s", i), conf.Cluster, blobs, flow.Snapshot{Index: l.Index, Term: 1, Conf: raw, State: state})
 	}
 	for _, h := range w.Hosts {
 		h.Start()
@@ -351,10 +351,10 @@
 	dead.Lose(true)
 	dead.Retired = true
 	from, done := w.Now, s.a.Done
-	h := s.fresh("store-new", 1, dead.Props.Area)
+	h := s.fresh("store-new", 1, dead.Config.Area)
 	s.then(w.Until(5*budget.Heal, func() bool { return s.members()[h.ID()].Voter && s.settled() }), "an empty machine takes its place: %v", s.members())
-	t.Logf("%d keys, %d results: a digest of %d bytes, %d pieces; a voter again after %v, %d steps meanwhile", rows["keys"], rows["results"],
-		s.stats(lead).Digest, s.stats(h).Pulled, w.Now-from, s.a.Done-done)
+	t.Logf("%d keys, %d results: a snapshot of %d bytes, %d pieces; a voter again after %v, %d steps meanwhile", rows["keys"], rows["results"],
+		s.stats(lead).Snapshot, s.stats(h).Pulled, w.Now-from, s.a.Done-done)
 	s.then(w.Now-from < 2*budget.Heal, "inside the budget: %v", w.Now-from)
 	s.then(w.Leader() == lead && s.a.Done > done, "the leader kept its office and steps went on")
 	w.Run(time.Second)
--- a/sim/story_test.go
+++ b/sim/story_test.go
@@ -202,7 +202,7 @@
 	}
 }
 
-// Given callers at work, when a dispatcher is cut off from every sibling,
+// Given callers at work, when a dispatcher is cut off from every peer,
 // then it refuses at once with Retry-After, no plan slips back on it, and it
 // serves again when the cut ends.
 func TestDispatcherCutOff(t *testing.T) {
@@ -219,7 +219,7 @@
 		}
 	}
 	s.w.Net.Split([]string{cut.Name}, sibs)
-	s.w.Run(budget.Tenure + 200*time.Millisecond)
+	s.w.Run(budget.Lease + 200*time.Millisecond)
 	began := s.w.Now
 	r := s.ask(cut, Web("POST", "/book/x", map[string]string{"id": "late"}, ""))
 	s.then(r.Code == 503 && r.Head["Retry-After"] != "", "it refuses with Retry-After: %d", r.Code)
@@ -455,14 +455,14 @@
 	s.end()
 }
 
-// Given a checkpoint that is damaged, when its coordinator takes the tenure
+// Given a checkpoint that is damaged, when its coordinator takes the lease
 // again, then it starts cold, says so, and the index fills anew.
 func TestCorruptCheckpoint(t *testing.T) {
 	t.Parallel()
 	s := given(t, 25)
 	x := s.open(doc(s.a, "s1", 1, 6, 32))
 	s.then(s.w.Until(budget.Heal, func() bool { return len(x.list) == x.doc.Wanted() }), "a step is done")
-	s.w.Run(budget.Digest + 2*time.Second)
+	s.w.Run(budget.Snapshot + 2*time.Second)
 	c := s.w.Acting()
 	b, err := c.Disk.Read("index.ckpt")
 	s.then(err == nil && len(b) > 100, "a checkpoint was written")
@@ -600,7 +600,7 @@
 	}
 }
 
-// Given a calm fleet, when time passes, then the tenure stays where it is.
+// Given a calm fleet, when time passes, then the lease stays where it is.
 func TestCalmHandover(t *testing.T) {
 	t.Parallel()
 	s := given(t, 42)
@@ -667,7 +667,7 @@
 // Given slow application engines and a route's bound on requests under way,
 // when more come at one dispatcher, then the rest are told 429 at once, with
 // when to come back, and never run.
-func TestFullHolding(t *testing.T) {
+func TestFullQueue(t *testing.T) {
 	t.Parallel()
 	s := given(t, 61)
 	for _, x := range s.w.Out.Apps() {
@@ -831,7 +831,7 @@
 }
 
 // Given a dispatcher whose machine's clock was set back, when it starts again,
-// then its siblings hear it at once, not once they forgot the one before.
+// then its peers hear it at once, not once they forgot the one before.
 // (Found by a sweep: seed 2277 was whole again only after 20 s.)
 func TestStartsUnderAnEarlierClock(t *testing.T) {
 	t.Parallel()
@@ -904,7 +904,7 @@
 	h.Kill()
 	h.Start()
 	s.then(s.w.Until(budget.Heal, s.w.Serving), "it serves again")
-	s.w.Run(2 * budget.Tenure)
+	s.w.Run(2 * budget.Lease)
 	s.then(s.claims() == 1, "the earlier claim stands")
 	r := s.ask(h, b)
 	s.then(r.Code == 502, "the outcome is unknown: %d %s", r.Code, r.Body)
--- a/sim/sweep.go
+++ b/sim/sweep.go
@@ -100,7 +100,7 @@
 			continue
 		}
 		c := h.Node.Stats(h.clock()).Disp.Counts
-		for _, k := range []string{"resumed", "twins", "failed_runs", "broken_streams", "judge_mishaps", "hits_expected", "unknown"} {
+		for _, k := range []string{"resumed", "twins", "failed_runs", "broken_streams", "judge_failures", "hits_expected", "unknown"} {
 			r[k] += int(c[k])
 		}
 	}
--- a/sim/world.go
+++ b/sim/world.go
@@ -20,7 +20,7 @@
 	seq    uint64
 	Net    Net
 	Hosts  []*Host
-	at     map[string]*Host // by sibling address
+	at     map[string]*Host // by peer address
 	web    map[string]*Host
 	Out    *Outside
 	Trace  uint64 // hash of all that happened, to prove replays
