--- /dev/null
+++ b/core/ledger/lot_reads.go
@@ -0,0 +1,169 @@
+// Reads of lots (design 8.7).
+
+package ledger
+
+import (
+	"encoding/json"
+	"slices"
+	"sort"
+
+	"fernlink/core/flow"
+)
+
+// LotRows gives the lots that have not ended, by id.
+func (l *Ledger) LotRows() []LotRow {
+	var out []LotRow
+	for id, t := range l.Lots {
+		if !t.Ended {
+			out = append(out, t.row(id))
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
+	return out
+}
+
+// row is what dispatchers hear of a lot.
+func (t *Lot) row(id string) LotRow {
+	return LotRow{ID: id, Owner: t.Doc.Owner, Ended: t.Ended, Pool: t.Doc.Pool, Model: t.Doc.Model, Least: t.Doc.Least}
+}
+
+// lotsSince gives the rows that changed after an index.
+func (l *Ledger) lotsSince(have uint64) []LotRow {
+	var out []LotRow
+	for id, t := range l.Lots {
+		if t.Mod > have {
+			out = append(out, t.row(id))
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
+	return out
+}
+
+// texts are the results listed last, so that their readers need no disk.
+type texts struct {
+	by    map[uint64][]byte
+	ids   []uint64
+	bytes int
+}
+
+func (x *texts) add(id uint64, b []byte) {
+	if x.by == nil {
+		x.by = map[uint64][]byte{}
+	}
+	x.by[id], x.ids, x.bytes = b, append(x.ids, id), x.bytes+len(b)+sizeOf
+	for x.bytes > recentBytes {
+		old := x.ids[0]
+		x.bytes -= len(x.by[old]) + sizeOf
+		delete(x.by, old)
+		x.ids = x.ids[1:]
+	}
+}
+
+type rawLotRead struct {
+	Total   int               `json:"total"`
+	Next    int               `json:"next"`
+	Listed  int               `json:"listed"`
+	Ended   bool              `json:"ended,omitempty"`
+	Results []json.RawMessage `json:"results"`
+}
+
+func (l *Ledger) readLot(body json.RawMessage) Result {
+	var q ReadLot
+	if json.Unmarshal(body, &q) != nil {
+		return fail(400, "the question does not parse")
+	}
+	t := l.Lots[q.Lot]
+	if t == nil {
+		return fail(404, "no such lot")
+	}
+	if q.Bytes <= 0 {
+		q.Bytes = PageBytes
+	}
+	from := min(max(q.From, 0), len(t.List))
+	out := rawLotRead{len(t.IDs), from, len(t.List), t.Ended, []json.RawMessage{}}
+	var need []flow.Ref
+	var holes []int
+	for size := 0; out.Next < len(t.List); out.Next++ {
+		r := t.List[out.Next]
+		if size += int(r.Size); size > q.Bytes && out.Next > from {
+			break
+		}
+		b := l.recent.by[r.Item]
+		if b == nil {
+			holes, need = append(holes, len(out.Results)), append(need, flow.Ref{Kind: LotTextItem, ID: r.Item})
+		}
+		out.Results = append(out.Results, b)
+	}
+	if len(need) == 0 {
+		return good(out)
+	}
+	return Result{Code: 200, Need: need, With: func(items [][]byte) Result {
+		for i, at := range holes {
+			out.Results[at] = items[i]
+		}
+		return good(out)
+	}}
+}
+
+// lotItems tells an owner what is left of its lot.
+func (l *Ledger) lotItems(body json.RawMessage) Result {
+	var id string
+	_ = json.Unmarshal(body, &id)
+	t := l.Lots[id]
+	if t == nil {
+		return fail(404, "no such lot")
+	}
+	var need []flow.Ref
+	var parts []int
+	for p, done := range t.done {
+		if k := t.part(p); !done && (len(parts) == 0 || parts[len(parts)-1] != k) {
+			parts, need = append(parts, k), append(need, t.partRef(k))
+		}
+	}
+	out := LotItems{Doc: t.Doc, Listed: len(t.List), Ended: t.Ended}
+	out.Doc.AgeMS, out.Doc.Items = l.Clock-t.Doc.Opened, []LotItem{}
+	if len(need) == 0 {
+		return good(out)
+	}
+	done := slices.Clone(t.done) // Listed and what is left must agree
+	return Result{Code: 200, Need: need, With: func(items [][]byte) Result {
+		for i, b := range items {
+			var part []LotItem
+			if json.Unmarshal(b, &part) != nil {
+				return fail(500, "a lot's requests do not parse")
+			}
+			for j, x := range part {
+				if !done[t.Parts[parts[i]]+j] {
+					out.Doc.Items = append(out.Doc.Items, x)
+				}
+			}
+		}
+		return good(out)
+	}}
+}
+
+// LotBody answers a lot.item.
+type LotBody struct {
+	Body []byte `json:"body"`
+}
+
+// lotItem gives the body of one item that is not listed, until the lot ends.
+func (l *Ledger) lotItem(body json.RawMessage) Result {
+	var q FindItem
+	_ = json.Unmarshal(body, &q)
+	t, p := l.Lots[q.Lot], -1
+	if t != nil && !t.Ended {
+		p = t.place(q.Item)
+	}
+	if p < 0 || t.done[p] {
+		return fail(404, "no such item is open")
+	}
+	k := t.part(p)
+	return Result{Code: 200, Need: []flow.Ref{t.partRef(k)}, With: func(items [][]byte) Result {
+		var part []LotItem
+		if json.Unmarshal(items[0], &part) != nil || p-t.Parts[k] >= len(part) {
+			return fail(500, "a lot's requests do not parse")
+		}
+		return good(LotBody{part[p-t.Parts[k]].Body})
+	}}
+}
--- /dev/null
+++ b/core/store/leases.go
@@ -0,0 +1,197 @@
+// Leases of dispatchers and of the acting coordinator (design 5.2, 9.2).
+
+package store
+
+import (
+	"encoding/json"
+	"sort"
+
+	"fernlink/core/budget"
+	"fernlink/core/flow"
+	"fernlink/core/ledger"
+	"fernlink/core/raft"
+	"fernlink/core/sorted"
+)
+
+// leaseHolder is a dispatcher's last renewal and how much of the ledger it had.
+type leaseHolder struct {
+	at      flow.Time
+	have    uint64
+	addr    string
+	left    bool
+	contact contact
+}
+
+// contact tells whether somebody who asks hears the answers, too. One who does not
+// is answered no more, so that the time of the last answer bounds what it may
+// still hold, and its place can be taken (design 5.2).
+type contact struct {
+	heard uint64
+	moved flow.Time // when that grew
+}
+
+func (e *contact) lost(now flow.Time, heard uint64, first bool) bool {
+	if first || heard != e.heard {
+		e.heard, e.moved = heard, now
+	}
+	return now-e.moved > budget.Lease
+}
+
+// Renew asks for a dispatcher's lease (design 5.2).
+type Renew struct {
+	ID    string `json:"id"`
+	Have  uint64 `json:"have"`
+	Left  bool   `json:"left,omitempty"` // it stops: its work falls to others
+	Heard uint64 `json:"heard"`          // how many answers it got
+}
+
+func (s *Store) renew(_ flow.Time, w wait, out *flow.Outbox) { s.read(w, out) }
+
+// CoordRenew asks to keep the coordinator's lease.
+type CoordRenew struct {
+	ID    string `json:"id"`
+	Addr  string `json:"addr"`
+	Term  uint64 `json:"term"`
+	Plan  uint64 `json:"plan"` // the version that it has
+	Heard uint64 `json:"heard"`
+}
+
+func (s *Store) renewCoord(now flow.Time, w wait, out *flow.Outbox) {
+	var c CoordRenew
+	_ = json.Unmarshal(w.ask.Body, &c)
+	if c.Term == 0 || c.Term != s.ledger.Coord.Term || c.ID != s.ledger.Coord.ID || s.grant == c.Term {
+		s.tell(w, 409, s.ledger.Coord, out)
+		return
+	}
+	if s.contact.lost(now, c.Heard, s.contactTerm != c.Term) {
+		s.contactTerm = c.Term
+		s.tell(w, 503, map[string]string{"error": "earlier answers were not heard"}, out)
+		return
+	}
+	s.contactTerm = c.Term
+	s.coord = now // counted from its coming in, before any proof: the safe side
+	s.read(w, out)
+}
+
+// takeCoord grants the lease once the holder was silent for long enough on
+// this leader's own clock (design 9.2).
+func (s *Store) takeCoord(now flow.Time, w wait, out *flow.Outbox) {
+	var c CoordRenew
+	_ = json.Unmarshal(w.ask.Body, &c)
+	have := s.ledger.Coord
+	quiet := now-max(s.coord, s.raft.Since()) >= budget.Take || s.freed == have.Term
+	if have.Term != 0 && !quiet || s.grant == have.Term && have.Term != 0 {
+		s.tell(w, 409, have, out)
+		return
+	}
+	s.grant = have.Term
+	body, _ := json.Marshal(ledger.GrantCoord{Term: have.Term, ID: c.ID, Addr: c.Addr})
+	s.coord = now
+	s.write(w, "coord.grant", body, out)
+}
+
+// leaveCoord frees the lease of a coordinator that stops. It orders nothing any
+// more, and nothing of it is under way, so its successor need not wait.
+func (s *Store) leaveCoord(_ flow.Time, w wait, out *flow.Outbox) {
+	var c CoordRenew
+	_ = json.Unmarshal(w.ask.Body, &c)
+	if c.Term == s.ledger.Coord.Term && c.ID == s.ledger.Coord.ID {
+		s.freed = c.Term
+	}
+	s.tell(w, 200, struct{}{}, out)
+}
+
+// goneDisp forgets a dispatcher that stopped: it has cut all that it sent.
+func (s *Store) goneDisp(now flow.Time, w wait, out *flow.Outbox) {
+	var id string
+	_ = json.Unmarshal(w.ask.Body, &id)
+	delete(s.seen, id)
+	s.heardMore = true
+	s.disown(now, id)
+	s.tell(w, 200, struct{}{}, out)
+}
+
+func (s *Store) renewed(now flow.Time, w wait) ledger.Result {
+	var r Renew
+	_ = json.Unmarshal(w.ask.Body, &r)
+	was, known := s.seen[r.ID]
+	if was.contact.lost(now, r.Heard, !known) {
+		s.counts["unheard_answers"]++
+		return ledger.Result{Code: 503, Body: body(map[string]string{"error": "earlier answers were not heard"})}
+	}
+	s.seen[r.ID] = leaseHolder{now, max(was.have, r.Have), w.addr, was.left || r.Left, was.contact}
+	if r.Have > was.have {
+		s.heardMore = true // an order may be known to all by now
+	}
+	d := s.ledger.Since(r.Have)
+	d.Wall = s.time()
+	for id, x := range s.seen {
+		if now-x.at > 2*budget.Lease {
+			delete(s.seen, id)
+		}
+		if now-x.at > budget.Lease || x.left || len(d.Open) == 0 {
+			continue // only steps are shared out by the roster
+		}
+		d.Roster = append(d.Roster, id)
+	}
+	sort.Strings(d.Roster)
+	return ledger.Result{Code: 200, Body: body(d)}
+}
+
+// nudges are the commands that others should hear of soon. They renew at once
+// then; what is promised rests on the renewals alone (design 5.2).
+var nudges = map[string]bool{
+	"plan.put": true, "step.open": true, "step.end": true, "order.put": true, "order.state": true,
+	"target.put": true, "drain.put": true, "lot.put": true, "lot.end": true, "lot.own": true,
+}
+
+func (s *Store) nudge(now flow.Time, out *flow.Outbox) {
+	if s.raft.Role() != raft.Leader {
+		s.news, s.heardMore = false, false
+		return
+	}
+	if s.news {
+		for _, id := range sorted.Keys(s.seen) {
+			if x := s.seen[id]; now-x.at <= budget.Lease {
+				out.Line(x.addr, "nudge", struct{}{})
+			}
+		}
+	}
+	if s.ledger.Coord.Addr != "" && (s.news || s.heardMore && s.ledger.Ordered()) {
+		out.Line(s.ledger.Coord.Addr, "nudge", struct{}{})
+	}
+	s.news, s.heardMore = false, false
+}
+
+// known is how far every dispatcher that may hold a lease has read. A leader
+// that is new may not have heard them all yet.
+func (s *Store) known(now flow.Time) uint64 {
+	if now-s.raft.Since() <= 2*budget.Lease {
+		return 0
+	}
+	least := s.ledger.Index
+	for _, x := range s.seen {
+		if now-x.at <= 2*budget.Lease {
+			least = min(least, x.have)
+		}
+	}
+	return least
+}
+
+func (s *Store) renewedCoord(now flow.Time, w wait) ledger.Result {
+	var c CoordRenew
+	_ = json.Unmarshal(w.ask.Body, &c)
+	if c.Term != s.ledger.Coord.Term || c.ID != s.ledger.Coord.ID {
+		return ledger.Result{Code: 409, Body: body(s.ledger.Coord)}
+	}
+	d := s.ledger.Since(0)
+	d.Wall, d.Known = s.time(), s.known(now)
+	for i := range d.Steps {
+		d.Steps[i].Groups = nil // policies need no prompts
+	}
+	d.Listed, d.Lots = nil, nil
+	if d.Plan != nil && d.Plan.Version == c.Plan {
+		d.Plan = nil
+	}
+	return ledger.Result{Code: 200, Body: body(d)}
+}
