A store member that stops hands its vote on first

Cause: a voter that was told to stop went at once, and its place was given to a learner that stood ready only after 2 s of silence. In these 2 s the voters were two of three, though the deployment counts the planned replacement as no loss: a second machine that was wiped then left one copy of three votes, for good.

Ruled out: a mark in the membership (it would have to be taken back where the process only restarts), and waiting for gossip (it is heard up to 0.5 s later and says nothing of how long).

Now a member that stops tells the leader so, again and again; the leader treats it like one that an operator empties, but takes it in again when it is back. The stop waits until the vote is with another, 2 s at most, and not where no learner is.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -51,25 +51,26 @@
 
 // Node is one process.
 type Node struct {
-	p      Config
-	gossip *gossip.Gossip
-	asker  *ask.Asker
-	store  *store.Store
-	disp   *disp.Disp
-	coord  *coord.Coord
-	serve  *serve.Serve
-	ids    uint64
-	counts map[string]int64
-	burst  map[string]flow.Time
-	known  gossip.Known
-	began  flow.Time
-	now    flow.Time
-	box    flow.Outbox // what the store wants done, until it is released
-	held   []batch     // what waits for saves that are under way
-	given  uint64      // the newest batch of saves given out
-	saved  uint64      // the newest that is on disk
-	full   bool        // the disk has no room
-	stop   flow.Time   // when a clean stop is over at the latest
+	p        Config
+	gossip   *gossip.Gossip
+	asker    *ask.Asker
+	store    *store.Store
+	disp     *disp.Disp
+	coord    *coord.Coord
+	serve    *serve.Serve
+	ids      uint64
+	counts   map[string]int64
+	burst    map[string]flow.Time
+	known    gossip.Known
+	began    flow.Time
+	now      flow.Time
+	box      flow.Outbox // what the store wants done, until it is released
+	held     []batch     // what waits for saves that are under way
+	given    uint64      // the newest batch of saves given out
+	saved    uint64      // the newest that is on disk
+	full     bool        // the disk has no room
+	stop     flow.Time   // when a clean stop is over at the latest
+	announce flow.Time   // when the store's leader hears next that this member stops
 }
 
 // batch is what may leave once the saves up to its number are on disk.
@@ -281,7 +282,8 @@
 	done := (n.serve == nil || n.serve.Left()) && (n.disp == nil || n.disp.Left()) && (n.coord == nil || n.coord.Left(now))
 	if n.store != nil {
 		n.store.Leave(now)
-		done = done && n.store.Left()
+		n.announceStop(now)
+		done = done && n.store.Left(now)
 	}
 	if done && !n.gossip.Self().Left {
 		n.gossip.Leave(now)
@@ -290,6 +292,17 @@
 	out.Done = done && len(n.held) == 0 || now >= n.stop
 }
 
+// announceStop tells the store's leader, again and again, that this member stops,
+// so that another has its vote before it is gone.
+func (n *Node) announceStop(now flow.Time) {
+	notice, needed := n.store.StopNotice()
+	if !needed || now < n.announce {
+		return
+	}
+	n.announce = now + budget.Elect/2
+	n.asker.Put(now, budget.Elect, "store.stop", notice, func(flow.Time, ask.Answer) {})
+}
+
 func (n *Node) event(now flow.Time, wall int64, e flow.Event, out *flow.Outbox) {
 	if e.Stop {
 		n.leave(now, out)
--- a/core/store/asks.go
+++ b/core/store/asks.go
@@ -93,6 +93,7 @@
 		"store.add":     (*Store).add,
 		"store.promote": (*Store).promote,
 		"store.remove":  (*Store).remove,
+		"store.stop":    (*Store).stopAnnounced,
 	}
 }
 
--- a/core/store/members.go
+++ b/core/store/members.go
@@ -152,7 +152,7 @@
 // ready says whether a member is heard and holds nearly all of the log.
 func (s *Store) ready(id string, now flow.Time) bool {
 	m := s.raft.Match(id)
-	return s.raft.Live(id, now) && m > 0 && m+uint64(s.p.Keep/8+1) >= s.raft.Commit()
+	return s.raft.Live(id, now) && !s.isStopping(id, now) && m > 0 && m+uint64(s.p.Keep/8+1) >= s.raft.Commit()
 }
 
 // remove empties a machine. A learner leaves at once; a voter is marked, and
--- a/core/store/repair.go
+++ b/core/store/repair.go
@@ -24,6 +24,7 @@
 	for _, e := range live {
 		s.taken[e.Addr] = e.ID
 	}
+	s.forgetStops(now)
 	for id, at := range s.silent {
 		if now-at >= 2*budget.Lost {
 			delete(s.silent, id)
@@ -76,7 +77,7 @@
 		return c, ""
 	}
 	for _, e := range live {
-		if _, silent := s.silent[e.ID]; silent || !e.Has("store") || e.Cluster != s.raft.Cluster() || c.Find(e.ID) >= 0 || slices.Contains(c.Retired, e.ID) {
+		if _, silent := s.silent[e.ID]; silent || s.isStopping(e.ID, now) || !e.Has("store") || e.Cluster != s.raft.Cluster() || c.Find(e.ID) >= 0 || slices.Contains(c.Retired, e.ID) {
 			continue
 		}
 		return c.With(raft.Member{ID: e.ID, Addr: e.Addr, Area: e.Area}), "took in a learner"
@@ -92,8 +93,10 @@
 }
 
 // gone says whether a voter should be replaced: an operator wants its machine
-// emptied, or it is lost.
-func (s *Store) gone(m raft.Member, now flow.Time) bool { return m.Leave || s.lost(m, now) }
+// emptied, its process stops, or it is lost.
+func (s *Store) gone(m raft.Member, now flow.Time) bool {
+	return m.Leave || s.isStopping(m.ID, now) || s.lost(m, now)
+}
 
 // lost says that a member is silent for long, sooner where another stands ready
 // for its area, and soonest where somebody else speaks from its address: its
@@ -194,7 +197,7 @@
 		if held[m.Area] > 1 && m.ID != s.p.ID {
 			n = 2
 		}
-		if m.Leave {
+		if m.Leave || s.isStopping(m.ID, now) {
 			n = 3
 		}
 		if s.raft.Silent(m.ID, now) >= budget.Lost || s.replaced(m, now) {
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"math/rand"
-	"slices"
 	"sort"
 
 	"fernlink/core/budget"
@@ -78,6 +77,8 @@
 	orphan      flow.Time            // when lost claims are looked for next
 	lots        map[string]given     // when this leader gave a lot another owner
 	silent      map[string]flow.Time // when silent members were taken out
+	stopping    map[string]flow.Time // when members last said that they stop
+	leaveBy     flow.Time            // until when this member waits for another to take its vote
 	owned       flow.Time            // when owners of lots are looked at next
 }
 
@@ -85,7 +86,7 @@
 func New(now flow.Time, p Config) (*Store, error) {
 	s := &Store{p: p, ledger: ledger.New(), addrs: map[string]string{}, writes: map[uint64]wait{},
 		reads: map[uint64]wait{}, seen: map[string]leaseHolder{}, counts: map[string]int{},
-		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, lots: map[string]given{}, silent: map[string]flow.Time{}}
+		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, lots: map[string]given{}, silent: map[string]flow.Time{}, stopping: map[string]flow.Time{}}
 	if d := p.Disk.Snapshot; d != nil {
 		l, err := ledger.Load(d.State, p.Disk.Items)
 		if err != nil {
@@ -138,19 +139,6 @@
 // stands still, which keeps things for longer, never for less.
 func (s *Store) time() int64 { return s.stamp + (s.now - s.lead).Milliseconds() }
 
-// Leave hands leadership on, again now and then; Left says that it is done.
-func (s *Store) Leave(now flow.Time) {
-	if s.raft.Role() == raft.Leader && now >= s.moved {
-		s.moved = now + budget.Elect/2
-		s.raft.Transfer()
-	}
-}
-
-// Left says that this store leads no more, or that nobody else could.
-func (s *Store) Left() bool {
-	return s.raft.Role() != raft.Leader || !slices.ContainsFunc(s.raft.Conf().Members, func(m raft.Member) bool { return m.Voter && m.ID != s.p.ID })
-}
-
 // Advance runs the store's systems.
 func (s *Store) Advance(now flow.Time, wall int64, live []gossip.Entry, self gossip.Entry, out *flow.Outbox) {
 	s.now = now
@@ -226,6 +214,7 @@
 	s.seen = map[string]leaseHolder{}
 	s.grant = 0
 	s.lots = map[string]given{}
+	s.stopping = map[string]flow.Time{}
 }
 
 func (s *Store) apply(a raft.Applied, out *flow.Outbox) {
