A wiped voter leaves the membership before its successor votes

Cause: the learner was promoted first, so that for a moment four voters stood of whom one can never answer; three of four were needed, the fresh one among them. Lost again just then, it stopped all orders until it was back.

Where another identity speaks from the address, the old disk is gone for good and its vote with it. Taking it out first needs the two others, who are needed in any case; promoting then needs two of three. At no instant is the fresh voter needed. A voter that is only silent still has its disk and may come back to help, so there the successor is promoted first, as before.

--- a/core/store/repair.go
+++ b/core/store/repair.go
@@ -55,6 +55,7 @@
 var rules = []func(*Store, flow.Time, raft.Conf, []gossip.Entry) (raft.Conf, string){
 	(*Store).takeIn,
 	(*Store).trim,
+	(*Store).dropWiped,
 	(*Store).fill,
 	(*Store).spread,
 	(*Store).grow,
@@ -128,6 +129,22 @@
 	return false
 }
 
+// dropWiped takes a voter out whose disk is gone for good, as soon as a learner
+// stands ready, and before that learner is promoted: until then exactly the other
+// voters are needed, as they are anyway, and the loss of the learner stops
+// nothing (design 4.8).
+func (s *Store) dropWiped(now flow.Time, c raft.Conf, _ []gossip.Entry) (raft.Conf, string) {
+	if c.Voters() != want(c) || c.Voters() < 3 || s.spare(now, c) == "" {
+		return c, ""
+	}
+	for _, m := range c.Members {
+		if m.Voter && s.replaced(m, now) {
+			return c.Without(m.ID), "took out a voter whose disk is gone"
+		}
+	}
+	return c, ""
+}
+
 // fill promotes a ready learner where fewer sound voters stand than wanted.
 func (s *Store) fill(now flow.Time, c raft.Conf, _ []gossip.Entry) (raft.Conf, string) {
 	sound := 0
