A learner is promoted by the time it is behind, not by entries

Cause: a learner counted as ready with up to an eighth of keep_entries missing, whether it was catching up or stood still. A promotion then needed its vote while it was still to be fed.

Ruled out: match equal to the commit index (under steady orders a learner with a slow disk is always one round behind, and would never be taken).

Now it has to have on its disk what was committed an election timeout ago, in the term of this leader; in a leader's first moments, all that is committed.

Before: TestStalledLearnerIsNotPromoted failed: a learner that was cut off for 0.85 s under orders was promoted (200). After: 409, and 200 once it has caught up.

--- a/core/store/members.go
+++ b/core/store/members.go
@@ -149,12 +149,38 @@
 	s.hold(w, at, term, err, out)
 }
 
-// ready says whether a member is heard and holds nearly all of the log.
+// ready says whether a member may take a voter's place: it is heard, does not
+// stop, and has all that was committed an election timeout ago on its disk
+// (design 4.8). Match counts what a member acknowledged to this leader in this
+// term, and a member acknowledges only what is synced: its log, and the snapshot
+// with every blob that it names.
 func (s *Store) ready(id string, now flow.Time) bool {
-	m := s.raft.Match(id)
-	return s.raft.Live(id, now) && !s.isStopping(id, now) && m > 0 && m+uint64(s.p.Keep/8+1) >= s.raft.Commit()
+	target, known := s.caughtUp.target(s.raft.Term())
+	return known && s.raft.Live(id, now) && !s.isStopping(id, now) && s.raft.Match(id) >= target
 }
 
+// catchUpTarget remembers what was committed a while ago, so that a learner is
+// held against the log's progress and not against a number of entries.
+type catchUpTarget struct {
+	term         uint64
+	notedAt      flow.Time
+	older, newer uint64 // commit indexes, the older of them up to an election timeout old
+}
+
+// note takes the leader's commit index of now.
+func (t *catchUpTarget) note(now flow.Time, term, commit uint64) {
+	if t.term != term {
+		*t = catchUpTarget{term: term, notedAt: now, older: commit, newer: commit}
+		return
+	}
+	if now-t.notedAt >= budget.Elect/2 {
+		t.older, t.newer, t.notedAt = t.newer, commit, now
+	}
+}
+
+// target is the index that a learner must have; none is known in another term.
+func (t *catchUpTarget) target(term uint64) (uint64, bool) { return t.older, t.term == term }
+
 // remove empties a machine. A learner leaves at once; a voter is marked, and
 // leaves when another has taken its place (repair.go). What would leave too
 // few voters is refused.
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -78,6 +78,7 @@
 	lots        map[string]given     // when this leader gave a lot another owner
 	silent      map[string]flow.Time // when silent members were taken out
 	stopping    map[string]flow.Time // when members last said that they stop
+	caughtUp    catchUpTarget        // what a learner has to have
 	leaveBy     flow.Time            // until when this member waits for another to take its vote
 	owned       flow.Time            // when owners of lots are looked at next
 }
@@ -147,6 +148,9 @@
 	}
 	s.checked, s.p.Disk = true, Disk{} // it is not needed any more
 	s.form(now, live, self, out)
+	if s.raft.Ready() {
+		s.caughtUp.note(now, s.raft.Term(), s.raft.Commit())
+	}
 	s.repair(now, live, out)
 	o := s.raft.Advance(now)
 	out.Save = append(out.Save, o.Saves...)
--- a/sim/members_test.go
+++ b/sim/members_test.go
@@ -27,3 +27,26 @@
 		s.end()
 	}
 }
+
+// Given a learner whose log is a few entries short and stands still, when it is to
+// be promoted, then that is refused: what counts is what was committed an election
+// timeout ago, not a number of entries.
+func TestStalledLearnerIsNotPromoted(t *testing.T) {
+	t.Parallel()
+	s := &lossStory{story: givenShape(t, 445, Small)}
+	s.changing = s.follower()
+	n := s.fresh("learner", 1, s.changing.Config.Area)
+	s.then(s.w.Until(10*time.Second, func() bool { return len(s.members()) == 4 }), "it is a learner")
+	s.w.Run(2 * time.Second)
+	s.version = 1
+	s.write()
+	s.w.Net.Split([]string{n.Name}, s.w.others(n.Name))
+	s.w.Run(850 * time.Millisecond)
+	r := s.ask(s.disp(0), Call("store.vote", map[string]string{"id": n.ID()}, nil))
+	s.then(r.Code == 409 && !s.members()[n.ID()].Voter, "refused: %d %s", r.Code, r.Body)
+	s.w.Net.Heal()
+	s.w.Run(2 * time.Second)
+	r = s.ask(s.disp(0), Call("store.vote", map[string]string{"id": n.ID()}, nil))
+	s.then(r.Code == 200, "granted once it has caught up: %d %s", r.Code, r.Body)
+	s.end()
+}
