Removals that leave too few store machines are refused

Cause: an operator could take out the only learner that stood ready while a voter was silent, and mark a second voter while the one ready learner was about to be needed for the first. Both were answered 200.

Now ready learners are counted against the voters that are gone or silent; 409 with the reason where too few would remain.

Before: TestRemovalThatLeavesTooFewIsRefused failed: "ready stays: 200 {}". After: 409 for both, no trace, and 200 once all voters are heard.

--- a/core/store/members.go
+++ b/core/store/members.go
@@ -194,6 +194,10 @@
 	}
 	m := c.Members[i]
 	if !m.Voter {
+		if s.needed(now, c, id) {
+			s.no(w, "too few store machines would remain: it stands ready for a voter that is lost", out)
+			return
+		}
 		at, term, err := s.raft.Change(retire(c, id))
 		s.hold(w, at, term, err, out)
 		return
@@ -206,7 +210,7 @@
 		s.no(w, "this is the last copy", out)
 		return
 	}
-	if s.spare(now, c) == "" && c.Voters() <= c.Want {
+	if s.spares(now, c, "") <= s.voidVotes(now, c) && c.Voters() <= want(c) {
 		s.no(w, "no store machine stands ready to take its place", out)
 		return
 	}
@@ -215,6 +219,31 @@
 	s.hold(w, at, term, err, out)
 }
 
+// needed says that a learner is the last that can take a lost voter's place.
+func (s *Store) needed(now flow.Time, c raft.Conf, id string) bool {
+	return s.ready(id, now) && s.spares(now, c, id) < s.voidVotes(now, c)
+}
+
+// spares counts the learners that stand ready, but for one.
+func (s *Store) spares(now flow.Time, c raft.Conf, except string) (count int) {
+	for _, m := range c.Members {
+		if !m.Voter && !m.Leave && m.ID != except && s.ready(m.ID, now) {
+			count++
+		}
+	}
+	return count
+}
+
+// voidVotes counts the voters whose place a learner is to take, or may soon have to.
+func (s *Store) voidVotes(now flow.Time, c raft.Conf) (count int) {
+	for _, m := range c.Members {
+		if m.Voter && (s.gone(m, now) || s.raft.Silent(m.ID, now) >= budget.Lost/4) {
+			count++
+		}
+	}
+	return count
+}
+
 const keepRetired = 32
 
 // retire takes a member out for good.
--- a/sim/members_test.go
+++ b/sim/members_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -50,3 +51,26 @@
 	s.then(r.Code == 200, "granted once it has caught up: %d %s", r.Code, r.Body)
 	s.end()
 }
+
+// Given a voter that is silent, when an operator takes out the machine that stands
+// ready for it, or another voter, then too few would remain: refused, and no trace.
+func TestRemovalThatLeavesTooFewIsRefused(t *testing.T) {
+	t.Parallel()
+	s := given(t, 446)
+	quiet := s.follower()
+	n := s.fresh("ready", 1, quiet.Config.Area)
+	s.then(s.w.Until(10*time.Second, func() bool { return len(s.members()) == 4 }), "it is a learner")
+	s.w.Run(2 * time.Second)
+	quiet.Freeze(1500 * time.Millisecond)
+	s.w.Run(700 * time.Millisecond)
+	before := fmt.Sprint(s.members())
+	for _, h := range []*Host{n, s.w.Leader()} {
+		r := s.ask(s.disp(0), Call("store.remove", map[string]string{"id": h.ID()}, nil))
+		s.then(r.Code == 409, "%s stays: %d %s", h.Name, r.Code, r.Body)
+	}
+	s.then(fmt.Sprint(s.members()) == before, "no trace: %v", s.members())
+	s.w.Run(3 * time.Second)
+	r := s.ask(s.disp(0), Call("store.remove", map[string]string{"id": n.ID()}, nil))
+	s.then(r.Code == 200, "it may go once all voters are heard: %d %s", r.Code, r.Body)
+	s.end()
+}
