--- a/core/store/stats.go
+++ b/core/store/stats.go
@@ -27,13 +27,29 @@
 	Pulled   int           `json:"pieces_total"`
 	Strays   int           `json:"stray_pieces_total"`
 	Snapshot int           `json:"snapshot_bytes"`
+	// Match is how much of the log each other member has on its disk, on the leader.
+	Match map[string]uint64 `json:"match,omitempty"`
 }
 
 // Stats gives the snapshot.
 func (s *Store) Stats() Stats {
 	return Stats{s.p.ID, s.raft.Role(), s.raft.Term(), s.raft.Commit(), s.raft.Applied(), s.raft.LogLen(),
 		s.raft.LeaderAddr(), s.raft.Conf().Members, s.raft.Busy(), s.counts["writes"], s.counts["reads"], len(s.ledger.Steps), s.ledger.Keys.Len(), s.keysFull(), s.raft.Unsure(),
-		s.pull != nil, s.counts["pieces"], s.counts["stray_pieces"] + s.counts["stray_pulls"], s.snapshotSize()}
+		s.pull != nil, s.counts["pieces"], s.counts["stray_pieces"] + s.counts["stray_pulls"], s.snapshotSize(), s.matches()}
+}
+
+// matches gives what the leader counts each other member for.
+func (s *Store) matches() map[string]uint64 {
+	if s.raft.Role() != raft.Leader {
+		return nil
+	}
+	match := map[string]uint64{}
+	for _, m := range s.raft.Conf().Members {
+		if m.ID != s.p.ID {
+			match[m.ID] = s.raft.Match(m.ID)
+		}
+	}
+	return match
 }
 
 // Rows counts what each table keeps.
--- a/sim/members_test.go
+++ b/sim/members_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"testing"
 	"time"
 
 	"fernlink/core/budget"
+	"fernlink/core/flow"
+	"fernlink/core/ledger"
+	"fernlink/shell/disk"
 )
 
 // Given a wiped voter that is back and votes again, when it is lost once more at
@@ -74,3 +78,75 @@
 	s.then(r.Code == 200, "it may go once all voters are heard: %d %s", r.Code, r.Body)
 	s.end()
 }
+
+// Given members that follow under load, one of them a learner that fetches a
+// snapshot, when the power of any goes at any instant, then its disk has all that
+// the leader counts it for: the log up to its match, and every blob that its
+// snapshot names (design 4.8).
+func TestMatchIsOnDisk(t *testing.T) {
+	t.Parallel()
+	s := &lossStory{story: givenShape(t, 447, lossShape)}
+	s.bulk(4)
+	s.write()
+	s.a.Consume(30 * time.Millisecond)
+	s.w.Run(2 * time.Second)
+	dead := s.follower()
+	dead.Lose(true)
+	dead.Start()
+	checked, promoted := 0, false
+	for end := s.w.Now + 2500*time.Millisecond; s.w.Now < end; s.w.Run(13 * time.Millisecond) {
+		lead := s.w.Leader()
+		for _, h := range s.w.By("store") {
+			if lead == nil || !h.Up || h == lead {
+				continue
+			}
+			match := s.stats(lead).Match[h.ID()]
+			if last, err := h.Disk.lastAfterPowerLoss(); err != nil || last < match {
+				t.Fatalf("at %v the leader counts %s up to %d, its disk has %d: %v", s.w.Now, h.Name, match, last, err)
+			}
+			if match > 0 {
+				checked++
+			}
+		}
+		promoted = promoted || s.members()[dead.ID()].Voter
+	}
+	s.then(checked > 200 && promoted, "much was checked, over a promotion: %d %v", checked, promoted)
+	s.end()
+}
+
+// lastAfterPowerLoss gives the last entry that a copy of the disk still has after a
+// loss of power, or an error where it would not start.
+func (d *Disk) lastAfterPowerLoss() (uint64, error) {
+	c := &Disk{rand: rand.New(rand.NewSource(1)), names: map[string]*inode{}, safe: map[string]*inode{}}
+	for name, x := range d.names {
+		c.names[name] = x
+	}
+	for name, x := range d.safe {
+		c.safe[name] = x
+	}
+	c.Lose()
+	log, content, err := disk.Open(c)
+	if err != nil {
+		return 0, err
+	}
+	var last uint64
+	if content.Snapshot != nil {
+		loaded, err := ledger.Load(content.Snapshot.State, content.Items)
+		if err != nil {
+			return 0, err
+		}
+		for kind, ids := range loaded.Items() {
+			for _, id := range ids {
+				got, err := log.Fetch(flow.Fetch{Refs: []flow.Ref{{Kind: kind, ID: id}}, Check: true})
+				if err != nil || len(got.Missing) > 0 {
+					return 0, fmt.Errorf("%s %d is missing: %v", kind, id, err)
+				}
+			}
+		}
+		last = content.Snapshot.Index
+	}
+	if n := len(content.Entries); n > 0 {
+		last = content.Entries[n-1].Index
+	}
+	return last, nil
+}
