A machine is emptied once the store says that it holds nothing

Cause: every reserve machine was said to be emptied at once, as none keeps anything today. With a store or lots on it that answer would be false, and the machine is taken away with its disk as soon as it is given.

Now the answer comes from the state: a process that runs neither a store nor a dispatcher holds nothing; for others the leader says, by a proved read, whether it is a member and how many open lots it owns. A member is taken out first, with the store's own refusal as the answer where too few would remain.

--- /dev/null
+++ b/core/serve/machines.go
@@ -0,0 +1,97 @@
+package serve
+
+import (
+	"encoding/json"
+	"time"
+
+	"fernlink/core/ask"
+	"fernlink/core/budget"
+	"fernlink/core/flow"
+	"fernlink/core/gossip"
+	"fernlink/core/ledger"
+	"fernlink/core/serve/env"
+)
+
+// States of a machine that an operator wants emptied (design 12.8).
+const (
+	machineEmptying = "emptying"
+	machineEmptied  = "emptied"
+)
+
+// machineState is what an operator is told of such a machine.
+type machineState struct {
+	State string `json:"state"`
+}
+
+// storeBackIn is when an operator may ask again where the store did not answer.
+const storeBackIn = time.Second
+
+// emptyMachine takes an operator's wish that a reserve machine be emptied. What the
+// machine holds for others is moved first; the store refuses where too few would
+// remain.
+func (s *Serve) emptyMachine(c flow.Call) {
+	s.reserve(c, func(machine gossip.Entry) {
+		s.holding(c, machine, func(held ledger.Holding) {
+			if !held.Member {
+				s.tellState(c, held)
+				return
+			}
+			s.env.Ask(budget.AskLimit, "store.remove", machine.ID, func(a ask.Answer) { s.removed(c, a) })
+		})
+	})
+}
+
+// machineState answers how far that is.
+func (s *Serve) machineState(c flow.Call) {
+	s.reserve(c, func(machine gossip.Entry) {
+		s.holding(c, machine, func(held ledger.Holding) { s.tellState(c, held) })
+	})
+}
+
+// reserve finds the reserve machine that a call names.
+func (s *Serve) reserve(c flow.Call, then func(gossip.Entry)) {
+	for _, machine := range s.live {
+		if machine.Name == c.Vars["id"] && machine.Has("reserve") {
+			then(machine)
+			return
+		}
+	}
+	s.env.Out.Answer(c.ID, 404, env.Problem{Error: "no such machine stands by for data"}, nil)
+}
+
+// holding asks the store what a machine holds. A process without a role that keeps
+// anything for others holds nothing, and nobody has to be asked.
+func (s *Serve) holding(c flow.Call, machine gossip.Entry, then func(ledger.Holding)) {
+	if !machine.Has("store") && !machine.Has("dispatcher") {
+		then(ledger.Holding{})
+		return
+	}
+	s.env.Ask(budget.AskLimit, "store.holding", machine.ID, func(a ask.Answer) {
+		var held ledger.Holding
+		if a.Code != 200 || json.Unmarshal(a.Body, &held) != nil {
+			s.env.Refuse(c.ID, "the store did not say what the machine holds", storeBackIn)
+			return
+		}
+		then(held)
+	})
+}
+
+// removed passes the store's answer on: emptying has begun, or why it is refused.
+func (s *Serve) removed(c flow.Call, a ask.Answer) {
+	switch a.Code {
+	case 0:
+		s.env.Refuse(c.ID, "the store did not answer in time; say the same again", storeBackIn)
+	case 200:
+		s.env.Out.Answer(c.ID, 200, machineState{machineEmptying}, nil)
+	default:
+		s.env.Out.Answer(c.ID, a.Code, a.Body, nil)
+	}
+}
+
+func (s *Serve) tellState(c flow.Call, held ledger.Holding) {
+	state := machineEmptying
+	if held.Empty() {
+		state = machineEmptied
+	}
+	s.env.Out.Answer(c.ID, 200, machineState{state}, nil)
+}
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -182,8 +182,8 @@
 	"lot.read":      func(s *Serve, c flow.Call) { s.lots.Read(c) },
 	"lot.end":       func(s *Serve, c flow.Call) { s.lots.End(c) },
 	"lot.item":      func(s *Serve, c flow.Call) { s.lots.Item(c) },
-	"machine.empty": (*Serve).machine,
-	"machine.state": (*Serve).machine,
+	"machine.empty": (*Serve).emptyMachine,
+	"machine.state": (*Serve).machineState,
 }
 
 // Serves says whether a call is this side's.
@@ -230,18 +230,6 @@
 	s.env.Out.Answer(c.ID, 200, map[string]bool{"ready": true}, nil)
 }
 
-// machine answers an operator who wants a reserve machine emptied, or asks how
-// far that is: it keeps nothing until it is made a store (design 12.8).
-func (s *Serve) machine(c flow.Call) {
-	for _, e := range s.live {
-		if e.Name == c.Vars["id"] && e.Has("reserve") {
-			s.env.Out.Answer(c.ID, 200, map[string]string{"state": "emptied"}, nil)
-			return
-		}
-	}
-	s.env.Out.Answer(c.ID, 404, env.Problem{Error: "no such machine stands by for data"}, nil)
-}
-
 var lines = map[string]func(*Serve, flow.Line){
 	"fleet": func(s *Serve, l flow.Line) {
 		var n fleet.News
--- a/core/serve/world_test.go
+++ b/core/serve/world_test.go
@@ -30,8 +30,9 @@
 	have   uint64
 	fresh  bool
 	acting bool
-	silent bool           // the store answers nothing
-	others []gossip.Entry // other live dispatchers
+	silent bool                     // the store answers nothing
+	told   map[string]ledger.Result // what the store's leader answers to asks that are not the ledger's
+	others []gossip.Entry           // other live dispatchers
 	cpu    int
 	lines  []flow.Line // what was said to other nodes
 	known  *api.Plan   // what a store without a leader gives
@@ -141,6 +142,9 @@
 		body, _ := json.Marshal(ledger.Plan{Version: 1, Doc: doc})
 		return ledger.Result{Code: 200, Body: body}
 	}
+	if told, ok := w.told[a.Kind]; ok {
+		return told
+	}
 	if ledger.Knows(a.Kind) {
 		w.index++
 		b, _ := json.Marshal(ledger.Command{Kind: a.Kind, At: w.now.Milliseconds(), Body: a.Body})
--- a/core/store/asks.go
+++ b/core/store/asks.go
@@ -94,6 +94,7 @@
 		"store.promote": (*Store).promote,
 		"store.remove":  (*Store).remove,
 		"store.stop":    (*Store).stopAnnounced,
+		"store.holding": (*Store).readOwn,
 	}
 }
 
@@ -168,6 +169,8 @@
 		"renew":       (*Store).renewed,
 		"coord.renew": (*Store).renewedCoord,
 		"store.list":  (*Store).list,
+
+		"store.holding": (*Store).holding,
 	}
 }
 
