A crash is kept in the data folder, and the next start says what it was

The runtime's own crash output now goes to crash.txt too; the next start logs its first lines and puts it aside. The first lines of a crash of a machine without a disk are still only on its standard error.

--- a/shell/daemon/daemon.go
+++ b/shell/daemon/daemon.go
@@ -72,6 +72,9 @@
 		return f, err
 	}
 	f.FS = dir
+	if err := keepCrashes(p.Data, logger); err != nil {
+		_ = level.Warn(logger).Log("part", "daemon", "msg", "crashes are not kept", "failure", err)
+	}
 	if f.Identity, err = disk.Identify(dir, f.Identity.ID, f.Identity.Inc); err != nil {
 		return f, err
 	}
