--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -183,13 +183,15 @@
 }
 
 // BlobChange is one change to the blob store: items to put there, items that are not
-// needed once a snapshot made after this is on disk, or all that may be there.
-// What was put is synced with the next snapshot, and until then stands in the log.
+// needed any more, or the list of all that are. What was put is synced with the
+// next snapshot, and until then stands in the log. What is let go, by Drop or by
+// Only, is deleted once a snapshot at or after index At is on disk: one before it
+// may still name it.
 type BlobChange struct {
 	Put  []Item
 	Drop []Ref
 	Only map[string][]uint64 // nil when this is no such change
-	Next bool                // Only comes in force with the snapshot that follows
+	At   uint64
 }
 
 // Fetch reads items, or with Check only says which are missing. It reads from
--- a/core/store/keep.go
+++ b/core/store/keep.go
@@ -13,6 +13,7 @@
 // storeBlobs hands on what the ledger wants done to the blob store (design 4.9).
 func (s *Store) storeBlobs(out *flow.Outbox) {
 	if b, any := s.ledger.Box(); any {
+		b.At = s.ledger.Index
 		out.Blobs = append(out.Blobs, b)
 	}
 }
--- a/core/store/pull.go
+++ b/core/store/pull.go
@@ -197,7 +197,7 @@
 		p.want, p.part = p.want[1:], nil
 	}
 	if len(put) > 0 {
-		out.Blobs = append(out.Blobs, flow.BlobChange{Put: put})
+		out.Blobs = append(out.Blobs, flow.BlobChange{Put: put, At: p.offer.Index})
 	}
 	if len(p.want) == 0 && len(put) > 0 {
 		p.then(out)
@@ -234,6 +234,6 @@
 		return
 	}
 	s.ledger = p.ledger
-	out.Blobs = append(out.Blobs, flow.BlobChange{Only: s.ledger.Items(), Next: true})
+	out.Blobs = append(out.Blobs, flow.BlobChange{Only: s.ledger.Items(), At: p.snapshot.Index})
 	out.Note("store", "took a snapshot", "index", p.snapshot.Index)
 }
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -155,7 +155,8 @@
 func (s *Store) Advance(now flow.Time, wall int64, live []gossip.Entry, self gossip.Entry, out *flow.Outbox) {
 	s.now = now
 	if !s.checked && s.p.Disk.Snapshot != nil {
-		out.Blobs = append(out.Blobs, flow.BlobChange{Only: s.ledger.Items()})
+		// What an unfinished fetch brought stays until the next snapshot.
+		out.Blobs = append(out.Blobs, flow.BlobChange{Only: s.ledger.Items(), At: s.raft.Snapshot().Index})
 	}
 	s.checked, s.p.Disk = true, Disk{} // it is not needed any more
 	s.form(now, live, self, out)
--- a/shell/disk/blobs.go
+++ b/shell/disk/blobs.go
@@ -23,10 +23,9 @@
 // go when nothing in them is needed (design 4.9). Memory has each item's number
 // and offset. A segment is synced when the next is started, and with each snapshot.
 type BlobStore struct {
-	fs    FS
-	racks map[string]*rack
-	drops []flow.Ref // come into force with the next snapshot
-	next  map[string][]uint64
+	fs      FS
+	racks   map[string]*rack
+	release release
 }
 
 type rack struct {
@@ -78,7 +77,7 @@
 // openBlobStore reads every segment. What is torn at the end of a kind's last segment was
 // never synced, and its items still stand in the log.
 func openBlobStore(fs FS, names []string) (*BlobStore, error) {
-	s := &BlobStore{fs: fs, racks: map[string]*rack{}}
+	s := &BlobStore{fs: fs, racks: map[string]*rack{}, release: newRelease()}
 	s.fill(names)
 	for _, r := range s.racks {
 		for i, t := range r.segments {
@@ -168,10 +167,11 @@
 func (s *BlobStore) do(ops []flow.BlobChange) error {
 	for _, op := range ops {
 		if op.Only != nil {
-			if err := s.only(op.Only, op.Next); err != nil {
+			if err := s.only(op); err != nil {
 				return err
 			}
 		}
+		s.release.put(op)
 		var r *rack
 		var b []byte
 		var ids []uint64
@@ -196,7 +196,7 @@
 				return err
 			}
 		}
-		s.drops = append(s.drops, op.Drop...)
+		s.release.drop(op)
 	}
 	return nil
 }
@@ -258,22 +258,6 @@
 	return nil
 }
 
-// settle lets go what the snapshot that was just written does not name.
-func (s *BlobStore) settle() error {
-	if s.next != nil {
-		s.let(s.next)
-		s.next = nil
-	}
-	for _, ref := range s.drops {
-		if t, at := s.find(ref); t != nil {
-			t.dead[at] = true
-			t.gone++
-		}
-	}
-	s.drops = nil
-	return s.sweep()
-}
-
 func (s *BlobStore) sweep() error {
 	for _, r := range s.racks {
 		left := r.segments[:0:0]
@@ -291,37 +275,6 @@
 	return nil
 }
 
-// only says what must be there, and lets go of all else, at once or with the
-// snapshot that follows.
-func (s *BlobStore) only(all map[string][]uint64, later bool) error {
-	for kind, ids := range all {
-		for _, id := range ids {
-			if t, _ := s.find(flow.Ref{Kind: kind, ID: id}); t == nil {
-				return errors.Wrapf(ErrMissing, "%s %d", kind, id)
-			}
-		}
-	}
-	if later {
-		s.next = all
-		return nil
-	}
-	s.let(all)
-	return s.sweep()
-}
-
-func (s *BlobStore) let(all map[string][]uint64) {
-	for kind, r := range s.racks {
-		for _, t := range r.segments {
-			for i, id := range t.ids {
-				if _, ok := slices.BinarySearch(all[kind], id); !ok && !t.dead[i] {
-					t.dead[i] = true
-					t.gone++
-				}
-			}
-		}
-	}
-}
-
 // fetch reads items.
 func (s *BlobStore) fetch(f flow.Fetch) (flow.Fetched, error) {
 	out := flow.Fetched{ID: f.ID}
--- a/shell/disk/disk.go
+++ b/shell/disk/disk.go
@@ -382,7 +382,7 @@
 	if err := l.start(); err != nil {
 		return err
 	}
-	return l.Blobs.settle()
+	return l.Blobs.settle(s.Snapshot.Index)
 }
 
 func (l *Log) append(saves []flow.Save) error {
--- a/shell/disk/disk_test.go
+++ b/shell/disk/disk_test.go
@@ -6,6 +6,7 @@
 	"math/rand"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -279,3 +280,113 @@
 		t.Errorf("read back to %d: %v", last, err)
 	}
 }
+
+// aged is a snapshot at an index.
+func aged(index uint64) flow.Save {
+	return flow.Save{Snapshot: &flow.Snapshot{Index: index, Term: 1, Conf: json.RawMessage(`{}`), State: json.RawMessage(`{}`)}}
+}
+
+func textItem(id uint64) flow.Item {
+	return flow.Item{Ref: flow.Ref{Kind: "text", ID: id}, Body: []byte("abc")}
+}
+
+func lacks(t *testing.T, l *Log, id uint64) bool {
+	t.Helper()
+	got, err := l.Fetch(flow.Fetch{Refs: []flow.Ref{{Kind: "text", ID: id}}, Check: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(got.Missing) > 0
+}
+
+// Given a slow disk on which one batch gathers a snapshot and, from a command
+// after it, the drop of an item that the snapshot names, when the batch is saved,
+// then the item stays until a snapshot at or after that command is there: else
+// the member would not start again.
+func TestDropAfterASnapshotInOneBatch(t *testing.T) {
+	l, _, err := open(t, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Save([]flow.BlobChange{{Put: []flow.Item{textItem(3)}, At: 3}}, []flow.Save{{Add: entries(1, 5)}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Save([]flow.BlobChange{{Drop: []flow.Ref{textItem(3).Ref}, At: 6}}, []flow.Save{aged(5)}); err != nil {
+		t.Fatal(err)
+	}
+	if lacks(t, l, 3) {
+		t.Error("the snapshot at 5 names an item that is gone")
+	}
+	if err := l.Save(nil, []flow.Save{aged(6)}); err != nil {
+		t.Fatal(err)
+	}
+	if !lacks(t, l, 3) {
+		t.Error("the item stays although no snapshot names it")
+	}
+}
+
+// Given a slow disk on which one batch gathers a leader's snapshot and an item
+// of a command after it, when the batch is saved, then the item is there, and
+// what the snapshot does not name is gone.
+func TestItemAfterALeadersSnapshotInOneBatch(t *testing.T) {
+	l, _, err := open(t, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Save([]flow.BlobChange{{Put: []flow.Item{textItem(2)}, At: 2}}, nil); err != nil {
+		t.Fatal(err)
+	}
+	changes := []flow.BlobChange{
+		{Only: map[string][]uint64{}, At: 5},
+		{Put: []flow.Item{textItem(7)}, At: 7},
+	}
+	if err := l.Save(changes, []flow.Save{aged(5)}); err != nil {
+		t.Fatal(err)
+	}
+	if lacks(t, l, 7) {
+		t.Error("an item of a command after the snapshot is gone")
+	}
+	if !lacks(t, l, 2) {
+		t.Error("an item that the snapshot does not name stays")
+	}
+}
+
+// Given an own snapshot and a leader's later one in one batch, when the first is
+// on disk, then nothing that it names is let go for the second.
+func TestTwoSnapshotsInOneBatch(t *testing.T) {
+	fs := &watched{FS: must(OpenFolder(t.TempDir()))}
+	l, _, err := Open(fs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Save([]flow.BlobChange{{Put: []flow.Item{textItem(2)}, At: 2}}, nil); err != nil {
+		t.Fatal(err)
+	}
+	later := aged(9)
+	later.Cut = 10
+	if err := l.Save([]flow.BlobChange{{Only: map[string][]uint64{}, At: 9}}, []flow.Save{aged(5), later}); err != nil {
+		t.Fatal(err)
+	}
+	segment, snapshot := fs.place("remove "+blobSegmentName("text", 1)), fs.place("rename "+digName(9))
+	if segment < 0 || segment < snapshot {
+		t.Errorf("the segment went at %d, before the snapshot that lets it go was there at %d", segment, snapshot)
+	}
+}
+
+// watched notes the order of what is done to a folder.
+type watched struct {
+	FS
+	done []string
+}
+
+func (w *watched) Remove(name string) error {
+	w.done = append(w.done, "remove "+name)
+	return w.FS.Remove(name)
+}
+
+func (w *watched) Rename(from, to string) error {
+	w.done = append(w.done, "rename "+to)
+	return w.FS.Rename(from, to)
+}
+
+func (w *watched) place(what string) int { return slices.Index(w.done, what) }
--- a/shell/disk/inspect_test.go
+++ b/shell/disk/inspect_test.go
@@ -289,7 +289,7 @@
 				continue
 			}
 			l, _, err := Open(f)
-			if err != nil || l.Blobs.only(led.Items(), true) != nil {
+			if err != nil || l.Blobs.only(flow.BlobChange{Only: led.Items()}) != nil {
 				t.Errorf("seed %d: the blob store lacks something: %v", seed, err)
 			}
 		}
