--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -1,23 +1,24 @@
-// Elections (design 4.1).
-
 package raft
 
 import (
 	"fernlink/core/flow"
 )
 
-// reset draws when the next election is due. A member that has heard no leader
-// since its start asks sooner: where there is one, the others pass its pre-vote
-// over (design 4.1).
-func (r *Raft) reset() {
-	least := r.elect
-	if !r.met {
+// Elections (design 4.1).
+
+// resetElectionTimer draws when the next election is due. A member that has
+// heard no leader since its start asks sooner: where there is one, the others
+// ignore its pre-vote (design 4.1).
+func (r *Raft) resetElectionTimer() {
+	least := r.electionTimeout
+	if !r.leaderSeen {
 		least /= 4
 	}
-	r.due = r.now + least + flow.Time(r.rand.Int63n(int64(least)))
+	r.electionDue = r.now + least + flow.Time(r.random.Int63n(int64(least)))
 }
 
-func (r *Raft) voter() bool {
+// isVoter says whether this member votes in the configuration in force.
+func (r *Raft) isVoter() bool {
 	i := r.conf.Find(r.id)
 	return i >= 0 && r.conf.Members[i].Voter
 }
@@ -25,126 +26,183 @@
 // Transfer asks the voter that has most of the log to take over at once, for a
 // leader that is about to stop (design 5.5).
 func (r *Raft) Transfer() {
-	best := ""
-	for _, m := range r.conf.Members {
-		if m.Voter && m.ID != r.id && r.Live(m.ID, r.now) && (best == "" || r.Match(m.ID) > r.Match(best)) {
-			best = m.ID
+	if r.role != Leader {
+		return
+	}
+	successor := ""
+	for _, member := range r.conf.Members {
+		if !member.Voter || member.ID == r.id || !r.Live(member.ID, r.now) {
+			continue
+		}
+		if successor == "" || r.Match(member.ID) > r.Match(successor) {
+			successor = member.ID
 		}
 	}
-	if r.role == Leader && best != "" {
-		r.send(best, Msg{Kind: "now", Term: r.hard.Term})
+	if successor != "" {
+		r.send(successor, Message{Kind: MessageTimeoutNow, Term: r.hard.Term})
 	}
 }
 
-func (r *Raft) onNow(m Msg) {
-	if m.Term == r.hard.Term && r.leader == m.From && r.role == Follower {
-		r.campaign(false, true)
+func (r *Raft) handleTimeoutNow(message Message) {
+	if message.Term == r.hard.Term && r.leader == message.From && r.role == Follower {
+		r.campaign(true)
 	}
 }
 
-func (r *Raft) campaign(pre, move bool) {
-	r.reset()
-	if !r.voter() {
+// preCampaign asks who would vote for this member, without raising the term.
+func (r *Raft) preCampaign() {
+	r.resetElectionTimer()
+	if !r.isVoter() {
 		return
 	}
-	r.leader = ""
-	r.votes, r.doubts = map[string]bool{r.id: true}, map[string]bool{r.id: r.hard.Unsure}
-	kind, term := "pre", r.hard.Term+1
-	r.role = Pre
-	if !pre {
-		kind = "vote"
-		r.role = Candidate
-		r.hard.Term, r.hard.Vote = term, r.id
-		r.save(flow.Save{Hard: r.hardCopy()})
-	}
-	lt, _ := r.term(r.last())
-	for _, m := range r.conf.Members {
-		if m.Voter && m.ID != r.id {
-			r.send(m.ID, Msg{Kind: kind, Term: term, Index: r.last(), LogTerm: lt, Move: move})
-		}
+	r.role = PreCandidate
+	r.requestVotes(Message{Kind: MessagePreVote, Term: r.hard.Term + 1})
+}
+
+// campaign stands for election in a new term. Voters do not ignore the request
+// of a leadership transfer, although they hear a leader.
+func (r *Raft) campaign(transfer bool) {
+	r.resetElectionTimer()
+	if !r.isVoter() {
+		return
 	}
-	r.tally()
+	r.role = Candidate
+	r.hard.Term, r.hard.Vote = r.hard.Term+1, r.id
+	r.saveHardState()
+	r.requestVotes(Message{Kind: MessageVote, Term: r.hard.Term, LeaderTransfer: transfer})
 }
 
-// tally counts the votes. One of a member that is unsure of its log's tail only
-// counts where every voter's is in: then nobody has more (design 4.6).
-func (r *Raft) tally() {
-	n, all := 0, 0
-	for _, m := range r.conf.Members {
-		if m.Voter && r.votes[m.ID] {
-			all++
-			if !r.doubts[m.ID] {
-				n++
-			}
+// requestVotes votes for this member itself and asks the other voters.
+func (r *Raft) requestVotes(request Message) {
+	r.leader = ""
+	r.votes = map[string]bool{r.id: true}
+	r.uncertainVoters = map[string]bool{r.id: r.hard.Unsure}
+	request.Index, request.LogTerm = r.lastIndex(), r.lastTerm()
+	for _, member := range r.conf.Members {
+		if member.Voter && member.ID != r.id {
+			r.send(member.ID, request)
 		}
 	}
-	if n*2 <= r.conf.Voters() && all < r.conf.Voters() {
+	r.countVotes()
+}
+
+// countVotes goes on to the next stage of the election once the votes suffice.
+func (r *Raft) countVotes() {
+	if !r.wonVotes() {
 		return
 	}
-	if r.role == Pre {
-		r.campaign(false, false)
-		return
+	switch r.role {
+	case PreCandidate:
+		r.campaign(false)
+	case Candidate:
+		r.becomeLeader()
 	}
-	if r.role == Candidate {
-		r.crown()
+}
+
+// wonVotes says whether a majority voted for this member. The vote of a member
+// that is uncertain of its log's tail only counts where every voter's is in: then
+// nobody has more (design 4.6).
+func (r *Raft) wonVotes() bool {
+	certain, granted := 0, 0
+	for _, member := range r.conf.Members {
+		if !member.Voter || !r.votes[member.ID] {
+			continue
+		}
+		granted++
+		if !r.uncertainVoters[member.ID] {
+			certain++
+		}
 	}
+	return r.conf.isMajority(certain) || granted >= r.conf.Voters()
 }
 
-func (r *Raft) crown() {
-	r.role, r.leader, r.met = Leader, r.id, true
-	r.since, r.quorum, r.heard = r.now, r.now, r.now
-	r.peers = map[string]*progress{}
+func (r *Raft) becomeLeader() {
+	r.role, r.leader, r.leaderSeen = Leader, r.id, true
+	r.leaderSince, r.quorumHeard, r.leaderHeard = r.now, r.now, r.now
+	r.progress = map[string]*progress{}
 	r.reads = nil
-	r.track()
-	r.sure()
-	r.heartbeat = r.now
-	_, _, _ = r.Propose("noop", nil)
+	r.trackMembers()
+	r.clearUncertainTail()
+	r.heartbeatDue = r.now
+	_, _, _ = r.Propose(EntryNoop, nil)
+}
+
+// isUpToDate says whether a candidate's log is at least as new as this member's.
+func (r *Raft) isUpToDate(request Message) bool {
+	if request.LogTerm != r.lastTerm() {
+		return request.LogTerm > r.lastTerm()
+	}
+	return request.Index >= r.lastIndex()
+}
+
+// ignoresVoteRequest says that a vote is asked for while a leader is being
+// heard: a member that was cut off does not disturb the others (design 4.1).
+func (r *Raft) ignoresVoteRequest(message Message) bool {
+	if !message.Kind.isVoteRequest() || message.LeaderTransfer {
+		return false
+	}
+	hearsLeader := r.leader != "" && r.now-r.leaderHeard < r.electionTimeout
+	return hearsLeader && r.leader != message.From
 }
 
-func (r *Raft) fresh(m Msg) bool {
-	lt, _ := r.term(r.last())
-	return m.LogTerm > lt || (m.LogTerm == lt && m.Index >= r.last())
+func (r *Raft) handlePreVote(request Message) {
+	response := Message{Kind: MessagePreVoteResponse, Term: r.hard.Term, UncertainTail: r.hard.Unsure}
+	if request.Term > r.hard.Term && r.isUpToDate(request) {
+		response.OK, response.Term = true, request.Term
+	}
+	r.respond(request, response)
 }
 
-func (r *Raft) onPre(m Msg) {
-	ok := m.Term > r.hard.Term && r.fresh(m)
-	r.back(m, "", Msg{Kind: "prer", Term: map[bool]uint64{true: m.Term, false: r.hard.Term}[ok], OK: ok, Unsure: r.hard.Unsure})
+func (r *Raft) handlePreVoteResponse(response Message) {
+	if r.role == PreCandidate && response.OK && response.Term == r.hard.Term+1 {
+		r.recordVote(response)
+	}
 }
 
-func (r *Raft) onPreBack(m Msg) {
-	if r.role == Pre && m.OK && m.Term == r.hard.Term+1 {
-		r.votes[m.From], r.doubts[m.From] = true, m.Unsure
-		r.tally()
+func (r *Raft) handleVote(request Message) {
+	granted := r.grantsVote(request)
+	if granted {
+		r.hard.Vote = request.From
+		r.saveHardState()
+		r.resetElectionTimer()
 	}
+	r.respond(request, Message{Kind: MessageVoteResponse, Term: r.hard.Term, OK: granted, UncertainTail: r.hard.Unsure})
 }
 
-func (r *Raft) onVote(m Msg) {
-	ok := m.Term == r.hard.Term && (r.hard.Vote == "" || r.hard.Vote == m.From) && r.fresh(m) && r.role == Follower
-	if ok {
-		r.hard.Vote = m.From
-		r.save(flow.Save{Hard: r.hardCopy()})
-		r.reset()
+func (r *Raft) grantsVote(request Message) bool {
+	if request.Term != r.hard.Term || r.role != Follower {
+		return false
 	}
-	r.back(m, "", Msg{Kind: "voter", Term: r.hard.Term, OK: ok, Unsure: r.hard.Unsure})
+	if r.hard.Vote != "" && r.hard.Vote != request.From {
+		return false
+	}
+	return r.isUpToDate(request)
 }
 
-func (r *Raft) onVoteBack(m Msg) {
-	if r.role == Candidate && m.Term == r.hard.Term && m.OK {
-		r.votes[m.From], r.doubts[m.From] = true, m.Unsure
-		r.tally()
+func (r *Raft) handleVoteResponse(response Message) {
+	if r.role == Candidate && response.OK && response.Term == r.hard.Term {
+		r.recordVote(response)
 	}
 }
 
+func (r *Raft) recordVote(response Message) {
+	r.votes[response.From] = true
+	r.uncertainVoters[response.From] = response.UncertainTail
+	r.countVotes()
+}
+
 // Live says whether a leader has heard a member of late.
-func (r *Raft) Live(id string, now flow.Time) bool { return r.Silent(id, now) < 2*r.elect }
+func (r *Raft) Live(id string, now flow.Time) bool {
+	return r.Silent(id, now) < 2*r.electionTimeout
+}
 
 // Silent is for how long a leader has not heard a member.
 func (r *Raft) Silent(id string, now flow.Time) flow.Time {
 	if id == r.id {
 		return 0
 	}
-	if p := r.peers[id]; p != nil {
-		return now - p.heard
+	if peer := r.progress[id]; peer != nil {
+		return now - peer.heard
 	}
 	return now
 }
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -9,12 +9,22 @@
 	"fernlink/core/flow"
 )
 
+// Role is what a member does in its term.
+type Role string
+
 // Roles of a member.
 const (
-	Follower  = "follower"
-	Pre       = "pre"
-	Candidate = "candidate"
-	Leader    = "leader"
+	Follower     Role = "follower"
+	PreCandidate Role = "pre"
+	Candidate    Role = "candidate"
+	Leader       Role = "leader"
+)
+
+// Kinds of entries.
+const (
+	EntryNoop    = "noop" // a new leader's first entry
+	EntryConf    = "conf" // a membership
+	EntryCommand = "cmd"  // a command to the ledger
 )
 
 // Failures of this layer.
@@ -24,110 +34,149 @@
 	ErrEarly     = errors.New("raft: the leader has not yet committed an entry of its own term")
 )
 
-type mark struct{ batch, last uint64 }
+// batchMark says that a batch of saves holds the log up to an index.
+type batchMark struct{ batch, last uint64 }
 
 // Raft is one member.
 type Raft struct {
-	id          string
-	rand        *rand.Rand
-	beat, elect flow.Time
-
-	hard     flow.Hard
-	base     flow.Entry // index and term that the snapshot stands for
-	snapshot *flow.Snapshot
-	log      []flow.Entry
-	conf     Conf
-	confAt   uint64
-	confs    map[uint64]Conf // configurations still in the log, by index
-
-	role        string
-	leader      string
-	commit      uint64
-	applied     uint64
-	stable      uint64
-	weight      int
-	marks       []mark // saves that are on their way to the disk
-	votes       map[string]bool
-	doubts      map[string]bool // those who vote and are unsure
-	peers       map[string]*progress
-	met         bool // a leader was heard since the start
-	round       uint64
-	reads       []read
-	due         flow.Time
-	heartbeat   flow.Time // when the next heartbeat is due
-	heartbeatAt flow.Time // when the last one went out
-	heard       flow.Time
-	quorum      flow.Time
-	since       flow.Time
-	now         flow.Time
-	out         Out
-	handle      map[string]func(*Raft, Msg)
+	id                string
+	random            *rand.Rand
+	heartbeatInterval flow.Time
+	electionTimeout   flow.Time
+
+	hard         flow.Hard
+	base         flow.Entry // index and term of the entry before the log's first
+	snapshot     *flow.Snapshot
+	log          []flow.Entry
+	conf         Conf
+	confIndex    uint64
+	confsByIndex map[uint64]Conf // configurations still in the log
+
+	role         Role
+	leader       string
+	commit       uint64
+	applied      uint64
+	appliedBytes int         // since the last snapshot
+	stable       uint64      // the log's end on this member's own disk
+	unsynced     []batchMark // batches that are on their way to the disk
+
+	votes           map[string]bool
+	uncertainVoters map[string]bool // voters that may have lost acknowledged entries
+	progress        map[string]*progress
+	leaderSeen      bool // a leader was heard since the start
+	round           uint64
+	reads           []pendingRead
+
+	now           flow.Time
+	electionDue   flow.Time
+	heartbeatDue  flow.Time
+	heartbeatSent flow.Time
+	leaderHeard   flow.Time
+	quorumHeard   flow.Time
+	leaderSince   flow.Time
+
+	out Out
 }
 
 // New starts a member from what its disk holds.
-func New(now flow.Time, p Config) *Raft {
-	r := &Raft{id: p.ID, rand: p.Rand, beat: p.Beat, elect: p.Elect, hard: p.Hard, now: now,
-		role: Follower, confs: map[uint64]Conf{}, peers: map[string]*progress{}}
-	r.handle = map[string]func(*Raft, Msg){
-		"pre": (*Raft).onPre, "prer": (*Raft).onPreBack,
-		"vote": (*Raft).onVote, "voter": (*Raft).onVoteBack,
-		"app": (*Raft).onAppend, "appr": (*Raft).onAppendBack, "dig": (*Raft).onSnapshot, "now": (*Raft).onNow,
-	}
-	if p.Snapshot != nil {
-		r.setSnapshot(p.Snapshot)
-	}
-	for _, e := range p.Entries {
-		if e.Index == r.last()+1 {
-			r.push(e)
+func New(now flow.Time, config Config) *Raft {
+	r := &Raft{
+		id:                config.ID,
+		random:            config.Rand,
+		heartbeatInterval: config.HeartbeatInterval,
+		electionTimeout:   config.ElectionTimeout,
+		hard:              config.Hard,
+		now:               now,
+		leaderHeard:       now,
+		role:              Follower,
+		confsByIndex:      map[uint64]Conf{},
+		progress:          map[string]*progress{},
+	}
+	if config.Snapshot != nil {
+		r.setSnapshot(config.Snapshot)
+	}
+	for _, entry := range config.Entries {
+		if entry.Index == r.lastIndex()+1 {
+			r.appendEntry(entry)
 		}
 	}
-	r.stable = r.last()
-	r.heard = now
+	r.stable = r.lastIndex()
 	// What was known to be committed is applied at once, and not when the first
 	// leader speaks: then others wait for it.
-	r.commit = max(r.commit, min(p.Hard.Commit, r.last()))
-	r.reset()
+	r.commit = max(r.commit, min(config.Hard.Commit, r.lastIndex()))
+	r.resetElectionTimer()
 	return r
 }
 
-func (r *Raft) push(e flow.Entry) {
-	r.log = append(r.log, e)
-	if e.Kind == "conf" {
-		var c Conf
-		if json.Unmarshal(e.Data, &c) == nil {
-			r.confs[e.Index] = c
-			r.pickConf()
-		}
+func (r *Raft) appendEntry(entry flow.Entry) {
+	r.log = append(r.log, entry)
+	if entry.Kind != EntryConf {
+		return
+	}
+	if conf, ok := decodeConf(entry.Data); ok {
+		r.confsByIndex[entry.Index] = conf
+		r.useNewestConf()
 	}
 }
 
-func (r *Raft) last() uint64 { return r.base.Index + uint64(len(r.log)) }
+func (r *Raft) lastIndex() uint64 { return r.base.Index + uint64(len(r.log)) }
+
+func (r *Raft) lastTerm() uint64 {
+	term, _ := r.termAt(r.lastIndex())
+	return term
+}
 
-func (r *Raft) term(i uint64) (uint64, bool) {
-	if i == r.base.Index {
+// termAt gives the term of the entry at an index, if it is still known.
+func (r *Raft) termAt(index uint64) (uint64, bool) {
+	if index == r.base.Index {
 		return r.base.Term, true
 	}
-	if i < r.base.Index || i > r.last() {
+	if index < r.base.Index || index > r.lastIndex() {
 		return 0, false
 	}
-	return r.log[i-r.base.Index-1].Term, true
+	return r.entryAt(index).Term, true
 }
 
-// Plain readings of the state.
-func (r *Raft) Role() string     { return r.role }
-func (r *Raft) Term() uint64     { return r.hard.Term }
-func (r *Raft) Cluster() string  { return r.hard.Cluster }
-func (r *Raft) Conf() Conf       { return r.conf }
-func (r *Raft) Applied() uint64  { return r.applied }
-func (r *Raft) Commit() uint64   { return r.commit }
-func (r *Raft) Since() flow.Time { return r.since }
-func (r *Raft) Blank() bool      { return r.hard.Cluster == "" }
-func (r *Raft) LogLen() int      { return len(r.log) }
+// entryAt gives an entry of the log, which must hold the index.
+func (r *Raft) entryAt(index uint64) flow.Entry { return r.log[index-r.base.Index-1] }
+
+// Role is what the member does now.
+func (r *Raft) Role() Role { return r.role }
+
+// Term is the newest term that the member knows.
+func (r *Raft) Term() uint64 { return r.hard.Term }
+
+// Cluster is the id of the member's cluster, empty while it is blank.
+func (r *Raft) Cluster() string { return r.hard.Cluster }
+
+// Conf is the membership in force here.
+func (r *Raft) Conf() Conf { return r.conf }
+
+// Applied is the index of the last entry handed to the ledger.
+func (r *Raft) Applied() uint64 { return r.applied }
+
+// Commit is the highest index known to be committed.
+func (r *Raft) Commit() uint64 { return r.commit }
+
+// Since is when this member became the leader.
+func (r *Raft) Since() flow.Time { return r.leaderSince }
+
+// Blank says that the member belongs to no cluster yet.
+func (r *Raft) Blank() bool { return r.hard.Cluster == "" }
+
+// LogLen is how many entries are in memory.
+func (r *Raft) LogLen() int { return len(r.log) }
+
+// LeaderID is the leader of this term as far as it is known.
 func (r *Raft) LeaderID() string { return r.leader }
-func (r *Raft) Unsure() bool     { return r.hard.Unsure }
+
+// Unsure says that entries which the member acknowledged may be gone (design 4.6).
+func (r *Raft) Unsure() bool { return r.hard.Unsure }
+
+// Match is the highest index that a leader knows a member to hold.
 func (r *Raft) Match(id string) uint64 {
-	if p := r.peers[id]; p != nil {
-		return p.match
+	if peer := r.progress[id]; peer != nil {
+		return peer.match
 	}
 	return 0
 }
@@ -142,70 +191,90 @@
 
 // Ready says that the leader has committed in its own term (design 4.3).
 func (r *Raft) Ready() bool {
-	t, ok := r.term(r.commit)
-	return r.role == Leader && ok && t == r.hard.Term
+	term, ok := r.termAt(r.commit)
+	return r.role == Leader && ok && term == r.hard.Term
 }
 
-func (r *Raft) hardCopy() *flow.Hard {
-	h := r.hard
-	h.Commit = r.commit
-	return &h
+func (r *Raft) hardState() *flow.Hard {
+	hard := r.hard
+	hard.Commit = r.commit
+	return &hard
 }
 
 func (r *Raft) save(s flow.Save) { r.out.Saves = append(r.out.Saves, s) }
 
+func (r *Raft) saveHardState() { r.save(flow.Save{Hard: r.hardState()}) }
+
 // Propose appends a command and gives its index and term.
 func (r *Raft) Propose(kind string, data json.RawMessage) (uint64, uint64, error) {
 	if r.role != Leader {
 		return 0, 0, ErrNotLeader
 	}
-	e := flow.Entry{Index: r.last() + 1, Term: r.hard.Term, Kind: kind, Data: data}
-	r.push(e)
-	r.save(flow.Save{Hard: r.hardCopy(), Add: []flow.Entry{e}})
-	for _, m := range r.conf.Members {
-		r.feed(m.ID, false)
+	entry := flow.Entry{Index: r.lastIndex() + 1, Term: r.hard.Term, Kind: kind, Data: data}
+	r.appendEntry(entry)
+	r.save(flow.Save{Hard: r.hardState(), Add: []flow.Entry{entry}})
+	for _, member := range r.conf.Members {
+		r.replicate(member.ID)
 	}
-	return e.Index, e.Term, nil
+	return entry.Index, entry.Term, nil
 }
 
 // Mark notes that all that was given out to be saved so far is in the batch of
-// this number; Synced says that batches up to a number are on disk.
-func (r *Raft) Mark(batch uint64) { r.marks = append(r.marks, mark{batch, r.last()}) }
+// this number.
+func (r *Raft) Mark(batch uint64) {
+	r.unsynced = append(r.unsynced, batchMark{batch, r.lastIndex()})
+}
 
-// Synced: see Mark.
+// Synced says that the batches up to a number are on disk.
 func (r *Raft) Synced(batch uint64) {
-	for len(r.marks) > 0 && r.marks[0].batch <= batch {
-		r.stable = max(r.stable, r.marks[0].last)
-		r.marks = r.marks[1:]
+	for len(r.unsynced) > 0 && r.unsynced[0].batch <= batch {
+		r.stable = max(r.stable, r.unsynced[0].last)
+		r.unsynced = r.unsynced[1:]
 	}
 }
 
-// Step takes one message.
-func (r *Raft) Step(m Msg) {
-	if m.ToID != r.id {
+// handlers take the messages of each kind.
+var handlers = map[MessageKind]func(*Raft, Message){
+	MessagePreVote:         (*Raft).handlePreVote,
+	MessagePreVoteResponse: (*Raft).handlePreVoteResponse,
+	MessageVote:            (*Raft).handleVote,
+	MessageVoteResponse:    (*Raft).handleVoteResponse,
+	MessageAppend:          (*Raft).handleAppend,
+	MessageAppendResponse:  (*Raft).handleAppendResponse,
+	MessageSnapshotOffer:   (*Raft).handleSnapshotOffer,
+	MessageTimeoutNow:      (*Raft).handleTimeoutNow,
+}
+
+// Step takes one message. Now must have been called for the time it came at.
+func (r *Raft) Step(message Message) {
+	if message.ToID != r.id {
 		return
 	}
-	h, ok := r.handle[m.Kind]
-	if !ok {
+	handle, known := handlers[message.Kind]
+	if !known || r.ignoresVoteRequest(message) {
 		return
 	}
-	// A vote asked for while a leader is being heard is passed over: a
-	// member that was cut off does not disturb the others (design 4.1).
-	ask := m.Kind == "pre" || m.Kind == "vote"
-	if ask && !m.Move && r.leader != "" && r.now-r.heard < r.elect && r.leader != m.From {
+	r.observeTerm(message)
+	handle(r, message)
+}
+
+// observeTerm follows a newer term. A pre-vote names a term that nobody is in
+// yet, and so does the answer that grants it.
+func (r *Raft) observeTerm(message Message) {
+	if message.Term <= r.hard.Term || message.Kind == MessagePreVote {
 		return
 	}
-	if m.Term > r.hard.Term && m.Kind != "pre" && !(m.Kind == "prer" && m.OK) {
-		lead := ""
-		if m.Kind == "app" || m.Kind == "dig" {
-			lead = m.From
-		}
-		r.follow(m.Term, lead)
+	if message.Kind == MessagePreVoteResponse && message.OK {
+		return
 	}
-	h(r, m)
+	leader := ""
+	if message.Kind.isFromLeader() {
+		leader = message.From
+	}
+	r.becomeFollower(message.Term, leader)
 }
 
-func (r *Raft) follow(term uint64, leader string) {
+func (r *Raft) becomeFollower(term uint64, leader string) {
 	if r.role == Leader {
 		r.out.Lost = true
 		r.reads = nil
@@ -213,20 +282,20 @@
 	r.role, r.leader = Follower, leader
 	if term > r.hard.Term {
 		r.hard.Term, r.hard.Vote = term, ""
-		r.save(flow.Save{Hard: r.hardCopy()})
+		r.saveHardState()
 	}
-	r.reset()
+	r.resetElectionTimer()
 }
 
-// Advance runs the member's systems and gives what is to be done.
+// Advance does what is due at a time and gives what the caller is to do.
 func (r *Raft) Advance(now flow.Time) Out {
 	r.now = now
 	if r.role == Leader {
 		r.lead()
-	} else if now >= r.due {
-		r.campaign(true, false)
+	} else if now >= r.electionDue {
+		r.preCampaign()
 	}
-	r.apply()
+	r.applyCommitted()
 	out := r.out
 	r.out = Out{}
 	return out
@@ -235,11 +304,27 @@
 // Now sets the time that messages stepped from here on are taken at.
 func (r *Raft) Now(now flow.Time) { r.now = now }
 
-// One message has so many entries, and about so many bytes of them, at most.
-const (
-	most      = 64
-	mostBytes = 1 << 20
-	// So many bytes of entries are on their way to one member at most: what a slow
-	// way can't carry yet would only fill this member's memory.
-	window = 2 << 20
-)
+func (r *Raft) applyCommitted() {
+	for r.applied < r.commit && r.applied < r.lastIndex() {
+		r.applied++
+		entry := r.entryAt(r.applied)
+		r.appliedBytes += len(entry.Data)
+		r.out.Applied = append(r.out.Applied, Applied{Entry: entry})
+	}
+}
+
+// send sends to a member of the configuration in force.
+func (r *Raft) send(id string, message Message) {
+	i := r.conf.Find(id)
+	if i < 0 {
+		return
+	}
+	message.From, message.ToID = r.id, id
+	r.out.Messages = append(r.out.Messages, Envelope{r.conf.Members[i].Addr, message})
+}
+
+// respond answers a member that this one's own configuration may not know yet.
+func (r *Raft) respond(request, response Message) {
+	response.From, response.ToID = r.id, request.From
+	r.out.Messages = append(r.out.Messages, Envelope{Message: response})
+}
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -18,7 +18,7 @@
 type trio struct {
 	now  flow.Time
 	all  map[string]*Raft
-	mail []Dest
+	mail []Envelope
 	cut  map[string]bool
 	read map[string][]uint64
 	done map[string][]string // applied commands
@@ -32,7 +32,7 @@
 		c = c.With(Member{ID: id, Addr: id, Voter: true})
 	}
 	for i, id := range []string{"a", "b", "c"} {
-		x.all[id] = New(0, Config{ID: id, Rand: rand.New(rand.NewSource(seed + int64(i))), Beat: 100 * time.Millisecond, Elect: 750 * time.Millisecond})
+		x.all[id] = New(0, Config{ID: id, Rand: rand.New(rand.NewSource(seed + int64(i))), HeartbeatInterval: 100 * time.Millisecond, ElectionTimeout: 750 * time.Millisecond})
 	}
 	x.all["a"].Form(c)
 	return x
@@ -43,12 +43,12 @@
 	mail := x.mail
 	x.mail = nil
 	for _, d := range mail {
-		to := d.Msg.ToID
-		if x.all[to] == nil || x.cut[to] || x.cut[d.Msg.From] {
+		to := d.Message.ToID
+		if x.all[to] == nil || x.cut[to] || x.cut[d.Message.From] {
 			continue
 		}
 		x.all[to].Now(x.now)
-		x.all[to].Step(d.Msg)
+		x.all[to].Step(d.Message)
 	}
 	for _, id := range []string{"a", "b", "c"} {
 		r := x.all[id]
@@ -57,7 +57,7 @@
 		}
 		for i := 0; i < 2; i++ {
 			o := r.Advance(x.now)
-			x.mail = append(x.mail, o.Msgs...)
+			x.mail = append(x.mail, o.Messages...)
 			x.read[id] = append(x.read[id], o.Reads...)
 			x.kept[id] = append(x.kept[id], o.Saves...)
 			for _, a := range o.Applied {
@@ -121,11 +121,11 @@
 			break
 		}
 	}
-	fresh := New(x.now, Config{ID: "z", Rand: rand.New(rand.NewSource(9)), Beat: 100 * time.Millisecond, Elect: 750 * time.Millisecond})
-	fresh.Step(Msg{Kind: "vote", From: l.id, ToID: old, Term: 99})
-	fresh.Step(Msg{Kind: "app", From: l.id, ToID: old, Term: l.Term(), Commit: 1})
+	fresh := New(x.now, Config{ID: "z", Rand: rand.New(rand.NewSource(9)), HeartbeatInterval: 100 * time.Millisecond, ElectionTimeout: 750 * time.Millisecond})
+	fresh.Step(Message{Kind: MessageVote, From: l.id, ToID: old, Term: 99})
+	fresh.Step(Message{Kind: MessageAppend, From: l.id, ToID: old, Term: l.Term(), Commit: 1})
 	o := fresh.Advance(x.now)
-	if len(o.Msgs) > 0 || len(o.Saves) > 0 || fresh.Term() != 0 {
+	if len(o.Messages) > 0 || len(o.Saves) > 0 || fresh.Term() != 0 {
 		t.Fatalf("it answered for the old voter: %+v", o)
 	}
 }
@@ -206,7 +206,7 @@
 	}
 	hard.Unsure = unsure
 	x.done[id] = nil
-	x.all[id] = New(x.now, Config{ID: id, Rand: rand.New(rand.NewSource(int64(77 + id[0]))), Beat: 100 * time.Millisecond, Elect: 750 * time.Millisecond, Hard: hard, Entries: log})
+	x.all[id] = New(x.now, Config{ID: id, Rand: rand.New(rand.NewSource(int64(77 + id[0]))), HeartbeatInterval: 100 * time.Millisecond, ElectionTimeout: 750 * time.Millisecond, Hard: hard, Entries: log})
 }
 
 // Given an entry that two of three acknowledged, when one of the two lost it to
@@ -291,10 +291,10 @@
 	for end := x.now + 5*time.Second; x.now < end; x.step() {
 		for _, d := range x.mail {
 			size := 0
-			for _, e := range d.Msg.Add {
+			for _, e := range d.Message.Entries {
 				size += len(e.Data)
 			}
-			if size > mostBytes+len(big) {
+			if size > maxMessageBytes+len(big) {
 				t.Fatalf("a message has %d bytes", size)
 			}
 		}
@@ -327,8 +327,8 @@
 		}
 		x.step()
 		for _, d := range x.mail {
-			if d.Msg.ToID == gone {
-				sent += len(d.Msg.Add)
+			if d.Message.ToID == gone {
+				sent += len(d.Message.Entries)
 			}
 		}
 	}
--- a/core/raft/reads.go
+++ b/core/raft/reads.go
@@ -1,8 +1,10 @@
-// Reads that prove leadership (design 4.3).
-
 package raft
 
-type read struct {
+// Reads that prove leadership (design 4.3).
+
+// pendingRead waits until a majority has confirmed its heartbeat round and the
+// ledger has applied up to its index.
+type pendingRead struct {
 	token, round, index uint64
 }
 
@@ -13,24 +15,39 @@
 		return false
 	}
 	// The next round goes out soon; one proves all reads that came before it.
-	r.heartbeat = min(r.heartbeat, max(r.now, r.heartbeatAt+r.beat/10))
-	r.reads = append(r.reads, read{token, r.round + 1, r.commit})
+	soon := max(r.now, r.heartbeatSent+r.heartbeatInterval/10)
+	r.heartbeatDue = min(r.heartbeatDue, soon)
+	r.reads = append(r.reads, pendingRead{token: token, round: r.round + 1, index: r.commit})
 	return true
 }
 
-func (r *Raft) release() {
+// releaseReads gives out the reads that are proved, in the order they came.
+func (r *Raft) releaseReads() {
 	for len(r.reads) > 0 {
-		rd := r.reads[0]
-		n := 0
-		for _, m := range r.conf.Members {
-			if m.Voter && (m.ID == r.id && r.round >= rd.round || m.ID != r.id && r.peers[m.ID].round >= rd.round) {
-				n++
-			}
-		}
-		if n*2 <= r.conf.Voters() || r.commit < rd.index {
+		read := r.reads[0]
+		if !r.confirmsRound(read.round) || r.commit < read.index {
 			return
 		}
-		r.out.Reads = append(r.out.Reads, rd.token)
+		r.out.Reads = append(r.out.Reads, read.token)
 		r.reads = r.reads[1:]
 	}
 }
+
+// confirmsRound says whether a majority still followed this leader when it
+// answered a heartbeat round.
+func (r *Raft) confirmsRound(round uint64) bool {
+	confirmed := 0
+	for _, member := range r.conf.Members {
+		if member.Voter && r.confirmedRound(member.ID) >= round {
+			confirmed++
+		}
+	}
+	return r.conf.isMajority(confirmed)
+}
+
+func (r *Raft) confirmedRound(id string) uint64 {
+	if id == r.id {
+		return r.round
+	}
+	return r.progress[id].round
+}
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -1,253 +1,162 @@
-// Replication of entries (design 4.2).
-
 package raft
 
 import (
-	"sort"
-
 	"fernlink/core/flow"
 )
 
+// How a leader replicates entries (design 4.2).
+
+const (
+	// maxMessageEntries and maxMessageBytes bound the entries of one message.
+	maxMessageEntries = 64
+	maxMessageBytes   = 1 << 20
+	// maxInflightBytes bounds the entries on their way to one member: what a slow
+	// link can't carry yet would only fill this member's memory.
+	maxInflightBytes = 2 << 20
+)
+
+// progress is what a leader knows of another member.
 type progress struct {
-	match, next uint64
-	flight      int       // bytes of entries sent on trust and not acknowledged
-	moved       flow.Time // when it acknowledged more, or entries were first on their way
-	round       uint64
-	heard       flow.Time
+	match         uint64    // highest index that it acknowledged
+	next          uint64    // next index to send
+	inflightBytes int       // bytes of entries sent and not acknowledged
+	moved         flow.Time // when it acknowledged more, or entries were first on their way
+	round         uint64    // newest heartbeat round that it confirmed
+	heard         flow.Time
 }
 
-func (r *Raft) track() {
-	for _, m := range r.conf.Members {
-		if r.peers[m.ID] == nil {
-			r.peers[m.ID] = &progress{next: r.last() + 1, heard: r.now}
+// isOptimistic says that entries were sent and are not acknowledged yet.
+func (p *progress) isOptimistic() bool { return p.next > p.match+1 }
+
+// resend starts again after what was acknowledged.
+func (p *progress) resend() { p.next, p.inflightBytes = p.match+1, 0 }
+
+// trackMembers keeps progress for the members of the configuration in force.
+func (r *Raft) trackMembers() {
+	for _, member := range r.conf.Members {
+		if r.progress[member.ID] == nil {
+			r.progress[member.ID] = &progress{next: r.lastIndex() + 1, heard: r.now}
 		}
 	}
-	for id := range r.peers {
+	for id := range r.progress {
 		if r.conf.Find(id) < 0 {
-			delete(r.peers, id)
+			delete(r.progress, id)
 		}
 	}
 }
 
-func (r *Raft) send(id string, m Msg) {
-	i := r.conf.Find(id)
-	if i < 0 {
-		return
-	}
-	m.From, m.ToID = r.id, id
-	r.out.Msgs = append(r.out.Msgs, Dest{r.conf.Members[i].Addr, m})
-}
-
-// back answers a member that this one's own configuration may not know yet.
-func (r *Raft) back(to Msg, addr string, m Msg) {
-	m.From, m.ToID = r.id, to.From
-	r.out.Msgs = append(r.out.Msgs, Dest{addr, m})
-}
-
-func (r *Raft) hear(m Msg) bool {
-	if m.Term < r.hard.Term {
-		r.back(m, "", Msg{Kind: "appr", Term: r.hard.Term, Round: m.Round, Hint: r.last()})
-		return false
-	}
-	r.role, r.leader, r.met = Follower, m.From, true
-	r.heard = r.now
-	r.reset()
-	return true
-}
-
-func (r *Raft) onAppend(m Msg) {
-	if !r.hear(m) {
-		return
-	}
-	t, ok := r.term(m.Index)
-	if m.Index < r.base.Index {
-		// What the snapshot covers is committed: answer with where it ends.
-		r.back(m, "", Msg{Kind: "appr", Term: r.hard.Term, Round: m.Round, Index: r.base.Index, OK: true})
+func (r *Raft) handleAppendResponse(response Message) {
+	peer := r.progress[response.From]
+	if r.role != Leader || peer == nil || response.Term != r.hard.Term {
 		return
 	}
-	if !ok || t != m.LogTerm {
-		r.back(m, "", Msg{Kind: "appr", Term: r.hard.Term, Round: m.Round, Hint: min(r.last(), m.Index-1), Unsure: r.hard.Unsure})
-		return
-	}
-	var s flow.Save
-	for _, e := range m.Add {
-		if have, ok := r.term(e.Index); ok {
-			if have == e.Term {
-				continue
-			}
-			r.cut(e.Index)
-			if s.Cut == 0 {
-				s.Cut = e.Index
-			}
-		}
-		r.push(e)
-		s.Add = append(s.Add, e)
+	peer.heard = r.now
+	peer.round = max(peer.round, response.Round)
+	if response.OK {
+		r.acknowledged(peer, response.Index)
+	} else {
+		refused(peer, response)
 	}
-	if s.Cut > 0 || len(s.Add) > 0 {
-		s.Hard = r.hardCopy()
-		r.save(s)
+	if peer.inflightBytes < 0 || !peer.isOptimistic() {
+		peer.inflightBytes = 0
 	}
-	end := m.Index + uint64(len(m.Add))
-	if t, _ := r.term(end); r.hard.Unsure && t == m.Term {
-		r.sure() // it has an entry of the leader's own, and so all before it
+	if peer.next <= r.lastIndex() {
+		r.replicate(response.From)
 	}
-	r.commit = max(r.commit, min(m.Commit, end))
-	r.back(m, "", Msg{Kind: "appr", Term: r.hard.Term, Round: m.Round, Index: end, OK: true})
 }
 
-func (r *Raft) sure() {
-	if r.hard.Unsure {
-		r.hard.Unsure = false
-		r.save(flow.Save{Hard: r.hardCopy()})
+// acknowledged notes that a member holds the log up to an index.
+func (r *Raft) acknowledged(peer *progress, index uint64) {
+	for i := max(peer.match, r.base.Index) + 1; i <= min(index, r.lastIndex()); i++ {
+		peer.inflightBytes -= len(r.entryAt(i).Data)
 	}
-}
-
-func (r *Raft) cut(i uint64) {
-	r.log = append([]flow.Entry(nil), r.log[:i-r.base.Index-1]...)
-	r.stable = min(r.stable, r.last())
-	for i := range r.marks {
-		r.marks[i].last = min(r.marks[i].last, r.last())
-	}
-	for at := range r.confs {
-		if at >= i {
-			delete(r.confs, at)
-		}
+	if index > peer.match {
+		peer.match, peer.moved = index, r.now
 	}
-	r.pickConf()
+	peer.next = max(peer.next, peer.match+1)
 }
 
-func (r *Raft) onAppendBack(m Msg) {
-	p := r.peers[m.From]
-	if r.role != Leader || p == nil || m.Term != r.hard.Term {
-		return
-	}
-	p.heard = r.now
-	p.round = max(p.round, m.Round)
-	if m.OK {
-		for i := max(p.match, r.base.Index) + 1; i <= min(m.Index, r.last()); i++ {
-			p.flight -= len(r.log[i-r.base.Index-1].Data)
-		}
-		if m.Index > p.match {
-			p.match, p.moved = m.Index, r.now
-		}
-		p.next = max(p.next, p.match+1)
-	} else {
-		if m.Unsure {
-			p.match = min(p.match, m.Hint) // what it had acknowledged is gone
-		}
-		p.next, p.flight = max(p.match+1, min(p.next, m.Hint+1)), 0
-	}
-	if p.flight < 0 || p.next == p.match+1 {
-		p.flight = 0
-	}
-	if p.next <= r.last() {
-		r.feed(m.From, false)
+// refused goes back to where a member's log may agree.
+func refused(peer *progress, response Message) {
+	if response.UncertainTail {
+		peer.match = min(peer.match, response.Hint) // what it had acknowledged is gone
 	}
+	peer.next = max(peer.match+1, min(peer.next, response.Hint+1))
+	peer.inflightBytes = 0
 }
 
-func (r *Raft) feed(id string, beat bool) {
-	p := r.peers[id]
-	if p == nil || id == r.id {
+// isQuiet says that a member missed two heartbeats.
+func (r *Raft) isQuiet(peer *progress) bool { return r.now-peer.heard > 2*r.heartbeatInterval }
+
+// replicate sends a member the entries that come next. To a quiet member nothing
+// goes but heartbeats; what it lacks follows its answer.
+func (r *Raft) replicate(id string) {
+	peer := r.progress[id]
+	if peer == nil || id == r.id || r.isQuiet(peer) {
 		return
 	}
-	quiet := r.now-p.heard > 2*r.beat
-	if quiet && !beat {
-		return // the next heartbeat asks where it stands; what it lacks follows its answer
-	}
-	prev := p.next - 1
-	if beat && p.flight > 0 && p.match > 0 {
-		prev = p.match // a heartbeat may overtake what is on its way
+	if peer.next > r.lastIndex() || peer.inflightBytes >= maxInflightBytes {
+		return // what is left follows the next answer
 	}
-	t, ok := r.term(prev)
+	term, ok := r.termAt(peer.next - 1)
 	if !ok {
-		if r.snapshot != nil && beat {
-			r.send(id, Msg{Kind: "dig", Term: r.hard.Term, Round: r.round, Index: r.snapshot.Index, LogTerm: r.snapshot.Term})
-		}
-		return
-	}
-	if !beat && (p.next > r.last() || p.flight >= window) {
-		return // what is left follows the next answer
+		return // a heartbeat offers the snapshot
 	}
-	from := p.next - r.base.Index - 1
-	to := min(from+most, uint64(len(r.log)))
-	size := 0
-	if beat {
-		to = from // a heartbeat has no entries: whoever lacks some says so
+	entries, size := r.nextEntries(peer.next)
+	r.sendAppend(id, peer.next-1, term, entries)
+	if peer.inflightBytes == 0 {
+		peer.moved = r.now
 	}
-	for i := from; i < to; i++ {
-		n := len(r.log[i].Data)
-		if size+n > mostBytes && i > from {
-			to = i // a line has a longest, and the rest follows
+	peer.next += uint64(len(entries)) // a refusal moves it back
+	peer.inflightBytes += size
+}
+
+// nextEntries copies the entries of one message and gives their size.
+func (r *Raft) nextEntries(next uint64) ([]flow.Entry, int) {
+	rest := r.log[next-r.base.Index-1:]
+	count, size := 0, 0
+	for count < min(len(rest), maxMessageEntries) {
+		length := len(rest[count].Data)
+		if size+length > maxMessageBytes && count > 0 {
 			break
 		}
-		size += n
+		size += length
+		count++
 	}
-	add := append([]flow.Entry(nil), r.log[from:to]...)
-	r.send(id, Msg{Kind: "app", Term: r.hard.Term, Index: prev, LogTerm: t, Commit: r.commit, Round: r.round, Add: add})
-	if p.flight == 0 {
-		p.moved = r.now
-	}
-	p.next += uint64(len(add)) // sent on trust; a refusal moves it back
-	p.flight += size
+	return append([]flow.Entry(nil), rest[:count]...), size
 }
 
-func (r *Raft) lead() {
-	// Commit what a majority holds, own term only.
-	var have []uint64
-	live := 0
-	for _, m := range r.conf.Members {
-		if !m.Voter {
-			continue
-		}
-		if m.ID == r.id {
-			have = append(have, r.stable)
-			live++
-			continue
-		}
-		p := r.peers[m.ID]
-		have = append(have, p.match)
-		if r.now-p.heard < 2*r.elect {
-			live++
-		}
-	}
-	sort.Slice(have, func(a, b int) bool { return have[a] > have[b] })
-	if n := len(have); n > 0 {
-		mid := have[n/2]
-		if t, ok := r.term(mid); ok && mid > r.commit && t == r.hard.Term {
-			r.commit = mid
-			r.heartbeat = r.now
-		}
-	}
-	// Check-quorum: a leader that hears no majority steps down.
-	if live*2 > len(have) {
-		r.quorum, r.heard = r.now, r.now
-	} else if r.now-r.quorum >= r.elect {
-		r.follow(r.hard.Term, "")
+// sendHeartbeat sends a member a heartbeat, which carries no entries: whoever
+// lacks some says so. Where the log no longer reaches back it offers the snapshot.
+func (r *Raft) sendHeartbeat(id string) {
+	peer := r.progress[id]
+	if peer == nil || id == r.id {
 		return
 	}
-	// A leader that was taken out leaves once that is committed.
-	if !r.voter() && r.confAt <= r.commit {
-		r.follow(r.hard.Term, "")
-		return
+	previous := peer.next - 1
+	if peer.inflightBytes > 0 && peer.match > 0 {
+		previous = peer.match // a heartbeat may overtake what is on its way
 	}
-	if r.now >= r.heartbeat {
-		r.round++
-		r.heartbeat, r.heartbeatAt = r.now+r.beat, r.now
-		for _, m := range r.conf.Members {
-			if p := r.peers[m.ID]; p != nil && p.next > p.match+1 && (r.now-p.heard > 2*r.beat || r.now-p.moved > 2*r.elect) {
-				p.next, p.flight = p.match+1, 0 // nothing heard of what was sent on trust
-			}
-			r.feed(m.ID, true)
+	if term, ok := r.termAt(previous); ok {
+		r.sendAppend(id, previous, term, nil)
+		if peer.inflightBytes == 0 {
+			peer.moved = r.now
 		}
+		return
+	}
+	if r.snapshot != nil {
+		r.send(id, Message{Kind: MessageSnapshotOffer, Term: r.hard.Term, Round: r.round, Index: r.snapshot.Index, LogTerm: r.snapshot.Term})
 	}
-	r.release()
 }
 
-func (r *Raft) apply() {
-	for r.applied < r.commit && r.applied < r.last() {
-		r.applied++
-		e := r.log[r.applied-r.base.Index-1]
-		r.weight += len(e.Data)
-		r.out.Applied = append(r.out.Applied, Applied{Entry: e})
-	}
+func (r *Raft) sendAppend(id string, previous, previousTerm uint64, entries []flow.Entry) {
+	r.send(id, Message{
+		Kind:    MessageAppend,
+		Term:    r.hard.Term,
+		Index:   previous,
+		LogTerm: previousTerm,
+		Commit:  r.commit,
+		Round:   r.round,
+		Entries: entries,
+	})
 }
--- a/core/raft/snapshot.go
+++ b/core/raft/snapshot.go
@@ -1,5 +1,3 @@
-// Snapshots and the log before them (design 4.10).
-
 package raft
 
 import (
@@ -8,91 +6,108 @@
 	"fernlink/core/flow"
 )
 
-func (r *Raft) setSnapshot(d *flow.Snapshot) {
-	r.snapshot, r.weight = d, 0
-	r.base = flow.Entry{Index: d.Index, Term: d.Term}
+// Snapshots and the log before them (design 4.10).
+
+func (r *Raft) setSnapshot(snapshot *flow.Snapshot) {
+	r.snapshot, r.appliedBytes = snapshot, 0
+	r.base = flow.Entry{Index: snapshot.Index, Term: snapshot.Term}
 	r.log = nil
-	r.commit, r.applied = d.Index, d.Index
-	r.confs = map[uint64]Conf{}
-	var c Conf
-	if json.Unmarshal(d.Conf, &c) == nil {
-		r.confs[d.Index] = c
+	r.commit, r.applied = snapshot.Index, snapshot.Index
+	r.confsByIndex = map[uint64]Conf{}
+	if conf, ok := decodeConf(snapshot.Conf); ok {
+		r.confsByIndex[snapshot.Index] = conf
 	}
-	r.pickConf()
+	r.useNewestConf()
 }
 
-// onSnapshot hears that the leader has only a snapshot for what is lacking here. The
-// store fetches it in pieces and then calls Install; until then the offer is a
-// heartbeat like any other (design 4.10).
-func (r *Raft) onSnapshot(m Msg) {
-	if !r.hear(m) {
+// handleSnapshotOffer hears that the leader has only a snapshot for what is
+// lacking here. The store fetches it in pieces and then calls Install; until then
+// the offer is a heartbeat like any other (design 4.10).
+func (r *Raft) handleSnapshotOffer(message Message) {
+	if !r.hearLeader(message) {
 		return
 	}
-	ok := m.Index <= r.commit
-	back := Msg{Kind: "appr", Term: r.hard.Term, Round: m.Round, Hint: r.last()}
-	if ok {
-		back.OK, back.Index = true, m.Index
-	} else {
-		r.out.Offer = &Offer{m.From, m.Index, m.LogTerm}
+	if message.Index <= r.commit {
+		r.respond(message, r.acknowledgement(message, message.Index))
+		return
 	}
-	r.back(m, "", back)
+	r.out.Offer = &Offer{From: message.From, Index: message.Index, Term: message.LogTerm}
+	r.respond(message, r.refusal(message, r.lastIndex()))
 }
 
 // Install puts a snapshot in the place of the log.
-func (r *Raft) Install(d *flow.Snapshot) bool {
-	if d.Index <= r.commit || r.role == Leader {
+func (r *Raft) Install(snapshot *flow.Snapshot) bool {
+	if snapshot.Index <= r.commit || r.role == Leader {
 		return false
 	}
-	r.setSnapshot(d)
-	r.stable, r.marks = r.last(), nil
-	r.save(flow.Save{Snapshot: d, Cut: d.Index + 1})
+	r.setSnapshot(snapshot)
+	r.stable, r.unsynced = r.lastIndex(), nil
+	r.save(flow.Save{Snapshot: snapshot, Cut: snapshot.Index + 1})
 	return true
 }
 
 // Snapshot is the newest snapshot, or nil.
 func (r *Raft) Snapshot() *flow.Snapshot { return r.snapshot }
 
-// Compact makes a snapshot of the ledger's state stand for what was applied. Some
-// entries before it stay in memory, so that a member that is a little behind
-// needs no snapshot.
-func (r *Raft) Compact(state json.RawMessage, stay, most int) {
-	at := r.applied
-	t, ok := r.term(at)
-	if !ok || at == r.base.Index {
+// Compact makes a snapshot of the ledger's state stand for what was applied.
+// keepEntries of the entries before it, of keepBytes at most, stay in memory, so
+// that a member that is a little behind needs no snapshot.
+func (r *Raft) Compact(state json.RawMessage, keepEntries, keepBytes int) {
+	index := r.applied
+	term, ok := r.termAt(index)
+	if !ok || index == r.base.Index {
 		return
 	}
-	var c Conf
-	var top uint64
-	for i, x := range r.confs {
-		if i <= at && i >= top {
-			top, c = i, x
+	conf := r.confAt(index)
+	r.snapshot = &flow.Snapshot{Index: index, Term: term, Conf: encode(conf), State: state}
+	r.appliedBytes = 0
+	r.dropLogBefore(r.firstKept(index, keepEntries, keepBytes))
+	for confIndex := range r.confsByIndex {
+		if confIndex < index {
+			delete(r.confsByIndex, confIndex)
 		}
 	}
-	r.snapshot = &flow.Snapshot{Index: at, Term: t, Conf: raw(c), State: state}
-	from := at
-	for n := 0; from > r.base.Index && at-from < uint64(stay); from-- {
-		if n += len(r.log[from-r.base.Index-1].Data); n > most {
-			break
+	r.confsByIndex[index] = conf
+	r.useNewestConf()
+	r.save(flow.Save{Snapshot: r.snapshot})
+}
+
+// confAt is the configuration that was in force at an index.
+func (r *Raft) confAt(index uint64) Conf {
+	var newest uint64
+	var conf Conf
+	for confIndex, candidate := range r.confsByIndex {
+		if confIndex <= index && confIndex >= newest {
+			newest, conf = confIndex, candidate
 		}
 	}
-	r.weight = 0
-	ft, _ := r.term(from)
-	r.log = append([]flow.Entry(nil), r.log[from-r.base.Index:]...)
-	r.base = flow.Entry{Index: from, Term: ft}
-	for i := range r.confs {
-		if i < at {
-			delete(r.confs, i)
+	return conf
+}
+
+// firstKept is the index after which the log stays in memory.
+func (r *Raft) firstKept(index uint64, keepEntries, keepBytes int) uint64 {
+	first, size := index, 0
+	for first > r.base.Index && index-first < uint64(keepEntries) {
+		size += len(r.entryAt(first).Data)
+		if size > keepBytes {
+			break
 		}
+		first--
 	}
-	r.confs[at] = c
-	r.pickConf()
-	r.save(flow.Save{Snapshot: r.snapshot})
+	return first
+}
+
+// dropLogBefore forgets the entries up to an index.
+func (r *Raft) dropLogBefore(index uint64) {
+	term, _ := r.termAt(index)
+	r.log = append([]flow.Entry(nil), r.log[index-r.base.Index:]...)
+	r.base = flow.Entry{Index: index, Term: term}
 }
 
-// Weight is how many bytes were applied since the last snapshot, SinceSnapshot how
-// many entries.
-func (r *Raft) Weight() int { return r.weight }
+// Weight is how many bytes were applied since the last snapshot.
+func (r *Raft) Weight() int { return r.appliedBytes }
 
+// SinceSnapshot is how many entries were applied since the last snapshot.
 func (r *Raft) SinceSnapshot() int {
 	if r.snapshot == nil {
 		return int(r.applied)
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -1,6 +1,3 @@
-// Package raft is fernlink's own replicated log (design 4): pre-vote,
-// check-quorum, read-index reads, learners, one change of membership at a
-// time. It is a deterministic state machine.
 package raft
 
 import (
@@ -50,6 +47,9 @@
 	return n
 }
 
+// isMajority says whether so many voters are more than half of them.
+func (c Conf) isMajority(count int) bool { return count*2 > c.Voters() }
+
 // With gives a copy with one member put in or replaced.
 func (c Conf) With(m Member) Conf {
 	out := c.Without(m.ID)
@@ -69,24 +69,6 @@
 	return out
 }
 
-// Msg is one Raft message. ToID fences a machine that came back blank: its
-// new identity is never the old voter.
-type Msg struct {
-	Kind    string       `json:"k"`
-	From    string       `json:"f"`
-	ToID    string       `json:"to"`
-	Term    uint64       `json:"t"`
-	Index   uint64       `json:"i,omitempty"`
-	LogTerm uint64       `json:"lt,omitempty"`
-	Commit  uint64       `json:"c,omitempty"`
-	Round   uint64       `json:"r,omitempty"`
-	OK      bool         `json:"ok,omitempty"`
-	Hint    uint64       `json:"h,omitempty"`
-	Add     []flow.Entry `json:"e,omitempty"`
-	Unsure  bool         `json:"u,omitempty"`
-	Move    bool         `json:"mv,omitempty"` // the leader asked for this vote
-}
-
 // Offer is a snapshot that the leader has instead of entries this member lacks.
 type Offer struct {
 	From  string
@@ -94,15 +76,15 @@
 	Term  uint64 // of the snapshot's last entry
 }
 
-// Config are the options of a member.
+// Config are the options of a member, and what its disk held at the start.
 type Config struct {
-	ID       string
-	Rand     *rand.Rand
-	Beat     flow.Time
-	Elect    flow.Time
-	Hard     flow.Hard
-	Snapshot *flow.Snapshot
-	Entries  []flow.Entry
+	ID                string
+	Rand              *rand.Rand // draws election time-outs
+	HeartbeatInterval flow.Time
+	ElectionTimeout   flow.Time
+	Hard              flow.Hard
+	Snapshot          *flow.Snapshot
+	Entries           []flow.Entry
 }
 
 // Applied is a committed entry on its way to the ledger.
@@ -110,24 +92,25 @@
 
 // Out is what one Advance wants done. Saves come first, always.
 type Out struct {
-	Saves   []flow.Save
-	Msgs    []Dest
-	Applied []Applied
-	Reads   []uint64
-	Offer   *Offer
-	Lost    bool // leadership was lost: pending proposals and reads are void
+	Saves    []flow.Save
+	Messages []Envelope
+	Applied  []Applied
+	Reads    []uint64 // tokens of reads that may be answered now
+	Offer    *Offer
+	Lost     bool // leadership was lost: pending proposals and reads are void
 }
 
-// Dest is a message and the address it goes to.
-type Dest struct {
-	Addr string
-	Msg  Msg
-}
-
-func raw(v any) json.RawMessage {
-	b, err := json.Marshal(v)
+// encode gives a configuration as the data of an entry.
+func encode(conf Conf) json.RawMessage {
+	data, err := json.Marshal(conf)
 	if err != nil {
-		panic(err) // only plain structs of this package come here
+		panic(err) // a Conf has only strings, numbers and booleans
 	}
-	return b
+	return data
+}
+
+// decodeConf reads the configuration that an entry or a snapshot carries.
+func decodeConf(data json.RawMessage) (conf Conf, ok bool) {
+	err := json.Unmarshal(data, &conf)
+	return conf, err == nil
 }
--- a/core/store/stats.go
+++ b/core/store/stats.go
@@ -9,7 +9,7 @@
 // Stats is the store's part of the one snapshot (design 10.4).
 type Stats struct {
 	ID       string        `json:"id"`
-	Role     string        `json:"role"`
+	Role     raft.Role     `json:"role"`
 	Term     uint64        `json:"term"`
 	Commit   uint64        `json:"commit"`
 	Applied  uint64        `json:"applied"`
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -60,7 +60,7 @@
 	formed      flow.Time
 	look        flow.Time         // when the membership is looked at next
 	taken       map[string]string // who speaks from an address now
-	role        string
+	role        raft.Role
 	now         flow.Time
 	counts      map[string]int
 	fetches     map[uint64]func(flow.Fetched, *flow.Outbox)
@@ -93,7 +93,7 @@
 		}
 		s.ledger = l
 	}
-	s.raft = raft.New(now, raft.Config{ID: p.ID, Rand: p.Rand, Beat: budget.Beat, Elect: budget.Elect,
+	s.raft = raft.New(now, raft.Config{ID: p.ID, Rand: p.Rand, HeartbeatInterval: budget.Beat, ElectionTimeout: budget.Elect,
 		Hard: p.Disk.Hard, Snapshot: p.Disk.Snapshot, Entries: p.Disk.Entries})
 	return s, nil
 }
@@ -120,7 +120,7 @@
 
 // Raft takes a Raft line.
 func (s *Store) Raft(now flow.Time, l flow.Line) {
-	var m raft.Msg
+	var m raft.Message
 	if json.Unmarshal(l.Body, &m) != nil || m.ToID != s.p.ID {
 		s.counts["strays"]++
 		return
@@ -162,16 +162,16 @@
 	s.repair(now, live, out)
 	o := s.raft.Advance(now)
 	out.Save = append(out.Save, o.Saves...)
-	for _, d := range o.Msgs {
+	for _, d := range o.Messages {
 		if d.Addr == "" {
-			d.Addr = s.addrs[d.Msg.ToID]
+			d.Addr = s.addrs[d.Message.ToID]
 		}
 		if d.Addr != "" {
 			kind := "raft"
-			if len(d.Msg.Add) > 0 {
+			if len(d.Message.Entries) > 0 {
 				kind = flow.Entries
 			}
-			out.Line(d.Addr, kind, d.Msg)
+			out.Line(d.Addr, kind, d.Message)
 		}
 	}
 	if o.Lost {
--- a/shell/disk/disk_test.go
+++ b/shell/disk/disk_test.go
@@ -185,8 +185,8 @@
 	if err := l.Save(nil, []flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: old}}); err != nil {
 		t.Fatal(err)
 	}
-	r := raft.New(0, raft.Config{ID: "a", Rand: rand.New(rand.NewSource(1)), Beat: time.Second, Elect: time.Hour, Hard: flow.Hard{Cluster: "c", Term: 1}, Entries: old})
-	r.Step(raft.Msg{Kind: "dig", From: "b", ToID: "a", Term: 3, Index: 6, LogTerm: 3})
+	r := raft.New(0, raft.Config{ID: "a", Rand: rand.New(rand.NewSource(1)), HeartbeatInterval: time.Second, ElectionTimeout: time.Hour, Hard: flow.Hard{Cluster: "c", Term: 1}, Entries: old})
+	r.Step(raft.Message{Kind: raft.MessageSnapshotOffer, From: "b", ToID: "a", Term: 3, Index: 6, LogTerm: 3})
 	r.Install(&flow.Snapshot{Index: 6, Term: 3, Conf: json.RawMessage(`{}`), State: json.RawMessage(`{}`)})
 	before := segment(t, dir)
 	kept, _ := os.ReadFile(before)
