--- a/rig/scale/world.go
+++ b/rig/scale/world.go
@@ -1,7 +1,6 @@
 package scale
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"runtime"
@@ -9,14 +8,11 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"fernlink/core/ask"
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
 	"fernlink/core/node"
 	"fernlink/platform"
-	"fernlink/shell/link"
 )
 
 // Round is the hollow fleet's clock step: a node's own tick (design 3.1). What is
@@ -46,43 +42,6 @@
 	Swap    time.Duration `json:"swap_ns"` // how long an engine needs for new weights
 }
 
-// Spent is what one host spent and said since the counts were cleared.
-type Spent struct {
-	CPU           time.Duration
-	Out, In       int64 // lines
-	Sent, Heard   int64 // bytes, as the link writes them
-	Kinds         map[string]int64
-	Sends, Reads  int64 // calls of engines and of the list, and bytes of their answers
-	KindsIn       map[string]int64
-	Calls         int64
-	Writes, Bytes int64         // saves to disk, and their bytes
-	Turn          time.Duration // processor time of its longest turn
-}
-
-// Host is one hollow machine: a real node without a socket or a disk.
-type Host struct {
-	Name, Addr string
-	Region     int
-	Zone       int
-	Roles      []string
-	Node       *node.Node
-	Up         bool
-	Spent      Spent
-	Plan       uint64 // the version that is in force here
-	Serving    bool   // it has had a lease since its start
-
-	at     int
-	world  *World
-	starts int64
-	queue  [ahead][]flow.Event
-	in     []flow.Event
-	out    flow.Outbox
-	blobs  map[flow.Ref][]byte
-	calls  map[uint64]func(flow.Reply)
-	callID uint64
-	idle   int
-}
-
 // World is a hollow fleet.
 type World struct {
 	Size   Size
@@ -135,59 +94,6 @@
 
 func zoneOf(i int) string { return fmt.Sprintf("zone-%d", i) }
 
-// Start starts a host with an empty disk.
-func (h *Host) Start() {
-	h.starts++
-	p := h.world.codec()
-	p.ID = fmt.Sprintf("%s-%d", h.Name, h.starts)
-	p.Name, p.Addr, p.Web, p.Area, p.Roles = h.Name, h.Addr, h.Addr+"1", zoneOf(h.Zone), h.Roles
-	p.Inc, p.Seed = 1_700_000_000_000+h.world.Now.Milliseconds()+h.starts, int64(h.at)*1009+h.starts
-	if h.Has("store") && h.starts > 1 {
-		p.Form, p.First = nil, false
-	}
-	n, err := node.New(h.clock(), p)
-	if err != nil {
-		panic(err) // a blank disk can't be wrong
-	}
-	h.Node, h.Up, h.queue, h.calls, h.blobs = n, true, [ahead][]flow.Event{}, map[uint64]func(flow.Reply){}, map[flow.Ref][]byte{}
-	h.clear()
-}
-
-// Kill ends a host.
-func (h *Host) Kill() {
-	h.Up, h.Node, h.blobs, h.Plan, h.Serving = false, nil, nil, 0, false
-	if h.world.lead == h {
-		h.world.lead = nil
-	}
-	if h.world.acts == h {
-		h.world.acts = nil
-	}
-}
-
-// Has says whether a host runs a role.
-func (h *Host) Has(role string) bool {
-	for _, r := range h.Roles {
-		if r == role {
-			return true
-		}
-	}
-	return false
-}
-
-func (h *Host) clear() { h.Spent = Spent{Kinds: map[string]int64{}, KindsIn: map[string]int64{}} }
-
-// clock is a host's own elapsed time.
-func (h *Host) clock() flow.Time {
-	return time.Hour + time.Duration(h.at)*time.Millisecond + h.world.Now
-}
-
-func (h *Host) offer(rounds int, e flow.Event) {
-	if h.Up {
-		k := (h.world.round + min(max(rounds, 1), ahead-1)) % ahead
-		h.queue[k] = append(h.queue[k], e)
-	}
-}
-
 // Clear forgets what was spent so far.
 func (w *World) Clear() {
 	for _, h := range w.Hosts {
@@ -255,16 +161,6 @@
 // large is the least that counts as one.
 const large = 64 << 10
 
-// bulk gives the bytes of large lines that a host is about to read.
-func (h *Host) bulk() (n int) {
-	for _, e := range h.queue[h.world.round%ahead] {
-		if e.Line != nil && len(e.Line.Body) >= large {
-			n += len(e.Line.Body)
-		}
-	}
-	return n
-}
-
 func (w *World) advance(hosts []*Host) {
 	var wg sync.WaitGroup
 	var next atomic.Int64
@@ -305,20 +201,6 @@
 	h.in = nil
 }
 
-func threadTime() time.Duration {
-	var t unix.Timespec
-	_ = unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &t)
-	return time.Duration(t.Nano())
-}
-
-// wireSize is how many bytes the link writes for a line.
-func wireSize(x flow.Line) int64 {
-	body := x.Body
-	x.Body = json.RawMessage("0")
-	b, _ := link.Pack(nil, x)
-	return int64(len(b) - 1 + len(body))
-}
-
 func (w *World) rounds(a, b *Host) int {
 	if a.Region != b.Region {
 		return far
@@ -326,104 +208,6 @@
 	return inHost
 }
 
-func (h *Host) emit() {
-	w, o := h.world, h.out
-	h.out = flow.Outbox{}
-	for _, n := range o.Notes {
-		h.note(n)
-	}
-	if len(o.Save) > 0 {
-		h.Spent.Writes++
-		for _, s := range o.Save {
-			for _, e := range s.Add {
-				h.Spent.Bytes += int64(len(e.Data))
-			}
-		}
-		h.offer(1, flow.Event{Saved: o.Batch})
-	}
-	for _, s := range o.Blobs {
-		for _, x := range s.Put {
-			h.blobs[x.Ref] = x.Body
-		}
-		for _, r := range s.Drop {
-			delete(h.blobs, r)
-		}
-	}
-	for _, f := range o.Fetch {
-		h.fetched(f)
-	}
-	var same json.RawMessage // of a large line to many
-	for i := range o.Lines {
-		l := &o.Lines[i]
-		if len(l.Body) >= large {
-			w.said += len(l.Body)
-			if bytes.Equal(l.Body, same) {
-				l.Body = same
-			}
-			same = l.Body
-		}
-		n := wireSize(*l)
-		h.Spent.Out++
-		h.Spent.Sent += n
-		h.Spent.Kinds[l.Kind] += n
-		if l.To == operator {
-			w.heard(*l)
-			continue
-		}
-		if to := w.byAddr[l.To]; to != nil && to.Up {
-			to.Spent.In++
-			to.Spent.Heard += n
-			to.Spent.KindsIn[l.Kind] += n
-			to.offer(w.rounds(h, to), flow.Event{Line: l})
-		}
-	}
-	for _, r := range o.Replies {
-		if f := h.calls[r.ID]; f != nil {
-			if !r.More {
-				delete(h.calls, r.ID)
-			}
-			f(r)
-		}
-	}
-	for _, s := range o.Sends {
-		h.Spent.Sends++
-		w.Out.send(h, s)
-	}
-	if o.Halt != "" {
-		panic("scale: " + h.Name + " halted: " + o.Halt)
-	}
-}
-
-func (h *Host) fetched(f flow.Fetch) {
-	got := flow.Fetched{ID: f.ID}
-	for _, r := range f.Refs {
-		b, ok := h.blobs[r]
-		if !ok {
-			got.Missing = append(got.Missing, r)
-			continue
-		}
-		if !f.Check {
-			got.Parts = append(got.Parts, flow.Part{Ref: r, Size: len(b), Body: b})
-		}
-	}
-	h.offer(1, flow.Event{Blobs: &got})
-}
-
-// Call makes a request of a host from outside.
-func (h *Host) Call(c flow.Call, f func(flow.Reply)) {
-	if !h.Up {
-		return
-	}
-	h.callID++
-	h.Spent.Calls++
-	c.ID = h.callID
-	if f == nil {
-		f = func(flow.Reply) {}
-	}
-	h.calls[c.ID] = f
-	h.offer(1, flow.Event{Call: &c})
-}
-
 // operator is the address of the hollow operator, who asks the store's leader.
 const operator = "10.254.0.1:1"
 
@@ -475,38 +259,6 @@
 // Acting gives the coordinator that acts, or nil.
 func (w *World) Acting() *Host { return w.acts }
 
-// notes are what the hollow fleet hears of its nodes' own logs.
-var notes = map[string]func(*World, *Host, map[string]any){
-	"role changed": func(w *World, h *Host, a map[string]any) {
-		if a["role"] == "leader" {
-			w.lead = h
-		} else if w.lead == h {
-			w.lead = nil
-		}
-	},
-	"took the lease": func(w *World, h *Host, _ map[string]any) { w.acts = h },
-	"stood down": func(w *World, h *Host, _ map[string]any) {
-		if w.acts == h {
-			w.acts = nil
-		}
-	},
-	"plan in force":    func(w *World, h *Host, a map[string]any) { h.Plan, _ = a["version"].(uint64) },
-	"took out a voter": func(w *World, _ *Host, a map[string]any) { w.out++ },
-	"took up serving":  func(w *World, h *Host, _ map[string]any) { h.Serving = true },
-}
-
-func (h *Host) note(n flow.Note) {
-	f := notes[n.Text]
-	if f == nil {
-		return
-	}
-	args := map[string]any{}
-	for i := 0; i+1 < len(n.Args); i += 2 {
-		args[fmt.Sprint(n.Args[i])] = n.Args[i+1]
-	}
-	f(h.world, h, args)
-}
-
 // All says whether every running host that serves callers is as wanted.
 func (w *World) All(ok func(*Host) bool) bool {
 	for _, h := range w.Hosts {
