Orders that were acknowledged are known again for key_hours

A plan that was put again after 16 later versions got 409 (412 outside), since only the kept plans were looked through; a named weights version got 409 once a newer one was named; a late pause and a late drain were carried out once more; the hand-in of a lot whose time was over was taken and run anew, and its end was 404.

Cause: each order had a check of its own, by what still stands. One look-up comes before every other check of an order. Sharing the keys' own table was ruled out: rows are named by number in claim.lost, and bookings could take the room of orders.

Before: TestPlanIsKnownAgain 'version 3 put again: 409', TestNamedWeightsAreKnownAgain 'version 2 named again: 409', TestLatePauseChangesNothing and TestLateDrainChangesNothing moved the row, TestLateLotIsNotTakenAnew 'kept anew: true'. A newer revision without 'paused' still starts unpaused; an equal one no longer resumes, since that is what a late repeat looks like.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -12,29 +12,32 @@
 // Ledger is the folded state. Bulk lies on the blob store, by the index of the
 // command that brought it (design 4.9).
 type Ledger struct {
-	Index   uint64
-	Clock   int64  // the newest stamp; it never goes back
-	Last    string // kind of the command applied last
-	Bounds  Bounds
-	Plans   []Plan // only the newest has its document here
-	Steps   map[string]*Step
-	Ends    []string         // ended steps, oldest first
-	Kept    map[string]int64 // bytes of results by trainer
-	Keys    *keys.Table
-	Owners  map[uint64]string // of claimed rows
-	Coord   Coord
-	Orders  map[string]*Order
-	Targets map[string]*Target
-	Drains  map[string]*Drain
-	Lots    map[string]*Lot
-	lotsDue int64 // no lot is to be retired before
-	recent  texts // of lots
-	box     flow.BlobChange
+	Index  uint64
+	Clock  int64  // the newest stamp; it never goes back
+	Last   string // kind of the command applied last
+	Bounds Bounds
+	Plans  []Plan // only the newest has its document here
+	Steps  map[string]*Step
+	Ends   []string         // ended steps, oldest first
+	Kept   map[string]int64 // bytes of results by trainer
+	Keys   *keys.Table
+	// Receipts are the orders that were acknowledged (receipts.go).
+	Receipts    *keys.Table
+	OrderCounts OrderCounts
+	Owners      map[uint64]string // of claimed rows
+	Coord       Coord
+	Orders      map[string]*Order
+	Targets     map[string]*Target
+	Drains      map[string]*Drain
+	Lots        map[string]*Lot
+	lotsDue     int64 // no lot is to be retired before
+	recent      texts // of lots
+	box         flow.BlobChange
 }
 
 // New is an empty ledger.
 func New() *Ledger {
-	return &Ledger{Bounds: Usual, Steps: map[string]*Step{}, Kept: map[string]int64{}, Keys: keys.New(), Owners: map[uint64]string{},
+	return &Ledger{Bounds: Usual, Steps: map[string]*Step{}, Kept: map[string]int64{}, Keys: keys.New(), Receipts: keys.New(), Owners: map[uint64]string{},
 		Orders: map[string]*Order{}, Targets: map[string]*Target{}, Drains: map[string]*Drain{}, Lots: map[string]*Lot{}}
 }
 
--- a/core/ledger/lots.go
+++ b/core/ledger/lots.go
@@ -110,6 +110,9 @@
 	return hex.EncodeToString(h.Sum(nil)[:16])
 }
 
+// otherLot answers a hand-in under an id that stands for another lot.
+const otherLot = "a lot of this id exists with other content"
+
 // LotPut answers a lot.put.
 type LotPut struct {
 	ID    string `json:"id"`
@@ -126,10 +129,18 @@
 	h := lotHash(d.Items)
 	if old := l.Lots[d.ID]; old != nil {
 		if old.Hash != h {
-			return fail(409, "a lot of this id exists with other content")
+			l.OrderCounts.Changed++
+			return fail(409, otherLot)
 		}
+		l.OrderCounts.Repeated++
 		return good(LotPut{d.ID, len(old.IDs), false})
 	}
+	switch known, total := l.recall(lotID(d.ID, h)); known {
+	case repeated: // its time is over: it is not run again
+		return good(LotPut{d.ID, int(total), false})
+	case changed:
+		return fail(409, otherLot)
+	}
 	if len(d.Items) > LotItemsMost {
 		return fail(400, "more items than a lot may have")
 	}
@@ -156,6 +167,9 @@
 	if len(l.Lots) >= KeepLots || items > KeepLotItems {
 		return fail(429, "too many lots or items of lots are kept")
 	}
+	if !l.roomForReceipts(c.At, 1) {
+		return fail(503, receiptsFull)
+	}
 	if d.KeepMS <= 0 {
 		d.KeepMS = l.Bounds.Age
 	}
@@ -177,6 +191,7 @@
 	}
 	l.put(DocItem, l.Index, raw(lotHead{d, t.IDs, t.Parts}))
 	l.Lots[d.ID] = t
+	l.acknowledge(lotID(d.ID, h), c.At, uint64(len(t.IDs)))
 	l.lotsDue = min(l.lotsDue, t.due())
 	return good(LotPut{d.ID, len(t.IDs), true})
 }
@@ -250,7 +265,7 @@
 	_ = json.Unmarshal(c.Body, &id)
 	t := l.Lots[id]
 	if t == nil {
-		return fail(404, "no such lot")
+		return l.endPastLot(id)
 	}
 	if !t.Ended {
 		t.Ended, t.Mod = true, l.Index
@@ -259,6 +274,16 @@
 	return good(t.sum())
 }
 
+// endPastLot answers the end of a lot that is not kept: it is over if it ever was.
+func (l *Ledger) endPastLot(id string) Result {
+	row, known := l.Receipts.Find(lotID(id, "").key())
+	if !known {
+		return fail(404, "no such lot")
+	}
+	l.OrderCounts.Repeated++
+	return good(LotSum{ID: id, Total: int(l.Receipts.Row(row).Item), Ended: true})
+}
+
 // ownLot moves a lot whose owner is lost; only the leader says so.
 func (l *Ledger) ownLot(c Command) Result {
 	l.retireLots()
--- a/core/ledger/plans.go
+++ b/core/ledger/plans.go
@@ -14,23 +14,16 @@
 	return Plan{}
 }
 
+// putPlan takes a plan if it was made from the one in force. A repeat of one that
+// was taken is told its version, however many have come since.
 func (l *Ledger) putPlan(c Command) Result {
 	var p PutPlan
 	if json.Unmarshal(c.Body, &p) != nil {
 		return fail(400, "plan does not parse")
 	}
-	for _, old := range l.Plans {
-		if p.Version != 0 && old.Version == p.Version && old.Hash == Hash(p.Doc) {
-			old.Doc = nil
-			return good(old) // a repeat, whichever node it came through
-		}
-		if p.Version == 0 && p.Request != "" && old.Request == p.Request {
-			if old.Hash != Hash(p.Doc) {
-				return Result{Code: 422, Body: raw(problem{Error: "this request id was used for another plan", Version: old.Version})}
-			}
-			old.Doc = nil
-			return good(old)
-		}
+	hash := Hash(p.Doc)
+	if answer, done := l.recallPlan(p, hash); done {
+		return answer
 	}
 	now := l.Plan()
 	if p.Read != now.Version {
@@ -39,16 +32,70 @@
 	if p.Version != 0 && p.Version <= now.Version {
 		return Result{Code: 422, Body: raw(problem{Error: "a plan's version must be above the one in force", Version: now.Version})}
 	}
-	next := Plan{Version: max(p.Version, now.Version+1), Request: p.Request, Hash: Hash(p.Doc), Doc: p.Doc, Mod: l.Index, At: c.At}
+	request := p.Request
+	if p.Version != 0 {
+		request = "" // its version is its name
+	}
+	if !l.roomForReceipts(c.At, receiptsOf(request)) {
+		return fail(503, receiptsFull)
+	}
+	next := Plan{Version: max(p.Version, now.Version+1), Request: p.Request, Hash: hash, Doc: p.Doc, Mod: l.Index, At: c.At}
+	l.acknowledge(planVersionID(next.Version, hash), c.At, next.Version)
+	if request != "" {
+		l.acknowledge(planRequestID(request, hash), c.At, next.Version)
+	}
+	l.adoptPlan(next)
+	next.Doc = nil
+	return good(next)
+}
+
+// adoptPlan puts a plan in force.
+func (l *Ledger) adoptPlan(next Plan) {
 	if n := len(l.Plans); n > 0 {
 		l.Plans[n-1].Doc = nil
 	}
 	l.Plans = append(l.Plans, next)
-	l.put(DocItem, l.Index, p.Doc)
+	l.put(DocItem, l.Index, next.Doc)
 	for len(l.Plans) > KeepPlans {
 		l.drop(DocItem, l.Plans[0].Mod)
 		l.Plans = append([]Plan(nil), l.Plans[1:]...)
 	}
-	next.Doc = nil
-	return good(next)
+}
+
+// recallPlan answers a put that was taken before, and one whose request id was
+// used for another plan. A put that names its version is that version's with the
+// same document; one that does not is known by its request id.
+func (l *Ledger) recallPlan(p PutPlan, hash string) (Result, bool) {
+	if old, kept := l.keptPlan(p, hash); kept {
+		l.OrderCounts.Repeated++
+		return good(old), true
+	}
+	id := planVersionID(p.Version, hash)
+	if p.Version == 0 {
+		id = planRequestID(p.Request, hash)
+	}
+	known, version := l.recall(id)
+	switch {
+	case known == repeated:
+		return good(Plan{Version: version, Request: p.Request, Hash: hash}), true
+	case known == changed && p.Version == 0:
+		return Result{Code: 422, Body: raw(problem{Error: "this request id was used for another plan", Version: version})}, true
+	}
+	return Result{}, false
+}
+
+// keptPlan finds a put among the plans that are kept: these are known for longer
+// than any receipt.
+func (l *Ledger) keptPlan(p PutPlan, hash string) (Plan, bool) {
+	for _, old := range l.Plans {
+		same := old.Version == p.Version
+		if p.Version == 0 {
+			same = p.Request != "" && old.Request == p.Request
+		}
+		if same && old.Hash == hash {
+			old.Doc = nil
+			return old, true
+		}
+	}
+	return Plan{}, false
 }
--- a/core/ledger/query.go
+++ b/core/ledger/query.go
@@ -90,6 +90,7 @@
 }
 
 var queries = map[string]func(*Ledger, json.RawMessage) Result{
+	"order.known": (*Ledger).knownOrder,
 	"plan.get":    (*Ledger).getPlan,
 	"plan.list":   (*Ledger).listPlans,
 	"step.get":    (*Ledger).getStep,
--- a/core/ledger/snapshot.go
+++ b/core/ledger/snapshot.go
@@ -29,6 +29,8 @@
 	Targets map[string]*Target `json:"targets"`
 	Drains  map[string]*Drain  `json:"drains"`
 	Lots    []lotRow           `json:"lots,omitempty"`
+	// Receipts is missing in snapshots of earlier builds.
+	Receipts *keys.Snapshot `json:"receipts,omitempty"`
 }
 
 type stepRow struct {
@@ -82,7 +84,12 @@
 	for _, n := range sorted.Keys(filed) {
 		l.put(PageItem, n, filed[n])
 	}
-	d := snapshot{Index: l.Index, Clock: l.Clock, Bounds: l.Bounds, Keys: l.Keys.Snapshot(), Owners: l.Owners, Coord: l.Coord,
+	filed = l.Receipts.File()
+	for _, n := range sorted.Keys(filed) {
+		l.put(ReceiptItem, n, filed[n])
+	}
+	receipts := l.Receipts.Snapshot()
+	d := snapshot{Receipts: &receipts, Index: l.Index, Clock: l.Clock, Bounds: l.Bounds, Keys: l.Keys.Snapshot(), Owners: l.Owners, Coord: l.Coord,
 		Orders: l.Orders, Targets: l.Targets, Drains: l.Drains, Lots: l.lotRows()}
 	for _, p := range l.Plans {
 		p.Doc = nil
@@ -114,6 +121,11 @@
 	for _, n := range d.Keys.Needs() {
 		out = append(out, flow.Ref{Kind: PageItem, ID: n})
 	}
+	if d.Receipts != nil {
+		for _, n := range d.Receipts.Needs() {
+			out = append(out, flow.Ref{Kind: ReceiptItem, ID: n})
+		}
+	}
 	for _, s := range d.Steps {
 		if s.State == "open" {
 			out = append(out, flow.Ref{Kind: DocItem, ID: s.Item})
@@ -177,13 +189,32 @@
 			return nil, errors.Wrap(ErrSnapshot, "the plan's document is missing")
 		}
 	}
+	if err := l.loadReceipts(d.Receipts, items); err != nil {
+		return nil, err
+	}
 	return l, nil
 }
 
+// loadReceipts reads the receipts. A snapshot of an earlier build has none: they
+// are made of what it still holds.
+func (l *Ledger) loadReceipts(d *keys.Snapshot, items map[flow.Ref][]byte) error {
+	if d == nil {
+		l.seedReceipts()
+		return nil
+	}
+	var err error
+	l.Receipts, err = keys.Load(*d, func(n uint64) []byte { return items[flow.Ref{Kind: ReceiptItem, ID: n}] })
+	if err != nil {
+		return errors.Wrap(ErrSnapshot, "receipts: "+err.Error())
+	}
+	return nil
+}
+
 // Items names all that must lie on the blob store, each kind in order.
 func (l *Ledger) Items() map[string][]uint64 {
 	answers, filed := l.Keys.Items()
-	out := map[string][]uint64{AnswerItem: answers, PageItem: filed, TextItem: nil, DocItem: nil}
+	_, receipts := l.Receipts.Items()
+	out := map[string][]uint64{AnswerItem: answers, PageItem: filed, ReceiptItem: receipts, TextItem: nil, DocItem: nil}
 	for _, s := range l.Steps {
 		if s.State == "open" {
 			out[DocItem] = append(out[DocItem], s.Item)
--- a/core/ledger/types.go
+++ b/core/ledger/types.go
@@ -199,6 +199,23 @@
 	Mod      uint64 `json:"mod"`
 }
 
+// PutTarget names weights for a pool. Where Paused is set it also pauses or resumes
+// the roll-out, and Request tells it from the next order of the same content.
+type PutTarget struct {
+	Pool     string `json:"pool"`
+	Revision int    `json:"revision"`
+	Paused   *bool  `json:"paused,omitempty"`
+	Request  string `json:"request,omitempty"`
+}
+
+// PutDrain takes an engine out of placement or back in. Request tells it from the
+// next order of the same content.
+type PutDrain struct {
+	Engine  string `json:"engine"`
+	On      bool   `json:"drained"`
+	Request string `json:"request,omitempty"`
+}
+
 // Drain takes an engine out of placement by an operator's word.
 type Drain struct {
 	Engine string `json:"engine"`
--- a/core/ledger/weights.go
+++ b/core/ledger/weights.go
@@ -78,33 +78,141 @@
 	return good(old)
 }
 
+// putTarget names weights for a pool, or pauses a roll-out. A repeat of what was
+// acknowledged changes nothing; what was never named and lies below the target is
+// refused.
 func (l *Ledger) putTarget(c Command) Result {
-	var t Target
-	_ = json.Unmarshal(c.Body, &t)
-	old := l.Targets[t.Pool]
-	if old != nil && t.Revision < old.Revision {
+	var p PutTarget
+	_ = json.Unmarshal(c.Body, &p)
+	if answer, known := l.recallTarget(p); known {
+		return answer
+	}
+	old := l.Targets[p.Pool]
+	if old != nil && p.Revision < old.Revision {
 		return fail(409, "weights only go forward")
 	}
-	l.target(t.Pool, t.Revision)
-	l.Targets[t.Pool].Paused = t.Paused
-	return good(l.Targets[t.Pool])
+	if !l.roomForReceipts(c.At, receiptsOf(p.Request)) {
+		return fail(503, receiptsFull)
+	}
+	newer := old == nil || p.Revision > old.Revision
+	if newer {
+		l.target(p.Pool, p.Revision)
+		l.Targets[p.Pool].Paused = false
+	}
+	if p.Paused != nil && l.Targets[p.Pool].Paused != *p.Paused {
+		l.target(p.Pool, p.Revision)
+		l.Targets[p.Pool].Paused = *p.Paused
+	}
+	l.acknowledgeOnce(weightsVersionID(p.Pool, p.Revision), c.At, 0)
+	if p.Request != "" {
+		l.acknowledge(p.requestID(), c.At, 0)
+	}
+	return good(l.Targets[p.Pool])
 }
 
+// requestID is the order's own name, where its caller gave one.
+func (p PutTarget) requestID() orderID {
+	request := p.Request
+	p.Request = ""
+	return requestID(request, p)
+}
+
+// recallTarget answers an order on weights that was taken before. One that only
+// names a version is known by that; one that pauses or resumes may be given more
+// than once, and is known by its request id.
+func (l *Ledger) recallTarget(p PutTarget) (Result, bool) {
+	known := firstTime
+	switch {
+	case p.Request != "":
+		known, _ = l.recall(p.requestID())
+	case p.Paused == nil:
+		known, _ = l.recall(weightsVersionID(p.Pool, p.Revision))
+	}
+	switch known {
+	case repeated:
+		return good(l.Targets[p.Pool]), true
+	case changed:
+		return fail(422, requestUsed), true
+	}
+	return Result{}, false
+}
+
+// knownTarget answers a question about an order on weights (KnownOrder).
+func (l *Ledger) knownTarget(body json.RawMessage) (Result, bool) {
+	var p PutTarget
+	_ = json.Unmarshal(body, &p)
+	return l.recallTarget(p)
+}
+
+// requestUsed answers an order whose request id stands for another one.
+const requestUsed = "this request id was used for another order"
+
+// putDrain takes an engine out of placement, or back in. A repeat of what was
+// acknowledged changes nothing.
 func (l *Ledger) putDrain(c Command) Result {
-	var d Drain
-	_ = json.Unmarshal(c.Body, &d)
-	d.Mod = l.Index
-	if l.Drains[d.Engine] == nil && len(l.Drains) >= KeepDrains {
-		for _, id := range sorted.Keys(l.Drains) {
-			if !l.Drains[id].On {
-				delete(l.Drains, id)
-				break
-			}
-		}
+	var p PutDrain
+	_ = json.Unmarshal(c.Body, &p)
+	if answer, known := l.recallDrain(p); known {
+		return answer
 	}
-	if l.Drains[d.Engine] == nil && len(l.Drains) >= KeepDrains {
+	if !l.roomForReceipts(c.At, 1) {
+		return fail(503, receiptsFull)
+	}
+	if !l.roomForDrain(p.Engine) {
 		return fail(429, "too many drained engines are remembered")
 	}
-	l.Drains[d.Engine] = &d
-	return good(d)
+	if p.Request != "" {
+		l.acknowledge(p.requestID(), c.At, 0)
+	}
+	drain := Drain{Engine: p.Engine, On: p.On, Mod: l.Index}
+	l.Drains[p.Engine] = &drain
+	return good(drain)
+}
+
+// requestID is the order's own name, where its caller gave one.
+func (p PutDrain) requestID() orderID {
+	request := p.Request
+	p.Request = ""
+	return requestID(request, p)
+}
+
+// recallDrain answers an order on an engine that was taken before: with what
+// stands now, which a later order may have made.
+func (l *Ledger) recallDrain(p PutDrain) (Result, bool) {
+	if p.Request == "" {
+		return Result{}, false
+	}
+	known, _ := l.recall(p.requestID())
+	switch known {
+	case repeated:
+		if now := l.Drains[p.Engine]; now != nil {
+			return good(now), true
+		}
+		return good(Drain{Engine: p.Engine}), true
+	case changed:
+		return fail(422, requestUsed), true
+	}
+	return Result{}, false
+}
+
+// knownDrain answers a question about an order on an engine (KnownOrder).
+func (l *Ledger) knownDrain(body json.RawMessage) (Result, bool) {
+	var p PutDrain
+	_ = json.Unmarshal(body, &p)
+	return l.recallDrain(p)
+}
+
+// roomForDrain says whether an engine's row has room. Engines that are back in
+// placement give way.
+func (l *Ledger) roomForDrain(engine string) bool {
+	if l.Drains[engine] != nil || len(l.Drains) < KeepDrains {
+		return true
+	}
+	for _, id := range sorted.Keys(l.Drains) {
+		if !l.Drains[id].On {
+			delete(l.Drains, id)
+			return true
+		}
+	}
+	return false
 }
--- a/core/store/keep.go
+++ b/core/store/keep.go
@@ -23,6 +23,9 @@
 	if n*5 > b.Keys*4 {
 		return "run-once keys fill more than four fifths of keys_most; beyond it bookings are refused"
 	}
+	if s.ledger.Receipts.Len()*5 > b.Keys*4 {
+		return "receipts of orders fill more than four fifths of keys_most; beyond it orders are refused"
+	}
 	if s.ledger.Keys.Bytes*5 > b.Answers*4 {
 		return "recorded answers fill more than four fifths of answer_bytes; beyond it they are not kept"
 	}
--- a/core/store/pull.go
+++ b/core/store/pull.go
@@ -218,7 +218,7 @@
 	p.ledger = l
 	var refs []flow.Ref
 	all := l.Items()
-	for _, kind := range []string{ledger.DocItem, ledger.PageItem, ledger.AnswerItem, ledger.LotPartItem, ledger.LotTextItem, ledger.TextItem} {
+	for _, kind := range []string{ledger.DocItem, ledger.PageItem, ledger.ReceiptItem, ledger.AnswerItem, ledger.LotPartItem, ledger.LotTextItem, ledger.TextItem} {
 		for _, id := range all[kind] {
 			refs = append(refs, flow.Ref{Kind: kind, ID: id})
 		}
--- a/core/store/stats.go
+++ b/core/store/stats.go
@@ -27,13 +27,17 @@
 	Pulled   int           `json:"pieces_total"`
 	Strays   int           `json:"stray_pieces_total"`
 	Snapshot int           `json:"snapshot_bytes"`
+	Receipts int           `json:"order_receipts"`
+	Repeated int           `json:"order_repeats_total"`
+	Changed  int           `json:"order_changes_total"`
 }
 
 // Stats gives the snapshot.
 func (s *Store) Stats() Stats {
 	return Stats{s.p.ID, s.raft.Role(), s.raft.Term(), s.raft.Commit(), s.raft.Applied(), s.raft.LogLen(),
 		s.raft.LeaderAddr(), s.raft.Conf().Members, s.raft.Busy(), s.counts["writes"], s.counts["reads"], len(s.ledger.Steps), s.ledger.Keys.Len(), s.keysFull(), s.raft.Unsure(),
-		s.pull != nil, s.counts["pieces"], s.counts["stray_pieces"] + s.counts["stray_pulls"], s.snapshotSize()}
+		s.pull != nil, s.counts["pieces"], s.counts["stray_pieces"] + s.counts["stray_pulls"], s.snapshotSize(),
+		s.ledger.Receipts.Len(), s.ledger.OrderCounts.Repeated, s.ledger.OrderCounts.Changed}
 }
 
 // Rows counts what each table keeps.
@@ -42,7 +46,7 @@
 	to["log"], to["waiting_writes"], to["waiting_reads"], to["dispatchers"] = s.raft.LogLen(), len(s.writes), len(s.reads), len(s.seen)
 	to["plans"], to["steps"], to["keys"], to["orders"], to["drains"] = len(l.Plans), len(l.Steps), l.Keys.Len(), len(l.Orders), len(l.Drains)
 	to["claims_open"], to["member_addresses"], to["fetches"] = len(l.Owners), len(s.addrs), len(s.fetches)
-	to["lots"] = len(l.Lots)
+	to["receipts"], to["lots"] = l.Receipts.Len(), len(l.Lots)
 	for _, x := range l.Lots {
 		to["lot_results"] += len(x.List)
 	}
