A repeat is not refused before the ledger is asked

A dispatcher refused some orders by what it sees now, so one that was acknowledged got 409 or 404 when it was sent again: a drain once the pool's other engines were away, weights of a pool that a later plan does not name, a step of such a pool (422). It asks first now whether the order is known (order.known), and refuses only what is not.

An order to pause, resume, drain or take back an engine carries a request id, since the same words may be meant twice and nothing else tells a repeat from the next order: 422 without it. Tests and faults that gave such orders name them now; they check as before. The command line makes an id up for each drain.

A store that was taken out for good was taken in again by a late POST /v1/stores of its address; it answers that it is removed. A change of membership that is not committed yet was acknowledged to whoever said it again: 503 until it is.

--- a/cmd/fernlink/tools.go
+++ b/cmd/fernlink/tools.go
@@ -63,11 +63,17 @@
 
 // bodies are what tools send without a file.
 var bodies = map[string]func(string) string{
-	"engines drain":   func(string) string { return `{"drained":true}` },
-	"engines undrain": func(string) string { return `{"drained":false}` },
+	"engines drain":   func(string) string { return drainBody(true) },
+	"engines undrain": func(string) string { return drainBody(false) },
 	"store add":       func(a string) string { return fmt.Sprintf(`{"addr":%q}`, a) },
 }
 
+// drainBody is an order to drain an engine or to take it back, under a request id
+// of its own.
+func drainBody(drained bool) string {
+	return fmt.Sprintf(`{"drained":%t,"request":"cli-%d-%d"}`, drained, os.Getpid(), time.Now().UnixNano())
+}
+
 var order = []string{"plan", "step", "engines", "store", "weights", "usage", "status"}
 
 func bindTools() []tool {
--- a/core/disp/admin.go
+++ b/core/disp/admin.go
@@ -98,6 +98,30 @@
 	d.out.Answer(c.ID, a.Code, a.Body, head)
 }
 
+// refusal is why this dispatcher would not take an order.
+type refusal struct {
+	code int
+	body any
+}
+
+// unlessKnown refuses an order, but for one that was acknowledged before: that is
+// answered from its receipt (design 4.7), whatever is true by now.
+func (d *Disp) unlessKnown(c flow.Call, kind string, order any, no refusal) {
+	if !d.fresh() {
+		d.out.Answer(c.ID, 503, answer{Error: "the store is not heard just now"}, again())
+		return
+	}
+	body, _ := json.Marshal(order)
+	question := ledger.KnownOrder{Kind: kind, Body: body}
+	d.p.Asker.Put(d.now, budget.AskLimit, "order.known", question, func(_ flow.Time, a ask.Answer) {
+		if a.Code == 404 {
+			d.out.Answer(c.ID, no.code, no.body, nil)
+			return
+		}
+		d.told(c, a)
+	})
+}
+
 func (d *Disp) planVersion(c flow.Call) {
 	v, err := strconv.ParseUint(c.Vars["version"], 10, 64)
 	if err != nil || v == 0 {
@@ -146,20 +170,20 @@
 		seen[g.ID] = true
 	}
 	if len(bad) > 0 {
-		d.out.Answer(c.ID, 422, faults{"does not make sense", bad}, nil)
+		d.unlessKnown(c, "step.open", s, refusal{422, faults{"does not make sense", bad}})
 		return
 	}
 	d.up(c, "step.open", s)
 }
 
 func (d *Disp) weightsPut(c flow.Call) {
-	t := ledger.Target{}
+	t := ledger.PutTarget{}
 	if !d.checked(c, "weights_put", &t) {
 		return
 	}
 	t.Pool = c.Vars["pool"]
 	if d.plan != nil && !d.plan.Names(t.Pool) {
-		d.out.Answer(c.ID, 404, answer{Error: "no such model pool or model in the plan in force"}, nil)
+		d.unlessKnown(c, "target.put", t, refusal{404, answer{Error: "no such model pool or model in the plan in force"}})
 		return
 	}
 	d.up(c, "target.put", t)
@@ -214,27 +238,31 @@
 }
 
 func (d *Disp) engineDrain(c flow.Call) {
-	x := ledger.Drain{}
+	x := ledger.PutDrain{}
 	if !d.checked(c, "drain_put", &x) {
 		return
 	}
 	x.Engine = c.Vars["id"]
 	e := d.engines[x.Engine]
-	if e == nil {
-		d.out.Answer(c.ID, 404, answer{Error: "no such engine"}, nil)
-		return
+	switch {
+	case e == nil:
+		d.unlessKnown(c, "drain.put", x, refusal{404, answer{Error: "no such engine"}})
+	case x.On && d.readyBeside(e) == 0:
+		d.unlessKnown(c, "drain.put", x, refusal{409, answer{Error: "this would drain the last ready engine of pool " + e.Pool}})
+	default:
+		d.up(c, "drain.put", x)
 	}
-	left := 0
-	for id, o := range d.engines {
-		if id != x.Engine && o.Pool == e.Pool && o.State == "ready" && !d.drains[id] {
-			left++
+}
+
+// readyBeside counts the engines of a pool that serve on while one is drained.
+func (d *Disp) readyBeside(e *engine) int {
+	ready := 0
+	for id, other := range d.engines {
+		if id != e.ID && other.Pool == e.Pool && other.State == "ready" && !d.drains[id] {
+			ready++
 		}
 	}
-	if x.On && left == 0 {
-		d.out.Answer(c.ID, 409, answer{Error: "this would drain the last ready engine of pool " + e.Pool}, nil)
-		return
-	}
-	d.up(c, "drain.put", x)
+	return ready
 }
 
 func (d *Disp) storeAdd(c flow.Call) {
@@ -255,7 +283,7 @@
 		d.up(c, "store.add", raft.Member{ID: e.ID, Addr: e.Addr, Area: e.Area})
 		return
 	}
-	d.out.Answer(c.ID, 404, answer{Error: "no process is heard at that address"}, nil)
+	d.up(c, "store.add", raft.Member{Addr: b.Addr}) // a member that is down may have been taken in before
 }
 
 // Stats is the dispatcher's part of the one snapshot (design 10.4).
--- a/core/ledger/receipts.go
+++ b/core/ledger/receipts.go
@@ -152,6 +152,7 @@
 
 // knownOrders answer for the kinds of orders that may be refused elsewhere.
 var knownOrders = map[string]func(*Ledger, json.RawMessage) (Result, bool){
+	"step.open":  (*Ledger).knownStep,
 	"target.put": (*Ledger).knownTarget,
 	"drain.put":  (*Ledger).knownDrain,
 }
--- a/core/ledger/steps.go
+++ b/core/ledger/steps.go
@@ -61,6 +61,17 @@
 	return good(l.Sum(s))
 }
 
+// knownStep answers a question about a step that is kept (KnownOrder).
+func (l *Ledger) knownStep(body json.RawMessage) (Result, bool) {
+	var d StepDoc
+	_ = json.Unmarshal(body, &d)
+	old := l.Steps[d.ID]
+	if old == nil || old.Hash != Hash(body) {
+		return Result{}, false
+	}
+	return good(l.Sum(old)), true
+}
+
 // Sum is a step without its prompts and texts.
 type Sum struct {
 	ID       string `json:"id"`
--- a/core/node/metrics.go
+++ b/core/node/metrics.go
@@ -52,6 +52,9 @@
 		one("store_members", "members of the store", float64(len(x.Members)))
 		one("store_unsure", "entries that this member acknowledged may be gone", flag(x.Unsure))
 		one("store_snapshot_bytes", "size of the newest snapshot", float64(x.Snapshot))
+		one("store_order_receipts", "orders that are known when they are sent again", float64(x.Receipts))
+		one("store_order_repeats_total", "orders acknowledged again", float64(x.Repeated))
+		one("store_order_changes_total", "orders refused for other content under a known name", float64(x.Changed))
 		one("store_writes_total", "commands proposed here", float64(x.Writes))
 		one("store_reads_total", "queries proved here", float64(x.Reads))
 	}
--- a/core/store/members.go
+++ b/core/store/members.go
@@ -109,16 +109,44 @@
 	s.tell(w, 409, map[string]string{"error": why}, out)
 }
 
+// repeat acknowledges a change of membership that was made before, but not while
+// that is still on its way: it may yet be undone by another leader.
+func (s *Store) repeat(w wait, body any, out *flow.Outbox) {
+	if s.raft.Busy() {
+		s.tell(w, 503, map[string]string{"error": "a change of membership is under way; say the same again"}, out)
+		return
+	}
+	s.tell(w, 200, body, out)
+}
+
+// removal tells that a store machine is out for good.
+type removal struct {
+	State string `json:"state"`
+	ID    string `json:"id"`
+}
+
+func removed(id string) removal { return removal{"removed", id} }
+
 // add takes a blank machine in as a learner (design 4.4).
 func (s *Store) add(_ flow.Time, w wait, out *flow.Outbox) {
 	var m raft.Member
-	if json.Unmarshal(w.ask.Body, &m) != nil || m.ID == "" || m.Addr == "" {
-		s.tell(w, 400, map[string]string{"error": "a store machine needs an id and an address"}, out)
+	if json.Unmarshal(w.ask.Body, &m) != nil || m.Addr == "" {
+		s.tell(w, 400, map[string]string{"error": "a store machine needs an address"}, out)
 		return
 	}
 	c := s.raft.Conf()
-	if i := c.Find(m.ID); i >= 0 {
-		s.tell(w, 200, c.Members[i], out) // said twice: nothing more to do
+	for _, known := range c.Members {
+		if known.ID == m.ID || m.ID == "" && known.Addr == m.Addr {
+			s.repeat(w, known, out)
+			return
+		}
+	}
+	switch {
+	case m.ID == "":
+		s.tell(w, 404, map[string]string{"error": "no process is heard at that address"}, out)
+		return
+	case slices.Contains(c.Retired, m.ID):
+		s.repeat(w, removed(m.ID), out) // it was taken in once, and is out for good
 		return
 	}
 	m.Voter = false
@@ -131,13 +159,17 @@
 	id, c := "", s.raft.Conf()
 	_ = json.Unmarshal(w.ask.Body, &id)
 	i := c.Find(id)
+	if i < 0 && slices.Contains(c.Retired, id) {
+		s.repeat(w, removed(id), out)
+		return
+	}
 	if i < 0 {
 		s.tell(w, 404, map[string]string{"error": "no such store machine"}, out)
 		return
 	}
 	m := c.Members[i]
 	if m.Voter {
-		s.tell(w, 200, m, out)
+		s.repeat(w, m, out)
 		return
 	}
 	if !s.ready(id, now) {
@@ -163,7 +195,7 @@
 	_ = json.Unmarshal(w.ask.Body, &id)
 	i := c.Find(id)
 	if i < 0 {
-		s.tell(w, 200, map[string]string{"state": "removed", "id": id}, out)
+		s.repeat(w, removed(id), out)
 		return
 	}
 	m := c.Members[i]
@@ -173,7 +205,7 @@
 		return
 	}
 	if m.Leave {
-		s.tell(w, 200, m, out) // said twice: it is on its way out
+		s.repeat(w, m, out) // it is on its way out
 		return
 	}
 	if c.Voters() == 1 && len(c.Members) == 1 {
--- a/sim/faults.go
+++ b/sim/faults.go
@@ -18,6 +18,12 @@
 	do   func(*World)
 }
 
+// requestID gives an operator's own id for an order, unlike all before.
+func (w *World) requestID() string {
+	w.requests++
+	return fmt.Sprint("request-", w.requests)
+}
+
 func (w *World) anyHost(role string) *Host {
 	hs := w.By(role)
 	return hs[w.Rand.Intn(len(hs))]
@@ -282,7 +288,7 @@
 		id := w.anyModel().Name
 		w.Mark("operator-drain", "%s", id)
 		put := func(on bool) {
-			c := Call("engine.drain", map[string]string{"id": id}, map[string]any{"drained": on})
+			c := Call("engine.drain", map[string]string{"id": id}, map[string]any{"drained": on, "request": w.requestID()})
 			w.anyHost("dispatcher").Call(c, func(flow.Reply) {})
 		}
 		put(true)
@@ -299,7 +305,7 @@
 					var x struct{ Targets []ledger.Target }
 					_ = json.Unmarshal(r.Body, &x)
 					for _, t := range x.Targets {
-						c := Call("weights.put", map[string]string{"pool": t.Pool}, map[string]any{"revision": t.Revision, "paused": i == 0})
+						c := Call("weights.put", map[string]string{"pool": t.Pool}, map[string]any{"revision": t.Revision, "paused": i == 0, "request": w.requestID()})
 						h.Call(c, func(flow.Reply) {})
 					}
 				})
@@ -435,7 +441,7 @@
 			_ = json.Unmarshal(r.Body, &x)
 			for _, t := range x.Targets {
 				if t.Paused {
-					h.Call(Call("weights.put", map[string]string{"pool": t.Pool}, map[string]any{"revision": t.Revision, "paused": false}), func(flow.Reply) {})
+					h.Call(Call("weights.put", map[string]string{"pool": t.Pool}, map[string]any{"revision": t.Revision, "paused": false, "request": w.requestID()}), func(flow.Reply) {})
 				}
 			}
 		})
@@ -449,7 +455,7 @@
 			_ = json.Unmarshal(r.Body, &x)
 			for _, e := range x.Engines {
 				if e.Drained {
-					h.Call(Call("engine.drain", map[string]string{"id": e.ID}, map[string]any{"drained": false}), func(flow.Reply) {})
+					h.Call(Call("engine.drain", map[string]string{"id": e.ID}, map[string]any{"drained": false, "request": w.requestID()}), func(flow.Reply) {})
 				}
 			}
 		})
--- a/sim/stop_test.go
+++ b/sim/stop_test.go
@@ -197,7 +197,7 @@
 	t.Parallel()
 	s := given(t, 235)
 	put := func(rev int, paused bool) {
-		r := s.ask(s.disp(0), Call("weights.put", map[string]string{"pool": ModelPool}, map[string]any{"revision": rev, "paused": paused}))
+		r := s.ask(s.disp(0), Call("weights.put", map[string]string{"pool": ModelPool}, map[string]any{"revision": rev, "paused": paused, "request": fmt.Sprintf("roll-%d-%t", rev, paused)}))
 		s.then(r.Code == 200, "revision %d, paused %v: %d %s", rev, paused, r.Code, r.Body)
 	}
 	type progress struct {
--- a/sim/story_test.go
+++ b/sim/story_test.go
@@ -1042,7 +1042,7 @@
 	s.w.Run(70 * time.Second)
 	after := rows()
 	// These grow up to the bounds that the design names.
-	bound := map[string]int{"keys": ledger.Usual.Keys, "feed_lines": 3 * 1024, "log": 2 * Small.Keep, "plans": ledger.KeepPlans}
+	bound := map[string]int{"keys": ledger.Usual.Keys, "feed_lines": 3 * 1024, "log": 2 * Small.Keep, "plans": ledger.KeepPlans, "receipts": ledger.Usual.Keys}
 	for k, n := range after {
 		if most, ok := bound[k]; ok {
 			s.then(n <= most, "%s stays within %d: %d", k, most, n)
--- a/sim/world.go
+++ b/sim/world.go
@@ -16,20 +16,21 @@
 	Rand *rand.Rand
 	Now  time.Duration
 
-	queue  events
-	seq    uint64
-	Net    Net
-	Hosts  []*Host
-	at     map[string]*Host // by peer address
-	web    map[string]*Host
-	Out    *Outside
-	Trace  uint64 // hash of all that happened, to prove replays
-	Marks  []string
-	Kinds  map[string]int // faults caused, by kind
-	lost   int            // store machines lost with their disks
-	lostAt time.Duration
-	mended time.Duration
-	Bad    []string // what checkers found
+	queue    events
+	seq      uint64
+	Net      Net
+	Hosts    []*Host
+	at       map[string]*Host // by peer address
+	web      map[string]*Host
+	Out      *Outside
+	Trace    uint64 // hash of all that happened, to prove replays
+	Marks    []string
+	Kinds    map[string]int // faults caused, by kind
+	requests int            // request ids that operators made up
+	lost     int            // store machines lost with their disks
+	lostAt   time.Duration
+	mended   time.Duration
+	Bad      []string // what checkers found
 }
 
 type event struct {
