Orders over hundreds of changes, and one history of all orders

TestOrdersAreLinearizable checks what eight clients at once saw under storms: plans, weights, pauses, drains, lots and lot ends, repeats of any of them, names used twice and answers that never came. Objects are checked one by one, since an order changes one. An answer may tell a later state than the order made, as a node may have asked twice; it is a look of its own in the history. TestOrderCheckerObjects spoils a true history in eight ways, and each is found.

--- /dev/null
+++ b/sim/orders_history_test.go
@@ -0,0 +1,462 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"fernlink/core/ask"
+	"fernlink/core/budget"
+	"fernlink/core/flow"
+	"fernlink/core/ledger"
+)
+
+// orderKind is what an order in a history is about.
+type orderKind int
+
+const (
+	planKind orderKind = iota
+	weightsKind
+	drainKind
+	lotKind
+	lotEndKind
+)
+
+// orderIn is one sending of an order, or a look at what stands where look is set.
+// Name and content tell the order from others: a repeat has both.
+type orderIn struct {
+	object  string // what it changes; objects are independent
+	look    bool
+	kind    orderKind
+	name    string
+	content string
+	base    uint64 // of a plan: the version that it was made from
+	number  uint64
+	flag    bool // paused, or drained
+	flagged bool // the order says what flag is to be
+}
+
+// id is what the history remembers of an order that was taken.
+func (in orderIn) id() string { return in.name + "=" + in.content + ";" }
+
+// standing is what an object is at a moment.
+type standing struct {
+	exists bool
+	number uint64
+	name   string // of the plan in force
+	flag   bool   // paused, drained or ended
+}
+
+type outcome string
+
+const (
+	acknowledged outcome = "acknowledged"
+	refused      outcome = "refused"
+	unclear      outcome = "unclear"
+)
+
+// orderOut is what came of it; of a look, what was seen to stand.
+type orderOut struct {
+	outcome outcome
+	seen    standing
+}
+
+// orderState is an object and the orders on it that were taken, sorted.
+type orderState struct {
+	now   standing
+	taken string
+}
+
+func (s orderState) knows(in orderIn) bool {
+	return strings.HasPrefix(s.taken, in.id()) || strings.Contains(s.taken, ";"+in.id())
+}
+
+// usedOtherwise says whether another order was taken under the same name.
+func (s orderState) usedOtherwise(in orderIn) bool {
+	prefix := in.name + "="
+	return (strings.HasPrefix(s.taken, prefix) || strings.Contains(s.taken, ";"+prefix)) && !s.knows(in)
+}
+
+func (s orderState) with(in orderIn, now standing) orderState {
+	ids := append(strings.SplitAfter(s.taken, ";"), in.id())
+	slices.Sort(ids)
+	return orderState{now, strings.Join(ids, "")}
+}
+
+// effect gives what an order that is not known makes of an object, or says that
+// it must be refused.
+func (s orderState) effect(in orderIn) (standing, bool) {
+	next := s.now
+	if s.usedOtherwise(in) {
+		return next, false
+	}
+	switch in.kind {
+	case planKind:
+		return standing{exists: true, number: in.number, name: in.name + in.content}, in.base == s.now.number
+	case weightsKind:
+		if in.number > next.number {
+			next.flag = false
+		}
+		next.number = max(next.number, in.number)
+		if in.flagged {
+			next.flag = in.flag
+		}
+		return next, in.number >= s.now.number
+	case drainKind:
+		next.flag = in.flag
+	case lotKind:
+		next.exists = true
+	case lotEndKind:
+		next.flag = true
+		return next, s.now.exists
+	}
+	return next, true
+}
+
+// step says whether an answer fits a state, and which state follows.
+func (s orderState) step(in orderIn, out orderOut) (bool, orderState) {
+	if in.look {
+		return out.seen == s.now, s
+	}
+	next, allowed := s.effect(in)
+	after := s
+	if !s.knows(in) && allowed {
+		after = s.with(in, next)
+	}
+	switch out.outcome {
+	case acknowledged:
+		return s.knows(in) || allowed, after
+	case refused:
+		// A dispatcher also refuses to drain the last ready engine.
+		return !s.knows(in) && (!allowed || in.kind == drainKind && in.flag), s
+	}
+	return true, after // it may have been taken
+}
+
+// ordersModel takes all orders together: each object by itself, since an order
+// changes one.
+var ordersModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		by := map[string][]porcupine.Operation{}
+		var objects []string
+		for _, op := range history {
+			object := op.Input.(orderIn).object
+			if by[object] == nil {
+				objects = append(objects, object)
+			}
+			by[object] = append(by[object], op)
+		}
+		var parts [][]porcupine.Operation
+		for _, object := range objects {
+			parts = append(parts, by[object])
+		}
+		return parts
+	},
+	Init: func() any { return orderState{} },
+	Step: func(state, input, output any) (bool, any) {
+		return state.(orderState).step(input.(orderIn), output.(orderOut))
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// orderClients are operators and trainers who give orders through any node, up
+// to eight at once, and send old ones again whatever came of them.
+type orderClients struct {
+	*story
+	store   *outsider
+	history []porcupine.Operation
+	sent    []sending
+	version uint64 // the newest that was seen
+	named   uint64 // weights
+	count   int
+	repeats int
+	answers map[outcome]int
+	off     bool
+}
+
+// sending is an order as it goes out.
+type sending struct {
+	in   orderIn
+	call *flow.Call // through a dispatcher
+	kind string     // or to the store itself
+	body any
+}
+
+// answered is what came back: no code where nothing did.
+type answered struct {
+	code int
+	body json.RawMessage
+}
+
+const orderClientsMost = 8
+
+func (s *story) orderClients() *orderClients {
+	c := &orderClients{story: s, store: s.outsider("trainer", 1), answers: map[outcome]int{}}
+	for range orderClientsMost {
+		c.next()
+	}
+	return c
+}
+
+// next lets one client give its next order after a while.
+func (c *orderClients) next() {
+	c.w.After(c.w.between(20*time.Millisecond, 400*time.Millisecond), func() {
+		if !c.off {
+			c.send(c.pick())
+		}
+	})
+}
+
+// pick makes a new order or a look, or takes an old order once more.
+func (c *orderClients) pick() sending {
+	if n := len(c.sent); n > 0 && c.w.Rand.Intn(3) == 0 {
+		c.repeats++
+		return c.sent[c.w.Rand.Intn(n)]
+	}
+	c.count++
+	makers := []func() sending{c.plan, c.plan, c.weights, c.pause, c.drain, c.lot, c.endLot, c.lookAtPlan, c.lookAtWeights, c.lookAtLot}
+	x := makers[c.w.Rand.Intn(len(makers))]()
+	if !x.in.look {
+		c.sent = append(c.sent, x)
+	}
+	return x
+}
+
+func (c *orderClients) plan() sending {
+	version := c.version + 1 + uint64(c.w.Rand.Intn(3))
+	content := fmt.Sprint("c", c.count)
+	body := map[string]any{"version": version, "read": c.version, "request": fmt.Sprint("v", version, content), "plan": slim(PlanDoc(content))}
+	call := Call("plan.put", nil, body)
+	return sending{in: orderIn{object: "plan", kind: planKind, name: fmt.Sprint("v", version), content: content, base: c.version, number: version}, call: &call}
+}
+
+func (c *orderClients) weights() sending {
+	c.named += uint64(c.w.Rand.Intn(3))
+	revision := max(c.named, 2)
+	call := Call("weights.put", map[string]string{"pool": ModelPool}, map[string]any{"revision": revision})
+	return sending{in: orderIn{object: "weights", kind: weightsKind, name: fmt.Sprint("w", revision), number: revision}, call: &call}
+}
+
+// pause pauses or resumes under a request id, which at times stands for another
+// order already.
+func (c *orderClients) pause() sending {
+	revision, paused := max(c.named, 2), c.w.Rand.Intn(2) == 0
+	request := fmt.Sprint("pause-", c.count-c.w.Rand.Intn(2)*c.w.Rand.Intn(20))
+	call := Call("weights.put", map[string]string{"pool": ModelPool}, map[string]any{"revision": revision, "paused": paused, "request": request})
+	return sending{in: orderIn{object: "weights", kind: weightsKind, name: request, content: fmt.Sprint(revision, paused), number: revision, flag: paused, flagged: true}, call: &call}
+}
+
+func (c *orderClients) drain() sending {
+	engine, on := c.w.anyModel().Name, c.w.Rand.Intn(2) == 0
+	request := fmt.Sprint("drain-", engine, "-", c.count-c.w.Rand.Intn(2)*c.w.Rand.Intn(20))
+	call := Call("engine.drain", map[string]string{"id": engine}, map[string]any{"drained": on, "request": request})
+	return sending{in: orderIn{object: engine, kind: drainKind, name: request, content: fmt.Sprint(on), flag: on, flagged: true}, call: &call}
+}
+
+// lots is how many lots the clients share.
+const lots = 12
+
+func (c *orderClients) lotID() string { return fmt.Sprint("lot-", c.w.Rand.Intn(lots)) }
+
+// lot hands a lot in, at times with other content under its id.
+func (c *orderClients) lot() sending {
+	id, items := c.lotID(), 1+c.w.Rand.Intn(8)/7
+	return sending{in: orderIn{object: id, kind: lotKind, name: id, content: fmt.Sprint(items)}, kind: "lot.put", body: lotOf(id, c.store.name, items)}
+}
+
+func (c *orderClients) endLot() sending {
+	id := c.lotID()
+	return sending{in: orderIn{object: id, kind: lotEndKind, name: "end"}, kind: "lot.end", body: id}
+}
+
+func (c *orderClients) lookAtPlan() sending {
+	call := Call("plan.get", nil, nil)
+	return sending{in: orderIn{object: "plan", look: true, kind: planKind}, call: &call}
+}
+
+func (c *orderClients) lookAtWeights() sending {
+	call := Call("roll.get", nil, nil)
+	return sending{in: orderIn{object: "weights", look: true, kind: weightsKind}, call: &call}
+}
+
+func (c *orderClients) lookAtLot() sending {
+	id := c.lotID()
+	return sending{in: orderIn{object: id, look: true, kind: lotKind}, kind: "lot.read", body: ledger.ReadLot{Lot: id}}
+}
+
+// send gives an order out and notes what comes of it. A client goes on after
+// three seconds of silence.
+func (c *orderClients) send(x sending) {
+	from, done := c.w.Now, false
+	end := func(a answered) {
+		if !done {
+			done = true
+			c.note(x.in, from, a)
+			c.next()
+		}
+	}
+	c.w.After(3*time.Second, func() { end(answered{}) })
+	if x.call != nil {
+		c.a.disp().Call(*x.call, func(r flow.Reply) { end(answered{r.Code, r.Body}) })
+		return
+	}
+	c.store.asker.Put(c.w.Now, budget.AskLimit, x.kind, x.body, func(_ flow.Time, a ask.Answer) { end(answered{a.Code, a.Body}) })
+}
+
+// note adds one sending to the history.
+func (c *orderClients) note(in orderIn, from time.Duration, a answered) {
+	out, until := orderOut{outcome: unclear}, int64(c.w.Now)
+	switch {
+	case in.look && (a.code == 200 || a.code == 404):
+		out = orderOut{acknowledged, *c.seen(in, a)}
+	case a.code == 200:
+		out.outcome = acknowledged
+		// A node may have asked twice: its answer tells what stood then, which may
+		// be later than the order itself.
+		if seen := c.seen(in, a); seen != nil {
+			c.add(orderIn{object: in.object, look: true, kind: in.kind}, from, orderOut{acknowledged, *seen}, until)
+		}
+	case a.code/100 == 4 && a.code != 429 && a.code != 408:
+		out.outcome = refused
+	case in.look:
+		return
+	default:
+		until = math.MaxInt64
+	}
+	c.answers[out.outcome]++
+	c.add(in, from, out, until)
+}
+
+func (c *orderClients) add(in orderIn, from time.Duration, out orderOut, until int64) {
+	c.history = append(c.history, porcupine.Operation{ClientId: len(c.history), Input: in, Call: int64(from), Output: out, Return: until})
+}
+
+// seen reads what an answer says of the object, nil where it says nothing.
+func (c *orderClients) seen(in orderIn, a answered) *standing {
+	var x struct {
+		Version  uint64
+		Request  string
+		Revision uint64
+		Paused   bool
+		Drained  bool
+		Ended    bool
+		Targets  []ledger.Target
+	}
+	_ = json.Unmarshal(a.body, &x)
+	c.version = max(c.version, x.Version)
+	switch {
+	case in.kind == planKind && in.look:
+		return &standing{exists: x.Version > 0, number: x.Version, name: x.Request}
+	case in.kind == planKind:
+		c.then(x.Version == in.number, "plan %d is acknowledged under its own version: %s", in.number, a.body)
+	case in.kind == weightsKind && in.look:
+		if len(x.Targets) == 0 {
+			return &standing{}
+		}
+		return &standing{number: uint64(x.Targets[0].Revision), flag: x.Targets[0].Paused}
+	case in.kind == weightsKind:
+		return &standing{number: x.Revision, flag: x.Paused}
+	case in.kind == drainKind:
+		return &standing{flag: x.Drained}
+	case in.look:
+		return &standing{exists: a.code == 200, flag: x.Ended}
+	}
+	return nil
+}
+
+// ownOrders are faults that give orders of their own, unknown to the history.
+var ownOrders = []string{"operator-drain", "pause-roll-out"}
+
+// stormOfOrders plays a fleet under faults while clients give orders.
+func stormOfOrders(t *testing.T, seed int64, faults int) *orderClients {
+	w := Build(seed, Small)
+	s := &story{t, w, NewActors(w)}
+	s.then(w.Until(2*budget.Heal, func() bool { return w.Serving() && w.Acting() != nil }), "the fleet forms")
+	c := s.orderClients()
+	w.Run(3 * time.Second)
+	for done := 0; done < faults; {
+		fault := Faults[w.Rand.Intn(len(Faults))]
+		if slices.Contains(ownOrders, fault.kind) {
+			continue
+		}
+		done++
+		fault.do(w)
+		w.Run(w.between(200*time.Millisecond, 3*time.Second))
+	}
+	w.Run(5 * time.Second)
+	c.off = true
+	w.Run(4 * time.Second)
+	return c
+}
+
+// Given storms of faults, when eight clients at once give orders on plans, weights,
+// pauses, drains, lots and ends of lots through any nodes, send old ones again and
+// use names twice, then all that they saw fits one order of events, in which what
+// was acknowledged is known and a repeat changes nothing.
+func TestOrdersAreLinearizable(t *testing.T) {
+	t.Parallel()
+	orders, repeats, answers := 0, 0, map[outcome]int{}
+	for seed := int64(320); seed < 326; seed++ {
+		c := stormOfOrders(t, seed, 8)
+		orders, repeats = orders+len(c.history), repeats+c.repeats
+		for kind, n := range c.answers {
+			answers[kind] += n
+		}
+		if r := porcupine.CheckOperationsTimeout(ordersModel, c.history, 2*time.Minute); r != porcupine.Ok {
+			t.Errorf("seed %d: %s, %d operations, faults %q", seed, r, len(c.history), c.w.Marks)
+		}
+	}
+	t.Logf("%d operations, %d of them repeats: %v", orders, repeats, answers)
+	if orders < 1000 || repeats < 300 || answers[refused] < 50 || answers[unclear] < 20 {
+		t.Errorf("too little was tried: %d operations, %d repeats, %v", orders, repeats, answers)
+	}
+}
+
+// Given a true history of orders, when one thing in it is spoilt, then the checker
+// objects: one that can't object proves nothing.
+func TestOrderCheckerObjects(t *testing.T) {
+	t.Parallel()
+	c := stormOfOrders(t, 320, 2)
+	check := func(history []porcupine.Operation) porcupine.CheckResult {
+		return porcupine.CheckOperationsTimeout(ordersModel, history, time.Minute)
+	}
+	if r := check(c.history); r != porcupine.Ok {
+		t.Fatalf("the true history: %s", r)
+	}
+	end := int64(c.w.Now)
+	late := func(in orderIn, out orderOut) porcupine.Operation {
+		end++
+		return porcupine.Operation{ClientId: len(c.history), Input: in, Call: end, Output: out, Return: end + 1}
+	}
+	acked := func(kind orderKind) orderIn {
+		for _, op := range c.history {
+			if in := op.Input.(orderIn); in.kind == kind && !in.look && op.Output.(orderOut).outcome == acknowledged {
+				return in
+			}
+		}
+		t.Fatalf("no order of kind %d was acknowledged", kind)
+		return orderIn{}
+	}
+	other := func(in orderIn) orderIn { in.content += "-other"; return in }
+	for name, op := range map[string]porcupine.Operation{
+		"an old plan is refused when it is sent again": late(acked(planKind), orderOut{outcome: refused}),
+		"old weights are refused":                      late(acked(weightsKind), orderOut{outcome: refused}),
+		"an old drain is refused":                      late(acked(drainKind), orderOut{outcome: refused}),
+		"an old lot is refused":                        late(acked(lotKind), orderOut{outcome: refused}),
+		"a number that another plan won is confirmed":  late(other(acked(planKind)), orderOut{outcome: acknowledged}),
+		"a lot's id is confirmed for another lot":      late(other(acked(lotKind)), orderOut{outcome: acknowledged}),
+		"a look sees a plan that never was":            late(orderIn{object: "plan", look: true}, orderOut{acknowledged, standing{true, 9999, "never", false}}),
+		"a late repeat moved the weights back":         late(orderIn{object: "weights", look: true}, orderOut{acknowledged, standing{number: 1}}),
+	} {
+		history := append(slices.Clone(c.history), op)
+		if r := check(history); r != porcupine.Illegal {
+			t.Errorf("%s: %s", name, r)
+		}
+	}
+}
--- a/sim/orders_test.go
+++ b/sim/orders_test.go
@@ -8,7 +8,9 @@
 
 	"fernlink/core/budget"
 	"fernlink/core/dialect"
+	"fernlink/core/disp"
 	"fernlink/core/flow"
+	"fernlink/core/ledger"
 )
 
 // order is an operator's or a trainer's order as it was first sent.
@@ -105,3 +107,116 @@
 	s.then(len(s.members()) == 3, "it stays out: %v", s.members())
 	s.end()
 }
+
+// underWay is how many orders callers have open at once.
+const underWay = 8
+
+// putAll sends orders through all dispatchers, several at once and in any order,
+// each until its answer is clear, and wants them acknowledged.
+func (s *story) putAll(orders []order) {
+	s.Helper()
+	left, open := s.w.Rand.Perm(len(orders)), 0
+	var send func(o order)
+	send = func(o order) {
+		answered := false
+		end := func(r flow.Reply) {
+			if answered {
+				return
+			}
+			answered = true
+			s.then(r.Code == 0 || r.Code == 200 || r.Code/100 == 5, "%s is not refused: %d %s", o.name, r.Code, r.Body)
+			if r.Code == 200 {
+				open--
+				return
+			}
+			s.w.After(200*time.Millisecond, func() { send(o) })
+		}
+		s.a.disp().Call(o.call, end)
+		s.w.After(3*time.Second, func() { end(flow.Reply{}) })
+	}
+	s.then(s.w.Until(5*time.Minute, func() bool {
+		for ; open < underWay && len(left) > 0; left = left[1:] {
+			open++
+			send(orders[left[0]])
+		}
+		return open == 0 && len(left) == 0
+	}), "all orders are acknowledged")
+}
+
+// ordersStand is what orders change, as a dispatcher reads it.
+func (s *story) ordersStand() string {
+	s.Helper()
+	plan := s.ask(s.disp(0), Call("plan.get", nil, nil))
+	var roll struct{ Targets []ledger.Target }
+	s.then(jsonInto(s.ask(s.disp(1), Call("roll.get", nil, nil)).Body, &roll) == nil, "the targets are told")
+	return fmt.Sprintf("%s %+v", plan.Body, roll.Targets)
+}
+
+// Given hundreds of orders of all kinds that were acknowledged, when the leader died
+// in between, snapshots were made and all machines lost power, and each order is sent
+// again through any node, eight at a time, then each is acknowledged again and nothing
+// moves: no plan, no target, no pause, no drain, no lot.
+func TestAcknowledgedOrdersAreKnownForLong(t *testing.T) {
+	t.Parallel()
+	s := given(t, 243)
+	trainer := s.outsider("trainer", 1)
+	const changes = 150
+	var orders []order
+	take := func(o order) {
+		s.put(s.a.disp(), o)
+		orders = append(orders, o)
+	}
+	for i := 1; i <= changes; i++ {
+		take(planOrder(uint64(i+1), uint64(i)))
+		take(weightsOrder(ModelPool, i+1))
+		if i%3 == 0 {
+			engine := s.w.Out.Models()[i%2].Name
+			take(pauseOrder(ModelPool, i+1, true, fmt.Sprint("pause-", i)))
+			take(pauseOrder(ModelPool, i+1, false, fmt.Sprint("resume-", i)))
+			take(drainOrder(engine, true, fmt.Sprint("drain-", i)))
+			take(drainOrder(engine, false, fmt.Sprint("undrain-", i)))
+			id := fmt.Sprint("lot-", i)
+			lot := lotOf(id, trainer.name, 1)
+			lot.KeepMS = 1000
+			s.then(trainer.tell("lot.put", lot, nil) == 200 && trainer.tell("lot.end", id, nil) == 200, "lot %d is taken and ended", i)
+		}
+		if i%50 == 0 {
+			leader := s.w.Leader()
+			leader.Kill()
+			s.w.After(3*time.Second, leader.Start)
+		}
+	}
+	s.w.Run(5 * time.Second)
+	for _, h := range s.w.Hosts {
+		if h.Up {
+			h.Lose(false)
+			s.w.After(time.Second, h.Start)
+		}
+	}
+	s.w.Run(2 * time.Second)
+	s.then(s.w.Until(2*budget.Heal, func() bool { return s.w.Serving() && s.w.Leader() != nil }), "all are back")
+	leader := s.stats(s.w.Leader())
+	s.then(leader.Snapshot > 0 && leader.Receipts >= len(orders), "there is a snapshot, and %d receipts of %d orders", leader.Receipts, len(orders))
+	before := s.ordersStand()
+	s.putAll(orders)
+	for i := 3; i <= changes; i += 3 {
+		id := fmt.Sprint("lot-", i)
+		lot := lotOf(id, trainer.name, 1)
+		var taken ledger.LotPut
+		s.then(trainer.tell("lot.put", lot, &taken) == 200 && !taken.Fresh, "lot %d is known: %+v", i, taken)
+		s.then(trainer.tell("lot.end", id, nil) == 200, "and so is its end")
+	}
+	s.then(s.ordersStand() == before, "nothing moved: %s, then %s", before, s.ordersStand())
+	for _, e := range s.engines() {
+		s.then(!e.Drained, "%s is not drained by a late repeat", e.ID)
+	}
+	s.end()
+}
+
+// engines are those that a dispatcher knows.
+func (s *story) engines() []disp.EngineView {
+	s.Helper()
+	var x struct{ Engines []disp.EngineView }
+	s.then(jsonInto(s.ask(s.disp(0), Call("engine.list", nil, nil)).Body, &x) == nil && len(x.Engines) > 0, "the engines are told")
+	return x.Engines
+}
