Storms send acknowledged orders again

Any old plan, pause or drain of a fleet and any old configuration, weights version, lot hand-in and lot end of a site is sent once more, all through a storm, and must not be refused.

--- a/sim/actors.go
+++ b/sim/actors.go
@@ -59,6 +59,7 @@
 	read    uint64
 	state   string // open, acked, lost, invalid
 	version uint64
+	body    []byte // as it was sent
 	sent    time.Duration
 	acked   time.Duration
 }
@@ -115,10 +116,32 @@
 	}
 	// The schema refuses fields it does not know, so absent ones stay out.
 	body, _ := json.Marshal(map[string]any{"read": read, "request": "req-" + id, "plan": slim(doc)})
+	t.body = body
 	a.tryPlan(t, body, then)
 	return t
 }
 
+// Repeat sends orders that were acknowledged again, however old they are.
+func (a *Actors) Repeat(every time.Duration) {
+	a.w.Every(every, func() bool {
+		if !a.Stop {
+			a.repeatPlan()
+			a.w.repeatOrder()
+		}
+		return !a.Stop
+	})
+}
+
+func (a *Actors) repeatPlan() {
+	t := a.Attempts[a.w.Rand.Intn(len(a.Attempts))]
+	if t.state != "acked" {
+		return
+	}
+	c := Call("plan.put", nil, nil)
+	c.Body = t.body
+	a.w.again("plan "+t.id, c)
+}
+
 func slim(p api.Plan) map[string]any {
 	var pools, routes []any
 	for _, x := range p.Pools {
--- a/sim/faults.go
+++ b/sim/faults.go
@@ -24,6 +24,42 @@
 	return fmt.Sprint("request-", w.requests)
 }
 
+// givenOrder is an operator's order as it was sent.
+type givenOrder struct {
+	name string
+	call flow.Call
+}
+
+// give sends an operator's order through any dispatcher, and remembers it if it is
+// acknowledged.
+func (w *World) give(name string, c flow.Call) {
+	w.anyHost("dispatcher").Call(c, func(r flow.Reply) {
+		if r.Code == 200 {
+			w.orders = append(w.orders, givenOrder{name, c})
+		}
+	})
+}
+
+// repeatOrder sends an acknowledged order once more.
+func (w *World) repeatOrder() {
+	if len(w.orders) == 0 {
+		return
+	}
+	o := w.orders[w.Rand.Intn(len(w.orders))]
+	w.again(o.name, o.call)
+}
+
+// again sends an acknowledged order once more, which must not be refused.
+func (w *World) again(name string, c flow.Call) {
+	h := w.anyHost("dispatcher")
+	h.Call(c, func(r flow.Reply) {
+		w.repeats++
+		if r.Code/100 == 4 && r.Code != 429 && r.Code != 408 {
+			w.Wrong("%s was acknowledged, and is refused by %s when it is sent again: %d %s", name, h.Name, r.Code, r.Body)
+		}
+	})
+}
+
 func (w *World) anyHost(role string) *Host {
 	hs := w.By(role)
 	return hs[w.Rand.Intn(len(hs))]
@@ -289,7 +325,7 @@
 		w.Mark("operator-drain", "%s", id)
 		put := func(on bool) {
 			c := Call("engine.drain", map[string]string{"id": id}, map[string]any{"drained": on, "request": w.requestID()})
-			w.anyHost("dispatcher").Call(c, func(flow.Reply) {})
+			w.give(fmt.Sprintf("drain of %s: %t", id, on), c)
 		}
 		put(true)
 		for _, d := range []time.Duration{4 * time.Second, 6 * time.Second, 9 * time.Second} {
@@ -306,7 +342,7 @@
 					_ = json.Unmarshal(r.Body, &x)
 					for _, t := range x.Targets {
 						c := Call("weights.put", map[string]string{"pool": t.Pool}, map[string]any{"revision": t.Revision, "paused": i == 0, "request": w.requestID()})
-						h.Call(c, func(flow.Reply) {})
+						w.give(fmt.Sprintf("pause of %s at %d: %t", t.Pool, t.Revision, i == 0), c)
 					}
 				})
 			})
--- a/sim/serve_config.go
+++ b/sim/serve_config.go
@@ -200,6 +200,25 @@
 	s.w.After(time.Second, func() { end(0) })
 }
 
+// Again sends an acknowledged configuration once more, as it was first sent, to any
+// machine.
+func (s *Site) Again(c *siteConfig) {
+	hosts := s.w.By("dispatcher")
+	h := hosts[s.w.Rand.Intn(len(hosts))]
+	fields := []flow.Field{{Name: "If-Match", Value: strconv.Itoa(c.Base)}}
+	s.Listener(h, "control", "PUT", "/config", "", fields, c.body, func(r flow.Reply) {
+		s.Count[fmt.Sprint("configs again ", r.Code)]++
+		if refusedClearly(r.Code) {
+			s.wrong("CONFIG", "version %d was acknowledged, and is refused with %d when it is sent again to %s", c.Rev, r.Code, h.Name)
+		}
+	})
+}
+
+// refusedClearly says whether a caller would give an order up after this answer.
+func refusedClearly(code int) bool {
+	return code/100 == 4 && code != 408 && code != 421 && code != 429
+}
+
 // ReadBack asks for the configuration until one comes, and checks it.
 func (s *Site) ReadBack(limit time.Duration) {
 	hosts := s.w.By("dispatcher")
--- a/sim/serve_site.go
+++ b/sim/serve_site.go
@@ -89,6 +89,7 @@
 	Count   map[string]int // what happened, by kind
 	off     bool           // traffic has ended
 	named   map[string]int // the newest version of a model's weights that was named
+	noted   []int          // versions that were acknowledged
 	closed  time.Duration  // when all machines were back after a closing fault
 }
 
--- a/sim/serve_trainer.go
+++ b/sim/serve_trainer.go
@@ -190,6 +190,7 @@
 		}
 		done = true
 		if code/100 == 2 {
+			s.noted = append(s.noted, v)
 			if then != nil {
 				then()
 			}
@@ -201,6 +202,59 @@
 	s.w.After(time.Second, func() { end(0) })
 }
 
+// NameAgain names a version once more that was noted before.
+func (s *Site) NameAgain(v int) {
+	body, _ := json.Marshal(map[string]any{"Model": siteModel, "Revision": v})
+	hosts := s.w.By("dispatcher")
+	h := hosts[s.w.Rand.Intn(len(hosts))]
+	s.Listener(h, "control", "POST", "/version-put", "", nil, body, func(r flow.Reply) {
+		s.Count[fmt.Sprint("versions again ", r.Code)]++
+		if refusedClearly(r.Code) {
+			s.wrong("ACK", "version %d of the weights was noted, and is refused with %d when it is named again at %s", v, r.Code, h.Name)
+		}
+	})
+}
+
+// again hands an accepted lot in once more, and ends it once more if it was ended.
+func (l *siteLot) again() {
+	s := l.s
+	h := s.Enter(l.zone)
+	answered := func(what string) func(flow.Reply) {
+		return func(r flow.Reply) {
+			s.Count[fmt.Sprint("lot ", what, " again ", r.Code)]++
+			if refusedClearly(r.Code) && (r.Code != 404 || s.always(siteName, l.path)) {
+				s.wrong("ACK", "the %s of lot %s was acknowledged, and is refused with %d when it is sent again to %s", what, l.id, r.Code, h.Name)
+			}
+		}
+	}
+	fields := []flow.Field{{Name: "Attempt-Id", Value: l.id}, {Name: "Content-Type", Value: "application/json"}}
+	s.Listener(h, "front", "POST", l.path, siteName, fields, l.body, answered("put"))
+	if l.ended > 0 {
+		s.Listener(h, "front", "DELETE", "/lots/"+l.id, siteName, nil, nil, answered("end"))
+	}
+}
+
+// RepeatOrders sends an acknowledged order of each kind again, each so often.
+func (s *Site) RepeatOrders(every time.Duration) {
+	s.w.Every(every, func() bool {
+		if s.off {
+			return false
+		}
+		if c := s.Configs[s.w.Rand.Intn(len(s.Configs))]; c.State == cfgTaken {
+			s.Again(c)
+		}
+		if n := len(s.noted); n > 0 {
+			s.NameAgain(s.noted[s.w.Rand.Intn(n)])
+		}
+		if n := len(s.lots); n > 0 {
+			if l := s.lots[s.w.Rand.Intn(n)]; l.accepted > 0 {
+				l.again()
+			}
+		}
+		return true
+	})
+}
+
 // put hands the lot in, to one machine after the other.
 func (l *siteLot) put(pause time.Duration) {
 	s := l.s
--- a/sim/storm_test.go
+++ b/sim/storm_test.go
@@ -24,7 +24,7 @@
 	if sum.Listed == 0 {
 		t.Error("no result was listed at all")
 	}
-	for _, k := range []string{"keys said again", "bookings refused", "plans acked", "plans lost", "plans invalid", "weight orders", "resumed", "twins", "failed_runs", "judge_failures", "hits_expected"} {
+	for _, k := range []string{"keys said again", "orders said again", "bookings refused", "plans acked", "plans lost", "plans invalid", "weight orders", "resumed", "twins", "failed_runs", "judge_failures", "hits_expected"} {
 		if sum.Risks[k] == 0 {
 			t.Errorf("the storms never came near: %s", k)
 		}
--- a/sim/sweep.go
+++ b/sim/sweep.go
@@ -37,6 +37,7 @@
 	a.Plan("first", 0, true, nil)
 	w.Run(time.Second)
 	a.Operate(1500 * time.Millisecond)
+	a.Repeat(400 * time.Millisecond)
 	a.Consume(150 * time.Millisecond)
 	a.Train(Train{Name: "one", Groups: 4, Samples: 3, Tokens: 64, One: true, Most: 12 * time.Second})
 	if seed%2 == 0 {
@@ -77,7 +78,7 @@
 // risks counts how often what must never happen was close, so that a storm that
 // tried nothing is seen.
 func (a *Actors) risks() map[string]int {
-	r := map[string]int{}
+	r := map[string]int{"orders said again": a.w.repeats}
 	for _, b := range a.Bookings {
 		if b.key != "" {
 			r["keys said again"] += b.tries - 1
--- a/sim/world.go
+++ b/sim/world.go
@@ -26,6 +26,8 @@
 	Trace    uint64 // hash of all that happened, to prove replays
 	Marks    []string
 	Kinds    map[string]int // faults caused, by kind
+	orders   []givenOrder   // that were acknowledged to operators
+	repeats  int            // of them
 	requests int            // request ids that operators made up
 	lost     int            // store machines lost with their disks
 	lostAt   time.Duration
