A test's node takes two ports in a row that are both free

TestServeThatCanNotStart failed once beside other test processes: the second port of the node's range, which the test had not looked at, was somebody else's, so the node rightly named that one.

--- a/cmd/fernlink/serve_test.go
+++ b/cmd/fernlink/serve_test.go
@@ -29,13 +29,36 @@
 	return out
 }
 
+// freePair gives a port that is free together with the one after it: a node takes
+// both from the start of its range.
+func freePair(t *testing.T) int {
+	t.Helper()
+	const tries = 100
+	for range tries {
+		first, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		port := first.Addr().(*net.TCPAddr).Port
+		second, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+1))
+		_ = first.Close()
+		if err != nil {
+			continue
+		}
+		_ = second.Close()
+		return port
+	}
+	t.Fatal("no two ports in a row are free")
+	return 0
+}
+
 // settings writes a settings file that is good but for the given changes, each
 // "key=value" or "-key".
 func settings(t *testing.T, changes ...string) string {
 	t.Helper()
-	p := free(t, 5)
+	p, pair := free(t, 5), freePair(t)
 	lines := map[string]string{"NodeName": "edge-1", "Serves": "edge,control_plane", "Ip": "127.0.0.1", "Zone": "north",
-		"PortRange": fmt.Sprintf("%d,%d", p[0], p[0]+9), "SeedNodes": fmt.Sprintf("127.0.0.1:%d", p[3]), "Bootstrap": "true", "DataDir": filepath.Join(t.TempDir(), "data"),
+		"PortRange": fmt.Sprintf("%d,%d", pair, pair+9), "SeedNodes": fmt.Sprintf("127.0.0.1:%d", p[3]), "Bootstrap": "true", "DataDir": filepath.Join(t.TempDir(), "data"),
 		"BindAddrs.Front": fmt.Sprintf("127.0.0.1:%d", p[1]), "BindAddrs.Readiness": fmt.Sprintf("127.0.0.1:%d", p[2]), "BindAddrs.Control": fmt.Sprintf("127.0.0.1:%d", p[3]),
 		"CloudApi.Address": fmt.Sprintf("127.0.0.1:%d", p[4])}
 	for _, c := range changes {
