Operators are answered only under a lease, and 503 within 0.6 s

A control machine that is cut off passed operators' calls to the store for up to 3.0 s before it said 503, and an operator goes on after 1 s of silence. It told how far reserve machines are without any proof, for as long as the cut lasted. And an answer of the store that had waited in a buffer while the process was frozen was taken as new.

Ruled out: the reads and writes of the store itself. A leader that is cut off proves no read and commits nothing, and steps down.

Now each call of an operator or trainer is answered only under a lease, when it comes and when its answer comes, also where the node could refuse it by itself; it waits 0.6 s for the store at most, and the time that its bytes take; and an answer after an ask's time is dropped. Hand-ins of lots stay as they were: in doubt they get 504, never 503.

The simulator cuts links in four manners (lost, lost with what is on its way, lost for a while after the join, held until then), and a witness sees every control call: what is decided later than a lease after the last contact with a majority, a configuration older than one acknowledged before, and a second of silence are findings.

--- a/core/ask/ask.go
+++ b/core/ask/ask.go
@@ -48,6 +48,9 @@
 // perByte is what a large question may need on its way before it is asked again.
 const perByte = budget.Ask / (512 << 10)
 
+// Carry is what a question of so many bytes may need on its way.
+func Carry(bytes int) flow.Time { return flow.Time(bytes) * perByte }
+
 // Asker holds one node's open asks.
 type Asker struct {
 	next   uint64
@@ -74,12 +77,18 @@
 func (a *Asker) Open() int { return len(a.open) }
 
 // Take folds an answer. A try that was sent again counts from its first
-// sending, since either may be the one answered.
+// sending, since either may be the one answered. An answer that is heard after
+// the ask's limit is none: it may have waited in a buffer while this process was
+// frozen or cut off.
 func (a *Asker) Take(now flow.Time, from string, t Told) {
 	o := a.open[t.ID]
 	if o == nil {
 		return
 	}
+	if now >= o.limit {
+		a.giveUp(now, t.ID)
+		return
+	}
 	if t.Retry {
 		if t.Leader != "" && t.Leader != a.leader {
 			a.learn(now, t.Leader)
@@ -96,6 +105,13 @@
 	o.done(now, Answer{t.Code, t.Body, o.sent})
 }
 
+// giveUp ends an ask whose outcome is not known.
+func (a *Asker) giveUp(now flow.Time, id uint64) {
+	o := a.open[id]
+	delete(a.open, id)
+	o.done(now, Answer{})
+}
+
 // learn takes somebody for the leader. What waits for another's answer is asked
 // there at once: that other may be gone.
 func (a *Asker) learn(now flow.Time, leader string) {
@@ -115,8 +131,7 @@
 	for _, id := range sorted.Keys(a.open) {
 		o := a.open[id]
 		if now >= o.limit {
-			delete(a.open, id)
-			o.done(now, Answer{})
+			a.giveUp(now, id)
 			continue
 		}
 		if now < o.again || len(stores) == 0 {
@@ -133,7 +148,7 @@
 		if o.sent < 0 {
 			o.sent = now
 		}
-		o.again, o.to = now+budget.Ask+flow.Time(len(o.ask.Body))*perByte, to
+		o.again, o.to = now+budget.Ask+Carry(len(o.ask.Body)), to
 		out.Line(to, "ask", o.ask)
 	}
 }
--- a/core/disp/admin.go
+++ b/core/disp/admin.go
@@ -40,7 +40,9 @@
 // Serves says whether a call is a dispatcher's.
 func Serves(name string) bool { _, ok := calls[name]; return ok }
 
-// Call takes a request.
+// Call takes a request. Operators and trainers are answered only under a lease:
+// without one even what this process could refuse by itself may be out of date
+// (design 5.2).
 func (d *Disp) Call(now flow.Time, c flow.Call, live []gossip.Entry, out *flow.Outbox) {
 	d.now, d.out, d.live = now, out, live
 	if d.leaving {
@@ -48,6 +50,10 @@
 		out.Answer(c.ID, 503, answer{"this node is stopping", refused}, again())
 		return
 	}
+	if c.Name != "app" && !d.fresh() {
+		d.out.Answer(c.ID, 503, answer{Error: "the store is not heard just now"}, again())
+		return
+	}
 	calls[c.Name](d, c)
 }
 
@@ -78,16 +84,18 @@
 
 // up takes a call to the store's leader and passes its answer on.
 func (d *Disp) up(c flow.Call, kind string, body any) {
-	if !d.fresh() {
-		d.out.Answer(c.ID, 503, answer{Error: "the store is not heard just now"}, again())
-		return
-	}
-	d.p.Asker.Put(d.now, budget.AskLimit, kind, body, func(_ flow.Time, a ask.Answer) { d.told(c, a) })
+	d.p.Asker.Put(d.now, patience(c), kind, body, func(now flow.Time, a ask.Answer) { d.told(now, c, a) })
+}
+
+// patience is how long a call waits for the store: its caller asks another node
+// after a second of silence, more where the body is large.
+func patience(c flow.Call) flow.Time {
+	return min(budget.Reply+ask.Carry(len(c.Body)), budget.AskLimit)
 }
 
-// told passes the store's answer on.
-func (d *Disp) told(c flow.Call, a ask.Answer) {
-	if a.Code == 0 {
+// told passes the store's answer on, under a lease. Else the outcome is not known.
+func (d *Disp) told(now flow.Time, c flow.Call, a ask.Answer) {
+	if a.Code == 0 || !d.Fresh(now) {
 		d.out.Answer(c.ID, 503, answer{"the store did not answer in time; say the same again to learn the outcome", "unknown"}, again())
 		return
 	}
--- a/core/disp/park.go
+++ b/core/disp/park.go
@@ -45,16 +45,16 @@
 }
 
 func (d *Disp) page(r reader) {
-	if d.now >= r.till || d.leaving {
-		d.up(r.call, "result.page", r.page)
+	if !d.Fresh(d.now) {
+		d.out.Answer(r.call.ID, 503, answer{Error: "the store is not heard just now"}, again())
 		return
 	}
-	if !d.fresh() {
-		d.out.Answer(r.call.ID, 503, answer{Error: "the store is not heard just now"}, again())
+	if d.now >= r.till || d.leaving {
+		d.up(r.call, "result.page", r.page)
 		return
 	}
 	heard := d.lists[r.page.Step]
-	d.p.Asker.Put(d.now, budget.AskLimit, "result.page", r.page, func(now flow.Time, a ask.Answer) {
+	d.p.Asker.Put(d.now, patience(r.call), "result.page", r.page, func(now flow.Time, a ask.Answer) {
 		d.now = now
 		var got struct {
 			Step    ledger.Sum        `json:"step"`
@@ -69,7 +69,7 @@
 			d.parked[r.call.ID] = r
 			return
 		}
-		d.told(r.call, a)
+		d.told(now, r.call, a)
 	})
 }
 
--- a/core/disp/roll.go
+++ b/core/disp/roll.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 
 	"fernlink/core/ask"
-	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
 	"fernlink/core/sorted"
@@ -23,19 +22,15 @@
 
 // roll tells targets, orders and progress.
 func (d *Disp) roll(c flow.Call) {
-	if !d.fresh() {
-		d.out.Answer(c.ID, 503, answer{Error: "the store is not heard just now"}, again())
-		return
-	}
-	d.p.Asker.Put(d.now, budget.AskLimit, "roll.get", nil, func(_ flow.Time, a ask.Answer) {
+	d.p.Asker.Put(d.now, patience(c), "roll.get", nil, func(now flow.Time, a ask.Answer) {
 		var x struct {
 			Targets []ledger.Target `json:"targets"`
 			Orders  []ledger.Order  `json:"orders"`
 			Coord   ledger.Coord    `json:"coordinator"`
 			Rolls   []Progress      `json:"progress"`
 		}
-		if a.Code != 200 || json.Unmarshal(a.Body, &x) != nil {
-			d.told(c, a)
+		if a.Code != 200 || !d.Fresh(now) || json.Unmarshal(a.Body, &x) != nil {
+			d.told(now, c, a)
 			return
 		}
 		x.Rolls = []Progress{}
--- a/core/node/calls.go
+++ b/core/node/calls.go
@@ -37,9 +37,10 @@
 	n.toCoord(now, c, out)
 }
 
-// toCoord points a caller to the acting coordinator.
+// toCoord points a caller to the acting coordinator, as the ledger names it under
+// a lease.
 func (n *Node) toCoord(now flow.Time, c flow.Call, out *flow.Outbox) {
-	if n.disp != nil {
+	if n.disp != nil && n.disp.Fresh(now) {
 		at := n.disp.Stats(now).Coord.Addr
 		for _, e := range n.gossip.Live(now) {
 			if e.Addr == at && at != "" {
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -231,8 +231,13 @@
 }
 
 // machine answers an operator who wants a reserve machine emptied, or asks how
-// far that is: it keeps nothing until it is made a store (design 12.8).
+// far that is: it keeps nothing until it is made a store (design 12.8). Like all
+// answers to operators, this is given only under a lease (design 5.2).
 func (s *Serve) machine(c flow.Call) {
+	if !s.p.Fresh() {
+		s.env.Refuse(c.ID, "the store is not heard just now", budget.Renew)
+		return
+	}
 	for _, e := range s.live {
 		if e.Name == c.Vars["id"] && e.Has("reserve") {
 			s.env.Out.Answer(c.ID, 200, map[string]string{"state": "emptied"}, nil)
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -560,6 +560,17 @@
 	w.want(w.reply(w.call("ready", flow.Call{})).Code == 200, "and is ready")
 }
 
+// Given a node without a lease, when an operator wants a machine emptied or asks
+// how far that is, then the answer is 503.
+func TestNoWordOnMachinesWithoutALease(t *testing.T) {
+	w := newWorld(t)
+	w.fresh = false
+	for _, name := range []string{"machine.empty", "machine.state"} {
+		r := w.reply(w.call(name, flow.Call{Vars: map[string]string{"id": "storage-1"}}))
+		w.want(r.Code == 503 && r.Head["Retry-After"] != "", "%s: %d", name, r.Code)
+	}
+}
+
 // Once it is known how long texts take, a lot uses no more slots than it needs to
 // be whole in time; when time gets short, it uses all.
 func TestALotUsesTheSlotsItNeeds(t *testing.T) {
--- /dev/null
+++ b/sim/control_witness.go
@@ -0,0 +1,148 @@
+package sim
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"fernlink/core/budget"
+	"fernlink/core/flow"
+)
+
+// operatorPatience is the silence after which an operator turns to another
+// node, as the platform's protocol has it.
+const operatorPatience = time.Second
+
+// contactSlack is what a call and an answer may take on their ways, a turn of
+// the process, and the time between two looks at who is in contact.
+const contactSlack = 150 * time.Millisecond
+
+// controlAnswer is one answer at the control listener of a machine.
+type controlAnswer struct {
+	host         *Host
+	verb, path   string
+	sent, came   time.Duration
+	code         int
+	revision     int // of the configuration that was read
+	withoutProof bool
+}
+
+// witness sees each call at a control listener and each answer, also those that
+// come after the caller gave up. It knows when a machine last had contact with a
+// majority of the core, and what was acknowledged when.
+type witness struct {
+	s       *Site
+	contact map[*Host]time.Duration // the last moment of contact with a majority
+	broken  map[*Host]time.Duration // the last moment at which it did not run
+	answers []controlAnswer
+	silent  int // calls without an answer within the operator's patience
+	keep    bool
+}
+
+func newWitness(s *Site) *witness {
+	return &witness{s: s, contact: map[*Host]time.Duration{}, broken: map[*Host]time.Duration{}}
+}
+
+// watch notes who may be in contact with a majority: who has a path both ways to
+// a machine of the core that has one to another. The core has three voters, so
+// two of its machines are what a majority takes at least.
+func (v *witness) watch() {
+	for _, h := range v.s.w.Hosts {
+		v.look(h)
+	}
+}
+
+func (v *witness) look(h *Host) {
+	if !h.works() {
+		v.broken[h] = v.s.w.Now
+		return
+	}
+	core := v.s.Core()
+	if slices.ContainsFunc(core, func(c *Host) bool { return c.works() && v.s.joined(h, c) && v.paired(c, core) }) {
+		v.contact[h] = v.s.w.Now
+	}
+}
+
+func (v *witness) paired(c *Host, core []*Host) bool {
+	return slices.ContainsFunc(core, func(d *Host) bool { return d != c && d.works() && v.s.joined(c, d) })
+}
+
+// decided are the answers that say something of what the core holds.
+var decided = []int{200, 404, 409, 412, 422}
+
+// call wraps what takes the answer to a call.
+func (v *witness) call(h *Host, verb, path string, take func(flow.Reply)) func(flow.Reply) {
+	sent, life, heard := v.s.w.Now, h.life, false
+	v.s.w.After(operatorPatience, func() {
+		if !heard && h.life == life && h.works() && v.broken[h] < sent {
+			v.silent++
+			v.s.wrong("SILENT", "%s %s at %s, sent %v, has no answer after %v", verb, path, h.Name, sent, operatorPatience)
+		}
+	})
+	return func(r flow.Reply) {
+		heard = true
+		if r.Code != 0 {
+			v.judge(controlAnswer{host: h, verb: verb, path: path, sent: sent, came: v.s.w.Now, code: r.Code}, r.Body)
+		}
+		take(r)
+	}
+}
+
+// judge holds an answer against the contact that its machine had, and against
+// what was acknowledged before the call was sent.
+func (v *witness) judge(a controlAnswer, body []byte) {
+	v.look(a.host)
+	a.withoutProof = a.came-v.contact[a.host] > budget.Lease+contactSlack
+	if a.withoutProof && slices.Contains(decided, a.code) {
+		v.s.wrong("CONTACT", "%s answered %s %s with %d, %v after its last contact with a majority", a.host.Name, a.verb, a.path, a.code, a.came-v.contact[a.host])
+	}
+	if a.verb == "GET" && a.path == "/config" && a.code == 200 {
+		var doc struct{ Revision int }
+		_ = json.Unmarshal(body, &doc)
+		a.revision = doc.Revision
+		if n := v.s.newestAt(max(a.sent, a.came-operatorPatience)); a.revision < n {
+			v.s.wrong("CONFIG", "%s gave version %d to a call of %v, and %d was acknowledged before", a.host.Name, a.revision, a.sent, n)
+		}
+	}
+	if v.keep {
+		v.answers = append(v.answers, a)
+	}
+}
+
+// newestAt is the newest version that was acknowledged by a moment.
+func (s *Site) newestAt(at time.Duration) int {
+	newest := 0
+	for _, c := range s.Configs {
+		if c.State == cfgTaken && c.Acked <= at {
+			newest = max(newest, c.Rev)
+		}
+	}
+	return newest
+}
+
+// Hammer has an operator ask one machine for all that an operator may want,
+// over and over, until a moment. Changes that it sends go on elsewhere until
+// their answer is clear.
+func (s *Site) Hammer(h *Host, until time.Duration) {
+	ignore := func(flow.Reply) {}
+	turn := 0
+	s.w.Every(60*time.Millisecond, func() bool {
+		turn++
+		switch newest := s.Newest(); {
+		case turn%16 == 0 && newest != nil:
+			s.configureAt(h, newest.Rev, s.change(s.w.Rand), 2*s.Bounds.Ack, nil) // the first tries may be lost at a machine in trouble
+		case turn%16 == 8:
+			s.Listener(h, "control", "POST", "/version-put", "", nil, []byte(`{"Model":"nobody","Revision":2}`), ignore)
+		case turn%4 == 1:
+			s.Listener(h, "control", "POST", "/retire/"+s.w.By("reserve")[0].Config.Name, "", nil, []byte(`{"RampS":5}`), ignore)
+		case turn%4 == 2:
+			s.Listener(h, "control", "GET", "/retire/"+s.w.By("reserve")[0].Config.Name, "", nil, nil, ignore)
+		case turn%4 == 3:
+			body, _ := json.Marshal(map[string]any{"Model": siteModel, "Revision": s.named[siteModel]})
+			s.Listener(h, "control", "POST", "/version-put", "", nil, body, ignore)
+		default:
+			s.Listener(h, "control", "GET", "/config", "", nil, nil, ignore)
+		}
+		return s.w.Now < until && !s.off
+	})
+}
--- a/sim/net.go
+++ b/sim/net.go
@@ -2,11 +2,43 @@
 
 import "time"
 
+// Manner is what becomes of the lines of a link that is cut.
+type Manner string
+
+// Manners of a cut. A shell tells its core nothing of a peer's connection, so
+// to a core they differ in which lines arrive and when.
+const (
+	Silent  Manner = "silent"  // lines are lost from the cut on
+	Reset   Manner = "reset"   // those that were on their way are lost, too
+	Refused Manner = "refused" // lines are lost for a while after the join, too: the peer is tried again with a pause
+	Held    Manner = "held"    // the newest lines wait and arrive after the join
+)
+
+// Manners lists them all.
+var Manners = []Manner{Silent, Reset, Refused, Held}
+
+// heldMost is how many lines a link that is cut keeps, as the queue of a peer
+// does (design 5.1); retryPause is the longest pause before a peer that refused
+// is tried again.
+const (
+	heldMost   = 512
+	retryPause = 500 * time.Millisecond
+)
+
+// link is the state of one direction between two ends that was ever cut.
+type link struct {
+	manner Manner
+	resets int           // counts the resets, so that lines on their way are known as lost
+	opens  time.Duration // nothing passes before
+	held   []func()
+}
+
 // Net is the virtual network between named ends: hosts by peer address,
 // engines by id, and "outside" for callers.
 type Net struct {
 	w           *World
 	cut         map[string]bool
+	links       map[string]*link
 	last        map[string]time.Duration
 	Least, Most time.Duration
 	Late        float64                      // share of lines that come late by up to a second
@@ -15,13 +47,88 @@
 }
 
 // Cut stops everything from one end to another, one way.
-func (n *Net) Cut(from, to string) { n.cut[from+">"+to] = true }
+func (n *Net) Cut(from, to string) { n.CutBy(Silent, from, to) }
+
+// CutBy stops everything from one end to another, one way, in a manner.
+func (n *Net) CutBy(manner Manner, from, to string) {
+	key := from + ">" + to
+	n.cut[key] = true
+	if manner == Silent && n.links[key] == nil {
+		return
+	}
+	l := n.link(key)
+	l.manner = manner
+	if manner == Reset {
+		l.resets++
+	}
+}
+
+func (n *Net) link(key string) *link {
+	if n.links[key] == nil {
+		n.links[key] = &link{manner: Silent}
+	}
+	return n.links[key]
+}
 
 // Join undoes a cut.
-func (n *Net) Join(from, to string) { delete(n.cut, from+">"+to) }
+func (n *Net) Join(from, to string) {
+	key := from + ">" + to
+	if !n.cut[key] {
+		return
+	}
+	delete(n.cut, key)
+	l := n.links[key]
+	if l == nil {
+		return
+	}
+	if l.manner == Refused {
+		l.opens = n.w.Now + n.w.between(0, retryPause)
+	}
+	held := l.held
+	l.held = nil
+	for _, deliver := range held {
+		n.w.After(n.Lag(from, to), deliver)
+	}
+}
+
+// Heal undoes all cuts; nothing that was held arrives.
+func (n *Net) Heal() {
+	n.cut, n.links = map[string]bool{}, map[string]*link{}
+	n.Late, n.Twice = 0, 0
+}
+
+// passes says whether a line that is sent now arrives, and keeps it where the
+// link holds its lines.
+func (n *Net) passes(from, to string, deliver func()) bool {
+	key := from + ">" + to
+	l := n.links[key]
+	if l == nil {
+		return !n.cut[key]
+	}
+	if !n.cut[key] {
+		return n.w.Now >= l.opens
+	}
+	if l.manner == Held {
+		l.held = append(l.held, deliver)
+		l.held = l.held[max(0, len(l.held)-heldMost):]
+	}
+	return false
+}
 
-// Heal undoes all cuts.
-func (n *Net) Heal() { n.cut = map[string]bool{}; n.Late, n.Twice = 0, 0 }
+// unlessReset gives a delivery that doesn't come about after a reset.
+func (n *Net) unlessReset(from, to string, deliver func()) func() {
+	l := n.links[from+">"+to]
+	resets := 0
+	if l != nil {
+		resets = l.resets
+	}
+	return func() {
+		if l := n.links[from+">"+to]; l != nil && l.resets > resets {
+			return
+		}
+		deliver()
+	}
+}
 
 // Split cuts two groups from each other, both ways.
 func (n *Net) Split(a, b []string) {
@@ -58,9 +165,10 @@
 // Send does f at the other end, if it gets there. Lines between peers may
 // come late or twice, since connections break and are made anew.
 func (n *Net) Send(from, to string, f func()) {
-	if !n.Open(from, to) {
+	if !n.passes(from, to, f) {
 		return
 	}
+	f = n.unlessReset(from, to, f)
 	d := n.Lag(from, to)
 	if n.Late > 0 && n.w.Rand.Float64() < n.Late {
 		d += n.w.between(0, time.Second)
--- a/sim/serve_config.go
+++ b/sim/serve_config.go
@@ -120,6 +120,12 @@
 // Configure sends a configuration made by change on top of a version, and tries
 // again until the answer is clear, for as long as most.
 func (s *Site) Configure(base int, change func([]siteRoute) []siteRoute, most time.Duration, then func(*siteConfig)) *siteConfig {
+	hosts := s.w.By("dispatcher")
+	return s.configureAt(hosts[s.w.Rand.Intn(len(hosts))], base, change, most, then)
+}
+
+// configureAt does so and sends the first call to one machine.
+func (s *Site) configureAt(h *Host, base int, change func([]siteRoute) []siteRoute, most time.Duration, then func(*siteConfig)) *siteConfig {
 	var routes []siteRoute
 	for _, c := range s.Configs {
 		if c.Rev == base && c.State != cfgRefused {
@@ -133,7 +139,7 @@
 	c := &siteConfig{Rev: rev, Base: base, Routes: change(routes), Valid: true, State: cfgOpen, sent: s.w.Now}
 	c.body = s.body(c)
 	s.Configs = append(s.Configs, c)
-	s.put(c, s.w.Now+most, 100*time.Millisecond, then)
+	s.putAt(h, c, s.w.Now+most, 100*time.Millisecond, then)
 	return c
 }
 
@@ -158,7 +164,10 @@
 
 func (s *Site) put(c *siteConfig, limit, pause time.Duration, then func(*siteConfig)) {
 	hosts := s.w.By("dispatcher")
-	h := hosts[s.w.Rand.Intn(len(hosts))]
+	s.putAt(hosts[s.w.Rand.Intn(len(hosts))], c, limit, pause, then)
+}
+
+func (s *Site) putAt(h *Host, c *siteConfig, limit, pause time.Duration, then func(*siteConfig)) {
 	done := false
 	end := func(code int) {
 		if done {
--- a/sim/serve_faults.go
+++ b/sim/serve_faults.go
@@ -117,15 +117,21 @@
 
 // Cut cuts the ways from some machines to others, and joins them later.
 func (s *Site) Cut(from, to []*Host, both bool, d time.Duration) {
+	s.CutBy(Silent, from, to, both, d)
+}
+
+// CutBy cuts the ways from some machines to others in a manner, and joins them
+// later.
+func (s *Site) CutBy(manner Manner, from, to []*Host, both bool, d time.Duration) {
 	var touched []*Host
 	for _, a := range from {
 		for _, b := range to {
 			if a == b {
 				continue
 			}
-			s.w.Net.Cut(a.Name, b.Name)
+			s.w.Net.CutBy(manner, a.Name, b.Name)
 			if both {
-				s.w.Net.Cut(b.Name, a.Name)
+				s.w.Net.CutBy(manner, b.Name, a.Name)
 			}
 			touched = append(touched, a, b)
 		}
--- a/sim/serve_site.go
+++ b/sim/serve_site.go
@@ -90,6 +90,7 @@
 	off     bool           // traffic has ended
 	named   map[string]int // the newest version of a model's weights that was named
 	closed  time.Duration  // when all machines were back after a closing fault
+	witness *witness       // of the calls of operators and trainers
 }
 
 type listing struct {
@@ -113,6 +114,7 @@
 		runs: map[string][]*siteRun{}, byRun: map[int]*siteRun{}, seals: map[string]sealed{}, tries: map[string]*siteTry{}, items: map[string]*siteItem{},
 		floors: map[string][]floor{}, Count: map[string]int{}, named: map[string]int{siteModel: 1}}
 	w.Out.Site = s
+	s.witness = newWitness(s)
 	s.listeners = map[string]listener.Listener{}
 	for i, d := range platform.Listeners(config.Config{Front: "front", Ready: "ready", Control: "control"}) {
 		s.listeners[[]string{"front", "ready", "control"}[i]] = d
@@ -206,6 +208,7 @@
 // watch keeps who is in touch.
 func (s *Site) watch() {
 	most := s.most()
+	s.witness.watch()
 	if 2*len(most) <= len(s.Core()) {
 		s.coreBad = s.w.Now
 	}
@@ -329,6 +332,9 @@
 		s.w.After(2*time.Millisecond, func() { f(flow.Reply{ID: 1, Code: 404}) })
 		return func() {}
 	}
+	if which == "control" {
+		f = s.witness.call(h, verb, at, f)
+	}
 	over, life, id := false, 0, uint64(0)
 	s.w.Net.Flow("outside", h.Name, func() {
 		if over {
