--- a/core/serve/machines.go
+++ b/core/serve/machines.go
@@ -26,6 +26,20 @@
 // storeBackIn is when an operator may ask again where the store did not answer.
 const storeBackIn = time.Second
 
+// storeAnswerLimit is how long each of the two questions of a call waits for the
+// store, so that the operator is answered before it goes elsewhere (design 5.2).
+const storeAnswerLimit = budget.Reply / 2
+
+// underLease answers a call only where the view is under a lease, when the call
+// comes and when the store's answer does; else 503 (design 5.2).
+func (s *Serve) underLease(c flow.Call) bool {
+	if !s.p.Fresh() {
+		s.env.Refuse(c.ID, "the store is not heard just now", budget.Renew)
+		return false
+	}
+	return true
+}
+
 // emptyMachine takes an operator's wish that a reserve machine be emptied. What the
 // machine holds for others is moved first; the store refuses where too few would
 // remain.
@@ -36,7 +50,7 @@
 				s.tellState(c, held)
 				return
 			}
-			s.env.Ask(budget.AskLimit, "store.remove", machine.ID, func(a ask.Answer) { s.removed(c, a) })
+			s.env.Ask(storeAnswerLimit, "store.remove", machine.ID, func(a ask.Answer) { s.removed(c, a) })
 		})
 	})
 }
@@ -50,6 +64,9 @@
 
 // reserve finds the reserve machine that a call names.
 func (s *Serve) reserve(c flow.Call, then func(gossip.Entry)) {
+	if !s.underLease(c) {
+		return
+	}
 	for _, machine := range s.live {
 		if machine.Name == c.Vars["id"] && machine.Has("reserve") {
 			then(machine)
@@ -66,7 +83,10 @@
 		then(ledger.Holding{})
 		return
 	}
-	s.env.Ask(budget.AskLimit, "store.holding", machine.ID, func(a ask.Answer) {
+	s.env.Ask(storeAnswerLimit, "store.holding", machine.ID, func(a ask.Answer) {
+		if !s.underLease(c) {
+			return
+		}
 		var held ledger.Holding
 		if a.Code != 200 || json.Unmarshal(a.Body, &held) != nil {
 			s.env.Refuse(c.ID, "the store did not say what the machine holds", storeBackIn)
@@ -78,6 +98,9 @@
 
 // removed passes the store's answer on: emptying has begun, or why it is refused.
 func (s *Serve) removed(c flow.Call, a ask.Answer) {
+	if !s.underLease(c) {
+		return
+	}
 	switch a.Code {
 	case 0:
 		s.env.Refuse(c.ID, "the store did not answer in time; say the same again", storeBackIn)
