Lots run on storage machines, and leave one that is emptied

Cause: on the grown deployments the lots of 38 engines are run by edge machines with 0.384 to 0.512 of a core, which are also the voters and serve clients; the leader fell to that load. The storage machines (0.48 of a core, 600 Mbit/s) are paid for and did nothing.

What changed: a storage machine has the role `worker` beside `reserve`. It holds a lease, hears the platform's list and reaches engines as a dispatcher does, and serves no clients. `gossip.Able` prefers workers that are at least half as large as the largest machine; dispatchers own lots only where no such worker is live. A pool that is shared out by model gets a different owner for each model while one is free, at the node that takes a lot and at the leader.

An operator who wants a storage machine emptied has it told so; its gossip entry says that it is retired, the leader moves its open lots at once, and it is emptied when it owns none. Before, the answer was `emptied` at once.

Ruled out: groups of one lot spread over several owners. None would know which groups are nearly whole, and each lost owner would be a part of each lot.

Two tests of the serving side without the simulator. The storm now kills, freezes, stops and empties storage machines.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -12,6 +12,12 @@
 	"fernlink/core/sorted"
 )
 
+// Roles that decide who may own lots.
+const (
+	RoleDispatcher = "dispatcher" // serves clients
+	RoleWorker     = "worker"     // runs lots and serves no clients
+)
+
 // Entry is what a process says of itself.
 type Entry struct {
 	ID      string   `json:"id"`
@@ -24,31 +30,45 @@
 	Roles   []string `json:"roles"`
 	Cpu     int      `json:"cpu,omitempty"` // thousandths of a core that its machine gives it, 0 where unknown
 	Cluster string   `json:"cluster,omitempty"`
-	Blank   bool     `json:"blank,omitempty"` // a store machine with an empty disk
-	Left    bool     `json:"left,omitempty"`  // it is stopping: nobody counts on it
-	Sees    []string `json:"sees,omitempty"`  // blank stores it hears, by address
+	Blank   bool     `json:"blank,omitempty"`   // a store machine with an empty disk
+	Left    bool     `json:"left,omitempty"`    // it is stopping: nobody counts on it
+	Retired bool     `json:"retired,omitempty"` // an operator empties it: it gets no more work
+	Sees    []string `json:"sees,omitempty"`    // blank stores it hears, by address
 }
 
 // Start names this very start of the process.
 func (e Entry) Start() string { return e.ID + "." + strconv.FormatInt(e.Inc, 16) }
 
-// Able gives the dispatchers among live entries that do not stop and whose
-// machines are not much smaller than the largest: work that one process does for
-// many goes to them.
+// RunsLots says whether the process may own lots and run their items.
+func (e Entry) RunsLots() bool { return e.Has(RoleDispatcher) || e.Has(RoleWorker) }
+
+// Able gives the live processes that may own lots: those whose machines are not
+// much smaller than the largest and that neither stop nor are being emptied.
+// Workers, which serve no clients and keep no state, come before dispatchers
+// (design 12.5).
 func Able(live []Entry) []Entry {
+	var candidates []Entry
 	most := 0
 	for _, e := range live {
-		if e.Has("dispatcher") && !e.Left {
+		if e.RunsLots() && !e.Left && !e.Retired {
+			candidates = append(candidates, e)
 			most = max(most, e.Cpu)
 		}
 	}
-	var out []Entry
-	for _, e := range live {
-		if e.Has("dispatcher") && !e.Left && 2*e.Cpu >= most {
-			out = append(out, e)
+	var workers, others []Entry
+	for _, e := range candidates {
+		switch {
+		case 2*e.Cpu < most:
+		case e.Has(RoleWorker):
+			workers = append(workers, e)
+		default:
+			others = append(others, e)
 		}
 	}
-	return out
+	if len(workers) > 0 {
+		return workers
+	}
+	return others
 }
 
 // Has says whether the process runs a role.
@@ -133,6 +153,9 @@
 	}
 }
 
+// Retire says from now on that an operator empties this machine.
+func (g *Gossip) Retire() { g.self.Retired = true }
+
 // Known gives the cluster's id and store addresses as last heard.
 func (g *Gossip) Known() Known { return g.known }
 
@@ -185,7 +208,7 @@
 
 // same says whether two entries differ in nothing but their beats.
 func same(a, b Entry) bool {
-	return a.ID == b.ID && a.Inc == b.Inc && a.Web == b.Web && a.Area == b.Area && a.Cluster == b.Cluster && a.Blank == b.Blank && a.Left == b.Left &&
+	return a.ID == b.ID && a.Inc == b.Inc && a.Web == b.Web && a.Area == b.Area && a.Cluster == b.Cluster && a.Blank == b.Blank && a.Left == b.Left && a.Retired == b.Retired &&
 		slices.Equal(a.Roles, b.Roles) && slices.Equal(a.Sees, b.Sees)
 }
 
--- a/core/node/lines.go
+++ b/core/node/lines.go
@@ -10,6 +10,7 @@
 	"fernlink/core/disp"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
+	"fernlink/core/serve"
 )
 
 // Foreign says why a line must not be heard, or "".
@@ -39,8 +40,9 @@
 				n.gossip.Take(now, l.Addr, b)
 			}
 		},
-		"raft":       raftLine,
-		flow.Entries: raftLine,
+		serve.RetireLine: func(n *Node, _ flow.Time, _ int64, _ flow.Line, _ *flow.Outbox) { n.gossip.Retire() },
+		"raft":           raftLine,
+		flow.Entries:     raftLine,
 		"ask": func(n *Node, now flow.Time, _ int64, l flow.Line, _ *flow.Outbox) {
 			if n.store != nil && !n.choked() {
 				n.store.Ask(now, l, &n.box)
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -98,7 +98,7 @@
 	}
 	me := self.Start()
 	var heard func(flow.Time, ledger.Delta, uint64, *api.Plan)
-	if n.runs("dispatcher") && p.Codec != nil {
+	if self.RunsLots() && p.Codec != nil {
 		n.serve = serve.New(serve.Config{Debug: p.Debug, ID: me, Zone: p.Area, Codec: *p.Codec, Asker: n.asker, Rand: r(), IDs: n.idsOf("serve"), Keep: p.LotKeep,
 			Fresh: func() bool { return n.disp.Fresh(n.now) },
 			Acting: func() (uint64, flow.Time, bool) {
@@ -109,7 +109,7 @@
 			}})
 		heard = n.serve.Heard
 	}
-	if n.runs("dispatcher") {
+	if self.RunsLots() {
 		// A start is somebody of its own: what an earlier one claimed or
 		// numbered is not this one's, though the identity on disk is.
 		n.disp = disp.New(disp.Config{ID: me, Addr: p.Addr, Area: p.Area, Platform: p.Platform, Rand: r(), Asker: n.asker,
--- a/core/serve/fleet/fleet.go
+++ b/core/serve/fleet/fleet.go
@@ -222,7 +222,7 @@
 	f.term, f.heard = term, f.env.Now
 	n.Term, n.Seq = term, f.seq
 	for _, e := range f.live {
-		if e.Has("dispatcher") && !e.Left && e.Start() != f.env.Me {
+		if e.RunsLots() && !e.Left && e.Start() != f.env.Me {
 			f.env.Out.Line(e.Addr, "fleet", n)
 		}
 	}
--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"math"
 	"strconv"
 	"time"
 
@@ -10,9 +9,7 @@
 	"fernlink/core/budget"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
-	"fernlink/core/gossip"
 	"fernlink/core/ledger"
-	"fernlink/core/prefix"
 	"fernlink/core/serve/env"
 	"fernlink/core/serve/route"
 	"fernlink/core/sorted"
@@ -71,52 +68,6 @@
 	})
 }
 
-// slotsEach is how many slots of engines one core of an owner can serve; a pool
-// that has more is shared out by model.
-const slotsEach = 200
-
-// ownerOf picks who runs a new lot: whoever ran the pool's last one, this node
-// itself, or another where its machine is too small.
-func (t *Table) ownerOf(pool, model string) string {
-	able := gossip.Able(t.live())
-	slots, most := 0, 0
-	for _, e := range t.engines.Pool(pool) {
-		slots += e.Slots
-	}
-	for _, e := range able {
-		most = max(most, e.Cpu)
-	}
-	key := pool
-	if slots*1000 > most*slotsEach && most > 0 {
-		key += "/" + model
-	}
-	best, weight := t.env.Me, uint64(0)
-	for _, e := range able {
-		id := e.Start()
-		if id == t.last[key] {
-			return id
-		}
-		w := prefix.Weight(key, id)
-		if id == t.env.Me && key == pool {
-			w = math.MaxUint64 // it has the items already
-		}
-		if w > weight {
-			best, weight = id, w
-		}
-	}
-	return best
-}
-
-// addr is where a dispatcher that is alive and does not stop is, or "".
-func (t *Table) addr(owner string) string {
-	for _, e := range t.live() {
-		if !e.Left && e.Has("dispatcher") && e.Start() == owner {
-			return e.Addr
-		}
-	}
-	return ""
-}
-
 // hand gives a lot that was just committed to its owner.
 func (t *Table) hand(doc ledger.LotDoc, age flow.Time) {
 	if doc.Owner == t.env.Me {
--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -30,6 +30,7 @@
 	asked    map[string]bool      // lots whose items are being fetched
 	wanted   map[string]flow.Time // lots that fell to this node, and when to fetch them
 	others   map[string]bool      // open lots that were another's
+	open     map[string]openLot   // lots that have not ended, and their owners
 	last     map[string]string    // pool, and pool and model, who owned the newest lot
 	paces    map[string]*pace     // by route
 	share    map[string]int       // slots of each engine in use, by pool, where that is bounded
@@ -41,7 +42,7 @@
 
 // New makes an empty table.
 func New(e *env.Env, t *engines.Table, routes func() *route.Table, live func() []gossip.Entry, index *prefixes.Table) *Table {
-	return &Table{env: e, engines: t, routes: routes, live: live, index: index, rows: map[string]*lot{}, asked: map[string]bool{}, wanted: map[string]flow.Time{}, others: map[string]bool{}, last: map[string]string{}, paces: map[string]*pace{}, partials: partials{},
+	return &Table{env: e, engines: t, routes: routes, live: live, index: index, rows: map[string]*lot{}, asked: map[string]bool{}, wanted: map[string]flow.Time{}, others: map[string]bool{}, open: map[string]openLot{}, last: map[string]string{}, paces: map[string]*pace{}, partials: partials{},
 		readers: map[uint64]*reader{}, putting: map[uint64]bool{}}
 }
 
@@ -217,9 +218,7 @@
 // Heard takes what the ledger says of lots (design 5.2).
 func (t *Table) Heard(rows []ledger.LotRow) {
 	for _, r := range rows {
-		if r.Pool != "" {
-			t.last[r.Pool], t.last[r.Pool+"/"+r.Model] = r.Owner, r.Owner
-		}
+		t.heardOwner(r)
 		switch {
 		case r.Ended || r.Owner != t.env.Me:
 			delete(t.wanted, r.ID)
--- /dev/null
+++ b/core/serve/lots/owners.go
@@ -0,0 +1,152 @@
+package lots
+
+import (
+	"strings"
+
+	"fernlink/core/flow"
+	"fernlink/core/gossip"
+	"fernlink/core/ledger"
+	"fernlink/core/prefix"
+	"fernlink/core/sorted"
+)
+
+// slotsEach is how many slots of engines one core of an owner can serve; a pool
+// that has more is shared out by model.
+const slotsEach = 200
+
+// ownerOf picks who runs a new lot: whoever ran the last one of its kind, unless
+// that one also runs another kind that a free process could take, else this node
+// itself or one by rendezvous (design 12.5).
+func (t *Table) ownerOf(pool, model string) string {
+	able := gossip.Able(t.live())
+	key := t.ownerKey(pool, model, able)
+	busy := t.busyOwners(key)
+	last, ownLast := t.last[key], false
+	idle := false
+	for _, e := range able {
+		ownLast = ownLast || e.Start() == last
+		idle = idle || !busy[e.Start()]
+	}
+	if ownLast && (!idle || !t.yields(key, last)) {
+		return last
+	}
+	best, weight := "", uint64(0)
+	for _, e := range able {
+		id := e.Start()
+		if idle && busy[id] {
+			continue
+		}
+		if id == t.env.Me && key == pool {
+			return id // it has the items already
+		}
+		if w := prefix.Weight(key, id); best == "" || w > weight {
+			best, weight = id, w
+		}
+	}
+	if best == "" {
+		return t.env.Me
+	}
+	return best
+}
+
+// ownerKey names the lots that one owner runs together: those of a pool, or of
+// one model where the pool has more slots than one machine can serve.
+func (t *Table) ownerKey(pool, model string, able []gossip.Entry) string {
+	slots, most := 0, 0
+	for _, e := range t.engines.Pool(pool) {
+		slots += e.Slots
+	}
+	for _, e := range able {
+		most = max(most, e.Cpu)
+	}
+	if most > 0 && slots*1000 > most*slotsEach {
+		return pool + modelSeparator + model
+	}
+	return pool
+}
+
+// modelSeparator stands between pool and model in the key of an owner.
+const modelSeparator = "/"
+
+// samePool says whether two keys share a pool's name, so that one is part of the
+// other.
+func samePool(a, b string) bool {
+	return a == b || strings.HasPrefix(a, b+modelSeparator) || strings.HasPrefix(b, a+modelSeparator)
+}
+
+// busyOwners gives the owners of lots of other kinds.
+func (t *Table) busyOwners(key string) map[string]bool {
+	busy := map[string]bool{}
+	for other, owner := range t.last {
+		if !samePool(key, other) {
+			busy[owner] = true
+		}
+	}
+	return busy
+}
+
+// yields says whether an owner runs lots of another kind too, and this kind is
+// the one that goes elsewhere: all nodes come to the same answer.
+func (t *Table) yields(key, owner string) bool {
+	for other, x := range t.last {
+		if x == owner && other < key && !samePool(key, other) {
+			return true
+		}
+	}
+	return false
+}
+
+// addr is where a process that runs lots, is alive and does not stop is, or "".
+func (t *Table) addr(owner string) string {
+	for _, e := range t.live() {
+		if !e.Left && e.RunsLots() && e.Start() == owner {
+			return e.Addr
+		}
+	}
+	return ""
+}
+
+// Owns says whether a start of a process owns an open lot, as far as this node
+// has heard.
+func (t *Table) Owns(start string) bool {
+	for _, x := range t.open {
+		if x.owner == start {
+			return true
+		}
+	}
+	return false
+}
+
+// heardOwner keeps who owns an open lot, and who owned the newest of its kind.
+func (t *Table) heardOwner(r ledger.LotRow) {
+	if r.Pool != "" {
+		t.last[r.Pool] = r.Owner
+		t.last[r.Pool+modelSeparator+r.Model] = r.Owner
+	}
+	if r.Ended {
+		delete(t.open, r.ID)
+		return
+	}
+	t.open[r.ID] = openLot{owner: r.Owner, heard: t.env.Now}
+	if len(t.open) > ledger.OpenLots {
+		t.forgetOldest()
+	}
+}
+
+// openLot is who owns a lot that has not ended, and when that was heard.
+type openLot struct {
+	owner string
+	heard flow.Time
+}
+
+// forgetOldest makes room: a lot that ran out of time is not told as ended, and
+// the ledger keeps no more open ones than this node does.
+func (t *Table) forgetOldest() {
+	oldest := ""
+	for _, id := range sorted.Keys(t.open) {
+		if oldest == "" || t.open[id].heard < t.open[oldest].heard {
+			oldest = id
+		}
+	}
+	delete(t.open, oldest)
+}
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -230,18 +230,45 @@
 	s.env.Out.Answer(c.ID, 200, map[string]bool{"ready": true}, nil)
 }
 
-// machine answers an operator who wants a reserve machine emptied, or asks how
-// far that is: it keeps nothing until it is made a store (design 12.8).
+// States of a machine that an operator wants emptied, as the call's answer names
+// them.
+const (
+	stateServing = "serving"
+	stateEmptied = "emptied"
+)
+
+// RetireLine is the kind of the line that tells a storage machine to take no more
+// work (design 12.8).
+const RetireLine = "machine.retire"
+
+// machine answers an operator who wants a storage machine emptied, or asks how far
+// that is: it is told, and is empty once it says so and owns no lot (design 12.8).
 func (s *Serve) machine(c flow.Call) {
 	for _, e := range s.live {
 		if e.Name == c.Vars["id"] && e.Has("reserve") {
-			s.env.Out.Answer(c.ID, 200, map[string]string{"state": "emptied"}, nil)
+			s.env.Out.Answer(c.ID, 200, map[string]string{"state": s.emptying(e)}, nil)
 			return
 		}
 	}
 	s.env.Out.Answer(c.ID, 404, env.Problem{Error: "no such machine stands by for data"}, nil)
 }
 
+// emptying tells a machine to take no more work, where it does not say that it
+// does, and gives its state.
+func (s *Serve) emptying(e gossip.Entry) string {
+	if !e.RunsLots() {
+		return stateEmptied
+	}
+	if !e.Retired {
+		s.env.Out.Line(e.Addr, RetireLine, struct{}{})
+		return stateServing
+	}
+	if !s.p.Fresh() || s.lots.Owns(e.Start()) {
+		return stateServing
+	}
+	return stateEmptied
+}
+
 var lines = map[string]func(*Serve, flow.Line){
 	"fleet": func(s *Serve, l flow.Line) {
 		var n fleet.News
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -202,16 +203,21 @@
 
 // lot hands in groups of so many items.
 func (w *world) lot(groups, size, least int) (string, flow.Reply) {
+	return w.handIn("lot1", "m", groups, size, least)
+}
+
+// handIn hands a lot of a model in.
+func (w *world) handIn(lot, model string, groups, size, least int) (string, flow.Reply) {
 	var items []ledger.LotItem
 	for g := range groups {
 		for n := range size {
 			items = append(items, ledger.LotItem{ID: fmt.Sprintf("g%d-%d", g, n), Group: fmt.Sprintf("g%d", g), Path: "/l/i", Body: []byte("p"), Tokens: 10})
 		}
 	}
-	b, _ := json.Marshal(ledger.LotDoc{Model: "m", Least: least, Wanted: groups, Items: items})
-	id := w.call("request", flow.Call{Host: "h", Verb: "POST", Path: "/l/x", Body: b, Fields: []flow.Field{{Name: "Try", Value: "lot1"}}})
+	b, _ := json.Marshal(ledger.LotDoc{Model: model, Least: least, Wanted: groups, Items: items})
+	id := w.call("request", flow.Call{Host: "h", Verb: "POST", Path: "/l/x", Body: b, Fields: []flow.Field{{Name: "Try", Value: lot}}})
 	w.turn(0)
-	return "lot1", w.reply(id)
+	return lot, w.reply(id)
 }
 
 func (w *world) read(lot string, from int) dialect.LotPage {
@@ -590,10 +596,13 @@
 // A node whose machine is small hands the lots that it takes to one that is large
 // enough, and a large one keeps them; the next lot of the pool goes the same way.
 func TestLotsGoToMachinesThatAreLargeEnough(t *testing.T) {
-	for _, c := range []struct{ me, other, handed int }{{64, 400, 1}, {400, 64, 0}, {400, 400, 0}} {
+	for _, c := range []struct {
+		me, other, handed int
+		role              string
+	}{{64, 400, 1, "dispatcher"}, {400, 64, 0, "dispatcher"}, {400, 400, 0, "dispatcher"}, {400, 400, 1, "worker"}, {400, 300, 1, "worker"}, {400, 64, 0, "worker"}} {
 		w := two(t)
 		w.cpu = c.me
-		w.others = []gossip.Entry{{ID: "big", Addr: "big", Roles: []string{"dispatcher"}, Cpu: c.other}}
+		w.others = []gossip.Entry{{ID: "big", Addr: "big", Roles: []string{c.role}, Cpu: c.other}}
 		w.turn(10 * time.Millisecond)
 		w.lines = nil
 		_, r := w.lot(1, 2, 1)
@@ -608,6 +617,62 @@
 	}
 }
 
+// Lots of a pool with more slots than one machine can serve are shared out by
+// model, and no process runs two models while another has none.
+func TestEachModelOfALargePoolHasAnOwnerOfItsOwn(t *testing.T) {
+	w := two(t)
+	w.cpu = 20
+	for _, id := range []string{"w1", "w2", "w3"} {
+		w.others = append(w.others, gossip.Entry{ID: id, Addr: id, Roles: []string{"worker"}, Cpu: 20})
+	}
+	w.turn(10 * time.Millisecond)
+	owners := map[string]bool{}
+	for _, model := range []string{"m", "n", "o"} {
+		w.lines = nil
+		_, r := w.handIn("lot of "+model, model, 1, 1, 1)
+		w.want(r.Code == 202, "accepted: %+v", r)
+		for _, l := range w.lines {
+			if l.Kind == "lot.hand" {
+				owners[l.To] = true
+			}
+		}
+		w.renew(nil)
+	}
+	w.want(len(owners) == 3, "an owner each: %v", owners)
+}
+
+// A machine that an operator wants emptied is told so, gets no more lots, and is
+// emptied once it owns none.
+func TestAMachineIsEmptyOnceItOwnsNoLot(t *testing.T) {
+	w := two(t)
+	w.cpu = 400
+	worker := gossip.Entry{ID: "w1", Name: "storage-1", Addr: "w1", Roles: []string{"reserve", "worker"}, Cpu: 400}
+	w.others = []gossip.Entry{worker}
+	w.turn(10 * time.Millisecond)
+	id, _ := w.lot(1, 1, 1)
+	w.renew(nil)
+	state := func() string {
+		r := w.reply(w.call("machine.state", flow.Call{Vars: map[string]string{"id": "storage-1"}}))
+		var x struct{ State string }
+		_ = json.Unmarshal(r.Body, &x)
+		return x.State
+	}
+	w.lines = nil
+	w.want(state() == "serving", "it has not said that it takes no more work")
+	w.want(slices.ContainsFunc(w.lines, func(l flow.Line) bool { return l.Kind == RetireLine && l.To == "w1" }), "it is told: %v", w.lines)
+	worker.Retired = true
+	w.others = []gossip.Entry{worker}
+	w.turn(10 * time.Millisecond)
+	w.want(state() == "serving", "it owns a lot")
+	w.lines = nil
+	w.handIn("lot2", "m", 1, 1, 1)
+	w.want(!slices.ContainsFunc(w.lines, func(l flow.Line) bool { return l.Kind == "lot.hand" }), "it gets no other")
+	w.call("lot.end", flow.Call{Vars: map[string]string{"id": id}})
+	w.turn(0)
+	w.renew(nil)
+	w.want(state() == "emptied", "it owns none")
+}
+
 // A stream that was open and then ends as a failure is not complete.
 func TestAFailureAfterTheHeadIsNoCleanEnd(t *testing.T) {
 	w := two(t)
--- a/core/store/owners.go
+++ b/core/store/owners.go
@@ -14,15 +14,20 @@
 	"fernlink/core/sorted"
 )
 
-// owners gives each lot whose owner is lost, or left, another (design 8.7). A
+// owners gives each lot whose owner is lost, left or is being emptied another (design 8.7). A
 // leader that is new may not have heard the owner yet, and waits for as long as a
 // silent owner is waited for: whoever lives renews several times in it. An earlier start of a node that
 // renews is over, whoever heard it.
 func (s *Store) owners(now flow.Time, live []gossip.Entry) {
-	s.able = map[string]bool{}
+	s.able, s.retired = map[string]bool{}, map[string]bool{}
 	for _, e := range gossip.Able(live) {
 		s.able[e.Start()] = true
 	}
+	for _, e := range live {
+		if e.Retired {
+			s.retired[e.Start()] = true
+		}
+	}
 	if now < s.owned || s.raft.Role() != raft.Leader || !s.raft.Ready() || s.timed != s.raft.Term() {
 		return
 	}
@@ -39,7 +44,7 @@
 	starts := s.starts(now)
 	for _, r := range rows {
 		x, heard := s.seen[r.Owner]
-		if over := starts.after(r.Owner) || heard && x.left; over || led && (!heard || now-x.at > budget.Owner) {
+		if over := starts.after(r.Owner) || heard && x.left || s.retired[r.Owner]; over || led && (!heard || now-x.at > budget.Owner) {
 			s.move(now, r, over)
 		}
 	}
@@ -83,6 +88,17 @@
 	}
 }
 
+// otherOwners gives the owners of open lots of another pool or model than a lot's.
+func (s *Store) otherOwners(of ledger.LotRow) map[string]bool {
+	busy := map[string]bool{}
+	for _, r := range s.ledger.LotRows() {
+		if r.Owner != of.Owner && (r.Pool != of.Pool || r.Model != of.Model) {
+			busy[r.Owner] = true
+		}
+	}
+	return busy
+}
+
 // given is when this leader took a lot from whom.
 type given struct {
 	at  flow.Time
@@ -95,16 +111,19 @@
 	if g, moved := s.lots[r.ID]; moved && now-g.at < budget.Lost && (g.was == r.Owner || !left) {
 		return
 	}
-	next, most := "", uint64(0)
+	next, most, nextIdle := "", uint64(0), false
 	starts := s.starts(now)
+	busy := s.otherOwners(r)
 	for _, id := range sorted.Keys(s.seen) {
 		x := s.seen[id]
 		if id == r.Owner || x.left || now-x.at > budget.Lease || starts.after(id) || len(s.able) > 0 && !s.able[id] {
 			continue
 		}
 		// The lots of a pool keep together, so that one place knows its engines.
-		if w := prefix.Weight(cmp.Or(r.Pool, r.ID), id); next == "" || w > most {
-			next, most = id, w
+		// One that owns no lots of another pool or model comes first.
+		w, idle := prefix.Weight(cmp.Or(r.Pool, r.ID), id), !busy[id]
+		if next == "" || idle && !nextIdle || idle == nextIdle && w > most {
+			next, most, nextIdle = id, w, idle
 		}
 	}
 	if next == "" {
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -72,7 +72,8 @@
 	bounded     uint64               // the term in which the bounds were looked at
 	contact     contact              // of the acting coordinator
 	contactTerm uint64               // its term
-	able        map[string]bool      // dispatchers on machines that are large enough
+	able        map[string]bool      // processes that may be given lots
+	retired     map[string]bool      // processes on machines that are being emptied
 	freed       uint64               // the term whose holder gave it up
 	moved       flow.Time            // when leadership is handed on next
 	orphan      flow.Time            // when lost claims are looked for next
--- a/sim/serve_client.go
+++ b/sim/serve_client.go
@@ -292,6 +292,9 @@
 // arrived checks a request that reached an engine.
 func (s *Site) arrived(e *SiteEngine, h *Host, id, path string, x flow.Send) {
 	t, i := s.tries[id], s.items[id]
+	if i != nil {
+		s.sentBy(i, h)
+	}
 	_, query, _ := strings.Cut(strings.TrimPrefix(x.URL, "http://"), "?")
 	if query != "" {
 		path += "?" + query
--- a/sim/serve_faults.go
+++ b/sim/serve_faults.go
@@ -456,16 +456,34 @@
 		}
 		return true
 	}},
-	{"empty a reserve machine", func(s *Site, r *rand.Rand) bool {
-		h, ok := pick(r, s.w.By("reserve"))
-		if !ok || !h.Up {
-			return false
+	{"empty a storage machine", func(s *Site, r *rand.Rand) bool {
+		h, ok := pick(r, s.up(s.Storage()))
+		if ok {
+			s.Empty(h)
 		}
-		at, _ := pick(r, s.Dispatchers())
-		s.Listener(at, "control", "POST", "/retire/"+h.Config.Name, "", nil, []byte(`{"RampS":5}`), func(x flow.Reply) {
-			s.Count[fmt.Sprint("retire ", x.Code)]++
-		})
-		return true
+		return ok
+	}},
+	{"kill a storage machine", func(s *Site, r *rand.Rand) bool {
+		h, ok := pick(r, s.up(s.Storage()))
+		if ok {
+			wipe := r.Intn(2) == 0
+			s.Kill(h, wipe || r.Intn(2) == 0, wipe, s.seconds(r, 0.5, 4))
+		}
+		return ok
+	}},
+	{"freeze a storage machine", func(s *Site, r *rand.Rand) bool {
+		h, ok := pick(r, s.up(s.Storage()))
+		if ok {
+			s.Freeze(h, s.seconds(r, 0.3, 6))
+		}
+		return ok
+	}},
+	{"stop a storage machine", func(s *Site, r *rand.Rand) bool {
+		h, ok := pick(r, s.up(s.Storage()))
+		if ok {
+			s.Term(h, s.seconds(r, 0.2, 2), nil)
+		}
+		return ok
 	}},
 }
 
--- a/sim/serve_site.go
+++ b/sim/serve_site.go
@@ -84,6 +84,7 @@
 	order   []*siteTry
 	items   map[string]*siteItem
 	lots    []*siteLot
+	senders map[*siteLot]*Host // which machine sent the newest item of a lot
 	Configs []*siteConfig
 	floors  map[string][]floor
 	Count   map[string]int // what happened, by kind
@@ -110,7 +111,7 @@
 	w.Out = newOutside(w)
 	s := &Site{w: w, Shape: shape, Bounds: UsualSite, codec: platform.Codec(listAt), at: map[string]*SiteEngine{}, ListLag: 700 * time.Millisecond, Rate: 40,
 		listed: map[int64]int{}, ready: map[*Host]int{}, cause: map[*Host]time.Duration{}, planned: map[*Host]time.Duration{}, hurt: map[*Host]time.Duration{}, fails: map[string]int{}, troubled: map[*Host]bool{},
-		runs: map[string][]*siteRun{}, byRun: map[int]*siteRun{}, seals: map[string]sealed{}, tries: map[string]*siteTry{}, items: map[string]*siteItem{},
+		runs: map[string][]*siteRun{}, byRun: map[int]*siteRun{}, seals: map[string]sealed{}, tries: map[string]*siteTry{}, items: map[string]*siteItem{}, senders: map[*siteLot]*Host{},
 		floors: map[string][]floor{}, Count: map[string]int{}, named: map[string]int{siteModel: 1}}
 	w.Out.Site = s
 	s.listeners = map[string]listener.Listener{}
@@ -148,7 +149,8 @@
 			p.Roles = []string{"dispatcher"}
 		default:
 			name, disk = fmt.Sprintf("storage-%d", i+1), true
-			p.Roles = []string{"reserve"}
+			p.Roles = []string{"reserve", "worker"}
+			p.Cpu = shape.CoreCpu
 		}
 		p.Name = name
 		w.AddHost(name, p, disk).Start()
