An owner of lots looks through its items fifty times a second, not each turn

Cause: a process takes a turn for each wake-up, and in each one the owner of a lot looked through all items for silences, second runs and free slots.

Now: what only time changes is looked at every 20 ms, which is far below the shortest of those times (0.25 s); slots are given out in the same turn as something ended or came in. `watch` copies no list of runs any more.

Ruled out: a timer for each run, since an owner has hundreds, and each event would set one.

--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -38,6 +38,8 @@
 	readers  map[uint64]*reader
 	putting  map[uint64]bool // hand-ins that are not answered yet
 	leaving  bool
+	scanned  flow.Time // when all items were last looked through
+	changed  bool      // a slot became free, or an item may run
 }
 
 // New makes an empty table.
@@ -184,6 +186,7 @@
 	}
 	l.doc.Items = nil
 	t.rows[doc.ID] = l
+	t.changed = true
 	t.advise(l)
 	t.env.Counts["lots_adopted"]++
 	if t.env.Debug {
@@ -282,6 +285,7 @@
 
 // stop cuts all runs of an item.
 func (t *Table) stop(i *item) {
+	t.changed = t.changed || len(i.runs) > 0
 	for _, r := range i.runs {
 		r.engine.End()
 		t.env.Cut(r.id)
@@ -289,13 +293,27 @@
 	i.runs = nil
 }
 
+// scanEvery is how often all items are looked through for what only time changes:
+// silences, rests that are over, lots that are late. It is far below the shortest
+// of those times, and what an event changes is seen in the same turn.
+const scanEvery = budget.Listed / 50
+
 // Advance runs the room's systems.
 func (t *Table) Advance() {
 	t.fetches()
-	t.expire()
-	t.watch()
-	t.place()
-	t.second()
+	scan := t.env.Now >= t.scanned+scanEvery
+	if scan {
+		t.scanned = t.env.Now
+		t.expire()
+		t.watch()
+	}
+	if scan || t.changed {
+		t.changed = false
+		t.place()
+	}
+	if scan {
+		t.second()
+	}
 	t.flush()
 	t.wake()
 }
--- a/core/serve/lots/runs.go
+++ b/core/serve/lots/runs.go
@@ -168,6 +168,7 @@
 
 // leave takes a run off its item, and keeps the text where it is the longest.
 func (t *Table) leave(r *run) {
+	t.changed = true
 	i := r.item
 	i.runs = slices.DeleteFunc(i.runs, func(x *run) bool { return x == r })
 	if len(r.text.events) > len(i.kept.events) && i.state != done {
@@ -264,7 +265,9 @@
 	now := t.env.Now
 	for _, id := range sortedIDs(t.rows) {
 		for _, i := range t.rows[id].items {
-			for _, r := range slices.Clone(i.runs) {
+			// Backwards, since one that is given up leaves the item's runs.
+			for at := len(i.runs) - 1; at >= 0; at-- {
+				r := i.runs[at]
 				if !r.doubt(now) {
 					continue
 				}
--- a/core/serve/world_test.go
+++ b/core/serve/world_test.go
@@ -20,7 +20,7 @@
 // world is one serving side over a real ledger that commits at once, with
 // engines that the story drives by hand.
 type world struct {
-	t      *testing.T
+	t      testing.TB
 	s      *Serve
 	asker  *ask.Asker
 	now    flow.Time
@@ -65,7 +65,7 @@
 	}
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	w := &world{t: t, asker: ask.New(0), led: ledger.New(), blobs: map[flow.Ref][]byte{}, fresh: true, now: time.Second,
 		sends: map[uint64]flow.Send{}, cuts: map[uint64]bool{}}
 	ids := uint64(0)
