A lot's results are listed eight times a second, not twenty-five

Cause: a command costs the leader and each voter about the same, whatever number of results it carries, and an owner sent one each 40 ms for each lot: with four lots open that is a hundred commits a second at a leader with half a core. Results have a second to be readable in, and trainers read twice a second.

Now: one command each 125 ms for a lot whose items still run; the rest of a finished lot is listed after 40 ms, as before.

Not measured yet on the platform.

--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -224,18 +224,32 @@
 // Gone hears that a reader went away.
 func (t *Table) Gone(call uint64) { delete(t.readers, call) }
 
-// Bounds of one listing.
+// Bounds of one listing. While items of a lot finish one after the other, each
+// command lists those of an eighth of a second: a command costs the leader and every
+// voter about the same, whatever number of results it has.
 const (
-	flushEvery = budget.Listed / 25
+	flushEvery = budget.Listed / 8
+	flushLast  = budget.Listed / 25 // once all items are finished
 	flushBytes = 256 << 10
 )
 
+// mayFlush says whether a lot's finished items are to be listed now.
+func (t *Table) mayFlush(l *lot) bool {
+	if l.flight > 0 || len(l.ready) == 0 {
+		return false
+	}
+	if l.left == 0 {
+		return t.env.Now-l.flushed >= flushLast
+	}
+	return t.env.Now-l.flushed >= flushEvery
+}
+
 // flush lists finished items, one command at a time for each lot, so that their
 // order is this node's.
 func (t *Table) flush() {
 	for _, id := range sorted.Keys(t.rows) {
 		l := t.rows[id]
-		if l.flight > 0 || len(l.ready) == 0 || t.env.Now-l.flushed < flushEvery {
+		if !t.mayFlush(l) {
 			continue
 		}
 		n, size := 0, 0
