Work on an ended lot stops at its owner at once, and is not begun again

Now: the node that takes the end tells the owner in a line of its own (`lot.cut`); the renewal says it again. An owner keeps which lots are over, or another's, and takes no hand-over of those.

TestALateHandOverStartsNothing failed before ("ended, and 1 items run").

--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -80,9 +80,15 @@
 	}
 }
 
-// Handed takes a lot from the node that took it. Where it was moved meanwhile,
-// the next renewal takes it away again.
+// Handed takes a lot from the node that took it, unless this node has heard that it
+// is over or another's: a hand-over may be on its way for longer than a lot lasts.
+// Where it is moved later, the next renewal takes it away again.
 func (t *Table) Handed(doc ledger.LotDoc) {
+	x, known := t.open[doc.ID]
+	_, over := t.over[doc.ID]
+	if over || known && x.owner != t.env.Me {
+		return
+	}
 	if doc.Owner == t.env.Me && !t.leaving {
 		t.Adopt(doc, flow.Time(doc.AgeMS)*time.Millisecond)
 	}
@@ -120,6 +126,7 @@
 		}
 		if a.Code == 200 {
 			t.drop(id)
+			t.cutAtOwner(id)
 			t.env.Out.Answer(c.ID, 200, struct{}{}, nil)
 			return
 		}
@@ -127,6 +134,28 @@
 	})
 }
 
+// CutLine is the kind of the line that tells a lot's owner that it was ended.
+const CutLine = "lot.cut"
+
+// cutAtOwner tells the owner of a lot that was just ended, so far as this node
+// knows it; the owner's next renewal says the same (design 12.5).
+func (t *Table) cutAtOwner(id string) {
+	owner := t.open[id].owner
+	if owner == t.env.Me {
+		return
+	}
+	if to := t.addr(owner); to != "" {
+		t.env.Out.Line(to, CutLine, id)
+	}
+}
+
+// Cut ends all work on a lot that its trainer ended at another node.
+func (t *Table) Cut(id string) {
+	t.heardEnd(id)
+	delete(t.wanted, id)
+	t.drop(id)
+}
+
 // told passes a store's other answer on: 404 only as its own word.
 func (t *Table) told(c flow.Call, a ask.Answer) {
 	if a.Code == 404 || a.Code == 400 {
--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -31,6 +31,7 @@
 	wanted   map[string]flow.Time // lots that fell to this node, and when to fetch them
 	others   map[string]bool      // open lots that were another's
 	open     map[string]openLot   // lots that have not ended, and their owners
+	over     map[string]flow.Time // lots that are over, and when that was heard
 	last     map[string]string    // pool, and pool and model, who owned the newest lot
 	paces    map[string]*pace     // by route
 	share    map[string]int       // slots of each engine in use, by pool, where that is bounded
@@ -44,7 +45,7 @@
 
 // New makes an empty table.
 func New(e *env.Env, t *engines.Table, routes func() *route.Table, live func() []gossip.Entry, index *prefixes.Table) *Table {
-	return &Table{env: e, engines: t, routes: routes, live: live, index: index, rows: map[string]*lot{}, asked: map[string]bool{}, wanted: map[string]flow.Time{}, others: map[string]bool{}, open: map[string]openLot{}, last: map[string]string{}, paces: map[string]*pace{}, partials: partials{},
+	return &Table{env: e, engines: t, routes: routes, live: live, index: index, rows: map[string]*lot{}, asked: map[string]bool{}, wanted: map[string]flow.Time{}, others: map[string]bool{}, open: map[string]openLot{}, over: map[string]flow.Time{}, last: map[string]string{}, paces: map[string]*pace{}, partials: partials{},
 		readers: map[uint64]*reader{}, putting: map[uint64]bool{}}
 }
 
--- a/core/serve/lots/owners.go
+++ b/core/serve/lots/owners.go
@@ -124,13 +124,18 @@
 		t.last[r.Pool+modelSeparator+r.Model] = r.Owner
 	}
 	if r.Ended {
-		delete(t.open, r.ID)
+		t.heardEnd(r.ID)
 		return
 	}
 	t.open[r.ID] = openLot{owner: r.Owner, heard: t.env.Now}
-	if len(t.open) > ledger.OpenLots {
-		t.forgetOldest()
-	}
+	forgetOldest(t.open, func(x openLot) flow.Time { return x.heard })
+}
+
+// heardEnd keeps that a lot is over.
+func (t *Table) heardEnd(id string) {
+	delete(t.open, id)
+	t.over[id] = t.env.Now
+	forgetOldest(t.over, func(at flow.Time) flow.Time { return at })
 }
 
 // openLot is who owns a lot that has not ended, and when that was heard.
@@ -139,14 +144,17 @@
 	heard flow.Time
 }
 
-// forgetOldest makes room: a lot that ran out of time is not told as ended, and
-// the ledger keeps no more open ones than this node does.
-func (t *Table) forgetOldest() {
+// forgetOldest keeps no more lots than the ledger has open ones, of which some ran
+// out of time and are not told as ended.
+func forgetOldest[V any](lots map[string]V, heard func(V) flow.Time) {
+	if len(lots) <= ledger.OpenLots {
+		return
+	}
 	oldest := ""
-	for _, id := range sorted.Keys(t.open) {
-		if oldest == "" || t.open[id].heard < t.open[oldest].heard {
+	for _, id := range sorted.Keys(lots) {
+		if oldest == "" || heard(lots[id]) < heard(lots[oldest]) {
 			oldest = id
 		}
 	}
-	delete(t.open, oldest)
+	delete(lots, oldest)
 }
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -282,6 +282,12 @@
 			s.lots.Handed(d)
 		}
 	},
+	lots.CutLine: func(s *Serve, l flow.Line) {
+		var id string
+		if json.Unmarshal(l.Body, &id) == nil {
+			s.lots.Cut(id)
+		}
+	},
 	"fleet.ask": func(s *Serve, l flow.Line) { s.fleet.Asked(l.Addr) },
 }
 
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -353,6 +353,72 @@
 	w.want(w.reply(id).Code == 200, "said twice")
 }
 
+// The node that ends a lot tells its owner, who need not wait for a renewal.
+func TestTheOwnerOfAnEndedLotIsTold(t *testing.T) {
+	w := two(t)
+	w.cpu = 400
+	w.others = []gossip.Entry{{ID: "w1", Addr: "w1", Roles: []string{"worker"}, Cpu: 400}}
+	w.turn(10 * time.Millisecond)
+	lot, _ := w.lot(1, 1, 1)
+	w.renew(nil)
+	w.lines = nil
+	w.call("lot.end", flow.Call{Vars: map[string]string{"id": lot}})
+	w.turn(10 * time.Millisecond)
+	w.want(slices.ContainsFunc(w.lines, func(l flow.Line) bool { return l.Kind == "lot.cut" && l.To == "w1" }), "told: %v", w.lines)
+}
+
+// An owner that is told of an end stops at once.
+func TestAnOwnerThatIsToldOfAnEndStops(t *testing.T) {
+	w := two(t)
+	w.lot(4, 4, 1)
+	w.want(len(w.llm()) == 8, "running: %d", len(w.llm()))
+	w.line("lot.cut", "lot1")
+	w.want(len(w.llm()) == 0, "%d run on", len(w.llm()))
+}
+
+// A hand-over that comes after its lot's end, or after another owner was named,
+// starts nothing.
+func TestALateHandOverStartsNothing(t *testing.T) {
+	items := []ledger.LotItem{{ID: "i", Path: "/l/i"}}
+	doc := ledger.LotDoc{ID: "n", Owner: "me.0", Host: "h", Path: "/l/x", Model: "m", Least: 1, KeepMS: 1000, Items: items}
+	body, _ := json.Marshal(doc)
+	for what, change := range map[string]ask.Ask{
+		"ended":                 {Kind: "lot.end", Body: []byte(`"n"`)},
+		"the owner was changed": {Kind: "lot.own", Body: []byte(`{"lot":"n","was":"me.0","owner":"other.0"}`)},
+	} {
+		w := two(t)
+		w.want(w.answer(ask.Ask{Kind: "lot.put", Body: body}).Code == 200, "put by another")
+		w.want(w.answer(change).Code == 200, "%s", what)
+		w.renew(nil)
+		w.line("lot.hand", doc)
+		w.pass(100 * time.Millisecond)
+		w.want(len(w.llm()) == 0, "%s, and %d items run", what, len(w.llm()))
+	}
+}
+
+// Items that finish one after the other are listed together: a command each would
+// be the leader's whole work where hundreds finish in a second.
+func TestItemsThatFinishInARowAreListedTogether(t *testing.T) {
+	w := two(t)
+	w.lot(8, 4, 1)
+	w.lines = nil
+	const finished = 30
+	for range finished {
+		w.serveItem(w.llm()[0], 1)
+		w.turn(20 * time.Millisecond)
+	}
+	w.pass(200 * time.Millisecond)
+	commands := 0
+	for _, l := range w.lines {
+		var a ask.Ask
+		if l.Kind == "ask" && json.Unmarshal(l.Body, &a) == nil && a.Kind == "lot.list" {
+			commands++
+		}
+	}
+	w.want(len(w.read("lot1", 0).Results) == finished, "all are listed")
+	w.want(commands <= finished/4, "%d commands for %d results", commands, finished)
+}
+
 func TestGivenUpOnlyByRule(t *testing.T) {
 	w := two(t)
 	lot, _ := w.lot(2, 1, 1)
--- a/core/serve/world_test.go
+++ b/core/serve/world_test.go
@@ -182,6 +182,15 @@
 	w.pass(2 * time.Second)
 }
 
+// line has another node say something.
+func (w *world) line(kind string, body any) {
+	var out flow.Outbox
+	raw, _ := json.Marshal(body)
+	w.s.Line(w.now, flow.Line{Kind: kind, Addr: "other", Body: raw}, &out)
+	w.take(&out)
+	w.turn(0)
+}
+
 func (w *world) call(name string, c flow.Call) uint64 {
 	w.calls++
 	c.ID, c.Name = w.calls, name
