--- a/core/serve/lots/owners.go
+++ b/core/serve/lots/owners.go
@@ -106,17 +106,6 @@
 	return ""
 }
 
-// Owns says whether a start of a process owns an open lot, as far as this node
-// has heard.
-func (t *Table) Owns(start string) bool {
-	for _, x := range t.open {
-		if x.owner == start {
-			return true
-		}
-	}
-	return false
-}
-
 // heardOwner keeps who owns an open lot, and who owned the newest of its kind.
 func (t *Table) heardOwner(r ledger.LotRow) {
 	if r.Pool != "" {
