--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"math"
 	"strconv"
 	"time"
 
@@ -10,9 +9,7 @@
 	"fernlink/core/budget"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
-	"fernlink/core/gossip"
 	"fernlink/core/ledger"
-	"fernlink/core/prefix"
 	"fernlink/core/serve/env"
 	"fernlink/core/serve/route"
 	"fernlink/core/sorted"
@@ -71,52 +68,6 @@
 	})
 }
 
-// slotsEach is how many slots of engines one core of an owner can serve; a pool
-// that has more is shared out by model.
-const slotsEach = 200
-
-// ownerOf picks who runs a new lot: whoever ran the pool's last one, this node
-// itself, or another where its machine is too small.
-func (t *Table) ownerOf(pool, model string) string {
-	able := gossip.Able(t.live())
-	slots, most := 0, 0
-	for _, e := range t.engines.Pool(pool) {
-		slots += e.Slots
-	}
-	for _, e := range able {
-		most = max(most, e.Cpu)
-	}
-	key := pool
-	if slots*1000 > most*slotsEach && most > 0 {
-		key += "/" + model
-	}
-	best, weight := t.env.Me, uint64(0)
-	for _, e := range able {
-		id := e.Start()
-		if id == t.last[key] {
-			return id
-		}
-		w := prefix.Weight(key, id)
-		if id == t.env.Me && key == pool {
-			w = math.MaxUint64 // it has the items already
-		}
-		if w > weight {
-			best, weight = id, w
-		}
-	}
-	return best
-}
-
-// addr is where a dispatcher that is alive and does not stop is, or "".
-func (t *Table) addr(owner string) string {
-	for _, e := range t.live() {
-		if !e.Left && e.Has("dispatcher") && e.Start() == owner {
-			return e.Addr
-		}
-	}
-	return ""
-}
-
 // hand gives a lot that was just committed to its owner.
 func (t *Table) hand(doc ledger.LotDoc, age flow.Time) {
 	if doc.Owner == t.env.Me {
@@ -129,9 +80,15 @@
 	}
 }
 
-// Handed takes a lot from the node that took it. Where it was moved meanwhile,
-// the next renewal takes it away again.
+// Handed takes a lot from the node that took it, unless this node has heard that it
+// is over or another's: a hand-over may be on its way for longer than a lot lasts.
+// Where it is moved later, the next renewal takes it away again.
 func (t *Table) Handed(doc ledger.LotDoc) {
+	x, known := t.open[doc.ID]
+	_, over := t.over[doc.ID]
+	if over || known && x.owner != t.env.Me {
+		return
+	}
 	if doc.Owner == t.env.Me && !t.leaving {
 		t.Adopt(doc, flow.Time(doc.AgeMS)*time.Millisecond)
 	}
@@ -169,6 +126,7 @@
 		}
 		if a.Code == 200 {
 			t.drop(id)
+			t.cutAtOwner(id)
 			t.env.Out.Answer(c.ID, 200, struct{}{}, nil)
 			return
 		}
@@ -176,6 +134,28 @@
 	})
 }
 
+// CutLine is the kind of the line that tells a lot's owner that it was ended.
+const CutLine = "lot.cut"
+
+// cutAtOwner tells the owner of a lot that was just ended, so far as this node
+// knows it; the owner's next renewal says the same (design 12.5).
+func (t *Table) cutAtOwner(id string) {
+	owner := t.open[id].owner
+	if owner == t.env.Me {
+		return
+	}
+	if to := t.addr(owner); to != "" {
+		t.env.Out.Line(to, CutLine, id)
+	}
+}
+
+// Cut ends all work on a lot that its trainer ended at another node.
+func (t *Table) Cut(id string) {
+	t.heardEnd(id)
+	delete(t.wanted, id)
+	t.drop(id)
+}
+
 // told passes a store's other answer on: 404 only as its own word.
 func (t *Table) told(c flow.Call, a ask.Answer) {
 	if a.Code == 404 || a.Code == 400 {
@@ -273,18 +253,32 @@
 // Gone hears that a reader went away.
 func (t *Table) Gone(call uint64) { delete(t.readers, call) }
 
-// Bounds of one listing.
+// Bounds of one listing. While items of a lot finish one after the other, each
+// command lists those of an eighth of a second: a command costs the leader and every
+// voter about the same, whatever number of results it has.
 const (
-	flushEvery = budget.Listed / 25
+	flushEvery = budget.Listed / 8
+	flushLast  = budget.Listed / 25 // once all items are finished
 	flushBytes = 256 << 10
 )
 
+// mayFlush says whether a lot's finished items are to be listed now.
+func (t *Table) mayFlush(l *lot) bool {
+	if l.flight > 0 || len(l.ready) == 0 {
+		return false
+	}
+	if l.left == 0 {
+		return t.env.Now-l.flushed >= flushLast
+	}
+	return t.env.Now-l.flushed >= flushEvery
+}
+
 // flush lists finished items, one command at a time for each lot, so that their
 // order is this node's.
 func (t *Table) flush() {
 	for _, id := range sorted.Keys(t.rows) {
 		l := t.rows[id]
-		if l.flight > 0 || len(l.ready) == 0 || t.env.Now-l.flushed < flushEvery {
+		if !t.mayFlush(l) {
 			continue
 		}
 		n, size := 0, 0
--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -30,6 +30,8 @@
 	asked    map[string]bool      // lots whose items are being fetched
 	wanted   map[string]flow.Time // lots that fell to this node, and when to fetch them
 	others   map[string]bool      // open lots that were another's
+	open     map[string]openLot   // lots that have not ended, and their owners
+	over     map[string]flow.Time // lots that are over, and when that was heard
 	last     map[string]string    // pool, and pool and model, who owned the newest lot
 	paces    map[string]*pace     // by route
 	share    map[string]int       // slots of each engine in use, by pool, where that is bounded
@@ -37,11 +39,13 @@
 	readers  map[uint64]*reader
 	putting  map[uint64]bool // hand-ins that are not answered yet
 	leaving  bool
+	scanned  flow.Time // when all items were last looked through
+	changed  bool      // a slot became free, or an item may run
 }
 
 // New makes an empty table.
 func New(e *env.Env, t *engines.Table, routes func() *route.Table, live func() []gossip.Entry, index *prefixes.Table) *Table {
-	return &Table{env: e, engines: t, routes: routes, live: live, index: index, rows: map[string]*lot{}, asked: map[string]bool{}, wanted: map[string]flow.Time{}, others: map[string]bool{}, last: map[string]string{}, paces: map[string]*pace{}, partials: partials{},
+	return &Table{env: e, engines: t, routes: routes, live: live, index: index, rows: map[string]*lot{}, asked: map[string]bool{}, wanted: map[string]flow.Time{}, others: map[string]bool{}, open: map[string]openLot{}, over: map[string]flow.Time{}, last: map[string]string{}, paces: map[string]*pace{}, partials: partials{},
 		readers: map[uint64]*reader{}, putting: map[uint64]bool{}}
 }
 
@@ -183,6 +187,7 @@
 	}
 	l.doc.Items = nil
 	t.rows[doc.ID] = l
+	t.changed = true
 	t.advise(l)
 	t.env.Counts["lots_adopted"]++
 	if t.env.Debug {
@@ -217,9 +222,7 @@
 // Heard takes what the ledger says of lots (design 5.2).
 func (t *Table) Heard(rows []ledger.LotRow) {
 	for _, r := range rows {
-		if r.Pool != "" {
-			t.last[r.Pool], t.last[r.Pool+"/"+r.Model] = r.Owner, r.Owner
-		}
+		t.heardOwner(r)
 		switch {
 		case r.Ended || r.Owner != t.env.Me:
 			delete(t.wanted, r.ID)
@@ -283,6 +286,7 @@
 
 // stop cuts all runs of an item.
 func (t *Table) stop(i *item) {
+	t.changed = t.changed || len(i.runs) > 0
 	for _, r := range i.runs {
 		r.engine.End()
 		t.env.Cut(r.id)
@@ -290,13 +294,27 @@
 	i.runs = nil
 }
 
+// scanEvery is how often all items are looked through for what only time changes:
+// silences, rests that are over, lots that are late. It is far below the shortest
+// of those times, and what an event changes is seen in the same turn.
+const scanEvery = budget.Listed / 50
+
 // Advance runs the room's systems.
 func (t *Table) Advance() {
 	t.fetches()
-	t.expire()
-	t.watch()
-	t.place()
-	t.second()
+	scan := t.env.Now >= t.scanned+scanEvery
+	if scan {
+		t.scanned = t.env.Now
+		t.expire()
+		t.watch()
+	}
+	if scan || t.changed {
+		t.changed = false
+		t.place()
+	}
+	if scan {
+		t.second()
+	}
 	t.flush()
 	t.wake()
 }
--- a/core/serve/machines.go
+++ b/core/serve/machines.go
@@ -23,6 +23,9 @@
 	State string `json:"state"`
 }
 
+// RetireLine is the kind of the line that tells a machine to take no more lots.
+const RetireLine = "machine.retire"
+
 // storeBackIn is when an operator may ask again where the store did not answer.
 const storeBackIn = time.Second
 
@@ -47,7 +50,7 @@
 	s.reserve(c, func(machine gossip.Entry) {
 		s.holding(c, machine, func(held ledger.Holding) {
 			if !held.Member {
-				s.tellState(c, held)
+				s.tellState(c, machine, held)
 				return
 			}
 			s.env.Ask(storeAnswerLimit, "store.remove", machine.ID, func(a ask.Answer) { s.removed(c, a) })
@@ -58,17 +61,20 @@
 // machineState answers how far that is.
 func (s *Serve) machineState(c flow.Call) {
 	s.reserve(c, func(machine gossip.Entry) {
-		s.holding(c, machine, func(held ledger.Holding) { s.tellState(c, held) })
+		s.holding(c, machine, func(held ledger.Holding) { s.tellState(c, machine, held) })
 	})
 }
 
-// reserve finds the reserve machine that a call names.
+// reserve finds the reserve machine that a call names, and has it take no more lots.
 func (s *Serve) reserve(c flow.Call, then func(gossip.Entry)) {
 	if !s.underLease(c) {
 		return
 	}
 	for _, machine := range s.live {
 		if machine.Name == c.Vars["id"] && machine.Has("reserve") {
+			if machine.RunsLots() && !machine.Retired {
+				s.env.Out.Line(machine.Addr, RetireLine, struct{}{})
+			}
 			then(machine)
 			return
 		}
@@ -79,7 +85,7 @@
 // holding asks the store what a machine holds. A process without a role that keeps
 // anything for others holds nothing, and nobody has to be asked.
 func (s *Serve) holding(c flow.Call, machine gossip.Entry, then func(ledger.Holding)) {
-	if !machine.Has("store") && !machine.Has("dispatcher") {
+	if !machine.Has("store") && !machine.RunsLots() {
 		then(ledger.Holding{})
 		return
 	}
@@ -111,9 +117,11 @@
 	}
 }
 
-func (s *Serve) tellState(c flow.Call, held ledger.Holding) {
+// tellState answers with a machine's state. One that still takes lots is not empty,
+// whatever it holds just now.
+func (s *Serve) tellState(c flow.Call, machine gossip.Entry, held ledger.Holding) {
 	state := machineEmptying
-	if held.Empty() {
+	if held.Empty() && (machine.Retired || !machine.RunsLots()) {
 		state = machineEmptied
 	}
 	s.env.Out.Answer(c.ID, 200, machineState{state}, nil)
--- a/core/serve/machines_test.go
+++ b/core/serve/machines_test.go
@@ -47,13 +47,20 @@
 		{"machine.state", "data", result(200, member), result(500, nil), false, 200, `"emptying"`},
 		{"machine.state", "data", result(200, lots), result(500, nil), false, 200, `"emptying"`},
 		{"machine.state", "data", result(200, nothing), result(500, nil), false, 200, `"emptied"`},
+		{"machine.empty", "takes lots", result(200, nothing), result(500, nil), false, 200, `"emptying"`},
+		{"machine.state", "takes lots", result(200, nothing), result(500, nil), false, 200, `"emptying"`},
+		{"machine.state", "took lots", result(200, lots), result(500, nil), false, 200, `"emptying"`},
+		{"machine.state", "took lots", result(200, nothing), result(500, nil), false, 200, `"emptied"`},
+		{"machine.state", "took lots", result(200, nothing), result(500, nil), true, 503, "did not say"},
 		{"machine.empty", "data", result(200, nothing), result(200, nil), true, 503, "did not say"},
 		{"machine.state", "data", result(409, nil), result(200, nil), false, 503, "did not say"},
 	} {
 		w := newWorld(t)
 		w.others = []gossip.Entry{
 			{ID: "p", Addr: "p", Name: "plain", Roles: []string{"reserve"}},
-			{ID: "d", Addr: "d", Name: "data", Roles: []string{"reserve", "store", "dispatcher"}},
+			{ID: "d", Addr: "d", Name: "data", Roles: []string{"reserve", "store", "dispatcher"}, Retired: true},
+			{ID: "w", Addr: "w", Name: "takes lots", Roles: []string{"reserve", "worker"}},
+			{ID: "r", Addr: "r", Name: "took lots", Roles: []string{"reserve", "worker"}, Retired: true},
 		}
 		w.told = map[string]ledger.Result{"store.holding": c.held, "store.remove": c.removed}
 		w.turn(0)
--- a/core/serve/world_test.go
+++ b/core/serve/world_test.go
@@ -20,7 +20,7 @@
 // world is one serving side over a real ledger that commits at once, with
 // engines that the story drives by hand.
 type world struct {
-	t      *testing.T
+	t      testing.TB
 	s      *Serve
 	asker  *ask.Asker
 	now    flow.Time
@@ -65,7 +65,7 @@
 	}
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	w := &world{t: t, asker: ask.New(0), led: ledger.New(), blobs: map[flow.Ref][]byte{}, fresh: true, now: time.Second,
 		sends: map[uint64]flow.Send{}, cuts: map[uint64]bool{}}
 	ids := uint64(0)
@@ -177,6 +177,15 @@
 	w.pass(2 * time.Second)
 }
 
+// line has another node say something.
+func (w *world) line(kind string, body any) {
+	var out flow.Outbox
+	raw, _ := json.Marshal(body)
+	w.s.Line(w.now, flow.Line{Kind: kind, Addr: "other", Body: raw}, &out)
+	w.take(&out)
+	w.turn(0)
+}
+
 func (w *world) call(name string, c flow.Call) uint64 {
 	w.calls++
 	c.ID, c.Name = w.calls, name
