--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -28,7 +28,7 @@
 const Entries = "log"
 
 // Version is the line version this build speaks (design 5.1).
-const Version = 2
+const Version = 3
 
 // Field is one header of a request or of an answer, as it was written.
 type Field struct {
@@ -319,6 +319,23 @@
 	o.Lines = append(o.Lines, Line{Ver: Version, Kind: kind, To: to, Body: raw})
 }
 
+// LineToAll adds the same line to several peers, which is encoded once.
+func (o *Outbox) LineToAll(to []string, kind string, body any) {
+	if len(to) == 0 {
+		return
+	}
+	first := len(o.Lines)
+	o.Line(to[0], kind, body)
+	if len(o.Lines) == first {
+		return
+	}
+	for _, addr := range to[1:] {
+		line := o.Lines[first]
+		line.To = addr
+		o.Lines = append(o.Lines, line)
+	}
+}
+
 // Answer adds a JSON reply.
 func (o *Outbox) Answer(id uint64, code int, body any, head map[string]string) {
 	raw, err := json.Marshal(body)
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -24,6 +24,7 @@
 	Name    string   `json:"name,omitempty"` // the machine's, by which operators call it
 	Inc     int64    `json:"inc"`
 	Beat    uint64   `json:"beat"`
+	Changed uint64   `json:"changed,omitempty"` // the beat at which it last changed in more than its beat
 	Addr    string   `json:"addr"`
 	Web     string   `json:"web"`
 	Area    string   `json:"area"`
@@ -33,7 +34,7 @@
 	Blank   bool     `json:"blank,omitempty"`   // a store machine with an empty disk
 	Left    bool     `json:"left,omitempty"`    // it is stopping: nobody counts on it
 	Retired bool     `json:"retired,omitempty"` // an operator empties it: it gets no more work
-	Sees    []string `json:"sees,omitempty"`    // blank stores it hears, by address
+	Sees    []string `json:"sees,omitempty"`    // of a blank store: the others that it hears, by address
 }
 
 // Start names this very start of the process.
@@ -82,22 +83,21 @@
 	Stores  []string `json:"stores"`
 }
 
-// Beat stands for an entry that the other side knows but for its beat.
-type Beat struct {
-	Addr string `json:"a"`
-	Inc  int64  `json:"i"`
-	Beat uint64 `json:"b"`
-}
-
-// Body is one gossip line: whole entries where something is new, and every
-// fourth time; beats otherwise.
+// Body is one gossip line: whole entries where something is new, heartbeats
+// otherwise.
 type Body struct {
-	Entries []Entry `json:"entries,omitempty"`
-	Beats   []Beat  `json:"beats,omitempty"`
-	Known   Known   `json:"known"`
+	Entries []Entry    `json:"entries,omitempty"`
+	Beats   Heartbeats `json:"beats,omitempty"`
+	Want    []string   `json:"want,omitempty"` // addresses whose whole entries the sender lacks
+	Known   Known      `json:"known"`
 }
 
-const wholeEvery = 4
+// freshFor is for how long an entry is told whole that has changed; wantMost is how
+// many entries are asked for in one line.
+const (
+	freshFor = 4 * budget.Gossip
+	wantMost = 128
+)
 
 type seat struct {
 	entry Entry
@@ -119,8 +119,26 @@
 	since flow.Time // and since when it is so
 	// Those that are told at once what is known here.
 	answer map[string]bool
+	wanted map[string]string   // entries that are lacked, and who spoke of them
+	owed   map[string][]string // entries that peers lack
+	live   view                // the peers whose beats still grow
+	all    view                // and this node itself
+	alike  Entry               // this node's entry as it stands in all
 }
 
+// view is a list of entries by address. It holds until a time, or until an entry
+// of it changes in more than its beat.
+type view struct {
+	entries []Entry
+	until   flow.Time
+	valid   bool
+}
+
+func (v *view) holds(now flow.Time) bool { return v.valid && now <= v.until }
+
+// stir makes the views be made anew: an entry came, changed or is alive again.
+func (g *Gossip) stir() { g.live.valid, g.all.valid = false, false }
+
 // Config are the options of a table.
 type Config struct {
 	Self  Entry
@@ -131,7 +149,7 @@
 
 // New starts a table that knows itself and its seeds.
 func New(p Config) *Gossip {
-	return &Gossip{self: p.Self, known: p.Known, seeds: p.Seeds, rand: p.Rand, seats: map[string]*seat{}, answer: map[string]bool{}}
+	return &Gossip{self: p.Self, known: p.Known, seeds: p.Seeds, rand: p.Rand, seats: map[string]*seat{}, answer: map[string]bool{}, wanted: map[string]string{}, owed: map[string][]string{}}
 }
 
 // Reseed takes other seeds, as the settings name them now.
@@ -182,23 +200,26 @@
 		if s == nil {
 			s = &seat{entry: e, grew: now, fresh: now}
 			g.seats[e.Addr] = s
-		} else if e.Inc > s.entry.Inc || e.Inc == s.entry.Inc && e.Beat > s.entry.Beat {
-			if !same(s.entry, e) {
-				s.fresh = now
-			}
-			s.entry, s.grew = e, now
+			g.stir()
+		} else {
+			g.merge(s, e, now)
 		}
 		if e.Addr == from {
 			s.heard = now
 		}
 	}
+	g.asked(from, b.Want)
 	for _, x := range b.Beats {
 		s := g.seats[x.Addr]
+		if s == nil || s.entry.older(x.Inc, x.Changed) {
+			g.lack(from, x.Addr)
+		}
 		if s == nil || x.Inc != s.entry.Inc {
-			continue // a whole entry will come
+			continue
 		}
 		if x.Beat > s.entry.Beat {
-			s.entry.Beat, s.grew = x.Beat, now
+			g.grow(s, now)
+			s.entry.Beat = x.Beat
 		}
 		if x.Addr == from {
 			s.heard = now
@@ -206,21 +227,113 @@
 	}
 }
 
+// older says whether this is an entry of an earlier start, or of before a change.
+func (e Entry) older(inc int64, changed uint64) bool {
+	return e.Inc < inc || e.Inc == inc && e.Changed < changed
+}
+
+// merge takes what an entry has that is newer: all of it, or its beat. Whoever has
+// heard heartbeats alone may know a later beat with an earlier content.
+func (g *Gossip) merge(s *seat, e Entry, now flow.Time) {
+	known := s.entry
+	if known.Inc > e.Inc {
+		return
+	}
+	if known.Inc < e.Inc || known.Beat < e.Beat {
+		g.grow(s, now)
+	}
+	if !known.older(e.Inc, e.Changed) {
+		s.entry.Beat = max(known.Beat, e.Beat)
+		return
+	}
+	if known.Inc == e.Inc {
+		e.Beat = max(known.Beat, e.Beat)
+	}
+	s.entry, s.fresh = e, now
+	g.stir()
+}
+
+// grow notes that a peer's beat has grown.
+func (g *Gossip) grow(s *seat, now flow.Time) {
+	if now-s.grew > budget.Lost {
+		g.stir() // it was not among the live ones
+	}
+	s.grew = now
+}
+
 // same says whether two entries differ in nothing but their beats.
 func same(a, b Entry) bool {
 	return a.ID == b.ID && a.Inc == b.Inc && a.Web == b.Web && a.Area == b.Area && a.Cluster == b.Cluster && a.Blank == b.Blank && a.Left == b.Left && a.Retired == b.Retired &&
 		slices.Equal(a.Roles, b.Roles) && slices.Equal(a.Sees, b.Sees)
 }
 
+// lack notes that a peer speaks of a process that is not known here.
+func (g *Gossip) lack(from, addr string) {
+	if addr != g.self.Addr && len(g.wanted) < wantMost {
+		g.wanted[addr] = from
+	}
+}
+
+// asked tells a peer the entries that it lacks.
+func (g *Gossip) asked(from string, want []string) {
+	for _, addr := range want[:min(len(want), wantMost)] {
+		if s := g.seats[addr]; s != nil || addr == g.self.Addr {
+			g.owed[from] = append(g.owed[from], addr)
+		}
+	}
+}
+
+// entry gives what is known of an address, this node's own among them.
+func (g *Gossip) entry(addr string) (Entry, bool) {
+	if addr == g.self.Addr {
+		return g.self, true
+	}
+	if s := g.seats[addr]; s != nil {
+		return s.entry, true
+	}
+	return Entry{}, false
+}
+
+// exchange asks for entries that are lacked, and tells those that others lack.
+func (g *Gossip) exchange(out *flow.Outbox) {
+	ask := map[string][]string{}
+	for _, addr := range sorted.Keys(g.wanted) {
+		ask[g.wanted[addr]] = append(ask[g.wanted[addr]], addr)
+	}
+	for _, to := range sorted.Keys(ask) {
+		out.Line(to, "gossip", Body{Want: ask[to], Known: g.known})
+	}
+	for _, to := range sorted.Keys(g.owed) {
+		b := Body{Known: g.known}
+		for _, addr := range g.owed[to] {
+			if e, ok := g.entry(addr); ok {
+				b.Entries = append(b.Entries, e)
+			}
+		}
+		out.Line(to, "gossip", b)
+	}
+	clear(g.wanted)
+	clear(g.owed)
+}
+
+// refresh marks this node's own entry where it has changed.
+func (g *Gossip) refresh(now flow.Time) {
+	if same(g.self, g.was) {
+		return
+	}
+	g.self.Beat++
+	g.self.Changed = g.self.Beat
+	g.was, g.since = g.self, now
+}
+
 // body is what one round tells.
 func (g *Gossip) body(now flow.Time) Body {
 	b := Body{Known: g.known}
-	whole := g.turn%wholeEvery == 0
 	put := func(e Entry, fresh flow.Time) {
-		if whole || now-fresh < wholeEvery*budget.Gossip {
+		if now-fresh < freshFor {
 			b.Entries = append(b.Entries, e)
 		} else {
-			b.Beats = append(b.Beats, Beat{e.Addr, e.Inc, e.Beat})
+			b.Beats = append(b.Beats, Heartbeat{e.Addr, e.Inc, e.Changed, e.Beat})
 		}
 	}
 	for _, a := range g.addrs() {
@@ -228,26 +341,23 @@
 			put(s.entry, s.fresh)
 		}
 	}
-	if !same(g.self, g.was) {
-		g.was, g.since = g.self, now
-	}
 	put(g.self, g.since)
 	return b
 }
 
 // Advance beats and spreads when it is time.
 func (g *Gossip) Advance(now flow.Time, out *flow.Outbox) {
+	g.refresh(now)
 	if len(g.answer) > 0 {
 		b := Body{Entries: append(g.every(), g.self), Known: g.known}
-		for _, a := range sorted.Keys(g.answer) {
-			out.Line(a, "gossip", b)
-		}
+		out.LineToAll(sorted.Keys(g.answer), "gossip", b)
 		g.answer = map[string]bool{}
 	}
 	if now < g.next {
 		return
 	}
 	g.next = now + budget.Gossip
+	g.exchange(out)
 	g.self.Beat++
 	g.self.Sees = nil
 	var live []string
@@ -260,11 +370,12 @@
 		if now-s.grew <= budget.Lost {
 			live = append(live, addr)
 		}
-		if s.entry.Blank && now-s.heard <= budget.Lost {
+		if g.self.Blank && s.entry.Blank && now-s.heard <= budget.Lost {
 			g.self.Sees = append(g.self.Sees, addr)
 		}
 	}
 	g.turn++
+	g.refresh(now)
 	b := g.body(now)
 	to := map[string]bool{}
 	for i := 0; i < 2 && len(live) > 0; i++ {
@@ -282,11 +393,13 @@
 		}
 	}
 	delete(to, g.self.Addr)
+	var told []string
 	for _, a := range sorted.Keys(to) {
 		if to[a] {
-			out.Line(a, "gossip", b)
+			told = append(told, a)
 		}
 	}
+	out.LineToAll(told, "gossip", b)
 }
 
 func (g *Gossip) addrs() []string { return sorted.Keys(g.seats) }
@@ -300,15 +413,37 @@
 	return out
 }
 
-// Live gives the peers whose beats still grow, by address.
+// Live gives the peers whose beats still grow, by address. The list is shared:
+// nobody may change it, and its beats may be old.
 func (g *Gossip) Live(now flow.Time) []Entry {
-	var out []Entry
-	for _, a := range g.addrs() {
-		if s := g.seats[a]; now-s.grew <= budget.Lost && !s.entry.Left {
-			out = append(out, s.entry)
+	if g.live.holds(now) {
+		return g.live.entries
+	}
+	g.live, g.all.valid = view{until: now + budget.Lost, valid: true}, false
+	for _, addr := range g.addrs() {
+		s := g.seats[addr]
+		if now-s.grew > budget.Lost {
+			continue
+		}
+		g.live.until = min(g.live.until, s.grew+budget.Lost)
+		if !s.entry.Left {
+			g.live.entries = append(g.live.entries, s.entry)
 		}
 	}
-	return out
+	g.live.entries = slices.Clip(g.live.entries)
+	return g.live.entries
+}
+
+// Everyone gives the live peers and this node itself. The list is shared, as
+// that of Live is.
+func (g *Gossip) Everyone(now flow.Time) []Entry {
+	live := g.Live(now)
+	if g.all.valid && same(g.alike, g.self) {
+		return g.all.entries
+	}
+	g.alike = g.self
+	g.all = view{entries: append(live, g.self), valid: true}
+	return g.all.entries
 }
 
 // Leave tells everybody that this process stops.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -51,37 +51,50 @@
 
 // Node is one process.
 type Node struct {
-	p        Config
-	gossip   *gossip.Gossip
-	asker    *ask.Asker
-	store    *store.Store
-	disp     *disp.Disp
-	coord    *coord.Coord
-	serve    *serve.Serve
-	ids      uint64
-	counts   map[string]int64
-	burst    map[string]flow.Time
-	known    gossip.Known
-	began    flow.Time
-	now      flow.Time
-	box      flow.Outbox // what the store wants done, until it is released
-	held     []batch     // what waits for saves that are under way
-	given    uint64      // the newest batch of saves given out
-	saved    uint64      // the newest that is on disk
-	full     bool        // the disk has no room
-	stop     flow.Time   // when a clean stop is over at the latest
-	announce flow.Time   // when the store's leader hears next that this member stops
+	p         Config
+	gossip    *gossip.Gossip
+	asker     *ask.Asker
+	store     *store.Store
+	disp      *disp.Disp
+	coord     *coord.Coord
+	serve     *serve.Serve
+	ids       uint64
+	counts    map[string]int64
+	burst     map[string]flow.Time
+	known     gossip.Known
+	began     flow.Time
+	now       flow.Time
+	box       flow.Outbox // what the store wants done, until it is released
+	held      []batch     // what waits for saves that are under way
+	heldBytes int         // of the lines among it
+	given     uint64      // the newest batch of saves given out
+	saved     uint64      // the newest that is on disk
+	full      bool        // the disk has no room
+	stop      flow.Time   // when a clean stop is over at the latest
+	announce  flow.Time   // when the store's leader hears next that this member stops
 }
 
 // batch is what may leave once the saves up to its number are on disk.
 type batch struct {
 	number uint64
 	out    flow.Outbox
+	bytes  int // of its lines
 }
 
-// heldMost bounds what waits for the disk; beyond it the store hears nothing
-// new, and peers say it again.
-const heldMost = 512
+// heldMost and heldBytes bound what waits for the disk; beyond them the store hears
+// nothing new, and peers say it again.
+const (
+	heldMost  = 512
+	heldBytes = 16 << 20
+)
+
+func bytesOf(lines []flow.Line) int {
+	sum := 0
+	for _, line := range lines {
+		sum += len(line.Body)
+	}
+	return sum
+}
 
 // New starts a node.
 func New(now flow.Time, p Config) (*Node, error) {
@@ -176,6 +189,36 @@
 	return out
 }
 
+// Multiples of budget.Tick that a node rests for at most while nothing happens: a
+// follower's shortest deadline is an election, that of a node without a store and
+// without work a renewal.
+const (
+	followerTicks = 2
+	idleTicks     = 5
+)
+
+// Pause tells for how long the node may rest where no event comes. Whatever is due
+// meanwhile is late by that, so a node with work under way rests for a tick only.
+func (n *Node) Pause() flow.Time {
+	switch {
+	case n.busy():
+		return budget.Tick
+	case n.store != nil:
+		return followerTicks * budget.Tick
+	default:
+		return idleTicks * budget.Tick
+	}
+}
+
+// busy says whether any part has deadlines that are short.
+func (n *Node) busy() bool {
+	return n.stop != 0 || len(n.held) > 0 ||
+		n.store != nil && !n.store.Resting() ||
+		n.coord != nil && n.coord.Acting(n.now) ||
+		n.disp != nil && !n.disp.Idle(n.now) ||
+		n.serve != nil && !n.serve.Idle()
+}
+
 func (n *Node) local(out *flow.Outbox) []flow.Line {
 	var mine, rest []flow.Line
 	for _, l := range out.Lines {
@@ -205,7 +248,7 @@
 		n.coord.Advance(now, n.Cluster(), out)
 	}
 	if n.serve != nil {
-		n.serve.Advance(now, append(live[:len(live):len(live)], n.gossip.Self()), out)
+		n.serve.Advance(now, n.gossip.Everyone(now), out)
 	}
 	n.gossip.Advance(now, out)
 }
@@ -225,7 +268,9 @@
 		box.Save = nil
 	}
 	if n.given > n.saved {
-		n.held = append(n.held, batch{n.given, box})
+		size := bytesOf(box.Lines)
+		n.held = append(n.held, batch{n.given, box, size})
+		n.heldBytes += size
 		return
 	}
 	out.Join(box)
@@ -239,13 +284,14 @@
 	}
 	for len(n.held) > 0 && n.held[0].number <= n.saved {
 		out.Join(n.held[0].out)
+		n.heldBytes -= n.held[0].bytes
 		n.held = n.held[1:]
 	}
 }
 
 // choked says that the disk is so far behind that the store hears no more.
 func (n *Node) choked() bool {
-	if len(n.held) < heldMost {
+	if len(n.held) < heldMost && n.heldBytes < heldBytes {
 		return false
 	}
 	n.counts["dropped_for_disk"]++
--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -33,7 +33,7 @@
 	majority := held[len(held)/2]
 	if term, ok := r.termAt(majority); ok && majority > r.commit && term == r.hard.Term {
 		r.commit = majority
-		r.heartbeatDue = r.now
+		r.hastenRound() // the others hear of it
 	}
 }
 
--- a/core/raft/reads.go
+++ b/core/raft/reads.go
@@ -14,13 +14,20 @@
 	if !r.Ready() {
 		return false
 	}
-	// The next round goes out soon; one proves all reads that came before it.
-	soon := max(r.now, r.heartbeatSent+r.heartbeatInterval/10)
-	r.heartbeatDue = min(r.heartbeatDue, soon)
+	r.hastenRound() // one round proves all reads that came before it
 	r.reads = append(r.reads, pendingRead{token: token, round: r.round + 1, index: r.commit})
 	return true
 }
 
+// roundsPerInterval bounds the rounds that reads and commits bring on.
+const roundsPerInterval = 5
+
+// hastenRound brings the next round of heartbeats forward, within that bound.
+func (r *Raft) hastenRound() {
+	soon := max(r.now, r.heartbeatSent+r.heartbeatInterval/roundsPerInterval)
+	r.heartbeatDue = min(r.heartbeatDue, soon)
+}
+
 // releaseReads gives out the reads that are proved, in the order they came.
 func (r *Raft) releaseReads() {
 	for len(r.reads) > 0 {
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -47,6 +47,7 @@
 	addrs       map[string]string
 	writes      map[uint64]wait
 	reads       map[uint64]wait
+	renewals    renewals
 	token       uint64
 	seen        map[string]leaseHolder // dispatchers by their last renewal
 	coord       flow.Time              // the coordinator's last renewal
@@ -67,12 +68,12 @@
 	pull        *pull
 	blob        []byte // the newest snapshot as it is sent in pieces
 	blobAt      uint64
-	checked     bool                 // the blob store was told what must be there
-	bounded     uint64               // the term in which the bounds were looked at
-	contact     contact              // of the acting coordinator
-	contactTerm uint64               // its term
-	able        map[string]bool      // processes that may be given lots
-	retired     map[string]bool      // processes on machines that are being emptied
+	checked     bool           // the blob store was told what must be there
+	bounded     uint64         // the term in which the bounds were looked at
+	contact     contact        // of the acting coordinator
+	contactTerm uint64         // its term
+	live        []gossip.Entry // the peers heard of late, and this machine
+	self        gossip.Entry
 	freed       uint64               // the term whose holder gave it up
 	moved       flow.Time            // when leadership is handed on next
 	orphan      flow.Time            // when lost claims are looked for next
@@ -87,7 +88,7 @@
 // New starts a store from its disk.
 func New(now flow.Time, p Config) (*Store, error) {
 	s := &Store{p: p, ledger: ledger.New(), addrs: map[string]string{}, writes: map[uint64]wait{},
-		reads: map[uint64]wait{}, seen: map[string]leaseHolder{}, counts: map[string]int{},
+		reads: map[uint64]wait{}, renewals: renewals{proving: map[uint64][]wait{}}, seen: map[string]leaseHolder{}, counts: map[string]int{},
 		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, lots: map[string]given{}, silent: map[string]flow.Time{}, stopping: map[string]flow.Time{}}
 	if d := p.Disk.Snapshot; d != nil {
 		l, err := ledger.Load(d.State, p.Disk.Items)
@@ -141,6 +142,11 @@
 // stands still, which keeps things for longer, never for less.
 func (s *Store) time() int64 { return s.stamp + (s.now - s.lead).Milliseconds() }
 
+// Resting says that this store follows a leader and waits for nothing of its own.
+func (s *Store) Resting() bool {
+	return s.raft.Role() == raft.Follower && s.raft.LeaderID() != "" && len(s.fetches) == 0 && s.pull == nil
+}
+
 // Advance runs the store's systems.
 func (s *Store) Advance(now flow.Time, wall int64, live []gossip.Entry, self gossip.Entry, out *flow.Outbox) {
 	s.now = now
@@ -154,6 +160,7 @@
 		s.caughtUp.note(now, s.raft.Term(), s.raft.Commit())
 	}
 	s.repair(now, live, out)
+	s.proveRenewals(now, out)
 	o := s.raft.Advance(now)
 	out.Save = append(out.Save, o.Saves...)
 	for _, d := range o.Messages {
@@ -176,6 +183,11 @@
 	}
 	sort.Slice(o.Reads, func(i, j int) bool { return o.Reads[i] < o.Reads[j] })
 	for _, t := range o.Reads {
+		if batch, ok := s.renewals.proving[t]; ok {
+			delete(s.renewals.proving, t)
+			s.answerRenewals(now, batch, out)
+			continue
+		}
 		w := s.reads[t]
 		delete(s.reads, t)
 		s.answer(now, w, out)
@@ -191,7 +203,7 @@
 		out.Save = append(out.Save, s.raft.Advance(now).Saves...)
 	}
 	s.orphans(now)
-	s.owners(now, append(live[:len(live):len(live)], self))
+	s.owners(now, live, self)
 	if s.raft.Ready() && s.timed != s.raft.Term() {
 		// Only now is all that was committed before in the ledger.
 		s.timed, s.stamp, s.lead = s.raft.Term(), s.ledger.Clock, now
@@ -217,6 +229,7 @@
 		s.retry(s.reads[t], out)
 	}
 	s.writes, s.reads = map[uint64]wait{}, map[uint64]wait{}
+	s.voidRenewals(out)
 	s.seen = map[string]leaseHolder{}
 	s.grant = 0
 	s.lots = map[string]given{}
--- a/shell/run/run.go
+++ b/shell/run/run.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -16,6 +17,7 @@
 
 	"fernlink/core/budget"
 	"fernlink/core/flow"
+	"fernlink/core/gossip"
 	"fernlink/core/node"
 	"fernlink/shell/clock"
 	"fernlink/shell/disk"
@@ -24,11 +26,6 @@
 	"fernlink/shell/web"
 )
 
-// QueueSize is how many events may wait for the loop.
-const QueueSize = 4096
-
-const tick = budget.Beat / 10
-
 // Loop owns a node and its shells.
 type Loop struct {
 	Node   *node.Node
@@ -37,45 +34,26 @@
 	Logger log.Logger
 	Least  flow.Level // notes below it are not written
 
-	events chan flow.Event
+	events *queue
 	Link   *link.Link
 	Web    *web.Web
 	Caller *outcall.Caller
 	quit   chan struct{}
 	done   chan struct{}
 	Halted chan error
-	known  string
-	todo   chore      // gathers while the disk's task is busy
-	chores chan chore // no room: the disk's task takes one when it is free
+	known  gossip.Known // as it was last written
+	todo   chore        // gathers while the disk's task is busy
+	chores chan chore   // no room: the disk's task takes one when it is free
 	rest   chan struct{}
 	left   chan struct{} // closed when a clean stop is over
 }
 
 // New makes a loop without its shells.
 func New(logger log.Logger) *Loop {
-	return &Loop{Logger: logger, events: make(chan flow.Event, QueueSize), quit: make(chan struct{}), done: make(chan struct{}), Halted: make(chan error, 1),
+	return &Loop{Logger: logger, events: newQueue(), quit: make(chan struct{}), done: make(chan struct{}), Halted: make(chan error, 1),
 		chores: make(chan chore), rest: make(chan struct{}), left: make(chan struct{})}
 }
 
-// Offer puts an event into the queue, unless it is full.
-func (l *Loop) Offer(e flow.Event) bool {
-	select {
-	case l.events <- e:
-		return true
-	default:
-		return false
-	}
-}
-
-// Put waits for room: news of sends must not be lost.
-func (l *Loop) Put(e flow.Event) {
-	select {
-	case l.events <- e:
-	case <-l.quit:
-	case <-l.done:
-	}
-}
-
 // Start runs the loop.
 func (l *Loop) Start() {
 	go l.disk()
@@ -149,7 +127,7 @@
 				_ = level.Warn(l.Logger).Log("part", "run", "msg", "a file was not written, trying again later", "file", f.Name, "failure", err)
 			}
 		}
-		l.Put(flow.Event{}) // it is free again
+		l.events.wake(l.quit, l.done) // it is free again
 	}
 }
 
@@ -163,30 +141,19 @@
 func (l *Loop) run() {
 	defer close(l.done)
 	defer close(l.chores)
-	t := time.NewTicker(tick)
-	defer t.Stop()
+	pause := time.NewTimer(budget.Tick)
+	defer pause.Stop()
 	var in []flow.Event
 	for {
-		select {
-		case <-l.quit:
+		var ok bool
+		if in, ok = l.events.wait(in[:0], pause.C, l.quit); !ok {
 			return
-		case e := <-l.events:
-			in = append(in, e)
-		case <-t.C:
-		}
-		for more := true; more && len(in) < QueueSize/4; {
-			select {
-			case e := <-l.events:
-				in = append(in, e)
-			default:
-				more = false
-			}
 		}
 		if err := l.turn(in); err != nil {
 			l.fail(err)
 			return
 		}
-		in = in[:0]
+		pause.Reset(l.Node.Pause())
 	}
 }
 
@@ -236,12 +203,15 @@
 		return
 	}
 	k.At = 0 // heard anew after a start
+	if k.Cluster == l.known.Cluster && slices.Equal(k.Stores, l.known.Stores) {
+		return
+	}
 	b, err := json.Marshal(k)
-	if err != nil || string(b) == l.known {
+	if err != nil {
 		return
 	}
 	l.todo.files = append(l.todo.files, flow.File{Name: KnownFile, Body: b})
-	l.known = string(b)
+	l.known = k
 }
 
 // KnownFile holds the cluster's id and store addresses as last heard.
