Simulator: thin links

A link has a rate: entries of the log and lines above 16 KiB take their time over it, one after the other, on a queue of 64 of which the oldest is dropped, as on the real link's connection for bulk. Ruled out: a rate for all lines, which would hold heartbeats behind bulk, as no real peer link does.

--- a/sim/host.go
+++ b/sim/host.go
@@ -243,7 +243,7 @@
 			h.w.Net.Send(h.Name, to.Name, func() { to.hear(l) })
 			continue
 		}
-		h.w.Net.Send(h.Name, to.Name, func() { to.offer(to.life, flow.Event{Line: &l}) })
+		h.w.Net.Line(h.Name, to.Name, l, func() { to.offer(to.life, flow.Event{Line: &l}) })
 	}
 	for _, r := range out.Replies {
 		f := h.calls[r.ID]
--- a/sim/net.go
+++ b/sim/net.go
@@ -1,6 +1,17 @@
 package sim
 
-import "time"
+import (
+	"time"
+
+	"fernlink/core/flow"
+)
+
+// As in shell/link: lines with entries and long lines go by a connection of
+// their own, on which so many may wait.
+const (
+	bulkBytes = 16 << 10
+	bulkQueue = 64
+)
 
 // Net is the virtual network between named ends: hosts by peer address,
 // engines by id, and "outside" for callers.
@@ -12,6 +23,80 @@
 	Late        float64                      // share of lines that come late by up to a second
 	Twice       float64                      // share of lines that come twice
 	Count       func(kind string, bytes int) // sees each line between peers
+	thin        map[string]int               // bytes a second of bulk, to and from an end
+	lanes       map[string]*lane
+}
+
+// lane is the bulk connection from one end to another over a thin link.
+type lane struct {
+	waiting []parcel
+	busy    bool
+}
+
+type parcel struct {
+	size    int
+	deliver func()
+}
+
+// Thin gives an end's link a rate in bytes a second, both ways; 0 ends that.
+func (n *Net) Thin(end string, rate int) {
+	if rate == 0 {
+		delete(n.thin, end)
+		return
+	}
+	n.thin[end] = rate
+}
+
+// rate gives the bytes a second between two ends, or 0 where nothing limits them.
+func (n *Net) rate(from, to string) int {
+	a, b := n.thin[from], n.thin[to]
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
+// Line sends a line between peers. Over a thin link bulk takes its time, one
+// line after the other; of those that wait the oldest is dropped for the newest.
+func (n *Net) Line(from, to string, line flow.Line, deliver func()) {
+	bulk := line.Kind == flow.Entries || len(line.Body) > bulkBytes
+	key := from + ">" + to
+	if !bulk || n.rate(from, to) == 0 && n.lanes[key] == nil {
+		n.Send(from, to, deliver)
+		return
+	}
+	l := n.lanes[key]
+	if l == nil {
+		l = &lane{}
+		n.lanes[key] = l
+	}
+	l.waiting = append(l.waiting, parcel{len(line.Body), deliver})
+	if len(l.waiting) > bulkQueue {
+		l.waiting = l.waiting[1:]
+	}
+	n.carry(from, to, l)
+}
+
+// carry moves the lane's first parcel, and then the next.
+func (n *Net) carry(from, to string, l *lane) {
+	if l.busy {
+		return
+	}
+	if len(l.waiting) == 0 {
+		delete(n.lanes, from+">"+to)
+		return
+	}
+	first := l.waiting[0]
+	l.waiting, l.busy = l.waiting[1:], true
+	took := time.Duration(0)
+	if rate := n.rate(from, to); rate > 0 {
+		took = time.Duration(first.size) * time.Second / time.Duration(rate)
+	}
+	n.w.After(took, func() {
+		l.busy = false
+		n.Send(from, to, first.deliver)
+		n.carry(from, to, l)
+	})
 }
 
 // Cut stops everything from one end to another, one way.
@@ -21,7 +106,7 @@
 func (n *Net) Join(from, to string) { delete(n.cut, from+">"+to) }
 
 // Heal undoes all cuts.
-func (n *Net) Heal() { n.cut = map[string]bool{}; n.Late, n.Twice = 0, 0 }
+func (n *Net) Heal() { n.cut, n.thin, n.Late, n.Twice = map[string]bool{}, map[string]int{}, 0, 0 }
 
 // Split cuts two groups from each other, both ways.
 func (n *Net) Split(a, b []string) {
--- a/sim/world.go
+++ b/sim/world.go
@@ -51,7 +51,7 @@
 // New is an empty world.
 func New(seed int64) *World {
 	w := &World{Seed: seed, Rand: rand.New(rand.NewSource(seed)), at: map[string]*Host{}, web: map[string]*Host{}, Kinds: map[string]int{}}
-	w.Net = Net{w: w, cut: map[string]bool{}, last: map[string]time.Duration{}, Least: 200 * time.Microsecond, Most: 3 * time.Millisecond}
+	w.Net = Net{w: w, cut: map[string]bool{}, last: map[string]time.Duration{}, thin: map[string]int{}, lanes: map[string]*lane{}, Least: 200 * time.Microsecond, Most: 3 * time.Millisecond}
 	return w
 }
 
