Raft: a slow way to a member is not filled with copies

The leader sent up to 1 MB of entries a message and 2 MB on trust, and all of it anew when nothing was heard for a second.

Ruled out: a longer patience alone, since a connection that broke must be noticed in a second; a smaller window alone, which has the same fault on a thinner link.

After: messages of 64 KiB, so that progress is seen on thin links; up to four follow each acknowledgement, so that a way with a long delay is filled; at most 512 KiB on trust, half of it each time nothing is heard, growing by 8 KiB with each acknowledgement.

--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -235,11 +235,17 @@
 // Now sets the time that messages stepped from here on are taken at.
 func (r *Raft) Now(now flow.Time) { r.now = now }
 
-// One message has so many entries, and about so many bytes of them, at most.
+// One message has so many entries, and about so many bytes of them, at most: over
+// a thin link each still arrives, and is acknowledged, before it is sent again.
 const (
 	most      = 64
-	mostBytes = 1 << 20
+	mostBytes = 64 << 10
+	// So many messages follow an acknowledgement at most.
+	refillMessages = 4
 	// So many bytes of entries are on their way to one member at most: what a slow
 	// way can't carry yet would only fill this member's memory.
-	window = 2 << 20
+	windowMost = 512 << 10
+	// It halves when nothing is heard of them, and grows with each acknowledgement.
+	windowLeast  = mostBytes
+	windowGrowth = 8 << 10
 )
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -11,15 +11,25 @@
 type progress struct {
 	match, next uint64
 	flight      int       // bytes of entries sent on trust and not acknowledged
+	window      int       // how many may be
 	moved       flow.Time // when it acknowledged more, or entries were first on their way
 	round       uint64
 	heard       flow.Time
 }
 
+// restart sends anew what was not acknowledged, and less of it at a time: over a
+// thin link it may still be on its way, and copies would only delay it.
+func (p *progress) restart() {
+	if p.flight > 0 {
+		p.window = max(p.window/2, windowLeast)
+	}
+	p.next, p.flight = p.match+1, 0
+}
+
 func (r *Raft) track() {
 	for _, m := range r.conf.Members {
 		if r.peers[m.ID] == nil {
-			r.peers[m.ID] = &progress{next: r.last() + 1, heard: r.now}
+			r.peers[m.ID] = &progress{next: r.last() + 1, heard: r.now, window: windowMost}
 		}
 	}
 	for id := range r.peers {
@@ -129,6 +139,7 @@
 		}
 		if m.Index > p.match {
 			p.match, p.moved = m.Index, r.now
+			p.window = min(p.window+windowGrowth, windowMost)
 		}
 		p.next = max(p.next, p.match+1)
 	} else {
@@ -140,8 +151,16 @@
 	if p.flight < 0 || p.next == p.match+1 {
 		p.flight = 0
 	}
-	if p.next <= r.last() {
-		r.feed(m.From, false)
+	r.refill(m.From, p)
+}
+
+// refill sends a member that acknowledged something several messages more.
+func (r *Raft) refill(id string, p *progress) {
+	for range refillMessages {
+		next := p.next
+		if r.feed(id, false); p.next == next {
+			return
+		}
 	}
 }
 
@@ -165,7 +184,7 @@
 		}
 		return
 	}
-	if !beat && (p.next > r.last() || p.flight >= window) {
+	if !beat && (p.next > r.last() || p.flight >= p.window) {
 		return // what is left follows the next answer
 	}
 	from := p.next - r.base.Index - 1
@@ -235,7 +254,7 @@
 		r.heartbeat, r.heartbeatAt = r.now+r.beat, r.now
 		for _, m := range r.conf.Members {
 			if p := r.peers[m.ID]; p != nil && p.next > p.match+1 && (r.now-p.heard > 2*r.beat || r.now-p.moved > 2*r.elect) {
-				p.next, p.flight = p.match+1, 0 // nothing heard of what was sent on trust
+				p.restart() // nothing heard of what was sent on trust
 			}
 			r.feed(m.ID, true)
 		}
