--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -341,3 +341,51 @@
 		t.Fatalf("it did not catch up: %d of %d", x.all[gone].Commit(), l.Commit())
 	}
 }
+
+// Given a member that is behind, when the leader makes a snapshot, then the log
+// stays for it where it was heard of late and lacks little, and only then.
+func TestLogStaysForAMemberBehind(t *testing.T) {
+	keep := Retention{Entries: 5, Bytes: 5000, Behind: 50_000, Silence: 12 * time.Second}
+	for _, c := range []struct {
+		name    string
+		entries int
+		away    time.Duration
+		stays   bool
+	}{
+		{"a little behind", 30, time.Second, true},
+		{"far behind", 80, time.Second, false},
+		{"silent for long", 30, 13 * time.Second, false},
+	} {
+		x := newTrio(3)
+		x.run(3 * time.Second)
+		l := x.leader()
+		if l == nil {
+			t.Fatal("no leader")
+		}
+		gone := "b"
+		if l.id == gone {
+			gone = "c"
+		}
+		x.cut[gone] = true
+		match := l.Match(gone)
+		for range c.entries {
+			if _, _, err := l.Propose("cmd", json.RawMessage(fmt.Sprintf(`"%01000d"`, 0))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		x.run(c.away)
+		l.Compact(json.RawMessage(`{}`), keep)
+		_, kept := l.term(match)
+		if kept != c.stays {
+			t.Errorf("%s: the log goes back to where it stands: %v", c.name, kept)
+		}
+		if !c.stays && l.LogLen() > keep.Entries {
+			t.Errorf("%s: %d entries stay for nobody", c.name, l.LogLen())
+		}
+		x.cut[gone] = false
+		x.run(2 * time.Second)
+		if caught := x.all[gone].Commit() == l.Commit(); caught != c.stays {
+			t.Errorf("%s: it caught up without a snapshot: %v", c.name, caught)
+		}
+	}
+}
--- a/core/raft/snapshot.go
+++ b/core/raft/snapshot.go
@@ -52,10 +52,17 @@
 // Snapshot is the newest snapshot, or nil.
 func (r *Raft) Snapshot() *flow.Snapshot { return r.snapshot }
 
-// Compact makes a snapshot of the ledger's state stand for what was applied. Some
-// entries before it stay in memory, so that a member that is a little behind
-// needs no snapshot.
-func (r *Raft) Compact(state json.RawMessage, stay, most int) {
+// Retention says how much of the log stays in memory before a new snapshot, so
+// that a member that is behind needs none.
+type Retention struct {
+	Entries int       // so many at most, and
+	Bytes   int       // so many bytes, whoever needs them
+	Behind  int       // so many bytes for members that are behind
+	Silence flow.Time // a member that was not heard for longer gets nothing kept
+}
+
+// Compact makes a snapshot of the ledger's state stand for what was applied.
+func (r *Raft) Compact(state json.RawMessage, keep Retention) {
 	at := r.applied
 	t, ok := r.term(at)
 	if !ok || at == r.base.Index {
@@ -69,12 +76,7 @@
 		}
 	}
 	r.snapshot = &flow.Snapshot{Index: at, Term: t, Conf: raw(c), State: state}
-	from := at
-	for n := 0; from > r.base.Index && at-from < uint64(stay); from-- {
-		if n += len(r.log[from-r.base.Index-1].Data); n > most {
-			break
-		}
-	}
+	from := r.retained(at, keep)
 	r.weight = 0
 	ft, _ := r.term(from)
 	r.log = append([]flow.Entry(nil), r.log[from-r.base.Index:]...)
@@ -89,6 +91,32 @@
 	r.save(flow.Save{Snapshot: r.snapshot})
 }
 
+// retained gives the index up to which the log goes at a snapshot.
+func (r *Raft) retained(at uint64, keep Retention) uint64 {
+	from := at
+	for from > r.base.Index && at-from < uint64(keep.Entries) && r.bytes(from-1, at) <= keep.Bytes {
+		from--
+	}
+	if r.role != Leader {
+		return from
+	}
+	for id, p := range r.peers {
+		heard := id != r.id && r.now-p.heard <= keep.Silence
+		if heard && p.match >= r.base.Index && p.match < from && r.bytes(p.match, at) <= keep.Behind {
+			from = p.match
+		}
+	}
+	return from
+}
+
+// bytes is how much the entries after one index hold, up to another.
+func (r *Raft) bytes(after, to uint64) (n int) {
+	for _, e := range r.log[after-r.base.Index : to-r.base.Index] {
+		n += len(e.Data)
+	}
+	return n
+}
+
 // Weight is how many bytes were applied since the last snapshot, SinceSnapshot how
 // many entries.
 func (r *Raft) Weight() int { return r.weight }
--- a/core/store/pull.go
+++ b/core/store/pull.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 
-	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
 	"fernlink/core/raft"
@@ -15,9 +14,6 @@
 // asked for one by one, so they never crowd out heartbeats, and what came stays if
 // the leader or its snapshot changes midway.
 
-// pieceMost is about how many bytes one piece has.
-const pieceMost = 256 << 10
-
 // askMost is how many items one line names.
 const askMost = 1024
 
@@ -27,6 +23,8 @@
 	Index uint64     `json:"i"`
 	Refs  []flow.Ref `json:"r,omitempty"`
 	At    int        `json:"at"`
+	From  string     `json:"f,omitempty"` // the member that fetches
+	Most  int        `json:"m,omitempty"` // about how many bytes the piece may have
 }
 
 // Piece is what comes back.
@@ -49,7 +47,7 @@
 	want     []flow.Ref // not here yet
 	part     []byte     // of the first of them
 	then     func(*flow.Outbox)
-	due      flow.Time
+	pace     pace
 	busy     bool // the blob store is being looked at
 }
 
@@ -61,17 +59,22 @@
 	if s.pull == nil {
 		out.Note("store", "fetching a snapshot", "index", o.Index)
 	}
-	s.pull = &pull{offer: o}
+	size := pieceStart
+	if s.pull != nil {
+		size = s.pull.pace.size
+	}
+	s.pull = &pull{offer: o, pace: newPace(size)}
 	s.counts["pulls"]++
 }
 
 // pulling asks for the next piece, again if none came.
 func (s *Store) pulling(out *flow.Outbox) {
 	p := s.pull
-	if p == nil || p.busy || s.now < p.due {
+	if p == nil || p.busy || !p.pace.due(s.now) {
 		return
 	}
-	if p.offer.Index <= s.raft.Commit() || s.raft.LeaderID() != p.offer.From {
+	// A silence of the leader alone is no reason to begin anew.
+	if leader := s.raft.LeaderID(); p.offer.Index <= s.raft.Commit() || leader != "" && leader != p.offer.From {
 		s.pull = nil
 		return
 	}
@@ -82,8 +85,7 @@
 	if to == "" {
 		return
 	}
-	p.due = s.now + budget.Ask
-	q := Pull{Index: p.offer.Index}
+	q := Pull{Index: p.offer.Index, From: s.p.ID, Most: p.pace.ask(s.now)}
 	if p.snapshot == nil {
 		q.At = len(p.state)
 	} else {
@@ -100,8 +102,13 @@
 		s.counts["stray_pulls"]++
 		return
 	}
+	s.retention.asked(q.From, now)
+	most := pieceMost
+	if q.Most > 0 {
+		most = min(q.Most, pieceMost)
+	}
 	if len(q.Refs) > 0 {
-		s.fetch(flow.Fetch{Refs: q.Refs, At: q.At, Most: pieceMost}, out, func(got flow.Fetched, out *flow.Outbox) {
+		s.fetch(flow.Fetch{Refs: q.Refs, At: q.At, Most: most}, out, func(got flow.Fetched, out *flow.Outbox) {
 			if len(got.Parts) > 0 {
 				out.Line(l.Addr, "piece", Piece{Index: q.Index, From: s.p.ID, At: q.At, Parts: got.Parts})
 			}
@@ -114,7 +121,7 @@
 	if q.At > len(s.blob) {
 		return
 	}
-	out.Line(l.Addr, "piece", Piece{Index: q.Index, From: s.p.ID, At: q.At, Size: len(s.blob), State: s.blob[q.At:min(len(s.blob), q.At+pieceMost)]})
+	out.Line(l.Addr, "piece", Piece{Index: q.Index, From: s.p.ID, At: q.At, Size: len(s.blob), State: s.blob[q.At:min(len(s.blob), q.At+most)]})
 }
 
 // Piece takes a piece. One that is old, doubled or of another leader is dropped.
@@ -132,7 +139,7 @@
 			s.counts["stray_pieces"]++
 			return
 		}
-		p.due = now
+		p.pace.came(now)
 		if p.state = append(p.state, x.State...); len(p.state) == x.Size {
 			s.gotState(p, out)
 		}
@@ -167,7 +174,8 @@
 		if s.pull != p {
 			return
 		}
-		p.busy, p.due = false, s.now
+		p.busy = false
+		p.pace.idle()
 		then(got, out)
 	})
 }
@@ -189,7 +197,9 @@
 			s.counts["stray_pieces"]++
 			break
 		}
-		p.due = s.now
+		if i == 0 {
+			p.pace.came(s.now)
+		}
 		if p.part = append(p.part, part.Body...); len(p.part) < part.Size {
 			break
 		}
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -36,10 +36,6 @@
 	Disk           Disk
 }
 
-// KeepBytes is how much the log may hold before a snapshot is made, whatever the
-// number of its entries.
-const KeepBytes = 2 << 20
-
 // Store is one store machine.
 type Store struct {
 	p           Config
@@ -66,6 +62,7 @@
 	fetches     map[uint64]func(flow.Fetched, *flow.Outbox)
 	fetchID     uint64
 	pull        *pull
+	retention   retention
 	blob        []byte // the newest snapshot as it is sent in pieces
 	blobAt      uint64
 	checked     bool                 // the blob store was told what must be there
@@ -85,7 +82,7 @@
 func New(now flow.Time, p Config) (*Store, error) {
 	s := &Store{p: p, ledger: ledger.New(), addrs: map[string]string{}, writes: map[uint64]wait{},
 		reads: map[uint64]wait{}, seen: map[string]leaseHolder{}, counts: map[string]int{},
-		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, lots: map[string]given{}, silent: map[string]flow.Time{}}
+		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, retention: newRetention(), lots: map[string]given{}, silent: map[string]flow.Time{}}
 	if d := p.Disk.Snapshot; d != nil {
 		l, err := ledger.Load(d.State, p.Disk.Items)
 		if err != nil {
@@ -192,11 +189,7 @@
 		s.offered(*o.Offer, out)
 	}
 	s.pulling(out)
-	if s.raft.SinceSnapshot() > s.p.Keep || s.raft.Weight() > KeepBytes {
-		s.raft.Compact(s.ledger.Snapshot(), s.p.Keep/4, KeepBytes/4)
-		s.storeBlobs(out)
-		out.Save = append(out.Save, s.raft.Advance(now).Saves...)
-	}
+	s.compact(now, out)
 	s.orphans(now)
 	s.owners(now, append(live[:len(live):len(live)], self))
 	if s.raft.Ready() && s.timed != s.raft.Term() {
@@ -227,6 +220,7 @@
 	s.seen = map[string]leaseHolder{}
 	s.grant = 0
 	s.lots = map[string]given{}
+	s.retention = newRetention()
 }
 
 func (s *Store) apply(a raft.Applied, out *flow.Outbox) {
--- a/shell/disk/disk_test.go
+++ b/shell/disk/disk_test.go
@@ -373,6 +373,38 @@
 	}
 }
 
+// Given a member with an old snapshot amid its fetch of a newer one, when it starts
+// again, then the items that it fetched are there until its next snapshot.
+func TestFetchedItemsStayOverAStart(t *testing.T) {
+	dir := t.TempDir()
+	l, _, err := open(t, dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Save([]flow.BlobChange{{Put: []flow.Item{textItem(3)}, At: 3}}, []flow.Save{{Add: entries(1, 5)}, aged(5)}); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Save([]flow.BlobChange{{Put: []flow.Item{textItem(8)}, At: 9}}, nil); err != nil {
+		t.Fatal(err)
+	}
+	if l, _, err = Open(must(OpenFolder(dir))); err != nil {
+		t.Fatal(err)
+	}
+	named := map[string][]uint64{"text": {3}}
+	if err := l.Save([]flow.BlobChange{{Only: named, At: 5}}, nil); err != nil {
+		t.Fatal(err)
+	}
+	if lacks(t, l, 8) {
+		t.Error("an item that was fetched before the start is gone")
+	}
+	if err := l.Save(nil, []flow.Save{aged(6)}); err != nil {
+		t.Fatal(err)
+	}
+	if lacks(t, l, 3) || !lacks(t, l, 8) {
+		t.Error("the next snapshot does not let go of just what is not named")
+	}
+}
+
 // watched notes the order of what is done to a folder.
 type watched struct {
 	FS
--- a/sim/disk.go
+++ b/sim/disk.go
@@ -253,3 +253,11 @@
 	}
 	return nil
 }
+
+// bytes gives the size of all files.
+func (d *Disk) bytes() (n int) {
+	for _, x := range d.names {
+		n += len(x.data)
+	}
+	return n
+}
