--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -7,12 +7,19 @@
 // How a leader replicates entries (design 4.2).
 
 const (
-	// maxMessageEntries and maxMessageBytes bound the entries of one message.
+	// maxMessageEntries and maxMessageBytes bound the entries of one message: over
+	// a thin link each still arrives, and is acknowledged, before it is sent again.
 	maxMessageEntries = 64
-	maxMessageBytes   = 1 << 20
+	maxMessageBytes   = 64 << 10
+	// refillMessages is how many messages follow an acknowledgement at most.
+	refillMessages = 4
 	// maxInflightBytes bounds the entries on their way to one member: what a slow
-	// link can't carry yet would only fill this member's memory.
-	maxInflightBytes = 2 << 20
+	// link can't carry yet would only fill this member's memory. The window halves,
+	// down to minInflightBytes, when nothing is heard of what was sent, and grows by
+	// inflightGrowth with each acknowledgement.
+	maxInflightBytes = 512 << 10
+	minInflightBytes = maxMessageBytes
+	inflightGrowth   = 8 << 10
 )
 
 // progress is what a leader knows of another member.
@@ -20,6 +27,7 @@
 	match         uint64    // highest index that it acknowledged
 	next          uint64    // next index to send
 	inflightBytes int       // bytes of entries sent and not acknowledged
+	window        int       // how many may be
 	moved         flow.Time // when it acknowledged more, or entries were first on their way
 	round         uint64    // newest heartbeat round that it confirmed
 	heard         flow.Time
@@ -28,14 +36,20 @@
 // isOptimistic says that entries were sent and are not acknowledged yet.
 func (p *progress) isOptimistic() bool { return p.next > p.match+1 }
 
-// resend starts again after what was acknowledged.
-func (p *progress) resend() { p.next, p.inflightBytes = p.match+1, 0 }
+// resend starts again after what was acknowledged, with less of it at a time: over
+// a thin link it may still be on its way, and copies would only delay it.
+func (p *progress) resend() {
+	if p.inflightBytes > 0 {
+		p.window = max(p.window/2, minInflightBytes)
+	}
+	p.next, p.inflightBytes = p.match+1, 0
+}
 
 // trackMembers keeps progress for the members of the configuration in force.
 func (r *Raft) trackMembers() {
 	for _, member := range r.conf.Members {
 		if r.progress[member.ID] == nil {
-			r.progress[member.ID] = &progress{next: r.lastIndex() + 1, heard: r.now}
+			r.progress[member.ID] = &progress{next: r.lastIndex() + 1, heard: r.now, window: maxInflightBytes}
 		}
 	}
 	for id := range r.progress {
@@ -60,8 +74,17 @@
 	if peer.inflightBytes < 0 || !peer.isOptimistic() {
 		peer.inflightBytes = 0
 	}
-	if peer.next <= r.lastIndex() {
-		r.replicate(response.From)
+	r.refill(response.From, peer)
+}
+
+// refill sends a member that acknowledged something several messages more.
+func (r *Raft) refill(id string, peer *progress) {
+	for range refillMessages {
+		next := peer.next
+		r.replicate(id)
+		if peer.next == next {
+			return
+		}
 	}
 }
 
@@ -72,6 +95,7 @@
 	}
 	if index > peer.match {
 		peer.match, peer.moved = index, r.now
+		peer.window = min(peer.window+inflightGrowth, maxInflightBytes)
 	}
 	peer.next = max(peer.next, peer.match+1)
 }
@@ -95,7 +119,7 @@
 	if peer == nil || id == r.id || r.isQuiet(peer) {
 		return
 	}
-	if peer.next > r.lastIndex() || peer.inflightBytes >= maxInflightBytes {
+	if peer.next > r.lastIndex() || peer.inflightBytes >= peer.window {
 		return // what is left follows the next answer
 	}
 	term, ok := r.termAt(peer.next - 1)
--- a/core/raft/snapshot.go
+++ b/core/raft/snapshot.go
@@ -49,10 +49,17 @@
 // Snapshot is the newest snapshot, or nil.
 func (r *Raft) Snapshot() *flow.Snapshot { return r.snapshot }
 
+// Retention says how much of the log stays in memory before a new snapshot, so
+// that a member that is behind needs none.
+type Retention struct {
+	Entries int       // so many at most, and
+	Bytes   int       // so many bytes, whoever needs them
+	Behind  int       // so many bytes for members that are behind
+	Silence flow.Time // a member that was not heard for longer gets nothing kept
+}
+
 // Compact makes a snapshot of the ledger's state stand for what was applied.
-// keepEntries of the entries before it, of keepBytes at most, stay in memory, so
-// that a member that is a little behind needs no snapshot.
-func (r *Raft) Compact(state json.RawMessage, keepEntries, keepBytes int) {
+func (r *Raft) Compact(state json.RawMessage, keep Retention) {
 	index := r.applied
 	term, ok := r.termAt(index)
 	if !ok || index == r.base.Index {
@@ -61,7 +68,7 @@
 	conf := r.confAt(index)
 	r.snapshot = &flow.Snapshot{Index: index, Term: term, Conf: encode(conf), State: state}
 	r.appliedBytes = 0
-	r.dropLogBefore(r.firstKept(index, keepEntries, keepBytes))
+	r.dropLogBefore(r.firstKept(index, keep))
 	for confIndex := range r.confsByIndex {
 		if confIndex < index {
 			delete(r.confsByIndex, confIndex)
@@ -84,19 +91,33 @@
 	return conf
 }
 
-// firstKept is the index after which the log stays in memory.
-func (r *Raft) firstKept(index uint64, keepEntries, keepBytes int) uint64 {
-	first, size := index, 0
-	for first > r.base.Index && index-first < uint64(keepEntries) {
-		size += len(r.entryAt(first).Data)
-		if size > keepBytes {
-			break
-		}
+// firstKept is the index after which the log stays in memory: what the retention
+// allows everybody, and on a leader what members need that are behind.
+func (r *Raft) firstKept(index uint64, keep Retention) uint64 {
+	first := index
+	for first > r.base.Index && index-first < uint64(keep.Entries) && r.bytesBetween(first-1, index) <= keep.Bytes {
 		first--
 	}
+	if r.role != Leader {
+		return first
+	}
+	for id, peer := range r.progress {
+		heard := id != r.id && r.now-peer.heard <= keep.Silence
+		if heard && peer.match >= r.base.Index && peer.match < first && r.bytesBetween(peer.match, index) <= keep.Behind {
+			first = peer.match
+		}
+	}
 	return first
 }
 
+// bytesBetween is how much the entries after one index hold, up to another.
+func (r *Raft) bytesBetween(after, to uint64) (size int) {
+	for _, entry := range r.log[after-r.base.Index : to-r.base.Index] {
+		size += len(entry.Data)
+	}
+	return size
+}
+
 // dropLogBefore forgets the entries up to an index.
 func (r *Raft) dropLogBefore(index uint64) {
 	term, _ := r.termAt(index)
