--- a/core/store/stats.go
+++ b/core/store/stats.go
@@ -27,15 +27,40 @@
 	Pulled   int           `json:"pieces_total"`
 	Strays   int           `json:"stray_pieces_total"`
 	Snapshot int           `json:"snapshot_bytes"`
+	Receipts int           `json:"order_receipts"`
+	Repeated int           `json:"order_repeats_total"`
+	Changed  int           `json:"order_changes_total"`
 	// Match is how much of the log each other member has on its disk, on the leader.
 	Match map[string]uint64 `json:"match,omitempty"`
 }
 
 // Stats gives the snapshot.
 func (s *Store) Stats() Stats {
-	return Stats{s.p.ID, s.raft.Role(), s.raft.Term(), s.raft.Commit(), s.raft.Applied(), s.raft.LogLen(),
-		s.raft.LeaderAddr(), s.raft.Conf().Members, s.raft.Busy(), s.counts["writes"], s.counts["reads"], len(s.ledger.Steps), s.ledger.Keys.Len(), s.keysFull(), s.raft.Unsure(),
-		s.pull != nil, s.counts["pieces"], s.counts["stray_pieces"] + s.counts["stray_pulls"], s.snapshotSize(), s.matches()}
+	return Stats{
+		ID:       s.p.ID,
+		Role:     s.raft.Role(),
+		Term:     s.raft.Term(),
+		Commit:   s.raft.Commit(),
+		Applied:  s.raft.Applied(),
+		Log:      s.raft.LogLen(),
+		Leader:   s.raft.LeaderAddr(),
+		Members:  s.raft.Conf().Members,
+		Changing: s.raft.Busy(),
+		Writes:   s.counts["writes"],
+		Reads:    s.counts["reads"],
+		Steps:    len(s.ledger.Steps),
+		Keys:     s.ledger.Keys.Len(),
+		Warning:  s.keysFull(),
+		Unsure:   s.raft.Unsure(),
+		Pulling:  s.pull != nil,
+		Pulled:   s.counts["pieces"],
+		Strays:   s.counts["stray_pieces"] + s.counts["stray_pulls"],
+		Snapshot: s.snapshotSize(),
+		Receipts: s.ledger.Receipts.Len(),
+		Repeated: s.ledger.OrderCounts.Repeated,
+		Changed:  s.ledger.OrderCounts.Changed,
+		Match:    s.matches(),
+	}
 }
 
 // matches gives what the leader counts each other member for.
@@ -58,7 +83,7 @@
 	to["log"], to["waiting_writes"], to["waiting_reads"], to["dispatchers"] = s.raft.LogLen(), len(s.writes), len(s.reads), len(s.seen)
 	to["plans"], to["steps"], to["keys"], to["orders"], to["drains"] = len(l.Plans), len(l.Steps), l.Keys.Len(), len(l.Orders), len(l.Drains)
 	to["claims_open"], to["member_addresses"], to["fetches"] = len(l.Owners), len(s.addrs), len(s.fetches)
-	to["lots"] = len(l.Lots)
+	to["receipts"], to["lots"] = l.Receipts.Len(), len(l.Lots)
 	for _, x := range l.Lots {
 		to["lot_results"] += len(x.List)
 	}
