--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -61,6 +61,9 @@
 			429: func() { t.env.Refuse(c.ID, "too many open lots", budget.Listed) },
 			400: func() { t.env.Out.Answer(c.ID, 400, a.Body, nil) },
 			409: func() { t.env.Out.Answer(c.ID, 409, a.Body, nil) },
+			// The store says why, but an earlier try may yet be taken: no promise goes
+			// with this.
+			503: func() { t.env.Out.Answer(c.ID, 504, a.Body, nil) },
 		}
 		if f := codes[a.Code]; f != nil {
 			f()
