--- a/sim/day.go
+++ b/sim/day.go
@@ -54,6 +54,20 @@
 	begun time.Duration
 }
 
+// newCrowd puts a crowd into a world.
+func newCrowd(w *World, rep *DayReport) *crowd {
+	c := &crowd{w: w, asker: ask.New(1 << 40), rep: rep}
+	c.host = &Host{w: w, Name: "crowd", Up: true, hear: func(l flow.Line) {
+		var t ask.Told
+		if json.Unmarshal(l.Body, &t) == nil {
+			c.asker.Take(w.Now, l.Addr, t)
+		}
+	}}
+	w.at["10.7.0.1:1"] = c.host
+	w.Every(tick, func() bool { c.turn(); return true })
+	return c
+}
+
 type kept struct {
 	id, hash string
 	at       time.Duration
@@ -80,15 +94,7 @@
 		w.AddHost(fmt.Sprintf("store-%d", i+1), x, true).Start()
 	}
 	rep := DayReport{Hours: p.Hours, Asked: map[string]int{}, Refused: map[string]int{}, Checked: map[string]int{}}
-	c := &crowd{w: w, asker: ask.New(1 << 40), rep: &rep}
-	c.host = &Host{w: w, Name: "crowd", Up: true, hear: func(l flow.Line) {
-		var t ask.Told
-		if json.Unmarshal(l.Body, &t) == nil {
-			c.asker.Take(w.Now, l.Addr, t)
-		}
-	}}
-	w.at["10.7.0.1:1"] = c.host
-	w.Every(tick, func() bool { c.turn(); return true })
+	c := newCrowd(w, &rep)
 	w.Until(time.Minute, func() bool { return w.Leader() != nil })
 	c.begun = w.Now
 	heard := uint64(0)
