A folder that lost its log is somebody new

Cause: the identity and the log are two files. A folder that kept the first and lost the second started as the old voter with an empty log: it could vote a second time in a term, and count for entries that it no longer had.

Ruled out: a stop with a message (the machine would have to be wiped by hand), and a new identity for every folder without a log (a coordinator has none).

The identity now notes that a log was opened under it, before anything is said. Where it says so and no segment is there, the identity is a new one.

Before (without the note): TestIdentityThatLostItsLog failed, "without its log: {ID:voter ...}". After: it passes.

--- a/shell/disk/disk.go
+++ b/shell/disk/disk.go
@@ -183,7 +183,10 @@
 	}
 	l.hard.Unsure = l.hard.Unsure || l.doubt && l.hard.Cluster != ""
 	d.Hard, d.Entries = l.hard, append([]flow.Entry(nil), l.tail...)
-	return l, d, l.start()
+	if err := l.start(); err != nil {
+		return nil, d, err
+	}
+	return l, d, markLogged(fs)
 }
 
 // needs reads the items without which the snapshot can't be loaded.
@@ -431,37 +434,3 @@
 	}
 	return errors.Wrap(fs.SyncDir(), "disk: file")
 }
-
-// Identity is who this data folder makes its process (design 4.4).
-type Identity struct {
-	ID  string `json:"id"`
-	Inc int64  `json:"inc"`
-}
-
-// Identify reads the identity, or makes one for a blank folder, and counts
-// the start. A folder that has a log but no readable identity is damaged.
-func Identify(fs FS, fresh string, wall int64) (Identity, error) {
-	names, err := fs.List()
-	if err != nil {
-		return Identity{}, errors.Wrap(err, "disk: list")
-	}
-	id := Identity{ID: fresh}
-	have, log := false, false
-	for _, n := range names {
-		have = have || n == "identity"
-		log = log || strings.HasSuffix(n, ".seg")
-	}
-	if have {
-		b, err := fs.Read("identity")
-		if err != nil {
-			return id, errors.Wrap(err, "disk: identity")
-		}
-		if _, ok := unframe(b, &id); !ok || id.ID == "" {
-			return id, errors.Wrap(ErrCorrupt, "identity")
-		}
-	} else if log {
-		return id, errors.Wrap(ErrCorrupt, "a log without an identity")
-	}
-	id.Inc = max(id.Inc+1, wall)
-	return id, PutFile(fs, "identity", frame(id))
-}
--- a/shell/disk/disk_test.go
+++ b/shell/disk/disk_test.go
@@ -173,6 +173,37 @@
 	}
 }
 
+// Given a folder whose log is gone and whose identity is still there, when it is
+// opened, then it is somebody new: the old voter's votes and entries are forgotten,
+// and nobody may count on them. One that never had a log keeps its identity.
+func TestIdentityThatLostItsLog(t *testing.T) {
+	folder, _ := OpenFolder(t.TempDir())
+	old, err := Identify(folder, "voter", 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := Open(folder); err != nil {
+		t.Fatal(err)
+	}
+	if kept, err := Identify(folder, "other", 5); err != nil || kept.ID != "voter" {
+		t.Fatalf("with its log: %+v %v", kept, err)
+	}
+	names, _ := folder.List()
+	for _, name := range names {
+		if name != identityFile {
+			_ = folder.Remove(name)
+		}
+	}
+	blank, err := Identify(folder, "new", 5)
+	if err != nil || blank.ID != "new" || blank.Inc <= old.Inc {
+		t.Fatalf("without its log: %+v %v", blank, err)
+	}
+	again, err := Identify(folder, "newer", 5)
+	if err != nil || again.ID != "new" {
+		t.Fatalf("and from then on: %+v %v", again, err)
+	}
+}
+
 // Given a member whose log goes on past where a leader's snapshot ends, when it
 // takes the snapshot and starts again, then nothing of that old log stands after
 // it: it could hand a vote to somebody who lacks what is committed.
