Messages of identities that are no members are counted and forgotten

Cause: the address of whoever named itself in a message was kept for good: a lost identity, or many made-up ones, left a row each.

They can't be refused outright: a member that is behind may not know the voter that asks.

TestSecondFormationIsRefused brings them about, beside a blank machine that is told that it is the first start of all and hears nobody: no second cluster, no trace.

--- a/core/store/stats.go
+++ b/core/store/stats.go
@@ -29,13 +29,15 @@
 	Snapshot int           `json:"snapshot_bytes"`
 	// Match is how much of the log each other member has on its disk, on the leader.
 	Match map[string]uint64 `json:"match,omitempty"`
+	// Strangers counts messages of identities that are no members here.
+	Strangers int `json:"strangers_total"`
 }
 
 // Stats gives the snapshot.
 func (s *Store) Stats() Stats {
 	return Stats{s.p.ID, s.raft.Role(), s.raft.Term(), s.raft.Commit(), s.raft.Applied(), s.raft.LogLen(),
 		s.raft.LeaderAddr(), s.raft.Conf().Members, s.raft.Busy(), s.counts["writes"], s.counts["reads"], len(s.ledger.Steps), s.ledger.Keys.Len(), s.keysFull(), s.raft.Unsure(),
-		s.pull != nil, s.counts["pieces"], s.counts["stray_pieces"] + s.counts["stray_pulls"], s.snapshotSize(), s.matches()}
+		s.pull != nil, s.counts["pieces"], s.counts["stray_pieces"] + s.counts["stray_pulls"], s.snapshotSize(), s.matches(), s.counts["strangers"]}
 }
 
 // matches gives what the leader counts each other member for.
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -130,11 +130,35 @@
 	if s.raft.Blank() && l.Cluster != "" {
 		s.raft.Adopt(l.Cluster)
 	}
-	s.addrs[m.From] = l.Addr
+	s.learnAddress(m.From, l.Addr)
 	s.raft.Now(now)
 	s.raft.Step(m)
 }
 
+// learnAddress notes where a member speaks from. Somebody who is no member here may
+// be one by a change that this member has not heard of yet, or claim an identity that
+// was lost: it is counted, heard by the rules of elections, and forgotten again.
+func (s *Store) learnAddress(id, addr string) {
+	conf := s.raft.Conf()
+	if len(conf.Members) > 0 && conf.Find(id) < 0 {
+		s.counts["strangers"]++
+		s.forgetStrangers(conf)
+	}
+	s.addrs[id] = addr
+}
+
+// forgetStrangers keeps the table of addresses bounded.
+func (s *Store) forgetStrangers(conf raft.Conf) {
+	if len(s.addrs) < 2*mostMembers {
+		return
+	}
+	for id := range s.addrs {
+		if conf.Find(id) < 0 {
+			delete(s.addrs, id)
+		}
+	}
+}
+
 // time is the ledger's own: it goes on from the last stamp by the leader's
 // elapsed time, and so never jumps with a wall clock. While nobody leads it
 // stands still, which keeps things for longer, never for less.
--- a/sim/members_test.go
+++ b/sim/members_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand"
 	"testing"
@@ -9,6 +10,7 @@
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
+	"fernlink/core/raft"
 	"fernlink/shell/disk"
 )
 
@@ -79,6 +81,64 @@
 	s.end()
 }
 
+// Given a cluster, when a machine comes back blank that hears nobody and is told that
+// it is the first start of all, then it forms no second cluster, and joins the first
+// as somebody new once it hears the others; what its lost identity asks is passed over.
+func TestSecondFormationIsRefused(t *testing.T) {
+	t.Parallel()
+	for seed, alone := range map[int64]bool{450: true, 451: false} {
+		s := given(t, seed)
+		h := s.follower()
+		old, cluster := h.ID(), h.Node.Cluster()
+		before := fmt.Sprint(s.members())
+		h.Lose(true)
+		h.Config.First = true
+		if alone {
+			s.w.Net.Split([]string{h.Name}, s.w.others(h.Name))
+		}
+		h.Start()
+		for end := s.w.Now + 6*time.Second; alone && s.w.Now < end; s.w.Run(20 * time.Millisecond) {
+			s.then(s.stats(h).Role != raft.Leader && h.Node.Cluster() == "", "it forms nothing alone: %v", s.stats(h))
+			s.then(fmt.Sprint(s.members()) == before, "no trace: %v", s.members())
+		}
+		s.w.Net.Heal()
+		term := s.stats(s.w.Leader()).Term
+		h.claimOldIdentity(s, old)
+		s.then(s.w.Until(budget.Heal, func() bool { return s.members()[h.ID()].Voter && s.settled() }), "it joins: %v", s.members())
+		strangers := 0
+		for _, x := range s.w.By("store") {
+			strangers += s.stats(x).Strangers
+			s.then(x.Node.Stats(x.clock()).Rows["member_addresses"] <= 18, "no trace of them is left")
+		}
+		s.then(strangers >= 200, "they are counted: %d", strangers)
+		_, still := s.members()[old]
+		s.then(!still && h.Node.Cluster() == cluster, "as somebody new, of the same cluster")
+		s.then(s.stats(s.w.Leader()).Term == term, "nobody followed the lost identity: term %d, then %d", term, s.stats(s.w.Leader()).Term)
+		s.end()
+	}
+}
+
+// claimOldIdentity asks for votes and acknowledges entries in a lost identity's name.
+func (h *Host) claimOldIdentity(s *story, old string) {
+	for id := range s.members() {
+		to := s.w.hostOf(id)
+		if to == nil {
+			continue
+		}
+		var claims []raft.Message
+		for i := range 100 {
+			claims = append(claims, raft.Message{Kind: raft.MessageVote, From: fmt.Sprintf("%s-%d", old, i), ToID: id, Term: 99, Index: 1 << 40, LogTerm: 99})
+		}
+		claims = append(claims,
+			raft.Message{Kind: raft.MessageVote, From: old, ToID: id, Term: 99, Index: 1 << 40, LogTerm: 99},
+			raft.Message{Kind: raft.MessagePreVote, From: old, ToID: id, Term: 99, Index: 1 << 40, LogTerm: 99})
+		for _, m := range claims {
+			body, _ := json.Marshal(m)
+			to.offer(to.life, flow.Event{Line: &flow.Line{Ver: flow.Version, Kind: "raft", Cluster: to.Node.Cluster(), From: old, Addr: h.Config.Addr, Body: body}})
+		}
+	}
+}
+
 // Given members that follow under load, one of them a learner that fetches a
 // snapshot, when the power of any goes at any instant, then its disk has all that
 // the leader counts it for: the log up to its match, and every blob that its
