Storms mix a second loss right after a repair

Three new faults: a store machine is wiped and another meets trouble as soon as it votes again; a core machine of a site is replaced as planned and another is lost right after; one is wiped and another is lost once it counts.

--- a/sim/faults.go
+++ b/sim/faults.go
@@ -234,6 +234,7 @@
 		}
 	}},
 	{"disk-loss", func(w *World) { w.loseDisk() }},
+	{"second-loss", func(w *World) { w.secondLoss() }},
 	{"slow-disk", func(w *World) {
 		h, d := w.anyHost("store"), w.between(500*time.Millisecond, 5*time.Second)
 		w.Mark("slow-disk", "%s by %v", h.Name, d)
@@ -387,6 +388,56 @@
 	w.After(d, func() { w.AddHost(name, p, true).Start() })
 }
 
+// mayLoseDisk says that all voters stand and that no disk was lost of late.
+func (w *World) mayLoseDisk() bool {
+	return w.Leader() != nil && w.Repaired() && w.lost < 2 && (w.lost == 0 || w.Now-w.lostAt >= 45*time.Second)
+}
+
+// secondLoss wipes a store machine, and has another meet trouble as soon as the first
+// votes again: the least time that the fleet has to be whole in between.
+func (w *World) secondLoss() {
+	first := w.anyHost("store")
+	if !w.mayLoseDisk() || !first.Up {
+		return
+	}
+	w.lost, w.lostAt = w.lost+1, w.Now
+	d := w.between(200*time.Millisecond, time.Second)
+	w.Mark("second-loss", "%s is wiped and back after %v", first.Name, d)
+	first.Lose(true)
+	w.After(d, first.Start)
+	until := w.Now + 10*time.Second
+	w.Every(20*time.Millisecond, func() bool {
+		if w.Now > until {
+			return false
+		}
+		if !first.Up || w.hostOf(first.ID()) == nil || !w.Repaired() {
+			return true
+		}
+		w.loseAnother(first)
+		return false
+	})
+}
+
+// loseAnother has a store machine that is not the first meet trouble for a while.
+func (w *World) loseAnother(first *Host) {
+	second, d := w.anyHost("store"), w.between(500*time.Millisecond, 4*time.Second)
+	if second == first || !second.Up || second.Froze {
+		return
+	}
+	w.Mark("second-loss", "%s for %v, as %s votes again", second.Name, d, first.Name)
+	switch w.Rand.Intn(4) {
+	case 0:
+		w.killFor(second, d)
+	case 1:
+		second.Lose(false)
+		w.After(d, second.Start)
+	case 2:
+		second.Freeze(d)
+	default:
+		w.cutFor([]string{second.Name}, w.others(second.Name), d, true)
+	}
+}
+
 // hostOf gives the running host of an identity.
 func (w *World) hostOf(id string) *Host {
 	for _, h := range w.Hosts {
--- a/sim/serve_faults.go
+++ b/sim/serve_faults.go
@@ -85,6 +85,59 @@
 	h.Lose(true)
 	h.Retired = true
 	x := s.Add(h.Config.Roles, h.Config.Area, true)
+	s.reseed(h, x)
+	s.Touch(x)
+	return x
+}
+
+// ReplaceAsPlanned adds a machine, and stops the one whose place it takes for good
+// once the new one counts.
+func (s *Site) ReplaceAsPlanned(h *Host, then func(successor *Host)) {
+	x := s.Add(h.Config.Roles, h.Config.Area, true)
+	s.w.After(counts, func() {
+		s.met(h)
+		s.planned[h] = s.w.Now
+		h.Stop()
+		began := s.w.Now
+		s.w.Every(20*time.Millisecond, func() bool {
+			if h.Up && s.w.Now-began < Grace {
+				return true
+			}
+			s.met(h)
+			h.Lose(true)
+			h.Retired = true
+			s.reseed(h, x)
+			then(x)
+			return false
+		})
+	})
+}
+
+// counts is the time after which a machine that is new or back counts again.
+const counts = 4200 * time.Millisecond
+
+// loseAnother has a core machine that is not the first meet trouble, where no other
+// trouble of the storm came in between.
+func (s *Site) loseAnother(r *rand.Rand, first *Host) {
+	s.onCore(r, func(h *Host) {
+		if h == first {
+			return
+		}
+		switch r.Intn(4) {
+		case 0:
+			s.Kill(h, r.Intn(2) == 0, false, s.seconds(r, 0.5, 4))
+		case 1:
+			s.Freeze(h, s.seconds(r, 0.3, 4))
+		case 2:
+			s.Cut([]*Host{h}, s.others(h), true, s.seconds(r, 2, 4))
+		default:
+			s.Kill(h, true, true, s.seconds(r, 0.5, 4))
+		}
+	})
+}
+
+// reseed names a machine to all as a seed in another's place.
+func (s *Site) reseed(h, x *Host) {
 	old := h.Config.Addr
 	for _, o := range s.w.Hosts {
 		o.Config.Seeds = slices.Clone(o.Config.Seeds)
@@ -97,8 +150,6 @@
 			o.offer(o.life, flow.Event{Seeds: o.Config.Seeds})
 		}
 	}
-	s.Touch(x)
-	return x
 }
 
 // Add puts a further machine into the fleet.
@@ -283,6 +334,17 @@
 		return s.onCore(r, func(h *Host) { s.Kill(h, true, true, s.seconds(r, 0.5, 12)) })
 	}},
 	{"replace a core machine", func(s *Site, r *rand.Rand) bool { return s.onCore(r, func(h *Host) { s.Replace(h) }) }},
+	{"replace a core machine as planned, and lose another right after", func(s *Site, r *rand.Rand) bool {
+		return s.onCore(r, func(h *Host) {
+			s.ReplaceAsPlanned(h, func(successor *Host) { s.loseAnother(r, successor) })
+		})
+	}},
+	{"wipe a core machine, and lose another once it counts", func(s *Site, r *rand.Rand) bool {
+		return s.onCore(r, func(h *Host) {
+			s.Kill(h, true, true, time.Second)
+			s.w.After(time.Second+counts, func() { s.loseAnother(r, h) })
+		})
+	}},
 	{"freeze a core machine", func(s *Site, r *rand.Rand) bool {
 		return s.onCore(r, func(h *Host) { s.Freeze(h, s.seconds(r, 0.3, 10)) })
 	}},
