A member whose last save is damaged knows what it lost, and its vote counts

Cause: a last frame that was whole once and does not read may have held anything that the member acknowledged, so its vote counted only with every other voter's. With one other away, nobody could be elected, although the third had all entries.

Ruled out: taking such a frame for torn (what was acknowledged would be lost), and the index range in the frame's own head (one byte of the head damaged and it is gone; the vote would be unknown too).

Each save is now followed, in the same write, by a small mark with the term, the vote and where the log ended. Where it reads, the member votes as with its old log: for whoever has at least what it had. Where the mark is damaged and the save is not, nothing is lost. Where both are, the old rule holds. Logs of older builds have no marks and are read as before.

TestTornTail expected a cut anywhere in the last write to leave nothing of it. A cut inside the mark leaves the whole save, as a cut at the save's end mark always did; the test now says where the save ends, is exact on both sides of it, and also wants that no cut leaves a doubt. TestDamagedTail asks for the known end beside what it asked.

--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -239,7 +239,11 @@
 	Term    uint64 `json:"term"`
 	Vote    string `json:"vote"`
 	Unsure  bool   `json:"unsure,omitempty"` // entries that it acknowledged may be gone
-	Commit  uint64 `json:"commit,omitempty"` // known to be committed when this was written
+	// Where the log ended before its tail was damaged, if that is known: whoever has
+	// an entry of this term and index has all that may be gone.
+	LostTerm  uint64 `json:"lost_term,omitempty"`
+	LostIndex uint64 `json:"lost_index,omitempty"`
+	Commit    uint64 `json:"commit,omitempty"` // known to be committed when this was written
 }
 
 // Entry is one record of the replicated log.
--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -100,8 +100,9 @@
 }
 
 // wonVotes says whether a majority voted for this member. The vote of a member
-// that is uncertain of its log's tail only counts where every voter's is in: then
-// nobody has more (design 4.6).
+// that is uncertain of its log's tail, and can't tell that this member has all that
+// it may have lost, only counts where every voter's is in: then nobody has more
+// (design 4.6).
 func (r *Raft) wonVotes() bool {
 	certain, granted := 0, 0
 	for _, member := range r.conf.Members {
@@ -135,6 +136,24 @@
 	return request.Index >= r.lastIndex()
 }
 
+// isUncertainOf says that a candidate may lack entries which this member has
+// acknowledged and lost.
+func (r *Raft) isUncertainOf(request Message) bool {
+	if !r.hard.Unsure {
+		return false
+	}
+	return r.hard.LostIndex == 0 || !r.coversLostTail(request)
+}
+
+// coversLostTail says whether a candidate's log is at least as new as this member's
+// was before its tail was damaged.
+func (r *Raft) coversLostTail(request Message) bool {
+	if request.LogTerm != r.hard.LostTerm {
+		return request.LogTerm > r.hard.LostTerm
+	}
+	return request.Index >= r.hard.LostIndex
+}
+
 // ignoresVoteRequest says that a vote is asked for while a leader is being
 // heard: a member that was cut off does not disturb the others (design 4.1).
 func (r *Raft) ignoresVoteRequest(message Message) bool {
@@ -146,7 +165,7 @@
 }
 
 func (r *Raft) handlePreVote(request Message) {
-	response := Message{Kind: MessagePreVoteResponse, Term: r.hard.Term, UncertainTail: r.hard.Unsure}
+	response := Message{Kind: MessagePreVoteResponse, Term: r.hard.Term, UncertainTail: r.isUncertainOf(request)}
 	if request.Term > r.hard.Term && r.isUpToDate(request) {
 		response.OK, response.Term = true, request.Term
 	}
@@ -166,7 +185,7 @@
 		r.saveHardState()
 		r.resetElectionTimer()
 	}
-	r.respond(request, Message{Kind: MessageVoteResponse, Term: r.hard.Term, OK: granted, UncertainTail: r.hard.Unsure})
+	r.respond(request, Message{Kind: MessageVoteResponse, Term: r.hard.Term, OK: granted, UncertainTail: r.isUncertainOf(request)})
 }
 
 func (r *Raft) grantsVote(request Message) bool {
--- a/core/raft/follower.go
+++ b/core/raft/follower.go
@@ -75,7 +75,7 @@
 
 func (r *Raft) clearUncertainTail() {
 	if r.hard.Unsure {
-		r.hard.Unsure = false
+		r.hard.Unsure, r.hard.LostTerm, r.hard.LostIndex = false, 0, 0
 		r.saveHardState()
 	}
 }
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -268,6 +268,52 @@
 	}
 }
 
+// Given two of three, of which one has lost acknowledged entries and knows where its
+// log ended, when the third is away, then the one that has them is elected with its
+// vote; one that lacks them is not.
+func TestVoteOfKnownLossCounts(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		x := newTrio(5)
+		x.run(3 * time.Second)
+		leader := x.leader()
+		var damaged, away string
+		for _, id := range []string{"a", "b", "c"} {
+			if id != leader.id {
+				damaged, away = away, id
+			}
+		}
+		x.cut[away] = true
+		x.run(300 * time.Millisecond)
+		at, term, err := leader.Propose("cmd", json.RawMessage(`"kept"`))
+		x.run(300 * time.Millisecond)
+		if err != nil || leader.Commit() < at {
+			t.Fatalf("it is committed: %v", err)
+		}
+		x.restart(damaged, at-1, true)
+		x.restart(leader.id, at, false)
+		if known {
+			x.all[damaged].hard.LostTerm, x.all[damaged].hard.LostIndex = term, at
+		}
+		x.run(10 * time.Second)
+		if got := x.all[leader.id].Role() == Leader; got != known {
+			t.Errorf("known %v: the one that has all leads: %v", known, got)
+		}
+		if known && x.all[damaged].Unsure() {
+			t.Error("it has all again and is still unsure")
+		}
+		// Now only the one that lacks the entry is there besides the damaged one.
+		x.restart(damaged, at-1, true)
+		if known {
+			x.all[damaged].hard.LostTerm, x.all[damaged].hard.LostIndex = term, at
+		}
+		x.cut[leader.id], x.cut[away] = true, false
+		x.run(10 * time.Second)
+		if x.all[damaged].Role() == Leader || x.all[away].Role() == Leader {
+			t.Errorf("known %v: somebody leads who lacks what was acknowledged", known)
+		}
+	}
+}
+
 // Given a member that is behind by large entries, when it is fed, then no message
 // has more than the bound and one entry, and all of them come in their order.
 func TestLargeEntriesInManyMessages(t *testing.T) {
--- a/shell/disk/disk.go
+++ b/shell/disk/disk.go
@@ -64,12 +64,14 @@
 	tail []flow.Entry // entries after the snapshot, for rewriting on a snapshot
 	base uint64
 
-	doubt bool // the last frame was damaged, not torn
-	Blobs *BlobStore
+	damage tailDamage
+	marks  markState
+	Blobs  *BlobStore
 }
 
 type record struct {
-	Saves []flow.Save `json:"saves"`
+	Saves []flow.Save `json:"saves,omitempty"`
+	Mark  *tailMark   `json:"mark,omitempty"`
 }
 
 // snapshotFile is a snapshot as it lies on disk. One that came from a leader ends
@@ -181,7 +183,7 @@
 	if len(l.tail) > 0 && l.tail[0].Index != l.base+1 {
 		return nil, d, errors.Wrapf(ErrCorrupt, "entries start at %d after a snapshot at %d", l.tail[0].Index, l.base)
 	}
-	l.hard.Unsure = l.hard.Unsure || l.doubt && l.hard.Cluster != ""
+	l.hard = l.damage.applyTo(l.hard)
 	d.Hard, d.Entries = l.hard, append([]flow.Entry(nil), l.tail...)
 	if err := l.start(); err != nil {
 		return nil, d, err
@@ -222,10 +224,11 @@
 	if at == len(b) {
 		return nil
 	}
-	if !last || whole(b[at:]) {
+	damage := l.tailOf(b, at)
+	if !last || damage.kind == damageBeforeTail {
 		return errors.Wrapf(ErrCorrupt, "%s at byte %d", name, at)
 	}
-	l.doubt = ended(b)
+	l.damage = damage
 	if err := l.fs.Truncate(name, int64(at)); err != nil {
 		return errors.Wrap(ErrSync, err.Error())
 	}
@@ -233,8 +236,9 @@
 }
 
 // frames folds the frames of a segment up to the first that does not read, and
-// gives how many there are and where they end.
+// gives how many saves there are and where they end.
 func (l *Log) frames(b []byte) (n, at int) {
+	l.marks = markState{}
 	for at < len(b) {
 		var r record
 		size, ok := unframe(b[at:], &r)
@@ -244,7 +248,10 @@
 		for _, s := range r.Saves {
 			l.fold(s)
 		}
-		n, at = n+1, at+size
+		l.marks.note(r)
+		if at += size; r.Mark == nil {
+			n++
+		}
 	}
 	return n, at
 }
@@ -398,7 +405,7 @@
 			return err
 		}
 	}
-	b := frame(record{Saves: saves})
+	b := append(frame(record{Saves: saves}), frame(record{Mark: markOf(l.hard, saves)})...)
 	name := segName(l.seg)
 	if err := l.fs.Append(name, b); err != nil {
 		if e := turned(err); !errors.Is(e, ErrFull) {
--- a/shell/disk/disk_test.go
+++ b/shell/disk/disk_test.go
@@ -1,6 +1,7 @@
 package disk
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"math/rand"
@@ -68,18 +69,19 @@
 		t.Fatal(err)
 	}
 	after, _ := os.ReadFile(seg)
+	saved := len(before) + bytes.IndexByte(after[len(before):], '\n')
 	for cut := len(before); cut <= len(after); cut++ {
 		other := t.TempDir()
 		if err := os.WriteFile(filepath.Join(other, filepath.Base(seg)), after[:cut], 0o644); err != nil {
 			t.Fatal(err)
 		}
-		_, last, err := open(t, other)
+		l, last, err := open(t, other)
 		want := uint64(5)
-		if cut >= len(after)-1 {
-			want = 7 // all but the end mark got there
+		if cut >= saved {
+			want = 7 // all of the save got there, but perhaps its end mark
 		}
-		if err != nil || last != want {
-			t.Fatalf("cut at %d: last %d, %v", cut, last, err)
+		if err != nil || last != want || l.hard.Unsure {
+			t.Fatalf("cut at %d: last %d, unsure %v, %v", cut, last, l.hard.Unsure, err)
 		}
 	}
 }
@@ -108,6 +110,44 @@
 			if err != nil || len(d.Entries) < 5 || len(d.Entries) < 7 && !d.Hard.Unsure {
 				t.Fatalf("byte %d, %s: %v, %d entries, unsure %v", at, when, err, len(d.Entries), d.Hard.Unsure)
 			}
+			if d.Hard.Unsure && (d.Hard.LostIndex != 7 || d.Hard.LostTerm != 1) {
+				t.Fatalf("byte %d, %s: its mark says where the log ended: %+v", at, when, d.Hard)
+			}
+		}
+	}
+}
+
+// Given a log whose last save is damaged, when its mark is damaged too, then nothing
+// is known of what is gone; when the save only had a vote, then the mark restores it.
+func TestDamagedTailAndMark(t *testing.T) {
+	vote := flow.Hard{Cluster: "c", Term: 2, Vote: "me"}
+	for _, c := range []struct {
+		name   string
+		save   flow.Save
+		spoil  []int // bytes from the end of the segment
+		unsure bool
+		vote   string
+	}{
+		{"the save and its mark", flow.Save{Add: entries(6, 7)}, []int{10, 150}, true, ""},
+		{"a vote", flow.Save{Hard: &vote}, []int{110}, false, "me"},
+	} {
+		dir := t.TempDir()
+		l, _, err := open(t, dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = l.Save(nil, []flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: entries(1, 5)}})
+		_ = l.Save(nil, []flow.Save{c.save})
+		seg := segment(t, dir)
+		b, _ := os.ReadFile(seg)
+		for _, at := range c.spoil {
+			b[len(b)-at] ^= 1
+		}
+		_ = os.WriteFile(seg, b, 0o644)
+		f, _ := OpenFolder(dir)
+		_, d, err := Open(f)
+		if err != nil || len(d.Entries) != 5 || d.Hard.Unsure != c.unsure || d.Hard.LostIndex != 0 || d.Hard.Vote != c.vote {
+			t.Errorf("%s: %v, %d entries, %+v", c.name, err, len(d.Entries), d.Hard)
 		}
 	}
 }
--- a/shell/disk/inspect.go
+++ b/shell/disk/inspect.go
@@ -221,13 +221,23 @@
 	}
 	x.Bytes = len(b)
 	x.Frames, x.At = l.frames(b)
+	damage := tailDamage{}
+	if x.At < len(b) {
+		damage = l.tailOf(b, x.At)
+	}
 	switch {
 	case x.At == len(b):
 		x.At = 0
-	case !last || whole(b[x.At:]):
+	case !last || damage.kind == damageBeforeTail:
 		x.Tail = "damaged"
 		r.find("%s is damaged at byte %d, before its tail", x.Name, x.At)
-	case ended(b):
+	case damage.kind == damageOfMark:
+		x.Tail = "damaged"
+		r.note("%s is damaged at byte %d: the mark behind its last save, which is whole", x.Name, x.At)
+	case damage.kind == damageMarked:
+		x.Tail = "damaged"
+		r.find("%s is damaged at byte %d: its last save was whole once; its mark says that the log ended at %d of term %d", x.Name, x.At, damage.mark.Index, damage.mark.Term)
+	case damage.kind == damageUnknown:
 		x.Tail = "damaged"
 		r.find("%s is damaged at byte %d: its last frame was whole once and may have been acknowledged", x.Name, x.At)
 	default:
--- a/sim/disk.go
+++ b/sim/disk.go
@@ -115,7 +115,7 @@
 	if x == nil || len(x.data) == 0 {
 		return 0
 	}
-	at := 1 + d.rand.Intn(min(len(x.data), 120))
+	at := 1 + d.rand.Intn(min(len(x.data), 360)) // the last save, or the mark behind it
 	x.data = append([]byte(nil), x.data...)
 	x.data[len(x.data)-at] ^= 1
 	x.safe = append([]byte(nil), x.data...)
--- a/sim/members_test.go
+++ b/sim/members_test.go
@@ -1,9 +1,11 @@
 package sim
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"math/rand"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +13,7 @@
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
 	"fernlink/core/raft"
+	"fernlink/core/sorted"
 	"fernlink/shell/disk"
 )
 
@@ -139,6 +142,55 @@
 	}
 }
 
+// Given a voter that is away and another whose last save is damaged, when the leader
+// restarts, then it leads again with the damaged one's vote, and orders go on long
+// before the third is back (design 4.6).
+func TestDamagedTailAndSecondLoss(t *testing.T) {
+	t.Parallel()
+	for seed := int64(470); seed < 474; seed++ {
+		s := &lossStory{story: givenShape(t, seed, lossShape)}
+		s.version = 1
+		s.write()
+		s.w.Run(time.Second)
+		leader, damaged := s.w.Leader(), s.follower()
+		for _, h := range s.w.By("store") {
+			if h != leader && h != damaged {
+				s.w.killFor(h, 20*time.Second)
+			}
+		}
+		s.w.Run(500 * time.Millisecond)
+		damaged.Kill()
+		damaged.Disk.damageLastSave(t)
+		leader.Kill()
+		damaged.Start()
+		leader.Start()
+		s.then(damaged.Up && leader.Up, "both start: %q", damaged.Notes)
+		stood, ok := s.ordersBack(budget.Heal)
+		s.then(ok && stood < ordersBound, "orders go on: %v", stood)
+		s.w.Run(20 * time.Second)
+		s.end()
+	}
+}
+
+// damageLastSave changes a byte of the last save of the log, and not of its mark.
+func (d *Disk) damageLastSave(t *testing.T) {
+	t.Helper()
+	name := ""
+	for _, n := range sorted.Keys(d.names) {
+		if strings.HasPrefix(n, "log-") {
+			name = n
+		}
+	}
+	x := d.names[name]
+	mark := bytes.LastIndexByte(x.data[:len(x.data)-1], '\n') + 1
+	if mark < 40 {
+		t.Fatal("there is no save with a mark")
+	}
+	x.data = append([]byte(nil), x.data...)
+	x.data[mark-20] ^= 1
+	x.safe = append([]byte(nil), x.data...)
+}
+
 // Given members that follow under load, one of them a learner that fetches a
 // snapshot, when the power of any goes at any instant, then its disk has all that
 // the leader counts it for: the log up to its match, and every blob that its
