--- a/core/store/stats.go
+++ b/core/store/stats.go
@@ -32,34 +32,37 @@
 	Changed  int           `json:"order_changes_total"`
 	// Match is how much of the log each other member has on its disk, on the leader.
 	Match map[string]uint64 `json:"match,omitempty"`
+	// Strangers counts messages of identities that are no members here.
+	Strangers int `json:"strangers_total"`
 }
 
 // Stats gives the snapshot.
 func (s *Store) Stats() Stats {
 	return Stats{
-		ID:       s.p.ID,
-		Role:     s.raft.Role(),
-		Term:     s.raft.Term(),
-		Commit:   s.raft.Commit(),
-		Applied:  s.raft.Applied(),
-		Log:      s.raft.LogLen(),
-		Leader:   s.raft.LeaderAddr(),
-		Members:  s.raft.Conf().Members,
-		Changing: s.raft.Busy(),
-		Writes:   s.counts["writes"],
-		Reads:    s.counts["reads"],
-		Steps:    len(s.ledger.Steps),
-		Keys:     s.ledger.Keys.Len(),
-		Warning:  s.keysFull(),
-		Unsure:   s.raft.Unsure(),
-		Pulling:  s.pull != nil,
-		Pulled:   s.counts["pieces"],
-		Strays:   s.counts["stray_pieces"] + s.counts["stray_pulls"],
-		Snapshot: s.snapshotSize(),
-		Receipts: s.ledger.Receipts.Len(),
-		Repeated: s.ledger.OrderCounts.Repeated,
-		Changed:  s.ledger.OrderCounts.Changed,
-		Match:    s.matches(),
+		ID:        s.p.ID,
+		Role:      s.raft.Role(),
+		Term:      s.raft.Term(),
+		Commit:    s.raft.Commit(),
+		Applied:   s.raft.Applied(),
+		Log:       s.raft.LogLen(),
+		Leader:    s.raft.LeaderAddr(),
+		Members:   s.raft.Conf().Members,
+		Changing:  s.raft.Busy(),
+		Writes:    s.counts["writes"],
+		Reads:     s.counts["reads"],
+		Steps:     len(s.ledger.Steps),
+		Keys:      s.ledger.Keys.Len(),
+		Warning:   s.keysFull(),
+		Unsure:    s.raft.Unsure(),
+		Pulling:   s.pull != nil,
+		Pulled:    s.counts["pieces"],
+		Strays:    s.counts["stray_pieces"] + s.counts["stray_pulls"],
+		Snapshot:  s.snapshotSize(),
+		Receipts:  s.ledger.Receipts.Len(),
+		Repeated:  s.ledger.OrderCounts.Repeated,
+		Changed:   s.ledger.OrderCounts.Changed,
+		Match:     s.matches(),
+		Strangers: s.counts["strangers"],
 	}
 }
 
