A node's first plan comes with its first lease

A node that started took its plan from the first store that answered, which may be cut off or put back with old state: it then served by an old plan. It did so to save an election after a loss of all machines.

Ruled out: a read from a majority without an election. It is safe only where the newest plan in the logs of a majority is the newest that one of them knows to be committed, and right after a change it is not, so that an election is waited for all the same just then (design 12.4).

Now the first plan comes like every later one, with a renewal that a majority confirmed after the start. The ask "plan.seen" and answers of a member's own view are gone.

Tests, seen to fail before: TestStartBesideACutMachine (version 2 served, 20 acknowledged), TestStartBesideAStoreWithOldState (version 1 served, 15 acknowledged). TestAPlanIsKnownBeforeALeaderIs asked for what was wrong; TestTheFirstPlanComesWithALease takes its place: no store is asked, nothing is served and the node is not ready before a renewal, and all is after it.

TestSiteClosing passes as before.

--- a/core/ask/ask.go
+++ b/core/ask/ask.go
@@ -25,7 +25,6 @@
 	Leader string          `json:"leader,omitempty"`
 	Code   int             `json:"code"`
 	Body   json.RawMessage `json:"body,omitempty"`
-	Any    bool            `json:"any,omitempty"` // a member's own view: it need not lead
 }
 
 // Answer is what comes back to the asker. Code 0 means given up: whether the
@@ -98,9 +97,7 @@
 		}
 		return
 	}
-	if !t.Any {
-		a.learn(now, from)
-	}
+	a.learn(now, from)
 	delete(a.open, t.ID)
 	o.done(now, Answer{t.Code, t.Body, o.sent})
 }
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -54,7 +54,6 @@
 	open     map[string]bool // lots that were heard of and are open
 	leaving  bool
 	fresh    flow.Time // when there was a lease last, or the start
-	asking   bool      // a store was asked for its plan
 }
 
 // New starts without a plan or an engine.
@@ -80,7 +79,6 @@
 	if s.fresh == 0 || s.p.Fresh() {
 		s.fresh = now
 	}
-	s.glimpse()
 	s.fleet.Advance(live)
 	s.roll.Advance()
 	s.requests.Advance()
@@ -88,25 +86,9 @@
 	s.index.Advance()
 }
 
-// glimpse asks any store for the plan that it knows, while this node has none:
-// after a fault of all machines callers need not wait for an election.
-func (s *Serve) glimpse() {
-	if s.routes != nil || s.asking || s.leaving {
-		return
-	}
-	s.asking = true
-	s.env.Ask(budget.Listed, "plan.seen", nil, func(a ask.Answer) {
-		s.asking = false
-		var x ledger.Plan
-		var p api.Plan
-		if a.Code != 200 || json.Unmarshal(a.Body, &x) != nil || json.Unmarshal(x.Doc, &p) != nil {
-			return
-		}
-		s.adopt(x.Version, &p)
-	})
-}
-
-// adopt takes a plan, only where it is newer than the one in force.
+// adopt takes a plan, only where it is newer than the one in force. The first
+// one comes with the first renewal, like all others: a majority confirmed it
+// after this process started (design 12.4).
 func (s *Serve) adopt(version uint64, p *api.Plan) {
 	if s.routes == nil || version > s.routes.Version {
 		s.routes = route.New(version, p)
--- a/core/store/asks.go
+++ b/core/store/asks.go
@@ -29,10 +29,6 @@
 	if s.open(w) {
 		return // a second try of what is under way: one answer serves both
 	}
-	if a.Kind == "plan.seen" {
-		s.planSeen(w, out)
-		return
-	}
 	if s.raft.Role() != raft.Leader || !s.raft.Ready() {
 		s.retry(w, out)
 		return
@@ -52,19 +48,6 @@
 	s.tell(w, 400, map[string]string{"error": "no such ask"}, out)
 }
 
-// planSeen gives the plan that this member knows to be committed, whoever leads
-// and whether anybody does. A node that has just started may serve repeatable
-// and other plain requests by it until it has a lease (design 12.4).
-func (s *Store) planSeen(w wait, out *flow.Outbox) {
-	p := s.ledger.Plan()
-	if p.Version == 0 {
-		s.retry(w, out)
-		return
-	}
-	raw, _ := json.Marshal(p)
-	out.Line(w.addr, "told", ask.Told{ID: w.ask.ID, Code: 200, Body: raw, Any: true})
-}
-
 func (s *Store) open(w wait) bool {
 	for _, m := range []map[uint64]wait{s.writes, s.reads} {
 		for _, o := range m {
--- a/sim/disk.go
+++ b/sim/disk.go
@@ -7,6 +7,7 @@
 	"hash/crc32"
 	"math/rand"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -42,6 +43,25 @@
 	return &Disk{rand: r, names: map[string]*inode{}, safe: map[string]*inode{}}
 }
 
+// Copy is the disk as it is now, for one that is put back later.
+func (d *Disk) Copy() *Disk {
+	c := NewDisk(d.rand)
+	copies := map[*inode]*inode{}
+	copied := func(i *inode) *inode {
+		if copies[i] == nil {
+			copies[i] = &inode{slices.Clone(i.data), slices.Clone(i.safe)}
+		}
+		return copies[i]
+	}
+	for _, name := range sorted.Keys(d.names) {
+		c.names[name] = copied(d.names[name])
+	}
+	for _, name := range sorted.Keys(d.safe) {
+		c.safe[name] = copied(d.safe[name])
+	}
+	return c
+}
+
 func (d *Disk) step() error {
 	if d.Dead {
 		return errPower
