Storms cut control machines off in every manner

The storms of both simulators cut a store or control machine from the rest of the core in any of the four manners and three directions; on a site, operators ask just that machine meanwhile, and a machine whose seeds begin with it is started again.

--- a/sim/faults.go
+++ b/sim/faults.go
@@ -129,6 +129,24 @@
 		w.Mark("one-way-in", "into %s for %v", h.Name, d)
 		w.cutFor(w.others(h.Name), []string{h.Name}, d, false)
 	}},
+	{"cut-store", func(w *World) {
+		h, d := w.anyHost("store"), w.between(500*time.Millisecond, 20*time.Second)
+		manner := Manners[w.Rand.Intn(len(Manners))]
+		way := directions[w.Rand.Intn(len(directions))]
+		w.Mark("cut-store", "%s from the other stores for %v, %s, %s", h.Name, d, manner, way)
+		var rest []string
+		for _, x := range w.By("store") {
+			if x != h {
+				rest = append(rest, x.Name)
+			}
+		}
+		if way != inOnly {
+			w.cutBy(manner, []string{h.Name}, rest, d)
+		}
+		if way != outOnly {
+			w.cutBy(manner, rest, []string{h.Name}, d)
+		}
+	}},
 	{"split", func(w *World) {
 		d := w.between(time.Second, 5*time.Second)
 		var a, b []string
@@ -407,22 +425,23 @@
 }
 
 func (w *World) cutFor(a, b []string, d time.Duration, both bool) {
-	for _, x := range a {
-		for _, y := range b {
-			w.Net.Cut(x, y)
-			if both {
-				w.Net.Cut(y, x)
-			}
-		}
+	w.cutBy(Silent, a, b, d)
+	if both {
+		w.cutBy(Silent, b, a, d)
 	}
-	w.After(d, func() {
-		for _, x := range a {
-			for _, y := range b {
-				w.Net.Join(x, y)
-				w.Net.Join(y, x)
+}
+
+// cutBy cuts the ways from some to others in a manner, and joins them later.
+func (w *World) cutBy(manner Manner, from, to []string, d time.Duration) {
+	pairs := func(f func(x, y string)) {
+		for _, x := range from {
+			for _, y := range to {
+				f(x, y)
 			}
 		}
-	})
+	}
+	pairs(func(x, y string) { w.Net.CutBy(manner, x, y) })
+	w.After(d, func() { pairs(w.Net.Join) })
 }
 
 // undo takes back what operators left behind, until nothing is: a roll-out that
--- a/sim/serve_faults.go
+++ b/sim/serve_faults.go
@@ -301,6 +301,18 @@
 	{"cut a core machine one way in", func(s *Site, r *rand.Rand) bool {
 		return s.onCore(r, func(h *Host) { s.Cut(s.others(h), []*Host{h}, false, s.seconds(r, 2, 18)) })
 	}},
+	{"cut a control machine off while operators ask it", func(s *Site, r *rand.Rand) bool {
+		return s.onCore(r, func(h *Host) {
+			manner, way := Manners[r.Intn(len(Manners))], directions[r.Intn(len(directions))]
+			s.w.Mark("control cut", "%s, %s, %s", h.Name, manner, way)
+			d := s.seconds(r, 5, 20)
+			s.cutOff(h, manner, way, d)
+			s.Hammer(h, s.w.Now+d+s.seconds(r, 0, 3))
+			if edge, ok := pick(r, s.Dispatchers()); ok && !edge.Has("store") && edge.works() {
+				s.restartSeededBy(edge, h)
+			}
+		})
+	}},
 	{"cut two core machines from each other", func(s *Site, r *rand.Rand) bool {
 		return s.onCore(r, func(h *Host) {
 			x := s.Core()[0]
