--- a/core/store/asks.go
+++ b/core/store/asks.go
@@ -93,6 +93,8 @@
 		"store.add":     (*Store).add,
 		"store.promote": (*Store).promote,
 		"store.remove":  (*Store).remove,
+		"store.stop":    (*Store).stopAnnounced,
+		"store.holding": (*Store).readOwn,
 	}
 }
 
@@ -167,6 +169,8 @@
 		"renew":       (*Store).renewed,
 		"coord.renew": (*Store).renewedCoord,
 		"store.list":  (*Store).list,
+
+		"store.holding": (*Store).holding,
 	}
 }
 
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"math/rand"
-	"slices"
 	"sort"
 
 	"fernlink/core/budget"
@@ -60,7 +59,7 @@
 	formed      flow.Time
 	look        flow.Time         // when the membership is looked at next
 	taken       map[string]string // who speaks from an address now
-	role        string
+	role        raft.Role
 	now         flow.Time
 	counts      map[string]int
 	fetches     map[uint64]func(flow.Fetched, *flow.Outbox)
@@ -78,6 +77,9 @@
 	orphan      flow.Time            // when lost claims are looked for next
 	lots        map[string]given     // when this leader gave a lot another owner
 	silent      map[string]flow.Time // when silent members were taken out
+	stopping    map[string]flow.Time // when members last said that they stop
+	caughtUp    catchUpTarget        // what a learner has to have
+	leaveBy     flow.Time            // until when this member waits for another to take its vote
 	owned       flow.Time            // when owners of lots are looked at next
 }
 
@@ -85,7 +87,7 @@
 func New(now flow.Time, p Config) (*Store, error) {
 	s := &Store{p: p, ledger: ledger.New(), addrs: map[string]string{}, writes: map[uint64]wait{},
 		reads: map[uint64]wait{}, seen: map[string]leaseHolder{}, counts: map[string]int{},
-		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, lots: map[string]given{}, silent: map[string]flow.Time{}}
+		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, lots: map[string]given{}, silent: map[string]flow.Time{}, stopping: map[string]flow.Time{}}
 	if d := p.Disk.Snapshot; d != nil {
 		l, err := ledger.Load(d.State, p.Disk.Items)
 		if err != nil {
@@ -93,7 +95,7 @@
 		}
 		s.ledger = l
 	}
-	s.raft = raft.New(now, raft.Config{ID: p.ID, Rand: p.Rand, Beat: budget.Beat, Elect: budget.Elect,
+	s.raft = raft.New(now, raft.Config{ID: p.ID, Rand: p.Rand, HeartbeatInterval: budget.Beat, ElectionTimeout: budget.Elect,
 		Hard: p.Disk.Hard, Snapshot: p.Disk.Snapshot, Entries: p.Disk.Entries})
 	return s, nil
 }
@@ -120,7 +122,7 @@
 
 // Raft takes a Raft line.
 func (s *Store) Raft(now flow.Time, l flow.Line) {
-	var m raft.Msg
+	var m raft.Message
 	if json.Unmarshal(l.Body, &m) != nil || m.ToID != s.p.ID {
 		s.counts["strays"]++
 		return
@@ -138,40 +140,31 @@
 // stands still, which keeps things for longer, never for less.
 func (s *Store) time() int64 { return s.stamp + (s.now - s.lead).Milliseconds() }
 
-// Leave hands leadership on, again now and then; Left says that it is done.
-func (s *Store) Leave(now flow.Time) {
-	if s.raft.Role() == raft.Leader && now >= s.moved {
-		s.moved = now + budget.Elect/2
-		s.raft.Transfer()
-	}
-}
-
-// Left says that this store leads no more, or that nobody else could.
-func (s *Store) Left() bool {
-	return s.raft.Role() != raft.Leader || !slices.ContainsFunc(s.raft.Conf().Members, func(m raft.Member) bool { return m.Voter && m.ID != s.p.ID })
-}
-
 // Advance runs the store's systems.
 func (s *Store) Advance(now flow.Time, wall int64, live []gossip.Entry, self gossip.Entry, out *flow.Outbox) {
 	s.now = now
 	if !s.checked && s.p.Disk.Snapshot != nil {
-		out.Blobs = append(out.Blobs, flow.BlobChange{Only: s.ledger.Items()})
+		// What an unfinished fetch brought stays until the next snapshot.
+		out.Blobs = append(out.Blobs, flow.BlobChange{Only: s.ledger.Items(), At: s.raft.Snapshot().Index})
 	}
 	s.checked, s.p.Disk = true, Disk{} // it is not needed any more
 	s.form(now, live, self, out)
+	if s.raft.Ready() {
+		s.caughtUp.note(now, s.raft.Term(), s.raft.Commit())
+	}
 	s.repair(now, live, out)
 	o := s.raft.Advance(now)
 	out.Save = append(out.Save, o.Saves...)
-	for _, d := range o.Msgs {
+	for _, d := range o.Messages {
 		if d.Addr == "" {
-			d.Addr = s.addrs[d.Msg.ToID]
+			d.Addr = s.addrs[d.Message.ToID]
 		}
 		if d.Addr != "" {
 			kind := "raft"
-			if len(d.Msg.Add) > 0 {
+			if len(d.Message.Entries) > 0 {
 				kind = flow.Entries
 			}
-			out.Line(d.Addr, kind, d.Msg)
+			out.Line(d.Addr, kind, d.Message)
 		}
 	}
 	if o.Lost {
@@ -226,6 +219,7 @@
 	s.seen = map[string]leaseHolder{}
 	s.grant = 0
 	s.lots = map[string]given{}
+	s.stopping = map[string]flow.Time{}
 }
 
 func (s *Store) apply(a raft.Applied, out *flow.Outbox) {
