A start after a clock step is newer, and hears no answer of an earlier one

A node that keeps nothing is named by its address, so that two starts have one identity. Gossip raised a start's incarnation above an earlier one's only where the identities differed: after a clock that was set back, such a node stayed older than its earlier start for all others, and out of their lists, for as long as the clock was set back. TestAStartOfTheSameNameUnderAnEarlierClock failed with "100 stays older than 200".

Raising it also changed the name of the start (identity and incarnation) for others, while its dispatcher and its lots went on under the first: they would be moved off as a lost owner's. The name now stays the one at the start (Born).

Asks were numbered from the incarnation, in wall milliseconds: two starts in one millisecond of a clock that was set back had the same numbers, and an answer to the first could reach the second. They count from a place drawn by the start's own random seed.

Lines between nodes carry whole messages, a broken connection's half line is none, and each answer names its ask: a connection made anew in shell/link may say a line twice, and the ask is gone when the second answer comes. Nothing to mend was found there.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -17,6 +17,7 @@
 	ID      string   `json:"id"`
 	Name    string   `json:"name,omitempty"` // the machine's, by which operators call it
 	Inc     int64    `json:"inc"`
+	Born    int64    `json:"born,omitempty"` // Inc as it was at the start, where it was raised since
 	Beat    uint64   `json:"beat"`
 	Addr    string   `json:"addr"`
 	Web     string   `json:"web"`
@@ -29,8 +30,33 @@
 	Sees    []string `json:"sees,omitempty"`  // blank stores it hears, by address
 }
 
-// Start names this very start of the process.
-func (e Entry) Start() string { return e.ID + "." + strconv.FormatInt(e.Inc, 16) }
+// Start names this very start of the process, also when its incarnation was raised.
+func (e Entry) Start() string {
+	born := e.Inc
+	if e.Born != 0 {
+		born = e.Born
+	}
+	return e.ID + "." + strconv.FormatInt(born, 16)
+}
+
+// otherStart says whether an entry at this process's address is of an earlier start
+// that seems as new or newer to others: its clock was ahead. One that keeps nothing
+// had the same identity. Nobody else has a higher beat under one's own incarnation.
+func (g *Gossip) otherStart(e Entry) bool {
+	if e.Addr != g.self.Addr || e.Inc < g.self.Inc {
+		return false
+	}
+	return e.Inc > g.self.Inc || e.ID != g.self.ID || e.Beat > g.self.Beat
+}
+
+// outrank raises this process's incarnation above an earlier start's. Its parts go on
+// under the name that they were given.
+func (g *Gossip) outrank(e Entry) {
+	if g.self.Born == 0 {
+		g.self.Born = g.self.Inc
+	}
+	g.self.Inc = e.Inc + 1
+}
 
 // Able gives the dispatchers among live entries that do not stop and whose
 // machines are not much smaller than the largest: work that one process does for
@@ -143,8 +169,8 @@
 func (g *Gossip) Take(now flow.Time, from string, b Body) {
 	g.learn(b.Known)
 	for _, e := range b.Entries {
-		if e.Addr == g.self.Addr && e.ID != g.self.ID && e.Inc >= g.self.Inc {
-			g.self.Inc = e.Inc + 1 // an earlier process here, under a clock ahead of ours
+		if g.otherStart(e) {
+			g.outrank(e)
 		}
 		if e.Addr == g.self.Addr || e.Addr == "" {
 			continue
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -3,6 +3,9 @@
 package node
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
 	"math/rand"
 	"slices"
 
@@ -89,7 +92,7 @@
 	r := func() *rand.Rand { p.Seed++; return rand.New(rand.NewSource(p.Seed * 7919)) }
 	self := gossip.Entry{ID: p.ID, Name: p.Name, Cpu: p.Cpu, Inc: p.Inc, Addr: p.Addr, Web: p.Web, Area: p.Area, Roles: p.Roles}
 	n.gossip = gossip.New(gossip.Config{Self: self, Known: p.Known, Seeds: p.Seeds, Rand: r()})
-	n.asker = ask.New(uint64(p.Inc) << 20)
+	n.asker = ask.New(firstAsk(p))
 	if n.runs("store") {
 		s, err := store.New(now, store.Config{ID: p.ID, Addr: p.Addr, Area: p.Area, Form: p.Form, Keep: p.Keep, Bounds: p.Bounds, Rand: r(), Disk: p.Disk, First: p.First, Want: p.Want})
 		if err != nil {
@@ -122,6 +125,13 @@
 	return n, nil
 }
 
+// firstAsk is where a start's asks count from: far from those of each other start at
+// its address, whatever the clock said, so that no late answer fits (design 5.2).
+func firstAsk(p Config) uint64 {
+	hash := sha256.Sum256(fmt.Appendf(nil, "%s %d %d", p.ID, p.Inc, p.Seed))
+	return binary.BigEndian.Uint64(hash[:8]) >> 2 // leaves room to count
+}
+
 func (n *Node) runs(role string) bool { return slices.Contains(n.p.Roles, role) }
 
 // parts own sends; an id's rest names its part, so that no table has to.
