--- a/shell/outcall/outcall_test.go
+++ b/shell/outcall/outcall_test.go
@@ -17,15 +17,15 @@
 // server takes connections and hands each to f, counting requests read.
 func server(t *testing.T, f func(net.Conn, *http.Request)) (string, *atomic.Int64) {
 	t.Helper()
-	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = ear.Close() })
+	t.Cleanup(func() { _ = listener.Close() })
 	var n atomic.Int64
 	go func() {
 		for {
-			c, err := ear.Accept()
+			c, err := listener.Accept()
 			if err != nil {
 				return
 			}
@@ -52,7 +52,7 @@
 			}()
 		}
 	}()
-	return "http://" + ear.Addr().String(), &n
+	return "http://" + listener.Addr().String(), &n
 }
 
 func call(t *testing.T, s flow.Send) (flow.Back, []string) {
@@ -124,12 +124,12 @@
 	if b.Failure != flow.Unsent || b.Err == "" {
 		t.Errorf("too late: %+v", b)
 	}
-	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	nobody := "http://" + ear.Addr().String()
-	_ = ear.Close()
+	nobody := "http://" + listener.Addr().String()
+	_ = listener.Close()
 	if b, _ = call(t, flow.Send{Verb: "POST", URL: nobody}); b.Failure != flow.Unsent || b.Err == "" {
 		t.Errorf("nobody there: %+v", b)
 	}
