--- a/core/serve/machines.go
+++ b/core/serve/machines.go
@@ -23,9 +23,26 @@
 	State string `json:"state"`
 }
 
+// RetireLine is the kind of the line that tells a machine to take no more lots.
+const RetireLine = "machine.retire"
+
 // storeBackIn is when an operator may ask again where the store did not answer.
 const storeBackIn = time.Second
 
+// storeAnswerLimit is how long each of the two questions of a call waits for the
+// store, so that the operator is answered before it goes elsewhere (design 5.2).
+const storeAnswerLimit = budget.Reply / 2
+
+// underLease answers a call only where the view is under a lease, when the call
+// comes and when the store's answer does; else 503 (design 5.2).
+func (s *Serve) underLease(c flow.Call) bool {
+	if !s.p.Fresh() {
+		s.env.Refuse(c.ID, "the store is not heard just now", budget.Renew)
+		return false
+	}
+	return true
+}
+
 // emptyMachine takes an operator's wish that a reserve machine be emptied. What the
 // machine holds for others is moved first; the store refuses where too few would
 // remain.
@@ -33,10 +50,10 @@
 	s.reserve(c, func(machine gossip.Entry) {
 		s.holding(c, machine, func(held ledger.Holding) {
 			if !held.Member {
-				s.tellState(c, held)
+				s.tellState(c, machine, held)
 				return
 			}
-			s.env.Ask(budget.AskLimit, "store.remove", machine.ID, func(a ask.Answer) { s.removed(c, a) })
+			s.env.Ask(storeAnswerLimit, "store.remove", machine.ID, func(a ask.Answer) { s.removed(c, a) })
 		})
 	})
 }
@@ -44,14 +61,20 @@
 // machineState answers how far that is.
 func (s *Serve) machineState(c flow.Call) {
 	s.reserve(c, func(machine gossip.Entry) {
-		s.holding(c, machine, func(held ledger.Holding) { s.tellState(c, held) })
+		s.holding(c, machine, func(held ledger.Holding) { s.tellState(c, machine, held) })
 	})
 }
 
-// reserve finds the reserve machine that a call names.
+// reserve finds the reserve machine that a call names, and has it take no more lots.
 func (s *Serve) reserve(c flow.Call, then func(gossip.Entry)) {
+	if !s.underLease(c) {
+		return
+	}
 	for _, machine := range s.live {
 		if machine.Name == c.Vars["id"] && machine.Has("reserve") {
+			if machine.RunsLots() && !machine.Retired {
+				s.env.Out.Line(machine.Addr, RetireLine, struct{}{})
+			}
 			then(machine)
 			return
 		}
@@ -62,11 +85,14 @@
 // holding asks the store what a machine holds. A process without a role that keeps
 // anything for others holds nothing, and nobody has to be asked.
 func (s *Serve) holding(c flow.Call, machine gossip.Entry, then func(ledger.Holding)) {
-	if !machine.Has("store") && !machine.Has("dispatcher") {
+	if !machine.Has("store") && !machine.RunsLots() {
 		then(ledger.Holding{})
 		return
 	}
-	s.env.Ask(budget.AskLimit, "store.holding", machine.ID, func(a ask.Answer) {
+	s.env.Ask(storeAnswerLimit, "store.holding", machine.ID, func(a ask.Answer) {
+		if !s.underLease(c) {
+			return
+		}
 		var held ledger.Holding
 		if a.Code != 200 || json.Unmarshal(a.Body, &held) != nil {
 			s.env.Refuse(c.ID, "the store did not say what the machine holds", storeBackIn)
@@ -78,6 +104,9 @@
 
 // removed passes the store's answer on: emptying has begun, or why it is refused.
 func (s *Serve) removed(c flow.Call, a ask.Answer) {
+	if !s.underLease(c) {
+		return
+	}
 	switch a.Code {
 	case 0:
 		s.env.Refuse(c.ID, "the store did not answer in time; say the same again", storeBackIn)
@@ -88,9 +117,11 @@
 	}
 }
 
-func (s *Serve) tellState(c flow.Call, held ledger.Holding) {
+// tellState answers with a machine's state. One that still takes lots is not empty,
+// whatever it holds just now.
+func (s *Serve) tellState(c flow.Call, machine gossip.Entry, held ledger.Holding) {
 	state := machineEmptying
-	if held.Empty() {
+	if held.Empty() && (machine.Retired || !machine.RunsLots()) {
 		state = machineEmptied
 	}
 	s.env.Out.Answer(c.ID, 200, machineState{state}, nil)
