Items of a lot that come after its end was heard do not run

A line that hands a lot over was refused where its end or its move had been heard; the store's answer with a lot's items, and the adoption at the node that took the lot, were not. Either may come after the end was heard by a renewal that overtook it, and no later renewal would take the lot away again. The check now stands in Adopt, which all three go through. TestItemsThatComeLateDoNotRun failed without it ("moved: 1 items run").

--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -80,20 +80,23 @@
 	}
 }
 
-// Handed takes a lot from the node that took it, unless this node has heard that it
-// is over or another's: a hand-over may be on its way for longer than a lot lasts.
-// Where it is moved later, the next renewal takes it away again.
+// Handed takes a lot from the node that took it. Where it is moved later, the next
+// renewal takes it away again.
 func (t *Table) Handed(doc ledger.LotDoc) {
-	x, known := t.open[doc.ID]
-	_, over := t.over[doc.ID]
-	if over || known && x.owner != t.env.Me {
-		return
-	}
 	if doc.Owner == t.env.Me && !t.leaving {
 		t.Adopt(doc, flow.Time(doc.AgeMS)*time.Millisecond)
 	}
 }
 
+// superseded says whether this node has heard that a lot is over or another's. A
+// hand-over, or the store's answer with a lot's items, may be on its way for longer
+// than a lot lasts; nothing would take the lot away again.
+func (t *Table) superseded(id string) bool {
+	x, known := t.open[id]
+	_, over := t.over[id]
+	return over || known && x.owner != t.env.Me
+}
+
 // handIn names what came of a hand-in.
 var handIn = map[bool]string{true: "accepted", false: "refused"}
 
--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -162,7 +162,7 @@
 
 // Adopt takes a lot over: the items in doc are those that are not listed.
 func (t *Table) Adopt(doc ledger.LotDoc, age flow.Time) {
-	if t.rows[doc.ID] != nil {
+	if t.rows[doc.ID] != nil || t.superseded(doc.ID) {
 		return
 	}
 	l := &lot{doc: doc, opened: t.env.Now - age, byID: map[string]*item{}, left: len(doc.Items)}
