--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -23,6 +23,7 @@
 	ID      string   `json:"id"`
 	Name    string   `json:"name,omitempty"` // the machine's, by which operators call it
 	Inc     int64    `json:"inc"`
+	Born    int64    `json:"born,omitempty"` // Inc as it was at the start, where it was raised since
 	Beat    uint64   `json:"beat"`
 	Changed uint64   `json:"changed,omitempty"` // the beat at which it last changed in more than its beat
 	Addr    string   `json:"addr"`
@@ -37,8 +38,33 @@
 	Sees    []string `json:"sees,omitempty"`    // of a blank store: the others that it hears, by address
 }
 
-// Start names this very start of the process.
-func (e Entry) Start() string { return e.ID + "." + strconv.FormatInt(e.Inc, 16) }
+// Start names this very start of the process, also when its incarnation was raised.
+func (e Entry) Start() string {
+	born := e.Inc
+	if e.Born != 0 {
+		born = e.Born
+	}
+	return e.ID + "." + strconv.FormatInt(born, 16)
+}
+
+// otherStart says whether an entry at this process's address is of an earlier start
+// that seems as new or newer to others: its clock was ahead. One that keeps nothing
+// had the same identity. Nobody else has a higher beat under one's own incarnation.
+func (g *Gossip) otherStart(e Entry) bool {
+	if e.Addr != g.self.Addr || e.Inc < g.self.Inc {
+		return false
+	}
+	return e.Inc > g.self.Inc || e.ID != g.self.ID || e.Beat > g.self.Beat
+}
+
+// outrank raises this process's incarnation above an earlier start's. Its parts go on
+// under the name that they were given.
+func (g *Gossip) outrank(e Entry) {
+	if g.self.Born == 0 {
+		g.self.Born = g.self.Inc
+	}
+	g.self.Inc = e.Inc + 1
+}
 
 // RunsLots says whether the process may own lots and run their items.
 func (e Entry) RunsLots() bool { return e.Has(RoleDispatcher) || e.Has(RoleWorker) }
@@ -184,8 +210,8 @@
 func (g *Gossip) Take(now flow.Time, from string, b Body) {
 	g.learn(b.Known)
 	for _, e := range b.Entries {
-		if e.Addr == g.self.Addr && e.ID != g.self.ID && e.Inc >= g.self.Inc {
-			g.self.Inc = e.Inc + 1 // an earlier process here, under a clock ahead of ours
+		if g.otherStart(e) {
+			g.outrank(e)
 		}
 		if e.Addr == g.self.Addr || e.Addr == "" {
 			continue
