--- a/core/disp/admin.go
+++ b/core/disp/admin.go
@@ -40,7 +40,9 @@
 // Serves says whether a call is a dispatcher's.
 func Serves(name string) bool { _, ok := calls[name]; return ok }
 
-// Call takes a request.
+// Call takes a request. Operators and trainers are answered only under a lease:
+// without one even what this process could refuse by itself may be out of date
+// (design 5.2).
 func (d *Disp) Call(now flow.Time, c flow.Call, live []gossip.Entry, out *flow.Outbox) {
 	d.now, d.out, d.live = now, out, live
 	if d.leaving {
@@ -48,6 +50,10 @@
 		out.Answer(c.ID, 503, answer{"this node is stopping", refused}, again())
 		return
 	}
+	if c.Name != "app" && !d.fresh() {
+		d.out.Answer(c.ID, 503, answer{Error: "the store is not heard just now"}, again())
+		return
+	}
 	calls[c.Name](d, c)
 }
 
@@ -78,16 +84,18 @@
 
 // up takes a call to the store's leader and passes its answer on.
 func (d *Disp) up(c flow.Call, kind string, body any) {
-	if !d.fresh() {
-		d.out.Answer(c.ID, 503, answer{Error: "the store is not heard just now"}, again())
-		return
-	}
-	d.p.Asker.Put(d.now, budget.AskLimit, kind, body, func(_ flow.Time, a ask.Answer) { d.told(c, a) })
+	d.p.Asker.Put(d.now, patience(c), kind, body, func(now flow.Time, a ask.Answer) { d.told(now, c, a) })
 }
 
-// told passes the store's answer on.
-func (d *Disp) told(c flow.Call, a ask.Answer) {
-	if a.Code == 0 {
+// patience is how long a call waits for the store: its caller asks another node
+// after a second of silence, more where the body is large.
+func patience(c flow.Call) flow.Time {
+	return min(budget.Reply+ask.Carry(len(c.Body)), budget.AskLimit)
+}
+
+// told passes the store's answer on, under a lease. Else the outcome is not known.
+func (d *Disp) told(now flow.Time, c flow.Call, a ask.Answer) {
+	if a.Code == 0 || !d.Fresh(now) {
 		d.out.Answer(c.ID, 503, answer{"the store did not answer in time; say the same again to learn the outcome", "unknown"}, again())
 		return
 	}
@@ -98,6 +106,26 @@
 	d.out.Answer(c.ID, a.Code, a.Body, head)
 }
 
+// refusal is why this dispatcher would not take an order.
+type refusal struct {
+	code int
+	body any
+}
+
+// unlessKnown refuses an order, but for one that was acknowledged before: that is
+// answered from its receipt (design 4.7), whatever is true by now.
+func (d *Disp) unlessKnown(c flow.Call, kind string, order any, no refusal) {
+	body, _ := json.Marshal(order)
+	question := ledger.KnownOrder{Kind: kind, Body: body}
+	d.p.Asker.Put(d.now, patience(c), "order.known", question, func(now flow.Time, a ask.Answer) {
+		if a.Code == 404 && d.Fresh(now) {
+			d.out.Answer(c.ID, no.code, no.body, nil)
+			return
+		}
+		d.told(now, c, a)
+	})
+}
+
 func (d *Disp) planVersion(c flow.Call) {
 	v, err := strconv.ParseUint(c.Vars["version"], 10, 64)
 	if err != nil || v == 0 {
@@ -146,20 +174,20 @@
 		seen[g.ID] = true
 	}
 	if len(bad) > 0 {
-		d.out.Answer(c.ID, 422, faults{"does not make sense", bad}, nil)
+		d.unlessKnown(c, "step.open", s, refusal{422, faults{"does not make sense", bad}})
 		return
 	}
 	d.up(c, "step.open", s)
 }
 
 func (d *Disp) weightsPut(c flow.Call) {
-	t := ledger.Target{}
+	t := ledger.PutTarget{}
 	if !d.checked(c, "weights_put", &t) {
 		return
 	}
 	t.Pool = c.Vars["pool"]
 	if d.plan != nil && !d.plan.Names(t.Pool) {
-		d.out.Answer(c.ID, 404, answer{Error: "no such model pool or model in the plan in force"}, nil)
+		d.unlessKnown(c, "target.put", t, refusal{404, answer{Error: "no such model pool or model in the plan in force"}})
 		return
 	}
 	d.up(c, "target.put", t)
@@ -214,27 +242,31 @@
 }
 
 func (d *Disp) engineDrain(c flow.Call) {
-	x := ledger.Drain{}
+	x := ledger.PutDrain{}
 	if !d.checked(c, "drain_put", &x) {
 		return
 	}
 	x.Engine = c.Vars["id"]
 	e := d.engines[x.Engine]
-	if e == nil {
-		d.out.Answer(c.ID, 404, answer{Error: "no such engine"}, nil)
-		return
+	switch {
+	case e == nil:
+		d.unlessKnown(c, "drain.put", x, refusal{404, answer{Error: "no such engine"}})
+	case x.On && d.readyBeside(e) == 0:
+		d.unlessKnown(c, "drain.put", x, refusal{409, answer{Error: "this would drain the last ready engine of pool " + e.Pool}})
+	default:
+		d.up(c, "drain.put", x)
 	}
-	left := 0
-	for id, o := range d.engines {
-		if id != x.Engine && o.Pool == e.Pool && o.State == "ready" && !d.drains[id] {
-			left++
+}
+
+// readyBeside counts the engines of a pool that serve on while one is drained.
+func (d *Disp) readyBeside(e *engine) int {
+	ready := 0
+	for id, other := range d.engines {
+		if id != e.ID && other.Pool == e.Pool && other.State == "ready" && !d.drains[id] {
+			ready++
 		}
 	}
-	if x.On && left == 0 {
-		d.out.Answer(c.ID, 409, answer{Error: "this would drain the last ready engine of pool " + e.Pool}, nil)
-		return
-	}
-	d.up(c, "drain.put", x)
+	return ready
 }
 
 func (d *Disp) storeAdd(c flow.Call) {
@@ -255,7 +287,7 @@
 		d.up(c, "store.add", raft.Member{ID: e.ID, Addr: e.Addr, Area: e.Area})
 		return
 	}
-	d.out.Answer(c.ID, 404, answer{Error: "no process is heard at that address"}, nil)
+	d.up(c, "store.add", raft.Member{Addr: b.Addr}) // a member that is down may have been taken in before
 }
 
 // Stats is the dispatcher's part of the one snapshot (design 10.4).
--- a/sim/serve_site.go
+++ b/sim/serve_site.go
@@ -84,12 +84,15 @@
 	order   []*siteTry
 	items   map[string]*siteItem
 	lots    []*siteLot
+	senders map[*siteLot]*Host // which machine sent the newest item of a lot
 	Configs []*siteConfig
 	floors  map[string][]floor
 	Count   map[string]int // what happened, by kind
 	off     bool           // traffic has ended
 	named   map[string]int // the newest version of a model's weights that was named
+	noted   []int          // versions that were acknowledged
 	closed  time.Duration  // when all machines were back after a closing fault
+	witness *witness       // of the calls of operators and trainers
 }
 
 type listing struct {
@@ -110,9 +113,10 @@
 	w.Out = newOutside(w)
 	s := &Site{w: w, Shape: shape, Bounds: UsualSite, codec: platform.Codec(listAt), at: map[string]*SiteEngine{}, ListLag: 700 * time.Millisecond, Rate: 40,
 		listed: map[int64]int{}, ready: map[*Host]int{}, cause: map[*Host]time.Duration{}, planned: map[*Host]time.Duration{}, hurt: map[*Host]time.Duration{}, fails: map[string]int{}, troubled: map[*Host]bool{},
-		runs: map[string][]*siteRun{}, byRun: map[int]*siteRun{}, seals: map[string]sealed{}, tries: map[string]*siteTry{}, items: map[string]*siteItem{},
+		runs: map[string][]*siteRun{}, byRun: map[int]*siteRun{}, seals: map[string]sealed{}, tries: map[string]*siteTry{}, items: map[string]*siteItem{}, senders: map[*siteLot]*Host{},
 		floors: map[string][]floor{}, Count: map[string]int{}, named: map[string]int{siteModel: 1}}
 	w.Out.Site = s
+	s.witness = newWitness(s)
 	s.listeners = map[string]listener.Listener{}
 	for i, d := range platform.Listeners(config.Config{Front: "front", Ready: "ready", Control: "control"}) {
 		s.listeners[[]string{"front", "ready", "control"}[i]] = d
@@ -148,7 +152,8 @@
 			p.Roles = []string{"dispatcher"}
 		default:
 			name, disk = fmt.Sprintf("storage-%d", i+1), true
-			p.Roles = []string{"reserve"}
+			p.Roles = []string{"reserve", "worker"}
+			p.Cpu = shape.CoreCpu
 		}
 		p.Name = name
 		w.AddHost(name, p, disk).Start()
@@ -206,6 +211,7 @@
 // watch keeps who is in touch.
 func (s *Site) watch() {
 	most := s.most()
+	s.witness.watch()
 	if 2*len(most) <= len(s.Core()) {
 		s.coreBad = s.w.Now
 	}
@@ -329,6 +335,9 @@
 		s.w.After(2*time.Millisecond, func() { f(flow.Reply{ID: 1, Code: 404}) })
 		return func() {}
 	}
+	if which == "control" {
+		f = s.witness.call(h, verb, at, f)
+	}
 	over, life, id := false, 0, uint64(0)
 	s.w.Net.Flow("outside", h.Name, func() {
 		if over {
--- a/sim/world.go
+++ b/sim/world.go
@@ -16,20 +16,23 @@
 	Rand *rand.Rand
 	Now  time.Duration
 
-	queue  events
-	seq    uint64
-	Net    Net
-	Hosts  []*Host
-	at     map[string]*Host // by peer address
-	web    map[string]*Host
-	Out    *Outside
-	Trace  uint64 // hash of all that happened, to prove replays
-	Marks  []string
-	Kinds  map[string]int // faults caused, by kind
-	lost   int            // store machines lost with their disks
-	lostAt time.Duration
-	mended time.Duration
-	Bad    []string // what checkers found
+	queue    events
+	seq      uint64
+	Net      Net
+	Hosts    []*Host
+	at       map[string]*Host // by peer address
+	web      map[string]*Host
+	Out      *Outside
+	Trace    uint64 // hash of all that happened, to prove replays
+	Marks    []string
+	Kinds    map[string]int // faults caused, by kind
+	orders   []givenOrder   // that were acknowledged to operators
+	repeats  int            // of them
+	requests int            // request ids that operators made up
+	lost     int            // store machines lost with their disks
+	lostAt   time.Duration
+	mended   time.Duration
+	Bad      []string // what checkers found
 }
 
 type event struct {
@@ -51,7 +54,7 @@
 // New is an empty world.
 func New(seed int64) *World {
 	w := &World{Seed: seed, Rand: rand.New(rand.NewSource(seed)), at: map[string]*Host{}, web: map[string]*Host{}, Kinds: map[string]int{}}
-	w.Net = Net{w: w, cut: map[string]bool{}, last: map[string]time.Duration{}, Least: 200 * time.Microsecond, Most: 3 * time.Millisecond}
+	w.Net = Net{w: w, cut: map[string]bool{}, links: map[string]*link{}, last: map[string]time.Duration{}, Least: 200 * time.Microsecond, Most: 3 * time.Millisecond}
 	return w
 }
 
