A question for a storage machine's state changes nothing

Cause: any question for the state told the machine that it is retired, so an operator who only looked would have emptied it; and one whose removal the store refused was retired all the same.

Now: only the order does, once the store has not refused it. The node that took it tells the machine each half second until its gossip entry says so, for 24 s at most. A new process of a retired machine is told by its peers, who go on counting it as retired.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -169,6 +169,9 @@
 		if e.Addr == g.self.Addr && e.ID != g.self.ID && e.Inc >= g.self.Inc {
 			g.self.Inc = e.Inc + 1 // an earlier process here, under a clock ahead of ours
 		}
+		if e.Addr == g.self.Addr && e.ID == g.self.ID && e.Retired {
+			g.Retire() // an earlier process here was told
+		}
 		if e.Addr == g.self.Addr || e.Addr == "" {
 			continue
 		}
@@ -179,6 +182,10 @@
 		if e.Addr == from && (s == nil || e.Inc < s.entry.Inc) {
 			g.answer[from] = true // it is new here, or does not know what was before it
 		}
+		if s != nil && s.entry.ID == e.ID && s.entry.Retired && !e.Retired {
+			e.Retired = true // its new process will hear so from its peers
+			g.answer[e.Addr] = true
+		}
 		if s == nil {
 			s = &seat{entry: e, grew: now, fresh: now}
 			g.seats[e.Addr] = s
--- a/core/serve/machines.go
+++ b/core/serve/machines.go
@@ -36,14 +36,60 @@
 	s.reserve(c, func(machine gossip.Entry) {
 		s.holding(c, machine, func(held ledger.Holding) {
 			if !held.Member {
+				s.retire(machine)
 				s.tellState(c, machine, held)
 				return
 			}
-			s.env.Ask(budget.AskLimit, "store.remove", machine.ID, func(a ask.Answer) { s.removed(c, a) })
+			s.env.Ask(budget.AskLimit, "store.remove", machine.ID, func(a ask.Answer) {
+				if a.Code == 200 {
+					s.retire(machine)
+				}
+				s.removed(c, a)
+			})
 		})
 	})
 }
 
+// Bounds of telling a machine that it is retired, by the node that an operator
+// asked, until its gossip entry says so.
+const (
+	retireEvery = budget.List
+	retireLimit = 2 * budget.Heal
+)
+
+// retirement is a machine that is to say that it takes no more lots.
+type retirement struct {
+	next, limit flow.Time
+}
+
+// retire has a machine that runs lots take no more.
+func (s *Serve) retire(machine gossip.Entry) {
+	if machine.RunsLots() && !machine.Retired {
+		s.retiring[machine.ID] = retirement{next: s.env.Now, limit: s.env.Now + retireLimit}
+		s.tellRetired()
+	}
+}
+
+// tellRetired tells the machines whose entries do not say yet that they are retired.
+func (s *Serve) tellRetired() {
+	for _, machine := range s.live {
+		r, open := s.retiring[machine.ID]
+		switch {
+		case !open:
+		case machine.Retired:
+			delete(s.retiring, machine.ID)
+		case s.env.Now >= r.next:
+			s.env.Out.Line(machine.Addr, RetireLine, struct{}{})
+			s.retiring[machine.ID] = retirement{next: s.env.Now + retireEvery, limit: r.limit}
+		}
+	}
+	for id, r := range s.retiring {
+		if s.env.Now >= r.limit {
+			delete(s.retiring, id)
+		}
+	}
+}
+
 // machineState answers how far that is.
 func (s *Serve) machineState(c flow.Call) {
 	s.reserve(c, func(machine gossip.Entry) {
@@ -51,13 +97,10 @@
 	})
 }
 
-// reserve finds the reserve machine that a call names, and has it take no more lots.
+// reserve finds the reserve machine that a call names.
 func (s *Serve) reserve(c flow.Call, then func(gossip.Entry)) {
 	for _, machine := range s.live {
 		if machine.Name == c.Vars["id"] && machine.Has("reserve") {
-			if machine.RunsLots() && !machine.Retired {
-				s.env.Out.Line(machine.Addr, RetireLine, struct{}{})
-			}
 			then(machine)
 			return
 		}
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -53,13 +53,14 @@
 	live     []gossip.Entry
 	open     map[string]bool // lots that were heard of and are open
 	leaving  bool
-	fresh    flow.Time // when there was a lease last, or the start
-	asking   bool      // a store was asked for its plan
+	fresh    flow.Time             // when there was a lease last, or the start
+	asking   bool                  // a store was asked for its plan
+	retiring map[string]retirement // by the machine's identity
 }
 
 // New starts without a plan or an engine.
 func New(p Config) *Serve {
-	s := &Serve{p: p, open: map[string]bool{}, env: &env.Env{Me: p.ID, Zone: p.Zone, Asker: p.Asker, Rand: p.Rand, Codec: p.Codec, IDs: p.IDs,
+	s := &Serve{p: p, open: map[string]bool{}, retiring: map[string]retirement{}, env: &env.Env{Me: p.ID, Zone: p.Zone, Asker: p.Asker, Rand: p.Rand, Codec: p.Codec, IDs: p.IDs,
 		Counts: map[string]int64{}, Fresh: p.Fresh, Debug: p.Debug}}
 	s.engines = engines.New(s.env)
 	s.index = prefixes.New(s.env)
@@ -81,6 +82,9 @@
 		s.fresh = now
 	}
 	s.glimpse()
+	if len(s.retiring) > 0 {
+		s.tellRetired()
+	}
 	s.fleet.Advance(live)
 	s.roll.Advance()
 	s.requests.Advance()
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -719,16 +719,21 @@
 	told := func(kind string) bool {
 		return slices.ContainsFunc(w.lines, func(l flow.Line) bool { return l.Kind == kind && l.To == "w1" })
 	}
-	for _, call := range []string{"machine.empty", "machine.state"} {
+	w.lines = nil
+	w.call("machine.state", flow.Call{Vars: map[string]string{"id": "storage-1"}})
+	w.pass(time.Second)
+	w.want(!told(RetireLine), "a question tells it nothing: %v", w.lines)
+	w.call("machine.empty", flow.Call{Vars: map[string]string{"id": "storage-1"}})
+	for range 3 {
 		w.lines = nil
-		w.call(call, flow.Call{Vars: map[string]string{"id": "storage-1"}})
-		w.want(told(RetireLine), "%s: it is told: %v", call, w.lines)
+		w.pass(retireEvery + 10*time.Millisecond)
+		w.want(told(RetireLine), "it is told until it says so: %v", w.lines)
 	}
 	worker.Retired = true
 	w.others = []gossip.Entry{worker}
 	w.turn(10 * time.Millisecond)
 	w.lines = nil
-	w.call("machine.state", flow.Call{Vars: map[string]string{"id": "storage-1"}})
+	w.pass(time.Second)
 	w.handIn("lot2", "m", 1, 1, 1)
 	w.want(!told(RetireLine) && !told("lot.hand"), "it is told no more, and gets nothing: %v", w.lines)
 }
