Gossip: the list of live peers is kept until it changes

Cause: every turn of a node sorted and copied all entries of the gossip table, up to five times, and joined a list with the node itself.

The list is now kept until an entry comes, changes in more than its beat, or could have fallen silent. Callers share it and change nothing. Who is able to own lots is worked out when a lot is moved, not in every turn.

Ruled out: a longer tick alone, since events bring turns too.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -99,8 +99,24 @@
 	since flow.Time // and since when it is so
 	// Those that are told at once what is known here.
 	answer map[string]bool
+	live   view  // the peers whose beats still grow
+	all    view  // and this node itself
+	alike  Entry // this node's entry as it stands in all
 }
 
+// view is a list of entries by address. It holds until a time, or until an entry
+// of it changes in more than its beat.
+type view struct {
+	entries []Entry
+	until   flow.Time
+	valid   bool
+}
+
+func (v *view) holds(now flow.Time) bool { return v.valid && now <= v.until }
+
+// stir makes the views be made anew: an entry came, changed or is alive again.
+func (g *Gossip) stir() { g.live.valid, g.all.valid = false, false }
+
 // Config are the options of a table.
 type Config struct {
 	Self  Entry
@@ -159,11 +175,14 @@
 		if s == nil {
 			s = &seat{entry: e, grew: now, fresh: now}
 			g.seats[e.Addr] = s
+			g.stir()
 		} else if e.Inc > s.entry.Inc || e.Inc == s.entry.Inc && e.Beat > s.entry.Beat {
 			if !same(s.entry, e) {
 				s.fresh = now
+				g.stir()
 			}
-			s.entry, s.grew = e, now
+			g.grow(s, now)
+			s.entry = e
 		}
 		if e.Addr == from {
 			s.heard = now
@@ -175,7 +194,8 @@
 			continue // a whole entry will come
 		}
 		if x.Beat > s.entry.Beat {
-			s.entry.Beat, s.grew = x.Beat, now
+			g.grow(s, now)
+			s.entry.Beat = x.Beat
 		}
 		if x.Addr == from {
 			s.heard = now
@@ -183,6 +203,14 @@
 	}
 }
 
+// grow notes that a peer's beat has grown.
+func (g *Gossip) grow(s *seat, now flow.Time) {
+	if now-s.grew > budget.Lost {
+		g.stir() // it was not among the live ones
+	}
+	s.grew = now
+}
+
 // same says whether two entries differ in nothing but their beats.
 func same(a, b Entry) bool {
 	return a.ID == b.ID && a.Inc == b.Inc && a.Web == b.Web && a.Area == b.Area && a.Cluster == b.Cluster && a.Blank == b.Blank && a.Left == b.Left &&
@@ -277,15 +305,37 @@
 	return out
 }
 
-// Live gives the peers whose beats still grow, by address.
+// Live gives the peers whose beats still grow, by address. The list is shared:
+// nobody may change it, and its beats may be old.
 func (g *Gossip) Live(now flow.Time) []Entry {
-	var out []Entry
-	for _, a := range g.addrs() {
-		if s := g.seats[a]; now-s.grew <= budget.Lost && !s.entry.Left {
-			out = append(out, s.entry)
+	if g.live.holds(now) {
+		return g.live.entries
+	}
+	g.live, g.all.valid = view{until: now + budget.Lost, valid: true}, false
+	for _, addr := range g.addrs() {
+		s := g.seats[addr]
+		if now-s.grew > budget.Lost {
+			continue
+		}
+		g.live.until = min(g.live.until, s.grew+budget.Lost)
+		if !s.entry.Left {
+			g.live.entries = append(g.live.entries, s.entry)
 		}
 	}
-	return out
+	g.live.entries = slices.Clip(g.live.entries)
+	return g.live.entries
+}
+
+// Everyone gives the live peers and this node itself. The list is shared, as
+// that of Live is.
+func (g *Gossip) Everyone(now flow.Time) []Entry {
+	live := g.Live(now)
+	if g.all.valid && same(g.alike, g.self) {
+		return g.all.entries
+	}
+	g.alike = g.self
+	g.all = view{entries: append(live, g.self), valid: true}
+	return g.all.entries
 }
 
 // Leave tells everybody that this process stops.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -204,7 +204,7 @@
 		n.coord.Advance(now, n.Cluster(), out)
 	}
 	if n.serve != nil {
-		n.serve.Advance(now, append(live[:len(live):len(live)], n.gossip.Self()), out)
+		n.serve.Advance(now, n.gossip.Everyone(now), out)
 	}
 	n.gossip.Advance(now, out)
 }
--- a/core/store/owners.go
+++ b/core/store/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -18,11 +19,8 @@
 // leader that is new may not have heard the owner yet, and waits for as long as a
 // silent owner is waited for: whoever lives renews several times in it. An earlier start of a node that
 // renews is over, whoever heard it.
-func (s *Store) owners(now flow.Time, live []gossip.Entry) {
-	s.able = map[string]bool{}
-	for _, e := range gossip.Able(live) {
-		s.able[e.Start()] = true
-	}
+func (s *Store) owners(now flow.Time, live []gossip.Entry, self gossip.Entry) {
+	s.live, s.self = live, self
 	if now < s.owned || s.raft.Role() != raft.Leader || !s.raft.Ready() || s.timed != s.raft.Term() {
 		return
 	}
@@ -74,6 +72,16 @@
 	return node, start, err == nil
 }
 
+// able gives the starts of dispatchers on machines that are large enough to own
+// lots, as they were last heard.
+func (s *Store) able() map[string]bool {
+	able := map[string]bool{}
+	for _, e := range gossip.Able(append(slices.Clip(s.live), s.self)) {
+		able[e.Start()] = true
+	}
+	return able
+}
+
 // disown moves the lots of a dispatcher that is gone at once.
 func (s *Store) disown(now flow.Time, id string) {
 	for _, r := range s.ledger.LotRows() {
@@ -96,10 +104,10 @@
 		return
 	}
 	next, most := "", uint64(0)
-	starts := s.starts(now)
+	starts, able := s.starts(now), s.able()
 	for _, id := range sorted.Keys(s.seen) {
 		x := s.seen[id]
-		if id == r.Owner || x.left || now-x.at > budget.Lease || starts.after(id) || len(s.able) > 0 && !s.able[id] {
+		if id == r.Owner || x.left || now-x.at > budget.Lease || starts.after(id) || len(able) > 0 && !able[id] {
 			continue
 		}
 		// The lots of a pool keep together, so that one place knows its engines.
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -68,11 +68,12 @@
 	pull        *pull
 	blob        []byte // the newest snapshot as it is sent in pieces
 	blobAt      uint64
-	checked     bool                 // the blob store was told what must be there
-	bounded     uint64               // the term in which the bounds were looked at
-	contact     contact              // of the acting coordinator
-	contactTerm uint64               // its term
-	able        map[string]bool      // dispatchers on machines that are large enough
+	checked     bool           // the blob store was told what must be there
+	bounded     uint64         // the term in which the bounds were looked at
+	contact     contact        // of the acting coordinator
+	contactTerm uint64         // its term
+	live        []gossip.Entry // the peers heard of late, and this machine
+	self        gossip.Entry
 	freed       uint64               // the term whose holder gave it up
 	moved       flow.Time            // when leadership is handed on next
 	orphan      flow.Time            // when lost claims are looked for next
@@ -197,7 +198,7 @@
 		out.Save = append(out.Save, s.raft.Advance(now).Saves...)
 	}
 	s.orphans(now)
-	s.owners(now, append(live[:len(live):len(live)], self))
+	s.owners(now, live, self)
 	if s.raft.Ready() && s.timed != s.raft.Term() {
 		// Only now is all that was committed before in the ledger.
 		s.timed, s.stamp, s.lead = s.raft.Term(), s.ledger.Clock, now
