Gossip: heartbeats as one text, entries on request

Heartbeats are now one JSON string. Whole entries are told for 2 s after they changed, one in sixteen by turns, and to a peer that asks for one whose heartbeat it does not know. The line version is 3.

Tests: a fleet of 78 keeps everyone alive with less than 50 kB/s a node, a silent peer is lost, a restart is heard in 2 s, unknown heartbeats are asked for, malformed ones refused, and the kept live list changes when it must.

--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -28,7 +28,7 @@
 const Entries = "log"
 
 // Version is the line version this build speaks (design 5.1).
-const Version = 2
+const Version = 3
 
 // Field is one header of a request or of an answer, as it was written.
 type Field struct {
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -62,22 +62,23 @@
 	Stores  []string `json:"stores"`
 }
 
-// Beat stands for an entry that the other side knows but for its beat.
-type Beat struct {
-	Addr string `json:"a"`
-	Inc  int64  `json:"i"`
-	Beat uint64 `json:"b"`
-}
-
-// Body is one gossip line: whole entries where something is new, and every
-// fourth time; beats otherwise.
+// Body is one gossip line: heartbeats, and whole entries where something is new
+// or where it is their turn.
 type Body struct {
-	Entries []Entry `json:"entries,omitempty"`
-	Beats   []Beat  `json:"beats,omitempty"`
-	Known   Known   `json:"known"`
+	Entries []Entry    `json:"entries,omitempty"`
+	Beats   Heartbeats `json:"beats,omitempty"`
+	Want    []string   `json:"want,omitempty"` // addresses whose whole entries the sender lacks
+	Known   Known      `json:"known"`
 }
 
-const wholeEvery = 4
+// wholeEvery is after how many rounds each entry is told whole again; freshFor is
+// for how long one is told whole that has changed; wantMost is how many entries
+// are asked for in one line.
+const (
+	wholeEvery = 16
+	freshFor   = 8 * budget.Gossip
+	wantMost   = 128
+)
 
 type seat struct {
 	entry Entry
@@ -99,9 +100,11 @@
 	since flow.Time // and since when it is so
 	// Those that are told at once what is known here.
 	answer map[string]bool
-	live   view  // the peers whose beats still grow
-	all    view  // and this node itself
-	alike  Entry // this node's entry as it stands in all
+	wanted map[string]string   // entries that are lacked, and who spoke of them
+	owed   map[string][]string // entries that peers lack
+	live   view                // the peers whose beats still grow
+	all    view                // and this node itself
+	alike  Entry               // this node's entry as it stands in all
 }
 
 // view is a list of entries by address. It holds until a time, or until an entry
@@ -127,7 +130,7 @@
 
 // New starts a table that knows itself and its seeds.
 func New(p Config) *Gossip {
-	return &Gossip{self: p.Self, known: p.Known, seeds: p.Seeds, rand: p.Rand, seats: map[string]*seat{}, answer: map[string]bool{}}
+	return &Gossip{self: p.Self, known: p.Known, seeds: p.Seeds, rand: p.Rand, seats: map[string]*seat{}, answer: map[string]bool{}, wanted: map[string]string{}, owed: map[string][]string{}}
 }
 
 // Reseed takes other seeds, as the settings name them now.
@@ -188,10 +191,15 @@
 			s.heard = now
 		}
 	}
+	g.asked(from, b.Want)
 	for _, x := range b.Beats {
 		s := g.seats[x.Addr]
-		if s == nil || x.Inc != s.entry.Inc {
-			continue // a whole entry will come
+		if s == nil || x.Inc > s.entry.Inc {
+			g.lack(from, x.Addr)
+			continue
+		}
+		if x.Inc < s.entry.Inc {
+			continue // of an earlier start
 		}
 		if x.Beat > s.entry.Beat {
 			g.grow(s, now)
@@ -217,26 +225,74 @@
 		slices.Equal(a.Roles, b.Roles) && slices.Equal(a.Sees, b.Sees)
 }
 
+// lack notes that a peer speaks of a process that is not known here.
+func (g *Gossip) lack(from, addr string) {
+	if addr != g.self.Addr && len(g.wanted) < wantMost {
+		g.wanted[addr] = from
+	}
+}
+
+// asked tells a peer the entries that it lacks.
+func (g *Gossip) asked(from string, want []string) {
+	for _, addr := range want[:min(len(want), wantMost)] {
+		if s := g.seats[addr]; s != nil || addr == g.self.Addr {
+			g.owed[from] = append(g.owed[from], addr)
+		}
+	}
+}
+
+// entry gives what is known of an address, this node's own among them.
+func (g *Gossip) entry(addr string) (Entry, bool) {
+	if addr == g.self.Addr {
+		return g.self, true
+	}
+	if s := g.seats[addr]; s != nil {
+		return s.entry, true
+	}
+	return Entry{}, false
+}
+
+// exchange asks for entries that are lacked, and tells those that others lack.
+func (g *Gossip) exchange(out *flow.Outbox) {
+	ask := map[string][]string{}
+	for _, addr := range sorted.Keys(g.wanted) {
+		ask[g.wanted[addr]] = append(ask[g.wanted[addr]], addr)
+	}
+	for _, to := range sorted.Keys(ask) {
+		out.Line(to, "gossip", Body{Want: ask[to], Known: g.known})
+	}
+	for _, to := range sorted.Keys(g.owed) {
+		b := Body{Known: g.known}
+		for _, addr := range g.owed[to] {
+			if e, ok := g.entry(addr); ok {
+				b.Entries = append(b.Entries, e)
+			}
+		}
+		out.Line(to, "gossip", b)
+	}
+	clear(g.wanted)
+	clear(g.owed)
+}
+
 // body is what one round tells.
 func (g *Gossip) body(now flow.Time) Body {
 	b := Body{Known: g.known}
-	whole := g.turn%wholeEvery == 0
-	put := func(e Entry, fresh flow.Time) {
-		if whole || now-fresh < wholeEvery*budget.Gossip {
+	put := func(at int, e Entry, fresh flow.Time) {
+		if (at+g.turn)%wholeEvery == 0 || now-fresh < freshFor {
 			b.Entries = append(b.Entries, e)
 		} else {
-			b.Beats = append(b.Beats, Beat{e.Addr, e.Inc, e.Beat})
+			b.Beats = append(b.Beats, Heartbeat{e.Addr, e.Inc, e.Beat})
 		}
 	}
-	for _, a := range g.addrs() {
+	for at, a := range g.addrs() {
 		if s := g.seats[a]; now-s.grew <= budget.Lost {
-			put(s.entry, s.fresh)
+			put(at+1, s.entry, s.fresh)
 		}
 	}
 	if !same(g.self, g.was) {
 		g.was, g.since = g.self, now
 	}
-	put(g.self, g.since)
+	put(0, g.self, g.since)
 	return b
 }
 
@@ -253,6 +309,7 @@
 		return
 	}
 	g.next = now + budget.Gossip
+	g.exchange(out)
 	g.self.Beat++
 	g.self.Sees = nil
 	var live []string
--- /dev/null
+++ b/core/gossip/gossip_test.go
@@ -0,0 +1,182 @@
+package gossip
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"reflect"
+	"testing"
+	"time"
+
+	"fernlink/core/budget"
+	"fernlink/core/flow"
+)
+
+// fleet is a set of tables whose lines arrive with the next round.
+type fleet struct {
+	tables map[string]*Gossip
+	addrs  []string
+	now    flow.Time
+	bytes  int
+}
+
+func addrOf(i int) string { return fmt.Sprintf("10.0.%d.%d:7300", i/250, 1+i%250) }
+
+func newFleet(n int) *fleet {
+	f := &fleet{tables: map[string]*Gossip{}, now: time.Hour}
+	for i := range n {
+		f.start(i, 1_700_000_000_000)
+	}
+	return f
+}
+
+func (f *fleet) start(i int, inc int64) {
+	addr := addrOf(i)
+	if f.tables[addr] == nil {
+		f.addrs = append(f.addrs, addr)
+	}
+	f.tables[addr] = New(Config{Self: Entry{ID: fmt.Sprint("node-", i), Name: fmt.Sprint("edge-", i), Inc: inc, Addr: addr, Web: addr, Area: "a", Roles: []string{"dispatcher"}},
+		Seeds: []string{addrOf(0), addrOf(1), addrOf(2)}, Rand: rand.New(rand.NewSource(int64(i) + inc))})
+}
+
+func (f *fleet) run(t *testing.T, d flow.Time) {
+	t.Helper()
+	type heard struct {
+		from string
+		line flow.Line
+	}
+	var lines []heard
+	for end := f.now + d; f.now < end; f.now += 50 * time.Millisecond {
+		for _, l := range lines {
+			var b Body
+			if err := json.Unmarshal(l.line.Body, &b); err != nil {
+				t.Fatal(err)
+			}
+			if g := f.tables[l.line.To]; g != nil {
+				g.Take(f.now, l.from, b)
+			}
+		}
+		lines = nil
+		for _, addr := range f.addrs {
+			if f.tables[addr] == nil {
+				continue
+			}
+			var out flow.Outbox
+			f.tables[addr].Advance(f.now, &out)
+			for _, l := range out.Lines {
+				f.bytes += len(l.Body)
+				lines = append(lines, heard{addr, l})
+			}
+		}
+	}
+}
+
+func TestEveryoneStaysAliveAtABoundedCost(t *testing.T) {
+	// Given a fleet of 78 processes that know three seeds, and have met.
+	f := newFleet(78)
+	f.run(t, 5*time.Second)
+	f.bytes = 0
+	// When they gossip on.
+	for range 8 {
+		f.run(t, 500*time.Millisecond)
+		// Then each sees all others alive at every moment.
+		for _, addr := range f.addrs {
+			if n := len(f.tables[addr].Live(f.now)); n != 77 {
+				t.Fatalf("%s sees %d peers", addr, n)
+			}
+		}
+	}
+	// And a node sends less than 50 kB a second.
+	if each := f.bytes / 4 / 78; each > 50_000 {
+		t.Errorf("%d bytes a second from each node", each)
+	}
+}
+
+func TestASilentPeerIsLost(t *testing.T) {
+	// Given a fleet whose lists are in use.
+	f := newFleet(12)
+	f.run(t, 4*time.Second)
+	for _, g := range f.tables {
+		g.Live(f.now)
+	}
+	// When one of them ends.
+	delete(f.tables, addrOf(7))
+	f.run(t, budget.Lost+2*time.Second)
+	// Then nobody counts it as alive.
+	for addr, g := range f.tables {
+		for _, e := range g.Live(f.now) {
+			if e.Addr == addrOf(7) {
+				t.Errorf("%s counts it as alive", addr)
+			}
+		}
+	}
+}
+
+func TestARestartIsHeardEverywhere(t *testing.T) {
+	// Given a fleet.
+	f := newFleet(30)
+	f.run(t, 4*time.Second)
+	// When a process starts anew.
+	f.start(9, 1_700_000_009_000)
+	f.run(t, 2*time.Second)
+	// Then all know its new start.
+	for addr, g := range f.tables {
+		if e, _ := g.entry(addrOf(9)); e.Inc != 1_700_000_009_000 {
+			t.Errorf("%s knows start %d", addr, e.Inc)
+		}
+	}
+}
+
+func TestAnUnknownHeartbeatIsAskedFor(t *testing.T) {
+	// Given a table that hears the heartbeat of a process it does not know.
+	g := New(Config{Self: Entry{ID: "a", Inc: 1, Addr: "a:1"}, Rand: rand.New(rand.NewSource(1))})
+	g.Take(time.Hour, "b:1", Body{Beats: Heartbeats{{"c:1", 7, 3}}})
+	// When its next round comes.
+	var out flow.Outbox
+	g.Advance(time.Hour, &out)
+	// Then it asks the one who spoke of it.
+	var b Body
+	if len(out.Lines) != 1 || out.Lines[0].To != "b:1" || json.Unmarshal(out.Lines[0].Body, &b) != nil || !reflect.DeepEqual(b.Want, []string{"c:1"}) {
+		t.Fatalf("%v", out.Lines)
+	}
+}
+
+func TestLiveListIsKeptWhileNothingChanges(t *testing.T) {
+	// Given a table whose list was made.
+	g := New(Config{Self: Entry{ID: "a", Inc: 1, Addr: "a:1"}, Rand: rand.New(rand.NewSource(1))})
+	g.Take(time.Hour, "b:1", Body{Entries: []Entry{{ID: "b", Inc: 1, Beat: 1, Addr: "b:1"}}})
+	first := g.Live(time.Hour)
+	// When only the beat grows.
+	g.Take(time.Hour+time.Second, "b:1", Body{Beats: Heartbeats{{"b:1", 1, 2}}})
+	// Then the same list stands, and costs nothing.
+	if cost := testing.AllocsPerRun(10, func() { g.Live(time.Hour + time.Second) }); cost != 0 || &first[0] != &g.Live(time.Hour + time.Second)[0] {
+		t.Errorf("made anew: %v allocations", cost)
+	}
+	// And when the peer stops, it is not alive from the same moment on.
+	g.Take(time.Hour+time.Second, "b:1", Body{Entries: []Entry{{ID: "b", Inc: 1, Beat: 3, Addr: "b:1", Left: true}}})
+	if live := g.Live(time.Hour + time.Second); len(live) != 0 {
+		t.Errorf("%v", live)
+	}
+}
+
+func TestHeartbeatsAreReadAsTheyWereWritten(t *testing.T) {
+	for _, h := range []Heartbeats{{}, {{"10.0.0.1:7300", 1_700_000_000_000, 12}}, {{"a:1", -1, 0}, {"b:2", 1 << 62, 1<<64 - 1}}} {
+		raw, err := json.Marshal(h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got Heartbeats
+		if err := json.Unmarshal(raw, &got); err != nil || !reflect.DeepEqual(got, h) {
+			t.Errorf("%s: %v, %v", raw, got, err)
+		}
+	}
+}
+
+func TestMalformedHeartbeatsAreRefused(t *testing.T) {
+	for _, raw := range []string{`[]`, `7`, `{}`, `"a"`, `"a 1"`, `"a 1 -1"`, `"a 1 2,"`, `" 1 2"`, `"a 1 2 3"`, `"\u0061 1 2"`} {
+		var got Heartbeats
+		if json.Unmarshal([]byte(raw), &got) == nil {
+			t.Errorf("%s was taken: %v", raw, got)
+		}
+	}
+}
--- /dev/null
+++ b/core/gossip/heartbeat.go
@@ -0,0 +1,73 @@
+package gossip
+
+import (
+	"errors"
+	"strconv"
+	"strings"
+)
+
+// Heartbeat stands for an entry that the other side knows but for its beat.
+type Heartbeat struct {
+	Addr string
+	Inc  int64
+	Beat uint64
+}
+
+// Heartbeats are written as one text, since each line has one for each process:
+// "address incarnation beat", separated by commas, with numbers to the base 36.
+type Heartbeats []Heartbeat
+
+var errHeartbeats = errors.New("gossip: malformed heartbeats")
+
+const heartbeatBase = 36
+
+// MarshalJSON writes the text.
+func (h Heartbeats) MarshalJSON() ([]byte, error) {
+	text := make([]byte, 0, 2+32*len(h))
+	text = append(text, '"')
+	for i, b := range h {
+		if i > 0 {
+			text = append(text, ',')
+		}
+		text = append(append(text, b.Addr...), ' ')
+		text = append(strconv.AppendInt(text, b.Inc, heartbeatBase), ' ')
+		text = strconv.AppendUint(text, b.Beat, heartbeatBase)
+	}
+	return append(text, '"'), nil
+}
+
+// UnmarshalJSON reads it.
+func (h *Heartbeats) UnmarshalJSON(raw []byte) error {
+	if len(raw) < 2 || raw[0] != '"' {
+		return errHeartbeats
+	}
+	rest, more := string(raw[1:len(raw)-1]), len(raw) > 2
+	*h = make(Heartbeats, 0, strings.Count(rest, ",")+1)
+	for more {
+		var one string
+		one, rest, more = strings.Cut(rest, ",")
+		b, err := parseHeartbeat(one)
+		if err != nil {
+			return err
+		}
+		*h = append(*h, b)
+	}
+	return nil
+}
+
+func parseHeartbeat(text string) (Heartbeat, error) {
+	addr, numbers, _ := strings.Cut(text, " ")
+	inc, beat, ok := strings.Cut(numbers, " ")
+	if !ok || addr == "" || strings.ContainsRune(addr, '\\') {
+		return Heartbeat{}, errHeartbeats
+	}
+	i, err := strconv.ParseInt(inc, heartbeatBase, 64)
+	if err != nil {
+		return Heartbeat{}, errHeartbeats
+	}
+	b, err := strconv.ParseUint(beat, heartbeatBase, 64)
+	if err != nil {
+		return Heartbeat{}, errHeartbeats
+	}
+	return Heartbeat{addr, i, b}, nil
+}
