Renewals are proved in batches and answered from one encoding

Cause: each of 66 dispatchers renews every 0.3 s and at each nudge; the leader asked for a read, searched the ledger, walked its table of lease holders and encoded an answer for each. Reads and commits also brought on up to a hundred rounds of heartbeats a second, each to seven members and back.

Renewals that come within 30 ms (a tenth of the interval) share a proved read, those of one index share an answer, and rounds are five a heartbeat at most.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -15,26 +15,27 @@
 
 // Ratios of the bounds.
 const (
-	Lease     = Plan * 3 / 4    // a dispatcher's right to serve, from the renewal's sending
-	Renew     = Lease / 5       // how often it is renewed
-	Nudge     = Renew / 15      // least time between renewals that a nudge brings on
-	Beat      = Heal / 120      // a leader's heartbeat
-	Elect     = Heal / 24       // least silence before an election; the most is twice that
-	Gossip    = Heal / 48       // how often a node gossips
-	Lost      = Heal / 6        // a peer without beats counts as lost
-	Poll      = Engine / 6      // how often an engine's own load is read
-	PollLimit = Engine / 5      // how long such a read may take
-	Quiet     = Engine / 2      // an engine without a good read is out of placement
-	List      = Engine / 6      // how often the platform list is read
-	Ask       = Heal / 24       // how long an ask waits before it is tried elsewhere
-	AskLimit  = Heal / 4        // how long an ask is tried at all
-	OrderSend = Lease * 2 / 3   // how long a weight order may be on its way
-	Owner     = Lease * 2 / 3   // silence before the lots of a dispatcher get another owner
-	Take      = 2 * Lease       // silence before another coordinator may be granted the lease
-	Stop      = Heal / 2        // how long a clean stop may take, where the config are silent
-	Lookup    = Listed / 25     // what a dispatcher spends on asking the index
-	Batch     = 1 * time.Second // events go to the coordinator about once a second
-	Silence   = 30 * time.Second
-	Sweep     = 10 * time.Second
-	Snapshot  = 60 * time.Second
+	Lease      = Plan * 3 / 4    // a dispatcher's right to serve, from the renewal's sending
+	Renew      = Lease / 5       // how often it is renewed
+	RenewBatch = Renew / 10      // renewals that come in this time are proved together
+	Nudge      = Renew / 15      // least time between renewals that a nudge brings on
+	Beat       = Heal / 120      // a leader's heartbeat
+	Elect      = Heal / 24       // least silence before an election; the most is twice that
+	Gossip     = Heal / 48       // how often a node gossips
+	Lost       = Heal / 6        // a peer without beats counts as lost
+	Poll       = Engine / 6      // how often an engine's own load is read
+	PollLimit  = Engine / 5      // how long such a read may take
+	Quiet      = Engine / 2      // an engine without a good read is out of placement
+	List       = Engine / 6      // how often the platform list is read
+	Ask        = Heal / 24       // how long an ask waits before it is tried elsewhere
+	AskLimit   = Heal / 4        // how long an ask is tried at all
+	OrderSend  = Lease * 2 / 3   // how long a weight order may be on its way
+	Owner      = Lease * 2 / 3   // silence before the lots of a dispatcher get another owner
+	Take       = 2 * Lease       // silence before another coordinator may be granted the lease
+	Stop       = Heal / 2        // how long a clean stop may take, where the config are silent
+	Lookup     = Listed / 25     // what a dispatcher spends on asking the index
+	Batch      = 1 * time.Second // events go to the coordinator about once a second
+	Silence    = 30 * time.Second
+	Sweep      = 10 * time.Second
+	Snapshot   = 60 * time.Second
 )
--- a/core/raft/reads.go
+++ b/core/raft/reads.go
@@ -12,12 +12,19 @@
 	if !r.Ready() {
 		return false
 	}
-	// The next round goes out soon; one proves all reads that came before it.
-	r.heartbeat = min(r.heartbeat, max(r.now, r.heartbeatAt+r.beat/10))
+	r.hurry() // one round proves all reads that came before it
 	r.reads = append(r.reads, read{token, r.round + 1, r.commit})
 	return true
 }
 
+// roundsPerBeat bounds the rounds that reads and commits bring on.
+const roundsPerBeat = 5
+
+// hurry brings the next round of heartbeats forward, within the bound on them.
+func (r *Raft) hurry() {
+	r.heartbeat = min(r.heartbeat, max(r.now, r.heartbeatAt+r.beat/roundsPerBeat))
+}
+
 func (r *Raft) release() {
 	for len(r.reads) > 0 {
 		rd := r.reads[0]
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -215,7 +215,7 @@
 		mid := have[n/2]
 		if t, ok := r.term(mid); ok && mid > r.commit && t == r.hard.Term {
 			r.commit = mid
-			r.heartbeat = r.now
+			r.hurry() // the others hear of it
 		}
 	}
 	// Check-quorum: a leader that hears no majority steps down.
--- a/core/store/asks.go
+++ b/core/store/asks.go
@@ -65,15 +65,18 @@
 	out.Line(w.addr, "told", ask.Told{ID: w.ask.ID, Code: 200, Body: raw, Any: true})
 }
 
+// same says whether two tries are of one question.
+func (w wait) same(o wait) bool { return o.addr == w.addr && o.ask.ID == w.ask.ID }
+
 func (s *Store) open(w wait) bool {
 	for _, m := range []map[uint64]wait{s.writes, s.reads} {
 		for _, o := range m {
-			if o.addr == w.addr && o.ask.ID == w.ask.ID {
+			if w.same(o) {
 				return true
 			}
 		}
 	}
-	return false
+	return s.renewals.open(w)
 }
 
 var own map[string]func(*Store, flow.Time, wait, *flow.Outbox)
@@ -164,7 +167,6 @@
 
 func init() {
 	answers = map[string]func(*Store, flow.Time, wait) ledger.Result{
-		"renew":       (*Store).renewed,
 		"coord.renew": (*Store).renewedCoord,
 		"store.list":  (*Store).list,
 	}
--- a/core/store/leases.go
+++ b/core/store/leases.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/json"
-	"sort"
 
 	"fernlink/core/budget"
 	"fernlink/core/flow"
@@ -45,8 +44,6 @@
 	Heard uint64 `json:"heard"`          // how many answers it got
 }
 
-func (s *Store) renew(_ flow.Time, w wait, out *flow.Outbox) { s.read(w, out) }
-
 // CoordRenew asks to keep the coordinator's lease.
 type CoordRenew struct {
 	ID    string `json:"id"`
@@ -123,19 +120,7 @@
 	if r.Have > was.have {
 		s.heardMore = true // an order may be known to all by now
 	}
-	d := s.ledger.Since(r.Have)
-	d.Wall = s.time()
-	for id, x := range s.seen {
-		if now-x.at > 2*budget.Lease {
-			delete(s.seen, id)
-		}
-		if now-x.at > budget.Lease || x.left || len(d.Open) == 0 {
-			continue // only steps are shared out by the roster
-		}
-		d.Roster = append(d.Roster, id)
-	}
-	sort.Strings(d.Roster)
-	return ledger.Result{Code: 200, Body: body(d)}
+	return ledger.Result{Code: 200, Body: s.since(now, r.Have)}
 }
 
 // nudges are the commands that others should hear of soon. They renew at once
--- a/core/store/stats.go
+++ b/core/store/stats.go
@@ -40,6 +40,7 @@
 func (s *Store) Rows(to map[string]int) {
 	l := s.ledger
 	to["log"], to["waiting_writes"], to["waiting_reads"], to["dispatchers"] = s.raft.LogLen(), len(s.writes), len(s.reads), len(s.seen)
+	to["waiting_renewals"] = len(s.renewals.waiting)
 	to["plans"], to["steps"], to["keys"], to["orders"], to["drains"] = len(l.Plans), len(l.Steps), l.Keys.Len(), len(l.Orders), len(l.Drains)
 	to["claims_open"], to["member_addresses"], to["fetches"] = len(l.Owners), len(s.addrs), len(s.fetches)
 	to["lots"] = len(l.Lots)
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -48,6 +48,7 @@
 	addrs       map[string]string
 	writes      map[uint64]wait
 	reads       map[uint64]wait
+	renewals    renewals
 	token       uint64
 	seen        map[string]leaseHolder // dispatchers by their last renewal
 	coord       flow.Time              // the coordinator's last renewal
@@ -85,7 +86,7 @@
 // New starts a store from its disk.
 func New(now flow.Time, p Config) (*Store, error) {
 	s := &Store{p: p, ledger: ledger.New(), addrs: map[string]string{}, writes: map[uint64]wait{},
-		reads: map[uint64]wait{}, seen: map[string]leaseHolder{}, counts: map[string]int{},
+		reads: map[uint64]wait{}, renewals: renewals{proving: map[uint64][]wait{}}, seen: map[string]leaseHolder{}, counts: map[string]int{},
 		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, lots: map[string]given{}, silent: map[string]flow.Time{}}
 	if d := p.Disk.Snapshot; d != nil {
 		l, err := ledger.Load(d.State, p.Disk.Items)
@@ -161,6 +162,7 @@
 	s.checked, s.p.Disk = true, Disk{} // it is not needed any more
 	s.form(now, live, self, out)
 	s.repair(now, live, out)
+	s.proveRenewals(now, out)
 	o := s.raft.Advance(now)
 	out.Save = append(out.Save, o.Saves...)
 	for _, d := range o.Msgs {
@@ -183,6 +185,11 @@
 	}
 	sort.Slice(o.Reads, func(i, j int) bool { return o.Reads[i] < o.Reads[j] })
 	for _, t := range o.Reads {
+		if batch, ok := s.renewals.proving[t]; ok {
+			delete(s.renewals.proving, t)
+			s.answerRenewals(now, batch, out)
+			continue
+		}
 		w := s.reads[t]
 		delete(s.reads, t)
 		s.answer(now, w, out)
@@ -224,6 +231,7 @@
 		s.retry(s.reads[t], out)
 	}
 	s.writes, s.reads = map[uint64]wait{}, map[uint64]wait{}
+	s.voidRenewals(out)
 	s.seen = map[string]leaseHolder{}
 	s.grant = 0
 	s.lots = map[string]given{}
