A node without work rests for longer between turns

And each turn of a node with a disk encoded the names of the stores to see whether they had changed.

The simulator follows it too.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -20,6 +20,7 @@
 	RenewBatch = Renew / 10      // renewals that come in this time are proved together
 	Nudge      = Renew / 15      // least time between renewals that a nudge brings on
 	Beat       = Heal / 120      // a leader's heartbeat
+	Tick       = Beat / 10       // how often a node with work under way looks at its deadlines
 	Elect      = Heal / 24       // least silence before an election; the most is twice that
 	Gossip     = Heal / 48       // how often a node gossips
 	Lost       = Heal / 6        // a peer without beats counts as lost
--- a/core/disp/disp.go
+++ b/core/disp/disp.go
@@ -142,6 +142,11 @@
 // Fresh says whether the view of the ledger is under a lease.
 func (d *Disp) Fresh(now flow.Time) bool { return now < d.till }
 
+// Idle says that nothing is under way here, and that there is a lease.
+func (d *Disp) Idle(now flow.Time) bool {
+	return d.Fresh(now) && !d.leaving && len(d.sends)+len(d.reqs)+len(d.steps)+len(d.parked)+len(d.lookups) == 0
+}
+
 func (d *Disp) renew() {
 	if d.now < d.next || d.leaving || d.renewing && d.now-d.asked < budget.Ask {
 		return
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -175,6 +175,36 @@
 	return out
 }
 
+// Multiples of budget.Tick that a node rests for at most while nothing happens: a
+// follower's shortest deadline is an election, that of a node without a store and
+// without work a renewal.
+const (
+	followerTicks = 2
+	idleTicks     = 5
+)
+
+// Pause tells for how long the node may rest where no event comes. Whatever is due
+// meanwhile is late by that, so a node with work under way rests for a tick only.
+func (n *Node) Pause() flow.Time {
+	switch {
+	case n.busy():
+		return budget.Tick
+	case n.store != nil:
+		return followerTicks * budget.Tick
+	default:
+		return idleTicks * budget.Tick
+	}
+}
+
+// busy says whether any part has deadlines that are short.
+func (n *Node) busy() bool {
+	return n.stop != 0 || len(n.held) > 0 ||
+		n.store != nil && !n.store.Resting() ||
+		n.coord != nil && n.coord.Acting(n.now) ||
+		n.disp != nil && !n.disp.Idle(n.now) ||
+		n.serve != nil && !n.serve.Idle()
+}
+
 func (n *Node) local(out *flow.Outbox) []flow.Line {
 	var mine, rest []flow.Line
 	for _, l := range out.Lines {
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -153,6 +153,11 @@
 	return s.raft.Role() != raft.Leader || !slices.ContainsFunc(s.raft.Conf().Members, func(m raft.Member) bool { return m.Voter && m.ID != s.p.ID })
 }
 
+// Resting says that this store follows a leader and waits for nothing of its own.
+func (s *Store) Resting() bool {
+	return s.raft.Role() == raft.Follower && s.raft.LeaderID() != "" && len(s.fetches) == 0 && s.pull == nil
+}
+
 // Advance runs the store's systems.
 func (s *Store) Advance(now flow.Time, wall int64, live []gossip.Entry, self gossip.Entry, out *flow.Outbox) {
 	s.now = now
--- a/shell/run/run.go
+++ b/shell/run/run.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -16,6 +17,7 @@
 
 	"fernlink/core/budget"
 	"fernlink/core/flow"
+	"fernlink/core/gossip"
 	"fernlink/core/node"
 	"fernlink/shell/clock"
 	"fernlink/shell/disk"
@@ -27,8 +29,6 @@
 // QueueSize is how many events may wait for the loop.
 const QueueSize = 4096
 
-const tick = budget.Beat / 10
-
 // Loop owns a node and its shells.
 type Loop struct {
 	Node   *node.Node
@@ -44,9 +44,9 @@
 	quit   chan struct{}
 	done   chan struct{}
 	Halted chan error
-	known  string
-	todo   chore      // gathers while the disk's task is busy
-	chores chan chore // no room: the disk's task takes one when it is free
+	known  gossip.Known // as it was last written
+	todo   chore        // gathers while the disk's task is busy
+	chores chan chore   // no room: the disk's task takes one when it is free
 	rest   chan struct{}
 	left   chan struct{} // closed when a clean stop is over
 }
@@ -163,8 +163,8 @@
 func (l *Loop) run() {
 	defer close(l.done)
 	defer close(l.chores)
-	t := time.NewTicker(tick)
-	defer t.Stop()
+	pause := time.NewTimer(budget.Tick)
+	defer pause.Stop()
 	var in []flow.Event
 	for {
 		select {
@@ -172,7 +172,7 @@
 			return
 		case e := <-l.events:
 			in = append(in, e)
-		case <-t.C:
+		case <-pause.C:
 		}
 		for more := true; more && len(in) < QueueSize/4; {
 			select {
@@ -187,6 +187,7 @@
 			return
 		}
 		in = in[:0]
+		pause.Reset(l.Node.Pause())
 	}
 }
 
@@ -236,12 +237,15 @@
 		return
 	}
 	k.At = 0 // heard anew after a start
+	if k.Cluster == l.known.Cluster && slices.Equal(k.Stores, l.known.Stores) {
+		return
+	}
 	b, err := json.Marshal(k)
-	if err != nil || string(b) == l.known {
+	if err != nil {
 		return
 	}
 	l.todo.files = append(l.todo.files, flow.File{Name: KnownFile, Body: b})
-	l.known = string(b)
+	l.known = k
 }
 
 // KnownFile holds the cluster's id and store addresses as last heard.
--- a/sim/host.go
+++ b/sim/host.go
@@ -31,6 +31,7 @@
 	life    int  // counts starts, so that news of a past life is dropped
 
 	inbox  []flow.Event
+	turned time.Duration // when it last took a turn
 	due    bool
 	origin time.Duration
 	rate   float64 // how fast its clock runs
@@ -104,7 +105,9 @@
 		if !h.Up || h.life != life {
 			return false
 		}
-		h.turn()
+		if h.w.Now-h.turned >= h.Node.Pause() {
+			h.turn()
+		}
 		return true
 	})
 }
@@ -160,7 +163,7 @@
 		return
 	}
 	in := h.inbox
-	h.inbox = nil
+	h.inbox, h.turned = nil, h.w.Now
 	out := h.Node.Advance(h.clock(), h.wall(), in)
 	if len(out.Save) > 0 {
 		h.batch, h.saves = out.Batch, append(h.saves, out.Save...)
