Raft, leases and gossip go before requests and streams in a node's queue

Cause: one queue of 4096 events was read in its order. A machine with a fraction of a core that is behind with streams and trainers' reads heard heartbeats and renewals after all that, and lines of a lot's bulk could wait in any number of bytes.

Renewals go by a line kind of their own, so that a queue can tell them from reads of lots. Order within a sort is kept.

--- a/core/ask/ask.go
+++ b/core/ask/ask.go
@@ -18,6 +18,22 @@
 	Body json.RawMessage `json:"body"`
 }
 
+// The kinds of lines that carry asks. Those about leases go by a kind of their own,
+// so that a node under load hears them before others (design 3.1).
+const (
+	Line      = "ask"
+	LeaseLine = "lease"
+)
+
+var ofLeases = map[string]bool{"renew": true, "coord.renew": true, "coord.take": true}
+
+func (a Ask) line() string {
+	if ofLeases[a.Kind] {
+		return LeaseLine
+	}
+	return Line
+}
+
 // Told answers one Ask. Retry says to ask again, at Leader if that is known.
 type Told struct {
 	ID     uint64          `json:"id"`
@@ -134,6 +150,6 @@
 			o.sent = now
 		}
 		o.again, o.to = now+budget.Ask+flow.Time(len(o.ask.Body))*perByte, to
-		out.Line(to, "ask", o.ask)
+		out.Line(to, o.ask.line(), o.ask)
 	}
 }
--- a/core/node/lines.go
+++ b/core/node/lines.go
@@ -29,6 +29,21 @@
 	}
 }
 
+func askLine(n *Node, now flow.Time, _ int64, l flow.Line, _ *flow.Outbox) {
+	if n.store != nil && !n.choked() {
+		n.store.Ask(now, l, &n.box)
+	}
+}
+
+// urgent are the kinds of lines that elections, leases and membership rest on.
+var urgent = map[string]bool{"raft": true, flow.Entries: true, ask.LeaseLine: true, "told": true, "gossip": true, "nudge": true}
+
+// Urgent says whether an event goes before all requests, streams and questions in a
+// node that has more to do than it can (design 3.1).
+func Urgent(e flow.Event) bool {
+	return e.Saved != 0 || e.Blobs != nil || e.Full || e.Stop || e.Line != nil && urgent[e.Line.Kind]
+}
+
 var lines map[string]func(*Node, flow.Time, int64, flow.Line, *flow.Outbox)
 
 func init() {
@@ -41,11 +56,8 @@
 		},
 		"raft":       raftLine,
 		flow.Entries: raftLine,
-		"ask": func(n *Node, now flow.Time, _ int64, l flow.Line, _ *flow.Outbox) {
-			if n.store != nil && !n.choked() {
-				n.store.Ask(now, l, &n.box)
-			}
-		},
+		ask.Line:      askLine,
+		ask.LeaseLine: askLine,
 		"pull": func(n *Node, now flow.Time, _ int64, l flow.Line, _ *flow.Outbox) {
 			if n.store != nil && !n.choked() {
 				n.store.Pulled(now, l, &n.box)
--- a/shell/run/run.go
+++ b/shell/run/run.go
@@ -26,9 +26,6 @@
 	"fernlink/shell/web"
 )
 
-// QueueSize is how many events may wait for the loop.
-const QueueSize = 4096
-
 // Loop owns a node and its shells.
 type Loop struct {
 	Node   *node.Node
@@ -37,7 +34,7 @@
 	Logger log.Logger
 	Least  flow.Level // notes below it are not written
 
-	events chan flow.Event
+	events *queue
 	Link   *link.Link
 	Web    *web.Web
 	Caller *outcall.Caller
@@ -53,28 +50,10 @@
 
 // New makes a loop without its shells.
 func New(logger log.Logger) *Loop {
-	return &Loop{Logger: logger, events: make(chan flow.Event, QueueSize), quit: make(chan struct{}), done: make(chan struct{}), Halted: make(chan error, 1),
+	return &Loop{Logger: logger, events: newQueue(), quit: make(chan struct{}), done: make(chan struct{}), Halted: make(chan error, 1),
 		chores: make(chan chore), rest: make(chan struct{}), left: make(chan struct{})}
 }
 
-// Offer puts an event into the queue, unless it is full.
-func (l *Loop) Offer(e flow.Event) bool {
-	select {
-	case l.events <- e:
-		return true
-	default:
-		return false
-	}
-}
-
-// Put waits for room: news of sends must not be lost.
-func (l *Loop) Put(e flow.Event) {
-	select {
-	case l.events <- e:
-	case <-l.quit:
-	case <-l.done:
-	}
-}
 
 // Start runs the loop.
 func (l *Loop) Start() {
@@ -149,7 +128,7 @@
 				_ = level.Warn(l.Logger).Log("part", "run", "msg", "a file was not written, trying again later", "file", f.Name, "failure", err)
 			}
 		}
-		l.Put(flow.Event{}) // it is free again
+		l.events.wake(l.quit, l.done) // it is free again
 	}
 }
 
@@ -167,26 +146,14 @@
 	defer pause.Stop()
 	var in []flow.Event
 	for {
-		select {
-		case <-l.quit:
+		var ok bool
+		if in, ok = l.events.wait(in[:0], pause.C, l.quit); !ok {
 			return
-		case e := <-l.events:
-			in = append(in, e)
-		case <-pause.C:
-		}
-		for more := true; more && len(in) < QueueSize/4; {
-			select {
-			case e := <-l.events:
-				in = append(in, e)
-			default:
-				more = false
-			}
 		}
 		if err := l.turn(in); err != nil {
 			l.fail(err)
 			return
 		}
-		in = in[:0]
 		pause.Reset(l.Node.Pause())
 	}
 }
--- a/shell/run/run_test.go
+++ b/shell/run/run_test.go
@@ -62,7 +62,7 @@
 			select {
 			case <-quit:
 				return
-			case e := <-l.events:
+			case e := <-l.events.rest:
 				if e.Call != nil {
 					l.Web.Reply(flow.Reply{ID: e.Call.ID, Code: 200})
 				}
