--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -295,6 +295,23 @@
 	o.Lines = append(o.Lines, Line{Ver: Version, Kind: kind, To: to, Body: raw})
 }
 
+// LineToAll adds the same line to several peers, which is encoded once.
+func (o *Outbox) LineToAll(to []string, kind string, body any) {
+	if len(to) == 0 {
+		return
+	}
+	first := len(o.Lines)
+	o.Line(to[0], kind, body)
+	if len(o.Lines) == first {
+		return
+	}
+	for _, addr := range to[1:] {
+		line := o.Lines[first]
+		line.To = addr
+		o.Lines = append(o.Lines, line)
+	}
+}
+
 // Answer adds a JSON reply.
 func (o *Outbox) Answer(id uint64, code int, body any, head map[string]string) {
 	raw, err := json.Marshal(body)
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -327,9 +327,7 @@
 	g.refresh(now)
 	if len(g.answer) > 0 {
 		b := Body{Entries: append(g.every(), g.self), Known: g.known}
-		for _, a := range sorted.Keys(g.answer) {
-			out.Line(a, "gossip", b)
-		}
+		out.LineToAll(sorted.Keys(g.answer), "gossip", b)
 		g.answer = map[string]bool{}
 	}
 	if now < g.next {
@@ -372,11 +370,13 @@
 		}
 	}
 	delete(to, g.self.Addr)
+	var told []string
 	for _, a := range sorted.Keys(to) {
 		if to[a] {
-			out.Line(a, "gossip", b)
+			told = append(told, a)
 		}
 	}
+	out.LineToAll(told, "gossip", b)
 }
 
 func (g *Gossip) addrs() []string { return sorted.Keys(g.seats) }
--- a/core/node/lines.go
+++ b/core/node/lines.go
@@ -54,8 +54,8 @@
 				n.gossip.Take(now, l.Addr, b)
 			}
 		},
-		"raft":       raftLine,
-		flow.Entries: raftLine,
+		"raft":        raftLine,
+		flow.Entries:  raftLine,
 		ask.Line:      askLine,
 		ask.LeaseLine: askLine,
 		"pull": func(n *Node, now flow.Time, _ int64, l flow.Line, _ *flow.Outbox) {
--- a/core/serve/fleet/fleet.go
+++ b/core/serve/fleet/fleet.go
@@ -221,11 +221,13 @@
 	}
 	f.term, f.heard = term, f.env.Now
 	n.Term, n.Seq = term, f.seq
+	var to []string
 	for _, e := range f.live {
 		if e.Has("dispatcher") && !e.Left && e.Start() != f.env.Me {
-			f.env.Out.Line(e.Addr, "fleet", n)
+			to = append(to, e.Addr)
 		}
 	}
+	f.env.Out.LineToAll(to, "fleet", n)
 }
 
 // Weights are told to all with the next turn.
--- a/core/store/leases.go
+++ b/core/store/leases.go
@@ -136,11 +136,13 @@
 		return
 	}
 	if s.news {
+		var to []string
 		for _, id := range sorted.Keys(s.seen) {
 			if x := s.seen[id]; now-x.at <= budget.Lease {
-				out.Line(x.addr, "nudge", struct{}{})
+				to = append(to, x.addr)
 			}
 		}
+		out.LineToAll(to, "nudge", struct{}{})
 	}
 	if s.ledger.Coord.Addr != "" && (s.news || s.heardMore && s.ledger.Ordered()) {
 		out.Line(s.ledger.Coord.Addr, "nudge", struct{}{})
