--- a/shell/run/run.go
+++ b/shell/run/run.go
@@ -54,7 +54,6 @@
 		chores: make(chan chore), rest: make(chan struct{}), left: make(chan struct{})}
 }
 
-
 // Start runs the loop.
 func (l *Loop) Start() {
 	go l.disk()
