Link: bytes that wait for a peer are bounded

Cause: up to 512 lines, or 64 large ones of a megabyte and more, could wait for one peer that reads slowly or not at all; a few such peers pass the memory of a machine. 4 MB wait at most, and the oldest go, as they do for their number; one line may be larger.

--- a/shell/link/link.go
+++ b/shell/link/link.go
@@ -56,6 +56,7 @@
 
 type wire struct {
 	lines chan flow.Line
+	bytes atomic.Int64 // of the bodies that wait
 	used  time.Time
 	quit  context.CancelFunc
 }
@@ -145,6 +146,40 @@
 	bulkMost = 64
 )
 
+// laneBytes is how many bytes may wait for a connection; one line may wait whatever
+// its size.
+const laneBytes = 4 << 20
+
+// put makes room for a line and puts it in; only one task does so at a time.
+func (w *wire) put(x flow.Line) {
+	size := int64(len(x.Body))
+	for w.bytes.Load() > 0 && w.bytes.Load()+size > laneBytes {
+		if _, ok := w.take(); !ok {
+			break
+		}
+	}
+	w.bytes.Add(size)
+	for {
+		select {
+		case w.lines <- x:
+			return
+		default:
+			w.take() // the oldest says least
+		}
+	}
+}
+
+// take gives the oldest line that waits, if there is one.
+func (w *wire) take() (flow.Line, bool) {
+	select {
+	case x := <-w.lines:
+		w.bytes.Add(-int64(len(x.Body)))
+		return x, true
+	default:
+		return flow.Line{}, false
+	}
+}
+
 // lane tells the connection that a line goes by, and how many may wait for it.
 func lane(x flow.Line) (key string, room int) {
 	if x.Kind == flow.Entries || len(x.Body) > bulk {
@@ -171,17 +206,7 @@
 		l.forget()
 	}
 	w.used = time.Now()
-	for {
-		select {
-		case w.lines <- x:
-			return
-		default:
-		}
-		select {
-		case <-w.lines: // the oldest says least
-		default:
-		}
-	}
+	w.put(x)
 }
 
 // forget ends wires that nothing was sent on for long; mu is held.
@@ -211,15 +236,15 @@
 		case <-ctx.Done():
 			return
 		case x := <-w.lines:
+			w.bytes.Add(-int64(len(x.Body)))
 			buf = add(buf, x)
 		}
-		for more := true; more && len(buf) < batch; {
-			select {
-			case x := <-w.lines:
-				buf = add(buf, x)
-			default:
-				more = false
+		for len(buf) < batch {
+			x, ok := w.take()
+			if !ok {
+				break
 			}
+			buf = add(buf, x)
 		}
 		if len(buf) == 0 || s.say(ctx, buf) {
 			continue
@@ -227,10 +252,7 @@
 		// Nobody there: what waits is old by the time somebody is.
 		s.rest(ctx)
 		for len(w.lines) > cap(w.lines)/8 {
-			select {
-			case <-w.lines:
-			default:
-			}
+			w.take()
 		}
 	}
 }
