What waits for a slow disk is bounded in bytes

Cause: up to 512 batches of what the store said wait for a sync; with trainers' reads among it, of a megabyte each, that passes the memory of a machine whose disk stalls. From 16 MB on the store hears no more, as with 512 batches, and peers say it again. The test fails on the earlier bound, which only counted batches.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -51,36 +51,49 @@
 
 // Node is one process.
 type Node struct {
-	p      Config
-	gossip *gossip.Gossip
-	asker  *ask.Asker
-	store  *store.Store
-	disp   *disp.Disp
-	coord  *coord.Coord
-	serve  *serve.Serve
-	ids    uint64
-	counts map[string]int64
-	burst  map[string]flow.Time
-	known  gossip.Known
-	began  flow.Time
-	now    flow.Time
-	box    flow.Outbox // what the store wants done, until it is released
-	held   []batch     // what waits for saves that are under way
-	given  uint64      // the newest batch of saves given out
-	saved  uint64      // the newest that is on disk
-	full   bool        // the disk has no room
-	stop   flow.Time   // when a clean stop is over at the latest
+	p         Config
+	gossip    *gossip.Gossip
+	asker     *ask.Asker
+	store     *store.Store
+	disp      *disp.Disp
+	coord     *coord.Coord
+	serve     *serve.Serve
+	ids       uint64
+	counts    map[string]int64
+	burst     map[string]flow.Time
+	known     gossip.Known
+	began     flow.Time
+	now       flow.Time
+	box       flow.Outbox // what the store wants done, until it is released
+	held      []batch     // what waits for saves that are under way
+	heldBytes int         // of the lines among it
+	given     uint64      // the newest batch of saves given out
+	saved     uint64      // the newest that is on disk
+	full      bool        // the disk has no room
+	stop      flow.Time   // when a clean stop is over at the latest
 }
 
 // batch is what may leave once the saves up to its number are on disk.
 type batch struct {
 	number uint64
 	out    flow.Outbox
+	bytes  int // of its lines
 }
 
-// heldMost bounds what waits for the disk; beyond it the store hears nothing
-// new, and peers say it again.
-const heldMost = 512
+// heldMost and heldBytes bound what waits for the disk; beyond them the store hears
+// nothing new, and peers say it again.
+const (
+	heldMost  = 512
+	heldBytes = 16 << 20
+)
+
+func bytesOf(lines []flow.Line) int {
+	sum := 0
+	for _, line := range lines {
+		sum += len(line.Body)
+	}
+	return sum
+}
 
 // New starts a node.
 func New(now flow.Time, p Config) (*Node, error) {
@@ -254,7 +267,9 @@
 		box.Save = nil
 	}
 	if n.given > n.saved {
-		n.held = append(n.held, batch{n.given, box})
+		size := bytesOf(box.Lines)
+		n.held = append(n.held, batch{n.given, box, size})
+		n.heldBytes += size
 		return
 	}
 	out.Join(box)
@@ -268,13 +283,14 @@
 	}
 	for len(n.held) > 0 && n.held[0].number <= n.saved {
 		out.Join(n.held[0].out)
+		n.heldBytes -= n.held[0].bytes
 		n.held = n.held[1:]
 	}
 }
 
 // choked says that the disk is so far behind that the store hears no more.
 func (n *Node) choked() bool {
-	if len(n.held) < heldMost {
+	if len(n.held) < heldMost && n.heldBytes < heldBytes {
 		return false
 	}
 	n.counts["dropped_for_disk"]++
