--- a/core/store/asks.go
+++ b/core/store/asks.go
@@ -96,6 +96,8 @@
 		"store.add":     (*Store).add,
 		"store.promote": (*Store).promote,
 		"store.remove":  (*Store).remove,
+		"store.stop":    (*Store).stopAnnounced,
+		"store.holding": (*Store).readOwn,
 	}
 }
 
@@ -169,6 +171,8 @@
 	answers = map[string]func(*Store, flow.Time, wait) ledger.Result{
 		"coord.renew": (*Store).renewedCoord,
 		"store.list":  (*Store).list,
+
+		"store.holding": (*Store).holding,
 	}
 }
 
--- a/core/store/members.go
+++ b/core/store/members.go
@@ -109,16 +109,44 @@
 	s.tell(w, 409, map[string]string{"error": why}, out)
 }
 
+// repeat acknowledges a change of membership that was made before, but not while
+// that is still on its way: it may yet be undone by another leader.
+func (s *Store) repeat(w wait, body any, out *flow.Outbox) {
+	if s.raft.Busy() {
+		s.tell(w, 503, map[string]string{"error": "a change of membership is under way; say the same again"}, out)
+		return
+	}
+	s.tell(w, 200, body, out)
+}
+
+// removal tells that a store machine is out for good.
+type removal struct {
+	State string `json:"state"`
+	ID    string `json:"id"`
+}
+
+func removed(id string) removal { return removal{"removed", id} }
+
 // add takes a blank machine in as a learner (design 4.4).
 func (s *Store) add(_ flow.Time, w wait, out *flow.Outbox) {
 	var m raft.Member
-	if json.Unmarshal(w.ask.Body, &m) != nil || m.ID == "" || m.Addr == "" {
-		s.tell(w, 400, map[string]string{"error": "a store machine needs an id and an address"}, out)
+	if json.Unmarshal(w.ask.Body, &m) != nil || m.Addr == "" {
+		s.tell(w, 400, map[string]string{"error": "a store machine needs an address"}, out)
 		return
 	}
 	c := s.raft.Conf()
-	if i := c.Find(m.ID); i >= 0 {
-		s.tell(w, 200, c.Members[i], out) // said twice: nothing more to do
+	for _, known := range c.Members {
+		if known.ID == m.ID || m.ID == "" && known.Addr == m.Addr {
+			s.repeat(w, known, out)
+			return
+		}
+	}
+	switch {
+	case m.ID == "":
+		s.tell(w, 404, map[string]string{"error": "no process is heard at that address"}, out)
+		return
+	case slices.Contains(c.Retired, m.ID):
+		s.repeat(w, removed(m.ID), out) // it was taken in once, and is out for good
 		return
 	}
 	m.Voter = false
@@ -131,13 +159,17 @@
 	id, c := "", s.raft.Conf()
 	_ = json.Unmarshal(w.ask.Body, &id)
 	i := c.Find(id)
+	if i < 0 && slices.Contains(c.Retired, id) {
+		s.repeat(w, removed(id), out)
+		return
+	}
 	if i < 0 {
 		s.tell(w, 404, map[string]string{"error": "no such store machine"}, out)
 		return
 	}
 	m := c.Members[i]
 	if m.Voter {
-		s.tell(w, 200, m, out)
+		s.repeat(w, m, out)
 		return
 	}
 	if !s.ready(id, now) {
@@ -149,12 +181,38 @@
 	s.hold(w, at, term, err, out)
 }
 
-// ready says whether a member is heard and holds nearly all of the log.
+// ready says whether a member may take a voter's place: it is heard, does not
+// stop, and has all that was committed an election timeout ago on its disk
+// (design 4.8). Match counts what a member acknowledged to this leader in this
+// term, and a member acknowledges only what is synced: its log, and the snapshot
+// with every blob that it names.
 func (s *Store) ready(id string, now flow.Time) bool {
-	m := s.raft.Match(id)
-	return s.raft.Live(id, now) && m > 0 && m+uint64(s.p.Keep/8+1) >= s.raft.Commit()
+	target, known := s.caughtUp.target(s.raft.Term())
+	return known && s.raft.Live(id, now) && !s.isStopping(id, now) && s.raft.Match(id) >= target
 }
 
+// catchUpTarget remembers what was committed a while ago, so that a learner is
+// held against the log's progress and not against a number of entries.
+type catchUpTarget struct {
+	term         uint64
+	notedAt      flow.Time
+	older, newer uint64 // commit indexes, the older of them up to an election timeout old
+}
+
+// note takes the leader's commit index of now.
+func (t *catchUpTarget) note(now flow.Time, term, commit uint64) {
+	if t.term != term {
+		*t = catchUpTarget{term: term, notedAt: now, older: commit, newer: commit}
+		return
+	}
+	if now-t.notedAt >= budget.Elect/2 {
+		t.older, t.newer, t.notedAt = t.newer, commit, now
+	}
+}
+
+// target is the index that a learner must have; none is known in another term.
+func (t *catchUpTarget) target(term uint64) (uint64, bool) { return t.older, t.term == term }
+
 // remove empties a machine. A learner leaves at once; a voter is marked, and
 // leaves when another has taken its place (repair.go). What would leave too
 // few voters is refused.
@@ -163,24 +221,28 @@
 	_ = json.Unmarshal(w.ask.Body, &id)
 	i := c.Find(id)
 	if i < 0 {
-		s.tell(w, 200, map[string]string{"state": "removed", "id": id}, out)
+		s.repeat(w, removed(id), out)
 		return
 	}
 	m := c.Members[i]
 	if !m.Voter {
+		if s.needed(now, c, id) {
+			s.no(w, "too few store machines would remain: it stands ready for a voter that is lost", out)
+			return
+		}
 		at, term, err := s.raft.Change(retire(c, id))
 		s.hold(w, at, term, err, out)
 		return
 	}
 	if m.Leave {
-		s.tell(w, 200, m, out) // said twice: it is on its way out
+		s.repeat(w, m, out) // it is on its way out
 		return
 	}
 	if c.Voters() == 1 && len(c.Members) == 1 {
 		s.no(w, "this is the last copy", out)
 		return
 	}
-	if s.spare(now, c) == "" && c.Voters() <= c.Want {
+	if s.spares(now, c, "") <= s.voidVotes(now, c) && c.Voters() <= want(c) {
 		s.no(w, "no store machine stands ready to take its place", out)
 		return
 	}
@@ -189,6 +251,31 @@
 	s.hold(w, at, term, err, out)
 }
 
+// needed says that a learner is the last that can take a lost voter's place.
+func (s *Store) needed(now flow.Time, c raft.Conf, id string) bool {
+	return s.ready(id, now) && s.spares(now, c, id) < s.voidVotes(now, c)
+}
+
+// spares counts the learners that stand ready, but for one.
+func (s *Store) spares(now flow.Time, c raft.Conf, except string) (count int) {
+	for _, m := range c.Members {
+		if !m.Voter && !m.Leave && m.ID != except && s.ready(m.ID, now) {
+			count++
+		}
+	}
+	return count
+}
+
+// voidVotes counts the voters whose place a learner is to take, or may soon have to.
+func (s *Store) voidVotes(now flow.Time, c raft.Conf) (count int) {
+	for _, m := range c.Members {
+		if m.Voter && (s.gone(m, now) || s.raft.Silent(m.ID, now) >= budget.Lost/4) {
+			count++
+		}
+	}
+	return count
+}
+
 const keepRetired = 32
 
 // retire takes a member out for good.
