Raft: entries on their way to one member are 512 KB at most

Cause: on a grown deployment results of lots made the leader's commits fall to four a second, from some tenth second on, until nothing was accepted any more (trial: 18 entries in the log, up to 11 writes waiting, one to two seconds each). Six followers with 2 MB on the way each are 12 MB, a whole second of a link of 100 Mbit/s; after a second without progress all of it counts as lost and is sent again, which keeps the link full. A message was up to 1 MB.

Now 512 KB a member and 256 KB a message.

--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -304,6 +304,37 @@
 	}
 }
 
+// Given members that answer, when many large entries are proposed at once, then what
+// is on its way to one of them can cross a link of 100 Mbit/s, beside as much to seven
+// others, well before it counts as lost.
+func TestEntriesOnTheirWayAreFew(t *testing.T) {
+	x := newTrio(9)
+	x.run(3 * time.Second)
+	l := x.leader()
+	x.step()
+	big := json.RawMessage(fmt.Sprintf(`"%0100000d"`, 0))
+	for range 40 {
+		if _, _, err := l.Propose("cmd", big); err != nil {
+			t.Fatal(err)
+		}
+	}
+	sent := map[string]int{}
+	for _, message := range l.Advance(x.now).Messages {
+		for _, entry := range message.Message.Entries {
+			sent[message.Message.ToID] += len(entry.Data)
+		}
+	}
+	const bytesPerSecond, members = 100 << 20 / 8, 8
+	for id, n := range sent {
+		if way := time.Duration(n*members) * time.Second / bytesPerSecond; way > l.electionTimeout {
+			t.Errorf("%d bytes are on their way to %s, which take %v", n, id, way)
+		}
+	}
+	if len(sent) != 2 {
+		t.Errorf("entries went to %d members", len(sent))
+	}
+}
+
 // A leader sends nothing but heartbeats to a member that does not answer: entries
 // would pile up on the way to it, and fill the leader's memory.
 func TestNothingPilesUpForASilentMember(t *testing.T) {
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -9,10 +9,12 @@
 const (
 	// maxMessageEntries and maxMessageBytes bound the entries of one message.
 	maxMessageEntries = 64
-	maxMessageBytes   = 1 << 20
+	maxMessageBytes   = 256 << 10
 	// maxInflightBytes bounds the entries on their way to one member: what a slow
-	// link can't carry yet would only fill this member's memory.
-	maxInflightBytes = 2 << 20
+	// way can't carry yet would only fill this member's memory. With eight members
+	// it is 4 MB, which a link of 100 Mbit/s carries in a third of a second: well
+	// within the time after which what was sent counts as lost and is sent again.
+	maxInflightBytes = 512 << 10
 )
 
 // progress is what a leader knows of another member.
