--- a/core/store/store.go
+++ b/core/store/store.go
@@ -36,8 +36,9 @@
 }
 
 // KeepBytes is how much the log may hold before a snapshot is made, whatever the
-// number of its entries.
-const KeepBytes = 2 << 20
+// number of its entries. Half of it stays in the log behind a snapshot: a member that
+// is behind by less needs none.
+const KeepBytes = 4 << 20
 
 // Store is one store machine.
 type Store struct {
@@ -198,7 +199,7 @@
 	}
 	s.pulling(out)
 	if s.raft.SinceSnapshot() > s.p.Keep || s.raft.Weight() > KeepBytes {
-		s.raft.Compact(s.ledger.Snapshot(), s.p.Keep/4, KeepBytes/4)
+		s.raft.Compact(s.ledger.Snapshot(), s.p.Keep/4, KeepBytes/2)
 		s.storeBlobs(out)
 		out.Save = append(out.Save, s.raft.Advance(now).Saves...)
 	}
