Entries and answers are copied into their lines as they stand

Cause: a leader encoded each entry for each of its followers, and the encoder reads through the JSON within it again; answers with pages of results likewise. Tests: what is written reads as what it was, with the fields that the general encoder writes.

--- a/core/ask/ask.go
+++ b/core/ask/ask.go
@@ -44,6 +44,22 @@
 	Any    bool            `json:"any,omitempty"` // a member's own view: it need not lead
 }
 
+// Encode gives an answer as JSON. Its body is valid JSON already, a page of results
+// as often as not, and is copied as it stands.
+func (t Told) Encode() (json.RawMessage, error) {
+	body := t.Body
+	t.Body = nil
+	head, err := json.Marshal(t)
+	if err != nil || len(body) == 0 {
+		return head, err
+	}
+	text := make([]byte, 0, len(head)+len(body)+len(bodyField))
+	text = append(append(text, head[:len(head)-1]...), bodyField...)
+	return append(append(text, body...), '}'), nil
+}
+
+const bodyField = `,"body":`
+
 // Answer is what comes back to the asker. Code 0 means given up: whether the
 // command took effect is not known.
 type Answer struct {
--- /dev/null
+++ b/core/ask/encode_test.go
@@ -0,0 +1,26 @@
+package ask
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+)
+
+func TestAnswersAreEncodedAsTheirFieldsSay(t *testing.T) {
+	for _, told := range []Told{
+		{},
+		{ID: 7, Code: 200, Body: json.RawMessage(`{"results":["a\u003c",1,null]}`)},
+		{ID: 1<<64 - 1, Retry: true, Leader: "10.0.0.1:7300"},
+		{ID: 1, Code: 200, Any: true, Body: json.RawMessage(`"x"`)},
+	} {
+		// Given an answer, when it is encoded, then it reads as what it was.
+		raw, err := told.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got Told
+		if err := json.Unmarshal(raw, &got); err != nil || !reflect.DeepEqual(got, told) {
+			t.Errorf("%s: %+v, %v; not %+v", raw, got, err, told)
+		}
+	}
+}
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -312,11 +312,17 @@
 // Line adds a line to a peer.
 func (o *Outbox) Line(to, kind string, body any) {
 	raw, err := json.Marshal(body)
+	o.EncodedLine(to, kind, raw, err)
+}
+
+// EncodedLine adds a line to a peer whose body was encoded already,
+// or failed to be.
+func (o *Outbox) EncodedLine(to, kind string, body json.RawMessage, err error) {
 	if err != nil {
 		Error.Note(o, "flow", "dropped a line that does not marshal", "kind", kind, "failure", err.Error())
 		return
 	}
-	o.Lines = append(o.Lines, Line{Ver: Version, Kind: kind, To: to, Body: raw})
+	o.Lines = append(o.Lines, Line{Ver: Version, Kind: kind, To: to, Body: body})
 }
 
 // LineToAll adds the same line to several peers, which is encoded once.
--- a/core/store/asks.go
+++ b/core/store/asks.go
@@ -149,7 +149,8 @@
 // reply tells a result, once what it needs was read from the blob store.
 func (s *Store) reply(w wait, res ledger.Result, out *flow.Outbox) {
 	if len(res.Need) == 0 {
-		out.Line(w.addr, "told", ask.Told{ID: w.ask.ID, Code: res.Code, Body: res.Body})
+		told, err := ask.Told{ID: w.ask.ID, Code: res.Code, Body: res.Body}.Encode()
+		out.EncodedLine(w.addr, "told", told, err)
 		return
 	}
 	s.fetch(flow.Fetch{Refs: res.Need}, out, func(got flow.Fetched, out *flow.Outbox) {
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -173,7 +173,8 @@
 			if len(d.Message.Entries) > 0 {
 				kind = flow.Entries
 			}
-			out.Line(d.Addr, kind, d.Message)
+			body, err := d.Message.Encode()
+			out.EncodedLine(d.Addr, kind, body, err)
 		}
 	}
 	if o.Lost {
