Hollow fleets find their leader again

Cause: a role is a type of its own since the replication core was renamed, and the hollow fleet compared the note of a changed role with a plain text, so it never knew a leader: TestHollowFleet, TestSmallWhole and TestAxisIsKept failed with 'it does not serve'.

--- a/rig/scale/host.go
+++ b/rig/scale/host.go
@@ -10,6 +10,7 @@
 
 	"fernlink/core/flow"
 	"fernlink/core/node"
+	"fernlink/core/raft"
 	"fernlink/shell/link"
 )
 
@@ -228,7 +229,7 @@
 // notes are what the hollow fleet hears of its nodes' own logs.
 var notes = map[string]func(*World, *Host, map[string]any){
 	"role changed": func(w *World, h *Host, a map[string]any) {
-		if a["role"] == "leader" {
+		if a["role"] == raft.Leader {
 			w.lead = h
 		} else if w.lead == h {
 			w.lead = nil
