--- a/core/store/store.go
+++ b/core/store/store.go
@@ -38,7 +38,7 @@
 // KeepBytes is how much the log may hold before a snapshot is made, whatever the
 // number of its entries. Half of it stays in the log behind a snapshot: a member that
 // is behind by less needs none.
-const KeepBytes = 4 << 20
+const KeepBytes = 2 << 20
 
 // Store is one store machine.
 type Store struct {
