Storms: statuses that promise without proof, and streams with gaps

"Engine in trouble" now also answers 503 to what it ran, without its word that it did not, and leaves out events of streams. The simulator's client counts a run-once request that ran and was refused afterwards as REFUSED; it looked only for runs after the refusal.

--- a/sim/serve_client.go
+++ b/sim/serve_client.go
@@ -190,6 +190,9 @@
 		s.handled(t, "")
 	}
 	t.refused = r.Code == 429 || r.Code == 503 || r.Code == 408 || r.Code == 421
+	if t.refused && !t.repeats() && len(s.runs[t.id]) > 0 {
+		s.wrong("REFUSED", "%s ran and was refused with %d", t.id, r.Code)
+	}
 	if t.own && r.Code >= 300 && r.Code < 500 && !t.refused && !t.probe && s.InTouch(t.at, t.sent) && s.proper(t) {
 		s.Count["denied"]++
 	}
--- a/sim/serve_engine.go
+++ b/sim/serve_engine.go
@@ -31,6 +31,8 @@
 	Leaving              bool    // it was told to go
 	Cut, Garble, Surplus float64 // shares of answers in trouble
 	Fails                float64 // share of requests that it fails at
+	Bare                 float64 // share of requests that it runs and answers 503 without a word that they did not run
+	Skips                float64 // share of events that it leaves out
 
 	warm    time.Duration
 	listed  bool          // the list has shown it
@@ -571,6 +573,11 @@
 		e.broken(j)
 		return
 	}
+	if e.Skips > 0 && j.at > 0 && j.at+1 < j.total && s.w.Rand.Float64() < e.Skips {
+		s.Count["events left out"]++
+		j.run.broke = true
+		j.at++
+	}
 	block := fmt.Sprintf("id: %d\ndata: %s", j.at, siteData(j.id, j.at, v, j.run.no))
 	if v != j.made {
 		block = fmt.Sprintf("weight-versions: %d\n%s", v, block)
@@ -599,6 +606,10 @@
 	if code == 500 {
 		s.fails[j.id]++
 	}
+	if e.Bare > 0 && code == 200 && s.w.Rand.Float64() < e.Bare {
+		s.Count["answers bare"]++
+		code = 503
+	}
 	fields := e.head(j)
 	s.seals[flow.Get(fields, "Engine-Seal")] = sealed{j.id, code, body}
 	x := s.w.Rand.Float64()
--- a/sim/serve_faults.go
+++ b/sim/serve_faults.go
@@ -395,7 +395,8 @@
 	{"engine in trouble", func(s *Site, r *rand.Rand) bool {
 		return s.onEngine(r, func(e *SiteEngine) {
 			e.Cut, e.Garble, e.Surplus, e.Fails = r.Float64()/3, r.Float64()/3, r.Float64()/2, r.Float64()/4
-			s.w.After(s.seconds(r, 2, 8), func() { e.Cut, e.Garble, e.Surplus, e.Fails = 0, 0, 0, 0 })
+			e.Bare, e.Skips = r.Float64()/4, r.Float64()/20
+			s.w.After(s.seconds(r, 2, 8), func() { e.Cut, e.Garble, e.Surplus, e.Fails, e.Bare, e.Skips = 0, 0, 0, 0, 0, 0 })
 		})
 	}},
 	{"release", func(s *Site, r *rand.Rand) bool {
--- a/sim/serve_story_test.go
+++ b/sim/serve_story_test.go
@@ -90,6 +90,22 @@
 	s.over(t)
 }
 
+// Given engines that run requests and answer with a status that promises that they did
+// not, and that leave out events of streams, when payments go through, then none runs
+// twice, none that ran is refused, and no text is joined over a gap.
+func TestSiteBareRefusalsAndGaps(t *testing.T) {
+	t.Parallel()
+	s := site(t, 3, LittleSite)
+	for _, e := range s.Engines {
+		e.Bare, e.Skips = 0.4, 0.02
+	}
+	s.w.Run(15 * time.Second)
+	s.wantCount(t, "own 502")
+	s.wantCount(t, "answers bare")
+	s.wantCount(t, "events left out")
+	s.over(t)
+}
+
 // Given engines that crash, when others of other pools take their addresses
 // before the list says so, then nothing runs at the wrong pool.
 func TestSiteAddressesReused(t *testing.T) {
