A heartbeat of an earlier start is enough to outrank it

Peers tell most entries by heartbeats alone; a start under an earlier clock learned of the one before it from whole entries only. TestAStartOfTheSameNameUnderAnEarlierClock with a heartbeat failed: "100 stays older than 200".

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -59,11 +59,11 @@
 
 // outrank raises this process's incarnation above an earlier start's. Its parts go on
 // under the name that they were given.
-func (g *Gossip) outrank(e Entry) {
+func (g *Gossip) outrank(incarnation int64) {
 	if g.self.Born == 0 {
 		g.self.Born = g.self.Inc
 	}
-	g.self.Inc = e.Inc + 1
+	g.self.Inc = incarnation + 1
 }
 
 // RunsLots says whether the process may own lots and run their items.
@@ -211,7 +211,7 @@
 	g.learn(b.Known)
 	for _, e := range b.Entries {
 		if g.otherStart(e) {
-			g.outrank(e)
+			g.outrank(e.Inc)
 		}
 		if e.Addr == g.self.Addr || e.Addr == "" {
 			continue
@@ -236,6 +236,9 @@
 	}
 	g.asked(from, b.Want)
 	for _, x := range b.Beats {
+		if x.Addr == g.self.Addr && x.Inc > g.self.Inc {
+			g.outrank(x.Inc)
+		}
 		s := g.seats[x.Addr]
 		if s == nil || s.entry.older(x.Inc, x.Changed) {
 			g.lack(from, x.Addr)
--- a/core/gossip/restart_test.go
+++ b/core/gossip/restart_test.go
@@ -17,12 +17,19 @@
 // that its parts were given.
 func TestAStartOfTheSameNameUnderAnEarlierClock(t *testing.T) {
 	earlier := Entry{ID: "named by its address", Addr: "10.0.0.1:1", Inc: 200, Beat: 9}
-	for _, incarnation := range []int64{100, 200} {
-		g := process(incarnation)
+	for what, heard := range map[string]struct {
+		own  int64
+		body Body
+	}{
+		"an entry":                       {100, Body{Entries: []Entry{earlier}}},
+		"an entry of the same wall time": {200, Body{Entries: []Entry{earlier}}},
+		"a heartbeat":                    {100, Body{Beats: Heartbeats{{Addr: earlier.Addr, Inc: earlier.Inc, Beat: earlier.Beat}}}},
+	} {
+		g := process(heard.own)
 		name := g.Self().Start()
-		g.Take(time.Second, "10.0.0.2:1", Body{Entries: []Entry{earlier}})
+		g.Take(time.Second, "10.0.0.2:1", heard.body)
 		if g.Self().Inc <= earlier.Inc {
-			t.Errorf("%d stays older than %d", g.Self().Inc, earlier.Inc)
+			t.Errorf("%s: %d stays older than %d", what, g.Self().Inc, earlier.Inc)
 		}
 		if g.Self().Start() != name {
 			t.Errorf("%s is now %s", name, g.Self().Start())
