--- a/sim/serve_faults.go
+++ b/sim/serve_faults.go
@@ -117,15 +117,21 @@
 
 // Cut cuts the ways from some machines to others, and joins them later.
 func (s *Site) Cut(from, to []*Host, both bool, d time.Duration) {
+	s.CutBy(Silent, from, to, both, d)
+}
+
+// CutBy cuts the ways from some machines to others in a manner, and joins them
+// later.
+func (s *Site) CutBy(manner Manner, from, to []*Host, both bool, d time.Duration) {
 	var touched []*Host
 	for _, a := range from {
 		for _, b := range to {
 			if a == b {
 				continue
 			}
-			s.w.Net.Cut(a.Name, b.Name)
+			s.w.Net.CutBy(manner, a.Name, b.Name)
 			if both {
-				s.w.Net.Cut(b.Name, a.Name)
+				s.w.Net.CutBy(manner, b.Name, a.Name)
 			}
 			touched = append(touched, a, b)
 		}
@@ -456,16 +462,34 @@
 		}
 		return true
 	}},
-	{"empty a reserve machine", func(s *Site, r *rand.Rand) bool {
-		h, ok := pick(r, s.w.By("reserve"))
-		if !ok || !h.Up {
-			return false
+	{"empty a storage machine", func(s *Site, r *rand.Rand) bool {
+		h, ok := pick(r, s.up(s.Storage()))
+		if ok {
+			s.Empty(h)
 		}
-		at, _ := pick(r, s.Dispatchers())
-		s.Listener(at, "control", "POST", "/retire/"+h.Config.Name, "", nil, []byte(`{"RampS":5}`), func(x flow.Reply) {
-			s.Count[fmt.Sprint("retire ", x.Code)]++
-		})
-		return true
+		return ok
+	}},
+	{"kill a storage machine", func(s *Site, r *rand.Rand) bool {
+		h, ok := pick(r, s.up(s.Storage()))
+		if ok {
+			wipe := r.Intn(2) == 0
+			s.Kill(h, wipe || r.Intn(2) == 0, wipe, s.seconds(r, 0.5, 4))
+		}
+		return ok
+	}},
+	{"freeze a storage machine", func(s *Site, r *rand.Rand) bool {
+		h, ok := pick(r, s.up(s.Storage()))
+		if ok {
+			s.Freeze(h, s.seconds(r, 0.3, 6))
+		}
+		return ok
+	}},
+	{"stop a storage machine", func(s *Site, r *rand.Rand) bool {
+		h, ok := pick(r, s.up(s.Storage()))
+		if ok {
+			s.Term(h, s.seconds(r, 0.2, 2), nil)
+		}
+		return ok
 	}},
 }
 
