--- a/core/serve/fleet/fleet.go
+++ b/core/serve/fleet/fleet.go
@@ -225,7 +225,7 @@
 	n.Term, n.Seq = term, f.seq
 	var to []string
 	for _, e := range f.live {
-		if e.Has("dispatcher") && !e.Left && e.Start() != f.env.Me {
+		if e.RunsLots() && !e.Left && e.Start() != f.env.Me {
 			to = append(to, e.Addr)
 		}
 	}
