Without a lease an operator hears 503 at once

Taking out the check of the lease when a call comes was caught by no test: the call then waited 0.6 s for the store and ended with 503 as well.

--- a/sim/control_cut_test.go
+++ b/sim/control_cut_test.go
@@ -58,6 +58,7 @@
 type controlFigures struct {
 	first    time.Duration // from the first call after the trouble's start to its 503
 	slowest  time.Duration // of all answers in that time
+	unleased time.Duration // the slowest to a call that came later than a lease after the start
 	lastGood time.Duration // the last answer but a 503, after the start
 	back     time.Duration // from the trouble's end to the first configuration read
 	refused  int           // answers 503
@@ -70,6 +71,9 @@
 		case a.host != h || a.sent < from:
 		case a.sent < to:
 			f.slowest = max(f.slowest, a.came-a.sent)
+			if a.sent-from > budget.Lease+contactSlack {
+				f.unleased = max(f.unleased, a.came-a.sent)
+			}
 			if a.code == 503 {
 				f.refused++
 				if f.first < 0 {
@@ -125,6 +129,9 @@
 	if f.first < 0 || f.first >= operatorPatience || f.slowest >= operatorPatience {
 		t.Errorf("an operator has to wait for over %v", operatorPatience)
 	}
+	if f.unleased > contactSlack {
+		t.Errorf("without a lease it takes %v to say so", f.unleased)
+	}
 	if f.lastGood > budget.Lease+contactSlack {
 		t.Errorf("it answered for longer than a lease: %v", f.lastGood)
 	}
