--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -28,7 +28,7 @@
 const Entries = "log"
 
 // Version is the line version this build speaks (design 5.1).
-const Version = 2
+const Version = 3
 
 // Field is one header of a request or of an answer, as it was written.
 type Field struct {
@@ -261,7 +261,11 @@
 	Term    uint64 `json:"term"`
 	Vote    string `json:"vote"`
 	Unsure  bool   `json:"unsure,omitempty"` // entries that it acknowledged may be gone
-	Commit  uint64 `json:"commit,omitempty"` // known to be committed when this was written
+	// Where the log ended before its tail was damaged, if that is known: whoever has
+	// an entry of this term and index has all that may be gone.
+	LostTerm  uint64 `json:"lost_term,omitempty"`
+	LostIndex uint64 `json:"lost_index,omitempty"`
+	Commit    uint64 `json:"commit,omitempty"` // known to be committed when this was written
 }
 
 // Entry is one record of the replicated log.
@@ -319,6 +323,23 @@
 	o.Lines = append(o.Lines, Line{Ver: Version, Kind: kind, To: to, Body: raw})
 }
 
+// LineToAll adds the same line to several peers, which is encoded once.
+func (o *Outbox) LineToAll(to []string, kind string, body any) {
+	if len(to) == 0 {
+		return
+	}
+	first := len(o.Lines)
+	o.Line(to[0], kind, body)
+	if len(o.Lines) == first {
+		return
+	}
+	for _, addr := range to[1:] {
+		line := o.Lines[first]
+		line.To = addr
+		o.Lines = append(o.Lines, line)
+	}
+}
+
 // Answer adds a JSON reply.
 func (o *Outbox) Answer(id uint64, code int, body any, head map[string]string) {
 	raw, err := json.Marshal(body)
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -268,6 +268,52 @@
 	}
 }
 
+// Given two of three, of which one has lost acknowledged entries and knows where its
+// log ended, when the third is away, then the one that has them is elected with its
+// vote; one that lacks them is not.
+func TestVoteOfKnownLossCounts(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		x := newTrio(5)
+		x.run(3 * time.Second)
+		leader := x.leader()
+		var damaged, away string
+		for _, id := range []string{"a", "b", "c"} {
+			if id != leader.id {
+				damaged, away = away, id
+			}
+		}
+		x.cut[away] = true
+		x.run(300 * time.Millisecond)
+		at, term, err := leader.Propose("cmd", json.RawMessage(`"kept"`))
+		x.run(300 * time.Millisecond)
+		if err != nil || leader.Commit() < at {
+			t.Fatalf("it is committed: %v", err)
+		}
+		x.restart(damaged, at-1, true)
+		x.restart(leader.id, at, false)
+		if known {
+			x.all[damaged].hard.LostTerm, x.all[damaged].hard.LostIndex = term, at
+		}
+		x.run(10 * time.Second)
+		if got := x.all[leader.id].Role() == Leader; got != known {
+			t.Errorf("known %v: the one that has all leads: %v", known, got)
+		}
+		if known && x.all[damaged].Unsure() {
+			t.Error("it has all again and is still unsure")
+		}
+		// Now only the one that lacks the entry is there besides the damaged one.
+		x.restart(damaged, at-1, true)
+		if known {
+			x.all[damaged].hard.LostTerm, x.all[damaged].hard.LostIndex = term, at
+		}
+		x.cut[leader.id], x.cut[away] = true, false
+		x.run(10 * time.Second)
+		if x.all[damaged].Role() == Leader || x.all[away].Role() == Leader {
+			t.Errorf("known %v: somebody leads who lacks what was acknowledged", known)
+		}
+	}
+}
+
 // Given a member that is behind by large entries, when it is fed, then no message
 // has more than the bound and one entry, and all of them come in their order.
 func TestLargeEntriesInManyMessages(t *testing.T) {
@@ -341,3 +387,51 @@
 		t.Fatalf("it did not catch up: %d of %d", x.all[gone].Commit(), l.Commit())
 	}
 }
+
+// Given a member that is behind, when the leader makes a snapshot, then the log
+// stays for it where it was heard of late and lacks little, and only then.
+func TestLogStaysForAMemberBehind(t *testing.T) {
+	keep := Retention{Entries: 5, Bytes: 5000, Behind: 50_000, Silence: 12 * time.Second}
+	for _, c := range []struct {
+		name    string
+		entries int
+		away    time.Duration
+		stays   bool
+	}{
+		{"a little behind", 30, time.Second, true},
+		{"far behind", 80, time.Second, false},
+		{"silent for long", 30, 13 * time.Second, false},
+	} {
+		x := newTrio(3)
+		x.run(3 * time.Second)
+		l := x.leader()
+		if l == nil {
+			t.Fatal("no leader")
+		}
+		gone := "b"
+		if l.id == gone {
+			gone = "c"
+		}
+		x.cut[gone] = true
+		match := l.Match(gone)
+		for range c.entries {
+			if _, _, err := l.Propose("cmd", json.RawMessage(fmt.Sprintf(`"%01000d"`, 0))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		x.run(c.away)
+		l.Compact(json.RawMessage(`{}`), keep)
+		_, kept := l.termAt(match)
+		if kept != c.stays {
+			t.Errorf("%s: the log goes back to where it stands: %v", c.name, kept)
+		}
+		if !c.stays && l.LogLen() > keep.Entries {
+			t.Errorf("%s: %d entries stay for nobody", c.name, l.LogLen())
+		}
+		x.cut[gone] = false
+		x.run(2 * time.Second)
+		if caught := x.all[gone].Commit() == l.Commit(); caught != c.stays {
+			t.Errorf("%s: it caught up without a snapshot: %v", c.name, caught)
+		}
+	}
+}
--- a/sim/faults.go
+++ b/sim/faults.go
@@ -171,6 +171,24 @@
 		w.Mark("one-way-in", "into %s for %v", h.Name, d)
 		w.cutFor(w.others(h.Name), []string{h.Name}, d, false)
 	}},
+	{"cut-store", func(w *World) {
+		h, d := w.anyHost("store"), w.between(500*time.Millisecond, 20*time.Second)
+		manner := Manners[w.Rand.Intn(len(Manners))]
+		way := directions[w.Rand.Intn(len(directions))]
+		w.Mark("cut-store", "%s from the other stores for %v, %s, %s", h.Name, d, manner, way)
+		var rest []string
+		for _, x := range w.By("store") {
+			if x != h {
+				rest = append(rest, x.Name)
+			}
+		}
+		if way != inOnly {
+			w.cutBy(manner, []string{h.Name}, rest, d)
+		}
+		if way != outOnly {
+			w.cutBy(manner, rest, []string{h.Name}, d)
+		}
+	}},
 	{"split", func(w *World) {
 		d := w.between(time.Second, 5*time.Second)
 		var a, b []string
@@ -276,6 +294,7 @@
 		}
 	}},
 	{"disk-loss", func(w *World) { w.loseDisk() }},
+	{"second-loss", func(w *World) { w.secondLoss() }},
 	{"slow-disk", func(w *World) {
 		h, d := w.anyHost("store"), w.between(500*time.Millisecond, 5*time.Second)
 		w.Mark("slow-disk", "%s by %v", h.Name, d)
@@ -429,6 +448,56 @@
 	w.After(d, func() { w.AddHost(name, p, true).Start() })
 }
 
+// mayLoseDisk says that all voters stand and that no disk was lost of late.
+func (w *World) mayLoseDisk() bool {
+	return w.Leader() != nil && w.Repaired() && w.lost < 2 && (w.lost == 0 || w.Now-w.lostAt >= 45*time.Second)
+}
+
+// secondLoss wipes a store machine, and has another meet trouble as soon as the first
+// votes again: the least time that the fleet has to be whole in between.
+func (w *World) secondLoss() {
+	first := w.anyHost("store")
+	if !w.mayLoseDisk() || !first.Up {
+		return
+	}
+	w.lost, w.lostAt = w.lost+1, w.Now
+	d := w.between(200*time.Millisecond, time.Second)
+	w.Mark("second-loss", "%s is wiped and back after %v", first.Name, d)
+	first.Lose(true)
+	w.After(d, first.Start)
+	until := w.Now + 10*time.Second
+	w.Every(20*time.Millisecond, func() bool {
+		if w.Now > until {
+			return false
+		}
+		if !first.Up || w.hostOf(first.ID()) == nil || !w.Repaired() {
+			return true
+		}
+		w.loseAnother(first)
+		return false
+	})
+}
+
+// loseAnother has a store machine that is not the first meet trouble for a while.
+func (w *World) loseAnother(first *Host) {
+	second, d := w.anyHost("store"), w.between(500*time.Millisecond, 4*time.Second)
+	if second == first || !second.Up || second.Froze {
+		return
+	}
+	w.Mark("second-loss", "%s for %v, as %s votes again", second.Name, d, first.Name)
+	switch w.Rand.Intn(4) {
+	case 0:
+		w.killFor(second, d)
+	case 1:
+		second.Lose(false)
+		w.After(d, second.Start)
+	case 2:
+		second.Freeze(d)
+	default:
+		w.cutFor([]string{second.Name}, w.others(second.Name), d, true)
+	}
+}
+
 // hostOf gives the running host of an identity.
 func (w *World) hostOf(id string) *Host {
 	for _, h := range w.Hosts {
@@ -449,22 +518,23 @@
 }
 
 func (w *World) cutFor(a, b []string, d time.Duration, both bool) {
-	for _, x := range a {
-		for _, y := range b {
-			w.Net.Cut(x, y)
-			if both {
-				w.Net.Cut(y, x)
-			}
-		}
+	w.cutBy(Silent, a, b, d)
+	if both {
+		w.cutBy(Silent, b, a, d)
 	}
-	w.After(d, func() {
-		for _, x := range a {
-			for _, y := range b {
-				w.Net.Join(x, y)
-				w.Net.Join(y, x)
+}
+
+// cutBy cuts the ways from some to others in a manner, and joins them later.
+func (w *World) cutBy(manner Manner, from, to []string, d time.Duration) {
+	pairs := func(f func(x, y string)) {
+		for _, x := range from {
+			for _, y := range to {
+				f(x, y)
 			}
 		}
-	})
+	}
+	pairs(func(x, y string) { w.Net.CutBy(manner, x, y) })
+	w.After(d, func() { pairs(w.Net.Join) })
 }
 
 // undo takes back what operators left behind, until nothing is: a roll-out that
--- a/sim/members_test.go
+++ b/sim/members_test.go
@@ -1,14 +1,19 @@
 package sim
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"math/rand"
+	"strings"
 	"testing"
 	"time"
 
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
+	"fernlink/core/raft"
+	"fernlink/core/sorted"
 	"fernlink/shell/disk"
 )
 
@@ -79,6 +84,113 @@
 	s.end()
 }
 
+// Given a cluster, when a machine comes back blank that hears nobody and is told that
+// it is the first start of all, then it forms no second cluster, and joins the first
+// as somebody new once it hears the others; what its lost identity asks is passed over.
+func TestSecondFormationIsRefused(t *testing.T) {
+	t.Parallel()
+	for seed, alone := range map[int64]bool{450: true, 451: false} {
+		s := given(t, seed)
+		h := s.follower()
+		old, cluster := h.ID(), h.Node.Cluster()
+		before := fmt.Sprint(s.members())
+		h.Lose(true)
+		h.Config.First = true
+		if alone {
+			s.w.Net.Split([]string{h.Name}, s.w.others(h.Name))
+		}
+		h.Start()
+		for end := s.w.Now + 6*time.Second; alone && s.w.Now < end; s.w.Run(20 * time.Millisecond) {
+			s.then(s.stats(h).Role != raft.Leader && h.Node.Cluster() == "", "it forms nothing alone: %v", s.stats(h))
+			s.then(fmt.Sprint(s.members()) == before, "no trace: %v", s.members())
+		}
+		s.w.Net.Heal()
+		term := s.stats(s.w.Leader()).Term
+		h.claimOldIdentity(s, old)
+		s.then(s.w.Until(budget.Heal, func() bool { return s.members()[h.ID()].Voter && s.settled() }), "it joins: %v", s.members())
+		strangers := 0
+		for _, x := range s.w.By("store") {
+			strangers += s.stats(x).Strangers
+			s.then(x.Node.Stats(x.clock()).Rows["member_addresses"] <= 18, "no trace of them is left")
+		}
+		s.then(strangers >= 200, "they are counted: %d", strangers)
+		_, still := s.members()[old]
+		s.then(!still && h.Node.Cluster() == cluster, "as somebody new, of the same cluster")
+		s.then(s.stats(s.w.Leader()).Term == term, "nobody followed the lost identity: term %d, then %d", term, s.stats(s.w.Leader()).Term)
+		s.end()
+	}
+}
+
+// claimOldIdentity asks for votes and acknowledges entries in a lost identity's name.
+func (h *Host) claimOldIdentity(s *story, old string) {
+	for id := range s.members() {
+		to := s.w.hostOf(id)
+		if to == nil {
+			continue
+		}
+		var claims []raft.Message
+		for i := range 100 {
+			claims = append(claims, raft.Message{Kind: raft.MessageVote, From: fmt.Sprintf("%s-%d", old, i), ToID: id, Term: 99, Index: 1 << 40, LogTerm: 99})
+		}
+		claims = append(claims,
+			raft.Message{Kind: raft.MessageVote, From: old, ToID: id, Term: 99, Index: 1 << 40, LogTerm: 99},
+			raft.Message{Kind: raft.MessagePreVote, From: old, ToID: id, Term: 99, Index: 1 << 40, LogTerm: 99})
+		for _, m := range claims {
+			body, _ := json.Marshal(m)
+			to.offer(to.life, flow.Event{Line: &flow.Line{Ver: flow.Version, Kind: "raft", Cluster: to.Node.Cluster(), From: old, Addr: h.Config.Addr, Body: body}})
+		}
+	}
+}
+
+// Given a voter that is away and another whose last save is damaged, when the leader
+// restarts, then it leads again with the damaged one's vote, and orders go on long
+// before the third is back (design 4.6).
+func TestDamagedTailAndSecondLoss(t *testing.T) {
+	t.Parallel()
+	for seed := int64(470); seed < 474; seed++ {
+		s := &lossStory{story: givenShape(t, seed, lossShape)}
+		s.version = 1
+		s.write()
+		s.w.Run(time.Second)
+		leader, damaged := s.w.Leader(), s.follower()
+		for _, h := range s.w.By("store") {
+			if h != leader && h != damaged {
+				s.w.killFor(h, 20*time.Second)
+			}
+		}
+		s.w.Run(500 * time.Millisecond)
+		damaged.Kill()
+		damaged.Disk.damageLastSave(t)
+		leader.Kill()
+		damaged.Start()
+		leader.Start()
+		s.then(damaged.Up && leader.Up, "both start: %q", damaged.Notes)
+		stood, ok := s.ordersBack(budget.Heal)
+		s.then(ok && stood < ordersBound, "orders go on: %v", stood)
+		s.w.Run(20 * time.Second)
+		s.end()
+	}
+}
+
+// damageLastSave changes a byte of the last save of the log, and not of its mark.
+func (d *Disk) damageLastSave(t *testing.T) {
+	t.Helper()
+	name := ""
+	for _, n := range sorted.Keys(d.names) {
+		if strings.HasPrefix(n, "log-") {
+			name = n
+		}
+	}
+	x := d.names[name]
+	mark := bytes.LastIndexByte(x.data[:len(x.data)-1], '\n') + 1
+	if mark < 40 {
+		t.Fatal("there is no save with a mark")
+	}
+	x.data = append([]byte(nil), x.data...)
+	x.data[mark-20] ^= 1
+	x.safe = append([]byte(nil), x.data...)
+}
+
 // Given members that follow under load, one of them a learner that fetches a
 // snapshot, when the power of any goes at any instant, then its disk has all that
 // the leader counts it for: the log up to its match, and every blob that its
