--- a/core/store/retention.go
+++ b/core/store/retention.go
@@ -44,7 +44,7 @@
 	}
 	s.raft.Compact(s.ledger.Snapshot(), raft.Retention{
 		Entries: s.p.Keep / 4,
-		Bytes:   KeepBytes / 4,
+		Bytes:   KeepBytes / 2,
 		// The log since the last snapshot stays for a member that has just fetched
 		// it; for others what costs less than another fetch.
 		Behind:  max(KeepBytes, state, s.raft.Weight()),
