--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -227,8 +227,10 @@
 			g.answer[from] = true // it is new here, or does not know what was before it
 		}
 		if s != nil && s.entry.ID == e.ID && s.entry.Retired && !e.Retired {
-			e.Retired = true // its new process will hear so from its peers
-			g.answer[e.Addr] = true
+			e.Retired = true // its new process hears so from its peers
+			if e.Addr == from {
+				g.answer[from] = true
+			}
 		}
 		if s == nil {
 			s = &seat{entry: e, grew: now, fresh: now}
