--- a/core/ask/ask.go
+++ b/core/ask/ask.go
@@ -18,6 +18,22 @@
 	Body json.RawMessage `json:"body"`
 }
 
+// The kinds of lines that carry asks. Those about leases go by a kind of their own,
+// so that a node under load hears them before others (design 3.1).
+const (
+	Line      = "ask"
+	LeaseLine = "lease"
+)
+
+var ofLeases = map[string]bool{"renew": true, "coord.renew": true, "coord.take": true}
+
+func (a Ask) line() string {
+	if ofLeases[a.Kind] {
+		return LeaseLine
+	}
+	return Line
+}
+
 // Told answers one Ask. Retry says to ask again, at Leader if that is known.
 type Told struct {
 	ID     uint64          `json:"id"`
@@ -27,6 +43,22 @@
 	Body   json.RawMessage `json:"body,omitempty"`
 }
 
+// Encode gives an answer as JSON. Its body is valid JSON already, a page of results
+// as often as not, and is copied as it stands.
+func (t Told) Encode() (json.RawMessage, error) {
+	body := t.Body
+	t.Body = nil
+	head, err := json.Marshal(t)
+	if err != nil || len(body) == 0 {
+		return head, err
+	}
+	text := make([]byte, 0, len(head)+len(body)+len(bodyField))
+	text = append(append(text, head[:len(head)-1]...), bodyField...)
+	return append(append(text, body...), '}'), nil
+}
+
+const bodyField = `,"body":`
+
 // Answer is what comes back to the asker. Code 0 means given up: whether the
 // command took effect is not known.
 type Answer struct {
@@ -146,6 +178,6 @@
 			o.sent = now
 		}
 		o.again, o.to = now+budget.Ask+Carry(len(o.ask.Body)), to
-		out.Line(to, "ask", o.ask)
+		out.Line(to, o.ask.line(), o.ask)
 	}
 }
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -28,7 +28,7 @@
 const Entries = "log"
 
 // Version is the line version this build speaks (design 5.1).
-const Version = 2
+const Version = 3
 
 // Field is one header of a request or of an answer, as it was written.
 type Field struct {
@@ -316,11 +316,34 @@
 // Line adds a line to a peer.
 func (o *Outbox) Line(to, kind string, body any) {
 	raw, err := json.Marshal(body)
+	o.EncodedLine(to, kind, raw, err)
+}
+
+// EncodedLine adds a line to a peer whose body was encoded already,
+// or failed to be.
+func (o *Outbox) EncodedLine(to, kind string, body json.RawMessage, err error) {
 	if err != nil {
 		Error.Note(o, "flow", "dropped a line that does not marshal", "kind", kind, "failure", err.Error())
 		return
 	}
-	o.Lines = append(o.Lines, Line{Ver: Version, Kind: kind, To: to, Body: raw})
+	o.Lines = append(o.Lines, Line{Ver: Version, Kind: kind, To: to, Body: body})
+}
+
+// LineToAll adds the same line to several peers, which is encoded once.
+func (o *Outbox) LineToAll(to []string, kind string, body any) {
+	if len(to) == 0 {
+		return
+	}
+	first := len(o.Lines)
+	o.Line(to[0], kind, body)
+	if len(o.Lines) == first {
+		return
+	}
+	for _, addr := range to[1:] {
+		line := o.Lines[first]
+		line.To = addr
+		o.Lines = append(o.Lines, line)
+	}
 }
 
 // Answer adds a JSON reply.
--- a/core/store/asks.go
+++ b/core/store/asks.go
@@ -48,15 +48,18 @@
 	s.tell(w, 400, map[string]string{"error": "no such ask"}, out)
 }
 
+// same says whether two tries are of one question.
+func (w wait) same(o wait) bool { return o.addr == w.addr && o.ask.ID == w.ask.ID }
+
 func (s *Store) open(w wait) bool {
 	for _, m := range []map[uint64]wait{s.writes, s.reads} {
 		for _, o := range m {
-			if o.addr == w.addr && o.ask.ID == w.ask.ID {
+			if w.same(o) {
 				return true
 			}
 		}
 	}
-	return false
+	return s.renewals.open(w)
 }
 
 var own map[string]func(*Store, flow.Time, wait, *flow.Outbox)
@@ -129,7 +132,8 @@
 // reply tells a result, once what it needs was read from the blob store.
 func (s *Store) reply(w wait, res ledger.Result, out *flow.Outbox) {
 	if len(res.Need) == 0 {
-		out.Line(w.addr, "told", ask.Told{ID: w.ask.ID, Code: res.Code, Body: res.Body})
+		told, err := ask.Told{ID: w.ask.ID, Code: res.Code, Body: res.Body}.Encode()
+		out.EncodedLine(w.addr, "told", told, err)
 		return
 	}
 	s.fetch(flow.Fetch{Refs: res.Need}, out, func(got flow.Fetched, out *flow.Outbox) {
@@ -149,7 +153,6 @@
 
 func init() {
 	answers = map[string]func(*Store, flow.Time, wait) ledger.Result{
-		"renew":       (*Store).renewed,
 		"coord.renew": (*Store).renewedCoord,
 		"store.list":  (*Store).list,
 
--- a/core/store/stats.go
+++ b/core/store/stats.go
@@ -39,30 +39,29 @@
 // Stats gives the snapshot.
 func (s *Store) Stats() Stats {
 	return Stats{
-		ID:       s.p.ID,
-		Role:     s.raft.Role(),
-		Term:     s.raft.Term(),
-		Commit:   s.raft.Commit(),
-		Applied:  s.raft.Applied(),
-		Log:      s.raft.LogLen(),
-		Leader:   s.raft.LeaderAddr(),
-		Members:  s.raft.Conf().Members,
-		Changing: s.raft.Busy(),
-		Writes:   s.counts["writes"],
-		Reads:    s.counts["reads"],
-		Steps:    len(s.ledger.Steps),
-		Keys:     s.ledger.Keys.Len(),
-		Warning:  s.keysFull(),
-		Unsure:   s.raft.Unsure(),
-		Pulling:  s.pull != nil,
-		Pulled:   s.counts["pieces"],
-		Strays:   s.counts["stray_pieces"] + s.counts["stray_pulls"],
-		Snapshot: s.snapshotSize(),
-		Receipts: s.ledger.Receipts.Len(),
-		Repeated: s.ledger.OrderCounts.Repeated,
-		Changed:  s.ledger.OrderCounts.Changed,
-		Match:    s.matches(),
-
+		ID:        s.p.ID,
+		Role:      s.raft.Role(),
+		Term:      s.raft.Term(),
+		Commit:    s.raft.Commit(),
+		Applied:   s.raft.Applied(),
+		Log:       s.raft.LogLen(),
+		Leader:    s.raft.LeaderAddr(),
+		Members:   s.raft.Conf().Members,
+		Changing:  s.raft.Busy(),
+		Writes:    s.counts["writes"],
+		Reads:     s.counts["reads"],
+		Steps:     len(s.ledger.Steps),
+		Keys:      s.ledger.Keys.Len(),
+		Warning:   s.keysFull(),
+		Unsure:    s.raft.Unsure(),
+		Pulling:   s.pull != nil,
+		Pulled:    s.counts["pieces"],
+		Strays:    s.counts["stray_pieces"] + s.counts["stray_pulls"],
+		Snapshot:  s.snapshotSize(),
+		Receipts:  s.ledger.Receipts.Len(),
+		Repeated:  s.ledger.OrderCounts.Repeated,
+		Changed:   s.ledger.OrderCounts.Changed,
+		Match:     s.matches(),
 		Strangers: s.counts["strangers"],
 	}
 }
@@ -85,6 +84,7 @@
 func (s *Store) Rows(to map[string]int) {
 	l := s.ledger
 	to["log"], to["waiting_writes"], to["waiting_reads"], to["dispatchers"] = s.raft.LogLen(), len(s.writes), len(s.reads), len(s.seen)
+	to["waiting_renewals"] = len(s.renewals.waiting)
 	to["plans"], to["steps"], to["keys"], to["orders"], to["drains"] = len(l.Plans), len(l.Steps), l.Keys.Len(), len(l.Orders), len(l.Drains)
 	to["claims_open"], to["member_addresses"], to["fetches"] = len(l.Owners), len(s.addrs), len(s.fetches)
 	to["receipts"], to["lots"] = l.Receipts.Len(), len(l.Lots)
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -35,10 +35,6 @@
 	Disk           Disk
 }
 
-// KeepBytes is how much the log may hold before a snapshot is made, whatever the
-// number of its entries.
-const KeepBytes = 2 << 20
-
 // Store is one store machine.
 type Store struct {
 	p           Config
@@ -47,6 +43,7 @@
 	addrs       map[string]string
 	writes      map[uint64]wait
 	reads       map[uint64]wait
+	renewals    renewals
 	token       uint64
 	seen        map[string]leaseHolder // dispatchers by their last renewal
 	coord       flow.Time              // the coordinator's last renewal
@@ -65,14 +62,15 @@
 	fetches     map[uint64]func(flow.Fetched, *flow.Outbox)
 	fetchID     uint64
 	pull        *pull
+	retention   retention
 	blob        []byte // the newest snapshot as it is sent in pieces
 	blobAt      uint64
-	checked     bool                 // the blob store was told what must be there
-	bounded     uint64               // the term in which the bounds were looked at
-	contact     contact              // of the acting coordinator
-	contactTerm uint64               // its term
-	able        map[string]bool      // processes that may be given lots
-	retired     map[string]bool      // processes on machines that are being emptied
+	checked     bool           // the blob store was told what must be there
+	bounded     uint64         // the term in which the bounds were looked at
+	contact     contact        // of the acting coordinator
+	contactTerm uint64         // its term
+	live        []gossip.Entry // the peers heard of late, and this machine
+	self        gossip.Entry
 	freed       uint64               // the term whose holder gave it up
 	moved       flow.Time            // when leadership is handed on next
 	orphan      flow.Time            // when lost claims are looked for next
@@ -87,8 +85,8 @@
 // New starts a store from its disk.
 func New(now flow.Time, p Config) (*Store, error) {
 	s := &Store{p: p, ledger: ledger.New(), addrs: map[string]string{}, writes: map[uint64]wait{},
-		reads: map[uint64]wait{}, seen: map[string]leaseHolder{}, counts: map[string]int{},
-		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, lots: map[string]given{}, silent: map[string]flow.Time{}, stopping: map[string]flow.Time{}}
+		reads: map[uint64]wait{}, renewals: renewals{proving: map[uint64][]wait{}}, seen: map[string]leaseHolder{}, counts: map[string]int{},
+		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, retention: newRetention(), lots: map[string]given{}, silent: map[string]flow.Time{}, stopping: map[string]flow.Time{}}
 	if d := p.Disk.Snapshot; d != nil {
 		l, err := ledger.Load(d.State, p.Disk.Items)
 		if err != nil {
@@ -165,6 +163,11 @@
 // stands still, which keeps things for longer, never for less.
 func (s *Store) time() int64 { return s.stamp + (s.now - s.lead).Milliseconds() }
 
+// Resting says that this store follows a leader and waits for nothing of its own.
+func (s *Store) Resting() bool {
+	return s.raft.Role() == raft.Follower && s.raft.LeaderID() != "" && len(s.fetches) == 0 && s.pull == nil
+}
+
 // Advance runs the store's systems.
 func (s *Store) Advance(now flow.Time, wall int64, live []gossip.Entry, self gossip.Entry, out *flow.Outbox) {
 	s.now = now
@@ -178,6 +181,7 @@
 		s.caughtUp.note(now, s.raft.Term(), s.raft.Commit())
 	}
 	s.repair(now, live, out)
+	s.proveRenewals(now, out)
 	o := s.raft.Advance(now)
 	out.Save = append(out.Save, o.Saves...)
 	for _, d := range o.Messages {
@@ -189,7 +193,8 @@
 			if len(d.Message.Entries) > 0 {
 				kind = flow.Entries
 			}
-			out.Line(d.Addr, kind, d.Message)
+			body, err := d.Message.Encode()
+			out.EncodedLine(d.Addr, kind, body, err)
 		}
 	}
 	if o.Lost {
@@ -200,6 +205,11 @@
 	}
 	sort.Slice(o.Reads, func(i, j int) bool { return o.Reads[i] < o.Reads[j] })
 	for _, t := range o.Reads {
+		if batch, ok := s.renewals.proving[t]; ok {
+			delete(s.renewals.proving, t)
+			s.answerRenewals(now, batch, out)
+			continue
+		}
 		w := s.reads[t]
 		delete(s.reads, t)
 		s.answer(now, w, out)
@@ -209,13 +219,9 @@
 		s.offered(*o.Offer, out)
 	}
 	s.pulling(out)
-	if s.raft.SinceSnapshot() > s.p.Keep || s.raft.Weight() > KeepBytes {
-		s.raft.Compact(s.ledger.Snapshot(), s.p.Keep/4, KeepBytes/4)
-		s.storeBlobs(out)
-		out.Save = append(out.Save, s.raft.Advance(now).Saves...)
-	}
+	s.compact(now, out)
 	s.orphans(now)
-	s.owners(now, append(live[:len(live):len(live)], self))
+	s.owners(now, live, self)
 	if s.raft.Ready() && s.timed != s.raft.Term() {
 		// Only now is all that was committed before in the ledger.
 		s.timed, s.stamp, s.lead = s.raft.Term(), s.ledger.Clock, now
@@ -241,10 +247,12 @@
 		s.retry(s.reads[t], out)
 	}
 	s.writes, s.reads = map[uint64]wait{}, map[uint64]wait{}
+	s.voidRenewals(out)
 	s.seen = map[string]leaseHolder{}
 	s.grant = 0
 	s.lots = map[string]given{}
 	s.stopping = map[string]flow.Time{}
+	s.retention = newRetention()
 }
 
 func (s *Store) apply(a raft.Applied, out *flow.Outbox) {
