--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -28,7 +28,7 @@
 const Entries = "log"
 
 // Version is the line version this build speaks (design 5.1).
-const Version = 2
+const Version = 3
 
 // Field is one header of a request or of an answer, as it was written.
 type Field struct {
@@ -96,7 +96,8 @@
 }
 
 // Back is news of a Send: the head of a streamed answer (Open), one streamed
-// event, or its end. Unsent says that no byte can have left this machine.
+// event, or its end. Failure and Err tell why it brought no whole answer; Err is for
+// people to read.
 type Back struct {
 	ID     uint64
 	Open   bool
@@ -107,9 +108,30 @@
 	Head   map[string]string
 	Body   []byte
 	Err    string
-	Unsent bool
+
+	Failure Failure
 }
 
+// Failure is why a send brought no whole answer.
+type Failure uint8
+
+// The failures of a send. After any but Unsent it may have run.
+const (
+	None       Failure = iota // it did bring one
+	Unsent                    // no byte can have left this process
+	TimedOut                  // its time was over
+	Reset                     // the connection ended before any byte of an answer
+	Incomplete                // it ended within the answer
+	Malformed                 // what came forms no answer
+	Unnamed                   // an answer came that does not name its request
+	Surplus                   // only answers to other requests came
+)
+
+var failureNames = [...]string{"none", "unsent", "timed out", "reset", "incomplete", "malformed", "unnamed", "surplus"}
+
+// String names the failure in logs and tests.
+func (f Failure) String() string { return failureNames[f] }
+
 // Event is one thing that happened outside a core.
 type Event struct {
 	Line  *Line
@@ -239,7 +261,11 @@
 	Term    uint64 `json:"term"`
 	Vote    string `json:"vote"`
 	Unsure  bool   `json:"unsure,omitempty"` // entries that it acknowledged may be gone
-	Commit  uint64 `json:"commit,omitempty"` // known to be committed when this was written
+	// Where the log ended before its tail was damaged, if that is known: whoever has
+	// an entry of this term and index has all that may be gone.
+	LostTerm  uint64 `json:"lost_term,omitempty"`
+	LostIndex uint64 `json:"lost_index,omitempty"`
+	Commit    uint64 `json:"commit,omitempty"` // known to be committed when this was written
 }
 
 // Entry is one record of the replicated log.
@@ -290,11 +316,34 @@
 // Line adds a line to a peer.
 func (o *Outbox) Line(to, kind string, body any) {
 	raw, err := json.Marshal(body)
+	o.EncodedLine(to, kind, raw, err)
+}
+
+// EncodedLine adds a line to a peer whose body was encoded already,
+// or failed to be.
+func (o *Outbox) EncodedLine(to, kind string, body json.RawMessage, err error) {
 	if err != nil {
 		Error.Note(o, "flow", "dropped a line that does not marshal", "kind", kind, "failure", err.Error())
 		return
 	}
-	o.Lines = append(o.Lines, Line{Ver: Version, Kind: kind, To: to, Body: raw})
+	o.Lines = append(o.Lines, Line{Ver: Version, Kind: kind, To: to, Body: body})
+}
+
+// LineToAll adds the same line to several peers, which is encoded once.
+func (o *Outbox) LineToAll(to []string, kind string, body any) {
+	if len(to) == 0 {
+		return
+	}
+	first := len(o.Lines)
+	o.Line(to[0], kind, body)
+	if len(o.Lines) == first {
+		return
+	}
+	for _, addr := range to[1:] {
+		line := o.Lines[first]
+		line.To = addr
+		o.Lines = append(o.Lines, line)
+	}
 }
 
 // Answer adds a JSON reply.
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -18,7 +18,7 @@
 type trio struct {
 	now  flow.Time
 	all  map[string]*Raft
-	mail []Dest
+	mail []Envelope
 	cut  map[string]bool
 	read map[string][]uint64
 	done map[string][]string // applied commands
@@ -32,7 +32,7 @@
 		c = c.With(Member{ID: id, Addr: id, Voter: true})
 	}
 	for i, id := range []string{"a", "b", "c"} {
-		x.all[id] = New(0, Config{ID: id, Rand: rand.New(rand.NewSource(seed + int64(i))), Beat: 100 * time.Millisecond, Elect: 750 * time.Millisecond})
+		x.all[id] = New(0, Config{ID: id, Rand: rand.New(rand.NewSource(seed + int64(i))), HeartbeatInterval: 100 * time.Millisecond, ElectionTimeout: 750 * time.Millisecond})
 	}
 	x.all["a"].Form(c)
 	return x
@@ -43,12 +43,12 @@
 	mail := x.mail
 	x.mail = nil
 	for _, d := range mail {
-		to := d.Msg.ToID
-		if x.all[to] == nil || x.cut[to] || x.cut[d.Msg.From] {
+		to := d.Message.ToID
+		if x.all[to] == nil || x.cut[to] || x.cut[d.Message.From] {
 			continue
 		}
 		x.all[to].Now(x.now)
-		x.all[to].Step(d.Msg)
+		x.all[to].Step(d.Message)
 	}
 	for _, id := range []string{"a", "b", "c"} {
 		r := x.all[id]
@@ -57,7 +57,7 @@
 		}
 		for i := 0; i < 2; i++ {
 			o := r.Advance(x.now)
-			x.mail = append(x.mail, o.Msgs...)
+			x.mail = append(x.mail, o.Messages...)
 			x.read[id] = append(x.read[id], o.Reads...)
 			x.kept[id] = append(x.kept[id], o.Saves...)
 			for _, a := range o.Applied {
@@ -121,11 +121,11 @@
 			break
 		}
 	}
-	fresh := New(x.now, Config{ID: "z", Rand: rand.New(rand.NewSource(9)), Beat: 100 * time.Millisecond, Elect: 750 * time.Millisecond})
-	fresh.Step(Msg{Kind: "vote", From: l.id, ToID: old, Term: 99})
-	fresh.Step(Msg{Kind: "app", From: l.id, ToID: old, Term: l.Term(), Commit: 1})
+	fresh := New(x.now, Config{ID: "z", Rand: rand.New(rand.NewSource(9)), HeartbeatInterval: 100 * time.Millisecond, ElectionTimeout: 750 * time.Millisecond})
+	fresh.Step(Message{Kind: MessageVote, From: l.id, ToID: old, Term: 99})
+	fresh.Step(Message{Kind: MessageAppend, From: l.id, ToID: old, Term: l.Term(), Commit: 1})
 	o := fresh.Advance(x.now)
-	if len(o.Msgs) > 0 || len(o.Saves) > 0 || fresh.Term() != 0 {
+	if len(o.Messages) > 0 || len(o.Saves) > 0 || fresh.Term() != 0 {
 		t.Fatalf("it answered for the old voter: %+v", o)
 	}
 }
@@ -206,7 +206,7 @@
 	}
 	hard.Unsure = unsure
 	x.done[id] = nil
-	x.all[id] = New(x.now, Config{ID: id, Rand: rand.New(rand.NewSource(int64(77 + id[0]))), Beat: 100 * time.Millisecond, Elect: 750 * time.Millisecond, Hard: hard, Entries: log})
+	x.all[id] = New(x.now, Config{ID: id, Rand: rand.New(rand.NewSource(int64(77 + id[0]))), HeartbeatInterval: 100 * time.Millisecond, ElectionTimeout: 750 * time.Millisecond, Hard: hard, Entries: log})
 }
 
 // Given an entry that two of three acknowledged, when one of the two lost it to
@@ -268,6 +268,52 @@
 	}
 }
 
+// Given two of three, of which one has lost acknowledged entries and knows where its
+// log ended, when the third is away, then the one that has them is elected with its
+// vote; one that lacks them is not.
+func TestVoteOfKnownLossCounts(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		x := newTrio(5)
+		x.run(3 * time.Second)
+		leader := x.leader()
+		var damaged, away string
+		for _, id := range []string{"a", "b", "c"} {
+			if id != leader.id {
+				damaged, away = away, id
+			}
+		}
+		x.cut[away] = true
+		x.run(300 * time.Millisecond)
+		at, term, err := leader.Propose("cmd", json.RawMessage(`"kept"`))
+		x.run(300 * time.Millisecond)
+		if err != nil || leader.Commit() < at {
+			t.Fatalf("it is committed: %v", err)
+		}
+		x.restart(damaged, at-1, true)
+		x.restart(leader.id, at, false)
+		if known {
+			x.all[damaged].hard.LostTerm, x.all[damaged].hard.LostIndex = term, at
+		}
+		x.run(10 * time.Second)
+		if got := x.all[leader.id].Role() == Leader; got != known {
+			t.Errorf("known %v: the one that has all leads: %v", known, got)
+		}
+		if known && x.all[damaged].Unsure() {
+			t.Error("it has all again and is still unsure")
+		}
+		// Now only the one that lacks the entry is there besides the damaged one.
+		x.restart(damaged, at-1, true)
+		if known {
+			x.all[damaged].hard.LostTerm, x.all[damaged].hard.LostIndex = term, at
+		}
+		x.cut[leader.id], x.cut[away] = true, false
+		x.run(10 * time.Second)
+		if x.all[damaged].Role() == Leader || x.all[away].Role() == Leader {
+			t.Errorf("known %v: somebody leads who lacks what was acknowledged", known)
+		}
+	}
+}
+
 // Given a member that is behind by large entries, when it is fed, then no message
 // has more than the bound and one entry, and all of them come in their order.
 func TestLargeEntriesInManyMessages(t *testing.T) {
@@ -291,10 +337,10 @@
 	for end := x.now + 5*time.Second; x.now < end; x.step() {
 		for _, d := range x.mail {
 			size := 0
-			for _, e := range d.Msg.Add {
+			for _, e := range d.Message.Entries {
 				size += len(e.Data)
 			}
-			if size > mostBytes+len(big) {
+			if size > maxMessageBytes+len(big) {
 				t.Fatalf("a message has %d bytes", size)
 			}
 		}
@@ -304,6 +350,37 @@
 	}
 }
 
+// Given members that answer, when many large entries are proposed at once, then what
+// is on its way to one of them can cross a link of 100 Mbit/s, beside as much to seven
+// others, well before it counts as lost.
+func TestEntriesOnTheirWayAreFew(t *testing.T) {
+	x := newTrio(9)
+	x.run(3 * time.Second)
+	l := x.leader()
+	x.step()
+	big := json.RawMessage(fmt.Sprintf(`"%0100000d"`, 0))
+	for range 40 {
+		if _, _, err := l.Propose("cmd", big); err != nil {
+			t.Fatal(err)
+		}
+	}
+	sent := map[string]int{}
+	for _, message := range l.Advance(x.now).Messages {
+		for _, entry := range message.Message.Entries {
+			sent[message.Message.ToID] += len(entry.Data)
+		}
+	}
+	const bytesPerSecond, members = 100 << 20 / 8, 8
+	for id, n := range sent {
+		if way := time.Duration(n*members) * time.Second / bytesPerSecond; way > l.electionTimeout {
+			t.Errorf("%d bytes are on their way to %s, which take %v", n, id, way)
+		}
+	}
+	if len(sent) != 2 {
+		t.Errorf("entries went to %d members", len(sent))
+	}
+}
+
 // A leader sends nothing but heartbeats to a member that does not answer: entries
 // would pile up on the way to it, and fill the leader's memory.
 func TestNothingPilesUpForASilentMember(t *testing.T) {
@@ -327,8 +404,8 @@
 		}
 		x.step()
 		for _, d := range x.mail {
-			if d.Msg.ToID == gone {
-				sent += len(d.Msg.Add)
+			if d.Message.ToID == gone {
+				sent += len(d.Message.Entries)
 			}
 		}
 	}
@@ -375,7 +452,7 @@
 		}
 		x.run(c.away)
 		l.Compact(json.RawMessage(`{}`), keep)
-		_, kept := l.term(match)
+		_, kept := l.termAt(match)
 		if kept != c.stays {
 			t.Errorf("%s: the log goes back to where it stands: %v", c.name, kept)
 		}
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -53,13 +53,13 @@
 	live     []gossip.Entry
 	open     map[string]bool // lots that were heard of and are open
 	leaving  bool
-	fresh    flow.Time // when there was a lease last, or the start
-	asking   bool      // a store was asked for its plan
+	fresh    flow.Time             // when there was a lease last, or the start
+	retiring map[string]retirement // by the machine's identity
 }
 
 // New starts without a plan or an engine.
 func New(p Config) *Serve {
-	s := &Serve{p: p, open: map[string]bool{}, env: &env.Env{Me: p.ID, Zone: p.Zone, Asker: p.Asker, Rand: p.Rand, Codec: p.Codec, IDs: p.IDs,
+	s := &Serve{p: p, open: map[string]bool{}, retiring: map[string]retirement{}, env: &env.Env{Me: p.ID, Zone: p.Zone, Asker: p.Asker, Rand: p.Rand, Codec: p.Codec, IDs: p.IDs,
 		Counts: map[string]int64{}, Fresh: p.Fresh, Debug: p.Debug}}
 	s.engines = engines.New(s.env)
 	s.index = prefixes.New(s.env)
@@ -80,7 +80,9 @@
 	if s.fresh == 0 || s.p.Fresh() {
 		s.fresh = now
 	}
-	s.glimpse()
+	if len(s.retiring) > 0 {
+		s.tellRetired()
+	}
 	s.fleet.Advance(live)
 	s.roll.Advance()
 	s.requests.Advance()
@@ -88,25 +90,9 @@
 	s.index.Advance()
 }
 
-// glimpse asks any store for the plan that it knows, while this node has none:
-// after a fault of all machines callers need not wait for an election.
-func (s *Serve) glimpse() {
-	if s.routes != nil || s.asking || s.leaving {
-		return
-	}
-	s.asking = true
-	s.env.Ask(budget.Listed, "plan.seen", nil, func(a ask.Answer) {
-		s.asking = false
-		var x ledger.Plan
-		var p api.Plan
-		if a.Code != 200 || json.Unmarshal(a.Body, &x) != nil || json.Unmarshal(x.Doc, &p) != nil {
-			return
-		}
-		s.adopt(x.Version, &p)
-	})
-}
-
-// adopt takes a plan, only where it is newer than the one in force.
+// adopt takes a plan, only where it is newer than the one in force. The first
+// one comes with the first renewal, like all others: a majority confirmed it
+// after this process started (design 12.4).
 func (s *Serve) adopt(version uint64, p *api.Plan) {
 	if s.routes == nil || version > s.routes.Version {
 		s.routes = route.New(version, p)
@@ -173,6 +159,11 @@
 	s.index.Looked(l)
 }
 
+// Idle says that a plan is known, and that nothing is under way here.
+func (s *Serve) Idle() bool {
+	return s.routes != nil && !s.leaving && s.requests.Len()+s.lots.Len()+s.lots.Readers()+s.env.Sends() == 0
+}
+
 // Left says that nothing is under way any more.
 func (s *Serve) Left() bool { return s.requests.Len() == 0 && s.lots.Quiet() }
 
@@ -182,8 +173,8 @@
 	"lot.read":      func(s *Serve, c flow.Call) { s.lots.Read(c) },
 	"lot.end":       func(s *Serve, c flow.Call) { s.lots.End(c) },
 	"lot.item":      func(s *Serve, c flow.Call) { s.lots.Item(c) },
-	"machine.empty": (*Serve).machine,
-	"machine.state": (*Serve).machine,
+	"machine.empty": (*Serve).emptyMachine,
+	"machine.state": (*Serve).machineState,
 }
 
 // Serves says whether a call is this side's.
@@ -230,18 +221,6 @@
 	s.env.Out.Answer(c.ID, 200, map[string]bool{"ready": true}, nil)
 }
 
-// machine answers an operator who wants a reserve machine emptied, or asks how
-// far that is: it keeps nothing until it is made a store (design 12.8).
-func (s *Serve) machine(c flow.Call) {
-	for _, e := range s.live {
-		if e.Name == c.Vars["id"] && e.Has("reserve") {
-			s.env.Out.Answer(c.ID, 200, map[string]string{"state": "emptied"}, nil)
-			return
-		}
-	}
-	s.env.Out.Answer(c.ID, 404, env.Problem{Error: "no such machine stands by for data"}, nil)
-}
-
 var lines = map[string]func(*Serve, flow.Line){
 	"fleet": func(s *Serve, l flow.Line) {
 		var n fleet.News
@@ -255,6 +234,12 @@
 			s.lots.Handed(d)
 		}
 	},
+	lots.CutLine: func(s *Serve, l flow.Line) {
+		var id string
+		if json.Unmarshal(l.Body, &id) == nil {
+			s.lots.Cut(id)
+		}
+	},
 	"fleet.ask": func(s *Serve, l flow.Line) { s.fleet.Asked(l.Addr) },
 }
 
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"math/rand"
-	"slices"
 	"sort"
 
 	"fernlink/core/budget"
@@ -44,6 +43,7 @@
 	addrs       map[string]string
 	writes      map[uint64]wait
 	reads       map[uint64]wait
+	renewals    renewals
 	token       uint64
 	seen        map[string]leaseHolder // dispatchers by their last renewal
 	coord       flow.Time              // the coordinator's last renewal
@@ -56,7 +56,7 @@
 	formed      flow.Time
 	look        flow.Time         // when the membership is looked at next
 	taken       map[string]string // who speaks from an address now
-	role        string
+	role        raft.Role
 	now         flow.Time
 	counts      map[string]int
 	fetches     map[uint64]func(flow.Fetched, *flow.Outbox)
@@ -65,24 +65,28 @@
 	retention   retention
 	blob        []byte // the newest snapshot as it is sent in pieces
 	blobAt      uint64
-	checked     bool                 // the blob store was told what must be there
-	bounded     uint64               // the term in which the bounds were looked at
-	contact     contact              // of the acting coordinator
-	contactTerm uint64               // its term
-	able        map[string]bool      // dispatchers on machines that are large enough
+	checked     bool           // the blob store was told what must be there
+	bounded     uint64         // the term in which the bounds were looked at
+	contact     contact        // of the acting coordinator
+	contactTerm uint64         // its term
+	live        []gossip.Entry // the peers heard of late, and this machine
+	self        gossip.Entry
 	freed       uint64               // the term whose holder gave it up
 	moved       flow.Time            // when leadership is handed on next
 	orphan      flow.Time            // when lost claims are looked for next
 	lots        map[string]given     // when this leader gave a lot another owner
 	silent      map[string]flow.Time // when silent members were taken out
+	stopping    map[string]flow.Time // when members last said that they stop
+	caughtUp    catchUpTarget        // what a learner has to have
+	leaveBy     flow.Time            // until when this member waits for another to take its vote
 	owned       flow.Time            // when owners of lots are looked at next
 }
 
 // New starts a store from its disk.
 func New(now flow.Time, p Config) (*Store, error) {
 	s := &Store{p: p, ledger: ledger.New(), addrs: map[string]string{}, writes: map[uint64]wait{},
-		reads: map[uint64]wait{}, seen: map[string]leaseHolder{}, counts: map[string]int{},
-		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, retention: newRetention(), lots: map[string]given{}, silent: map[string]flow.Time{}}
+		reads: map[uint64]wait{}, renewals: renewals{proving: map[uint64][]wait{}}, seen: map[string]leaseHolder{}, counts: map[string]int{},
+		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, retention: newRetention(), lots: map[string]given{}, silent: map[string]flow.Time{}, stopping: map[string]flow.Time{}}
 	if d := p.Disk.Snapshot; d != nil {
 		l, err := ledger.Load(d.State, p.Disk.Items)
 		if err != nil {
@@ -90,7 +94,7 @@
 		}
 		s.ledger = l
 	}
-	s.raft = raft.New(now, raft.Config{ID: p.ID, Rand: p.Rand, Beat: budget.Beat, Elect: budget.Elect,
+	s.raft = raft.New(now, raft.Config{ID: p.ID, Rand: p.Rand, HeartbeatInterval: budget.Beat, ElectionTimeout: budget.Elect,
 		Hard: p.Disk.Hard, Snapshot: p.Disk.Snapshot, Entries: p.Disk.Entries})
 	return s, nil
 }
@@ -117,7 +121,7 @@
 
 // Raft takes a Raft line.
 func (s *Store) Raft(now flow.Time, l flow.Line) {
-	var m raft.Msg
+	var m raft.Message
 	if json.Unmarshal(l.Body, &m) != nil || m.ToID != s.p.ID {
 		s.counts["strays"]++
 		return
@@ -125,27 +129,43 @@
 	if s.raft.Blank() && l.Cluster != "" {
 		s.raft.Adopt(l.Cluster)
 	}
-	s.addrs[m.From] = l.Addr
+	s.learnAddress(m.From, l.Addr)
 	s.raft.Now(now)
 	s.raft.Step(m)
 }
 
+// learnAddress notes where a member speaks from. Somebody who is no member here may
+// be one by a change that this member has not heard of yet, or claim an identity that
+// was lost: it is counted, heard by the rules of elections, and forgotten again.
+func (s *Store) learnAddress(id, addr string) {
+	conf := s.raft.Conf()
+	if len(conf.Members) > 0 && conf.Find(id) < 0 {
+		s.counts["strangers"]++
+		s.forgetStrangers(conf)
+	}
+	s.addrs[id] = addr
+}
+
+// forgetStrangers keeps the table of addresses bounded.
+func (s *Store) forgetStrangers(conf raft.Conf) {
+	if len(s.addrs) < 2*mostMembers {
+		return
+	}
+	for id := range s.addrs {
+		if conf.Find(id) < 0 {
+			delete(s.addrs, id)
+		}
+	}
+}
+
 // time is the ledger's own: it goes on from the last stamp by the leader's
 // elapsed time, and so never jumps with a wall clock. While nobody leads it
 // stands still, which keeps things for longer, never for less.
 func (s *Store) time() int64 { return s.stamp + (s.now - s.lead).Milliseconds() }
 
-// Leave hands leadership on, again now and then; Left says that it is done.
-func (s *Store) Leave(now flow.Time) {
-	if s.raft.Role() == raft.Leader && now >= s.moved {
-		s.moved = now + budget.Elect/2
-		s.raft.Transfer()
-	}
-}
-
-// Left says that this store leads no more, or that nobody else could.
-func (s *Store) Left() bool {
-	return s.raft.Role() != raft.Leader || !slices.ContainsFunc(s.raft.Conf().Members, func(m raft.Member) bool { return m.Voter && m.ID != s.p.ID })
+// Resting says that this store follows a leader and waits for nothing of its own.
+func (s *Store) Resting() bool {
+	return s.raft.Role() == raft.Follower && s.raft.LeaderID() != "" && len(s.fetches) == 0 && s.pull == nil
 }
 
 // Advance runs the store's systems.
@@ -157,19 +177,24 @@
 	}
 	s.checked, s.p.Disk = true, Disk{} // it is not needed any more
 	s.form(now, live, self, out)
+	if s.raft.Ready() {
+		s.caughtUp.note(now, s.raft.Term(), s.raft.Commit())
+	}
 	s.repair(now, live, out)
+	s.proveRenewals(now, out)
 	o := s.raft.Advance(now)
 	out.Save = append(out.Save, o.Saves...)
-	for _, d := range o.Msgs {
+	for _, d := range o.Messages {
 		if d.Addr == "" {
-			d.Addr = s.addrs[d.Msg.ToID]
+			d.Addr = s.addrs[d.Message.ToID]
 		}
 		if d.Addr != "" {
 			kind := "raft"
-			if len(d.Msg.Add) > 0 {
+			if len(d.Message.Entries) > 0 {
 				kind = flow.Entries
 			}
-			out.Line(d.Addr, kind, d.Msg)
+			body, err := d.Message.Encode()
+			out.EncodedLine(d.Addr, kind, body, err)
 		}
 	}
 	if o.Lost {
@@ -180,6 +205,11 @@
 	}
 	sort.Slice(o.Reads, func(i, j int) bool { return o.Reads[i] < o.Reads[j] })
 	for _, t := range o.Reads {
+		if batch, ok := s.renewals.proving[t]; ok {
+			delete(s.renewals.proving, t)
+			s.answerRenewals(now, batch, out)
+			continue
+		}
 		w := s.reads[t]
 		delete(s.reads, t)
 		s.answer(now, w, out)
@@ -191,7 +221,7 @@
 	s.pulling(out)
 	s.compact(now, out)
 	s.orphans(now)
-	s.owners(now, append(live[:len(live):len(live)], self))
+	s.owners(now, live, self)
 	if s.raft.Ready() && s.timed != s.raft.Term() {
 		// Only now is all that was committed before in the ledger.
 		s.timed, s.stamp, s.lead = s.raft.Term(), s.ledger.Clock, now
@@ -217,9 +247,11 @@
 		s.retry(s.reads[t], out)
 	}
 	s.writes, s.reads = map[uint64]wait{}, map[uint64]wait{}
+	s.voidRenewals(out)
 	s.seen = map[string]leaseHolder{}
 	s.grant = 0
 	s.lots = map[string]given{}
+	s.stopping = map[string]flow.Time{}
 	s.retention = newRetention()
 }
 
--- a/shell/disk/disk_test.go
+++ b/shell/disk/disk_test.go
@@ -1,6 +1,7 @@
 package disk
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"math/rand"
@@ -68,18 +69,19 @@
 		t.Fatal(err)
 	}
 	after, _ := os.ReadFile(seg)
+	saved := len(before) + bytes.IndexByte(after[len(before):], '\n')
 	for cut := len(before); cut <= len(after); cut++ {
 		other := t.TempDir()
 		if err := os.WriteFile(filepath.Join(other, filepath.Base(seg)), after[:cut], 0o644); err != nil {
 			t.Fatal(err)
 		}
-		_, last, err := open(t, other)
+		l, last, err := open(t, other)
 		want := uint64(5)
-		if cut >= len(after)-1 {
-			want = 7 // all but the end mark got there
+		if cut >= saved {
+			want = 7 // all of the save got there, but perhaps its end mark
 		}
-		if err != nil || last != want {
-			t.Fatalf("cut at %d: last %d, %v", cut, last, err)
+		if err != nil || last != want || l.hard.Unsure {
+			t.Fatalf("cut at %d: last %d, unsure %v, %v", cut, last, l.hard.Unsure, err)
 		}
 	}
 }
@@ -108,6 +110,44 @@
 			if err != nil || len(d.Entries) < 5 || len(d.Entries) < 7 && !d.Hard.Unsure {
 				t.Fatalf("byte %d, %s: %v, %d entries, unsure %v", at, when, err, len(d.Entries), d.Hard.Unsure)
 			}
+			if d.Hard.Unsure && (d.Hard.LostIndex != 7 || d.Hard.LostTerm != 1) {
+				t.Fatalf("byte %d, %s: its mark says where the log ended: %+v", at, when, d.Hard)
+			}
+		}
+	}
+}
+
+// Given a log whose last save is damaged, when its mark is damaged too, then nothing
+// is known of what is gone; when the save only had a vote, then the mark restores it.
+func TestDamagedTailAndMark(t *testing.T) {
+	vote := flow.Hard{Cluster: "c", Term: 2, Vote: "me"}
+	for _, c := range []struct {
+		name   string
+		save   flow.Save
+		spoil  []int // bytes from the end of the segment
+		unsure bool
+		vote   string
+	}{
+		{"the save and its mark", flow.Save{Add: entries(6, 7)}, []int{10, 150}, true, ""},
+		{"a vote", flow.Save{Hard: &vote}, []int{110}, false, "me"},
+	} {
+		dir := t.TempDir()
+		l, _, err := open(t, dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = l.Save(nil, []flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: entries(1, 5)}})
+		_ = l.Save(nil, []flow.Save{c.save})
+		seg := segment(t, dir)
+		b, _ := os.ReadFile(seg)
+		for _, at := range c.spoil {
+			b[len(b)-at] ^= 1
+		}
+		_ = os.WriteFile(seg, b, 0o644)
+		f, _ := OpenFolder(dir)
+		_, d, err := Open(f)
+		if err != nil || len(d.Entries) != 5 || d.Hard.Unsure != c.unsure || d.Hard.LostIndex != 0 || d.Hard.Vote != c.vote {
+			t.Errorf("%s: %v, %d entries, %+v", c.name, err, len(d.Entries), d.Hard)
 		}
 	}
 }
@@ -173,6 +213,37 @@
 	}
 }
 
+// Given a folder whose log is gone and whose identity is still there, when it is
+// opened, then it is somebody new: the old voter's votes and entries are forgotten,
+// and nobody may count on them. One that never had a log keeps its identity.
+func TestIdentityThatLostItsLog(t *testing.T) {
+	folder, _ := OpenFolder(t.TempDir())
+	old, err := Identify(folder, "voter", 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := Open(folder); err != nil {
+		t.Fatal(err)
+	}
+	if kept, err := Identify(folder, "other", 5); err != nil || kept.ID != "voter" {
+		t.Fatalf("with its log: %+v %v", kept, err)
+	}
+	names, _ := folder.List()
+	for _, name := range names {
+		if name != identityFile {
+			_ = folder.Remove(name)
+		}
+	}
+	blank, err := Identify(folder, "new", 5)
+	if err != nil || blank.ID != "new" || blank.Inc <= old.Inc {
+		t.Fatalf("without its log: %+v %v", blank, err)
+	}
+	again, err := Identify(folder, "newer", 5)
+	if err != nil || again.ID != "new" {
+		t.Fatalf("and from then on: %+v %v", again, err)
+	}
+}
+
 // Given a member whose log goes on past where a leader's snapshot ends, when it
 // takes the snapshot and starts again, then nothing of that old log stands after
 // it: it could hand a vote to somebody who lacks what is committed.
@@ -186,8 +257,8 @@
 	if err := l.Save(nil, []flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: old}}); err != nil {
 		t.Fatal(err)
 	}
-	r := raft.New(0, raft.Config{ID: "a", Rand: rand.New(rand.NewSource(1)), Beat: time.Second, Elect: time.Hour, Hard: flow.Hard{Cluster: "c", Term: 1}, Entries: old})
-	r.Step(raft.Msg{Kind: "dig", From: "b", ToID: "a", Term: 3, Index: 6, LogTerm: 3})
+	r := raft.New(0, raft.Config{ID: "a", Rand: rand.New(rand.NewSource(1)), HeartbeatInterval: time.Second, ElectionTimeout: time.Hour, Hard: flow.Hard{Cluster: "c", Term: 1}, Entries: old})
+	r.Step(raft.Message{Kind: raft.MessageSnapshotOffer, From: "b", ToID: "a", Term: 3, Index: 6, LogTerm: 3})
 	r.Install(&flow.Snapshot{Index: 6, Term: 3, Conf: json.RawMessage(`{}`), State: json.RawMessage(`{}`)})
 	before := segment(t, dir)
 	kept, _ := os.ReadFile(before)
--- a/sim/disk.go
+++ b/sim/disk.go
@@ -7,6 +7,7 @@
 	"hash/crc32"
 	"math/rand"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -42,6 +43,25 @@
 	return &Disk{rand: r, names: map[string]*inode{}, safe: map[string]*inode{}}
 }
 
+// Copy is the disk as it is now, for one that is put back later.
+func (d *Disk) Copy() *Disk {
+	c := NewDisk(d.rand)
+	copies := map[*inode]*inode{}
+	copied := func(i *inode) *inode {
+		if copies[i] == nil {
+			copies[i] = &inode{slices.Clone(i.data), slices.Clone(i.safe)}
+		}
+		return copies[i]
+	}
+	for _, name := range sorted.Keys(d.names) {
+		c.names[name] = copied(d.names[name])
+	}
+	for _, name := range sorted.Keys(d.safe) {
+		c.safe[name] = copied(d.safe[name])
+	}
+	return c
+}
+
 func (d *Disk) step() error {
 	if d.Dead {
 		return errPower
@@ -115,7 +135,7 @@
 	if x == nil || len(x.data) == 0 {
 		return 0
 	}
-	at := 1 + d.rand.Intn(min(len(x.data), 120))
+	at := 1 + d.rand.Intn(min(len(x.data), 360)) // the last save, or the mark behind it
 	x.data = append([]byte(nil), x.data...)
 	x.data[len(x.data)-at] ^= 1
 	x.safe = append([]byte(nil), x.data...)
