Raft: a member that lacks what it acknowledged is asked with heartbeats only

Cause: a store whose disk was put back to an earlier state refused the entry after what it had acknowledged; the leader, whose place for it never goes below that, sent the same at once, and so on at one instant, for minutes of processor time. TestAMemberThatForgotIsNotAskedWithoutPause failed before: 20 messages after 20 refusals.

--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -466,3 +466,39 @@
 		}
 	}
 }
+
+// Given a member whose disk was put back, so that it lacks what it acknowledged,
+// when it refuses what follows that, then the leader does not send the same again
+// and again at one instant, but with its heartbeats.
+func TestAMemberThatForgotIsNotAskedWithoutPause(t *testing.T) {
+	x := newTrio(3)
+	x.run(3 * time.Second)
+	l := x.leader()
+	if l == nil {
+		t.Fatal("no leader")
+	}
+	forgot := "b"
+	if l.id == forgot {
+		forgot = "c"
+	}
+	if _, _, err := l.Propose("cmd", json.RawMessage(`1`)); err != nil {
+		t.Fatal(err)
+	}
+	x.run(time.Second)
+	if _, _, err := l.Propose("cmd", json.RawMessage(`2`)); err != nil {
+		t.Fatal(err)
+	}
+	l.Advance(x.now)
+	sent := 0
+	for range 20 {
+		l.Step(Message{Kind: MessageAppendResponse, From: forgot, ToID: l.id, Term: l.hard.Term, Hint: 0})
+		for _, envelope := range l.Advance(x.now).Messages {
+			if envelope.Message.ToID == forgot {
+				sent++
+			}
+		}
+	}
+	if sent > 1 {
+		t.Errorf("%d messages follow 20 refusals at one instant", sent)
+	}
+}
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -70,6 +70,11 @@
 		r.acknowledged(peer, response.Index)
 	} else {
 		refused(peer, response)
+		if response.Hint < peer.match {
+			// Its log lacks what it acknowledged before, or this answer is old: what
+			// is sent at once would be refused at once. The next heartbeat asks again.
+			return
+		}
 	}
 	if peer.inflightBytes < 0 || !peer.isOptimistic() {
 		peer.inflightBytes = 0
