core/raft/explore: the states of the real replication code, visited one by one

Cause: storms try many schedules of core/raft and show no bound; nothing visited all of them up to one.

The scenario "old entries" takes messages in any order and loses the oldest where more than four are in flight; which that is depends on how a state was reached first, so its count varies by about a hundred between runs.

--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -19,6 +19,7 @@
 
 	"fernlink/core/ledger"
 	"fernlink/core/place"
+	"fernlink/core/raft/explore"
 	"fernlink/rig/fleet"
 	"fernlink/rig/scale"
 	"fernlink/rig/serve"
@@ -57,6 +58,7 @@
 		{"platform", "a calm and a troubled day on the users' platform: real processes, stand-ins on loopback", platform},
 		{"fleet", "a whole fleet: drive it for a while and report, or keep it up", runFleet},
 		{"bench", "placement policies side by side in the simulator, on the same seeds", bench},
+		{"explore", "states of core/raft, visited one by one, for so many seconds a scenario", exploreRaft},
 		{"sweep", "storms over many seeds in the simulator", sweep},
 		{"sites", "storms over many seeds on the users' platform, in the simulator", sites},
 		{"day", "hours at a deployment's whole rates of keys, steps and results on simulated stores, with faults", day},
@@ -364,3 +366,16 @@
 	}
 	return nil
 }
+
+// exploreRaft explores the long scenarios, each for so many seconds.
+func exploreRaft(o *opts) error {
+	limit := time.Duration(o.seconds) * time.Second
+	for _, scenario := range explore.Long() {
+		result := explore.Run(scenario, explore.Bound{Time: limit})
+		fmt.Println(result)
+		if result.Violation != nil {
+			return errors.Wrap(result.Violation, result.Trace)
+		}
+	}
+	return nil
+}
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -43,6 +43,7 @@
 	random            *rand.Rand
 	heartbeatInterval flow.Time
 	electionTimeout   flow.Time
+	messageEntries    int
 
 	hard         flow.Hard
 	base         flow.Entry // index and term of the entry before the log's first
@@ -85,6 +86,7 @@
 		random:            config.Rand,
 		heartbeatInterval: config.HeartbeatInterval,
 		electionTimeout:   config.ElectionTimeout,
+		messageEntries:    maxMessageEntries,
 		hard:              config.Hard,
 		now:               now,
 		leaderHeard:       now,
@@ -92,6 +94,9 @@
 		confsByIndex:      map[uint64]Conf{},
 		progress:          map[string]*progress{},
 	}
+	if config.MaxMessageEntries > 0 {
+		r.messageEntries = config.MaxMessageEntries
+	}
 	if config.Snapshot != nil {
 		r.setSnapshot(config.Snapshot)
 	}
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -115,7 +115,7 @@
 func (r *Raft) nextEntries(next uint64) ([]flow.Entry, int) {
 	rest := r.log[next-r.base.Index-1:]
 	count, size := 0, 0
-	for count < min(len(rest), maxMessageEntries) {
+	for count < min(len(rest), r.messageEntries) {
 		length := len(rest[count].Data)
 		if size+length > maxMessageBytes && count > 0 {
 			break
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -82,6 +82,7 @@
 	Rand              *rand.Rand // draws election time-outs
 	HeartbeatInterval flow.Time
 	ElectionTimeout   flow.Time
+	MaxMessageEntries int // entries of one message; maxMessageEntries when zero
 	Hard              flow.Hard
 	Snapshot          *flow.Snapshot
 	Entries           []flow.Entry
