--- a/core/node/node.go
+++ b/core/node/node.go
@@ -3,6 +3,9 @@
 package node
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
 	"math/rand"
 	"slices"
 
@@ -51,36 +54,50 @@
 
 // Node is one process.
 type Node struct {
-	p      Config
-	gossip *gossip.Gossip
-	asker  *ask.Asker
-	store  *store.Store
-	disp   *disp.Disp
-	coord  *coord.Coord
-	serve  *serve.Serve
-	ids    uint64
-	counts map[string]int64
-	burst  map[string]flow.Time
-	known  gossip.Known
-	began  flow.Time
-	now    flow.Time
-	box    flow.Outbox // what the store wants done, until it is released
-	held   []batch     // what waits for saves that are under way
-	given  uint64      // the newest batch of saves given out
-	saved  uint64      // the newest that is on disk
-	full   bool        // the disk has no room
-	stop   flow.Time   // when a clean stop is over at the latest
+	p         Config
+	gossip    *gossip.Gossip
+	asker     *ask.Asker
+	store     *store.Store
+	disp      *disp.Disp
+	coord     *coord.Coord
+	serve     *serve.Serve
+	ids       uint64
+	counts    map[string]int64
+	burst     map[string]flow.Time
+	known     gossip.Known
+	began     flow.Time
+	now       flow.Time
+	box       flow.Outbox // what the store wants done, until it is released
+	held      []batch     // what waits for saves that are under way
+	heldBytes int         // of the lines among it
+	given     uint64      // the newest batch of saves given out
+	saved     uint64      // the newest that is on disk
+	full      bool        // the disk has no room
+	stop      flow.Time   // when a clean stop is over at the latest
+	announce  flow.Time   // when the store's leader hears next that this member stops
 }
 
 // batch is what may leave once the saves up to its number are on disk.
 type batch struct {
 	number uint64
 	out    flow.Outbox
+	bytes  int // of its lines
 }
 
-// heldMost bounds what waits for the disk; beyond it the store hears nothing
-// new, and peers say it again.
-const heldMost = 512
+// heldMost and heldBytes bound what waits for the disk; beyond them the store hears
+// nothing new, and peers say it again.
+const (
+	heldMost  = 512
+	heldBytes = 16 << 20
+)
+
+func bytesOf(lines []flow.Line) int {
+	sum := 0
+	for _, line := range lines {
+		sum += len(line.Body)
+	}
+	return sum
+}
 
 // New starts a node.
 func New(now flow.Time, p Config) (*Node, error) {
@@ -88,7 +105,7 @@
 	r := func() *rand.Rand { p.Seed++; return rand.New(rand.NewSource(p.Seed * 7919)) }
 	self := gossip.Entry{ID: p.ID, Name: p.Name, Cpu: p.Cpu, Inc: p.Inc, Addr: p.Addr, Web: p.Web, Area: p.Area, Roles: p.Roles}
 	n.gossip = gossip.New(gossip.Config{Self: self, Known: p.Known, Seeds: p.Seeds, Rand: r()})
-	n.asker = ask.New(uint64(p.Inc) << 20)
+	n.asker = ask.New(firstAsk(p))
 	if n.runs("store") {
 		s, err := store.New(now, store.Config{ID: p.ID, Addr: p.Addr, Area: p.Area, Form: p.Form, Keep: p.Keep, Bounds: p.Bounds, Rand: r(), Disk: p.Disk, First: p.First, Want: p.Want})
 		if err != nil {
@@ -98,7 +115,7 @@
 	}
 	me := self.Start()
 	var heard func(flow.Time, ledger.Delta, uint64, *api.Plan)
-	if n.runs("dispatcher") && p.Codec != nil {
+	if self.RunsLots() && p.Codec != nil {
 		n.serve = serve.New(serve.Config{Debug: p.Debug, ID: me, Zone: p.Area, Codec: *p.Codec, Asker: n.asker, Rand: r(), IDs: n.idsOf("serve"), Keep: p.LotKeep,
 			Fresh: func() bool { return n.disp.Fresh(n.now) },
 			Acting: func() (uint64, flow.Time, bool) {
@@ -109,7 +126,7 @@
 			}})
 		heard = n.serve.Heard
 	}
-	if n.runs("dispatcher") {
+	if self.RunsLots() {
 		// A start is somebody of its own: what an earlier one claimed or
 		// numbered is not this one's, though the identity on disk is.
 		n.disp = disp.New(disp.Config{ID: me, Addr: p.Addr, Area: p.Area, Platform: p.Platform, Rand: r(), Asker: n.asker,
@@ -121,6 +138,13 @@
 	return n, nil
 }
 
+// firstAsk is where a start's asks count from: far from those of each other start at
+// its address, whatever the clock said, so that no late answer fits (design 5.2).
+func firstAsk(p Config) uint64 {
+	hash := sha256.Sum256(fmt.Appendf(nil, "%s %d %d", p.ID, p.Inc, p.Seed))
+	return binary.BigEndian.Uint64(hash[:8]) >> 2 // leaves room to count
+}
+
 func (n *Node) runs(role string) bool { return slices.Contains(n.p.Roles, role) }
 
 // parts own sends; an id's rest names its part, so that no table has to.
@@ -175,6 +199,36 @@
 	return out
 }
 
+// Multiples of budget.Tick that a node rests for at most while nothing happens: a
+// follower's shortest deadline is an election, that of a node without a store and
+// without work a renewal.
+const (
+	followerTicks = 2
+	idleTicks     = 5
+)
+
+// Pause tells for how long the node may rest where no event comes. Whatever is due
+// meanwhile is late by that, so a node with work under way rests for a tick only.
+func (n *Node) Pause() flow.Time {
+	switch {
+	case n.busy():
+		return budget.Tick
+	case n.store != nil:
+		return followerTicks * budget.Tick
+	default:
+		return idleTicks * budget.Tick
+	}
+}
+
+// busy says whether any part has deadlines that are short.
+func (n *Node) busy() bool {
+	return n.stop != 0 || len(n.held) > 0 ||
+		n.store != nil && !n.store.Resting() ||
+		n.coord != nil && n.coord.Acting(n.now) ||
+		n.disp != nil && !n.disp.Idle(n.now) ||
+		n.serve != nil && !n.serve.Idle()
+}
+
 func (n *Node) local(out *flow.Outbox) []flow.Line {
 	var mine, rest []flow.Line
 	for _, l := range out.Lines {
@@ -204,7 +258,7 @@
 		n.coord.Advance(now, n.Cluster(), out)
 	}
 	if n.serve != nil {
-		n.serve.Advance(now, append(live[:len(live):len(live)], n.gossip.Self()), out)
+		n.serve.Advance(now, n.gossip.Everyone(now), out)
 	}
 	n.gossip.Advance(now, out)
 }
@@ -224,7 +278,9 @@
 		box.Save = nil
 	}
 	if n.given > n.saved {
-		n.held = append(n.held, batch{n.given, box})
+		size := bytesOf(box.Lines)
+		n.held = append(n.held, batch{n.given, box, size})
+		n.heldBytes += size
 		return
 	}
 	out.Join(box)
@@ -238,13 +294,14 @@
 	}
 	for len(n.held) > 0 && n.held[0].number <= n.saved {
 		out.Join(n.held[0].out)
+		n.heldBytes -= n.held[0].bytes
 		n.held = n.held[1:]
 	}
 }
 
 // choked says that the disk is so far behind that the store hears no more.
 func (n *Node) choked() bool {
-	if len(n.held) < heldMost {
+	if len(n.held) < heldMost && n.heldBytes < heldBytes {
 		return false
 	}
 	n.counts["dropped_for_disk"]++
@@ -281,7 +338,8 @@
 	done := (n.serve == nil || n.serve.Left()) && (n.disp == nil || n.disp.Left()) && (n.coord == nil || n.coord.Left(now))
 	if n.store != nil {
 		n.store.Leave(now)
-		done = done && n.store.Left()
+		n.announceStop(now)
+		done = done && n.store.Left(now)
 	}
 	if done && !n.gossip.Self().Left {
 		n.gossip.Leave(now)
@@ -290,6 +348,17 @@
 	out.Done = done && len(n.held) == 0 || now >= n.stop
 }
 
+// announceStop tells the store's leader, again and again, that this member stops,
+// so that another has its vote before it is gone.
+func (n *Node) announceStop(now flow.Time) {
+	notice, needed := n.store.StopNotice()
+	if !needed || now < n.announce {
+		return
+	}
+	n.announce = now + budget.Elect/2
+	n.asker.Put(now, budget.Elect, "store.stop", notice, func(flow.Time, ask.Answer) {})
+}
+
 func (n *Node) event(now flow.Time, wall int64, e flow.Event, out *flow.Outbox) {
 	if e.Stop {
 		n.leave(now, out)
--- a/core/raft/explore/successors.go
+++ b/core/raft/explore/successors.go
@@ -312,7 +312,7 @@
 		}
 		next := x.add(action{kind: Compact, member: m.id})
 		compacted := next.edit(machine)
-		compacted.raft.Compact(json.RawMessage(`{}`), 0, 0)
+		compacted.raft.Compact(json.RawMessage(`{}`), raft.Retention{})
 		next.checkSnapshot(compacted.raft.Snapshot())
 		next.turn(compacted)
 	})
--- a/core/store/repair.go
+++ b/core/store/repair.go
@@ -24,6 +24,7 @@
 	for _, e := range live {
 		s.taken[e.Addr] = e.ID
 	}
+	s.forgetStops(now)
 	for id, at := range s.silent {
 		if now-at >= 2*budget.Lost {
 			delete(s.silent, id)
@@ -54,6 +55,7 @@
 var rules = []func(*Store, flow.Time, raft.Conf, []gossip.Entry) (raft.Conf, string){
 	(*Store).takeIn,
 	(*Store).trim,
+	(*Store).dropWiped,
 	(*Store).fill,
 	(*Store).spread,
 	(*Store).grow,
@@ -76,7 +78,7 @@
 		return c, ""
 	}
 	for _, e := range live {
-		if _, silent := s.silent[e.ID]; silent || !e.Has("store") || e.Cluster != s.raft.Cluster() || c.Find(e.ID) >= 0 || slices.Contains(c.Retired, e.ID) {
+		if _, silent := s.silent[e.ID]; silent || s.isStopping(e.ID, now) || !e.Has("store") || e.Cluster != s.raft.Cluster() || c.Find(e.ID) >= 0 || slices.Contains(c.Retired, e.ID) {
 			continue
 		}
 		return c.With(raft.Member{ID: e.ID, Addr: e.Addr, Area: e.Area}), "took in a learner"
@@ -92,8 +94,10 @@
 }
 
 // gone says whether a voter should be replaced: an operator wants its machine
-// emptied, or it is lost.
-func (s *Store) gone(m raft.Member, now flow.Time) bool { return m.Leave || s.lost(m, now) }
+// emptied, its process stops, or it is lost.
+func (s *Store) gone(m raft.Member, now flow.Time) bool {
+	return m.Leave || s.isStopping(m.ID, now) || s.lost(m, now)
+}
 
 // lost says that a member is silent for long, sooner where another stands ready
 // for its area, and soonest where somebody else speaks from its address: its
@@ -125,6 +129,22 @@
 	return false
 }
 
+// dropWiped takes a voter out whose disk is gone for good, as soon as a learner
+// stands ready, and before that learner is promoted: until then exactly the other
+// voters are needed, as they are anyway, and the loss of the learner stops
+// nothing (design 4.8).
+func (s *Store) dropWiped(now flow.Time, c raft.Conf, _ []gossip.Entry) (raft.Conf, string) {
+	if c.Voters() != want(c) || c.Voters() < 3 || s.spare(now, c) == "" {
+		return c, ""
+	}
+	for _, m := range c.Members {
+		if m.Voter && s.replaced(m, now) {
+			return c.Without(m.ID), "took out a voter whose disk is gone"
+		}
+	}
+	return c, ""
+}
+
 // fill promotes a ready learner where fewer sound voters stand than wanted.
 func (s *Store) fill(now flow.Time, c raft.Conf, _ []gossip.Entry) (raft.Conf, string) {
 	sound := 0
@@ -194,7 +214,7 @@
 		if held[m.Area] > 1 && m.ID != s.p.ID {
 			n = 2
 		}
-		if m.Leave {
+		if m.Leave || s.isStopping(m.ID, now) {
 			n = 3
 		}
 		if s.raft.Silent(m.ID, now) >= budget.Lost || s.replaced(m, now) {
--- a/shell/outcall/outcall_test.go
+++ b/shell/outcall/outcall_test.go
@@ -17,33 +17,42 @@
 // server takes connections and hands each to f, counting requests read.
 func server(t *testing.T, f func(net.Conn, *http.Request)) (string, *atomic.Int64) {
 	t.Helper()
-	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = ear.Close() })
+	t.Cleanup(func() { _ = listener.Close() })
 	var n atomic.Int64
 	go func() {
 		for {
-			c, err := ear.Accept()
+			c, err := listener.Accept()
 			if err != nil {
 				return
 			}
 			go func() {
 				defer c.Close()
+				in := bufio.NewReader(c)
+				r, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				n.Add(1)
+				f(c, r)
+				// The answer is over; a request that still comes on this
+				// connection is counted too.
+				if out, ok := c.(*net.TCPConn); ok {
+					_ = out.CloseWrite()
+				}
 				for {
-					r, err := http.ReadRequest(bufio.NewReader(c))
-					if err != nil {
+					if _, err := http.ReadRequest(in); err != nil {
 						return
 					}
 					n.Add(1)
-					f(c, r)
-					return
 				}
 			}()
 		}
 	}()
-	return "http://" + ear.Addr().String(), &n
+	return "http://" + listener.Addr().String(), &n
 }
 
 func call(t *testing.T, s flow.Send) (flow.Back, []string) {
@@ -79,7 +88,7 @@
 	for _, verb := range []string{"GET", "POST", "PUT"} {
 		url, n := server(t, func(net.Conn, *http.Request) {})
 		b, _ := call(t, flow.Send{Verb: verb, URL: url + "/x", Head: map[string]string{"Idempotency-Key": "k"}, Body: []byte("{}"), Once: true})
-		if n.Load() != 1 || b.Err == "" || b.Unsent {
+		if n.Load() != 1 || b.Err == "" || b.Failure == flow.Unsent {
 			t.Errorf("%s: read %d times, %+v", verb, n.Load(), b)
 		}
 	}
@@ -112,16 +121,16 @@
 func TestUnsent(t *testing.T) {
 	url, n := server(t, func(net.Conn, *http.Request) {})
 	b, _ := call(t, flow.Send{Verb: "POST", URL: url, Until: clock.Now() - 1})
-	if !b.Unsent || b.Err == "" {
+	if b.Failure != flow.Unsent || b.Err == "" {
 		t.Errorf("too late: %+v", b)
 	}
-	ear, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	nobody := "http://" + ear.Addr().String()
-	_ = ear.Close()
-	if b, _ = call(t, flow.Send{Verb: "POST", URL: nobody}); !b.Unsent || b.Err == "" {
+	nobody := "http://" + listener.Addr().String()
+	_ = listener.Close()
+	if b, _ = call(t, flow.Send{Verb: "POST", URL: nobody}); b.Failure != flow.Unsent || b.Err == "" {
 		t.Errorf("nobody there: %+v", b)
 	}
 	if n.Load() != 0 {
--- a/sim/serve_client.go
+++ b/sim/serve_client.go
@@ -23,7 +23,6 @@
 	events                     []string
 	probe                      bool
 	over                       bool
-	good                       bool
 	after                      int
 	total                      int
 	work                       *siteAsk
@@ -191,6 +190,9 @@
 		s.handled(t, "")
 	}
 	t.refused = r.Code == 429 || r.Code == 503 || r.Code == 408 || r.Code == 421
+	if t.refused && !t.repeats() && len(s.runs[t.id]) > 0 {
+		s.wrong("REFUSED", "%s ran and was refused with %d", t.id, r.Code)
+	}
 	if t.own && r.Code >= 300 && r.Code < 500 && !t.refused && !t.probe && s.InTouch(t.at, t.sent) && s.proper(t) {
 		s.Count["denied"]++
 	}
@@ -292,6 +294,9 @@
 // arrived checks a request that reached an engine.
 func (s *Site) arrived(e *SiteEngine, h *Host, id, path string, x flow.Send) {
 	t, i := s.tries[id], s.items[id]
+	if i != nil {
+		s.sentBy(i, h)
+	}
 	_, query, _ := strings.Cut(strings.TrimPrefix(x.URL, "http://"), "?")
 	if query != "" {
 		path += "?" + query
