What lots hold on the disk is bounded; a lot for which there is no room is refused

Now five eighths of the disk that the settings name are for lots: their requests, until they end, and their texts, with those still to come at the mean size. A hand-in beyond that is 429, before any of it runs; a repeat of one that was taken is acknowledged as before.

--- a/config/config.go
+++ b/config/config.go
@@ -105,6 +105,7 @@
 		{p.Minutes > 0, func() { b.Age = int64(p.Minutes) * 60 * 1000 }},
 		{p.Results > 0, func() { b.Bytes = p.Results }},
 		{p.Open > 0, func() { b.Open = p.Open }},
+		{p.DiskMB > 0, func() { b.LotBytes = int64(p.DiskMB) << 20 * lotDiskParts / diskParts }},
 	} {
 		if x.has {
 			x.set()
@@ -113,6 +114,13 @@
 	return b
 }
 
+// Lots may hold so many parts of the disk; the log, snapshots and segments that are
+// partly let go need the rest (design 4.7).
+const (
+	lotDiskParts = 5
+	diskParts    = 8
+)
+
 // ErrRead says that the config file can't be read at all.
 var ErrRead = errors.New("config: can't read the file")
 
--- a/core/ledger/lot_retention.go
+++ b/core/ledger/lot_retention.go
@@ -43,7 +43,7 @@
 	for k := range t.Parts {
 		l.drop(LotPartItem, t.partRef(k).ID)
 	}
-	t.Parts = nil
+	t.Parts, t.requestBytes = nil, 0
 }
 
 const never = int64(1) << 62
@@ -56,13 +56,14 @@
 	List  []byte `json:"list,omitempty"`
 	Item  uint64 `json:"item"`
 	Mod   uint64 `json:"mod"`
+	Bytes int64  `json:"request_bytes,omitempty"`
 }
 
 func (l *Ledger) lotRows() []lotRow {
 	var out []lotRow
 	for _, id := range sorted.Keys(l.Lots) {
 		t := l.Lots[id]
-		out = append(out, lotRow{t.Doc.Owner, t.Hash, t.Ended, packRows(t.List), t.Item, t.Mod})
+		out = append(out, lotRow{t.Doc.Owner, t.Hash, t.Ended, packRows(t.List), t.Item, t.Mod, t.requestBytes})
 	}
 	return out
 }
@@ -73,7 +74,7 @@
 	if json.Unmarshal(head, &h) != nil {
 		return ErrSnapshot
 	}
-	t := &Lot{Doc: h.Doc, IDs: h.IDs, Parts: h.Parts, Hash: r.Hash, Ended: r.Ended, Item: r.Item, Mod: r.Mod}
+	t := &Lot{Doc: h.Doc, IDs: h.IDs, Parts: h.Parts, Hash: r.Hash, Ended: r.Ended, Item: r.Item, Mod: r.Mod, requestBytes: r.Bytes}
 	if t.Ended {
 		t.Parts = nil
 	}
@@ -90,6 +91,7 @@
 			return ErrSnapshot
 		}
 		t.done[x.Sample] = true
+		t.textBytes += int64(x.Size)
 	}
 	l.Lots[t.Doc.ID] = t
 	return nil
--- /dev/null
+++ b/core/ledger/lot_room.go
@@ -0,0 +1,45 @@
+// Room for lots on the disk (design 4.7).
+
+package ledger
+
+// lotsFull answers a hand-in for which the disk has no room.
+const lotsFull = "lots hold as much as the disk may (lot_bytes)"
+
+// usualTextBytes is what a text is taken to need while none is kept.
+const usualTextBytes = 4 << 10
+
+// requestBytes is about what requests need on the blob store, where bodies are
+// written in base64.
+func requestBytes(items []LotItem) (size int64) {
+	for _, item := range items {
+		size += int64(len(item.Body)*4/3 + sizeOf)
+		for _, field := range item.Fields {
+			size += int64(len(field.Name) + len(field.Value))
+		}
+	}
+	return size
+}
+
+// roomForLot says whether a lot fits beside those that are kept, with the texts
+// that it and the open ones are still to get. A disk that fills up stops reads as
+// well as changes, so what can't be kept is refused before any of it runs.
+func (l *Ledger) roomForLot(items []LotItem) bool {
+	if l.Bounds.LotBytes <= 0 {
+		return true
+	}
+	var held, textBytes, texts int64
+	missing := int64(len(items))
+	for _, t := range l.Lots {
+		held += t.requestBytes + t.textBytes
+		textBytes += t.textBytes
+		texts += int64(len(t.List))
+		if !t.Ended {
+			missing += int64(len(t.IDs) - len(t.List))
+		}
+	}
+	mean := int64(usualTextBytes)
+	if texts > 0 {
+		mean = textBytes / texts
+	}
+	return held+requestBytes(items)+missing*mean <= l.Bounds.LotBytes
+}
--- a/core/ledger/lots.go
+++ b/core/ledger/lots.go
@@ -41,6 +41,9 @@
 	Item  uint64 // the index of the command that brought it
 	Mod   uint64
 
+	requestBytes int64 // of its requests on the blob store; none once it has ended
+	textBytes    int64 // of its listed results there
+
 	byID []uint16 // places, by id
 	done []bool   // listed, by place
 }
@@ -167,6 +170,9 @@
 	if len(l.Lots) >= KeepLots || items > KeepLotItems {
 		return fail(429, "too many lots or items of lots are kept")
 	}
+	if !l.roomForLot(d.Items) {
+		return fail(429, lotsFull)
+	}
 	if !l.roomForReceipts(c.At, 1) {
 		return fail(503, receiptsFull)
 	}
@@ -176,6 +182,7 @@
 	d.KeepMS, d.WaitMS = min(d.KeepMS, lotKeepMost), min(max(d.WaitMS, 0), lotKeepMost)
 	d.Opened, d.AgeMS = c.At, 0
 	rest := d.Items
+	t.requestBytes = requestBytes(rest)
 	d.Items = nil
 	t.Doc = d
 	for at := 0; at < len(rest); {
@@ -229,6 +236,7 @@
 		n++
 		t.done[p] = true
 		t.List = append(t.List, Row{Sample: uint16(p), Size: uint32(len(b)), Item: id})
+		t.textBytes += int64(len(b))
 		l.put(LotTextItem, id, b)
 		l.recent.add(id, b)
 	}
--- a/core/ledger/types.go
+++ b/core/ledger/types.go
@@ -248,6 +248,9 @@
 	Age     int64 `json:"result_ms"`    // for how long an ended step is kept
 	Bytes   int64 `json:"result_bytes"` // of results, for each trainer
 	Open    int   `json:"open_steps"`   // for each trainer
+	// LotBytes is what lots may hold on the disk in all, requests and texts; 0 for
+	// no bound.
+	LotBytes int64 `json:"lot_bytes,omitempty"`
 }
 
 // Usual are the bounds where the config are silent: a day at twice the larger
