--- a/api/api_test.go
+++ b/api/api_test.go
@@ -49,7 +49,7 @@
 		if i > 0 {
 			b.WriteByte(',')
 		}
-		fmt.Fprintf(&b, `{"name":"r%d","path":"/area-%d/shop/%d","verbs":["GET"],"pool":"app"}`, i, i%97, i)
+		fmt.Fprintf(&b, `{"name":"r%d","path":"/zone-%d/shop/%d","verbs":["GET"],"pool":"app"}`, i, i%97, i)
 	}
 	b.WriteString(`]}}`)
 	return []byte(b.String())
@@ -67,7 +67,7 @@
 		t.Fatal(err, plan.Meaning(nil))
 	}
 	plan.Index()
-	if r := plan.Find("GET", "/area-8/shop/9999/x"); r == nil || r.Name != "r9999" {
+	if r := plan.Find("GET", "/zone-8/shop/9999/x"); r == nil || r.Name != "r9999" {
 		t.Errorf("the last route is %v", r)
 	}
 	plan.Routes[9000].Pool = "none"
@@ -94,7 +94,7 @@
 	_ = json.Unmarshal(p.Plan, &plan)
 	plan.Index()
 	for b.Loop() {
-		plan.Find("GET", "/area-8/shop/9999/x")
+		plan.Find("GET", "/zone-8/shop/9999/x")
 	}
 }
 
--- a/cmd/fernlink/check/check.go
+++ b/cmd/fernlink/check/check.go
@@ -158,7 +158,7 @@
 func (r *Report) live(base string, p api.Plan, f Fleet) {
 	ready, there, slots, busy := map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}
 	kinds := map[string]string{}
-	areas := map[string]map[string]bool{}
+	zones := map[string]map[string]bool{}
 	for _, e := range f.Engines {
 		there[e.Pool]++
 		kinds[e.Pool] = e.Kind
@@ -166,10 +166,10 @@
 			ready[e.Pool]++
 			slots[e.Pool] += e.Slots
 			busy[e.Pool] += e.Running
-			if areas[e.Pool] == nil {
-				areas[e.Pool] = map[string]bool{}
+			if zones[e.Pool] == nil {
+				zones[e.Pool] = map[string]bool{}
 			}
-			areas[e.Pool][e.Area] = true
+			zones[e.Pool][e.Zone] = true
 		}
 	}
 	for i, x := range p.Pools {
@@ -184,7 +184,7 @@
 			{kinds[x.Name] != x.Kind, "fault", at + "/kind", fmt.Sprintf("pool %q has %s engines", x.Name, kinds[x.Name])},
 			{ready[x.Name] == 0, "fault", at, fmt.Sprintf("none of the %d engines of pool %q is usable just now", there[x.Name], x.Name)},
 			{ready[x.Name] == 1, "warning", at, fmt.Sprintf("pool %q hangs on one usable engine", x.Name)},
-			{len(areas[x.Name]) == 1, "warning", at, fmt.Sprintf("all usable engines of pool %q stand in one area", x.Name)},
+			{len(zones[x.Name]) == 1, "warning", at, fmt.Sprintf("all usable engines of pool %q stand in one zone", x.Name)},
 			{busy[x.Name]*10 >= slots[x.Name]*9, "warning", at, fmt.Sprintf("pool %q has %d of %d slots taken", x.Name, busy[x.Name], slots[x.Name])},
 		} {
 			if c.holds {
@@ -202,7 +202,7 @@
 	n := 0
 	for _, m := range f.Stores {
 		if m.Voter {
-			voters[m.Area]++
+			voters[m.Zone]++
 			n++
 		}
 	}
@@ -211,7 +211,7 @@
 	}
 	for _, a := range sorted.Keys(voters) {
 		if n >= 3 && voters[a]*2 > n {
-			r.add("warning", "", "%d of %d voters stand in area %q: its loss is not survived", voters[a], n, a)
+			r.add("warning", "", "%d of %d voters stand in zone %q: its loss is not survived", voters[a], n, a)
 		}
 	}
 }
@@ -275,7 +275,7 @@
 	for _, e := range f.Status.Live {
 		live[e.Addr] = true
 		if e.Addr == p.Addr {
-			r.add("warning", "/addr", "a process of area %q with roles %v speaks from this address now", e.Area, e.Roles)
+			r.add("warning", "/addr", "a process of zone %q with roles %v speaks from this address now", e.Zone, e.Roles)
 		}
 		if e.Web == p.Web && e.Addr != p.Addr {
 			r.add("fault", "/web", "is the web address of the process at %s", e.Addr)
@@ -295,12 +295,12 @@
 	if len(p.Form) > 0 && f.Status.Cluster != "" {
 		r.add("warning", "/form", "a cluster stands already: form will be passed over")
 	}
-	areas := map[string]bool{}
+	zones := map[string]bool{}
 	for _, e := range f.Status.Live {
-		areas[e.Area] = true
+		zones[e.Zone] = true
 	}
-	if !areas[p.Area] {
-		r.add("warning", "/area", "no living process is in area %q; there are %s", p.Area, strings.Join(sorted.Keys(areas), ", "))
+	if !zones[p.Zone] {
+		r.add("warning", "/zone", "no living process is in zone %q; there are %s", p.Zone, strings.Join(sorted.Keys(zones), ", "))
 	}
 	if slices.Contains(p.Roles, "store") {
 		r.Changes = append(r.Changes, fmt.Sprintf("a store machine joins as a learner, beside %d members", len(f.Stores)))
--- a/cmd/fernlink/check/check_test.go
+++ b/cmd/fernlink/check/check_test.go
@@ -16,12 +16,12 @@
 
 func fleet() Fleet {
 	f := Fleet{Plan: &ledger.Plan{Version: 4, Doc: json.RawMessage(`{"pools":[{"name":"shop","kind":"app"}],"routes":[{"name":"a","path":"/a","pool":"shop"},{"name":"b","path":"/b","pool":"shop"}]}`)}}
-	for i, area := range []string{"x", "y", "y"} {
-		f.Engines = append(f.Engines, disp.EngineView{ID: fmt.Sprint("e", i), Pool: "shop", Kind: "app", Area: area, Usable: true, Slots: 8},
-			disp.EngineView{ID: fmt.Sprint("m", i), Pool: "parts", Kind: "model", Area: area, Usable: i == 0, Slots: 8, Running: 8})
-		f.Stores = append(f.Stores, store.MemberView{Member: raft.Member{ID: fmt.Sprint("s", i), Area: area, Voter: true}})
+	for i, zone := range []string{"x", "y", "y"} {
+		f.Engines = append(f.Engines, disp.EngineView{ID: fmt.Sprint("e", i), Pool: "shop", Kind: "app", Zone: zone, Usable: true, Slots: 8},
+			disp.EngineView{ID: fmt.Sprint("m", i), Pool: "parts", Kind: "model", Zone: zone, Usable: i == 0, Slots: 8, Running: 8})
+		f.Stores = append(f.Stores, store.MemberView{Member: raft.Member{ID: fmt.Sprint("s", i), Zone: zone, Voter: true}})
 	}
-	f.Status = node.Stats{Addr: "127.0.0.1:1", Cluster: "c", Live: []gossip.Entry{{Addr: "127.0.0.1:2", Web: "127.0.0.1:12", Area: "x"}, {Addr: "127.0.0.1:3", Area: "y"}}}
+	f.Status = node.Stats{Addr: "127.0.0.1:1", Cluster: "c", Live: []gossip.Entry{{Addr: "127.0.0.1:2", Web: "127.0.0.1:12", Zone: "x"}, {Addr: "127.0.0.1:3", Zone: "y"}}}
 	return f
 }
 
@@ -44,7 +44,7 @@
 		{"fault", "/plan/pools/1/kind", "has model engines"},
 		{"fault", "/plan/pools/2", "no engine"},
 		{"warning", "/plan/routes/1/most", "slots"},
-		{"warning", "", `2 of 3 voters stand in area "y"`},
+		{"warning", "", `2 of 3 voters stand in zone "y"`},
 	} {
 		if !has(r, x[0], x[1], x[2]) {
 			t.Errorf("not told: %v in %+v", x, r.Findings)
@@ -64,7 +64,7 @@
 		}
 	}
 	f := fleet()
-	f.Stores[2].Area = "z"
+	f.Stores[2].Zone = "z"
 	r = Plan([]byte(`{"pools":[{"name":"shop","kind":"app"}],"routes":[]}`), f)
 	if len(r.Findings) != 0 {
 		t.Errorf("a plan that fits: %+v", r.Findings)
@@ -75,15 +75,15 @@
 }
 
 // Given a fleet, when a node's config are checked against it, then seeds that
-// are not there, taken addresses and strange areas are told.
+// are not there, taken addresses and strange zones are told.
 func TestConfigAgainstFleet(t *testing.T) {
-	r := Config([]byte(`{"addr":"127.0.0.1:3","web":"127.0.0.1:12","area":"q","seeds":["127.0.0.1:9"],"roles":["store"],"data":"d","form":["127.0.0.1:3"]}`), fleet())
-	for _, x := range [][3]string{{"fault", "/seeds", "no seed"}, {"fault", "/web", "is the web address"}, {"warning", "/addr", "speaks from this"}, {"warning", "/area", "no living process"}, {"warning", "/form", "passed over"}} {
+	r := Config([]byte(`{"addr":"127.0.0.1:3","web":"127.0.0.1:12","zone":"q","seeds":["127.0.0.1:9"],"roles":["store"],"data":"d","form":["127.0.0.1:3"]}`), fleet())
+	for _, x := range [][3]string{{"fault", "/seeds", "no seed"}, {"fault", "/web", "is the web address"}, {"warning", "/addr", "speaks from this"}, {"warning", "/zone", "no living process"}, {"warning", "/form", "passed over"}} {
 		if !has(r, x[0], x[1], x[2]) {
 			t.Errorf("not told: %v in %+v", x, r.Findings)
 		}
 	}
-	r = Config([]byte(`{"addr":"127.0.0.1:7","web":"127.0.0.1:17","area":"x","seeds":["127.0.0.1:1","127.0.0.1:2"],"roles":["coordinator"]}`), fleet())
+	r = Config([]byte(`{"addr":"127.0.0.1:7","web":"127.0.0.1:17","zone":"x","seeds":["127.0.0.1:1","127.0.0.1:2"],"roles":["coordinator"]}`), fleet())
 	if len(r.Findings) != 0 {
 		t.Errorf("config that fit: %+v", r.Findings)
 	}
--- a/cmd/fernlink/main.go
+++ b/cmd/fernlink/main.go
@@ -55,7 +55,7 @@
 }
 
 type nodeFlags struct {
-	file, addr, web, area, data, platform string
+	file, addr, web, zone, data, platform string
 	listen                                string
 	seeds, roles, form, off, level        string
 	profile                               string
@@ -66,7 +66,7 @@
 	s.String(&n.addr, "", "addr", "IP:port for peers")
 	s.String(&n.listen, "", "listen", "IP:port to listen at for peers, when that is not addr")
 	s.String(&n.web, "", "web", "IP:port for callers, trainers and operators")
-	s.String(&n.area, "", "area", "this machine's area")
+	s.String(&n.zone, "", "zone", "this machine's zone")
 	s.String(&n.seeds, "", "seeds", "up to three addresses of other nodes, with commas")
 	s.String(&n.roles, "", "roles", "store, coordinator, dispatcher, with commas")
 	s.String(&n.data, "", "data", "data folder")
@@ -79,7 +79,7 @@
 
 func (n *nodeFlags) run() int {
 	flags := map[string]any{}
-	for k, v := range map[string]string{"addr": n.addr, "web": n.web, "area": n.area, "data": n.data, "platform": n.platform, "listen": n.listen, "log_level": n.level} {
+	for k, v := range map[string]string{"addr": n.addr, "web": n.web, "zone": n.zone, "data": n.data, "platform": n.platform, "listen": n.listen, "log_level": n.level} {
 		if v != "" {
 			flags[k] = v
 		}
--- a/config/config.go
+++ b/config/config.go
@@ -27,7 +27,7 @@
 type Config struct {
 	Addr     string   `json:"addr"`
 	Web      string   `json:"web"`
-	Area     string   `json:"area"`
+	Zone     string   `json:"zone"`
 	Seeds    []string `json:"seeds"`
 	Roles    []string `json:"roles"`
 	Data     string   `json:"data,omitempty"`
@@ -136,6 +136,7 @@
 			return Config{}, nil, errors.Wrapf(ErrRead, "%s: %v", path, err)
 		}
 	}
+	renameZoneKey(doc)
 	for k, v := range flags {
 		doc[k] = v
 	}
@@ -146,6 +147,24 @@
 	return Check(b)
 }
 
+// oldZoneKey is the key of the zone in config files of earlier builds; it is
+// still read.
+const oldZoneKey = "area"
+
+// renameZoneKey gives the zone its present key. Where both keys are set, the old
+// one stays and the schema refuses it.
+func renameZoneKey(doc map[string]any) {
+	zone, found := doc[oldZoneKey]
+	if !found {
+		return
+	}
+	if _, both := doc["zone"]; both {
+		return
+	}
+	doc["zone"] = zone
+	delete(doc, oldZoneKey)
+}
+
 // compiled is the schema, made when it is first asked for.
 var compiled = sync.OnceValue(func() *jsonschema.Schema {
 	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema))
@@ -166,9 +185,15 @@
 	if err != nil {
 		return p, nil, errors.Wrap(ErrRead, "not JSON")
 	}
+	if fields, ok := doc.(map[string]any); ok {
+		renameZoneKey(fields)
+	}
 	if bad := api.Faults(compiled().Validate(doc)); len(bad) > 0 {
 		return p, bad, nil
 	}
+	if b, err = json.Marshal(doc); err != nil {
+		return p, nil, errors.Wrap(ErrRead, err.Error())
+	}
 	if err := json.Unmarshal(b, &p); err != nil {
 		return p, nil, errors.Wrap(ErrRead, err.Error())
 	}
--- a/core/dialect/dialect.go
+++ b/core/dialect/dialect.go
@@ -19,7 +19,7 @@
 	URL   string `json:"url"`
 	Kind  string `json:"kind"`
 	Pool  string `json:"pool"`
-	Area  string `json:"area"`
+	Zone  string `json:"area"` // as the platform list names it
 	State string `json:"state"`
 }
 
--- a/core/disp/admin.go
+++ b/core/disp/admin.go
@@ -199,7 +199,7 @@
 	URL      string `json:"url"`
 	Kind     string `json:"kind"`
 	Pool     string `json:"pool"`
-	Area     string `json:"area"`
+	Zone     string `json:"zone"`
 	State    string `json:"state"`
 	Usable   bool   `json:"usable"`
 	Drained  bool   `json:"drained"`
@@ -212,7 +212,7 @@
 
 func (d *Disp) view(id string) EngineView {
 	e := d.engines[id]
-	v := EngineView{ID: id, URL: e.URL, Kind: e.Kind, Pool: e.Pool, Area: e.Area, State: e.State, Usable: d.usable(e),
+	v := EngineView{ID: id, URL: e.URL, Kind: e.Kind, Pool: e.Pool, Zone: e.Zone, State: e.State, Usable: d.usable(e),
 		Drained: d.drains[id], Ordered: d.ordered(e), Revision: e.load.Revision, Running: e.busy(), Slots: e.load.Slots}
 	if s := d.slices[id]; s != nil {
 		v.Blocks = len(s.blocks)
@@ -284,7 +284,7 @@
 			d.out.Answer(c.ID, 409, answer{Error: "the process there runs no store"}, nil)
 			return
 		}
-		d.up(c, "store.add", raft.Member{ID: e.ID, Addr: e.Addr, Area: e.Area})
+		d.up(c, "store.add", raft.Member{ID: e.ID, Addr: e.Addr, Zone: e.Zone})
 		return
 	}
 	d.up(c, "store.add", raft.Member{Addr: b.Addr}) // a member that is down may have been taken in before
--- a/core/disp/disp.go
+++ b/core/disp/disp.go
@@ -21,7 +21,7 @@
 
 // Config are the options of a dispatcher.
 type Config struct {
-	ID, Addr, Area string // ID names this very start of the process
+	ID, Addr, Zone string // ID names this very start of the process
 	Platform       string // where the platform list is read
 	Rand           *rand.Rand
 	Asker          *ask.Asker
--- a/core/disp/events.go
+++ b/core/disp/events.go
@@ -24,7 +24,7 @@
 	URL   string `json:"url"`
 	Kind  string `json:"kind"`
 	Pool  string `json:"pool"`
-	Area  string `json:"area"`
+	Zone  string `json:"area"` // the name on the wire: builds of both names must read each other
 	Ready bool   `json:"ready"`
 }
 
@@ -207,7 +207,7 @@
 		if s.signed {
 			l := e.load
 			s.events = append(s.events, Event{Kind: "sign", Rev: l.Revision, Load: &l,
-				Seat: &Seat{e.URL, e.Kind, e.Pool, e.Area, d.usable(e) || d.ordered(e)}})
+				Seat: &Seat{e.URL, e.Kind, e.Pool, e.Zone, d.usable(e) || d.ordered(e)}})
 			s.signed = false
 		}
 		if s.full {
--- a/core/disp/gen_place.go
+++ b/core/disp/gen_place.go
@@ -128,7 +128,7 @@
 		if len(g.kept) > 0 && !g.step.mixes() && g.kept[len(g.kept)-1].rev != e.load.Revision {
 			continue
 		}
-		seats = append(seats, place.Seat{ID: id, Area: e.Area, Busy: e.busy(), Slots: e.load.Slots,
+		seats = append(seats, place.Seat{ID: id, Zone: e.Zone, Busy: e.busy(), Slots: e.load.Slots,
 			Local: d.hits(e, g.group.blocks), Index: g.group.hint[id]})
 		engines = append(engines, e)
 	}
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -28,7 +28,7 @@
 	Changed uint64   `json:"changed,omitempty"` // the beat at which it last changed in more than its beat
 	Addr    string   `json:"addr"`
 	Web     string   `json:"web"`
-	Area    string   `json:"area"`
+	Zone    string   `json:"area"` // the name on the wire: builds of both names must read each other
 	Roles   []string `json:"roles"`
 	Cpu     int      `json:"cpu,omitempty"` // thousandths of a core that its machine gives it, 0 where unknown
 	Cluster string   `json:"cluster,omitempty"`
@@ -301,7 +301,7 @@
 
 // same says whether two entries differ in nothing but their beats.
 func same(a, b Entry) bool {
-	return a.ID == b.ID && a.Inc == b.Inc && a.Web == b.Web && a.Area == b.Area && a.Cluster == b.Cluster && a.Blank == b.Blank && a.Left == b.Left && a.Retired == b.Retired &&
+	return a.ID == b.ID && a.Inc == b.Inc && a.Web == b.Web && a.Zone == b.Zone && a.Cluster == b.Cluster && a.Blank == b.Blank && a.Left == b.Left && a.Retired == b.Retired &&
 		slices.Equal(a.Roles, b.Roles) && slices.Equal(a.Sees, b.Sees)
 }
 
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -35,7 +35,7 @@
 	if f.tables[addr] == nil {
 		f.addrs = append(f.addrs, addr)
 	}
-	f.tables[addr] = New(Config{Self: Entry{ID: fmt.Sprint("node-", i), Name: fmt.Sprint("edge-", i), Inc: inc, Addr: addr, Web: addr, Area: "a", Roles: []string{"dispatcher"}},
+	f.tables[addr] = New(Config{Self: Entry{ID: fmt.Sprint("node-", i), Name: fmt.Sprint("edge-", i), Inc: inc, Addr: addr, Web: addr, Zone: "a", Roles: []string{"dispatcher"}},
 		Seeds: []string{addrOf(0), addrOf(1), addrOf(2)}, Rand: rand.New(rand.NewSource(int64(i) + inc))})
 }
 
--- a/core/node/fuzz_test.go
+++ b/core/node/fuzz_test.go
@@ -12,7 +12,7 @@
 
 // one is a node with every role that leads a cluster of its own.
 func one(t testing.TB) (*Node, func([]flow.Event) flow.Outbox) {
-	p := Config{ID: "a", Inc: 1, Addr: "127.0.0.1:1", Web: "127.0.0.1:2", Area: "x", Roles: []string{"store", "coordinator", "dispatcher"},
+	p := Config{ID: "a", Inc: 1, Addr: "127.0.0.1:1", Web: "127.0.0.1:2", Zone: "x", Roles: []string{"store", "coordinator", "dispatcher"},
 		Form: []string{"127.0.0.1:1"}, Seeds: []string{"127.0.0.1:1"}, Platform: "http://127.0.0.1:3/engines", Keep: 64, BlocksMost: 64, Seed: 1, Disk: store.Disk{}}
 	n, err := New(0, p)
 	if err != nil {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -30,7 +30,7 @@
 	Inc        int64
 	Addr       string
 	Web        string
-	Area       string
+	Zone       string
 	Roles      []string
 	Seeds      []string
 	Form       []string
@@ -103,11 +103,11 @@
 func New(now flow.Time, p Config) (*Node, error) {
 	n := &Node{p: p, counts: map[string]int64{}, burst: map[string]flow.Time{}, began: now, known: p.Known}
 	r := func() *rand.Rand { p.Seed++; return rand.New(rand.NewSource(p.Seed * 7919)) }
-	self := gossip.Entry{ID: p.ID, Name: p.Name, Cpu: p.Cpu, Inc: p.Inc, Addr: p.Addr, Web: p.Web, Area: p.Area, Roles: p.Roles}
+	self := gossip.Entry{ID: p.ID, Name: p.Name, Cpu: p.Cpu, Inc: p.Inc, Addr: p.Addr, Web: p.Web, Zone: p.Zone, Roles: p.Roles}
 	n.gossip = gossip.New(gossip.Config{Self: self, Known: p.Known, Seeds: p.Seeds, Rand: r()})
 	n.asker = ask.New(firstAsk(p))
 	if n.runs("store") {
-		s, err := store.New(now, store.Config{ID: p.ID, Addr: p.Addr, Area: p.Area, Form: p.Form, Keep: p.Keep, Bounds: p.Bounds, Rand: r(), Disk: p.Disk, First: p.First, Want: p.Want})
+		s, err := store.New(now, store.Config{ID: p.ID, Addr: p.Addr, Zone: p.Zone, Form: p.Form, Keep: p.Keep, Bounds: p.Bounds, Rand: r(), Disk: p.Disk, First: p.First, Want: p.Want})
 		if err != nil {
 			return nil, err
 		}
@@ -116,7 +116,7 @@
 	me := self.Start()
 	var heard func(flow.Time, ledger.Delta, uint64, *api.Plan)
 	if self.RunsLots() && p.Codec != nil {
-		n.serve = serve.New(serve.Config{Debug: p.Debug, ID: me, Zone: p.Area, Codec: *p.Codec, Asker: n.asker, Rand: r(), IDs: n.idsOf("serve"), Keep: p.LotKeep,
+		n.serve = serve.New(serve.Config{Debug: p.Debug, ID: me, Zone: p.Zone, Codec: *p.Codec, Asker: n.asker, Rand: r(), IDs: n.idsOf("serve"), Keep: p.LotKeep,
 			Fresh: func() bool { return n.disp.Fresh(n.now) },
 			Acting: func() (uint64, flow.Time, bool) {
 				if n.coord == nil {
@@ -129,7 +129,7 @@
 	if self.RunsLots() {
 		// A start is somebody of its own: what an earlier one claimed or
 		// numbered is not this one's, though the identity on disk is.
-		n.disp = disp.New(disp.Config{ID: me, Addr: p.Addr, Area: p.Area, Platform: p.Platform, Rand: r(), Asker: n.asker,
+		n.disp = disp.New(disp.Config{ID: me, Addr: p.Addr, Zone: p.Zone, Platform: p.Platform, Rand: r(), Asker: n.asker,
 			IDs: n.idsOf("disp"), BlocksMost: p.BlocksMost, Heard: heard})
 	}
 	if n.runs("coordinator") {
--- a/core/node/stats.go
+++ b/core/node/stats.go
@@ -13,7 +13,7 @@
 type Stats struct {
 	ID      string           `json:"id"`
 	Addr    string           `json:"addr"`
-	Area    string           `json:"area"`
+	Zone    string           `json:"zone"`
 	Roles   []string         `json:"roles"`
 	Cluster string           `json:"cluster"`
 	Up      float64          `json:"up_seconds"`
@@ -30,7 +30,7 @@
 
 // Stats gives the snapshot.
 func (n *Node) Stats(now flow.Time) Stats {
-	s := Stats{ID: n.p.ID, Addr: n.p.Addr, Area: n.p.Area, Roles: n.p.Roles, Cluster: n.Cluster(), Up: (now - n.began).Seconds(),
+	s := Stats{ID: n.p.ID, Addr: n.p.Addr, Zone: n.p.Zone, Roles: n.p.Roles, Cluster: n.Cluster(), Up: (now - n.began).Seconds(),
 		Live: n.gossip.Live(now), Asks: n.asker.Open(), Counts: map[string]int64{}}
 	for k, v := range n.counts {
 		s.Counts[k] = v
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -10,7 +10,7 @@
 // Seat is one usable engine as a policy sees it.
 type Seat struct {
 	ID    string
-	Area  string
+	Zone  string
 	Busy  int // generations on it, as reported or as known here, the greater
 	Slots int
 	Local int // blocks of the prompt held there, by this dispatcher's own table
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -12,7 +12,7 @@
 type Member struct {
 	ID    string `json:"id"`
 	Addr  string `json:"addr"`
-	Area  string `json:"area"`
+	Zone  string `json:"area"` // the name on the wire and on disk: builds of both names must read each other
 	Voter bool   `json:"voter"`
 	Leave bool   `json:"leaving,omitempty"` // an operator wants it emptied
 }
--- a/core/serve/prefixes/prefixes.go
+++ b/core/serve/prefixes/prefixes.go
@@ -216,7 +216,7 @@
 	if s.signed || !ready {
 		s.signed = false
 		s.events = append(s.events, disp.Event{Kind: "sign", Rev: s.rev, Load: &dialect.Load{Inc: s.engine.ID, Running: s.engine.Mine,
-			Slots: s.engine.Slots, Revision: s.rev, State: "ready"}, Seat: &disp.Seat{URL: "http://" + s.engine.Addr, Kind: "host", Pool: s.engine.Pool, Area: s.engine.Zone, Ready: ready}})
+			Slots: s.engine.Slots, Revision: s.rev, State: "ready"}, Seat: &disp.Seat{URL: "http://" + s.engine.Addr, Kind: "host", Pool: s.engine.Pool, Zone: s.engine.Zone, Ready: ready}})
 	}
 	if s.full {
 		whole := []disp.Event{{Kind: "store", Rev: s.rev, Blocks: sorted.Keys(s.parts)}}
--- a/core/store/members.go
+++ b/core/store/members.go
@@ -59,7 +59,7 @@
 	c := raft.Conf{Cluster: "c-" + s.p.ID, Want: len(form)}
 	for _, addr := range form {
 		e := at[addr]
-		c = c.With(raft.Member{ID: e.ID, Addr: e.Addr, Area: e.Area, Voter: true})
+		c = c.With(raft.Member{ID: e.ID, Addr: e.Addr, Zone: e.Zone, Voter: true})
 	}
 	s.raft.Now(now)
 	s.raft.Form(c)
--- a/core/store/repair.go
+++ b/core/store/repair.go
@@ -81,7 +81,7 @@
 		if _, silent := s.silent[e.ID]; silent || s.isStopping(e.ID, now) || !e.Has("store") || e.Cluster != s.raft.Cluster() || c.Find(e.ID) >= 0 || slices.Contains(c.Retired, e.ID) {
 			continue
 		}
-		return c.With(raft.Member{ID: e.ID, Addr: e.Addr, Area: e.Area}), "took in a learner"
+		return c.With(raft.Member{ID: e.ID, Addr: e.Addr, Zone: e.Zone}), "took in a learner"
 	}
 	return c, ""
 }
@@ -100,7 +100,7 @@
 }
 
 // lost says that a member is silent for long, sooner where another stands ready
-// for its area, and soonest where somebody else speaks from its address: its
+// for its zone, and soonest where somebody else speaks from its address: its
 // disk was replaced.
 func (s *Store) lost(m raft.Member, now flow.Time) bool {
 	quiet := s.raft.Silent(m.ID, now)
@@ -113,16 +113,16 @@
 }
 
 // standby says whether a learner is ready to take a voter's place: one of its
-// area, or of an area without a sound voter.
+// zone, or of a zone without a sound voter.
 func (s *Store) standby(lost raft.Member, now flow.Time) bool {
 	c, held := s.raft.Conf(), map[string]bool{}
 	for _, m := range c.Members {
 		if m.Voter && !m.Leave && s.raft.Silent(m.ID, now) < budget.Lost {
-			held[m.Area] = true
+			held[m.Zone] = true
 		}
 	}
 	for _, m := range c.Members {
-		if !m.Voter && !m.Leave && (m.Area == lost.Area || !held[m.Area]) && s.ready(m.ID, now) {
+		if !m.Voter && !m.Leave && (m.Zone == lost.Zone || !held[m.Zone]) && s.ready(m.ID, now) {
 			return true
 		}
 	}
@@ -170,7 +170,7 @@
 	held := map[string]int{}
 	for _, m := range c.Members {
 		if m.Voter && !s.gone(m, now) {
-			held[m.Area]++
+			held[m.Zone]++
 		}
 	}
 	best := -1
@@ -178,7 +178,7 @@
 		if m.Voter || m.Leave || !s.ready(m.ID, now) {
 			continue
 		}
-		if best < 0 || held[m.Area] < held[c.Members[best].Area] {
+		if best < 0 || held[m.Zone] < held[c.Members[best].Zone] {
 			best = i
 		}
 	}
@@ -189,7 +189,7 @@
 }
 
 // trim takes one voter out where there is one more than wanted: first one that
-// is silent, then one that is to be emptied, then one of two in an area. A
+// is silent, then one that is to be emptied, then one of two in a zone. A
 // leader that can commit this has a majority of one more, so what is left has
 // one too.
 func (s *Store) trim(now flow.Time, c raft.Conf, _ []gossip.Entry) (raft.Conf, string) {
@@ -199,7 +199,7 @@
 	held := map[string]int{}
 	for _, m := range c.Members {
 		if m.Voter {
-			held[m.Area]++
+			held[m.Zone]++
 		}
 	}
 	worst, score := -1, 0
@@ -211,7 +211,7 @@
 		if m.ID != s.p.ID {
 			n = 1 // the silent one came back; it is taken in again as a learner
 		}
-		if held[m.Area] > 1 && m.ID != s.p.ID {
+		if held[m.Zone] > 1 && m.ID != s.p.ID {
 			n = 2
 		}
 		if m.Leave || s.isStopping(m.ID, now) {
@@ -234,7 +234,7 @@
 	return c.Without(id), "took out a voter"
 }
 
-// spread swaps a voter for a ready learner where two voters share an area and
+// spread swaps a voter for a ready learner where two voters share a zone and
 // the learner's has none.
 func (s *Store) spread(now flow.Time, c raft.Conf, _ []gossip.Entry) (raft.Conf, string) {
 	held, twice := map[string]int{}, false
@@ -243,8 +243,8 @@
 			if s.gone(m, now) {
 				return c, "" // first things first
 			}
-			held[m.Area]++
-			twice = twice || held[m.Area] > 1
+			held[m.Zone]++
+			twice = twice || held[m.Zone] > 1
 		}
 	}
 	id := s.spare(now, c)
@@ -252,11 +252,11 @@
 		return c, ""
 	}
 	m := c.Members[c.Find(id)]
-	if held[m.Area] > 0 {
+	if held[m.Zone] > 0 {
 		return c, ""
 	}
 	m.Voter = true
-	return c.With(m), "promoted a learner of an area without a voter"
+	return c.With(m), "promoted a learner of a zone without a voter"
 }
 
 // grow wants more voters than the cluster was formed with, once there are as
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -25,7 +25,7 @@
 
 // Config are the options of a store.
 type Config struct {
-	ID, Addr, Area string
+	ID, Addr, Zone string
 	Form           []string // the addresses expected at first formation
 	First          bool     // this is the first start of all, with empty disks: it forms without waiting for others to speak up
 	Want           int      // voters wanted, where that is more than were formed (design 4.8)
--- a/rig/fleet/drill.go
+++ b/rig/fleet/drill.go
@@ -179,10 +179,10 @@
 		return f.stop(p)
 	}},
 	{"stop a dispatcher cleanly", func(f *Fleet) (func() error, error) { return f.stop(f.By("dispatcher")[3]) }},
-	{"lose a whole area", func(f *Fleet) (func() error, error) {
+	{"lose a whole zone", func(f *Fleet) (func() error, error) {
 		var ps []*Proc
 		for _, p := range f.Procs {
-			if p.Area == f.Shape.Areas[0] && !p.Gone {
+			if p.Zone == f.Shape.Zones[0] && !p.Gone {
 				f.Kill(p)
 				ps = append(ps, p)
 			}
@@ -246,7 +246,7 @@
 		if err := os.RemoveAll(p.Data); err != nil {
 			return nil, err
 		}
-		_, err = f.Fresh(p.Area)
+		_, err = f.Fresh(p.Zone)
 		return f.sound, err
 	}},
 	{"empty a store machine", func(f *Fleet) (func() error, error) {
@@ -254,7 +254,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if _, err := f.Fresh(p.Area); err != nil {
+		if _, err := f.Fresh(p.Zone); err != nil {
 			return nil, err
 		}
 		err = Retry(patience, func() error {
--- a/rig/fleet/fleet.go
+++ b/rig/fleet/fleet.go
@@ -26,7 +26,7 @@
 // Shape is a deployment.
 type Shape struct {
 	Name        string
-	Areas       []string
+	Zones       []string
 	Stores      int
 	Spare       int // further store machines, learners that stand ready
 	Dispatchers int
@@ -54,13 +54,13 @@
 // Shapes are the two deployments: fourteen machines each. Those with a disk run
 // store and coordinator, the others dispatchers.
 var Shapes = map[string]Shape{
-	"fibrarmor": {Name: "fibrarmor", Areas: []string{"brest", "rennes", "vannes"}, Stores: 3, Dispatchers: 11, Models: 11, Apps: 3,
+	"fibrarmor": {Name: "fibrarmor", Zones: []string{"brest", "rennes", "vannes"}, Stores: 3, Dispatchers: 11, Models: 11, Apps: 3,
 		Trainers: []Trainer{{Name: "drafts", Pool: "draft", Groups: 24, Samples: 4, Prompt: 1536, Shared: 1024, Tokens: 96, One: true}},
 		Once:     true, Rate: 6,
 		Plan: `{"pools":[{"name":"draft","kind":"model"},{"name":"booking","kind":"app"}],
 			"routes":[{"name":"book","path":"/book","verbs":["POST"],"pool":"booking","once":true,"timeout_ms":2000},
 			          {"name":"rounds","path":"/rounds","verbs":["GET"],"pool":"booking"}]}`},
-	"waterland": {Name: "waterland", Areas: []string{"edam", "hoorn", "monnickendam", "purmerend"}, Stores: 3, Spare: 1, Dispatchers: 10, Models: 9, Apps: 4,
+	"waterland": {Name: "waterland", Zones: []string{"edam", "hoorn", "monnickendam", "purmerend"}, Stores: 3, Spare: 1, Dispatchers: 10, Models: 9, Apps: 4,
 		Trainers: []Trainer{{Name: "short", Pool: "parts", Groups: 24, Samples: 4, Prompt: 1024, Shared: 768, Tokens: 32, One: true},
 			{Name: "long", Pool: "parts", Groups: 8, Samples: 2, Prompt: 2048, Shared: 512, Tokens: 256, Lag: 1}},
 		Rate: 6,
@@ -77,7 +77,7 @@
 	Args []string
 	Cmd  *exec.Cmd
 	Role string // one, or several with commas
-	Area string
+	Zone string
 	Data string
 	Gone bool // its machine is no more
 }
@@ -135,12 +135,12 @@
 	}
 	take := func() string { p := ps[0]; ps = ps[1:]; return p }
 	rig := filepath.Join(bin, "rig")
-	area := func(i int) string { return shape.Areas[i%len(shape.Areas)] }
+	zone := func(i int) string { return shape.Zones[i%len(shape.Zones)] }
 	pool := shape.Trainers[0].Pool
 	for i := 0; i < shape.Models; i++ {
 		id, at := fmt.Sprintf("model-%d", i+1), take()
-		f.Engines = append(f.Engines, dialect.Listed{ID: id, URL: "http://" + at, Kind: "model", Pool: pool, Area: area(i), State: "ready"})
-		f.add(&Proc{Name: id, Web: at, Role: "model", Area: area(i), Args: []string{rig, "engine", "--addr", at, "--id", id, "--pool", pool}})
+		f.Engines = append(f.Engines, dialect.Listed{ID: id, URL: "http://" + at, Kind: "model", Pool: pool, Zone: zone(i), State: "ready"})
+		f.add(&Proc{Name: id, Web: at, Role: "model", Zone: zone(i), Args: []string{rig, "engine", "--addr", at, "--id", id, "--pool", pool}})
 	}
 	var app struct {
 		Pools []struct{ Name, Kind string }
@@ -149,8 +149,8 @@
 	appPool := app.Pools[len(app.Pools)-1].Name
 	for i := 0; i < shape.Apps; i++ {
 		id, at := fmt.Sprintf("app-%d", i+1), take()
-		f.Engines = append(f.Engines, dialect.Listed{ID: id, URL: "http://" + at, Kind: "app", Pool: appPool, Area: area(i), State: "ready"})
-		f.add(&Proc{Name: id, Web: at, Role: "app", Area: area(i), Args: []string{rig, "app", "--addr", at, "--id", id}})
+		f.Engines = append(f.Engines, dialect.Listed{ID: id, URL: "http://" + at, Kind: "app", Pool: appPool, Zone: zone(i), State: "ready"})
+		f.add(&Proc{Name: id, Web: at, Role: "app", Zone: zone(i), Args: []string{rig, "app", "--addr", at, "--id", id}})
 	}
 	judge, plat := take(), take()
 	f.Judge, f.List = "http://"+judge+"/judge", "http://"+plat+"/engines"
@@ -172,7 +172,7 @@
 				more = append(more, "--form", form)
 			}
 		}
-		if _, err := f.node(name, addrs[i], take(), webs[i], area(i), more...); err != nil {
+		if _, err := f.node(name, addrs[i], take(), webs[i], zone(i), more...); err != nil {
 			f.Close()
 			return nil, err
 		}
@@ -187,26 +187,26 @@
 }
 
 // node puts one node into the fleet, behind a relay, not yet started.
-func (f *Fleet) node(name, addr, listen, web, area string, more ...string) (*Proc, error) {
-	p := &Proc{Name: name, Addr: addr, Web: web, Role: more[1], Area: area}
+func (f *Fleet) node(name, addr, listen, web, zone string, more ...string) (*Proc, error) {
+	p := &Proc{Name: name, Addr: addr, Web: web, Role: more[1], Zone: zone}
 	if more[2] == "--data" {
 		p.Data = more[3]
 	}
-	p.Args = append([]string{filepath.Join(f.bin, "fernlink"), "node", "--addr", addr, "--listen", listen, "--web", web, "--area", area, "--seeds", f.seeds}, more...)
+	p.Args = append([]string{filepath.Join(f.bin, "fernlink"), "node", "--addr", addr, "--listen", listen, "--web", web, "--zone", zone, "--seeds", f.seeds}, more...)
 	f.Nodes = append(f.Nodes, p)
 	f.add(p)
 	return p, f.Relays.Open(addr, listen)
 }
 
 // Fresh starts an empty store machine at a new address.
-func (f *Fleet) Fresh(area string) (*Proc, error) {
+func (f *Fleet) Fresh(zone string) (*Proc, error) {
 	ps, err := ports(3)
 	if err != nil {
 		return nil, errors.Wrap(err, "fleet: ports")
 	}
 	f.fresh++
 	name := fmt.Sprintf("store-new-%d", f.fresh)
-	p, err := f.node(name, ps[0], ps[1], ps[2], area, "--roles", "store,coordinator", "--data", filepath.Join(f.Dir, name))
+	p, err := f.node(name, ps[0], ps[1], ps[2], zone, "--roles", "store,coordinator", "--data", filepath.Join(f.Dir, name))
 	if err != nil {
 		return nil, err
 	}
--- a/rig/scale/host.go
+++ b/rig/scale/host.go
@@ -56,7 +56,7 @@
 	h.starts++
 	p := h.world.codec()
 	p.ID = fmt.Sprintf("%s-%d", h.Name, h.starts)
-	p.Name, p.Addr, p.Web, p.Area, p.Roles = h.Name, h.Addr, h.Addr+"1", zoneOf(h.Zone), h.Roles
+	p.Name, p.Addr, p.Web, p.Zone, p.Roles = h.Name, h.Addr, h.Addr+"1", zoneOf(h.Zone), h.Roles
 	p.Inc, p.Seed = 1_700_000_000_000+h.world.Now.Milliseconds()+h.starts, int64(h.at)*1009+h.starts
 	if h.Has("store") && h.starts > 1 {
 		p.Form, p.First = nil, false
--- a/rig/scale/things.go
+++ b/rig/scale/things.go
@@ -47,7 +47,7 @@
 		g := gossip.New(gossip.Config{Self: gossip.Entry{ID: "self", Addr: "self"}, Rand: rand.New(rand.NewSource(1))})
 		for i := range n {
 			b, _ := json.Marshal(gossip.Body{Entries: []gossip.Entry{{ID: fmt.Sprintf("node-%d-1", i), Name: fmt.Sprintf("node-%d", i), Inc: 1, Beat: 1, Addr: addrOf(i),
-				Web: addrOf(i) + "1", Area: zoneOf(i % 24), Roles: []string{"dispatcher"}, Cluster: "c-node-0-1"}}})
+				Web: addrOf(i) + "1", Zone: zoneOf(i % 24), Roles: []string{"dispatcher"}, Cluster: "c-node-0-1"}}})
 			var x gossip.Body // as it comes from a line, so that no text is shared
 			_ = json.Unmarshal(b, &x)
 			g.Take(0, addrOf(i), x)
--- a/shell/daemon/daemon.go
+++ b/shell/daemon/daemon.go
@@ -113,7 +113,7 @@
 	if p.Times != nil {
 		keep = flow.Time(p.Times.Report) * time.Millisecond
 	}
-	return node.New(clock.Now(), node.Config{Debug: p.LogLevel == "debug", Name: p.Name, Cpu: int(1000 * p.CPUShare), Codec: x.Codec, LotKeep: keep, First: p.FirstStart, Want: 2*p.CoreLosses + 1, ID: f.Identity.ID, Inc: f.Identity.Inc, Addr: p.Addr, Web: p.Web, Area: p.Area, Roles: p.Roles,
+	return node.New(clock.Now(), node.Config{Debug: p.LogLevel == "debug", Name: p.Name, Cpu: int(1000 * p.CPUShare), Codec: x.Codec, LotKeep: keep, First: p.FirstStart, Want: 2*p.CoreLosses + 1, ID: f.Identity.ID, Inc: f.Identity.Inc, Addr: p.Addr, Web: p.Web, Zone: p.Zone, Roles: p.Roles,
 		Seeds: p.Seeds, Form: p.Form, Platform: list, Seed: int64(binary.LittleEndian.Uint64(seed[:]) >> 8), Keep: p.Keep, Bounds: p.Bounds(), BlocksMost: p.Blocks,
 		Off: p.Off, Stop: time.Duration(p.Stop) * time.Second, Data: f.FS != nil, Disk: f.Disk, Checkpoint: f.Checkpoint, Known: f.Known})
 }
@@ -156,7 +156,7 @@
 							_ = quit.Shutdown(fx.ExitCode(3))
 						}
 					}()
-					_ = level.Info(logger).Log("part", "daemon", "msg", "started", "addr", p.Addr, "web", p.Web, "area", p.Area)
+					_ = level.Info(logger).Log("part", "daemon", "msg", "started", "addr", p.Addr, "web", p.Web, "zone", p.Zone)
 					return nil
 				},
 				OnStop: func(ctx context.Context) error {
--- a/sim/day.go
+++ b/sim/day.go
@@ -86,7 +86,7 @@
 		form = append(form, addr(i))
 	}
 	for i := 0; i < disks; i++ {
-		x := node.Config{Addr: addr(i), Web: fmt.Sprintf("10.0.0.%d:2", i+1), Area: p.Shape.Areas[i%len(p.Shape.Areas)], Seeds: []string{addr(0), addr(1), addr(2)},
+		x := node.Config{Addr: addr(i), Web: fmt.Sprintf("10.0.0.%d:2", i+1), Zone: p.Shape.Zones[i%len(p.Shape.Zones)], Seeds: []string{addr(0), addr(1), addr(2)},
 			Roles: []string{"store"}, Keep: 4096, Bounds: p.Shape.Bounds}
 		if i < p.Shape.Stores {
 			x.Form = form
--- a/sim/fault_list.go
+++ b/sim/fault_list.go
@@ -190,18 +190,18 @@
 		w.Out.Hang, w.Out.Judge.Mode = k == "hang", map[string]string{"fail": "fail", "other": "other"}[k]
 		w.After(w.between(300*time.Millisecond, 3*time.Second), func() { w.Out.Hang, w.Out.Judge.Mode = false, "" })
 	}},
-	{"area-loss", func(w *World) {
-		area := w.someHost().Config.Area
+	{"zone-loss", func(w *World) {
+		zone := w.someHost().Config.Zone
 		d := w.between(500*time.Millisecond, 4*time.Second)
-		w.Mark("area-loss", "%s for %v", area, d)
+		w.Mark("zone-loss", "%s for %v", zone, d)
 		for _, h := range w.Hosts {
-			if h.Config.Area == area && h.Up {
+			if h.Config.Zone == zone && h.Up {
 				h.Lose(false)
 				w.After(d, h.Start)
 			}
 		}
 		for _, m := range w.Out.Models() {
-			if m.Area == area && m.Up {
+			if m.Zone == zone && m.Up {
 				w.Out.Crash(m, 0)
 				w.After(d, func() { w.Out.Rise(m) })
 			}
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -13,7 +13,7 @@
 
 // Shape is the size of a virtual fleet.
 type Shape struct {
-	Areas                       []string
+	Zones                       []string
 	Stores, Coords, Dispatchers int
 	Models, Apps                int
 	Keep                        int  // log entries before a snapshot
@@ -26,10 +26,10 @@
 // Small keeps stories quick; the two deployments are the users' own, fourteen
 // machines each, of which three and four have a disk.
 var (
-	Small     = Shape{Areas: []string{"a", "b", "c"}, Stores: 3, Coords: 2, Dispatchers: 2, Models: 4, Apps: 2, Keep: 256}
-	Merged    = Shape{Areas: []string{"a", "b", "c"}, Stores: 3, Models: 4, Apps: 2, Keep: 256, Merged: true}
-	FibrArmor = Shape{Areas: []string{"brest", "rennes", "vannes"}, Stores: 3, Mixed: true, Dispatchers: 11, Models: 11, Apps: 3, Keep: 256}
-	Waterland = Shape{Areas: []string{"edam", "hoorn", "monnickendam", "purmerend"}, Stores: 3, Spare: 1, Mixed: true, Dispatchers: 10, Models: 9, Apps: 4, Keep: 256}
+	Small     = Shape{Zones: []string{"a", "b", "c"}, Stores: 3, Coords: 2, Dispatchers: 2, Models: 4, Apps: 2, Keep: 256}
+	Merged    = Shape{Zones: []string{"a", "b", "c"}, Stores: 3, Models: 4, Apps: 2, Keep: 256, Merged: true}
+	FibrArmor = Shape{Zones: []string{"brest", "rennes", "vannes"}, Stores: 3, Mixed: true, Dispatchers: 11, Models: 11, Apps: 3, Keep: 256}
+	Waterland = Shape{Zones: []string{"edam", "hoorn", "monnickendam", "purmerend"}, Stores: 3, Spare: 1, Mixed: true, Dispatchers: 10, Models: 9, Apps: 4, Keep: 256}
 )
 
 // Pools of every virtual fleet.
@@ -51,12 +51,12 @@
 func Prepare(seed int64, s Shape) *World {
 	w := New(seed)
 	w.Out = newOutside(w)
-	area := func(i int) string { return s.Areas[i%len(s.Areas)] }
+	zone := func(i int) string { return s.Zones[i%len(s.Zones)] }
 	for i := 0; i < s.Models; i++ {
-		w.Out.AddModel(fmt.Sprintf("model-%d", i+1), ModelPool, area(i), 0)
+		w.Out.AddModel(fmt.Sprintf("model-%d", i+1), ModelPool, zone(i), 0)
 	}
 	for i := 0; i < s.Apps; i++ {
-		w.Out.AddApp(fmt.Sprintf("app-%d", i+1), AppPool, area(i))
+		w.Out.AddApp(fmt.Sprintf("app-%d", i+1), AppPool, zone(i))
 	}
 	disks := s.Stores + s.Spare
 	n := disks + s.Coords + s.Dispatchers
@@ -67,7 +67,7 @@
 	}
 	seeds := []string{addr(0), addr(min(disks, n-1)), addr(n - 1)}
 	for i := 0; i < n; i++ {
-		p := node.Config{Addr: addr(i), Web: fmt.Sprintf("10.0.0.%d:2", i+1), Area: area(i), Seeds: seeds, Keep: s.Keep, Bounds: s.Bounds, BlocksMost: 65536}
+		p := node.Config{Addr: addr(i), Web: fmt.Sprintf("10.0.0.%d:2", i+1), Zone: zone(i), Seeds: seeds, Keep: s.Keep, Bounds: s.Bounds, BlocksMost: 65536}
 		name := ""
 		if i < disks {
 			name, p.Roles, p.Form = fmt.Sprintf("store-%d", i+1), []string{"store"}, form
--- a/sim/many_changes_test.go
+++ b/sim/many_changes_test.go
@@ -141,7 +141,7 @@
 	dead.Lose(true)
 	dead.Retired = true
 	o.fresh++
-	return o.story.fresh(fmt.Sprint("new-", o.fresh), o.fresh, dead.Config.Area)
+	return o.story.fresh(fmt.Sprint("new-", o.fresh), o.fresh, dead.Config.Zone)
 }
 
 // few is how many entries a member that keeps pace may be behind.
@@ -165,7 +165,7 @@
 		o := s.operator()
 		o.through(100, 20*time.Second)
 		o.left = manyChanges
-		h := s.fresh("thin", 1, s.follower().Config.Area)
+		h := s.fresh("thin", 1, s.follower().Config.Zone)
 		s.w.Net.Thin(h.Name, rate)
 		h.Disk.Slow = slowDisk
 		from := s.w.Now
@@ -207,7 +207,7 @@
 	w := Prepare(seed, shape)
 	conf := raft.Conf{Cluster: "c-large", Want: 3}
 	for i, h := range w.By("store") {
-		conf = conf.With(raft.Member{ID: fmt.Sprint("s", i), Addr: h.Config.Addr, Area: h.Config.Area, Voter: true})
+		conf = conf.With(raft.Member{ID: fmt.Sprint("s", i), Addr: h.Config.Addr, Zone: h.Config.Zone, Voter: true})
 	}
 	raw, _ := json.Marshal(conf)
 	for i, h := range w.By("store") {
@@ -234,7 +234,7 @@
 	o := s.operator()
 	o.through(100, 20*time.Second)
 	o.left = manyChanges
-	h := s.fresh("thin", 1, s.follower().Config.Area)
+	h := s.fresh("thin", 1, s.follower().Config.Zone)
 	s.w.Net.Thin(h.Name, rate)
 	from, entries := s.w.Now, 0
 	s.then(s.w.Until(40*time.Second, func() bool {
@@ -286,7 +286,7 @@
 	const rate = 120_000
 	s := given(t, 605)
 	o := s.operator()
-	h := s.fresh("thinner", 1, s.follower().Config.Area)
+	h := s.fresh("thinner", 1, s.follower().Config.Zone)
 	s.w.Net.Thin(h.Name, rate)
 	o.through(manyChanges, 70*time.Second)
 	from := s.w.Now
--- a/sim/members_test.go
+++ b/sim/members_test.go
@@ -45,7 +45,7 @@
 	t.Parallel()
 	s := &lossStory{story: givenShape(t, 445, Small)}
 	s.changing = s.follower()
-	n := s.fresh("learner", 1, s.changing.Config.Area)
+	n := s.fresh("learner", 1, s.changing.Config.Zone)
 	s.then(s.w.Until(10*time.Second, func() bool { return len(s.members()) == 4 }), "it is a learner")
 	s.w.Run(2 * time.Second)
 	s.version = 1
@@ -67,7 +67,7 @@
 	t.Parallel()
 	s := given(t, 446)
 	quiet := s.follower()
-	n := s.fresh("ready", 1, quiet.Config.Area)
+	n := s.fresh("ready", 1, quiet.Config.Zone)
 	s.then(s.w.Until(10*time.Second, func() bool { return len(s.members()) == 4 }), "it is a learner")
 	s.w.Run(2 * time.Second)
 	quiet.Freeze(1500 * time.Millisecond)
--- a/sim/outside.go
+++ b/sim/outside.go
@@ -40,7 +40,7 @@
 type Model struct {
 	*standin.Engine
 	Name  string
-	Area  string
+	Zone  string
 	Up    bool
 	Slow  float64
 	Stale time.Duration // how old its load reports are when they arrive
@@ -90,11 +90,11 @@
 }
 
 // AddModel puts a model engine into the world and on the list.
-func (o *Outside) AddModel(id, pool, area string, rev int) *Model {
+func (o *Outside) AddModel(id, pool, zone string, rev int) *Model {
 	addr := fmt.Sprintf("10.1.0.%d:80", len(o.Model)+1)
-	m := &Model{Engine: standin.NewEngine(id, id+"-1", pool, rev), Name: id, Area: area, Up: true, Slow: 1, jobs: map[uint64]*stream{}, life: 1}
+	m := &Model{Engine: standin.NewEngine(id, id+"-1", pool, rev), Name: id, Zone: zone, Up: true, Slow: 1, jobs: map[uint64]*stream{}, life: 1}
 	o.Model[addr] = m
-	o.List.Engines = append(o.List.Engines, dialect.Listed{ID: id, URL: "http://" + addr, Kind: "model", Pool: pool, Area: area, State: "ready"})
+	o.List.Engines = append(o.List.Engines, dialect.Listed{ID: id, URL: "http://" + addr, Kind: "model", Pool: pool, Zone: zone, State: "ready"})
 	o.shown.Engines = append([]dialect.Listed(nil), o.List.Engines...)
 	o.w.Every(10*time.Millisecond, func() bool {
 		if m.Up {
@@ -107,11 +107,11 @@
 }
 
 // AddApp puts an application engine into the world and on the list.
-func (o *Outside) AddApp(id, pool, area string) *AppHost {
+func (o *Outside) AddApp(id, pool, zone string) *AppHost {
 	addr := fmt.Sprintf("10.2.0.%d:80", len(o.App)+1)
 	a := &AppHost{App: standin.NewApp(id, id+"-1"), Name: id, Up: true, life: 1}
 	o.App[addr] = a
-	o.List.Engines = append(o.List.Engines, dialect.Listed{ID: id, URL: "http://" + addr, Kind: "app", Pool: pool, Area: area, State: "ready"})
+	o.List.Engines = append(o.List.Engines, dialect.Listed{ID: id, URL: "http://" + addr, Kind: "app", Pool: pool, Zone: zone, State: "ready"})
 	o.shown.Engines = append([]dialect.Listed(nil), o.List.Engines...)
 	return a
 }
--- a/sim/repair_test.go
+++ b/sim/repair_test.go
@@ -38,9 +38,9 @@
 }
 
 // fresh starts an empty store machine at a new address.
-func (s *story) fresh(name string, n int, area string) *Host {
+func (s *story) fresh(name string, n int, zone string) *Host {
 	p := s.w.Host("store-1").Config
-	p.Addr, p.Web, p.Area, p.Form = fmt.Sprintf("10.0.9.%d:1", n), fmt.Sprintf("10.0.9.%d:2", n), area, nil
+	p.Addr, p.Web, p.Zone, p.Form = fmt.Sprintf("10.0.9.%d:1", n), fmt.Sprintf("10.0.9.%d:2", n), zone, nil
 	h := s.w.AddHost(name, p, true)
 	h.Start()
 	return h
@@ -68,7 +68,7 @@
 	dead := s.follower()
 	id := dead.ID()
 	dead.Lose(true)
-	n := s.fresh("store-new", 1, dead.Config.Area)
+	n := s.fresh("store-new", 1, dead.Config.Zone)
 	s.then(s.w.Until(2*budget.Heal+5*time.Second, func() bool {
 		m := s.members()
 		_, old := m[id]
@@ -156,7 +156,7 @@
 	for i, name := range []string{"store-1", "store-2", "store-3"} {
 		h := s.w.Host(name)
 		id := h.ID()
-		s.fresh(fmt.Sprintf("new-%d", i+1), i+1, h.Config.Area)
+		s.fresh(fmt.Sprintf("new-%d", i+1), i+1, h.Config.Zone)
 		s.then(s.w.Until(15*time.Second, func() bool { return len(s.members()) == 4 }), "the new one is a learner: %v", s.members())
 		s.then(s.w.Until(15*time.Second, func() bool {
 			return s.ask(s.disp(0), Call("store.remove", map[string]string{"id": id}, nil)).Code == 200
@@ -176,25 +176,25 @@
 	s.end()
 }
 
-// Given voters of which two stand in one area, when a machine of an area
+// Given voters of which two stand in one zone, when a machine of a zone
 // without a voter is ready, then voters come to be spread.
-func TestVotersSpreadOverAreas(t *testing.T) {
+func TestVotersSpreadOverZones(t *testing.T) {
 	t.Parallel()
 	s := given(t, 75)
 	dead := s.follower()
 	dead.Lose(true)
-	area := s.w.Leader().Config.Area
-	s.fresh("same", 1, area)
-	s.then(s.w.Until(3*budget.Heal, func() bool { return s.voters() == 3 && len(s.members()) == 3 }), "the loss is repaired in an area that has one: %v", s.members())
-	s.fresh("other", 2, dead.Config.Area)
+	zone := s.w.Leader().Config.Zone
+	s.fresh("same", 1, zone)
+	s.then(s.w.Until(3*budget.Heal, func() bool { return s.voters() == 3 && len(s.members()) == 3 }), "the loss is repaired in a zone that has one: %v", s.members())
+	s.fresh("other", 2, dead.Config.Zone)
 	s.then(s.w.Until(2*budget.Heal, func() bool {
-		areas := map[string]bool{}
+		zones := map[string]bool{}
 		for _, m := range s.members() {
 			if m.Voter {
-				areas[m.Area] = true
+				zones[m.Zone] = true
 			}
 		}
-		return len(areas) == 3 && s.voters() == 3
+		return len(zones) == 3 && s.voters() == 3
 	}), "then voters are spread: %v", s.members())
 	s.end()
 }
@@ -202,7 +202,7 @@
 // Given the only copy, when an operator empties it, then that is refused.
 func TestLastCopyStays(t *testing.T) {
 	t.Parallel()
-	w := Build(76, Shape{Areas: []string{"a"}, Stores: 1, Coords: 1, Dispatchers: 1, Models: 1, Apps: 1, Keep: 256})
+	w := Build(76, Shape{Zones: []string{"a"}, Stores: 1, Coords: 1, Dispatchers: 1, Models: 1, Apps: 1, Keep: 256})
 	s := &story{t, w, NewActors(w)}
 	s.then(w.Until(2*budget.Heal, w.Serving), "a fleet of one store serves")
 	r := s.ask(s.disp(0), Call("store.remove", map[string]string{"id": w.Host("store-1").ID()}, nil))
--- a/sim/replace_test.go
+++ b/sim/replace_test.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// Given a machine that stands ready in a voter's area, when that voter is silent,
+// Given a machine that stands ready in a voter's zone, when that voter is silent,
 // then the other has its place long before the time for one that nobody can
 // replace; and when it comes back, it is a learner and nothing else moves.
 func TestReadyMachineTakesOver(t *testing.T) {
@@ -46,7 +46,7 @@
 	s.train("one")
 	dead := s.follower()
 	id := dead.ID()
-	n := s.fresh("ready", 1, dead.Config.Area)
+	n := s.fresh("ready", 1, dead.Config.Zone)
 	s.then(s.w.Until(10*time.Second, func() bool { return len(s.members()) == 4 }), "it is a learner")
 	s.w.Run(2 * time.Second)
 	dead.Freeze(4 * time.Second)
@@ -78,9 +78,9 @@
 	s := given(t, 431)
 	dead := s.follower()
 	id := dead.ID()
-	area := s.w.Leader().Config.Area
-	s.fresh("elsewhere", 1, area) // that area has its voter
-	s.then(s.w.Until(10*time.Second, func() bool { return len(s.members()) == 4 }), "a learner of another area")
+	zone := s.w.Leader().Config.Zone
+	s.fresh("elsewhere", 1, zone) // that zone has its voter
+	s.then(s.w.Until(10*time.Second, func() bool { return len(s.members()) == 4 }), "a learner of another zone")
 	s.w.Run(2 * time.Second)
 	dead.Freeze(budget.Heal - 4*time.Second)
 	for end := s.w.Now + budget.Heal; s.w.Now < end; s.w.Run(20 * time.Millisecond) {
--- a/sim/restart_story_test.go
+++ b/sim/restart_story_test.go
@@ -140,7 +140,7 @@
 	s.a.Consume(100 * time.Millisecond)
 	s.w.Run(2 * time.Second)
 	for i, m := range s.w.Out.Models() {
-		s.w.Out.AddModel(fmt.Sprintf("fresh-%d", i+1), ModelPool, m.Area, 0).Slow = 4
+		s.w.Out.AddModel(fmt.Sprintf("fresh-%d", i+1), ModelPool, m.Zone, 0).Slow = 4
 		s.w.Run(2 * time.Second)
 		s.w.Out.Relist(func(l *dialect.Listed) bool { return l.ID != m.Name })
 		s.w.Run(500 * time.Millisecond)
--- a/sim/second_loss_test.go
+++ b/sim/second_loss_test.go
@@ -23,7 +23,7 @@
 )
 
 // lossShape is a small fleet whose state takes several snapshots to build.
-var lossShape = Shape{Areas: []string{"a", "b", "c"}, Stores: 3, Coords: 1, Dispatchers: 2, Models: 1, Apps: 1, Keep: 64}
+var lossShape = Shape{Zones: []string{"a", "b", "c"}, Stores: 3, Coords: 1, Dispatchers: 2, Models: 1, Apps: 1, Keep: 64}
 
 // lossStory is one fleet under orders, with one store machine that changes.
 type lossStory struct {
@@ -64,7 +64,7 @@
 }
 
 // successor starts an empty machine in the zone of the one that changes.
-func (s *lossStory) successor() { s.fresh("successor", 1, s.changing.Config.Area) }
+func (s *lossStory) successor() { s.fresh("successor", 1, s.changing.Config.Zone) }
 
 // replaceAsPlanned adds the successor, and stops the other for good once the
 // successor counts.
--- a/sim/serve_client.go
+++ b/sim/serve_client.go
@@ -285,7 +285,7 @@
 
 // Probe asks one machine on a path once, to see which configuration it has.
 func (s *Site) Probe(h *Host, host, path string) {
-	a := &siteAsk{zone: h.Config.Area, route: siteRoute{"probe", host, path, "idempotent", nil, false}, began: s.w.Now, late: s.w.Now + time.Second}
+	a := &siteAsk{zone: h.Config.Zone, route: siteRoute{"probe", host, path, "idempotent", nil, false}, began: s.w.Now, late: s.w.Now + time.Second}
 	if s.ready[h] < 2 {
 		s.try(a, h).probe = true
 	}
--- a/sim/serve_faults.go
+++ b/sim/serve_faults.go
@@ -84,7 +84,7 @@
 	s.Touch(h)
 	h.Lose(true)
 	h.Retired = true
-	x := s.Add(h.Config.Roles, h.Config.Area, true)
+	x := s.Add(h.Config.Roles, h.Config.Zone, true)
 	s.reseed(h, x)
 	s.Touch(x)
 	return x
@@ -93,7 +93,7 @@
 // ReplaceAsPlanned adds a machine, and stops the one whose place it takes for good
 // once the new one counts.
 func (s *Site) ReplaceAsPlanned(h *Host, then func(successor *Host)) {
-	x := s.Add(h.Config.Roles, h.Config.Area, true)
+	x := s.Add(h.Config.Roles, h.Config.Zone, true)
 	s.w.After(counts, func() {
 		s.met(h)
 		s.planned[h] = s.w.Now
@@ -155,7 +155,7 @@
 // Add puts a further machine into the fleet.
 func (s *Site) Add(roles []string, zone string, disk bool) *Host {
 	n := len(s.w.Hosts)
-	p := node.Config{Addr: siteHost(n) + ":7000", Web: siteHost(n) + ":7001", Area: zone, Seeds: s.w.Hosts[0].Config.Seeds, Keep: 256, Want: 3, Codec: &s.codec, LotKeep: 2 * time.Minute, Roles: roles}
+	p := node.Config{Addr: siteHost(n) + ":7000", Web: siteHost(n) + ":7001", Zone: zone, Seeds: s.w.Hosts[0].Config.Seeds, Keep: 256, Want: 3, Codec: &s.codec, LotKeep: 2 * time.Minute, Roles: roles}
 	p.Name, p.Cpu = fmt.Sprintf("more-%d", n), s.Shape.EdgeCpu
 	if disk {
 		p.Cpu = s.Shape.CoreCpu
--- a/sim/serve_site.go
+++ b/sim/serve_site.go
@@ -138,7 +138,7 @@
 	}
 	form = append(form, seeds[:len(seeds)-1+len(seeds)%2]...)
 	for i := 0; i < n; i++ {
-		p := node.Config{Addr: siteHost(i) + ":7000", Web: siteHost(i) + ":7001", Area: zone(i), Seeds: seeds, Keep: 256, Want: 3, Codec: &s.codec, LotKeep: 2 * time.Minute, First: true}
+		p := node.Config{Addr: siteHost(i) + ":7000", Web: siteHost(i) + ":7001", Zone: zone(i), Seeds: seeds, Keep: 256, Want: 3, Codec: &s.codec, LotKeep: 2 * time.Minute, First: true}
 		name, disk := fmt.Sprintf("edge-%d", i+1), false
 		p.Cpu = shape.EdgeCpu
 		switch {
@@ -275,7 +275,7 @@
 		if ok {
 			any = append(any, h)
 		}
-		if h.Config.Area == zone {
+		if h.Config.Zone == zone {
 			all = append(all, h)
 			if ok {
 				in = append(in, h)
--- a/sim/snapshot_test.go
+++ b/sim/snapshot_test.go
@@ -42,7 +42,7 @@
 	dead := s.follower()
 	dead.Lose(true)
 	dead.Retired = true
-	h := s.fresh("store-new", 1, dead.Config.Area)
+	h := s.fresh("store-new", 1, dead.Config.Zone)
 	s.then(s.w.Until(budget.Heal, func() bool { return h.Up && s.stats(h).Pulled > 3 }), "it fetches a snapshot")
 	return h
 }
@@ -329,7 +329,7 @@
 	conf.Cluster, conf.Want = "c-full", 3
 	stores := w.By("store")
 	for i, h := range stores {
-		conf = conf.With(raft.Member{ID: fmt.Sprint("s", i), Addr: h.Config.Addr, Area: h.Config.Area, Voter: true})
+		conf = conf.With(raft.Member{ID: fmt.Sprint("s", i), Addr: h.Config.Addr, Zone: h.Config.Zone, Voter: true})
 	}
 	raw, _ := json.Marshal(conf)
 	for i, h := range stores {
@@ -351,7 +351,7 @@
 	dead.Lose(true)
 	dead.Retired = true
 	from, done := w.Now, s.a.Done
-	h := s.fresh("store-new", 1, dead.Config.Area)
+	h := s.fresh("store-new", 1, dead.Config.Zone)
 	s.then(w.Until(5*budget.Heal, func() bool { return s.members()[h.ID()].Voter && s.settled() }), "an empty machine takes its place: %v", s.members())
 	t.Logf("%d keys, %d results: a snapshot of %d bytes, %d pieces; a voter again after %v, %d steps meanwhile", rows["keys"], rows["results"],
 		s.stats(lead).Snapshot, s.stats(h).Pulled, w.Now-from, s.a.Done-done)
--- a/sim/stop_test.go
+++ b/sim/stop_test.go
@@ -228,7 +228,7 @@
 // not wait for another to take over, for there is none.
 func TestCleanStopOfTheOnlyStore(t *testing.T) {
 	t.Parallel()
-	s := givenShape(t, 232, Shape{Areas: []string{"a"}, Stores: 1, Merged: true, Models: 2, Apps: 1, Keep: 256})
+	s := givenShape(t, 232, Shape{Zones: []string{"a"}, Stores: 1, Merged: true, Models: 2, Apps: 1, Keep: 256})
 	h := s.w.Leader()
 	from := s.w.Now
 	h.Stop()
