--- a/core/ask/ask.go
+++ b/core/ask/ask.go
@@ -77,7 +77,7 @@
 }
 
 // perByte is what a large question may need on its way before it is asked again.
-const perByte = budget.Ask / (512 << 10)
+const perByte = budget.AskRetryInterval / (512 << 10)
 
 // Carry is what a question of so many bytes may need on its way.
 func Carry(bytes int) flow.Time { return flow.Time(bytes) * perByte }
@@ -125,7 +125,7 @@
 			a.learn(now, t.Leader)
 		} else {
 			a.leader = ""
-			o.again = min(o.again, now+budget.Ask/8)
+			o.again = min(o.again, now+budget.AskRetryInterval/8)
 		}
 		return
 	}
@@ -177,7 +177,7 @@
 		if o.sent < 0 {
 			o.sent = now
 		}
-		o.again, o.to = now+budget.Ask+Carry(len(o.ask.Body)), to
+		o.again, o.to = now+budget.AskRetryInterval+Carry(len(o.ask.Body)), to
 		out.Line(to, o.ask.line(), o.ask)
 	}
 }
--- a/core/ask/ask_test.go
+++ b/core/ask/ask_test.go
@@ -15,7 +15,7 @@
 	const asked, thawed = time.Second, 21 * time.Second
 	asker := New(0)
 	var got []Answer
-	asker.Put(asked, budget.Reply, "plan.get", 0, func(_ flow.Time, a Answer) { got = append(got, a) })
+	asker.Put(asked, budget.OperatorReplyTimeout, "plan.get", 0, func(_ flow.Time, a Answer) { got = append(got, a) })
 	var out flow.Outbox
 	asker.Advance(asked, []string{"store"}, &out)
 	asker.Take(thawed, "store", Told{ID: 1, Code: 200, Body: []byte(`{}`)})
--- a/core/coord/coord.go
+++ b/core/coord/coord.go
@@ -103,17 +103,17 @@
 		return
 	}
 	if now >= c.sweep {
-		c.sweep = now + budget.Sweep
+		c.sweep = now + budget.SweepInterval
 		c.silence()
 	}
 	if now >= c.tick {
-		c.tick = now + budget.Renew
+		c.tick = now + budget.RenewInterval
 		c.runPolicies()
 	}
 	c.roll()
 	c.feed()
 	if c.p.Keeps && now >= c.save {
-		c.save = now + budget.Snapshot
+		c.save = now + budget.CheckpointInterval
 		c.checkpoint()
 	}
 }
@@ -132,7 +132,7 @@
 	c.gone = true
 	body := store.CoordRenew{ID: c.p.ID, Addr: c.p.Addr, Term: c.term}
 	c.till = c.now // nothing is ordered from here on, whatever the answer
-	c.p.Asker.Put(c.now, budget.Lease, "coord.leave", body, func(now flow.Time, _ ask.Answer) {
+	c.p.Asker.Put(c.now, budget.LeaseDuration, "coord.leave", body, func(now flow.Time, _ ask.Answer) {
 		c.now = now
 		c.standDown()
 	})
@@ -141,7 +141,7 @@
 // Nudge hears that something changed: the renewal comes sooner.
 func (c *Coord) Nudge() {
 	if c.term > 0 {
-		c.next = min(c.next, c.last+budget.Nudge)
+		c.next = min(c.next, c.last+budget.RenewMinInterval)
 	}
 }
 
@@ -150,12 +150,12 @@
 		return
 	}
 	kind, body := "coord.renew", store.CoordRenew{ID: c.p.ID, Addr: c.p.Addr, Term: c.term, Plan: c.plan, Heard: c.heard}
-	c.next, c.last = c.now+budget.Renew, c.now
+	c.next, c.last = c.now+budget.RenewInterval, c.now
 	if c.term == 0 {
 		kind = "coord.take"
-		c.next = c.now + budget.Take/12
+		c.next = c.now + budget.LeaseTakeoverTimeout/12
 	}
-	c.p.Asker.Put(c.now, budget.Lease, kind, body, func(now flow.Time, a ask.Answer) {
+	c.p.Asker.Put(c.now, budget.LeaseDuration, kind, body, func(now flow.Time, a ask.Answer) {
 		c.now = now
 		if kind == "coord.take" {
 			c.granted(a)
@@ -181,8 +181,8 @@
 	c.term = t.Term
 	c.till = 0 // acts from the first renewal on, which also brings the fleet
 	c.next = c.now
-	c.save = c.now + budget.Snapshot
-	c.sweep = c.now + budget.Sweep
+	c.save = c.now + budget.CheckpointInterval
+	c.sweep = c.now + budget.SweepInterval
 	flow.Warn.Note(c.out, "coord", "took the lease", "term", c.term, "cold", c.cold)
 }
 
@@ -199,7 +199,7 @@
 		return
 	}
 	if !c.gone {
-		c.till = max(c.till, a.Sent+budget.Lease)
+		c.till = max(c.till, a.Sent+budget.LeaseDuration)
 	}
 	c.tick = c.now // policies look at what is new
 	c.fleet.Steps, c.known = d.Steps, d.Known
@@ -305,7 +305,7 @@
 // silence fences engines of which nothing was heard for long.
 func (c *Coord) silence() {
 	for _, id := range c.views.IDs() {
-		if c.now-c.views.Registry[id].At >= budget.Silence {
+		if c.now-c.views.Registry[id].At >= budget.EngineExpiry {
 			c.counts["silenced"]++
 			c.journal.Append(journal.Record{At: c.now, Kind: journal.Fence, Engine: id})
 			delete(c.gate.Engines, id)
--- a/core/coord/roll.go
+++ b/core/coord/roll.go
@@ -78,7 +78,7 @@
 func (c *Coord) commitOrder(m *move) {
 	m.open = true
 	term := c.term
-	c.p.Asker.Put(c.now, budget.AskLimit, "order.put", m.order, func(now flow.Time, a ask.Answer) {
+	c.p.Asker.Put(c.now, budget.AskTimeout, "order.put", m.order, func(now flow.Time, a ask.Answer) {
 		c.now = now
 		m.open = false
 		if c.term != term || c.moves[m.order.Engine] != m {
@@ -97,7 +97,7 @@
 // tellOrder waits until no dispatcher can start work on the engine any more:
 // each has read the order, or its lease from before the order is over.
 func (c *Coord) tellOrder(m *move) {
-	if c.known >= m.order.Mod || c.now-m.since >= budget.Lease {
+	if c.known >= m.order.Mod || c.now-m.since >= budget.LeaseDuration {
 		m.to(c, "grace", 0)
 	}
 }
@@ -114,9 +114,9 @@
 // readLoad reads the engine's own state; a new start ends the move.
 func (c *Coord) readLoad(m *move, f func(dialect.Load)) {
 	m.open = true
-	m.due = c.now + budget.Renew/4
+	m.due = c.now + budget.RenewInterval/4
 	term := c.term
-	c.send(flow.Send{Verb: "GET", URL: dialect.LoadURL(m.url), Until: min(c.till, c.now+budget.PollLimit), Limit: c.now + budget.PollLimit}, func(b flow.Back) {
+	c.send(flow.Send{Verb: "GET", URL: dialect.LoadURL(m.url), Until: min(c.till, c.now+budget.PollTimeout), Limit: c.now + budget.PollTimeout}, func(b flow.Back) {
 		m.open = false
 		if c.term != term {
 			return
@@ -151,7 +151,7 @@
 	m.open = true
 	term := c.term
 	body, _ := json.Marshal(dialect.Order{Revision: m.order.Revision, Fence: c.term, Inc: m.order.Inc})
-	limit := c.now + budget.OrderSend
+	limit := c.now + budget.OrderSendTimeout
 	c.send(flow.Send{Verb: "POST", URL: dialect.WeightsURL(m.url), Head: map[string]string{"Content-Type": "application/json"},
 		Body: body, Until: min(c.till, limit), Limit: limit, Once: true}, func(b flow.Back) {
 		m.open = false
@@ -160,10 +160,10 @@
 		}
 		c.counts["order_sends"]++
 		if resend.Decide(resend.WeightOrder, resend.Protocol{}.Observe(b)) == resend.Resend {
-			m.phase, m.due = "grace", c.now+budget.Renew/2
+			m.phase, m.due = "grace", c.now+budget.RenewInterval/2
 			return
 		}
-		m.to(c, "confirm", budget.Renew/4)
+		m.to(c, "confirm", budget.RenewInterval/4)
 	})
 }
 
@@ -182,7 +182,7 @@
 	term := c.term
 	o := m.order
 	o.State = m.state
-	c.p.Asker.Put(c.now, budget.AskLimit, "order.state", o, func(now flow.Time, a ask.Answer) {
+	c.p.Asker.Put(c.now, budget.AskTimeout, "order.state", o, func(now flow.Time, a ask.Answer) {
 		c.now = now
 		m.open = false
 		if c.term != term || c.moves[o.Engine] != m {
--- a/core/disp/admin.go
+++ b/core/disp/admin.go
@@ -90,7 +90,7 @@
 // patience is how long a call waits for the store: its caller asks another node
 // after a second of silence, more where the body is large.
 func patience(c flow.Call) flow.Time {
-	return min(budget.Reply+ask.Carry(len(c.Body)), budget.AskLimit)
+	return min(budget.OperatorReplyTimeout+ask.Carry(len(c.Body)), budget.AskTimeout)
 }
 
 // told passes the store's answer on, under a lease. Else the outcome is not known.
--- a/core/disp/disp.go
+++ b/core/disp/disp.go
@@ -148,12 +148,12 @@
 }
 
 func (d *Disp) renew() {
-	if d.now < d.next || d.leaving || d.renewing && d.now-d.asked < budget.Ask {
+	if d.now < d.next || d.leaving || d.renewing && d.now-d.asked < budget.AskRetryInterval {
 		return
 	}
 	d.renewing = true
-	d.next, d.asked = d.now+budget.Renew, d.now
-	d.p.Asker.Put(d.now, budget.Lease, "renew", store.Renew{ID: d.p.ID, Have: d.index, Heard: d.heard}, func(now flow.Time, a ask.Answer) {
+	d.next, d.asked = d.now+budget.RenewInterval, d.now
+	d.p.Asker.Put(d.now, budget.LeaseDuration, "renew", store.Renew{ID: d.p.ID, Have: d.index, Heard: d.heard}, func(now flow.Time, a ask.Answer) {
 		var x ledger.Delta
 		d.renewing = false
 		if a.Code != 0 {
@@ -166,13 +166,13 @@
 			return
 		}
 		d.now = now
-		if d.till < now && a.Sent+budget.Lease > now {
+		if d.till < now && a.Sent+budget.LeaseDuration > now {
 			d.out.Note("disp", "took up serving", "plan", d.version, "index", x.Index)
 		}
 		if d.leaving {
 			return
 		}
-		d.till = max(d.till, a.Sent+budget.Lease)
+		d.till = max(d.till, a.Sent+budget.LeaseDuration)
 		if x.Index >= d.index {
 			d.fold(x)
 		}
@@ -180,7 +180,7 @@
 }
 
 // Nudge hears that something changed: the renewal comes sooner.
-func (d *Disp) Nudge() { d.next = min(d.next, d.asked+budget.Nudge) }
+func (d *Disp) Nudge() { d.next = min(d.next, d.asked+budget.RenewMinInterval) }
 
 // fold takes what changed in the ledger. An older view never replaces a
 // newer one, since the index only grows (design 6.2).
--- a/core/disp/engines.go
+++ b/core/disp/engines.go
@@ -27,7 +27,7 @@
 func (e *engine) strike(now flow.Time) {
 	e.strikes++
 	if e.strikes >= 2 {
-		e.rest = now + min(budget.Beat<<min(e.strikes, 8), budget.Heal)
+		e.rest = now + min(budget.HeartbeatInterval<<min(e.strikes, 8), budget.Heal)
 	}
 }
 
@@ -35,8 +35,8 @@
 	if d.now < d.listDue || d.listOpen || d.p.Platform == "" {
 		return
 	}
-	d.listOpen, d.listDue = true, d.now+budget.List
-	d.send(flow.Send{Verb: "GET", URL: d.p.Platform, Until: d.now + budget.PollLimit, Limit: d.now + budget.PollLimit}, func(b flow.Back) {
+	d.listOpen, d.listDue = true, d.now+budget.ListInterval
+	d.send(flow.Send{Verb: "GET", URL: d.p.Platform, Until: d.now + budget.PollTimeout, Limit: d.now + budget.PollTimeout}, func(b flow.Back) {
 		d.listOpen = false
 		list, err := dialect.List(b.Body)
 		if b.Err != "" || b.Code != 200 || err != nil {
@@ -77,9 +77,9 @@
 		if d.now < e.due || e.open {
 			continue
 		}
-		e.open, e.due = true, d.now+budget.Poll
+		e.open, e.due = true, d.now+budget.PollInterval
 		url := e.URL
-		d.send(flow.Send{Verb: "GET", URL: dialect.LoadURL(url), Until: d.now + budget.PollLimit, Limit: d.now + budget.PollLimit}, func(b flow.Back) {
+		d.send(flow.Send{Verb: "GET", URL: dialect.LoadURL(url), Until: d.now + budget.PollTimeout, Limit: d.now + budget.PollTimeout}, func(b flow.Back) {
 			e.open = false
 			l, err := dialect.ReadLoad(b.Body)
 			if b.Err != "" || b.Code != 200 || err != nil || e.URL != url {
@@ -107,7 +107,7 @@
 // usable says whether an engine may get new work (design 5.4).
 func (d *Disp) usable(e *engine) bool {
 	return e.known && !e.bad && e.State == "ready" && e.load.State != "draining" &&
-		!d.drains[e.ID] && d.now-e.good < budget.Quiet && !d.ordered(e)
+		!d.drains[e.ID] && d.now-e.good < budget.LoadReportTimeout && !d.ordered(e)
 }
 
 // ordered says whether a weight order for this very engine start stands, or is
--- a/core/disp/events.go
+++ b/core/disp/events.go
@@ -197,7 +197,7 @@
 	if d.now < d.evDue || d.coord.Addr == "" {
 		return
 	}
-	d.evDue = d.now + budget.Batch
+	d.evDue = d.now + budget.EventBatchInterval
 	line := Batches{Term: d.coord.Term}
 	for _, id := range sorted.Keys(d.slices) {
 		s, e := d.slices[id], d.engines[id]
--- a/core/disp/gen.go
+++ b/core/disp/gen.go
@@ -222,7 +222,7 @@
 	}
 	if len(g.runs) == 0 && g.state == sent {
 		g.state = held
-		g.again = d.now + budget.Beat*flow.Time(min(g.tries, 10)) // a growing pause
+		g.again = d.now + budget.HeartbeatInterval*flow.Time(min(g.tries, 10)) // a growing pause
 	}
 }
 
@@ -306,7 +306,7 @@
 // there says whether the run's engine still counts as there.
 func (d *Disp) there(r *run) bool {
 	e := r.engine
-	return d.engines[e.ID] == e && e.load.Inc == r.inc && d.now-e.good < budget.Quiet
+	return d.engines[e.ID] == e && e.load.Inc == r.inc && d.now-e.good < budget.LoadReportTimeout
 }
 
 func (d *Disp) twin(g *gen, r *run) {
--- a/core/disp/gen_judge.go
+++ b/core/disp/gen_judge.go
@@ -56,7 +56,7 @@
 		}
 		d.counts["judge_failures"]++
 		g.tries++
-		g.again = d.now + budget.Beat*flow.Time(min(g.tries*2, 20))
+		g.again = d.now + budget.HeartbeatInterval*flow.Time(min(g.tries*2, 20))
 	})
 }
 
@@ -68,8 +68,8 @@
 			if g.state != "listing" || d.now < g.again {
 				continue
 			}
-			g.again = d.now + budget.AskLimit + budget.Ask
-			d.p.Asker.Put(d.now, budget.AskLimit, "result.add", ledger.AddEntry{Step: id, Entry: g.whole}, func(now flow.Time, a ask.Answer) {
+			g.again = d.now + budget.AskTimeout + budget.AskRetryInterval
+			d.p.Asker.Put(d.now, budget.AskTimeout, "result.add", ledger.AddEntry{Step: id, Entry: g.whole}, func(now flow.Time, a ask.Answer) {
 				d.now = now
 				if a.Code == 0 {
 					g.again = now // not known: ask again, the ledger lists it once
--- a/core/disp/gen_place.go
+++ b/core/disp/gen_place.go
@@ -147,7 +147,7 @@
 	if gr.asked || len(gr.blocks) == 0 || d.coord.Addr == "" || d.policy() != "prefix" {
 		return d.now >= gr.till || gr.hint != nil
 	}
-	gr.asked, gr.till = true, d.now+budget.Lookup
+	gr.asked, gr.till = true, d.now+budget.LookupTimeout
 	id := d.p.IDs()
 	d.lookups[id] = gr
 	d.counts["lookups"]++
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -121,7 +121,7 @@
 // freshFor is for how long an entry is told whole that has changed; wantMost is how
 // many entries are asked for in one line.
 const (
-	freshFor = 4 * budget.Gossip
+	freshFor = 4 * budget.GossipInterval
 	wantMost = 128
 )
 
@@ -293,7 +293,7 @@
 
 // grow notes that a peer's beat has grown.
 func (g *Gossip) grow(s *seat, now flow.Time) {
-	if now-s.grew > budget.Lost {
+	if now-s.grew > budget.FailureTimeout {
 		g.stir() // it was not among the live ones
 	}
 	s.grew = now
@@ -375,7 +375,7 @@
 		}
 	}
 	for _, a := range g.addrs() {
-		if s := g.seats[a]; now-s.grew <= budget.Lost {
+		if s := g.seats[a]; now-s.grew <= budget.FailureTimeout {
 			put(s.entry, s.fresh)
 		}
 	}
@@ -394,21 +394,21 @@
 	if now < g.next {
 		return
 	}
-	g.next = now + budget.Gossip
+	g.next = now + budget.GossipInterval
 	g.exchange(out)
 	g.self.Beat++
 	g.self.Sees = nil
 	var live []string
 	for _, addr := range g.addrs() {
 		s := g.seats[addr]
-		if now-s.grew > 10*budget.Lost {
+		if now-s.grew > 10*budget.FailureTimeout {
 			delete(g.seats, addr)
 			continue
 		}
-		if now-s.grew <= budget.Lost {
+		if now-s.grew <= budget.FailureTimeout {
 			live = append(live, addr)
 		}
-		if g.self.Blank && s.entry.Blank && now-s.heard <= budget.Lost {
+		if g.self.Blank && s.entry.Blank && now-s.heard <= budget.FailureTimeout {
 			g.self.Sees = append(g.self.Sees, addr)
 		}
 	}
@@ -457,13 +457,13 @@
 	if g.live.holds(now) {
 		return g.live.entries
 	}
-	g.live, g.all.valid = view{until: now + budget.Lost, valid: true}, false
+	g.live, g.all.valid = view{until: now + budget.FailureTimeout, valid: true}, false
 	for _, addr := range g.addrs() {
 		s := g.seats[addr]
-		if now-s.grew > budget.Lost {
+		if now-s.grew > budget.FailureTimeout {
 			continue
 		}
-		g.live.until = min(g.live.until, s.grew+budget.Lost)
+		g.live.until = min(g.live.until, s.grew+budget.FailureTimeout)
 		if !s.entry.Left {
 			g.live.entries = append(g.live.entries, s.entry)
 		}
@@ -490,7 +490,7 @@
 // Heard says whether a peer spoke to this node itself of late.
 func (g *Gossip) Heard(now flow.Time, addr string) bool {
 	s := g.seats[addr]
-	return s != nil && s.heard > 0 && now-s.heard <= budget.Lost
+	return s != nil && s.heard > 0 && now-s.heard <= budget.FailureTimeout
 }
 
 // Rows counts the entries kept.
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -101,7 +101,7 @@
 	}
 	// When one of them ends.
 	delete(f.tables, addrOf(7))
-	f.run(t, budget.Lost+2*time.Second)
+	f.run(t, budget.FailureTimeout+2*time.Second)
 	// Then nobody counts it as alive.
 	for addr, g := range f.tables {
 		for _, e := range g.Live(f.now) {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -212,11 +212,11 @@
 func (n *Node) Pause() flow.Time {
 	switch {
 	case n.busy():
-		return budget.Tick
+		return budget.TickInterval
 	case n.store != nil:
-		return followerTicks * budget.Tick
+		return followerTicks * budget.TickInterval
 	default:
-		return idleTicks * budget.Tick
+		return idleTicks * budget.TickInterval
 	}
 }
 
@@ -315,7 +315,7 @@
 	}
 	n.stop = now + n.p.Stop
 	if n.p.Stop == 0 {
-		n.stop = now + budget.Stop
+		n.stop = now + budget.StopTimeout
 	}
 	out.Note("node", "stopping")
 	if n.disp != nil {
@@ -355,8 +355,8 @@
 	if !needed || now < n.announce {
 		return
 	}
-	n.announce = now + budget.Elect/2
-	n.asker.Put(now, budget.Elect, "store.stop", notice, func(flow.Time, ask.Answer) {})
+	n.announce = now + budget.ElectionTimeout/2
+	n.asker.Put(now, budget.ElectionTimeout, "store.stop", notice, func(flow.Time, ask.Answer) {})
 }
 
 func (n *Node) event(now flow.Time, wall int64, e flow.Event, out *flow.Outbox) {
--- a/core/node/pause_test.go
+++ b/core/node/pause_test.go
@@ -16,12 +16,12 @@
 	}
 	n.Advance(time.Hour, 0, nil)
 	// Then it rests for several ticks, and much shorter than a renewal or gossip takes.
-	if p := n.Pause(); p <= budget.Tick || p > budget.Renew/5 {
+	if p := n.Pause(); p <= budget.TickInterval || p > budget.RenewInterval/5 {
 		t.Errorf("rests for %v", p)
 	}
 	// And when it is to stop, it looks at its deadlines in each tick.
 	n.Advance(time.Hour, 0, []flow.Event{{Stop: true}})
-	if p := n.Pause(); p != budget.Tick {
+	if p := n.Pause(); p != budget.TickInterval {
 		t.Errorf("rests for %v while it stops", p)
 	}
 }
@@ -34,7 +34,7 @@
 	}
 	n.Advance(time.Hour, 0, nil)
 	// Then it looks at its deadlines in each tick.
-	if p := n.Pause(); p != budget.Tick {
+	if p := n.Pause(); p != budget.TickInterval {
 		t.Errorf("rests for %v", p)
 	}
 }
--- a/core/serve/fleet/fleet.go
+++ b/core/serve/fleet/fleet.go
@@ -88,7 +88,7 @@
 const pagesMost = 512
 
 // alone is for how long nobody was heard before a node reads for itself.
-const alone = 3 * budget.List
+const alone = 3 * budget.ListInterval
 
 // Advance reads the list where that is this node's part.
 func (f *Fleet) Advance(live []gossip.Entry) {
@@ -107,9 +107,9 @@
 		return
 	}
 	f.open, f.pages, f.slowed = true, nil, false
-	f.due = now + budget.List
+	f.due = now + budget.ListInterval
 	if !acts {
-		f.due = now + 2*budget.List + flow.Time(f.env.Rand.Int63n(int64(budget.List)))
+		f.due = now + 2*budget.ListInterval + flow.Time(f.env.Rand.Int63n(int64(budget.ListInterval)))
 	}
 	f.read("", 0)
 }
@@ -127,16 +127,16 @@
 		f.open = false
 		return
 	}
-	pause := budget.List + flow.Time(f.env.Rand.Int63n(int64(2*budget.List)))
+	pause := budget.ListInterval + flow.Time(f.env.Rand.Int63n(int64(2*budget.ListInterval)))
 	if acts {
-		pause = budget.List/4 + flow.Time(f.env.Rand.Int63n(int64(budget.List/4)))
+		pause = budget.ListInterval/4 + flow.Time(f.env.Rand.Int63n(int64(budget.ListInterval/4)))
 		f.tell(News{Reads: true})
 	}
 	f.next, f.nth, f.again, f.slowed = page, n, f.env.Now+pause, true
 }
 
 func (f *Fleet) read(page string, n int) {
-	until := f.env.Now + budget.PollLimit
+	until := f.env.Now + budget.PollTimeout
 	f.env.Counts["list_calls"]++
 	f.env.Send(flow.Send{Verb: "GET", URL: f.env.Codec.ListURL + f.env.Codec.ListQuery(page), Until: until, Limit: until, Keep: true}, func(b flow.Back) {
 		seats, next, err := f.env.Codec.ReadList(b.Body)
@@ -167,7 +167,7 @@
 		}
 		f.open = false
 		if f.slowed {
-			f.due = max(f.due, f.env.Now+budget.List)
+			f.due = max(f.due, f.env.Now+budget.ListInterval)
 		}
 		f.took(f.pages)
 	})
@@ -256,7 +256,7 @@
 		if f.env.Debug {
 			f.env.Trace("fleet", "list heard", "engines", len(n.Seats), "seq", n.Seq, "term", n.Term, "from", from)
 		}
-	} else if n.Seq != f.seq && f.env.Now-f.asked > budget.Renew {
+	} else if n.Seq != f.seq && f.env.Now-f.asked > budget.RenewInterval {
 		f.asked = f.env.Now
 		f.env.Out.Line(from, "fleet.ask", f.seq)
 	}
--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -30,7 +30,7 @@
 		if t.env.Debug {
 			t.env.Trace("lots", "refused", "lot", id, "why", "the store is not heard just now")
 		}
-		t.env.Refuse(c.ID, "the store is not heard just now", budget.Renew)
+		t.env.Refuse(c.ID, "the store is not heard just now", budget.RenewInterval)
 		return
 	}
 	doc.Host, doc.Path, doc.Route, doc.Pool = c.Host, c.Path, r.Name, r.Pool
@@ -38,7 +38,7 @@
 	doc.Single, doc.Tries, doc.WaitMS, doc.DueMS, doc.KeepMS = r.Single, r.Tries, int64(r.WaitMS), int64(r.DueMS), keep.Milliseconds()
 	came := t.env.Now
 	t.putting[c.ID] = true
-	t.env.Ask(budget.AskLimit, "lot.put", doc, func(a ask.Answer) {
+	t.env.Ask(budget.AskTimeout, "lot.put", doc, func(a ask.Answer) {
 		delete(t.putting, c.ID)
 		var x struct {
 			Fresh bool `json:"fresh"`
@@ -109,7 +109,7 @@
 		return
 	}
 	t.asked[id] = true
-	t.env.Ask(budget.AskLimit, "lot.items", id, func(a ask.Answer) {
+	t.env.Ask(budget.AskTimeout, "lot.items", id, func(a ask.Answer) {
 		delete(t.asked, id)
 		var x ledger.LotItems
 		if a.Code == 0 {
@@ -126,7 +126,7 @@
 // End ends a lot for its trainer.
 func (t *Table) End(c flow.Call) {
 	id := c.Vars["id"]
-	t.env.Ask(budget.AskLimit, "lot.end", id, func(a ask.Answer) {
+	t.env.Ask(budget.AskTimeout, "lot.end", id, func(a ask.Answer) {
 		if t.env.Debug {
 			t.env.Trace("lots", "ended", "lot", id, "code", a.Code)
 		}
@@ -168,13 +168,13 @@
 		t.env.Out.Answer(c.ID, a.Code, a.Body, nil)
 		return
 	}
-	t.env.Refuse(c.ID, "the store did not answer in time", budget.Renew)
+	t.env.Refuse(c.ID, "the store did not answer in time", budget.RenewInterval)
 }
 
 // Item gives the body of an item that is not listed.
 func (t *Table) Item(c flow.Call) {
 	q := ledger.FindItem{Lot: c.Vars["id"], Item: c.Query[t.env.Codec.Item]}
-	t.env.Ask(budget.AskLimit, "lot.item", q, func(a ask.Answer) {
+	t.env.Ask(budget.AskTimeout, "lot.item", q, func(a ask.Answer) {
 		var x struct {
 			Body []byte `json:"body"`
 		}
@@ -293,7 +293,7 @@
 			n++
 		}
 		l.flight, l.flushed = n, t.env.Now
-		t.env.Ask(budget.AskLimit, "lot.list", ledger.ListLot{Lot: id, Results: l.ready[:n:n]}, func(a ask.Answer) {
+		t.env.Ask(budget.AskTimeout, "lot.list", ledger.ListLot{Lot: id, Results: l.ready[:n:n]}, func(a ask.Answer) {
 			l.flight = 0
 			if a.Code == 0 || a.Code >= 500 || a.Code == 429 {
 				return // it is said again
--- a/core/serve/machines.go
+++ b/core/serve/machines.go
@@ -31,13 +31,13 @@
 
 // storeAnswerLimit is how long each of the two questions of a call waits for the
 // store, so that the operator is answered before it goes elsewhere (design 5.2).
-const storeAnswerLimit = budget.Reply / 2
+const storeAnswerLimit = budget.OperatorReplyTimeout / 2
 
 // underLease answers a call only where the view is under a lease, when the call
 // comes and when the store's answer does; else 503 (design 5.2).
 func (s *Serve) underLease(c flow.Call) bool {
 	if !s.p.Fresh() {
-		s.env.Refuse(c.ID, "the store is not heard just now", budget.Renew)
+		s.env.Refuse(c.ID, "the store is not heard just now", budget.RenewInterval)
 		return false
 	}
 	return true
@@ -67,7 +67,7 @@
 // Bounds of telling a machine that it is retired, by the node that an operator
 // asked, until its gossip entry says so.
 const (
-	retireEvery = budget.List
+	retireEvery = budget.ListInterval
 	retireLimit = 2 * budget.Heal
 )
 
--- a/core/serve/prefixes/prefixes.go
+++ b/core/serve/prefixes/prefixes.go
@@ -188,7 +188,7 @@
 	if t.env.Now < t.due {
 		return
 	}
-	t.due = t.env.Now + budget.Batch
+	t.due = t.env.Now + budget.EventBatchInterval
 	if len(t.asks) >= asksMost {
 		t.asks = map[uint64]func(map[string]int){} // they were lost
 	}
--- a/core/store/keep.go
+++ b/core/store/keep.go
@@ -59,7 +59,7 @@
 	if now < s.orphan || now-s.raft.Since() < budget.Heal {
 		return
 	}
-	s.orphan = now + budget.Lost
+	s.orphan = now + budget.FailureTimeout
 	n := 0
 	for _, row := range sorted.Keys(s.ledger.Owners) {
 		who := s.ledger.Owners[row]
--- a/core/store/leases.go
+++ b/core/store/leases.go
@@ -33,7 +33,7 @@
 	if first || heard != e.heard {
 		e.heard, e.moved = heard, now
 	}
-	return now-e.moved > budget.Lease
+	return now-e.moved > budget.LeaseDuration
 }
 
 // Renew asks for a dispatcher's lease (design 5.2).
@@ -76,7 +76,7 @@
 	var c CoordRenew
 	_ = json.Unmarshal(w.ask.Body, &c)
 	have := s.ledger.Coord
-	quiet := now-max(s.coord, s.raft.Since()) >= budget.Take || s.freed == have.Term
+	quiet := now-max(s.coord, s.raft.Since()) >= budget.LeaseTakeoverTimeout || s.freed == have.Term
 	if have.Term != 0 && !quiet || s.grant == have.Term && have.Term != 0 {
 		s.tell(w, 409, have, out)
 		return
@@ -138,7 +138,7 @@
 	if s.news {
 		var to []string
 		for _, id := range sorted.Keys(s.seen) {
-			if x := s.seen[id]; now-x.at <= budget.Lease {
+			if x := s.seen[id]; now-x.at <= budget.LeaseDuration {
 				to = append(to, x.addr)
 			}
 		}
@@ -153,12 +153,12 @@
 // known is how far every dispatcher that may hold a lease has read. A leader
 // that is new may not have heard them all yet.
 func (s *Store) known(now flow.Time) uint64 {
-	if now-s.raft.Since() <= 2*budget.Lease {
+	if now-s.raft.Since() <= 2*budget.LeaseDuration {
 		return 0
 	}
 	least := s.ledger.Index
 	for _, x := range s.seen {
-		if now-x.at <= 2*budget.Lease {
+		if now-x.at <= 2*budget.LeaseDuration {
 			least = min(least, x.have)
 		}
 	}
--- a/core/store/leave.go
+++ b/core/store/leave.go
@@ -16,7 +16,7 @@
 
 // stopWordLasts is for how long a member's word that it stops counts; it repeats
 // the word until it is gone.
-const stopWordLasts = 2 * budget.Elect
+const stopWordLasts = 2 * budget.ElectionTimeout
 
 // StopNotice is what a member that stops tells the leader.
 type StopNotice struct {
@@ -26,10 +26,10 @@
 // Leave goes on with a clean stop: it hands leadership on, again now and then.
 func (s *Store) Leave(now flow.Time) {
 	if s.leaveBy == 0 {
-		s.leaveBy = now + budget.Lost
+		s.leaveBy = now + budget.FailureTimeout
 	}
 	if s.raft.Role() == raft.Leader && now >= s.moved {
-		s.moved = now + budget.Elect/2
+		s.moved = now + budget.ElectionTimeout/2
 		s.raft.Transfer()
 	}
 }
--- a/core/store/members.go
+++ b/core/store/members.go
@@ -48,9 +48,9 @@
 		return
 	}
 	if s.formed == 0 {
-		s.formed = now + budget.Lost // a node that knows a cluster may still speak up
+		s.formed = now + budget.FailureTimeout // a node that knows a cluster may still speak up
 		if s.p.First {
-			s.formed = now + 2*budget.Beat
+			s.formed = now + 2*budget.HeartbeatInterval
 		}
 	}
 	if now < s.formed {
@@ -205,7 +205,7 @@
 		*t = catchUpTarget{term: term, notedAt: now, older: commit, newer: commit}
 		return
 	}
-	if now-t.notedAt >= budget.Elect/2 {
+	if now-t.notedAt >= budget.ElectionTimeout/2 {
 		t.older, t.newer, t.notedAt = t.newer, commit, now
 	}
 }
@@ -269,7 +269,7 @@
 // voidVotes counts the voters whose place a learner is to take, or may soon have to.
 func (s *Store) voidVotes(now flow.Time, c raft.Conf) (count int) {
 	for _, m := range c.Members {
-		if m.Voter && (s.gone(m, now) || s.raft.Silent(m.ID, now) >= budget.Lost/4) {
+		if m.Voter && (s.gone(m, now) || s.raft.Silent(m.ID, now) >= budget.FailureTimeout/4) {
 			count++
 		}
 	}
--- a/core/store/owners.go
+++ b/core/store/owners.go
@@ -24,12 +24,12 @@
 	if now < s.owned || s.raft.Role() != raft.Leader || !s.raft.Ready() || s.timed != s.raft.Term() {
 		return
 	}
-	s.owned = now + budget.Beat
-	led := now-s.raft.Since() >= budget.Owner
+	s.owned = now + budget.HeartbeatInterval
+	led := now-s.raft.Since() >= budget.OwnerTimeout
 	rows := s.ledger.LotRows()
 	if len(s.lots) > len(rows) {
 		for id := range s.lots {
-			if now-s.lots[id].at >= budget.Lost {
+			if now-s.lots[id].at >= budget.FailureTimeout {
 				delete(s.lots, id)
 			}
 		}
@@ -37,7 +37,7 @@
 	starts, retired := s.starts(now), s.retired()
 	for _, r := range rows {
 		x, heard := s.seen[r.Owner]
-		if over := starts.after(r.Owner) || heard && x.left || retired[r.Owner]; over || led && (!heard || now-x.at > budget.Owner) {
+		if over := starts.after(r.Owner) || heard && x.left || retired[r.Owner]; over || led && (!heard || now-x.at > budget.OwnerTimeout) {
 			s.move(now, r, over)
 		}
 	}
@@ -49,7 +49,7 @@
 func (s *Store) starts(now flow.Time) starts {
 	out := make(starts, len(s.seen))
 	for id, x := range s.seen {
-		if node, start, ok := ofNode(id); ok && now-x.at <= budget.Lease {
+		if node, start, ok := ofNode(id); ok && now-x.at <= budget.LeaseDuration {
 			out[node] = max(out[node], start)
 		}
 	}
@@ -122,14 +122,14 @@
 // move proposes an owner by rendezvous over those that renewed of late. A lot is
 // not moved again for a while, unless the one who got it says that it leaves.
 func (s *Store) move(now flow.Time, r ledger.LotRow, left bool) {
-	if g, moved := s.lots[r.ID]; moved && now-g.at < budget.Lost && (g.was == r.Owner || !left) {
+	if g, moved := s.lots[r.ID]; moved && now-g.at < budget.FailureTimeout && (g.was == r.Owner || !left) {
 		return
 	}
 	next, most, nextIdle := "", uint64(0), false
 	starts, able, busy := s.starts(now), s.able(), s.otherOwners(r)
 	for _, id := range sorted.Keys(s.seen) {
 		x := s.seen[id]
-		if id == r.Owner || x.left || now-x.at > budget.Lease || starts.after(id) || len(able) > 0 && !able[id] {
+		if id == r.Owner || x.left || now-x.at > budget.LeaseDuration || starts.after(id) || len(able) > 0 && !able[id] {
 			continue
 		}
 		// The lots of a pool keep together, so that one place knows its engines.
--- a/core/store/pace.go
+++ b/core/store/pace.go
@@ -14,7 +14,7 @@
 
 // A piece is to arrive within pieceTime; one that took longer makes the next
 // smaller, one that took less than a quarter of it makes it larger.
-const pieceTime = budget.Ask / 2
+const pieceTime = budget.AskRetryInterval / 2
 
 // pace sizes the pieces of a fetch to the link, and says when a piece that did
 // not come is asked for again. Asking again too soon would fill a thin link with
@@ -27,7 +27,7 @@
 	wait    flow.Time
 }
 
-func newPace(size int) pace { return pace{size: size, wait: budget.Ask} }
+func newPace(size int) pace { return pace{size: size, wait: budget.AskRetryInterval} }
 
 // due says whether a piece may be asked for.
 func (p *pace) due(now flow.Time) bool { return !p.waiting || now >= p.next }
@@ -51,7 +51,7 @@
 	case took < pieceTime/4:
 		p.size = min(p.size*2, pieceMost)
 	}
-	p.wait = max(budget.Ask, 2*took)
+	p.wait = max(budget.AskRetryInterval, 2*took)
 	p.idle()
 }
 
--- a/core/store/renewals.go
+++ b/core/store/renewals.go
@@ -19,7 +19,7 @@
 		return
 	}
 	if len(s.renewals.waiting) == 0 {
-		s.renewals.due = max(now, s.renewals.proved+budget.RenewBatch)
+		s.renewals.due = max(now, s.renewals.proved+budget.RenewBatchInterval)
 	}
 	s.renewals.waiting = append(s.renewals.waiting, w)
 }
@@ -59,7 +59,7 @@
 // answerRenewals answers what a read has proved.
 func (s *Store) answerRenewals(now flow.Time, batch []wait, out *flow.Outbox) {
 	for id, x := range s.seen {
-		if now-x.at > 2*budget.Lease {
+		if now-x.at > 2*budget.LeaseDuration {
 			delete(s.seen, id)
 		}
 	}
@@ -125,7 +125,7 @@
 func (s *Store) roster(now flow.Time) []string {
 	var out []string
 	for _, id := range sorted.Keys(s.seen) {
-		if x := s.seen[id]; now-x.at <= budget.Lease && !x.left {
+		if x := s.seen[id]; now-x.at <= budget.LeaseDuration && !x.left {
 			out = append(out, id)
 		}
 	}
--- a/core/store/renewals_test.go
+++ b/core/store/renewals_test.go
@@ -116,7 +116,7 @@
 	l.advance(10 * time.Millisecond)
 	// When another comes.
 	l.ask("d:2", 1, "renew", Renew{ID: "d2.1"})
-	for range int((budget.RenewBatch + 20*time.Millisecond) / (10 * time.Millisecond)) {
+	for range int((budget.RenewBatchInterval + 20*time.Millisecond) / (10 * time.Millisecond)) {
 		l.advance(10 * time.Millisecond)
 	}
 	// Then it waits no longer than a batch and a tick.
--- a/core/store/repair.go
+++ b/core/store/repair.go
@@ -19,14 +19,14 @@
 	if now < s.look || s.raft.Role() != raft.Leader || !s.raft.Ready() || s.raft.Busy() {
 		return
 	}
-	s.look = now + budget.Beat
+	s.look = now + budget.HeartbeatInterval
 	s.taken = map[string]string{}
 	for _, e := range live {
 		s.taken[e.Addr] = e.ID
 	}
 	s.forgetStops(now)
 	for id, at := range s.silent {
-		if now-at >= 2*budget.Lost {
+		if now-at >= 2*budget.FailureTimeout {
 			delete(s.silent, id)
 		}
 	}
@@ -37,7 +37,7 @@
 			continue
 		}
 		for _, m := range c.Members {
-			if next.Find(m.ID) < 0 && s.raft.Silent(m.ID, now) >= budget.Lost/4 {
+			if next.Find(m.ID) < 0 && s.raft.Silent(m.ID, now) >= budget.FailureTimeout/4 {
 				s.silent[m.ID] = now
 			}
 		}
@@ -68,7 +68,7 @@
 func (s *Store) takeIn(now flow.Time, c raft.Conf, live []gossip.Entry) (raft.Conf, string) {
 	heard := 0
 	for _, m := range c.Members {
-		if m.ID == s.p.ID || s.raft.Silent(m.ID, now) < budget.Lost {
+		if m.ID == s.p.ID || s.raft.Silent(m.ID, now) < budget.FailureTimeout {
 			heard++
 		}
 	}
@@ -104,12 +104,12 @@
 // disk was replaced.
 func (s *Store) lost(m raft.Member, now flow.Time) bool {
 	quiet := s.raft.Silent(m.ID, now)
-	return quiet >= budget.Heal || quiet >= budget.Lost && s.standby(m, now) || s.replaced(m, now)
+	return quiet >= budget.Heal || quiet >= budget.FailureTimeout && s.standby(m, now) || s.replaced(m, now)
 }
 
 // replaced says that a silent member's address speaks with another identity.
 func (s *Store) replaced(m raft.Member, now flow.Time) bool {
-	return s.raft.Silent(m.ID, now) >= budget.Lost/4 && s.taken[m.Addr] != "" && s.taken[m.Addr] != m.ID
+	return s.raft.Silent(m.ID, now) >= budget.FailureTimeout/4 && s.taken[m.Addr] != "" && s.taken[m.Addr] != m.ID
 }
 
 // standby says whether a learner is ready to take a voter's place: one of its
@@ -117,7 +117,7 @@
 func (s *Store) standby(lost raft.Member, now flow.Time) bool {
 	c, held := s.raft.Conf(), map[string]bool{}
 	for _, m := range c.Members {
-		if m.Voter && !m.Leave && s.raft.Silent(m.ID, now) < budget.Lost {
+		if m.Voter && !m.Leave && s.raft.Silent(m.ID, now) < budget.FailureTimeout {
 			held[m.Zone] = true
 		}
 	}
@@ -217,7 +217,7 @@
 		if m.Leave || s.isStopping(m.ID, now) {
 			n = 3
 		}
-		if s.raft.Silent(m.ID, now) >= budget.Lost || s.replaced(m, now) {
+		if s.raft.Silent(m.ID, now) >= budget.FailureTimeout || s.replaced(m, now) {
 			n = 4 // whoever takes its place votes already
 		}
 		if n > score {
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -94,7 +94,7 @@
 		}
 		s.ledger = l
 	}
-	s.raft = raft.New(now, raft.Config{ID: p.ID, Rand: p.Rand, HeartbeatInterval: budget.Beat, ElectionTimeout: budget.Elect,
+	s.raft = raft.New(now, raft.Config{ID: p.ID, Rand: p.Rand, HeartbeatInterval: budget.HeartbeatInterval, ElectionTimeout: budget.ElectionTimeout,
 		Hard: p.Disk.Hard, Snapshot: p.Disk.Snapshot, Entries: p.Disk.Entries})
 	return s, nil
 }
--- a/shell/daemon/reload.go
+++ b/shell/daemon/reload.go
@@ -16,7 +16,7 @@
 )
 
 // reloadEvery is how often the settings are looked at without a signal.
-const reloadEvery = budget.Lost
+const reloadEvery = budget.FailureTimeout
 
 // reload tells the node of new seeds when the settings change, by SIGHUP or
 // without. Seeds that can't be read leave the old ones in force.
--- a/shell/link/link.go
+++ b/shell/link/link.go
@@ -33,8 +33,8 @@
 const (
 	queueSize  = 512
 	batch      = 64 << 10
-	pauseLeast = budget.Beat / 2
-	pauseMost  = budget.Ask
+	pauseLeast = budget.HeartbeatInterval / 2
+	pauseMost  = budget.AskRetryInterval
 	pace       = 4 << 20
 )
 
--- a/shell/run/run.go
+++ b/shell/run/run.go
@@ -111,7 +111,7 @@
 			select {
 			case <-l.quit:
 				return
-			case <-time.After(budget.Lost / 4):
+			case <-time.After(budget.FailureTimeout / 4):
 			}
 		}
 		for _, f := range c.fetch {
@@ -141,7 +141,7 @@
 func (l *Loop) run() {
 	defer close(l.done)
 	defer close(l.chores)
-	pause := time.NewTimer(budget.Tick)
+	pause := time.NewTimer(budget.TickInterval)
 	defer pause.Stop()
 	var in []flow.Event
 	for {
--- a/shell/sock/sock.go
+++ b/shell/sock/sock.go
@@ -15,8 +15,8 @@
 // Unheard is how long bytes may go unacknowledged; Connect how long making a
 // connection may take.
 const (
-	Unheard = budget.Lost
-	Connect = budget.Lost / 8
+	Unheard = budget.FailureTimeout
+	Connect = budget.FailureTimeout / 8
 )
 
 // Control sets the options of a socket before it is connected or listens;
--- a/sim/bench.go
+++ b/sim/bench.go
@@ -116,7 +116,7 @@
 				w.After(time.Second, h.Start)
 			} else {
 				h.Stop()
-				w.After(budget.Stop, h.Start)
+				w.After(budget.StopTimeout, h.Start)
 			}
 			return true
 		})
--- a/sim/control_cut_test.go
+++ b/sim/control_cut_test.go
@@ -71,7 +71,7 @@
 		case a.host != h || a.sent < from:
 		case a.sent < to:
 			f.slowest = max(f.slowest, a.came-a.sent)
-			if a.sent-from > budget.Lease+contactSlack {
+			if a.sent-from > budget.LeaseDuration+contactSlack {
 				f.unleased = max(f.unleased, a.came-a.sent)
 			}
 			if a.code == 503 {
@@ -132,7 +132,7 @@
 	if f.unleased > contactSlack {
 		t.Errorf("without a lease it takes %v to say so", f.unleased)
 	}
-	if f.lastGood > budget.Lease+contactSlack {
+	if f.lastGood > budget.LeaseDuration+contactSlack {
 		t.Errorf("it answered for longer than a lease: %v", f.lastGood)
 	}
 	if f.back < 0 || f.back > budget.Heal/2 {
@@ -223,7 +223,7 @@
 	from, had := s.w.Now, h.plan()
 	s.Hammer(h, from+cutFor20)
 	s.changesElsewhere(h, 4*time.Second, from+12*time.Second)
-	s.w.Run(budget.Engine + budget.Lease + contactSlack) // the lease has to end first
+	s.w.Run(budget.Engine + budget.LeaseDuration + contactSlack) // the lease has to end first
 	codes := map[int]int{}
 	for s.w.Now < from+cutFor20-time.Second {
 		known, unknown := s.try(&siteAsk{zone: "a", route: s.baseRoutes()[0], late: s.w.Now + time.Second}, h), &siteAsk{zone: "a", late: s.w.Now + time.Second}
@@ -249,7 +249,7 @@
 		t.Error("it never heard of the newer plan")
 	}
 	t.Logf("%s; the newer plan %d ms after the heal, codes of a known route %v", s.figures(h, from, healed), (s.w.Now - healed).Milliseconds(), codes)
-	if s.w.Now-healed > budget.Lease {
+	if s.w.Now-healed > budget.LeaseDuration {
 		t.Errorf("it took %v to hear of the newer plan", s.w.Now-healed)
 	}
 	s.w.Run(2 * time.Second)
--- a/sim/control_story_test.go
+++ b/sim/control_story_test.go
@@ -83,7 +83,7 @@
 		}
 	}
 	s.w.Net.Split([]string{cut.Name}, sibs)
-	s.w.Run(budget.Lease + 200*time.Millisecond)
+	s.w.Run(budget.LeaseDuration + 200*time.Millisecond)
 	began := s.w.Now
 	r := s.ask(cut, Web("POST", "/book/x", map[string]string{"id": "late"}, ""))
 	s.then(r.Code == 503 && r.Head["Retry-After"] != "", "it refuses with Retry-After: %d", r.Code)
@@ -210,7 +210,7 @@
 	s := given(t, 25)
 	x := s.open(doc(s.a, "s1", 1, 6, 32))
 	s.then(s.w.Until(budget.Heal, func() bool { return len(x.list) == x.doc.Wanted() }), "a step is done")
-	s.w.Run(budget.Snapshot + 2*time.Second)
+	s.w.Run(budget.CheckpointInterval + 2*time.Second)
 	c := s.w.Acting()
 	b, err := c.Disk.Read("index.ckpt")
 	s.then(err == nil && len(b) > 100, "a checkpoint was written")
@@ -368,7 +368,7 @@
 			s.w.Run(2 * time.Second)
 		}
 		s.w.Run(budget.Plan)
-		t.Logf("%d routes: %d bytes of the plan, %d in answers to %d renewals' worth of time", n, len(c.Body), bytes["told"], int(budget.Plan/budget.Renew))
+		t.Logf("%d routes: %d bytes of the plan, %d in answers to %d renewals' worth of time", n, len(c.Body), bytes["told"], int(budget.Plan/budget.RenewInterval))
 		// One that was cut off has up to five renewals open, each of which brings it.
 		s.then(bytes["told"] < 9*len(c.Body)+200000, "the plan goes out to who needs it: %d bytes for a plan of %d", bytes["told"], len(c.Body))
 		bytes = map[string]int{}
--- a/sim/control_witness.go
+++ b/sim/control_witness.go
@@ -92,7 +92,7 @@
 // what was acknowledged before the call was sent.
 func (v *witness) judge(a controlAnswer, body []byte) {
 	v.look(a.host)
-	a.withoutProof = a.came-v.contact[a.host] > budget.Lease+contactSlack
+	a.withoutProof = a.came-v.contact[a.host] > budget.LeaseDuration+contactSlack
 	if a.withoutProof && slices.Contains(decided, a.code) {
 		v.s.wrong("CONTACT", "%s answered %s %s with %d, %v after its last contact with a majority", a.host.Name, a.verb, a.path, a.code, a.came-v.contact[a.host])
 	}
--- a/sim/day.go
+++ b/sim/day.go
@@ -98,8 +98,8 @@
 	w.Until(time.Minute, func() bool { return w.Leader() != nil })
 	c.begun = w.Now
 	heard := uint64(0)
-	w.Every(budget.Renew, func() bool { // a dispatcher that lives
-		c.asker.Put(w.Now, budget.Lease, "renew", store.Renew{ID: "crowd", Have: 1 << 60, Heard: heard}, func(time.Duration, ask.Answer) { heard++ })
+	w.Every(budget.RenewInterval, func() bool { // a dispatcher that lives
+		c.asker.Put(w.Now, budget.LeaseDuration, "renew", store.Renew{ID: "crowd", Have: 1 << 60, Heard: heard}, func(time.Duration, ask.Answer) { heard++ })
 		return true
 	})
 	per := time.Second / time.Duration(p.Keys)
@@ -165,7 +165,7 @@
 // was given up on is said again.
 func (c *crowd) ask(kind string, body any, then func(ask.Answer)) {
 	c.rep.Asked[kind]++
-	c.asker.Put(c.w.Now, 4*budget.AskLimit, kind, body, func(_ time.Duration, a ask.Answer) {
+	c.asker.Put(c.w.Now, 4*budget.AskTimeout, kind, body, func(_ time.Duration, a ask.Answer) {
 		if a.Code == 0 {
 			c.rep.Late++
 		} else if a.Code != 200 {
--- a/sim/fault_list.go
+++ b/sim/fault_list.go
@@ -236,7 +236,7 @@
 		if h.Up && !h.Froze {
 			w.Mark("stop", "%s, started again after %v", h.Name, d)
 			h.Stop()
-			w.After(budget.Stop+d, h.Start)
+			w.After(budget.StopTimeout+d, h.Start)
 		}
 	}},
 	{"short-notice", func(w *World) {
--- a/sim/lot_test.go
+++ b/sim/lot_test.go
@@ -50,9 +50,9 @@
 		}
 		return true
 	})
-	s.w.Every(budget.Renew, func() bool {
+	s.w.Every(budget.RenewInterval, func() bool {
 		if !o.mute {
-			o.asker.Put(s.w.Now, budget.Lease, "renew", store.Renew{ID: name, Have: o.have, Heard: o.heard}, func(_ time.Duration, a ask.Answer) { o.renewed(a) })
+			o.asker.Put(s.w.Now, budget.LeaseDuration, "renew", store.Renew{ID: name, Have: o.have, Heard: o.heard}, func(_ time.Duration, a ask.Answer) { o.renewed(a) })
 		}
 		return true
 	})
@@ -135,7 +135,7 @@
 	}
 	s.then(s.w.Until(budget.Heal, moved), "lots move: %v", b.lots)
 	took := s.w.Now - from
-	s.then(took > budget.Owner-budget.Renew && took < budget.Lease, "in time: %v", took)
+	s.then(took > budget.OwnerTimeout-budget.RenewInterval && took < budget.LeaseDuration, "in time: %v", took)
 	s.then(b.lots["lot5"].Owner == "a" && b.moves == 5, "each once, and none that ended: %d %v", b.moves, b.lots)
 	var left ledger.LotItems
 	s.then(b.tell("lot.items", "lot0", &left) == 200 && len(left.Doc.Items) == 6 && left.Listed == 4 && left.Doc.AgeMS > 6000, "its owner hears what is left: %d, %d ms", len(left.Doc.Items), left.Doc.AgeMS)
@@ -147,7 +147,7 @@
 	c.mute = true
 	from = s.w.Now
 	s.then(c.tell("gone", "c", nil) == 200, "it says that it is gone")
-	s.then(s.w.Until(budget.Lost, func() bool {
+	s.then(s.w.Until(budget.FailureTimeout, func() bool {
 		for _, r := range b.lots {
 			if r.Owner == "c" {
 				return false
@@ -155,7 +155,7 @@
 		}
 		return len(b.lots) == 9
 	}), "its lots move: %v", b.lots)
-	s.then(s.w.Now-from < budget.Lost/2, "at once: %v", s.w.Now-from)
+	s.then(s.w.Now-from < budget.FailureTimeout/2, "at once: %v", s.w.Now-from)
 	s.end()
 }
 
@@ -236,7 +236,7 @@
 	later := s.outsider("n1.10", 3)
 	from := s.w.Now
 	s.then(s.w.Until(budget.Heal, settled(b, "n1.9", "l0", "l1")), "lots move: %v", b.lots)
-	s.then(s.w.Now-from < budget.Lost/2, "at once: %v", s.w.Now-from)
+	s.then(s.w.Now-from < budget.FailureTimeout/2, "at once: %v", s.w.Now-from)
 
 	put("n1.10", "l2", "l3")
 	a.mute = false // what it said before it died arrives late
@@ -254,7 +254,7 @@
 	s.then(s.w.Until(budget.Heal, func() bool { x := s.w.Leader(); return x != nil && x != l }), "another leads")
 	from = s.w.Now
 	s.then(s.w.Until(budget.Heal, settled(later, "n3.1", "l4", "l5")), "lots move: %v", later.lots)
-	s.then(s.w.Now-from < budget.Lost/2, "at once: %v", s.w.Now-from)
+	s.then(s.w.Now-from < budget.FailureTimeout/2, "at once: %v", s.w.Now-from)
 	l.Start()
 	s.end()
 }
@@ -274,7 +274,7 @@
 	from := s.w.Now
 	s.then(s.w.Until(budget.Heal, func() bool { o := b.lots["lot"].Owner; return o != "" && o != "a" }), "it moves: %v", b.lots)
 	took := s.w.Now - from
-	s.then(took >= budget.Owner-budget.Beat && took < budget.Lease, "in time: %v", took)
+	s.then(took >= budget.OwnerTimeout-budget.HeartbeatInterval && took < budget.LeaseDuration, "in time: %v", took)
 	l.Start()
 	s.end()
 }
--- a/sim/many_changes_test.go
+++ b/sim/many_changes_test.go
@@ -270,7 +270,7 @@
 	began := fetches(h)
 	l := s.w.Leader()
 	s.w.Net.Split([]string{h.Name}, []string{l.Name})
-	s.w.Run(4 * budget.Elect)
+	s.w.Run(4 * budget.ElectionTimeout)
 	s.w.Net.Join(h.Name, l.Name)
 	s.w.Net.Join(l.Name, h.Name)
 	s.then(s.w.Until(catchUpMost, func() bool { return s.near(h, few) }), "it catches up")
--- a/sim/replace_test.go
+++ b/sim/replace_test.go
@@ -56,7 +56,7 @@
 		return m[n.ID()].Voter && !m[id].Voter && s.settled()
 	}), "it takes over: %v", s.members())
 	took := s.w.Now - from
-	s.then(took >= budget.Lost-2*budget.Beat && took < budget.Lost+time.Second, "in time: %v", took)
+	s.then(took >= budget.FailureTimeout-2*budget.HeartbeatInterval && took < budget.FailureTimeout+time.Second, "in time: %v", took)
 	s.then(s.w.Until(2*budget.Heal, func() bool { m, in := s.members()[id]; return in && !m.Voter }), "the other comes back as a learner: %v", s.members())
 	changes := 0
 	was := s.members()
@@ -140,7 +140,7 @@
 		took[first] = w.Now
 	}
 	t.Logf("a leader after %v", took)
-	if took[false]-took[true] < budget.Lost/2 {
+	if took[false]-took[true] < budget.FailureTimeout/2 {
 		t.Errorf("a leader after %v", took)
 	}
 }
--- a/sim/restart_story_test.go
+++ b/sim/restart_story_test.go
@@ -20,7 +20,7 @@
 	h := s.disp(0) // which is nobody's seed
 	h.Kill()
 	h.Jump = -36 * time.Hour
-	s.w.Run(2 * budget.Lost)
+	s.w.Run(2 * budget.FailureTimeout)
 	h.Start()
 	s.then(s.w.Until(budget.Engine, s.w.Serving), "it serves again soon")
 	s.end()
@@ -63,7 +63,7 @@
 	h.Kill()
 	h.Start()
 	s.then(s.w.Until(budget.Heal, s.w.Serving), "it serves again")
-	s.w.Run(2 * budget.Lease)
+	s.w.Run(2 * budget.LeaseDuration)
 	s.then(s.claims() == 1, "the earlier claim stands")
 	r := s.ask(h, b)
 	s.then(r.Code == 502, "the outcome is unknown: %d %s", r.Code, r.Body)
--- a/sim/stop_test.go
+++ b/sim/stop_test.go
@@ -38,9 +38,9 @@
 	r := s.ask(h, Web("POST", "/book/x", map[string]string{"id": "y"}, "k2"))
 	s.then(r.Code == 503 && r.Head["Retry-After"] != "", "what is new is refused: %d %s", r.Code, r.Body)
 	began := s.w.Now
-	s.then(s.w.Until(budget.Stop+time.Second, func() bool { return !h.Up }), "it is gone")
+	s.then(s.w.Until(budget.StopTimeout+time.Second, func() bool { return !h.Up }), "it is gone")
 	s.then(booked == 200, "the booking was answered: %d", booked)
-	s.then(s.w.Now-began < budget.Stop, "within the bound: %v", s.w.Now-began)
+	s.then(s.w.Now-began < budget.StopTimeout, "within the bound: %v", s.w.Now-began)
 	s.then(s.count("taken_over") > 0, "partials were taken over")
 	s.then(s.w.Until(20*time.Second, func() bool { return len(x.list) == d.Wanted() }), "the step gets all its results: %d", len(x.list))
 	s.then(s.count("resumed") > 0, "partials were gone on from")
@@ -59,13 +59,13 @@
 	s.w.Run(2 * time.Second)
 	l := s.w.Leader()
 	l.Stop()
-	s.then(s.w.Until(budget.Elect, func() bool { x := s.w.Leader(); return x != nil && x != l && !l.Up }), "another leads and it is gone")
+	s.then(s.w.Until(budget.ElectionTimeout, func() bool { x := s.w.Leader(); return x != nil && x != l && !l.Up }), "another leads and it is gone")
 	l.Start()
 	s.w.Run(2 * time.Second)
 	c := s.w.Acting()
 	c.Stop()
-	s.then(s.w.Until(budget.Take, func() bool { x := s.w.Acting(); return x != nil && x != c }), "another acts")
-	s.then(s.w.Until(budget.Stop, func() bool { return !c.Up }), "it is gone")
+	s.then(s.w.Until(budget.LeaseTakeoverTimeout, func() bool { x := s.w.Acting(); return x != nil && x != c }), "another acts")
+	s.then(s.w.Until(budget.StopTimeout, func() bool { return !c.Up }), "it is gone")
 	c.Start()
 	s.end()
 }
@@ -82,7 +82,7 @@
 	steps := s.a.Done
 	for _, h := range append([]*Host(nil), s.w.Hosts...) {
 		h.Stop()
-		s.then(s.w.Until(budget.Stop+time.Second, func() bool { return !h.Up }), "%s stops", h.Name)
+		s.then(s.w.Until(budget.StopTimeout+time.Second, func() bool { return !h.Up }), "%s stops", h.Name)
 		s.w.Run(300 * time.Millisecond)
 		h.Start()
 		s.then(s.w.Until(budget.Heal, func() bool { return s.w.Serving() && s.w.Leader() != nil }), "%s is back", h.Name)
@@ -232,8 +232,8 @@
 	h := s.w.Leader()
 	from := s.w.Now
 	h.Stop()
-	s.then(s.w.Until(2*budget.Stop, func() bool { return !h.Up }), "it is gone")
-	s.then(s.w.Now-from < budget.Stop/2, "soon: %v", s.w.Now-from)
+	s.then(s.w.Until(2*budget.StopTimeout, func() bool { return !h.Up }), "it is gone")
+	s.then(s.w.Now-from < budget.StopTimeout/2, "soon: %v", s.w.Now-from)
 	h.Start()
 	s.then(s.w.Until(budget.Heal, func() bool { return s.w.Serving() && s.w.Acting() != nil }), "it comes back")
 	s.end()
--- a/sim/story_test.go
+++ b/sim/story_test.go
@@ -320,7 +320,7 @@
 	s := given(t, 142)
 	x := s.open(doc(s.a, "s1", 1, 4, 24))
 	s.then(s.w.Until(budget.Heal, func() bool { return len(x.list) == x.doc.Wanted() }), "a step is done")
-	s.w.Run(2 * budget.Batch)
+	s.w.Run(2 * budget.EventBatchInterval)
 	r := s.ask(s.w.Acting(), Call("usage", nil, nil))
 	var u struct {
 		Trainers map[string]int64 `json:"bytes_by_trainer"`
