--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -28,7 +28,7 @@
 	Changed uint64   `json:"changed,omitempty"` // the beat at which it last changed in more than its beat
 	Addr    string   `json:"addr"`
 	Web     string   `json:"web"`
-	Area    string   `json:"area"`
+	Zone    string   `json:"area"` // the name on the wire: builds of both names must read each other
 	Roles   []string `json:"roles"`
 	Cpu     int      `json:"cpu,omitempty"` // thousandths of a core that its machine gives it, 0 where unknown
 	Cluster string   `json:"cluster,omitempty"`
@@ -121,7 +121,7 @@
 // freshFor is for how long an entry is told whole that has changed; wantMost is how
 // many entries are asked for in one line.
 const (
-	freshFor = 4 * budget.Gossip
+	freshFor = 4 * budget.GossipInterval
 	wantMost = 128
 )
 
@@ -287,7 +287,7 @@
 
 // grow notes that a peer's beat has grown.
 func (g *Gossip) grow(s *seat, now flow.Time) {
-	if now-s.grew > budget.Lost {
+	if now-s.grew > budget.FailureTimeout {
 		g.stir() // it was not among the live ones
 	}
 	s.grew = now
@@ -295,7 +295,7 @@
 
 // same says whether two entries differ in nothing but their beats.
 func same(a, b Entry) bool {
-	return a.ID == b.ID && a.Inc == b.Inc && a.Web == b.Web && a.Area == b.Area && a.Cluster == b.Cluster && a.Blank == b.Blank && a.Left == b.Left && a.Retired == b.Retired &&
+	return a.ID == b.ID && a.Inc == b.Inc && a.Web == b.Web && a.Zone == b.Zone && a.Cluster == b.Cluster && a.Blank == b.Blank && a.Left == b.Left && a.Retired == b.Retired &&
 		slices.Equal(a.Roles, b.Roles) && slices.Equal(a.Sees, b.Sees)
 }
 
@@ -369,7 +369,7 @@
 		}
 	}
 	for _, a := range g.addrs() {
-		if s := g.seats[a]; now-s.grew <= budget.Lost {
+		if s := g.seats[a]; now-s.grew <= budget.FailureTimeout {
 			put(s.entry, s.fresh)
 		}
 	}
@@ -392,21 +392,21 @@
 	if now < g.next {
 		return
 	}
-	g.next = now + budget.Gossip
+	g.next = now + budget.GossipInterval
 	g.exchange(out)
 	g.self.Beat++
 	g.self.Sees = nil
 	var live []string
 	for _, addr := range g.addrs() {
 		s := g.seats[addr]
-		if now-s.grew > 10*budget.Lost {
+		if now-s.grew > 10*budget.FailureTimeout {
 			delete(g.seats, addr)
 			continue
 		}
-		if now-s.grew <= budget.Lost {
+		if now-s.grew <= budget.FailureTimeout {
 			live = append(live, addr)
 		}
-		if g.self.Blank && s.entry.Blank && now-s.heard <= budget.Lost {
+		if g.self.Blank && s.entry.Blank && now-s.heard <= budget.FailureTimeout {
 			g.self.Sees = append(g.self.Sees, addr)
 		}
 	}
@@ -455,7 +455,7 @@
 // Heard says whether a peer spoke to this node itself of late.
 func (g *Gossip) Heard(now flow.Time, addr string) bool {
 	s := g.seats[addr]
-	return s != nil && s.heard > 0 && now-s.heard <= budget.Lost
+	return s != nil && s.heard > 0 && now-s.heard <= budget.FailureTimeout
 }
 
 // Rows counts the entries kept.
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -35,7 +35,7 @@
 	if f.tables[addr] == nil {
 		f.addrs = append(f.addrs, addr)
 	}
-	f.tables[addr] = New(Config{Self: Entry{ID: fmt.Sprint("node-", i), Name: fmt.Sprint("edge-", i), Inc: inc, Addr: addr, Web: addr, Area: "a", Roles: []string{"dispatcher"}},
+	f.tables[addr] = New(Config{Self: Entry{ID: fmt.Sprint("node-", i), Name: fmt.Sprint("edge-", i), Inc: inc, Addr: addr, Web: addr, Zone: "a", Roles: []string{"dispatcher"}},
 		Seeds: []string{addrOf(0), addrOf(1), addrOf(2)}, Rand: rand.New(rand.NewSource(int64(i) + inc))})
 }
 
@@ -101,7 +101,7 @@
 	}
 	// When one of them ends.
 	delete(f.tables, addrOf(7))
-	f.run(t, budget.Lost+2*time.Second)
+	f.run(t, budget.FailureTimeout+2*time.Second)
 	// Then nobody counts it as alive.
 	for addr, g := range f.tables {
 		for _, e := range g.Live(f.now) {
@@ -266,11 +266,11 @@
 		}
 		return heard
 	}
-	soon := time.Second + budget.Beat
+	soon := time.Second + budget.HeartbeatInterval
 	if heard := told(soon); len(heard) != peers {
 		t.Errorf("%d of %d peers heard of it at once", len(heard), peers)
 	}
-	if heard := told(soon + budget.Tick); len(heard) > 0 {
+	if heard := told(soon + budget.TickInterval); len(heard) > 0 {
 		t.Errorf("%d peers were told again at once", len(heard))
 	}
 }
--- a/core/gossip/live.go
+++ b/core/gossip/live.go
@@ -26,13 +26,13 @@
 	if g.live.holds(now) {
 		return g.live.entries
 	}
-	g.live, g.all.valid = view{until: now + budget.Lost, valid: true}, false
+	g.live, g.all.valid = view{until: now + budget.FailureTimeout, valid: true}, false
 	for _, addr := range g.addrs() {
 		s := g.seats[addr]
-		if now-s.grew > budget.Lost {
+		if now-s.grew > budget.FailureTimeout {
 			continue
 		}
-		g.live.until = min(g.live.until, s.grew+budget.Lost)
+		g.live.until = min(g.live.until, s.grew+budget.FailureTimeout)
 		if !s.entry.Left {
 			g.live.entries = append(g.live.entries, s.entry)
 		}
