--- a/api/api.go
+++ b/api/api.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	_ "embed"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"sort"
@@ -13,6 +12,7 @@
 	"strings"
 	"sync"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 	"github.com/santhosh-tekuri/jsonschema/v6"
 	"github.com/santhosh-tekuri/jsonschema/v6/kind"
--- a/cmd/fernlink/check/check.go
+++ b/cmd/fernlink/check/check.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 
 	"fernlink/api"
--- a/cmd/fernlink/check/check_test.go
+++ b/cmd/fernlink/check/check_test.go
@@ -1,11 +1,12 @@
 package check
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/disp"
 	"fernlink/core/gossip"
 	"fernlink/core/ledger"
--- a/cmd/fernlink/checktool.go
+++ b/cmd/fernlink/checktool.go
@@ -1,11 +1,11 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 	"strings"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/integrii/flaggy"
 
 	"fernlink/cmd/fernlink/check"
--- a/cmd/fernlink/folder.go
+++ b/cmd/fernlink/folder.go
@@ -1,12 +1,12 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
 	"text/tabwriter"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/integrii/flaggy"
 
 	"fernlink/shell/disk"
--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 	"os/signal"
@@ -14,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
 
--- a/core/ask/ask.go
+++ b/core/ask/ask.go
@@ -4,7 +4,7 @@
 package ask
 
 import (
-	"encoding/json"
+	"github.com/go-json-experiment/json/v1"
 
 	"fernlink/core/budget"
 	"fernlink/core/flow"
--- a/core/ask/encode_test.go
+++ b/core/ask/encode_test.go
@@ -1,9 +1,10 @@
 package ask
 
 import (
-	"encoding/json"
 	"reflect"
 	"testing"
+
+	"github.com/go-json-experiment/json/v1"
 )
 
 func TestAnswersAreEncodedAsTheirFieldsSay(t *testing.T) {
--- a/core/coord/coord.go
+++ b/core/coord/coord.go
@@ -4,9 +4,10 @@
 package coord
 
 import (
-	"encoding/json"
 	"sort"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/api"
 	"fernlink/core/ask"
 	"fernlink/core/budget"
--- a/core/coord/watch.go
+++ b/core/coord/watch.go
@@ -1,12 +1,13 @@
 package coord
 
 import (
-	"encoding/json"
 	"fmt"
 	"hash/crc32"
 	"strconv"
 	"strings"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 	"fernlink/core/index/gate"
 	"fernlink/core/index/view"
--- a/core/dialect/dialect.go
+++ b/core/dialect/dialect.go
@@ -4,9 +4,9 @@
 package dialect
 
 import (
-	"encoding/json"
 	"strconv"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 )
 
--- a/core/disp/admin.go
+++ b/core/disp/admin.go
@@ -1,9 +1,10 @@
 package disp
 
 import (
-	"encoding/json"
 	"strconv"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/api"
 	"fernlink/core/ask"
 	"fernlink/core/budget"
--- a/core/disp/disp.go
+++ b/core/disp/disp.go
@@ -5,10 +5,11 @@
 package disp
 
 import (
-	"encoding/json"
 	"math/rand"
 	"slices"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/api"
 	"fernlink/core/ask"
 	"fernlink/core/budget"
--- a/core/disp/leave.go
+++ b/core/disp/leave.go
@@ -1,9 +1,10 @@
 package disp
 
 import (
-	"encoding/json"
 	"fmt"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/ask"
 	"fernlink/core/budget"
 	"fernlink/core/flow"
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -4,8 +4,9 @@
 package flow
 
 import (
-	"encoding/json"
 	"time"
+
+	"github.com/go-json-experiment/json/v1"
 )
 
 // Time is a node's own elapsed time. Origins differ between nodes; only
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -1,13 +1,14 @@
 package gossip
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand"
 	"reflect"
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 )
--- a/core/index/view/view_test.go
+++ b/core/index/view/view_test.go
@@ -1,10 +1,10 @@
 package view
 
 import (
-	"encoding/json"
 	"fmt"
 	"testing"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -3,7 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
+
+	"github.com/go-json-experiment/json/v1"
 
 	"fernlink/core/flow"
 	"fernlink/core/ledger/keys"
--- a/core/ledger/lot_bodies_test.go
+++ b/core/ledger/lot_bodies_test.go
@@ -1,10 +1,11 @@
 package ledger
 
 import (
-	"encoding/json"
 	"fmt"
 	"testing"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 )
 
--- a/core/ledger/lot_reads.go
+++ b/core/ledger/lot_reads.go
@@ -3,10 +3,11 @@
 package ledger
 
 import (
-	"encoding/json"
 	"slices"
 	"sort"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 )
 
--- a/core/ledger/lots.go
+++ b/core/ledger/lots.go
@@ -4,10 +4,11 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"encoding/json"
 	"slices"
 	"sort"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 )
 
--- a/core/ledger/lots_test.go
+++ b/core/ledger/lots_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"reflect"
 	"strings"
 	"testing"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
--- a/core/ledger/plans.go
+++ b/core/ledger/plans.go
@@ -3,7 +3,7 @@
 package ledger
 
 import (
-	"encoding/json"
+	"github.com/go-json-experiment/json/v1"
 )
 
 // Plan gives the plan in force.
--- a/core/ledger/query.go
+++ b/core/ledger/query.go
@@ -1,7 +1,7 @@
 package ledger
 
 import (
-	"encoding/json"
+	"github.com/go-json-experiment/json/v1"
 
 	"fernlink/core/flow"
 	"fernlink/core/ledger/keys"
--- a/core/ledger/receipts.go
+++ b/core/ledger/receipts.go
@@ -4,9 +4,10 @@
 package ledger
 
 import (
-	"encoding/json"
 	"strconv"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/ledger/keys"
 	"fernlink/core/sorted"
 )
--- a/core/ledger/receipts_test.go
+++ b/core/ledger/receipts_test.go
@@ -1,11 +1,11 @@
 package ledger
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 	"testing"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
--- a/core/ledger/snapshot.go
+++ b/core/ledger/snapshot.go
@@ -2,9 +2,9 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"slices"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 
 	"fernlink/core/flow"
--- a/core/ledger/steps.go
+++ b/core/ledger/steps.go
@@ -3,7 +3,7 @@
 package ledger
 
 import (
-	"encoding/json"
+	"github.com/go-json-experiment/json/v1"
 
 	"fernlink/core/ledger/keys"
 	"fernlink/core/sorted"
--- a/core/node/fuzz_test.go
+++ b/core/node/fuzz_test.go
@@ -1,10 +1,11 @@
 package node
 
 import (
-	"encoding/json"
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 	"fernlink/core/sorted"
 	"fernlink/core/store"
--- a/core/node/lines.go
+++ b/core/node/lines.go
@@ -3,7 +3,7 @@
 package node
 
 import (
-	"encoding/json"
+	"github.com/go-json-experiment/json/v1"
 
 	"fernlink/core/ask"
 	"fernlink/core/budget"
--- a/core/node/metrics_test.go
+++ b/core/node/metrics_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"strings"
 	"testing"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/prometheus/client_golang/prometheus/testutil/promlint"
 	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
--- a/core/raft/encode.go
+++ b/core/raft/encode.go
@@ -1,9 +1,10 @@
 package raft
 
 import (
-	"encoding/json"
 	"strconv"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 )
 
--- a/core/raft/encode_test.go
+++ b/core/raft/encode_test.go
@@ -1,10 +1,11 @@
 package raft
 
 import (
-	"encoding/json"
 	"reflect"
 	"testing"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 )
 
--- a/core/raft/explore/disk.go
+++ b/core/raft/explore/disk.go
@@ -1,10 +1,11 @@
 package explore
 
 import (
-	"encoding/json"
 	"slices"
 	"sync"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 	"fernlink/core/raft"
 )
--- a/core/raft/explore/scenario.go
+++ b/core/raft/explore/scenario.go
@@ -1,9 +1,10 @@
 package explore
 
 import (
-	"encoding/json"
 	"slices"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 	"fernlink/core/raft"
 )
--- a/core/raft/explore/successors.go
+++ b/core/raft/explore/successors.go
@@ -1,11 +1,12 @@
 package explore
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/raft"
 )
 
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -1,9 +1,9 @@
 package raft
 
 import (
-	"encoding/json"
 	"math/rand"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 
 	"fernlink/core/flow"
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -1,12 +1,12 @@
 package raft
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand"
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
--- a/core/raft/replication_test.go
+++ b/core/raft/replication_test.go
@@ -1,10 +1,11 @@
 package raft
 
 import (
-	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/go-json-experiment/json/v1"
 )
 
 // Given a member that is behind by large entries, when it is fed, then no message
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -1,10 +1,11 @@
 package raft
 
 import (
-	"encoding/json"
 	"math/rand"
 	"sort"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 )
 
--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -1,10 +1,11 @@
 package lots
 
 import (
-	"encoding/json"
 	"strconv"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/ask"
 	"fernlink/core/budget"
 	"fernlink/core/dialect"
--- a/core/serve/lots_test.go
+++ b/core/serve/lots_test.go
@@ -1,13 +1,14 @@
 package serve
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/ask"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
--- a/core/serve/machines.go
+++ b/core/serve/machines.go
@@ -1,9 +1,10 @@
 package serve
 
 import (
-	"encoding/json"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/ask"
 	"fernlink/core/budget"
 	"fernlink/core/flow"
--- a/core/serve/machines_test.go
+++ b/core/serve/machines_test.go
@@ -1,10 +1,11 @@
 package serve
 
 import (
-	"encoding/json"
 	"strings"
 	"testing"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
 	"fernlink/core/ledger"
--- a/core/serve/prefixes_test.go
+++ b/core/serve/prefixes_test.go
@@ -1,11 +1,12 @@
 package serve
 
 import (
-	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/dialect"
 	"fernlink/core/disp"
 	"fernlink/core/flow"
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -4,10 +4,11 @@
 package serve
 
 import (
-	"encoding/json"
 	"math/rand"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/api"
 	"fernlink/core/ask"
 	"fernlink/core/budget"
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -1,12 +1,13 @@
 package serve
 
 import (
-	"encoding/json"
 	"fmt"
 	"strconv"
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/api"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
--- a/core/serve/world_test.go
+++ b/core/serve/world_test.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand"
 	"strconv"
@@ -9,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/api"
 	"fernlink/core/ask"
 	"fernlink/core/dialect"
--- a/core/store/leave.go
+++ b/core/store/leave.go
@@ -1,9 +1,10 @@
 package store
 
 import (
-	"encoding/json"
 	"slices"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/raft"
--- a/core/store/pull.go
+++ b/core/store/pull.go
@@ -1,7 +1,7 @@
 package store
 
 import (
-	"encoding/json"
+	"github.com/go-json-experiment/json/v1"
 
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
--- a/core/store/renewals_test.go
+++ b/core/store/renewals_test.go
@@ -1,12 +1,13 @@
 package store
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand"
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/ask"
 	"fernlink/core/budget"
 	"fernlink/core/flow"
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -3,10 +3,11 @@
 package store
 
 import (
-	"encoding/json"
 	"math/rand"
 	"sort"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
--- a/rig/fleet/drill.go
+++ b/rig/fleet/drill.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand"
 	"net/http"
@@ -10,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 
 	"fernlink/core/ledger"
--- a/rig/fleet/drive.go
+++ b/rig/fleet/drive.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand"
 	"sort"
@@ -9,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 
 	"fernlink/core/ledger"
--- a/rig/fleet/fleet.go
+++ b/rig/fleet/fleet.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -18,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 
 	"fernlink/core/dialect"
--- a/rig/fleet/relay.go
+++ b/rig/fleet/relay.go
@@ -2,11 +2,11 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 )
 
--- a/rig/scale/axes.go
+++ b/rig/scale/axes.go
@@ -1,13 +1,14 @@
 package scale
 
 import (
-	"encoding/json"
 	"fmt"
 	"runtime"
 	"sort"
 	"strings"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
 )
--- a/rig/scale/forecast.go
+++ b/rig/scale/forecast.go
@@ -1,12 +1,12 @@
 package scale
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
 	"path/filepath"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 )
 
--- a/rig/scale/host.go
+++ b/rig/scale/host.go
@@ -2,10 +2,10 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
 	"golang.org/x/sys/unix"
 
 	"fernlink/core/flow"
--- a/rig/scale/outside.go
+++ b/rig/scale/outside.go
@@ -1,12 +1,13 @@
 package scale
 
 import (
-	"encoding/json"
 	"fmt"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/api"
 	"fernlink/core/flow"
 )
--- a/rig/scale/report.go
+++ b/rig/scale/report.go
@@ -1,7 +1,6 @@
 package scale
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"math"
@@ -10,6 +9,7 @@
 	"runtime"
 	"strings"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 	"gonum.org/v1/plot"
--- a/rig/scale/things.go
+++ b/rig/scale/things.go
@@ -1,7 +1,6 @@
 package scale
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand"
 	"net"
@@ -9,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/go-kit/log"
 	"golang.org/x/sys/unix"
 
--- a/rig/scale/whole.go
+++ b/rig/scale/whole.go
@@ -1,7 +1,6 @@
 package scale
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -11,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 
 	"fernlink/core/flow"
--- a/rig/scale/world.go
+++ b/rig/scale/world.go
@@ -1,13 +1,14 @@
 package scale
 
 import (
-	"encoding/json"
 	"fmt"
 	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/ask"
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
--- a/rig/serve/serve.go
+++ b/rig/serve/serve.go
@@ -2,7 +2,6 @@
 package serve
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/dialect"
 	"fernlink/rig/standin"
 	"fernlink/shell/clock"
--- a/rig/site/day.go
+++ b/rig/site/day.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/base64"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 )
 
--- a/rig/site/engine.go
+++ b/rig/site/engine.go
@@ -4,7 +4,6 @@
 package site
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/go-json-experiment/json/v1"
 )
 
 // model is the one that stand-ins make texts with.
--- a/rig/standin/engine.go
+++ b/rig/standin/engine.go
@@ -5,12 +5,13 @@
 package standin
 
 import (
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"sort"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/dialect"
 	"fernlink/core/prefix"
 	"fernlink/core/sorted"
--- a/rig/standin/others.go
+++ b/rig/standin/others.go
@@ -1,7 +1,7 @@
 package standin
 
 import (
-	"encoding/json"
+	"github.com/go-json-experiment/json/v1"
 
 	"fernlink/core/dialect"
 	"fernlink/core/ledger"
--- a/shell/daemon/daemon.go
+++ b/shell/daemon/daemon.go
@@ -7,11 +7,11 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"encoding/json"
 	"os"
 	"slices"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
--- a/shell/disk/disk.go
+++ b/shell/disk/disk.go
@@ -5,7 +5,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"hash/crc32"
 	"sort"
@@ -13,6 +12,7 @@
 	"strings"
 	"syscall"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 
 	"fernlink/core/flow"
--- a/shell/disk/disk_test.go
+++ b/shell/disk/disk_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"math/rand"
 	"os"
@@ -11,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 	"fernlink/core/raft"
 )
--- a/shell/disk/fuzz_test.go
+++ b/shell/disk/fuzz_test.go
@@ -1,9 +1,10 @@
 package disk
 
 import (
-	"encoding/json"
 	"testing"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
 	"fernlink/core/ledger/keys"
--- a/shell/disk/inspect.go
+++ b/shell/disk/inspect.go
@@ -1,11 +1,11 @@
 package disk
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 
 	"fernlink/core/flow"
--- a/shell/disk/inspect_test.go
+++ b/shell/disk/inspect_test.go
@@ -1,13 +1,13 @@
 package disk
 
 import (
-	"encoding/json"
 	"math/rand"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 
 	"fernlink/core/flow"
--- a/shell/link/envelope.go
+++ b/shell/link/envelope.go
@@ -3,9 +3,9 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"strconv"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 
 	"fernlink/core/flow"
--- a/shell/link/link_test.go
+++ b/shell/link/link_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"io"
 	"net"
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/go-kit/log"
 
 	"fernlink/core/flow"
--- a/shell/link/speak_test.go
+++ b/shell/link/speak_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/go-kit/log"
 
 	"fernlink/core/flow"
--- a/shell/run/run.go
+++ b/shell/run/run.go
@@ -6,11 +6,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"slices"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
--- a/shell/web/listener_test.go
+++ b/shell/web/listener_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -14,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 )
 
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"net/url"
@@ -13,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
--- a/sim/actors.go
+++ b/sim/actors.go
@@ -1,11 +1,12 @@
 package sim
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/api"
 	"fernlink/core/budget"
 	"fernlink/core/dialect"
--- a/sim/actors_train.go
+++ b/sim/actors_train.go
@@ -1,12 +1,13 @@
 package sim
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
 	"fernlink/rig/standin"
--- a/sim/control_witness.go
+++ b/sim/control_witness.go
@@ -1,10 +1,11 @@
 package sim
 
 import (
-	"encoding/json"
 	"slices"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 )
--- a/sim/day.go
+++ b/sim/day.go
@@ -1,12 +1,13 @@
 package sim
 
 import (
-	"encoding/json"
 	"fmt"
 	"runtime"
 	"strings"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/ask"
 	"fernlink/core/budget"
 	"fernlink/core/flow"
--- a/sim/disk.go
+++ b/sim/disk.go
@@ -1,7 +1,6 @@
 package sim
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/crc32"
@@ -12,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 	"fernlink/core/sorted"
 	"fernlink/shell/disk"
--- a/sim/engine_story_test.go
+++ b/sim/engine_story_test.go
@@ -1,11 +1,12 @@
 package sim
 
 import (
-	"encoding/json"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/budget"
 	"fernlink/core/dialect"
 	"fernlink/core/ledger"
--- a/sim/faults.go
+++ b/sim/faults.go
@@ -1,10 +1,11 @@
 package sim
 
 import (
-	"encoding/json"
 	"fmt"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/budget"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
--- a/sim/host.go
+++ b/sim/host.go
@@ -1,12 +1,13 @@
 package sim
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/coord"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
--- a/sim/lot_way_bench_test.go
+++ b/sim/lot_way_bench_test.go
@@ -3,12 +3,13 @@
 import (
 	"bytes"
 	"encoding/base64"
-	"encoding/json"
 	"fmt"
 	"math/rand"
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/ask"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
--- a/sim/many_changes_test.go
+++ b/sim/many_changes_test.go
@@ -1,7 +1,6 @@
 package sim
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 	"strconv"
@@ -9,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
--- a/sim/members_test.go
+++ b/sim/members_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"math/rand"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
--- a/sim/orders_history_test.go
+++ b/sim/orders_history_test.go
@@ -1,7 +1,6 @@
 package sim
 
 import (
-	"encoding/json"
 	"fmt"
 	"math"
 	"slices"
@@ -9,6 +8,7 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
+	"github.com/go-json-experiment/json/v1"
 
 	"fernlink/core/ask"
 	"fernlink/core/budget"
--- a/sim/outside.go
+++ b/sim/outside.go
@@ -1,13 +1,14 @@
 package sim
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/url"
 	"sort"
 	"strings"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
 	"fernlink/core/sorted"
--- a/sim/serve_site.go
+++ b/sim/serve_site.go
@@ -1,12 +1,13 @@
 package sim
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/url"
 	"strings"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/config"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
--- a/sim/serve_trainer.go
+++ b/sim/serve_trainer.go
@@ -2,12 +2,13 @@
 
 import (
 	"encoding/base64"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 )
 
--- a/sim/snapshot_test.go
+++ b/sim/snapshot_test.go
@@ -1,13 +1,14 @@
 package sim
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/api"
 	"fernlink/core/budget"
 	"fernlink/core/flow"
--- a/sim/story_test.go
+++ b/sim/story_test.go
@@ -1,12 +1,13 @@
 package sim
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/api"
 	"fernlink/core/budget"
 	"fernlink/core/dialect"
