Questions, commands and frames of the log carry encoded bodies as they stand

Cause: a question to the leader, its command in the log and the frame on disk hold a body that was encoded already, and the general encoder reads it through again to write it; a command was read through to find where its body ends, and then read again.

ask.Ask, ledger.Command and the records of the log are now written as raft messages are: the fields around the body, and the body copied. A question is encoded once for all its tries. Bytes are the same as before, which the tests hold byte for byte, so old logs read as ever.

--- a/core/ask/ask.go
+++ b/core/ask/ask.go
@@ -27,13 +27,26 @@
 
 var ofLeases = map[string]bool{"renew": true, "coord.renew": true, "coord.take": true}
 
-func (a Ask) line() string {
-	if ofLeases[a.Kind] {
+func lineOf(kind string) string {
+	if ofLeases[kind] {
 		return LeaseLine
 	}
 	return Line
 }
 
+// Encode gives a question as JSON. Its body is valid JSON already, a lot as often as
+// not, and is copied as it stands.
+func (a Ask) Encode() (json.RawMessage, error) {
+	head, err := json.Marshal(struct {
+		ID   uint64 `json:"id"`
+		Kind string `json:"kind"`
+	}{a.ID, a.Kind})
+	if err != nil {
+		return nil, err
+	}
+	return flow.WithField(head, "body", a.Body), nil
+}
+
 // Told answers one Ask. Retry says to ask again, at Leader if that is known.
 type Told struct {
 	ID     uint64          `json:"id"`
@@ -52,13 +65,9 @@
 	if err != nil || len(body) == 0 {
 		return head, err
 	}
-	text := make([]byte, 0, len(head)+len(body)+len(bodyField))
-	text = append(append(text, head[:len(head)-1]...), bodyField...)
-	return append(append(text, body...), '}'), nil
+	return flow.WithField(head, "body", body), nil
 }
 
-const bodyField = `,"body":`
-
 // Answer is what comes back to the asker. Code 0 means given up: whether the
 // command took effect is not known.
 type Answer struct {
@@ -68,7 +77,8 @@
 }
 
 type open struct {
-	ask   Ask
+	line  string          // the kind of the line that carries it
+	text  json.RawMessage // as it is sent, at each try
 	done  func(flow.Time, Answer)
 	limit flow.Time
 	again flow.Time
@@ -93,15 +103,26 @@
 // New starts an asker; base keeps the ids of two incarnations apart.
 func New(base uint64) *Asker { return &Asker{next: base, open: map[uint64]*open{}} }
 
-// Put opens an ask.
+// Put opens an ask. A body that is a json.RawMessage was encoded by this program and
+// is not read again.
 func (a *Asker) Put(now, limit flow.Time, kind string, body any, done func(flow.Time, Answer)) {
-	raw, err := json.Marshal(body)
+	text, err := encode(Ask{ID: a.next + 1, Kind: kind}, body)
 	if err != nil {
 		done(now, Answer{Code: 500})
 		return
 	}
 	a.next++
-	a.open[a.next] = &open{ask: Ask{a.next, kind, raw}, done: done, limit: now + limit, again: now, sent: -1}
+	a.open[a.next] = &open{line: lineOf(kind), text: text, done: done, limit: now + limit, again: now, sent: -1}
+}
+
+func encode(question Ask, body any) (text json.RawMessage, err error) {
+	encoded := false
+	if question.Body, encoded = body.(json.RawMessage); !encoded {
+		if question.Body, err = json.Marshal(body); err != nil {
+			return nil, err
+		}
+	}
+	return question.Encode()
 }
 
 // Open counts the asks that wait for an answer.
@@ -177,7 +198,7 @@
 		if o.sent < 0 {
 			o.sent = now
 		}
-		o.again, o.to = now+budget.Ask+Carry(len(o.ask.Body)), to
-		out.Line(to, o.ask.line(), o.ask)
+		o.again, o.to = now+budget.Ask+Carry(len(o.text)), to
+		out.EncodedLine(to, o.line, o.text, nil)
 	}
 }
--- a/core/ask/encode_test.go
+++ b/core/ask/encode_test.go
@@ -25,3 +25,18 @@
 		}
 	}
 }
+
+func TestQuestionsAreEncodedAsTheirFieldsSay(t *testing.T) {
+	for _, question := range []Ask{
+		{ID: 7, Kind: "lot.put", Body: json.RawMessage(`{"id":"a\u003c","items":[1,null]}`)},
+		{ID: 1<<64 - 1, Kind: `odd "kind" <`, Body: json.RawMessage(`"x"`)},
+	} {
+		// Given a question, when it is encoded, then it has each byte that the general
+		// encoder writes.
+		got, err := question.Encode()
+		want, _ := json.Marshal(question)
+		if err != nil || string(got) != string(want) {
+			t.Errorf("%s, %v; not %s", got, err, want)
+		}
+	}
+}
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -94,8 +94,8 @@
 // Apply folds one committed command.
 func (l *Ledger) Apply(index uint64, data json.RawMessage) Result {
 	l.Index = index
-	var c Command
-	if json.Unmarshal(data, &c) != nil {
+	c, err := decodeCommand(data)
+	if err != nil {
 		return fail(400, "command does not parse")
 	}
 	f, ok := commands[c.Kind]
--- a/core/store/asks.go
+++ b/core/store/asks.go
@@ -102,7 +102,7 @@
 }
 
 func (s *Store) write(w wait, kind string, body json.RawMessage, out *flow.Outbox) {
-	data, _ := json.Marshal(ledger.Command{Kind: kind, At: s.time(), Body: body})
+	data := ledger.Command{Kind: kind, At: s.time(), Body: body}.Encode()
 	at, term, err := s.raft.Propose("cmd", data)
 	s.hold(w, at, term, err, out)
 }
--- a/shell/disk/disk.go
+++ b/shell/disk/disk.go
@@ -110,11 +110,57 @@
 }
 
 func frame(v any) []byte {
+	return framed(encoded(v))
+}
+
+// framed covers an encoded text.
+func framed(text []byte) []byte {
+	head := fmt.Sprintf("%08x %d ", crc32.ChecksumIEEE(text), len(text))
+	b := make([]byte, 0, len(head)+len(text)+1)
+	return append(append(append(b, head...), text...), '\n')
+}
+
+// frameOf gives the frame of a record, whose entries are copied as they stand.
+func frameOf(r record) []byte {
+	if r.Mark != nil {
+		return frame(r)
+	}
+	size := 0
+	for _, s := range r.Saves {
+		size += flow.EncodedSize(s.Add) + saveOverhead
+	}
+	text := append(make([]byte, 0, size), `{"saves":[`...)
+	for i, s := range r.Saves {
+		if i > 0 {
+			text = append(text, ',')
+		}
+		text = appendSave(text, s)
+	}
+	return framed(append(text, `]}`...))
+}
+
+// saveOverhead is about what a save without entries takes, in bytes.
+const saveOverhead = 256
+
+// appendSave adds a save to a text as its fields are encoded.
+func appendSave(text []byte, s flow.Save) []byte {
+	text = append(append(text, `{"Hard":`...), encoded(s.Hard)...)
+	text = strconv.AppendUint(append(text, `,"Cut":`...), s.Cut, 10)
+	text = append(text, `,"Add":`...)
+	if s.Add == nil {
+		text = append(text, `null`...)
+	} else {
+		text = flow.AppendEntries(text, s.Add)
+	}
+	return append(append(append(text, `,"Snapshot":`...), encoded(s.Snapshot)...), '}')
+}
+
+func encoded(v any) []byte {
 	b, err := json.Marshal(v)
 	if err != nil {
 		panic(err) // only plain structs come here
 	}
-	return append([]byte(fmt.Sprintf("%08x %d ", crc32.ChecksumIEEE(b), len(b))), append(b, '\n')...)
+	return b
 }
 
 // unframe reads one frame and gives its size, or false where it is not whole.
@@ -329,7 +375,7 @@
 
 // open puts the next segment beside the others.
 func (l *Log) open(r record) error {
-	b := frame(r)
+	b := frameOf(r)
 	if err := l.put(segName(l.seg+1), b); err != nil {
 		return err
 	}
@@ -405,7 +451,7 @@
 			return err
 		}
 	}
-	b := append(frame(record{Saves: saves}), frame(record{Mark: markOf(l.hard, saves)})...)
+	b := append(frameOf(record{Saves: saves}), frame(record{Mark: markOf(l.hard, saves)})...)
 	name := segName(l.seg)
 	if err := l.fs.Append(name, b); err != nil {
 		if e := turned(err); !errors.Is(e, ErrFull) {
