Large texts are read in one pass for two

Cause: json.Unmarshal checks a whole text before it reads any of it. Where a text that is at fault is dropped whole, that first pass buys nothing.

flow.Decode reads as json.Unmarshal does and refuses what that refuses; only what stands in the value after a fault differs, and its callers use nothing then. It reads lines of peers, questions, Raft messages, lots, listings and pages.

--- a/core/ledger/json_test.go
+++ b/core/ledger/json_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/go-json-experiment/json/v1"
+
+	"fernlink/core/flow"
 )
 
 // oddTexts are documents on which libraries like to differ. Members of two builds fold
@@ -55,6 +57,18 @@
 	}
 }
 
+// decodedInOnePass reads a text in one pass and by the standard library.
+func decodedInOnePass[T any](t *testing.T, text string) {
+	t.Helper()
+	var mine, theirs T
+	gotErr, wantErr := flow.Decode([]byte(text), &mine), standard.Unmarshal([]byte(text), &theirs)
+	if (gotErr == nil) != (wantErr == nil) {
+		t.Errorf("%T %.99s: %v, not %v", mine, text, gotErr, wantErr)
+	} else if gotErr == nil && !reflect.DeepEqual(mine, theirs) {
+		t.Errorf("%T %.99s: %+v, not %+v", mine, text, mine, theirs)
+	}
+}
+
 // Given odd texts, when they are read and written, then all is as by the standard
 // library: what is refused, what is read, and each byte of what is written.
 func TestJSONIsReadAndWrittenAsByTheStandardLibrary(t *testing.T) {
@@ -66,6 +80,10 @@
 		readAndWritten[Delta](t, text)
 		readAndWritten[string](t, text)
 		readAndWritten[map[string]any](t, text)
+		decodedInOnePass[LotDoc](t, text)
+		decodedInOnePass[Command](t, text)
+		decodedInOnePass[ListLot](t, text)
+		decodedInOnePass[map[string]any](t, text)
 		if got, want := json.Valid([]byte(text)), standard.Valid([]byte(text)); got != want {
 			t.Errorf("%.99s: valid %v, not %v", text, got, want)
 		}
@@ -80,5 +98,8 @@
 		readAndWritten[LotDoc](t, text)
 		readAndWritten[Command](t, text)
 		readAndWritten[ListLot](t, text)
+		decodedInOnePass[LotDoc](t, text)
+		decodedInOnePass[Command](t, text)
+		decodedInOnePass[ListLot](t, text)
 	})
 }
--- a/core/ledger/lot_reads.go
+++ b/core/ledger/lot_reads.go
@@ -134,7 +134,7 @@
 	return Result{Code: 200, Need: need, With: func(items [][]byte) Result {
 		for i, b := range items {
 			var part []LotItem
-			if json.Unmarshal(b, &part) != nil {
+			if flow.Decode(b, &part) != nil {
 				return fail(500, "a lot's requests do not parse")
 			}
 			for j, x := range part {
--- a/core/ledger/lots.go
+++ b/core/ledger/lots.go
@@ -127,7 +127,7 @@
 func (l *Ledger) putLot(c Command) Result {
 	l.retireLots()
 	var d LotDoc
-	if json.Unmarshal(c.Body, &d) != nil || d.ID == "" {
+	if flow.Decode(c.Body, &d) != nil || d.ID == "" {
 		return fail(400, "lot does not parse")
 	}
 	h := lotHash(d.Items)
@@ -216,7 +216,7 @@
 func (l *Ledger) listLot(c Command) Result {
 	l.retireLots()
 	var x ListLot
-	if json.Unmarshal(c.Body, &x) != nil {
+	if flow.Decode(c.Body, &x) != nil {
 		return fail(400, "results do not parse")
 	}
 	t := l.Lots[x.Lot]
--- a/core/node/lines.go
+++ b/core/node/lines.go
@@ -3,8 +3,6 @@
 package node
 
 import (
-	"github.com/go-json-experiment/json/v1"
-
 	"fernlink/core/ask"
 	"fernlink/core/budget"
 	"fernlink/core/disp"
@@ -124,7 +122,7 @@
 }
 
 func (n *Node) parse(l flow.Line, into any) bool {
-	if json.Unmarshal(l.Body, into) != nil {
+	if flow.Decode(l.Body, into) != nil {
 		n.counts["malformed_lines"]++
 		return false
 	}
--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -117,7 +117,7 @@
 			t.fetch(id)
 			return
 		}
-		if a.Code != 200 || json.Unmarshal(a.Body, &x) != nil || x.Ended || x.Doc.Owner != t.env.Me {
+		if a.Code != 200 || flow.Decode(a.Body, &x) != nil || x.Ended || x.Doc.Owner != t.env.Me {
 			return
 		}
 		t.Adopt(x.Doc, flow.Time(x.Doc.AgeMS)*time.Millisecond)
@@ -232,7 +232,7 @@
 			return
 		}
 		var x ledger.LotRead
-		if a.Code != 200 || json.Unmarshal(a.Body, &x) != nil {
+		if a.Code != 200 || flow.Decode(a.Body, &x) != nil {
 			delete(t.readers, r.call.ID)
 			t.told(r.call, a)
 			return
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -231,7 +231,7 @@
 	},
 	"lot.hand": func(s *Serve, l flow.Line) {
 		var d ledger.LotDoc
-		if json.Unmarshal(l.Body, &d) == nil {
+		if flow.Decode(l.Body, &d) == nil {
 			s.lots.Handed(d)
 		}
 	},
--- a/core/store/asks.go
+++ b/core/store/asks.go
@@ -21,7 +21,7 @@
 // Ask takes a question.
 func (s *Store) Ask(now flow.Time, l flow.Line, out *flow.Outbox) {
 	var a ask.Ask
-	if json.Unmarshal(l.Body, &a) != nil {
+	if flow.Decode(l.Body, &a) != nil {
 		return
 	}
 	s.now = now
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -123,7 +123,7 @@
 // Raft takes a Raft line.
 func (s *Store) Raft(now flow.Time, l flow.Line) {
 	var m raft.Message
-	if json.Unmarshal(l.Body, &m) != nil || m.ToID != s.p.ID {
+	if flow.Decode(l.Body, &m) != nil || m.ToID != s.p.ID {
 		s.counts["strays"]++
 		return
 	}
--- a/sim/lot_way_bench_test.go
+++ b/sim/lot_way_bench_test.go
@@ -346,7 +346,7 @@
 	layer(b, "owner/handed", len(handed), func(b *testing.B) {
 		for b.Loop() {
 			var lot ledger.LotDoc
-			if err := json.Unmarshal(unpacked(b, handed).Body, &lot); err != nil {
+			if err := flow.Decode(unpacked(b, handed).Body, &lot); err != nil {
 				b.Fatal(err)
 			}
 		}
@@ -372,7 +372,7 @@
 	layer(b, "owner/items", len(body), func(b *testing.B) {
 		for b.Loop() {
 			var x ledger.LotItems
-			if err := json.Unmarshal(body, &x); err != nil || len(x.Doc.Items) != wayGroups*wayGroup {
+			if err := flow.Decode(body, &x); err != nil || len(x.Doc.Items) != wayGroups*wayGroup {
 				b.Fatal(err, len(x.Doc.Items))
 			}
 		}
@@ -420,7 +420,7 @@
 	var told ask.Told
 	layer(b, "edge/answer", len(w.page), func(b *testing.B) {
 		for b.Loop() {
-			if err := json.Unmarshal(x.Body, &told); err != nil {
+			if err := flow.Decode(x.Body, &told); err != nil {
 				b.Fatal(err)
 			}
 		}
@@ -428,7 +428,7 @@
 	layer(b, "edge/page", len(w.page), func(b *testing.B) {
 		for b.Loop() {
 			var read ledger.LotRead
-			if err := json.Unmarshal(told.Body, &read); err != nil || len(read.Results) == 0 {
+			if err := flow.Decode(told.Body, &read); err != nil || len(read.Results) == 0 {
 				b.Fatal(err)
 			}
 			w.codec.WritePage(dialect.LotPage{Total: read.Total, Next: read.Next, Results: read.Results})
