Lots are handed in packed: members carry their requests as bytes

Cause: each member decoded all requests of a lot, hashed them, and encoded them again for its blob store, though only the lot's owner ever needs them; the leader decoded them once more to tell an owner what is left, and read a question through to find its body.

The node that takes a lot, which reads and checks each request as before, now packs it: ids, the hash and the bounds of the stretches, beside the stretches as the text that lies on the blob store. Members check what they keep (each id there and once, each stretch with its items) and copy the text; the owner reads it. The questions of bulk are split as their commands are; whoever reads the body refuses one that is no single value.

--- a/core/ask/ask.go
+++ b/core/ask/ask.go
@@ -4,6 +4,9 @@
 package ask
 
 import (
+	"bytes"
+	"strconv"
+
 	"github.com/go-json-experiment/json/v1"
 
 	"fernlink/core/budget"
@@ -47,6 +50,29 @@
 	return flow.WithField(head, "body", a.Body), nil
 }
 
+// Decode reads a question. Where readsWhole says so of its kind, its body is taken as it
+// stands, and whoever reads the body has to refuse one that is no single value.
+func Decode(text json.RawMessage, readsWhole func(kind string) bool) (Ask, error) {
+	if a, ok := split(text); ok && readsWhole(a.Kind) {
+		return a, nil
+	}
+	var a Ask
+	err := flow.Decode(text, &a)
+	return a, err
+}
+
+// split takes a question apart as Encode wrote it.
+func split(text json.RawMessage) (Ask, bool) {
+	rest, isAsk := bytes.CutPrefix(text, []byte(`{"id":`))
+	digits, rest, hasKind := bytes.Cut(rest, []byte(`,"kind":"`))
+	kind, body, hasBody := bytes.Cut(rest, []byte(`","body":`))
+	id, err := strconv.ParseUint(string(digits), 10, 64)
+	if !isAsk || !hasKind || !hasBody || err != nil || len(body) < 2 || body[len(body)-1] != '}' {
+		return Ask{}, false
+	}
+	return Ask{ID: id, Kind: string(kind), Body: json.RawMessage(body[:len(body)-1])}, true
+}
+
 // Told answers one Ask. Retry says to ask again, at Leader if that is known.
 type Told struct {
 	ID     uint64          `json:"id"`
--- a/core/ask/encode_test.go
+++ b/core/ask/encode_test.go
@@ -40,3 +40,31 @@
 		}
 	}
 }
+
+// Given questions as they are sent and as others may write them, when they are read,
+// then each reads as what it was; only of the kinds that say so is a body taken as it
+// stands.
+func TestQuestionsAreReadAsTheyWereSent(t *testing.T) {
+	bulk := func(kind string) bool { return kind == "lot.put" }
+	for _, question := range []Ask{
+		{ID: 7, Kind: "lot.put", Body: json.RawMessage(`{"id":"a","items":[1,null]}`)},
+		{ID: 1<<64 - 1, Kind: "renew", Body: json.RawMessage(`{"kind":"lot.put","body":1}`)},
+		{ID: 1, Kind: `odd "kind" <`, Body: json.RawMessage(`"x"`)},
+	} {
+		text, _ := question.Encode()
+		if got, err := Decode(text, bulk); err != nil || !reflect.DeepEqual(got, question) {
+			t.Errorf("%s: %+v, %v", text, got, err)
+		}
+	}
+	for _, text := range []string{`{"kind":"lot.put","id":7,"body":"b"}`, `{"id":7,"kind":"lot.put", "body":"b"}`, ` {"id":7,"kind":"lot.put","body":"b"} `, `{"id":7,"kind":"renew","body":"b","more":1}`} {
+		got, err := Decode(json.RawMessage(text), bulk)
+		if err != nil || got.ID != 7 || string(got.Body) != `"b"` {
+			t.Errorf("%s: %+v, %v", text, got, err)
+		}
+	}
+	for _, text := range []string{``, `[]`, `{"id":7,"kind":"renew","body":"b"`, `{"id":-7,"kind":"renew","body":"b"}`} {
+		if got, err := Decode(json.RawMessage(text), bulk); err == nil {
+			t.Errorf("%s: %+v", text, got)
+		}
+	}
+}
--- a/core/ledger/command.go
+++ b/core/ledger/command.go
@@ -23,6 +23,9 @@
 // a single value, so that it need not be read through to find where it ends.
 var bulky = map[string]bool{"lot.put": true, "lot.list": true}
 
+// ReadsWholeBody says whether the command of a kind is such a one.
+func ReadsWholeBody(kind string) bool { return bulky[kind] }
+
 // decodeCommand reads a command. Those of bulk are taken apart where they were written
 // by Encode; nothing else writes them into the log.
 func decodeCommand(data json.RawMessage) (Command, error) {
--- a/core/ledger/lot_reads.go
+++ b/core/ledger/lot_reads.go
@@ -125,28 +125,63 @@
 			parts, need = append(parts, k), append(need, t.partRef(k))
 		}
 	}
-	out := LotItems{Doc: t.Doc, Listed: len(t.List), Ended: t.Ended}
-	out.Doc.AgeMS, out.Doc.Items = l.Clock-t.Doc.Opened, []LotItem{}
+	doc, listed, ended := t.Doc, len(t.List), t.Ended
+	doc.AgeMS = l.Clock - t.Doc.Opened
 	if len(need) == 0 {
-		return good(out)
+		return Result{Code: 200, Body: encodeItems(doc, listed, ended, nil)}
 	}
 	done := slices.Clone(t.done) // Listed and what is left must agree
 	return Result{Code: 200, Need: need, With: func(items [][]byte) Result {
+		var left []json.RawMessage
 		for i, b := range items {
-			var part []LotItem
-			if flow.Decode(b, &part) != nil {
+			stretch, err := unlisted(b, done[starts[parts[i]]:])
+			if err != nil {
 				return fail(500, "a lot's requests do not parse")
 			}
-			for j, x := range part {
-				if !done[starts[parts[i]]+j] {
-					out.Doc.Items = append(out.Doc.Items, x)
-				}
-			}
+			left = append(left, stretch)
 		}
-		return good(out)
+		return Result{Code: 200, Body: encodeItems(doc, listed, ended, left)}
 	}}
 }
 
+// unlisted gives the items of a stretch of requests that are not listed.
+func unlisted(stretch json.RawMessage, done []bool) (json.RawMessage, error) {
+	var items, left []json.RawMessage
+	if err := flow.Decode(stretch, &items); err != nil {
+		return nil, err
+	}
+	for i, item := range items {
+		if i < len(done) && !done[i] {
+			left = append(left, item)
+		}
+	}
+	if len(left) == len(items) {
+		return stretch, nil
+	}
+	return listOf(left), nil
+}
+
+// listOf makes a list of encoded values.
+func listOf(values []json.RawMessage) json.RawMessage {
+	text := []byte{'['}
+	for i, value := range values {
+		if i > 0 {
+			text = append(text, ',')
+		}
+		text = append(text, value...)
+	}
+	return append(text, ']')
+}
+
+// encodeItems gives a LotItems whose items are encoded already.
+func encodeItems(doc LotDoc, listed int, ended bool, lists []json.RawMessage) json.RawMessage {
+	head := raw(struct {
+		Listed int  `json:"listed"`
+		Ended  bool `json:"ended,omitempty"`
+	}{listed, ended})
+	return flow.WithField(head, "doc", encodeLot(doc, joinLists(lists)))
+}
+
 // LotBody answers a lot.item.
 type LotBody struct {
 	Body []byte `json:"body"`
--- a/core/ledger/lot_room.go
+++ b/core/ledger/lot_room.go
@@ -23,12 +23,12 @@
 // roomForLot says whether a lot fits beside those that are kept, with the texts
 // that it and the open ones are still to get. A disk that fills up stops reads as
 // well as changes, so what can't be kept is refused before any of it runs.
-func (l *Ledger) roomForLot(items []LotItem) bool {
+func (l *Ledger) roomForLot(lot *Lot) bool {
 	if l.Bounds.LotBytes <= 0 {
 		return true
 	}
 	var held, textBytes, texts int64
-	missing := int64(len(items))
+	missing := int64(len(lot.IDs))
 	for _, t := range l.Lots {
 		held += t.requestBytes + t.textBytes
 		textBytes += t.textBytes
@@ -41,5 +41,5 @@
 	if texts > 0 {
 		mean = textBytes / texts
 	}
-	return held+requestBytes(items)+missing*mean <= l.Bounds.LotBytes
+	return held+lot.requestBytes+missing*mean <= l.Bounds.LotBytes
 }
--- a/core/ledger/lots.go
+++ b/core/ledger/lots.go
@@ -126,38 +126,72 @@
 
 func (l *Ledger) putLot(c Command) Result {
 	l.retireLots()
-	var d LotDoc
-	if flow.Decode(c.Body, &d) != nil || d.ID == "" {
+	var body PutLot
+	if flow.Decode(c.Body, &body) != nil {
+		return fail(400, "lot does not parse")
+	}
+	p, size := body.packed()
+	d := p.Doc
+	if d.ID == "" || !p.whole() {
 		return fail(400, "lot does not parse")
 	}
-	h := lotHash(d.Items)
 	if old := l.Lots[d.ID]; old != nil {
-		if old.Hash != h {
+		if old.Hash != p.Hash {
 			l.OrderCounts.Changed++
 			return fail(409, otherLot)
 		}
 		l.OrderCounts.Repeated++
 		return good(LotPut{d.ID, len(old.IDs), false})
 	}
-	switch known, total := l.recall(lotID(d.ID, h)); known {
+	switch known, total := l.recall(lotID(d.ID, p.Hash)); known {
 	case repeated: // its time is over: it is not run again
 		return good(LotPut{d.ID, int(total), false})
 	case changed:
 		return fail(409, otherLot)
 	}
-	if len(d.Items) > LotItemsMost {
+	if len(p.IDs) > LotItemsMost {
 		return fail(400, "more items than a lot may have")
 	}
-	t := &Lot{Hash: h, Item: l.Index, Mod: l.Index}
-	for _, x := range d.Items {
-		if x.ID == "" {
-			return fail(400, "an item of the lot has no id")
-		}
-		t.IDs = append(t.IDs, x.ID)
+	if slices.Contains(p.IDs, "") {
+		return fail(400, "an item of the lot has no id")
 	}
+	t := &Lot{Hash: p.Hash, IDs: p.IDs, Parts: p.Parts, requestBytes: size, Item: l.Index, Mod: l.Index}
 	if id, twice := t.index(); twice {
 		return fail(400, "item "+id+" stands twice in the lot")
 	}
+	if refused := l.roomFor(t, c.At); refused != nil {
+		return *refused
+	}
+	if d.KeepMS <= 0 {
+		d.KeepMS = l.Bounds.Age
+	}
+	d.KeepMS, d.WaitMS = min(d.KeepMS, lotKeepMost), min(max(d.WaitMS, 0), lotKeepMost)
+	d.Opened, d.AgeMS = c.At, 0
+	t.Doc = d
+	for k, part := range p.Requests {
+		ref := t.partRef(k)
+		l.put(ref.Kind, ref.ID, part)
+	}
+	l.put(DocItem, l.Index, raw(lotHead{d, t.IDs, t.Parts}))
+	l.Lots[d.ID] = t
+	l.acknowledge(lotID(d.ID, p.Hash), c.At, uint64(len(t.IDs)))
+	l.lotsDue = min(l.lotsDue, t.due())
+	return good(LotPut{d.ID, len(t.IDs), true})
+}
+
+// packed gives the lot of a command, and what its requests need on the blob store.
+// What builds wrote that did not pack lots counts as it did for them.
+func (b PutLot) packed() (PackedLot, int64) {
+	if b.Packed != nil {
+		b.Packed.Doc.Items = nil
+		return *b.Packed, b.Packed.requestBytes()
+	}
+	return PackLot(b.LotDoc), requestBytes(b.Items)
+}
+
+// roomFor says why there is no room for a lot, if there is none.
+func (l *Ledger) roomFor(t *Lot, at int64) *Result {
+	refusal := func(code int, text string) *Result { r := fail(code, text); return &r }
 	open, items := 0, len(t.IDs)
 	for _, x := range l.Lots {
 		items += len(x.IDs)
@@ -166,42 +200,18 @@
 		}
 	}
 	if open >= OpenLots {
-		return fail(429, "too many open lots")
+		return refusal(429, "too many open lots")
 	}
 	if len(l.Lots) >= KeepLots || items > KeepLotItems {
-		return fail(429, "too many lots or items of lots are kept")
+		return refusal(429, "too many lots or items of lots are kept")
 	}
-	if !l.roomForLot(d.Items) {
-		return fail(429, lotsFull)
-	}
-	if !l.roomForReceipts(c.At, 1) {
-		return fail(503, receiptsFull)
-	}
-	if d.KeepMS <= 0 {
-		d.KeepMS = l.Bounds.Age
+	if !l.roomForLot(t) {
+		return refusal(429, lotsFull)
 	}
-	d.KeepMS, d.WaitMS = min(d.KeepMS, lotKeepMost), min(max(d.WaitMS, 0), lotKeepMost)
-	d.Opened, d.AgeMS = c.At, 0
-	rest := d.Items
-	t.requestBytes = requestBytes(rest)
-	d.Items = nil
-	t.Doc = d
-	for at := 0; at < len(rest); {
-		end, size := at, 0
-		for end < len(rest) && (end == at || size+len(rest[end].Body) <= LotPartBytes) {
-			size += len(rest[end].Body) + sizeOf
-			end++
-		}
-		ref := t.partRef(len(t.Parts))
-		t.Parts = append(t.Parts, at)
-		l.put(ref.Kind, ref.ID, raw(rest[at:end]))
-		at = end
+	if !l.roomForReceipts(at, 1) {
+		return refusal(503, receiptsFull)
 	}
-	l.put(DocItem, l.Index, raw(lotHead{d, t.IDs, t.Parts}))
-	l.Lots[d.ID] = t
-	l.acknowledge(lotID(d.ID, h), c.At, uint64(len(t.IDs)))
-	l.lotsDue = min(l.lotsDue, t.due())
-	return good(LotPut{d.ID, len(t.IDs), true})
+	return nil
 }
 
 // LotCount answers a lot.list. Refused counts results that the lot does not
--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -39,7 +39,8 @@
 	doc.Single, doc.Tries, doc.WaitMS, doc.DueMS, doc.KeepMS = r.Single, r.Tries, int64(r.WaitMS), int64(r.DueMS), keep.Milliseconds()
 	came := t.env.Now
 	t.putting[c.ID] = true
-	t.env.Ask(budget.AskLimit, "lot.put", doc, func(a ask.Answer) {
+	packed := ledger.PackLot(doc)
+	t.env.Ask(budget.AskLimit, "lot.put", packed.Encode(), func(a ask.Answer) {
 		delete(t.putting, c.ID)
 		var x struct {
 			Fresh bool `json:"fresh"`
@@ -51,7 +52,7 @@
 			t.env.Counts["lots_taken"]++
 			t.env.Out.Answer(c.ID, 202, struct{}{}, nil)
 			if x.Fresh {
-				t.hand(doc, t.env.Now-came)
+				t.hand(doc, packed, t.env.Now-came)
 			}
 			return
 		}
@@ -73,14 +74,13 @@
 }
 
 // hand gives a lot that was just committed to its owner.
-func (t *Table) hand(doc ledger.LotDoc, age flow.Time) {
+func (t *Table) hand(doc ledger.LotDoc, packed ledger.PackedLot, age flow.Time) {
 	if doc.Owner == t.env.Me {
 		t.Adopt(doc, age)
 		return
 	}
 	if to := t.addr(doc.Owner); to != "" {
-		doc.AgeMS = age.Milliseconds()
-		t.env.Out.Line(to, "lot.hand", doc)
+		t.env.Out.EncodedLine(to, "lot.hand", packed.EncodeWhole(age.Milliseconds()), nil)
 	}
 }
 
--- a/core/store/asks.go
+++ b/core/store/asks.go
@@ -20,8 +20,9 @@
 
 // Ask takes a question.
 func (s *Store) Ask(now flow.Time, l flow.Line, out *flow.Outbox) {
-	var a ask.Ask
-	if flow.Decode(l.Body, &a) != nil {
+	a, err := ask.Decode(l.Body, ledger.ReadsWholeBody)
+	if err != nil {
+		s.counts["strays"]++
 		return
 	}
 	s.now = now
--- a/sim/lot_way_bench_test.go
+++ b/sim/lot_way_bench_test.go
@@ -130,9 +130,9 @@
 		b.Fatal(err)
 	}
 	w.lot.Host, w.lot.Path, w.lot.Owner, w.lot.KeepMS = "host", "/lots", wayOwner, 60_000
-	w.put = packed(b, asked("lot.put", w.lot))
+	w.put = packed(b, asked("lot.put", ledger.PackLot(w.lot).Encode()))
 	w.list = packed(b, asked("lot.list", wayListing()))
-	w.command, w.listed = committed(b, "lot.put", w.lot), committed(b, "lot.list", wayListing())
+	w.command, w.listed = committed(b, "lot.put", ledger.PackLot(w.lot).Encode()), committed(b, "lot.list", wayListing())
 	folded := w.fold(b)
 	w.page = packed(b, w.answer(b, folded))
 	return w
@@ -294,11 +294,11 @@
 	})
 	layer(b, "edge/ask", len(w.put), func(b *testing.B) {
 		for b.Loop() {
-			asked("lot.put", w.lot)
+			asked("lot.put", ledger.PackLot(w.lot).Encode())
 		}
 	})
 	layer(b, "edge/line", len(w.put), func(b *testing.B) {
-		x := asked("lot.put", w.lot)
+		x := asked("lot.put", ledger.PackLot(w.lot).Encode())
 		for b.Loop() {
 			packed(b, x)
 		}
@@ -332,9 +332,10 @@
 
 // owner measures what an owner and those who tell it of its lot do.
 func (w *way) owner(b *testing.B, folded *ledger.Ledger, change flow.BlobChange) {
+	handedOver := ledger.PackLot(w.lot)
 	hand := func() flow.Line {
 		var out flow.Outbox
-		out.Line("o:1", "lot.hand", w.lot)
+		out.EncodedLine("o:1", "lot.hand", handedOver.EncodeWhole(7), nil)
 		return addressed(out.Lines[0])
 	}
 	layer(b, "edge/hand", len(w.document), func(b *testing.B) {
