--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -4,10 +4,11 @@
 package serve
 
 import (
-	"encoding/json"
 	"math/rand"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/api"
 	"fernlink/core/ask"
 	"fernlink/core/budget"
@@ -230,7 +231,7 @@
 	},
 	"lot.hand": func(s *Serve, l flow.Line) {
 		var d ledger.LotDoc
-		if json.Unmarshal(l.Body, &d) == nil {
+		if flow.Decode(l.Body, &d) == nil {
 			s.lots.Handed(d)
 		}
 	},
