--- a/config/config.go
+++ b/config/config.go
@@ -4,13 +4,13 @@
 import (
 	"bytes"
 	_ "embed"
+	"encoding/json"
 	"net/netip"
 	"os"
 	"slices"
 	"strconv"
 	"sync"
 
-	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 	"github.com/santhosh-tekuri/jsonschema/v6"
 
