--- a/sim/history_test.go
+++ b/sim/history_test.go
@@ -8,6 +8,13 @@
 	"github.com/anishathalye/porcupine"
 )
 
+// verdict checks a history without a limit of time, so that it is the same on each
+// machine.
+func verdict(model porcupine.Model, history []porcupine.Operation) porcupine.CheckResult {
+	const unlimited = 0
+	return porcupine.CheckOperationsTimeout(model, history, unlimited)
+}
+
 // The plan as a register with versions: a put takes effect if it was made from
 // the version that stands, a look sees what stands.
 type planIn struct {
@@ -81,7 +88,7 @@
 		}
 		ops := o.Actors.planHistory()
 		puts, looks = puts+len(o.Actors.Attempts), looks+len(o.Actors.Looks)
-		if r := porcupine.CheckOperationsTimeout(planModel, ops, time.Minute); r != porcupine.Ok {
+		if r := verdict(planModel, ops); r != porcupine.Ok {
 			t.Errorf("seed %d: %s, faults %q", seed, r, o.Marks)
 		}
 	}
@@ -106,7 +113,7 @@
 		return a
 	}
 	check := func(a *Actors) porcupine.CheckResult {
-		return porcupine.CheckOperationsTimeout(planModel, a.planHistory(), time.Minute)
+		return verdict(planModel, a.planHistory())
 	}
 	if r := check(good()); r != porcupine.Ok {
 		t.Fatalf("the true history: %s", r)
--- a/sim/orders_history_test.go
+++ b/sim/orders_history_test.go
@@ -217,45 +217,6 @@
 	return nil
 }
 
-// settled is the history without sendings that have no clear answer and can't have
-// done anything that an earlier one did not: where the same order was sent before
-// without a clear answer, that one may have been taken whenever this one may; where it
-// was acknowledged before, this one changed nothing. One that is refused later had not
-// been taken by then, so it is only looked for from there on.
-func (c *orderClients) settled() []porcupine.Operation {
-	type sent struct{ object, id string }
-	refusedLast := map[sent]int64{}
-	earlier := map[sent]int64{} // from when on a further sending tells nothing
-	note := func(key sent, at int64) {
-		if was, ok := earlier[key]; !ok || at < was {
-			earlier[key] = at
-		}
-	}
-	for _, op := range c.history {
-		in, out := op.Input.(orderIn), op.Output.(orderOut)
-		switch {
-		case in.look:
-		case out.outcome == unclear:
-			note(sent{in.object, in.id()}, op.Call)
-		case out.outcome == acknowledged:
-			note(sent{in.object, in.id()}, op.Return)
-		default:
-			key := sent{in.object, in.id()}
-			refusedLast[key] = max(refusedLast[key], op.Call)
-		}
-	}
-	history := slices.Clone(c.history)
-	for i, op := range history {
-		if in := op.Input.(orderIn); !in.look && op.Output.(orderOut).outcome == unclear {
-			history[i].Call = max(op.Call, refusedLast[sent{in.object, in.id()}])
-		}
-	}
-	return slices.DeleteFunc(history, func(op porcupine.Operation) bool {
-		in, out := op.Input.(orderIn), op.Output.(orderOut)
-		return !in.look && out.outcome == unclear && op.Call > max(earlier[sent{in.object, in.id()}], refusedLast[sent{in.object, in.id()}])
-	})
-}
-
 // ownOrders are faults that give orders of their own, unknown to the history.
 var ownOrders = []string{"operator-drain", "pause-roll-out"}
 
@@ -294,7 +255,7 @@
 		for kind, n := range c.answers {
 			answers[kind] += n
 		}
-		if r := porcupine.CheckOperationsTimeout(ordersModel, numbered(c.settled()), 2*time.Minute); r != porcupine.Ok {
+		if r := checkOrders(c.history); r != porcupine.Ok {
 			t.Errorf("seed %d: %s, %d operations, faults %q", seed, r, len(c.history), c.w.Marks)
 		}
 	}
@@ -304,32 +265,38 @@
 	}
 }
 
+// lateOrder is an order or a look after all others.
+func (c *orderClients) lateOrder(after int64, in orderIn, out orderOut) porcupine.Operation {
+	call := int64(c.w.Now) + 2*after
+	return porcupine.Operation{ClientId: len(c.history), Input: in, Call: call, Output: out, Return: call + 1}
+}
+
+// find gives the first sending of a kind that had an outcome, a look or not.
+func (c *orderClients) find(kind orderKind, look bool, wanted outcome) porcupine.Operation {
+	for _, op := range c.history {
+		if in := op.Input.(orderIn); in.kind == kind && in.look == look && op.Output.(orderOut).outcome == wanted {
+			return op
+		}
+	}
+	c.T.Fatalf("no sending of kind %d (look %v) was %s", kind, look, wanted)
+	return porcupine.Operation{}
+}
+
 // Given a true history of orders, when one thing in it is spoilt, then the checker
 // objects: one that can't object proves nothing.
 func TestOrderCheckerObjects(t *testing.T) {
 	t.Parallel()
 	c := stormOfOrders(t, 320, 2)
-	check := func(history []porcupine.Operation) porcupine.CheckResult {
-		return porcupine.CheckOperationsTimeout(ordersModel, numbered(history), time.Minute)
-	}
-	if r := check(c.settled()); r != porcupine.Ok {
+	if r := checkOrders(c.history); r != porcupine.Ok {
 		t.Fatalf("the true history: %s", r)
 	}
-	end := int64(c.w.Now)
-	late := func(in orderIn, out orderOut) porcupine.Operation {
-		end++
-		return porcupine.Operation{ClientId: len(c.history), Input: in, Call: end, Output: out, Return: end + 1}
-	}
-	acked := func(kind orderKind) orderIn {
-		for _, op := range c.history {
-			if in := op.Input.(orderIn); in.kind == kind && !in.look && op.Output.(orderOut).outcome == acknowledged {
-				return in
-			}
-		}
-		t.Fatalf("no order of kind %d was acknowledged", kind)
-		return orderIn{}
-	}
+	late := func(in orderIn, out orderOut) porcupine.Operation { return c.lateOrder(1, in, out) }
+	acked := func(kind orderKind) orderIn { return c.find(kind, false, acknowledged).Input.(orderIn) }
 	other := func(in orderIn) orderIn { in.content += "-other"; return in }
+	seeing := func(op porcupine.Operation, seen standing) porcupine.Operation {
+		op.Output = orderOut{outcome: acknowledged, seen: seen}
+		return op
+	}
 	for name, op := range map[string]porcupine.Operation{
 		"an old plan is refused when it is sent again": late(acked(planKind), orderOut{outcome: refused}),
 		"old weights are refused":                      late(acked(weightsKind), orderOut{outcome: refused}),
@@ -339,14 +306,59 @@
 		"a lot's id is confirmed for another lot":      late(other(acked(lotKind)), orderOut{outcome: acknowledged}),
 		"a look sees a plan that never was":            late(orderIn{object: "plan", look: true}, orderOut{outcome: acknowledged, seen: standing{true, 9999, "never", false}}),
 		"a late repeat moved the weights back":         late(orderIn{object: "weights", look: true}, orderOut{outcome: acknowledged, seen: standing{number: 1}}),
+		"two looks at one time see different plans":    seeing(c.find(planKind, true, acknowledged), standing{true, 9999, "never", false}),
+		"two looks at one time see different weights":  seeing(c.find(weightsKind, true, acknowledged), standing{number: 9999}),
 	} {
-		history := append(c.settled(), op)
-		if r := check(history); r != porcupine.Illegal {
+		if r := checkOrders(append(slices.Clone(c.history), op)); r != porcupine.Illegal {
 			t.Errorf("%s: %s", name, r)
 		}
 	}
 }
 
+// lastPlan is the newest version of a plan that was seen or acknowledged.
+func (c *orderClients) lastPlan() uint64 {
+	last := uint64(0)
+	for _, op := range c.history {
+		in, out := op.Input.(orderIn), op.Output.(orderOut)
+		if in.object != "plan" || out.outcome != acknowledged {
+			continue
+		}
+		last = max(last, in.number, out.seen.number)
+	}
+	return last
+}
+
+// Given a true history, when a plan is sent that nobody answers, then a look may see
+// it; but not where the plan is refused afterwards, and not as another plan.
+func TestOrderCheckerOnUnansweredOrders(t *testing.T) {
+	t.Parallel()
+	c := stormOfOrders(t, 320, 2)
+	last := c.lastPlan()
+	next := last + 1
+	plan := orderIn{object: "plan", kind: planKind, name: fmt.Sprint("v", next), content: "unanswered", base: last, number: next}
+	sent := c.lateOrder(1, plan, orderOut{outcome: unclear})
+	sent.Return = math.MaxInt64
+	look := func(name string) porcupine.Operation {
+		return c.lateOrder(2, orderIn{object: "plan", look: true}, orderOut{outcome: acknowledged, seen: standing{exists: true, number: next, name: name}})
+	}
+	refusal := c.lateOrder(3, plan, orderOut{outcome: refused})
+	for _, x := range []struct {
+		name string
+		more []porcupine.Operation
+		want porcupine.CheckResult
+	}{
+		{"it is seen", []porcupine.Operation{sent, look(plan.name + plan.content)}, porcupine.Ok},
+		{"it is not seen", []porcupine.Operation{sent}, porcupine.Ok},
+		{"it is seen and then refused", []porcupine.Operation{sent, look(plan.name + plan.content), refusal}, porcupine.Illegal},
+		{"another one is seen", []porcupine.Operation{sent, look("other")}, porcupine.Illegal},
+		{"it is seen and was never sent", []porcupine.Operation{look(plan.name + plan.content)}, porcupine.Illegal},
+	} {
+		if r := checkOrders(append(slices.Clone(c.history), x.more...)); r != x.want {
+			t.Errorf("%s: %s, want %s", x.name, r, x.want)
+		}
+	}
+}
+
 func (c *orderClients) add(in orderIn, from time.Duration, out orderOut, until int64) {
 	c.history = append(c.history, porcupine.Operation{ClientId: len(c.history), Input: in, Call: int64(from), Output: out, Return: until})
 }
--- a/sim/orders_model_test.go
+++ b/sim/orders_model_test.go
@@ -31,6 +31,7 @@
 	flagged bool // the order says what flag is to be
 	place   int  // among the orders on the object (numbered)
 	rivals  orderSet
+	closing bool // no order: from here on nobody sees the object (closed)
 }
 
 // id is what the history remembers of an order that was taken.
@@ -82,8 +83,9 @@
 
 // orderState is an object and the orders on it that were taken.
 type orderState struct {
-	now   standing
-	taken orderSet
+	now    standing
+	taken  orderSet
+	closed bool // nobody sees it any more
 }
 
 func (s orderState) knows(in orderIn) bool { return s.taken.has(in.place) }
@@ -155,12 +157,18 @@
 
 // step says whether an answer fits a state, and which state follows.
 func (s orderState) step(in orderIn, out orderOut) (bool, orderState) {
-	if in.look {
+	switch {
+	case in.closing:
+		return true, orderState{closed: true}
+	case s.closed:
+		return true, s // a sending without an answer that changed nothing, or nothing that was seen
+	case in.look:
 		return out.seen == s.now, s
 	}
 	next, allowed := s.effect(in)
+	takes := !s.knows(in) && allowed
 	after := s
-	if !s.knows(in) && allowed {
+	if takes {
 		after = s.with(in, next)
 	}
 	switch out.outcome {
@@ -172,7 +180,7 @@
 		byDispatcher := in.kind == drainKind && (in.flag || out.gone)
 		return !s.knows(in) && (!allowed || byDispatcher), s
 	}
-	return true, after // it may have been taken
+	return takes, after // it may have been taken; otherwise it stands after the closing
 }
 
 // ordersModel takes all orders together: each object by itself, since an order
--- a/sim/second_loss_test.go
+++ b/sim/second_loss_test.go
@@ -225,7 +225,7 @@
 	}
 	s.then(s.w.Until(3*budget.Heal, func() bool { return s.voters() == 3 && s.settled() && s.w.Repaired() }), "%v: all is whole again: %v", l, s.members())
 	s.end()
-	if r := porcupine.CheckOperationsTimeout(planModel, s.a.planHistory(), time.Minute); r != porcupine.Ok {
+	if r := verdict(planModel, s.a.planHistory()); r != porcupine.Ok {
 		t.Errorf("%v: the history is %s", l, r)
 	}
 	return stood
