Lots that can't be taken in time are refused before they are read

Cause: a node without a lease read a lot of megabytes whole before it said 503; one with several lots under way took another, which pushed the oldest out of the queue of 4 MB to the leader; and large bodies that wait for the loop were bounded by number only.

A lot is refused with 503 and Retry-After before it is read where the node has no lease, is leaving, or has 4 MB of lots under way. Beyond 16 MB of large bodies that wait for their answers the listener refuses a large one before it reads its body. Bodies that are only announced take no room, so that slow senders shut nobody out. A lot that is at fault and comes where none can be taken now hears 503 first, for 400.

--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -19,26 +19,26 @@
 // Put hands a lot in: it is kept by the ledger before it is accepted.
 func (t *Table) Put(c flow.Call, r *route.Route, keep flow.Time) {
 	id := flow.Get(c.Fields, t.env.Codec.Attempt)
-	doc, err := t.env.Codec.ReadLot(id, c.Body)
-	if id == "" || err != nil {
+	if why := t.busy(len(c.Body)); why != "" {
 		if t.env.Debug {
-			t.env.Trace("lots", "refused", "lot", id, "why", "the lot can't be read")
+			t.env.Trace("lots", "refused", "lot", id, "why", why)
 		}
-		t.env.Out.Answer(c.ID, 400, env.Problem{Error: "the lot can't be read"}, nil)
+		t.env.Refuse(c.ID, why, budget.Renew)
 		return
 	}
-	if !t.env.Fresh() || t.leaving {
+	doc, err := t.env.Codec.ReadLot(id, c.Body)
+	if id == "" || err != nil {
 		if t.env.Debug {
-			t.env.Trace("lots", "refused", "lot", id, "why", "the store is not heard just now")
+			t.env.Trace("lots", "refused", "lot", id, "why", "the lot can't be read")
 		}
-		t.env.Refuse(c.ID, "the store is not heard just now", budget.Renew)
+		t.env.Out.Answer(c.ID, 400, env.Problem{Error: "the lot can't be read"}, nil)
 		return
 	}
 	doc.Host, doc.Path, doc.Route, doc.Pool = c.Host, c.Path, r.Name, r.Pool
 	doc.Owner = t.ownerOf(r.Pool, doc.Model)
 	doc.Single, doc.Tries, doc.WaitMS, doc.DueMS, doc.KeepMS = r.Single, r.Tries, int64(r.WaitMS), int64(r.DueMS), keep.Milliseconds()
 	came := t.env.Now
-	t.putting[c.ID] = true
+	t.putting[c.ID] = len(c.Body)
 	packed := ledger.PackLot(doc)
 	t.env.Ask(budget.AskLimit, "lot.put", packed.Encode(), func(a ask.Answer) {
 		delete(t.putting, c.ID)
@@ -73,6 +73,26 @@
 	})
 }
 
+// handInBytes is how many bytes of lots may be under way to the store from one node: what
+// waits for a peer beyond 4 MB is dropped, the oldest first (design 5.1). One lot is
+// taken whatever its size.
+const handInBytes = 4 << 20
+
+// busy says why a lot can't be taken in time, before any of it is read, or "".
+func (t *Table) busy(size int) string {
+	if !t.env.Fresh() || t.leaving {
+		return "the store is not heard just now"
+	}
+	under := 0
+	for _, bytes := range t.putting {
+		under += bytes
+	}
+	if under > 0 && under+size > handInBytes {
+		return "other lots are on their way to the store"
+	}
+	return ""
+}
+
 // hand gives a lot that was just committed to its owner.
 func (t *Table) hand(doc ledger.LotDoc, packed ledger.PackedLot, age flow.Time) {
 	if doc.Owner == t.env.Me {
--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -37,7 +37,7 @@
 	share    map[string]int       // slots of each engine in use, by pool, where that is bounded
 	partials partials             // texts of items that may come again
 	readers  map[uint64]*reader
-	putting  map[uint64]bool // hand-ins that are not answered yet
+	putting  map[uint64]int // hand-ins that are not answered yet, and their bytes
 	leaving  bool
 	scanned  flow.Time // when all items were last looked through
 	changed  bool      // a slot became free, or an item may run
@@ -46,7 +46,7 @@
 // New makes an empty table.
 func New(e *env.Env, t *engines.Table, routes func() *route.Table, live func() []gossip.Entry, index *prefixes.Table) *Table {
 	return &Table{env: e, engines: t, routes: routes, live: live, index: index, rows: map[string]*lot{}, asked: map[string]bool{}, wanted: map[string]flow.Time{}, others: map[string]bool{}, open: map[string]openLot{}, over: map[string]flow.Time{}, last: map[string]string{}, paces: map[string]*pace{}, partials: partials{},
-		readers: map[uint64]*reader{}, putting: map[uint64]bool{}}
+		readers: map[uint64]*reader{}, putting: map[uint64]int{}}
 }
 
 // lot is an open lot that this node owns.
--- a/core/serve/lots_test.go
+++ b/core/serve/lots_test.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"strconv"
@@ -261,6 +262,34 @@
 	w.want(w.reply(id).Code == 503, "never asked, so refused")
 }
 
+// Given a node that hands a lot in, when others come that the store can't take in time,
+// then they are refused unread, with a time to come back; they are taken once there is
+// room, and one of any size is taken alone.
+func TestLotsAreRefusedUnreadWhereTheyCannotBeTakenInTime(t *testing.T) {
+	w := two(t)
+	put := func(lot string, body []byte) uint64 {
+		return w.call("request", flow.Call{Host: "h", Verb: "POST", Path: "/l/x", Body: body, Fields: []flow.Field{{Name: "Try", Value: lot}}})
+	}
+	sized := func(size int) []byte {
+		b, _ := json.Marshal(ledger.LotDoc{Model: "m", Items: []ledger.LotItem{{ID: "i", Path: "/l/i", Body: make([]byte, size*3/4)}}})
+		return b
+	}
+	unread := bytes.Repeat([]byte("x"), 3<<20)
+	refused := func(id uint64) bool { return w.reply(id).Code == 503 && w.reply(id).Head["Retry-After"] != "" }
+	w.silent = true
+	first := put("large", sized(6<<20))
+	w.want(refused(put("second", unread)), "a lot is taken beside one that fills the way")
+	w.pass(4 * time.Second)
+	w.want(w.reply(first).Code == 504, "the first: %d", w.reply(first).Code)
+	w.silent = false
+	a, b := put("a", sized(1<<20)), put("b", sized(1<<20))
+	w.turn(0)
+	w.want(w.reply(a).Code == 202 && w.reply(b).Code == 202, "small ones: %d %d", w.reply(a).Code, w.reply(b).Code)
+	w.want(w.reply(put("c", unread)).Code == 400, "one that can't be read, where there is room")
+	w.fresh = false
+	w.want(refused(put("d", unread)), "a lot is read without a lease")
+}
+
 func TestALotThatMovesIsFetchedWithoutWhatIsListed(t *testing.T) {
 	w := two(t)
 	lot, _ := w.lot(1, 2, 1)
--- a/shell/web/limits.go
+++ b/shell/web/limits.go
@@ -100,6 +100,29 @@
 	return n
 }
 
+// bodies counts the bytes of large bodies that were read and are not answered yet. Those
+// that were only announced don't count, so that nobody takes room by a promise.
+type bodies struct{ bytes atomic.Int64 }
+
+// bodiesMost is how many bytes these may be. Beyond it a request is refused before its
+// body is read; a body is taken whatever its size where no other is.
+const bodiesMost = 16 << 20
+
+// room says whether a body of an announced size may be read.
+func (b *bodies) room(size int64) bool {
+	under := b.bytes.Load()
+	return size <= trustMost || under == 0 || under+size <= bodiesMost
+}
+
+// hold counts a body until the function that it gives is called.
+func (b *bodies) hold(size int) (free func()) {
+	if size <= trustMost {
+		return func() {}
+	}
+	b.bytes.Add(int64(size))
+	return func() { b.bytes.Add(-int64(size)) }
+}
+
 var errLarge = errors.New("web: larger than is taken")
 
 // body reads a request's body whole. What is left of one that is not taken is
--- a/shell/web/serve.go
+++ b/shell/web/serve.go
@@ -25,6 +25,10 @@
 
 // serve turns a request into a call and writes its answer.
 func (w *Web) serve(rw http.ResponseWriter, req *http.Request, r *Route, vars map[string]string, s side) {
+	if !w.bodies.room(req.ContentLength) {
+		problem(rw, 503, "too much at once", "Retry-After", "1", "Connection", "close")
+		return
+	}
 	body, err := w.body(rw, req, s.limits.Load())
 	if err == errLarge {
 		problem(rw, 413, "larger than is taken here", "Connection", "close")
@@ -34,6 +38,7 @@
 		problem(rw, 400, "the request broke off", "Connection", "close")
 		return
 	}
+	defer w.bodies.hold(len(body))()
 	c := &flow.Call{ID: w.ids.Add(1), Name: r.Name, Host: hostOf(req.Host), Vars: vars, Query: map[string]string{}, Head: map[string]string{},
 		Fields: fieldsOf(req.Header), Verb: req.Method, Path: pathOf(req), Body: body}
 	if req.URL.RawQuery != "" {
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -53,6 +53,7 @@
 	ids     atomic.Uint64
 	limits  limits // of listeners that pass requests on
 	own     limits // of all others
+	bodies  bodies
 	ending  atomic.Bool
 	mu      sync.Mutex
 	open    map[uint64]*call
