--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -23,7 +23,7 @@
 		if t.env.Debug {
 			t.env.Trace("lots", "refused", "lot", id, "why", why)
 		}
-		t.env.Refuse(c.ID, why, budget.Renew)
+		t.env.Refuse(c.ID, why, budget.RenewInterval)
 		return
 	}
 	doc, err := t.env.Codec.ReadLot(id, c.Body)
@@ -40,7 +40,7 @@
 	came := t.env.Now
 	t.putting[c.ID] = len(c.Body)
 	packed := ledger.PackLot(doc)
-	t.env.Ask(budget.AskLimit, "lot.put", packed.Encode(), func(a ask.Answer) {
+	t.env.Ask(budget.AskTimeout, "lot.put", packed.Encode(), func(a ask.Answer) {
 		delete(t.putting, c.ID)
 		var x struct {
 			Fresh bool `json:"fresh"`
@@ -130,7 +130,7 @@
 		return
 	}
 	t.asked[id] = true
-	t.env.Ask(budget.AskLimit, "lot.items", id, func(a ask.Answer) {
+	t.env.Ask(budget.AskTimeout, "lot.items", id, func(a ask.Answer) {
 		delete(t.asked, id)
 		var x ledger.LotItems
 		if a.Code == 0 {
@@ -147,7 +147,7 @@
 // End ends a lot for its trainer.
 func (t *Table) End(c flow.Call) {
 	id := c.Vars["id"]
-	t.env.Ask(budget.AskLimit, "lot.end", id, func(a ask.Answer) {
+	t.env.Ask(budget.AskTimeout, "lot.end", id, func(a ask.Answer) {
 		if t.env.Debug {
 			t.env.Trace("lots", "ended", "lot", id, "code", a.Code)
 		}
@@ -189,13 +189,13 @@
 		t.env.Out.Answer(c.ID, a.Code, a.Body, nil)
 		return
 	}
-	t.env.Refuse(c.ID, "the store did not answer in time", budget.Renew)
+	t.env.Refuse(c.ID, "the store did not answer in time", budget.RenewInterval)
 }
 
 // Item gives the body of an item that is not listed.
 func (t *Table) Item(c flow.Call) {
 	q := ledger.FindItem{Lot: c.Vars["id"], Item: c.Query[t.env.Codec.Item]}
-	t.env.Ask(budget.AskLimit, "lot.item", q, func(a ask.Answer) {
+	t.env.Ask(budget.AskTimeout, "lot.item", q, func(a ask.Answer) {
 		var x struct {
 			Body []byte `json:"body"`
 		}
@@ -314,7 +314,7 @@
 			n++
 		}
 		l.flight, l.flushed = n, t.env.Now
-		t.env.Ask(budget.AskLimit, "lot.list", ledger.ListLot{Lot: id, Results: l.ready[:n:n]}, func(a ask.Answer) {
+		t.env.Ask(budget.AskTimeout, "lot.list", ledger.ListLot{Lot: id, Results: l.ready[:n:n]}, func(a ask.Answer) {
 			l.flight = 0
 			if a.Code == 0 || a.Code >= 500 || a.Code == 429 {
 				return // it is said again
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -26,7 +26,7 @@
 
 // Config are the options of a store.
 type Config struct {
-	ID, Addr, Area string
+	ID, Addr, Zone string
 	Form           []string // the addresses expected at first formation
 	First          bool     // this is the first start of all, with empty disks: it forms without waiting for others to speak up
 	Want           int      // voters wanted, where that is more than were formed (design 4.8)
@@ -95,7 +95,7 @@
 		}
 		s.ledger = l
 	}
-	s.raft = raft.New(now, raft.Config{ID: p.ID, Rand: p.Rand, HeartbeatInterval: budget.Beat, ElectionTimeout: budget.Elect,
+	s.raft = raft.New(now, raft.Config{ID: p.ID, Rand: p.Rand, HeartbeatInterval: budget.HeartbeatInterval, ElectionTimeout: budget.ElectionTimeout,
 		Hard: p.Disk.Hard, Snapshot: p.Disk.Snapshot, Entries: p.Disk.Entries})
 	return s, nil
 }
--- a/sim/day.go
+++ b/sim/day.go
@@ -87,7 +87,7 @@
 		form = append(form, addr(i))
 	}
 	for i := 0; i < disks; i++ {
-		x := node.Config{Addr: addr(i), Web: fmt.Sprintf("10.0.0.%d:2", i+1), Area: p.Shape.Areas[i%len(p.Shape.Areas)], Seeds: []string{addr(0), addr(1), addr(2)},
+		x := node.Config{Addr: addr(i), Web: fmt.Sprintf("10.0.0.%d:2", i+1), Zone: p.Shape.Zones[i%len(p.Shape.Zones)], Seeds: []string{addr(0), addr(1), addr(2)},
 			Roles: []string{"store"}, Keep: 4096, Bounds: p.Shape.Bounds}
 		if i < p.Shape.Stores {
 			x.Form = form
@@ -99,8 +99,8 @@
 	w.Until(time.Minute, func() bool { return w.Leader() != nil })
 	c.begun = w.Now
 	heard := uint64(0)
-	w.Every(budget.Renew, func() bool { // a dispatcher that lives
-		c.asker.Put(w.Now, budget.Lease, "renew", store.Renew{ID: "crowd", Have: 1 << 60, Heard: heard}, func(time.Duration, ask.Answer) { heard++ })
+	w.Every(budget.RenewInterval, func() bool { // a dispatcher that lives
+		c.asker.Put(w.Now, budget.LeaseDuration, "renew", store.Renew{ID: "crowd", Have: 1 << 60, Heard: heard}, func(time.Duration, ask.Answer) { heard++ })
 		return true
 	})
 	per := time.Second / time.Duration(p.Keys)
@@ -166,7 +166,7 @@
 // was given up on is said again.
 func (c *crowd) ask(kind string, body any, then func(ask.Answer)) {
 	c.rep.Asked[kind]++
-	c.asker.Put(c.w.Now, 4*budget.AskLimit, kind, body, func(_ time.Duration, a ask.Answer) {
+	c.asker.Put(c.w.Now, 4*budget.AskTimeout, kind, body, func(_ time.Duration, a ask.Answer) {
 		if a.Code == 0 {
 			c.rep.Late++
 		} else if a.Code != 200 {
