Listed results are kept as they came, and pages are spliced

Cause: each member read all texts of a listing and encoded each again for its blob store, and the leader read each page through to write it.

Members read of each result what they check (its item, state and versions; that its text is one) and keep it as the text that came, which is what the general encoder writes (TestListedResultsAreKeptAsTheyCame). What was refused is refused (TestListingsAreReadAsTheWholeForm). Pages and lists are joined from encoded results.

--- /dev/null
+++ b/core/ledger/listing.go
@@ -0,0 +1,53 @@
+package ledger
+
+import (
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/go-json-experiment/json/v1"
+	"github.com/pkg/errors"
+
+	"fernlink/core/flow"
+)
+
+// listing is the body of a lot.list as members read it: what the ledger checks of each
+// result, beside the result as the text that lies on the blob store.
+type listing struct {
+	lot     string
+	results []LotResult // without their texts
+	texts   []json.RawMessage
+}
+
+// errNoText says that a result's text is none.
+var errNoText = errors.New("ledger: the text of a result is no string")
+
+// unreadText is a text that is passed over. It must be one, or null.
+type unreadText struct{}
+
+// UnmarshalJSONFrom passes the text over.
+func (*unreadText) UnmarshalJSONFrom(in *jsontext.Decoder) error {
+	if kind := in.PeekKind(); kind != '"' && kind != 'n' {
+		return errNoText
+	}
+	return in.SkipValue()
+}
+
+func decodeListing(body json.RawMessage) (listing, error) {
+	var in struct {
+		Lot     string            `json:"lot"`
+		Results []json.RawMessage `json:"results"`
+	}
+	if err := flow.Decode(body, &in); err != nil {
+		return listing{}, err
+	}
+	x := listing{lot: in.Lot, texts: in.Results, results: make([]LotResult, len(in.Results))}
+	for i, text := range in.Results {
+		var head struct {
+			LotResult
+			Text unreadText `json:"t"`
+		}
+		if err := flow.Decode(text, &head); err != nil {
+			return listing{}, err
+		}
+		x.results[i] = head.LotResult
+	}
+	return x, nil
+}
--- a/core/ledger/lot_reads.go
+++ b/core/ledger/lot_reads.go
@@ -60,12 +60,17 @@
 	}
 }
 
+// rawLotRead is a LotRead whose results are encoded already.
 type rawLotRead struct {
 	Total   int               `json:"total"`
 	Next    int               `json:"next"`
 	Listed  int               `json:"listed"`
 	Ended   bool              `json:"ended,omitempty"`
-	Results []json.RawMessage `json:"results"`
+	Results []json.RawMessage `json:"-"`
+}
+
+func (r rawLotRead) encode() json.RawMessage {
+	return flow.WithField(raw(r), "results", listOf(r.Results))
 }
 
 func (l *Ledger) readLot(body json.RawMessage) Result {
@@ -96,13 +101,13 @@
 		out.Results = append(out.Results, b)
 	}
 	if len(need) == 0 {
-		return good(out)
+		return Result{Code: 200, Body: out.encode()}
 	}
 	return Result{Code: 200, Need: need, With: func(items [][]byte) Result {
 		for i, at := range holes {
 			out.Results[at] = items[i]
 		}
-		return good(out)
+		return Result{Code: 200, Body: out.encode()}
 	}}
 }
 
@@ -163,7 +168,11 @@
 
 // listOf makes a list of encoded values.
 func listOf(values []json.RawMessage) json.RawMessage {
-	text := []byte{'['}
+	size := len(`[]`)
+	for _, value := range values {
+		size += len(value) + 1
+	}
+	text := append(make([]byte, 0, size), '[')
 	for i, value := range values {
 		if i > 0 {
 			text = append(text, ',')
--- a/core/ledger/lots.go
+++ b/core/ledger/lots.go
@@ -225,16 +225,16 @@
 // must never be listed (design 8.7).
 func (l *Ledger) listLot(c Command) Result {
 	l.retireLots()
-	var x ListLot
-	if flow.Decode(c.Body, &x) != nil {
+	x, err := decodeListing(c.Body)
+	if err != nil {
 		return fail(400, "results do not parse")
 	}
-	t := l.Lots[x.Lot]
+	t := l.Lots[x.lot]
 	if t == nil {
 		return fail(404, "no such lot")
 	}
 	n, refused := uint64(0), 0
-	for _, r := range x.Results {
+	for i, r := range x.results {
 		p := t.place(r.Item)
 		if p < 0 || t.done[p] {
 			continue
@@ -243,7 +243,7 @@
 			refused++
 			continue
 		}
-		b, id := raw(r), l.Index<<lotShift|n
+		b, id := x.texts[i], l.Index<<lotShift|n
 		n++
 		t.done[p] = true
 		t.List = append(t.List, Row{Sample: uint16(p), Size: uint32(len(b)), Item: id})
