--- a/core/ask/ask.go
+++ b/core/ask/ask.go
@@ -8,6 +8,7 @@
 
 	"fernlink/core/budget"
 	"fernlink/core/flow"
+	"fernlink/core/ledger"
 	"fernlink/core/sorted"
 )
 
@@ -39,7 +40,7 @@
 	ID     uint64          `json:"id"`
 	Retry  bool            `json:"retry,omitempty"`
 	Leader string          `json:"leader,omitempty"`
-	Code   int             `json:"code"`
+	Code   ledger.Outcome  `json:"code"`
 	Body   json.RawMessage `json:"body,omitempty"`
 }
 
@@ -59,10 +60,10 @@
 
 const bodyField = `,"body":`
 
-// Answer is what comes back to the asker. Code 0 means given up: whether the
-// command took effect is not known.
+// Answer is what comes back to the asker. It is ledger.Unanswered where the ask was
+// given up: whether the command took effect is not known.
 type Answer struct {
-	Code int
+	Code ledger.Outcome
 	Body json.RawMessage
 	Sent flow.Time // when the answered try was sent
 }
@@ -97,7 +98,7 @@
 func (a *Asker) Put(now, limit flow.Time, kind string, body any, done func(flow.Time, Answer)) {
 	raw, err := json.Marshal(body)
 	if err != nil {
-		done(now, Answer{Code: 500})
+		done(now, Answer{Code: ledger.Failed})
 		return
 	}
 	a.next++
--- a/core/coord/coord.go
+++ b/core/coord/coord.go
@@ -161,10 +161,10 @@
 			c.granted(a)
 			return
 		}
-		if a.Code != 0 {
+		if a.Code != ledger.Unanswered {
 			c.heard++
 		}
-		if a.Code == 503 {
+		if a.Code == ledger.Unavailable {
 			c.next = now
 		}
 		c.renewed(body.Term, a)
@@ -173,7 +173,7 @@
 
 func (c *Coord) granted(a ask.Answer) {
 	var t ledger.Coord
-	if a.Code != 200 || json.Unmarshal(a.Body, &t) != nil || t.ID != c.p.ID || c.term != 0 {
+	if a.Code != ledger.Accepted || json.Unmarshal(a.Body, &t) != nil || t.ID != c.p.ID || c.term != 0 {
 		return
 	}
 	c.clear()
@@ -190,12 +190,12 @@
 	if term != c.term || c.term == 0 {
 		return
 	}
-	if a.Code == 409 {
+	if a.Code == ledger.Conflict {
 		c.standDown()
 		return
 	}
 	var d ledger.Delta
-	if a.Code != 200 || json.Unmarshal(a.Body, &d) != nil {
+	if a.Code != ledger.Accepted || json.Unmarshal(a.Body, &d) != nil {
 		return
 	}
 	if !c.gone {
--- a/core/coord/roll.go
+++ b/core/coord/roll.go
@@ -84,7 +84,7 @@
 		if c.term != term || c.moves[m.order.Engine] != m {
 			return
 		}
-		if a.Code == 200 {
+		if a.Code == ledger.Accepted {
 			c.counts["orders"]++
 			_ = json.Unmarshal(a.Body, &m.order)
 			m.to(c, "tell", 0)
@@ -188,7 +188,7 @@
 		if c.term != term || c.moves[o.Engine] != m {
 			return
 		}
-		if a.Code == 0 {
+		if a.Code == ledger.Unanswered {
 			return // again
 		}
 		c.counts["orders_"+m.state]++
--- a/core/disp/admin.go
+++ b/core/disp/admin.go
@@ -9,6 +9,7 @@
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
+	"fernlink/core/httpstatus"
 	"fernlink/core/ledger"
 	"fernlink/core/place"
 	"fernlink/core/raft"
@@ -95,15 +96,15 @@
 
 // told passes the store's answer on, under a lease. Else the outcome is not known.
 func (d *Disp) told(now flow.Time, c flow.Call, a ask.Answer) {
-	if a.Code == 0 || !d.Fresh(now) {
+	if a.Code == ledger.Unanswered || !d.Fresh(now) {
 		d.out.Answer(c.ID, 503, answer{"the store did not answer in time; say the same again to learn the outcome", "unknown"}, again())
 		return
 	}
 	var head map[string]string
-	if a.Code == 429 || a.Code == 503 {
+	if a.Code == ledger.Full || a.Code == ledger.Unavailable {
 		head = again()
 	}
-	d.out.Answer(c.ID, a.Code, a.Body, head)
+	d.out.Answer(c.ID, httpstatus.Of(a.Code), a.Body, head)
 }
 
 // refusal is why this dispatcher would not take an order.
@@ -118,7 +119,7 @@
 	body, _ := json.Marshal(order)
 	question := ledger.KnownOrder{Kind: kind, Body: body}
 	d.p.Asker.Put(d.now, patience(c), "order.known", question, func(now flow.Time, a ask.Answer) {
-		if a.Code == 404 && d.Fresh(now) {
+		if a.Code == ledger.NotFound && d.Fresh(now) {
 			d.out.Answer(c.ID, no.code, no.body, nil)
 			return
 		}
--- a/core/disp/app.go
+++ b/core/disp/app.go
@@ -90,7 +90,7 @@
 			d.settle(q, ledger.Claim{State: refused}, nil)
 			return
 		}
-		if a.Code != 200 {
+		if a.Code != ledger.Accepted {
 			// It may have been taken all the same: it is never used, so
 			// this request never runs.
 			var why answer
@@ -287,7 +287,7 @@
 	k.Key, k.Owner, k.Hash = q.key, q.owner, q.hash
 	d.p.Asker.Put(d.now, budget.Ask*2, "claim.done", k, func(now flow.Time, a ask.Answer) {
 		d.now = now
-		if a.Code == 0 || a.Code == 503 {
+		if a.Code == ledger.Unanswered || a.Code == ledger.Unavailable {
 			d.owe(k)
 		}
 		then()
@@ -309,7 +309,7 @@
 	d.p.Asker.Put(d.now, budget.Heal, "claim.done", k, func(now flow.Time, a ask.Answer) {
 		d.now = now
 		d.owed--
-		if a.Code == 0 || a.Code == 503 {
+		if a.Code == ledger.Unanswered || a.Code == ledger.Unavailable {
 			d.owe(k)
 		}
 	})
--- a/core/disp/disp.go
+++ b/core/disp/disp.go
@@ -156,13 +156,13 @@
 	d.p.Asker.Put(d.now, budget.Lease, "renew", store.Renew{ID: d.p.ID, Have: d.index, Heard: d.heard}, func(now flow.Time, a ask.Answer) {
 		var x ledger.Delta
 		d.renewing = false
-		if a.Code != 0 {
+		if a.Code != ledger.Unanswered {
 			d.heard++
 		}
-		if a.Code == 503 {
+		if a.Code == ledger.Unavailable {
 			d.next = now
 		}
-		if a.Code != 200 || json.Unmarshal(a.Body, &x) != nil {
+		if a.Code != ledger.Accepted || json.Unmarshal(a.Body, &x) != nil {
 			return
 		}
 		d.now = now
--- a/core/disp/gen_judge.go
+++ b/core/disp/gen_judge.go
@@ -71,18 +71,18 @@
 			g.again = d.now + budget.AskLimit + budget.Ask
 			d.p.Asker.Put(d.now, budget.AskLimit, "result.add", ledger.AddEntry{Step: id, Entry: g.whole}, func(now flow.Time, a ask.Answer) {
 				d.now = now
-				if a.Code == 0 {
+				if a.Code == ledger.Unanswered {
 					g.again = now // not known: ask again, the ledger lists it once
 					return
 				}
-				if a.Code == 422 {
+				if a.Code == ledger.Rejected {
 					// The ledger's own check: never listed, made anew.
 					flow.Warn.Note(d.out, "disp", "a result was not listed", "step", id, "group", g.group.doc.ID, "why", string(a.Body))
 					d.counts["unlisted"]++
 					g.whole, g.state, g.again, g.tries = ledger.Entry{}, held, now+budget.Listed, 0
 					return
 				}
-				if a.Code == 200 {
+				if a.Code == ledger.Accepted {
 					d.counts["listed"]++
 					d.counts["prompt_tokens"] += int64(g.whole.Prompt)
 					d.counts["cached_tokens"] += int64(g.whole.Cached)
--- a/core/disp/leave.go
+++ b/core/disp/leave.go
@@ -43,7 +43,7 @@
 	d.p.Asker.Put(now, budget.Lease, "renew", store.Renew{ID: d.p.ID, Have: d.index, Left: true, Heard: d.heard}, func(now flow.Time, a ask.Answer) {
 		d.now = now
 		var x ledger.Delta
-		if a.Code == 200 && json.Unmarshal(a.Body, &x) == nil {
+		if a.Code == ledger.Accepted && json.Unmarshal(a.Body, &x) == nil {
 			d.handOn(x.Roster)
 		}
 		// All its streams are cut: weight orders need not wait for it to lapse.
--- a/core/disp/park.go
+++ b/core/disp/park.go
@@ -60,7 +60,7 @@
 			Step    ledger.Sum        `json:"step"`
 			Results []json.RawMessage `json:"results"`
 		}
-		empty := a.Code == 200 && json.Unmarshal(a.Body, &got) == nil && len(got.Results) == 0 && got.Step.State == "open"
+		empty := a.Code == ledger.Accepted && json.Unmarshal(a.Body, &got) == nil && len(got.Results) == 0 && got.Step.State == "open"
 		if empty && d.steps[r.page.Step] != nil && len(d.parked) < parkMost && !d.leaving {
 			if d.lists[r.page.Step] != heard {
 				d.page(r) // one was listed while this was asked
--- a/core/disp/roll.go
+++ b/core/disp/roll.go
@@ -29,7 +29,7 @@
 			Coord   ledger.Coord    `json:"coordinator"`
 			Rolls   []Progress      `json:"progress"`
 		}
-		if a.Code != 200 || !d.Fresh(now) || json.Unmarshal(a.Body, &x) != nil {
+		if a.Code != ledger.Accepted || !d.Fresh(now) || json.Unmarshal(a.Body, &x) != nil {
 			d.told(now, c, a)
 			return
 		}
--- a/core/disp/step.go
+++ b/core/disp/step.go
@@ -197,7 +197,7 @@
 		}
 		s.ending = true
 		d.p.Asker.Put(d.now, budget.AskLimit, "step.end", id, func(now flow.Time, a ask.Answer) {
-			s.ending = a.Code != 0
+			s.ending = a.Code != ledger.Unanswered
 		})
 	}
 }
--- a/core/ledger/claim.go
+++ b/core/ledger/claim.go
@@ -35,14 +35,14 @@
 func (l *Ledger) takeClaim(c Command) Result {
 	var k Claim
 	if json.Unmarshal(c.Body, &k) != nil || k.Key == "" {
-		return fail(400, "claim does not parse")
+		return badClaim.Result()
 	}
 	name := keys.Name("key", k.Key)
 	if n, ok := l.Keys.Find(name); ok {
 		return l.told(n, k)
 	}
 	if !l.room(c.At) {
-		return fail(503, "too many run-once keys and step ids are remembered (keys_most)")
+		return keysFull.Result()
 	}
 	n := l.Keys.Add(keys.Row{Key: name, Hash: keys.Short(k.Hash), At: stamp(c.At), State: keys.Claimed})
 	l.Owners[n] = k.Owner
@@ -59,7 +59,7 @@
 	if r.Item == 0 {
 		return good(k)
 	}
-	return Result{Code: 200, Need: []flow.Ref{{Kind: AnswerItem, ID: r.Item}}, With: func(items [][]byte) Result {
+	return Result{Code: Accepted, Need: []flow.Ref{{Kind: AnswerItem, ID: r.Item}}, With: func(items [][]byte) Result {
 		var a took
 		_ = json.Unmarshal(items[0], &a)
 		k.Type, k.Body = a.Type, a.Body
@@ -70,7 +70,7 @@
 func (l *Ledger) doneClaim(c Command) Result {
 	var k Claim
 	if json.Unmarshal(c.Body, &k) != nil || stateCodes[k.State] == 0 {
-		return fail(400, "claim does not parse")
+		return badClaim.Result()
 	}
 	name := keys.Name("key", k.Key)
 	n, ok := l.Keys.Find(name)
@@ -83,7 +83,7 @@
 		return good(struct{}{}) // said twice, or settled for its owner meanwhile
 	}
 	if !ok || l.Owners[n] != k.Owner {
-		return fail(409, "not the owner of this claim")
+		return notTheOwner.Result()
 	}
 	item, size := uint64(0), 0
 	if k.Body != nil && l.Keys.Bytes+int64(len(k.Body)) <= l.Bounds.Answers {
@@ -100,7 +100,7 @@
 	var x LostClaim
 	_ = json.Unmarshal(c.Body, &x)
 	if !l.Keys.Has(x.Row) || l.Owners[x.Row] != x.Owner || x.Owner == "" {
-		return fail(409, "no such claim")
+		return noSuchClaim.Result()
 	}
 	l.Keys.Settle(x.Row, keys.Unknown, 0, 0, 0)
 	delete(l.Owners, x.Row)
@@ -110,7 +110,7 @@
 func (l *Ledger) putBounds(c Command) Result {
 	var b Bounds
 	if json.Unmarshal(c.Body, &b) != nil || b.Keys <= 0 || b.KeyAge <= 0 || b.Age <= 0 || b.Bytes <= 0 || b.Open <= 0 {
-		return fail(400, "bounds do not parse")
+		return badBounds.Result()
 	}
 	l.Bounds = b
 	return good(b)
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -95,11 +95,11 @@
 	l.Index = index
 	var c Command
 	if json.Unmarshal(data, &c) != nil {
-		return fail(400, "command does not parse")
+		return badCommand.Result()
 	}
 	f, ok := commands[c.Kind]
 	if !ok {
-		return fail(400, "no such command")
+		return unknownCommand.Result()
 	}
 	l.Clock, l.Last = max(l.Clock, c.At), c.Kind
 	c.At = l.Clock
@@ -114,14 +114,7 @@
 	return b
 }
 
-type problem struct {
-	Error   string `json:"error"`
-	Version uint64 `json:"version,omitempty"`
-}
-
-func fail(code int, text string) Result { return Result{Code: code, Body: raw(problem{Error: text})} }
-
-func good(v any) Result { return Result{Code: 200, Body: raw(v)} }
+func good(v any) Result { return Result{Code: Accepted, Body: raw(v)} }
 
 // Hash is the text hash that verdicts and claims are bound to.
 func Hash(b []byte) string { s := sha256.Sum256(b); return hex.EncodeToString(s[:]) }
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -257,7 +257,7 @@
 		_ = json.Unmarshal(r.Body, &c)
 		return c
 	}
-	done := func(owner, state string) int {
+	done := func(owner, state string) Outcome {
 		return at(l, 2, "claim.done", Claim{Key: "k", Hash: "h", Owner: owner, State: state, Code: 200, Type: "t", Body: []byte("b")}).Code
 	}
 	// A refusal overtakes its own claim.
--- a/core/ledger/lot_reads.go
+++ b/core/ledger/lot_reads.go
@@ -70,11 +70,11 @@
 func (l *Ledger) readLot(body json.RawMessage) Result {
 	var q ReadLot
 	if json.Unmarshal(body, &q) != nil {
-		return fail(400, "the question does not parse")
+		return badQuestion.Result()
 	}
 	t := l.Lots[q.Lot]
 	if t == nil {
-		return fail(404, "no such lot")
+		return noSuchLot.Result()
 	}
 	if q.Bytes <= 0 {
 		q.Bytes = PageBytes
@@ -97,7 +97,7 @@
 	if len(need) == 0 {
 		return good(out)
 	}
-	return Result{Code: 200, Need: need, With: func(items [][]byte) Result {
+	return Result{Code: Accepted, Need: need, With: func(items [][]byte) Result {
 		for i, at := range holes {
 			out.Results[at] = items[i]
 		}
@@ -111,7 +111,7 @@
 	_ = json.Unmarshal(body, &id)
 	t := l.Lots[id]
 	if t == nil {
-		return fail(404, "no such lot")
+		return noSuchLot.Result()
 	}
 	var need []flow.Ref
 	var parts []int
@@ -130,11 +130,11 @@
 		return good(out)
 	}
 	done := slices.Clone(t.done) // Listed and what is left must agree
-	return Result{Code: 200, Need: need, With: func(items [][]byte) Result {
+	return Result{Code: Accepted, Need: need, With: func(items [][]byte) Result {
 		for i, b := range items {
 			var part []LotItem
 			if json.Unmarshal(b, &part) != nil {
-				return fail(500, "a lot's requests do not parse")
+				return lotUnreadable.Result()
 			}
 			for j, x := range part {
 				if !done[starts[parts[i]]+j] {
@@ -160,14 +160,14 @@
 		p = t.place(q.Item)
 	}
 	if p < 0 || t.done[p] {
-		return fail(404, "no such item is open")
+		return noSuchItem.Result()
 	}
 	k := t.part(p)
 	start := t.Parts[k]
-	return Result{Code: 200, Need: []flow.Ref{t.partRef(k)}, With: func(items [][]byte) Result {
+	return Result{Code: Accepted, Need: []flow.Ref{t.partRef(k)}, With: func(items [][]byte) Result {
 		var part []LotItem
 		if json.Unmarshal(items[0], &part) != nil || p-start >= len(part) {
-			return fail(500, "a lot's requests do not parse")
+			return lotUnreadable.Result()
 		}
 		return good(LotBody{part[p-start].Body})
 	}}
--- a/core/ledger/lot_room.go
+++ b/core/ledger/lot_room.go
@@ -2,9 +2,6 @@
 
 package ledger
 
-// lotsFull answers a hand-in for which the disk has no room.
-const lotsFull = "lots hold as much as the disk may (lot_bytes)"
-
 // usualTextBytes is what a text is taken to need while none is kept.
 const usualTextBytes = 4 << 10
 
--- a/core/ledger/lots.go
+++ b/core/ledger/lots.go
@@ -113,9 +113,6 @@
 	return hex.EncodeToString(h.Sum(nil)[:16])
 }
 
-// otherLot answers a hand-in under an id that stands for another lot.
-const otherLot = "a lot of this id exists with other content"
-
 // LotPut answers a lot.put.
 type LotPut struct {
 	ID    string `json:"id"`
@@ -127,13 +124,13 @@
 	l.retireLots()
 	var d LotDoc
 	if json.Unmarshal(c.Body, &d) != nil || d.ID == "" {
-		return fail(400, "lot does not parse")
+		return badLot.Result()
 	}
 	h := lotHash(d.Items)
 	if old := l.Lots[d.ID]; old != nil {
 		if old.Hash != h {
 			l.OrderCounts.Changed++
-			return fail(409, otherLot)
+			return otherLot.Result()
 		}
 		l.OrderCounts.Repeated++
 		return good(LotPut{d.ID, len(old.IDs), false})
@@ -142,20 +139,20 @@
 	case repeated: // its time is over: it is not run again
 		return good(LotPut{d.ID, int(total), false})
 	case changed:
-		return fail(409, otherLot)
+		return otherLot.Result()
 	}
 	if len(d.Items) > LotItemsMost {
-		return fail(400, "more items than a lot may have")
+		return lotTooLarge.Result()
 	}
 	t := &Lot{Hash: h, Item: l.Index, Mod: l.Index}
 	for _, x := range d.Items {
 		if x.ID == "" {
-			return fail(400, "an item of the lot has no id")
+			return itemWithoutID.Result()
 		}
 		t.IDs = append(t.IDs, x.ID)
 	}
 	if id, twice := t.index(); twice {
-		return fail(400, "item "+id+" stands twice in the lot")
+		return itemTwice(id).Result()
 	}
 	open, items := 0, len(t.IDs)
 	for _, x := range l.Lots {
@@ -165,16 +162,16 @@
 		}
 	}
 	if open >= OpenLots {
-		return fail(429, "too many open lots")
+		return openLotsFull.Result()
 	}
 	if len(l.Lots) >= KeepLots || items > KeepLotItems {
-		return fail(429, "too many lots or items of lots are kept")
+		return lotsKeptFull.Result()
 	}
 	if !l.roomForLot(d.Items) {
-		return fail(429, lotsFull)
+		return lotBytesFull.Result()
 	}
 	if !l.roomForReceipts(c.At, 1) {
-		return fail(503, receiptsFull)
+		return receiptsFull.Result()
 	}
 	if d.KeepMS <= 0 {
 		d.KeepMS = l.Bounds.Age
@@ -216,11 +213,11 @@
 	l.retireLots()
 	var x ListLot
 	if json.Unmarshal(c.Body, &x) != nil {
-		return fail(400, "results do not parse")
+		return badLotResults.Result()
 	}
 	t := l.Lots[x.Lot]
 	if t == nil {
-		return fail(404, "no such lot")
+		return noSuchLot.Result()
 	}
 	n, refused := uint64(0), 0
 	for _, r := range x.Results {
@@ -287,7 +284,7 @@
 func (l *Ledger) endPastLot(id string) Result {
 	row, known := l.Receipts.Find(lotID(id, "").key())
 	if !known {
-		return fail(404, "no such lot")
+		return noSuchLot.Result()
 	}
 	l.OrderCounts.Repeated++
 	return good(LotSum{ID: id, Total: int(l.Receipts.Row(row).Item), Ended: true})
@@ -300,10 +297,10 @@
 	_ = json.Unmarshal(c.Body, &o)
 	t := l.Lots[o.Lot]
 	if t == nil {
-		return fail(404, "no such lot")
+		return noSuchLot.Result()
 	}
 	if t.Ended || t.Doc.Owner != o.Was || o.Owner == "" {
-		return fail(409, "the lot has ended or moved on")
+		return lotMoved.Result()
 	}
 	t.Doc.Owner, t.Mod = o.Owner, l.Index
 	return good(t.sum())
--- a/core/ledger/lots_test.go
+++ b/core/ledger/lots_test.go
@@ -59,7 +59,7 @@
 	for _, c := range []struct {
 		what string
 		f    func(*LotDoc)
-		code int
+		code Outcome
 	}{
 		{"the same", func(*LotDoc) {}, 200},
 		{"by another dispatcher", func(d *LotDoc) { d.Owner = "d2" }, 200},
@@ -322,8 +322,8 @@
 	}
 	for _, c := range []struct {
 		at   int64
-		code [2]int
-	}{{160, [2]int{200, 200}}, {161, [2]int{404, 200}}, {369, [2]int{404, 200}}, {371, [2]int{404, 404}}} {
+		code [2]Outcome
+	}{{160, [2]Outcome{200, 200}}, {161, [2]Outcome{404, 200}}, {369, [2]Outcome{404, 200}}, {371, [2]Outcome{404, 404}}} {
 		if c.at == 369 {
 			var err error
 			if l, err = again(l, blobs); err != nil {
@@ -362,7 +362,7 @@
 	have := l.Index
 	for _, c := range []struct {
 		o    OwnLot
-		code int
+		code Outcome
 	}{{OwnLot{"a", "d2", "d3"}, 409}, {OwnLot{"a", "d1", ""}, 409}, {OwnLot{"a", "d1", "d2"}, 200}, {OwnLot{"a", "d1", "d3"}, 409}, {OwnLot{"x", "d1", "d2"}, 404}} {
 		if r := do(l, "lot.own", c.o); r.Code != c.code {
 			t.Errorf("%+v: %d", c.o, r.Code)
@@ -459,7 +459,7 @@
 		what          string
 		read, version uint64
 		request, doc  string
-		code          int
+		code          Outcome
 		now           uint64
 	}{
 		{"the first", 0, 5, "a", `"A"`, 200, 5},
--- a/core/ledger/plans.go
+++ b/core/ledger/plans.go
@@ -19,7 +19,7 @@
 func (l *Ledger) putPlan(c Command) Result {
 	var p PutPlan
 	if json.Unmarshal(c.Body, &p) != nil {
-		return fail(400, "plan does not parse")
+		return badPlan.Result()
 	}
 	hash := Hash(p.Doc)
 	if answer, done := l.recallPlan(p, hash); done {
@@ -27,17 +27,17 @@
 	}
 	now := l.Plan()
 	if p.Read != now.Version {
-		return Result{Code: 409, Body: raw(problem{Error: "the plan has moved on", Version: now.Version})}
+		return planMoved.atVersion(now.Version)
 	}
 	if p.Version != 0 && p.Version <= now.Version {
-		return Result{Code: 422, Body: raw(problem{Error: "a plan's version must be above the one in force", Version: now.Version})}
+		return planNotAbove.atVersion(now.Version)
 	}
 	request := p.Request
 	if p.Version != 0 {
 		request = "" // its version is its name
 	}
 	if !l.roomForReceipts(c.At, receiptsOf(request)) {
-		return fail(503, receiptsFull)
+		return receiptsFull.Result()
 	}
 	next := Plan{Version: max(p.Version, now.Version+1), Request: p.Request, Hash: hash, Doc: p.Doc, Mod: l.Index, At: c.At}
 	l.acknowledge(planVersionID(next.Version, hash), c.At, next.Version)
@@ -79,7 +79,7 @@
 	case known == repeated:
 		return good(Plan{Version: version, Request: p.Request, Hash: hash}), true
 	case known == changed && p.Version == 0:
-		return Result{Code: 422, Body: raw(problem{Error: "this request id was used for another plan", Version: version})}, true
+		return planRequestUsed.atVersion(version), true
 	}
 	return Result{}, false
 }
--- a/core/ledger/query.go
+++ b/core/ledger/query.go
@@ -115,17 +115,17 @@
 		if p := l.Plan(); p.Version > 0 {
 			return good(p)
 		}
-		return fail(404, "no plan yet")
+		return noPlan.Result()
 	}
 	for _, p := range l.Plans {
 		if p.Version == want {
-			return Result{Code: 200, Need: []flow.Ref{{Kind: DocItem, ID: p.Mod}}, With: func(items [][]byte) Result {
+			return Result{Code: Accepted, Need: []flow.Ref{{Kind: DocItem, ID: p.Mod}}, With: func(items [][]byte) Result {
 				p.Doc = items[0]
 				return good(p)
 			}}
 		}
 	}
-	return fail(404, "no such plan version is kept")
+	return noSuchPlan.Result()
 }
 
 func (l *Ledger) listPlans(json.RawMessage) Result {
@@ -149,9 +149,9 @@
 // unknown tells a step that was retired from one that never was.
 func (l *Ledger) unknown(id string) Result {
 	if _, used := l.Keys.Find(keys.Name("step", id)); used {
-		return fail(410, "the step has ended and its results were retired")
+		return stepRetired.Result()
 	}
-	return fail(404, "no such step")
+	return noSuchStep.Result()
 }
 
 func (l *Ledger) listSteps(json.RawMessage) Result {
@@ -170,7 +170,7 @@
 		return l.unknown(p.Step)
 	}
 	if p.After < 0 || p.After > len(s.List) {
-		return fail(400, "the cursor is past the end of the list")
+		return cursorPastEnd.Result()
 	}
 	var need []flow.Ref
 	size, end := 0, p.After
@@ -185,7 +185,7 @@
 	if len(need) == 0 {
 		return good(out)
 	}
-	return Result{Code: 200, Need: need, With: func(items [][]byte) Result {
+	return Result{Code: Accepted, Need: need, With: func(items [][]byte) Result {
 		for _, b := range items {
 			out.Results = append(out.Results, b)
 		}
--- a/core/ledger/receipts.go
+++ b/core/ledger/receipts.go
@@ -14,9 +14,6 @@
 // ReceiptItem is a page of receipts on the blob store.
 const ReceiptItem = "receipt"
 
-// receiptsFull answers an order that can't be remembered, and so is not taken.
-const receiptsFull = "too many orders are remembered (keys_most)"
-
 // orderKind is what an order is about. Names of different kinds never clash.
 type orderKind string
 
@@ -160,10 +157,10 @@
 func (l *Ledger) knownOrder(body json.RawMessage) Result {
 	var q KnownOrder
 	if json.Unmarshal(body, &q) != nil || knownOrders[q.Kind] == nil {
-		return fail(400, "the question does not parse")
+		return badQuestion.Result()
 	}
 	if answer, known := knownOrders[q.Kind](l, q.Body); known {
 		return answer
 	}
-	return fail(404, "no such order was acknowledged")
+	return unknownOrder.Result()
 }
--- a/core/ledger/steps.go
+++ b/core/ledger/steps.go
@@ -12,25 +12,25 @@
 func (l *Ledger) openStep(c Command) Result {
 	var d StepDoc
 	if json.Unmarshal(c.Body, &d) != nil {
-		return fail(400, "step does not parse")
+		return badStep.Result()
 	}
 	if d.tooMany() {
-		return fail(400, "more groups or samples than a step may have")
+		return stepTooLarge.Result()
 	}
 	h := Hash(c.Body)
 	if old := l.Steps[d.ID]; old != nil {
 		if old.Hash != h {
-			return fail(409, "a step of this id exists with other content")
+			return otherStep.Result()
 		}
 		return good(l.Sum(old))
 	}
 	name, id := keys.Name("step", d.ID), uint64(0)
 	if _, used := l.Keys.Find(name); used {
-		return fail(410, "a step of this id has ended and was retired")
+		return stepIDUsed.Result()
 	}
 	t := l.Targets[d.Pool]
 	if t != nil && d.Revision < t.Revision-d.Lag {
-		return fail(409, "the pool has gone on to newer weights than this step allows")
+		return stepTooOld.Result()
 	}
 	all, own := 0, 0
 	for _, s := range l.Steps {
@@ -42,13 +42,13 @@
 		}
 	}
 	if own >= l.Bounds.Open {
-		return fail(429, "too many open steps of this trainer (open_steps)")
+		return trainerFull.Result()
 	}
 	if all >= KeepOpen {
-		return fail(429, "too many open steps")
+		return stepsFull.Result()
 	}
 	if !l.room(c.At) {
-		return fail(503, "too many run-once keys and step ids are remembered (keys_most)")
+		return keysFull.Result()
 	}
 	if t == nil || d.Revision > t.Revision {
 		l.target(d.Pool, d.Revision)
@@ -93,7 +93,7 @@
 	_ = json.Unmarshal(c.Body, &id)
 	s := l.Steps[id]
 	if s == nil {
-		return fail(404, "no such step")
+		return noSuchStep.Result()
 	}
 	if s.State == "open" {
 		s.State, s.Ended, s.Mod, s.Doc.Groups = "ended", c.At, l.Index, nil
@@ -167,11 +167,11 @@
 func (l *Ledger) addEntry(c Command) Result {
 	var a AddEntry
 	if json.Unmarshal(c.Body, &a) != nil {
-		return fail(400, "result does not parse")
+		return badEntry.Result()
 	}
 	s := l.Steps[a.Step]
 	if s == nil {
-		return fail(404, "no such step")
+		return noSuchStep.Result()
 	}
 	g := s.group(a.Entry.Group)
 	for i, r := range s.List {
@@ -180,10 +180,10 @@
 		}
 	}
 	if s.State != "open" {
-		return fail(409, "the step has ended")
+		return stepEnded.Result()
 	}
-	if why := s.wrong(a.Entry); why != "" {
-		return fail(422, why)
+	if why, wrong := s.wrong(a.Entry); wrong {
+		return why.Result()
 	}
 	a.Entry.Seq, a.Entry.Mod = len(s.List)+1, l.Index
 	b := raw(a.Entry)
@@ -205,33 +205,38 @@
 	return -1
 }
 
-func (s *Step) wrong(e Entry) string {
+// wrong says why a result must not be listed, if it must not.
+func (s *Step) wrong(e Entry) (why Refusal, wrong bool) {
 	g := s.group(e.Group)
-	if g < 0 || e.Sample < 0 || e.Sample >= s.Doc.Groups[g].Samples {
-		return "no such sample in the step"
-	}
-	if e.Finish != "stop" && e.Finish != "length" {
-		return "the text is not whole"
-	}
-	if e.Verdict.Hash != Hash([]byte(e.Text)) {
-		return "the verdict is not of this text"
-	}
-	at, revs := 0, map[int]bool{}
-	for _, p := range e.Spans {
-		if p.From != at || p.To < p.From {
-			return "the weights do not cover the text"
+	switch {
+	case g < 0 || e.Sample < 0 || e.Sample >= s.Doc.Groups[g].Samples:
+		return noSuchSample, true
+	case e.Finish != "stop" && e.Finish != "length":
+		return textCut, true
+	case e.Verdict.Hash != Hash([]byte(e.Text)):
+		return otherVerdict, true
+	}
+	return s.wrongSpans(e)
+}
+
+// wrongSpans says why the weights that a result names do not allow it.
+func (s *Step) wrongSpans(e Entry) (why Refusal, wrong bool) {
+	covered, revisions := 0, map[int]bool{}
+	for _, span := range e.Spans {
+		if span.From != covered || span.To < span.From {
+			return spansIncomplete, true
 		}
-		at = p.To
-		revs[p.Revision] = true
-		if p.Revision < s.Doc.Revision-s.Doc.Lag || p.Revision > s.Doc.Revision {
-			return "made under weights that the step does not allow"
+		covered = span.To
+		revisions[span.Revision] = true
+		if span.Revision < s.Doc.Revision-s.Doc.Lag || span.Revision > s.Doc.Revision {
+			return otherWeights, true
 		}
 	}
-	if at != len(e.Text) || len(e.Spans) == 0 {
-		return "the weights do not cover the text"
+	if covered != len(e.Text) || len(e.Spans) == 0 {
+		return spansIncomplete, true
 	}
-	if s.Doc.OneVersion && len(revs) > 1 {
-		return "the step requires one version of the weights"
+	if s.Doc.OneVersion && len(revisions) > 1 {
+		return mixedWeights, true
 	}
-	return ""
+	return Refusal{}, false
 }
--- a/core/ledger/types.go
+++ b/core/ledger/types.go
@@ -20,7 +20,7 @@
 // Result is what a command or query came to. Where Need names items of the
 // blobs, With makes the body of them.
 type Result struct {
-	Code int                   `json:"code"`
+	Code Outcome               `json:"code"`
 	Body json.RawMessage       `json:"body,omitempty"`
 	Need []flow.Ref            `json:"-"`
 	With func([][]byte) Result `json:"-"`
--- a/core/ledger/weights.go
+++ b/core/ledger/weights.go
@@ -21,7 +21,7 @@
 	var g GrantCoord
 	_ = json.Unmarshal(c.Body, &g)
 	if g.Term != l.Coord.Term {
-		return fail(409, "the lease has moved on")
+		return leaseMoved.Result()
 	}
 	l.Coord = Coord{Term: g.Term + 1, ID: g.ID, Addr: g.Addr, Mod: l.Index}
 	return good(l.Coord)
@@ -32,10 +32,10 @@
 	var o Order
 	_ = json.Unmarshal(c.Body, &o)
 	if o.Term != l.Coord.Term {
-		return fail(409, "the order's lease has passed")
+		return orderLeasePassed.Result()
 	}
 	if old := l.Orders[o.Engine]; old != nil && old.Inc == o.Inc && old.Revision > o.Revision {
-		return fail(409, "the engine was ordered to newer weights")
+		return orderOvertaken.Result()
 	}
 	o.State, o.Mod = "ordered", l.Index
 	l.Orders[o.Engine] = &o
@@ -72,7 +72,7 @@
 	_ = json.Unmarshal(c.Body, &o)
 	old := l.Orders[o.Engine]
 	if o.Term != l.Coord.Term || old == nil || old.Inc != o.Inc || old.Revision != o.Revision {
-		return fail(409, "not the order that stands")
+		return otherOrder.Result()
 	}
 	old.State, old.Mod = o.State, l.Index
 	return good(old)
@@ -89,10 +89,10 @@
 	}
 	old := l.Targets[p.Pool]
 	if old != nil && p.Revision < old.Revision {
-		return fail(409, "weights only go forward")
+		return weightsBackward.Result()
 	}
 	if !l.roomForReceipts(c.At, receiptsOf(p.Request)) {
-		return fail(503, receiptsFull)
+		return receiptsFull.Result()
 	}
 	newer := old == nil || p.Revision > old.Revision
 	if newer {
@@ -132,7 +132,7 @@
 	case repeated:
 		return good(l.Targets[p.Pool]), true
 	case changed:
-		return fail(422, requestUsed), true
+		return requestUsed.Result(), true
 	}
 	return Result{}, false
 }
@@ -144,9 +144,6 @@
 	return l.recallTarget(p)
 }
 
-// requestUsed answers an order whose request id stands for another one.
-const requestUsed = "this request id was used for another order"
-
 // putDrain takes an engine out of placement, or back in. A repeat of what was
 // acknowledged changes nothing.
 func (l *Ledger) putDrain(c Command) Result {
@@ -156,10 +153,10 @@
 		return answer
 	}
 	if !l.roomForReceipts(c.At, 1) {
-		return fail(503, receiptsFull)
+		return receiptsFull.Result()
 	}
 	if !l.roomForDrain(p.Engine) {
-		return fail(429, "too many drained engines are remembered")
+		return drainsFull.Result()
 	}
 	if p.Request != "" {
 		l.acknowledge(p.requestID(), c.At, 0)
@@ -190,7 +187,7 @@
 		}
 		return good(Drain{Engine: p.Engine}), true
 	case changed:
-		return fail(422, requestUsed), true
+		return requestUsed.Result(), true
 	}
 	return Result{}, false
 }
--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -9,6 +10,7 @@
 	"fernlink/core/budget"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
+	"fernlink/core/httpstatus"
 	"fernlink/core/ledger"
 	"fernlink/core/serve/env"
 	"fernlink/core/serve/route"
@@ -44,9 +46,9 @@
 			Fresh bool `json:"fresh"`
 		}
 		if t.env.Debug {
-			t.env.Trace("lots", handIn[a.Code == 200], "lot", id, "code", a.Code, "items", len(doc.Items))
+			t.env.Trace("lots", handIn[a.Code == ledger.Accepted], "lot", id, "code", a.Code, "items", len(doc.Items))
 		}
-		if a.Code == 200 && json.Unmarshal(a.Body, &x) == nil {
+		if a.Code == ledger.Accepted && json.Unmarshal(a.Body, &x) == nil {
 			t.env.Counts["lots_taken"]++
 			t.env.Out.Answer(c.ID, 202, struct{}{}, nil)
 			if x.Fresh {
@@ -54,23 +56,27 @@
 			}
 			return
 		}
-		codes := map[int]func(){
-			429: func() { t.env.Refuse(c.ID, "too many open lots", budget.Listed) },
-			400: func() { t.env.Out.Answer(c.ID, 400, a.Body, nil) },
-			409: func() { t.env.Out.Answer(c.ID, 409, a.Body, nil) },
-			// The store says why, but an earlier try may yet be taken: no promise goes
-			// with this.
-			503: func() { t.env.Out.Answer(c.ID, 504, a.Body, nil) },
-		}
-		if f := codes[a.Code]; f != nil {
-			f()
-			return
-		}
-		// Whether the store took it is not known: no promise goes with this.
-		t.env.Out.Answer(c.ID, 504, env.Problem{Error: "the store did not answer in time"}, nil)
+		t.notTaken(c, a)
 	})
 }
 
+// notTaken answers a hand-in that the store did not accept.
+func (t *Table) notTaken(c flow.Call, a ask.Answer) {
+	switch a.Code {
+	case ledger.Full:
+		t.env.Refuse(c.ID, "too many open lots", budget.Listed)
+	case ledger.Invalid, ledger.Conflict:
+		t.env.Out.Answer(c.ID, httpstatus.Of(a.Code), a.Body, nil)
+	case ledger.Unavailable:
+		// The store says why, but an earlier try may yet be taken: no promise goes
+		// with this.
+		t.env.Out.Answer(c.ID, http.StatusGatewayTimeout, a.Body, nil)
+	default:
+		// Whether the store took it is not known: no promise goes with this.
+		t.env.Out.Answer(c.ID, http.StatusGatewayTimeout, env.Problem{Error: "the store did not answer in time"}, nil)
+	}
+}
+
 // hand gives a lot that was just committed to its owner.
 func (t *Table) hand(doc ledger.LotDoc, age flow.Time) {
 	if doc.Owner == t.env.Me {
@@ -112,11 +118,11 @@
 	t.env.Ask(budget.AskLimit, "lot.items", id, func(a ask.Answer) {
 		delete(t.asked, id)
 		var x ledger.LotItems
-		if a.Code == 0 {
+		if a.Code == ledger.Unanswered {
 			t.fetch(id)
 			return
 		}
-		if a.Code != 200 || json.Unmarshal(a.Body, &x) != nil || x.Ended || x.Doc.Owner != t.env.Me {
+		if a.Code != ledger.Accepted || json.Unmarshal(a.Body, &x) != nil || x.Ended || x.Doc.Owner != t.env.Me {
 			return
 		}
 		t.Adopt(x.Doc, flow.Time(x.Doc.AgeMS)*time.Millisecond)
@@ -130,7 +136,7 @@
 		if t.env.Debug {
 			t.env.Trace("lots", "ended", "lot", id, "code", a.Code)
 		}
-		if a.Code == 200 {
+		if a.Code == ledger.Accepted {
 			t.drop(id)
 			t.cutAtOwner(id)
 			t.env.Out.Answer(c.ID, 200, struct{}{}, nil)
@@ -164,8 +170,8 @@
 
 // told passes a store's other answer on: 404 only as its own word.
 func (t *Table) told(c flow.Call, a ask.Answer) {
-	if a.Code == 404 || a.Code == 400 {
-		t.env.Out.Answer(c.ID, a.Code, a.Body, nil)
+	if a.Code == ledger.NotFound || a.Code == ledger.Invalid {
+		t.env.Out.Answer(c.ID, httpstatus.Of(a.Code), a.Body, nil)
 		return
 	}
 	t.env.Refuse(c.ID, "the store did not answer in time", budget.Renew)
@@ -178,7 +184,7 @@
 		var x struct {
 			Body []byte `json:"body"`
 		}
-		if a.Code != 200 || json.Unmarshal(a.Body, &x) != nil {
+		if a.Code != ledger.Accepted || json.Unmarshal(a.Body, &x) != nil {
 			t.told(c, a)
 			return
 		}
@@ -231,7 +237,7 @@
 			return
 		}
 		var x ledger.LotRead
-		if a.Code != 200 || json.Unmarshal(a.Body, &x) != nil {
+		if a.Code != ledger.Accepted || json.Unmarshal(a.Body, &x) != nil {
 			delete(t.readers, r.call.ID)
 			t.told(r.call, a)
 			return
@@ -295,7 +301,7 @@
 		l.flight, l.flushed = n, t.env.Now
 		t.env.Ask(budget.AskLimit, "lot.list", ledger.ListLot{Lot: id, Results: l.ready[:n:n]}, func(a ask.Answer) {
 			l.flight = 0
-			if a.Code == 0 || a.Code >= 500 || a.Code == 429 {
+			if a.Code.Retryable() {
 				return // it is said again
 			}
 			if t.env.Debug {
--- a/core/serve/machines.go
+++ b/core/serve/machines.go
@@ -8,6 +8,7 @@
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
+	"fernlink/core/httpstatus"
 	"fernlink/core/ledger"
 	"fernlink/core/serve/env"
 )
@@ -55,7 +56,7 @@
 				return
 			}
 			s.env.Ask(storeAnswerLimit, "store.remove", machine.ID, func(a ask.Answer) {
-				if a.Code == 200 {
+				if a.Code == ledger.Accepted {
 					s.retire(machine)
 				}
 				s.removed(c, a)
@@ -137,7 +138,7 @@
 			return
 		}
 		var held ledger.Holding
-		if a.Code != 200 || json.Unmarshal(a.Body, &held) != nil {
+		if a.Code != ledger.Accepted || json.Unmarshal(a.Body, &held) != nil {
 			s.env.Refuse(c.ID, "the store did not say what the machine holds", storeBackIn)
 			return
 		}
@@ -151,12 +152,12 @@
 		return
 	}
 	switch a.Code {
-	case 0:
+	case ledger.Unanswered:
 		s.env.Refuse(c.ID, "the store did not answer in time; say the same again", storeBackIn)
-	case 200:
+	case ledger.Accepted:
 		s.env.Out.Answer(c.ID, 200, machineState{machineEmptying}, nil)
 	default:
-		s.env.Out.Answer(c.ID, a.Code, a.Body, nil)
+		s.env.Out.Answer(c.ID, httpstatus.Of(a.Code), a.Body, nil)
 	}
 }
 
--- a/core/serve/machines_test.go
+++ b/core/serve/machines_test.go
@@ -25,7 +25,7 @@
 // operator wants it emptied, then it is moved first, refused where too few would
 // remain, and emptied only once the store says that it holds nothing (design 12.8).
 func TestMachineIsEmptiedOnlyWhenItHoldsNothing(t *testing.T) {
-	result := func(code int, body any) ledger.Result {
+	result := func(code ledger.Outcome, body any) ledger.Result {
 		raw, _ := json.Marshal(body)
 		return ledger.Result{Code: code, Body: raw}
 	}
--- a/core/store/asks.go
+++ b/core/store/asks.go
@@ -45,7 +45,7 @@
 		s.write(w, a.Kind, a.Body, out)
 		return
 	}
-	s.tell(w, 400, map[string]string{"error": "no such ask"}, out)
+	s.refuse(w, unknownAsk, out)
 }
 
 // same says whether two tries are of one question.
@@ -71,10 +71,10 @@
 		"coord.take":    (*Store).takeCoord,
 		"coord.leave":   (*Store).leaveCoord,
 		"gone":          (*Store).goneDisp,
-		"coord.grant":   (*Store).refuse,
-		"claim.lost":    (*Store).refuse,
-		"bounds.put":    (*Store).refuse,
-		"lot.own":       (*Store).refuse,
+		"coord.grant":   (*Store).refuseOthers,
+		"claim.lost":    (*Store).refuseOthers,
+		"bounds.put":    (*Store).refuseOthers,
+		"lot.own":       (*Store).refuseOthers,
 		"store.list":    (*Store).readOwn,
 		"store.add":     (*Store).add,
 		"store.promote": (*Store).promote,
@@ -84,8 +84,8 @@
 	}
 }
 
-func (s *Store) refuse(_ flow.Time, w wait, out *flow.Outbox) {
-	s.tell(w, 400, map[string]string{"error": "only the leader says this"}, out)
+func (s *Store) refuseOthers(_ flow.Time, w wait, out *flow.Outbox) {
+	s.refuse(w, leadersOwn, out)
 }
 
 func (s *Store) retry(w wait, out *flow.Outbox) {
@@ -96,11 +96,14 @@
 	out.Line(w.addr, "told", ask.Told{ID: w.ask.ID, Retry: true, Leader: lead})
 }
 
-func (s *Store) tell(w wait, code int, body any, out *flow.Outbox) {
+func (s *Store) tell(w wait, outcome ledger.Outcome, body any, out *flow.Outbox) {
 	raw, _ := json.Marshal(body)
-	out.Line(w.addr, "told", ask.Told{ID: w.ask.ID, Code: code, Body: raw})
+	out.Line(w.addr, "told", ask.Told{ID: w.ask.ID, Code: outcome, Body: raw})
 }
 
+// refuse tells why an ask is not taken.
+func (s *Store) refuse(w wait, why ledger.Refusal, out *flow.Outbox) { s.reply(w, why.Result(), out) }
+
 func (s *Store) write(w wait, kind string, body json.RawMessage, out *flow.Outbox) {
 	data, _ := json.Marshal(ledger.Command{Kind: kind, At: s.time(), Body: body})
 	at, term, err := s.raft.Propose("cmd", data)
@@ -109,7 +112,7 @@
 
 func (s *Store) hold(w wait, at, term uint64, err error, out *flow.Outbox) {
 	if err != nil {
-		s.tell(w, 409, map[string]string{"error": err.Error()}, out)
+		s.refuse(w, notProposed(err), out)
 		return
 	}
 	s.counts["writes"]++
@@ -138,7 +141,7 @@
 	}
 	s.fetch(flow.Fetch{Refs: res.Need}, out, func(got flow.Fetched, out *flow.Outbox) {
 		if len(got.Missing) > 0 {
-			s.tell(w, 410, map[string]string{"error": "this was retired just now"}, out)
+			s.refuse(w, retiredJustNow, out)
 			return
 		}
 		var items [][]byte
--- a/core/store/holding.go
+++ b/core/store/holding.go
@@ -11,7 +11,7 @@
 func (s *Store) holding(_ flow.Time, w wait) ledger.Result {
 	id := ""
 	if json.Unmarshal(w.ask.Body, &id) != nil || id == "" {
-		return ledger.Result{Code: 400, Body: body(map[string]string{"error": "a machine needs an id"})}
+		return machineWithoutID.Result()
 	}
 	held := ledger.Holding{Member: s.raft.Conf().Find(id) >= 0}
 	for _, lot := range s.ledger.LotRows() {
@@ -19,5 +19,5 @@
 			held.Lots++
 		}
 	}
-	return ledger.Result{Code: 200, Body: body(held)}
+	return ledger.Result{Code: ledger.Accepted, Body: body(held)}
 }
--- a/core/store/leases.go
+++ b/core/store/leases.go
@@ -57,12 +57,12 @@
 	var c CoordRenew
 	_ = json.Unmarshal(w.ask.Body, &c)
 	if c.Term == 0 || c.Term != s.ledger.Coord.Term || c.ID != s.ledger.Coord.ID || s.grant == c.Term {
-		s.tell(w, 409, s.ledger.Coord, out)
+		s.tell(w, ledger.Conflict, s.ledger.Coord, out)
 		return
 	}
 	if s.contact.lost(now, c.Heard, s.contactTerm != c.Term) {
 		s.contactTerm = c.Term
-		s.tell(w, 503, map[string]string{"error": "earlier answers were not heard"}, out)
+		s.refuse(w, answersUnheard, out)
 		return
 	}
 	s.contactTerm = c.Term
@@ -78,7 +78,7 @@
 	have := s.ledger.Coord
 	quiet := now-max(s.coord, s.raft.Since()) >= budget.Take || s.freed == have.Term
 	if have.Term != 0 && !quiet || s.grant == have.Term && have.Term != 0 {
-		s.tell(w, 409, have, out)
+		s.tell(w, ledger.Conflict, have, out)
 		return
 	}
 	s.grant = have.Term
@@ -95,7 +95,7 @@
 	if c.Term == s.ledger.Coord.Term && c.ID == s.ledger.Coord.ID {
 		s.freed = c.Term
 	}
-	s.tell(w, 200, struct{}{}, out)
+	s.tell(w, ledger.Accepted, struct{}{}, out)
 }
 
 // goneDisp forgets a dispatcher that stopped: it has cut all that it sent.
@@ -105,7 +105,7 @@
 	delete(s.seen, id)
 	s.heardMore = true
 	s.disown(now, id)
-	s.tell(w, 200, struct{}{}, out)
+	s.tell(w, ledger.Accepted, struct{}{}, out)
 }
 
 func (s *Store) renewed(now flow.Time, w wait) ledger.Result {
@@ -114,13 +114,13 @@
 	was, known := s.seen[r.ID]
 	if was.contact.lost(now, r.Heard, !known) {
 		s.counts["unheard_answers"]++
-		return ledger.Result{Code: 503, Body: body(map[string]string{"error": "earlier answers were not heard"})}
+		return answersUnheard.Result()
 	}
 	s.seen[r.ID] = leaseHolder{now, max(was.have, r.Have), w.addr, was.left || r.Left, was.contact}
 	if r.Have > was.have {
 		s.heardMore = true // an order may be known to all by now
 	}
-	return ledger.Result{Code: 200, Body: s.since(now, r.Have)}
+	return ledger.Result{Code: ledger.Accepted, Body: s.since(now, r.Have)}
 }
 
 // nudges are the commands that others should hear of soon. They renew at once
@@ -169,7 +169,7 @@
 	var c CoordRenew
 	_ = json.Unmarshal(w.ask.Body, &c)
 	if c.Term != s.ledger.Coord.Term || c.ID != s.ledger.Coord.ID {
-		return ledger.Result{Code: 409, Body: body(s.ledger.Coord)}
+		return ledger.Result{Code: ledger.Conflict, Body: body(s.ledger.Coord)}
 	}
 	d := s.ledger.Since(0)
 	d.Wall, d.Known = s.time(), s.known(now)
@@ -180,5 +180,5 @@
 	if d.Plan != nil && d.Plan.Version == c.Plan {
 		d.Plan = nil
 	}
-	return ledger.Result{Code: 200, Body: body(d)}
+	return ledger.Result{Code: ledger.Accepted, Body: body(d)}
 }
--- a/core/store/leave.go
+++ b/core/store/leave.go
@@ -6,6 +6,7 @@
 
 	"fernlink/core/budget"
 	"fernlink/core/flow"
+	"fernlink/core/ledger"
 	"fernlink/core/raft"
 )
 
@@ -64,12 +65,12 @@
 func (s *Store) stopAnnounced(now flow.Time, w wait, out *flow.Outbox) {
 	var notice StopNotice
 	if json.Unmarshal(w.ask.Body, &notice) != nil || s.raft.Conf().Find(notice.Member) < 0 {
-		s.tell(w, 404, map[string]string{"error": "no such store machine"}, out)
+		s.refuse(w, noSuchMember, out)
 		return
 	}
 	s.stopping[notice.Member] = now
 	s.look = now
-	s.tell(w, 200, struct{}{}, out)
+	s.tell(w, ledger.Accepted, struct{}{}, out)
 }
 
 // isStopping says that a member said of late that it stops.
--- a/core/store/members.go
+++ b/core/store/members.go
@@ -102,21 +102,17 @@
 		}
 		out = append(out, v)
 	}
-	return ledger.Result{Code: 200, Body: body(map[string]any{"stores": out, "commit": s.raft.Commit()})}
-}
-
-func (s *Store) no(w wait, why string, out *flow.Outbox) {
-	s.tell(w, 409, map[string]string{"error": why}, out)
+	return ledger.Result{Code: ledger.Accepted, Body: body(map[string]any{"stores": out, "commit": s.raft.Commit()})}
 }
 
 // repeat acknowledges a change of membership that was made before, but not while
 // that is still on its way: it may yet be undone by another leader.
 func (s *Store) repeat(w wait, body any, out *flow.Outbox) {
 	if s.raft.Busy() {
-		s.tell(w, 503, map[string]string{"error": "a change of membership is under way; say the same again"}, out)
+		s.refuse(w, changeUnderWay, out)
 		return
 	}
-	s.tell(w, 200, body, out)
+	s.tell(w, ledger.Accepted, body, out)
 }
 
 // removal tells that a store machine is out for good.
@@ -131,7 +127,7 @@
 func (s *Store) add(_ flow.Time, w wait, out *flow.Outbox) {
 	var m raft.Member
 	if json.Unmarshal(w.ask.Body, &m) != nil || m.Addr == "" {
-		s.tell(w, 400, map[string]string{"error": "a store machine needs an address"}, out)
+		s.refuse(w, memberWithoutAddress, out)
 		return
 	}
 	c := s.raft.Conf()
@@ -143,7 +139,7 @@
 	}
 	switch {
 	case m.ID == "":
-		s.tell(w, 404, map[string]string{"error": "no process is heard at that address"}, out)
+		s.refuse(w, nobodyThere, out)
 		return
 	case slices.Contains(c.Retired, m.ID):
 		s.repeat(w, removed(m.ID), out) // it was taken in once, and is out for good
@@ -164,7 +160,7 @@
 		return
 	}
 	if i < 0 {
-		s.tell(w, 404, map[string]string{"error": "no such store machine"}, out)
+		s.refuse(w, noSuchMember, out)
 		return
 	}
 	m := c.Members[i]
@@ -173,7 +169,7 @@
 		return
 	}
 	if !s.ready(id, now) {
-		s.no(w, "the learner has not caught up", out)
+		s.refuse(w, learnerBehind, out)
 		return
 	}
 	m.Voter = true
@@ -227,7 +223,7 @@
 	m := c.Members[i]
 	if !m.Voter {
 		if s.needed(now, c, id) {
-			s.no(w, "too few store machines would remain: it stands ready for a voter that is lost", out)
+			s.refuse(w, lastReadyLearner, out)
 			return
 		}
 		at, term, err := s.raft.Change(retire(c, id))
@@ -239,11 +235,11 @@
 		return
 	}
 	if c.Voters() == 1 && len(c.Members) == 1 {
-		s.no(w, "this is the last copy", out)
+		s.refuse(w, lastCopy, out)
 		return
 	}
 	if s.spares(now, c, "") <= s.voidVotes(now, c) && c.Voters() <= want(c) {
-		s.no(w, "no store machine stands ready to take its place", out)
+		s.refuse(w, noSuccessor, out)
 		return
 	}
 	m.Leave = true
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -257,10 +257,10 @@
 
 func (s *Store) apply(a raft.Applied, out *flow.Outbox) {
 	e := a.Entry
-	res := ledger.Result{Code: 200, Body: json.RawMessage(`{}`)}
+	res := ledger.Result{Code: ledger.Accepted, Body: json.RawMessage(`{}`)}
 	if e.Kind == "cmd" {
 		res = s.ledger.Apply(e.Index, e.Data)
-		s.news = s.news || nudges[s.ledger.Last] && res.Code == 200
+		s.news = s.news || nudges[s.ledger.Last] && res.Code == ledger.Accepted
 		s.storeBlobs(out)
 	} else {
 		s.ledger.Index = e.Index
--- a/sim/day.go
+++ b/sim/day.go
@@ -166,9 +166,9 @@
 func (c *crowd) ask(kind string, body any, then func(ask.Answer)) {
 	c.rep.Asked[kind]++
 	c.asker.Put(c.w.Now, 4*budget.AskLimit, kind, body, func(_ time.Duration, a ask.Answer) {
-		if a.Code == 0 {
+		if a.Code == ledger.Unanswered {
 			c.rep.Late++
-		} else if a.Code != 200 {
+		} else if a.Code != ledger.Accepted {
 			c.rep.Refused[fmt.Sprint(kind, " ", a.Code)]++
 		}
 		then(a)
@@ -182,16 +182,16 @@
 	owner := fmt.Sprint("crowd/", n)
 	c.ask("claim.take", ledger.Claim{Key: key, Hash: "h" + key, Owner: owner}, func(a ask.Answer) {
 		var k ledger.Claim
-		if a.Code == 0 {
+		if a.Code == ledger.Unanswered {
 			return
 		}
-		if a.Code != 200 || json.Unmarshal(a.Body, &k) != nil || k.Owner != owner {
+		if a.Code != ledger.Accepted || json.Unmarshal(a.Body, &k) != nil || k.Owner != owner {
 			c.w.Wrong("key %s was not taken: %d %s", key, a.Code, a.Body)
 			return
 		}
 		done := ledger.Claim{Key: key, Hash: "h" + key, Owner: owner, State: "done", Code: 200, Type: "application/json", Body: body}
 		c.ask("claim.done", done, func(a ask.Answer) {
-			if a.Code == 200 && n%50 == 0 {
+			if a.Code == ledger.Accepted && n%50 == 0 {
 				c.claim = append(c.claim, kept{key, ledger.Hash(body), c.w.Now, 0})
 			}
 		})
@@ -206,7 +206,7 @@
 		d.Groups = append(d.Groups, ledger.Group{ID: fmt.Sprint("g", g), Prompt: strings.Repeat("p", 1536), Samples: p.Samples, Tokens: 96})
 	}
 	c.ask("step.open", d, func(a ask.Answer) {
-		if a.Code != 200 {
+		if a.Code != ledger.Accepted {
 			return
 		}
 		left := p.Groups * p.Samples
@@ -240,7 +240,7 @@
 		c.ask("claim.take", ledger.Claim{Key: x.id, Hash: "h" + x.id, Owner: "crowd/other"}, func(a ask.Answer) {
 			var k ledger.Claim
 			_ = json.Unmarshal(a.Body, &k)
-			if a.Code == 200 && (k.State != "done" || ledger.Hash(k.Body) != x.hash || k.Hash != "h"+x.id) {
+			if a.Code == ledger.Accepted && (k.State != "done" || ledger.Hash(k.Body) != x.hash || k.Hash != "h"+x.id) {
 				c.w.Wrong("key %s of %v ago is %s with %d bytes", x.id, c.w.Now-x.at, k.State, len(k.Body))
 			}
 			c.rep.Checked["keys"]++
@@ -251,10 +251,10 @@
 		c.ask("result.page", ledger.Page{Step: x.id}, func(a ask.Answer) {
 			var p ledger.Pages
 			_ = json.Unmarshal(a.Body, &p)
-			if a.Code == 0 {
+			if a.Code == ledger.Unanswered {
 				return
 			}
-			if a.Code != 200 || p.Step.Listed != x.count || len(p.Results) != x.count {
+			if a.Code != ledger.Accepted || p.Step.Listed != x.count || len(p.Results) != x.count {
 				c.w.Wrong("step %s of %v ago reads %d with %d of %d results", x.id, c.w.Now-x.at, a.Code, len(p.Results), x.count)
 			}
 			for i, e := range p.Results {
--- a/sim/orders_history_test.go
+++ b/sim/orders_history_test.go
@@ -157,7 +157,7 @@
 		c.a.disp().Call(*x.call, func(r flow.Reply) { end(answered{r.Code, r.Body}) })
 		return
 	}
-	c.store.asker.Put(c.w.Now, budget.AskLimit, x.kind, x.body, func(_ flow.Time, a ask.Answer) { end(answered{a.Code, a.Body}) })
+	c.store.asker.Put(c.w.Now, budget.AskLimit, x.kind, x.body, func(_ flow.Time, a ask.Answer) { end(answered{int(a.Code), a.Body}) })
 }
 
 // note adds one sending to the history.
