--- a/core/ask/ask.go
+++ b/core/ask/ask.go
@@ -15,7 +15,7 @@
 // Ask is a question to the leader; Told is its answer.
 type Ask struct {
 	ID   uint64          `json:"id"`
-	Kind string          `json:"kind"`
+	Kind ledger.Kind     `json:"kind"`
 	Body json.RawMessage `json:"body"`
 }
 
@@ -26,8 +26,6 @@
 	LeaseLine = "lease"
 )
 
-var ofLeases = map[string]bool{"renew": true, "coord.renew": true, "coord.take": true}
-
 func (a Ask) line() string {
 	if ofLeases[a.Kind] {
 		return LeaseLine
@@ -94,8 +92,13 @@
 // New starts an asker; base keeps the ids of two incarnations apart.
 func New(base uint64) *Asker { return &Asker{next: base, open: map[uint64]*open{}} }
 
-// Put opens an ask.
-func (a *Asker) Put(now, limit flow.Time, kind string, body any, done func(flow.Time, Answer)) {
+// Ask opens an ask.
+func (a *Asker) Ask(now, limit flow.Time, question ledger.Body, done func(flow.Time, Answer)) {
+	a.Put(now, limit, question.Kind(), question, done)
+}
+
+// Put opens an ask whose kind is told apart from its body.
+func (a *Asker) Put(now, limit flow.Time, kind ledger.Kind, body any, done func(flow.Time, Answer)) {
 	raw, err := json.Marshal(body)
 	if err != nil {
 		done(now, Answer{Code: ledger.Failed})
--- a/core/coord/coord.go
+++ b/core/coord/coord.go
@@ -130,9 +130,8 @@
 		return
 	}
 	c.gone = true
-	body := store.CoordRenew{ID: c.p.ID, Addr: c.p.Addr, Term: c.term}
 	c.till = c.now // nothing is ordered from here on, whatever the answer
-	c.p.Asker.Put(c.now, budget.Lease, "coord.leave", body, func(now flow.Time, _ ask.Answer) {
+	c.p.Asker.Ask(c.now, budget.Lease, store.LeaveCoord{ID: c.p.ID, Addr: c.p.Addr, Term: c.term}, func(now flow.Time, _ ask.Answer) {
 		c.now = now
 		c.standDown()
 	})
@@ -149,25 +148,26 @@
 	if c.now < c.next || c.leaving && c.term == 0 {
 		return
 	}
-	kind, body := "coord.renew", store.CoordRenew{ID: c.p.ID, Addr: c.p.Addr, Term: c.term, Plan: c.plan, Heard: c.heard}
-	c.next, c.last = c.now+budget.Renew, c.now
+	c.last = c.now
+	lease := store.CoordRenew{ID: c.p.ID, Addr: c.p.Addr, Term: c.term, Plan: c.plan, Heard: c.heard}
 	if c.term == 0 {
-		kind = "coord.take"
 		c.next = c.now + budget.Take/12
+		c.p.Asker.Ask(c.now, budget.Lease, store.TakeCoord(lease), func(now flow.Time, a ask.Answer) {
+			c.now = now
+			c.granted(a)
+		})
+		return
 	}
-	c.p.Asker.Put(c.now, budget.Lease, kind, body, func(now flow.Time, a ask.Answer) {
+	c.next = c.now + budget.Renew
+	c.p.Asker.Ask(c.now, budget.Lease, lease, func(now flow.Time, a ask.Answer) {
 		c.now = now
-		if kind == "coord.take" {
-			c.granted(a)
-			return
-		}
 		if a.Code != ledger.Unanswered {
 			c.heard++
 		}
 		if a.Code == ledger.Unavailable {
 			c.next = now
 		}
-		c.renewed(body.Term, a)
+		c.renewed(lease.Term, a)
 	})
 }
 
--- a/core/coord/roll.go
+++ b/core/coord/roll.go
@@ -78,7 +78,7 @@
 func (c *Coord) commitOrder(m *move) {
 	m.open = true
 	term := c.term
-	c.p.Asker.Put(c.now, budget.AskLimit, "order.put", m.order, func(now flow.Time, a ask.Answer) {
+	c.p.Asker.Ask(c.now, budget.AskLimit, ledger.PutOrder(m.order), func(now flow.Time, a ask.Answer) {
 		c.now = now
 		m.open = false
 		if c.term != term || c.moves[m.order.Engine] != m {
@@ -182,7 +182,7 @@
 	term := c.term
 	o := m.order
 	o.State = m.state
-	c.p.Asker.Put(c.now, budget.AskLimit, "order.state", o, func(now flow.Time, a ask.Answer) {
+	c.p.Asker.Ask(c.now, budget.AskLimit, ledger.StateOrder(o), func(now flow.Time, a ask.Answer) {
 		c.now = now
 		m.open = false
 		if c.term != term || c.moves[o.Engine] != m {
--- a/core/disp/admin.go
+++ b/core/disp/admin.go
@@ -12,30 +12,30 @@
 	"fernlink/core/httpstatus"
 	"fernlink/core/ledger"
 	"fernlink/core/place"
-	"fernlink/core/raft"
 	"fernlink/core/sorted"
+	"fernlink/core/store"
 )
 
 var calls = map[string]func(*Disp, flow.Call){
 	"app":          (*Disp).app,
-	"plan.get":     func(d *Disp, c flow.Call) { d.up(c, "plan.get", 0) },
+	"plan.get":     func(d *Disp, c flow.Call) { d.up(c, ledger.GetPlan(0)) },
 	"plan.version": (*Disp).planVersion,
-	"plan.list":    func(d *Disp, c flow.Call) { d.up(c, "plan.list", nil) },
+	"plan.list":    func(d *Disp, c flow.Call) { d.up(c, ledger.ListPlans{}) },
 	"plan.put":     (*Disp).planPut,
 	"step.open":    (*Disp).stepOpen,
-	"step.list":    func(d *Disp, c flow.Call) { d.up(c, "step.list", nil) },
-	"step.get":     func(d *Disp, c flow.Call) { d.up(c, "step.get", c.Vars["id"]) },
-	"step.end":     func(d *Disp, c flow.Call) { d.up(c, "step.end", c.Vars["id"]) },
+	"step.list":    func(d *Disp, c flow.Call) { d.up(c, ledger.ListSteps{}) },
+	"step.get":     func(d *Disp, c flow.Call) { d.up(c, ledger.GetStep(c.Vars["id"])) },
+	"step.end":     func(d *Disp, c flow.Call) { d.up(c, ledger.EndStep(c.Vars["id"])) },
 	"step.results": (*Disp).results,
 	"weights.put":  (*Disp).weightsPut,
 	"roll.get":     (*Disp).roll,
 	"engine.list":  (*Disp).engineList,
 	"engine.get":   (*Disp).engineGet,
 	"engine.drain": (*Disp).engineDrain,
-	"store.list":   func(d *Disp, c flow.Call) { d.up(c, "store.list", nil) },
+	"store.list":   func(d *Disp, c flow.Call) { d.up(c, store.ListMembers{}) },
 	"store.add":    (*Disp).storeAdd,
-	"store.vote":   func(d *Disp, c flow.Call) { d.up(c, "store.promote", c.Vars["id"]) },
-	"store.remove": func(d *Disp, c flow.Call) { d.up(c, "store.remove", c.Vars["id"]) },
+	"store.vote":   func(d *Disp, c flow.Call) { d.up(c, store.PromoteMember(c.Vars["id"])) },
+	"store.remove": func(d *Disp, c flow.Call) { d.up(c, store.RemoveMember(c.Vars["id"])) },
 }
 
 // Serves says whether a call is a dispatcher's.
@@ -84,8 +84,8 @@
 }
 
 // up takes a call to the store's leader and passes its answer on.
-func (d *Disp) up(c flow.Call, kind string, body any) {
-	d.p.Asker.Put(d.now, patience(c), kind, body, func(now flow.Time, a ask.Answer) { d.told(now, c, a) })
+func (d *Disp) up(c flow.Call, question ledger.Body) {
+	d.p.Asker.Ask(d.now, patience(c), question, func(now flow.Time, a ask.Answer) { d.told(now, c, a) })
 }
 
 // patience is how long a call waits for the store: its caller asks another node
@@ -115,10 +115,8 @@
 
 // unlessKnown refuses an order, but for one that was acknowledged before: that is
 // answered from its receipt (design 4.7), whatever is true by now.
-func (d *Disp) unlessKnown(c flow.Call, kind string, order any, no refusal) {
-	body, _ := json.Marshal(order)
-	question := ledger.KnownOrder{Kind: kind, Body: body}
-	d.p.Asker.Put(d.now, patience(c), "order.known", question, func(now flow.Time, a ask.Answer) {
+func (d *Disp) unlessKnown(c flow.Call, order ledger.Body, no refusal) {
+	d.p.Asker.Ask(d.now, patience(c), ledger.IsKnown(order), func(now flow.Time, a ask.Answer) {
 		if a.Code == ledger.NotFound && d.Fresh(now) {
 			d.out.Answer(c.ID, no.code, no.body, nil)
 			return
@@ -133,7 +131,7 @@
 		d.out.Answer(c.ID, 404, answer{Error: "no such plan version"}, nil)
 		return
 	}
-	d.up(c, "plan.get", v)
+	d.up(c, ledger.GetPlan(v))
 }
 
 func (d *Disp) planPut(c flow.Call) {
@@ -150,7 +148,7 @@
 		d.out.Answer(c.ID, 422, faults{"does not make sense", bad}, nil)
 		return
 	}
-	d.up(c, "plan.put", ledger.PutPlan{Version: p.Version, Read: p.Read, Request: p.Request, Doc: p.Plan})
+	d.up(c, ledger.PutPlan{Version: p.Version, Read: p.Read, Request: p.Request, Doc: p.Plan})
 }
 
 func (d *Disp) stepOpen(c flow.Call) {
@@ -174,11 +172,12 @@
 		}
 		seen[g.ID] = true
 	}
+	order := ledger.OpenStep(s)
 	if len(bad) > 0 {
-		d.unlessKnown(c, "step.open", s, refusal{422, faults{"does not make sense", bad}})
+		d.unlessKnown(c, order, refusal{422, faults{"does not make sense", bad}})
 		return
 	}
-	d.up(c, "step.open", s)
+	d.up(c, order)
 }
 
 func (d *Disp) weightsPut(c flow.Call) {
@@ -188,10 +187,10 @@
 	}
 	t.Pool = c.Vars["pool"]
 	if d.plan != nil && !d.plan.Names(t.Pool) {
-		d.unlessKnown(c, "target.put", t, refusal{404, answer{Error: "no such model pool or model in the plan in force"}})
+		d.unlessKnown(c, t, refusal{404, answer{Error: "no such model pool or model in the plan in force"}})
 		return
 	}
-	d.up(c, "target.put", t)
+	d.up(c, t)
 }
 
 // EngineView is one engine as operators see it.
@@ -251,11 +250,11 @@
 	e := d.engines[x.Engine]
 	switch {
 	case e == nil:
-		d.unlessKnown(c, "drain.put", x, refusal{404, answer{Error: "no such engine"}})
+		d.unlessKnown(c, x, refusal{404, answer{Error: "no such engine"}})
 	case x.On && d.readyBeside(e) == 0:
-		d.unlessKnown(c, "drain.put", x, refusal{409, answer{Error: "this would drain the last ready engine of pool " + e.Pool}})
+		d.unlessKnown(c, x, refusal{409, answer{Error: "this would drain the last ready engine of pool " + e.Pool}})
 	default:
-		d.up(c, "drain.put", x)
+		d.up(c, x)
 	}
 }
 
@@ -285,10 +284,10 @@
 			d.out.Answer(c.ID, 409, answer{Error: "the process there runs no store"}, nil)
 			return
 		}
-		d.up(c, "store.add", raft.Member{ID: e.ID, Addr: e.Addr, Area: e.Area})
+		d.up(c, store.AddMember{ID: e.ID, Addr: e.Addr, Area: e.Area})
 		return
 	}
-	d.up(c, "store.add", raft.Member{Addr: b.Addr}) // a member that is down may have been taken in before
+	d.up(c, store.AddMember{Addr: b.Addr}) // a member that is down may have been taken in before
 }
 
 // Stats is the dispatcher's part of the one snapshot (design 10.4).
--- a/core/disp/app.go
+++ b/core/disp/app.go
@@ -84,7 +84,7 @@
 	q.owner = d.p.ID + "/" + ledger.Hash([]byte(q.call.Verb + q.call.Path))[:8] + "/" + itoa(d.tries)
 	q.hash = ledger.Hash(append([]byte(q.call.Verb+" "+q.call.Path+"\n"), q.call.Body...))
 	k := ledger.Claim{Key: q.key, Hash: q.hash, Owner: q.owner}
-	d.p.Asker.Put(d.now, min(budget.Ask*2, q.limit-d.now), "claim.take", k, func(now flow.Time, a ask.Answer) {
+	d.p.Asker.Ask(d.now, min(budget.Ask*2, q.limit-d.now), ledger.TakeClaim(k), func(now flow.Time, a ask.Answer) {
 		d.now = now
 		if q.state != held {
 			d.settle(q, ledger.Claim{State: refused}, nil)
@@ -285,7 +285,7 @@
 		return
 	}
 	k.Key, k.Owner, k.Hash = q.key, q.owner, q.hash
-	d.p.Asker.Put(d.now, budget.Ask*2, "claim.done", k, func(now flow.Time, a ask.Answer) {
+	d.p.Asker.Ask(d.now, budget.Ask*2, ledger.DoneClaim(k), func(now flow.Time, a ask.Answer) {
 		d.now = now
 		if a.Code == ledger.Unanswered || a.Code == ledger.Unavailable {
 			d.owe(k)
@@ -306,7 +306,7 @@
 		return
 	}
 	d.owed++
-	d.p.Asker.Put(d.now, budget.Heal, "claim.done", k, func(now flow.Time, a ask.Answer) {
+	d.p.Asker.Ask(d.now, budget.Heal, ledger.DoneClaim(k), func(now flow.Time, a ask.Answer) {
 		d.now = now
 		d.owed--
 		if a.Code == ledger.Unanswered || a.Code == ledger.Unavailable {
--- a/core/disp/disp.go
+++ b/core/disp/disp.go
@@ -153,7 +153,7 @@
 	}
 	d.renewing = true
 	d.next, d.asked = d.now+budget.Renew, d.now
-	d.p.Asker.Put(d.now, budget.Lease, "renew", store.Renew{ID: d.p.ID, Have: d.index, Heard: d.heard}, func(now flow.Time, a ask.Answer) {
+	d.p.Asker.Ask(d.now, budget.Lease, store.Renew{ID: d.p.ID, Have: d.index, Heard: d.heard}, func(now flow.Time, a ask.Answer) {
 		var x ledger.Delta
 		d.renewing = false
 		if a.Code != ledger.Unanswered {
--- a/core/disp/gen_judge.go
+++ b/core/disp/gen_judge.go
@@ -69,7 +69,7 @@
 				continue
 			}
 			g.again = d.now + budget.AskLimit + budget.Ask
-			d.p.Asker.Put(d.now, budget.AskLimit, "result.add", ledger.AddEntry{Step: id, Entry: g.whole}, func(now flow.Time, a ask.Answer) {
+			d.p.Asker.Ask(d.now, budget.AskLimit, ledger.AddEntry{Step: id, Entry: g.whole}, func(now flow.Time, a ask.Answer) {
 				d.now = now
 				if a.Code == ledger.Unanswered {
 					g.again = now // not known: ask again, the ledger lists it once
--- a/core/disp/leave.go
+++ b/core/disp/leave.go
@@ -40,14 +40,14 @@
 			d.refuse(q, "this node is stopping")
 		}
 	}
-	d.p.Asker.Put(now, budget.Lease, "renew", store.Renew{ID: d.p.ID, Have: d.index, Left: true, Heard: d.heard}, func(now flow.Time, a ask.Answer) {
+	d.p.Asker.Ask(now, budget.Lease, store.Renew{ID: d.p.ID, Have: d.index, Left: true, Heard: d.heard}, func(now flow.Time, a ask.Answer) {
 		d.now = now
 		var x ledger.Delta
 		if a.Code == ledger.Accepted && json.Unmarshal(a.Body, &x) == nil {
 			d.handOn(x.Roster)
 		}
 		// All its streams are cut: weight orders need not wait for it to lapse.
-		d.p.Asker.Put(now, budget.Lease, "gone", d.p.ID, func(flow.Time, ask.Answer) { d.handed = true })
+		d.p.Asker.Ask(now, budget.Lease, store.Gone(d.p.ID), func(flow.Time, ask.Answer) { d.handed = true })
 	})
 }
 
--- a/core/disp/park.go
+++ b/core/disp/park.go
@@ -50,11 +50,11 @@
 		return
 	}
 	if d.now >= r.till || d.leaving {
-		d.up(r.call, "result.page", r.page)
+		d.up(r.call, r.page)
 		return
 	}
 	heard := d.lists[r.page.Step]
-	d.p.Asker.Put(d.now, patience(r.call), "result.page", r.page, func(now flow.Time, a ask.Answer) {
+	d.p.Asker.Ask(d.now, patience(r.call), r.page, func(now flow.Time, a ask.Answer) {
 		d.now = now
 		var got struct {
 			Step    ledger.Sum        `json:"step"`
--- a/core/disp/roll.go
+++ b/core/disp/roll.go
@@ -22,7 +22,7 @@
 
 // roll tells targets, orders and progress.
 func (d *Disp) roll(c flow.Call) {
-	d.p.Asker.Put(d.now, patience(c), "roll.get", nil, func(now flow.Time, a ask.Answer) {
+	d.p.Asker.Ask(d.now, patience(c), ledger.GetRoll{}, func(now flow.Time, a ask.Answer) {
 		var x struct {
 			Targets []ledger.Target `json:"targets"`
 			Orders  []ledger.Order  `json:"orders"`
--- a/core/disp/step.go
+++ b/core/disp/step.go
@@ -196,7 +196,7 @@
 			continue
 		}
 		s.ending = true
-		d.p.Asker.Put(d.now, budget.AskLimit, "step.end", id, func(now flow.Time, a ask.Answer) {
+		d.p.Asker.Ask(d.now, budget.AskLimit, ledger.EndStep(id), func(now flow.Time, a ask.Answer) {
 			s.ending = a.Code != ledger.Unanswered
 		})
 	}
--- a/core/ledger/claim.go
+++ b/core/ledger/claim.go
@@ -32,9 +32,16 @@
 	Body []byte `json:"body"`
 }
 
-func (l *Ledger) takeClaim(c Command) Result {
-	var k Claim
-	if json.Unmarshal(c.Body, &k) != nil || k.Key == "" {
+// TakeClaim claims a run-once key (design 7.2). takeClaim applies it;
+// TestKeysForADay, TestLateOutcomes.
+type TakeClaim Claim
+
+// Kind names the command.
+func (TakeClaim) Kind() Kind { return KindClaimTake }
+
+func (l *Ledger) takeClaim(take TakeClaim, c Command) Result {
+	k := Claim(take)
+	if k.Key == "" {
 		return badClaim.Result()
 	}
 	name := keys.Name("key", k.Key)
@@ -67,9 +74,15 @@
 	}}
 }
 
-func (l *Ledger) doneClaim(c Command) Result {
-	var k Claim
-	if json.Unmarshal(c.Body, &k) != nil || stateCodes[k.State] == 0 {
+// DoneClaim says what became of a claim (design 7.2). doneClaim applies it;
+// TestKeysForADay, TestLateOutcomes.
+type DoneClaim Claim
+
+// Kind names the command.
+func (DoneClaim) Kind() Kind { return KindClaimDone }
+
+func (l *Ledger) doneClaim(k DoneClaim, c Command) Result {
+	if stateCodes[k.State] == 0 {
 		return badClaim.Result()
 	}
 	name := keys.Name("key", k.Key)
@@ -95,10 +108,18 @@
 	return good(struct{}{})
 }
 
+// LostClaim settles the claim of an owner that is gone (design 7.2). lostClaim
+// applies it; TestLateOutcomes.
+type LostClaim struct {
+	Row   uint64 `json:"row"`
+	Owner string `json:"owner"`
+}
+
+// Kind names the command.
+func (LostClaim) Kind() Kind { return KindClaimLost }
+
 // lostClaim settles a claim whose owner is gone: whether it ran is not known.
-func (l *Ledger) lostClaim(c Command) Result {
-	var x LostClaim
-	_ = json.Unmarshal(c.Body, &x)
+func (l *Ledger) lostClaim(x LostClaim, _ Command) Result {
 	if !l.Keys.Has(x.Row) || l.Owners[x.Row] != x.Owner || x.Owner == "" {
 		return noSuchClaim.Result()
 	}
@@ -107,9 +128,16 @@
 	return good(struct{}{})
 }
 
-func (l *Ledger) putBounds(c Command) Result {
-	var b Bounds
-	if json.Unmarshal(c.Body, &b) != nil || b.Keys <= 0 || b.KeyAge <= 0 || b.Age <= 0 || b.Bytes <= 0 || b.Open <= 0 {
+// PutBounds puts a leader's bounds into force (design 4.7). putBounds applies it;
+// TestCommandsOfAnEarlierBuild.
+type PutBounds Bounds
+
+// Kind names the command.
+func (PutBounds) Kind() Kind { return KindBoundsPut }
+
+func (l *Ledger) putBounds(put PutBounds, _ Command) Result {
+	b := Bounds(put)
+	if b.Keys <= 0 || b.KeyAge <= 0 || b.Age <= 0 || b.Bytes <= 0 || b.Open <= 0 {
 		return badBounds.Result()
 	}
 	l.Bounds = b
--- /dev/null
+++ b/core/ledger/command.go
@@ -0,0 +1,133 @@
+package ledger
+
+import "encoding/json"
+
+// Kind names a command of the log, or a question. The names stand in logs and in
+// the lines between nodes, and never change.
+type Kind string
+
+// The commands of the log. Each has a type of its name for its body, whose comment
+// says where it is applied and tested.
+const (
+	KindPlanPut    Kind = "plan.put"    // PutPlan
+	KindStepOpen   Kind = "step.open"   // OpenStep
+	KindStepEnd    Kind = "step.end"    // EndStep
+	KindResultAdd  Kind = "result.add"  // AddEntry
+	KindClaimTake  Kind = "claim.take"  // TakeClaim
+	KindClaimDone  Kind = "claim.done"  // DoneClaim
+	KindClaimLost  Kind = "claim.lost"  // LostClaim
+	KindBoundsPut  Kind = "bounds.put"  // PutBounds
+	KindCoordGrant Kind = "coord.grant" // GrantCoord
+	KindOrderPut   Kind = "order.put"   // PutOrder
+	KindOrderState Kind = "order.state" // StateOrder
+	KindTargetPut  Kind = "target.put"  // PutTarget
+	KindDrainPut   Kind = "drain.put"   // PutDrain
+	KindLotPut     Kind = "lot.put"     // PutLot
+	KindLotList    Kind = "lot.list"    // ListLot
+	KindLotEnd     Kind = "lot.end"     // EndLot
+	KindLotOwn     Kind = "lot.own"     // OwnLot
+)
+
+// commands has all commands, by the kinds of their bodies.
+var commands = commandTable(
+	strict((*Ledger).putPlan, badPlan),
+	strict((*Ledger).openStep, badStep),
+	lenient((*Ledger).endStep),
+	strict((*Ledger).addEntry, badEntry),
+	strict((*Ledger).takeClaim, badClaim),
+	strict((*Ledger).doneClaim, badClaim),
+	lenient((*Ledger).lostClaim),
+	strict((*Ledger).putBounds, badBounds),
+	lenient((*Ledger).grantCoord),
+	lenient((*Ledger).putOrder),
+	lenient((*Ledger).stateOrder),
+	lenient((*Ledger).putTarget),
+	lenient((*Ledger).putDrain),
+	strict((*Ledger).putLot, badLot).onLots(),
+	strict((*Ledger).listLot, badLotResults).onLots(),
+	lenient((*Ledger).endLot).onLots(),
+	lenient((*Ledger).ownLot).onLots(),
+)
+
+// Body is the body of a command or a question.
+type Body interface{ Kind() Kind }
+
+// Command is one change asked of the ledger. At is the ledger's own time in
+// milliseconds (design 4.7), stamped once, so that every member sees the same.
+type Command struct {
+	Kind Kind            `json:"kind"`
+	At   int64           `json:"at"`
+	Body json.RawMessage `json:"body"`
+}
+
+// Encode gives a command as it stands in the log.
+func (c Command) Encode() json.RawMessage { return raw(c) }
+
+// NewCommand makes a command of a body.
+func NewCommand(at int64, body Body) Command {
+	return Command{Kind: body.Kind(), At: at, Body: raw(body)}
+}
+
+// command is how one kind of command is decoded and applied.
+type command struct {
+	kind  Kind
+	apply func(*Ledger, Command) Result
+}
+
+func commandTable(all ...command) map[Kind]command {
+	table := map[Kind]command{}
+	for _, c := range all {
+		table[c.kind] = c
+	}
+	return table
+}
+
+// strict is a command that is refused where its body does not parse.
+func strict[B Body](apply func(*Ledger, B, Command) Result, bad Refusal) command {
+	var body B
+	return command{body.Kind(), func(l *Ledger, c Command) Result {
+		var body B
+		if json.Unmarshal(c.Body, &body) != nil {
+			return bad.Result()
+		}
+		return apply(l, body, c)
+	}}
+}
+
+// lenient is a command whose body is taken as far as it parses. Earlier builds
+// applied it so, and every build must come to the same state.
+func lenient[B Body](apply func(*Ledger, B, Command) Result) command {
+	var body B
+	return command{body.Kind(), func(l *Ledger, c Command) Result {
+		var body B
+		_ = json.Unmarshal(c.Body, &body)
+		return apply(l, body, c)
+	}}
+}
+
+// onLots retires the lots whose time is over before the command is looked at.
+func (x command) onLots() command {
+	return command{x.kind, func(l *Ledger, c Command) Result {
+		l.retireLots()
+		return x.apply(l, c)
+	}}
+}
+
+// Knows says whether a command kind exists.
+func Knows(kind Kind) bool { _, ok := commands[kind]; return ok }
+
+// Apply folds one committed command.
+func (l *Ledger) Apply(index uint64, data json.RawMessage) Result {
+	l.Index = index
+	var c Command
+	if json.Unmarshal(data, &c) != nil {
+		return badCommand.Result()
+	}
+	known, ok := commands[c.Kind]
+	if !ok {
+		return unknownCommand.Result()
+	}
+	l.Clock, l.Last = max(l.Clock, c.At), c.Kind
+	c.At = l.Clock
+	return known.apply(l, c)
+}
--- a/core/ledger/earlier_build_test.go
+++ b/core/ledger/earlier_build_test.go
@@ -26,7 +26,7 @@
 
 // recordedAnswer is a question, asked after the last command, and its answer.
 type recordedAnswer struct {
-	Kind   string          `json:"kind"`
+	Kind   Kind            `json:"kind"`
 	Body   json.RawMessage `json:"body"`
 	Result json.RawMessage `json:"result"`
 }
@@ -90,7 +90,7 @@
 // Given the log of an earlier build, when it is applied, then each result, the
 // snapshot at the end and the answers to questions are the same bytes.
 func TestCommandsOfAnEarlierBuild(t *testing.T) {
-	l, blobs, kinds := New(), blobsOf{}, map[string]bool{}
+	l, blobs, kinds := New(), blobsOf{}, map[Kind]bool{}
 	for _, c := range readLines[recordedCommand](t, "commands.jsonl") {
 		if got := raw(blobs.settle(l, l.Apply(c.Index, c.Command))); !bytes.Equal(got, c.Result) {
 			t.Errorf("%s:\n%s\nwas\n%s", c.Command, got, c.Result)
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -13,8 +13,8 @@
 // command that brought it (design 4.9).
 type Ledger struct {
 	Index  uint64
-	Clock  int64  // the newest stamp; it never goes back
-	Last   string // kind of the command applied last
+	Clock  int64 // the newest stamp; it never goes back
+	Last   Kind  // of the command applied last
 	Bounds Bounds
 	Plans  []Plan // only the newest has its document here
 	Steps  map[string]*Step
@@ -67,45 +67,6 @@
 	return b, len(b.Put)+len(b.Drop) > 0
 }
 
-var commands = map[string]func(*Ledger, Command) Result{
-	"plan.put":    (*Ledger).putPlan,
-	"step.open":   (*Ledger).openStep,
-	"step.end":    (*Ledger).endStep,
-	"result.add":  (*Ledger).addEntry,
-	"claim.take":  (*Ledger).takeClaim,
-	"claim.done":  (*Ledger).doneClaim,
-	"claim.lost":  (*Ledger).lostClaim,
-	"bounds.put":  (*Ledger).putBounds,
-	"coord.grant": (*Ledger).grantCoord,
-	"order.put":   (*Ledger).putOrder,
-	"order.state": (*Ledger).stateOrder,
-	"target.put":  (*Ledger).putTarget,
-	"drain.put":   (*Ledger).putDrain,
-	"lot.put":     (*Ledger).putLot,
-	"lot.list":    (*Ledger).listLot,
-	"lot.end":     (*Ledger).endLot,
-	"lot.own":     (*Ledger).ownLot,
-}
-
-// Knows says whether a command kind exists.
-func Knows(kind string) bool { _, ok := commands[kind]; return ok }
-
-// Apply folds one committed command.
-func (l *Ledger) Apply(index uint64, data json.RawMessage) Result {
-	l.Index = index
-	var c Command
-	if json.Unmarshal(data, &c) != nil {
-		return badCommand.Result()
-	}
-	f, ok := commands[c.Kind]
-	if !ok {
-		return unknownCommand.Result()
-	}
-	l.Clock, l.Last = max(l.Clock, c.At), c.Kind
-	c.At = l.Clock
-	return f(l, c)
-}
-
 func raw(v any) json.RawMessage {
 	b, err := json.Marshal(v)
 	if err != nil {
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -14,7 +14,7 @@
 	"fernlink/core/ledger/keys"
 )
 
-func do(l *Ledger, kind string, body any) Result {
+func do(l *Ledger, kind Kind, body any) Result {
 	b, _ := json.Marshal(body)
 	c, _ := json.Marshal(Command{Kind: kind, At: 1000, Body: b})
 	return l.Apply(l.Index+1, c)
@@ -144,7 +144,7 @@
 }
 
 // at applies a command at a time in seconds.
-func at(l *Ledger, sec int64, kind string, body any) Result {
+func at(l *Ledger, sec int64, kind Kind, body any) Result {
 	b, _ := json.Marshal(body)
 	c, _ := json.Marshal(Command{Kind: kind, At: sec * 1000, Body: b})
 	return l.Apply(l.Index+1, c)
@@ -215,13 +215,12 @@
 	for sec := int64(0); sec < 3*day; sec++ {
 		for n := int64(0); n < rate; n++ {
 			k := name(sec, n)
-			b := raw(Claim{Key: k, Hash: "h", Owner: "d/1"})
 			l.Index++
-			if r := l.takeClaim(Command{At: sec * 1000, Body: b}); r.Code != 200 {
+			if r := l.takeClaim(TakeClaim{Key: k, Hash: "h", Owner: "d/1"}, Command{At: sec * 1000}); r.Code != 200 {
 				t.Fatalf("at %d s: %d %s", sec, r.Code, r.Body)
 			}
 			l.Index++
-			l.doneClaim(Command{At: sec * 1000, Body: raw(Claim{Key: k, Owner: "d/1", State: "done", Code: 200})})
+			l.doneClaim(DoneClaim{Key: k, Owner: "d/1", State: "done", Code: 200}, Command{At: sec * 1000})
 		}
 		if old := sec - day; old >= 0 {
 			if _, ok := l.Keys.Find(keys.Name("key", name(old, rate-1))); !ok {
--- a/core/ledger/lot_reads.go
+++ b/core/ledger/lot_reads.go
@@ -67,11 +67,7 @@
 	Results []json.RawMessage `json:"results"`
 }
 
-func (l *Ledger) readLot(body json.RawMessage) Result {
-	var q ReadLot
-	if json.Unmarshal(body, &q) != nil {
-		return badQuestion.Result()
-	}
+func (l *Ledger) readLot(q ReadLot) Result {
 	t := l.Lots[q.Lot]
 	if t == nil {
 		return noSuchLot.Result()
@@ -106,10 +102,8 @@
 }
 
 // lotItems tells an owner what is left of its lot.
-func (l *Ledger) lotItems(body json.RawMessage) Result {
-	var id string
-	_ = json.Unmarshal(body, &id)
-	t := l.Lots[id]
+func (l *Ledger) lotItems(lot GetLotItems) Result {
+	t := l.Lots[string(lot)]
 	if t == nil {
 		return noSuchLot.Result()
 	}
@@ -152,9 +146,7 @@
 }
 
 // lotItem gives the body of one item that is not listed, until the lot ends.
-func (l *Ledger) lotItem(body json.RawMessage) Result {
-	var q FindItem
-	_ = json.Unmarshal(body, &q)
+func (l *Ledger) lotItem(q FindItem) Result {
 	t, p := l.Lots[q.Lot], -1
 	if t != nil && !t.Ended {
 		p = t.place(q.Item)
--- a/core/ledger/lots.go
+++ b/core/ledger/lots.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"encoding/json"
 	"slices"
 	"sort"
 
@@ -120,10 +119,16 @@
 	Fresh bool   `json:"fresh"` // false for a repeat
 }
 
-func (l *Ledger) putLot(c Command) Result {
-	l.retireLots()
-	var d LotDoc
-	if json.Unmarshal(c.Body, &d) != nil || d.ID == "" {
+// PutLot hands a lot in (design 8.7). putLot applies it; TestLotPutTwice,
+// TestLateLotIsNotTakenAnew.
+type PutLot LotDoc
+
+// Kind names the command.
+func (PutLot) Kind() Kind { return KindLotPut }
+
+func (l *Ledger) putLot(put PutLot, c Command) Result {
+	d := LotDoc(put)
+	if d.ID == "" {
 		return badLot.Result()
 	}
 	h := lotHash(d.Items)
@@ -207,14 +212,19 @@
 	Refused int `json:"refused,omitempty"`
 }
 
+// ListLot lists results in one lot, in this order, but for items that are
+// listed already (design 8.7). listLot applies it; TestLotVersions, TestLotPositionsNeverMove.
+type ListLot struct {
+	Lot     string      `json:"lot"`
+	Results []LotResult `json:"results"`
+}
+
+// Kind names the command.
+func (ListLot) Kind() Kind { return KindLotList }
+
 // listLot lists results in their order, each item once. It checks again what
 // must never be listed (design 8.7).
-func (l *Ledger) listLot(c Command) Result {
-	l.retireLots()
-	var x ListLot
-	if json.Unmarshal(c.Body, &x) != nil {
-		return badLotResults.Result()
-	}
+func (l *Ledger) listLot(x ListLot, _ Command) Result {
 	t := l.Lots[x.Lot]
 	if t == nil {
 		return noSuchLot.Result()
@@ -264,10 +274,15 @@
 
 func (t *Lot) sum() LotSum { return LotSum{t.Doc.ID, t.Doc.Owner, len(t.IDs), len(t.List), t.Ended} }
 
-func (l *Ledger) endLot(c Command) Result {
-	l.retireLots()
-	var id string
-	_ = json.Unmarshal(c.Body, &id)
+// EndLot ends the lot of this id (design 8.7). endLot applies it;
+// TestLateLotIsNotTakenAnew.
+type EndLot string
+
+// Kind names the command.
+func (EndLot) Kind() Kind { return KindLotEnd }
+
+func (l *Ledger) endLot(end EndLot, _ Command) Result {
+	id := string(end)
 	t := l.Lots[id]
 	if t == nil {
 		return l.endPastLot(id)
@@ -290,11 +305,19 @@
 	return good(LotSum{ID: id, Total: int(l.Receipts.Row(row).Item), Ended: true})
 }
 
+// OwnLot moves a lot to another dispatcher, if Was still owns it (design 8.7).
+// ownLot applies it; TestLotOwners.
+type OwnLot struct {
+	Lot   string `json:"lot"`
+	Was   string `json:"was"`
+	Owner string `json:"owner"`
+}
+
+// Kind names the command.
+func (OwnLot) Kind() Kind { return KindLotOwn }
+
 // ownLot moves a lot whose owner is lost; only the leader says so.
-func (l *Ledger) ownLot(c Command) Result {
-	l.retireLots()
-	var o OwnLot
-	_ = json.Unmarshal(c.Body, &o)
+func (l *Ledger) ownLot(o OwnLot, _ Command) Result {
 	t := l.Lots[o.Lot]
 	if t == nil {
 		return noSuchLot.Result()
--- a/core/ledger/lots_test.go
+++ b/core/ledger/lots_test.go
@@ -405,17 +405,17 @@
 		for i, m := range moves {
 			sec += int64(m % 17)
 			id := fmt.Sprint("l", m/8%5)
-			kinds := []func() (string, any){
-				func() (string, any) { return "lot.put", lotDoc(id, 1+m%40) },
-				func() (string, any) {
+			kinds := []func() (Kind, any){
+				func() (Kind, any) { return "lot.put", lotDoc(id, 1+m%40) },
+				func() (Kind, any) {
 					return "lot.list", ListLot{id, []LotResult{done(fmt.Sprint("i", m%7)), done(fmt.Sprint("i", m%11))}}
 				},
-				func() (string, any) { return "lot.list", ListLot{id, []LotResult{done(fmt.Sprint("i", m%5))}} },
-				func() (string, any) { return "lot.end", id },
-				func() (string, any) { return "lot.own", OwnLot{id, "d1", "d2"} },
-				func() (string, any) { return "step.open", stepDoc(id, 1, 0, true) },
-				func() (string, any) { return "result.add", AddEntry{id, entry(m%4, "abcd", Span{0, 4, 1})} },
-				func() (string, any) {
+				func() (Kind, any) { return "lot.list", ListLot{id, []LotResult{done(fmt.Sprint("i", m%5))}} },
+				func() (Kind, any) { return "lot.end", id },
+				func() (Kind, any) { return "lot.own", OwnLot{id, "d1", "d2"} },
+				func() (Kind, any) { return "step.open", stepDoc(id, 1, 0, true) },
+				func() (Kind, any) { return "result.add", AddEntry{id, entry(m%4, "abcd", Span{0, 4, 1})} },
+				func() (Kind, any) {
 					return "plan.put", PutPlan{Read: uint64(m % 3), Version: uint64(m % 9), Doc: raw(m)}
 				},
 			}
--- a/core/ledger/lottypes.go
+++ b/core/ledger/lottypes.go
@@ -48,20 +48,6 @@
 	Versions []int  `json:"v,omitempty"` // every version that made an event of the text
 }
 
-// ListLot lists results in one lot, in this order, but for items that are
-// listed already.
-type ListLot struct {
-	Lot     string      `json:"lot"`
-	Results []LotResult `json:"results"`
-}
-
-// OwnLot moves a lot to another dispatcher, if Was still owns it.
-type OwnLot struct {
-	Lot   string `json:"lot"`
-	Was   string `json:"was"`
-	Owner string `json:"owner"`
-}
-
 // ReadLot asks for the results from a position on: at most Bytes of them, but
 // at least one where one exists.
 type ReadLot struct {
@@ -70,6 +56,9 @@
 	Bytes int    `json:"bytes"`
 }
 
+// Kind names the question.
+func (ReadLot) Kind() Kind { return KindLotRead }
+
 // LotRead answers it.
 type LotRead struct {
 	Total   int         `json:"total"`
@@ -79,6 +68,12 @@
 	Results []LotResult `json:"results"`
 }
 
+// GetLotItems asks what is left of the lot of this id.
+type GetLotItems string
+
+// Kind names the question.
+func (GetLotItems) Kind() Kind { return KindLotItems }
+
 // LotItems answers an owner that asks for what is left of its lot: Doc has only
 // the items that are not listed.
 type LotItems struct {
@@ -93,6 +88,9 @@
 	Item string `json:"item"`
 }
 
+// Kind names the question.
+func (FindItem) Kind() Kind { return KindLotItem }
+
 // LotRow is what a dispatcher hears of a lot with its renewals.
 type LotRow struct {
 	ID    string `json:"id"`
--- a/core/ledger/plans.go
+++ b/core/ledger/plans.go
@@ -14,13 +14,23 @@
 	return Plan{}
 }
 
+// PutPlan replaces the plan that stands at version Read (design 6.2). Where Version
+// is above zero it is the caller's own for the new one, which must be above Read,
+// and names the put when it is said again; otherwise versions go up by one, and
+// Request names it. putPlan applies it; TestPlanVersions, TestPlanIsKnownAgain.
+type PutPlan struct {
+	Version uint64          `json:"version,omitempty"`
+	Read    uint64          `json:"read"`
+	Request string          `json:"request"`
+	Doc     json.RawMessage `json:"doc"`
+}
+
+// Kind names the command.
+func (PutPlan) Kind() Kind { return KindPlanPut }
+
 // putPlan takes a plan if it was made from the one in force. A repeat of one that
 // was taken is told its version, however many have come since.
-func (l *Ledger) putPlan(c Command) Result {
-	var p PutPlan
-	if json.Unmarshal(c.Body, &p) != nil {
-		return badPlan.Result()
-	}
+func (l *Ledger) putPlan(p PutPlan, c Command) Result {
 	hash := Hash(p.Doc)
 	if answer, done := l.recallPlan(p, hash); done {
 		return answer
--- a/core/ledger/query.go
+++ b/core/ledger/query.go
@@ -75,13 +75,16 @@
 	return d
 }
 
-// Page asks for a step's results after a cursor.
+// Page asks for a step's results after a cursor (design 8.3).
 type Page struct {
 	Step  string `json:"step"`
 	After int    `json:"after"`
 	Limit int    `json:"limit"`
 }
 
+// Kind names the question.
+func (Page) Kind() Kind { return KindResultPage }
+
 // Pages is a stretch of a step's list.
 type Pages struct {
 	Step    Sum     `json:"step"`
@@ -89,28 +92,13 @@
 	Next    int     `json:"next_cursor"`
 }
 
-var queries = map[string]func(*Ledger, json.RawMessage) Result{
-	"order.known": (*Ledger).knownOrder,
-	"plan.get":    (*Ledger).getPlan,
-	"plan.list":   (*Ledger).listPlans,
-	"step.get":    (*Ledger).getStep,
-	"step.list":   (*Ledger).listSteps,
-	"result.page": (*Ledger).page,
-	"roll.get":    (*Ledger).getRoll,
-	"lot.read":    (*Ledger).readLot,
-	"lot.items":   (*Ledger).lotItems,
-	"lot.item":    (*Ledger).lotItem,
-}
-
-// Asks says whether a query kind exists.
-func Asks(kind string) bool { _, ok := queries[kind]; return ok }
+// GetPlan asks for a plan by its version, or for the one in force: 0.
+type GetPlan uint64
 
-// Query answers one read.
-func (l *Ledger) Query(kind string, body json.RawMessage) Result { return queries[kind](l, body) }
+// Kind names the question.
+func (GetPlan) Kind() Kind { return KindPlanGet }
 
-func (l *Ledger) getPlan(body json.RawMessage) Result {
-	var want uint64
-	_ = json.Unmarshal(body, &want)
+func (l *Ledger) getPlan(want GetPlan) Result {
 	if want == 0 {
 		if p := l.Plan(); p.Version > 0 {
 			return good(p)
@@ -118,7 +106,7 @@
 		return noPlan.Result()
 	}
 	for _, p := range l.Plans {
-		if p.Version == want {
+		if p.Version == uint64(want) {
 			return Result{Code: Accepted, Need: []flow.Ref{{Kind: DocItem, ID: p.Mod}}, With: func(items [][]byte) Result {
 				p.Doc = items[0]
 				return good(p)
@@ -128,7 +116,13 @@
 	return noSuchPlan.Result()
 }
 
-func (l *Ledger) listPlans(json.RawMessage) Result {
+// ListPlans asks for the plans that are kept.
+type ListPlans struct{ NoBody }
+
+// Kind names the question.
+func (ListPlans) Kind() Kind { return KindPlanList }
+
+func (l *Ledger) listPlans(ListPlans) Result {
 	out := []Plan{}
 	for _, p := range l.Plans {
 		p.Doc = nil
@@ -137,9 +131,14 @@
 	return good(map[string]any{"plans": out})
 }
 
-func (l *Ledger) getStep(body json.RawMessage) Result {
-	var id string
-	_ = json.Unmarshal(body, &id)
+// GetStep asks for the step of this id.
+type GetStep string
+
+// Kind names the question.
+func (GetStep) Kind() Kind { return KindStepGet }
+
+func (l *Ledger) getStep(step GetStep) Result {
+	id := string(step)
 	if s := l.Steps[id]; s != nil {
 		return good(l.Sum(s))
 	}
@@ -154,7 +153,13 @@
 	return noSuchStep.Result()
 }
 
-func (l *Ledger) listSteps(json.RawMessage) Result {
+// ListSteps asks for the steps that are kept.
+type ListSteps struct{ NoBody }
+
+// Kind names the question.
+func (ListSteps) Kind() Kind { return KindStepList }
+
+func (l *Ledger) listSteps(ListSteps) Result {
 	out := []Sum{}
 	for _, id := range sorted.Keys(l.Steps) {
 		out = append(out, l.Sum(l.Steps[id]))
@@ -162,9 +167,7 @@
 	return good(map[string]any{"steps": out})
 }
 
-func (l *Ledger) page(body json.RawMessage) Result {
-	var p Page
-	_ = json.Unmarshal(body, &p)
+func (l *Ledger) page(p Page) Result {
 	s := l.Steps[p.Step]
 	if s == nil {
 		return l.unknown(p.Step)
@@ -202,7 +205,13 @@
 	Next    int               `json:"next_cursor"`
 }
 
-func (l *Ledger) getRoll(json.RawMessage) Result {
+// GetRoll asks for targets, weight orders and the coordinator's lease (design 8.5).
+type GetRoll struct{ NoBody }
+
+// Kind names the question.
+func (GetRoll) Kind() Kind { return KindRollGet }
+
+func (l *Ledger) getRoll(GetRoll) Result {
 	t, o := []Target{}, []Order{}
 	for _, id := range sorted.Keys(l.Targets) {
 		t = append(t, *l.Targets[id])
--- a/core/ledger/receipts.go
+++ b/core/ledger/receipts.go
@@ -140,27 +140,43 @@
 	return orderID{namedRequest, request, string(raw(order))}
 }
 
-// KnownOrder asks whether an order was acknowledged, without giving it. Whoever
-// would refuse an order before it reaches the ledger asks this first.
+// KnownOrder asks whether an order was acknowledged, without giving it (design 4.7).
+// Whoever would refuse an order before it reaches the ledger asks this first.
+// Its test is sim's TestRepeatsAreNotRefusedBeforehand.
 type KnownOrder struct {
-	Kind string          `json:"kind"`
-	Body json.RawMessage `json:"body"`
+	Order Kind            `json:"kind"`
+	Body  json.RawMessage `json:"body"`
 }
 
+// Kind names the question.
+func (KnownOrder) Kind() Kind { return KindOrderKnown }
+
+// IsKnown makes the question about an order.
+func IsKnown(order Body) KnownOrder { return KnownOrder{Order: order.Kind(), Body: raw(order)} }
+
 // knownOrders answer for the kinds of orders that may be refused elsewhere.
-var knownOrders = map[string]func(*Ledger, json.RawMessage) (Result, bool){
-	"step.open":  (*Ledger).knownStep,
-	"target.put": (*Ledger).knownTarget,
-	"drain.put":  (*Ledger).knownDrain,
+var knownOrders = map[Kind]func(*Ledger, json.RawMessage) (Result, bool){
+	KindStepOpen:  (*Ledger).knownStep,
+	KindTargetPut: recalled((*Ledger).recallTarget),
+	KindDrainPut:  recalled((*Ledger).recallDrain),
+}
+
+// recalled decodes an order, as far as it parses, and looks it up.
+func recalled[Order Body](recall func(*Ledger, Order) (Result, bool)) func(*Ledger, json.RawMessage) (Result, bool) {
+	return func(l *Ledger, body json.RawMessage) (Result, bool) {
+		var order Order
+		_ = json.Unmarshal(body, &order)
+		return recall(l, order)
+	}
 }
 
-func (l *Ledger) knownOrder(body json.RawMessage) Result {
-	var q KnownOrder
-	if json.Unmarshal(body, &q) != nil || knownOrders[q.Kind] == nil {
+func (l *Ledger) knownOrder(q KnownOrder) Result {
+	answer, asked := knownOrders[q.Order]
+	if !asked {
 		return badQuestion.Result()
 	}
-	if answer, known := knownOrders[q.Kind](l, q.Body); known {
-		return answer
+	if known, is := answer(l, q.Body); is {
+		return known
 	}
 	return unknownOrder.Result()
 }
--- a/core/ledger/receipts_test.go
+++ b/core/ledger/receipts_test.go
@@ -105,7 +105,7 @@
 func TestLateLotIsNotTakenAnew(t *testing.T) {
 	l := New()
 	lot := LotDoc{ID: "a", Owner: "n/1", KeepMS: 1000, Items: []LotItem{{ID: "i", Path: "/p", Body: []byte("x")}}}
-	at := func(ms int64, kind string, body any) Result { return applyAt(l, ms, kind, body) }
+	at := func(ms int64, kind Kind, body any) Result { return applyAt(l, ms, kind, body) }
 	at(1000, "lot.put", lot)
 	at(1000, "lot.end", "a")
 	at(5000, "lot.put", LotDoc{ID: "b", Owner: "n/1", KeepMS: 1000, Items: lot.Items})
@@ -130,7 +130,7 @@
 }
 
 // applyAt gives one command at a moment of the ledger's time.
-func applyAt(l *Ledger, at int64, kind string, body any) Result {
+func applyAt(l *Ledger, at int64, kind Kind, body any) Result {
 	c, _ := json.Marshal(Command{Kind: kind, At: at, Body: raw(body)})
 	return l.Apply(l.Index+1, c)
 }
@@ -184,7 +184,7 @@
 	do(l, "plan.put", PutPlan{Request: "three", Doc: json.RawMessage(`{}`)})
 	before := string(l.Snapshot())
 	for _, order := range []struct {
-		kind string
+		kind Kind
 		body any
 	}{
 		{"target.put", PutTarget{Pool: "m", Revision: 6, Request: "one"}},
@@ -218,7 +218,7 @@
 		}
 	}
 	next := 2 + l.Bounds.Keys
-	for kind, body := range map[string]any{
+	for kind, body := range map[Kind]any{
 		"target.put": PutTarget{Pool: "m", Revision: next}, "plan.put": namedPlan(1, 0), "drain.put": PutDrain{Engine: "e", On: true, Request: "r"},
 		"lot.put": LotDoc{ID: "a", Owner: "n/1", Items: []LotItem{{ID: "i", Path: "/p"}}},
 	} {
@@ -270,7 +270,7 @@
 		t.Error("a snapshot of what was loaded is another one")
 	}
 	for v := 1; v <= orders; v++ {
-		for kind, body := range map[string]any{"plan.put": namedPlan(uint64(v), uint64(v-1)), "target.put": PutTarget{Pool: "m", Revision: v + 1},
+		for kind, body := range map[Kind]any{"plan.put": namedPlan(uint64(v), uint64(v-1)), "target.put": PutTarget{Pool: "m", Revision: v + 1},
 			"drain.put": PutDrain{Engine: "e", On: v%2 == 0, Request: fmt.Sprint("d", v)}} {
 			if r := do(l, kind, body); r.Code != 200 {
 				t.Fatalf("%s %d: %d %s", kind, v, r.Code, r.Body)
@@ -320,7 +320,7 @@
 		}
 	}
 	own := PutPlan{Read: 60, Request: "own", Doc: json.RawMessage(`{"pools":[],"routes":[]}`)}
-	for kind, body := range map[string]any{"plan.put": own, "lot.put": lot, "target.put": PutTarget{Pool: "m", Revision: 7}} {
+	for kind, body := range map[Kind]any{"plan.put": own, "lot.put": lot, "target.put": PutTarget{Pool: "m", Revision: 7}} {
 		if r := do(l, kind, body); r.Code != 200 {
 			t.Errorf("%s from before the snapshot: %d %s", kind, r.Code, r.Body)
 		}
@@ -335,7 +335,7 @@
 // repeat is acknowledged and leaves the state as it was.
 func TestRepeatsChangeNothing(t *testing.T) {
 	type order struct {
-		kind string
+		kind Kind
 		body any
 	}
 	build := func(n int, l *Ledger) order {
--- a/core/ledger/steps.go
+++ b/core/ledger/steps.go
@@ -9,11 +9,15 @@
 	"fernlink/core/sorted"
 )
 
-func (l *Ledger) openStep(c Command) Result {
-	var d StepDoc
-	if json.Unmarshal(c.Body, &d) != nil {
-		return badStep.Result()
-	}
+// OpenStep opens a step (design 8.3). openStep applies it; TestRetention,
+// TestKeptWithinBounds.
+type OpenStep StepDoc
+
+// Kind names the command.
+func (OpenStep) Kind() Kind { return KindStepOpen }
+
+func (l *Ledger) openStep(step OpenStep, c Command) Result {
+	d := StepDoc(step)
 	if d.tooMany() {
 		return stepTooLarge.Result()
 	}
@@ -88,9 +92,14 @@
 	return Sum{s.Doc.ID, s.Doc.Trainer, s.Doc.Pool, s.Doc.Revision, s.State, s.Wants, len(s.List)}
 }
 
-func (l *Ledger) endStep(c Command) Result {
-	var id string
-	_ = json.Unmarshal(c.Body, &id)
+// EndStep ends the step of this id (design 8.4). endStep applies it; TestRetention.
+type EndStep string
+
+// Kind names the command.
+func (EndStep) Kind() Kind { return KindStepEnd }
+
+func (l *Ledger) endStep(end EndStep, c Command) Result {
+	id := string(end)
 	s := l.Steps[id]
 	if s == nil {
 		return noSuchStep.Result()
@@ -162,13 +171,19 @@
 	l.Ends = append(l.Ends[:i:i], l.Ends[i+1:]...)
 }
 
+// AddEntry lists one result in one step (design 8.3). addEntry applies it;
+// TestNeverListed, TestListNeverMoves.
+type AddEntry struct {
+	Step  string `json:"step"`
+	Entry Entry  `json:"entry"`
+}
+
+// Kind names the command.
+func (AddEntry) Kind() Kind { return KindResultAdd }
+
 // addEntry lists the first result for a sample and drops later ones. It
 // checks again what must never be listed (design 8.3).
-func (l *Ledger) addEntry(c Command) Result {
-	var a AddEntry
-	if json.Unmarshal(c.Body, &a) != nil {
-		return badEntry.Result()
-	}
+func (l *Ledger) addEntry(a AddEntry, _ Command) Result {
 	s := l.Steps[a.Step]
 	if s == nil {
 		return noSuchStep.Result()
--- a/core/ledger/types.go
+++ b/core/ledger/types.go
@@ -9,14 +9,6 @@
 	"fernlink/core/flow"
 )
 
-// Command is one change asked of the ledger. At is the ledger's own time in
-// milliseconds (design 4.7), stamped once, so that every member sees the same.
-type Command struct {
-	Kind string          `json:"kind"`
-	At   int64           `json:"at"`
-	Body json.RawMessage `json:"body"`
-}
-
 // Result is what a command or query came to. Where Need names items of the
 // blobs, With makes the body of them.
 type Result struct {
@@ -36,17 +28,6 @@
 	At      int64           `json:"at"`
 }
 
-// PutPlan replaces the plan that stands at version Read. Where Version is above
-// zero it is the caller's own for the new one, which must be above Read, and
-// names the put when it is said again; otherwise versions go up by one, and
-// Request names it.
-type PutPlan struct {
-	Version uint64          `json:"version,omitempty"`
-	Read    uint64          `json:"read"`
-	Request string          `json:"request"`
-	Doc     json.RawMessage `json:"doc"`
-}
-
 // Group is one prompt and how many samples of it are wanted.
 type Group struct {
 	ID      string `json:"id"`
@@ -141,12 +122,6 @@
 	Mod    uint64
 }
 
-// AddEntry lists one result in one step.
-type AddEntry struct {
-	Step  string `json:"step"`
-	Entry Entry  `json:"entry"`
-}
-
 // Claim is a run-once key and what became of it (design 7.2).
 type Claim struct {
 	Key   string `json:"key"`
@@ -159,12 +134,6 @@
 	At    int64  `json:"at"`
 }
 
-// LostClaim settles the claim of an owner that is gone.
-type LostClaim struct {
-	Row   uint64 `json:"row"`
-	Owner string `json:"owner"`
-}
-
 // Coord is the coordinator's lease (design 9.2).
 type Coord struct {
 	Term uint64 `json:"term"`
@@ -173,13 +142,6 @@
 	Mod  uint64 `json:"mod"`
 }
 
-// GrantCoord moves the lease, if Term is still the one that was read.
-type GrantCoord struct {
-	Term uint64 `json:"term"`
-	ID   string `json:"id"`
-	Addr string `json:"addr"`
-}
-
 // Order tells one engine incarnation to change weights (design 8.5).
 type Order struct {
 	Engine   string `json:"engine"`
@@ -199,23 +161,6 @@
 	Mod      uint64 `json:"mod"`
 }
 
-// PutTarget names weights for a pool. Where Paused is set it also pauses or resumes
-// the roll-out, and Request tells it from the next order of the same content.
-type PutTarget struct {
-	Pool     string `json:"pool"`
-	Revision int    `json:"revision"`
-	Paused   *bool  `json:"paused,omitempty"`
-	Request  string `json:"request,omitempty"`
-}
-
-// PutDrain takes an engine out of placement or back in. Request tells it from the
-// next order of the same content.
-type PutDrain struct {
-	Engine  string `json:"engine"`
-	On      bool   `json:"drained"`
-	Request string `json:"request,omitempty"`
-}
-
 // Drain takes an engine out of placement by an operator's word.
 type Drain struct {
 	Engine string `json:"engine"`
--- a/core/ledger/weights.go
+++ b/core/ledger/weights.go
@@ -2,11 +2,7 @@
 
 package ledger
 
-import (
-	"encoding/json"
-
-	"fernlink/core/sorted"
-)
+import "fernlink/core/sorted"
 
 func (l *Ledger) target(pool string, rev int) {
 	t := l.Targets[pool]
@@ -17,9 +13,18 @@
 	t.Revision, t.Mod = rev, l.Index
 }
 
-func (l *Ledger) grantCoord(c Command) Result {
-	var g GrantCoord
-	_ = json.Unmarshal(c.Body, &g)
+// GrantCoord moves the coordinator's lease, if Term is still the one that was read
+// (design 9.2). grantCoord applies it; TestOldTermOrdersNothing.
+type GrantCoord struct {
+	Term uint64 `json:"term"`
+	ID   string `json:"id"`
+	Addr string `json:"addr"`
+}
+
+// Kind names the command.
+func (GrantCoord) Kind() Kind { return KindCoordGrant }
+
+func (l *Ledger) grantCoord(g GrantCoord, _ Command) Result {
 	if g.Term != l.Coord.Term {
 		return leaseMoved.Result()
 	}
@@ -27,10 +32,16 @@
 	return good(l.Coord)
 }
 
+// PutOrder orders an engine to change weights (design 8.5). putOrder applies it;
+// TestOldTermOrdersNothing.
+type PutOrder Order
+
+// Kind names the command.
+func (PutOrder) Kind() Kind { return KindOrderPut }
+
 // putOrder is the fence: only the acting coordinator's term passes.
-func (l *Ledger) putOrder(c Command) Result {
-	var o Order
-	_ = json.Unmarshal(c.Body, &o)
+func (l *Ledger) putOrder(put PutOrder, _ Command) Result {
+	o := Order(put)
 	if o.Term != l.Coord.Term {
 		return orderLeasePassed.Result()
 	}
@@ -67,9 +78,14 @@
 	}
 }
 
-func (l *Ledger) stateOrder(c Command) Result {
-	var o Order
-	_ = json.Unmarshal(c.Body, &o)
+// StateOrder says what became of an order (design 8.5). stateOrder applies it;
+// TestCommandsOfAnEarlierBuild.
+type StateOrder Order
+
+// Kind names the command.
+func (StateOrder) Kind() Kind { return KindOrderState }
+
+func (l *Ledger) stateOrder(o StateOrder, _ Command) Result {
 	old := l.Orders[o.Engine]
 	if o.Term != l.Coord.Term || old == nil || old.Inc != o.Inc || old.Revision != o.Revision {
 		return otherOrder.Result()
@@ -78,12 +94,24 @@
 	return good(old)
 }
 
+// PutTarget names weights for a pool (design 8.5). Where Paused is set it also
+// pauses or resumes the roll-out, and Request tells it from the next order of the
+// same content. putTarget applies it; TestNamedWeightsAreKnownAgain,
+// TestLatePauseChangesNothing.
+type PutTarget struct {
+	Pool     string `json:"pool"`
+	Revision int    `json:"revision"`
+	Paused   *bool  `json:"paused,omitempty"`
+	Request  string `json:"request,omitempty"`
+}
+
+// Kind names the command.
+func (PutTarget) Kind() Kind { return KindTargetPut }
+
 // putTarget names weights for a pool, or pauses a roll-out. A repeat of what was
 // acknowledged changes nothing; what was never named and lies below the target is
 // refused.
-func (l *Ledger) putTarget(c Command) Result {
-	var p PutTarget
-	_ = json.Unmarshal(c.Body, &p)
+func (l *Ledger) putTarget(p PutTarget, c Command) Result {
 	if answer, known := l.recallTarget(p); known {
 		return answer
 	}
@@ -137,18 +165,21 @@
 	return Result{}, false
 }
 
-// knownTarget answers a question about an order on weights (KnownOrder).
-func (l *Ledger) knownTarget(body json.RawMessage) (Result, bool) {
-	var p PutTarget
-	_ = json.Unmarshal(body, &p)
-	return l.recallTarget(p)
+// PutDrain takes an engine out of placement or back in (design 8.5). Request tells
+// it from the next order of the same content. putDrain applies it;
+// TestLateDrainChangesNothing.
+type PutDrain struct {
+	Engine  string `json:"engine"`
+	On      bool   `json:"drained"`
+	Request string `json:"request,omitempty"`
 }
 
+// Kind names the command.
+func (PutDrain) Kind() Kind { return KindDrainPut }
+
 // putDrain takes an engine out of placement, or back in. A repeat of what was
 // acknowledged changes nothing.
-func (l *Ledger) putDrain(c Command) Result {
-	var p PutDrain
-	_ = json.Unmarshal(c.Body, &p)
+func (l *Ledger) putDrain(p PutDrain, c Command) Result {
 	if answer, known := l.recallDrain(p); known {
 		return answer
 	}
@@ -192,13 +223,6 @@
 	return Result{}, false
 }
 
-// knownDrain answers a question about an order on an engine (KnownOrder).
-func (l *Ledger) knownDrain(body json.RawMessage) (Result, bool) {
-	var p PutDrain
-	_ = json.Unmarshal(body, &p)
-	return l.recallDrain(p)
-}
-
 // roomForDrain says whether an engine's row has room. Engines that are back in
 // placement give way.
 func (l *Ledger) roomForDrain(engine string) bool {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -356,7 +356,7 @@
 		return
 	}
 	n.announce = now + budget.Elect/2
-	n.asker.Put(now, budget.Elect, "store.stop", notice, func(flow.Time, ask.Answer) {})
+	n.asker.Ask(now, budget.Elect, notice, func(flow.Time, ask.Answer) {})
 }
 
 func (n *Node) event(now flow.Time, wall int64, e flow.Event, out *flow.Outbox) {
--- a/core/serve/env/env.go
+++ b/core/serve/env/env.go
@@ -10,6 +10,7 @@
 	"fernlink/core/ask"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
+	"fernlink/core/ledger"
 	"fernlink/core/resend"
 )
 
@@ -87,8 +88,8 @@
 func (e *Env) Sends() int { return len(e.sends) }
 
 // Ask puts a question to the store's leader; f runs in a turn of its own.
-func (e *Env) Ask(limit flow.Time, kind string, body any, f func(ask.Answer)) {
-	e.Asker.Put(e.Now, limit, kind, body, func(now flow.Time, a ask.Answer) {
+func (e *Env) Ask(limit flow.Time, question ledger.Body, f func(ask.Answer)) {
+	e.Asker.Ask(e.Now, limit, question, func(now flow.Time, a ask.Answer) {
 		e.Now = now
 		f(a)
 	})
--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -40,7 +40,7 @@
 	doc.Single, doc.Tries, doc.WaitMS, doc.DueMS, doc.KeepMS = r.Single, r.Tries, int64(r.WaitMS), int64(r.DueMS), keep.Milliseconds()
 	came := t.env.Now
 	t.putting[c.ID] = true
-	t.env.Ask(budget.AskLimit, "lot.put", doc, func(a ask.Answer) {
+	t.env.Ask(budget.AskLimit, ledger.PutLot(doc), func(a ask.Answer) {
 		delete(t.putting, c.ID)
 		var x struct {
 			Fresh bool `json:"fresh"`
@@ -115,7 +115,7 @@
 		return
 	}
 	t.asked[id] = true
-	t.env.Ask(budget.AskLimit, "lot.items", id, func(a ask.Answer) {
+	t.env.Ask(budget.AskLimit, ledger.GetLotItems(id), func(a ask.Answer) {
 		delete(t.asked, id)
 		var x ledger.LotItems
 		if a.Code == ledger.Unanswered {
@@ -132,7 +132,7 @@
 // End ends a lot for its trainer.
 func (t *Table) End(c flow.Call) {
 	id := c.Vars["id"]
-	t.env.Ask(budget.AskLimit, "lot.end", id, func(a ask.Answer) {
+	t.env.Ask(budget.AskLimit, ledger.EndLot(id), func(a ask.Answer) {
 		if t.env.Debug {
 			t.env.Trace("lots", "ended", "lot", id, "code", a.Code)
 		}
@@ -180,7 +180,7 @@
 // Item gives the body of an item that is not listed.
 func (t *Table) Item(c flow.Call) {
 	q := ledger.FindItem{Lot: c.Vars["id"], Item: c.Query[t.env.Codec.Item]}
-	t.env.Ask(budget.AskLimit, "lot.item", q, func(a ask.Answer) {
+	t.env.Ask(budget.AskLimit, q, func(a ask.Answer) {
 		var x struct {
 			Body []byte `json:"body"`
 		}
@@ -231,7 +231,7 @@
 func (t *Table) ask(r *reader) {
 	r.open = true
 	id := r.call.Vars["id"]
-	t.env.Ask(budget.Listed, "lot.read", ledger.ReadLot{Lot: id, From: r.from, Bytes: PageBytes}, func(a ask.Answer) {
+	t.env.Ask(budget.Listed, ledger.ReadLot{Lot: id, From: r.from, Bytes: PageBytes}, func(a ask.Answer) {
 		r.open = false
 		if t.readers[r.call.ID] != r {
 			return
@@ -299,7 +299,7 @@
 			n++
 		}
 		l.flight, l.flushed = n, t.env.Now
-		t.env.Ask(budget.AskLimit, "lot.list", ledger.ListLot{Lot: id, Results: l.ready[:n:n]}, func(a ask.Answer) {
+		t.env.Ask(budget.AskLimit, ledger.ListLot{Lot: id, Results: l.ready[:n:n]}, func(a ask.Answer) {
 			l.flight = 0
 			if a.Code.Retryable() {
 				return // it is said again
--- a/core/serve/lots_test.go
+++ b/core/serve/lots_test.go
@@ -387,7 +387,7 @@
 	w.cpu = 400
 	worker := gossip.Entry{ID: "w1", Name: "storage-1", Addr: "w1", Roles: []string{"reserve", "worker"}, Cpu: 400}
 	w.others = []gossip.Entry{worker}
-	w.told = map[string]ledger.Result{"store.holding": {Code: 200, Body: []byte(`{}`)}}
+	w.told = map[ledger.Kind]ledger.Result{"store.holding": {Code: 200, Body: []byte(`{}`)}}
 	w.turn(10 * time.Millisecond)
 	told := func(kind string) bool {
 		return slices.ContainsFunc(w.lines, func(l flow.Line) bool { return l.Kind == kind && l.To == "w1" })
--- a/core/serve/machines.go
+++ b/core/serve/machines.go
@@ -11,6 +11,7 @@
 	"fernlink/core/httpstatus"
 	"fernlink/core/ledger"
 	"fernlink/core/serve/env"
+	"fernlink/core/store"
 )
 
 // States of a machine that an operator wants emptied (design 12.8).
@@ -55,7 +56,7 @@
 				s.tellState(c, machine, held)
 				return
 			}
-			s.env.Ask(storeAnswerLimit, "store.remove", machine.ID, func(a ask.Answer) {
+			s.env.Ask(storeAnswerLimit, store.RemoveMember(machine.ID), func(a ask.Answer) {
 				if a.Code == ledger.Accepted {
 					s.retire(machine)
 				}
@@ -133,7 +134,7 @@
 		then(ledger.Holding{})
 		return
 	}
-	s.env.Ask(storeAnswerLimit, "store.holding", machine.ID, func(a ask.Answer) {
+	s.env.Ask(storeAnswerLimit, store.GetHolding(machine.ID), func(a ask.Answer) {
 		if !s.underLease(c) {
 			return
 		}
--- a/core/serve/machines_test.go
+++ b/core/serve/machines_test.go
@@ -62,7 +62,7 @@
 			{ID: "w", Addr: "w", Name: "takes lots", Roles: []string{"reserve", "worker"}},
 			{ID: "r", Addr: "r", Name: "took lots", Roles: []string{"reserve", "worker"}, Retired: true},
 		}
-		w.told = map[string]ledger.Result{"store.holding": c.held, "store.remove": c.removed}
+		w.told = map[ledger.Kind]ledger.Result{"store.holding": c.held, "store.remove": c.removed}
 		w.turn(0)
 		w.silent = c.silent
 		r := w.machineCall(c.call, c.id)
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -297,7 +297,7 @@
 			}
 		}
 	}
-	say := func(kind string, v any) {
+	say := func(kind ledger.Kind, v any) {
 		b, _ := json.Marshal(v)
 		c, _ := json.Marshal(ledger.Command{Kind: kind, At: w.now.Milliseconds(), Body: b})
 		w.index++
--- a/core/serve/world_test.go
+++ b/core/serve/world_test.go
@@ -30,9 +30,9 @@
 	have   uint64
 	fresh  bool
 	acting bool
-	silent bool                     // the store answers nothing
-	told   map[string]ledger.Result // what the store's leader answers to asks that are not the ledger's
-	others []gossip.Entry           // other live dispatchers
+	silent bool                          // the store answers nothing
+	told   map[ledger.Kind]ledger.Result // what the store's leader answers to asks that are not the ledger's
+	others []gossip.Entry                // other live dispatchers
 	cpu    int
 	lines  []flow.Line // what was said to other nodes
 	seats  []dialect.Seat
--- a/core/store/asks.go
+++ b/core/store/asks.go
@@ -42,7 +42,7 @@
 		return
 	}
 	if ledger.Knows(a.Kind) {
-		s.write(w, a.Kind, a.Body, out)
+		s.write(w, ledger.Command{Kind: a.Kind, At: s.time(), Body: a.Body}, out)
 		return
 	}
 	s.refuse(w, unknownAsk, out)
@@ -62,26 +62,71 @@
 	return s.renewals.open(w)
 }
 
-var own map[string]func(*Store, flow.Time, wait, *flow.Outbox)
+// own has the asks that are no command or question of the ledger, or that only this
+// leader may make one.
+var own map[ledger.Kind]ownAsk
+
+// ownAsk takes one ask.
+type ownAsk func(*Store, flow.Time, wait, *flow.Outbox)
 
 func init() {
-	own = map[string]func(*Store, flow.Time, wait, *flow.Outbox){
-		"renew":         (*Store).renew,
-		"coord.renew":   (*Store).renewCoord,
-		"coord.take":    (*Store).takeCoord,
-		"coord.leave":   (*Store).leaveCoord,
-		"gone":          (*Store).goneDisp,
-		"coord.grant":   (*Store).refuseOthers,
-		"claim.lost":    (*Store).refuseOthers,
-		"bounds.put":    (*Store).refuseOthers,
-		"lot.own":       (*Store).refuseOthers,
-		"store.list":    (*Store).readOwn,
-		"store.add":     (*Store).add,
-		"store.promote": (*Store).promote,
-		"store.remove":  (*Store).remove,
-		"store.stop":    (*Store).stopAnnounced,
-		"store.holding": (*Store).readOwn,
+	own = ownAskTable(
+		entry{ask.KindRenew, (*Store).renew}, // decoded with its batch (renewals.go)
+		taken((*Store).renewCoord),
+		taken((*Store).takeCoord),
+		taken((*Store).leaveCoord),
+		taken((*Store).goneDisp),
+		strictlyTaken((*Store).add, memberWithoutAddress),
+		taken((*Store).promote),
+		taken((*Store).remove),
+		strictlyTaken((*Store).stopAnnounced, noSuchMember),
+		entry{ask.KindMembers, (*Store).readOwn},
+		entry{ask.KindHolding, (*Store).readOwn},
+		entry{ledger.KindCoordGrant, (*Store).refuseOthers},
+		entry{ledger.KindClaimLost, (*Store).refuseOthers},
+		entry{ledger.KindBoundsPut, (*Store).refuseOthers},
+		entry{ledger.KindLotOwn, (*Store).refuseOthers},
+	)
+}
+
+type entry struct {
+	kind ledger.Kind
+	take ownAsk
+}
+
+func ownAskTable(all ...entry) map[ledger.Kind]ownAsk {
+	table := map[ledger.Kind]ownAsk{}
+	for _, e := range all {
+		table[e.kind] = e.take
 	}
+	return table
+}
+
+// taken is an ask whose body is taken as far as it parses.
+func taken[B ledger.Body](take func(*Store, flow.Time, wait, B, *flow.Outbox)) entry {
+	var body B
+	return entry{body.Kind(), func(s *Store, now flow.Time, w wait, out *flow.Outbox) {
+		take(s, now, w, bodyOf[B](w), out)
+	}}
+}
+
+// strictlyTaken is an ask that is refused where its body does not parse.
+func strictlyTaken[B ledger.Body](take func(*Store, flow.Time, wait, B, *flow.Outbox), bad ledger.Refusal) entry {
+	var body B
+	return entry{body.Kind(), func(s *Store, now flow.Time, w wait, out *flow.Outbox) {
+		var body B
+		if json.Unmarshal(w.ask.Body, &body) != nil {
+			s.refuse(w, bad, out)
+			return
+		}
+		take(s, now, w, body, out)
+	}}
+}
+
+// bodyOf decodes an ask as far as it parses.
+func bodyOf[B ledger.Body](w wait) (body B) {
+	_ = json.Unmarshal(w.ask.Body, &body)
+	return body
 }
 
 func (s *Store) refuseOthers(_ flow.Time, w wait, out *flow.Outbox) {
@@ -104,12 +149,14 @@
 // refuse tells why an ask is not taken.
 func (s *Store) refuse(w wait, why ledger.Refusal, out *flow.Outbox) { s.reply(w, why.Result(), out) }
 
-func (s *Store) write(w wait, kind string, body json.RawMessage, out *flow.Outbox) {
-	data, _ := json.Marshal(ledger.Command{Kind: kind, At: s.time(), Body: body})
-	at, term, err := s.raft.Propose("cmd", data)
+func (s *Store) write(w wait, c ledger.Command, out *flow.Outbox) {
+	at, term, err := s.raft.Propose(commandEntry, c.Encode())
 	s.hold(w, at, term, err, out)
 }
 
+// commandEntry is the kind of the log's entries that hold commands of the ledger.
+const commandEntry = "cmd"
+
 func (s *Store) hold(w wait, at, term uint64, err error, out *flow.Outbox) {
 	if err != nil {
 		s.refuse(w, notProposed(err), out)
@@ -152,23 +199,28 @@
 	})
 }
 
-var answers map[string]func(*Store, flow.Time, wait) ledger.Result
+// ownAnswer answers one ask once its read is proved.
+type ownAnswer func(*Store, flow.Time, wait) ledger.Result
 
-func init() {
-	answers = map[string]func(*Store, flow.Time, wait) ledger.Result{
-		"coord.renew": (*Store).renewedCoord,
-		"store.list":  (*Store).list,
+// answers has what is answered from this leader and not from its ledger alone.
+var answers = map[ledger.Kind]ownAnswer{
+	ask.KindCoordRenew: answered((*Store).renewedCoord),
+	ask.KindMembers:    answered((*Store).list),
+	ask.KindHolding:    answered((*Store).holding),
+}
 
-		"store.holding": (*Store).holding,
-	}
+// answered decodes an ask, as far as it parses, and answers it.
+func answered[B ledger.Body](answer func(*Store, flow.Time, B) ledger.Result) ownAnswer {
+	return func(s *Store, now flow.Time, w wait) ledger.Result { return answer(s, now, bodyOf[B](w)) }
 }
 
+// answer answers a read that is proved.
 func (s *Store) answer(now flow.Time, w wait, out *flow.Outbox) {
-	f, ok := answers[w.ask.Kind]
-	if !ok {
-		f = func(s *Store, _ flow.Time, w wait) ledger.Result { return s.ledger.Query(w.ask.Kind, w.ask.Body) }
+	if answer, isOwn := answers[w.ask.Kind]; isOwn {
+		s.reply(w, answer(s, now, w), out)
+		return
 	}
-	s.reply(w, f(s, now, w), out)
+	s.reply(w, s.ledger.Query(w.ask.Kind, w.ask.Body), out)
 }
 
 func body(v any) json.RawMessage { b, _ := json.Marshal(v); return b }
--- a/core/store/holding.go
+++ b/core/store/holding.go
@@ -1,16 +1,21 @@
 package store
 
 import (
-	"encoding/json"
-
+	"fernlink/core/ask"
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
 )
 
+// GetHolding asks what the machine of this identity holds (design 12.8).
+type GetHolding string
+
+// Kind names the ask.
+func (GetHolding) Kind() ledger.Kind { return ask.KindHolding }
+
 // holding answers what the machine of an identity holds, after a proved read.
-func (s *Store) holding(_ flow.Time, w wait) ledger.Result {
-	id := ""
-	if json.Unmarshal(w.ask.Body, &id) != nil || id == "" {
+func (s *Store) holding(_ flow.Time, machine GetHolding) ledger.Result {
+	id := string(machine)
+	if id == "" {
 		return machineWithoutID.Result()
 	}
 	held := ledger.Holding{Member: s.raft.Conf().Find(id) >= 0}
--- a/core/store/keep.go
+++ b/core/store/keep.go
@@ -53,7 +53,7 @@
 	if s.bounded != s.raft.Term() {
 		s.bounded = s.raft.Term()
 		if s.p.Bounds.Keys > 0 && s.ledger.Bounds != s.p.Bounds {
-			s.propose("bounds.put", s.p.Bounds)
+			s.propose(ledger.PutBounds(s.p.Bounds))
 		}
 	}
 	if now < s.orphan || now-s.raft.Since() < budget.Heal {
@@ -67,7 +67,7 @@
 		x, heard := s.seen[id]
 		lost := !heard || now-x.at > budget.Heal
 		if lost || s.time()-int64(s.ledger.Keys.Row(row).At)*1000 > routeMost {
-			s.propose("claim.lost", ledger.LostClaim{Row: row, Owner: who})
+			s.propose(ledger.LostClaim{Row: row, Owner: who})
 			if n++; n == 64 {
 				return
 			}
@@ -76,8 +76,8 @@
 }
 
 // propose makes a change of the leader's own.
-func (s *Store) propose(kind string, b any) {
-	if _, _, err := s.raft.Propose("cmd", body(ledger.Command{Kind: kind, At: s.time(), Body: body(b)})); err == nil {
+func (s *Store) propose(change ledger.Body) {
+	if _, _, err := s.raft.Propose(commandEntry, ledger.NewCommand(s.time(), change).Encode()); err == nil {
 		s.counts["writes"]++
 	}
 }
--- a/core/store/leases.go
+++ b/core/store/leases.go
@@ -3,8 +3,7 @@
 package store
 
 import (
-	"encoding/json"
-
+	"fernlink/core/ask"
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
@@ -44,6 +43,9 @@
 	Heard uint64 `json:"heard"`          // how many answers it got
 }
 
+// Kind names the ask.
+func (Renew) Kind() ledger.Kind { return ask.KindRenew }
+
 // CoordRenew asks to keep the coordinator's lease.
 type CoordRenew struct {
 	ID    string `json:"id"`
@@ -53,9 +55,10 @@
 	Heard uint64 `json:"heard"`
 }
 
-func (s *Store) renewCoord(now flow.Time, w wait, out *flow.Outbox) {
-	var c CoordRenew
-	_ = json.Unmarshal(w.ask.Body, &c)
+// Kind names the ask.
+func (CoordRenew) Kind() ledger.Kind { return ask.KindCoordRenew }
+
+func (s *Store) renewCoord(now flow.Time, w wait, c CoordRenew, out *flow.Outbox) {
 	if c.Term == 0 || c.Term != s.ledger.Coord.Term || c.ID != s.ledger.Coord.ID || s.grant == c.Term {
 		s.tell(w, ledger.Conflict, s.ledger.Coord, out)
 		return
@@ -70,11 +73,15 @@
 	s.read(w, out)
 }
 
+// TakeCoord asks for the coordinator's lease (design 9.2).
+type TakeCoord CoordRenew
+
+// Kind names the ask.
+func (TakeCoord) Kind() ledger.Kind { return ask.KindCoordTake }
+
 // takeCoord grants the lease once the holder was silent for long enough on
 // this leader's own clock (design 9.2).
-func (s *Store) takeCoord(now flow.Time, w wait, out *flow.Outbox) {
-	var c CoordRenew
-	_ = json.Unmarshal(w.ask.Body, &c)
+func (s *Store) takeCoord(now flow.Time, w wait, c TakeCoord, out *flow.Outbox) {
 	have := s.ledger.Coord
 	quiet := now-max(s.coord, s.raft.Since()) >= budget.Take || s.freed == have.Term
 	if have.Term != 0 && !quiet || s.grant == have.Term && have.Term != 0 {
@@ -82,26 +89,34 @@
 		return
 	}
 	s.grant = have.Term
-	body, _ := json.Marshal(ledger.GrantCoord{Term: have.Term, ID: c.ID, Addr: c.Addr})
 	s.coord = now
-	s.write(w, "coord.grant", body, out)
+	s.write(w, ledger.NewCommand(s.time(), ledger.GrantCoord{Term: have.Term, ID: c.ID, Addr: c.Addr}), out)
 }
 
+// LeaveCoord gives the coordinator's lease up (design 5.5).
+type LeaveCoord CoordRenew
+
+// Kind names the ask.
+func (LeaveCoord) Kind() ledger.Kind { return ask.KindCoordLeave }
+
 // leaveCoord frees the lease of a coordinator that stops. It orders nothing any
 // more, and nothing of it is under way, so its successor need not wait.
-func (s *Store) leaveCoord(_ flow.Time, w wait, out *flow.Outbox) {
-	var c CoordRenew
-	_ = json.Unmarshal(w.ask.Body, &c)
+func (s *Store) leaveCoord(_ flow.Time, w wait, c LeaveCoord, out *flow.Outbox) {
 	if c.Term == s.ledger.Coord.Term && c.ID == s.ledger.Coord.ID {
 		s.freed = c.Term
 	}
 	s.tell(w, ledger.Accepted, struct{}{}, out)
 }
 
+// Gone says that the dispatcher of this id has stopped (design 5.5).
+type Gone string
+
+// Kind names the ask.
+func (Gone) Kind() ledger.Kind { return ask.KindGone }
+
 // goneDisp forgets a dispatcher that stopped: it has cut all that it sent.
-func (s *Store) goneDisp(now flow.Time, w wait, out *flow.Outbox) {
-	var id string
-	_ = json.Unmarshal(w.ask.Body, &id)
+func (s *Store) goneDisp(now flow.Time, w wait, gone Gone, out *flow.Outbox) {
+	id := string(gone)
 	delete(s.seen, id)
 	s.heardMore = true
 	s.disown(now, id)
@@ -109,8 +124,7 @@
 }
 
 func (s *Store) renewed(now flow.Time, w wait) ledger.Result {
-	var r Renew
-	_ = json.Unmarshal(w.ask.Body, &r)
+	r := bodyOf[Renew](w)
 	was, known := s.seen[r.ID]
 	if was.contact.lost(now, r.Heard, !known) {
 		s.counts["unheard_answers"]++
@@ -125,9 +139,9 @@
 
 // nudges are the commands that others should hear of soon. They renew at once
 // then; what is promised rests on the renewals alone (design 5.2).
-var nudges = map[string]bool{
-	"plan.put": true, "step.open": true, "step.end": true, "order.put": true, "order.state": true,
-	"target.put": true, "drain.put": true, "lot.put": true, "lot.end": true, "lot.own": true,
+var nudges = map[ledger.Kind]bool{
+	ledger.KindPlanPut: true, ledger.KindStepOpen: true, ledger.KindStepEnd: true, ledger.KindOrderPut: true, ledger.KindOrderState: true,
+	ledger.KindTargetPut: true, ledger.KindDrainPut: true, ledger.KindLotPut: true, ledger.KindLotEnd: true, ledger.KindLotOwn: true,
 }
 
 func (s *Store) nudge(now flow.Time, out *flow.Outbox) {
@@ -165,9 +179,7 @@
 	return least
 }
 
-func (s *Store) renewedCoord(now flow.Time, w wait) ledger.Result {
-	var c CoordRenew
-	_ = json.Unmarshal(w.ask.Body, &c)
+func (s *Store) renewedCoord(now flow.Time, c CoordRenew) ledger.Result {
 	if c.Term != s.ledger.Coord.Term || c.ID != s.ledger.Coord.ID {
 		return ledger.Result{Code: ledger.Conflict, Body: body(s.ledger.Coord)}
 	}
--- a/core/store/leave.go
+++ b/core/store/leave.go
@@ -1,9 +1,9 @@
 package store
 
 import (
-	"encoding/json"
 	"slices"
 
+	"fernlink/core/ask"
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
@@ -24,6 +24,9 @@
 	Member string `json:"member"`
 }
 
+// Kind names the ask.
+func (StopNotice) Kind() ledger.Kind { return ask.KindMemberStops }
+
 // Leave goes on with a clean stop: it hands leadership on, again now and then.
 func (s *Store) Leave(now flow.Time) {
 	if s.leaveBy == 0 {
@@ -62,9 +65,8 @@
 }
 
 // stopAnnounced hears from a member that it stops.
-func (s *Store) stopAnnounced(now flow.Time, w wait, out *flow.Outbox) {
-	var notice StopNotice
-	if json.Unmarshal(w.ask.Body, &notice) != nil || s.raft.Conf().Find(notice.Member) < 0 {
+func (s *Store) stopAnnounced(now flow.Time, w wait, notice StopNotice, out *flow.Outbox) {
+	if s.raft.Conf().Find(notice.Member) < 0 {
 		s.refuse(w, noSuchMember, out)
 		return
 	}
--- a/core/store/members.go
+++ b/core/store/members.go
@@ -1,9 +1,9 @@
 package store
 
 import (
-	"encoding/json"
 	"slices"
 
+	"fernlink/core/ask"
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
@@ -93,7 +93,13 @@
 	Leader bool   `json:"leader"`
 }
 
-func (s *Store) list(_ flow.Time, _ wait) ledger.Result {
+// ListMembers asks for the store machines (design 4.4).
+type ListMembers struct{ ledger.NoBody }
+
+// Kind names the ask.
+func (ListMembers) Kind() ledger.Kind { return ask.KindMembers }
+
+func (s *Store) list(_ flow.Time, _ ListMembers) ledger.Result {
 	out := []MemberView{}
 	for _, m := range s.raft.Conf().Members {
 		v := MemberView{Member: m, Match: s.raft.Match(m.ID), Leader: m.ID == s.p.ID}
@@ -123,10 +129,16 @@
 
 func removed(id string) removal { return removal{"removed", id} }
 
+// AddMember asks to take a machine in as a learner (design 4.4).
+type AddMember raft.Member
+
+// Kind names the ask.
+func (AddMember) Kind() ledger.Kind { return ask.KindMemberAdd }
+
 // add takes a blank machine in as a learner (design 4.4).
-func (s *Store) add(_ flow.Time, w wait, out *flow.Outbox) {
-	var m raft.Member
-	if json.Unmarshal(w.ask.Body, &m) != nil || m.Addr == "" {
+func (s *Store) add(_ flow.Time, w wait, machine AddMember, out *flow.Outbox) {
+	m := raft.Member(machine)
+	if m.Addr == "" {
 		s.refuse(w, memberWithoutAddress, out)
 		return
 	}
@@ -150,10 +162,15 @@
 	s.hold(w, at, term, err, out)
 }
 
+// PromoteMember asks to make the learner of this identity a voter (design 4.4).
+type PromoteMember string
+
+// Kind names the ask.
+func (PromoteMember) Kind() ledger.Kind { return ask.KindMemberPromote }
+
 // promote makes a learner that has caught up a voter.
-func (s *Store) promote(now flow.Time, w wait, out *flow.Outbox) {
-	id, c := "", s.raft.Conf()
-	_ = json.Unmarshal(w.ask.Body, &id)
+func (s *Store) promote(now flow.Time, w wait, learner PromoteMember, out *flow.Outbox) {
+	id, c := string(learner), s.raft.Conf()
 	i := c.Find(id)
 	if i < 0 && slices.Contains(c.Retired, id) {
 		s.repeat(w, removed(id), out)
@@ -209,12 +226,17 @@
 // target is the index that a learner must have; none is known in another term.
 func (t *catchUpTarget) target(term uint64) (uint64, bool) { return t.older, t.term == term }
 
+// RemoveMember asks to empty the store machine of this identity (design 4.8).
+type RemoveMember string
+
+// Kind names the ask.
+func (RemoveMember) Kind() ledger.Kind { return ask.KindMemberRemove }
+
 // remove empties a machine. A learner leaves at once; a voter is marked, and
 // leaves when another has taken its place (repair.go). What would leave too
 // few voters is refused.
-func (s *Store) remove(now flow.Time, w wait, out *flow.Outbox) {
-	id, c := "", s.raft.Conf()
-	_ = json.Unmarshal(w.ask.Body, &id)
+func (s *Store) remove(now flow.Time, w wait, machine RemoveMember, out *flow.Outbox) {
+	id, c := string(machine), s.raft.Conf()
 	i := c.Find(id)
 	if i < 0 {
 		s.repeat(w, removed(id), out)
--- a/core/store/owners.go
+++ b/core/store/owners.go
@@ -143,5 +143,5 @@
 		return
 	}
 	s.lots[r.ID] = given{now, r.Owner}
-	s.propose("lot.own", ledger.OwnLot{Lot: r.ID, Was: r.Owner, Owner: next})
+	s.propose(ledger.OwnLot{Lot: r.ID, Was: r.Owner, Owner: next})
 }
--- a/core/store/renewals_test.go
+++ b/core/store/renewals_test.go
@@ -51,7 +51,7 @@
 	l.lines = append(l.lines, out.Lines...)
 }
 
-func (l *lone) ask(from string, id uint64, kind string, question any) {
+func (l *lone) ask(from string, id uint64, kind ledger.Kind, question any) {
 	raw, _ := json.Marshal(question)
 	line, _ := json.Marshal(ask.Ask{ID: id, Kind: kind, Body: raw})
 	var out flow.Outbox
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -258,7 +258,7 @@
 func (s *Store) apply(a raft.Applied, out *flow.Outbox) {
 	e := a.Entry
 	res := ledger.Result{Code: ledger.Accepted, Body: json.RawMessage(`{}`)}
-	if e.Kind == "cmd" {
+	if e.Kind == commandEntry {
 		res = s.ledger.Apply(e.Index, e.Data)
 		s.news = s.news || nudges[s.ledger.Last] && res.Code == ledger.Accepted
 		s.storeBlobs(out)
--- a/rig/scale/axes.go
+++ b/rig/scale/axes.go
@@ -79,7 +79,7 @@
 			n := int(5 * x)
 			for i := range n {
 				w.After(time.Duration(float64(i)/x*1e9), func() {
-					w.Ask("plan.put", ledger.PutPlan{Version: uint64(i + 2), Read: uint64(i + 1), Request: fmt.Sprint("p", i+2), Doc: plan(uint64(i+2), 4, 100)}, nil)
+					w.Ask(ledger.PutPlan{Version: uint64(i + 2), Read: uint64(i + 1), Request: fmt.Sprint("p", i+2), Doc: plan(uint64(i+2), 4, 100)}, nil)
 				})
 			}
 			w.Run(5 * time.Second)
@@ -192,7 +192,7 @@
 
 // putPlan puts a configuration, and does f once that is acknowledged.
 func (w *World) putPlan(version uint64, routes int, f func()) {
-	w.Ask("plan.put", ledger.PutPlan{Version: version, Read: version - 1, Request: fmt.Sprint("p", version), Doc: plan(version, w.Size.Models, routes)}, func(ledger.Result) {
+	w.Ask(ledger.PutPlan{Version: version, Read: version - 1, Request: fmt.Sprint("p", version), Doc: plan(version, w.Size.Models, routes)}, func(ledger.Result) {
 		if f != nil {
 			f()
 		}
@@ -204,7 +204,7 @@
 func (w *World) weights(v int) time.Duration {
 	from := w.Now
 	for i := range w.Size.Models {
-		w.Ask("target.put", ledger.Target{Pool: model(i), Revision: v}, nil)
+		w.Ask(ledger.PutTarget{Pool: model(i), Revision: v}, nil)
 	}
 	w.Until(2*time.Minute, func() bool { return w.Out.allHold(v) })
 	return w.Now - from
@@ -259,7 +259,7 @@
 // listed does f once a lot's results are all listed. It asks with no bytes to
 // read, so that asking costs little.
 func (w *World) listed(id string, items int, f func()) {
-	w.Ask("lot.read", ledger.ReadLot{Lot: id, From: items, Bytes: 1}, func(r ledger.Result) {
+	w.Ask(ledger.ReadLot{Lot: id, From: items, Bytes: 1}, func(r ledger.Result) {
 		var x struct{ Listed int }
 		if json.Unmarshal(r.Body, &x) == nil && x.Listed >= items {
 			f()
--- a/rig/scale/idle_test.go
+++ b/rig/scale/idle_test.go
@@ -32,7 +32,7 @@
 		h.Start()
 	}
 	w.Run(5 * time.Second)
-	w.Ask("plan.put", ledger.PutPlan{Version: 1, Request: "p1", Doc: plan(1, 4, 10)}, nil)
+	w.Ask(ledger.PutPlan{Version: 1, Request: "p1", Doc: plan(1, 4, 10)}, nil)
 	w.Run(3 * time.Second)
 	w.Clear()
 	b.ResetTimer()
--- a/rig/scale/things.go
+++ b/rig/scale/things.go
@@ -84,15 +84,13 @@
 	{"store", "bytes in memory, an item of a kept lot, listed", []float64{2048, 4096, 8192, 16384}, func(n int) any {
 		l := ledger.New()
 		doc, _ := platform.Codec("10.255.0.1:80").ReadLot("lot", lotBody("lot", n))
-		apply := func(i uint64, kind string, body any) {
-			b, _ := json.Marshal(body)
-			c, _ := json.Marshal(ledger.Command{Kind: kind, At: int64(i), Body: b})
-			l.Apply(i, c)
+		apply := func(i uint64, change ledger.Body) {
+			l.Apply(i, ledger.NewCommand(int64(i), change).Encode())
 			l.Box() // its bulk lies on the blob store
 		}
-		apply(1, "lot.put", doc)
+		apply(1, ledger.PutLot(doc))
 		for i := range n {
-			apply(uint64(i+2), "lot.list", ledger.ListLot{Lot: "lot", Results: []ledger.LotResult{{Item: doc.Items[i].ID, State: ledger.LotComplete}}})
+			apply(uint64(i+2), ledger.ListLot{Lot: "lot", Results: []ledger.LotResult{{Item: doc.Items[i].ID, State: ledger.LotComplete}}})
 		}
 		return l
 	}},
--- a/rig/scale/world.go
+++ b/rig/scale/world.go
@@ -212,19 +212,19 @@
 const operator = "10.254.0.1:1"
 
 // Ask puts a command or a question to the store's leader, as a node does.
-func (w *World) Ask(kind string, body any, f func(ledger.Result)) {
-	raw, _ := json.Marshal(body)
+func (w *World) Ask(question ledger.Body, f func(ledger.Result)) {
+	raw, _ := json.Marshal(question)
 	w.asks++
 	id := w.asks
 	lead := w.Leader()
 	if lead == nil {
-		w.After(10*Round, func() { w.Ask(kind, body, f) })
+		w.After(10*Round, func() { w.Ask(question, f) })
 		return
 	}
-	a, _ := json.Marshal(ask.Ask{ID: id, Kind: kind, Body: raw})
+	a, _ := json.Marshal(ask.Ask{ID: id, Kind: question.Kind(), Body: raw})
 	w.told[id] = func(r ledger.Result) {
-		if r.Code == 0 {
-			w.After(5*Round, func() { w.Ask(kind, body, f) })
+		if r.Code == ledger.Unanswered {
+			w.After(5*Round, func() { w.Ask(question, f) })
 			return
 		}
 		if f != nil {
@@ -235,7 +235,7 @@
 	w.After(100*Round, func() { // the leader may have died
 		if w.told[id] != nil {
 			delete(w.told, id)
-			w.Ask(kind, body, f)
+			w.Ask(question, f)
 		}
 	})
 }
@@ -248,7 +248,7 @@
 	f := w.told[t.ID]
 	delete(w.told, t.ID)
 	if t.Retry {
-		t.Code = 0
+		t.Code = ledger.Unanswered
 	}
 	f(ledger.Result{Code: t.Code, Body: t.Body})
 }
--- a/shell/disk/earlier_build_test.go
+++ b/shell/disk/earlier_build_test.go
@@ -43,7 +43,7 @@
 	defer func() { _ = file.Close() }()
 	for scanner := bufio.NewScanner(file); scanner.Scan(); {
 		var q struct {
-			Kind         string
+			Kind         ledger.Kind
 			Body, Result json.RawMessage
 		}
 		if err := json.Unmarshal(scanner.Bytes(), &q); err != nil {
--- a/shell/disk/inspect_test.go
+++ b/shell/disk/inspect_test.go
@@ -34,7 +34,7 @@
 	led := ledger.New()
 	var blobs []flow.BlobChange
 	index := uint64(0)
-	do := func(kind string, body any) flow.Entry {
+	do := func(kind ledger.Kind, body any) flow.Entry {
 		b, _ := json.Marshal(body)
 		c, _ := json.Marshal(ledger.Command{Kind: kind, At: 1000, Body: b})
 		index++
--- a/sim/day.go
+++ b/sim/day.go
@@ -99,7 +99,7 @@
 	c.begun = w.Now
 	heard := uint64(0)
 	w.Every(budget.Renew, func() bool { // a dispatcher that lives
-		c.asker.Put(w.Now, budget.Lease, "renew", store.Renew{ID: "crowd", Have: 1 << 60, Heard: heard}, func(time.Duration, ask.Answer) { heard++ })
+		c.asker.Ask(w.Now, budget.Lease, store.Renew{ID: "crowd", Have: 1 << 60, Heard: heard}, func(time.Duration, ask.Answer) { heard++ })
 		return true
 	})
 	per := time.Second / time.Duration(p.Keys)
@@ -163,9 +163,10 @@
 
 // ask asks until there is an answer, as dispatchers' callers would; a write that
 // was given up on is said again.
-func (c *crowd) ask(kind string, body any, then func(ask.Answer)) {
+func (c *crowd) ask(question ledger.Body, then func(ask.Answer)) {
+	kind := string(question.Kind())
 	c.rep.Asked[kind]++
-	c.asker.Put(c.w.Now, 4*budget.AskLimit, kind, body, func(_ time.Duration, a ask.Answer) {
+	c.asker.Ask(c.w.Now, 4*budget.AskLimit, question, func(_ time.Duration, a ask.Answer) {
 		if a.Code == ledger.Unanswered {
 			c.rep.Late++
 		} else if a.Code != ledger.Accepted {
@@ -180,7 +181,7 @@
 	key, n := fmt.Sprint("k", c.n), c.n
 	body := []byte(strings.Repeat(fmt.Sprintf("{\"booking\":%d}", n), 8+n%24))
 	owner := fmt.Sprint("crowd/", n)
-	c.ask("claim.take", ledger.Claim{Key: key, Hash: "h" + key, Owner: owner}, func(a ask.Answer) {
+	c.ask(ledger.TakeClaim{Key: key, Hash: "h" + key, Owner: owner}, func(a ask.Answer) {
 		var k ledger.Claim
 		if a.Code == ledger.Unanswered {
 			return
@@ -189,8 +190,8 @@
 			c.w.Wrong("key %s was not taken: %d %s", key, a.Code, a.Body)
 			return
 		}
-		done := ledger.Claim{Key: key, Hash: "h" + key, Owner: owner, State: "done", Code: 200, Type: "application/json", Body: body}
-		c.ask("claim.done", done, func(a ask.Answer) {
+		done := ledger.DoneClaim{Key: key, Hash: "h" + key, Owner: owner, State: "done", Code: 200, Type: "application/json", Body: body}
+		c.ask(done, func(a ask.Answer) {
 			if a.Code == ledger.Accepted && n%50 == 0 {
 				c.claim = append(c.claim, kept{key, ledger.Hash(body), c.w.Now, 0})
 			}
@@ -205,7 +206,7 @@
 	for g := 0; g < p.Groups; g++ {
 		d.Groups = append(d.Groups, ledger.Group{ID: fmt.Sprint("g", g), Prompt: strings.Repeat("p", 1536), Samples: p.Samples, Tokens: 96})
 	}
-	c.ask("step.open", d, func(a ask.Answer) {
+	c.ask(ledger.OpenStep(d), func(a ask.Answer) {
 		if a.Code != ledger.Accepted {
 			return
 		}
@@ -215,9 +216,9 @@
 				text := (id + fmt.Sprint("/", i, " ") + strings.Repeat("lorem ", p.Text/6))[:p.Text]
 				e := ledger.Entry{Group: fmt.Sprint("g", i/p.Samples), Sample: i % p.Samples, Text: text, Finish: "stop", Engine: "m",
 					Spans: []ledger.Span{{From: 0, To: len(text), Revision: rev}}, Verdict: ledger.Verdict{State: "none", Hash: ledger.Hash([]byte(text))}}
-				c.ask("result.add", ledger.AddEntry{Step: id, Entry: e}, func(a ask.Answer) {
+				c.ask(ledger.AddEntry{Step: id, Entry: e}, func(a ask.Answer) {
 					if left--; left == 0 {
-						c.ask("step.end", id, func(a ask.Answer) {
+						c.ask(ledger.EndStep(id), func(a ask.Answer) {
 							c.steps = append(c.steps, kept{id, "", c.w.Now, p.Groups * p.Samples})
 						})
 					}
@@ -237,7 +238,7 @@
 	}
 	if n := len(c.claim); n > 0 {
 		x := c.claim[c.w.Rand.Intn(n)]
-		c.ask("claim.take", ledger.Claim{Key: x.id, Hash: "h" + x.id, Owner: "crowd/other"}, func(a ask.Answer) {
+		c.ask(ledger.TakeClaim{Key: x.id, Hash: "h" + x.id, Owner: "crowd/other"}, func(a ask.Answer) {
 			var k ledger.Claim
 			_ = json.Unmarshal(a.Body, &k)
 			if a.Code == ledger.Accepted && (k.State != "done" || ledger.Hash(k.Body) != x.hash || k.Hash != "h"+x.id) {
@@ -248,7 +249,7 @@
 	}
 	if n := len(c.steps); n > 0 {
 		x := c.steps[c.w.Rand.Intn(n)]
-		c.ask("result.page", ledger.Page{Step: x.id}, func(a ask.Answer) {
+		c.ask(ledger.Page{Step: x.id}, func(a ask.Answer) {
 			var p ledger.Pages
 			_ = json.Unmarshal(a.Body, &p)
 			if a.Code == ledger.Unanswered {
--- a/sim/lot_test.go
+++ b/sim/lot_test.go
@@ -77,7 +77,7 @@
 }
 
 // tell asks and waits for the answer.
-func (o *outsider) tell(kind string, body any, into any) ledger.Outcome {
+func (o *outsider) tell(kind ledger.Kind, body any, into any) ledger.Outcome {
 	o.Helper()
 	var got *ask.Answer
 	o.asker.Put(o.w.Now, 2*budget.Heal, kind, body, func(_ time.Duration, a ask.Answer) { got = &a })
--- a/sim/many_changes_test.go
+++ b/sim/many_changes_test.go
@@ -185,7 +185,7 @@
 	const steps, idBytes = 300, 9000
 	l := ledger.New()
 	var blobs []flow.BlobChange
-	do := func(kind string, body any) {
+	do := func(kind ledger.Kind, body any) {
 		b, _ := json.Marshal(body)
 		c, _ := json.Marshal(ledger.Command{Kind: kind, At: 1_700_000_000_000, Body: b})
 		l.Apply(l.Index+1, c)
--- a/sim/orders_history_test.go
+++ b/sim/orders_history_test.go
@@ -34,8 +34,8 @@
 // sending is an order as it goes out.
 type sending struct {
 	in   orderIn
-	call *flow.Call // through a dispatcher
-	kind string     // or to the store itself
+	call *flow.Call  // through a dispatcher
+	kind ledger.Kind // or to the store itself
 	body any
 }
 
--- a/sim/redundancy_test.go
+++ b/sim/redundancy_test.go
@@ -29,9 +29,9 @@
 		}
 		next++
 		claim := ledger.Claim{Key: fmt.Sprint("fill-", next), Hash: fmt.Sprint("h", next), Owner: fmt.Sprint("crowd/", next)}
-		c.ask("claim.take", claim, func(ask.Answer) {
+		c.ask(ledger.TakeClaim(claim), func(ask.Answer) {
 			claim.State, claim.Code, claim.Type, claim.Body = "done", 200, "text/plain", text
-			c.ask("claim.done", claim, func(ask.Answer) {
+			c.ask(ledger.DoneClaim(claim), func(ask.Answer) {
 				left--
 				record()
 			})
--- a/sim/snapshot_test.go
+++ b/sim/snapshot_test.go
@@ -281,7 +281,7 @@
 func full(keys, steps int) (*ledger.Ledger, json.RawMessage, []flow.BlobChange) {
 	l := ledger.New()
 	var blobs []flow.BlobChange
-	do := func(kind string, at int64, body any) {
+	do := func(kind ledger.Kind, at int64, body any) {
 		b, _ := json.Marshal(body)
 		c, _ := json.Marshal(ledger.Command{Kind: kind, At: at, Body: b})
 		l.Apply(l.Index+1, c)
