Dispatcher: its own answers and reasons stand typed in one table

Before: d.finish(q, 409, answer{"...", "in progress"}, again()) in 30 places. The test that finds written-out numbers of outcomes covers core/disp as well. Ruled out: ledger.Refusal for these: some answers go with a fate, Retry-After or statuses that no store answers with.

--- a/core/disp/admin.go
+++ b/core/disp/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 
 	"fernlink/api"
@@ -48,36 +49,26 @@
 	d.now, d.out, d.live = now, out, live
 	if d.leaving {
 		d.counts["refused"]++
-		out.Answer(c.ID, 503, answer{"this node is stopping", refused}, again())
+		d.answerOwn(c.ID, stopping)
 		return
 	}
 	if c.Name != "app" && !d.fresh() {
-		d.out.Answer(c.ID, 503, answer{Error: "the store is not heard just now"}, again())
+		d.answerOwn(c.ID, storeUnheard)
 		return
 	}
 	calls[c.Name](d, c)
 }
 
-type faults struct {
-	Error  string         `json:"error"`
-	Faults []ledger.Fault `json:"faults"`
-}
-
 // checked reads a body by the schema, or answers what is wrong with it.
 func (d *Disp) checked(c flow.Call, def string, into any) bool {
 	bad, err := api.Check(def, c.Body, into)
 	if err != nil {
-		d.out.Answer(c.ID, 400, answer{Error: "not JSON"}, nil)
+		d.answerOwn(c.ID, notJSON)
 		return false
 	}
 	if len(bad) > 0 {
-		code := 422
-		for _, f := range bad {
-			if f.Text == api.NoField {
-				code = 400 // a field that this version does not know may change the meaning of all
-			}
-		}
-		d.out.Answer(c.ID, code, faults{"does not fit the schema", bad}, nil)
+		unknownField := slices.ContainsFunc(bad, func(f ledger.Fault) bool { return f.Text == api.NoField })
+		d.answerOwn(c.ID, misfit(bad, unknownField))
 		return false
 	}
 	return true
@@ -97,7 +88,7 @@
 // told passes the store's answer on, under a lease. Else the outcome is not known.
 func (d *Disp) told(now flow.Time, c flow.Call, a ask.Answer) {
 	if a.Code == ledger.Unanswered || !d.Fresh(now) {
-		d.out.Answer(c.ID, 503, answer{"the store did not answer in time; say the same again to learn the outcome", "unknown"}, again())
+		d.answerOwn(c.ID, storeSilent)
 		return
 	}
 	var head map[string]string
@@ -107,18 +98,12 @@
 	d.out.Answer(c.ID, httpstatus.Of(a.Code), a.Body, head)
 }
 
-// refusal is why this dispatcher would not take an order.
-type refusal struct {
-	code int
-	body any
-}
-
 // unlessKnown refuses an order, but for one that was acknowledged before: that is
 // answered from its receipt (design 4.7), whatever is true by now.
-func (d *Disp) unlessKnown(c flow.Call, order ledger.Body, no refusal) {
+func (d *Disp) unlessKnown(c flow.Call, order ledger.Body, no ownAnswer) {
 	d.p.Asker.Ask(d.now, patience(c), ledger.IsKnown(order), func(now flow.Time, a ask.Answer) {
 		if a.Code == ledger.NotFound && d.Fresh(now) {
-			d.out.Answer(c.ID, no.code, no.body, nil)
+			d.answerOwn(c.ID, no)
 			return
 		}
 		d.told(now, c, a)
@@ -128,7 +113,7 @@
 func (d *Disp) planVersion(c flow.Call) {
 	v, err := strconv.ParseUint(c.Vars["version"], 10, 64)
 	if err != nil || v == 0 {
-		d.out.Answer(c.ID, 404, answer{Error: "no such plan version"}, nil)
+		d.answerOwn(c.ID, noSuchVersion)
 		return
 	}
 	d.up(c, ledger.GetPlan(v))
@@ -145,7 +130,7 @@
 		for i := range bad {
 			bad[i].At = "/plan" + bad[i].At
 		}
-		d.out.Answer(c.ID, 422, faults{"does not make sense", bad}, nil)
+		d.answerOwn(c.ID, senseless(bad))
 		return
 	}
 	d.up(c, ledger.PutPlan{Version: p.Version, Read: p.Read, Request: p.Request, Doc: p.Plan})
@@ -174,7 +159,7 @@
 	}
 	order := ledger.OpenStep(s)
 	if len(bad) > 0 {
-		d.unlessKnown(c, order, refusal{422, faults{"does not make sense", bad}})
+		d.unlessKnown(c, order, senseless(bad))
 		return
 	}
 	d.up(c, order)
@@ -187,7 +172,7 @@
 	}
 	t.Pool = c.Vars["pool"]
 	if d.plan != nil && !d.plan.Names(t.Pool) {
-		d.unlessKnown(c, t, refusal{404, answer{Error: "no such model pool or model in the plan in force"}})
+		d.unlessKnown(c, t, noSuchModel)
 		return
 	}
 	d.up(c, t)
@@ -229,16 +214,22 @@
 	return out
 }
 
+// engineList is the body of the answer about all engines.
+type engineList struct {
+	Engines []EngineView `json:"engines"`
+	Plan    uint64       `json:"plan"`
+}
+
 func (d *Disp) engineList(c flow.Call) {
-	d.out.Answer(c.ID, 200, map[string]any{"engines": d.Engines(), "plan": d.version}, nil)
+	d.answerOwn(c.ID, granted(engineList{d.Engines(), d.version}))
 }
 
 func (d *Disp) engineGet(c flow.Call) {
 	if d.engines[c.Vars["id"]] == nil {
-		d.out.Answer(c.ID, 404, answer{Error: "no such engine"}, nil)
+		d.answerOwn(c.ID, noSuchEngine)
 		return
 	}
-	d.out.Answer(c.ID, 200, d.view(c.Vars["id"]), nil)
+	d.answerOwn(c.ID, granted(d.view(c.Vars["id"])))
 }
 
 func (d *Disp) engineDrain(c flow.Call) {
@@ -250,9 +241,9 @@
 	e := d.engines[x.Engine]
 	switch {
 	case e == nil:
-		d.unlessKnown(c, x, refusal{404, answer{Error: "no such engine"}})
+		d.unlessKnown(c, x, noSuchEngine)
 	case x.On && d.readyBeside(e) == 0:
-		d.unlessKnown(c, x, refusal{409, answer{Error: "this would drain the last ready engine of pool " + e.Pool}})
+		d.unlessKnown(c, x, lastReady(e.Pool))
 	default:
 		d.up(c, x)
 	}
@@ -281,7 +272,7 @@
 			continue
 		}
 		if !e.Has("store") {
-			d.out.Answer(c.ID, 409, answer{Error: "the process there runs no store"}, nil)
+			d.answerOwn(c.ID, noStoreThere)
 			return
 		}
 		d.up(c, store.AddMember{ID: e.ID, Addr: e.Addr, Area: e.Area})
--- a/core/disp/app.go
+++ b/core/disp/app.go
@@ -34,22 +34,15 @@
 	known resend.Call // what its sends have shown
 }
 
-type answer struct {
-	Error   string `json:"error"`
-	Outcome string `json:"outcome,omitempty"`
-}
-
-func again() map[string]string { return map[string]string{"Retry-After": "1"} }
-
 func (d *Disp) app(c flow.Call) {
 	if !d.fresh() || d.plan == nil {
 		d.counts["refused"]++
-		d.out.Answer(c.ID, 503, answer{"not serving just now", refused}, again())
+		d.answerOwn(c.ID, notServing)
 		return
 	}
 	r := d.plan.Find(c.Verb, c.Path)
 	if r == nil {
-		d.out.Answer(c.ID, 404, answer{Error: "no route for this in the plan in force"}, nil)
+		d.answerOwn(c.ID, noRoute)
 		return
 	}
 	most, limit := r.Most, r.Timeout
@@ -61,7 +54,7 @@
 	}
 	if d.busy[r.Name] >= most {
 		d.counts["refused"]++
-		d.out.Answer(c.ID, 429, answer{"too many requests of this route are under way", refused}, again())
+		d.answerOwn(c.ID, routeFull)
 		return
 	}
 	q := &req{call: c, route: *r, state: held, tried: map[string]bool{}, limit: d.now + flow.Time(limit)*1e6, known: resend.Call{Kind: resend.Repeatable}}
@@ -98,7 +91,7 @@
 			if why.Error == "" {
 				why.Error = "the store did not answer in time"
 			}
-			d.refuse(q, "the run-once key could not be recorded: "+why.Error)
+			d.refuse(q, keyUnrecorded+refusalReason(why.Error))
 			return
 		}
 		var have ledger.Claim
@@ -114,7 +107,7 @@
 // repeat answers a key that somebody claimed before.
 func (d *Disp) repeat(q *req, have ledger.Claim, hash string) {
 	if have.Hash != hash {
-		d.finish(q, 422, answer{Error: "this key was used with another request"}, nil)
+		d.finish(q, otherUse)
 		return
 	}
 	if f, ok := repeats[have.State]; ok {
@@ -126,32 +119,32 @@
 	"done": func(d *Disp, q *req, k ledger.Claim) {
 		d.counts["replayed"]++
 		if k.Body == nil {
-			d.finish(q, 409, answer{"this request ran; its answer was too large to keep", "done"}, nil)
+			d.finish(q, ranUnkept)
 			return
 		}
 		d.pass(q, k.Code, map[string]string{"Content-Type": k.Type, "Idempotent-Replay": "true"}, k.Body)
 	},
 	"refused": func(d *Disp, q *req, _ ledger.Claim) {
-		d.finish(q, 409, answer{"this key was refused and stays so; use a new one", refused}, nil)
+		d.finish(q, keyRefused)
 	},
 	"unknown": func(d *Disp, q *req, _ ledger.Claim) {
-		d.finish(q, 502, answer{"whether this request ran is not known", "unknown"}, nil)
+		d.finish(q, mayHaveRun)
 	},
 	"claimed": func(d *Disp, q *req, k ledger.Claim) {
 		for _, id := range d.roster {
 			if len(k.Owner) > len(id) && k.Owner[:len(id)+1] == id+"/" {
-				d.finish(q, 409, answer{"this request is in progress", "in progress"}, again())
+				d.finish(q, inProgress)
 				return
 			}
 		}
-		d.finish(q, 502, answer{"whether this request ran is not known", "unknown"}, nil)
+		d.finish(q, mayHaveRun)
 	},
 }
 
 // forward sends a held request on to an engine.
 func (d *Disp) forward(q *req) {
 	if !d.fresh() || d.now >= q.limit {
-		d.refuse(q, "given up before it was sent")
+		d.refuse(q, givenUp)
 		return
 	}
 	var best *engine
@@ -165,7 +158,7 @@
 		}
 	}
 	if best == nil {
-		d.refuse(q, "no usable engine")
+		d.refuse(q, noEngine)
 		return
 	}
 	q.tried[best.ID] = true
@@ -211,18 +204,18 @@
 		return
 	}
 	if q.known.DidNotRun() {
-		d.refuse(q, "no engine took it")
+		d.refuse(q, noEngineTook)
 		return
 	}
 	q.state = over
 	if decision == resend.Resend {
 		d.counts["broken"]++
-		d.finish(q, 504, answer{Error: "no engine answered in time"}, again())
+		d.finish(q, unanswered)
 		return
 	}
 	d.counts["unknown"]++
 	d.settle(q, ledger.Claim{State: "unknown"}, func() {
-		d.finish(q, 502, answer{"whether this request ran is not known", "unknown"}, nil)
+		d.finish(q, mayHaveRun)
 	})
 }
 
@@ -265,14 +258,14 @@
 }
 
 // refuse wins held -> refused, and so the request never runs.
-func (d *Disp) refuse(q *req, why string) {
+func (d *Disp) refuse(q *req, why refusalReason) {
 	if q.state != held {
 		return
 	}
 	q.state = refused
 	d.counts["refused"]++
 	d.settle(q, ledger.Claim{State: refused}, nil)
-	d.finish(q, 503, answer{why, refused}, again())
+	d.finish(q, refusedFor(why))
 }
 
 // settle records what became of a claimed key, then goes on.
@@ -315,9 +308,9 @@
 	})
 }
 
-func (d *Disp) finish(q *req, code int, body any, head map[string]string) {
+func (d *Disp) finish(q *req, a ownAnswer) {
 	d.close(q)
-	d.out.Answer(q.call.ID, code, body, head)
+	d.answerOwn(q.call.ID, a)
 }
 
 func (d *Disp) pass(q *req, code int, head map[string]string, body []byte) {
--- a/core/disp/engines.go
+++ b/core/disp/engines.go
@@ -1,6 +1,8 @@
 package disp
 
 import (
+	"net/http"
+
 	"fernlink/core/budget"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
@@ -39,7 +41,7 @@
 	d.send(flow.Send{Verb: "GET", URL: d.p.Platform, Until: d.now + budget.PollLimit, Limit: d.now + budget.PollLimit}, func(b flow.Back) {
 		d.listOpen = false
 		list, err := dialect.List(b.Body)
-		if b.Err != "" || b.Code != 200 || err != nil {
+		if b.Err != "" || b.Code != http.StatusOK || err != nil {
 			d.counts["list_failures"]++
 			return // the last list stands; engines' own reports still count
 		}
@@ -82,7 +84,7 @@
 		d.send(flow.Send{Verb: "GET", URL: dialect.LoadURL(url), Until: d.now + budget.PollLimit, Limit: d.now + budget.PollLimit}, func(b flow.Back) {
 			e.open = false
 			l, err := dialect.ReadLoad(b.Body)
-			if b.Err != "" || b.Code != 200 || err != nil || e.URL != url {
+			if b.Err != "" || b.Code != http.StatusOK || err != nil || e.URL != url {
 				d.counts["load_failures"]++
 				return
 			}
--- a/core/disp/gen.go
+++ b/core/disp/gen.go
@@ -1,6 +1,7 @@
 package disp
 
 import (
+	"net/http"
 	"strings"
 
 	"fernlink/core/budget"
@@ -126,7 +127,7 @@
 		return
 	}
 	evidence := resend.Protocol{}.Observe(b)
-	whole := resend.Decide(resend.Generation, evidence) == resend.Accept && b.Code == 200 && r.done && (r.finish == "stop" || r.finish == "length")
+	whole := resend.Decide(resend.Generation, evidence) == resend.Accept && b.Code == http.StatusOK && r.done && (r.finish == "stop" || r.finish == "length")
 	if whole {
 		d.wholeText(r)
 		return
--- a/core/disp/gen_judge.go
+++ b/core/disp/gen_judge.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 
 	"fernlink/core/ask"
 	"fernlink/core/budget"
@@ -50,7 +51,7 @@
 		Body: body, Until: min(d.till, s.late), Limit: min(s.late, d.now+budget.Heal/2)}, func(b flow.Back) {
 		g.judge = 0
 		var v dialect.JudgeBack
-		if resend.Decide(resend.Judgement, resend.Protocol{}.Observe(b)) == resend.Accept && b.Code == 200 && json.Unmarshal(b.Body, &v) == nil && v.Hash == hash && len(v.Score) > 0 && string(v.Score) != "null" {
+		if resend.Decide(resend.Judgement, resend.Protocol{}.Observe(b)) == resend.Accept && b.Code == http.StatusOK && json.Unmarshal(b.Body, &v) == nil && v.Hash == hash && len(v.Score) > 0 && string(v.Score) != "null" {
 			g.verdict(ledger.Verdict{State: "given", Hash: hash, Score: v.Score})
 			return
 		}
--- a/core/disp/leave.go
+++ b/core/disp/leave.go
@@ -37,7 +37,7 @@
 	d.now, d.out, d.leaving = now, out, true
 	for _, id := range sorted.Keys(d.reqs) {
 		if q := d.reqs[id]; q.state == held {
-			d.refuse(q, "this node is stopping")
+			d.refuse(q, nodeStops)
 		}
 	}
 	d.p.Asker.Ask(now, budget.Lease, store.Renew{ID: d.p.ID, Have: d.index, Left: true, Heard: d.heard}, func(now flow.Time, a ask.Answer) {
--- a/core/disp/park.go
+++ b/core/disp/park.go
@@ -36,7 +36,7 @@
 		}
 		n, err := strconv.Atoi(v)
 		if err != nil || n < 0 {
-			d.out.Answer(c.ID, 400, answer{Error: k + " is not a number"}, nil)
+			d.answerOwn(c.ID, notANumber(k))
 			return
 		}
 		*to = n
@@ -46,7 +46,7 @@
 
 func (d *Disp) page(r reader) {
 	if !d.Fresh(d.now) {
-		d.out.Answer(r.call.ID, 503, answer{Error: "the store is not heard just now"}, again())
+		d.answerOwn(r.call.ID, storeUnheard)
 		return
 	}
 	if d.now >= r.till || d.leaving {
--- a/core/disp/roll.go
+++ b/core/disp/roll.go
@@ -37,7 +37,7 @@
 		for _, t := range x.Targets {
 			x.Rolls = append(x.Rolls, d.progress(t))
 		}
-		d.out.Answer(c.ID, 200, x, nil)
+		d.answerOwn(c.ID, granted(x))
 	})
 }
 
--- a/core/httpstatus/httpstatus_test.go
+++ b/core/httpstatus/httpstatus_test.go
@@ -66,7 +66,7 @@
 // Given the packages between store and callers, when they are read, then none
 // writes the number of an outcome: they go by its name.
 func TestOutcomesGoByTheirNames(t *testing.T) {
-	for dir, except := range map[string][]string{"../ledger": {"outcome.go"}, "../store": nil, "../ask": nil} {
+	for dir, except := range map[string][]string{"../ledger": {"outcome.go"}, "../store": nil, "../ask": nil, "../disp": nil} {
 		for _, place := range numbersIn(t, dir, except...) {
 			t.Errorf("%s: the number of an outcome", place)
 		}
