Serving side: its own answers and reasons stand typed in one place

Before: t.env.Out.Answer(q.call.ID, 504, env.Problem{Error: "..."}, nil). The test that finds written-out numbers covers the serving side; it leaves products out, which are lengths of time. Statuses and bodies are the same. Ruled out: one table with the dispatchers' for training callers: those answers carry fates and another Retry-After.

--- a/core/httpstatus/httpstatus_test.go
+++ b/core/httpstatus/httpstatus_test.go
@@ -54,6 +54,9 @@
 			t.Fatal(err)
 		}
 		ast.Inspect(file, func(n ast.Node) bool {
+			if product, ok := n.(*ast.BinaryExpr); ok && product.Op == token.MUL {
+				return false // a length of time
+			}
 			if x, ok := n.(*ast.BasicLit); ok && numbers[x.Value] {
 				places = append(places, files.Position(x.Pos()).String())
 			}
@@ -66,7 +69,8 @@
 // Given the packages between store and callers, when they are read, then none
 // writes the number of an outcome: they go by its name.
 func TestOutcomesGoByTheirNames(t *testing.T) {
-	for dir, except := range map[string][]string{"../ledger": {"outcome.go"}, "../store": nil, "../ask": nil, "../disp": nil} {
+	for dir, except := range map[string][]string{"../ledger": {"outcome.go"}, "../store": nil, "../ask": nil, "../disp": nil,
+		"../serve": nil, "../serve/env": nil, "../serve/lots": nil, "../serve/requests": nil} {
 		for _, place := range numbersIn(t, dir, except...) {
 			t.Errorf("%s: the number of an outcome", place)
 		}
--- a/core/serve/env/env.go
+++ b/core/serve/env/env.go
@@ -94,19 +94,3 @@
 		f(a)
 	})
 }
-
-// Refuse answers a call that has not run and never will, and when to come back.
-func (e *Env) Refuse(call uint64, why string, again flow.Time) {
-	e.Counts["refused"]++
-	e.Out.Answer(call, 503, Problem{why}, e.After(again))
-}
-
-// After is the head that says when to come back.
-func (e *Env) After(again flow.Time) map[string]string {
-	return map[string]string{"Retry-After": seconds(again)}
-}
-
-// Problem is the body of an answer of this node's own.
-type Problem struct {
-	Error string `json:"error"`
-}
--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -23,16 +22,16 @@
 	doc, err := t.env.Codec.ReadLot(id, c.Body)
 	if id == "" || err != nil {
 		if t.env.Debug {
-			t.env.Trace("lots", "refused", "lot", id, "why", "the lot can't be read")
+			t.env.Trace("lots", "refused", "lot", id, "why", env.BadLot.Reason)
 		}
-		t.env.Out.Answer(c.ID, 400, env.Problem{Error: "the lot can't be read"}, nil)
+		t.env.Answer(c.ID, env.BadLot)
 		return
 	}
 	if !t.env.Fresh() || t.leaving {
 		if t.env.Debug {
-			t.env.Trace("lots", "refused", "lot", id, "why", "the store is not heard just now")
+			t.env.Trace("lots", "refused", "lot", id, "why", env.StoreUnheard)
 		}
-		t.env.Refuse(c.ID, "the store is not heard just now", budget.Renew)
+		t.env.Refuse(c.ID, env.StoreUnheard, budget.Renew)
 		return
 	}
 	doc.Host, doc.Path, doc.Route, doc.Pool = c.Host, c.Path, r.Name, r.Pool
@@ -50,7 +49,7 @@
 		}
 		if a.Code == ledger.Accepted && json.Unmarshal(a.Body, &x) == nil {
 			t.env.Counts["lots_taken"]++
-			t.env.Out.Answer(c.ID, 202, struct{}{}, nil)
+			t.env.Out.Answer(c.ID, env.StatusLotTaken, struct{}{}, nil)
 			if x.Fresh {
 				t.hand(doc, t.env.Now-came)
 			}
@@ -64,16 +63,16 @@
 func (t *Table) notTaken(c flow.Call, a ask.Answer) {
 	switch a.Code {
 	case ledger.Full:
-		t.env.Refuse(c.ID, "too many open lots", budget.Listed)
+		t.env.Refuse(c.ID, env.OpenLotsFull, budget.Listed)
 	case ledger.Invalid, ledger.Conflict:
 		t.env.Out.Answer(c.ID, httpstatus.Of(a.Code), a.Body, nil)
 	case ledger.Unavailable:
 		// The store says why, but an earlier try may yet be taken: no promise goes
 		// with this.
-		t.env.Out.Answer(c.ID, http.StatusGatewayTimeout, a.Body, nil)
+		t.env.Out.Answer(c.ID, env.LotMayBeTaken.Status, a.Body, nil)
 	default:
 		// Whether the store took it is not known: no promise goes with this.
-		t.env.Out.Answer(c.ID, http.StatusGatewayTimeout, env.Problem{Error: "the store did not answer in time"}, nil)
+		t.env.Answer(c.ID, env.LotMayBeTaken)
 	}
 }
 
@@ -139,7 +138,7 @@
 		if a.Code == ledger.Accepted {
 			t.drop(id)
 			t.cutAtOwner(id)
-			t.env.Out.Answer(c.ID, 200, struct{}{}, nil)
+			t.env.Out.Answer(c.ID, env.StatusDone, struct{}{}, nil)
 			return
 		}
 		t.told(c, a)
@@ -174,7 +173,7 @@
 		t.env.Out.Answer(c.ID, httpstatus.Of(a.Code), a.Body, nil)
 		return
 	}
-	t.env.Refuse(c.ID, "the store did not answer in time", budget.Renew)
+	t.env.Refuse(c.ID, env.StoreSilent, budget.Renew)
 }
 
 // Item gives the body of an item that is not listed.
@@ -188,7 +187,7 @@
 			t.told(c, a)
 			return
 		}
-		t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: c.ID, Code: 200, Body: x.Body,
+		t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: c.ID, Code: env.StatusDone, Body: x.Body,
 			Fields: []flow.Field{{Name: "Content-Type", Value: "application/octet-stream"}}})
 	})
 }
@@ -216,7 +215,7 @@
 		from, err = strconv.Atoi(word)
 	}
 	if err != nil || from < 0 {
-		t.env.Out.Answer(c.ID, 400, env.Problem{Error: "the position can't be read"}, nil)
+		t.env.Answer(c.ID, env.BadPosition)
 		return
 	}
 	wait, _ := strconv.ParseFloat(flow.Get(c.Fields, t.env.Codec.Wait), 64)
@@ -247,7 +246,7 @@
 			return
 		}
 		delete(t.readers, r.call.ID)
-		t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: r.call.ID, Code: 200,
+		t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: r.call.ID, Code: env.StatusDone,
 			Fields: []flow.Field{{Name: "Content-Type", Value: "application/json"}},
 			Body:   t.env.Codec.WritePage(dialect.LotPage{Total: x.Total, Next: x.Next, Results: x.Results})})
 	})
--- a/core/serve/machines.go
+++ b/core/serve/machines.go
@@ -39,7 +39,7 @@
 // comes and when the store's answer does; else 503 (design 5.2).
 func (s *Serve) underLease(c flow.Call) bool {
 	if !s.p.Fresh() {
-		s.env.Refuse(c.ID, "the store is not heard just now", budget.Renew)
+		s.env.Refuse(c.ID, env.StoreUnheard, budget.Renew)
 		return false
 	}
 	return true
@@ -124,7 +124,7 @@
 			return
 		}
 	}
-	s.env.Out.Answer(c.ID, 404, env.Problem{Error: "no such machine stands by for data"}, nil)
+	s.env.Answer(c.ID, env.NoSuchMachine)
 }
 
 // holding asks the store what a machine holds. A process without a role that keeps
@@ -140,7 +140,7 @@
 		}
 		var held ledger.Holding
 		if a.Code != ledger.Accepted || json.Unmarshal(a.Body, &held) != nil {
-			s.env.Refuse(c.ID, "the store did not say what the machine holds", storeBackIn)
+			s.env.Refuse(c.ID, env.MachineUnknown, storeBackIn)
 			return
 		}
 		then(held)
@@ -154,9 +154,9 @@
 	}
 	switch a.Code {
 	case ledger.Unanswered:
-		s.env.Refuse(c.ID, "the store did not answer in time; say the same again", storeBackIn)
+		s.env.Refuse(c.ID, env.StoreSilentSame, storeBackIn)
 	case ledger.Accepted:
-		s.env.Out.Answer(c.ID, 200, machineState{machineEmptying}, nil)
+		s.env.Out.Answer(c.ID, env.StatusDone, machineState{machineEmptying}, nil)
 	default:
 		s.env.Out.Answer(c.ID, httpstatus.Of(a.Code), a.Body, nil)
 	}
@@ -169,5 +169,5 @@
 	if held.Empty() && (machine.Retired || !machine.RunsLots()) {
 		state = machineEmptied
 	}
-	s.env.Out.Answer(c.ID, 200, machineState{state}, nil)
+	s.env.Out.Answer(c.ID, env.StatusDone, machineState{state}, nil)
 }
--- a/core/serve/requests/requests.go
+++ b/core/serve/requests/requests.go
@@ -85,9 +85,9 @@
 	}
 	if len(t.rows) >= Most {
 		if t.env.Debug {
-			t.trace(q, "refused", "why", "too much at once")
+			t.trace(q, "refused", "why", env.TooMuch)
 		}
-		t.env.Refuse(c.ID, "too much at once", t.again(q))
+		t.env.Refuse(c.ID, env.TooMuch, t.again(q))
 		return
 	}
 	t.rows[c.ID] = q
@@ -288,9 +288,9 @@
 	}
 	t.finish(q)
 	if t.env.Debug {
-		t.trace(q, "refused", "why", "no engine can take this just now")
+		t.trace(q, "refused", "why", env.NoEngine)
 	}
-	t.env.Refuse(q.call.ID, "no engine can take this just now", t.again(q))
+	t.env.Refuse(q.call.ID, env.NoEngine, t.again(q))
 }
 
 // lost ends a request that may have run and must not run again.
@@ -304,7 +304,7 @@
 	if t.env.Debug {
 		t.trace(q, "unknown", "why", "it may have run")
 	}
-	t.env.Out.Answer(q.call.ID, 502, env.Problem{Error: "whether this request ran is not known"}, nil)
+	t.env.Answer(q.call.ID, env.MayHaveRun)
 }
 
 // pass hands an engine's answer on as it came.
@@ -374,7 +374,7 @@
 	if t.env.Debug {
 		t.trace(q, "late", "tries", q.sends)
 	}
-	t.env.Out.Answer(q.call.ID, 504, env.Problem{Error: "no engine answered in time"}, nil)
+	t.env.Answer(q.call.ID, env.NoEngineInTime)
 }
 
 // Gone hears that a caller went away. What is held is never sent; a stream is
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -198,10 +198,10 @@
 			s.env.Trace("serve", "refused", "request", flow.Get(c.Fields, s.p.Codec.Attempt), "call", c.ID, "why", "no route is known", "host", c.Host, "path", c.Path)
 		}
 		if s.routes == nil || !s.p.Fresh() {
-			s.env.Refuse(c.ID, "this node may be behind", backIn)
+			s.env.Refuse(c.ID, env.MayBeBehind, backIn)
 			return
 		}
-		s.env.Out.Answer(c.ID, 404, env.Problem{Error: "no route serves this"}, nil)
+		s.env.Answer(c.ID, env.NoRoute)
 		return
 	}
 	if r.Kind == route.Samples {
@@ -215,10 +215,10 @@
 // for long, since others may know newer routes, and take lots.
 func (s *Serve) ready(c flow.Call) {
 	if s.leaving || s.routes == nil || !s.fleet.Known() || s.env.Now-s.fresh > budget.Engine {
-		s.env.Out.Answer(c.ID, 503, map[string]bool{"ready": false}, nil)
+		s.env.Out.Answer(c.ID, env.StatusNotReady, map[string]bool{"ready": false}, nil)
 		return
 	}
-	s.env.Out.Answer(c.ID, 200, map[string]bool{"ready": true}, nil)
+	s.env.Out.Answer(c.ID, env.StatusDone, map[string]bool{"ready": true}, nil)
 }
 
 var lines = map[string]func(*Serve, flow.Line){
