--- a/core/coord/coord.go
+++ b/core/coord/coord.go
@@ -4,9 +4,10 @@
 package coord
 
 import (
-	"encoding/json"
 	"sort"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/api"
 	"fernlink/core/ask"
 	"fernlink/core/budget"
@@ -103,17 +104,17 @@
 		return
 	}
 	if now >= c.sweep {
-		c.sweep = now + budget.Sweep
+		c.sweep = now + budget.SweepInterval
 		c.silence()
 	}
 	if now >= c.tick {
-		c.tick = now + budget.Renew
+		c.tick = now + budget.RenewInterval
 		c.runPolicies()
 	}
 	c.roll()
 	c.feed()
 	if c.p.Keeps && now >= c.save {
-		c.save = now + budget.Snapshot
+		c.save = now + budget.CheckpointInterval
 		c.checkpoint()
 	}
 }
@@ -131,7 +132,7 @@
 	}
 	c.gone = true
 	c.till = c.now // nothing is ordered from here on, whatever the answer
-	c.p.Asker.Ask(c.now, budget.Lease, store.LeaveCoord{ID: c.p.ID, Addr: c.p.Addr, Term: c.term}, func(now flow.Time, _ ask.Answer) {
+	c.p.Asker.Ask(c.now, budget.LeaseDuration, store.LeaveCoord{ID: c.p.ID, Addr: c.p.Addr, Term: c.term}, func(now flow.Time, _ ask.Answer) {
 		c.now = now
 		c.standDown()
 	})
@@ -140,7 +141,7 @@
 // Nudge hears that something changed: the renewal comes sooner.
 func (c *Coord) Nudge() {
 	if c.term > 0 {
-		c.next = min(c.next, c.last+budget.Nudge)
+		c.next = min(c.next, c.last+budget.RenewMinInterval)
 	}
 }
 
@@ -151,15 +152,15 @@
 	c.last = c.now
 	lease := store.CoordRenew{ID: c.p.ID, Addr: c.p.Addr, Term: c.term, Plan: c.plan, Heard: c.heard}
 	if c.term == 0 {
-		c.next = c.now + budget.Take/12
-		c.p.Asker.Ask(c.now, budget.Lease, store.TakeCoord(lease), func(now flow.Time, a ask.Answer) {
+		c.next = c.now + budget.LeaseTakeoverTimeout/12
+		c.p.Asker.Ask(c.now, budget.LeaseDuration, store.TakeCoord(lease), func(now flow.Time, a ask.Answer) {
 			c.now = now
 			c.granted(a)
 		})
 		return
 	}
-	c.next = c.now + budget.Renew
-	c.p.Asker.Ask(c.now, budget.Lease, lease, func(now flow.Time, a ask.Answer) {
+	c.next = c.now + budget.RenewInterval
+	c.p.Asker.Ask(c.now, budget.LeaseDuration, lease, func(now flow.Time, a ask.Answer) {
 		c.now = now
 		if a.Code != ledger.Unanswered {
 			c.heard++
@@ -181,8 +182,8 @@
 	c.term = t.Term
 	c.till = 0 // acts from the first renewal on, which also brings the fleet
 	c.next = c.now
-	c.save = c.now + budget.Snapshot
-	c.sweep = c.now + budget.Sweep
+	c.save = c.now + budget.CheckpointInterval
+	c.sweep = c.now + budget.SweepInterval
 	flow.Warn.Note(c.out, "coord", "took the lease", "term", c.term, "cold", c.cold)
 }
 
@@ -199,7 +200,7 @@
 		return
 	}
 	if !c.gone {
-		c.till = max(c.till, a.Sent+budget.Lease)
+		c.till = max(c.till, a.Sent+budget.LeaseDuration)
 	}
 	c.tick = c.now // policies look at what is new
 	c.fleet.Steps, c.known = d.Steps, d.Known
@@ -305,7 +306,7 @@
 // silence fences engines of which nothing was heard for long.
 func (c *Coord) silence() {
 	for _, id := range c.views.IDs() {
-		if c.now-c.views.Registry[id].At >= budget.Silence {
+		if c.now-c.views.Registry[id].At >= budget.EngineExpiry {
 			c.counts["silenced"]++
 			c.journal.Append(journal.Record{At: c.now, Kind: journal.Fence, Engine: id})
 			delete(c.gate.Engines, id)
--- a/core/dialect/dialect.go
+++ b/core/dialect/dialect.go
@@ -4,9 +4,9 @@
 package dialect
 
 import (
-	"encoding/json"
 	"strconv"
 
+	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 )
 
@@ -19,7 +19,7 @@
 	URL   string `json:"url"`
 	Kind  string `json:"kind"`
 	Pool  string `json:"pool"`
-	Area  string `json:"area"`
+	Zone  string `json:"area"` // as the platform list names it
 	State string `json:"state"`
 }
 
--- a/core/disp/app.go
+++ b/core/disp/app.go
@@ -1,7 +1,7 @@
 package disp
 
 import (
-	"encoding/json"
+	"github.com/go-json-experiment/json/v1"
 
 	"fernlink/api"
 	"fernlink/core/ask"
@@ -77,7 +77,7 @@
 	q.owner = d.p.ID + "/" + ledger.Hash([]byte(q.call.Verb + q.call.Path))[:8] + "/" + itoa(d.tries)
 	q.hash = ledger.Hash(append([]byte(q.call.Verb+" "+q.call.Path+"\n"), q.call.Body...))
 	k := ledger.Claim{Key: q.key, Hash: q.hash, Owner: q.owner}
-	d.p.Asker.Ask(d.now, min(budget.Ask*2, q.limit-d.now), ledger.TakeClaim(k), func(now flow.Time, a ask.Answer) {
+	d.p.Asker.Ask(d.now, min(budget.AskRetryInterval*2, q.limit-d.now), ledger.TakeClaim(k), func(now flow.Time, a ask.Answer) {
 		d.now = now
 		if q.state != held {
 			d.settle(q, ledger.Claim{State: refused}, nil)
@@ -278,7 +278,7 @@
 		return
 	}
 	k.Key, k.Owner, k.Hash = q.key, q.owner, q.hash
-	d.p.Asker.Ask(d.now, budget.Ask*2, ledger.DoneClaim(k), func(now flow.Time, a ask.Answer) {
+	d.p.Asker.Ask(d.now, budget.AskRetryInterval*2, ledger.DoneClaim(k), func(now flow.Time, a ask.Answer) {
 		d.now = now
 		if a.Code == ledger.Unanswered || a.Code == ledger.Unavailable {
 			d.owe(k)
--- a/core/disp/leave.go
+++ b/core/disp/leave.go
@@ -1,9 +1,10 @@
 package disp
 
 import (
-	"encoding/json"
 	"fmt"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/ask"
 	"fernlink/core/budget"
 	"fernlink/core/flow"
@@ -40,14 +41,14 @@
 			d.refuse(q, nodeStops)
 		}
 	}
-	d.p.Asker.Ask(now, budget.Lease, store.Renew{ID: d.p.ID, Have: d.index, Left: true, Heard: d.heard}, func(now flow.Time, a ask.Answer) {
+	d.p.Asker.Ask(now, budget.LeaseDuration, store.Renew{ID: d.p.ID, Have: d.index, Left: true, Heard: d.heard}, func(now flow.Time, a ask.Answer) {
 		d.now = now
 		var x ledger.Delta
 		if a.Code == ledger.Accepted && json.Unmarshal(a.Body, &x) == nil {
 			d.handOn(x.Roster)
 		}
 		// All its streams are cut: weight orders need not wait for it to lapse.
-		d.p.Asker.Ask(now, budget.Lease, store.Gone(d.p.ID), func(flow.Time, ask.Answer) { d.handed = true })
+		d.p.Asker.Ask(now, budget.LeaseDuration, store.Gone(d.p.ID), func(flow.Time, ask.Answer) { d.handed = true })
 	})
 }
 
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -28,7 +28,7 @@
 	Changed uint64   `json:"changed,omitempty"` // the beat at which it last changed in more than its beat
 	Addr    string   `json:"addr"`
 	Web     string   `json:"web"`
-	Area    string   `json:"area"`
+	Zone    string   `json:"area"` // the name on the wire: builds of both names must read each other
 	Roles   []string `json:"roles"`
 	Cpu     int      `json:"cpu,omitempty"` // thousandths of a core that its machine gives it, 0 where unknown
 	Cluster string   `json:"cluster,omitempty"`
@@ -121,7 +121,7 @@
 // freshFor is for how long an entry is told whole that has changed; wantMost is how
 // many entries are asked for in one line.
 const (
-	freshFor = 4 * budget.Gossip
+	freshFor = 4 * budget.GossipInterval
 	wantMost = 128
 )
 
@@ -150,21 +150,10 @@
 	live   view                // the peers whose beats still grow
 	all    view                // and this node itself
 	alike  Entry               // this node's entry as it stands in all
+	// This node's entry has news that all live peers are to hear at once.
+	announce bool
 }
 
-// view is a list of entries by address. It holds until a time, or until an entry
-// of it changes in more than its beat.
-type view struct {
-	entries []Entry
-	until   flow.Time
-	valid   bool
-}
-
-func (v *view) holds(now flow.Time) bool { return v.valid && now <= v.until }
-
-// stir makes the views be made anew: an entry came, changed or is alive again.
-func (g *Gossip) stir() { g.live.valid, g.all.valid = false, false }
-
 // Config are the options of a table.
 type Config struct {
 	Self  Entry
@@ -197,8 +186,13 @@
 	}
 }
 
-// Retire says from now on that an operator empties this machine.
-func (g *Gossip) Retire() { g.self.Retired = true }
+// Retire says from now on that an operator empties this machine. All live peers are
+// told at once: until the store's leader has heard it, the machine's lots stay, and
+// the operator waits for that (design 12.8).
+func (g *Gossip) Retire() {
+	g.announce = g.announce || !g.self.Retired
+	g.self.Retired = true
+}
 
 // Known gives the cluster's id and store addresses as last heard.
 func (g *Gossip) Known() Known { return g.known }
@@ -293,7 +287,7 @@
 
 // grow notes that a peer's beat has grown.
 func (g *Gossip) grow(s *seat, now flow.Time) {
-	if now-s.grew > budget.Lost {
+	if now-s.grew > budget.FailureTimeout {
 		g.stir() // it was not among the live ones
 	}
 	s.grew = now
@@ -301,7 +295,7 @@
 
 // same says whether two entries differ in nothing but their beats.
 func same(a, b Entry) bool {
-	return a.ID == b.ID && a.Inc == b.Inc && a.Web == b.Web && a.Area == b.Area && a.Cluster == b.Cluster && a.Blank == b.Blank && a.Left == b.Left && a.Retired == b.Retired &&
+	return a.ID == b.ID && a.Inc == b.Inc && a.Web == b.Web && a.Zone == b.Zone && a.Cluster == b.Cluster && a.Blank == b.Blank && a.Left == b.Left && a.Retired == b.Retired &&
 		slices.Equal(a.Roles, b.Roles) && slices.Equal(a.Sees, b.Sees)
 }
 
@@ -375,7 +369,7 @@
 		}
 	}
 	for _, a := range g.addrs() {
-		if s := g.seats[a]; now-s.grew <= budget.Lost {
+		if s := g.seats[a]; now-s.grew <= budget.FailureTimeout {
 			put(s.entry, s.fresh)
 		}
 	}
@@ -391,24 +385,28 @@
 		out.LineToAll(sorted.Keys(g.answer), "gossip", b)
 		g.answer = map[string]bool{}
 	}
+	if g.announce {
+		out.LineToAll(g.liveAddrs(now), "gossip", Body{Entries: []Entry{g.self}, Known: g.known})
+		g.announce = false
+	}
 	if now < g.next {
 		return
 	}
-	g.next = now + budget.Gossip
+	g.next = now + budget.GossipInterval
 	g.exchange(out)
 	g.self.Beat++
 	g.self.Sees = nil
 	var live []string
 	for _, addr := range g.addrs() {
 		s := g.seats[addr]
-		if now-s.grew > 10*budget.Lost {
+		if now-s.grew > 10*budget.FailureTimeout {
 			delete(g.seats, addr)
 			continue
 		}
-		if now-s.grew <= budget.Lost {
+		if now-s.grew <= budget.FailureTimeout {
 			live = append(live, addr)
 		}
-		if g.self.Blank && s.entry.Blank && now-s.heard <= budget.Lost {
+		if g.self.Blank && s.entry.Blank && now-s.heard <= budget.FailureTimeout {
 			g.self.Sees = append(g.self.Sees, addr)
 		}
 	}
@@ -451,46 +449,13 @@
 	return out
 }
 
-// Live gives the peers whose beats still grow, by address. The list is shared:
-// nobody may change it, and its beats may be old.
-func (g *Gossip) Live(now flow.Time) []Entry {
-	if g.live.holds(now) {
-		return g.live.entries
-	}
-	g.live, g.all.valid = view{until: now + budget.Lost, valid: true}, false
-	for _, addr := range g.addrs() {
-		s := g.seats[addr]
-		if now-s.grew > budget.Lost {
-			continue
-		}
-		g.live.until = min(g.live.until, s.grew+budget.Lost)
-		if !s.entry.Left {
-			g.live.entries = append(g.live.entries, s.entry)
-		}
-	}
-	g.live.entries = slices.Clip(g.live.entries)
-	return g.live.entries
-}
-
-// Everyone gives the live peers and this node itself. The list is shared, as
-// that of Live is.
-func (g *Gossip) Everyone(now flow.Time) []Entry {
-	live := g.Live(now)
-	if g.all.valid && same(g.alike, g.self) {
-		return g.all.entries
-	}
-	g.alike = g.self
-	g.all = view{entries: append(live, g.self), valid: true}
-	return g.all.entries
-}
-
 // Leave tells everybody that this process stops.
 func (g *Gossip) Leave(now flow.Time) { g.self.Left, g.next = true, now }
 
 // Heard says whether a peer spoke to this node itself of late.
 func (g *Gossip) Heard(now flow.Time, addr string) bool {
 	s := g.seats[addr]
-	return s != nil && s.heard > 0 && now-s.heard <= budget.Lost
+	return s != nil && s.heard > 0 && now-s.heard <= budget.FailureTimeout
 }
 
 // Rows counts the entries kept.
--- a/core/ledger/lots.go
+++ b/core/ledger/lots.go
@@ -119,46 +119,68 @@
 	Fresh bool   `json:"fresh"` // false for a repeat
 }
 
-// PutLot hands a lot in (design 8.7). putLot applies it; TestLotPutTwice,
-// TestLateLotIsNotTakenAnew.
-type PutLot LotDoc
-
-// Kind names the command.
-func (PutLot) Kind() Kind { return KindLotPut }
-
-func (l *Ledger) putLot(put PutLot, c Command) Result {
-	d := LotDoc(put)
-	if d.ID == "" {
+func (l *Ledger) putLot(body PutLot, c Command) Result {
+	p, size := body.packed()
+	d := p.Doc
+	if d.ID == "" || !p.whole() {
 		return badLot.Result()
 	}
-	h := lotHash(d.Items)
 	if old := l.Lots[d.ID]; old != nil {
-		if old.Hash != h {
+		if old.Hash != p.Hash {
 			l.OrderCounts.Changed++
 			return otherLot.Result()
 		}
 		l.OrderCounts.Repeated++
 		return good(LotPut{d.ID, len(old.IDs), false})
 	}
-	switch known, total := l.recall(lotID(d.ID, h)); known {
+	switch known, total := l.recall(lotID(d.ID, p.Hash)); known {
 	case repeated: // its time is over: it is not run again
 		return good(LotPut{d.ID, int(total), false})
 	case changed:
 		return otherLot.Result()
 	}
-	if len(d.Items) > LotItemsMost {
+	if len(p.IDs) > LotItemsMost {
 		return lotTooLarge.Result()
 	}
-	t := &Lot{Hash: h, Item: l.Index, Mod: l.Index}
-	for _, x := range d.Items {
-		if x.ID == "" {
-			return itemWithoutID.Result()
-		}
-		t.IDs = append(t.IDs, x.ID)
+	if slices.Contains(p.IDs, "") {
+		return itemWithoutID.Result()
 	}
+	t := &Lot{Hash: p.Hash, IDs: p.IDs, Parts: p.Parts, requestBytes: size, Item: l.Index, Mod: l.Index}
 	if id, twice := t.index(); twice {
 		return itemTwice(id).Result()
 	}
+	if why, refused := l.noRoomFor(t, c.At); refused {
+		return why.Result()
+	}
+	if d.KeepMS <= 0 {
+		d.KeepMS = l.Bounds.Age
+	}
+	d.KeepMS, d.WaitMS = min(d.KeepMS, lotKeepMost), min(max(d.WaitMS, 0), lotKeepMost)
+	d.Opened, d.AgeMS = c.At, 0
+	t.Doc = d
+	for k, part := range p.Requests {
+		ref := t.partRef(k)
+		l.put(ref.Kind, ref.ID, part)
+	}
+	l.put(DocItem, l.Index, raw(lotHead{d, t.IDs, t.Parts}))
+	l.Lots[d.ID] = t
+	l.acknowledge(lotID(d.ID, p.Hash), c.At, uint64(len(t.IDs)))
+	l.lotsDue = min(l.lotsDue, t.due())
+	return good(LotPut{d.ID, len(t.IDs), true})
+}
+
+// packed gives the lot of a command, and what its requests need on the blob store.
+// What builds wrote that did not pack lots counts as it did for them.
+func (b PutLot) packed() (PackedLot, int64) {
+	if b.Packed != nil {
+		b.Packed.Doc.Items = nil
+		return *b.Packed, b.Packed.requestBytes()
+	}
+	return PackLot(b.LotDoc), requestBytes(b.Items)
+}
+
+// noRoomFor says why there is no room for a lot, if there is none.
+func (l *Ledger) noRoomFor(t *Lot, at int64) (why Refusal, refused bool) {
 	open, items := 0, len(t.IDs)
 	for _, x := range l.Lots {
 		items += len(x.IDs)
@@ -167,42 +189,18 @@
 		}
 	}
 	if open >= OpenLots {
-		return openLotsFull.Result()
+		return openLotsFull, true
 	}
 	if len(l.Lots) >= KeepLots || items > KeepLotItems {
-		return lotsKeptFull.Result()
+		return lotsKeptFull, true
 	}
-	if !l.roomForLot(d.Items) {
-		return lotBytesFull.Result()
+	if !l.roomForLot(t) {
+		return lotBytesFull, true
 	}
-	if !l.roomForReceipts(c.At, 1) {
-		return receiptsFull.Result()
+	if !l.roomForReceipts(at, 1) {
+		return receiptsFull, true
 	}
-	if d.KeepMS <= 0 {
-		d.KeepMS = l.Bounds.Age
-	}
-	d.KeepMS, d.WaitMS = min(d.KeepMS, lotKeepMost), min(max(d.WaitMS, 0), lotKeepMost)
-	d.Opened, d.AgeMS = c.At, 0
-	rest := d.Items
-	t.requestBytes = requestBytes(rest)
-	d.Items = nil
-	t.Doc = d
-	for at := 0; at < len(rest); {
-		end, size := at, 0
-		for end < len(rest) && (end == at || size+len(rest[end].Body) <= LotPartBytes) {
-			size += len(rest[end].Body) + sizeOf
-			end++
-		}
-		ref := t.partRef(len(t.Parts))
-		t.Parts = append(t.Parts, at)
-		l.put(ref.Kind, ref.ID, raw(rest[at:end]))
-		at = end
-	}
-	l.put(DocItem, l.Index, raw(lotHead{d, t.IDs, t.Parts}))
-	l.Lots[d.ID] = t
-	l.acknowledge(lotID(d.ID, h), c.At, uint64(len(t.IDs)))
-	l.lotsDue = min(l.lotsDue, t.due())
-	return good(LotPut{d.ID, len(t.IDs), true})
+	return Refusal{}, false
 }
 
 // LotCount answers a lot.list. Refused counts results that the lot does not
@@ -213,7 +211,8 @@
 }
 
 // ListLot lists results in one lot, in this order, but for items that are
-// listed already (design 8.7). listLot applies it; TestLotVersions, TestLotPositionsNeverMove.
+// listed already (design 8.7). listLot applies it; TestLotVersions,
+// TestLotPositionsNeverMove.
 type ListLot struct {
 	Lot     string      `json:"lot"`
 	Results []LotResult `json:"results"`
--- a/core/ledger/question.go
+++ b/core/ledger/question.go
@@ -1,6 +1,6 @@
 package ledger
 
-import "encoding/json"
+import "github.com/go-json-experiment/json/v1"
 
 // The questions to the ledger. Each has a type for its body, which may be null.
 const (
--- a/core/ledger/receipts.go
+++ b/core/ledger/receipts.go
@@ -4,9 +4,10 @@
 package ledger
 
 import (
-	"encoding/json"
 	"strconv"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/ledger/keys"
 	"fernlink/core/sorted"
 )
@@ -152,7 +153,7 @@
 func (KnownOrder) Kind() Kind { return KindOrderKnown }
 
 // IsKnown makes the question about an order.
-func IsKnown(order Body) KnownOrder { return KnownOrder{Order: order.Kind(), Body: raw(order)} }
+func IsKnown(order Body) KnownOrder { return KnownOrder{Order: order.Kind(), Body: encodeBody(order)} }
 
 // knownOrders answer for the kinds of orders that may be refused elsewhere.
 var knownOrders = map[Kind]func(*Ledger, json.RawMessage) (Result, bool){
--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -1,10 +1,11 @@
 package lots
 
 import (
-	"encoding/json"
 	"strconv"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/ask"
 	"fernlink/core/budget"
 	"fernlink/core/dialect"
@@ -31,7 +32,7 @@
 		if t.env.Debug {
 			t.env.Trace("lots", "refused", "lot", id, "why", env.StoreUnheard)
 		}
-		t.env.Refuse(c.ID, env.StoreUnheard, budget.Renew)
+		t.env.Refuse(c.ID, env.StoreUnheard, budget.RenewInterval)
 		return
 	}
 	doc.Host, doc.Path, doc.Route, doc.Pool = c.Host, c.Path, r.Name, r.Pool
@@ -39,7 +40,8 @@
 	doc.Single, doc.Tries, doc.WaitMS, doc.DueMS, doc.KeepMS = r.Single, r.Tries, int64(r.WaitMS), int64(r.DueMS), keep.Milliseconds()
 	came := t.env.Now
 	t.putting[c.ID] = true
-	t.env.Ask(budget.AskLimit, ledger.PutLot(doc), func(a ask.Answer) {
+	packed := ledger.PackLot(doc)
+	t.env.Ask(budget.AskTimeout, packed, func(a ask.Answer) {
 		delete(t.putting, c.ID)
 		var x struct {
 			Fresh bool `json:"fresh"`
@@ -51,7 +53,7 @@
 			t.env.Counts["lots_taken"]++
 			t.env.Out.Answer(c.ID, env.StatusLotTaken, struct{}{}, nil)
 			if x.Fresh {
-				t.hand(doc, t.env.Now-came)
+				t.hand(doc, packed, t.env.Now-came)
 			}
 			return
 		}
@@ -77,14 +79,13 @@
 }
 
 // hand gives a lot that was just committed to its owner.
-func (t *Table) hand(doc ledger.LotDoc, age flow.Time) {
+func (t *Table) hand(doc ledger.LotDoc, packed ledger.PackedLot, age flow.Time) {
 	if doc.Owner == t.env.Me {
 		t.Adopt(doc, age)
 		return
 	}
 	if to := t.addr(doc.Owner); to != "" {
-		doc.AgeMS = age.Milliseconds()
-		t.env.Out.Line(to, "lot.hand", doc)
+		t.env.Out.EncodedLine(to, "lot.hand", packed.EncodeWhole(age.Milliseconds()), nil)
 	}
 }
 
@@ -114,14 +115,14 @@
 		return
 	}
 	t.asked[id] = true
-	t.env.Ask(budget.AskLimit, ledger.GetLotItems(id), func(a ask.Answer) {
+	t.env.Ask(budget.AskTimeout, ledger.GetLotItems(id), func(a ask.Answer) {
 		delete(t.asked, id)
 		var x ledger.LotItems
 		if a.Code == ledger.Unanswered {
 			t.fetch(id)
 			return
 		}
-		if a.Code != ledger.Accepted || json.Unmarshal(a.Body, &x) != nil || x.Ended || x.Doc.Owner != t.env.Me {
+		if a.Code != ledger.Accepted || flow.Decode(a.Body, &x) != nil || x.Ended || x.Doc.Owner != t.env.Me {
 			return
 		}
 		t.Adopt(x.Doc, flow.Time(x.Doc.AgeMS)*time.Millisecond)
@@ -131,7 +132,7 @@
 // End ends a lot for its trainer.
 func (t *Table) End(c flow.Call) {
 	id := c.Vars["id"]
-	t.env.Ask(budget.AskLimit, ledger.EndLot(id), func(a ask.Answer) {
+	t.env.Ask(budget.AskTimeout, ledger.EndLot(id), func(a ask.Answer) {
 		if t.env.Debug {
 			t.env.Trace("lots", "ended", "lot", id, "code", a.Code)
 		}
@@ -173,13 +174,13 @@
 		t.env.Out.Answer(c.ID, httpstatus.Of(a.Code), a.Body, nil)
 		return
 	}
-	t.env.Refuse(c.ID, env.StoreSilent, budget.Renew)
+	t.env.Refuse(c.ID, env.StoreSilent, budget.RenewInterval)
 }
 
 // Item gives the body of an item that is not listed.
 func (t *Table) Item(c flow.Call) {
 	q := ledger.FindItem{Lot: c.Vars["id"], Item: c.Query[t.env.Codec.Item]}
-	t.env.Ask(budget.AskLimit, q, func(a ask.Answer) {
+	t.env.Ask(budget.AskTimeout, q, func(a ask.Answer) {
 		var x struct {
 			Body []byte `json:"body"`
 		}
@@ -236,7 +237,7 @@
 			return
 		}
 		var x ledger.LotRead
-		if a.Code != ledger.Accepted || json.Unmarshal(a.Body, &x) != nil {
+		if a.Code != ledger.Accepted || flow.Decode(a.Body, &x) != nil {
 			delete(t.readers, r.call.ID)
 			t.told(r.call, a)
 			return
@@ -298,7 +299,7 @@
 			n++
 		}
 		l.flight, l.flushed = n, t.env.Now
-		t.env.Ask(budget.AskLimit, ledger.ListLot{Lot: id, Results: l.ready[:n:n]}, func(a ask.Answer) {
+		t.env.Ask(budget.AskTimeout, ledger.ListLot{Lot: id, Results: l.ready[:n:n]}, func(a ask.Answer) {
 			l.flight = 0
 			if a.Code.Retryable() {
 				return // it is said again
--- a/core/store/leases.go
+++ b/core/store/leases.go
@@ -32,7 +32,7 @@
 	if first || heard != e.heard {
 		e.heard, e.moved = heard, now
 	}
-	return now-e.moved > budget.Lease
+	return now-e.moved > budget.LeaseDuration
 }
 
 // Renew asks for a dispatcher's lease (design 5.2).
@@ -83,7 +83,7 @@
 // this leader's own clock (design 9.2).
 func (s *Store) takeCoord(now flow.Time, w wait, c TakeCoord, out *flow.Outbox) {
 	have := s.ledger.Coord
-	quiet := now-max(s.coord, s.raft.Since()) >= budget.Take || s.freed == have.Term
+	quiet := now-max(s.coord, s.raft.Since()) >= budget.LeaseTakeoverTimeout || s.freed == have.Term
 	if have.Term != 0 && !quiet || s.grant == have.Term && have.Term != 0 {
 		s.tell(w, ledger.Conflict, have, out)
 		return
@@ -152,7 +152,7 @@
 	if s.news {
 		var to []string
 		for _, id := range sorted.Keys(s.seen) {
-			if x := s.seen[id]; now-x.at <= budget.Lease {
+			if x := s.seen[id]; now-x.at <= budget.LeaseDuration {
 				to = append(to, x.addr)
 			}
 		}
@@ -167,12 +167,12 @@
 // known is how far every dispatcher that may hold a lease has read. A leader
 // that is new may not have heard them all yet.
 func (s *Store) known(now flow.Time) uint64 {
-	if now-s.raft.Since() <= 2*budget.Lease {
+	if now-s.raft.Since() <= 2*budget.LeaseDuration {
 		return 0
 	}
 	least := s.ledger.Index
 	for _, x := range s.seen {
-		if now-x.at <= 2*budget.Lease {
+		if now-x.at <= 2*budget.LeaseDuration {
 			least = min(least, x.have)
 		}
 	}
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -3,10 +3,11 @@
 package store
 
 import (
-	"encoding/json"
 	"math/rand"
 	"sort"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
@@ -25,7 +26,7 @@
 
 // Config are the options of a store.
 type Config struct {
-	ID, Addr, Area string
+	ID, Addr, Zone string
 	Form           []string // the addresses expected at first formation
 	First          bool     // this is the first start of all, with empty disks: it forms without waiting for others to speak up
 	Want           int      // voters wanted, where that is more than were formed (design 4.8)
@@ -94,7 +95,7 @@
 		}
 		s.ledger = l
 	}
-	s.raft = raft.New(now, raft.Config{ID: p.ID, Rand: p.Rand, HeartbeatInterval: budget.Beat, ElectionTimeout: budget.Elect,
+	s.raft = raft.New(now, raft.Config{ID: p.ID, Rand: p.Rand, HeartbeatInterval: budget.HeartbeatInterval, ElectionTimeout: budget.ElectionTimeout,
 		Hard: p.Disk.Hard, Snapshot: p.Disk.Snapshot, Entries: p.Disk.Entries})
 	return s, nil
 }
@@ -122,7 +123,7 @@
 // Raft takes a Raft line.
 func (s *Store) Raft(now flow.Time, l flow.Line) {
 	var m raft.Message
-	if json.Unmarshal(l.Body, &m) != nil || m.ToID != s.p.ID {
+	if flow.Decode(l.Body, &m) != nil || m.ToID != s.p.ID {
 		s.counts["strays"]++
 		return
 	}
