Ledger: long functions are split by what they do

Cause: openStep, putLot, Load and Since did several things in 37 to 51 lines.

The order of side effects is as it was (keys expire last).

--- a/core/ledger/lots.go
+++ b/core/ledger/lots.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sort"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 )
 
@@ -125,48 +127,72 @@
 	if d.ID == "" || !p.whole() {
 		return badLot.Result()
 	}
+	if answer, known := l.recallLot(p); known {
+		return answer
+	}
+	t := &Lot{Hash: p.Hash, IDs: p.IDs, Parts: p.Parts, requestBytes: size, Item: l.Index, Mod: l.Index}
+	if why, refused := t.refusesItems(); refused {
+		return why.Result()
+	}
+	if why, refused := l.noRoomFor(t, c.At); refused {
+		return why.Result()
+	}
+	if d.KeepMS <= 0 {
+		d.KeepMS = l.Bounds.Age
+	}
+	d.KeepMS, d.WaitMS = min(d.KeepMS, lotKeepMost), min(max(d.WaitMS, 0), lotKeepMost)
+	d.Opened, d.AgeMS = c.At, 0
+	t.Doc = d
+	l.keepLot(t, p.Requests, c.At)
+	return good(LotPut{d.ID, len(t.IDs), true})
+}
+
+// recallLot answers a hand-in of a lot that was handed in before, and one whose id
+// stands for another.
+func (l *Ledger) recallLot(p PackedLot) (Result, bool) {
+	d := p.Doc
 	if old := l.Lots[d.ID]; old != nil {
 		if old.Hash != p.Hash {
 			l.OrderCounts.Changed++
-			return otherLot.Result()
+			return otherLot.Result(), true
 		}
 		l.OrderCounts.Repeated++
-		return good(LotPut{d.ID, len(old.IDs), false})
+		return good(LotPut{d.ID, len(old.IDs), false}), true
 	}
 	switch known, total := l.recall(lotID(d.ID, p.Hash)); known {
 	case repeated: // its time is over: it is not run again
-		return good(LotPut{d.ID, int(total), false})
+		return good(LotPut{d.ID, int(total), false}), true
 	case changed:
-		return otherLot.Result()
+		return otherLot.Result(), true
 	}
-	if len(p.IDs) > LotItemsMost {
-		return lotTooLarge.Result()
+	return Result{}, false
+}
+
+// refusesItems says why a lot's items can't be taken, if they can't. It makes those
+// that can findable.
+func (t *Lot) refusesItems() (why Refusal, refused bool) {
+	if len(t.IDs) > LotItemsMost {
+		return lotTooLarge, true
 	}
-	if slices.Contains(p.IDs, "") {
-		return itemWithoutID.Result()
+	if slices.Contains(t.IDs, "") {
+		return itemWithoutID, true
 	}
-	t := &Lot{Hash: p.Hash, IDs: p.IDs, Parts: p.Parts, requestBytes: size, Item: l.Index, Mod: l.Index}
 	if id, twice := t.index(); twice {
-		return itemTwice(id).Result()
+		return itemTwice(id), true
 	}
-	if why, refused := l.noRoomFor(t, c.At); refused {
-		return why.Result()
-	}
-	if d.KeepMS <= 0 {
-		d.KeepMS = l.Bounds.Age
-	}
-	d.KeepMS, d.WaitMS = min(d.KeepMS, lotKeepMost), min(max(d.WaitMS, 0), lotKeepMost)
-	d.Opened, d.AgeMS = c.At, 0
-	t.Doc = d
-	for k, part := range p.Requests {
+	return Refusal{}, false
+}
+
+// keepLot keeps a lot, and its requests on the blob store.
+func (l *Ledger) keepLot(t *Lot, requests []json.RawMessage, at int64) {
+	for k, part := range requests {
 		ref := t.partRef(k)
 		l.put(ref.Kind, ref.ID, part)
 	}
-	l.put(DocItem, l.Index, raw(lotHead{d, t.IDs, t.Parts}))
-	l.Lots[d.ID] = t
-	l.acknowledge(lotID(d.ID, p.Hash), c.At, uint64(len(t.IDs)))
+	l.put(DocItem, l.Index, raw(lotHead{t.Doc, t.IDs, t.Parts}))
+	l.Lots[t.Doc.ID] = t
+	l.acknowledge(lotID(t.Doc.ID, t.Hash), at, uint64(len(t.IDs)))
 	l.lotsDue = min(l.lotsDue, t.due())
-	return good(LotPut{d.ID, len(t.IDs), true})
 }
 
 // packed gives the lot of a command, and what its requests need on the blob store.
--- a/core/ledger/query.go
+++ b/core/ledger/query.go
@@ -40,6 +40,27 @@
 	if p := l.Plan(); p.Version > 0 && p.Mod > have {
 		d.Plan = &p
 	}
+	l.stepsSince(have, &d)
+	for _, id := range sorted.Keys(l.Orders) {
+		if o := l.Orders[id]; o.Mod > have {
+			d.Orders = append(d.Orders, *o)
+		}
+	}
+	for _, id := range sorted.Keys(l.Targets) {
+		if t := l.Targets[id]; t.Mod > have {
+			d.Targets = append(d.Targets, *t)
+		}
+	}
+	for _, id := range sorted.Keys(l.Drains) {
+		if x := l.Drains[id]; x.Mod > have {
+			d.Drains = append(d.Drains, *x)
+		}
+	}
+	return d
+}
+
+// stepsSince adds all open steps by id, and what changed of steps after index have.
+func (l *Ledger) stepsSince(have uint64, d *Delta) {
 	for _, id := range sorted.Keys(l.Steps) {
 		s := l.Steps[id]
 		if s.State != "open" {
@@ -57,22 +78,6 @@
 			d.Listed = append(d.Listed, Key{id, s.Doc.Groups[s.List[i].Group].ID, int(s.List[i].Sample)})
 		}
 	}
-	for _, id := range sorted.Keys(l.Orders) {
-		if o := l.Orders[id]; o.Mod > have {
-			d.Orders = append(d.Orders, *o)
-		}
-	}
-	for _, id := range sorted.Keys(l.Targets) {
-		if t := l.Targets[id]; t.Mod > have {
-			d.Targets = append(d.Targets, *t)
-		}
-	}
-	for _, id := range sorted.Keys(l.Drains) {
-		if x := l.Drains[id]; x.Mod > have {
-			d.Drains = append(d.Drains, *x)
-		}
-	}
-	return d
 }
 
 // Page asks for a step's results after a cursor (design 8.3).
--- a/core/ledger/snapshot.go
+++ b/core/ledger/snapshot.go
@@ -147,6 +147,18 @@
 		return nil, errors.Wrap(ErrSnapshot, err.Error())
 	}
 	l := New()
+	l.loadTables(d)
+	for _, load := range []func(snapshot, map[flow.Ref][]byte) error{l.loadKeys, l.loadSteps, l.loadLots, l.loadPlan, l.loadReceipts} {
+		if err := load(d, items); err != nil {
+			return nil, err
+		}
+	}
+	return l, nil
+}
+
+// loadTables takes what stands in the snapshot itself. A table that it lacks stays
+// empty.
+func (l *Ledger) loadTables(d snapshot) {
 	l.Index, l.Clock, l.Bounds, l.Plans, l.Coord = d.Index, d.Clock, d.Bounds, d.Plans, d.Coord
 	if d.Owners != nil {
 		l.Owners = d.Owners
@@ -160,50 +172,75 @@
 	if d.Drains != nil {
 		l.Drains = d.Drains
 	}
-	var err error
-	if l.Keys, err = keys.Load(d.Keys, func(n uint64) []byte { return items[flow.Ref{Kind: PageItem, ID: n}] }); err != nil {
-		return nil, errors.Wrap(ErrSnapshot, err.Error())
+}
+
+func (l *Ledger) loadKeys(d snapshot, items map[flow.Ref][]byte) (err error) {
+	l.Keys, err = keys.Load(d.Keys, func(n uint64) []byte { return items[flow.Ref{Kind: PageItem, ID: n}] })
+	if err != nil {
+		return errors.Wrap(ErrSnapshot, err.Error())
 	}
-	for _, r := range d.Steps {
-		s := &Step{Doc: r.Doc, Wants: r.Wants, Hash: r.Hash, State: r.State, Opened: r.Opened, Ended: r.Ended, Bytes: r.Bytes, Item: r.Item, Mod: r.Mod}
-		if s.List, err = unpackRows(r.List); err != nil {
-			return nil, err
+	return nil
+}
+
+func (l *Ledger) loadSteps(d snapshot, items map[flow.Ref][]byte) error {
+	for _, row := range d.Steps {
+		s, err := loadStep(row, items)
+		if err != nil {
+			return err
 		}
-		if s.State == "open" {
-			if json.Unmarshal(items[flow.Ref{Kind: DocItem, ID: s.Item}], &s.Doc) != nil {
-				return nil, errors.Wrap(ErrSnapshot, "a step's document is missing")
-			}
-		} else {
+		if s.State != "open" {
 			l.Ends = append(l.Ends, s.Doc.ID)
 		}
 		l.Steps[s.Doc.ID] = s
 		l.Kept[s.Doc.Trainer] += s.Bytes
 	}
-	for _, r := range d.Lots {
-		if err := l.loadLot(r, items[flow.Ref{Kind: DocItem, ID: r.Item}]); err != nil {
-			return nil, errors.Wrap(err, "a lot does not read")
-		}
+	return nil
+}
+
+// loadStep reads a step. The document of one that is open lies on the blob store.
+func loadStep(row stepRow, items map[flow.Ref][]byte) (*Step, error) {
+	s := &Step{Doc: row.Doc, Wants: row.Wants, Hash: row.Hash, State: row.State, Opened: row.Opened, Ended: row.Ended, Bytes: row.Bytes, Item: row.Item, Mod: row.Mod}
+	var err error
+	if s.List, err = unpackRows(row.List); err != nil {
+		return nil, err
+	}
+	if s.State == "open" && json.Unmarshal(items[flow.Ref{Kind: DocItem, ID: s.Item}], &s.Doc) != nil {
+		return nil, errors.Wrap(ErrSnapshot, "a step's document is missing")
 	}
-	if n := len(l.Plans); n > 0 {
-		if l.Plans[n-1].Doc = items[flow.Ref{Kind: DocItem, ID: l.Plans[n-1].Mod}]; l.Plans[n-1].Doc == nil {
-			return nil, errors.Wrap(ErrSnapshot, "the plan's document is missing")
+	return s, nil
+}
+
+func (l *Ledger) loadLots(d snapshot, items map[flow.Ref][]byte) error {
+	for _, row := range d.Lots {
+		if err := l.loadLot(row, items[flow.Ref{Kind: DocItem, ID: row.Item}]); err != nil {
+			return errors.Wrap(err, "a lot does not read")
 		}
 	}
-	if err := l.loadReceipts(d.Receipts, items); err != nil {
-		return nil, err
+	return nil
+}
+
+// loadPlan reads the document of the plan in force.
+func (l *Ledger) loadPlan(_ snapshot, items map[flow.Ref][]byte) error {
+	if len(l.Plans) == 0 {
+		return nil
 	}
-	return l, nil
+	newest := &l.Plans[len(l.Plans)-1]
+	newest.Doc = items[flow.Ref{Kind: DocItem, ID: newest.Mod}]
+	if newest.Doc == nil {
+		return errors.Wrap(ErrSnapshot, "the plan's document is missing")
+	}
+	return nil
 }
 
 // loadReceipts reads the receipts. A snapshot of an earlier build has none: they
 // are made of what it still holds.
-func (l *Ledger) loadReceipts(d *keys.Snapshot, items map[flow.Ref][]byte) error {
-	if d == nil {
+func (l *Ledger) loadReceipts(d snapshot, items map[flow.Ref][]byte) error {
+	if d.Receipts == nil {
 		l.seedReceipts()
 		return nil
 	}
 	var err error
-	l.Receipts, err = keys.Load(*d, func(n uint64) []byte { return items[flow.Ref{Kind: ReceiptItem, ID: n}] })
+	l.Receipts, err = keys.Load(*d.Receipts, func(n uint64) []byte { return items[flow.Ref{Kind: ReceiptItem, ID: n}] })
 	if err != nil {
 		return errors.Wrap(ErrSnapshot, "receipts: "+err.Error())
 	}
--- a/core/ledger/steps.go
+++ b/core/ledger/steps.go
@@ -21,48 +21,61 @@
 	if d.tooMany() {
 		return stepTooLarge.Result()
 	}
-	h := Hash(c.Body)
+	hash := Hash(c.Body)
 	if old := l.Steps[d.ID]; old != nil {
-		if old.Hash != h {
+		if old.Hash != hash {
 			return otherStep.Result()
 		}
 		return good(l.Sum(old))
 	}
-	name, id := keys.Name("step", d.ID), uint64(0)
-	if _, used := l.Keys.Find(name); used {
-		return stepIDUsed.Result()
-	}
-	t := l.Targets[d.Pool]
-	if t != nil && d.Revision < t.Revision-d.Lag {
-		return stepTooOld.Result()
+	if why, refused := l.refusesStep(d, c.At); refused {
+		return why.Result()
 	}
-	all, own := 0, 0
-	for _, s := range l.Steps {
-		if s.State == "open" {
-			all++
-			if s.Doc.Trainer == d.Trainer {
-				own++
-			}
-		}
+	if t := l.Targets[d.Pool]; t == nil || d.Revision > t.Revision {
+		l.target(d.Pool, d.Revision)
 	}
-	if own >= l.Bounds.Open {
-		return trainerFull.Result()
+	l.Keys.Add(keys.Row{Key: d.keyName(), Hash: keys.Short(hash), At: stamp(c.At), State: keys.Step})
+	s := &Step{Doc: d, Wants: d.Wanted(), Hash: hash, State: "open", Opened: c.At, Item: l.Index, Mod: l.Index}
+	l.Steps[d.ID] = s
+	l.put(DocItem, l.Index, c.Body)
+	return good(l.Sum(s))
+}
+
+// keyName is how a step's id stands among the run-once keys.
+func (d StepDoc) keyName() [16]byte { return keys.Name("step", d.ID) }
+
+// refusesStep says why a step that is new can't be opened, if it can't.
+func (l *Ledger) refusesStep(d StepDoc, at int64) (why Refusal, refused bool) {
+	if _, used := l.Keys.Find(d.keyName()); used {
+		return stepIDUsed, true
 	}
-	if all >= KeepOpen {
-		return stepsFull.Result()
+	if t := l.Targets[d.Pool]; t != nil && d.Revision < t.Revision-d.Lag {
+		return stepTooOld, true
 	}
-	if !l.room(c.At) {
-		return keysFull.Result()
+	all, ofTrainer := l.openSteps(d.Trainer)
+	switch {
+	case ofTrainer >= l.Bounds.Open:
+		return trainerFull, true
+	case all >= KeepOpen:
+		return stepsFull, true
+	case !l.room(at):
+		return keysFull, true
 	}
-	if t == nil || d.Revision > t.Revision {
-		l.target(d.Pool, d.Revision)
+	return Refusal{}, false
+}
+
+// openSteps counts the open steps, and those of one trainer.
+func (l *Ledger) openSteps(trainer string) (all, ofTrainer int) {
+	for _, s := range l.Steps {
+		if s.State != "open" {
+			continue
+		}
+		all++
+		if s.Doc.Trainer == trainer {
+			ofTrainer++
+		}
 	}
-	id = l.Index
-	l.Keys.Add(keys.Row{Key: name, Hash: keys.Short(h), At: stamp(c.At), State: keys.Step})
-	s := &Step{Doc: d, Wants: d.Wanted(), Hash: h, State: "open", Opened: c.At, Item: id, Mod: l.Index}
-	l.Steps[d.ID] = s
-	l.put(DocItem, id, c.Body)
-	return good(l.Sum(s))
+	return all, ofTrainer
 }
 
 // knownStep answers a question about a step that is kept (KnownOrder).
