--- a/core/coord/coord.go
+++ b/core/coord/coord.go
@@ -131,9 +131,8 @@
 		return
 	}
 	c.gone = true
-	body := store.CoordRenew{ID: c.p.ID, Addr: c.p.Addr, Term: c.term}
 	c.till = c.now // nothing is ordered from here on, whatever the answer
-	c.p.Asker.Put(c.now, budget.LeaseDuration, "coord.leave", body, func(now flow.Time, _ ask.Answer) {
+	c.p.Asker.Ask(c.now, budget.LeaseDuration, store.LeaveCoord{ID: c.p.ID, Addr: c.p.Addr, Term: c.term}, func(now flow.Time, _ ask.Answer) {
 		c.now = now
 		c.standDown()
 	})
@@ -150,31 +149,32 @@
 	if c.now < c.next || c.leaving && c.term == 0 {
 		return
 	}
-	kind, body := "coord.renew", store.CoordRenew{ID: c.p.ID, Addr: c.p.Addr, Term: c.term, Plan: c.plan, Heard: c.heard}
-	c.next, c.last = c.now+budget.RenewInterval, c.now
+	c.last = c.now
+	lease := store.CoordRenew{ID: c.p.ID, Addr: c.p.Addr, Term: c.term, Plan: c.plan, Heard: c.heard}
 	if c.term == 0 {
-		kind = "coord.take"
 		c.next = c.now + budget.LeaseTakeoverTimeout/12
+		c.p.Asker.Ask(c.now, budget.LeaseDuration, store.TakeCoord(lease), func(now flow.Time, a ask.Answer) {
+			c.now = now
+			c.granted(a)
+		})
+		return
 	}
-	c.p.Asker.Put(c.now, budget.LeaseDuration, kind, body, func(now flow.Time, a ask.Answer) {
+	c.next = c.now + budget.RenewInterval
+	c.p.Asker.Ask(c.now, budget.LeaseDuration, lease, func(now flow.Time, a ask.Answer) {
 		c.now = now
-		if kind == "coord.take" {
-			c.granted(a)
-			return
-		}
-		if a.Code != 0 {
+		if a.Code != ledger.Unanswered {
 			c.heard++
 		}
-		if a.Code == 503 {
+		if a.Code == ledger.Unavailable {
 			c.next = now
 		}
-		c.renewed(body.Term, a)
+		c.renewed(lease.Term, a)
 	})
 }
 
 func (c *Coord) granted(a ask.Answer) {
 	var t ledger.Coord
-	if a.Code != 200 || json.Unmarshal(a.Body, &t) != nil || t.ID != c.p.ID || c.term != 0 {
+	if a.Code != ledger.Accepted || json.Unmarshal(a.Body, &t) != nil || t.ID != c.p.ID || c.term != 0 {
 		return
 	}
 	c.clear()
@@ -191,12 +191,12 @@
 	if term != c.term || c.term == 0 {
 		return
 	}
-	if a.Code == 409 {
+	if a.Code == ledger.Conflict {
 		c.standDown()
 		return
 	}
 	var d ledger.Delta
-	if a.Code != 200 || json.Unmarshal(a.Body, &d) != nil {
+	if a.Code != ledger.Accepted || json.Unmarshal(a.Body, &d) != nil {
 		return
 	}
 	if !c.gone {
--- a/core/coord/roll.go
+++ b/core/coord/roll.go
@@ -78,13 +78,13 @@
 func (c *Coord) commitOrder(m *move) {
 	m.open = true
 	term := c.term
-	c.p.Asker.Put(c.now, budget.AskTimeout, "order.put", m.order, func(now flow.Time, a ask.Answer) {
+	c.p.Asker.Ask(c.now, budget.AskTimeout, ledger.PutOrder(m.order), func(now flow.Time, a ask.Answer) {
 		c.now = now
 		m.open = false
 		if c.term != term || c.moves[m.order.Engine] != m {
 			return
 		}
-		if a.Code == 200 {
+		if a.Code == ledger.Accepted {
 			c.counts["orders"]++
 			_ = json.Unmarshal(a.Body, &m.order)
 			m.to(c, "tell", 0)
@@ -182,13 +182,13 @@
 	term := c.term
 	o := m.order
 	o.State = m.state
-	c.p.Asker.Put(c.now, budget.AskTimeout, "order.state", o, func(now flow.Time, a ask.Answer) {
+	c.p.Asker.Ask(c.now, budget.AskTimeout, ledger.StateOrder(o), func(now flow.Time, a ask.Answer) {
 		c.now = now
 		m.open = false
 		if c.term != term || c.moves[o.Engine] != m {
 			return
 		}
-		if a.Code == 0 {
+		if a.Code == ledger.Unanswered {
 			return // again
 		}
 		c.counts["orders_"+m.state]++
--- a/core/disp/admin.go
+++ b/core/disp/admin.go
@@ -1,6 +1,7 @@
 package disp
 
 import (
+	"slices"
 	"strconv"
 
 	"github.com/go-json-experiment/json/v1"
@@ -10,32 +11,33 @@
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
+	"fernlink/core/httpstatus"
 	"fernlink/core/ledger"
 	"fernlink/core/place"
-	"fernlink/core/raft"
 	"fernlink/core/sorted"
+	"fernlink/core/store"
 )
 
 var calls = map[string]func(*Disp, flow.Call){
 	"app":          (*Disp).app,
-	"plan.get":     func(d *Disp, c flow.Call) { d.up(c, "plan.get", 0) },
+	"plan.get":     func(d *Disp, c flow.Call) { d.up(c, ledger.GetPlan(0)) },
 	"plan.version": (*Disp).planVersion,
-	"plan.list":    func(d *Disp, c flow.Call) { d.up(c, "plan.list", nil) },
+	"plan.list":    func(d *Disp, c flow.Call) { d.up(c, ledger.ListPlans{}) },
 	"plan.put":     (*Disp).planPut,
 	"step.open":    (*Disp).stepOpen,
-	"step.list":    func(d *Disp, c flow.Call) { d.up(c, "step.list", nil) },
-	"step.get":     func(d *Disp, c flow.Call) { d.up(c, "step.get", c.Vars["id"]) },
-	"step.end":     func(d *Disp, c flow.Call) { d.up(c, "step.end", c.Vars["id"]) },
+	"step.list":    func(d *Disp, c flow.Call) { d.up(c, ledger.ListSteps{}) },
+	"step.get":     func(d *Disp, c flow.Call) { d.up(c, ledger.GetStep(c.Vars["id"])) },
+	"step.end":     func(d *Disp, c flow.Call) { d.up(c, ledger.EndStep(c.Vars["id"])) },
 	"step.results": (*Disp).results,
 	"weights.put":  (*Disp).weightsPut,
 	"roll.get":     (*Disp).roll,
 	"engine.list":  (*Disp).engineList,
 	"engine.get":   (*Disp).engineGet,
 	"engine.drain": (*Disp).engineDrain,
-	"store.list":   func(d *Disp, c flow.Call) { d.up(c, "store.list", nil) },
+	"store.list":   func(d *Disp, c flow.Call) { d.up(c, store.ListMembers{}) },
 	"store.add":    (*Disp).storeAdd,
-	"store.vote":   func(d *Disp, c flow.Call) { d.up(c, "store.promote", c.Vars["id"]) },
-	"store.remove": func(d *Disp, c flow.Call) { d.up(c, "store.remove", c.Vars["id"]) },
+	"store.vote":   func(d *Disp, c flow.Call) { d.up(c, store.PromoteMember(c.Vars["id"])) },
+	"store.remove": func(d *Disp, c flow.Call) { d.up(c, store.RemoveMember(c.Vars["id"])) },
 }
 
 // Serves says whether a call is a dispatcher's.
@@ -48,44 +50,34 @@
 	d.now, d.out, d.live = now, out, live
 	if d.leaving {
 		d.counts["refused"]++
-		out.Answer(c.ID, 503, answer{"this node is stopping", refused}, again())
+		d.answerOwn(c.ID, stopping)
 		return
 	}
 	if c.Name != "app" && !d.fresh() {
-		d.out.Answer(c.ID, 503, answer{Error: "the store is not heard just now"}, again())
+		d.answerOwn(c.ID, storeUnheard)
 		return
 	}
 	calls[c.Name](d, c)
 }
 
-type faults struct {
-	Error  string         `json:"error"`
-	Faults []ledger.Fault `json:"faults"`
-}
-
 // checked reads a body by the schema, or answers what is wrong with it.
 func (d *Disp) checked(c flow.Call, def string, into any) bool {
 	bad, err := api.Check(def, c.Body, into)
 	if err != nil {
-		d.out.Answer(c.ID, 400, answer{Error: "not JSON"}, nil)
+		d.answerOwn(c.ID, notJSON)
 		return false
 	}
 	if len(bad) > 0 {
-		code := 422
-		for _, f := range bad {
-			if f.Text == api.NoField {
-				code = 400 // a field that this version does not know may change the meaning of all
-			}
-		}
-		d.out.Answer(c.ID, code, faults{"does not fit the schema", bad}, nil)
+		unknownField := slices.ContainsFunc(bad, func(f ledger.Fault) bool { return f.Text == api.NoField })
+		d.answerOwn(c.ID, misfit(bad, unknownField))
 		return false
 	}
 	return true
 }
 
 // up takes a call to the store's leader and passes its answer on.
-func (d *Disp) up(c flow.Call, kind string, body any) {
-	d.p.Asker.Put(d.now, patience(c), kind, body, func(now flow.Time, a ask.Answer) { d.told(now, c, a) })
+func (d *Disp) up(c flow.Call, question ledger.Body) {
+	d.p.Asker.Ask(d.now, patience(c), question, func(now flow.Time, a ask.Answer) { d.told(now, c, a) })
 }
 
 // patience is how long a call waits for the store: its caller asks another node
@@ -96,31 +88,23 @@
 
 // told passes the store's answer on, under a lease. Else the outcome is not known.
 func (d *Disp) told(now flow.Time, c flow.Call, a ask.Answer) {
-	if a.Code == 0 || !d.Fresh(now) {
-		d.out.Answer(c.ID, 503, answer{"the store did not answer in time; say the same again to learn the outcome", "unknown"}, again())
+	if a.Code == ledger.Unanswered || !d.Fresh(now) {
+		d.answerOwn(c.ID, storeSilent)
 		return
 	}
 	var head map[string]string
-	if a.Code == 429 || a.Code == 503 {
+	if a.Code == ledger.Full || a.Code == ledger.Unavailable {
 		head = again()
 	}
-	d.out.Answer(c.ID, a.Code, a.Body, head)
-}
-
-// refusal is why this dispatcher would not take an order.
-type refusal struct {
-	code int
-	body any
+	d.out.Answer(c.ID, httpstatus.Of(a.Code), a.Body, head)
 }
 
 // unlessKnown refuses an order, but for one that was acknowledged before: that is
 // answered from its receipt (design 4.7), whatever is true by now.
-func (d *Disp) unlessKnown(c flow.Call, kind string, order any, no refusal) {
-	body, _ := json.Marshal(order)
-	question := ledger.KnownOrder{Kind: kind, Body: body}
-	d.p.Asker.Put(d.now, patience(c), "order.known", question, func(now flow.Time, a ask.Answer) {
-		if a.Code == 404 && d.Fresh(now) {
-			d.out.Answer(c.ID, no.code, no.body, nil)
+func (d *Disp) unlessKnown(c flow.Call, order ledger.Body, no ownAnswer) {
+	d.p.Asker.Ask(d.now, patience(c), ledger.IsKnown(order), func(now flow.Time, a ask.Answer) {
+		if a.Code == ledger.NotFound && d.Fresh(now) {
+			d.answerOwn(c.ID, no)
 			return
 		}
 		d.told(now, c, a)
@@ -130,10 +114,10 @@
 func (d *Disp) planVersion(c flow.Call) {
 	v, err := strconv.ParseUint(c.Vars["version"], 10, 64)
 	if err != nil || v == 0 {
-		d.out.Answer(c.ID, 404, answer{Error: "no such plan version"}, nil)
+		d.answerOwn(c.ID, noSuchVersion)
 		return
 	}
-	d.up(c, "plan.get", v)
+	d.up(c, ledger.GetPlan(v))
 }
 
 func (d *Disp) planPut(c flow.Call) {
@@ -147,10 +131,10 @@
 		for i := range bad {
 			bad[i].At = "/plan" + bad[i].At
 		}
-		d.out.Answer(c.ID, 422, faults{"does not make sense", bad}, nil)
+		d.answerOwn(c.ID, senseless(bad))
 		return
 	}
-	d.up(c, "plan.put", ledger.PutPlan{Version: p.Version, Read: p.Read, Request: p.Request, Doc: p.Plan})
+	d.up(c, ledger.PutPlan{Version: p.Version, Read: p.Read, Request: p.Request, Doc: p.Plan})
 }
 
 func (d *Disp) stepOpen(c flow.Call) {
@@ -174,11 +158,12 @@
 		}
 		seen[g.ID] = true
 	}
+	order := ledger.OpenStep(s)
 	if len(bad) > 0 {
-		d.unlessKnown(c, "step.open", s, refusal{422, faults{"does not make sense", bad}})
+		d.unlessKnown(c, order, senseless(bad))
 		return
 	}
-	d.up(c, "step.open", s)
+	d.up(c, order)
 }
 
 func (d *Disp) weightsPut(c flow.Call) {
@@ -188,10 +173,10 @@
 	}
 	t.Pool = c.Vars["pool"]
 	if d.plan != nil && !d.plan.Names(t.Pool) {
-		d.unlessKnown(c, "target.put", t, refusal{404, answer{Error: "no such model pool or model in the plan in force"}})
+		d.unlessKnown(c, t, noSuchModel)
 		return
 	}
-	d.up(c, "target.put", t)
+	d.up(c, t)
 }
 
 // EngineView is one engine as operators see it.
@@ -230,16 +215,22 @@
 	return out
 }
 
+// engineList is the body of the answer about all engines.
+type engineList struct {
+	Engines []EngineView `json:"engines"`
+	Plan    uint64       `json:"plan"`
+}
+
 func (d *Disp) engineList(c flow.Call) {
-	d.out.Answer(c.ID, 200, map[string]any{"engines": d.Engines(), "plan": d.version}, nil)
+	d.answerOwn(c.ID, granted(engineList{d.Engines(), d.version}))
 }
 
 func (d *Disp) engineGet(c flow.Call) {
 	if d.engines[c.Vars["id"]] == nil {
-		d.out.Answer(c.ID, 404, answer{Error: "no such engine"}, nil)
+		d.answerOwn(c.ID, noSuchEngine)
 		return
 	}
-	d.out.Answer(c.ID, 200, d.view(c.Vars["id"]), nil)
+	d.answerOwn(c.ID, granted(d.view(c.Vars["id"])))
 }
 
 func (d *Disp) engineDrain(c flow.Call) {
@@ -251,11 +242,11 @@
 	e := d.engines[x.Engine]
 	switch {
 	case e == nil:
-		d.unlessKnown(c, "drain.put", x, refusal{404, answer{Error: "no such engine"}})
+		d.unlessKnown(c, x, noSuchEngine)
 	case x.On && d.readyBeside(e) == 0:
-		d.unlessKnown(c, "drain.put", x, refusal{409, answer{Error: "this would drain the last ready engine of pool " + e.Pool}})
+		d.unlessKnown(c, x, lastReady(e.Pool))
 	default:
-		d.up(c, "drain.put", x)
+		d.up(c, x)
 	}
 }
 
@@ -282,13 +273,13 @@
 			continue
 		}
 		if !e.Has("store") {
-			d.out.Answer(c.ID, 409, answer{Error: "the process there runs no store"}, nil)
+			d.answerOwn(c.ID, noStoreThere)
 			return
 		}
-		d.up(c, "store.add", raft.Member{ID: e.ID, Addr: e.Addr, Zone: e.Zone})
+		d.up(c, store.AddMember{ID: e.ID, Addr: e.Addr, Zone: e.Zone})
 		return
 	}
-	d.up(c, "store.add", raft.Member{Addr: b.Addr}) // a member that is down may have been taken in before
+	d.up(c, store.AddMember{Addr: b.Addr}) // a member that is down may have been taken in before
 }
 
 // Stats is the dispatcher's part of the one snapshot (design 10.4).
--- a/core/disp/park.go
+++ b/core/disp/park.go
@@ -37,7 +37,7 @@
 		}
 		n, err := strconv.Atoi(v)
 		if err != nil || n < 0 {
-			d.out.Answer(c.ID, 400, answer{Error: k + " is not a number"}, nil)
+			d.answerOwn(c.ID, notANumber(k))
 			return
 		}
 		*to = n
@@ -47,21 +47,21 @@
 
 func (d *Disp) page(r reader) {
 	if !d.Fresh(d.now) {
-		d.out.Answer(r.call.ID, 503, answer{Error: "the store is not heard just now"}, again())
+		d.answerOwn(r.call.ID, storeUnheard)
 		return
 	}
 	if d.now >= r.till || d.leaving {
-		d.up(r.call, "result.page", r.page)
+		d.up(r.call, r.page)
 		return
 	}
 	heard := d.lists[r.page.Step]
-	d.p.Asker.Put(d.now, patience(r.call), "result.page", r.page, func(now flow.Time, a ask.Answer) {
+	d.p.Asker.Ask(d.now, patience(r.call), r.page, func(now flow.Time, a ask.Answer) {
 		d.now = now
 		var got struct {
 			Step    ledger.Sum        `json:"step"`
 			Results []json.RawMessage `json:"results"`
 		}
-		empty := a.Code == 200 && json.Unmarshal(a.Body, &got) == nil && len(got.Results) == 0 && got.Step.State == "open"
+		empty := a.Code == ledger.Accepted && json.Unmarshal(a.Body, &got) == nil && len(got.Results) == 0 && got.Step.State == "open"
 		if empty && d.steps[r.page.Step] != nil && len(d.parked) < parkMost && !d.leaving {
 			if d.lists[r.page.Step] != heard {
 				d.page(r) // one was listed while this was asked
--- a/core/disp/roll.go
+++ b/core/disp/roll.go
@@ -22,14 +22,14 @@
 
 // roll tells targets, orders and progress.
 func (d *Disp) roll(c flow.Call) {
-	d.p.Asker.Put(d.now, patience(c), "roll.get", nil, func(now flow.Time, a ask.Answer) {
+	d.p.Asker.Ask(d.now, patience(c), ledger.GetRoll{}, func(now flow.Time, a ask.Answer) {
 		var x struct {
 			Targets []ledger.Target `json:"targets"`
 			Orders  []ledger.Order  `json:"orders"`
 			Coord   ledger.Coord    `json:"coordinator"`
 			Rolls   []Progress      `json:"progress"`
 		}
-		if a.Code != 200 || !d.Fresh(now) || json.Unmarshal(a.Body, &x) != nil {
+		if a.Code != ledger.Accepted || !d.Fresh(now) || json.Unmarshal(a.Body, &x) != nil {
 			d.told(now, c, a)
 			return
 		}
@@ -37,7 +37,7 @@
 		for _, t := range x.Targets {
 			x.Rolls = append(x.Rolls, d.progress(t))
 		}
-		d.out.Answer(c.ID, 200, x, nil)
+		d.answerOwn(c.ID, granted(x))
 	})
 }
 
--- a/core/ledger/plans.go
+++ b/core/ledger/plans.go
@@ -14,30 +14,40 @@
 	return Plan{}
 }
 
+// PutPlan replaces the plan that stands at version Read (design 6.2). Where Version
+// is above zero it is the caller's own for the new one, which must be above Read,
+// and names the put when it is said again; otherwise versions go up by one, and
+// Request names it. putPlan applies it; TestPlanVersions, TestPlanIsKnownAgain.
+type PutPlan struct {
+	Version uint64          `json:"version,omitempty"`
+	Read    uint64          `json:"read"`
+	Request string          `json:"request"`
+	Doc     json.RawMessage `json:"doc"`
+}
+
+// Kind names the command.
+func (PutPlan) Kind() Kind { return KindPlanPut }
+
 // putPlan takes a plan if it was made from the one in force. A repeat of one that
 // was taken is told its version, however many have come since.
-func (l *Ledger) putPlan(c Command) Result {
-	var p PutPlan
-	if json.Unmarshal(c.Body, &p) != nil {
-		return fail(400, "plan does not parse")
-	}
+func (l *Ledger) putPlan(p PutPlan, c Command) Result {
 	hash := Hash(p.Doc)
 	if answer, done := l.recallPlan(p, hash); done {
 		return answer
 	}
 	now := l.Plan()
 	if p.Read != now.Version {
-		return Result{Code: 409, Body: raw(problem{Error: "the plan has moved on", Version: now.Version})}
+		return planMoved.atVersion(now.Version)
 	}
 	if p.Version != 0 && p.Version <= now.Version {
-		return Result{Code: 422, Body: raw(problem{Error: "a plan's version must be above the one in force", Version: now.Version})}
+		return planNotAbove.atVersion(now.Version)
 	}
 	request := p.Request
 	if p.Version != 0 {
 		request = "" // its version is its name
 	}
 	if !l.roomForReceipts(c.At, receiptsOf(request)) {
-		return fail(503, receiptsFull)
+		return receiptsFull.Result()
 	}
 	next := Plan{Version: max(p.Version, now.Version+1), Request: p.Request, Hash: hash, Doc: p.Doc, Mod: l.Index, At: c.At}
 	l.acknowledge(planVersionID(next.Version, hash), c.At, next.Version)
@@ -79,7 +89,7 @@
 	case known == repeated:
 		return good(Plan{Version: version, Request: p.Request, Hash: hash}), true
 	case known == changed && p.Version == 0:
-		return Result{Code: 422, Body: raw(problem{Error: "this request id was used for another plan", Version: version})}, true
+		return planRequestUsed.atVersion(version), true
 	}
 	return Result{}, false
 }
--- a/core/serve/machines.go
+++ b/core/serve/machines.go
@@ -9,8 +9,10 @@
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
+	"fernlink/core/httpstatus"
 	"fernlink/core/ledger"
 	"fernlink/core/serve/env"
+	"fernlink/core/store"
 )
 
 // States of a machine that an operator wants emptied (design 12.8).
@@ -38,7 +40,7 @@
 // comes and when the store's answer does; else 503 (design 5.2).
 func (s *Serve) underLease(c flow.Call) bool {
 	if !s.p.Fresh() {
-		s.env.Refuse(c.ID, "the store is not heard just now", budget.RenewInterval)
+		s.env.Refuse(c.ID, env.StoreUnheard, budget.RenewInterval)
 		return false
 	}
 	return true
@@ -55,8 +57,8 @@
 				s.tellState(c, machine, held)
 				return
 			}
-			s.env.Ask(storeAnswerLimit, "store.remove", machine.ID, func(a ask.Answer) {
-				if a.Code == 200 {
+			s.env.Ask(storeAnswerLimit, store.RemoveMember(machine.ID), func(a ask.Answer) {
+				if a.Code == ledger.Accepted {
 					s.retire(machine)
 				}
 				s.removed(c, a)
@@ -123,7 +125,7 @@
 			return
 		}
 	}
-	s.env.Out.Answer(c.ID, 404, env.Problem{Error: "no such machine stands by for data"}, nil)
+	s.env.Answer(c.ID, env.NoSuchMachine)
 }
 
 // holding asks the store what a machine holds. A process without a role that keeps
@@ -133,13 +135,13 @@
 		then(ledger.Holding{})
 		return
 	}
-	s.env.Ask(storeAnswerLimit, "store.holding", machine.ID, func(a ask.Answer) {
+	s.env.Ask(storeAnswerLimit, store.GetHolding(machine.ID), func(a ask.Answer) {
 		if !s.underLease(c) {
 			return
 		}
 		var held ledger.Holding
-		if a.Code != 200 || json.Unmarshal(a.Body, &held) != nil {
-			s.env.Refuse(c.ID, "the store did not say what the machine holds", storeBackIn)
+		if a.Code != ledger.Accepted || json.Unmarshal(a.Body, &held) != nil {
+			s.env.Refuse(c.ID, env.MachineUnknown, storeBackIn)
 			return
 		}
 		then(held)
@@ -152,12 +154,12 @@
 		return
 	}
 	switch a.Code {
-	case 0:
-		s.env.Refuse(c.ID, "the store did not answer in time; say the same again", storeBackIn)
-	case 200:
-		s.env.Out.Answer(c.ID, 200, machineState{machineEmptying}, nil)
+	case ledger.Unanswered:
+		s.env.Refuse(c.ID, env.StoreSilentSame, storeBackIn)
+	case ledger.Accepted:
+		s.env.Out.Answer(c.ID, env.StatusDone, machineState{machineEmptying}, nil)
 	default:
-		s.env.Out.Answer(c.ID, a.Code, a.Body, nil)
+		s.env.Out.Answer(c.ID, httpstatus.Of(a.Code), a.Body, nil)
 	}
 }
 
@@ -168,5 +170,5 @@
 	if held.Empty() && (machine.Retired || !machine.RunsLots()) {
 		state = machineEmptied
 	}
-	s.env.Out.Answer(c.ID, 200, machineState{state}, nil)
+	s.env.Out.Answer(c.ID, env.StatusDone, machineState{state}, nil)
 }
--- a/core/serve/machines_test.go
+++ b/core/serve/machines_test.go
@@ -26,7 +26,7 @@
 // operator wants it emptied, then it is moved first, refused where too few would
 // remain, and emptied only once the store says that it holds nothing (design 12.8).
 func TestMachineIsEmptiedOnlyWhenItHoldsNothing(t *testing.T) {
-	result := func(code int, body any) ledger.Result {
+	result := func(code ledger.Outcome, body any) ledger.Result {
 		raw, _ := json.Marshal(body)
 		return ledger.Result{Code: code, Body: raw}
 	}
@@ -63,7 +63,7 @@
 			{ID: "w", Addr: "w", Name: "takes lots", Roles: []string{"reserve", "worker"}},
 			{ID: "r", Addr: "r", Name: "took lots", Roles: []string{"reserve", "worker"}, Retired: true},
 		}
-		w.told = map[string]ledger.Result{"store.holding": c.held, "store.remove": c.removed}
+		w.told = map[ledger.Kind]ledger.Result{"store.holding": c.held, "store.remove": c.removed}
 		w.turn(0)
 		w.silent = c.silent
 		r := w.machineCall(c.call, c.id)
--- a/sim/day.go
+++ b/sim/day.go
@@ -100,7 +100,7 @@
 	c.begun = w.Now
 	heard := uint64(0)
 	w.Every(budget.RenewInterval, func() bool { // a dispatcher that lives
-		c.asker.Put(w.Now, budget.LeaseDuration, "renew", store.Renew{ID: "crowd", Have: 1 << 60, Heard: heard}, func(time.Duration, ask.Answer) { heard++ })
+		c.asker.Ask(w.Now, budget.LeaseDuration, store.Renew{ID: "crowd", Have: 1 << 60, Heard: heard}, func(time.Duration, ask.Answer) { heard++ })
 		return true
 	})
 	per := time.Second / time.Duration(p.Keys)
@@ -164,12 +164,13 @@
 
 // ask asks until there is an answer, as dispatchers' callers would; a write that
 // was given up on is said again.
-func (c *crowd) ask(kind string, body any, then func(ask.Answer)) {
+func (c *crowd) ask(question ledger.Body, then func(ask.Answer)) {
+	kind := string(question.Kind())
 	c.rep.Asked[kind]++
-	c.asker.Put(c.w.Now, 4*budget.AskTimeout, kind, body, func(_ time.Duration, a ask.Answer) {
-		if a.Code == 0 {
+	c.asker.Ask(c.w.Now, 4*budget.AskTimeout, question, func(_ time.Duration, a ask.Answer) {
+		if a.Code == ledger.Unanswered {
 			c.rep.Late++
-		} else if a.Code != 200 {
+		} else if a.Code != ledger.Accepted {
 			c.rep.Refused[fmt.Sprint(kind, " ", a.Code)]++
 		}
 		then(a)
@@ -181,18 +182,18 @@
 	key, n := fmt.Sprint("k", c.n), c.n
 	body := []byte(strings.Repeat(fmt.Sprintf("{\"booking\":%d}", n), 8+n%24))
 	owner := fmt.Sprint("crowd/", n)
-	c.ask("claim.take", ledger.Claim{Key: key, Hash: "h" + key, Owner: owner}, func(a ask.Answer) {
+	c.ask(ledger.TakeClaim{Key: key, Hash: "h" + key, Owner: owner}, func(a ask.Answer) {
 		var k ledger.Claim
-		if a.Code == 0 {
+		if a.Code == ledger.Unanswered {
 			return
 		}
-		if a.Code != 200 || json.Unmarshal(a.Body, &k) != nil || k.Owner != owner {
+		if a.Code != ledger.Accepted || json.Unmarshal(a.Body, &k) != nil || k.Owner != owner {
 			c.w.Wrong("key %s was not taken: %d %s", key, a.Code, a.Body)
 			return
 		}
-		done := ledger.Claim{Key: key, Hash: "h" + key, Owner: owner, State: "done", Code: 200, Type: "application/json", Body: body}
-		c.ask("claim.done", done, func(a ask.Answer) {
-			if a.Code == 200 && n%50 == 0 {
+		done := ledger.DoneClaim{Key: key, Hash: "h" + key, Owner: owner, State: "done", Code: 200, Type: "application/json", Body: body}
+		c.ask(done, func(a ask.Answer) {
+			if a.Code == ledger.Accepted && n%50 == 0 {
 				c.claim = append(c.claim, kept{key, ledger.Hash(body), c.w.Now, 0})
 			}
 		})
@@ -206,8 +207,8 @@
 	for g := 0; g < p.Groups; g++ {
 		d.Groups = append(d.Groups, ledger.Group{ID: fmt.Sprint("g", g), Prompt: strings.Repeat("p", 1536), Samples: p.Samples, Tokens: 96})
 	}
-	c.ask("step.open", d, func(a ask.Answer) {
-		if a.Code != 200 {
+	c.ask(ledger.OpenStep(d), func(a ask.Answer) {
+		if a.Code != ledger.Accepted {
 			return
 		}
 		left := p.Groups * p.Samples
@@ -216,9 +217,9 @@
 				text := (id + fmt.Sprint("/", i, " ") + strings.Repeat("lorem ", p.Text/6))[:p.Text]
 				e := ledger.Entry{Group: fmt.Sprint("g", i/p.Samples), Sample: i % p.Samples, Text: text, Finish: "stop", Engine: "m",
 					Spans: []ledger.Span{{From: 0, To: len(text), Revision: rev}}, Verdict: ledger.Verdict{State: "none", Hash: ledger.Hash([]byte(text))}}
-				c.ask("result.add", ledger.AddEntry{Step: id, Entry: e}, func(a ask.Answer) {
+				c.ask(ledger.AddEntry{Step: id, Entry: e}, func(a ask.Answer) {
 					if left--; left == 0 {
-						c.ask("step.end", id, func(a ask.Answer) {
+						c.ask(ledger.EndStep(id), func(a ask.Answer) {
 							c.steps = append(c.steps, kept{id, "", c.w.Now, p.Groups * p.Samples})
 						})
 					}
@@ -238,10 +239,10 @@
 	}
 	if n := len(c.claim); n > 0 {
 		x := c.claim[c.w.Rand.Intn(n)]
-		c.ask("claim.take", ledger.Claim{Key: x.id, Hash: "h" + x.id, Owner: "crowd/other"}, func(a ask.Answer) {
+		c.ask(ledger.TakeClaim{Key: x.id, Hash: "h" + x.id, Owner: "crowd/other"}, func(a ask.Answer) {
 			var k ledger.Claim
 			_ = json.Unmarshal(a.Body, &k)
-			if a.Code == 200 && (k.State != "done" || ledger.Hash(k.Body) != x.hash || k.Hash != "h"+x.id) {
+			if a.Code == ledger.Accepted && (k.State != "done" || ledger.Hash(k.Body) != x.hash || k.Hash != "h"+x.id) {
 				c.w.Wrong("key %s of %v ago is %s with %d bytes", x.id, c.w.Now-x.at, k.State, len(k.Body))
 			}
 			c.rep.Checked["keys"]++
@@ -249,13 +250,13 @@
 	}
 	if n := len(c.steps); n > 0 {
 		x := c.steps[c.w.Rand.Intn(n)]
-		c.ask("result.page", ledger.Page{Step: x.id}, func(a ask.Answer) {
+		c.ask(ledger.Page{Step: x.id}, func(a ask.Answer) {
 			var p ledger.Pages
 			_ = json.Unmarshal(a.Body, &p)
-			if a.Code == 0 {
+			if a.Code == ledger.Unanswered {
 				return
 			}
-			if a.Code != 200 || p.Step.Listed != x.count || len(p.Results) != x.count {
+			if a.Code != ledger.Accepted || p.Step.Listed != x.count || len(p.Results) != x.count {
 				c.w.Wrong("step %s of %v ago reads %d with %d of %d results", x.id, c.w.Now-x.at, a.Code, len(p.Results), x.count)
 			}
 			for i, e := range p.Results {
--- a/sim/lot_way_bench_test.go
+++ b/sim/lot_way_bench_test.go
@@ -165,7 +165,7 @@
 }
 
 // committed is a command as the log has it.
-func committed(b *testing.B, kind string, body any) json.RawMessage {
+func committed(b *testing.B, kind ledger.Kind, body any) json.RawMessage {
 	b.Helper()
 	text, err := json.Marshal(body)
 	if err != nil {
@@ -176,7 +176,7 @@
 }
 
 // asked is the line by which a node asks its store's leader.
-func asked(kind string, body any) flow.Line {
+func asked(kind ledger.Kind, body any) flow.Line {
 	asker := ask.New(0)
 	asker.Put(0, time.Hour, kind, body, func(flow.Time, ask.Answer) {})
 	var out flow.Outbox
--- a/sim/orders_history_test.go
+++ b/sim/orders_history_test.go
@@ -34,8 +34,8 @@
 // sending is an order as it goes out.
 type sending struct {
 	in   orderIn
-	call *flow.Call // through a dispatcher
-	kind string     // or to the store itself
+	call *flow.Call  // through a dispatcher
+	kind ledger.Kind // or to the store itself
 	body any
 }
 
@@ -157,7 +157,7 @@
 		c.a.disp().Call(*x.call, func(r flow.Reply) { end(answered{r.Code, r.Body}) })
 		return
 	}
-	c.store.asker.Put(c.w.Now, budget.AskTimeout, x.kind, x.body, func(_ flow.Time, a ask.Answer) { end(answered{a.Code, a.Body}) })
+	c.store.asker.Put(c.w.Now, budget.AskTimeout, x.kind, x.body, func(_ flow.Time, a ask.Answer) { end(answered{int(a.Code), a.Body}) })
 }
 
 // note adds one sending to the history.
