Gossip: the table's parts in files of their own, with whole names

After: entry.go (what is sent), gossip.go (receiving), round.go (sending), views.go (reading), restart.go (a start outranking an earlier one). Take and Advance are split by step; Tell is Announce, Able is LotOwners. Wire names and behaviour are unchanged; tests differ in names only.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -1,170 +1,51 @@
-// Package gossip spreads who is there (design 5.1): one entry a process,
-// keyed by address, with an incarnation a start and a beat that must grow.
+// Package gossip spreads which processes are alive (design 5.1). The table has
+// one entry for each process, keyed by address, with an incarnation for each start
+// and a heartbeat counter that must grow. It owns membership hints only: who votes
+// and who holds a lease is decided in core/store. core/node calls it: Take for each
+// received line, Advance to send, and Live or Everyone to read.
 package gossip
 
 import (
 	"math/rand"
-	"slices"
-	"strconv"
 
 	"fernlink/core/budget"
 	"fernlink/core/flow"
-	"fernlink/core/sorted"
 )
 
-// Roles that decide who may own lots.
 const (
-	RoleDispatcher = "dispatcher" // serves clients
-	RoleWorker     = "worker"     // runs lots and serves no clients
+	fullEntryFor = 4 * budget.GossipInterval // a changed entry is sent whole for so long
+	missingMost  = 128                       // entries asked for in one line
+	forgetAfter  = 10 * budget.FailureTimeout
+	fanout       = 2 // live peers that one round is sent to
 )
 
-// Entry is what a process says of itself.
-type Entry struct {
-	ID      string   `json:"id"`
-	Name    string   `json:"name,omitempty"` // the machine's, by which operators call it
-	Inc     int64    `json:"inc"`
-	Born    int64    `json:"born,omitempty"` // Inc as it was at the start, where it was raised since
-	Beat    uint64   `json:"beat"`
-	Changed uint64   `json:"changed,omitempty"` // the beat at which it last changed in more than its beat
-	Addr    string   `json:"addr"`
-	Web     string   `json:"web"`
-	Zone    string   `json:"area"` // the name on the wire: builds of both names must read each other
-	Roles   []string `json:"roles"`
-	Cpu     int      `json:"cpu,omitempty"` // thousandths of a core that its machine gives it, 0 where unknown
-	Cluster string   `json:"cluster,omitempty"`
-	Blank   bool     `json:"blank,omitempty"`   // a store machine with an empty disk
-	Left    bool     `json:"left,omitempty"`    // it is stopping: nobody counts on it
-	Retired bool     `json:"retired,omitempty"` // an operator empties it: it gets no more work
-	Sees    []string `json:"sees,omitempty"`    // of a blank store: the others that it hears, by address
-}
-
-// Start names this very start of the process, also when its incarnation was raised.
-func (e Entry) Start() string {
-	born := e.Inc
-	if e.Born != 0 {
-		born = e.Born
-	}
-	return e.ID + "." + strconv.FormatInt(born, 16)
-}
-
-// otherStart says whether an entry at this process's address is of an earlier start
-// that seems as new or newer to others: its clock was ahead. One that keeps nothing
-// had the same identity. Nobody else has a higher beat under one's own incarnation.
-func (g *Gossip) otherStart(e Entry) bool {
-	if e.Addr != g.self.Addr || e.Inc < g.self.Inc {
-		return false
-	}
-	return e.Inc > g.self.Inc || e.ID != g.self.ID || e.Beat > g.self.Beat
-}
-
-// outrank raises this process's incarnation above an earlier start's. Its parts go on
-// under the name that they were given.
-func (g *Gossip) outrank(incarnation int64) {
-	if g.self.Born == 0 {
-		g.self.Born = g.self.Inc
-	}
-	g.self.Inc = incarnation + 1
-}
-
-// RunsLots says whether the process may own lots and run their items.
-func (e Entry) RunsLots() bool { return e.Has(RoleDispatcher) || e.Has(RoleWorker) }
-
-// Able gives the live processes that may own lots: those whose machines are not
-// much smaller than the largest and that neither stop nor are being emptied.
-// Workers, which serve no clients and keep no state, come before dispatchers
-// (design 12.5).
-func Able(live []Entry) []Entry {
-	var candidates []Entry
-	most := 0
-	for _, e := range live {
-		if e.RunsLots() && !e.Left && !e.Retired {
-			candidates = append(candidates, e)
-			most = max(most, e.Cpu)
-		}
-	}
-	var workers, others []Entry
-	for _, e := range candidates {
-		switch {
-		case 2*e.Cpu < most:
-		case e.Has(RoleWorker):
-			workers = append(workers, e)
-		default:
-			others = append(others, e)
-		}
-	}
-	if len(workers) > 0 {
-		return workers
-	}
-	return others
-}
-
-// Has says whether the process runs a role.
-func (e Entry) Has(role string) bool { return slices.Contains(e.Roles, role) }
-
-// Known is what every node remembers of the cluster, so that all seeds may
-// have been replaced (design 4.5).
-type Known struct {
-	Cluster string   `json:"cluster"`
-	At      uint64   `json:"at"` // index of the membership
-	Stores  []string `json:"stores"`
-}
-
-// Body is one gossip line: whole entries where something is new, heartbeats
-// otherwise.
-type Body struct {
-	Entries []Entry    `json:"entries,omitempty"`
-	Beats   Heartbeats `json:"beats,omitempty"`
-	Want    []string   `json:"want,omitempty"` // addresses whose whole entries the sender lacks
-	Known   Known      `json:"known"`
-}
-
-// freshFor is for how long an entry is told whole that has changed; wantMost is how
-// many entries are asked for in one line.
-const (
-	freshFor = 4 * budget.GossipInterval
-	wantMost = 128
-)
-
-type seat struct {
-	entry Entry
-	fresh flow.Time // when more than the beat was new
-	grew  flow.Time
-	heard flow.Time // straight from itself
+// peerState is what is known of one peer.
+type peerState struct {
+	entry     Entry
+	changedAt flow.Time // when more than its heartbeat counter was new
+	grewAt    flow.Time // when its heartbeat counter grew
+	heardAt   flow.Time // directly from itself, 0 for never
 }
 
 // Gossip is one node's table.
 type Gossip struct {
-	self  Entry
-	known Known
-	seeds []string
-	rand  *rand.Rand
-	seats map[string]*seat
-	next  flow.Time
-	turn  int
-	was   Entry     // this node's entry as it was last told
-	since flow.Time // and since when it is so
-	// Those that are told at once what is known here.
-	answer map[string]bool
-	wanted map[string]string   // entries that are lacked, and who spoke of them
-	owed   map[string][]string // entries that peers lack
-	live   view                // the peers whose beats still grow
-	all    view                // and this node itself
-	alike  Entry               // this node's entry as it stands in all
+	self        Entry
+	known       Known
+	seeds       []string
+	rand        *rand.Rand
+	peers       map[string]*peerState
+	gossipAt    flow.Time // when the next round is due
+	rounds      int
+	announced   Entry               // this node's entry as it was last sent
+	announcedAt flow.Time           // and since when it is so
+	replyTo     map[string]bool     // peers that are sent the whole table at once
+	missing     map[string]string   // addresses without an entry here, and who named them
+	requested   map[string][]string // addresses whose entries a peer asked for
+	liveView    entryView           // peers whose heartbeats still grow
+	fullView    entryView           // the same and this node itself
+	selfInFull  Entry               // this node's entry as it stands in fullView
 }
 
-// view is a list of entries by address. It holds until a time, or until an entry
-// of it changes in more than its beat.
-type view struct {
-	entries []Entry
-	until   flow.Time
-	valid   bool
-}
-
-func (v *view) holds(now flow.Time) bool { return v.valid && now <= v.until }
-
-// stir makes the views be made anew: an entry came, changed or is alive again.
-func (g *Gossip) stir() { g.live.valid, g.all.valid = false, false }
-
 // Config are the options of a table.
 type Config struct {
 	Self  Entry
@@ -174,26 +55,30 @@
 }
 
 // New starts a table that knows itself and its seeds.
-func New(p Config) *Gossip {
-	return &Gossip{self: p.Self, known: p.Known, seeds: p.Seeds, rand: p.Rand, seats: map[string]*seat{}, answer: map[string]bool{}, wanted: map[string]string{}, owed: map[string][]string{}}
+func New(config Config) *Gossip {
+	return &Gossip{
+		self: config.Self, known: config.Known, seeds: config.Seeds, rand: config.Rand,
+		peers: map[string]*peerState{}, replyTo: map[string]bool{},
+		missing: map[string]string{}, requested: map[string][]string{},
+	}
 }
 
 // Reseed takes other seeds, as the settings name them now.
 func (g *Gossip) Reseed(seeds []string) { g.seeds = seeds }
 
-// Tell says what the node's own entry is to carry from now on.
-func (g *Gossip) Tell(blank bool, known Known) {
+// Announce sets what the node's own entry is to carry from now on.
+func (g *Gossip) Announce(blank bool, known Known) {
 	g.self.Blank = blank
 	g.learn(known)
 	g.self.Cluster = g.known.Cluster
 }
 
-func (g *Gossip) learn(k Known) {
-	if k.Cluster == "" || (g.known.Cluster != "" && k.Cluster != g.known.Cluster) {
+func (g *Gossip) learn(known Known) {
+	if known.Cluster == "" || (g.known.Cluster != "" && known.Cluster != g.known.Cluster) {
 		return
 	}
-	if g.known.Cluster == "" || k.At > g.known.At {
-		g.known = k
+	if g.known.Cluster == "" || known.At > g.known.At {
+		g.known = known
 	}
 }
 
@@ -206,292 +91,137 @@
 // Self gives the node's own entry.
 func (g *Gossip) Self() Entry { return g.self }
 
-// Take folds one line. Entries of another cluster are left out.
-func (g *Gossip) Take(now flow.Time, from string, b Body) {
-	g.learn(b.Known)
-	for _, e := range b.Entries {
-		if g.otherStart(e) {
-			g.outrank(e.Inc)
-		}
-		if e.Addr == g.self.Addr && e.ID == g.self.ID && e.Retired {
-			g.Retire() // an earlier process here was told
-		}
-		if e.Addr == g.self.Addr || e.Addr == "" {
-			continue
-		}
-		if e.Cluster != "" && g.known.Cluster != "" && e.Cluster != g.known.Cluster {
-			continue
-		}
-		s := g.seats[e.Addr]
-		if e.Addr == from && (s == nil || e.Inc < s.entry.Inc) {
-			g.answer[from] = true // it is new here, or does not know what was before it
-		}
-		if s != nil && s.entry.ID == e.ID && s.entry.Retired && !e.Retired {
-			e.Retired = true // its new process hears so from its peers
-			if e.Addr == from {
-				g.answer[from] = true
-			}
-		}
-		if s == nil {
-			s = &seat{entry: e, grew: now, fresh: now}
-			g.seats[e.Addr] = s
-			g.stir()
-		} else {
-			g.merge(s, e, now)
-		}
-		if e.Addr == from {
-			s.heard = now
-		}
+// Take folds one received line into the table. Entries of another cluster are left out.
+func (g *Gossip) Take(now flow.Time, from string, body Body) {
+	g.learn(body.Known)
+	for _, entry := range body.Entries {
+		g.takeEntry(now, from, entry)
 	}
-	g.asked(from, b.Want)
-	for _, x := range b.Beats {
-		if x.Addr == g.self.Addr && x.Inc > g.self.Inc {
-			g.outrank(x.Inc)
-		}
-		s := g.seats[x.Addr]
-		if s == nil || s.entry.older(x.Inc, x.Changed) {
-			g.lack(from, x.Addr)
-		}
-		if s == nil || x.Inc != s.entry.Inc {
-			continue
-		}
-		if x.Beat > s.entry.Beat {
-			g.grow(s, now)
-			s.entry.Beat = x.Beat
-		}
-		if x.Addr == from {
-			s.heard = now
-		}
+	g.noteRequested(from, body.Want)
+	for _, heartbeat := range body.Beats {
+		g.takeHeartbeat(now, from, heartbeat)
 	}
 }
 
-// older says whether this is an entry of an earlier start, or of before a change.
-func (e Entry) older(inc int64, changed uint64) bool {
-	return e.Inc < inc || e.Inc == inc && e.Changed < changed
-}
-
-// merge takes what an entry has that is newer: all of it, or its beat. Whoever has
-// heard heartbeats alone may know a later beat with an earlier content.
-func (g *Gossip) merge(s *seat, e Entry, now flow.Time) {
-	known := s.entry
-	if known.Inc > e.Inc {
-		return
+func (g *Gossip) takeEntry(now flow.Time, from string, entry Entry) {
+	if g.otherStart(entry) {
+		g.outrank(entry.Inc)
 	}
-	if known.Inc < e.Inc || known.Beat < e.Beat {
-		g.grow(s, now)
+	if entry.Addr == g.self.Addr && entry.ID == g.self.ID && entry.Retired {
+		g.Retire() // an earlier process here was told
 	}
-	if !known.older(e.Inc, e.Changed) {
-		s.entry.Beat = max(known.Beat, e.Beat)
+	if entry.Addr == g.self.Addr || entry.Addr == "" {
 		return
 	}
-	if known.Inc == e.Inc {
-		e.Beat = max(known.Beat, e.Beat)
-	}
-	s.entry, s.fresh = e, now
-	g.stir()
-}
-
-// grow notes that a peer's beat has grown.
-func (g *Gossip) grow(s *seat, now flow.Time) {
-	if now-s.grew > budget.FailureTimeout {
-		g.stir() // it was not among the live ones
+	if entry.Cluster != "" && g.known.Cluster != "" && entry.Cluster != g.known.Cluster {
+		return
 	}
-	s.grew = now
-}
-
-// same says whether two entries differ in nothing but their beats.
-func same(a, b Entry) bool {
-	return a.ID == b.ID && a.Inc == b.Inc && a.Web == b.Web && a.Zone == b.Zone && a.Cluster == b.Cluster && a.Blank == b.Blank && a.Left == b.Left && a.Retired == b.Retired &&
-		slices.Equal(a.Roles, b.Roles) && slices.Equal(a.Sees, b.Sees)
-}
-
-// lack notes that a peer speaks of a process that is not known here.
-func (g *Gossip) lack(from, addr string) {
-	if addr != g.self.Addr && len(g.wanted) < wantMost {
-		g.wanted[addr] = from
+	peer := g.peers[entry.Addr]
+	if entry.Addr == from && (peer == nil || entry.Inc < peer.entry.Inc) {
+		g.replyTo[from] = true // it is new here, or does not know what was before it
 	}
-}
-
-// asked tells a peer the entries that it lacks.
-func (g *Gossip) asked(from string, want []string) {
-	for _, addr := range want[:min(len(want), wantMost)] {
-		if s := g.seats[addr]; s != nil || addr == g.self.Addr {
-			g.owed[from] = append(g.owed[from], addr)
+	if peer != nil && peer.entry.ID == entry.ID && peer.entry.Retired && !entry.Retired {
+		entry.Retired = true // its new process hears so from its peers
+		if entry.Addr == from {
+			g.replyTo[from] = true
 		}
 	}
-}
-
-// entry gives what is known of an address, this node's own among them.
-func (g *Gossip) entry(addr string) (Entry, bool) {
-	if addr == g.self.Addr {
-		return g.self, true
+	if peer == nil {
+		peer = &peerState{entry: entry, grewAt: now, changedAt: now}
+		g.peers[entry.Addr] = peer
+		g.invalidateViews()
+	} else {
+		g.merge(peer, entry, now)
 	}
-	if s := g.seats[addr]; s != nil {
-		return s.entry, true
+	if entry.Addr == from {
+		peer.heardAt = now
 	}
-	return Entry{}, false
 }
 
-// exchange asks for entries that are lacked, and tells those that others lack.
-func (g *Gossip) exchange(out *flow.Outbox) {
-	ask := map[string][]string{}
-	for _, addr := range sorted.Keys(g.wanted) {
-		ask[g.wanted[addr]] = append(ask[g.wanted[addr]], addr)
-	}
-	for _, to := range sorted.Keys(ask) {
-		out.Line(to, "gossip", Body{Want: ask[to], Known: g.known})
+func (g *Gossip) takeHeartbeat(now flow.Time, from string, heartbeat Heartbeat) {
+	if heartbeat.Addr == g.self.Addr && heartbeat.Inc > g.self.Inc {
+		g.outrank(heartbeat.Inc)
 	}
-	for _, to := range sorted.Keys(g.owed) {
-		b := Body{Known: g.known}
-		for _, addr := range g.owed[to] {
-			if e, ok := g.entry(addr); ok {
-				b.Entries = append(b.Entries, e)
-			}
-		}
-		out.Line(to, "gossip", b)
+	peer := g.peers[heartbeat.Addr]
+	if peer == nil || peer.entry.older(heartbeat.Inc, heartbeat.Changed) {
+		g.noteMissing(from, heartbeat.Addr)
 	}
-	clear(g.wanted)
-	clear(g.owed)
-}
-
-// refresh marks this node's own entry where it has changed.
-func (g *Gossip) refresh(now flow.Time) {
-	if same(g.self, g.was) {
+	if peer == nil || heartbeat.Inc != peer.entry.Inc {
 		return
 	}
-	g.self.Beat++
-	g.self.Changed = g.self.Beat
-	g.was, g.since = g.self, now
-}
-
-// body is what one round tells.
-func (g *Gossip) body(now flow.Time) Body {
-	b := Body{Known: g.known}
-	put := func(e Entry, fresh flow.Time) {
-		if now-fresh < freshFor {
-			b.Entries = append(b.Entries, e)
-		} else {
-			b.Beats = append(b.Beats, Heartbeat{e.Addr, e.Inc, e.Changed, e.Beat})
-		}
+	if heartbeat.Beat > peer.entry.Beat {
+		g.noteGrowth(peer, now)
+		peer.entry.Beat = heartbeat.Beat
 	}
-	for _, a := range g.addrs() {
-		if s := g.seats[a]; now-s.grew <= budget.FailureTimeout {
-			put(s.entry, s.fresh)
-		}
+	if heartbeat.Addr == from {
+		peer.heardAt = now
 	}
-	put(g.self, g.since)
-	return b
 }
 
-// Advance beats and spreads when it is time.
-func (g *Gossip) Advance(now flow.Time, out *flow.Outbox) {
-	g.refresh(now)
-	if len(g.answer) > 0 {
-		b := Body{Entries: append(g.every(), g.self), Known: g.known}
-		out.LineToAll(sorted.Keys(g.answer), "gossip", b)
-		g.answer = map[string]bool{}
-	}
-	if now < g.next {
+// merge takes what an entry has that is newer: all of it, or its heartbeat counter.
+// Whoever was sent heartbeats alone may know a later counter with an earlier content.
+func (g *Gossip) merge(peer *peerState, entry Entry, now flow.Time) {
+	known := peer.entry
+	if known.Inc > entry.Inc {
 		return
 	}
-	g.next = now + budget.GossipInterval
-	g.exchange(out)
-	g.self.Beat++
-	g.self.Sees = nil
-	var live []string
-	for _, addr := range g.addrs() {
-		s := g.seats[addr]
-		if now-s.grew > 10*budget.FailureTimeout {
-			delete(g.seats, addr)
-			continue
-		}
-		if now-s.grew <= budget.FailureTimeout {
-			live = append(live, addr)
-		}
-		if g.self.Blank && s.entry.Blank && now-s.heard <= budget.FailureTimeout {
-			g.self.Sees = append(g.self.Sees, addr)
-		}
-	}
-	g.turn++
-	g.refresh(now)
-	b := g.body(now)
-	to := map[string]bool{}
-	for i := 0; i < 2 && len(live) > 0; i++ {
-		to[live[g.rand.Intn(len(live))]] = true
-	}
-	// One address beyond the live ones each time: a seed, or a store.
-	far := append(append([]string{}, g.seeds...), g.known.Stores...)
-	if len(far) > 0 {
-		to[far[g.turn%len(far)]] = true
+	if known.Inc < entry.Inc || known.Beat < entry.Beat {
+		g.noteGrowth(peer, now)
 	}
-	if g.self.Blank {
-		// Those who are to form a cluster must hear one another themselves.
-		for _, a := range live {
-			to[a] = to[a] || g.seats[a].entry.Blank
-		}
+	if !known.older(entry.Inc, entry.Changed) {
+		peer.entry.Beat = max(known.Beat, entry.Beat)
+		return
 	}
-	delete(to, g.self.Addr)
-	var told []string
-	for _, a := range sorted.Keys(to) {
-		if to[a] {
-			told = append(told, a)
-		}
+	if known.Inc == entry.Inc {
+		entry.Beat = max(known.Beat, entry.Beat)
 	}
-	out.LineToAll(told, "gossip", b)
+	peer.entry, peer.changedAt = entry, now
+	g.invalidateViews()
 }
 
-func (g *Gossip) addrs() []string { return sorted.Keys(g.seats) }
-
-// every gives all entries, also those of peers that fell silent.
-func (g *Gossip) every() []Entry {
-	var out []Entry
-	for _, a := range g.addrs() {
-		out = append(out, g.seats[a].entry)
+// noteGrowth records that a peer's heartbeat counter has grown.
+func (g *Gossip) noteGrowth(peer *peerState, now flow.Time) {
+	if now-peer.grewAt > budget.FailureTimeout {
+		g.invalidateViews() // it was not among the live ones
 	}
-	return out
+	peer.grewAt = now
 }
 
-// Live gives the peers whose beats still grow, by address. The list is shared:
-// nobody may change it, and its beats may be old.
-func (g *Gossip) Live(now flow.Time) []Entry {
-	if g.live.holds(now) {
-		return g.live.entries
+// noteMissing records that a peer names a process of which there is no entry here.
+func (g *Gossip) noteMissing(from, addr string) {
+	if addr != g.self.Addr && len(g.missing) < missingMost {
+		g.missing[addr] = from
 	}
-	g.live, g.all.valid = view{until: now + budget.FailureTimeout, valid: true}, false
-	for _, addr := range g.addrs() {
-		s := g.seats[addr]
-		if now-s.grew > budget.FailureTimeout {
-			continue
-		}
-		g.live.until = min(g.live.until, s.grew+budget.FailureTimeout)
-		if !s.entry.Left {
-			g.live.entries = append(g.live.entries, s.entry)
+}
+
+// noteRequested records the entries that a peer asked for.
+func (g *Gossip) noteRequested(from string, want []string) {
+	for _, addr := range want[:min(len(want), missingMost)] {
+		if s := g.peers[addr]; s != nil || addr == g.self.Addr {
+			g.requested[from] = append(g.requested[from], addr)
 		}
 	}
-	g.live.entries = slices.Clip(g.live.entries)
-	return g.live.entries
 }
 
-// Everyone gives the live peers and this node itself. The list is shared, as
-// that of Live is.
-func (g *Gossip) Everyone(now flow.Time) []Entry {
-	live := g.Live(now)
-	if g.all.valid && same(g.alike, g.self) {
-		return g.all.entries
+// entry gives what is known of an address, this node's own among them.
+func (g *Gossip) entry(addr string) (Entry, bool) {
+	if addr == g.self.Addr {
+		return g.self, true
 	}
-	g.alike = g.self
-	g.all = view{entries: append(live, g.self), valid: true}
-	return g.all.entries
+	if s := g.peers[addr]; s != nil {
+		return s.entry, true
+	}
+	return Entry{}, false
 }
 
-// Leave tells everybody that this process stops.
-func (g *Gossip) Leave(now flow.Time) { g.self.Left, g.next = true, now }
+// Leave announces that this process stops.
+func (g *Gossip) Leave(now flow.Time) { g.self.Left, g.gossipAt = true, now }
 
-// Heard says whether a peer spoke to this node itself of late.
+// Heard says whether a peer sent a line to this node itself within the failure timeout.
 func (g *Gossip) Heard(now flow.Time, addr string) bool {
-	s := g.seats[addr]
-	return s != nil && s.heard > 0 && now-s.heard <= budget.FailureTimeout
+	s := g.peers[addr]
+	return s != nil && s.heardAt > 0 && now-s.heardAt <= budget.FailureTimeout
 }
 
 // Rows counts the entries kept.
-func (g *Gossip) Rows() int { return len(g.seats) }
+func (g *Gossip) Rows() int { return len(g.peers) }
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -73,38 +73,38 @@
 
 func TestEveryoneStaysAliveAtABoundedCost(t *testing.T) {
 	// Given a fleet of 78 processes that know three seeds, and have met.
-	f := newFleet(78)
-	f.run(t, 5*time.Second)
-	f.bytes = 0
+	fleet := newFleet(78)
+	fleet.run(t, 5*time.Second)
+	fleet.bytes = 0
 	// When they gossip on.
 	for range 8 {
-		f.run(t, 500*time.Millisecond)
+		fleet.run(t, 500*time.Millisecond)
 		// Then each sees all others alive at every moment.
-		for _, addr := range f.addrs {
-			if n := len(f.tables[addr].Live(f.now)); n != 77 {
+		for _, addr := range fleet.addrs {
+			if n := len(fleet.tables[addr].Live(fleet.now)); n != 77 {
 				t.Fatalf("%s sees %d peers", addr, n)
 			}
 		}
 	}
 	// And a node sends less than 35 kB a second.
-	if each := f.bytes / 4 / 78; each > 35_000 {
+	if each := fleet.bytes / 4 / 78; each > 35_000 {
 		t.Errorf("%d bytes a second from each node", each)
 	}
 }
 
 func TestASilentPeerIsLost(t *testing.T) {
 	// Given a fleet whose lists are in use.
-	f := newFleet(12)
-	f.run(t, 4*time.Second)
-	for _, g := range f.tables {
-		g.Live(f.now)
+	fleet := newFleet(12)
+	fleet.run(t, 4*time.Second)
+	for _, g := range fleet.tables {
+		g.Live(fleet.now)
 	}
 	// When one of them ends.
-	delete(f.tables, addrOf(7))
-	f.run(t, budget.FailureTimeout+2*time.Second)
+	delete(fleet.tables, addrOf(7))
+	fleet.run(t, budget.FailureTimeout+2*time.Second)
 	// Then nobody counts it as alive.
-	for addr, g := range f.tables {
-		for _, e := range g.Live(f.now) {
+	for addr, g := range fleet.tables {
+		for _, e := range g.Live(fleet.now) {
 			if e.Addr == addrOf(7) {
 				t.Errorf("%s counts it as alive", addr)
 			}
@@ -143,18 +143,18 @@
 
 func TestALaterBeatDoesNotBringAnEarlierContentBack(t *testing.T) {
 	// Given a table that knows that a process has changed.
-	g := New(Config{Self: Entry{ID: "a", Inc: 1, Addr: "a:1"}, Rand: rand.New(rand.NewSource(1))})
-	g.Take(time.Hour, "b:1", Body{Entries: []Entry{{ID: "c", Inc: 1, Beat: 5, Changed: 5, Addr: "c:1", Cluster: "new"}}})
+	table := New(Config{Self: Entry{ID: "a", Inc: 1, Addr: "a:1"}, Rand: rand.New(rand.NewSource(1))})
+	table.Take(time.Hour, "b:1", Body{Entries: []Entry{{ID: "c", Inc: 1, Beat: 5, Changed: 5, Addr: "c:1", Cluster: "new"}}})
 	// When another tells its earlier content with a later beat.
-	g.Take(time.Hour, "d:1", Body{Entries: []Entry{{ID: "c", Inc: 1, Beat: 9, Changed: 1, Addr: "c:1"}}})
+	table.Take(time.Hour, "d:1", Body{Entries: []Entry{{ID: "c", Inc: 1, Beat: 9, Changed: 1, Addr: "c:1"}}})
 	// Then the change stands, and the beat has grown.
-	if e, _ := g.entry("c:1"); e.Cluster != "new" || e.Beat != 9 {
+	if e, _ := table.entry("c:1"); e.Cluster != "new" || e.Beat != 9 {
 		t.Errorf("%+v", e)
 	}
 	// And a heartbeat after a further change has it asked for.
-	g.Take(time.Hour, "d:1", Body{Beats: Heartbeats{{"c:1", 1, 10, 11}}})
-	if g.wanted["c:1"] != "d:1" {
-		t.Errorf("not asked for: %v", g.wanted)
+	table.Take(time.Hour, "d:1", Body{Beats: Heartbeats{{"c:1", 1, 10, 11}}})
+	if table.missing["c:1"] != "d:1" {
+		t.Errorf("not asked for: %v", table.missing)
 	}
 }
 
@@ -173,18 +173,18 @@
 
 func TestLiveListIsKeptWhileNothingChanges(t *testing.T) {
 	// Given a table whose list was made.
-	g := New(Config{Self: Entry{ID: "a", Inc: 1, Addr: "a:1"}, Rand: rand.New(rand.NewSource(1))})
-	g.Take(time.Hour, "b:1", Body{Entries: []Entry{{ID: "b", Inc: 1, Beat: 1, Changed: 1, Addr: "b:1"}}})
-	first := g.Live(time.Hour)
+	table := New(Config{Self: Entry{ID: "a", Inc: 1, Addr: "a:1"}, Rand: rand.New(rand.NewSource(1))})
+	table.Take(time.Hour, "b:1", Body{Entries: []Entry{{ID: "b", Inc: 1, Beat: 1, Changed: 1, Addr: "b:1"}}})
+	first := table.Live(time.Hour)
 	// When only the beat grows.
-	g.Take(time.Hour+time.Second, "b:1", Body{Beats: Heartbeats{{"b:1", 1, 1, 2}}})
+	table.Take(time.Hour+time.Second, "b:1", Body{Beats: Heartbeats{{"b:1", 1, 1, 2}}})
 	// Then the same list stands, and costs nothing.
-	if cost := testing.AllocsPerRun(10, func() { g.Live(time.Hour + time.Second) }); cost != 0 || &first[0] != &g.Live(time.Hour + time.Second)[0] {
+	if cost := testing.AllocsPerRun(10, func() { table.Live(time.Hour + time.Second) }); cost != 0 || &first[0] != &table.Live(time.Hour + time.Second)[0] {
 		t.Errorf("made anew: %v allocations", cost)
 	}
 	// And when the peer stops, it is not alive from the same moment on.
-	g.Take(time.Hour+time.Second, "b:1", Body{Entries: []Entry{{ID: "b", Inc: 1, Beat: 3, Changed: 3, Addr: "b:1", Left: true}}})
-	if live := g.Live(time.Hour + time.Second); len(live) != 0 {
+	table.Take(time.Hour+time.Second, "b:1", Body{Entries: []Entry{{ID: "b", Inc: 1, Beat: 3, Changed: 3, Addr: "b:1", Left: true}}})
+	if live := table.Live(time.Hour + time.Second); len(live) != 0 {
 		t.Errorf("%v", live)
 	}
 }
--- a/core/gossip/heartbeat.go
+++ b/core/gossip/heartbeat.go
@@ -64,13 +64,13 @@
 	if !ok || addr == "" || strings.ContainsRune(addr, '\\') {
 		return Heartbeat{}, errHeartbeats
 	}
-	h := Heartbeat{Addr: addr}
+	heartbeat := Heartbeat{Addr: addr}
 	var failures [3]error
-	h.Inc, failures[0] = strconv.ParseInt(incarnation, heartbeatBase, 64)
-	h.Changed, failures[1] = strconv.ParseUint(changed, heartbeatBase, 64)
-	h.Beat, failures[2] = strconv.ParseUint(beat, heartbeatBase, 64)
+	heartbeat.Inc, failures[0] = strconv.ParseInt(incarnation, heartbeatBase, 64)
+	heartbeat.Changed, failures[1] = strconv.ParseUint(changed, heartbeatBase, 64)
+	heartbeat.Beat, failures[2] = strconv.ParseUint(beat, heartbeatBase, 64)
 	if failures != [3]error{} {
 		return Heartbeat{}, errHeartbeats
 	}
-	return h, nil
+	return heartbeat, nil
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -248,7 +248,7 @@
 	if n.store != nil {
 		n.store.Advance(now, wall, live, n.gossip.Self(), &n.box)
 		n.release(out)
-		n.gossip.Tell(n.store.Blank(), n.store.Known())
+		n.gossip.Announce(n.store.Blank(), n.store.Known())
 	}
 	n.asker.Advance(now, n.gossip.Known().Stores, out)
 	if n.disp != nil {
--- a/core/serve/lots/owners.go
+++ b/core/serve/lots/owners.go
@@ -18,7 +18,7 @@
 // that one also runs another kind that a free process could take, else this node
 // itself or one by rendezvous (design 12.5).
 func (t *Table) ownerOf(pool, model string) string {
-	able := gossip.Able(t.live())
+	able := gossip.LotOwners(t.live())
 	key := t.ownerKey(pool, model, able)
 	busy := t.busyOwners(key)
 	last, ownLast := t.last[key], false
--- a/core/store/owners.go
+++ b/core/store/owners.go
@@ -76,7 +76,7 @@
 // lots, as they were last heard.
 func (s *Store) able() map[string]bool {
 	able := map[string]bool{}
-	for _, e := range gossip.Able(append(slices.Clip(s.live), s.self)) {
+	for _, e := range gossip.LotOwners(append(slices.Clip(s.live), s.self)) {
 		able[e.Start()] = true
 	}
 	return able
