--- a/core/coord/orders.go
+++ b/core/coord/orders.go
@@ -13,209 +13,248 @@
 	"fernlink/core/sorted"
 )
 
-// move is one weight order on its way (design 8.5). It goes through its
+// orderPhase is how far a weight order has come.
+type orderPhase string
+
+// The phases of a weight order, in this order.
+const (
+	phaseCommit  orderPhase = "commit"  // the ledger is to commit it
+	phaseTell    orderPhase = "tell"    // dispatchers are to stop using the engine
+	phaseGrace   orderPhase = "grace"   // running streams may end
+	phaseSend    orderPhase = "send"    // the engine is told
+	phaseConfirm orderPhase = "confirm" // the engine is to serve the new weights
+	phaseClose   orderPhase = "close"   // the ledger is to commit how it ended
+)
+
+// How an order ends, as the ledger names it.
+const (
+	orderOpen    = "ordered"
+	orderDone    = "done"
+	orderDropped = "dropped"
+)
+
+// pendingOrder is one weight order on its way (design 8.5). It goes through its
 // phases one after the other, and every send is under a fresh lease.
-type move struct {
-	order ledger.Order
-	url   string
-	phase string // commit, tell, grace, send, confirm, close
-	since flow.Time
-	due   flow.Time
-	open  bool
-	state string // what the order is closed with
-}
-
-// order commits an order before anything is sent.
-func (c *Coord) order(a policy.Action) {
-	if c.moves[a.Engine] != nil {
+type pendingOrder struct {
+	order  ledger.Order
+	url    string // the engine's base URL
+	phase  orderPhase
+	since  flow.Time // when the phase was entered
+	dueAt  flow.Time // when the phase's next step is due
+	open   bool      // an ask or a send is under way
+	result string    // how the order is closed
+}
+
+// startOrder begins an order that a policy wants: it is committed before anything
+// is sent.
+func (c *Coord) startOrder(action policy.Action) {
+	if c.pending[action.Engine] != nil {
 		return
 	}
-	r := c.views.Registry[a.Engine]
-	m := &move{order: ledger.Order{Engine: a.Engine, Inc: a.Inc, Pool: a.Pool, Revision: a.Revision, Term: c.term}, url: r.Seat.URL, phase: "commit"}
-	c.moves[a.Engine] = m
+	row := c.views.Registry[action.Engine]
+	order := ledger.Order{Engine: action.Engine, Inc: action.Inc, Pool: action.Pool, Revision: action.Revision, Term: c.term}
+	c.pending[action.Engine] = &pendingOrder{order: order, url: row.Seat.URL, phase: phaseCommit}
 }
 
-// inherit takes over orders that an earlier term left standing. By now its
+// inheritOrders takes over orders that an earlier term left open. By now its
 // lease and its longest send are over (design 9.2).
-func (c *Coord) inherit() {
+func (c *Coord) inheritOrders() {
 	for _, id := range sorted.Keys(c.fleet.Orders) {
-		o, r := c.fleet.Orders[id], c.views.Registry[id]
-		if o.State != "ordered" || c.moves[id] != nil || r == nil {
+		order, row := c.fleet.Orders[id], c.views.Registry[id]
+		if order.State != orderOpen || c.pending[id] != nil || row == nil {
 			continue
 		}
-		m := &move{order: o, url: r.Seat.URL, phase: "confirm", since: c.now - budget.Heal/4 + budget.Listed}
-		m.order.Term = c.term
-		if r.Inc != o.Inc {
-			m.phase, m.state = "close", "dropped" // that start of the engine is gone
+		pending := &pendingOrder{order: order, url: row.Seat.URL, phase: phaseConfirm, since: c.now - budget.Heal/4 + budget.Listed}
+		pending.order.Term = c.term
+		if row.Inc != order.Inc {
+			pending.phase, pending.result = phaseClose, orderDropped // that start of the engine is gone
 		}
-		c.moves[id] = m
+		c.pending[id] = pending
 	}
 }
 
-var phases = map[string]func(*Coord, *move){
-	"commit":  (*Coord).commitOrder,
-	"tell":    (*Coord).tellOrder,
-	"grace":   (*Coord).graceOrder,
-	"send":    (*Coord).sendOrder,
-	"confirm": (*Coord).confirmOrder,
-	"close":   (*Coord).closeOrder,
+var phaseHandlers = map[orderPhase]func(*Coord, *pendingOrder){
+	phaseCommit:  (*Coord).commitOrder,
+	phaseTell:    (*Coord).tellOrder,
+	phaseGrace:   (*Coord).graceOrder,
+	phaseSend:    (*Coord).sendOrder,
+	phaseConfirm: (*Coord).confirmOrder,
+	phaseClose:   (*Coord).closeOrder,
 }
 
-func (c *Coord) roll() {
-	c.inherit()
-	for _, id := range sorted.Keys(c.moves) {
-		m := c.moves[id]
-		if !m.open && c.now >= m.due {
-			phases[m.phase](c, m)
+func (c *Coord) advanceOrders() {
+	c.inheritOrders()
+	for _, id := range sorted.Keys(c.pending) {
+		pending := c.pending[id]
+		if !pending.open && c.now >= pending.dueAt {
+			phaseHandlers[pending.phase](c, pending)
 		}
 	}
 }
 
-func (m *move) to(c *Coord, phase string, wait flow.Time) {
-	m.phase, m.since, m.due = phase, c.now, c.now+wait
+// enter moves the order to a phase whose first step is due after a wait.
+func (p *pendingOrder) enter(now flow.Time, phase orderPhase, wait flow.Time) {
+	p.phase, p.since, p.dueAt = phase, now, now+wait
 }
 
-func (c *Coord) commitOrder(m *move) {
-	m.open = true
+// end moves the order to its last phase.
+func (p *pendingOrder) end(now flow.Time, result string) {
+	p.result = result
+	p.enter(now, phaseClose, 0)
+}
+
+func (c *Coord) commitOrder(pending *pendingOrder) {
+	pending.open = true
 	term := c.term
-	c.p.Asker.Put(c.now, budget.AskTimeout, "order.put", m.order, func(now flow.Time, a ask.Answer) {
+	c.config.Asker.Put(c.now, budget.AskTimeout, "order.put", pending.order, func(now flow.Time, answer ask.Answer) {
 		c.now = now
-		m.open = false
-		if c.term != term || c.moves[m.order.Engine] != m {
+		pending.open = false
+		if c.term != term || c.pending[pending.order.Engine] != pending {
 			return
 		}
-		if a.Code == 200 {
+		if answer.Code == 200 {
 			c.counts["orders"]++
-			_ = json.Unmarshal(a.Body, &m.order)
-			m.to(c, "tell", 0)
+			_ = json.Unmarshal(answer.Body, &pending.order)
+			pending.enter(c.now, phaseTell, 0)
 			return
 		}
-		delete(c.moves, m.order.Engine) // the policy will ask again if need be
+		delete(c.pending, pending.order.Engine) // the policy will ask again if need be
 	})
 }
 
 // tellOrder waits until no dispatcher can start work on the engine any more:
 // each has read the order, or its lease from before the order is over.
-func (c *Coord) tellOrder(m *move) {
-	if c.known >= m.order.Mod || c.now-m.since >= budget.LeaseDuration {
-		m.to(c, "grace", 0)
+func (c *Coord) tellOrder(pending *pendingOrder) {
+	if c.readUpTo >= pending.order.Mod || c.now-pending.since >= budget.LeaseDuration {
+		pending.enter(c.now, phaseGrace, 0)
 	}
 }
 
 // graceOrder lets streams on the engine end, for a while.
-func (c *Coord) graceOrder(m *move) {
-	c.readLoad(m, func(l dialect.Load) {
-		if l.Running == 0 && l.Waiting == 0 || c.now-m.since >= budget.Listed {
-			m.phase, m.due = "send", c.now
+func (c *Coord) graceOrder(pending *pendingOrder) {
+	c.readLoad(pending, func(load dialect.Load) {
+		idle := load.Running == 0 && load.Waiting == 0
+		if idle || c.now-pending.since >= budget.Listed {
+			pending.phase, pending.dueAt = phaseSend, c.now
 		}
 	})
 }
 
-// readLoad reads the engine's own state; a new start ends the move.
-func (c *Coord) readLoad(m *move, f func(dialect.Load)) {
-	m.open = true
-	m.due = c.now + budget.RenewInterval/4
+// readLoad reads the engine's own state. A new start of the engine, or weights that
+// are new enough, end the order; anything else goes to next.
+func (c *Coord) readLoad(pending *pendingOrder, next func(dialect.Load)) {
+	pending.open = true
+	pending.dueAt = c.now + budget.RenewInterval/4
 	term := c.term
-	c.send(flow.Send{Verb: "GET", URL: dialect.LoadURL(m.url), Until: min(c.till, c.now+budget.PollTimeout), Limit: c.now + budget.PollTimeout}, func(b flow.Back) {
-		m.open = false
+	limit := c.now + budget.PollTimeout
+	read := flow.Send{Verb: "GET", URL: dialect.LoadURL(pending.url), Until: min(c.leaseUntil, limit), Limit: limit}
+	c.send(read, func(back flow.Back) {
+		pending.open = false
 		if c.term != term {
 			return
 		}
-		l, err := dialect.ReadLoad(b.Body)
-		if b.Err != "" || b.Code != 200 || err != nil {
+		load, err := dialect.ReadLoad(back.Body)
+		if back.Err != "" || back.Code != 200 || err != nil {
 			c.counts["order_reads_failed"]++
-			if c.views.Registry[m.order.Engine] == nil {
-				m.state = "dropped"
-				m.to(c, "close", 0)
+			if c.views.Registry[pending.order.Engine] == nil {
+				pending.end(c.now, orderDropped)
 			}
 			return
 		}
-		if l.Inc != m.order.Inc {
-			m.state = "dropped"
-			m.to(c, "close", 0)
-			return
+		switch {
+		case load.Inc != pending.order.Inc:
+			pending.end(c.now, orderDropped)
+		case load.Revision >= pending.order.Revision:
+			pending.end(c.now, orderDone)
+		default:
+			next(load)
 		}
-		if l.Revision >= m.order.Revision {
-			m.state = "done"
-			m.to(c, "close", 0)
-			return
-		}
-		f(l)
 	})
 }
 
-func (c *Coord) sendOrder(m *move) {
+func (c *Coord) sendOrder(pending *pendingOrder) {
 	if !c.Acting(c.now) {
 		return
 	}
-	m.open = true
+	pending.open = true
 	term := c.term
-	body, _ := json.Marshal(dialect.Order{Revision: m.order.Revision, Fence: c.term, Inc: m.order.Inc})
+	body, _ := json.Marshal(dialect.Order{Revision: pending.order.Revision, Fence: c.term, Inc: pending.order.Inc})
 	limit := c.now + budget.OrderSendTimeout
-	c.send(flow.Send{Verb: "POST", URL: dialect.WeightsURL(m.url), Head: map[string]string{"Content-Type": "application/json"},
-		Body: body, Until: min(c.till, limit), Limit: limit, Once: true}, func(b flow.Back) {
-		m.open = false
+	post := flow.Send{
+		Verb: "POST", URL: dialect.WeightsURL(pending.url), Head: map[string]string{"Content-Type": "application/json"},
+		Body: body, Until: min(c.leaseUntil, limit), Limit: limit, Once: true,
+	}
+	c.send(post, func(back flow.Back) {
+		pending.open = false
 		if c.term != term {
 			return
 		}
 		c.counts["order_sends"]++
-		if resend.Decide(resend.WeightOrder, resend.Protocol{}.Observe(b)) == resend.Resend {
-			m.phase, m.due = "grace", c.now+budget.RenewInterval/2
+		if resend.Decide(resend.WeightOrder, resend.Protocol{}.Observe(back)) == resend.Resend {
+			pending.phase, pending.dueAt = phaseGrace, c.now+budget.RenewInterval/2
 			return
 		}
-		m.to(c, "confirm", budget.RenewInterval/4)
+		pending.enter(c.now, phaseConfirm, budget.RenewInterval/4)
 	})
 }
 
 // confirmOrder reads the engine until it serves the new weights. What never
 // gets there is ordered again, under this term.
-func (c *Coord) confirmOrder(m *move) {
-	c.readLoad(m, func(dialect.Load) {
-		if c.now-m.since > budget.Heal/4 {
-			m.to(c, "commit", 0)
+func (c *Coord) confirmOrder(pending *pendingOrder) {
+	c.readLoad(pending, func(dialect.Load) {
+		if c.now-pending.since > budget.Heal/4 {
+			pending.enter(c.now, phaseCommit, 0)
 		}
 	})
 }
 
-func (c *Coord) closeOrder(m *move) {
-	m.open = true
+func (c *Coord) closeOrder(pending *pendingOrder) {
+	pending.open = true
 	term := c.term
-	o := m.order
-	o.State = m.state
-	c.p.Asker.Put(c.now, budget.AskTimeout, "order.state", o, func(now flow.Time, a ask.Answer) {
+	order := pending.order
+	order.State = pending.result
+	c.config.Asker.Put(c.now, budget.AskTimeout, "order.state", order, func(now flow.Time, answer ask.Answer) {
 		c.now = now
-		m.open = false
-		if c.term != term || c.moves[o.Engine] != m {
+		pending.open = false
+		if c.term != term || c.pending[order.Engine] != pending {
 			return
 		}
-		if a.Code == 0 {
-			return // again
-		}
-		c.counts["orders_"+m.state]++
-		delete(c.moves, o.Engine)
-		if x, ok := c.fleet.Orders[o.Engine]; ok && x.Inc == o.Inc && x.Revision == o.Revision {
-			x.State = m.state
-			c.fleet.Orders[o.Engine] = x
-		}
-		if r := c.views.Registry[o.Engine]; r != nil && m.state == "done" && r.Inc == o.Inc {
-			c.views.Weights(o.Engine, max(r.Load.Revision, o.Revision))
+		if answer.Code == 0 {
+			return // no answer: asked again at the next Advance
 		}
+		c.counts["orders_"+pending.result]++
+		delete(c.pending, order.Engine)
+		c.noteClosed(order)
 	})
 }
 
-func (c *Coord) send(s flow.Send, f func(flow.Back)) {
-	s.ID = c.p.IDs()
-	c.sends[s.ID] = f
-	c.out.Sends = append(c.out.Sends, s)
+// noteClosed brings the views up to date with an order that was just closed.
+func (c *Coord) noteClosed(order ledger.Order) {
+	known, found := c.fleet.Orders[order.Engine]
+	if found && known.Inc == order.Inc && known.Revision == order.Revision {
+		known.State = order.State
+		c.fleet.Orders[order.Engine] = known
+	}
+	row := c.views.Registry[order.Engine]
+	if row != nil && order.State == orderDone && row.Inc == order.Inc {
+		c.views.Weights(order.Engine, max(row.Load.Revision, order.Revision))
+	}
+}
+
+// send starts a request; done gets its end.
+func (c *Coord) send(request flow.Send, done func(flow.Back)) {
+	request.ID = c.config.IDs()
+	c.sends[request.ID] = done
+	c.outbox.Sends = append(c.outbox.Sends, request)
 }
 
-// Back takes news of a send.
-func (c *Coord) Back(now flow.Time, b flow.Back, out *flow.Outbox) {
-	c.now, c.out = now, out
-	f, ok := c.sends[b.ID]
-	if !ok || !b.End {
+// Back takes news of a request that this coordinator sent.
+func (c *Coord) Back(now flow.Time, back flow.Back, outbox *flow.Outbox) {
+	c.now, c.outbox = now, outbox
+	done, ok := c.sends[back.ID]
+	if !ok || !back.End {
 		return
 	}
-	delete(c.sends, b.ID)
-	f(b)
+	delete(c.sends, back.ID)
+	done(back)
 }
--- a/core/coord/watch.go
+++ b/core/coord/watch.go
@@ -3,36 +3,57 @@
 import (
 	"encoding/json"
 	"fmt"
-	"hash/crc32"
 	"strconv"
 	"strings"
 
 	"fernlink/core/flow"
-	"fernlink/core/index/gate"
 	"fernlink/core/index/view"
 	"fernlink/core/sorted"
 )
 
-const keepFeed = 1024 // changes kept for a watcher that comes back
+// feedCapacity is how many changes a feed keeps for a watcher that comes back.
+const feedCapacity = 1024
 
 // feed is the recent changes of one slice (design 10.2).
 type feed struct {
-	next  uint64
+	next  uint64 // the place of the next change; the first is 1
 	lines []change
 }
 
+// change is one line of a feed.
 type change struct {
 	at   uint64
 	line []byte
 }
 
+// since gives the lines after a place.
+func (f *feed) since(at uint64) []byte {
+	var body []byte
+	for _, change := range f.lines {
+		if change.at > at {
+			body = append(body, change.line...)
+		}
+	}
+	return body
+}
+
+// covers says whether the feed still has every change after a place.
+func (f *feed) covers(at uint64) bool {
+	oldest := f.next
+	if len(f.lines) > 0 {
+		oldest = f.lines[0].at
+	}
+	return at+1 >= oldest && at < f.next
+}
+
+// watcher is one open subscription: it has all changes of its slice up to at.
 type watcher struct {
 	slice string
 	at    uint64
 }
 
-// mark is one line of a watch.
-type mark struct {
+// watchMark is one line of a watch.
+type watchMark struct {
 	Cursor string `json:"cursor"`
 	Reset  bool   `json:"reset,omitempty"`
 	Slice  string `json:"slice"`
@@ -48,7 +69,7 @@
 	get  func(*view.Views, string) (any, bool)
 }
 
-var slices = map[string]slice{
+var watchSlices = map[string]slice{
 	"engines": {
 		func(v *view.Views) []string { return v.IDs() },
 		func(v *view.Views, k string) (any, bool) { r, ok := v.Registry[k]; return r, ok },
@@ -56,12 +77,12 @@
 	"prefixes": {
 		func(v *view.Views) []string { return sorted.Keys(v.Directory) },
 		func(v *view.Views, k string) (any, bool) {
-			d, ok := v.Directory[k]
-			revs := map[int]int{}
-			for _, b := range d {
-				revs[b.Rev]++
+			blocks, ok := v.Directory[k]
+			revisions := map[int]int{}
+			for _, block := range blocks {
+				revisions[block.Rev]++
 			}
-			return map[string]any{"blocks": len(d), "bytes": v.Engines[k], "by_revision": revs}, ok
+			return map[string]any{"blocks": len(blocks), "bytes": v.Engines[k], "by_revision": revisions}, ok
 		},
 	},
 	"usage": {
@@ -75,104 +96,98 @@
 
 func (c *Coord) cursor(at uint64) string { return fmt.Sprintf("%d-%d", c.term, at) }
 
-func (c *Coord) feedOf(slice string) *feed {
-	f := c.feeds[slice]
-	if f == nil {
-		f = &feed{next: 1}
-		c.feeds[slice] = f
+func (c *Coord) feedOf(name string) *feed {
+	if c.feeds[name] == nil {
+		c.feeds[name] = &feed{next: 1}
 	}
-	return f
+	return c.feeds[name]
 }
 
-func (c *Coord) line(m mark) []byte {
-	b, err := json.Marshal(m)
+func watchLine(mark watchMark) []byte {
+	b, err := json.Marshal(mark)
 	if err != nil {
 		return []byte("{}\n")
 	}
 	return append(b, '\n')
 }
 
-// feed turns what changed in the views into lines, and gives them out.
-func (c *Coord) feed() {
-	for _, slice := range sorted.Keys(slices) {
-		f := c.feedOf(slice)
-		for _, k := range c.views.Changed(slice) {
-			v, ok := slices[slice].get(c.views, k)
-			f.lines = append(f.lines, change{f.next, c.line(mark{Cursor: c.cursor(f.next), Slice: slice, Key: k, Gone: !ok, Value: value(v, ok)})})
-			f.next++
-		}
-		if n := len(f.lines); n > keepFeed {
-			f.lines = append([]change(nil), f.lines[n-keepFeed:]...)
-		}
+// publishChanges appends what changed in the views to the feeds and writes to each
+// watcher what is new to it.
+func (c *Coord) publishChanges() {
+	for _, name := range sorted.Keys(watchSlices) {
+		c.extendFeed(name)
 	}
 	for _, id := range sorted.Keys(c.watchers) {
-		w := c.watchers[id]
-		f := c.feedOf(w.slice)
-		var body []byte
-		for _, l := range f.lines {
-			if l.at > w.at {
-				body = append(body, l.line...)
-			}
-		}
-		w.at = f.next - 1
+		watcher := c.watchers[id]
+		feed := c.feedOf(watcher.slice)
+		body := feed.since(watcher.at)
+		watcher.at = feed.next - 1
 		if len(body) > 0 {
-			c.out.Replies = append(c.out.Replies, flow.Reply{ID: id, Code: 200, Body: body, More: true})
+			c.outbox.Replies = append(c.outbox.Replies, flow.Reply{ID: id, Code: 200, Body: body, More: true})
 		}
 	}
 }
 
-func value(v any, ok bool) any {
-	if !ok {
-		return nil
+// extendFeed appends the changes of one slice to its feed and drops the oldest lines.
+func (c *Coord) extendFeed(name string) {
+	feed := c.feedOf(name)
+	for _, key := range c.views.Changed(name) {
+		value, found := watchSlices[name].get(c.views, key)
+		mark := watchMark{Cursor: c.cursor(feed.next), Slice: name, Key: key, Gone: !found}
+		if found {
+			mark.Value = value
+		}
+		feed.lines = append(feed.lines, change{feed.next, watchLine(mark)})
+		feed.next++
+	}
+	if n := len(feed.lines); n > feedCapacity {
+		feed.lines = append([]change(nil), feed.lines[n-feedCapacity:]...)
 	}
-	return v
 }
 
 // Watch opens a subscription to one slice. A cursor that is too old, or of
 // another term, is answered with a reset mark and the full state.
-func (c *Coord) Watch(now flow.Time, call flow.Call, out *flow.Outbox) {
-	c.now, c.out = now, out
-	slice := call.Vars["slice"]
-	if _, ok := slices[slice]; !ok {
-		out.Answer(call.ID, 404, map[string]string{"error": "no such slice; there are engines, prefixes and usage"}, nil)
+func (c *Coord) Watch(now flow.Time, call flow.Call, outbox *flow.Outbox) {
+	c.now, c.outbox = now, outbox
+	name := call.Vars["slice"]
+	if _, ok := watchSlices[name]; !ok {
+		outbox.Answer(call.ID, 404, map[string]string{"error": "no such slice; there are engines, prefixes and usage"}, nil)
 		return
 	}
-	c.feed()
-	f := c.feedOf(slice)
-	w := &watcher{slice: slice, at: f.next - 1}
-	c.watchers[call.ID] = w
+	c.publishChanges()
+	feed := c.feedOf(name)
+	c.watchers[call.ID] = &watcher{slice: name, at: feed.next - 1}
 	var body []byte
-	term, at := cut(call.Query["cursor"])
-	oldest := f.next
-	if len(f.lines) > 0 {
-		oldest = f.lines[0].at
-	}
-	if call.Query["cursor"] != "" && term == c.term && at+1 >= oldest && at < f.next {
-		for _, l := range f.lines {
-			if l.at > at {
-				body = append(body, l.line...)
-			}
-		}
+	term, at := parseCursor(call.Query["cursor"])
+	if call.Query["cursor"] != "" && term == c.term && feed.covers(at) {
+		body = feed.since(at)
 	} else {
-		body = c.line(mark{Cursor: c.cursor(w.at), Reset: true, Slice: slice})
-		for _, k := range slices[slice].keys(c.views) {
-			v, _ := slices[slice].get(c.views, k)
-			body = append(body, c.line(mark{Cursor: c.cursor(w.at), Slice: slice, Key: k, Value: v})...)
-		}
+		body = c.fullState(name, feed.next-1)
+	}
+	outbox.Replies = append(outbox.Replies, flow.Reply{ID: call.ID, Code: 200, Head: map[string]string{"Content-Type": "application/x-ndjson"}, Body: body, More: true})
+}
+
+// fullState is a slice as it is now: a reset mark, then a line for each key.
+func (c *Coord) fullState(name string, at uint64) []byte {
+	body := watchLine(watchMark{Cursor: c.cursor(at), Reset: true, Slice: name})
+	for _, key := range watchSlices[name].keys(c.views) {
+		value, _ := watchSlices[name].get(c.views, key)
+		body = append(body, watchLine(watchMark{Cursor: c.cursor(at), Slice: name, Key: key, Value: value})...)
 	}
-	out.Replies = append(out.Replies, flow.Reply{ID: call.ID, Code: 200, Head: map[string]string{"Content-Type": "application/x-ndjson"}, Body: body, More: true})
+	return body
 }
 
 // Usage answers with the usage view as it is now.
-func (c *Coord) Usage(_ flow.Time, call flow.Call, out *flow.Outbox) {
-	out.Answer(call.ID, 200, map[string]any{"term": c.term, "bytes_by_trainer": c.views.Trainers, "bytes_by_engine": c.views.Engines}, nil)
+func (c *Coord) Usage(_ flow.Time, call flow.Call, outbox *flow.Outbox) {
+	outbox.Answer(call.ID, 200, map[string]any{"term": c.term, "bytes_by_trainer": c.views.Trainers, "bytes_by_engine": c.views.Engines}, nil)
 }
 
-func cut(s string) (uint64, uint64) {
-	a, b, _ := strings.Cut(s, "-")
-	t, _ := strconv.ParseUint(a, 10, 64)
-	n, _ := strconv.ParseUint(b, 10, 64)
-	return t, n
+// parseCursor reads a cursor's term and place; what can't be read is 0.
+func parseCursor(cursor string) (term, at uint64) {
+	first, second, _ := strings.Cut(cursor, "-")
+	term, _ = strconv.ParseUint(first, 10, 64)
+	at, _ = strconv.ParseUint(second, 10, 64)
+	return term, at
 }
 
 // Gone forgets a watcher.
@@ -180,56 +195,5 @@
 
 func (c *Coord) closeWatch(id uint64, why string) {
 	delete(c.watchers, id)
-	c.out.Replies = append(c.out.Replies, flow.Reply{ID: id, Code: 200, Body: c.line(mark{End: why})})
-}
-
-// saved is the checkpoint: views, order of use, cursors and offset together.
-type saved struct {
-	Cluster string      `json:"cluster"`
-	Term    uint64      `json:"term"`
-	Offset  uint64      `json:"offset"`
-	Gate    *gate.Gate  `json:"gate"`
-	Views   *view.Views `json:"views"`
-}
-
-// File is the checkpoint's name in the data folder.
-const File = "index.ckpt"
-
-func (c *Coord) checkpoint() {
-	b, err := json.Marshal(saved{c.cluster, c.term, c.journal.Offset, c.gate, c.views})
-	if err != nil {
-		flow.Warn.Note(c.out, "coord", "checkpoint failed", "failure", err.Error())
-		return
-	}
-	head := fmt.Sprintf("%08x %d\n", crc32.ChecksumIEEE(b), len(b))
-	c.p.File = append([]byte(head), b...)
-	c.out.Files = append(c.out.Files, flow.File{Name: File, Body: c.p.File})
-	c.saved = c.now
-	c.passed["checkpoint"] = c.now
-}
-
-// restore reads the checkpoint; a corrupt or foreign one is a cold start.
-func (c *Coord) restore() {
-	c.cold = true
-	if len(c.p.File) == 0 {
-		return
-	}
-	head, body, ok := strings.Cut(string(c.p.File), "\n")
-	var sum uint32
-	var n int
-	if _, err := fmt.Sscanf(head, "%08x %d", &sum, &n); err != nil || !ok || n != len(body) || crc32.ChecksumIEEE([]byte(body)) != sum {
-		flow.Warn.Note(c.out, "coord", "checkpoint is corrupt, starting cold")
-		return
-	}
-	s := saved{Gate: gate.New(), Views: view.New()}
-	if json.Unmarshal([]byte(body), &s) != nil || s.Cluster != c.cluster || s.Gate == nil || s.Views == nil {
-		flow.Warn.Note(c.out, "coord", "checkpoint is of another cluster or form, starting cold")
-		return
-	}
-	c.gate, c.views = s.Gate, s.Views
-	c.journal.Offset = s.Offset
-	for _, r := range c.views.Registry {
-		r.At = c.now
-	}
-	c.cold = false
+	c.outbox.Replies = append(c.outbox.Replies, flow.Reply{ID: id, Code: 200, Body: watchLine(watchMark{End: why})})
 }
--- a/core/index/gate/gate.go
+++ b/core/index/gate/gate.go
@@ -1,5 +1,7 @@
-// Package gate is the single entry for cache facts (design 9.2). Each stream
-// (engine start and writer) has its own numbers, the only ordering used.
+// Package gate is the single entry for events on engines' caches (design 9.2). Each
+// stream (an engine's start and a writer) has its own sequence numbers, the only order
+// that is used. It owns one cursor for each stream; core/coord asks it about every batch
+// before the journal gets it.
 package gate
 
 import "fernlink/core/disp"
@@ -13,6 +15,7 @@
 	Fresh = "fresh" // admitted, and it fences the start before
 )
 
+// keepPast is how many earlier starts of an engine are remembered as fenced.
 const keepPast = 8
 
 // Cursor is a stream's place.
@@ -44,36 +47,36 @@
 	return v
 }
 
-func (g *Gate) check(b disp.Batch) string {
-	e := g.Engines[b.Engine]
+func (g *Gate) check(batch disp.Batch) string {
+	engine := g.Engines[batch.Engine]
 	fresh := false
-	if e == nil {
-		e = &Engine{Inc: b.Inc, Writers: map[string]*Cursor{}}
-		g.Engines[b.Engine] = e
+	if engine == nil {
+		engine = &Engine{Inc: batch.Inc, Writers: map[string]*Cursor{}}
+		g.Engines[batch.Engine] = engine
 	}
-	if e.Inc != b.Inc {
-		for _, p := range e.Past {
-			if p == b.Inc {
+	if engine.Inc != batch.Inc {
+		for _, p := range engine.Past {
+			if p == batch.Inc {
 				return Past
 			}
 		}
-		e.Past = append(e.Past, e.Inc)
-		if n := len(e.Past); n > keepPast {
-			e.Past = append([]string(nil), e.Past[n-keepPast:]...)
+		engine.Past = append(engine.Past, engine.Inc)
+		if n := len(engine.Past); n > keepPast {
+			engine.Past = append([]string(nil), engine.Past[n-keepPast:]...)
 		}
-		e.Inc, e.Writers, fresh = b.Inc, map[string]*Cursor{}, true
+		engine.Inc, engine.Writers, fresh = batch.Inc, map[string]*Cursor{}, true
 	}
-	c := e.Writers[b.Writer]
-	if c == nil {
-		c = &Cursor{}
-		e.Writers[b.Writer] = c
+	cursor := engine.Writers[batch.Writer]
+	if cursor == nil {
+		cursor = &Cursor{}
+		engine.Writers[batch.Writer] = cursor
 	}
-	if b.Seq <= c.Seq {
+	if batch.Seq <= cursor.Seq {
 		return Old
 	}
-	gap := b.Seq != c.Seq+1 && !b.Full
-	c.Seq = b.Seq
-	c.Stale = (c.Stale || gap) && !b.Full
+	gap := batch.Seq != cursor.Seq+1 && !batch.Full
+	cursor.Seq = batch.Seq
+	cursor.Stale = (cursor.Stale || gap) && !batch.Full
 	if fresh {
 		return Fresh
 	}
@@ -100,13 +103,13 @@
 
 // StaleCount counts the slices that wait to be sent whole.
 func (g *Gate) StaleCount() int {
-	n := 0
-	for _, e := range g.Engines {
-		for _, c := range e.Writers {
-			if c.Stale {
-				n++
+	stale := 0
+	for _, engine := range g.Engines {
+		for _, cursor := range engine.Writers {
+			if cursor.Stale {
+				stale++
 			}
 		}
 	}
-	return n
+	return stale
 }
--- a/core/index/gate/gate_test.go
+++ b/core/index/gate/gate_test.go
@@ -13,7 +13,7 @@
 // Given streams of two writers, when batches come again, late, with gaps and
 // from starts that are over, then each is judged by its own stream's number.
 func TestGate(t *testing.T) {
-	g := New()
+	gate := New()
 	steps := []struct {
 		b     disp.Batch
 		want  string
@@ -34,14 +34,14 @@
 		{batch("2", "b", 2, false), Past, false},
 	}
 	for i, s := range steps {
-		if got := g.Check(s.b); got != s.want {
+		if got := gate.Check(s.b); got != s.want {
 			t.Errorf("step %d: %s, not %s", i, got, s.want)
 		}
-		if got := g.Stale(s.b); got != s.stale {
+		if got := gate.Stale(s.b); got != s.stale {
 			t.Errorf("step %d: stale %v", i, got)
 		}
 	}
-	if g.Counts[Old] != 2 || g.Counts[Past] != 2 || g.Counts[Gap] != 1 {
-		t.Errorf("counts: %v", g.Counts)
+	if gate.Counts[Old] != 2 || gate.Counts[Past] != 2 || gate.Counts[Gap] != 1 {
+		t.Errorf("counts: %v", gate.Counts)
 	}
 }
--- a/core/index/journal/journal.go
+++ b/core/index/journal/journal.go
@@ -1,5 +1,5 @@
-// Package journal is the in-memory log that views fold from (design 9.2).
-// Only the offset is kept for good; records go once every view has them.
+// Package journal numbers the records that the views fold (design 9.2). Only the offset
+// is kept; a record is gone once every view has it. core/coord appends to it.
 package journal
 
 import (
--- a/core/index/policy/policy.go
+++ b/core/index/policy/policy.go
@@ -1,5 +1,6 @@
-// Package policy holds what acts on the views (design 9.4). Policies read
-// views and never each other; what they want comes back as actions.
+// Package policy decides what is to be done by the state of the index (design 9.4).
+// Policies read the views and never each other; what they want comes back as actions,
+// which core/coord, the one caller, carries out. It keeps no state.
 package policy
 
 import (
@@ -10,7 +11,7 @@
 	"fernlink/core/ledger"
 )
 
-// Fleet is what a policy may read besides the views: the ledger's word on
+// Fleet is what a policy may read besides the views: what the ledger has on
 // weights and steps, as of the coordinator's last renewal.
 type Fleet struct {
 	Steps   []ledger.StepDoc
@@ -20,17 +21,24 @@
 	Pins    map[string]bool    // blocks that are never dropped
 }
 
-// Action is what a policy wants.
+// Kinds of actions.
+const (
+	Forget = "forget" // blocks that the engine can't hold any more, by estimate
+	Order  = "order"  // the engine is to take new weights
+)
+
+// Action is what a policy wants done with one engine.
 type Action struct {
-	Kind     string // forget, order
+	Kind     string
 	Engine   string
-	Blocks   []string
-	Inc      string
-	Pool     string
-	Revision int
+	Blocks   []string // of Forget
+	Inc      string   // of Order: the engine's start that is meant
+	Pool     string   // of Order
+	Revision int      // of Order
 }
 
-// Policy is one of them.
+// Policy is one rule with the name by which a config switches it off. Tick reads the
+// views and gives what is to be done now.
 type Policy struct {
 	Name string
 	Tick func(flow.Time, *view.Views, Fleet) []Action
@@ -45,8 +53,8 @@
 // Evict drops the longest unused blocks from the directory's slice of an
 // engine that can't hold them all by its own declared capacity: engines drop
 // parts by themselves and never say so. Pinned blocks stay.
-func Evict(_ flow.Time, v *view.Views, f Fleet) []Action {
-	var out []Action
+func Evict(_ flow.Time, v *view.Views, fleet Fleet) []Action {
+	var actions []Action
 	for _, id := range v.IDs() {
 		room := v.Registry[id].Load.Blocks
 		dir := v.Directory[id]
@@ -55,7 +63,7 @@
 		}
 		names := make([]string, 0, len(dir))
 		for n := range dir {
-			if !f.Pins[n] {
+			if !fleet.Pins[n] {
 				names = append(names, n)
 			}
 		}
@@ -64,16 +72,16 @@
 			return x.Last < y.Last || x.Last == y.Last && names[a] < names[b]
 		})
 		n := min(len(dir)-room, len(names))
-		out = append(out, Action{Kind: "forget", Engine: id, Blocks: names[:n]})
+		actions = append(actions, Action{Kind: Forget, Engine: id, Blocks: names[:n]})
 	}
-	return out
+	return actions
 }
 
 // Roll names the engines that should take new weights now (design 8.5). An
 // engine whose weights no open step can use goes at once; of the useful ones
 // a share of the pool keeps serving.
-func Roll(_ flow.Time, v *view.Views, f Fleet) []Action {
-	var out []Action
+func Roll(_ flow.Time, v *view.Views, fleet Fleet) []Action {
+	var actions []Action
 	pools := map[string][]*view.Row{}
 	var names []string
 	for _, id := range v.IDs() {
@@ -88,49 +96,49 @@
 	}
 	sort.Strings(names)
 	for _, pool := range names {
-		t, ok := f.Targets[pool]
+		t, ok := fleet.Targets[pool]
 		if !ok || t.Paused {
 			continue
 		}
-		out = append(out, rollPool(pool, t.Revision, pools[pool], f)...)
+		actions = append(actions, rollPool(pool, t.Revision, pools[pool], fleet)...)
 	}
-	return out
+	return actions
 }
 
-func rollPool(pool string, want int, rows []*view.Row, f Fleet) []Action {
+func rollPool(pool string, want int, rows []*view.Row, fleet Fleet) []Action {
 	useful := func(rev int) bool {
-		for _, s := range f.Steps {
+		for _, s := range fleet.Steps {
 			if s.Pool == pool && rev >= s.Revision-s.Lag && rev <= s.Revision {
 				return true
 			}
 		}
 		return false
 	}
-	keep, ok := f.Keep[pool]
+	keep, ok := fleet.Keep[pool]
 	if !ok {
 		keep = 0.5
 	}
 	serving := 0
 	for _, r := range rows {
-		if !moving(r, f) && useful(r.Load.Revision) {
+		if !moving(r, fleet) && useful(r.Load.Revision) {
 			serving++
 		}
 	}
 	least := int(keep*float64(len(rows)) + 0.5)
-	var out []Action
-	for _, r := range rows {
-		if r.Load.Revision >= want || moving(r, f) {
+	var actions []Action
+	for _, row := range rows {
+		if row.Load.Revision >= want || moving(row, fleet) {
 			continue
 		}
-		if useful(r.Load.Revision) {
+		if useful(row.Load.Revision) {
 			if serving <= least {
 				continue
 			}
 			serving--
 		}
-		out = append(out, Action{Kind: "order", Engine: r.ID, Inc: r.Inc, Pool: pool, Revision: want})
+		actions = append(actions, Action{Kind: Order, Engine: row.ID, Inc: row.Inc, Pool: pool, Revision: want})
 	}
-	return out
+	return actions
 }
 
 func moving(r *view.Row, f Fleet) bool {
--- a/core/index/policy/policy_test.go
+++ b/core/index/policy/policy_test.go
@@ -22,23 +22,23 @@
 // Given engines that an open step can use, when new weights are named, then a
 // share keeps serving; those that nobody can use all go at once.
 func TestRollKeepsAShare(t *testing.T) {
-	f := Fleet{Targets: map[string]ledger.Target{"p": {Pool: "p", Revision: 2}}, Orders: map[string]ledger.Order{}, Keep: map[string]float64{"p": 0.5}}
-	f.Steps = []ledger.StepDoc{{Pool: "p", Revision: 2, Lag: 1}}
-	if a := Roll(0, fleetOf(10, 1), f); len(a) != 5 {
+	fleet := Fleet{Targets: map[string]ledger.Target{"p": {Pool: "p", Revision: 2}}, Orders: map[string]ledger.Order{}, Keep: map[string]float64{"p": 0.5}}
+	fleet.Steps = []ledger.StepDoc{{Pool: "p", Revision: 2, Lag: 1}}
+	if a := Roll(0, fleetOf(10, 1), fleet); len(a) != 5 {
 		t.Errorf("useful engines: %d ordered", len(a))
 	}
-	f.Orders["e0"] = ledger.Order{Engine: "e0", Inc: "1", State: "ordered"}
-	f.Orders["e1"] = ledger.Order{Engine: "e1", Inc: "0", State: "ordered"} // of a start that is over
-	if a := Roll(0, fleetOf(10, 1), f); len(a) != 4 {
+	fleet.Orders["e0"] = ledger.Order{Engine: "e0", Inc: "1", State: "ordered"}
+	fleet.Orders["e1"] = ledger.Order{Engine: "e1", Inc: "0", State: "ordered"} // of a start that is over
+	if a := Roll(0, fleetOf(10, 1), fleet); len(a) != 4 {
 		t.Errorf("with one under way: %d ordered", len(a))
 	}
-	f.Steps = []ledger.StepDoc{{Pool: "p", Revision: 2}}
-	f.Orders = map[string]ledger.Order{}
-	if a := Roll(0, fleetOf(10, 1), f); len(a) != 10 {
+	fleet.Steps = []ledger.StepDoc{{Pool: "p", Revision: 2}}
+	fleet.Orders = map[string]ledger.Order{}
+	if a := Roll(0, fleetOf(10, 1), fleet); len(a) != 10 {
 		t.Errorf("engines of no use: %d ordered", len(a))
 	}
-	f.Targets["p"] = ledger.Target{Pool: "p", Revision: 2, Paused: true}
-	if a := Roll(0, fleetOf(10, 1), f); len(a) != 0 {
+	fleet.Targets["p"] = ledger.Target{Pool: "p", Revision: 2, Paused: true}
+	if a := Roll(0, fleetOf(10, 1), fleet); len(a) != 0 {
 		t.Errorf("paused: %d ordered", len(a))
 	}
 }
--- a/core/index/view/view.go
+++ b/core/index/view/view.go
@@ -1,6 +1,7 @@
-// Package view holds the three views (design 9.3): the registry of live
-// engines, the key directory, and usage. They are folded from the journal and
-// only read by others.
+// Package view holds the three views of the index (design 9.3): the registry of live
+// engines, the directory of prefix blocks by engine, and usage in bytes. They are
+// folded from core/index/journal; core/index/policy reads them, and core/coord owns the
+// one instance and its checkpoint.
 package view
 
 import (
@@ -15,23 +16,23 @@
 // Row is one live engine in the registry.
 type Row struct {
 	ID   string       `json:"id"`
-	Inc  string       `json:"inc"`
+	Inc  string       `json:"inc"` // its start
 	Seat disp.Seat    `json:"seat"`
 	Load dialect.Load `json:"load"`
-	At   flow.Time    `json:"-"`
+	At   flow.Time    `json:"-"` // when a dispatcher last reported it
 }
 
 // Block is one prefix block on one engine.
 type Block struct {
-	Rev     int    `json:"rev"`
-	Size    int    `json:"size"`
-	Count   int    `json:"count"`
+	Rev     int    `json:"rev"`   // of the weights it was computed with
+	Size    int    `json:"size"`  // bytes
+	Count   int    `json:"count"` // reads
 	Trainer string `json:"trainer"`
 	Writer  string `json:"writer"`
 	Last    uint64 `json:"last"` // journal offset of the last access
 }
 
-// Views are the shared picture.
+// Views are the state of the index.
 type Views struct {
 	Registry  map[string]*Row              `json:"registry"`
 	Directory map[string]map[string]*Block `json:"directory"` // engine, block
@@ -40,7 +41,7 @@
 	changed   map[string]map[string]bool   // slice, key: since last taken
 }
 
-// New is an empty picture.
+// New gives views of which nothing is known.
 func New() *Views {
 	return &Views{Registry: map[string]*Row{}, Directory: map[string]map[string]*Block{},
 		Trainers: map[string]int64{}, Engines: map[string]int64{}, changed: map[string]map[string]bool{}}
@@ -58,9 +59,9 @@
 
 // Changed takes the keys of a slice that changed since it was last asked.
 func (v *Views) Changed(slice string) []string {
-	out := sorted.Keys(v.changed[slice])
+	keys := sorted.Keys(v.changed[slice])
 	delete(v.changed, slice)
-	return out
+	return keys
 }
 
 var folds = map[string]func(*Views, journal.Record){
@@ -91,34 +92,34 @@
 }
 
 // whole takes away what its writer no longer knows of.
-func (v *Views) whole(r journal.Record) {
+func (v *Views) whole(record journal.Record) {
 	keep := map[string]bool{}
-	for _, e := range r.Batch.Events {
+	for _, e := range record.Batch.Events {
 		for _, b := range e.Blocks {
 			keep[b] = true
 		}
 	}
-	for name, b := range v.Directory[r.Batch.Engine] {
-		if b.Writer == r.Batch.Writer && !keep[name] {
-			v.remove(r.Batch.Engine, name)
+	for name, b := range v.Directory[record.Batch.Engine] {
+		if b.Writer == record.Batch.Writer && !keep[name] {
+			v.remove(record.Batch.Engine, name)
 		}
 	}
 }
 
-func (v *Views) sign(r journal.Record, e disp.Event) {
-	if e.Load == nil || e.Seat == nil {
+func (v *Views) sign(record journal.Record, event disp.Event) {
+	if event.Load == nil || event.Seat == nil {
 		return
 	}
-	id := r.Batch.Engine
+	id := record.Batch.Engine
 	row := v.Registry[id]
 	if row == nil {
 		row = &Row{ID: id}
 		v.Registry[id] = row
 	}
-	if row.Inc != r.Batch.Inc || row.Load.Revision != e.Load.Revision || row.Seat != *e.Seat || row.Load.Running != e.Load.Running {
+	if row.Inc != record.Batch.Inc || row.Load.Revision != event.Load.Revision || row.Seat != *event.Seat || row.Load.Running != event.Load.Running {
 		v.mark("engines", id)
 	}
-	row.Inc, row.Load, row.Seat, row.At = r.Batch.Inc, *e.Load, *e.Seat, r.At
+	row.Inc, row.Load, row.Seat, row.At = record.Batch.Inc, *event.Load, *event.Seat, record.At
 }
 
 // Weights notes the revision that an engine was seen to serve. Watchers of the
@@ -130,24 +131,24 @@
 	}
 }
 
-func (v *Views) store(r journal.Record, e disp.Event) {
-	id := r.Batch.Engine
+func (v *Views) store(record journal.Record, event disp.Event) {
+	id := record.Batch.Engine
 	dir := v.Directory[id]
 	if dir == nil {
 		dir = map[string]*Block{}
 		v.Directory[id] = dir
 	}
-	for _, name := range e.Blocks {
-		b := dir[name]
-		if b != nil && b.Rev > e.Rev {
+	for _, name := range event.Blocks {
+		block := dir[name]
+		if block != nil && block.Rev > event.Rev {
 			continue // newer weights are there already
 		}
-		if b == nil {
-			b = &Block{Size: prefix.Bytes, Trainer: e.Trainer}
-			dir[name] = b
-			v.count(id, b.Trainer, b.Size)
+		if block == nil {
+			block = &Block{Size: prefix.Bytes, Trainer: event.Trainer}
+			dir[name] = block
+			v.count(id, block.Trainer, block.Size)
 		}
-		b.Rev, b.Writer, b.Last = e.Rev, r.Batch.Writer, r.Offset
+		block.Rev, block.Writer, block.Last = event.Rev, record.Batch.Writer, record.Offset
 		v.mark("prefixes", id)
 	}
 }
@@ -211,25 +212,25 @@
 // Hits counts the leading blocks of a prefix by engine, at the weights that
 // the engine serves now.
 func (v *Views) Hits(blocks []string) map[string]int {
-	out := map[string]int{}
+	hits := map[string]int{}
 	for id, dir := range v.Directory {
 		row := v.Registry[id]
 		if row == nil || !row.Seat.Ready {
 			continue
 		}
-		n := 0
+		leading := 0
 		for _, name := range blocks {
 			b := dir[name]
 			if b == nil || b.Rev != row.Load.Revision {
 				break
 			}
-			n++
+			leading++
 		}
-		if n > 0 {
-			out[id] = n
+		if leading > 0 {
+			hits[id] = leading
 		}
 	}
-	return out
+	return hits
 }
 
 // IDs lists the registry in order.
--- a/core/index/view/view_test.go
+++ b/core/index/view/view_test.go
@@ -16,16 +16,16 @@
 
 func record(n int, offset uint64) journal.Record {
 	kinds := []string{"store", "store", "read", "drop", "sign"}
-	e := disp.Event{Kind: kinds[n%len(kinds)], Rev: 1 + n/7%3, Trainer: fmt.Sprint("t", n/3%2), Blocks: []string{fmt.Sprint("b", n/5%6), fmt.Sprint("b", n/11%6)}}
-	if e.Kind == "sign" {
-		e.Load, e.Seat = &dialect.Load{Inc: "1", Revision: e.Rev, Slots: 1}, &disp.Seat{Kind: "model", Ready: true}
+	event := disp.Event{Kind: kinds[n%len(kinds)], Rev: 1 + n/7%3, Trainer: fmt.Sprint("t", n/3%2), Blocks: []string{fmt.Sprint("b", n/5%6), fmt.Sprint("b", n/11%6)}}
+	if event.Kind == "sign" {
+		event.Load, event.Seat = &dialect.Load{Inc: "1", Revision: event.Rev, Slots: 1}, &disp.Seat{Kind: "model", Ready: true}
 	}
 	id := fmt.Sprint("e", n/13%2)
 	if n%17 == 0 {
 		return journal.Record{Offset: offset, Kind: journal.Fence, Engine: id}
 	}
 	return journal.Record{Offset: offset, Kind: journal.Batch, Engine: id,
-		Batch: &disp.Batch{Engine: id, Inc: "1", Writer: fmt.Sprint("w", n%2), Full: n%19 == 0, Events: []disp.Event{e}}}
+		Batch: &disp.Batch{Engine: id, Inc: "1", Writer: fmt.Sprint("w", n%2), Full: n%19 == 0, Events: []disp.Event{event}}}
 }
 
 // Given any stream of records, when each is folded twice, then the views hold
@@ -43,15 +43,15 @@
 			twice.Fold(r)
 			twice.Fold(r)
 		}
-		for _, v := range []*Views{once, twice} {
+		for _, views := range []*Views{once, twice} {
 			sum := map[string]int64{}
-			for id, dir := range v.Directory {
+			for id, dir := range views.Directory {
 				for _, b := range dir {
 					sum[id] += int64(b.Size)
 					b.Count = 0 // reads are counted each time
 				}
 			}
-			for id, n := range v.Engines {
+			for id, n := range views.Engines {
 				if sum[id] != n {
 					return false
 				}
@@ -67,18 +67,18 @@
 // Given blocks under older weights than the engine serves, when a prefix is
 // looked up, then they are no hit.
 func TestOtherWeightsAreNoHit(t *testing.T) {
-	v := New()
+	views := New()
 	put := func(rev int, blocks ...string) {
-		v.Fold(journal.Record{Kind: journal.Batch, Engine: "e", Batch: &disp.Batch{Engine: "e", Inc: "1", Writer: "w", Events: []disp.Event{
+		views.Fold(journal.Record{Kind: journal.Batch, Engine: "e", Batch: &disp.Batch{Engine: "e", Inc: "1", Writer: "w", Events: []disp.Event{
 			{Kind: "sign", Load: &dialect.Load{Inc: "1", Revision: rev}, Seat: &disp.Seat{Kind: "model", Ready: true}},
 			{Kind: "store", Rev: rev, Blocks: blocks}}}})
 	}
 	put(1, "a", "b")
-	if h := v.Hits([]string{"a", "b", "c"}); h["e"] != 2 {
+	if h := views.Hits([]string{"a", "b", "c"}); h["e"] != 2 {
 		t.Fatalf("hits: %v", h)
 	}
 	put(2, "a")
-	if h := v.Hits([]string{"a", "b", "c"}); h["e"] != 1 {
+	if h := views.Hits([]string{"a", "b", "c"}); h["e"] != 1 {
 		t.Fatalf("hits under new weights: %v", h)
 	}
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -1,5 +1,6 @@
-// Package place chooses the engine for one generation (design 8.2). Policies
-// read seats and never each other; others can be put beside them.
+// Package place chooses the engine for one generation (design 8.2). It keeps no state:
+// a policy gets what is to be placed and the usable engines, and gives an index. core/disp
+// calls it; a new policy is one function and one row in Policies.
 package place
 
 import (
@@ -46,7 +47,7 @@
 
 // Prefix takes the longest local hit, else the index's, else rendezvous
 // bounded by usage.
-func Prefix(w Want, seats []Seat) int {
+func Prefix(want Want, seats []Seat) int {
 	if i := longest(seats, func(s Seat) int { return s.Local }); i >= 0 {
 		return i
 	}
@@ -64,12 +65,12 @@
 		if !free(s) || over {
 			continue
 		}
-		if best < 0 || prefix.Weight(w.Name, s.ID) > prefix.Weight(w.Name, seats[best].ID) {
+		if best < 0 || prefix.Weight(want.Name, s.ID) > prefix.Weight(want.Name, seats[best].ID) {
 			best = i
 		}
 	}
 	if best < 0 {
-		return Least(w, seats)
+		return Least(want, seats)
 	}
 	return best
 }
@@ -88,7 +89,7 @@
 }
 
 // Random is a baseline.
-func Random(w Want, seats []Seat) int {
+func Random(want Want, seats []Seat) int {
 	var open []int
 	for i, s := range seats {
 		if free(s) {
@@ -98,7 +99,7 @@
 	if len(open) == 0 {
 		return -1
 	}
-	return open[w.Dice%uint64(len(open))]
+	return open[want.Dice%uint64(len(open))]
 }
 
 // Least is a baseline: the seat with the smallest share of its slots taken.
