--- a/shell/outcall/adversary/adversary_test.go
+++ b/shell/outcall/adversary/adversary_test.go
@@ -227,7 +227,7 @@
 // it, then each answer that is taken is whole and its caller's own, and a call that runs
 // once runs at most once.
 func TestEachByteOfAnAnswer(t *testing.T) {
-	a := newArena(t)
+	arena := newArena(t)
 	var calls []call
 	for _, kind := range kinds {
 		for _, f := range formats {
@@ -242,19 +242,19 @@
 			}
 		}
 	}
-	a.all(calls)
+	arena.all(calls)
 	for _, want := range []string{"answered", "reset", "incomplete", "malformed", "silent"} {
-		if a.seen[want] == 0 {
-			t.Errorf("no send was %s: %v", want, a.seen)
+		if arena.seen[want] == 0 {
+			t.Errorf("no send was %s: %v", want, arena.seen)
 		}
 	}
-	t.Logf("%d calls: %v", len(calls), a.seen)
+	t.Logf("%d calls: %v", len(calls), arena.seen)
 }
 
 // Given an engine that ends connections at each moment of a request, when calls meet it
 // over new and over kept connections, then none runs more often than it may.
 func TestEachMomentOfARequest(t *testing.T) {
-	a := newArena(t)
+	arena := newArena(t)
 	var calls []call
 	for round := range 12 {
 		for _, kind := range kinds {
@@ -270,8 +270,8 @@
 		}
 	}
 	rand.New(rand.NewSource(1)).Shuffle(len(calls), func(i, j int) { calls[i], calls[j] = calls[j], calls[i] })
-	a.all(calls)
-	t.Logf("%d calls: %v", len(calls), a.seen)
+	arena.all(calls)
+	t.Logf("%d calls: %v", len(calls), arena.seen)
 }
 
 // Given engines in all kinds of trouble, and addresses that go to other instances, when
@@ -279,26 +279,26 @@
 func TestAnyTroubleAndAddressesThatChangeHands(t *testing.T) {
 	for _, seed := range []int64{1, 2} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			a := newArena(t)
+			arena := newArena(t)
 			r := rand.New(rand.NewSource(seed))
 			for part := range 4 {
 				var calls []call
 				for n := range 500 {
 					c := call{id: fmt.Sprintf("r%d-%d-%04d", seed, part, n), kind: kinds[r.Intn(len(kinds))], size: r.Intn(2) * r.Intn(40_000)}
 					for i := range c.scripts {
-						c.scripts[i] = a.anyScript(r, c.id)
+						c.scripts[i] = arena.anyScript(r, c.id)
 					}
 					calls = append(calls, c)
 				}
-				a.all(calls)
+				arena.all(calls)
 				if part == 2 {
-					a.engines[part].handOver("another instance")
+					arena.engines[part].handOver("another instance")
 				}
 			}
-			if a.seen["wrong instance"] == 0 || a.seen["answered"] == 0 {
-				t.Errorf("%v", a.seen)
+			if arena.seen["wrong instance"] == 0 || arena.seen["answered"] == 0 {
+				t.Errorf("%v", arena.seen)
 			}
-			t.Logf("%v", a.seen)
+			t.Logf("%v", arena.seen)
 		})
 	}
 }
--- a/shell/outcall/adversary/engine_test.go
+++ b/shell/outcall/adversary/engine_test.go
@@ -214,25 +214,25 @@
 
 // serve takes requests off a connection until an act ends it.
 func (e *engine) serve(conn net.Conn) {
-	in := bufio.NewReader(conn)
+	reader := bufio.NewReader(conn)
 	before := "" // a surplus answer that stands before the next one
 	for {
 		// The script is needed before the request is read.
-		head, err := in.Peek(1)
+		head, err := reader.Peek(1)
 		if err != nil || len(head) == 0 {
 			return
 		}
-		request, err := http.ReadRequest(in)
+		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
-		s := readScript(request.Header.Get("Script"))
+		script := readScript(request.Header.Get("Script"))
 		id := request.Header.Get("Attempt-Id")
-		if s.act == actUnread {
+		if script.act == actUnread {
 			reset(conn)
 			return
 		}
-		if s.act == actHalfRead {
+		if script.act == actHalfRead {
 			_, _ = io.CopyN(io.Discard, request.Body, request.ContentLength/2)
 			reset(conn)
 			return
@@ -244,7 +244,7 @@
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
 			continue
 		}
-		next, goOn := e.act(conn, in, id, s, before)
+		next, goOn := e.act(conn, reader, id, script, before)
 		if !goOn {
 			return
 		}
@@ -254,7 +254,7 @@
 
 // act answers one request; it gives a surplus answer that stands before the next one,
 // and whether the connection goes on.
-func (e *engine) act(conn net.Conn, in *bufio.Reader, id string, s script, before string) (surplus string, goOn bool) {
+func (e *engine) act(conn net.Conn, reader *bufio.Reader, id string, s script, before string) (surplus string, goOn bool) {
 	if s.act == actAway {
 		_, _ = fmt.Fprintf(conn, "%sHTTP/1.1 503 Busy\r\nAttempt-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", before, id)
 		return "", true
@@ -263,7 +263,7 @@
 	text := answer(id, s.format)
 	switch s.act {
 	case actSilent:
-		hold(in)
+		hold(reader)
 		return "", false
 	case actRunReset:
 		reset(conn)
@@ -280,7 +280,7 @@
 		text = string(b)
 	case actClose, actReset, actHold:
 		_, _ = io.WriteString(conn, before+text[:s.offset])
-		e.breakOff(conn, in, s.act)
+		e.breakOff(conn, reader, s.act)
 		return "", false
 	}
 	if _, err := io.WriteString(conn, before+text); err != nil {
@@ -290,11 +290,11 @@
 	case actDoubleLate:
 		return text, true
 	case actForget, actSpoil, actSwap:
-		_, _ = in.Peek(1)
+		_, _ = reader.Peek(1)
 		reset(conn)
 		return "", false
 	case actRunForget:
-		if request, err := http.ReadRequest(in); err == nil {
+		if request, err := http.ReadRequest(reader); err == nil {
 			_, _ = io.Copy(io.Discard, request.Body)
 			if request.Header.Get("Expect-Instance") == e.now() {
 				e.ran(request.Header.Get("Attempt-Id"))
--- a/shell/outcall/answer.go
+++ b/shell/outcall/answer.go
@@ -5,18 +5,13 @@
 	"bytes"
 	"io"
 	"net"
-	"net/http/httputil"
-	"net/textproto"
-	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 
 	"fernlink/core/flow"
 	"fernlink/shell/clock"
-	"fernlink/shell/field"
 )
 
 // Bounds of an answer: bytes of its head, headers, and heads that are passed
@@ -25,7 +20,7 @@
 	headMost   = 64 << 10
 	fieldsMost = 256
 	skipMost   = 64
-	trustMost  = 64 << 10 // bytes taken for a body on its word of its length
+	prealloc   = 64 << 10 // bytes allocated for a body by the length that its head names
 )
 
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 4096) }}
@@ -49,316 +44,126 @@
 	return n, err
 }
 
-// head is what an answer says before its body.
-type head struct {
-	code   int
-	fields []flow.Field
-	old    bool // HTTP/1.0
-	size   int  // of the body in bytes; below zero when it is in chunks
-	shut   bool // the server closes after it
-	idle   time.Duration
-	coded  bool
-	ids    []string // the values of the header that names the answer
-}
-
 // answer reads what came back for a task, and keeps or closes its connection.
-func (c *Caller) answer(t *task, l *line) flow.Back {
-	r := readers.Get().(*bufio.Reader)
-	in := &counter{Conn: l.conn}
-	r.Reset(in)
-	b, h, err := c.read(t, r)
-	good := err == nil && t.Keep && !h.shut && h.idle > 0 && t.Verb != "HEAD" && r.Buffered() == 0
-	r.Reset(nil)
-	readers.Put(r)
-	if good {
-		c.keep(t, l, clock.Now()+h.idle)
+func (c *Caller) answer(task *sendTask, conn *pooledConn) flow.Back {
+	reader := readers.Get().(*bufio.Reader)
+	received := &counter{Conn: conn.Conn}
+	reader.Reset(received)
+	back, head, err := c.read(task, reader)
+	reusable := err == nil && task.Keep && !head.closes && head.keepAlive > 0 && task.Verb != "HEAD" && reader.Buffered() == 0
+	reader.Reset(nil)
+	readers.Put(reader)
+	if reusable {
+		c.release(task, conn, clock.Now()+head.keepAlive)
 	} else {
-		c.drop(t, l)
+		c.discard(task, conn)
 	}
-	if err != nil && h.code == 0 {
-		return broken(err, in.n > 0)
+	if err != nil && head.code == 0 {
+		return broken(err, received.n > 0)
 	}
 	if err != nil {
-		b.Err, b.Failure = err.Error(), kindOf(err, true)
+		back.Err, back.Failure = err.Error(), kindOf(err, true)
 	}
-	return b
+	return back
 }
 
 // read takes the answer that belongs to a task. Its head is zero unless a stream
 // was begun or the answer is whole.
-func (c *Caller) read(t *task, r *bufio.Reader) (flow.Back, head, error) {
-	var none head
+func (c *Caller) read(task *sendTask, reader *bufio.Reader) (flow.Back, answerHead, error) {
 	for skipped := 0; skipped < skipMost; skipped++ {
-		h, err := readHead(r, t.Verb, t.Name)
+		head, err := readHead(reader, task.Verb, task.Name)
 		if err != nil {
-			return flow.Back{}, none, err
-		}
-		if h.code < 200 {
-			if h.code == 101 {
-				return flow.Back{}, none, malformed("it changes the protocol")
-			}
-			continue
-		}
-		if t.Name != "" {
-			if len(h.ids) != 1 {
-				return flow.Back{}, none, errUnnamed
-			}
-			if h.ids[0] != t.Match {
-				// A surplus one. Whether one that came for a HEAD has a body can't be known.
-				if t.Verb == "HEAD" || h.shut {
-					return flow.Back{}, none, errSurplus
-				}
-				if err := pass(r, h.size); err != nil {
-					return flow.Back{}, none, err
-				}
-				continue
-			}
+			return flow.Back{}, answerHead{}, err
 		}
-		if h.coded {
-			return flow.Back{}, none, malformed("it is compressed")
+		if head.code == 101 {
+			return flow.Back{}, answerHead{}, malformed("it changes the protocol")
 		}
-		b := flow.Back{Code: h.code, Fields: h.fields, Head: map[string]string{}}
-		for _, k := range []string{"Content-Type", "Retry-After", "Location"} {
-			if v := flow.Get(h.fields, k); v != "" {
-				b.Head[k] = v
-			}
-		}
-		if h.code == 200 && t.Raw && isStream(b.Head["Content-Type"]) {
-			c.tell(t, flow.Back{Open: true, Code: b.Code, Fields: b.Fields, Head: b.Head})
-			return b, h, c.stream(t, r, h.size, c.block)
+		if head.code < 200 {
+			continue
 		}
-		if h.code == 200 && t.Stream && !t.Raw {
-			return b, h, c.stream(t, r, h.size, c.data)
+		surplus, err := surplus(task, reader, head)
+		if err != nil {
+			return flow.Back{}, answerHead{}, err
 		}
-		if b.Body, err = readBody(r, h.size); err != nil {
-			return flow.Back{}, none, err
+		if !surplus {
+			return c.readOwn(task, reader, head)
 		}
-		return b, h, nil
 	}
-	return flow.Back{}, none, errSurplus
+	return flow.Back{}, answerHead{}, errSurplus
 }
 
-func isStream(kind string) bool {
-	kind, _, _ = strings.Cut(kind, ";")
-	return strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
-}
-
-// readLine reads a line without its end; most is what is left for it in bytes,
-// and the text is good until the next read.
-func readLine(r *bufio.Reader, most int) ([]byte, error) {
-	b, err := r.ReadSlice('\n')
-	if err == bufio.ErrBufferFull {
-		long := append([]byte(nil), b...)
-		for err == bufio.ErrBufferFull && len(long) <= most {
-			b, err = r.ReadSlice('\n')
-			long = append(long, b...)
-		}
-		b = long
+// surplus says whether an answer names another request; its body is then read off.
+func surplus(task *sendTask, reader *bufio.Reader, head answerHead) (bool, error) {
+	if task.Name == "" {
+		return false, nil
 	}
-	if len(b) > most {
-		return nil, malformed("a line is too long")
+	if len(head.names) != 1 {
+		return false, errUnnamed
 	}
-	if err == io.EOF {
-		err = io.ErrUnexpectedEOF
+	if head.names[0] == task.Match {
+		return false, nil
 	}
-	if err != nil {
-		return nil, errors.Wrap(err, "outcall")
+	// Whether a surplus answer that came for a HEAD has a body can't be known.
+	if task.Verb == "HEAD" || head.closes {
+		return true, errSurplus
 	}
-	return bytes.TrimSuffix(b[:len(b)-1], []byte("\r")), nil
+	return true, discardBody(reader, head.size)
 }
 
-// readHead reads status line and headers. It fails for each answer whose end
-// could not be known.
-func readHead(r *bufio.Reader, verb, name string) (head, error) {
-	h := head{idle: keepFor}
-	left := headMost
-	b, err := readLine(r, left)
-	if err != nil {
-		return h, err
-	}
-	left -= len(b)
-	if len(b) < 12 || string(b[:7]) != "HTTP/1." || b[7] != '0' && b[7] != '1' || b[8] != ' ' || len(b) > 12 && b[12] != ' ' {
-		return h, malformed("no status line")
-	}
-	if h.code, err = strconv.Atoi(string(b[9:12])); err != nil || h.code < 100 {
-		return h, malformed("no status")
+// passedOn are the headers of an answer that the core reads by name.
+var passedOn = []string{"Content-Type", "Retry-After", "Location"}
+
+// readOwn reads the body of the task's own answer.
+func (c *Caller) readOwn(task *sendTask, reader *bufio.Reader, head answerHead) (flow.Back, answerHead, error) {
+	if head.compressed {
+		return flow.Back{}, answerHead{}, malformed("it is compressed")
 	}
-	h.old = b[7] == '0'
-	h.shut = h.old
-	length, chunks, skip := -1, false, []string(nil)
-	h.fields = make([]flow.Field, 0, 8)
-	for n := 0; ; n++ {
-		if b, err = readLine(r, left); err != nil {
-			return h, err
-		}
-		if len(b) == 0 {
-			break
-		}
-		left -= len(b)
-		key, value, ok := bytes.Cut(b, []byte(":"))
-		if !ok || n == fieldsMost || !token(key) {
-			return h, malformed("a garbled header")
-		}
-		value = bytes.Trim(value, " \t")
-		f := flow.Field{Name: textproto.CanonicalMIMEHeaderKey(string(key)), Value: string(value)}
-		if !clean(f.Value, true) {
-			return h, malformed("a garbled header")
-		}
-		if name != "" && strings.EqualFold(f.Name, name) {
-			h.ids = append(h.ids, f.Value)
-		}
-		switch f.Name {
-		case "Content-Length":
-			size, err := strconv.ParseUint(f.Value, 10, 31)
-			if err != nil || length >= 0 && length != int(size) {
-				return h, malformed("a garbled length")
-			}
-			length = int(size)
-		case "Transfer-Encoding":
-			if chunks || h.old || !strings.EqualFold(f.Value, "chunked") {
-				return h, malformed("an unknown coding")
-			}
-			chunks = true
-		case "Connection":
-			for _, w := range strings.Split(f.Value, ",") {
-				h.shut = h.shut || strings.EqualFold(strings.TrimSpace(w), "close")
-			}
-			skip = append(skip, field.Named(f.Value)...)
-		case "Keep-Alive":
-			h.idle = min(h.idle, promised(f.Value))
-		case "Content-Encoding":
-			h.coded = true
-		}
-		if !field.Hop(f.Name) {
-			h.fields = append(h.fields, f)
+	back := flow.Back{Code: head.code, Fields: head.fields, Head: map[string]string{}}
+	for _, name := range passedOn {
+		if value := flow.Get(head.fields, name); value != "" {
+			back.Head[name] = value
 		}
 	}
-	for _, k := range skip {
-		kept := h.fields[:0]
-		for _, f := range h.fields {
-			if f.Name != k {
-				kept = append(kept, f)
-			}
-		}
-		h.fields = kept
+	if head.code == 200 && task.Raw && isStream(back.Head["Content-Type"]) {
+		c.report(task, flow.Back{Open: true, Code: back.Code, Fields: back.Fields, Head: back.Head})
+		return back, head, c.stream(task, reader, head.size, c.reportBlock)
 	}
-	switch {
-	case chunks && length >= 0:
-		return h, malformed("two lengths")
-	case h.code < 200 || h.code == 204 || h.code == 304 || verb == "HEAD":
-		h.shut = h.shut || chunks || length > 0
-	case chunks:
-		h.size = -1
-	case length < 0:
-		return h, malformed("neither length nor end mark") // never known whole
-	default:
-		h.size = length
+	if head.code == 200 && task.Stream && !task.Raw {
+		return back, head, c.stream(task, reader, head.size, c.reportData)
 	}
-	return h, nil
-}
-
-// promised is how long a server keeps an idle connection, less a margin; zero
-// when it takes no further request.
-func promised(value string) time.Duration {
-	idle := keepFor
-	for _, w := range strings.Split(value, ",") {
-		k, v, _ := strings.Cut(strings.TrimSpace(w), "=")
-		n, err := strconv.Atoi(strings.Trim(v, `" `))
-		if err != nil {
-			continue
-		}
-		if strings.EqualFold(k, "timeout") {
-			idle = min(idle, time.Duration(min(n, 3600))*time.Second-margin)
-		}
-		if strings.EqualFold(k, "max") && n <= 0 {
-			idle = 0
-		}
+	body, err := readBody(reader, head.size)
+	if err != nil {
+		return flow.Back{}, answerHead{}, err
 	}
-	return max(idle, 0)
+	back.Body = body
+	return back, head, nil
 }
 
-// chunked reads a body in chunks up to and with its end mark.
-type chunked struct {
-	from *bufio.Reader
-	in   io.Reader
+func isStream(kind string) bool {
+	kind, _, _ = strings.Cut(kind, ";")
+	return strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
 }
 
-func (c *chunked) Read(b []byte) (int, error) {
-	n, err := c.in.Read(b)
-	if err != io.EOF {
-		return n, err
-	}
-	for left := headMost; ; {
-		line, err := readLine(c.from, left)
-		if err != nil {
-			return n, err
-		}
-		if len(line) == 0 {
-			return n, io.EOF
+// readLine reads a line without its end; most is what is left for it in bytes,
+// and the text is good until the next read.
+func readLine(reader *bufio.Reader, most int) ([]byte, error) {
+	line, err := reader.ReadSlice('\n')
+	if err == bufio.ErrBufferFull {
+		long := append([]byte(nil), line...)
+		for err == bufio.ErrBufferFull && len(long) <= most {
+			line, err = reader.ReadSlice('\n')
+			long = append(long, line...)
 		}
-		left -= len(line)
+		line = long
 	}
-}
-
-// bodyOf reads a body to its known end, and gives io.EOF only there.
-func bodyOf(r *bufio.Reader, size int) io.Reader {
-	if size < 0 {
-		return &chunked{r, httputil.NewChunkedReader(r)}
-	}
-	return &sized{r, size}
-}
-
-// sized reads a body of a known length.
-type sized struct {
-	in   *bufio.Reader
-	left int
-}
-
-func (s *sized) Read(b []byte) (int, error) {
-	if s.left == 0 {
-		return 0, io.EOF
-	}
-	if len(b) > s.left {
-		b = b[:s.left]
+	if len(line) > most {
+		return nil, malformed("a line is too long")
 	}
-	n, err := s.in.Read(b)
-	s.left -= n
-	if err == io.EOF && s.left > 0 {
+	if err == io.EOF {
 		err = io.ErrUnexpectedEOF
 	}
-	return n, err
-}
-
-func readBody(r *bufio.Reader, size int) ([]byte, error) {
-	if size > BodyMost {
-		return nil, malformed("larger than is allowed")
-	}
-	if size >= 0 && size <= trustMost {
-		b := make([]byte, size)
-		_, err := io.ReadFull(r, b)
-		if err != nil {
-			return nil, errors.Wrap(err, "outcall")
-		}
-		return b, nil
-	}
-	b, err := io.ReadAll(io.LimitReader(bodyOf(r, size), BodyMost+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "outcall")
 	}
-	if len(b) > BodyMost {
-		return nil, malformed("larger than is allowed")
-	}
-	return b, nil
-}
-
-// pass reads the body of a surplus answer off.
-func pass(r *bufio.Reader, size int) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(bodyOf(r, size), BodyMost+1))
-	if err != nil {
-		return errors.Wrap(err, "outcall")
-	}
-	if n > BodyMost {
-		return malformed("larger than is allowed")
-	}
-	return nil
+	return bytes.TrimSuffix(line[:len(line)-1], []byte("\r")), nil
 }
--- a/shell/outcall/bench_test.go
+++ b/shell/outcall/bench_test.go
@@ -19,18 +19,18 @@
 	defer listener.Close()
 	go func() {
 		for {
-			c, err := listener.Accept()
+			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
 			go func() {
-				defer c.Close()
+				defer conn.Close()
 				buf := make([]byte, 4096)
 				for {
-					if _, err := c.Read(buf); err != nil {
+					if _, err := conn.Read(buf); err != nil {
 						return
 					}
-					if _, err := io.WriteString(c, ok2); err != nil {
+					if _, err := io.WriteString(conn, ok2); err != nil {
 						return
 					}
 				}
--- a/shell/outcall/failure.go
+++ b/shell/outcall/failure.go
@@ -33,7 +33,7 @@
 }
 
 // ends are the errors of a connection that is over.
-var ends = []error{io.EOF, io.ErrUnexpectedEOF, net.ErrClosed, context.Canceled, syscall.ECONNRESET, syscall.EPIPE, syscall.ECONNABORTED}
+var connectionErrors = []error{io.EOF, io.ErrUnexpectedEOF, net.ErrClosed, context.Canceled, syscall.ECONNRESET, syscall.EPIPE, syscall.ECONNABORTED}
 
 // kindOf tells what an error of a connection or of what was read says of a send.
 func kindOf(err error, heard bool) flow.Failure {
@@ -45,7 +45,7 @@
 	if errors.As(err, &network) && network.Timeout() {
 		return flow.TimedOut
 	}
-	for _, end := range ends {
+	for _, end := range connectionErrors {
 		if !errors.Is(err, end) {
 			continue
 		}
--- a/shell/outcall/keep_test.go
+++ b/shell/outcall/keep_test.go
@@ -14,21 +14,21 @@
 // Given a server that keeps connections, when sends that may be kept follow one
 // another, then they share a connection, and others have one of their own.
 func TestKeptIsReused(t *testing.T) {
-	p := serve(t, echo)
-	x := caller(t)
+	peer := serve(t, echo)
+	client := caller(t)
 	for range 5 {
-		if b, _ := x.do(flow.Send{URL: p.url, Keep: true}); b.Err != "" || string(b.Body) != "ok" {
+		if b, _ := client.do(flow.Send{URL: peer.url, Keep: true}); b.Err != "" || string(b.Body) != "ok" {
 			t.Fatalf("%+v", b)
 		}
 	}
-	if p.conns.Load() != 1 {
-		t.Errorf("five kept sends took %d connections", p.conns.Load())
+	if peer.conns.Load() != 1 {
+		t.Errorf("five kept sends took %d connections", peer.conns.Load())
 	}
 	for range 2 {
-		x.do(flow.Send{URL: p.url})
+		client.do(flow.Send{URL: peer.url})
 	}
-	if p.conns.Load() != 3 {
-		t.Errorf("two more of their own: %d connections", p.conns.Load())
+	if peer.conns.Load() != 3 {
+		t.Errorf("two more of their own: %d connections", peer.conns.Load())
 	}
 }
 
@@ -69,7 +69,7 @@
 		"not HTTP":        {"hello there, whoever you are\r\n\r\n", "GET", false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := serve(t, func(n int64, c *talk) {
+			peer := serve(t, func(n int64, c *talk) {
 				if n > 1 {
 					echo(n, c)
 					return
@@ -82,12 +82,12 @@
 				}
 			})
 			k := caller(t)
-			b, _ := k.do(flow.Send{Verb: x.verb, URL: p.url, Keep: true})
+			b, _ := k.do(flow.Send{Verb: x.verb, URL: peer.url, Keep: true})
 			if (b.Err != "") != x.bad || b.Failure == flow.Unsent {
 				t.Errorf("%+v", b)
 			}
-			k.do(flow.Send{URL: p.url, Keep: true})
-			if kept := p.conns.Load() == 1; kept != x.kept {
+			k.do(flow.Send{URL: peer.url, Keep: true})
+			if kept := peer.conns.Load() == 1; kept != x.kept {
 				t.Errorf("kept %v, want %v", kept, x.kept)
 			}
 		})
@@ -99,16 +99,16 @@
 // the caller is told that it may have run.
 func TestKeptNeverReplayed(t *testing.T) {
 	for _, verb := range []string{"GET", "POST", "PUT", "DELETE"} {
-		p := serve(t, func(n int64, c *talk) {
+		peer := serve(t, func(n int64, c *talk) {
 			c.ask()
 			c.say(ok2)
 			c.ask()
 		})
 		k := caller(t)
-		k.do(flow.Send{URL: p.url, Keep: true})
-		b, _ := k.do(flow.Send{Verb: verb, URL: p.url, Keep: true, Head: map[string]string{"Idempotency-Key": "k"}, Once: true})
-		if p.asked.Load() != 2 || p.conns.Load() != 1 || b.Err == "" || b.Failure == flow.Unsent {
-			t.Errorf("%s: %d requests over %d connections, %+v", verb, p.asked.Load(), p.conns.Load(), b)
+		k.do(flow.Send{URL: peer.url, Keep: true})
+		b, _ := k.do(flow.Send{Verb: verb, URL: peer.url, Keep: true, Head: map[string]string{"Idempotency-Key": "k"}, Once: true})
+		if peer.asked.Load() != 2 || peer.conns.Load() != 1 || b.Err == "" || b.Failure == flow.Unsent {
+			t.Errorf("%s: %d requests over %d connections, %+v", verb, peer.asked.Load(), peer.conns.Load(), b)
 		}
 	}
 }
@@ -123,7 +123,7 @@
 		"reset":     func(c *talk) { _ = c.Conn.(*net.TCPConn).SetLinger(0); _ = c.Close() },
 	} {
 		done, hold := make(chan bool), make(chan bool)
-		p := serve(t, func(n int64, c *talk) {
+		peer := serve(t, func(n int64, c *talk) {
 			if n > 1 {
 				echo(n, c)
 				return
@@ -136,11 +136,11 @@
 			<-hold
 		})
 		k := caller(t)
-		k.do(flow.Send{URL: p.url, Keep: true})
+		k.do(flow.Send{URL: peer.url, Keep: true})
 		hold <- true
 		wait(t, done)
-		if b, _ := k.do(flow.Send{URL: p.url, Keep: true}); b.Err != "" || p.conns.Load() != 2 {
-			t.Errorf("%s: %+v over %d connections", name, b, p.conns.Load())
+		if b, _ := k.do(flow.Send{URL: peer.url, Keep: true}); b.Err != "" || peer.conns.Load() != 2 {
+			t.Errorf("%s: %+v over %d connections", name, b, peer.conns.Load())
 		}
 		close(hold)
 	}
@@ -151,7 +151,7 @@
 func TestNothingWritten(t *testing.T) {
 	hold := make(chan bool)
 	defer close(hold)
-	p := serve(t, func(n int64, c *talk) {
+	peer := serve(t, func(n int64, c *talk) {
 		if n > 1 {
 			echo(n, c)
 			return
@@ -160,18 +160,18 @@
 		c.say(ok2)
 		<-hold
 	})
-	for _, size := range []int{0, joined + 1} {
-		k := caller(t)
-		p.conns.Store(0)
-		k.do(flow.Send{URL: p.url, Keep: true})
-		k.c.pool.mu.Lock()
-		for _, ls := range k.c.pool.idle {
-			_ = ls[0].conn.(*net.TCPConn).CloseWrite()
+	for _, size := range []int{0, joinedBodyMost + 1} {
+		client := caller(t)
+		peer.conns.Store(0)
+		client.do(flow.Send{URL: peer.url, Keep: true})
+		client.c.pool.mu.Lock()
+		for _, ls := range client.c.pool.idle {
+			_ = ls[0].Conn.(*net.TCPConn).CloseWrite()
 		}
-		k.c.pool.mu.Unlock()
-		b, _ := k.do(flow.Send{Verb: "POST", URL: p.url, Keep: true, Body: make([]byte, size)})
-		if b.Err != "" || string(b.Body) != "ok" || p.conns.Load() != 2 {
-			t.Errorf("%d bytes: %+v over %d connections", size, b, p.conns.Load())
+		client.c.pool.mu.Unlock()
+		b, _ := client.do(flow.Send{Verb: "POST", URL: peer.url, Keep: true, Body: make([]byte, size)})
+		if b.Err != "" || string(b.Body) != "ok" || peer.conns.Load() != 2 {
+			t.Errorf("%d bytes: %+v over %d connections", size, b, peer.conns.Load())
 		}
 	}
 }
@@ -180,16 +180,16 @@
 // sent, then the connection is closed before that.
 func TestClosedInTime(t *testing.T) {
 	said := make(chan time.Time, 1)
-	p := serve(t, func(n int64, c *talk) {
+	peer := serve(t, func(n int64, c *talk) {
 		c.ask()
 		said <- time.Now()
 		c.say("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok")
 		c.ask()
 	})
 	k := caller(t)
-	k.do(flow.Send{URL: p.url, Keep: true})
+	k.do(flow.Send{URL: peer.url, Keep: true})
 	at := wait(t, said)
-	wait(t, p.ended)
+	wait(t, peer.ended)
 	if d := time.Since(at); d >= time.Second {
 		t.Errorf("closed after %s", d)
 	}
@@ -199,11 +199,11 @@
 // a margin, and never above the default.
 func TestPromised(t *testing.T) {
 	for said, want := range map[string]time.Duration{
-		"timeout=2": 2*time.Second - margin, "Timeout = 2": keepFor, "timeout=3, max=9": 3*time.Second - margin,
+		"timeout=2": 2*time.Second - keepMargin, "Timeout = 2": keepFor, "timeout=3, max=9": 3*time.Second - keepMargin,
 		"timeout=60": keepFor, "timeout=0": 0, "timeout=-1": 0, "max=0": 0, "max=1": keepFor, "": keepFor,
-		"timeout=99999999999999999999": keepFor, `timeout="1"`: time.Second - margin,
+		"timeout=99999999999999999999": keepFor, `timeout="1"`: time.Second - keepMargin,
 	} {
-		if got := promised(said); got != want {
+		if got := keepAliveOf(said); got != want {
 			t.Errorf("%q: %s, want %s", said, got, want)
 		}
 	}
@@ -215,36 +215,36 @@
 	const many = 3 * keepEach
 	var all sync.WaitGroup
 	all.Add(many)
-	p := serve(t, func(_ int64, c *talk) {
+	peer := serve(t, func(_ int64, c *talk) {
 		c.ask()
 		all.Done()
 		all.Wait() // so that each has a connection of its own
 		c.say(ok2)
 		c.ask()
 	})
-	k := caller(t)
+	client := caller(t)
 	for range many {
-		k.start(flow.Send{URL: p.url, Keep: true})
+		client.start(flow.Send{URL: peer.url, Keep: true})
 	}
 	for range many {
-		if b := k.next(); b.Err != "" {
+		if b := client.next(); b.Err != "" {
 			t.Fatal(b.Err)
 		}
 	}
 	for range many - keepEach {
-		wait(t, p.ended)
+		wait(t, peer.ended)
 	}
-	k.c.pool.mu.Lock()
-	defer k.c.pool.mu.Unlock()
-	if k.c.pool.n != keepEach {
-		t.Errorf("%d are kept", k.c.pool.n)
+	client.c.pool.mu.Lock()
+	defer client.c.pool.mu.Unlock()
+	if client.c.pool.count != keepEach {
+		t.Errorf("%d are kept", client.c.pool.count)
 	}
 }
 
 // Given many sends at once over kept connections, when each is answered with
 // its own name, then none gets another's.
 func TestNoMixUp(t *testing.T) {
-	p := serve(t, func(_ int64, c *talk) {
+	peer := serve(t, func(_ int64, c *talk) {
 		for {
 			q, b := c.ask()
 			if q == nil {
@@ -257,7 +257,7 @@
 	const many = 400
 	for i := 1; i <= many; i++ {
 		id := fmt.Sprint(i)
-		k.start(flow.Send{Verb: "POST", URL: p.url, Keep: true, Name: "X-Request", Match: id, Fields: []flow.Field{{Name: "X-Request", Value: id}}, Body: []byte(id)})
+		k.start(flow.Send{Verb: "POST", URL: peer.url, Keep: true, Name: "X-Request", Match: id, Fields: []flow.Field{{Name: "X-Request", Value: id}}, Body: []byte(id)})
 	}
 	for range many {
 		if b := k.next(); b.Err != "" || string(b.Body) != fmt.Sprint(b.ID) || flow.Get(b.Fields, "X-Request") != fmt.Sprint(b.ID) {
--- a/shell/outcall/named_test.go
+++ b/shell/outcall/named_test.go
@@ -32,7 +32,7 @@
 		"too many":        {strings.Repeat(named("old", ""), skipMost) + named("me", "mine"), "", false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := serve(t, func(n int64, c *talk) {
+			peer := serve(t, func(n int64, c *talk) {
 				if q, _ := c.ask(); q == nil {
 					return
 				}
@@ -44,14 +44,14 @@
 				c.ask()
 			})
 			k := caller(t)
-			b, _ := k.do(flow.Send{URL: p.url, Keep: true, Name: "X-Request", Match: "me"})
+			b, _ := k.do(flow.Send{URL: peer.url, Keep: true, Name: "X-Request", Match: "me"})
 			if string(b.Body) != x.body || (b.Err == "") != (x.body != "") || b.Failure == flow.Unsent {
 				t.Errorf("%+v", b)
 			}
-			if b, _ := k.do(flow.Send{URL: p.url, Keep: true, Name: "X-Request", Match: "next"}); string(b.Body) != "next" {
+			if b, _ := k.do(flow.Send{URL: peer.url, Keep: true, Name: "X-Request", Match: "next"}); string(b.Body) != "next" {
 				t.Errorf("the next one: %+v", b)
 			}
-			if kept := p.conns.Load() == 1; kept != x.kept {
+			if kept := peer.conns.Load() == 1; kept != x.kept {
 				t.Errorf("kept %v, want %v", kept, x.kept)
 			}
 		})
--- a/shell/outcall/outcall.go
+++ b/shell/outcall/outcall.go
@@ -1,7 +1,9 @@
-// Package outcall makes this node's requests of engines, judges and the
+// Package outcall makes this node's HTTP requests of engines, judges and the
 // platform (design 7.3). Each request is written once. A kept connection carries
 // one request at a time, is owned by one task at any time, and is never a
-// reason to repeat a request that may have put out a byte.
+// reason to repeat a request that may have put out a byte. It owns the sockets and
+// the pool of idle connections; shell/run starts and cuts sends, and gets the
+// answers as events.
 package outcall
 
 import (
@@ -32,60 +34,60 @@
 	EventMost = 1 << 20
 )
 
-// Caller runs sends, each in a task of its own.
+// Caller runs sends, each in a goroutine of its own.
 type Caller struct {
-	In   func(flow.Event)
-	mu   sync.Mutex
-	open map[uint64]*task
-	wg   sync.WaitGroup
-	stop bool
-	pool pool
-	dial net.Dialer
+	In      func(flow.Event)
+	mu      sync.Mutex
+	open    map[uint64]*sendTask
+	running sync.WaitGroup
+	stopped bool
+	pool    pool
+	dial    net.Dialer
 }
 
-// task is one send that is under way. Its connection and quit are under the
+// sendTask is one send that is under way. Its conn and stopDial are under the
 // caller's lock, so that a cut closes them only while the task owns them.
-type task struct {
+type sendTask struct {
 	flow.Send
-	cut  atomic.Bool
-	conn net.Conn
-	quit context.CancelFunc
+	aborted  atomic.Bool
+	conn     net.Conn
+	stopDial context.CancelFunc
 }
 
-// New is a caller that tells In what came back.
+// New gives a caller that hands what comes back to a function.
 func New(in func(flow.Event)) *Caller {
-	return &Caller{In: in, open: map[uint64]*task{}, dial: sock.Dialer()}
+	return &Caller{In: in, open: map[uint64]*sendTask{}, dial: sock.Dialer()}
 }
 
 // Start begins a send.
-func (c *Caller) Start(s flow.Send) {
-	t := &task{Send: s}
+func (c *Caller) Start(send flow.Send) {
+	task := &sendTask{Send: send}
 	c.mu.Lock()
-	if c.stop {
+	if c.stopped {
 		c.mu.Unlock()
 		return
 	}
-	c.open[s.ID] = t
-	c.wg.Add(1)
+	c.open[send.ID] = task
+	c.running.Add(1)
 	c.mu.Unlock()
 	go func() {
-		defer c.wg.Done()
-		b := c.run(t)
-		b.End = true
+		defer c.running.Done()
+		back := c.run(task)
+		back.End = true
 		c.mu.Lock()
-		if c.open[s.ID] == t {
-			delete(c.open, s.ID)
+		if c.open[send.ID] == task {
+			delete(c.open, send.ID)
 		}
 		c.mu.Unlock()
-		c.tell(t, b)
+		c.report(task, back)
 	}()
 }
 
-// tell passes news of a send on, unless it was cut.
-func (c *Caller) tell(t *task, b flow.Back) {
-	if !t.cut.Load() {
-		b.ID = t.ID
-		c.In(flow.Event{Back: &b})
+// report passes news of a send on, unless it was cut.
+func (c *Caller) report(task *sendTask, back flow.Back) {
+	if !task.aborted.Load() {
+		back.ID = task.ID
+		c.In(flow.Event{Back: &back})
 	}
 }
 
@@ -93,134 +95,139 @@
 func (c *Caller) Cut(id uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t := c.open[id]; t != nil {
-		c.abort(t)
+	if task := c.open[id]; task != nil {
+		c.abort(task)
 	}
 }
 
 // abort ends a task's waiting; mu is held.
-func (c *Caller) abort(t *task) {
-	delete(c.open, t.ID)
-	t.cut.Store(true)
-	if t.quit != nil {
-		t.quit()
+func (c *Caller) abort(task *sendTask) {
+	delete(c.open, task.ID)
+	task.aborted.Store(true)
+	if task.stopDial != nil {
+		task.stopDial()
 	}
-	if t.conn != nil {
-		_ = t.conn.Close()
+	if task.conn != nil {
+		_ = task.conn.Close()
 	}
 }
 
 // Close aborts all and waits.
 func (c *Caller) Close() {
 	c.mu.Lock()
-	c.stop = true
-	for _, t := range c.open {
-		c.abort(t)
+	c.stopped = true
+	for _, task := range c.open {
+		c.abort(task)
 	}
 	c.mu.Unlock()
-	c.wg.Wait()
+	c.running.Wait()
 	c.pool.close()
 }
 
-func (c *Caller) run(t *task) flow.Back {
-	to, target, err := split(t.URL)
+// run writes a task's request and reads its answer. It is written a second time only
+// where no byte of it left, because the server had closed a kept connection.
+func (c *Caller) run(task *sendTask) flow.Back {
+	addr, target, err := splitURL(task.URL)
 	if err != nil {
 		return unsent(err)
 	}
-	head := heads.Get().(*[]byte)
-	defer heads.Put(head)
-	if *head, err = request((*head)[:0], t, to, target); err != nil {
+	head := headBuffers.Get().(*[]byte)
+	defer headBuffers.Put(head)
+	if *head, err = appendRequest((*head)[:0], task, addr, target); err != nil {
 		return unsent(err)
 	}
-	for kept := t.Keep; ; kept = false {
-		if clock.Now() >= t.Until {
+	for kept := task.Keep; ; kept = false {
+		if clock.Now() >= task.Until {
 			return unsent(ErrLate)
 		}
-		l, err := c.line(t, to, kept)
+		conn, err := c.connect(task, addr, kept)
 		if err != nil {
 			return unsent(err)
 		}
-		g := &gate{Conn: l.conn, until: t.Until}
-		err = send(g, *head, t.Body)
-		if err != nil && !g.sent && l.used && err != ErrLate {
-			c.drop(t, l)
-			continue // over a new connection: nothing left on this one
+		writer := &deadlineConn{Conn: conn.Conn, until: task.Until}
+		err = send(writer, *head, task.Body)
+		if err == nil {
+			return c.answer(task, conn)
 		}
-		if err != nil {
-			c.drop(t, l)
-			if !g.sent {
-				return unsent(err)
-			}
+		c.discard(task, conn)
+		if writer.wrote {
 			return broken(err, false)
 		}
-		return c.answer(t, l)
+		if !conn.reused || err == ErrLate {
+			return unsent(err)
+		}
 	}
 }
 
-// line gives the task a connection: a kept one where it may be one and one is
+// connect gives the task a connection: a kept one where it may be one and one is
 // there, and otherwise a new one.
-func (c *Caller) line(t *task, to string, kept bool) (*line, error) {
-	limit := time.Now().Add(t.Limit - clock.Now())
+func (c *Caller) connect(task *sendTask, addr string, kept bool) (*pooledConn, error) {
+	limit := time.Now().Add(task.Limit - clock.Now())
+	var conn *pooledConn
 	if kept {
-		if l := c.pool.take(to); l != nil {
-			if !c.own(t, l) {
-				return nil, context.Canceled
-			}
-			_ = l.conn.SetDeadline(limit)
-			return l, nil
+		conn = c.pool.take(addr)
+	}
+	if conn == nil {
+		var err error
+		if conn, err = c.dialFor(task, addr); err != nil {
+			return nil, err
 		}
 	}
-	wait := min(t.Limit, t.Until) - clock.Now()
-	ctx, quit := context.WithTimeout(context.Background(), min(wait, sock.Connect))
-	defer quit()
+	if !c.assign(task, conn) {
+		return nil, context.Canceled
+	}
+	_ = conn.SetDeadline(limit)
+	return conn, nil
+}
+
+// dialFor opens a connection; a cut of the task ends the wait.
+func (c *Caller) dialFor(task *sendTask, addr string) (*pooledConn, error) {
+	wait := min(task.Limit, task.Until) - clock.Now()
+	ctx, stop := context.WithTimeout(context.Background(), min(wait, sock.Connect))
+	defer stop()
 	c.mu.Lock()
-	t.quit = quit
+	task.stopDial = stop
 	c.mu.Unlock()
-	if t.cut.Load() {
+	if task.aborted.Load() {
 		return nil, context.Canceled
 	}
-	conn, err := c.dial.DialContext(ctx, "tcp", to)
+	conn, err := c.dial.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "outcall")
 	}
-	l := &line{conn: conn, to: to}
-	if !c.own(t, l) {
-		return nil, context.Canceled
-	}
-	_ = conn.SetDeadline(limit)
-	return l, nil
+	return &pooledConn{Conn: conn, addr: addr}, nil
 }
 
-// own makes a connection the task's, unless the task was cut.
-func (c *Caller) own(t *task, l *line) bool {
+// assign makes a connection the task's, unless the task was cut.
+func (c *Caller) assign(task *sendTask, conn *pooledConn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t.quit = nil
-	if t.cut.Load() {
-		_ = l.conn.Close()
+	task.stopDial = nil
+	if task.aborted.Load() {
+		_ = conn.Close()
 		return false
 	}
-	t.conn = l.conn
+	task.conn = conn
 	return true
 }
 
-// drop closes the task's connection.
-func (c *Caller) drop(t *task, l *line) {
+// discard closes the task's connection.
+func (c *Caller) discard(task *sendTask, conn *pooledConn) {
 	c.mu.Lock()
-	t.conn = nil
+	task.conn = nil
 	c.mu.Unlock()
-	_ = l.conn.Close()
+	_ = conn.Close()
 }
 
-// keep hands the task's connection back for others, until the time given.
-func (c *Caller) keep(t *task, l *line, till flow.Time) {
+// release hands the task's connection to the pool, which keeps it until a time.
+func (c *Caller) release(task *sendTask, conn *pooledConn, until flow.Time) {
 	c.mu.Lock()
-	t.conn = nil
-	cut := t.cut.Load()
+	task.conn = nil
+	cut := task.aborted.Load()
 	c.mu.Unlock()
 	if cut {
-		_ = l.conn.Close()
+		_ = conn.Close()
 		return
 	}
-	c.pool.put(l, till)
+	c.pool.put(conn, until)
 }
--- a/shell/outcall/outcall_test.go
+++ b/shell/outcall/outcall_test.go
@@ -25,26 +25,26 @@
 	var n atomic.Int64
 	go func() {
 		for {
-			c, err := listener.Accept()
+			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
 			go func() {
-				defer c.Close()
-				in := bufio.NewReader(c)
-				r, err := http.ReadRequest(in)
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				r, err := http.ReadRequest(reader)
 				if err != nil {
 					return
 				}
 				n.Add(1)
-				f(c, r)
+				f(conn, r)
 				// The answer is over; a request that still comes on this
 				// connection is counted too.
-				if out, ok := c.(*net.TCPConn); ok {
+				if out, ok := conn.(*net.TCPConn); ok {
 					_ = out.CloseWrite()
 				}
 				for {
-					if _, err := http.ReadRequest(in); err != nil {
+					if _, err := http.ReadRequest(reader); err != nil {
 						return
 					}
 					n.Add(1)
@@ -55,18 +55,18 @@
 	return "http://" + listener.Addr().String(), &n
 }
 
-func call(t *testing.T, s flow.Send) (flow.Back, []string) {
+func call(t *testing.T, send flow.Send) (flow.Back, []string) {
 	t.Helper()
 	got := make(chan flow.Back, 64)
 	c := New(func(e flow.Event) { got <- *e.Back })
-	s.ID = 1
-	if s.Until == 0 {
-		s.Until = clock.Now() + 5*time.Second
+	send.ID = 1
+	if send.Until == 0 {
+		send.Until = clock.Now() + 5*time.Second
 	}
-	if s.Limit == 0 {
-		s.Limit = clock.Now() + 5*time.Second
+	if send.Limit == 0 {
+		send.Limit = clock.Now() + 5*time.Second
 	}
-	c.Start(s)
+	c.Start(send)
 	var events []string
 	for {
 		select {
@@ -120,9 +120,9 @@
 // then no byte leaves, and that is told.
 func TestUnsent(t *testing.T) {
 	url, n := server(t, func(net.Conn, *http.Request) {})
-	b, _ := call(t, flow.Send{Verb: "POST", URL: url, Until: clock.Now() - 1})
-	if b.Failure != flow.Unsent || b.Err == "" {
-		t.Errorf("too late: %+v", b)
+	back, _ := call(t, flow.Send{Verb: "POST", URL: url, Until: clock.Now() - 1})
+	if back.Failure != flow.Unsent || back.Err == "" {
+		t.Errorf("too late: %+v", back)
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -130,8 +130,8 @@
 	}
 	nobody := "http://" + listener.Addr().String()
 	_ = listener.Close()
-	if b, _ = call(t, flow.Send{Verb: "POST", URL: nobody}); b.Failure != flow.Unsent || b.Err == "" {
-		t.Errorf("nobody there: %+v", b)
+	if back, _ = call(t, flow.Send{Verb: "POST", URL: nobody}); back.Failure != flow.Unsent || back.Err == "" {
+		t.Errorf("nobody there: %+v", back)
 	}
 	if n.Load() != 0 {
 		t.Errorf("%d requests were read", n.Load())
@@ -144,8 +144,8 @@
 	a, b := net.Pipe()
 	defer a.Close()
 	defer b.Close()
-	g := &gate{Conn: a, until: clock.Now()}
-	if _, err := g.Write([]byte("x")); err != ErrLate || g.sent {
+	g := &deadlineConn{Conn: a, until: clock.Now()}
+	if _, err := g.Write([]byte("x")); err != ErrLate || g.wrote {
 		t.Errorf("a late byte left: %v", err)
 	}
 }
--- a/shell/outcall/peer_test.go
+++ b/shell/outcall/peer_test.go
@@ -95,20 +95,20 @@
 	return x
 }
 
-func (x *client) start(s flow.Send) uint64 {
+func (x *client) start(send flow.Send) uint64 {
 	x.id++
-	s.ID = x.id
-	if s.Until == 0 {
-		s.Until = clock.Now() + 20*time.Second
+	send.ID = x.id
+	if send.Until == 0 {
+		send.Until = clock.Now() + 20*time.Second
 	}
-	if s.Limit == 0 {
-		s.Limit = clock.Now() + 20*time.Second
+	if send.Limit == 0 {
+		send.Limit = clock.Now() + 20*time.Second
 	}
-	if s.Verb == "" {
-		s.Verb = "GET"
+	if send.Verb == "" {
+		send.Verb = "GET"
 	}
-	x.c.Start(s)
-	return s.ID
+	x.c.Start(send)
+	return send.ID
 }
 
 func (x *client) next() flow.Back {
--- a/shell/outcall/pool.go
+++ b/shell/outcall/pool.go
@@ -15,104 +15,104 @@
 // long at most, how much sooner than the server said, and how often they are
 // looked at.
 const (
-	keepEach = 8
-	keepAll  = 256
-	keepFor  = 4 * time.Second
-	margin   = time.Second / 2
-	look     = time.Second / 2
+	keepEach      = 8
+	keepAll       = 256
+	keepFor       = 4 * time.Second
+	keepMargin    = time.Second / 2
+	sweepInterval = time.Second / 2
 )
 
-// line is one connection to an engine. Who took it from the pool owns it alone.
-type line struct {
-	conn net.Conn
-	raw  syscall.RawConn
-	to   string
-	till flow.Time
-	used bool // it has carried a request before
+// pooledConn is one connection to an engine. Who took it from the pool owns it alone.
+type pooledConn struct {
+	net.Conn
+	raw       syscall.RawConn
+	addr      string
+	expiresAt flow.Time
+	reused    bool // it has carried a request before
 }
 
 // pool holds idle connections. It has no task of its own for them: they are
 // looked at when one is taken, and by a timer that runs while there are any.
 type pool struct {
-	mu    sync.Mutex
-	idle  map[string][]*line // newest last
-	n     int
-	timer *time.Timer
-	at    flow.Time // when the timer runs out; zero when it does not run
-	shut  bool
+	mu      sync.Mutex
+	idle    map[string][]*pooledConn // newest last
+	count   int
+	timer   *time.Timer
+	timerAt flow.Time // when the timer runs out; zero when it does not run
+	closed  bool
 }
 
 // take gives the newest idle connection of an address that is still good.
-func (p *pool) take(to string) *line {
+func (p *pool) take(to string) *pooledConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for {
-		ls := p.idle[to]
-		if len(ls) == 0 {
+		conns := p.idle[to]
+		if len(conns) == 0 {
 			return nil
 		}
-		l := ls[len(ls)-1]
-		p.set(to, ls[:len(ls)-1])
-		p.n--
-		if clock.Now() < l.till && sock.Quiet(l.raw) {
-			return l
+		conn := conns[len(conns)-1]
+		p.setIdle(to, conns[:len(conns)-1])
+		p.count--
+		if clock.Now() < conn.expiresAt && sock.Quiet(conn.raw) {
+			return conn
 		}
-		_ = l.conn.Close()
+		_ = conn.Close()
 	}
 }
 
 // put keeps a connection until the time given, if there is room.
-func (p *pool) put(l *line, till flow.Time) {
-	if l.raw == nil {
-		tcp, ok := l.conn.(syscall.Conn)
+func (p *pool) put(conn *pooledConn, expiresAt flow.Time) {
+	if conn.raw == nil {
+		tcp, ok := conn.Conn.(syscall.Conn)
 		if !ok {
-			_ = l.conn.Close()
+			_ = conn.Close()
 			return
 		}
 		raw, err := tcp.SyscallConn()
 		if err != nil {
-			_ = l.conn.Close()
+			_ = conn.Close()
 			return
 		}
-		l.raw = raw
+		conn.raw = raw
 	}
-	l.till, l.used = till, true
+	conn.expiresAt, conn.reused = expiresAt, true
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.shut || p.n >= keepAll || clock.Now() >= till {
-		_ = l.conn.Close()
+	if p.closed || p.count >= keepAll || clock.Now() >= expiresAt {
+		_ = conn.Close()
 		return
 	}
 	if p.idle == nil {
-		p.idle = map[string][]*line{}
+		p.idle = map[string][]*pooledConn{}
 	}
-	ls := p.idle[l.to]
-	if len(ls) >= keepEach { // the oldest goes
-		_ = ls[0].conn.Close()
-		ls = append(ls[:0], ls[1:]...)
-		p.n--
+	conns := p.idle[conn.addr]
+	if len(conns) >= keepEach { // the oldest goes
+		_ = conns[0].Close()
+		conns = append(conns[:0], conns[1:]...)
+		p.count--
 	}
-	p.idle[l.to] = append(ls, l)
-	p.n++
-	p.wake(till)
+	p.idle[conn.addr] = append(conns, conn)
+	p.count++
+	p.schedule(expiresAt)
 }
 
-func (p *pool) set(to string, ls []*line) {
-	if len(ls) == 0 {
+func (p *pool) setIdle(to string, conns []*pooledConn) {
+	if len(conns) == 0 {
 		delete(p.idle, to)
 		return
 	}
-	p.idle[to] = ls
+	p.idle[to] = conns
 }
 
-// wake sees to it that idle connections are looked at in time; mu is held.
-func (p *pool) wake(till flow.Time) {
+// schedule has idle connections looked at in time; mu is held.
+func (p *pool) schedule(expiresAt flow.Time) {
 	now := clock.Now()
-	at := max(min(now+look, till), now+time.Millisecond)
-	if p.n == 0 || p.shut || p.at != 0 && p.at <= at {
+	at := max(min(now+sweepInterval, expiresAt), now+time.Millisecond)
+	if p.count == 0 || p.closed || p.timerAt != 0 && p.timerAt <= at {
 		return
 	}
-	p.at = at
+	p.timerAt = at
 	if p.timer == nil {
 		p.timer = time.AfterFunc(at-now, p.sweep)
 		return
@@ -124,37 +124,37 @@
 func (p *pool) sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.at = 0
+	p.timerAt = 0
 	now := clock.Now()
-	next := now + look
-	for to, ls := range p.idle {
-		keep := ls[:0]
-		for _, l := range ls {
-			if now >= l.till || !sock.Quiet(l.raw) {
-				_ = l.conn.Close()
-				p.n--
+	next := now + sweepInterval
+	for to, conns := range p.idle {
+		keep := conns[:0]
+		for _, conn := range conns {
+			if now >= conn.expiresAt || !sock.Quiet(conn.raw) {
+				_ = conn.Close()
+				p.count--
 				continue
 			}
-			keep = append(keep, l)
-			next = min(next, l.till)
+			keep = append(keep, conn)
+			next = min(next, conn.expiresAt)
 		}
-		clear(ls[len(keep):])
-		p.set(to, keep)
+		clear(conns[len(keep):])
+		p.setIdle(to, keep)
 	}
-	p.wake(next)
+	p.schedule(next)
 }
 
 func (p *pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.shut = true
+	p.closed = true
 	if p.timer != nil {
 		p.timer.Stop()
 	}
-	for _, ls := range p.idle {
-		for _, l := range ls {
-			_ = l.conn.Close()
+	for _, conns := range p.idle {
+		for _, conn := range conns {
+			_ = conn.Close()
 		}
 	}
-	p.idle, p.n = nil, 0
+	p.idle, p.count = nil, 0
 }
--- a/shell/outcall/request.go
+++ b/shell/outcall/request.go
@@ -11,16 +11,16 @@
 	"fernlink/shell/clock"
 )
 
-// heads are buffers that requests are written into.
-var heads = sync.Pool{New: func() any { b := make([]byte, 0, 4096); return &b }}
+// headBuffers are buffers that requests are written into.
+var headBuffers = sync.Pool{New: func() any { b := make([]byte, 0, 4096); return &b }}
 
-// joined is the largest body, in bytes, that is copied behind its head; a larger
+// joinedBodyMost is the largest body, in bytes, that is copied behind its head; a larger
 // one goes out beside it, in the same call.
-const joined = 16 << 10
+const joinedBodyMost = 16 << 10
 
-// split takes an address apart: where to connect, and path and query as they
+// splitURL takes a URL apart: where to connect, and path and query as they
 // are to be written.
-func split(address string) (to, target string, err error) {
+func splitURL(address string) (addr, target string, err error) {
 	rest, ok := strings.CutPrefix(address, "http://")
 	if !ok {
 		return "", "", errAddr
@@ -29,17 +29,17 @@
 	if at < 0 {
 		at = len(rest)
 	}
-	to, target = rest[:at], rest[at:]
-	if to == "" || strings.ContainsAny(to, "@ ") || strings.Contains(target, "#") || !clean(address, false) {
+	addr, target = rest[:at], rest[at:]
+	if addr == "" || strings.ContainsAny(addr, "@ ") || strings.Contains(target, "#") || !clean(address, false) {
 		return "", "", errAddr
 	}
 	if !strings.HasPrefix(target, "/") {
 		target = "/" + target
 	}
-	if _, _, err := net.SplitHostPort(to); err != nil {
-		to += ":80"
+	if _, _, err := net.SplitHostPort(addr); err != nil {
+		addr += ":80"
 	}
-	return to, target, nil
+	return addr, target, nil
 }
 
 // clean says that nothing in a text ends a line or is a control character.
@@ -63,82 +63,83 @@
 	return len(s) > 0
 }
 
-// own are the headers that this layer writes itself.
-var own = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Connection": true}
+// ownHeaders are the headers that this layer writes itself.
+var ownHeaders = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Connection": true}
 
-// request writes a request's head, and a small body behind it.
-func request(b []byte, t *task, to, target string) ([]byte, error) {
-	host := t.Host
+// appendRequest writes a request's head, and a small body behind it.
+func appendRequest(b []byte, task *sendTask, addr, target string) ([]byte, error) {
+	host := task.Host
 	if host == "" {
-		host = strings.TrimSuffix(to, ":80")
+		host = strings.TrimSuffix(addr, ":80")
 	}
-	if !token(t.Verb) || !clean(host, false) {
+	if !token(task.Verb) || !clean(host, false) {
 		return b, errField
 	}
-	b = append(append(append(b, t.Verb...), ' '), target...)
+	b = append(append(append(b, task.Verb...), ' '), target...)
 	b = append(append(b, " HTTP/1.1\r\nHost: "...), host...)
 	b = append(b, "\r\nContent-Length: "...)
-	b = strconv.AppendInt(b, int64(len(t.Body)), 10)
+	b = strconv.AppendInt(b, int64(len(task.Body)), 10)
 	b = append(b, "\r\n"...)
-	if !t.Keep {
+	if !task.Keep {
 		b = append(b, "Connection: close\r\n"...)
 	}
 	var err error
-	for name, value := range t.Head {
-		if b, err = header(b, flow.Field{Name: name, Value: value}); err != nil {
+	for name, value := range task.Head {
+		if b, err = appendHeader(b, flow.Field{Name: name, Value: value}); err != nil {
 			return b, err
 		}
 	}
-	for _, f := range t.Fields {
-		if b, err = header(b, f); err != nil {
+	for _, f := range task.Fields {
+		if b, err = appendHeader(b, f); err != nil {
 			return b, err
 		}
 	}
 	b = append(b, "\r\n"...)
-	if len(t.Body) <= joined {
-		b = append(b, t.Body...)
+	if len(task.Body) <= joinedBodyMost {
+		b = append(b, task.Body...)
 	}
 	return b, nil
 }
 
-func header(b []byte, f flow.Field) ([]byte, error) {
-	if !token(f.Name) || !clean(f.Value, true) {
+// appendHeader writes one header, unless it is one that this layer writes itself.
+func appendHeader(b []byte, field flow.Field) ([]byte, error) {
+	if !token(field.Name) || !clean(field.Value, true) {
 		return b, errField
 	}
-	if own[textproto.CanonicalMIMEHeaderKey(f.Name)] {
+	if ownHeaders[textproto.CanonicalMIMEHeaderKey(field.Name)] {
 		return b, nil
 	}
-	b = append(append(b, f.Name...), ": "...)
-	return append(append(b, f.Value...), "\r\n"...), nil
+	b = append(append(b, field.Name...), ": "...)
+	return append(append(b, field.Value...), "\r\n"...), nil
 }
 
-// gate lets nothing out after its time, and knows whether anything went.
-type gate struct {
+// deadlineConn lets nothing out after its time, and knows whether anything went out.
+type deadlineConn struct {
 	net.Conn
 	until flow.Time
-	sent  bool
+	wrote bool
 }
 
-func (g *gate) Write(b []byte) (int, error) {
-	if !g.sent && clock.Now() >= g.until {
+func (c *deadlineConn) Write(b []byte) (int, error) {
+	if !c.wrote && clock.Now() >= c.until {
 		return 0, ErrLate
 	}
-	n, err := g.Conn.Write(b)
-	g.sent = g.sent || n > 0
+	n, err := c.Conn.Write(b)
+	c.wrote = c.wrote || n > 0
 	return n, err
 }
 
 // send writes a request in one call.
-func send(g *gate, head, body []byte) error {
-	if len(body) <= joined {
-		_, err := g.Write(head)
+func send(conn *deadlineConn, head, body []byte) error {
+	if len(body) <= joinedBodyMost {
+		_, err := conn.Write(head)
 		return err
 	}
-	if clock.Now() >= g.until {
+	if clock.Now() >= conn.until {
 		return ErrLate
 	}
 	parts := net.Buffers{head, body}
-	n, err := parts.WriteTo(g.Conn)
-	g.sent = n > 0
+	n, err := parts.WriteTo(conn.Conn)
+	conn.wrote = n > 0
 	return err
 }
--- a/shell/outcall/request_test.go
+++ b/shell/outcall/request_test.go
@@ -12,7 +12,7 @@
 // then the server reads the same bytes.
 func TestExactRequest(t *testing.T) {
 	lines := make(chan []string, 1)
-	p := serve(t, func(_ int64, c *talk) {
+	peer := serve(t, func(_ int64, c *talk) {
 		var got []string
 		for {
 			l, err := c.r.ReadString('\n')
@@ -24,13 +24,13 @@
 		lines <- got
 		c.say(ok2)
 	})
-	host := strings.TrimPrefix(p.url, "http://")
-	k := caller(t)
+	host := strings.TrimPrefix(peer.url, "http://")
+	client := caller(t)
 	for path, want := range map[string]string{
 		"": "/", "/": "/", "/a%2Fb/c%20d": "/a%2Fb/c%20d", "/%41/../x//y/.": "/%41/../x//y/.", "/a?": "/a?", "?x=1": "/?x=1",
 		"/a?b=c%26d&&e=+f?g/%zz;h": "/a?b=c%26d&&e=+f?g/%zz;h", `/a|b^"<>{}`: `/a|b^"<>{}`, "/ü?ü": "/ü?ü", "//x/y": "//x/y",
 	} {
-		if b, _ := k.do(flow.Send{URL: p.url + path}); b.Err != "" {
+		if b, _ := client.do(flow.Send{URL: peer.url + path}); b.Err != "" {
 			t.Errorf("%s: %+v", path, b)
 			continue
 		}
@@ -38,15 +38,15 @@
 			t.Errorf("%s: %q", path, got)
 		}
 	}
-	b, _ := k.do(flow.Send{Verb: "POST", URL: p.url, Keep: true, Host: "app.example", Body: []byte("{}"), Head: map[string]string{"A": "1"},
+	b, _ := client.do(flow.Send{Verb: "POST", URL: peer.url, Keep: true, Host: "app.example", Body: []byte("{}"), Head: map[string]string{"A": "1"},
 		Fields: []flow.Field{{Name: "b-C", Value: "2"}, {Name: "B", Value: ""}, {Name: "b-C", Value: "3; \t é"}, {Name: "content-length", Value: "99"}, {Name: "Host", Value: "x"}}})
 	want := "POST / HTTP/1.1|Host: app.example|Content-Length: 2|A: 1|b-C: 2|B: |b-C: 3; \t é"
 	if got := strings.Join(wait(t, lines), "|"); got != want || b.Err != "" {
 		t.Errorf("got  %s\nwant %s\n%+v", got, want, b)
 	}
-	for _, s := range []flow.Send{{URL: "ftp://x/"}, {URL: "http:///x"}, {URL: p.url + "/a b"}, {URL: p.url + "/a\r\nX: y"}, {URL: p.url + "/a#b"}, {URL: "http://a@b/"},
-		{URL: p.url, Verb: "GET /"}, {URL: p.url, Host: "a\r\nb"}, {URL: p.url, Fields: []flow.Field{{Name: "a b", Value: ""}}}, {URL: p.url, Fields: []flow.Field{{Name: "a", Value: "1\r\nb: 2"}}}} {
-		if b, _ := k.do(s); b.Err == "" || b.Failure != flow.Unsent {
+	for _, s := range []flow.Send{{URL: "ftp://x/"}, {URL: "http:///x"}, {URL: peer.url + "/a b"}, {URL: peer.url + "/a\r\nX: y"}, {URL: peer.url + "/a#b"}, {URL: "http://a@b/"},
+		{URL: peer.url, Verb: "GET /"}, {URL: peer.url, Host: "a\r\nb"}, {URL: peer.url, Fields: []flow.Field{{Name: "a b", Value: ""}}}, {URL: peer.url, Fields: []flow.Field{{Name: "a", Value: "1\r\nb: 2"}}}} {
+		if b, _ := client.do(s); b.Err == "" || b.Failure != flow.Unsent {
 			t.Errorf("%+v: %+v", s, b)
 		}
 	}
--- a/shell/outcall/stream.go
+++ b/shell/outcall/stream.go
@@ -11,77 +11,81 @@
 	"fernlink/core/flow"
 )
 
-// blocks gather the lines of one event.
-var blocks = sync.Pool{New: func() any { b := make([]byte, 0, 4096); return &b }}
+// eventBuffers gather the lines of one event.
+var eventBuffers = sync.Pool{New: func() any { b := make([]byte, 0, 4096); return &b }}
+
+// lineTaker gets one line of a stream with what was gathered of its event so far, and
+// gives what is gathered now.
+type lineTaker func(task *sendTask, block, line []byte) []byte
 
 // stream reads server-sent events up to the clean end of the body. Each line
-// goes to take, with what was gathered before it; nil at the end.
-func (c *Caller) stream(t *task, r *bufio.Reader, size int, take func(*task, []byte, []byte) []byte) error {
+// goes to take; at the end a nil line does.
+func (c *Caller) stream(task *sendTask, reader *bufio.Reader, size int, take lineTaker) error {
 	lines := readers.Get().(*bufio.Reader)
-	lines.Reset(bodyOf(r, size))
-	held := blocks.Get().(*[]byte)
+	lines.Reset(bodyOf(reader, size))
+	buffer := eventBuffers.Get().(*[]byte)
 	defer func() {
 		lines.Reset(nil)
 		readers.Put(lines)
-		if cap(*held) <= trustMost {
-			blocks.Put(held)
+		if cap(*buffer) <= prealloc {
+			eventBuffers.Put(buffer)
 		}
 	}()
-	block := (*held)[:0]
+	block := (*buffer)[:0]
 	for {
 		line, err := eventLine(lines)
 		if err == io.EOF {
 			if len(line) > 0 {
-				block = take(t, block, line)
+				block = take(task, block, line)
 			}
-			take(t, block, nil)
+			take(task, block, nil)
 			return nil
 		}
 		if err != nil {
 			return errors.Wrap(err, "outcall")
 		}
-		if block = take(t, block, line); len(block) > EventMost {
+		if block = take(task, block, line); len(block) > EventMost {
 			return malformed("an event is too long")
 		}
-		*held = block
+		*buffer = block
 	}
 }
 
 // eventLine reads a line without its end; what comes with io.EOF had none.
-func eventLine(r *bufio.Reader) ([]byte, error) {
-	b, err := r.ReadSlice('\n')
+func eventLine(reader *bufio.Reader) ([]byte, error) {
+	line, err := reader.ReadSlice('\n')
 	if err == bufio.ErrBufferFull {
-		long := append([]byte(nil), b...)
+		long := append([]byte(nil), line...)
 		for err == bufio.ErrBufferFull {
 			if len(long) > EventMost {
 				return nil, malformed("an event is too long")
 			}
-			b, err = r.ReadSlice('\n')
-			long = append(long, b...)
+			line, err = reader.ReadSlice('\n')
+			long = append(long, line...)
 		}
-		b = long
+		line = long
 	}
 	if err != nil {
-		return b, err
+		return line, err
 	}
-	b = bytes.TrimSuffix(b[:len(b)-1], []byte("\r"))
-	if b == nil {
-		b = []byte{}
+	line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
+	if line == nil {
+		line = []byte{}
 	}
-	return b, nil
+	return line, nil
 }
 
-// data tells the data of each line by itself.
-func (c *Caller) data(t *task, block, line []byte) []byte {
+// reportData reports the data of each line by itself.
+func (c *Caller) reportData(task *sendTask, block, line []byte) []byte {
 	if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
-		c.tell(t, flow.Back{Event: bytes.Clone(bytes.TrimSpace(data))})
+		c.report(task, flow.Back{Event: bytes.Clone(bytes.TrimSpace(data))})
 	}
 	return block
 }
 
-// block tells all lines of an event as they were written, once an empty line or
+// reportBlock reports all lines of an event as they were written, once an empty line or
 // the body's end closes it.
-func (c *Caller) block(t *task, block, line []byte) []byte {
+func (c *Caller) reportBlock(task *sendTask, block, line []byte) []byte {
 	if len(line) > 0 {
 		if len(block) > 0 {
 			block = append(block, '\n')
@@ -89,7 +93,7 @@
 		return append(block, line...)
 	}
 	if len(block) > 0 {
-		c.tell(t, flow.Back{Event: bytes.Clone(block)})
+		c.report(task, flow.Back{Event: bytes.Clone(block)})
 	}
 	return block[:0]
 }
--- a/shell/outcall/stream_test.go
+++ b/shell/outcall/stream_test.go
@@ -41,7 +41,7 @@
 		"long line":    {chunk("data: one\n\n", strings.Repeat("x", EventMost+5000)) + end, []string{"data: one"}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := serve(t, func(n int64, c *talk) {
+			peer := serve(t, func(n int64, c *talk) {
 				if q, _ := c.ask(); q == nil {
 					return
 				}
@@ -50,20 +50,20 @@
 					echo(n, c)
 				}
 			})
-			k := caller(t)
-			b, before := k.do(flow.Send{URL: p.url, Raw: true, Keep: true})
+			client := caller(t)
+			back, before := client.do(flow.Send{URL: peer.url, Raw: true, Keep: true})
 			if len(before) == 0 || !before[0].Open || before[0].Code != 200 || flow.Get(before[0].Fields, "X-A") != "1" {
-				t.Fatalf("no head: %+v %+v", before, b)
+				t.Fatalf("no head: %+v %+v", before, back)
 			}
 			var events []string
 			for _, e := range before[1:] {
 				events = append(events, string(e.Event))
 			}
-			if fmt.Sprintf("%q", events) != fmt.Sprintf("%q", x.events) || (b.Err == "") != x.clean || b.Failure == flow.Unsent {
-				t.Errorf("%.200q, end %+v", events, b)
+			if fmt.Sprintf("%q", events) != fmt.Sprintf("%q", x.events) || (back.Err == "") != x.clean || back.Failure == flow.Unsent {
+				t.Errorf("%.200q, end %+v", events, back)
 			}
 			if x.clean {
-				if k.do(flow.Send{URL: p.url, Keep: true}); p.conns.Load() != 1 {
+				if client.do(flow.Send{URL: peer.url, Keep: true}); peer.conns.Load() != 1 {
 					t.Error("the connection was not kept")
 				}
 			}
@@ -75,7 +75,7 @@
 // then it is told before the next one is there.
 func TestRawAsTheyCome(t *testing.T) {
 	more := make(chan bool)
-	p := serve(t, func(_ int64, c *talk) {
+	peer := serve(t, func(_ int64, c *talk) {
 		c.ask()
 		c.say("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
 		for i := range 3 {
@@ -86,19 +86,19 @@
 		<-more
 		c.say("0\r\n\r\n")
 	})
-	k := caller(t)
-	k.start(flow.Send{URL: p.url, Raw: true})
-	if b := k.next(); !b.Open {
+	client := caller(t)
+	client.start(flow.Send{URL: peer.url, Raw: true})
+	if b := client.next(); !b.Open {
 		t.Fatalf("%+v", b)
 	}
 	for i := range 3 {
 		more <- true
-		if b := k.next(); string(b.Event) != fmt.Sprintf("data: %d", i) {
+		if b := client.next(); string(b.Event) != fmt.Sprintf("data: %d", i) {
 			t.Fatalf("%+v", b)
 		}
 	}
 	more <- true
-	if b := k.next(); !b.End || b.Err != "" {
+	if b := client.next(); !b.End || b.Err != "" {
 		t.Errorf("%+v", b)
 	}
 }
