--- a/api/api.go
+++ b/api/api.go
@@ -86,19 +86,19 @@
 
 var plain = message.NewPrinter(language.English)
 
-func leaves(v *jsonschema.ValidationError, out *[]ledger.Fault) {
-	if len(v.Causes) == 0 {
-		at := pointer(v.InstanceLocation)
-		if k, ok := v.ErrorKind.(*kind.AdditionalProperties); ok {
+func leaves(failure *jsonschema.ValidationError, out *[]ledger.Fault) {
+	if len(failure.Causes) == 0 {
+		at := pointer(failure.InstanceLocation)
+		if k, ok := failure.ErrorKind.(*kind.AdditionalProperties); ok {
 			for _, p := range k.Properties {
 				*out = append(*out, ledger.Fault{At: at + "/" + escape(p), Text: NoField})
 			}
 			return
 		}
-		*out = append(*out, ledger.Fault{At: at, Text: v.ErrorKind.LocalizedString(plain)})
+		*out = append(*out, ledger.Fault{At: at, Text: failure.ErrorKind.LocalizedString(plain)})
 		return
 	}
-	for _, c := range v.Causes {
+	for _, c := range failure.Causes {
 		leaves(c, out)
 	}
 }
@@ -303,9 +303,9 @@
 // Meaning checks what a schema can't say (design 6.1). policies are the
 // placement policies that exist.
 func (p *Plan) Meaning(policies []string) []ledger.Fault {
-	var out []ledger.Fault
+	var faults []ledger.Fault
 	bad := func(at, text string, a ...any) {
-		out = append(out, ledger.Fault{At: at, Text: fmt.Sprintf(text, a...)})
+		faults = append(faults, ledger.Fault{At: at, Text: fmt.Sprintf(text, a...)})
 	}
 	pools := make(map[string]*Pool, len(p.Pools))
 	for i, x := range p.Pools {
@@ -319,27 +319,27 @@
 		}
 	}
 	names, taken, hosts := map[string]bool{}, map[string]int{}, map[[2]string]bool{}
-	for i, r := range p.Routes {
+	for i, route := range p.Routes {
 		at := "/routes/" + strconv.Itoa(i)
-		if names[r.Name] {
-			bad(at+"/name", "route %q is named twice", r.Name)
+		if names[route.Name] {
+			bad(at+"/name", "route %q is named twice", route.Name)
 		}
-		names[r.Name] = true
-		if r.Host != "" {
-			r.hosted(pools, hosts, func(field, text string, a ...any) { bad(at+field, text, a...) })
+		names[route.Name] = true
+		if route.Host != "" {
+			route.hosted(pools, hosts, func(field, text string, a ...any) { bad(at+field, text, a...) })
 			continue
 		}
-		x := pools[r.Pool]
+		x := pools[route.Pool]
 		if x == nil {
-			bad(at+"/pool", "no pool %q in this plan", r.Pool)
+			bad(at+"/pool", "no pool %q in this plan", route.Pool)
 		} else if x.Kind != "app" {
-			bad(at+"/pool", "pool %q serves steps, not routes", r.Pool)
+			bad(at+"/pool", "pool %q serves steps, not routes", route.Pool)
 		}
-		if under("/v1", r.Path) || under(r.Path, "/v1") {
+		if under("/v1", route.Path) || under(route.Path, "/v1") {
 			bad(at+"/path", "would hide or be hidden by the administration API")
 		}
-		path := strings.TrimSuffix(r.Path, "/")
-		verbs := r.Verbs
+		path := strings.TrimSuffix(route.Path, "/")
+		verbs := route.Verbs
 		if len(verbs) == 0 {
 			verbs = []string{"GET", "POST", "PUT", "DELETE", "PATCH"}
 		}
@@ -368,5 +368,5 @@
 			bad("/placement", "no placement policy %q; there are %s", p.Placement, strings.Join(policies, ", "))
 		}
 	}
-	return out
+	return faults
 }
--- a/api/api_test.go
+++ b/api/api_test.go
@@ -43,16 +43,16 @@
 
 // large is a plan of ten thousand routes as an operator would put it.
 func large() []byte {
-	var b strings.Builder
-	b.WriteString(`{"read":0,"request":"r","plan":{"pools":[{"name":"app","kind":"app"}],"routes":[`)
+	var text strings.Builder
+	text.WriteString(`{"read":0,"request":"r","plan":{"pools":[{"name":"app","kind":"app"}],"routes":[`)
 	for i := 0; i < 10000; i++ {
 		if i > 0 {
-			b.WriteByte(',')
+			text.WriteByte(',')
 		}
-		fmt.Fprintf(&b, `{"name":"r%d","path":"/zone-%d/shop/%d","verbs":["GET"],"pool":"app"}`, i, i%97, i)
+		fmt.Fprintf(&text, `{"name":"r%d","path":"/zone-%d/shop/%d","verbs":["GET"],"pool":"app"}`, i, i%97, i)
 	}
-	b.WriteString(`]}}`)
-	return []byte(b.String())
+	text.WriteString(`]}}`)
+	return []byte(text.String())
 }
 
 // Given ten thousand routes, when the plan is checked, then all is read, and one
@@ -157,15 +157,15 @@
 		{`{"host": null, "path": "/else", "timeout_ms": 50}`, "/plan/routes/0/pool"},
 		{`{"host": null, "pool": "app", "timeout_ms": 50}`, "/plan/routes/1"},
 	} {
-		var p PlanPut
-		bad, err := Check("plan_put", hosted(c.change), &p)
+		var put PlanPut
+		bad, err := Check("plan_put", hosted(c.change), &put)
 		if err != nil {
 			t.Fatal(err)
 		}
 		var plan Plan
 		if len(bad) == 0 {
-			if err := json.Unmarshal(p.Plan, &plan); err != nil || p.Version != 7 {
-				t.Fatal(err, p.Version)
+			if err := json.Unmarshal(put.Plan, &plan); err != nil || put.Version != 7 {
+				t.Fatal(err, put.Version)
 			}
 			for _, f := range plan.Meaning(nil) {
 				f.At = "/plan" + f.At
--- a/cmd/fernlink/check/check.go
+++ b/cmd/fernlink/check/check.go
@@ -82,11 +82,11 @@
 func Ask(addrs []string) (Fleet, string, error) {
 	var tried []string
 	for _, at := range addrs {
-		var f Fleet
+		var fleet Fleet
 		var engines struct{ Engines []disp.EngineView }
 		var stores struct{ Stores []store.MemberView }
 		var plan ledger.Plan
-		code, err := get(at, "/status", &f.Status)
+		code, err := get(at, "/status", &fleet.Status)
 		if err == nil && code == 200 {
 			code, err = get(at, "/v1/engines", &engines)
 		}
@@ -102,42 +102,42 @@
 			continue
 		}
 		if code, err = get(at, "/v1/plan", &plan); err == nil && code == 200 {
-			f.Plan = &plan
+			fleet.Plan = &plan
 		}
-		f.Engines, f.Stores = engines.Engines, stores.Stores
-		return f, at, nil
+		fleet.Engines, fleet.Stores = engines.Engines, stores.Stores
+		return fleet, at, nil
 	}
 	return Fleet{}, "", errors.Wrap(ErrReach, strings.Join(tried, "; "))
 }
 
 // Plan checks a proposed plan: the whole document, or what a put would send.
-func Plan(raw []byte, f Fleet) Report {
-	r := Report{Findings: []Finding{}, Changes: []string{}}
+func Plan(raw []byte, fleet Fleet) Report {
+	report := Report{Findings: []Finding{}, Changes: []string{}}
 	doc, base := raw, ""
 	var put api.PlanPut
 	var probe map[string]json.RawMessage
 	if json.Unmarshal(raw, &probe) == nil && probe["plan"] != nil {
 		bad, err := api.Check("plan_put", raw, &put)
 		if err != nil || len(bad) > 0 {
-			r.faults(bad)
-			return r
+			report.faults(bad)
+			return report
 		}
 		doc, base = put.Plan, "/plan"
 		now := uint64(0)
-		if f.Plan != nil {
-			now = f.Plan.Version
+		if fleet.Plan != nil {
+			now = fleet.Plan.Version
 		}
 		if put.Read != now {
-			r.add("fault", "/read", "was made from version %d; version %d is in force", put.Read, now)
+			report.add("fault", "/read", "was made from version %d; version %d is in force", put.Read, now)
 		} else if put.Version != 0 && put.Version <= now {
-			r.add("fault", "/version", "is not above version %d, which is in force", now)
+			report.add("fault", "/version", "is not above version %d, which is in force", now)
 		}
 	}
 	var plan api.Plan
 	bad, err := api.Check("plan", doc, &plan)
 	if err != nil {
-		r.add("fault", base, "not JSON")
-		return r
+		report.add("fault", base, "not JSON")
+		return report
 	}
 	if len(bad) == 0 {
 		bad = plan.Meaning(place.Names())
@@ -145,34 +145,34 @@
 	for i := range bad {
 		bad[i].At = base + bad[i].At
 	}
-	r.faults(bad)
+	report.faults(bad)
 	if len(bad) > 0 {
-		return r
+		return report
 	}
-	r.live(base, plan, f)
-	r.diff(plan, f)
-	return r
+	report.live(base, plan, fleet)
+	report.diff(plan, fleet)
+	return report
 }
 
 // live holds a plan against the engines as they are.
-func (r *Report) live(base string, p api.Plan, f Fleet) {
+func (r *Report) live(base string, plan api.Plan, fleet Fleet) {
 	ready, there, slots, busy := map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}
 	kinds := map[string]string{}
 	zones := map[string]map[string]bool{}
-	for _, e := range f.Engines {
-		there[e.Pool]++
-		kinds[e.Pool] = e.Kind
-		if e.Usable || e.Ordered {
-			ready[e.Pool]++
-			slots[e.Pool] += e.Slots
-			busy[e.Pool] += e.Running
-			if zones[e.Pool] == nil {
-				zones[e.Pool] = map[string]bool{}
+	for _, engine := range fleet.Engines {
+		there[engine.Pool]++
+		kinds[engine.Pool] = engine.Kind
+		if engine.Usable || engine.Ordered {
+			ready[engine.Pool]++
+			slots[engine.Pool] += engine.Slots
+			busy[engine.Pool] += engine.Running
+			if zones[engine.Pool] == nil {
+				zones[engine.Pool] = map[string]bool{}
 			}
-			zones[e.Pool][e.Zone] = true
+			zones[engine.Pool][engine.Zone] = true
 		}
 	}
-	for i, x := range p.Pools {
+	for i, pool := range plan.Pools {
 		at := fmt.Sprintf("%s/pools/%d", base, i)
 		// The first that holds is told; the rest would only follow from it.
 		for _, c := range []struct {
@@ -180,12 +180,12 @@
 			level, at string
 			text      string
 		}{
-			{there[x.Name] == 0, "fault", at, fmt.Sprintf("no engine of pool %q is on the platform list", x.Name)},
-			{kinds[x.Name] != x.Kind, "fault", at + "/kind", fmt.Sprintf("pool %q has %s engines", x.Name, kinds[x.Name])},
-			{ready[x.Name] == 0, "fault", at, fmt.Sprintf("none of the %d engines of pool %q is usable just now", there[x.Name], x.Name)},
-			{ready[x.Name] == 1, "warning", at, fmt.Sprintf("pool %q hangs on one usable engine", x.Name)},
-			{len(zones[x.Name]) == 1, "warning", at, fmt.Sprintf("all usable engines of pool %q stand in one zone", x.Name)},
-			{busy[x.Name]*10 >= slots[x.Name]*9, "warning", at, fmt.Sprintf("pool %q has %d of %d slots taken", x.Name, busy[x.Name], slots[x.Name])},
+			{there[pool.Name] == 0, "fault", at, fmt.Sprintf("no engine of pool %q is on the platform list", pool.Name)},
+			{kinds[pool.Name] != pool.Kind, "fault", at + "/kind", fmt.Sprintf("pool %q has %s engines", pool.Name, kinds[pool.Name])},
+			{ready[pool.Name] == 0, "fault", at, fmt.Sprintf("none of the %d engines of pool %q is usable just now", there[pool.Name], pool.Name)},
+			{ready[pool.Name] == 1, "warning", at, fmt.Sprintf("pool %q hangs on one usable engine", pool.Name)},
+			{len(zones[pool.Name]) == 1, "warning", at, fmt.Sprintf("all usable engines of pool %q stand in one zone", pool.Name)},
+			{busy[pool.Name]*10 >= slots[pool.Name]*9, "warning", at, fmt.Sprintf("pool %q has %d of %d slots taken", pool.Name, busy[pool.Name], slots[pool.Name])},
 		} {
 			if c.holds {
 				r.add(c.level, c.at, "%s", c.text)
@@ -193,14 +193,14 @@
 			}
 		}
 	}
-	for i, rt := range p.Routes {
+	for i, rt := range plan.Routes {
 		if rt.Most > 0 && slots[rt.Pool] > 0 && rt.Most > 4*slots[rt.Pool] {
 			r.add("warning", fmt.Sprintf("%s/routes/%d/most", base, i), "lets %d requests be under way at each dispatcher; pool %q has %d slots", rt.Most, rt.Pool, slots[rt.Pool])
 		}
 	}
 	voters := map[string]int{}
 	n := 0
-	for _, m := range f.Stores {
+	for _, m := range fleet.Stores {
 		if m.Voter {
 			voters[m.Zone]++
 			n++
@@ -217,7 +217,7 @@
 }
 
 // diff says what would change.
-func (r *Report) diff(p api.Plan, f Fleet) {
+func (r *Report) diff(plan api.Plan, f Fleet) {
 	var old api.Plan
 	if f.Plan != nil {
 		_ = json.Unmarshal(f.Plan.Doc, &old)
@@ -249,81 +249,81 @@
 		}
 		return m
 	}
-	named("pool", pools(old), pools(p))
-	named("route", routes(old), routes(p))
-	if old.Placement != p.Placement {
-		r.Changes = append(r.Changes, fmt.Sprintf("placement changes from %q to %q", old.Placement, p.Placement))
+	named("pool", pools(old), pools(plan))
+	named("route", routes(old), routes(plan))
+	if old.Placement != plan.Placement {
+		r.Changes = append(r.Changes, fmt.Sprintf("placement changes from %q to %q", old.Placement, plan.Placement))
 	}
-	if fmt.Sprint(old.Pins) != fmt.Sprint(p.Pins) {
+	if fmt.Sprint(old.Pins) != fmt.Sprint(plan.Pins) {
 		r.Changes = append(r.Changes, "pins change")
 	}
 }
 
 // Config checks a node's config against the fleet that it would join.
-func Config(raw []byte, f Fleet) Report {
-	r := Report{Findings: []Finding{}, Changes: []string{}}
-	p, bad, err := config.Check(raw)
+func Config(raw []byte, fleet Fleet) Report {
+	report := Report{Findings: []Finding{}, Changes: []string{}}
+	settings, bad, err := config.Check(raw)
 	if err != nil {
-		r.add("fault", "", "%s", err)
-		return r
+		report.add("fault", "", "%s", err)
+		return report
 	}
-	r.faults(bad)
+	report.faults(bad)
 	if len(bad) > 0 {
-		return r
+		return report
 	}
-	live := map[string]bool{f.Status.Addr: true}
-	for _, e := range f.Status.Live {
+	live := map[string]bool{fleet.Status.Addr: true}
+	for _, e := range fleet.Status.Live {
 		live[e.Addr] = true
-		if e.Addr == p.Addr {
-			r.add("warning", "/addr", "a process of zone %q with roles %v speaks from this address now", e.Zone, e.Roles)
+		if e.Addr == settings.Addr {
+			report.add("warning", "/addr", "a process of zone %q with roles %v speaks from this address now", e.Zone, e.Roles)
 		}
-		if e.Web == p.Web && e.Addr != p.Addr {
-			r.add("fault", "/web", "is the web address of the process at %s", e.Addr)
+		if e.Web == settings.Web && e.Addr != settings.Addr {
+			report.add("fault", "/web", "is the web address of the process at %s", e.Addr)
 		}
 	}
 	n := 0
-	for _, s := range p.Seeds {
+	for _, s := range settings.Seeds {
 		if live[s] {
 			n++
 		}
 	}
 	if n == 0 {
-		r.add("fault", "/seeds", "no seed is alive: this node would not find the fleet")
-	} else if n < len(p.Seeds) {
-		r.add("warning", "/seeds", "only %d of %d seeds are alive", n, len(p.Seeds))
+		report.add("fault", "/seeds", "no seed is alive: this node would not find the fleet")
+	} else if n < len(settings.Seeds) {
+		report.add("warning", "/seeds", "only %d of %d seeds are alive", n, len(settings.Seeds))
 	}
-	if len(p.Form) > 0 && f.Status.Cluster != "" {
-		r.add("warning", "/form", "a cluster stands already: form will be passed over")
+	if len(settings.Form) > 0 && fleet.Status.Cluster != "" {
+		report.add("warning", "/form", "a cluster stands already: form will be passed over")
 	}
 	zones := map[string]bool{}
-	for _, e := range f.Status.Live {
+	for _, e := range fleet.Status.Live {
 		zones[e.Zone] = true
 	}
-	if !zones[p.Zone] {
-		r.add("warning", "/zone", "no living process is in zone %q; there are %s", p.Zone, strings.Join(sorted.Keys(zones), ", "))
+	if !zones[settings.Zone] {
+		report.add("warning", "/zone", "no living process is in zone %q; there are %s", settings.Zone, strings.Join(sorted.Keys(zones), ", "))
 	}
-	if slices.Contains(p.Roles, "store") {
-		r.Changes = append(r.Changes, fmt.Sprintf("a store machine joins as a learner, beside %d members", len(f.Stores)))
+	if slices.Contains(settings.Roles, "store") {
+		report.Changes = append(report.Changes, fmt.Sprintf("a store machine joins as a learner, beside %d members", len(fleet.Stores)))
 	}
-	return r
+	return report
 }
 
 // Write prints a report for people.
-func (r Report) Write(w io.Writer) {
+func (r Report) Write(output io.Writer) {
 	sort.SliceStable(r.Findings, func(a, b int) bool { return r.Findings[a].Level < r.Findings[b].Level })
-	var b bytes.Buffer
+	var buffer bytes.Buffer
 	for _, f := range r.Findings {
 		at := f.At
 		if at == "" {
 			at = "/"
 		}
-		fmt.Fprintf(&b, "%-8s %s: %s\n", f.Level, at, f.Text)
+		fmt.Fprintf(&buffer, "%-8s %s: %s\n", f.Level, at, f.Text)
 	}
 	for _, c := range r.Changes {
-		fmt.Fprintf(&b, "change   %s\n", c)
+		fmt.Fprintf(&buffer, "change   %s\n", c)
 	}
 	if len(r.Findings) == 0 {
-		fmt.Fprintf(&b, "clean, against the fleet at %s\n", r.Against)
+		fmt.Fprintf(&buffer, "clean, against the fleet at %s\n", r.Against)
 	}
-	_, _ = w.Write(b.Bytes())
+	_, _ = output.Write(buffer.Bytes())
 }
--- a/cmd/fernlink/check/check_test.go
+++ b/cmd/fernlink/check/check_test.go
@@ -37,7 +37,7 @@
 // Given a fleet, when plans are checked against it, then what does not fit it
 // is told at its place, and so is what would change.
 func TestPlanAgainstFleet(t *testing.T) {
-	r := Plan([]byte(`{"read":3,"request":"r","plan":{"pools":[{"name":"shop","kind":"app"},{"name":"parts","kind":"app"},{"name":"none","kind":"model"}],
+	report := Plan([]byte(`{"read":3,"request":"r","plan":{"pools":[{"name":"shop","kind":"app"},{"name":"parts","kind":"app"},{"name":"none","kind":"model"}],
 		"routes":[{"name":"a","path":"/a2","pool":"shop"},{"name":"c","path":"/c","pool":"shop","most":1000}],"placement":"least"}}`), fleet())
 	for _, x := range [][3]string{
 		{"fault", "/read", "version 4 is in force"},
@@ -46,46 +46,46 @@
 		{"warning", "/plan/routes/1/most", "slots"},
 		{"warning", "", `2 of 3 voters stand in zone "y"`},
 	} {
-		if !has(r, x[0], x[1], x[2]) {
-			t.Errorf("not told: %v in %+v", x, r.Findings)
+		if !has(report, x[0], x[1], x[2]) {
+			t.Errorf("not told: %v in %+v", x, report.Findings)
 		}
 	}
-	if got := strings.Join(r.Changes, ";"); got != `pool none is new;pool parts is new;route a changes;route c is new;route b goes;placement changes from "" to "least"` {
+	if got := strings.Join(report.Changes, ";"); got != `pool none is new;pool parts is new;route a changes;route c is new;route b goes;placement changes from "" to "least"` {
 		t.Errorf("changes: %s", got)
 	}
-	r = Plan([]byte(`{"pools":[{"name":"parts","kind":"model"}],"routes":[{"name":"a","path":"/a","pool":"nowhere"}]}`), fleet())
-	if !has(r, "fault", "/routes/0/pool", "no pool") || len(r.Findings) != 1 {
-		t.Errorf("a plan without meaning: %+v", r.Findings)
+	report = Plan([]byte(`{"pools":[{"name":"parts","kind":"model"}],"routes":[{"name":"a","path":"/a","pool":"nowhere"}]}`), fleet())
+	if !has(report, "fault", "/routes/0/pool", "no pool") || len(report.Findings) != 1 {
+		t.Errorf("a plan without meaning: %+v", report.Findings)
 	}
 	for version, want := range map[int]bool{4: true, 5: false} {
 		put := fmt.Sprintf(`{"read":4,"request":"r","version":%d,"plan":{"pools":[{"name":"shop","kind":"app"}],"routes":[]}}`, version)
-		if r = Plan([]byte(put), fleet()); has(r, "fault", "/version", "not above") != want {
-			t.Errorf("version %d over 4: %+v", version, r.Findings)
+		if report = Plan([]byte(put), fleet()); has(report, "fault", "/version", "not above") != want {
+			t.Errorf("version %d over 4: %+v", version, report.Findings)
 		}
 	}
 	f := fleet()
 	f.Stores[2].Zone = "z"
-	r = Plan([]byte(`{"pools":[{"name":"shop","kind":"app"}],"routes":[]}`), f)
-	if len(r.Findings) != 0 {
-		t.Errorf("a plan that fits: %+v", r.Findings)
+	report = Plan([]byte(`{"pools":[{"name":"shop","kind":"app"}],"routes":[]}`), f)
+	if len(report.Findings) != 0 {
+		t.Errorf("a plan that fits: %+v", report.Findings)
 	}
-	if r = Plan([]byte(`{"pools":[{"name":"parts","kind":"model"}],"routes":[]}`), f); !has(r, "warning", "/pools/0", "one usable engine") {
-		t.Errorf("a pool that hangs on one: %+v", r.Findings)
+	if report = Plan([]byte(`{"pools":[{"name":"parts","kind":"model"}],"routes":[]}`), f); !has(report, "warning", "/pools/0", "one usable engine") {
+		t.Errorf("a pool that hangs on one: %+v", report.Findings)
 	}
 }
 
 // Given a fleet, when a node's config are checked against it, then seeds that
 // are not there, taken addresses and strange zones are told.
 func TestConfigAgainstFleet(t *testing.T) {
-	r := Config([]byte(`{"addr":"127.0.0.1:3","web":"127.0.0.1:12","zone":"q","seeds":["127.0.0.1:9"],"roles":["store"],"data":"d","form":["127.0.0.1:3"]}`), fleet())
+	report := Config([]byte(`{"addr":"127.0.0.1:3","web":"127.0.0.1:12","zone":"q","seeds":["127.0.0.1:9"],"roles":["store"],"data":"d","form":["127.0.0.1:3"]}`), fleet())
 	for _, x := range [][3]string{{"fault", "/seeds", "no seed"}, {"fault", "/web", "is the web address"}, {"warning", "/addr", "speaks from this"}, {"warning", "/zone", "no living process"}, {"warning", "/form", "passed over"}} {
-		if !has(r, x[0], x[1], x[2]) {
-			t.Errorf("not told: %v in %+v", x, r.Findings)
+		if !has(report, x[0], x[1], x[2]) {
+			t.Errorf("not told: %v in %+v", x, report.Findings)
 		}
 	}
-	r = Config([]byte(`{"addr":"127.0.0.1:7","web":"127.0.0.1:17","zone":"x","seeds":["127.0.0.1:1","127.0.0.1:2"],"roles":["coordinator"]}`), fleet())
-	if len(r.Findings) != 0 {
-		t.Errorf("config that fit: %+v", r.Findings)
+	report = Config([]byte(`{"addr":"127.0.0.1:7","web":"127.0.0.1:17","zone":"x","seeds":["127.0.0.1:1","127.0.0.1:2"],"roles":["coordinator"]}`), fleet())
+	if len(report.Findings) != 0 {
+		t.Errorf("config that fit: %+v", report.Findings)
 	}
 }
 
--- a/cmd/fernlink/folder.go
+++ b/cmd/fernlink/folder.go
@@ -24,72 +24,72 @@
 	return tool{sub, func() int { return folder(os.Stdout, os.Stderr, dir, form) }}
 }
 
-func folder(out, failures io.Writer, dir, form string) int {
+func folder(output, failures io.Writer, dir, form string) int {
 	if form != "text" && form != "json" {
 		fmt.Fprintln(failures, "fernlink: --output is text or json")
 		return 2
 	}
-	r, err := disk.Inspect(&disk.Folder{Path: dir})
+	report, err := disk.Inspect(&disk.Folder{Path: dir})
 	if err != nil {
 		fmt.Fprintln(failures, "fernlink:", err)
 		return 2
 	}
 	if form == "json" {
-		b, _ := json.MarshalIndent(r, "", "  ")
-		fmt.Fprintln(out, string(b))
+		b, _ := json.MarshalIndent(report, "", "  ")
+		fmt.Fprintln(output, string(b))
 	} else {
-		writeFolder(out, r)
+		writeFolder(output, report)
 	}
-	if !r.Whole() {
+	if !report.Whole() {
 		return 1
 	}
 	return 0
 }
 
-func writeFolder(out io.Writer, r disk.Report) {
-	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
-	row := func(name, text string, a ...any) { fmt.Fprintf(w, "%s\t%s\n", name, fmt.Sprintf(text, a...)) }
-	if id := r.Identity; id != nil {
+func writeFolder(out io.Writer, report disk.Report) {
+	table := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	row := func(name, text string, a ...any) { fmt.Fprintf(table, "%s\t%s\n", name, fmt.Sprintf(text, a...)) }
+	if id := report.Identity; id != nil {
 		row("identity", "%s, start %d", id.ID, id.Inc)
 	}
-	if r.Cluster != "" {
-		row("cluster", "%s, term %d, vote %q", r.Cluster, r.Term, r.Vote)
+	if report.Cluster != "" {
+		row("cluster", "%s, term %d, vote %q", report.Cluster, report.Term, report.Vote)
 	}
-	for _, s := range r.Segments {
+	for _, s := range report.Segments {
 		row("segment", "%s: %d frames, %d bytes, tail %s", s.Name, s.Frames, s.Bytes, s.Tail)
 	}
-	if s := r.Snapshot; s != nil {
+	if s := report.Snapshot; s != nil {
 		row("snapshot", "index %d, term %d, %d bytes, %d members (%d voters)", s.Index, s.Term, s.Bytes, s.Members, s.Voters)
 	}
-	if r.Entries > 0 {
-		row("entries", "%d to %d", r.First, r.Last)
+	if report.Entries > 0 {
+		row("entries", "%d to %d", report.First, report.Last)
 	}
-	for _, k := range r.Blobs {
+	for _, k := range report.Blobs {
 		row("blobs", "%s: %d items, %d segments, %d bytes", k.Name, k.Items, k.Segments, k.Bytes)
 	}
-	if r.Snapshot != nil {
-		row("needs", "%d items, %d missing", r.Needs, len(r.Missing))
+	if report.Snapshot != nil {
+		row("needs", "%d items, %d missing", report.Needs, len(report.Missing))
 	}
-	if r.Cluster != "" {
-		row("plan", "version %d", r.Plan)
-		row("open", "%d steps, %d lots; %d lots ended", r.Steps, len(r.Lots), r.LotsEnded)
+	if report.Cluster != "" {
+		row("plan", "version %d", report.Plan)
+		row("open", "%d steps, %d lots; %d lots ended", report.Steps, len(report.Lots), report.LotsEnded)
 	}
-	for _, l := range r.Lots {
+	for _, l := range report.Lots {
 		row("lot", "%s: %d of %d listed, owner %s", l.ID, l.Listed, l.Total, l.Owner)
 	}
-	for _, n := range r.Other {
+	for _, n := range report.Other {
 		row("beside", "%s", n)
 	}
-	for _, n := range r.Notes {
+	for _, n := range report.Notes {
 		row("note", "%s", n)
 	}
-	for _, f := range r.Findings {
+	for _, f := range report.Findings {
 		row("FINDING", "%s", f)
 	}
-	if r.Whole() {
+	if report.Whole() {
 		row("whole", "yes")
 	} else {
 		row("whole", "no")
 	}
-	_ = w.Flush()
+	_ = table.Flush()
 }
--- a/cmd/fernlink/main.go
+++ b/cmd/fernlink/main.go
@@ -27,22 +27,22 @@
 	flaggy.SetDescription("a rollout scheduler for trainers")
 	flaggy.SetVersion(Version)
 	flaggy.DefaultParser.ShowHelpOnUnexpected = true
-	var n nodeFlags
+	var flags nodeFlags
 	sub := flaggy.NewSubcommand("node")
 	sub.Description = "run one node until SIGTERM"
-	n.bind(sub)
+	flags.bind(sub)
 	flaggy.AttachSubcommand(sub, 1)
 	var v serveFlags
-	on := flaggy.NewSubcommand("serve")
-	on.Description = "run one node on the platform until SIGTERM"
-	v.bind(on)
-	flaggy.AttachSubcommand(on, 1)
+	command := flaggy.NewSubcommand("serve")
+	command.Description = "run one node on the platform until SIGTERM"
+	v.bind(command)
+	flaggy.AttachSubcommand(command, 1)
 	tools := append(bindTools(), bindCheck(), bindFolder(), bindTimeline())
 	flaggy.Parse()
 	if sub.Used {
-		os.Exit(n.run())
+		os.Exit(flags.run())
 	}
-	if on.Used {
+	if command.Used {
 		os.Exit(v.run())
 	}
 	for _, t := range tools {
@@ -61,20 +61,20 @@
 	profile                               string
 }
 
-func (n *nodeFlags) bind(s *flaggy.Subcommand) {
-	s.String(&n.file, "p", "config", "config file (JSON); flags go over it")
-	s.String(&n.addr, "", "addr", "IP:port for peers")
-	s.String(&n.listen, "", "listen", "IP:port to listen at for peers, when that is not addr")
-	s.String(&n.web, "", "web", "IP:port for callers, trainers and operators")
-	s.String(&n.zone, "", "zone", "this machine's zone")
-	s.String(&n.seeds, "", "seeds", "up to three addresses of other nodes, with commas")
-	s.String(&n.roles, "", "roles", "store, coordinator, dispatcher, with commas")
-	s.String(&n.data, "", "data", "data folder")
-	s.String(&n.platform, "", "platform", "URL of the platform list")
-	s.String(&n.form, "", "form", "addresses of the stores that form a new cluster, with commas")
-	s.String(&n.level, "", "log-level", "error, warn, info or debug (info)")
-	bindProfile(s, &n.profile)
-	s.String(&n.off, "", "policies-off", "coordinator policies to switch off, with commas")
+func (n *nodeFlags) bind(command *flaggy.Subcommand) {
+	command.String(&n.file, "p", "config", "config file (JSON); flags go over it")
+	command.String(&n.addr, "", "addr", "IP:port for peers")
+	command.String(&n.listen, "", "listen", "IP:port to listen at for peers, when that is not addr")
+	command.String(&n.web, "", "web", "IP:port for callers, trainers and operators")
+	command.String(&n.zone, "", "zone", "this machine's zone")
+	command.String(&n.seeds, "", "seeds", "up to three addresses of other nodes, with commas")
+	command.String(&n.roles, "", "roles", "store, coordinator, dispatcher, with commas")
+	command.String(&n.data, "", "data", "data folder")
+	command.String(&n.platform, "", "platform", "URL of the platform list")
+	command.String(&n.form, "", "form", "addresses of the stores that form a new cluster, with commas")
+	command.String(&n.level, "", "log-level", "error, warn, info or debug (info)")
+	bindProfile(command, &n.profile)
+	command.String(&n.off, "", "policies-off", "coordinator policies to switch off, with commas")
 }
 
 func (n *nodeFlags) run() int {
@@ -89,7 +89,7 @@
 			flags[k] = strings.Split(v, ",")
 		}
 	}
-	p, bad, err := config.Read(n.file, flags)
+	settings, bad, err := config.Read(n.file, flags)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "fernlink:", err)
 		return 2
@@ -98,12 +98,12 @@
 		tell(bad)
 		return 2
 	}
-	return start(p, daemon.Platform{}, n.profile, os.Stderr)
+	return start(settings, daemon.Platform{}, n.profile, os.Stderr)
 }
 
 // start runs one node until it is told to stop.
-func start(p config.Config, x daemon.Platform, dir string, failures io.Writer) (code int) {
-	measured, err := profile(dir, cmp.Or(p.Name, p.Addr))
+func start(settings config.Config, platform daemon.Platform, dir string, failures io.Writer) (code int) {
+	measured, err := profile(dir, cmp.Or(settings.Name, settings.Addr))
 	if err != nil {
 		fmt.Fprintln(failures, "fernlink:", err)
 		return 1
@@ -114,7 +114,7 @@
 			code = max(code, 1)
 		}
 	}()
-	app := fx.New(fx.NopLogger, daemon.Module(p, x), fx.StopTimeout(75*time.Second))
+	app := fx.New(fx.NopLogger, daemon.Module(settings, platform), fx.StopTimeout(75*time.Second))
 	if err := app.Err(); err != nil {
 		fmt.Fprintln(failures, "fernlink:", dig.RootCause(err))
 		return 1
--- a/cmd/fernlink/serve.go
+++ b/cmd/fernlink/serve.go
@@ -38,34 +38,34 @@
 		fmt.Fprintln(failures, "fernlink: name the settings file with --settings or in $"+platform.SettingsEnv)
 		return config.Config{}, false
 	}
-	p, bad, err := platform.Settings(v.settings)
+	settings, bad, err := platform.Settings(v.settings)
 	if err != nil {
 		fmt.Fprintln(failures, "fernlink:", err)
-		return p, false
+		return settings, false
 	}
 	for _, f := range bad {
 		fmt.Fprintf(failures, "fernlink: settings %s: %s\n", cmp.Or(f.At, v.settings), f.Text)
 	}
-	if p.LogLevel = cmp.Or(v.level, "warn"); !levels[p.LogLevel] {
-		fmt.Fprintf(failures, "fernlink: --log-level is error, warn, info or debug, not %q\n", p.LogLevel)
-		return p, false
+	if settings.LogLevel = cmp.Or(v.level, "warn"); !levels[settings.LogLevel] {
+		fmt.Fprintf(failures, "fernlink: --log-level is error, warn, info or debug, not %q\n", settings.LogLevel)
+		return settings, false
 	}
-	return p, len(bad) == 0
+	return settings, len(bad) == 0
 }
 
 func (v *serveFlags) run() int {
 	if v.settings == "" {
 		v.settings = os.Getenv(platform.SettingsEnv)
 	}
-	p, ok := v.read(os.Stderr)
+	settings, ok := v.read(os.Stderr)
 	if !ok {
 		return 2
 	}
-	if p.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(p.MemoryMB<<20) * memoryPart))
+	if settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.MemoryMB<<20) * memoryPart))
 	}
 	debug.SetGCPercent(gcPercent)
-	t := platform.Codec(p.Platform)
+	codec := platform.Codec(settings.Platform)
 	last, _ := os.ReadFile(v.settings)
 	seeds := func() ([]string, bool) {
 		b, changed := platform.Changed(v.settings, last)
@@ -76,5 +76,5 @@
 		q, bad, err := platform.Settings(v.settings)
 		return q.Seeds, err == nil && len(bad) == 0 && len(q.Seeds) > 0
 	}
-	return start(p, daemon.Platform{Codec: &t, Listeners: platform.Listeners(p), Seeds: seeds}, v.profile, os.Stderr)
+	return start(settings, daemon.Platform{Codec: &codec, Listeners: platform.Listeners(settings), Seeds: seeds}, v.profile, os.Stderr)
 }
--- a/cmd/fernlink/serve_test.go
+++ b/cmd/fernlink/serve_test.go
@@ -128,15 +128,15 @@
 		t.Fatal(err)
 	}
 	for change, want := range map[string]string{"BindAddrs.Front=" + taken.Addr().String(): taken.Addr().String() + ": bind: address already in use", "DataDir=" + file + "/data": file} {
-		var b bytes.Buffer
-		p, ok := (&serveFlags{settings: settings(t, change)}).read(&b)
+		var buffer bytes.Buffer
+		p, ok := (&serveFlags{settings: settings(t, change)}).read(&buffer)
 		if !ok {
-			t.Fatal(b.String())
+			t.Fatal(buffer.String())
 		}
 		p.LogLevel = "error"
 		codec := platform.Codec(p.Platform)
-		if code := start(p, daemon.Platform{Codec: &codec, Listeners: platform.Listeners(p)}, "", &b); code != 1 || !strings.Contains(b.String(), want) {
-			t.Errorf("%s: %d %q", change, code, b.String())
+		if code := start(p, daemon.Platform{Codec: &codec, Listeners: platform.Listeners(p)}, "", &buffer); code != 1 || !strings.Contains(buffer.String(), want) {
+			t.Errorf("%s: %d %q", change, code, buffer.String())
 		}
 	}
 }
@@ -168,15 +168,15 @@
 // Given a folder and logs, when the tools are run, then their exit codes say
 // what came of it.
 func TestToolsExitCodes(t *testing.T) {
-	var out, failures bytes.Buffer
+	var buffer, failures bytes.Buffer
 	none := filepath.Join(t.TempDir(), "none")
-	if c := folder(&out, &failures, none, "text"); c != 2 || !strings.Contains(failures.String(), "can't be read") {
+	if c := folder(&buffer, &failures, none, "text"); c != 2 || !strings.Contains(failures.String(), "can't be read") {
 		t.Errorf("%d %q", c, failures.String())
 	}
-	if c := folder(&out, &failures, t.TempDir(), "text"); c != 1 || !strings.Contains(out.String(), "blank") {
-		t.Errorf("%d %q", c, out.String())
+	if c := folder(&buffer, &failures, t.TempDir(), "text"); c != 1 || !strings.Contains(buffer.String(), "blank") {
+		t.Errorf("%d %q", c, buffer.String())
 	}
-	if c := folder(&out, &failures, t.TempDir(), "xml"); c != 2 {
+	if c := folder(&buffer, &failures, t.TempDir(), "xml"); c != 2 {
 		t.Errorf("%d", c)
 	}
 	log := filepath.Join(t.TempDir(), "edge-1.log")
@@ -189,9 +189,9 @@
 		in   string
 		want int
 	}{{[]string{log}, "", 0}, {nil, "ts=2026-06-21T05:08:58Z msg=x lot=l1\n", 0}, {nil, "words\n", 1}, {[]string{none}, "", 2}} {
-		out.Reset()
-		if c := lines(strings.NewReader(x.in), &out, &failures, x.logs, f); c != x.want {
-			t.Errorf("%v: %d %q", x.logs, c, out.String())
+		buffer.Reset()
+		if c := lines(strings.NewReader(x.in), &buffer, &failures, x.logs, f); c != x.want {
+			t.Errorf("%v: %d %q", x.logs, c, buffer.String())
 		}
 	}
 }
--- a/cmd/fernlink/timeline/timeline.go
+++ b/cmd/fernlink/timeline/timeline.go
@@ -78,22 +78,22 @@
 }
 
 // Read adds the lines of one log. Where they don't name their node, name does.
-func (l *Log) Read(in io.Reader, name string, f Filter) error {
+func (l *Log) Read(in io.Reader, name string, filter Filter) error {
 	r := bufio.NewReaderSize(in, 64<<10)
 	for {
 		line, err := readLine(r)
 		if len(line) > 0 {
 			l.Lines++
-			if e, ok := parse(line, name); !ok {
+			if parsed, ok := parse(line, name); !ok {
 				l.Skipped++
-			} else if f.takes(e.Event) {
+			} else if filter.takes(parsed.Event) {
 				if len(l.Events) >= EventsMost {
 					return ErrMany
 				}
-				if e.bare {
+				if parsed.bare {
 					l.bare++
 				}
-				l.Events = append(l.Events, e.Event)
+				l.Events = append(l.Events, parsed.Event)
 			}
 		}
 		if err == io.EOF {
@@ -128,14 +128,14 @@
 // seconds and a node's name.
 func parse(line []byte, name string) (parsed, bool) {
 	p := parsed{Event: Event{Node: name}, bare: true}
-	d := logfmt.NewDecoder(bytes.NewReader(line))
-	if !d.ScanRecord() {
+	decoder := logfmt.NewDecoder(bytes.NewReader(line))
+	if !decoder.ScanRecord() {
 		return p, false
 	}
 	began := false
-	for d.ScanKeyval() {
-		k, v := string(d.Key()), string(d.Value())
-		if d.Value() == nil && !began {
+	for decoder.ScanKeyval() {
+		k, v := string(decoder.Key()), string(decoder.Value())
+		if decoder.Value() == nil && !began {
 			if s, err := strconv.ParseFloat(strings.TrimSuffix(strings.Trim(k, "[]"), "s"), 64); err == nil && !math.IsNaN(s) && !math.IsInf(s, 0) {
 				p.At, p.bare = s, false
 			} else {
@@ -162,7 +162,7 @@
 			p.Fields = append(p.Fields, Field{k, v})
 		}
 	}
-	return p, d.Err() == nil && p.Text != ""
+	return p, decoder.Err() == nil && p.Text != ""
 }
 
 // sort orders events by time; those of one moment stay as they were read.
@@ -180,38 +180,38 @@
 
 // Write prints the timeline of what the filter lets through, or the summary
 // where it names nothing. It says whether there was anything.
-func (l *Log) Write(out io.Writer, f Filter) bool {
+func (l *Log) Write(output io.Writer, filter Filter) bool {
 	l.sort()
 	if l.bare > 0 && l.bare < len(l.Events) {
-		fmt.Fprintln(out, "some lines have a prefix with a time and some have none: their order is not known")
+		fmt.Fprintln(output, "some lines have a prefix with a time and some have none: their order is not known")
 	}
-	if f.none() {
-		l.summary(out)
+	if filter.none() {
+		l.summary(output)
 	} else {
-		l.lines(out, f)
+		l.lines(output, filter)
 	}
 	return len(l.Events) > 0
 }
 
-func (l *Log) lines(out io.Writer, f Filter) {
+func (l *Log) lines(out io.Writer, filter Filter) {
 	if len(l.Events) == 0 {
 		fmt.Fprintf(out, "nothing of it in %d lines\n", l.Lines)
 		return
 	}
-	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	table := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
 	first, last := l.Events[0].At, l.Events[0].At
-	fmt.Fprintf(w, "TIME\tAFTER\tSINCE LAST\tNODE\tPART\tEVENT\n")
-	for _, e := range l.Events {
+	fmt.Fprintf(table, "TIME\tAFTER\tSINCE LAST\tNODE\tPART\tEVENT\n")
+	for _, event := range l.Events {
 		var rest []string
-		for _, x := range e.Fields {
-			if x.Value != "" && (x.Key != "request" || f.Request == "") && (x.Key != "lot" || f.Lot == "") && (x.Key != "engine" || f.Engine == "") {
+		for _, x := range event.Fields {
+			if x.Value != "" && (x.Key != "request" || filter.Request == "") && (x.Key != "lot" || filter.Lot == "") && (x.Key != "engine" || filter.Engine == "") {
 				rest = append(rest, x.Key+"="+quoted(x.Value))
 			}
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", clock(e.At), span(e.At-first), span(e.At-last), e.Node, e.Part, strings.TrimSpace(e.Text+"  "+strings.Join(rest, " ")))
-		last = e.At
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", clock(event.At), span(event.At-first), span(event.At-last), event.Node, event.Part, strings.TrimSpace(event.Text+"  "+strings.Join(rest, " ")))
+		last = event.At
 	}
-	_ = w.Flush()
+	_ = table.Flush()
 }
 
 func quoted(v string) string {
@@ -270,19 +270,19 @@
 // ended.
 func (l *Log) times(s stage) (out []took, open int) {
 	began := map[string]float64{}
-	for _, e := range l.Events {
-		if e.Part != s.part {
+	for _, event := range l.Events {
+		if event.Part != s.part {
 			continue
 		}
-		id := s.id(e)
-		if slices.Contains(s.from, e.Text) {
+		id := s.id(event)
+		if slices.Contains(s.from, event.Text) {
 			if _, ok := began[id]; !ok {
-				began[id] = e.At
+				began[id] = event.At
 			}
 			continue
 		}
-		if at, ok := began[id]; ok && slices.Contains(s.to, e.Text) {
-			out = append(out, took{e.At - at, id, e.Node})
+		if at, ok := began[id]; ok && slices.Contains(s.to, event.Text) {
+			out = append(out, took{event.At - at, id, event.Node})
 			delete(began, id)
 		}
 	}
@@ -293,8 +293,8 @@
 // rank is the value at a part of a list with the longest first.
 func rank(t []took, part float64) float64 { return t[int(float64(len(t)-1)*(1-part))].time }
 
-func (l *Log) summary(out io.Writer) {
-	fmt.Fprintf(out, "%d lines, %d of them no log lines\n", l.Lines, l.Skipped)
+func (l *Log) summary(output io.Writer) {
+	fmt.Fprintf(output, "%d lines, %d of them no log lines\n", l.Lines, l.Skipped)
 	if len(l.Events) == 0 {
 		return
 	}
@@ -304,9 +304,9 @@
 		counts[[3]string{e.Part, e.Text, e.Get("why")}]++
 	}
 	first, last := l.Events[0].At, l.Events[len(l.Events)-1].At
-	fmt.Fprintf(out, "%d nodes, from %s to %s (%s s)\n\n", len(nodes), clock(first), clock(last), strconv.FormatFloat(last-first, 'f', 3, 64))
-	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
-	fmt.Fprintf(w, "COUNT\tPART\tEVENT\tWHY\n")
+	fmt.Fprintf(output, "%d nodes, from %s to %s (%s s)\n\n", len(nodes), clock(first), clock(last), strconv.FormatFloat(last-first, 'f', 3, 64))
+	table := tabwriter.NewWriter(output, 0, 8, 2, ' ', 0)
+	fmt.Fprintf(table, "COUNT\tPART\tEVENT\tWHY\n")
 	keys := make([][3]string, 0, len(counts))
 	for k := range counts {
 		keys = append(keys, k)
@@ -318,21 +318,21 @@
 		return slices.Compare(keys[a][:], keys[b][:]) < 0
 	})
 	for _, k := range keys {
-		fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", counts[k], k[0], k[1], k[2])
+		fmt.Fprintf(table, "%d\t%s\t%s\t%s\n", counts[k], k[0], k[1], k[2])
 	}
-	_ = w.Flush()
-	fmt.Fprintln(out)
-	w = tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
-	fmt.Fprintf(w, "STAGE\tENDED\tOPEN\tMEDIAN\t95 OF 100\tSLOWEST\tOF\tAT\n")
-	for _, s := range stages {
-		t, open := l.times(s)
+	_ = table.Flush()
+	fmt.Fprintln(output)
+	table = tabwriter.NewWriter(output, 0, 8, 2, ' ', 0)
+	fmt.Fprintf(table, "STAGE\tENDED\tOPEN\tMEDIAN\t95 OF 100\tSLOWEST\tOF\tAT\n")
+	for _, stage := range stages {
+		t, open := l.times(stage)
 		if len(t) == 0 {
 			if open > 0 {
-				fmt.Fprintf(w, "%s\t0\t%d\t\t\t\t\t\n", s.name, open)
+				fmt.Fprintf(table, "%s\t0\t%d\t\t\t\t\t\n", stage.name, open)
 			}
 			continue
 		}
-		fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s\t%s\t%s\t%s\n", s.name, len(t), open, span(rank(t, 0.5)), span(rank(t, 0.95)), span(t[0].time), t[0].id, t[0].node)
+		fmt.Fprintf(table, "%s\t%d\t%d\t%s\t%s\t%s\t%s\t%s\n", stage.name, len(t), open, span(rank(t, 0.5)), span(rank(t, 0.95)), span(t[0].time), t[0].id, t[0].node)
 	}
-	_ = w.Flush()
+	_ = table.Flush()
 }
--- a/cmd/fernlink/timeline/timeline_test.go
+++ b/cmd/fernlink/timeline/timeline_test.go
@@ -17,16 +17,16 @@
 what happened = 3
 `
 
-func read(t *testing.T, f Filter, logs ...string) (*Log, string, bool) {
+func read(t *testing.T, filter Filter, logs ...string) (*Log, string, bool) {
 	t.Helper()
 	var l Log
 	for i, x := range logs {
-		if err := l.Read(strings.NewReader(x), string(rune('a'+i)), f); err != nil {
+		if err := l.Read(strings.NewReader(x), string(rune('a'+i)), filter); err != nil {
 			t.Fatal(err)
 		}
 	}
 	var b bytes.Buffer
-	ok := l.Write(&b, f)
+	ok := l.Write(&b, filter)
 	return &l, b.String(), ok
 }
 
--- a/cmd/fernlink/tools.go
+++ b/cmd/fernlink/tools.go
@@ -77,28 +77,28 @@
 var order = []string{"plan", "step", "engines", "store", "weights", "usage", "status"}
 
 func bindTools() []tool {
-	var out []tool
+	var tools []tool
 	for _, name := range order {
 		sub := flaggy.NewSubcommand(name)
 		sub.Description = "operate on " + name
-		for _, d := range listeners[name] {
-			verb := flaggy.NewSubcommand(d.name)
-			verb.Description = d.about
+		for _, listener := range listeners[name] {
+			verb := flaggy.NewSubcommand(listener.name)
+			verb.Description = listener.about
 			at, file, arg := "127.0.0.1:8080", "", ""
 			verb.String(&at, "a", "at", "IP:port of any node's web address")
-			if d.body {
+			if listener.body {
 				verb.String(&file, "f", "file", "JSON file, - for standard input")
 			}
-			if d.arg != "" {
-				verb.AddPositionalValue(&arg, d.arg, 1, true, d.arg)
+			if listener.arg != "" {
+				verb.AddPositionalValue(&arg, listener.arg, 1, true, listener.arg)
 			}
 			sub.AttachSubcommand(verb, 1)
-			d := d
-			out = append(out, tool{verb, func() int { return ask(name, d, at, file, arg) }})
+			d := listener
+			tools = append(tools, tool{verb, func() int { return ask(name, d, at, file, arg) }})
 		}
 		flaggy.AttachSubcommand(sub, 1)
 	}
-	return out
+	return tools
 }
 
 func ask(name string, d listener, at, file, arg string) int {
--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -46,7 +46,7 @@
 	flaggy.SetName("rig")
 	flaggy.SetDescription("stand-ins and whole fleets, for development only")
 	flaggy.DefaultParser.ShowHelpOnUnexpected = true
-	o := &opts{addr: "127.0.0.1:9000", id: "one", pool: "draft", shape: "fibrarmor", seconds: 20, seed: 1, rev: 0, from: 1, to: 100, faults: 10, runs: 1, hours: 24, keys: 6, nodes: 840, engines: 10000}
+	options := &opts{addr: "127.0.0.1:9000", id: "one", pool: "draft", shape: "fibrarmor", seconds: 20, seed: 1, rev: 0, from: 1, to: 100, faults: 10, runs: 1, hours: 24, keys: 6, nodes: 840, engines: 10000}
 	verbs := []struct {
 		name, about string
 		run         func(*opts) error
@@ -67,38 +67,38 @@
 	}
 	subs := make([]*flaggy.Subcommand, len(verbs))
 	for i, v := range verbs {
-		s := flaggy.NewSubcommand(v.name)
-		s.Description = v.about
-		s.String(&o.addr, "", "addr", "IP:port to serve at")
-		s.String(&o.id, "", "id", "the engine's id")
-		s.String(&o.pool, "", "pool", "the engine's pool")
-		s.Int(&o.rev, "", "revision", "weights at the start")
-		s.String(&o.shape, "", "shape", "fibrarmor, waterland, or both")
-		s.String(&o.dir, "", "dir", "folder for the fleet's files (a temporary one unless said)")
-		s.Int(&o.seconds, "", "seconds", "how long to drive")
-		s.Int(&o.seed, "", "seed", "seed of the traffic")
-		s.String(&o.load, "", "load", "only this load of a bench")
-		s.Int(&o.from, "", "from", "first seed of a sweep")
-		s.Int(&o.to, "", "to", "last seed of a sweep")
-		s.Int(&o.faults, "", "faults", "faults in each storm")
-		s.Int(&o.hours, "", "hours", "how long a day is")
-		s.Int(&o.keys, "", "keys", "run-once requests a second of a day")
-		s.Int(&o.runs, "", "runs", "how many fleets a drill goes through")
-		s.String(&o.axis, "", "axis", "only this size of a scale is varied")
-		s.String(&o.out, "", "out", "folder for a scale's slopes as JSON and its plots")
-		s.String(&o.slopes, "", "slopes", "folder of a scale's kept slopes: what each role would spend at full size")
-		s.Bool(&o.whole, "", "whole", "one hollow fleet of --nodes and --engines instead of slopes")
-		s.Int(&o.nodes, "", "nodes", "hollow nodes of a whole scale")
-		s.Int(&o.engines, "", "engines", "hollow engines of a whole scale")
-		s.Bool(&o.keep, "", "keep", "keep the fleet up until interrupted, without traffic")
-		flaggy.AttachSubcommand(s, 1)
-		subs[i] = s
+		command := flaggy.NewSubcommand(v.name)
+		command.Description = v.about
+		command.String(&options.addr, "", "addr", "IP:port to serve at")
+		command.String(&options.id, "", "id", "the engine's id")
+		command.String(&options.pool, "", "pool", "the engine's pool")
+		command.Int(&options.rev, "", "revision", "weights at the start")
+		command.String(&options.shape, "", "shape", "fibrarmor, waterland, or both")
+		command.String(&options.dir, "", "dir", "folder for the fleet's files (a temporary one unless said)")
+		command.Int(&options.seconds, "", "seconds", "how long to drive")
+		command.Int(&options.seed, "", "seed", "seed of the traffic")
+		command.String(&options.load, "", "load", "only this load of a bench")
+		command.Int(&options.from, "", "from", "first seed of a sweep")
+		command.Int(&options.to, "", "to", "last seed of a sweep")
+		command.Int(&options.faults, "", "faults", "faults in each storm")
+		command.Int(&options.hours, "", "hours", "how long a day is")
+		command.Int(&options.keys, "", "keys", "run-once requests a second of a day")
+		command.Int(&options.runs, "", "runs", "how many fleets a drill goes through")
+		command.String(&options.axis, "", "axis", "only this size of a scale is varied")
+		command.String(&options.out, "", "out", "folder for a scale's slopes as JSON and its plots")
+		command.String(&options.slopes, "", "slopes", "folder of a scale's kept slopes: what each role would spend at full size")
+		command.Bool(&options.whole, "", "whole", "one hollow fleet of --nodes and --engines instead of slopes")
+		command.Int(&options.nodes, "", "nodes", "hollow nodes of a whole scale")
+		command.Int(&options.engines, "", "engines", "hollow engines of a whole scale")
+		command.Bool(&options.keep, "", "keep", "keep the fleet up until interrupted, without traffic")
+		flaggy.AttachSubcommand(command, 1)
+		subs[i] = command
 	}
 	flaggy.Parse()
 	for i, v := range verbs {
 		if subs[i].Used {
-			o.drill = v.name == "drill"
-			if err := v.run(o); err != nil {
+			options.drill = v.name == "drill"
+			if err := v.run(options); err != nil {
 				fmt.Fprintln(os.Stderr, "rig:", err)
 				if errors.As(err, &scale.Beyond{}) {
 					os.Exit(2)
@@ -125,12 +125,12 @@
 func list(o *opts) error { return serve.Run(o.addr, serve.Platform(&standin.Platform{})) }
 
 // platform runs a calm day and a troubled one, each for so many seconds.
-func platform(o *opts) error {
+func platform(options *opts) error {
 	self, err := os.Executable()
 	if err != nil {
 		return err
 	}
-	dir := o.dir
+	dir := options.dir
 	if dir == "" {
 		if dir, err = os.MkdirTemp("", "fernlink-rig-"); err != nil {
 			return err
@@ -138,7 +138,7 @@
 		defer os.RemoveAll(dir)
 	}
 	for _, troubled := range []bool{false, true} {
-		rep, err := site.Day(filepath.Dir(self), dir, troubled, time.Duration(o.seconds)*time.Second)
+		rep, err := site.Day(filepath.Dir(self), dir, troubled, time.Duration(options.seconds)*time.Second)
 		b, _ := json.MarshalIndent(rep, "", "  ")
 		fmt.Println(string(b))
 		if err != nil {
@@ -152,10 +152,10 @@
 }
 
 // bench runs each load under each policy on the same seeds and prints medians.
-func bench(o *opts) error {
-	shape := map[string]sim.Shape{"fibrarmor": sim.FibrArmor, "waterland": sim.Waterland}[o.shape]
+func bench(options *opts) error {
+	shape := map[string]sim.Shape{"fibrarmor": sim.FibrArmor, "waterland": sim.Waterland}[options.shape]
 	if shape.Stores == 0 {
-		return fmt.Errorf("no shape %q", o.shape)
+		return fmt.Errorf("no shape %q", options.shape)
 	}
 	policies := place.Names()
 	type key struct{ load, policy int }
@@ -163,17 +163,17 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	free := make(chan bool, runtime.NumCPU())
-	for i, l := range sim.Loads {
-		if o.load != "" && o.load != l.Name {
+	for i, load := range sim.Loads {
+		if options.load != "" && options.load != load.Name {
 			continue
 		}
 		for j, p := range policies {
-			for s := o.from; s <= o.to; s++ {
+			for s := options.from; s <= options.to; s++ {
 				wg.Add(1)
 				free <- true
 				go func() {
 					defer wg.Done()
-					f := sim.Bench(int64(s), shape, l, p, time.Duration(o.seconds)*time.Second)
+					f := sim.Bench(int64(s), shape, load, p, time.Duration(options.seconds)*time.Second)
 					<-free
 					mu.Lock()
 					got[key{i, j}] = append(got[key{i, j}], f)
@@ -185,7 +185,7 @@
 	wg.Wait()
 	fmt.Println("| load | policy | step s | hit rate | prefill tokens a result | runs a result | thrown tokens a result | idle | writes a result | lines/s | KB/s | wrong |")
 	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|")
-	for i, l := range sim.Loads {
+	for i, load := range sim.Loads {
 		for j, p := range policies {
 			fs := got[key{i, j}]
 			if len(fs) == 0 {
@@ -203,7 +203,7 @@
 			for _, f := range fs {
 				wrong += f.Wrong
 			}
-			fmt.Printf("| %s | %s | %.2f | %.3f | %.1f | %.2f | %.1f | %.2f | %.2f | %.0f | %.0f | %d |\n", l.Name, p,
+			fmt.Printf("| %s | %s | %.2f | %.3f | %.1f | %.2f | %.1f | %.2f | %.2f | %.0f | %.0f | %d |\n", load.Name, p,
 				mid(func(f sim.Figures) float64 { return f.Step }), mid(func(f sim.Figures) float64 { return f.HitRate }),
 				mid(func(f sim.Figures) float64 { return f.Prefill }), mid(func(f sim.Figures) float64 { return f.Runs }),
 				mid(func(f sim.Figures) float64 { return f.Thrown }), mid(func(f sim.Figures) float64 { return f.Idle }),
@@ -220,23 +220,23 @@
 	"waterland": {Shape: sim.Waterland, Every: 5 * time.Second, Groups: 16, Samples: 3, Text: 512},
 }
 
-func day(o *opts) error {
-	p, ok := days[o.shape]
+func day(options *opts) error {
+	p, ok := days[options.shape]
 	if !ok {
-		return fmt.Errorf("no shape %q", o.shape)
+		return fmt.Errorf("no shape %q", options.shape)
 	}
-	p.Seed, p.Hours, p.Keys, p.Faults = int64(o.seed), float64(o.hours), o.keys, 7*time.Minute
+	p.Seed, p.Hours, p.Keys, p.Faults = int64(options.seed), float64(options.hours), options.keys, 7*time.Minute
 	p.Shape.Bounds = ledger.Usual
-	if o.hours < 24 { // a shorter run keeps keys and results for as much less
-		p.Shape.Bounds.KeyAge = p.Shape.Bounds.KeyAge * int64(o.hours) / 48
-		p.Shape.Bounds.Age = p.Shape.Bounds.Age * int64(o.hours) / 24
+	if options.hours < 24 { // a shorter run keeps keys and results for as much less
+		p.Shape.Bounds.KeyAge = p.Shape.Bounds.KeyAge * int64(options.hours) / 48
+		p.Shape.Bounds.Age = p.Shape.Bounds.Age * int64(options.hours) / 24
 	}
 	p.Progress = func(s string) { fmt.Fprintln(os.Stderr, s) }
 	rep := sim.Day(p)
 	b, _ := json.MarshalIndent(rep, "", "  ")
 	fmt.Println(string(b))
 	if len(rep.Bad) > 0 {
-		return fmt.Errorf("the day of %s found something", o.shape)
+		return fmt.Errorf("the day of %s found something", options.shape)
 	}
 	return nil
 }
@@ -265,9 +265,9 @@
 	return nil
 }
 
-func runFleet(o *opts) error {
-	names := []string{o.shape}
-	if o.shape == "both" {
+func runFleet(options *opts) error {
+	names := []string{options.shape}
+	if options.shape == "both" {
 		names = []string{"fibrarmor", "waterland"}
 	}
 	self, err := os.Executable()
@@ -280,18 +280,18 @@
 			return fmt.Errorf("no shape %q", n)
 		}
 		runs := 1
-		if o.drill {
-			runs = o.runs
+		if options.drill {
+			runs = options.runs
 		}
-		o.spread = nil
+		options.spread = nil
 		for i := 0; i < runs; i++ {
-			if err := one(o, shape, filepath.Dir(self)); err != nil {
+			if err := one(options, shape, filepath.Dir(self)); err != nil {
 				return err
 			}
 		}
-		if o.drill {
+		if options.drill {
 			fmt.Printf("| %s, %d runs | least | median | most |\n|---|---|---|---|\n", n, runs)
-			for _, d := range o.spread {
+			for _, d := range options.spread {
 				sort.Float64s(d.heal)
 				fmt.Printf("| %s | %.1f | %.1f | %.1f |\n", d.fault, d.heal[0], d.heal[len(d.heal)/2], d.heal[len(d.heal)-1])
 			}
@@ -316,8 +316,8 @@
 	o.spread = append(o.spread, spread{d.Fault, []float64{d.Heal}})
 }
 
-func one(o *opts, shape fleet.Shape, bin string) error {
-	dir := o.dir
+func one(options *opts, shape fleet.Shape, bin string) error {
+	dir := options.dir
 	if dir == "" {
 		tmp, err := os.MkdirTemp("", "fernlink-rig-")
 		if err != nil {
@@ -336,7 +336,7 @@
 		return err
 	}
 	ready := time.Since(began).Seconds()
-	if o.keep {
+	if options.keep {
 		fmt.Printf("fleet %s is up in %.1f s; logs in %s\n", shape.Name, ready, f.Dir)
 		for _, p := range f.Procs {
 			fmt.Printf("  %-10s http://%s\n", p.Name, p.Web)
@@ -347,17 +347,17 @@
 		<-c
 		return nil
 	}
-	if o.drill {
-		ds, err := f.Drills(int64(o.seed))
+	if options.drill {
+		ds, err := f.Drills(int64(options.seed))
 		for _, d := range ds {
-			o.note(d)
+			options.note(d)
 			if d.Wrong != "" {
 				return fmt.Errorf("%s: %s", d.Fault, d.Wrong)
 			}
 		}
 		return err
 	}
-	rep := f.Drive(time.Duration(o.seconds)*time.Second, int64(o.seed))
+	rep := f.Drive(time.Duration(options.seconds)*time.Second, int64(options.seed))
 	rep.Ready = ready
 	b, _ := json.MarshalIndent(rep, "", "  ")
 	fmt.Println(string(b))
--- a/config/config.go
+++ b/config/config.go
@@ -180,35 +180,35 @@
 
 // Check checks config by schema, then by meaning, and lists every fault.
 func Check(b []byte) (Config, []ledger.Fault, error) {
-	var p Config
+	var config Config
 	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(b))
 	if err != nil {
-		return p, nil, errors.Wrap(ErrRead, "not JSON")
+		return config, nil, errors.Wrap(ErrRead, "not JSON")
 	}
 	if fields, ok := doc.(map[string]any); ok {
 		renameZoneKey(fields)
 	}
 	if bad := api.Faults(compiled().Validate(doc)); len(bad) > 0 {
-		return p, bad, nil
+		return config, bad, nil
 	}
 	if b, err = json.Marshal(doc); err != nil {
-		return p, nil, errors.Wrap(ErrRead, err.Error())
+		return config, nil, errors.Wrap(ErrRead, err.Error())
 	}
-	if err := json.Unmarshal(b, &p); err != nil {
-		return p, nil, errors.Wrap(ErrRead, err.Error())
+	if err := json.Unmarshal(b, &config); err != nil {
+		return config, nil, errors.Wrap(ErrRead, err.Error())
 	}
-	if p.Keep == 0 {
-		p.Keep = Keep
+	if config.Keep == 0 {
+		config.Keep = Keep
 	}
-	if p.Blocks == 0 {
-		p.Blocks = Blocks
+	if config.Blocks == 0 {
+		config.Blocks = Blocks
 	}
-	return p, p.meaning(), nil
+	return config, config.meaning(), nil
 }
 
 func (p Config) meaning() []ledger.Fault {
-	var out []ledger.Fault
-	bad := func(at, text string) { out = append(out, ledger.Fault{At: at, Text: text}) }
+	var faults []ledger.Fault
+	bad := func(at, text string) { faults = append(faults, ledger.Fault{At: at, Text: text}) }
 	one := func(at, a string) {
 		if _, err := netip.ParseAddrPort(a); err != nil {
 			bad(at, "not an IP number and port")
@@ -261,5 +261,5 @@
 	for _, n := range coord.Check(p.Off) {
 		bad("/policies_off", "no policy "+strconv.Quote(n))
 	}
-	return out
+	return faults
 }
--- a/core/raft/explore_support.go
+++ b/core/raft/explore_support.go
@@ -101,69 +101,69 @@
 // relative to now and only as far as they matter, and what the member's role
 // makes meaningless is left out, so equal encodings behave alike.
 func (r *Raft) AppendState(to []byte) []byte {
-	e := &stateEncoder{to}
-	r.encodeLog(e)
-	e.text(string(r.role))
-	e.text(r.leader)
-	e.flag(r.leaderSeen)
-	e.number(r.round)
+	encoder := &stateEncoder{to}
+	r.encodeLog(encoder)
+	encoder.text(string(r.role))
+	encoder.text(r.leader)
+	encoder.flag(r.leaderSeen)
+	encoder.number(r.round)
 	switch r.role {
 	case Leader:
-		r.encodeLeader(e)
+		r.encodeLeader(encoder)
 	case PreCandidate, Candidate:
-		r.encodeVotes(e)
+		r.encodeVotes(encoder)
 	}
 	if r.role != Leader {
-		e.duration(r.electionDue-r.now, 2*r.electionTimeout)
+		encoder.duration(r.electionDue-r.now, 2*r.electionTimeout)
 	}
 	if r.leader != "" && r.role != Leader {
-		e.duration(r.now-r.leaderHeard, r.electionTimeout)
+		encoder.duration(r.now-r.leaderHeard, r.electionTimeout)
 	}
-	return e.bytes
+	return encoder.bytes
 }
 
-func (r *Raft) encodeLog(e *stateEncoder) {
-	e.text(r.hard.Cluster)
-	e.number(r.hard.Term)
-	e.text(r.hard.Vote)
-	e.flag(r.hard.Unsure)
-	e.number(r.base.Index)
-	e.number(r.base.Term)
+func (r *Raft) encodeLog(encoder *stateEncoder) {
+	encoder.text(r.hard.Cluster)
+	encoder.number(r.hard.Term)
+	encoder.text(r.hard.Vote)
+	encoder.flag(r.hard.Unsure)
+	encoder.number(r.base.Index)
+	encoder.number(r.base.Term)
 	if r.snapshot != nil {
-		e.number(r.snapshot.Index)
+		encoder.number(r.snapshot.Index)
 	}
-	e.number(uint64(len(r.log)))
+	encoder.number(uint64(len(r.log)))
 	for _, entry := range r.log {
-		e.number(entry.Term)
-		e.text(entry.Kind)
-		e.text(string(entry.Data))
+		encoder.number(entry.Term)
+		encoder.text(entry.Kind)
+		encoder.text(string(entry.Data))
 	}
-	e.number(r.confIndex)
-	e.number(r.commit)
-	e.number(r.applied)
-	e.number(r.stable)
+	encoder.number(r.confIndex)
+	encoder.number(r.commit)
+	encoder.number(r.applied)
+	encoder.number(r.stable)
 	for _, mark := range r.unsynced {
-		e.number(mark.last)
+		encoder.number(mark.last)
 	}
 }
 
-func (r *Raft) encodeLeader(e *stateEncoder) {
-	e.duration(r.heartbeatDue-r.now, r.heartbeatInterval)
-	e.duration(r.now-r.heartbeatSent, r.heartbeatInterval)
-	e.duration(r.now-r.quorumHeard, r.electionTimeout)
+func (r *Raft) encodeLeader(encoder *stateEncoder) {
+	encoder.duration(r.heartbeatDue-r.now, r.heartbeatInterval)
+	encoder.duration(r.now-r.heartbeatSent, r.heartbeatInterval)
+	encoder.duration(r.now-r.quorumHeard, r.electionTimeout)
 	for _, member := range r.conf.Members {
 		peer := r.progress[member.ID]
-		e.number(peer.match)
-		e.number(peer.next)
-		e.number(peer.round)
-		e.number(uint64(peer.inflightBytes))
-		e.duration(r.now-peer.heard, 2*r.electionTimeout)
-		e.duration(r.now-peer.moved, 2*r.electionTimeout+1)
+		encoder.number(peer.match)
+		encoder.number(peer.next)
+		encoder.number(peer.round)
+		encoder.number(uint64(peer.inflightBytes))
+		encoder.duration(r.now-peer.heard, 2*r.electionTimeout)
+		encoder.duration(r.now-peer.moved, 2*r.electionTimeout+1)
 	}
 	for _, read := range r.reads {
-		e.number(read.token)
-		e.number(read.round)
-		e.number(read.index)
+		encoder.number(read.token)
+		encoder.number(read.round)
+		encoder.number(read.index)
 	}
 }
 
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -81,7 +81,7 @@
 
 // New starts a member from what its disk holds.
 func New(now flow.Time, config Config) *Raft {
-	r := &Raft{
+	node := &Raft{
 		id:                config.ID,
 		random:            config.Rand,
 		heartbeatInterval: config.HeartbeatInterval,
@@ -95,22 +95,22 @@
 		progress:          map[string]*progress{},
 	}
 	if config.MaxMessageEntries > 0 {
-		r.messageEntries = config.MaxMessageEntries
+		node.messageEntries = config.MaxMessageEntries
 	}
 	if config.Snapshot != nil {
-		r.setSnapshot(config.Snapshot)
+		node.setSnapshot(config.Snapshot)
 	}
 	for _, entry := range config.Entries {
-		if entry.Index == r.lastIndex()+1 {
-			r.appendEntry(entry)
+		if entry.Index == node.lastIndex()+1 {
+			node.appendEntry(entry)
 		}
 	}
-	r.stable = r.lastIndex()
+	node.stable = node.lastIndex()
 	// What was known to be committed is applied at once, and not when the first
 	// leader speaks: then others wait for it.
-	r.commit = max(r.commit, min(config.Hard.Commit, r.lastIndex()))
-	r.resetElectionTimer()
-	return r
+	node.commit = max(node.commit, min(config.Hard.Commit, node.lastIndex()))
+	node.resetElectionTimer()
+	return node
 }
 
 func (r *Raft) appendEntry(entry flow.Entry) {
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -51,12 +51,12 @@
 		x.all[to].Step(d.Message)
 	}
 	for _, id := range []string{"a", "b", "c"} {
-		r := x.all[id]
-		if r == nil {
+		node := x.all[id]
+		if node == nil {
 			continue
 		}
 		for i := 0; i < 2; i++ {
-			o := r.Advance(x.now)
+			o := node.Advance(x.now)
 			x.mail = append(x.mail, o.Messages...)
 			x.read[id] = append(x.read[id], o.Reads...)
 			x.kept[id] = append(x.kept[id], o.Saves...)
@@ -65,8 +65,8 @@
 					x.done[id] = append(x.done[id], string(a.Entry.Data))
 				}
 			}
-			r.Mark(1)
-			r.Synced(1)
+			node.Mark(1)
+			node.Synced(1)
 		}
 	}
 }
@@ -90,41 +90,41 @@
 // Given a leader that is cut off, when it is asked for a read, then it never
 // releases it, while a leader with its majority does.
 func TestReadNeedsMajority(t *testing.T) {
-	x := newTrio(1)
-	x.run(3 * time.Second)
-	l := x.leader()
-	if !l.Read(1) {
+	trio := newTrio(1)
+	trio.run(3 * time.Second)
+	node := trio.leader()
+	if !node.Read(1) {
 		t.Fatal("a leader with its majority takes a read")
 	}
-	x.run(200 * time.Millisecond)
-	if len(x.read[l.id]) != 1 {
-		t.Fatalf("the read is released: %v", x.read[l.id])
+	trio.run(200 * time.Millisecond)
+	if len(trio.read[node.id]) != 1 {
+		t.Fatalf("the read is released: %v", trio.read[node.id])
 	}
-	x.cut[l.id] = true
-	l.Read(2)
-	x.run(5 * time.Second)
-	if len(x.read[l.id]) != 1 {
-		t.Fatalf("a read was released without a majority: %v", x.read[l.id])
+	trio.cut[node.id] = true
+	node.Read(2)
+	trio.run(5 * time.Second)
+	if len(trio.read[node.id]) != 1 {
+		t.Fatalf("a read was released without a majority: %v", trio.read[node.id])
 	}
 }
 
 // Given a voter that lost its disk, when a blank member at its address gets
 // the old voter's messages, then it takes none: it is somebody else.
 func TestBlankIsNotTheOldVoter(t *testing.T) {
-	x := newTrio(2)
-	x.run(3 * time.Second)
-	l := x.leader()
+	trio := newTrio(2)
+	trio.run(3 * time.Second)
+	node := trio.leader()
 	var old string
-	for id := range x.all {
-		if id != l.id {
+	for id := range trio.all {
+		if id != node.id {
 			old = id
 			break
 		}
 	}
-	fresh := New(x.now, Config{ID: "z", Rand: rand.New(rand.NewSource(9)), HeartbeatInterval: 100 * time.Millisecond, ElectionTimeout: 750 * time.Millisecond})
-	fresh.Step(Message{Kind: MessageVote, From: l.id, ToID: old, Term: 99})
-	fresh.Step(Message{Kind: MessageAppend, From: l.id, ToID: old, Term: l.Term(), Commit: 1})
-	o := fresh.Advance(x.now)
+	fresh := New(trio.now, Config{ID: "z", Rand: rand.New(rand.NewSource(9)), HeartbeatInterval: 100 * time.Millisecond, ElectionTimeout: 750 * time.Millisecond})
+	fresh.Step(Message{Kind: MessageVote, From: node.id, ToID: old, Term: 99})
+	fresh.Step(Message{Kind: MessageAppend, From: node.id, ToID: old, Term: node.Term(), Commit: 1})
+	o := fresh.Advance(trio.now)
 	if len(o.Messages) > 0 || len(o.Saves) > 0 || fresh.Term() != 0 {
 		t.Fatalf("it answered for the old voter: %+v", o)
 	}
@@ -137,34 +137,34 @@
 	p.MinSuccessfulTests = 40
 	config := gopter.NewProperties(p)
 	config.Property("applied commands are prefixes of one another", prop.ForAll(func(seed int64, acts []int) bool {
-		x := newTrio(seed)
-		x.run(2 * time.Second)
+		trio := newTrio(seed)
+		trio.run(2 * time.Second)
 		for n, a := range acts {
 			id := []string{"a", "b", "c"}[a%3]
 			if a%4 == 3 {
-				x.cut[id] = !x.cut[id]
-			} else if l := x.leader(); l != nil {
+				trio.cut[id] = !trio.cut[id]
+			} else if l := trio.leader(); l != nil {
 				d, _ := json.Marshal(fmt.Sprint("cmd", n))
 				_, _, _ = l.Propose("cmd", d)
 			}
-			x.run(time.Duration(a%7) * 200 * time.Millisecond)
+			trio.run(time.Duration(a%7) * 200 * time.Millisecond)
 		}
-		x.cut = map[string]bool{}
-		x.run(4 * time.Second)
+		trio.cut = map[string]bool{}
+		trio.run(4 * time.Second)
 		var long []string
-		for _, l := range x.done {
+		for _, l := range trio.done {
 			if len(l) > len(long) {
 				long = l
 			}
 		}
-		for _, l := range x.done {
+		for _, l := range trio.done {
 			for i := range l {
 				if l[i] != long[i] {
 					return false
 				}
 			}
 		}
-		return len(x.done["a"]) == len(x.done["b"]) && len(x.done["b"]) == len(x.done["c"])
+		return len(trio.done["a"]) == len(trio.done["b"]) && len(trio.done["b"]) == len(trio.done["c"])
 	}, gen.Int64Range(1, 1<<30), gen.SliceOfN(12, gen.IntRange(0, 1<<16))))
 	config.TestingRun(t)
 }
@@ -172,18 +172,18 @@
 // Given a change of membership under way, when another is proposed, then it
 // waits its turn; a leader that has not committed in its term changes none.
 func TestOneChangeAtATime(t *testing.T) {
-	x := newTrio(3)
-	x.run(3 * time.Second)
-	l := x.leader()
-	c := l.Conf()
-	if _, _, err := l.Change(c.With(Member{ID: "d", Addr: "d"})); err != nil {
+	trio := newTrio(3)
+	trio.run(3 * time.Second)
+	node := trio.leader()
+	c := node.Conf()
+	if _, _, err := node.Change(c.With(Member{ID: "d", Addr: "d"})); err != nil {
 		t.Fatalf("the first change is taken: %v", err)
 	}
-	if _, _, err := l.Change(l.Conf().With(Member{ID: "e", Addr: "e"})); err != ErrBusy {
+	if _, _, err := node.Change(node.Conf().With(Member{ID: "e", Addr: "e"})); err != ErrBusy {
 		t.Fatalf("the second is not: %v", err)
 	}
-	x.run(time.Second)
-	if _, _, err := l.Change(l.Conf().Without("d")); err != nil {
+	trio.run(time.Second)
+	if _, _, err := node.Change(node.Conf().Without("d")); err != nil {
 		t.Fatalf("it is, once the first is committed: %v", err)
 	}
 }
@@ -213,57 +213,57 @@
 // a damaged frame and the other is away, then the third is not elected with its
 // vote; once all are there, the entry is too, also where it was lost.
 func TestUnsureVotesDoNotCount(t *testing.T) {
-	x := newTrio(5)
-	x.run(3 * time.Second)
-	l := x.leader()
+	trio := newTrio(5)
+	trio.run(3 * time.Second)
+	node := trio.leader()
 	var b, c string
 	for _, id := range []string{"a", "b", "c"} {
-		if id != l.id {
+		if id != node.id {
 			b, c = c, id
 		}
 	}
-	x.cut[c] = true
-	x.run(300 * time.Millisecond)
-	at, _, err := l.Propose("cmd", json.RawMessage(`"kept"`))
-	x.run(300 * time.Millisecond)
-	if err != nil || l.Commit() < at {
+	trio.cut[c] = true
+	trio.run(300 * time.Millisecond)
+	at, _, err := node.Propose("cmd", json.RawMessage(`"kept"`))
+	trio.run(300 * time.Millisecond)
+	if err != nil || node.Commit() < at {
 		t.Fatalf("it is committed: %v", err)
 	}
-	x.restart(b, at-1, true)
-	x.cut[l.id], x.cut[c] = true, false
-	x.run(10 * time.Second)
-	if x.all[b].Role() == Leader || x.all[c].Role() == Leader {
+	trio.restart(b, at-1, true)
+	trio.cut[node.id], trio.cut[c] = true, false
+	trio.run(10 * time.Second)
+	if trio.all[b].Role() == Leader || trio.all[c].Role() == Leader {
 		t.Fatal("somebody leads who lacks what was acknowledged")
 	}
-	x.cut = map[string]bool{}
-	x.run(5 * time.Second)
-	for id := range x.all {
-		if n := len(x.done[id]); n == 0 || x.done[id][n-1] != `"kept"` {
-			t.Errorf("%s applied %v", id, x.done[id])
+	trio.cut = map[string]bool{}
+	trio.run(5 * time.Second)
+	for id := range trio.all {
+		if n := len(trio.done[id]); n == 0 || trio.done[id][n-1] != `"kept"` {
+			t.Errorf("%s applied %v", id, trio.done[id])
 		}
 	}
-	if x.all[b].Unsure() {
+	if trio.all[b].Unsure() {
 		t.Error("it caught up and is still unsure")
 	}
 	// It catches up under a leader that counts on what it had, too.
-	l = x.leader()
+	node = trio.leader()
 	b = "a"
-	if l.id == b {
+	if node.id == b {
 		b = "b"
 	}
-	at, _, _ = l.Propose("cmd", json.RawMessage(`"more"`))
-	x.run(300 * time.Millisecond)
-	x.restart(b, at-1, true)
-	x.run(2 * time.Second)
-	if n := len(x.done[b]); l.Role() != Leader || n == 0 || x.done[b][n-1] != `"more"` || x.all[b].Unsure() {
-		t.Errorf("%s applied %v under %s", b, x.done[b], l.Role())
+	at, _, _ = node.Propose("cmd", json.RawMessage(`"more"`))
+	trio.run(300 * time.Millisecond)
+	trio.restart(b, at-1, true)
+	trio.run(2 * time.Second)
+	if n := len(trio.done[b]); node.Role() != Leader || n == 0 || trio.done[b][n-1] != `"more"` || trio.all[b].Unsure() {
+		t.Errorf("%s applied %v under %s", b, trio.done[b], node.Role())
 	}
 	// When all are unsure, all together are as good as it gets.
 	for _, id := range []string{"a", "b", "c"} {
-		x.restart(id, at, true)
+		trio.restart(id, at, true)
 	}
-	x.run(5 * time.Second)
-	if x.leader() == nil {
+	trio.run(5 * time.Second)
+	if trio.leader() == nil {
 		t.Error("nobody leads although all are there")
 	}
 }
@@ -273,42 +273,42 @@
 // vote; one that lacks them is not.
 func TestVoteOfKnownLossCounts(t *testing.T) {
 	for _, known := range []bool{true, false} {
-		x := newTrio(5)
-		x.run(3 * time.Second)
-		leader := x.leader()
+		trio := newTrio(5)
+		trio.run(3 * time.Second)
+		leader := trio.leader()
 		var damaged, away string
 		for _, id := range []string{"a", "b", "c"} {
 			if id != leader.id {
 				damaged, away = away, id
 			}
 		}
-		x.cut[away] = true
-		x.run(300 * time.Millisecond)
+		trio.cut[away] = true
+		trio.run(300 * time.Millisecond)
 		at, term, err := leader.Propose("cmd", json.RawMessage(`"kept"`))
-		x.run(300 * time.Millisecond)
+		trio.run(300 * time.Millisecond)
 		if err != nil || leader.Commit() < at {
 			t.Fatalf("it is committed: %v", err)
 		}
-		x.restart(damaged, at-1, true)
-		x.restart(leader.id, at, false)
+		trio.restart(damaged, at-1, true)
+		trio.restart(leader.id, at, false)
 		if known {
-			x.all[damaged].hard.LostTerm, x.all[damaged].hard.LostIndex = term, at
+			trio.all[damaged].hard.LostTerm, trio.all[damaged].hard.LostIndex = term, at
 		}
-		x.run(10 * time.Second)
-		if got := x.all[leader.id].Role() == Leader; got != known {
+		trio.run(10 * time.Second)
+		if got := trio.all[leader.id].Role() == Leader; got != known {
 			t.Errorf("known %v: the one that has all leads: %v", known, got)
 		}
-		if known && x.all[damaged].Unsure() {
+		if known && trio.all[damaged].Unsure() {
 			t.Error("it has all again and is still unsure")
 		}
 		// Now only the one that lacks the entry is there besides the damaged one.
-		x.restart(damaged, at-1, true)
+		trio.restart(damaged, at-1, true)
 		if known {
-			x.all[damaged].hard.LostTerm, x.all[damaged].hard.LostIndex = term, at
+			trio.all[damaged].hard.LostTerm, trio.all[damaged].hard.LostIndex = term, at
 		}
-		x.cut[leader.id], x.cut[away] = true, false
-		x.run(10 * time.Second)
-		if x.all[damaged].Role() == Leader || x.all[away].Role() == Leader {
+		trio.cut[leader.id], trio.cut[away] = true, false
+		trio.run(10 * time.Second)
+		if trio.all[damaged].Role() == Leader || trio.all[away].Role() == Leader {
 			t.Errorf("known %v: somebody leads who lacks what was acknowledged", known)
 		}
 	}
--- a/core/raft/replication_test.go
+++ b/core/raft/replication_test.go
@@ -10,25 +10,25 @@
 // Given a member that is behind by large entries, when it is fed, then no message
 // has more than the bound and one entry, and all of them come in their order.
 func TestLargeEntriesInManyMessages(t *testing.T) {
-	x := newTrio(5)
-	x.run(3 * time.Second)
-	l := x.leader()
+	trio := newTrio(5)
+	trio.run(3 * time.Second)
+	node := trio.leader()
 	behind := "b"
-	if l.id == behind {
+	if node.id == behind {
 		behind = "c"
 	}
-	x.cut[behind] = true
+	trio.cut[behind] = true
 	big := make([]byte, 1<<20)
 	for i := range big {
 		big[i] = '1'
 	}
 	for i := 0; i < 30; i++ {
-		_, _, _ = l.Propose("cmd", json.RawMessage(big))
+		_, _, _ = node.Propose("cmd", json.RawMessage(big))
 	}
-	x.run(time.Second)
-	x.cut[behind] = false
-	for end := x.now + 5*time.Second; x.now < end; x.step() {
-		for _, d := range x.mail {
+	trio.run(time.Second)
+	trio.cut[behind] = false
+	for end := trio.now + 5*time.Second; trio.now < end; trio.step() {
+		for _, d := range trio.mail {
 			size := 0
 			for _, e := range d.Message.Entries {
 				size += len(e.Data)
@@ -38,7 +38,7 @@
 			}
 		}
 	}
-	if n := len(x.done[behind]); n != 30 {
+	if n := len(trio.done[behind]); n != 30 {
 		t.Errorf("%d entries came", n)
 	}
 }
@@ -47,25 +47,25 @@
 // is on its way to one of them can cross a link of 100 Mbit/s, beside as much to seven
 // others, well before it counts as lost.
 func TestEntriesOnTheirWayAreFew(t *testing.T) {
-	x := newTrio(9)
-	x.run(3 * time.Second)
-	l := x.leader()
-	x.step()
+	trio := newTrio(9)
+	trio.run(3 * time.Second)
+	node := trio.leader()
+	trio.step()
 	big := json.RawMessage(fmt.Sprintf(`"%0100000d"`, 0))
 	for range 40 {
-		if _, _, err := l.Propose("cmd", big); err != nil {
+		if _, _, err := node.Propose("cmd", big); err != nil {
 			t.Fatal(err)
 		}
 	}
 	sent := map[string]int{}
-	for _, message := range l.Advance(x.now).Messages {
+	for _, message := range node.Advance(trio.now).Messages {
 		for _, entry := range message.Message.Entries {
 			sent[message.Message.ToID] += len(entry.Data)
 		}
 	}
 	const bytesPerSecond, members = 100 << 20 / 8, 8
 	for id, n := range sent {
-		if way := time.Duration(n*members) * time.Second / bytesPerSecond; way > l.electionTimeout {
+		if way := time.Duration(n*members) * time.Second / bytesPerSecond; way > node.electionTimeout {
 			t.Errorf("%d bytes are on their way to %s, which take %v", n, id, way)
 		}
 	}
@@ -77,26 +77,26 @@
 // A leader sends nothing but heartbeats to a member that does not answer: entries
 // would pile up on the way to it, and fill the leader's memory.
 func TestNothingPilesUpForASilentMember(t *testing.T) {
-	x := newTrio(3)
-	x.run(3 * time.Second)
-	l := x.leader()
-	if l == nil {
+	trio := newTrio(3)
+	trio.run(3 * time.Second)
+	node := trio.leader()
+	if node == nil {
 		t.Fatal("no leader")
 	}
 	gone := "b"
-	if l.id == gone {
+	if node.id == gone {
 		gone = "c"
 	}
-	x.cut[gone] = true
-	x.run(time.Second)
+	trio.cut[gone] = true
+	trio.run(time.Second)
 	big := json.RawMessage(fmt.Sprintf(`"%01000d"`, 0))
 	sent := 0
 	for range 100 {
-		if _, _, err := l.Propose("cmd", big); err != nil {
+		if _, _, err := node.Propose("cmd", big); err != nil {
 			t.Fatal(err)
 		}
-		x.step()
-		for _, d := range x.mail {
+		trio.step()
+		for _, d := range trio.mail {
 			if d.Message.ToID == gone {
 				sent += len(d.Message.Entries)
 			}
@@ -105,10 +105,10 @@
 	if sent != 0 {
 		t.Fatalf("%d entries were sent to a member that is silent", sent)
 	}
-	x.cut[gone] = false
-	x.run(2 * time.Second)
-	if x.all[gone].Commit() != l.Commit() {
-		t.Fatalf("it did not catch up: %d of %d", x.all[gone].Commit(), l.Commit())
+	trio.cut[gone] = false
+	trio.run(2 * time.Second)
+	if trio.all[gone].Commit() != node.Commit() {
+		t.Fatalf("it did not catch up: %d of %d", trio.all[gone].Commit(), node.Commit())
 	}
 }
 
@@ -126,35 +126,35 @@
 		{"far behind", 80, time.Second, false},
 		{"silent for long", 30, 13 * time.Second, false},
 	} {
-		x := newTrio(3)
-		x.run(3 * time.Second)
-		l := x.leader()
-		if l == nil {
+		trio := newTrio(3)
+		trio.run(3 * time.Second)
+		node := trio.leader()
+		if node == nil {
 			t.Fatal("no leader")
 		}
 		gone := "b"
-		if l.id == gone {
+		if node.id == gone {
 			gone = "c"
 		}
-		x.cut[gone] = true
-		match := l.Match(gone)
+		trio.cut[gone] = true
+		match := node.Match(gone)
 		for range c.entries {
-			if _, _, err := l.Propose("cmd", json.RawMessage(fmt.Sprintf(`"%01000d"`, 0))); err != nil {
+			if _, _, err := node.Propose("cmd", json.RawMessage(fmt.Sprintf(`"%01000d"`, 0))); err != nil {
 				t.Fatal(err)
 			}
 		}
-		x.run(c.away)
-		l.Compact(json.RawMessage(`{}`), keep)
-		_, kept := l.termAt(match)
+		trio.run(c.away)
+		node.Compact(json.RawMessage(`{}`), keep)
+		_, kept := node.termAt(match)
 		if kept != c.stays {
 			t.Errorf("%s: the log goes back to where it stands: %v", c.name, kept)
 		}
-		if !c.stays && l.LogLen() > keep.Entries {
-			t.Errorf("%s: %d entries stay for nobody", c.name, l.LogLen())
+		if !c.stays && node.LogLen() > keep.Entries {
+			t.Errorf("%s: %d entries stay for nobody", c.name, node.LogLen())
 		}
-		x.cut[gone] = false
-		x.run(2 * time.Second)
-		if caught := x.all[gone].Commit() == l.Commit(); caught != c.stays {
+		trio.cut[gone] = false
+		trio.run(2 * time.Second)
+		if caught := trio.all[gone].Commit() == node.Commit(); caught != c.stays {
 			t.Errorf("%s: it caught up without a snapshot: %v", c.name, caught)
 		}
 	}
@@ -164,28 +164,28 @@
 // when it refuses what follows that, then the leader does not send the same again
 // and again at one instant, but with its heartbeats.
 func TestAMemberThatForgotIsNotAskedWithoutPause(t *testing.T) {
-	x := newTrio(3)
-	x.run(3 * time.Second)
-	l := x.leader()
-	if l == nil {
+	trio := newTrio(3)
+	trio.run(3 * time.Second)
+	node := trio.leader()
+	if node == nil {
 		t.Fatal("no leader")
 	}
 	forgot := "b"
-	if l.id == forgot {
+	if node.id == forgot {
 		forgot = "c"
 	}
-	if _, _, err := l.Propose("cmd", json.RawMessage(`1`)); err != nil {
+	if _, _, err := node.Propose("cmd", json.RawMessage(`1`)); err != nil {
 		t.Fatal(err)
 	}
-	x.run(time.Second)
-	if _, _, err := l.Propose("cmd", json.RawMessage(`2`)); err != nil {
+	trio.run(time.Second)
+	if _, _, err := node.Propose("cmd", json.RawMessage(`2`)); err != nil {
 		t.Fatal(err)
 	}
-	l.Advance(x.now)
+	node.Advance(trio.now)
 	sent := 0
 	for range 20 {
-		l.Step(Message{Kind: MessageAppendResponse, From: forgot, ToID: l.id, Term: l.hard.Term, Hint: 0})
-		for _, envelope := range l.Advance(x.now).Messages {
+		node.Step(Message{Kind: MessageAppendResponse, From: forgot, ToID: node.id, Term: node.hard.Term, Hint: 0})
+		for _, envelope := range node.Advance(trio.now).Messages {
 			if envelope.Message.ToID == forgot {
 				sent++
 			}
--- a/rig/fleet/drill.go
+++ b/rig/fleet/drill.go
@@ -28,7 +28,7 @@
 	do   func(*Fleet) (undo func() error, err error)
 }
 
-func (f *Fleet) status(p *Proc) (s struct {
+func (f *Fleet) status(process *Proc) (s struct {
 	ID    string `json:"id"`
 	Store struct {
 		Role string `json:"role"`
@@ -37,7 +37,7 @@
 		Acting bool `json:"acting"`
 	} `json:"coordinator"`
 }) {
-	if _, b, err := Do("GET", "http://"+p.Web+"/status", nil, nil); err == nil {
+	if _, b, err := Do("GET", "http://"+process.Web+"/status", nil, nil); err == nil {
 		_ = json.Unmarshal(b, &s)
 	}
 	return s
@@ -292,23 +292,23 @@
 	if _, _, err := f.PutPlan(0, f.Shape.Plan); err != nil {
 		return nil, err
 	}
-	r := rand.New(rand.NewSource(seed))
+	random := rand.New(rand.NewSource(seed))
 	rev := 1
-	if _, err := f.proof(r, rev); err != nil {
+	if _, err := f.proof(random, rev); err != nil {
 		return nil, err
 	}
 	var out []Drill
-	for _, x := range drills {
-		undo, err := x.do(f)
+	for _, drill := range drills {
+		undo, err := drill.do(f)
 		if err != nil {
-			return out, errors.Wrap(err, x.name)
+			return out, errors.Wrap(err, drill.name)
 		}
 		began := time.Now()
 		rev++
-		wrong, err := f.proof(r, rev)
-		d := Drill{Fault: x.name, Heal: time.Since(began).Seconds(), Wrong: wrong}
+		wrong, err := f.proof(random, rev)
+		d := Drill{Fault: drill.name, Heal: time.Since(began).Seconds(), Wrong: wrong}
 		if err != nil {
-			return append(out, d), errors.Wrap(err, x.name)
+			return append(out, d), errors.Wrap(err, drill.name)
 		}
 		out = append(out, d)
 		if err := undo(); err != nil {
@@ -340,7 +340,7 @@
 
 // proof shows that service is whole: a booking or lookup goes through, a plan
 // is put, and a small step under new weights gets all of its results.
-func (f *Fleet) proof(r *rand.Rand, rev int) (string, error) {
+func (f *Fleet) proof(random *rand.Rand, rev int) (string, error) {
 	live := func() string {
 		for i := range f.By("dispatcher") {
 			if f.serves(i) {
@@ -371,7 +371,7 @@
 	t := f.Shape.Trainers[0]
 	doc := ledger.StepDoc{ID: fmt.Sprintf("drill-%d", rev), Trainer: t.Name, Pool: t.Pool, Revision: rev, OneVersion: true, Judge: f.Judge, DeadlineMS: 100000}
 	for g := 0; g < 6; g++ {
-		doc.Groups = append(doc.Groups, ledger.Group{ID: fmt.Sprintf("g%d", g), Prompt: prompt(r, 512), Samples: 2, Tokens: 32})
+		doc.Groups = append(doc.Groups, ledger.Group{ID: fmt.Sprintf("g%d", g), Prompt: prompt(random, 512), Samples: 2, Tokens: 32})
 	}
 	body, _ := json.Marshal(doc)
 	if err := Retry(patience, func() error {
@@ -384,21 +384,21 @@
 	}); err != nil {
 		return "", err
 	}
-	var p ledger.Pages
+	var pages ledger.Pages
 	if err := Retry(patience, func() error {
 		at = live()
 		_, b, err := Do("GET", at+"/v1/steps/"+doc.ID+"/results", nil, nil)
 		if err != nil {
 			return err
 		}
-		if json.Unmarshal(b, &p) != nil || len(p.Results) < doc.Wanted() {
-			return errors.Errorf("fleet: %d of %d results", len(p.Results), doc.Wanted())
+		if json.Unmarshal(b, &pages) != nil || len(pages.Results) < doc.Wanted() {
+			return errors.Errorf("fleet: %d of %d results", len(pages.Results), doc.Wanted())
 		}
 		return nil
 	}); err != nil {
 		return "", err
 	}
-	for _, e := range p.Results {
+	for _, e := range pages.Results {
 		if err := standin.CheckEntry(doc, e, standin.Usual.Stop); err != nil {
 			return err.Error(), nil
 		}
--- a/rig/fleet/drive.go
+++ b/rig/fleet/drive.go
@@ -102,8 +102,8 @@
 		return 0, 0, err
 	}
 	acked := time.Now()
-	var p ledger.Plan
-	if code != 200 || json.Unmarshal(b, &p) != nil {
+	var plan ledger.Plan
+	if code != 200 || json.Unmarshal(b, &plan) != nil {
 		return 0, 0, errors.Errorf("fleet: plan answered %d %s", code, b)
 	}
 	for i := range f.By("dispatcher") {
@@ -114,16 +114,16 @@
 			}
 			var s struct{ Plan uint64 }
 			_ = json.Unmarshal(b, &s)
-			if s.Plan < p.Version {
+			if s.Plan < plan.Version {
 				return errors.New("fleet: plan not there yet")
 			}
 			return nil
 		})
 		if err != nil {
-			return p.Version, 0, err
+			return plan.Version, 0, err
 		}
 	}
-	return p.Version, time.Since(acked), nil
+	return plan.Version, time.Since(acked), nil
 }
 
 func prompt(r *rand.Rand, n int) string {
@@ -198,11 +198,11 @@
 // when all are there the next weights are named. The other kinds are asked for
 // under the same weights, and may still run when the next step opens.
 func (d *driver) train(seed int64, end time.Time) {
-	r := rand.New(rand.NewSource(seed))
+	random := rand.New(rand.NewSource(seed))
 	kinds := d.f.Shape.Trainers
 	shared := make([]string, len(kinds))
 	for i, t := range kinds {
-		shared[i] = prompt(r, t.Shared)
+		shared[i] = prompt(random, t.Shared)
 	}
 	var wg sync.WaitGroup
 	busy := make([]chan bool, len(kinds))
@@ -216,7 +216,7 @@
 			default:
 				continue // the one before still runs
 			}
-			doc := d.doc(t, rev, r, shared[i+1])
+			doc := d.doc(t, rev, random, shared[i+1])
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
@@ -224,7 +224,7 @@
 				<-busy[i+1]
 			}()
 		}
-		if !d.step(d.doc(kinds[0], rev, r, shared[0]), end.Add(patience)) {
+		if !d.step(d.doc(kinds[0], rev, random, shared[0]), end.Add(patience)) {
 			break
 		}
 	}
@@ -296,18 +296,18 @@
 
 // check tells from the text alone whether it is right, whole, and made by the
 // weights it is said to be made by.
-func (d *driver) check(doc ledger.StepDoc, e ledger.Entry) {
-	err := standin.CheckEntry(doc, e, standin.Usual.Stop)
+func (d *driver) check(doc ledger.StepDoc, entry ledger.Entry) {
+	err := standin.CheckEntry(doc, entry, standin.Usual.Stop)
 	if err != nil {
-		d.wrong("%s %s/%d: %v", doc.ID, e.Group, e.Sample, err)
+		d.wrong("%s %s/%d: %v", doc.ID, entry.Group, entry.Sample, err)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.rep.Listed++
 	d.rep.Checked++
-	d.rep.Prompt += e.Prompt
-	d.rep.Recomputed += e.Prompt - e.Cached
-	if e.Verdict.State == "given" {
+	d.rep.Prompt += entry.Prompt
+	d.rep.Recomputed += entry.Prompt - entry.Cached
+	if entry.Verdict.State == "given" {
 		d.rep.Judged++
 	}
 }
@@ -379,15 +379,15 @@
 			}
 		}
 	}
-	for _, p := range d.f.Nodes {
-		d.rep.Memory[p.Name], d.rep.CPU[p.Name] = p.Memory(), p.CPU()
-		if p.Has("store") {
+	for _, process := range d.f.Nodes {
+		d.rep.Memory[process.Name], d.rep.CPU[process.Name] = process.Memory(), process.CPU()
+		if process.Has("store") {
 			var s struct {
 				Store struct {
 					Writes int `json:"writes_total"`
 				} `json:"store"`
 			}
-			if _, b, err := Do("GET", "http://"+p.Web+"/status", nil, nil); err == nil && json.Unmarshal(b, &s) == nil {
+			if _, b, err := Do("GET", "http://"+process.Web+"/status", nil, nil); err == nil && json.Unmarshal(b, &s) == nil {
 				d.rep.StoreWrites += s.Store.Writes
 			}
 		}
--- a/rig/fleet/fleet.go
+++ b/rig/fleet/fleet.go
@@ -123,7 +123,7 @@
 
 // Start builds nothing: bin is the folder with both programs.
 func Start(shape Shape, bin, dir string) (*Fleet, error) {
-	f := &Fleet{Shape: shape, Dir: dir, bin: bin, Relays: NewRelays()}
+	fleet := &Fleet{Shape: shape, Dir: dir, bin: bin, Relays: NewRelays()}
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, errors.Wrap(err, "fleet")
 	}
@@ -139,8 +139,8 @@
 	pool := shape.Trainers[0].Pool
 	for i := 0; i < shape.Models; i++ {
 		id, at := fmt.Sprintf("model-%d", i+1), take()
-		f.Engines = append(f.Engines, dialect.Listed{ID: id, URL: "http://" + at, Kind: "model", Pool: pool, Zone: zone(i), State: "ready"})
-		f.add(&Proc{Name: id, Web: at, Role: "model", Zone: zone(i), Args: []string{rig, "engine", "--addr", at, "--id", id, "--pool", pool}})
+		fleet.Engines = append(fleet.Engines, dialect.Listed{ID: id, URL: "http://" + at, Kind: "model", Pool: pool, Zone: zone(i), State: "ready"})
+		fleet.add(&Proc{Name: id, Web: at, Role: "model", Zone: zone(i), Args: []string{rig, "engine", "--addr", at, "--id", id, "--pool", pool}})
 	}
 	var app struct {
 		Pools []struct{ Name, Kind string }
@@ -149,22 +149,22 @@
 	appPool := app.Pools[len(app.Pools)-1].Name
 	for i := 0; i < shape.Apps; i++ {
 		id, at := fmt.Sprintf("app-%d", i+1), take()
-		f.Engines = append(f.Engines, dialect.Listed{ID: id, URL: "http://" + at, Kind: "app", Pool: appPool, Zone: zone(i), State: "ready"})
-		f.add(&Proc{Name: id, Web: at, Role: "app", Zone: zone(i), Args: []string{rig, "app", "--addr", at, "--id", id}})
+		fleet.Engines = append(fleet.Engines, dialect.Listed{ID: id, URL: "http://" + at, Kind: "app", Pool: appPool, Zone: zone(i), State: "ready"})
+		fleet.add(&Proc{Name: id, Web: at, Role: "app", Zone: zone(i), Args: []string{rig, "app", "--addr", at, "--id", id}})
 	}
 	judge, plat := take(), take()
-	f.Judge, f.List = "http://"+judge+"/judge", "http://"+plat+"/engines"
-	f.add(&Proc{Name: "judge", Web: judge, Role: "judge", Args: []string{rig, "judge", "--addr", judge}})
-	f.add(&Proc{Name: "platform", Web: plat, Role: "platform", Args: []string{rig, "list", "--addr", plat}})
+	fleet.Judge, fleet.List = "http://"+judge+"/judge", "http://"+plat+"/engines"
+	fleet.add(&Proc{Name: "judge", Web: judge, Role: "judge", Args: []string{rig, "judge", "--addr", judge}})
+	fleet.add(&Proc{Name: "platform", Web: plat, Role: "platform", Args: []string{rig, "list", "--addr", plat}})
 	var addrs, webs []string
 	for i := 0; i < nodes; i++ {
 		addrs, webs = append(addrs, take()), append(webs, take())
 	}
 	seeds := strings.Join([]string{addrs[0], addrs[disks], addrs[nodes-1]}, ",")
 	form := strings.Join(addrs[:shape.Stores], ",")
-	f.seeds = seeds
+	fleet.seeds = seeds
 	for i := 0; i < nodes; i++ {
-		name, more := fmt.Sprintf("disp-%d", i-disks+1), []string{"--roles", "dispatcher", "--platform", f.List}
+		name, more := fmt.Sprintf("disp-%d", i-disks+1), []string{"--roles", "dispatcher", "--platform", fleet.List}
 		if i < disks {
 			name = fmt.Sprintf("store-%d", i+1)
 			more = []string{"--roles", "store,coordinator", "--data", filepath.Join(dir, name)}
@@ -172,18 +172,18 @@
 				more = append(more, "--form", form)
 			}
 		}
-		if _, err := f.node(name, addrs[i], take(), webs[i], zone(i), more...); err != nil {
-			f.Close()
+		if _, err := fleet.node(name, addrs[i], take(), webs[i], zone(i), more...); err != nil {
+			fleet.Close()
 			return nil, err
 		}
 	}
-	for _, p := range f.Procs {
-		if err := f.Launch(p); err != nil {
-			f.Close()
+	for _, p := range fleet.Procs {
+		if err := fleet.Launch(p); err != nil {
+			fleet.Close()
 			return nil, err
 		}
 	}
-	return f, f.Publish()
+	return fleet, fleet.Publish()
 }
 
 // node puts one node into the fleet, behind a relay, not yet started.
@@ -216,19 +216,19 @@
 func (f *Fleet) add(p *Proc) { f.Procs = append(f.Procs, p) }
 
 // Launch starts one process; its output goes to a file in the fleet's folder.
-func (f *Fleet) Launch(p *Proc) error {
-	out, err := os.OpenFile(filepath.Join(f.Dir, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+func (f *Fleet) Launch(process *Proc) error {
+	out, err := os.OpenFile(filepath.Join(f.Dir, process.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return errors.Wrap(err, "fleet: log")
 	}
 	defer out.Close()
-	c := exec.Command(p.Args[0], p.Args[1:]...)
+	c := exec.Command(process.Args[0], process.Args[1:]...)
 	c.Stdout, c.Stderr = out, out
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
-		return errors.Wrap(err, "fleet: start "+p.Name)
+		return errors.Wrap(err, "fleet: start "+process.Name)
 	}
-	p.Cmd = c
+	process.Cmd = c
 	return nil
 }
 
@@ -268,16 +268,16 @@
 		}
 	}
 	f.Relays.Close()
-	for _, p := range f.Procs {
-		if p.Cmd == nil {
+	for _, process := range f.Procs {
+		if process.Cmd == nil {
 			continue
 		}
 		done := make(chan struct{})
-		go func() { _, _ = p.Cmd.Process.Wait(); close(done) }()
+		go func() { _, _ = process.Cmd.Process.Wait(); close(done) }()
 		select {
 		case <-done:
 		case <-time.After(12 * time.Second):
-			_ = p.Cmd.Process.Kill()
+			_ = process.Cmd.Process.Kill()
 			<-done
 		}
 	}
--- a/rig/fleet/relay.go
+++ b/rig/fleet/relay.go
@@ -48,25 +48,25 @@
 
 func (r *Relays) carry(c net.Conn, listener, to string) {
 	defer c.Close()
-	out, err := net.DialTimeout("tcp", to, time.Second)
+	conn, err := net.DialTimeout("tcp", to, time.Second)
 	if err != nil {
 		return
 	}
-	defer out.Close()
-	s := bufio.NewScanner(c)
-	s.Buffer(make([]byte, 0, 4096), 32<<20)
-	for s.Scan() {
+	defer conn.Close()
+	scanner := bufio.NewScanner(c)
+	scanner.Buffer(make([]byte, 0, 4096), 32<<20)
+	for scanner.Scan() {
 		var from struct {
 			Addr string `json:"a"`
 		}
-		_ = json.Unmarshal(s.Bytes(), &from)
+		_ = json.Unmarshal(scanner.Bytes(), &from)
 		r.mu.Lock()
 		lost := r.cut[[2]string{from.Addr, listener}]
 		r.mu.Unlock()
 		if lost {
 			continue
 		}
-		if _, err := out.Write(append(s.Bytes(), '\n')); err != nil {
+		if _, err := conn.Write(append(scanner.Bytes(), '\n')); err != nil {
 			return
 		}
 	}
--- a/rig/scale/axes.go
+++ b/rig/scale/axes.go
@@ -320,7 +320,7 @@
 
 // measure gives each role's mean since the counts were cleared.
 func (w *World) measure(window time.Duration, totals bool) Measured {
-	out := Measured{}
+	measured := Measured{}
 	per := 1 / window.Seconds()
 	if totals {
 		per = 1
@@ -332,29 +332,29 @@
 				continue
 			}
 			n++
-			s := &h.Spent
-			sum["cpu_ms"] += float64(s.CPU) / 1e6 * per
-			sum["lines_out"] += float64(s.Out) * per
-			sum["lines_in"] += float64(s.In) * per
-			sum["bytes_out"] += float64(s.Sent) * per
-			sum["bytes_in"] += float64(s.Heard) * per
-			sum["calls"] += float64(s.Sends) * per
-			sum["list_bytes"] += float64(s.Reads) * per
-			sum["longest_turn_ms"] += float64(s.Turn) / 1e6
-			sum["disk_bytes"] += float64(s.Bytes) * per
-			for k, v := range s.Kinds {
+			spent := &h.Spent
+			sum["cpu_ms"] += float64(spent.CPU) / 1e6 * per
+			sum["lines_out"] += float64(spent.Out) * per
+			sum["lines_in"] += float64(spent.In) * per
+			sum["bytes_out"] += float64(spent.Sent) * per
+			sum["bytes_in"] += float64(spent.Heard) * per
+			sum["calls"] += float64(spent.Sends) * per
+			sum["list_bytes"] += float64(spent.Reads) * per
+			sum["longest_turn_ms"] += float64(spent.Turn) / 1e6
+			sum["disk_bytes"] += float64(spent.Bytes) * per
+			for k, v := range spent.Kinds {
 				sum["out."+k] += float64(v) * per
 			}
-			for k, v := range s.KindsIn {
+			for k, v := range spent.KindsIn {
 				sum["in."+k] += float64(v) * per
 			}
 		}
 		for k := range sum {
 			sum[k] /= n
 		}
-		out[r.name] = sum
+		measured[r.name] = sum
 	}
-	return out
+	return measured
 }
 
 // heap is what lives after a collection, in bytes.
@@ -391,16 +391,16 @@
 	points := map[[2]string][]Point{}
 	for i, x := range a.Values {
 		before := heap()
-		w := New(a.Base(x))
-		if !w.Ready() {
+		world := New(a.Base(x))
+		if !world.Ready() {
 			return nil, fmt.Errorf("scale: %s at %v: the fleet does not serve", a.Name, x)
 		}
-		w.Run(3 * time.Second)
-		w.Clear()
+		world.Run(3 * time.Second)
+		world.Clear()
 		more := map[string]float64{}
-		window := a.Run(w, x, more)
-		got := w.measure(window, a.Totals)
-		more["heap a node"] = (heap() - before - w.shelved()) / float64(len(w.Hosts))
+		window := a.Run(world, x, more)
+		got := world.measure(window, a.Totals)
+		more["heap a node"] = (heap() - before - world.shelved()) / float64(len(world.Hosts))
 		got["fleet"] = more
 		for role, m := range got {
 			for what, v := range m {
@@ -417,21 +417,21 @@
 			}
 		}
 		progress(fmt.Sprintf("%s = %v is done", a.Name, x))
-		runtime.KeepAlive(w)
+		runtime.KeepAlive(world)
 	}
 	per := "second"
 	if a.Totals {
 		per = "run"
 	}
-	var out []Slope
+	var slopes []Slope
 	for k, p := range points {
-		out = append(out, Slope{a.Name, a.Unit, per, k[0], k[1], Line(p)})
+		slopes = append(slopes, Slope{a.Name, a.Unit, per, k[0], k[1], Line(p)})
 	}
-	sort.Slice(out, func(i, j int) bool {
-		if out[i].Role != out[j].Role {
-			return out[i].Role < out[j].Role
+	sort.Slice(slopes, func(i, j int) bool {
+		if slopes[i].Role != slopes[j].Role {
+			return slopes[i].Role < slopes[j].Role
 		}
-		return out[i].What < out[j].What
+		return slopes[i].What < slopes[j].What
 	})
-	return out, nil
+	return slopes, nil
 }
--- a/rig/scale/fit.go
+++ b/rig/scale/fit.go
@@ -45,18 +45,18 @@
 		xs[i], ys[i] = math.Pow(p.X, float64(power)), p.Y
 		least, most = min(least, p.Y), max(most, p.Y)
 	}
-	f := Fit{Points: points, R2: 1, Power: power}
+	fit := Fit{Points: points, R2: 1, Power: power}
 	if least == most {
-		f.Base = least
-		return f
+		fit.Base = least
+		return fit
 	}
-	f.Base, f.Slope = stat.LinearRegression(xs, ys, nil, false)
-	f.R2 = stat.RSquared(xs, ys, nil, f.Base, f.Slope)
+	fit.Base, fit.Slope = stat.LinearRegression(xs, ys, nil, false)
+	fit.R2 = stat.RSquared(xs, ys, nil, fit.Base, fit.Slope)
 	for _, p := range points {
-		d := p.Y - f.At(p.X)
-		f.Worst = max(f.Worst, max(d, -d)/max(most, -least))
+		d := p.Y - fit.At(p.X)
+		fit.Worst = max(fit.Worst, max(d, -d)/max(most, -least))
 	}
-	return f
+	return fit
 }
 
 // At gives the line's value at a size.
--- a/rig/scale/forecast.go
+++ b/rig/scale/forecast.go
@@ -44,7 +44,7 @@
 
 // Load reads the slopes that a run kept in a folder.
 func Load(folder string) (Slopes, error) {
-	out := Slopes{}
+	slopes := Slopes{}
 	for _, axis := range axisNames() {
 		b, err := os.ReadFile(filepath.Join(folder, axis+".json"))
 		if err != nil {
@@ -55,10 +55,10 @@
 			return nil, errors.Wrap(err, "scale: "+axis)
 		}
 		for _, s := range all {
-			out[s.Axis+"/"+s.Role+"/"+s.What] = s.Fit
+			slopes[s.Axis+"/"+s.Role+"/"+s.What] = s.Fit
 		}
 	}
-	return out, nil
+	return slopes, nil
 }
 
 func axisNames() []string {
@@ -165,20 +165,20 @@
 }
 
 // Forecast writes what each role would spend at a size, from kept slopes.
-func Forecast(to io.Writer, s Slopes, f Full) error {
-	f.told = line(s["routes/dispatcher/in.told"].Points, 1).Slope / s["routes/fleet/bytes of the configuration"].Slope
-	f.sent = line(s["routes/store leader/out.told"].Points, 1).Slope / s["routes/fleet/bytes of the configuration"].Slope
+func Forecast(to io.Writer, s Slopes, full Full) error {
+	full.told = line(s["routes/dispatcher/in.told"].Points, 1).Slope / s["routes/fleet/bytes of the configuration"].Slope
+	full.sent = line(s["routes/store leader/out.told"].Points, 1).Slope / s["routes/fleet/bytes of the configuration"].Slope
 	fmt.Fprintf(to, "| role | cost | slope (axis/role/what) | R2 | how often | at full size |\n|---|---|---|---|---|---|\n")
-	for _, r := range rows {
-		fit, ok := s[r.key]
+	for _, row := range rows {
+		fit, ok := s[row.key]
 		if !ok {
-			return errors.Errorf("scale: no slope %s", r.key)
+			return errors.Errorf("scale: no slope %s", row.key)
 		}
 		slope := round3(fit.Slope)
 		if fit.Power == 2 {
 			slope += " (square)"
 		}
-		fmt.Fprintf(to, "| %s | %s | %s, `%s` | %.3f | %s | %s |\n", r.role, r.what, slope, r.key, fit.R2, r.how, human(r.at(fit, f), r.unit))
+		fmt.Fprintf(to, "| %s | %s | %s, `%s` | %.3f | %s | %s |\n", row.role, row.what, slope, row.key, fit.R2, row.how, human(row.at(fit, full), row.unit))
 	}
 	return nil
 }
--- a/rig/scale/host.go
+++ b/rig/scale/host.go
@@ -129,21 +129,21 @@
 }
 
 func (h *Host) emit() {
-	w, o := h.world, h.out
+	world, outbox := h.world, h.out
 	h.out = flow.Outbox{}
-	for _, n := range o.Notes {
+	for _, n := range outbox.Notes {
 		h.note(n)
 	}
-	if len(o.Save) > 0 {
+	if len(outbox.Save) > 0 {
 		h.Spent.Writes++
-		for _, s := range o.Save {
+		for _, s := range outbox.Save {
 			for _, e := range s.Add {
 				h.Spent.Bytes += int64(len(e.Data))
 			}
 		}
-		h.offer(1, flow.Event{Saved: o.Batch})
+		h.offer(1, flow.Event{Saved: outbox.Batch})
 	}
-	for _, s := range o.Blobs {
+	for _, s := range outbox.Blobs {
 		for _, x := range s.Put {
 			h.blobs[x.Ref] = x.Body
 		}
@@ -151,35 +151,35 @@
 			delete(h.blobs, r)
 		}
 	}
-	for _, f := range o.Fetch {
+	for _, f := range outbox.Fetch {
 		h.fetched(f)
 	}
 	var same json.RawMessage // of a large line to many
-	for i := range o.Lines {
-		l := &o.Lines[i]
-		if len(l.Body) >= large {
-			w.said += len(l.Body)
-			if bytes.Equal(l.Body, same) {
-				l.Body = same
+	for i := range outbox.Lines {
+		line := &outbox.Lines[i]
+		if len(line.Body) >= large {
+			world.said += len(line.Body)
+			if bytes.Equal(line.Body, same) {
+				line.Body = same
 			}
-			same = l.Body
+			same = line.Body
 		}
-		n := wireSize(*l)
+		n := wireSize(*line)
 		h.Spent.Out++
 		h.Spent.Sent += n
-		h.Spent.Kinds[l.Kind] += n
-		if l.To == operator {
-			w.heard(*l)
+		h.Spent.Kinds[line.Kind] += n
+		if line.To == operator {
+			world.heard(*line)
 			continue
 		}
-		if to := w.byAddr[l.To]; to != nil && to.Up {
+		if to := world.byAddr[line.To]; to != nil && to.Up {
 			to.Spent.In++
 			to.Spent.Heard += n
-			to.Spent.KindsIn[l.Kind] += n
-			to.offer(w.rounds(h, to), flow.Event{Line: l})
+			to.Spent.KindsIn[line.Kind] += n
+			to.offer(world.rounds(h, to), flow.Event{Line: line})
 		}
 	}
-	for _, r := range o.Replies {
+	for _, r := range outbox.Replies {
 		if f := h.calls[r.ID]; f != nil {
 			if !r.More {
 				delete(h.calls, r.ID)
@@ -187,24 +187,24 @@
 			f(r)
 		}
 	}
-	for _, s := range o.Sends {
+	for _, s := range outbox.Sends {
 		h.Spent.Sends++
-		w.Out.send(h, s)
+		world.Out.send(h, s)
 	}
-	if o.Halt != "" {
-		panic("scale: " + h.Name + " halted: " + o.Halt)
+	if outbox.Halt != "" {
+		panic("scale: " + h.Name + " halted: " + outbox.Halt)
 	}
 }
 
-func (h *Host) fetched(f flow.Fetch) {
-	got := flow.Fetched{ID: f.ID}
-	for _, r := range f.Refs {
+func (h *Host) fetched(fetch flow.Fetch) {
+	got := flow.Fetched{ID: fetch.ID}
+	for _, r := range fetch.Refs {
 		b, ok := h.blobs[r]
 		if !ok {
 			got.Missing = append(got.Missing, r)
 			continue
 		}
-		if !f.Check {
+		if !fetch.Check {
 			got.Parts = append(got.Parts, flow.Part{Ref: r, Size: len(b), Body: b})
 		}
 	}
@@ -212,18 +212,18 @@
 }
 
 // Call makes a request of a host from outside.
-func (h *Host) Call(c flow.Call, f func(flow.Reply)) {
+func (h *Host) Call(call flow.Call, f func(flow.Reply)) {
 	if !h.Up {
 		return
 	}
 	h.callID++
 	h.Spent.Calls++
-	c.ID = h.callID
+	call.ID = h.callID
 	if f == nil {
 		f = func(flow.Reply) {}
 	}
-	h.calls[c.ID] = f
-	h.offer(1, flow.Event{Call: &c})
+	h.calls[call.ID] = f
+	h.offer(1, flow.Event{Call: &call})
 }
 
 // notes are what the hollow fleet hears of its nodes' own logs.
--- a/rig/scale/idle_test.go
+++ b/rig/scale/idle_test.go
@@ -13,58 +13,58 @@
 }
 
 func grownWorld() *World {
-	w := New(grownSize())
-	for i, h := range w.Hosts {
+	world := New(grownSize())
+	for i, h := range world.Hosts {
 		if i < 8 {
 			h.Roles = []string{"dispatcher", "store", "coordinator"}
 		} else if i >= 66 {
 			h.Roles = []string{"reserve"}
 		}
 	}
-	return w
+	return world
 }
 
 // BenchmarkIdleFleet shows the processor time that each role of a fleet without
 // any traffic spends in its core.
 func BenchmarkIdleFleet(b *testing.B) {
-	w := grownWorld()
-	for _, h := range w.Hosts {
+	world := grownWorld()
+	for _, h := range world.Hosts {
 		h.Start()
 	}
-	w.Run(5 * time.Second)
-	w.Ask("plan.put", ledger.PutPlan{Version: 1, Request: "p1", Doc: plan(1, 4, 10)}, nil)
-	w.Run(3 * time.Second)
-	w.Clear()
+	world.Run(5 * time.Second)
+	world.Ask("plan.put", ledger.PutPlan{Version: 1, Request: "p1", Doc: plan(1, 4, 10)}, nil)
+	world.Run(3 * time.Second)
+	world.Clear()
 	b.ResetTimer()
 	for range b.N {
-		w.Run(10 * time.Second)
+		world.Run(10 * time.Second)
 	}
 	seconds := 10 * float64(b.N)
 	sums := map[string]*Spent{}
 	count := map[string]float64{}
-	for i, h := range w.Hosts {
+	for i, host := range world.Hosts {
 		role := "dispatcher"
 		switch {
-		case h == w.lead:
+		case host == world.lead:
 			role = "leader"
 		case i < 8:
 			role = "voter"
 		case i >= 66:
 			role = "reserve"
 		}
-		s := sums[role]
-		if s == nil {
-			s = &Spent{}
-			sums[role] = s
+		spent := sums[role]
+		if spent == nil {
+			spent = &Spent{}
+			sums[role] = spent
 		}
 		count[role]++
-		s.CPU += h.Spent.CPU
-		s.Heard += h.Spent.Heard
-		s.Sent += h.Spent.Sent
-		s.In += h.Spent.In
+		spent.CPU += host.Spent.CPU
+		spent.Heard += host.Spent.Heard
+		spent.Sent += host.Spent.Sent
+		spent.In += host.Spent.In
 	}
-	if w.lead != nil {
-		b.Logf("leader: bytes in %v, out %v, lines %d in, %d out", w.lead.Spent.KindsIn, w.lead.Spent.Kinds, w.lead.Spent.In, w.lead.Spent.Out)
+	if world.lead != nil {
+		b.Logf("leader: bytes in %v, out %v, lines %d in, %d out", world.lead.Spent.KindsIn, world.lead.Spent.Kinds, world.lead.Spent.In, world.lead.Spent.Out)
 	}
 	for role, s := range sums {
 		b.ReportMetric(float64(s.CPU)/1e6/seconds/count[role], role+"-ms/s")
--- a/rig/scale/outside.go
+++ b/rig/scale/outside.go
@@ -60,15 +60,15 @@
 
 // replace drains an engine, takes it off the list and puts another there.
 func (o *outside) replace(k int) {
-	e := o.engines[k%len(o.engines)]
-	if e.state != "ready" {
+	engine := o.engines[k%len(o.engines)]
+	if engine.state != "ready" {
 		return
 	}
-	e.state, o.pages = "draining", nil
+	engine.state, o.pages = "draining", nil
 	o.w.After(time.Second, func() {
-		e.gone = true
+		engine.gone = true
 		for i, x := range o.engines {
-			if x == e {
+			if x == engine {
 				o.engines = append(o.engines[:i:i], o.engines[i+1:]...)
 				break
 			}
@@ -134,35 +134,35 @@
 }
 
 // send answers a host's call.
-func (o *outside) send(h *Host, s flow.Send) {
-	url := strings.TrimPrefix(s.URL, "http://")
+func (o *outside) send(host *Host, send flow.Send) {
+	url := strings.TrimPrefix(send.URL, "http://")
 	if rest, ok := strings.CutPrefix(url, "10.255.0.1:80/engines"); ok {
 		b := o.page(strings.TrimPrefix(rest, "?PageToken="))
 		o.Read += int64(len(b))
-		h.Spent.Reads += int64(len(b))
-		h.offer(2, flow.Event{Back: &flow.Back{ID: s.ID, End: true, Code: 200, Body: b}})
+		host.Spent.Reads += int64(len(b))
+		host.offer(2, flow.Event{Back: &flow.Back{ID: send.ID, End: true, Code: 200, Body: b}})
 		return
 	}
 	addr, path, _ := strings.Cut(url, "/")
-	e := o.byAddr[addr]
-	if e == nil || e.gone {
-		h.offer(1, flow.Event{Back: &flow.Back{ID: s.ID, End: true, Err: "connection refused", Failure: flow.Unsent}})
+	engine := o.byAddr[addr]
+	if engine == nil || engine.gone {
+		host.offer(1, flow.Event{Back: &flow.Back{ID: send.ID, End: true, Err: "connection refused", Failure: flow.Unsent}})
 		return
 	}
 	way := inHost
-	if e.zone%o.w.Size.Regions != h.Region {
+	if engine.zone%o.w.Size.Regions != host.Region {
 		way = far
 	}
 	switch path {
 	case "order":
-		o.order(h, e, s, way)
+		o.order(host, engine, send, way)
 	case "report":
-		o.settle(e)
+		o.settle(engine)
 		b := fmt.Sprintf(`{"Models":[{"Label":"%s","Revision":%d}],"Saturated":%v,"CallSeq":1,"Queued":0,"Active":0,"KvUsed":0,"KvTotal":100000}`,
-			model(e.model), e.held, e.next > e.held)
-		h.offer(2*way, flow.Event{Back: &flow.Back{ID: s.ID, End: true, Code: 200, Body: []byte(b)}})
+			model(engine.model), engine.held, engine.next > engine.held)
+		host.offer(2*way, flow.Event{Back: &flow.Back{ID: send.ID, End: true, Code: 200, Body: []byte(b)}})
 	default:
-		o.work(h, e, s, way)
+		o.work(host, engine, send, way)
 	}
 }
 
@@ -194,21 +194,21 @@
 }
 
 // work answers a request, as a stream where that is asked for.
-func (o *outside) work(h *Host, e *engine, s flow.Send, way int) {
+func (o *outside) work(host *Host, e *engine, send flow.Send, way int) {
 	o.settle(e)
 	fields := []flow.Field{{Name: "Weight-Versions", Value: strconv.Itoa(e.held)}, {Name: "Engine-Load", Value: "1,0,8"}, {Name: "Instance-Id", Value: e.id}}
 	first := 2*way + int(o.Takes/Round)
-	if !s.Stream {
-		h.offer(first, flow.Event{Back: &flow.Back{ID: s.ID, End: true, Code: 200, Fields: fields, Body: []byte(`{"ok":true}`)}})
+	if !send.Stream {
+		host.offer(first, flow.Event{Back: &flow.Back{ID: send.ID, End: true, Code: 200, Fields: fields, Body: []byte(`{"ok":true}`)}})
 		return
 	}
 	at := func(rounds int, b flow.Back) {
-		b.ID = s.ID
+		b.ID = send.ID
 		if rounds < ahead {
-			h.offer(rounds, flow.Event{Back: &b})
+			host.offer(rounds, flow.Event{Back: &b})
 			return
 		}
-		o.w.After(time.Duration(rounds)*Round, func() { h.offer(1, flow.Event{Back: &b}) })
+		o.w.After(time.Duration(rounds)*Round, func() { host.offer(1, flow.Event{Back: &b}) })
 	}
 	at(first, flow.Back{Open: true, Code: 200, Fields: fields})
 	for i := range o.Events {
--- a/rig/scale/report.go
+++ b/rig/scale/report.go
@@ -72,23 +72,23 @@
 }
 
 // Run carries out what is asked for, on Workers processors at most.
-func Run(p Config) error {
+func Run(config Config) error {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(Workers))
-	if p.Whole {
-		return whole(p)
+	if config.Whole {
+		return whole(config)
 	}
-	if p.From != "" {
-		s, err := Load(p.From)
+	if config.From != "" {
+		s, err := Load(config.From)
 		if err != nil {
 			return err
 		}
-		return Forecast(p.Out, s, Wanted)
+		return Forecast(config.Out, s, Wanted)
 	}
 	var all []Slope
 	known := false
-	tell := func(s string) { fmt.Fprintln(p.Notes, s) }
+	tell := func(s string) { fmt.Fprintln(config.Notes, s) }
 	for _, a := range Axes {
-		if p.Axis != "" && p.Axis != a.Name {
+		if config.Axis != "" && config.Axis != a.Name {
 			continue
 		}
 		known = true
@@ -101,11 +101,11 @@
 		if err != nil {
 			return err
 		}
-		table(p.Out, a.Name+", a "+a.Unit, s)
+		table(config.Out, a.Name+", a "+a.Unit, s)
 		all = append(all, s...)
 	}
 	for _, x := range Extras {
-		if p.Axis != "" && p.Axis != x.Name {
+		if config.Axis != "" && config.Axis != x.Name {
 			continue
 		}
 		known = true
@@ -113,13 +113,13 @@
 		if err != nil {
 			return err
 		}
-		table(p.Out, x.Name, s)
+		table(config.Out, x.Name, s)
 		all = append(all, s...)
 	}
 	if !known {
-		return errors.Errorf("no such axis %q", p.Axis)
+		return errors.Errorf("no such axis %q", config.Axis)
 	}
-	return keep(p.Folder, all)
+	return keep(config.Folder, all)
 }
 
 // round3 writes a number with about three digits.
@@ -209,30 +209,30 @@
 }
 
 // draw plots the points and the line of a slope.
-func draw(folder, title string, s Slope) error {
+func draw(folder, title string, slope Slope) error {
 	p := plot.New()
-	p.Title.Text, p.X.Label.Text = title, s.Unit
+	p.Title.Text, p.X.Label.Text = title, slope.Unit
 	p.Title.Padding = vg.Points(6)
 	p.Y.Min = 0
 	var pts plotter.XYs
-	for _, x := range s.Points {
+	for _, x := range slope.Points {
 		pts = append(pts, plotter.XY{X: x.X, Y: x.Y})
 	}
 	dots, err := plotter.NewScatter(pts)
 	if err != nil {
 		return errors.Wrap(err, "scale")
 	}
-	last := s.Points[len(s.Points)-1].X
+	last := slope.Points[len(slope.Points)-1].X
 	var bend plotter.XYs
 	for i := range 41 {
 		x := last * float64(i) / 40
-		bend = append(bend, plotter.XY{X: x, Y: s.At(x)})
+		bend = append(bend, plotter.XY{X: x, Y: slope.At(x)})
 	}
 	line, err := plotter.NewLine(bend)
 	if err != nil {
 		return errors.Wrap(err, "scale")
 	}
 	p.Add(plotter.NewGrid(), line, dots)
-	name := strings.NewReplacer(",", "", " ", "-", ".", "-", "_", "-", "'", "").Replace(s.Axis + "-" + s.Role + "-" + s.What)
+	name := strings.NewReplacer(",", "", " ", "-", ".", "-", "_", "-", "'", "").Replace(slope.Axis + "-" + slope.Role + "-" + slope.What)
 	return errors.Wrap(p.Save(12*vg.Centimeter, 8*vg.Centimeter, filepath.Join(folder, name+".svg")), "scale")
 }
--- a/rig/scale/scale_test.go
+++ b/rig/scale/scale_test.go
@@ -28,18 +28,18 @@
 // Given a small hollow fleet, when it starts, then every node serves the first
 // configuration, takes the next, and engines take new weights.
 func TestHollowFleet(t *testing.T) {
-	w := New(small(10, 30))
-	if !w.Ready() {
+	world := New(small(10, 30))
+	if !world.Ready() {
 		t.Fatal("it does not serve")
 	}
-	if d := w.change(2, 40); !w.All(func(h *Host) bool { return h.Plan == 2 }) {
+	if d := world.change(2, 40); !world.All(func(h *Host) bool { return h.Plan == 2 }) {
 		t.Errorf("the configuration is not in force everywhere after %v", d)
 	}
-	if d := w.weights(2); !w.Out.allHold(2) {
+	if d := world.weights(2); !world.Out.allHold(2) {
 		t.Errorf("not all engines have the weights after %v", d)
 	}
 	more := map[string]float64{}
-	if d := w.lot(more, 64, 2, 16); d.Seconds() > 60 || more["refused lots"] > 0 {
+	if d := world.lot(more, 64, 2, 16); d.Seconds() > 60 || more["refused lots"] > 0 {
 		t.Errorf("the lot is not listed: %v %v", d, more)
 	}
 }
@@ -55,19 +55,19 @@
 // Given sizes beyond the machine, when a run is asked for, then it says what it
 // would need and starts nothing.
 func TestBeyondTheMachine(t *testing.T) {
-	var out strings.Builder
-	err := Run(Config{Whole: true, Nodes: 84_000, Engines: 10_000_000, Out: &out, Notes: &out})
+	var text strings.Builder
+	err := Run(Config{Whole: true, Nodes: 84_000, Engines: 10_000_000, Out: &text, Notes: &text})
 	var b Beyond
 	if !errors.As(err, &b) || b.Need <= b.Have || !strings.Contains(err.Error(), "nothing was started") {
 		t.Errorf("%v", err)
 	}
-	if out.Len() > 0 {
-		t.Errorf("it began: %s", out.String())
+	if text.Len() > 0 {
+		t.Errorf("it began: %s", text.String())
 	}
 	for _, p := range []Config{{Whole: true, Nodes: 3, Engines: 100}, {Whole: true, Nodes: 840, Engines: 0}, {Axis: "no such"}} {
-		p.Out, p.Notes = &out, &out
-		if err := Run(p); err == nil || out.Len() > 0 {
-			t.Errorf("%+v: %v, %s", p, err, out.String())
+		p.Out, p.Notes = &text, &text
+		if err := Run(p); err == nil || text.Len() > 0 {
+			t.Errorf("%+v: %v, %s", p, err, text.String())
 		}
 	}
 }
--- a/rig/scale/things.go
+++ b/rig/scale/things.go
@@ -99,19 +99,19 @@
 }
 
 func things() ([]Slope, error) {
-	var out []Slope
-	for _, t := range thingsOf {
+	var slopes []Slope
+	for _, thing := range thingsOf {
 		var pts []Point
-		t.make(10) // what is made once
-		for _, x := range t.values {
+		thing.make(10) // what is made once
+		for _, x := range thing.values {
 			before := heap()
-			v := t.make(int(x))
+			v := thing.make(int(x))
 			pts = append(pts, Point{x, heap() - before})
 			runtime.KeepAlive(v)
 		}
-		out = append(out, Slope{"things", t.what, "thing", t.role, t.what, Line(pts)})
+		slopes = append(slopes, Slope{"things", thing.what, "thing", thing.role, thing.what, Line(pts)})
 	}
-	return out, nil
+	return slopes, nil
 }
 
 // processTime is the processor time of this whole process.
--- a/rig/scale/whole.go
+++ b/rig/scale/whole.go
@@ -52,36 +52,36 @@
 
 // phase runs one part and keeps what it came to.
 func (r *wholeRun) phase(name string, f func(times map[string]float64)) {
-	w, from, began := r.w, r.w.Now, time.Now()
+	world, from, began := r.w, r.w.Now, time.Now()
 	r.from = from
-	w.Clear()
-	read := w.Out.Read
-	p := Phase{Name: name, Times: map[string]float64{}, Longest: map[string]float64{}}
-	f(p.Times)
-	window := w.Now - from
-	p.Seconds, p.Wall, p.List = window.Seconds(), time.Since(began).Seconds(), w.Out.Read-read
-	p.Roles = w.measure(window, true)
-	for _, h := range w.Hosts {
-		p.Lines += h.Spent.Out
-		p.Bytes += h.Spent.Sent
+	world.Clear()
+	read := world.Out.Read
+	phase := Phase{Name: name, Times: map[string]float64{}, Longest: map[string]float64{}}
+	f(phase.Times)
+	window := world.Now - from
+	phase.Seconds, phase.Wall, phase.List = window.Seconds(), time.Since(began).Seconds(), world.Out.Read-read
+	phase.Roles = world.measure(window, true)
+	for _, h := range world.Hosts {
+		phase.Lines += h.Spent.Out
+		phase.Bytes += h.Spent.Sent
 		for _, x := range roleOf {
-			if h.Up && x.is(w, h) {
-				p.Longest[x.name] = max(p.Longest[x.name], float64(h.Spent.Turn)/1e6)
+			if h.Up && x.is(world, h) {
+				phase.Longest[x.name] = max(phase.Longest[x.name], float64(h.Spent.Turn)/1e6)
 			}
 		}
 	}
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	p.Heap = float64(m.HeapAlloc)
-	r.rep.Phases = append(r.rep.Phases, p)
+	phase.Heap = float64(m.HeapAlloc)
+	r.rep.Phases = append(r.rep.Phases, phase)
 	debug.FreeOSMemory()
-	fmt.Fprintf(r.out, "\n## %s\n\n%.2f s simulated, %.0f s here; %d lines, %.1f MB between nodes, %.1f MB of the list read; heap %.2f GB\n", name, p.Seconds, p.Wall, p.Lines, float64(p.Bytes)/1e6, float64(p.List)/1e6, p.Heap/1e9)
-	for _, k := range sortedKeys(p.Times) {
-		fmt.Fprintf(r.out, "- %s: %.2f\n", k, p.Times[k])
+	fmt.Fprintf(r.out, "\n## %s\n\n%.2f s simulated, %.0f s here; %d lines, %.1f MB between nodes, %.1f MB of the list read; heap %.2f GB\n", name, phase.Seconds, phase.Wall, phase.Lines, float64(phase.Bytes)/1e6, float64(phase.List)/1e6, phase.Heap/1e9)
+	for _, k := range sortedKeys(phase.Times) {
+		fmt.Fprintf(r.out, "- %s: %.2f\n", k, phase.Times[k])
 	}
 	fmt.Fprintf(r.out, "\n| role | processor ms | longest turn, ms | lines out | bytes out | bytes in | largest kinds in |\n|---|---|---|---|---|---|---|\n")
 	for _, x := range roleOf {
-		m := p.Roles[x.name]
+		m := phase.Roles[x.name]
 		if len(m) == 0 {
 			continue
 		}
@@ -91,7 +91,7 @@
 				kinds = append(kinds, kind+" "+round3(m[k]))
 			}
 		}
-		fmt.Fprintf(r.out, "| %s | %s | %s | %s | %s | %s | %s |\n", x.name, round3(m["cpu_ms"]), round3(p.Longest[x.name]), round3(m["lines_out"]), round3(m["bytes_out"]), round3(m["bytes_in"]), strings.Join(kinds, ", "))
+		fmt.Fprintf(r.out, "| %s | %s | %s | %s | %s | %s | %s |\n", x.name, round3(m["cpu_ms"]), round3(phase.Longest[x.name]), round3(m["lines_out"]), round3(m["bytes_out"]), round3(m["bytes_in"]), strings.Join(kinds, ", "))
 	}
 }
 
@@ -115,10 +115,10 @@
 
 // reach notes when shares of the nodes have a configuration in force.
 func (r *wholeRun) reach(version uint64, times map[string]float64, most time.Duration) {
-	w, from := r.w, r.from
-	ok := w.Until(most, func() bool {
+	world, from := r.w, r.from
+	ok := world.Until(most, func() bool {
 		have, all := 0, 0
-		for _, h := range w.Hosts {
+		for _, h := range world.Hosts {
 			if h.Up && h.Has("dispatcher") {
 				all++
 				if h.Plan >= version {
@@ -131,7 +131,7 @@
 			share float64
 		}{{"in force at the first node", 0}, {"at half of the nodes", 0.5}, {"at 99 of 100", 0.99}, {"everywhere", 1}} {
 			if _, known := times[s.name]; !known && have > 0 && float64(have) >= s.share*float64(all) {
-				times[s.name] = (w.Now - from).Seconds()
+				times[s.name] = (world.Now - from).Seconds()
 			}
 		}
 		return have == all
@@ -148,21 +148,21 @@
 
 // whole takes one fleet through a configuration change, a weight roll-out, its
 // leader's loss and a zone's loss.
-func whole(p Config) error {
-	size := WholeSize(p.Nodes, p.Engines)
+func whole(config Config) error {
+	size := WholeSize(config.Nodes, config.Engines)
 	if err := size.check(); err != nil {
 		return err
 	}
 	if err := Fits(size); err != nil {
 		return err
 	}
-	rep := Take(size, p.Out)
-	if p.Folder != "" {
-		if err := os.MkdirAll(p.Folder, 0o755); err != nil {
+	rep := Take(size, config.Out)
+	if config.Folder != "" {
+		if err := os.MkdirAll(config.Folder, 0o755); err != nil {
 			return errors.Wrap(err, "scale")
 		}
 		b, _ := json.MarshalIndent(rep, "", " ")
-		if err := os.WriteFile(filepath.Join(p.Folder, fmt.Sprintf("whole-%d-%d.json", p.Nodes, p.Engines)), append(b, '\n'), 0o644); err != nil {
+		if err := os.WriteFile(filepath.Join(config.Folder, fmt.Sprintf("whole-%d-%d.json", config.Nodes, config.Engines)), append(b, '\n'), 0o644); err != nil {
 			return errors.Wrap(err, "scale")
 		}
 	}
@@ -188,58 +188,58 @@
 	// What lives is most of what may be taken: collecting often is the price.
 	defer debug.SetGCPercent(debug.SetGCPercent(50))
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(int64(half() * 9 / 10)))
-	w := New(size)
-	r := &wholeRun{w: w, rep: Whole{Size: size}, out: out}
+	world := New(size)
+	run := &wholeRun{w: world, rep: Whole{Size: size}, out: out}
 	fmt.Fprintf(out, "# %d hollow nodes, %d hollow engines, %d regions, %d zones, %d routes; all simulated times are without processor time\n",
 		size.Nodes, size.Engines, size.Regions, size.Zones, size.Routes)
 	ready := false
-	r.phase("cold start until every node serves", func(map[string]float64) { ready = w.Ready() })
+	run.phase("cold start until every node serves", func(map[string]float64) { ready = world.Ready() })
 	if !ready {
-		r.bad("the fleet does not serve")
-		return r.rep
+		run.bad("the fleet does not serve")
+		return run.rep
 	}
-	w.Run(time.Second / 2)
-	r.phase("quiet, 1 s", func(map[string]float64) { w.Run(time.Second) })
-	r.phase("a changed configuration", func(t map[string]float64) {
-		r.put(2, t)
-		r.reach(2, t, time.Minute)
+	world.Run(time.Second / 2)
+	run.phase("quiet, 1 s", func(map[string]float64) { world.Run(time.Second) })
+	run.phase("a changed configuration", func(t map[string]float64) {
+		run.put(2, t)
+		run.reach(2, t, time.Minute)
 	})
-	r.phase("new weights on all engines", func(t map[string]float64) {
-		d := w.weights(2)
+	run.phase("new weights on all engines", func(t map[string]float64) {
+		d := world.weights(2)
 		t["all engines"] = d.Seconds()
-		if !w.Out.allHold(2) {
-			r.bad("not all engines have the weights after %v", d)
+		if !world.Out.allHold(2) {
+			run.bad("not all engines have the weights after %v", d)
 		}
 	})
-	r.phase("the leader is lost, and a configuration is put at once", func(t map[string]float64) {
-		from := w.Now
-		w.lead.Kill()
-		r.put(3, t)
-		w.Until(20*time.Second, func() bool { return w.lead != nil })
-		t["another leads"] = (w.Now - from).Seconds()
-		r.reach(3, t, time.Minute)
+	run.phase("the leader is lost, and a configuration is put at once", func(t map[string]float64) {
+		from := world.Now
+		world.lead.Kill()
+		run.put(3, t)
+		world.Until(20*time.Second, func() bool { return world.lead != nil })
+		t["another leads"] = (world.Now - from).Seconds()
+		run.reach(3, t, time.Minute)
 	})
-	r.zone()
-	r.phase("two changes of the list, 2 s", func(map[string]float64) {
-		w.Out.replace(7)
-		w.Run(2 * time.Second)
+	run.zone()
+	run.phase("two changes of the list, 2 s", func(map[string]float64) {
+		world.Out.replace(7)
+		world.Run(2 * time.Second)
 	})
-	return r.rep
+	return run.rep
 }
 
 // zone loses the acting coordinator's zone, which owns a lot that is under way.
 func (r *wholeRun) zone() {
-	w := r.w
-	if w.acts == nil {
-		w.Until(20*time.Second, func() bool { return w.acts != nil })
+	world := r.w
+	if world.acts == nil {
+		world.Until(20*time.Second, func() bool { return world.acts != nil })
 	}
-	if w.acts == nil {
+	if world.acts == nil {
 		r.bad("no coordinator acts before the zone's loss")
 		return
 	}
-	zone := w.acts.Zone
+	zone := world.acts.Zone
 	var owner *Host
-	for _, h := range w.Hosts {
+	for _, h := range world.Hosts {
 		if h.Up && h.Zone == zone && !h.Has("store") && !h.Has("coordinator") {
 			owner = h
 		}
@@ -251,29 +251,29 @@
 	const items = 1024
 	r.phase("a zone is lost: its nodes, engines, the acting coordinator, and the owner of a lot", func(t map[string]float64) {
 		listed, taken := false, false
-		w.Out.Events, w.Out.Text, w.Out.Takes = 8, 64, 500*time.Millisecond
+		world.Out.Events, world.Out.Text, world.Out.Takes = 8, 64, 500*time.Millisecond
 		owner.Call(flow.Call{Name: "request", Host: lotHost, Verb: "POST", Path: "/lots/", Body: lotBody("zone-lot", items), Query: map[string]string{},
 			Fields: []flow.Field{{Name: "Attempt-Id", Value: "zone-lot"}}}, func(p flow.Reply) { taken = p.Code == 202 })
-		if !w.Until(10*time.Second, func() bool { return taken }) {
+		if !world.Until(10*time.Second, func() bool { return taken }) {
 			r.bad("the lot was not taken")
 			return
 		}
-		from, nodes := w.Now, 0
+		from, nodes := world.Now, 0
 		r.from = from
-		w.Clear()
-		for _, h := range w.Hosts {
+		world.Clear()
+		for _, h := range world.Hosts {
 			if h.Zone == zone && h.Up {
 				h.Kill()
 				nodes++
 			}
 		}
-		t["(nodes lost)"], t["(engines lost)"] = float64(nodes), float64(w.Out.lose(zone))
-		w.listed("zone-lot", items, func() { listed = true; t["the lot is whole"] = (w.Now - from).Seconds() })
+		t["(nodes lost)"], t["(engines lost)"] = float64(nodes), float64(world.Out.lose(zone))
+		world.listed("zone-lot", items, func() { listed = true; t["the lot is whole"] = (world.Now - from).Seconds() })
 		r.put(4, t)
 		r.reach(4, t, time.Minute)
-		w.Until(30*time.Second, func() bool { return w.acts != nil })
-		t["another coordinator acts"] = (w.Now - from).Seconds()
-		if !w.Until(time.Minute, func() bool { return listed }) {
+		world.Until(30*time.Second, func() bool { return world.acts != nil })
+		t["another coordinator acts"] = (world.Now - from).Seconds()
+		if !world.Until(time.Minute, func() bool { return listed }) {
 			r.bad("the lot is not whole a minute after its owner's zone was lost")
 		}
 	})
--- a/rig/scale/world.go
+++ b/rig/scale/world.go
@@ -61,33 +61,33 @@
 }
 
 // New makes a fleet that is not started.
-func New(s Size) *World {
-	w := &World{Size: s, byAddr: map[string]*Host{}, told: map[uint64]func(ledger.Result){}, later: map[int][]func(){}}
-	w.Out = newOutside(w)
+func New(size Size) *World {
+	world := &World{Size: size, byAddr: map[string]*Host{}, told: map[uint64]func(ledger.Result){}, later: map[int][]func(){}}
+	world.Out = newOutside(world)
 	var form []string
-	for i := range s.Stores {
+	for i := range size.Stores {
 		form = append(form, addrOf(i))
 	}
-	seeds := []string{addrOf(0), addrOf(min(1, s.Nodes-1)), addrOf(min(2, s.Nodes-1))}
-	for i := range s.Nodes {
-		zone := i % s.Zones
-		if i >= s.Stores && i < s.Stores+s.Coords {
-			zone = (i - s.Stores) % s.Zones // beside a store, so that a zone's loss takes both
+	seeds := []string{addrOf(0), addrOf(min(1, size.Nodes-1)), addrOf(min(2, size.Nodes-1))}
+	for i := range size.Nodes {
+		zone := i % size.Zones
+		if i >= size.Stores && i < size.Stores+size.Coords {
+			zone = (i - size.Stores) % size.Zones // beside a store, so that a zone's loss takes both
 		}
-		h := &Host{Name: fmt.Sprintf("node-%d", i), Addr: addrOf(i), Zone: zone, Region: zone % s.Regions, Roles: []string{"dispatcher"}, at: i, world: w,
+		h := &Host{Name: fmt.Sprintf("node-%d", i), Addr: addrOf(i), Zone: zone, Region: zone % size.Regions, Roles: []string{"dispatcher"}, at: i, world: world,
 			blobs: map[flow.Ref][]byte{}}
-		if i < s.Stores {
+		if i < size.Stores {
 			h.Roles = []string{"store"}
-		} else if i < s.Stores+s.Coords {
+		} else if i < size.Stores+size.Coords {
 			h.Roles = []string{"coordinator", "dispatcher"}
 		}
-		w.Hosts, w.byAddr[h.Addr] = append(w.Hosts, h), h
+		world.Hosts, world.byAddr[h.Addr] = append(world.Hosts, h), h
 	}
-	w.codec = func() node.Config {
+	world.codec = func() node.Config {
 		t := platform.Codec("10.255.0.1:80")
 		return node.Config{Seeds: seeds, Form: form, Keep: 1 << 30, Bounds: ledger.Usual, BlocksMost: 65536, First: true, Codec: &t, LotKeep: time.Hour}
 	}
-	return w
+	return world
 }
 
 func addrOf(i int) string { return fmt.Sprintf("10.%d.%d.%d:7000", 1+i/62500, i/250%250, 1+i%250) }
@@ -241,16 +241,16 @@
 }
 
 func (w *World) heard(l flow.Line) {
-	var t ask.Told
-	if l.Kind != "told" || json.Unmarshal(l.Body, &t) != nil || w.told[t.ID] == nil {
+	var told ask.Told
+	if l.Kind != "told" || json.Unmarshal(l.Body, &told) != nil || w.told[told.ID] == nil {
 		return
 	}
-	f := w.told[t.ID]
-	delete(w.told, t.ID)
-	if t.Retry {
-		t.Code = 0
+	f := w.told[told.ID]
+	delete(w.told, told.ID)
+	if told.Retry {
+		told.Code = 0
 	}
-	f(ledger.Result{Code: t.Code, Body: t.Body})
+	f(ledger.Result{Code: told.Code, Body: told.Body})
 }
 
 // Leader gives the store that leads, or nil.
--- a/rig/serve/serve.go
+++ b/rig/serve/serve.go
@@ -43,15 +43,15 @@
 
 // NewEngine starts the engine's own time.
 func NewEngine(core *standin.Engine) *Engine {
-	e := &Engine{core: core, outs: map[uint64]chan standin.Event{}}
+	engine := &Engine{core: core, outs: map[uint64]chan standin.Event{}}
 	go func() {
 		for range time.Tick(time.Millisecond) {
-			e.mu.Lock()
-			e.give(e.core.Advance(clock.Now()))
-			e.mu.Unlock()
+			engine.mu.Lock()
+			engine.give(engine.core.Advance(clock.Now()))
+			engine.mu.Unlock()
 		}
 	}()
-	return e
+	return engine
 }
 
 func (e *Engine) give(evs []standin.Event) {
--- a/rig/site/day.go
+++ b/rig/site/day.go
@@ -319,14 +319,14 @@
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return Report{}, errors.Wrap(err, "site")
 	}
-	s, err := start(bin, folder)
-	if s != nil {
-		defer s.close()
+	site, err := start(bin, folder)
+	if site != nil {
+		defer site.close()
 	}
 	if err != nil {
 		return Report{}, err
 	}
-	d := &day{site: s, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
+	d := &day{site: site, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
 	d.rep.Day = name
 	began := time.Now()
 	if err := d.put(1, "app", 20*time.Second); err != nil {
@@ -336,8 +336,8 @@
 	if err := d.wait(10 * time.Second); err != nil {
 		return d.rep, err
 	}
-	for _, m := range s.machines { // later starts are not the first
-		if err := s.write(m, false); err != nil {
+	for _, m := range site.machines { // later starts are not the first
+		if err := site.write(m, false); err != nil {
 			return d.rep, err
 		}
 	}
@@ -445,20 +445,20 @@
 
 // readBack reads the configuration at the end, from every machine.
 func (d *day) readBack() {
-	for _, m := range d.machines {
+	for _, machine := range d.machines {
 		ok := false
 		for end := time.Now().Add(6 * time.Second); !ok && time.Now().Before(end); {
-			code, _, b, _ := d.ask("GET", m.control()+"/config", "", nil, nil, time.Second)
+			code, _, b, _ := d.ask("GET", machine.control()+"/config", "", nil, nil, time.Second)
 			ok = code == 200
 			if ok && strings.TrimSpace(string(b)) != string(d.body) {
-				d.t.bad("CONFIG: %s gives %.200s", m.name, b)
+				d.t.bad("CONFIG: %s gives %.200s", machine.name, b)
 			}
 			if !ok {
 				time.Sleep(50 * time.Millisecond)
 			}
 		}
 		if !ok {
-			d.t.bad("CONFIG: %s gives none at the end", m.name)
+			d.t.bad("CONFIG: %s gives none at the end", machine.name)
 		}
 	}
 }
--- a/rig/site/engine.go
+++ b/rig/site/engine.go
@@ -243,7 +243,7 @@
 	w.Header().Set("Weight-Versions", strconv.Itoa(v))
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(200)
-	c := http.NewResponseController(w)
+	controller := http.NewResponseController(w)
 	for n := from; n < most; n++ {
 		select {
 		case <-r.Context().Done():
@@ -259,6 +259,6 @@
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s:%d:%d\n\n", n, id, n, v); err != nil {
 			return
 		}
-		_ = c.Flush()
+		_ = controller.Flush()
 	}
 }
--- a/rig/site/site.go
+++ b/rig/site/site.go
@@ -203,15 +203,15 @@
 	page := map[string]any{"NextToken": nil}
 	rows := []any{}
 	for i := from; i < min(from+4, len(s.engines)); i++ {
-		e := s.engines[i]
-		e.mu.Lock()
+		engine := s.engines[i]
+		engine.mu.Lock()
 		state := "ready"
-		if e.draining {
+		if engine.draining {
 			state = "draining"
 		}
-		rows = append(rows, map[string]any{"InstanceId": e.id, "Backend": e.pool, "Address": e.addr, "Zone": e.zone, "Revision": "v1", "Capacity": e.slots, "State": state,
-			"WarmupLeftMs": 0, "Phase": "mixed", "Models": e.report()["Models"]})
-		e.mu.Unlock()
+		rows = append(rows, map[string]any{"InstanceId": engine.id, "Backend": engine.pool, "Address": engine.addr, "Zone": engine.zone, "Revision": "v1", "Capacity": engine.slots, "State": state,
+			"WarmupLeftMs": 0, "Phase": "mixed", "Models": engine.report()["Models"]})
+		engine.mu.Unlock()
 	}
 	if from+4 < len(s.engines) {
 		page["NextToken"] = fmt.Sprintf("p-%d", from+4)
--- a/rig/standin/engine.go
+++ b/rig/standin/engine.go
@@ -265,7 +265,7 @@
 
 // Advance streams what is due.
 func (e *Engine) Advance(now time.Duration) []Event {
-	var out []Event
+	var events []Event
 	if e.loading > 0 && now >= e.loading {
 		e.loading = 0
 		e.Rev = e.next
@@ -277,12 +277,12 @@
 	for _, id := range sorted.Keys(e.jobs) {
 		j := e.jobs[id]
 		for j.ready > 0 && now >= j.ready && e.jobs[id] != nil {
-			out = append(out, e.one(id, j)...)
+			events = append(events, e.one(id, j)...)
 			j.ready += e.Pace.Decode
 		}
 	}
 	e.admit(now)
-	return out
+	return events
 }
 
 func (e *Engine) one(id uint64, j *job) []Event {
@@ -311,17 +311,17 @@
 // Order takes a weight order. A lower fence than one seen is refused, and so
 // is an order for another start of the engine. Running jobs are ended short.
 func (e *Engine) Order(now time.Duration, body []byte) (int, []Event) {
-	var o dialect.Order
-	if json.Unmarshal(body, &o) != nil {
+	var order dialect.Order
+	if json.Unmarshal(body, &order) != nil {
 		return 400, nil
 	}
-	if o.Fence < e.fence || o.Inc != e.Inc {
-		e.Orders = append(e.Orders, Ordered{o.Fence, o.Revision, false})
+	if order.Fence < e.fence || order.Inc != e.Inc {
+		e.Orders = append(e.Orders, Ordered{order.Fence, order.Revision, false})
 		return 409, nil
 	}
-	e.fence = o.Fence
-	e.Orders = append(e.Orders, Ordered{o.Fence, o.Revision, true})
-	if o.Revision == e.Rev || e.loading > 0 && o.Revision == e.next {
+	e.fence = order.Fence
+	e.Orders = append(e.Orders, Ordered{order.Fence, order.Revision, true})
+	if order.Revision == e.Rev || e.loading > 0 && order.Revision == e.next {
 		return 200, nil
 	}
 	var out []Event
@@ -330,6 +330,6 @@
 		delete(e.jobs, id)
 	}
 	e.queue = nil
-	e.next, e.loading = o.Revision, now+e.Pace.Load
+	e.next, e.loading = order.Revision, now+e.Pace.Load
 	return 202, out
 }
--- a/shell/daemon/daemon.go
+++ b/shell/daemon/daemon.go
@@ -62,36 +62,36 @@
 	return hex.EncodeToString(h[:8])
 }
 
-func openFolder(p config.Config, logger log.Logger) (Folder, error) {
-	f := Folder{Identity: disk.Identity{ID: unkept(p), Inc: clock.Wall()}}
-	if p.Data == "" {
-		return f, nil
+func openFolder(settings config.Config, logger log.Logger) (Folder, error) {
+	folder := Folder{Identity: disk.Identity{ID: unkept(settings), Inc: clock.Wall()}}
+	if settings.Data == "" {
+		return folder, nil
 	}
-	dir, err := disk.OpenFolder(p.Data)
+	dir, err := disk.OpenFolder(settings.Data)
 	if err != nil {
-		return f, err
+		return folder, err
 	}
-	f.FS = dir
-	if err := keepCrashes(p.Data, logger); err != nil {
+	folder.FS = dir
+	if err := keepCrashes(settings.Data, logger); err != nil {
 		_ = level.Warn(logger).Log("part", "daemon", "msg", "crashes are not kept", "failure", err)
 	}
-	if f.Identity, err = disk.Identify(dir, f.Identity.ID, f.Identity.Inc); err != nil {
-		return f, err
+	if folder.Identity, err = disk.Identify(dir, folder.Identity.ID, folder.Identity.Inc); err != nil {
+		return folder, err
 	}
-	if slices.Contains(p.Roles, "store") {
-		if f.Log, f.Disk, err = disk.Open(dir); err != nil {
-			return f, err
+	if slices.Contains(settings.Roles, "store") {
+		if folder.Log, folder.Disk, err = disk.Open(dir); err != nil {
+			return folder, err
 		}
 	}
 	// Both files are advice: what does not read is as good as absent.
-	f.Checkpoint, _ = dir.Read(coord.File)
+	folder.Checkpoint, _ = dir.Read(coord.File)
 	if b, err := dir.Read(run.KnownFile); err == nil {
-		if json.Unmarshal(b, &f.Known) != nil {
-			f.Known = gossip.Known{}
+		if json.Unmarshal(b, &folder.Known) != nil {
+			folder.Known = gossip.Known{}
 		}
 	}
-	_ = level.Info(logger).Log("part", "daemon", "msg", "data folder opened", "id", f.Identity.ID, "entries", len(f.Disk.Entries))
-	return f, nil
+	_ = level.Info(logger).Log("part", "daemon", "msg", "data folder opened", "id", folder.Identity.ID, "entries", len(folder.Disk.Entries))
+	return folder, nil
 }
 
 // Platform is how the platform speaks, where this node serves one.
@@ -101,67 +101,67 @@
 	Seeds     func() ([]string, bool) // the settings' seeds, where they changed since the last call
 }
 
-func makeNode(p config.Config, f Folder, x Platform) (*node.Node, error) {
+func makeNode(settings config.Config, folder Folder, platform Platform) (*node.Node, error) {
 	var seed [8]byte
 	if _, err := rand.Read(seed[:]); err != nil {
 		return nil, errors.Wrap(err, "daemon: seed")
 	}
-	list, keep := p.Platform, flow.Time(0)
-	if x.Codec != nil {
+	list, keep := settings.Platform, flow.Time(0)
+	if platform.Codec != nil {
 		list = "" // the serving side reads it
 	}
-	if p.Times != nil {
-		keep = flow.Time(p.Times.Report) * time.Millisecond
+	if settings.Times != nil {
+		keep = flow.Time(settings.Times.Report) * time.Millisecond
 	}
-	return node.New(clock.Now(), node.Config{Debug: p.LogLevel == "debug", Name: p.Name, Cpu: int(1000 * p.CPUShare), Codec: x.Codec, LotKeep: keep, First: p.FirstStart, Want: 2*p.CoreLosses + 1, ID: f.Identity.ID, Inc: f.Identity.Inc, Addr: p.Addr, Web: p.Web, Zone: p.Zone, Roles: p.Roles,
-		Seeds: p.Seeds, Form: p.Form, Platform: list, Seed: int64(binary.LittleEndian.Uint64(seed[:]) >> 8), Keep: p.Keep, Bounds: p.Bounds(), BlocksMost: p.Blocks,
-		Off: p.Off, Stop: time.Duration(p.Stop) * time.Second, Data: f.FS != nil, Disk: f.Disk, Checkpoint: f.Checkpoint, Known: f.Known})
+	return node.New(clock.Now(), node.Config{Debug: settings.LogLevel == "debug", Name: settings.Name, Cpu: int(1000 * settings.CPUShare), Codec: platform.Codec, LotKeep: keep, First: settings.FirstStart, Want: 2*settings.CoreLosses + 1, ID: folder.Identity.ID, Inc: folder.Identity.Inc, Addr: settings.Addr, Web: settings.Web, Zone: settings.Zone, Roles: settings.Roles,
+		Seeds: settings.Seeds, Form: settings.Form, Platform: list, Seed: int64(binary.LittleEndian.Uint64(seed[:]) >> 8), Keep: settings.Keep, Bounds: settings.Bounds(), BlocksMost: settings.Blocks,
+		Off: settings.Off, Stop: time.Duration(settings.Stop) * time.Second, Data: folder.FS != nil, Disk: folder.Disk, Checkpoint: folder.Checkpoint, Known: folder.Known})
 }
 
-func makeLoop(p config.Config, f Folder, x Platform, n *node.Node, logger log.Logger) (*run.Loop, error) {
-	l := run.New(logger)
-	l.Node, l.Log, l.FS, l.Least = n, f.Log, f.FS, run.Levels[p.LogLevel]
-	listen := p.Listen
+func makeLoop(settings config.Config, f Folder, platform Platform, n *node.Node, logger log.Logger) (*run.Loop, error) {
+	loop := run.New(logger)
+	loop.Node, loop.Log, loop.FS, loop.Least = n, f.Log, f.FS, run.Levels[settings.LogLevel]
+	listen := settings.Listen
 	if listen == "" {
-		listen = p.Addr
+		listen = settings.Addr
 	}
 	var err error
-	if l.Link, err = link.Open(listen, logger, l.Offer); err != nil {
+	if loop.Link, err = link.Open(listen, logger, loop.Offer); err != nil {
 		return nil, err
 	}
-	if l.Web, err = web.OpenListeners(web.Options{Addr: p.Web, In: l.Offer, Listeners: x.Listeners}); err != nil {
-		l.Link.Close()
+	if loop.Web, err = web.OpenListeners(web.Options{Addr: settings.Web, In: loop.Offer, Listeners: platform.Listeners}); err != nil {
+		loop.Link.Close()
 		return nil, err
 	}
-	l.Caller = outcall.New(func(e flow.Event) { l.Put(e) })
-	return l, nil
+	loop.Caller = outcall.New(func(e flow.Event) { loop.Put(e) })
+	return loop, nil
 }
 
 // Module is the daemon.
-func Module(p config.Config, x Platform) fx.Option {
+func Module(settings config.Config, platform Platform) fx.Option {
 	return fx.Module("fernlink",
-		fx.Supply(p, x),
-		fx.Provide(func() log.Logger { return run.Logger(os.Stderr, p.LogLevel) }, openFolder, makeNode, makeLoop),
-		fx.Invoke(func(life fx.Lifecycle, quit fx.Shutdowner, l *run.Loop, logger log.Logger) {
+		fx.Supply(settings, platform),
+		fx.Provide(func() log.Logger { return run.Logger(os.Stderr, settings.LogLevel) }, openFolder, makeNode, makeLoop),
+		fx.Invoke(func(life fx.Lifecycle, quit fx.Shutdowner, loop *run.Loop, logger log.Logger) {
 			watch, end := context.WithCancel(context.Background())
 			life.Append(fx.Hook{
 				OnStart: func(context.Context) error {
-					l.Start()
-					if x.Seeds != nil {
-						go reload(watch, x.Seeds, l, logger)
+					loop.Start()
+					if platform.Seeds != nil {
+						go reload(watch, platform.Seeds, loop, logger)
 					}
 					go func() {
-						if err, ok := <-l.Halted; ok {
+						if err, ok := <-loop.Halted; ok {
 							_ = level.Error(logger).Log("part", "daemon", "msg", "stopped by a failure", "failure", err)
 							_ = quit.Shutdown(fx.ExitCode(3))
 						}
 					}()
-					_ = level.Info(logger).Log("part", "daemon", "msg", "started", "addr", p.Addr, "web", p.Web, "zone", p.Zone)
+					_ = level.Info(logger).Log("part", "daemon", "msg", "started", "addr", settings.Addr, "web", settings.Web, "zone", settings.Zone)
 					return nil
 				},
 				OnStop: func(ctx context.Context) error {
 					end()
-					l.Stop(ctx)
+					loop.Stop(ctx)
 					_ = level.Info(logger).Log("part", "daemon", "msg", "stopped")
 					return nil
 				},
--- a/shell/daemon/reload.go
+++ b/shell/daemon/reload.go
@@ -20,7 +20,7 @@
 
 // reload tells the node of new seeds when the settings change, by SIGHUP or
 // without. Seeds that can't be read leave the old ones in force.
-func reload(ctx context.Context, seeds func() ([]string, bool), l *run.Loop, logger log.Logger) {
+func reload(ctx context.Context, seeds func() ([]string, bool), loop *run.Loop, logger log.Logger) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
@@ -35,7 +35,7 @@
 		}
 		if s, changed := seeds(); changed {
 			_ = level.Info(logger).Log("part", "daemon", "msg", "settings name other seeds", "seeds", len(s))
-			l.Put(flow.Event{Seeds: s})
+			loop.Put(flow.Event{Seeds: s})
 		}
 	}
 }
--- a/shell/disk/blobs.go
+++ b/shell/disk/blobs.go
@@ -77,16 +77,16 @@
 // openBlobStore reads every segment. What is torn at the end of a kind's last segment was
 // never synced, and its items still stand in the log.
 func openBlobStore(fs FS, names []string) (*BlobStore, error) {
-	s := &BlobStore{fs: fs, racks: map[string]*rack{}, release: newRelease()}
-	s.fill(names)
-	for _, r := range s.racks {
+	blobs := &BlobStore{fs: fs, racks: map[string]*rack{}, release: newRelease()}
+	blobs.fill(names)
+	for _, r := range blobs.racks {
 		for i, t := range r.segments {
-			if err := s.scan(t, i == len(r.segments)-1); err != nil {
+			if err := blobs.scan(t, i == len(r.segments)-1); err != nil {
 				return nil, err
 			}
 		}
 	}
-	return s, nil
+	return blobs, nil
 }
 
 // fill puts the segments of a folder into their racks, unread.
@@ -104,8 +104,8 @@
 	}
 }
 
-func (s *BlobStore) scan(t *blobSegment, last bool) error {
-	b, err := s.fs.Read(t.name)
+func (s *BlobStore) scan(segment *blobSegment, last bool) error {
+	b, err := s.fs.Read(segment.name)
 	if err != nil {
 		return errors.Wrap(err, "disk: blobSegment")
 	}
@@ -113,19 +113,19 @@
 		id, _, n, ok := uncover(b[at:])
 		if !ok {
 			if !last {
-				return errors.Wrapf(ErrCorrupt, "%s at byte %d", t.name, at)
+				return errors.Wrapf(ErrCorrupt, "%s at byte %d", segment.name, at)
 			}
-			if err := s.fs.Truncate(t.name, int64(at)); err != nil {
+			if err := s.fs.Truncate(segment.name, int64(at)); err != nil {
 				return turned(err)
 			}
 			break
 		}
-		t.add(id, at)
+		segment.add(id, at)
 		at += n
-		t.size = int64(at)
+		segment.size = int64(at)
 	}
-	t.full = !last || t.size > BlobSegmentMost
-	t.dirty = last // an earlier process may have left it unsynced
+	segment.full = !last || segment.size > BlobSegmentMost
+	segment.dirty = last // an earlier process may have left it unsynced
 	return nil
 }
 
@@ -165,25 +165,25 @@
 
 // do makes changes. It may be tried again after ErrFull.
 func (s *BlobStore) do(ops []flow.BlobChange) error {
-	for _, op := range ops {
-		if op.Only != nil {
-			if err := s.only(op); err != nil {
+	for _, change := range ops {
+		if change.Only != nil {
+			if err := s.only(change); err != nil {
 				return err
 			}
 		}
-		s.release.put(op)
+		s.release.put(change)
 		var r *rack
 		var b []byte
 		var ids []uint64
 		var at []int
-		for i, it := range op.Put {
+		for i, it := range change.Put {
 			if t, _ := s.find(it.Ref); t != nil {
 				continue
 			}
 			r = s.rack(it.Kind)
 			at, ids = append(at, len(b)), append(ids, it.ID)
 			b = append(b, cover(it.ID, it.Body)...)
-			if i+1 < len(op.Put) && op.Put[i+1].Kind == it.Kind && op.Put[i+1].ID > it.ID && len(b) < BlobSegmentMost {
+			if i+1 < len(change.Put) && change.Put[i+1].Kind == it.Kind && change.Put[i+1].ID > it.ID && len(b) < BlobSegmentMost {
 				continue
 			}
 			if err := s.append(r, b, ids, at); err != nil {
@@ -196,22 +196,22 @@
 				return err
 			}
 		}
-		s.release.drop(op)
+		s.release.drop(change)
 	}
 	return nil
 }
 
 func (s *BlobStore) append(r *rack, b []byte, ids []uint64, at []int) error {
-	var t *blobSegment
+	var segment *blobSegment
 	if n := len(r.segments); n > 0 {
-		t = r.segments[n-1]
+		segment = r.segments[n-1]
 	}
-	if t == nil || t.full || t.size > BlobSegmentMost || len(t.ids) > 0 && t.ids[len(t.ids)-1] >= ids[0] {
-		if t != nil && t.dirty {
-			if err := s.fs.Sync(t.name); err != nil {
+	if segment == nil || segment.full || segment.size > BlobSegmentMost || len(segment.ids) > 0 && segment.ids[len(segment.ids)-1] >= ids[0] {
+		if segment != nil && segment.dirty {
+			if err := s.fs.Sync(segment.name); err != nil {
 				return turned(err)
 			}
-			t.dirty = false
+			segment.dirty = false
 		}
 		n := &blobSegment{name: blobSegmentName(r.kind, r.next)}
 		if err := s.fs.Write(n.name, nil); err != nil {
@@ -220,26 +220,26 @@
 		if err := s.fs.SyncDir(); err != nil {
 			return turned(err)
 		}
-		if t != nil {
-			t.full = true
+		if segment != nil {
+			segment.full = true
 		}
-		t = n
+		segment = n
 		r.segments, r.next = append(r.segments, n), r.next+1
 	}
-	if err := s.fs.Append(t.name, b); err != nil {
+	if err := s.fs.Append(segment.name, b); err != nil {
 		e := turned(err)
 		if errors.Is(e, ErrFull) {
-			if e2 := s.fs.Truncate(t.name, t.size); e2 != nil {
+			if e2 := s.fs.Truncate(segment.name, segment.size); e2 != nil {
 				return turned(e2)
 			}
 		}
 		return e
 	}
 	for i, id := range ids {
-		t.add(id, int(t.size)+at[i])
+		segment.add(id, int(segment.size)+at[i])
 	}
-	t.size += int64(len(b))
-	t.dirty = true
+	segment.size += int64(len(b))
+	segment.dirty = true
 	return nil
 }
 
@@ -276,51 +276,51 @@
 }
 
 // fetch reads items.
-func (s *BlobStore) fetch(f flow.Fetch) (flow.Fetched, error) {
-	out := flow.Fetched{ID: f.ID}
+func (s *BlobStore) fetch(fetch flow.Fetch) (flow.Fetched, error) {
+	fetched := flow.Fetched{ID: fetch.ID}
 	sent := 0
-	for i, ref := range f.Refs {
-		t, at := s.find(ref)
-		if t == nil {
-			out.Missing = append(out.Missing, ref)
+	for i, ref := range fetch.Refs {
+		segment, at := s.find(ref)
+		if segment == nil {
+			fetched.Missing = append(fetched.Missing, ref)
 			continue
 		}
-		if f.Check {
+		if fetch.Check {
 			continue
 		}
-		if f.Most > 0 && sent >= f.Most {
+		if fetch.Most > 0 && sent >= fetch.Most {
 			break
 		}
-		body, err := s.read(t, at)
+		body, err := s.read(segment, at)
 		if err != nil {
-			return out, err
+			return fetched, err
 		}
-		p := flow.Part{Ref: ref, Size: len(body), Body: body}
-		if i == 0 && f.At > 0 {
-			p.At = min(f.At, len(body))
-			p.Body = body[p.At:]
+		part := flow.Part{Ref: ref, Size: len(body), Body: body}
+		if i == 0 && fetch.At > 0 {
+			part.At = min(fetch.At, len(body))
+			part.Body = body[part.At:]
 		}
-		if f.Most > 0 && len(p.Body) > f.Most-sent {
-			p.Body = p.Body[:f.Most-sent]
+		if fetch.Most > 0 && len(part.Body) > fetch.Most-sent {
+			part.Body = part.Body[:fetch.Most-sent]
 		}
-		sent += len(p.Body) + headBytes
-		out.Parts = append(out.Parts, p)
+		sent += len(part.Body) + headBytes
+		fetched.Parts = append(fetched.Parts, part)
 	}
-	return out, nil
+	return fetched, nil
 }
 
-func (s *BlobStore) read(t *blobSegment, i int) ([]byte, error) {
-	end := t.size
-	if i+1 < len(t.at) {
-		end = int64(t.at[i+1])
+func (s *BlobStore) read(segment *blobSegment, i int) ([]byte, error) {
+	end := segment.size
+	if i+1 < len(segment.at) {
+		end = int64(segment.at[i+1])
 	}
-	b, err := s.fs.ReadAt(t.name, int64(t.at[i]), int(end-int64(t.at[i])))
+	b, err := s.fs.ReadAt(segment.name, int64(segment.at[i]), int(end-int64(segment.at[i])))
 	if err != nil {
 		return nil, errors.Wrap(err, "disk: blobSegment")
 	}
 	id, body, _, ok := uncover(b)
-	if !ok || id != t.ids[i] {
-		return nil, errors.Wrapf(ErrCorrupt, "%s at byte %d", t.name, t.at[i])
+	if !ok || id != segment.ids[i] {
+		return nil, errors.Wrapf(ErrCorrupt, "%s at byte %d", segment.name, segment.at[i])
 	}
 	return body, nil
 }
--- a/shell/disk/disk.go
+++ b/shell/disk/disk.go
@@ -142,53 +142,53 @@
 
 // Open reads what is there. A torn last frame is cut off; anything else that
 // does not read is a stop.
-func Open(fs FS) (*Log, store.Disk, error) {
-	l := &Log{fs: fs}
-	var d store.Disk
+func Open(files FS) (*Log, store.Disk, error) {
+	log := &Log{fs: files}
+	var disk store.Disk
 	var file snapshotFile
-	names, err := fs.List()
+	names, err := files.List()
 	if err != nil {
-		return nil, d, errors.Wrap(err, "disk: list")
+		return nil, disk, errors.Wrap(err, "disk: list")
 	}
 	segs, digs := parts(names)
 	if len(digs) > 0 {
-		b, err := fs.Read(digName(digs[0]))
+		b, err := files.Read(digName(digs[0]))
 		if err != nil {
-			return nil, d, errors.Wrap(err, "disk: snapshot")
+			return nil, disk, errors.Wrap(err, "disk: snapshot")
 		}
 		if _, ok := unframe(b, &file); !ok {
-			return nil, d, errors.Wrap(ErrCorrupt, digName(digs[0]))
+			return nil, disk, errors.Wrap(ErrCorrupt, digName(digs[0]))
 		}
-		d.Snapshot, l.base = &file.Snapshot, file.Snapshot.Index
+		disk.Snapshot, log.base = &file.Snapshot, file.Snapshot.Index
 	}
-	if l.Blobs, err = openBlobStore(fs, names); err != nil {
-		return nil, d, err
+	if log.Blobs, err = openBlobStore(files, names); err != nil {
+		return nil, disk, err
 	}
-	if d.Items, err = l.needs(d.Snapshot); err != nil {
-		return nil, d, err
+	if disk.Items, err = log.needs(disk.Snapshot); err != nil {
+		return nil, disk, err
 	}
 	for i, s := range segs {
-		if err := l.replay(s, i == len(segs)-1); err != nil {
-			return nil, d, err
+		if err := log.replay(s, i == len(segs)-1); err != nil {
+			return nil, disk, err
 		}
-		l.seg = s
+		log.seg = s
 		if file.Ends && s <= file.Seg {
-			l.tail = nil
+			log.tail = nil
 		}
 	}
 	// Entries that the snapshot stands for are not needed any more.
-	for len(l.tail) > 0 && l.tail[0].Index <= l.base {
-		l.tail = l.tail[1:]
+	for len(log.tail) > 0 && log.tail[0].Index <= log.base {
+		log.tail = log.tail[1:]
 	}
-	if len(l.tail) > 0 && l.tail[0].Index != l.base+1 {
-		return nil, d, errors.Wrapf(ErrCorrupt, "entries start at %d after a snapshot at %d", l.tail[0].Index, l.base)
+	if len(log.tail) > 0 && log.tail[0].Index != log.base+1 {
+		return nil, disk, errors.Wrapf(ErrCorrupt, "entries start at %d after a snapshot at %d", log.tail[0].Index, log.base)
 	}
-	l.hard = l.damage.applyTo(l.hard)
-	d.Hard, d.Entries = l.hard, append([]flow.Entry(nil), l.tail...)
-	if err := l.start(); err != nil {
-		return nil, d, err
+	log.hard = log.damage.applyTo(log.hard)
+	disk.Hard, disk.Entries = log.hard, append([]flow.Entry(nil), log.tail...)
+	if err := log.start(); err != nil {
+		return nil, disk, err
 	}
-	return l, d, markLogged(fs)
+	return log, disk, markLogged(files)
 }
 
 // needs reads the items without which the snapshot can't be loaded.
@@ -275,26 +275,26 @@
 	}
 }
 
-func (l *Log) fold(s flow.Save) {
-	if s.Hard != nil {
-		l.hard = *s.Hard
+func (l *Log) fold(save flow.Save) {
+	if save.Hard != nil {
+		l.hard = *save.Hard
 	}
-	if s.Snapshot != nil && s.Snapshot.Index > l.base {
-		l.base = s.Snapshot.Index
+	if save.Snapshot != nil && save.Snapshot.Index > l.base {
+		l.base = save.Snapshot.Index
 		i := 0
 		for i < len(l.tail) && l.tail[i].Index <= l.base {
 			i++
 		}
 		l.tail = append([]flow.Entry(nil), l.tail[i:]...)
 	}
-	if s.Cut > 0 {
+	if save.Cut > 0 {
 		i := len(l.tail)
-		for i > 0 && l.tail[i-1].Index >= s.Cut {
+		for i > 0 && l.tail[i-1].Index >= save.Cut {
 			i--
 		}
 		l.tail = l.tail[:i]
 	}
-	for _, e := range s.Add {
+	for _, e := range save.Add {
 		if n := len(l.tail); n > 0 && l.tail[n-1].Index >= e.Index {
 			continue
 		}
@@ -361,19 +361,19 @@
 		return err
 	}
 	var rest []flow.Save
-	for _, s := range saves {
-		if s.Snapshot != nil {
+	for _, save := range saves {
+		if save.Snapshot != nil {
 			// What was saved before the snapshot goes first.
 			if err := l.append(rest); err != nil {
 				return err
 			}
 			rest = nil
-			if err := l.snapshot(s); err != nil {
+			if err := l.snapshot(save); err != nil {
 				return err
 			}
 			continue
 		}
-		rest = append(rest, s)
+		rest = append(rest, save)
 	}
 	return l.append(rest)
 }
@@ -381,18 +381,18 @@
 // Fetch reads from the blob store.
 func (l *Log) Fetch(f flow.Fetch) (flow.Fetched, error) { return l.Blobs.fetch(f) }
 
-func (l *Log) snapshot(s flow.Save) error {
+func (l *Log) snapshot(save flow.Save) error {
 	if err := l.Blobs.sync(); err != nil {
 		return err
 	}
-	if err := l.put(digName(s.Snapshot.Index), frame(snapshotFile{*s.Snapshot, s.Cut > 0, l.seg})); err != nil {
+	if err := l.put(digName(save.Snapshot.Index), frame(snapshotFile{*save.Snapshot, save.Cut > 0, l.seg})); err != nil {
 		return err
 	}
-	l.fold(s)
+	l.fold(save)
 	if err := l.start(); err != nil {
 		return err
 	}
-	return l.Blobs.settle(s.Snapshot.Index)
+	return l.Blobs.settle(save.Snapshot.Index)
 }
 
 func (l *Log) append(saves []flow.Save) error {
@@ -428,16 +428,16 @@
 }
 
 // PutFile replaces one small file beside the log.
-func PutFile(fs FS, name string, b []byte) error {
+func PutFile(files FS, name string, b []byte) error {
 	tmp := name + ".new"
-	if err := fs.Write(tmp, b); err != nil {
+	if err := files.Write(tmp, b); err != nil {
 		return errors.Wrap(err, "disk: file")
 	}
-	if err := fs.Sync(tmp); err != nil {
+	if err := files.Sync(tmp); err != nil {
 		return errors.Wrap(err, "disk: file")
 	}
-	if err := fs.Rename(tmp, name); err != nil {
+	if err := files.Rename(tmp, name); err != nil {
 		return errors.Wrap(err, "disk: file")
 	}
-	return errors.Wrap(fs.SyncDir(), "disk: file")
+	return errors.Wrap(files.SyncDir(), "disk: file")
 }
--- a/shell/disk/disk_test.go
+++ b/shell/disk/disk_test.go
@@ -29,18 +29,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, d, err := Open(f)
+	log, disk, err := Open(f)
 	if err != nil {
 		return nil, 0, err
 	}
 	last := uint64(0)
-	if d.Snapshot != nil {
-		last = d.Snapshot.Index
+	if disk.Snapshot != nil {
+		last = disk.Snapshot.Index
 	}
-	if n := len(d.Entries); n > 0 {
-		last = d.Entries[n-1].Index
+	if n := len(disk.Entries); n > 0 {
+		last = disk.Entries[n-1].Index
 	}
-	return l, last, nil
+	return log, last, nil
 }
 
 func segment(t *testing.T, dir string) string {
@@ -56,16 +56,16 @@
 // what was synced before is there and the torn frame is cut off.
 func TestTornTail(t *testing.T) {
 	dir := t.TempDir()
-	l, _, err := open(t, dir)
+	log, _, err := open(t, dir)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := l.Save(nil, []flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: entries(1, 5)}}); err != nil {
+	if err := log.Save(nil, []flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: entries(1, 5)}}); err != nil {
 		t.Fatal(err)
 	}
 	seg := segment(t, dir)
 	before, _ := os.ReadFile(seg)
-	if err := l.Save(nil, []flow.Save{{Add: entries(6, 7)}}); err != nil {
+	if err := log.Save(nil, []flow.Save{{Add: entries(6, 7)}}); err != nil {
 		t.Fatal(err)
 	}
 	after, _ := os.ReadFile(seg)
@@ -156,15 +156,15 @@
 // is a stop, not a shorter log.
 func TestCorruptionBeforeTail(t *testing.T) {
 	dir := t.TempDir()
-	l, _, err := open(t, dir)
+	log, _, err := open(t, dir)
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = l.Save(nil, []flow.Save{{Add: entries(1, 5)}})
+	_ = log.Save(nil, []flow.Save{{Add: entries(1, 5)}})
 	seg := segment(t, dir)
 	b, _ := os.ReadFile(seg)
 	at := len(b) - 20
-	_ = l.Save(nil, []flow.Save{{Add: entries(6, 7)}})
+	_ = log.Save(nil, []flow.Save{{Add: entries(6, 7)}})
 	b, _ = os.ReadFile(seg)
 	b[at] ^= 1
 	_ = os.WriteFile(seg, b, 0o644)
@@ -249,12 +249,12 @@
 // it: it could hand a vote to somebody who lacks what is committed.
 func TestSnapshotFromLeaderEndsTheOldLog(t *testing.T) {
 	dir := t.TempDir()
-	l, _, err := open(t, dir)
+	log, _, err := open(t, dir)
 	if err != nil {
 		t.Fatal(err)
 	}
 	old := entries(1, 9)
-	if err := l.Save(nil, []flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: old}}); err != nil {
+	if err := log.Save(nil, []flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: old}}); err != nil {
 		t.Fatal(err)
 	}
 	r := raft.New(0, raft.Config{ID: "a", Rand: rand.New(rand.NewSource(1)), HeartbeatInterval: time.Second, ElectionTimeout: time.Hour, Hard: flow.Hard{Cluster: "c", Term: 1}, Entries: old})
@@ -262,7 +262,7 @@
 	r.Install(&flow.Snapshot{Index: 6, Term: 3, Conf: json.RawMessage(`{}`), State: json.RawMessage(`{}`)})
 	before := segment(t, dir)
 	kept, _ := os.ReadFile(before)
-	if err := l.Save(nil, r.Advance(0).Saves); err != nil {
+	if err := log.Save(nil, r.Advance(0).Saves); err != nil {
 		t.Fatal(err)
 	}
 	look := func(when string) {
@@ -285,24 +285,24 @@
 // process makes a snapshot that names them, then it syncs their segment first.
 func TestKilledThenPowerLost(t *testing.T) {
 	fs := &counted{FS: must(OpenFolder(t.TempDir()))}
-	l, _, err := Open(fs)
+	log, _, err := Open(fs)
 	if err != nil {
 		t.Fatal(err)
 	}
 	put := []flow.BlobChange{{Put: []flow.Item{{Ref: flow.Ref{Kind: "text", ID: 3}, Body: []byte("abc")}}}}
-	if err := l.Save(put, []flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: entries(1, 5)}}); err != nil {
+	if err := log.Save(put, []flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: entries(1, 5)}}); err != nil {
 		t.Fatal(err)
 	}
 	// The process is killed here; its segment was never synced.
-	if l, _, err = Open(fs); err != nil {
+	if log, _, err = Open(fs); err != nil {
 		t.Fatal(err)
 	}
 	fs.synced = nil
-	_ = l.Save(put, []flow.Save{{Snapshot: &flow.Snapshot{Index: 5, Term: 1, Conf: json.RawMessage(`{}`), State: json.RawMessage(`{}`)}}})
+	_ = log.Save(put, []flow.Save{{Snapshot: &flow.Snapshot{Index: 5, Term: 1, Conf: json.RawMessage(`{}`), State: json.RawMessage(`{}`)}}})
 	if len(fs.synced) == 0 || fs.synced[0] != blobSegmentName("text", 1) {
 		t.Errorf("synced with the snapshot: %v", fs.synced)
 	}
-	got, err := l.Fetch(flow.Fetch{Refs: []flow.Ref{{Kind: "text", ID: 3}, {Kind: "text", ID: 4}}})
+	got, err := log.Fetch(flow.Fetch{Refs: []flow.Ref{{Kind: "text", ID: 3}, {Kind: "text", ID: 4}}})
 	if err != nil || len(got.Parts) != 1 || string(got.Parts[0].Body) != "abc" || len(got.Missing) != 1 {
 		t.Errorf("%+v %v", got, err)
 	}
@@ -327,25 +327,25 @@
 // read back. (Found by a simulated day: each save wrote the whole log anew.)
 func TestLargeLogIsNotRewritten(t *testing.T) {
 	dir := t.TempDir()
-	l, _, err := open(t, dir)
+	log, _, err := open(t, dir)
 	if err != nil {
 		t.Fatal(err)
 	}
 	big, _ := json.Marshal(string(make([]byte, 100<<10)))
 	save := func(i uint64) {
-		if err := l.Save(nil, []flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: []flow.Entry{{Index: i, Term: 1, Kind: "cmd", Data: big}}}}); err != nil {
+		if err := log.Save(nil, []flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: []flow.Entry{{Index: i, Term: 1, Kind: "cmd", Data: big}}}}); err != nil {
 			t.Fatal(err)
 		}
 	}
 	for i := uint64(1); i <= 30; i++ {
 		save(i)
 	}
-	was := l.seg
+	was := log.seg
 	for i := uint64(31); i <= 40; i++ {
 		save(i)
 	}
-	if l.seg > was+2 {
-		t.Errorf("ten saves began %d segments", l.seg-was)
+	if log.seg > was+2 {
+		t.Errorf("ten saves began %d segments", log.seg-was)
 	}
 	if _, last, err := open(t, dir); err != nil || last != 40 {
 		t.Errorf("read back to %d: %v", last, err)
@@ -375,23 +375,23 @@
 // then the item stays until a snapshot at or after that command is there: else
 // the member would not start again.
 func TestDropAfterASnapshotInOneBatch(t *testing.T) {
-	l, _, err := open(t, t.TempDir())
+	log, _, err := open(t, t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := l.Save([]flow.BlobChange{{Put: []flow.Item{textItem(3)}, At: 3}}, []flow.Save{{Add: entries(1, 5)}}); err != nil {
+	if err := log.Save([]flow.BlobChange{{Put: []flow.Item{textItem(3)}, At: 3}}, []flow.Save{{Add: entries(1, 5)}}); err != nil {
 		t.Fatal(err)
 	}
-	if err := l.Save([]flow.BlobChange{{Drop: []flow.Ref{textItem(3).Ref}, At: 6}}, []flow.Save{aged(5)}); err != nil {
+	if err := log.Save([]flow.BlobChange{{Drop: []flow.Ref{textItem(3).Ref}, At: 6}}, []flow.Save{aged(5)}); err != nil {
 		t.Fatal(err)
 	}
-	if lacks(t, l, 3) {
+	if lacks(t, log, 3) {
 		t.Error("the snapshot at 5 names an item that is gone")
 	}
-	if err := l.Save(nil, []flow.Save{aged(6)}); err != nil {
+	if err := log.Save(nil, []flow.Save{aged(6)}); err != nil {
 		t.Fatal(err)
 	}
-	if !lacks(t, l, 3) {
+	if !lacks(t, log, 3) {
 		t.Error("the item stays although no snapshot names it")
 	}
 }
@@ -400,24 +400,24 @@
 // of a command after it, when the batch is saved, then the item is there, and
 // what the snapshot does not name is gone.
 func TestItemAfterALeadersSnapshotInOneBatch(t *testing.T) {
-	l, _, err := open(t, t.TempDir())
+	log, _, err := open(t, t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := l.Save([]flow.BlobChange{{Put: []flow.Item{textItem(2)}, At: 2}}, nil); err != nil {
+	if err := log.Save([]flow.BlobChange{{Put: []flow.Item{textItem(2)}, At: 2}}, nil); err != nil {
 		t.Fatal(err)
 	}
 	changes := []flow.BlobChange{
 		{Only: map[string][]uint64{}, At: 5},
 		{Put: []flow.Item{textItem(7)}, At: 7},
 	}
-	if err := l.Save(changes, []flow.Save{aged(5)}); err != nil {
+	if err := log.Save(changes, []flow.Save{aged(5)}); err != nil {
 		t.Fatal(err)
 	}
-	if lacks(t, l, 7) {
+	if lacks(t, log, 7) {
 		t.Error("an item of a command after the snapshot is gone")
 	}
-	if !lacks(t, l, 2) {
+	if !lacks(t, log, 2) {
 		t.Error("an item that the snapshot does not name stays")
 	}
 }
@@ -426,16 +426,16 @@
 // on disk, then nothing that it names is let go for the second.
 func TestTwoSnapshotsInOneBatch(t *testing.T) {
 	fs := &watched{FS: must(OpenFolder(t.TempDir()))}
-	l, _, err := Open(fs)
+	log, _, err := Open(fs)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := l.Save([]flow.BlobChange{{Put: []flow.Item{textItem(2)}, At: 2}}, nil); err != nil {
+	if err := log.Save([]flow.BlobChange{{Put: []flow.Item{textItem(2)}, At: 2}}, nil); err != nil {
 		t.Fatal(err)
 	}
 	later := aged(9)
 	later.Cut = 10
-	if err := l.Save([]flow.BlobChange{{Only: map[string][]uint64{}, At: 9}}, []flow.Save{aged(5), later}); err != nil {
+	if err := log.Save([]flow.BlobChange{{Only: map[string][]uint64{}, At: 9}}, []flow.Save{aged(5), later}); err != nil {
 		t.Fatal(err)
 	}
 	segment, snapshot := fs.place("remove "+blobSegmentName("text", 1)), fs.place("rename "+digName(9))
@@ -448,30 +448,30 @@
 // again, then the items that it fetched are there until its next snapshot.
 func TestFetchedItemsStayOverAStart(t *testing.T) {
 	dir := t.TempDir()
-	l, _, err := open(t, dir)
+	log, _, err := open(t, dir)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := l.Save([]flow.BlobChange{{Put: []flow.Item{textItem(3)}, At: 3}}, []flow.Save{{Add: entries(1, 5)}, aged(5)}); err != nil {
+	if err := log.Save([]flow.BlobChange{{Put: []flow.Item{textItem(3)}, At: 3}}, []flow.Save{{Add: entries(1, 5)}, aged(5)}); err != nil {
 		t.Fatal(err)
 	}
-	if err := l.Save([]flow.BlobChange{{Put: []flow.Item{textItem(8)}, At: 9}}, nil); err != nil {
+	if err := log.Save([]flow.BlobChange{{Put: []flow.Item{textItem(8)}, At: 9}}, nil); err != nil {
 		t.Fatal(err)
 	}
-	if l, _, err = Open(must(OpenFolder(dir))); err != nil {
+	if log, _, err = Open(must(OpenFolder(dir))); err != nil {
 		t.Fatal(err)
 	}
 	named := map[string][]uint64{"text": {3}}
-	if err := l.Save([]flow.BlobChange{{Only: named, At: 5}}, nil); err != nil {
+	if err := log.Save([]flow.BlobChange{{Only: named, At: 5}}, nil); err != nil {
 		t.Fatal(err)
 	}
-	if lacks(t, l, 8) {
+	if lacks(t, log, 8) {
 		t.Error("an item that was fetched before the start is gone")
 	}
-	if err := l.Save(nil, []flow.Save{aged(6)}); err != nil {
+	if err := log.Save(nil, []flow.Save{aged(6)}); err != nil {
 		t.Fatal(err)
 	}
-	if lacks(t, l, 3) || !lacks(t, l, 8) {
+	if lacks(t, log, 3) || !lacks(t, log, 8) {
 		t.Error("the next snapshot does not let go of just what is not named")
 	}
 }
--- a/shell/disk/folder.go
+++ b/shell/disk/folder.go
@@ -15,7 +15,7 @@
 	if err := os.MkdirAll(path, 0o755); err != nil {
 		return nil, errors.Wrap(err, "disk: folder")
 	}
-	f := &Folder{path}
+	folder := &Folder{path}
 	if up, err := os.Open(filepath.Dir(path)); err == nil {
 		err = up.Sync()
 		_ = up.Close()
@@ -23,7 +23,7 @@
 			return nil, errors.Wrap(err, "disk: folder")
 		}
 	}
-	return f, nil
+	return folder, nil
 }
 
 func (f *Folder) at(name string) string { return filepath.Join(f.Path, name) }
--- a/shell/disk/identity.go
+++ b/shell/disk/identity.go
@@ -20,14 +20,14 @@
 // the start. A folder that has a log but no readable identity is damaged. One whose
 // log is gone is somebody new: what it voted for and acknowledged is forgotten, so
 // it may not be the old voter (design 4.4).
-func Identify(fs FS, fresh string, wall int64) (Identity, error) {
-	names, err := fs.List()
+func Identify(files FS, fresh string, wall int64) (Identity, error) {
+	names, err := files.List()
 	if err != nil {
 		return Identity{}, errors.Wrap(err, "disk: list")
 	}
 	id := Identity{ID: fresh}
 	if slices.Contains(names, identityFile) {
-		if id, err = readIdentity(fs); err != nil {
+		if id, err = readIdentity(files); err != nil {
 			return id, err
 		}
 	} else if slices.ContainsFunc(names, func(name string) bool { return strings.HasSuffix(name, ".seg") }) {
@@ -37,7 +37,7 @@
 		id.ID, id.Logged = fresh, false
 	}
 	id.Inc = max(id.Inc+1, wall)
-	return id, PutFile(fs, identityFile, frame(id))
+	return id, PutFile(files, identityFile, frame(id))
 }
 
 func readIdentity(fs FS) (id Identity, err error) {
@@ -52,18 +52,18 @@
 }
 
 // markLogged notes that the folder's identity has a log, before it says anything.
-func markLogged(fs FS) error {
-	names, err := fs.List()
+func markLogged(files FS) error {
+	names, err := files.List()
 	if err != nil {
 		return errors.Wrap(err, "disk: list")
 	}
 	if !slices.Contains(names, identityFile) {
 		return nil
 	}
-	id, err := readIdentity(fs)
+	id, err := readIdentity(files)
 	if err != nil || id.Logged {
 		return err
 	}
 	id.Logged = true
-	return PutFile(fs, identityFile, frame(id))
+	return PutFile(files, identityFile, frame(id))
 }
--- a/shell/disk/inspect.go
+++ b/shell/disk/inspect.go
@@ -98,64 +98,64 @@
 // Inspect reads a data folder without changing it (design 4.6, 4.9, 4.10). Its
 // node may be running: a look that finds something amiss while files came or
 // went is made again.
-func Inspect(fs FS) (Report, error) {
+func Inspect(files FS) (Report, error) {
 	for n := 1; ; n++ {
-		before, err := fs.List()
+		before, err := files.List()
 		if err != nil {
 			return Report{}, errors.Wrap(ErrUnreadable, err.Error())
 		}
-		r := look(still{fs}, slices.Clone(before))
-		if r.Whole() && !r.unreadable {
-			return r, nil
+		report := look(still{files}, slices.Clone(before))
+		if report.Whole() && !report.unreadable {
+			return report, nil
 		}
-		after, err := fs.List()
+		after, err := files.List()
 		if err != nil {
 			return Report{}, errors.Wrap(ErrUnreadable, err.Error())
 		}
 		if slices.Equal(before, after) || n == looks {
-			if r.unreadable {
-				return r, errors.Wrap(ErrUnreadable, strings.Join(r.Findings, "; "))
+			if report.unreadable {
+				return report, errors.Wrap(ErrUnreadable, strings.Join(report.Findings, "; "))
 			}
-			return r, nil
+			return report, nil
 		}
 	}
 }
 
 func look(fs FS, names []string) Report {
-	r := Report{Segments: []Segment{}, Blobs: []Kind{}, Lots: []LotState{}}
+	report := Report{Segments: []Segment{}, Blobs: []Kind{}, Lots: []LotState{}}
 	segs, digs := parts(names)
-	r.identity(fs, names, len(segs) > 0)
-	l := &Log{fs: fs}
-	file := r.snapshot(l, digs)
-	blobs := r.blobs(fs, names)
+	report.identity(fs, names, len(segs) > 0)
+	log := &Log{fs: fs}
+	file := report.snapshot(log, digs)
+	blobs := report.blobs(fs, names)
 	for i, s := range segs {
-		r.segment(l, s, i == len(segs)-1)
+		report.segment(log, s, i == len(segs)-1)
 		if file != nil && file.Ends && s <= file.Seg {
-			l.tail = nil
+			log.tail = nil
 		}
 	}
-	for len(l.tail) > 0 && l.tail[0].Index <= l.base {
-		l.tail = l.tail[1:]
+	for len(log.tail) > 0 && log.tail[0].Index <= log.base {
+		log.tail = log.tail[1:]
 	}
-	r.entries(l)
-	if len(segs) == 0 && len(digs)+len(r.Blobs) > 0 {
-		r.find("a snapshot or a blob store without a log")
+	report.entries(log)
+	if len(segs) == 0 && len(digs)+len(report.Blobs) > 0 {
+		report.find("a snapshot or a blob store without a log")
 	}
-	r.state(file, blobs, l.tail)
+	report.state(file, blobs, log.tail)
 	for _, n := range names {
 		_, seg := number(n, "log-", ".seg")
 		_, dig := number(n, "digest-", ".json")
 		if !seg && !dig && n != "identity" && !strings.HasPrefix(n, "shelf-") {
-			r.Other = append(r.Other, n)
+			report.Other = append(report.Other, n)
 		}
 		if n == "new" || strings.HasSuffix(n, ".new") {
-			r.note("%s was not finished; it counts for nothing", n)
+			report.note("%s was not finished; it counts for nothing", n)
 		}
 	}
 	if len(names) == 0 {
-		r.find("the folder is blank: a new one and one that was emptied look alike")
+		report.find("the folder is blank: a new one and one that was emptied look alike")
 	}
-	return r
+	return report
 }
 
 // read reads a file. One that is there and can't be read makes the look void.
@@ -187,78 +187,78 @@
 	r.Identity = &id
 }
 
-func (r *Report) snapshot(l *Log, digs []uint64) *snapshotFile {
+func (r *Report) snapshot(log *Log, digs []uint64) *snapshotFile {
 	if len(digs) == 0 {
 		return nil
 	}
 	name := digName(digs[0])
-	b, ok := r.read(l.fs, name)
+	b, ok := r.read(log.fs, name)
 	if !ok {
 		return nil
 	}
-	var f snapshotFile
-	if _, ok := unframe(b, &f); !ok {
+	var file snapshotFile
+	if _, ok := unframe(b, &file); !ok {
 		r.find("%s is damaged", name)
 		return nil
 	}
-	r.Snapshot = &Snapshot{Name: name, Bytes: len(b), Index: f.Snapshot.Index, Term: f.Snapshot.Term}
+	r.Snapshot = &Snapshot{Name: name, Bytes: len(b), Index: file.Snapshot.Index, Term: file.Snapshot.Term}
 	var c raft.Conf
-	if json.Unmarshal(f.Snapshot.Conf, &c) == nil {
+	if json.Unmarshal(file.Snapshot.Conf, &c) == nil {
 		r.Snapshot.Voters, r.Snapshot.Members = c.Voters(), len(c.Members)
 	}
-	if f.Snapshot.Index != digs[0] {
-		r.find("%s holds the snapshot of %d", name, f.Snapshot.Index)
+	if file.Snapshot.Index != digs[0] {
+		r.find("%s holds the snapshot of %d", name, file.Snapshot.Index)
 	}
-	l.base = f.Snapshot.Index
-	return &f
+	log.base = file.Snapshot.Index
+	return &file
 }
 
-func (r *Report) segment(l *Log, n uint64, last bool) {
-	x := Segment{Name: segName(n), Tail: "whole"}
-	b, ok := r.read(l.fs, x.Name)
+func (r *Report) segment(log *Log, n uint64, last bool) {
+	segment := Segment{Name: segName(n), Tail: "whole"}
+	b, ok := r.read(log.fs, segment.Name)
 	if !ok {
 		return
 	}
-	x.Bytes = len(b)
-	x.Frames, x.At = l.frames(b)
+	segment.Bytes = len(b)
+	segment.Frames, segment.At = log.frames(b)
 	damage := tailDamage{}
-	if x.At < len(b) {
-		damage = l.tailOf(b, x.At)
+	if segment.At < len(b) {
+		damage = log.tailOf(b, segment.At)
 	}
 	switch {
-	case x.At == len(b):
-		x.At = 0
+	case segment.At == len(b):
+		segment.At = 0
 	case !last || damage.kind == damageBeforeTail:
-		x.Tail = "damaged"
-		r.find("%s is damaged at byte %d, before its tail", x.Name, x.At)
+		segment.Tail = "damaged"
+		r.find("%s is damaged at byte %d, before its tail", segment.Name, segment.At)
 	case damage.kind == damageOfMark:
-		x.Tail = "damaged"
-		r.note("%s is damaged at byte %d: the mark behind its last save, which is whole", x.Name, x.At)
+		segment.Tail = "damaged"
+		r.note("%s is damaged at byte %d: the mark behind its last save, which is whole", segment.Name, segment.At)
 	case damage.kind == damageMarked:
-		x.Tail = "damaged"
-		r.find("%s is damaged at byte %d: its last save was whole once; its mark says that the log ended at %d of term %d", x.Name, x.At, damage.mark.Index, damage.mark.Term)
+		segment.Tail = "damaged"
+		r.find("%s is damaged at byte %d: its last save was whole once; its mark says that the log ended at %d of term %d", segment.Name, segment.At, damage.mark.Index, damage.mark.Term)
 	case damage.kind == damageUnknown:
-		x.Tail = "damaged"
-		r.find("%s is damaged at byte %d: its last frame was whole once and may have been acknowledged", x.Name, x.At)
+		segment.Tail = "damaged"
+		r.find("%s is damaged at byte %d: its last frame was whole once and may have been acknowledged", segment.Name, segment.At)
 	default:
-		x.Tail = "torn"
-		r.note("%s is torn at byte %d: the frame was never acknowledged, or is being written", x.Name, x.At)
+		segment.Tail = "torn"
+		r.note("%s is torn at byte %d: the frame was never acknowledged, or is being written", segment.Name, segment.At)
 	}
-	r.Segments = append(r.Segments, x)
+	r.Segments = append(r.Segments, segment)
 }
 
-func (r *Report) entries(l *Log) {
-	h := l.hard
+func (r *Report) entries(log *Log) {
+	h := log.hard
 	r.Cluster, r.Term, r.Vote, r.Unsure = h.Cluster, h.Term, h.Vote, h.Unsure
 	if h.Unsure {
 		r.find("this member is unsure of its tail: entries that it acknowledged may be gone")
 	}
-	if r.Entries = len(l.tail); r.Entries == 0 {
+	if r.Entries = len(log.tail); r.Entries == 0 {
 		return
 	}
-	r.First, r.Last = l.tail[0].Index, l.tail[r.Entries-1].Index
-	if r.First != l.base+1 {
-		r.find("entries start at %d after a snapshot at %d", r.First, l.base)
+	r.First, r.Last = log.tail[0].Index, log.tail[r.Entries-1].Index
+	if r.First != log.base+1 {
+		r.find("entries start at %d after a snapshot at %d", r.First, log.base)
 	}
 	if uint64(r.Entries) != r.Last-r.First+1 {
 		r.find("entries %d to %d are %d in number", r.First, r.Last, r.Entries)
@@ -266,28 +266,28 @@
 }
 
 func (r *Report) blobs(fs FS, names []string) *BlobStore {
-	s := &BlobStore{fs: fs, racks: map[string]*rack{}}
-	s.fill(slices.Clone(names))
-	for _, k := range sorted.Keys(s.racks) {
-		x := Kind{Name: k}
-		for i, t := range s.racks[k].segments {
-			b, ok := r.read(fs, t.name)
+	blobs := &BlobStore{fs: fs, racks: map[string]*rack{}}
+	blobs.fill(slices.Clone(names))
+	for _, k := range sorted.Keys(blobs.racks) {
+		kind := Kind{Name: k}
+		for i, segment := range blobs.racks[k].segments {
+			b, ok := r.read(fs, segment.name)
 			if !ok {
 				continue
 			}
-			last := i == len(s.racks[k].segments)-1
-			if err := s.scan(t, last); err != nil {
+			last := i == len(blobs.racks[k].segments)-1
+			if err := blobs.scan(segment, last); err != nil {
 				r.find("%v", err)
 				continue
 			}
-			if int64(len(b)) > t.size && last {
-				r.note("%s has %d bytes behind byte %d that do not read: never synced, or being written", t.name, int64(len(b))-t.size, t.size)
+			if int64(len(b)) > segment.size && last {
+				r.note("%s has %d bytes behind byte %d that do not read: never synced, or being written", segment.name, int64(len(b))-segment.size, segment.size)
 			}
-			x.Segments, x.Items, x.Bytes = x.Segments+1, x.Items+len(t.ids), x.Bytes+t.size
+			kind.Segments, kind.Items, kind.Bytes = kind.Segments+1, kind.Items+len(segment.ids), kind.Bytes+segment.size
 		}
-		r.Blobs = append(r.Blobs, x)
+		r.Blobs = append(r.Blobs, kind)
 	}
-	return s
+	return blobs
 }
 
 // state folds what the folder holds and holds the blob store against the snapshot.
--- a/shell/disk/inspect_test.go
+++ b/shell/disk/inspect_test.go
@@ -27,7 +27,7 @@
 	if _, err := Identify(f, "me", 7); err != nil {
 		t.Fatal(err)
 	}
-	l, _, err := Open(f)
+	log, _, err := Open(f)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -54,7 +54,7 @@
 		do("plan.put", ledger.PutPlan{Version: 5, Request: "r", Doc: json.RawMessage(`{}`)}),
 		do("lot.put", lot("l2")), do("lot.end", "l2"), do("lot.put", lot("l1")),
 	}
-	if err := l.Save(blobs, []flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 2, Vote: "me"}, Add: add}}); err != nil {
+	if err := log.Save(blobs, []flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 2, Vote: "me"}, Add: add}}); err != nil {
 		t.Fatal(err)
 	}
 	conf, _ := json.Marshal(raft.Conf{Members: []raft.Member{{ID: "me", Voter: true}}})
@@ -63,12 +63,12 @@
 	if x, any := led.Box(); any {
 		blobs = append(blobs, x)
 	}
-	if err := l.Save(blobs, []flow.Save{{Snapshot: &flow.Snapshot{Index: index, Term: 2, Conf: conf, State: state}}}); err != nil {
+	if err := log.Save(blobs, []flow.Save{{Snapshot: &flow.Snapshot{Index: index, Term: 2, Conf: conf, State: state}}}); err != nil {
 		t.Fatal(err)
 	}
 	blobs = nil
 	e := do("lot.list", ledger.ListLot{Lot: "l1", Results: []ledger.LotResult{{Item: "a", State: ledger.LotComplete, Text: "t"}}})
-	if err := l.Save(blobs, []flow.Save{{Add: []flow.Entry{e}}}); err != nil {
+	if err := log.Save(blobs, []flow.Save{{Add: []flow.Entry{e}}}); err != nil {
 		t.Fatal(err)
 	}
 	return dir
@@ -77,7 +77,7 @@
 // content is every file of a folder, to show that nothing was changed.
 func content(t *testing.T, dir string) string {
 	t.Helper()
-	var out strings.Builder
+	var text strings.Builder
 	es, err := os.ReadDir(dir)
 	if err != nil {
 		t.Fatal(err)
@@ -87,9 +87,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		out.WriteString(e.Name() + "\x00" + string(b) + "\x00")
+		text.WriteString(e.Name() + "\x00" + string(b) + "\x00")
 	}
-	return out.String()
+	return text.String()
 }
 
 func partSegment(t *testing.T, dir string) string {
@@ -106,24 +106,24 @@
 func TestInspectWhole(t *testing.T) {
 	dir := filled(t)
 	before := content(t, dir)
-	r, err := Inspect(&Folder{dir})
-	if err != nil || !r.Whole() {
-		t.Fatalf("%v %q", err, r.Findings)
+	report, err := Inspect(&Folder{dir})
+	if err != nil || !report.Whole() {
+		t.Fatalf("%v %q", err, report.Findings)
 	}
-	if r.Identity == nil || r.Identity.ID != "me" || r.Cluster != "c" || r.Term != 2 || r.Vote != "me" || r.Unsure {
-		t.Errorf("who: %+v", r)
+	if report.Identity == nil || report.Identity.ID != "me" || report.Cluster != "c" || report.Term != 2 || report.Vote != "me" || report.Unsure {
+		t.Errorf("who: %+v", report)
 	}
-	if s := r.Snapshot; s == nil || s.Index != 4 || s.Term != 2 || s.Voters != 1 {
+	if s := report.Snapshot; s == nil || s.Index != 4 || s.Term != 2 || s.Voters != 1 {
 		t.Errorf("snapshot: %+v", s)
 	}
-	if r.Entries != 1 || r.First != 5 || r.Last != 5 || r.Plan != 5 || r.Needs == 0 || len(r.Missing) != 0 || r.LotsEnded != 1 {
-		t.Errorf("state: %+v", r)
+	if report.Entries != 1 || report.First != 5 || report.Last != 5 || report.Plan != 5 || report.Needs == 0 || len(report.Missing) != 0 || report.LotsEnded != 1 {
+		t.Errorf("state: %+v", report)
 	}
-	if len(r.Lots) != 1 || r.Lots[0] != (LotState{"l1", "d1", 1, 2}) {
-		t.Errorf("lots: %+v", r.Lots)
+	if len(report.Lots) != 1 || report.Lots[0] != (LotState{"l1", "d1", 1, 2}) {
+		t.Errorf("lots: %+v", report.Lots)
 	}
-	if len(r.Segments) != 1 || r.Segments[0].Frames != 2 || r.Segments[0].Tail != "whole" {
-		t.Errorf("segments: %+v", r.Segments)
+	if len(report.Segments) != 1 || report.Segments[0].Frames != 2 || report.Segments[0].Tail != "whole" {
+		t.Errorf("segments: %+v", report.Segments)
 	}
 	if content(t, dir) != before {
 		t.Error("the folder was changed")
@@ -239,32 +239,32 @@
 // all entries but those of a torn last frame.
 func TestInspectAgreesWithTheStart(t *testing.T) {
 	from := filled(t)
-	es, err := os.ReadDir(from)
+	entries, err := os.ReadDir(from)
 	if err != nil {
 		t.Fatal(err)
 	}
 	whole, broken := 0, 0
 	for seed := range int64(250) {
-		r := rand.New(rand.NewSource(seed))
+		random := rand.New(rand.NewSource(seed))
 		dir := t.TempDir()
-		hit := r.Intn(len(es))
-		for i, e := range es {
-			b, err := os.ReadFile(filepath.Join(from, e.Name()))
+		hit := random.Intn(len(entries))
+		for i, entry := range entries {
+			b, err := os.ReadFile(filepath.Join(from, entry.Name()))
 			if err != nil {
 				t.Fatal(err)
 			}
 			if i == hit && len(b) > 0 {
-				at := r.Intn(len(b))
-				switch r.Intn(3) {
+				at := random.Intn(len(b))
+				switch random.Intn(3) {
 				case 0:
-					b[at] ^= byte(1 + r.Intn(255))
+					b[at] ^= byte(1 + random.Intn(255))
 				case 1:
 					b = b[:at]
 				case 2:
 					clear(b[at:])
 				}
 			}
-			if err := os.WriteFile(filepath.Join(dir, e.Name()), b, 0o644); err != nil {
+			if err := os.WriteFile(filepath.Join(dir, entry.Name()), b, 0o644); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -272,24 +272,24 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		f := &Folder{dir}
-		_, idErr := Identify(f, "fresh", 1)
-		_, d, openErr := Open(f)
+		folder := &Folder{dir}
+		_, idErr := Identify(folder, "fresh", 1)
+		_, disk, openErr := Open(folder)
 		if !rep.Whole() {
 			broken++
 			continue
 		}
 		whole++
-		if idErr != nil || openErr != nil || len(d.Entries) != rep.Entries || d.Hard.Unsure {
-			t.Errorf("seed %d: %s is said to be whole: %v %v, %d entries of %d", seed, es[hit].Name(), idErr, openErr, len(d.Entries), rep.Entries)
+		if idErr != nil || openErr != nil || len(disk.Entries) != rep.Entries || disk.Hard.Unsure {
+			t.Errorf("seed %d: %s is said to be whole: %v %v, %d entries of %d", seed, entries[hit].Name(), idErr, openErr, len(disk.Entries), rep.Entries)
 		}
-		if d.Snapshot != nil {
-			led, err := ledger.Load(d.Snapshot.State, d.Items)
+		if disk.Snapshot != nil {
+			led, err := ledger.Load(disk.Snapshot.State, disk.Items)
 			if err != nil {
 				t.Errorf("seed %d: %v", seed, err)
 				continue
 			}
-			l, _, err := Open(f)
+			l, _, err := Open(folder)
 			if err != nil || l.Blobs.only(flow.BlobChange{Only: led.Items()}) != nil {
 				t.Errorf("seed %d: the blob store lacks something: %v", seed, err)
 			}
--- a/shell/disk/release.go
+++ b/shell/disk/release.go
@@ -45,17 +45,17 @@
 
 // dropped gives the items that a snapshot at an index no longer names.
 func (r *release) dropped(index uint64) []flow.Ref {
-	var out []flow.Ref
+	var refs []flow.Ref
 	left := r.drops[:0:0]
 	for _, drop := range r.drops {
 		if drop.at <= index {
-			out = append(out, drop.ref)
+			refs = append(refs, drop.ref)
 		} else {
 			left = append(left, drop)
 		}
 	}
 	r.drops = left
-	return out
+	return refs
 }
 
 // forget ends what a snapshot at an index has settled.
@@ -70,17 +70,17 @@
 // settle deletes what the snapshot at an index, which was just written, does not
 // name.
 func (s *BlobStore) settle(index uint64) error {
-	r := &s.release
-	if r.only != nil && r.onlyAt <= index {
-		s.deleteOthers(r.only)
-		r.only = nil
+	release := &s.release
+	if release.only != nil && release.onlyAt <= index {
+		s.deleteOthers(release.only)
+		release.only = nil
 	}
-	for _, ref := range r.dropped(index) {
+	for _, ref := range release.dropped(index) {
 		if segment, at := s.find(ref); segment != nil {
 			segment.delete(at)
 		}
 	}
-	r.forget(index)
+	release.forget(index)
 	return s.sweep()
 }
 
--- a/shell/link/envelope.go
+++ b/shell/link/envelope.go
@@ -28,22 +28,22 @@
 
 // pack adds a line as it is sent. The body was marshalled once already; only
 // what is out of the ordinary is marshalled again.
-func pack(b []byte, x flow.Line) ([]byte, error) {
-	if len(x.Body) == 0 || bytes.IndexByte(x.Body, '\n') >= 0 || !plain(x.Cluster) || !plain(x.Kind) || !plain(x.From) || !plain(x.Addr) {
-		raw, err := json.Marshal(x)
+func pack(b []byte, line flow.Line) ([]byte, error) {
+	if len(line.Body) == 0 || bytes.IndexByte(line.Body, '\n') >= 0 || !plain(line.Cluster) || !plain(line.Kind) || !plain(line.From) || !plain(line.Addr) {
+		raw, err := json.Marshal(line)
 		if err != nil {
 			return b, errors.Wrap(err, "link")
 		}
 		return append(append(b, raw...), '\n'), nil
 	}
-	b = strconv.AppendInt(append(b, `{"v":`...), int64(x.Ver), 10)
-	if x.Cluster != "" {
-		b = append(append(append(b, `,"c":"`...), x.Cluster...), '"')
+	b = strconv.AppendInt(append(b, `{"v":`...), int64(line.Ver), 10)
+	if line.Cluster != "" {
+		b = append(append(append(b, `,"c":"`...), line.Cluster...), '"')
 	}
-	b = append(append(b, `,"k":"`...), x.Kind...)
-	b = append(append(b, `","f":"`...), x.From...)
-	b = append(append(b, `","a":"`...), x.Addr...)
-	b = append(append(b, `","b":`...), x.Body...)
+	b = append(append(b, `,"k":"`...), line.Kind...)
+	b = append(append(b, `","f":"`...), line.From...)
+	b = append(append(b, `","a":"`...), line.Addr...)
+	b = append(append(b, `","b":`...), line.Body...)
 	return append(b, "}\n"...), nil
 }
 
@@ -69,17 +69,17 @@
 }
 
 func quick(b []byte, n *names) (flow.Line, bool) {
-	var x flow.Line
+	var line flow.Line
 	rest, ok := bytes.CutPrefix(b, []byte(`{"v":`))
 	comma := bytes.IndexByte(rest, ',')
 	if !ok || comma < 1 || comma > 4 || rest[0] == '0' {
-		return x, false
+		return line, false
 	}
 	for _, c := range rest[:comma] {
 		if c < '0' || c > '9' {
-			return x, false
+			return line, false
 		}
-		x.Ver = x.Ver*10 + int(c-'0')
+		line.Ver = line.Ver*10 + int(c-'0')
 	}
 	rest = rest[comma:]
 	text := func(key string, was *string, may bool) (string, bool) {
@@ -94,24 +94,24 @@
 		rest = rest[len(key)+end+1:]
 		return s, true
 	}
-	if x.Cluster, ok = text(`,"c":"`, &n.cluster, true); !ok {
-		return x, false
+	if line.Cluster, ok = text(`,"c":"`, &n.cluster, true); !ok {
+		return line, false
 	}
-	if x.Kind, ok = text(`,"k":"`, &n.kind, false); !ok {
-		return x, false
+	if line.Kind, ok = text(`,"k":"`, &n.kind, false); !ok {
+		return line, false
 	}
-	if x.From, ok = text(`,"f":"`, &n.from, false); !ok {
-		return x, false
+	if line.From, ok = text(`,"f":"`, &n.from, false); !ok {
+		return line, false
 	}
-	if x.Addr, ok = text(`,"a":"`, &n.addr, false); !ok {
-		return x, false
+	if line.Addr, ok = text(`,"a":"`, &n.addr, false); !ok {
+		return line, false
 	}
 	rest, ok = bytes.CutPrefix(rest, []byte(`,"b":`))
 	if !ok || len(rest) < 2 || rest[len(rest)-1] != '}' || !json.Valid(rest[:len(rest)-1]) {
-		return x, false
+		return line, false
 	}
-	x.Body = bytes.Clone(rest[:len(rest)-1])
-	return x, true
+	line.Body = bytes.Clone(rest[:len(rest)-1])
+	return line, true
 }
 
 // reader reads lines without holding on to the room of a long one.
--- a/shell/link/link.go
+++ b/shell/link/link.go
@@ -87,7 +87,7 @@
 func (l *Link) accept() {
 	defer l.wg.Done()
 	for {
-		c, err := l.socket.Accept()
+		conn, err := l.socket.Accept()
 		if err != nil {
 			if l.stop.Err() != nil {
 				return
@@ -96,35 +96,35 @@
 			continue
 		}
 		l.wg.Add(1)
-		go l.hear(c)
+		go l.hear(conn)
 	}
 }
 
-func (l *Link) hear(c net.Conn) {
+func (l *Link) hear(conn net.Conn) {
 	defer l.wg.Done()
-	defer c.Close()
-	free := context.AfterFunc(l.stop, func() { _ = c.Close() })
+	defer conn.Close()
+	free := context.AfterFunc(l.stop, func() { _ = conn.Close() })
 	defer free()
-	in := reader{in: bufio.NewReaderSize(c, 16<<10)}
+	in := reader{in: bufio.NewReaderSize(conn, 16<<10)}
 	var last names
 	for {
 		b, err := in.next()
 		if err == errLong {
-			l.stray(c, "line too long")
+			l.stray(conn, "line too long")
 		}
 		if err != nil {
 			return
 		}
-		x, err := unpack(b, &last)
+		line, err := unpack(b, &last)
 		if err != nil {
-			l.stray(c, "malformed line")
+			l.stray(conn, "malformed line")
 			return
 		}
-		if why := node.Foreign(x, *l.Cluster.Load()); why != "" {
-			l.stray(c, "a peer "+why)
+		if why := node.Foreign(line, *l.Cluster.Load()); why != "" {
+			l.stray(conn, "a peer "+why)
 			return
 		}
-		l.In(flow.Event{Line: &x}) // a full queue drops the line
+		l.In(flow.Event{Line: &line}) // a full queue drops the line
 	}
 }
 
@@ -151,8 +151,8 @@
 const laneBytes = 4 << 20
 
 // put makes room for a line and puts it in; only one task does so at a time.
-func (w *wire) put(x flow.Line) {
-	size := int64(len(x.Body))
+func (w *wire) put(line flow.Line) {
+	size := int64(len(line.Body))
 	for w.bytes.Load() > 0 && w.bytes.Load()+size > laneBytes {
 		if _, ok := w.take(); !ok {
 			break
@@ -161,7 +161,7 @@
 	w.bytes.Add(size)
 	for {
 		select {
-		case w.lines <- x:
+		case w.lines <- line:
 			return
 		default:
 			w.take() // the oldest says least
@@ -189,24 +189,24 @@
 }
 
 // Send puts a line into its peer's queue.
-func (l *Link) Send(x flow.Line) {
+func (l *Link) Send(line flow.Line) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.stop.Err() != nil {
 		return
 	}
-	key, room := lane(x)
+	key, room := lane(line)
 	w := l.out[key]
 	if w == nil {
 		ctx, quit := context.WithCancel(l.stop)
 		w = &wire{lines: make(chan flow.Line, room), quit: quit}
 		l.out[key] = w
 		l.wg.Add(1)
-		go l.speak(ctx, x.To, w)
+		go l.speak(ctx, line.To, w)
 		l.forget()
 	}
 	w.used = time.Now()
-	w.put(x)
+	w.put(line)
 }
 
 // forget ends wires that nothing was sent on for long; mu is held.
@@ -317,18 +317,18 @@
 }
 
 func (s *speaker) open(ctx context.Context) bool {
-	c, err := s.dial.DialContext(ctx, "tcp", s.to)
+	conn, err := s.dial.DialContext(ctx, "tcp", s.to)
 	if err != nil {
 		return false
 	}
-	raw, err := c.(*net.TCPConn).SyscallConn()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil || s.over {
-		_ = c.Close()
+		_ = conn.Close()
 		return false
 	}
-	s.conn, s.raw, s.made = c, raw, time.Now()
+	s.conn, s.raw, s.made = conn, raw, time.Now()
 	return true
 }
 
--- a/shell/link/link_test.go
+++ b/shell/link/link_test.go
@@ -24,13 +24,13 @@
 // then the connection is closed and counted, and good ones still pass.
 func TestStraysAreClosed(t *testing.T) {
 	got := make(chan flow.Event, 8)
-	l, err := Open("127.0.0.1:0", log.NewNopLogger(), func(e flow.Event) bool { got <- e; return true })
+	link, err := Open("127.0.0.1:0", log.NewNopLogger(), func(e flow.Event) bool { got <- e; return true })
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	defer link.Close()
 	mine := "mine"
-	l.Cluster.Store(&mine)
+	link.Cluster.Store(&mine)
 	line := func(v int, c string) []byte {
 		b, _ := json.Marshal(flow.Line{Ver: v, Cluster: c, Kind: "gossip", Body: json.RawMessage(`{}`)})
 		return append(b, '\n')
@@ -43,21 +43,21 @@
 	}
 	n := int64(0)
 	for name, b := range bad {
-		c, err := net.Dial("tcp", l.socket.Addr().String())
+		conn, err := net.Dial("tcp", link.socket.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
-		go func() { _, _ = c.Write(b) }()
-		if !closed(t, c) {
+		go func() { _, _ = conn.Write(b) }()
+		if !closed(t, conn) {
 			t.Errorf("%s: the connection stays open", name)
 		}
 		n++
-		if l.Strays.Load() != n {
-			t.Errorf("%s: %d strays counted", name, l.Strays.Load())
+		if link.Strays.Load() != n {
+			t.Errorf("%s: %d strays counted", name, link.Strays.Load())
 		}
-		_ = c.Close()
+		_ = conn.Close()
 	}
-	c, err := net.Dial("tcp", l.socket.Addr().String())
+	c, err := net.Dial("tcp", link.socket.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/shell/link/speak_test.go
+++ b/shell/link/speak_test.go
@@ -215,7 +215,7 @@
 func TestEnvelope(t *testing.T) {
 	body := json.RawMessage(`{"a":"}\",\"b\":","n":[1,2.5e3,null]}`)
 	var last names
-	for _, x := range []flow.Line{
+	for _, line := range []flow.Line{
 		{Ver: 2, Cluster: "c", Kind: "k", From: "f", Addr: "a:1", Body: body},
 		{Ver: 2, Kind: "k", Body: json.RawMessage("1")},
 		{Ver: 0, Kind: "k", Body: body},
@@ -224,9 +224,9 @@
 		{Ver: 2, Cluster: `"`, Kind: "k\n", From: `\`, Addr: "ü", Body: body},
 		{Ver: 2, Kind: "k", Body: json.RawMessage("{\n}")},
 	} {
-		b, err := pack(nil, x)
+		b, err := pack(nil, line)
 		if err != nil || bytes.Count(b, []byte("\n")) != 1 || b[len(b)-1] != '\n' {
-			t.Fatalf("%+v: %q %v", x, b, err)
+			t.Fatalf("%+v: %q %v", line, b, err)
 		}
 		b = b[:len(b)-1]
 		var slow flow.Line
@@ -237,8 +237,8 @@
 		if err != nil || !reflect.DeepEqual(got, slow) {
 			t.Errorf("%q: %+v, want %+v, %v", b, got, slow, err)
 		}
-		if string(x.Body) != "{\n}" && !reflect.DeepEqual(got, x) {
-			t.Errorf("%+v came as %+v", x, got)
+		if string(line.Body) != "{\n}" && !reflect.DeepEqual(got, line) {
+			t.Errorf("%+v came as %+v", line, got)
 		}
 	}
 	for _, bad := range []string{`{"v":2,"k":"k","f":"","a":"","b":{}`, `{"v":2,"k":"k","f":"","a":"","b":}`, `{"v":2,"k":"k","f":"","a":"","b":{}}}`, `{"v":2,`, `{"v":}`, ``} {
--- a/shell/run/queue.go
+++ b/shell/run/queue.go
@@ -80,36 +80,36 @@
 
 // wait gives what there is for one turn: when something comes, or when the pause is
 // over; false when the loop is to end.
-func (q *queue) wait(in []flow.Event, pause <-chan time.Time, quit <-chan struct{}) ([]flow.Event, bool) {
+func (q *queue) wait(events []flow.Event, pause <-chan time.Time, quit <-chan struct{}) ([]flow.Event, bool) {
 	var first []flow.Event
 	select {
 	case <-quit:
-		return in, false
+		return events, false
 	case e := <-q.urgent:
-		in = append(in, e)
+		events = append(events, e)
 	case e := <-q.rest:
 		first = []flow.Event{e}
 	case <-pause:
 	}
-	in = drain(q.urgent, in, QueueSize)
-	in = drain(q.rest, append(in, first...), turnMost)
-	for _, e := range in {
+	events = drain(q.urgent, events, QueueSize)
+	events = drain(q.rest, append(events, first...), turnMost)
+	for _, e := range events {
 		q.bytes.Add(-size(e))
 	}
-	return in, true
+	return events, true
 }
 
 // drain takes what waits, most events at most.
-func drain(from <-chan flow.Event, in []flow.Event, most int) []flow.Event {
+func drain(from <-chan flow.Event, events []flow.Event, most int) []flow.Event {
 	for range most {
 		select {
 		case e := <-from:
-			in = append(in, e)
+			events = append(events, e)
 		default:
-			return in
+			return events
 		}
 	}
-	return in
+	return events
 }
 
 // Offer puts an event into the queue, unless it is full.
--- a/shell/run/queue_test.go
+++ b/shell/run/queue_test.go
@@ -54,11 +54,11 @@
 
 func TestBytesOfWaitingLinesAreBounded(t *testing.T) {
 	// Given a queue that nobody reads.
-	q := newQueue()
+	queue := newQueue()
 	taken := 0
 	// When large lines come.
 	for range 100 {
-		if q.offer(line("ask", 1<<20)) {
+		if queue.offer(line("ask", 1<<20)) {
 			taken += 1 << 20
 		}
 	}
@@ -66,13 +66,13 @@
 	if taken > queueBytes || taken < queueBytes/2 {
 		t.Errorf("%d bytes wait", taken)
 	}
-	q.wait(nil, nil, nil)
-	if !q.offer(line("ask", 1<<20)) || q.bytes.Load() != 1<<20 {
-		t.Errorf("%d bytes wait", q.bytes.Load())
+	queue.wait(nil, nil, nil)
+	if !queue.offer(line("ask", 1<<20)) || queue.bytes.Load() != 1<<20 {
+		t.Errorf("%d bytes wait", queue.bytes.Load())
 	}
 	// And one line beyond the bound is taken where none waits.
-	q.wait(nil, nil, nil)
-	if !q.offer(line("ask", 2*queueBytes)) {
+	queue.wait(nil, nil, nil)
+	if !queue.offer(line("ask", 2*queueBytes)) {
 		t.Error("a large line was not taken")
 	}
 }
--- a/shell/run/run.go
+++ b/shell/run/run.go
@@ -94,12 +94,12 @@
 // it takes; any other failure ends the node (design 4.6).
 func (l *Loop) disk() {
 	defer close(l.rest)
-	for c := range l.chores {
-		for len(c.saves)+len(c.blobs) > 0 {
-			err := l.Log.Save(c.blobs, c.saves)
+	for chore := range l.chores {
+		for len(chore.saves)+len(chore.blobs) > 0 {
+			err := l.Log.Save(chore.blobs, chore.saves)
 			if err == nil {
-				if len(c.saves) > 0 {
-					l.Put(flow.Event{Saved: c.batch})
+				if len(chore.saves) > 0 {
+					l.Put(flow.Event{Saved: chore.batch})
 				}
 				break
 			}
@@ -114,7 +114,7 @@
 			case <-time.After(budget.FailureTimeout / 4):
 			}
 		}
-		for _, f := range c.fetch {
+		for _, f := range chore.fetch {
 			got, err := l.Log.Fetch(f)
 			if err != nil {
 				l.fail(err)
@@ -122,7 +122,7 @@
 			}
 			l.Put(flow.Event{Blobs: &got})
 		}
-		for _, f := range c.files {
+		for _, f := range chore.files {
 			if err := disk.PutFile(l.FS, f.Name, f.Body); err != nil {
 				_ = level.Warn(l.Logger).Log("part", "run", "msg", "a file was not written, trying again later", "file", f.Name, "failure", err)
 			}
@@ -158,17 +158,17 @@
 }
 
 func (l *Loop) turn(in []flow.Event) error {
-	out := l.Node.Advance(clock.Now(), clock.Wall(), in)
-	if len(out.Save)+len(out.Blobs)+len(out.Fetch) > 0 && l.Log == nil {
+	outbox := l.Node.Advance(clock.Now(), clock.Wall(), in)
+	if len(outbox.Save)+len(outbox.Blobs)+len(outbox.Fetch) > 0 && l.Log == nil {
 		return errors.New("run: a store without a data folder")
 	}
-	if len(out.Save) > 0 {
-		l.todo.batch, l.todo.saves = out.Batch, append(l.todo.saves, out.Save...)
+	if len(outbox.Save) > 0 {
+		l.todo.batch, l.todo.saves = outbox.Batch, append(l.todo.saves, outbox.Save...)
 	}
-	l.todo.blobs = append(l.todo.blobs, out.Blobs...)
-	l.todo.fetch = append(l.todo.fetch, out.Fetch...)
+	l.todo.blobs = append(l.todo.blobs, outbox.Blobs...)
+	l.todo.fetch = append(l.todo.fetch, outbox.Fetch...)
 	if l.FS != nil {
-		l.todo.files = append(l.todo.files, out.Files...)
+		l.todo.files = append(l.todo.files, outbox.Files...)
 	}
 	l.remember()
 	if !l.todo.empty() {
@@ -178,64 +178,64 @@
 		default: // it is busy; this goes with what comes next
 		}
 	}
-	l.emit(out)
-	if out.Done {
+	l.emit(outbox)
+	if outbox.Done {
 		select {
 		case <-l.left:
 		default:
 			close(l.left)
 		}
 	}
-	if out.Halt != "" {
-		return errors.New(out.Halt)
+	if outbox.Halt != "" {
+		return errors.New(outbox.Halt)
 	}
 	return nil
 }
 
 // remember keeps the cluster's id and stores for the next start.
 func (l *Loop) remember() {
-	k := l.Node.Known()
-	id := k.Cluster
+	known := l.Node.Known()
+	id := known.Cluster
 	if id != *l.Link.Cluster.Load() {
 		l.Link.Cluster.Store(&id)
 	}
 	if l.FS == nil || id == "" {
 		return
 	}
-	k.At = 0 // heard anew after a start
-	if k.Cluster == l.known.Cluster && slices.Equal(k.Stores, l.known.Stores) {
+	known.At = 0 // heard anew after a start
+	if known.Cluster == l.known.Cluster && slices.Equal(known.Stores, l.known.Stores) {
 		return
 	}
-	b, err := json.Marshal(k)
+	b, err := json.Marshal(known)
 	if err != nil {
 		return
 	}
 	l.todo.files = append(l.todo.files, flow.File{Name: KnownFile, Body: b})
-	l.known = k
+	l.known = known
 }
 
 // KnownFile holds the cluster's id and store addresses as last heard.
 const KnownFile = "known.json"
 
-func (l *Loop) emit(out flow.Outbox) {
-	for _, n := range out.Notes {
+func (l *Loop) emit(outbox flow.Outbox) {
+	for _, n := range outbox.Notes {
 		if n.Level >= l.Least {
 			_ = write[n.Level](l.Logger).Log(append([]any{"part", n.Part, "msg", n.Text}, n.Args...)...)
 		}
 	}
-	if out.Limits != nil {
-		l.Web.Limit(web.Limits(*out.Limits).Or(web.Usual))
+	if outbox.Limits != nil {
+		l.Web.Limit(web.Limits(*outbox.Limits).Or(web.Usual))
 	}
-	for _, x := range out.Lines {
+	for _, x := range outbox.Lines {
 		l.Link.Send(x)
 	}
-	for _, p := range out.Replies {
+	for _, p := range outbox.Replies {
 		l.Web.Reply(p)
 	}
-	for _, id := range out.Cuts {
+	for _, id := range outbox.Cuts {
 		l.Caller.Cut(id)
 	}
-	for _, s := range out.Sends {
+	for _, s := range outbox.Sends {
 		l.Caller.Start(s)
 	}
 }
