--- a/shell/run/run_test.go
+++ b/shell/run/run_test.go
@@ -20,8 +20,8 @@
 // written, and each line says its own.
 func TestOneLevelForAll(t *testing.T) {
 	for name, want := range map[string]string{"": "info warn error", "debug": "debug info warn error", "info": "info warn error", "warn": "warn error", "error": "error"} {
-		var b bytes.Buffer
-		l := New(Logger(&b, name))
+		var buffer bytes.Buffer
+		l := New(Logger(&buffer, name))
 		l.Least = Levels[name]
 		var out flow.Outbox
 		for _, v := range []flow.Level{flow.Debug, flow.Info, flow.Warn, flow.Error} {
@@ -30,7 +30,7 @@
 		l.emit(out)
 		_ = level.Debug(l.Logger).Log("msg", "a shell's")
 		var got []string
-		for _, line := range strings.Split(strings.TrimSpace(b.String()), "\n") {
+		for _, line := range strings.Split(strings.TrimSpace(buffer.String()), "\n") {
 			f := strings.Fields(line)
 			if strings.Contains(line, "part=store") {
 				got = append(got, strings.TrimPrefix(f[1], "level="))
@@ -48,13 +48,13 @@
 // them at once and operators are not, and a plan that says nothing brings the
 // usual ones back.
 func TestLimitsReachTheFrontListener(t *testing.T) {
-	l := New(Logger(io.Discard, "error"))
+	loop := New(Logger(io.Discard, "error"))
 	var err error
-	l.Web, err = web.OpenListeners(web.Options{Addr: "127.0.0.1:0", Listeners: []web.Listener{{Addr: "127.0.0.1:0", Rest: "request"}, {Addr: "127.0.0.1:0", Routes: []web.Route{{Verb: "PUT", Path: "/config", Name: "plan.put"}}}}, In: l.Offer})
+	loop.Web, err = web.OpenListeners(web.Options{Addr: "127.0.0.1:0", Listeners: []web.Listener{{Addr: "127.0.0.1:0", Rest: "request"}, {Addr: "127.0.0.1:0", Routes: []web.Route{{Verb: "PUT", Path: "/config", Name: "plan.put"}}}}, In: loop.Offer})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Web.Close(context.Background())
+	defer loop.Web.Close(context.Background())
 	quit := make(chan bool)
 	defer close(quit)
 	go func() {
@@ -62,16 +62,16 @@
 			select {
 			case <-quit:
 				return
-			case e := <-l.events.rest:
+			case e := <-loop.events.rest:
 				if e.Call != nil {
-					l.Web.Reply(flow.Reply{ID: e.Call.ID, Code: 200})
+					loop.Web.Reply(flow.Reply{ID: e.Call.ID, Code: 200})
 				}
 			}
 		}
 	}()
 	const front, control = 1, 2
 	say := func(listener int, text string) string {
-		c, err := net.Dial("tcp", l.Web.Addr(listener).String())
+		c, err := net.Dial("tcp", loop.Web.Addr(listener).String())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -90,7 +90,7 @@
 	}
 	want(front, header, "200")
 	want(front, body, "200")
-	l.emit(flow.Outbox{Limits: &flow.Limits{HeaderBytes: 1000, BodyBytes: 1000, Header: 30 * time.Millisecond}})
+	loop.emit(flow.Outbox{Limits: &flow.Limits{HeaderBytes: 1000, BodyBytes: 1000, Header: 30 * time.Millisecond}})
 	want(front, header, "431")
 	want(front, body, "413")
 	want(control, header, "200")
@@ -98,7 +98,7 @@
 	if got := say(front, "PUT /config HTTP/1.1\r\nHo"); got != "" && !strings.HasPrefix(got, "HTTP/1.1 400") {
 		t.Errorf("a slow header: %q", got)
 	}
-	l.emit(flow.Outbox{Limits: &flow.Limits{}})
+	loop.emit(flow.Outbox{Limits: &flow.Limits{}})
 	want(front, header, "200")
 	want(front, body, "200")
 }
@@ -107,15 +107,15 @@
 func BenchmarkNotes(b *testing.B) {
 	for _, name := range []string{"info", "debug"} {
 		b.Run(name, func(b *testing.B) {
-			l := New(Logger(io.Discard, name))
-			l.Least = Levels[name]
+			loop := New(Logger(io.Discard, name))
+			loop.Least = Levels[name]
 			var out flow.Outbox
 			for range 4 {
 				flow.Debug.Note(&out, "requests", "sent", "request", "7c7e512366a983c9", "call", uint64(11), "engine", "i-6bb4a15173", "try", 1)
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				l.emit(out)
+				loop.emit(out)
 			}
 		})
 	}
--- a/shell/sock/sock_test.go
+++ b/shell/sock/sock_test.go
@@ -29,17 +29,17 @@
 	}
 	defer socket.Close()
 	d := Dialer()
-	a, err := d.Dial("tcp", socket.Addr().String())
+	conn, err := d.Dial("tcp", socket.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer a.Close()
+	defer conn.Close()
 	b, err := socket.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer b.Close()
-	for name, c := range map[string]net.Conn{"dialled": a, "accepted": b} {
+	for name, c := range map[string]net.Conn{"dialled": conn, "accepted": b} {
 		for opt, want := range map[int]int{unix.TCP_USER_TIMEOUT: int(Unheard / time.Millisecond), unix.TCP_NODELAY: 1} {
 			var got int
 			if fail := raw(t, c).Control(func(fd uintptr) { got, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, opt) }); fail != nil || err != nil {
@@ -69,7 +69,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		a, err := net.Dial("tcp", socket.Addr().String())
+		conn, err := net.Dial("tcp", socket.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -77,11 +77,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		r := raw(t, a)
-		x.do(a.(*net.TCPConn), b.(*net.TCPConn))
+		r := raw(t, conn)
+		x.do(conn.(*net.TCPConn), b.(*net.TCPConn))
 		if got := Quiet(r); got != x.want {
 			t.Errorf("%s: %v", name, got)
 		}
-		_, _, _ = a.Close(), b.Close(), socket.Close()
+		_, _, _ = conn.Close(), b.Close(), socket.Close()
 	}
 }
--- a/shell/web/adversary_test.go
+++ b/shell/web/adversary_test.go
@@ -44,7 +44,7 @@
 }
 
 // run answers what waits, shuffled, until the calls end.
-func (o *oddCore) run(w *Web) {
+func (o *oddCore) run(web *Web) {
 	for c := range o.calls {
 		batch := []flow.Call{c}
 		for len(o.calls) > 0 && len(batch) < 16 {
@@ -52,7 +52,7 @@
 		}
 		o.rand.Shuffle(len(batch), func(i, j int) { batch[i], batch[j] = batch[j], batch[i] })
 		for _, x := range batch {
-			o.answer(w, x)
+			o.answer(web, x)
 		}
 	}
 }
@@ -60,22 +60,22 @@
 // answerTo is the true answer to a call.
 func answerTo(id string) string { return strings.Repeat("answer to "+id+".", 40) }
 
-func (o *oddCore) answer(w *Web, c flow.Call) {
-	id := flow.Get(c.Fields, "Attempt-Id")
+func (o *oddCore) answer(web *Web, call flow.Call) {
+	id := flow.Get(call.Fields, "Attempt-Id")
 	body := []byte(answerTo(id))
 	fields := []flow.Field{{Name: "Attempt-Id", Value: id}}
 	half := len(body) / 2
 	switch o.rand.Intn(4) {
 	case 0:
-		w.Reply(flow.Reply{ID: c.ID, Code: 200, Fields: fields, Body: body[:half], More: true})
-		w.Reply(flow.Reply{ID: c.ID, Body: body[half:]})
+		web.Reply(flow.Reply{ID: call.ID, Code: 200, Fields: fields, Body: body[:half], More: true})
+		web.Reply(flow.Reply{ID: call.ID, Body: body[half:]})
 	case 1:
-		w.Reply(flow.Reply{ID: c.ID, Code: 200, Fields: fields, Body: body[:half], More: true})
-		w.Reply(flow.Reply{ID: c.ID, Cut: true})
+		web.Reply(flow.Reply{ID: call.ID, Code: 200, Fields: fields, Body: body[:half], More: true})
+		web.Reply(flow.Reply{ID: call.ID, Cut: true})
 	default:
-		w.Reply(flow.Reply{ID: c.ID, Code: 200, Fields: fields, Body: body})
+		web.Reply(flow.Reply{ID: call.ID, Code: 200, Fields: fields, Body: body})
 	}
-	w.Reply(flow.Reply{ID: c.ID, Code: 200, Fields: fields, Body: []byte("surplus")})
+	web.Reply(flow.Reply{ID: call.ID, Code: 200, Fields: fields, Body: []byte("surplus")})
 }
 
 // request writes a request with a body of its own.
@@ -142,7 +142,7 @@
 }
 
 func (c *client) talk(conn net.Conn, name string) {
-	in := bufio.NewReader(conn)
+	reader := bufio.NewReader(conn)
 	var ids []string
 	for n := range 1 + c.rand.Intn(4) {
 		ids = append(ids, fmt.Sprintf("%s-%d", name, n))
@@ -161,10 +161,10 @@
 			_, _ = io.WriteString(conn, request(id, c.rand.Intn(2) == 0))
 		}
 		if n == leave {
-			_, _ = io.CopyN(io.Discard, in, int64(c.rand.Intn(400)))
+			_, _ = io.CopyN(io.Discard, reader, int64(c.rand.Intn(400)))
 			return
 		}
-		if !c.read(in, id) {
+		if !c.read(reader, id) {
 			return
 		}
 	}
@@ -195,21 +195,21 @@
 func TestAnswersReachTheirOwnCallers(t *testing.T) {
 	core := newOddCore()
 	h := &hall{t: t}
-	var w *Web
+	var web *Web
 	ready := make(chan bool)
-	w, err := OpenListeners(Options{Addr: "127.0.0.1:0", Listeners: []Listener{{Addr: "127.0.0.1:0", Rest: "rest"}}, In: func(e flow.Event) bool {
+	web, err := OpenListeners(Options{Addr: "127.0.0.1:0", Listeners: []Listener{{Addr: "127.0.0.1:0", Rest: "rest"}}, In: func(e flow.Event) bool {
 		<-ready
 		if e.Call != nil {
-			core.take(w, *e.Call)
+			core.take(web, *e.Call)
 		}
 		return true
 	}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	h.Web = w
+	h.Web = web
 	close(ready)
-	go core.run(w)
+	go core.run(web)
 	var running sync.WaitGroup
 	for n := range 64 {
 		running.Add(1)
@@ -220,7 +220,7 @@
 		}()
 	}
 	running.Wait()
-	for _, s := range w.srvs {
+	for _, s := range web.srvs {
 		_ = s.Close()
 	}
 	core.mu.Lock()
--- a/shell/web/limits.go
+++ b/shell/web/limits.go
@@ -48,21 +48,21 @@
 // Limit changes the limits of listeners that pass requests on. They hold for what is
 // read from now on. Operators' listeners keep the usual ones, so that no plan can
 // shut out the next.
-func (w *Web) Limit(l Limits) {
+func (w *Web) Limit(limits Limits) {
 	for {
 		was := w.limits.Load()
 		now := *was
-		if l.HeaderBytes > 0 {
-			now.HeaderBytes = min(l.HeaderBytes, headerMost)
+		if limits.HeaderBytes > 0 {
+			now.HeaderBytes = min(limits.HeaderBytes, headerMost)
 		}
-		if l.BodyBytes > 0 {
-			now.BodyBytes = l.BodyBytes
+		if limits.BodyBytes > 0 {
+			now.BodyBytes = limits.BodyBytes
 		}
-		if l.Header > 0 {
-			now.Header = l.Header
+		if limits.Header > 0 {
+			now.Header = limits.Header
 		}
-		if l.Idle > 0 {
-			now.Idle = l.Idle
+		if limits.Idle > 0 {
+			now.Idle = limits.Idle
 		}
 		if w.limits.CompareAndSwap(was, &now) {
 			return
@@ -123,17 +123,17 @@
 }
 
 // read takes a body of a size in bytes, below zero when that is unknown.
-func read(in io.Reader, size, most int64) ([]byte, error) {
+func read(input io.Reader, size, most int64) ([]byte, error) {
 	if size > most {
 		return nil, errLarge
 	}
 	if size > 0 && size <= trustMost {
 		b := make([]byte, size)
-		_, err := io.ReadFull(in, b)
+		_, err := io.ReadFull(input, b)
 		return b, err
 	}
 	var b bytes.Buffer
-	if _, err := b.ReadFrom(io.LimitReader(in, most+1)); err != nil {
+	if _, err := b.ReadFrom(io.LimitReader(input, most+1)); err != nil {
 		return nil, err
 	}
 	if int64(b.Len()) > most {
--- a/shell/web/listener_test.go
+++ b/shell/web/listener_test.go
@@ -30,28 +30,28 @@
 	h := &hall{t: t, calls: make(chan flow.Call, 64), gone: make(chan uint64, 64)}
 	ready := make(chan bool)
 	d.Addr = "127.0.0.1:0"
-	w, err := OpenListeners(Options{Addr: "127.0.0.1:0", Listeners: []Listener{d}, In: func(e flow.Event) bool {
+	web, err := OpenListeners(Options{Addr: "127.0.0.1:0", Listeners: []Listener{d}, In: func(event flow.Event) bool {
 		<-ready
-		if e.Call != nil {
-			h.calls <- *e.Call
+		if event.Call != nil {
+			h.calls <- *event.Call
 			if core != nil {
-				core(h.Web, *e.Call)
+				core(h.Web, *event.Call)
 			}
 		}
-		if e.Gone != 0 {
-			h.gone <- e.Gone
+		if event.Gone != 0 {
+			h.gone <- event.Gone
 		}
 		return true
 	}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	h.Web = w
+	h.Web = web
 	close(ready)
 	t.Cleanup(func() {
 		ctx, quit := context.WithCancel(context.Background())
 		quit()
-		w.Close(ctx)
+		web.Close(ctx)
 	})
 	return h
 }
@@ -160,19 +160,19 @@
 // Given a request with all sorts of headers and an odd path, when it comes at a
 // listener, then the call has what was written but what concerns the connection.
 func TestListenerCall(t *testing.T) {
-	h := opened(t, Listener{Routes: []Route{{Verb: "PUT", Path: "/a/{id}", Name: "a"}}, Rest: "rest"}, ok)
-	l := h.dial()
-	l.ask("PUT /a/%41%2f|x?q=1&q=2&r=%20+&;z HTTP/1.1\r\nHOST: App.Example:8080\r\nx-b: 2\r\nX-A: 1\r\nx-b:  3 \r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\nTe: x\r\n" +
+	hall := opened(t, Listener{Routes: []Route{{Verb: "PUT", Path: "/a/{id}", Name: "a"}}, Rest: "rest"}, ok)
+	line := hall.dial()
+	line.ask("PUT /a/%41%2f|x?q=1&q=2&r=%20+&;z HTTP/1.1\r\nHOST: App.Example:8080\r\nx-b: 2\r\nX-A: 1\r\nx-b:  3 \r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\nTe: x\r\n" +
 		"Upgrade: h2c\r\nProxy-Authorization: z\r\nContent-Type: a/b\r\nTransfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\nX-T: 1\r\n\r\n")
-	c := wait(t, h.calls)
+	c := wait(t, hall.calls)
 	fields := "[{Content-Type a/b} {X-A 1} {X-B 2} {X-B 3}]"
 	if c.Name != "a" || c.Host != "app.example" || c.Verb != "PUT" || c.Path != "/a/%41%2f|x" || c.Query["?"] != "q=1&q=2&r=%20+&;z" || c.Query["q"] != "1" || c.Query["r"] != "  " ||
 		string(c.Body) != "abcde" || fmt.Sprint(c.Fields) != fields || c.Head["Content-Type"] != "a/b" {
 		t.Errorf("%+v\n%s", c, c.Body)
 	}
 	for host, want := range map[string]string{"[::1]:80": "::1", "[FE80::1]": "fe80::1", "10.0.0.1": "10.0.0.1", "X": "x"} {
-		l.ask("GET / HTTP/1.1\r\nHost: " + host + "\r\n\r\n")
-		if c := wait(t, h.calls); c.Host != want || c.Name != "rest" {
+		line.ask("GET / HTTP/1.1\r\nHost: " + host + "\r\n\r\n")
+		if c := wait(t, hall.calls); c.Host != want || c.Name != "rest" {
 			t.Errorf("%s: %q", host, c.Host)
 		}
 	}
@@ -181,7 +181,7 @@
 // Given routes that rewrite, when calls and answers pass, then the core sees the
 // rewritten call, or none, and the client the rewritten answer.
 func TestListenerRewrites(t *testing.T) {
-	h := opened(t, Listener{Routes: []Route{
+	hall := opened(t, Listener{Routes: []Route{
 		{Verb: "GET", Path: "/in", Name: "in", Into: func(c *flow.Call) *flow.Reply { c.Name, c.ID = "other", 99; return nil }},
 		{Verb: "GET", Path: "/no", Name: "no", Into: func(*flow.Call) *flow.Reply { return &flow.Reply{Code: 422, Body: []byte("no")} }},
 		{Verb: "GET", Path: "/back", Name: "back", Back: func(p flow.Reply) flow.Reply { p.Body = append(p.Body, '!'); return p }},
@@ -192,15 +192,15 @@
 		}
 		ok(w, c)
 	})
-	l := h.dial()
+	l := hall.dial()
 	for path, want := range map[string]string{"/in": "200 other", "/no": "422 no", "/back": "200 back!", "/more": "200 1more"} {
 		head, body := l.ask("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n")
 		if got := strings.Fields(head[0])[1] + " " + body; got != want {
 			t.Errorf("%s: %q, want %q", path, got, want)
 		}
 	}
-	if len(h.calls) != 3 {
-		t.Errorf("%d calls", len(h.calls))
+	if len(hall.calls) != 3 {
+		t.Errorf("%d calls", len(hall.calls))
 	}
 }
 
@@ -212,7 +212,7 @@
 		give.ID = c.ID
 		w.Reply(give)
 	})
-	l := h.dial()
+	line := h.dial()
 	f := func(s ...string) (out []flow.Field) {
 		for i := 0; i < len(s); i += 2 {
 			out = append(out, flow.Field{Name: s[i], Value: s[i+1]})
@@ -236,10 +236,10 @@
 			"HTTP/1.1 200 OK|Content-Length: 1|Content-Type: a/b|x-a: 1|x-a: 2"},
 	} {
 		give = x.p
-		_, _ = io.WriteString(l, x.verb+" / HTTP/1.1\r\nHost: x\r\n\r\n")
+		_, _ = io.WriteString(line, x.verb+" / HTTP/1.1\r\nHost: x\r\n\r\n")
 		var raw []string
 		for {
-			s, err := l.r.ReadString('\n')
+			s, err := line.r.ReadString('\n')
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -251,43 +251,43 @@
 		if got := strings.Join(raw, "|"); got != x.want {
 			t.Errorf("got  %s\nwant %s", got, x.want)
 		}
-		_, _ = io.CopyN(io.Discard, l.r, int64(len(x.p.Body)))
+		_, _ = io.CopyN(io.Discard, line.r, int64(len(x.p.Body)))
 	}
 }
 
 // Given a streamed answer, when its parts come one by one, then each is there
 // before the next, and only an end shows a whole body; a cut shows none.
 func TestListenerStreams(t *testing.T) {
-	h := opened(t, Listener{Rest: "rest"}, nil)
+	hall := opened(t, Listener{Rest: "rest"}, nil)
 	for _, cut := range []bool{false, true} {
-		l := h.dial()
-		_, _ = io.WriteString(l, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-		id := wait(t, h.calls).ID
-		h.Reply(flow.Reply{ID: id, Code: 200, Fields: []flow.Field{{Name: "Content-Type", Value: "text/event-stream"}}, More: true})
-		res, raw, err := l.answer()
+		line := hall.dial()
+		_, _ = io.WriteString(line, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		id := wait(t, hall.calls).ID
+		hall.Reply(flow.Reply{ID: id, Code: 200, Fields: []flow.Field{{Name: "Content-Type", Value: "text/event-stream"}}, More: true})
+		res, raw, err := line.answer()
 		if err != nil || strings.Join(raw, "|") != "HTTP/1.1 200 OK|Content-Type: text/event-stream|Transfer-Encoding: chunked" {
 			t.Fatalf("%q %v", raw, err)
 		}
 		b := make([]byte, 3)
 		for i := range 3 {
-			h.Reply(flow.Reply{ID: id, Body: fmt.Appendf(nil, "e%d\n", i), More: true})
+			hall.Reply(flow.Reply{ID: id, Body: fmt.Appendf(nil, "e%d\n", i), More: true})
 			if _, err := io.ReadFull(res.Body, b); err != nil || string(b) != fmt.Sprintf("e%d\n", i) {
 				t.Fatalf("%q %v", b, err)
 			}
 		}
-		h.Reply(flow.Reply{ID: id, Cut: cut})
+		hall.Reply(flow.Reply{ID: id, Cut: cut})
 		rest, err := io.ReadAll(res.Body)
 		if (err != nil) != cut || len(rest) != 0 {
 			t.Errorf("cut %v: %q %v", cut, rest, err)
 		}
-		if cut && !l.closed() {
+		if cut && !line.closed() {
 			t.Error("the connection is open")
 		}
 	}
 	// A cut before anything was said.
-	l := h.dial()
+	l := hall.dial()
 	_, _ = io.WriteString(l, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-	h.Reply(flow.Reply{ID: wait(t, h.calls).ID, Cut: true})
+	hall.Reply(flow.Reply{ID: wait(t, hall.calls).ID, Cut: true})
 	if !l.closed() {
 		t.Error("an answer after a cut")
 	}
@@ -296,12 +296,12 @@
 // Given a reader of a stream that reads nothing, when it falls too far behind,
 // then it is cut, the core is told, and nothing was dropped before.
 func TestListenerSlowReader(t *testing.T) {
-	h := opened(t, Listener{Rest: "rest"}, nil)
-	l := h.dial()
+	hall := opened(t, Listener{Rest: "rest"}, nil)
+	l := hall.dial()
 	_, _ = io.WriteString(l, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-	id := wait(t, h.calls).ID
+	id := wait(t, hall.calls).ID
 	for i := range 20 * StreamMost { // far more than the connection's own buffers take
-		h.Reply(flow.Reply{ID: id, Code: 200, Body: fmt.Appendf(nil, "%08d %s\n", i, strings.Repeat("x", 4<<10)), More: true})
+		hall.Reply(flow.Reply{ID: id, Code: 200, Body: fmt.Appendf(nil, "%08d %s\n", i, strings.Repeat("x", 4<<10)), More: true})
 	}
 	res, _, err := l.answer()
 	if err != nil {
@@ -320,7 +320,7 @@
 			t.Fatalf("part %d is missing: %.20q", i, s)
 		}
 	}
-	if wait(t, h.gone) != id {
+	if wait(t, hall.gone) != id {
 		t.Error("somebody else is gone")
 	}
 }
@@ -343,11 +343,11 @@
 // Given limits that change while requests come, when a header or a body is
 // larger, then it is refused with what is wrong, and one at the limit passes.
 func TestLimitsOfSize(t *testing.T) {
-	h := opened(t, Listener{Rest: "rest"}, ok)
+	hall := opened(t, Listener{Rest: "rest"}, ok)
 	want := func(request, code string) {
 		t.Helper()
-		l := h.dial()
-		head, body := l.ask(request)
+		line := hall.dial()
+		head, body := line.ask(request)
 		if !strings.Contains(head[0], " "+code+" ") {
 			t.Errorf("%.40q: %q, want %s", request, head[0], code)
 		}
@@ -355,7 +355,7 @@
 			return
 		}
 		var v map[string]string
-		if json.Unmarshal([]byte(body), &v) != nil || v["error"] == "" || !l.closed() {
+		if json.Unmarshal([]byte(body), &v) != nil || v["error"] == "" || !line.closed() {
 			t.Errorf("%.40q: %q", request, body)
 		}
 	}
@@ -369,7 +369,7 @@
 	want(header(8000), "200")
 	want(header(70<<10), "431")
 	want(sized(100000), "200")
-	h.Limit(Limits{HeaderBytes: 4000, BodyBytes: 5000})
+	hall.Limit(Limits{HeaderBytes: 4000, BodyBytes: 5000})
 	want(header(3900), "200")
 	want(header(4000), "431")
 	want(sized(5000), "200")
@@ -378,10 +378,10 @@
 	want(chunked(5000), "200")
 	want(chunked(5001), "413")
 	want("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5001\r\nExpect: 100-continue\r\n\r\n", "413")
-	h.Limit(Limits{HeaderBytes: 100 << 10})
+	hall.Limit(Limits{HeaderBytes: 100 << 10})
 	want(header(70<<10), "200")
 	want(sized(5001), "413") // what was not named stays
-	if l := h.dial(); true {
+	if l := hall.dial(); true {
 		if head, _ := l.ask(header(2 << 20)); !strings.Contains(head[0], " 431 ") {
 			t.Errorf("above every limit: %q", head[0])
 		}
@@ -391,95 +391,95 @@
 // Given clients that are slow with a header or a body, or idle, when their time
 // is over, then they are closed; one that is waiting for its answer is not.
 func TestLimitsOfTime(t *testing.T) {
-	h := opened(t, Listener{Rest: "rest"}, nil)
-	h.Limit(Limits{Header: 30 * time.Millisecond, Idle: 30 * time.Millisecond})
+	hall := opened(t, Listener{Rest: "rest"}, nil)
+	hall.Limit(Limits{Header: 30 * time.Millisecond, Idle: 30 * time.Millisecond})
 	for name, start := range map[string]string{"silent": "", "half a header": "GET / HTTP/1.1\r\nHo", "half a body": "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nok"} {
-		l := h.dial()
+		l := hall.dial()
 		_, _ = io.WriteString(l, start)
 		said, err := io.ReadAll(l.r)
 		if err != nil || len(said) > 0 && !strings.HasPrefix(string(said), "HTTP/1.1 400 ") {
 			t.Errorf("%s: %q %v", name, said, err)
 		}
 	}
-	l := h.dial()
+	line := hall.dial()
 	for _, request := range []string{"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok"} {
-		_, _ = io.WriteString(l, request)
-		c := wait(t, h.calls)
+		_, _ = io.WriteString(line, request)
+		call := wait(t, hall.calls)
 		for range 3 {
-			if !h.dial().closed() {
+			if !hall.dial().closed() {
 				t.Error("a silent one is open")
 			}
 		}
-		if len(h.gone) > 0 {
+		if len(hall.gone) > 0 {
 			t.Fatal("a caller who waits is closed")
 		}
-		ok(h.Web, c)
-		if _, body := l.ask(""); body != "rest" {
+		ok(hall.Web, call)
+		if _, body := line.ask(""); body != "rest" {
 			t.Errorf("%q", body)
 		}
 	}
-	if !l.closed() {
+	if !line.closed() {
 		t.Error("an idle one is open")
 	}
-	h.Limit(Limits{Header: time.Hour, Idle: time.Hour})
-	l = h.dial()
-	_, _ = io.WriteString(l, "GET / HTTP/1.1\r\nHost: x\r\n\r\nGET /half HT")
-	ok(h.Web, wait(t, h.calls))
-	l.ask("")
-	h.Limit(Limits{Header: 30 * time.Millisecond})
-	_, _ = io.WriteString(l, "TP/1.1\r\nHost: x\r\n\r\n")
-	if c := wait(t, h.calls); c.Path != "/half" {
+	hall.Limit(Limits{Header: time.Hour, Idle: time.Hour})
+	line = hall.dial()
+	_, _ = io.WriteString(line, "GET / HTTP/1.1\r\nHost: x\r\n\r\nGET /half HT")
+	ok(hall.Web, wait(t, hall.calls))
+	line.ask("")
+	hall.Limit(Limits{Header: 30 * time.Millisecond})
+	_, _ = io.WriteString(line, "TP/1.1\r\nHost: x\r\n\r\n")
+	if c := wait(t, hall.calls); c.Path != "/half" {
 		t.Errorf("%+v", c)
 	} else {
-		ok(h.Web, c)
+		ok(hall.Web, c)
 	}
-	l.ask("")
+	line.ask("")
 }
 
 // Given a web that drains, when requests come on old and new connections, then
 // they are served, and each answer closes its connection.
 func TestDrain(t *testing.T) {
-	h := opened(t, Listener{Rest: "rest"}, ok)
+	hall := opened(t, Listener{Rest: "rest"}, ok)
 	const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
-	old := h.dial()
+	old := hall.dial()
 	if head, _ := old.ask(request); len(head) != 2 {
 		t.Errorf("before: %q", head)
 	}
-	h.Drain()
-	for _, l := range []*line{old, h.dial()} {
+	hall.Drain()
+	for _, l := range []*line{old, hall.dial()} {
 		head, body := l.ask(request)
 		if body != "rest" || !strings.Contains(strings.Join(head, "|"), "|Connection: close") || !l.closed() {
 			t.Errorf("%q %q", head, body)
 		}
 	}
-	if head, _ := h.dial().ask("GET / HTTP/1.1\r\nHost: x\r\nX-A: " + strings.Repeat("a", 70<<10) + "\r\n\r\n"); strings.Count(strings.Join(head, "|"), "Connection: close") != 1 {
+	if head, _ := hall.dial().ask("GET / HTTP/1.1\r\nHost: x\r\nX-A: " + strings.Repeat("a", 70<<10) + "\r\n\r\n"); strings.Count(strings.Join(head, "|"), "Connection: close") != 1 {
 		t.Errorf("%q", head)
 	}
 }
 
 func BenchmarkDoor(b *testing.B) {
-	var w *Web
+	var web *Web
 	ready := make(chan bool)
-	w, err := OpenListeners(Options{Addr: "127.0.0.1:0", Listeners: []Listener{{Addr: "127.0.0.1:0", Rest: "rest"}}, In: func(e flow.Event) bool {
+	web, err := OpenListeners(Options{Addr: "127.0.0.1:0", Listeners: []Listener{{Addr: "127.0.0.1:0", Rest: "rest"}}, In: func(e flow.Event) bool {
 		<-ready
-		w.Reply(flow.Reply{ID: e.Call.ID, Code: 200, Body: []byte("ok")})
+		web.Reply(flow.Reply{ID: e.Call.ID, Code: 200, Body: []byte("ok")})
 		return true
 	}})
 	if err != nil {
 		b.Fatal(err)
 	}
 	close(ready)
-	defer w.Close(context.Background())
-	c, err := net.Dial("tcp", w.Addr(1).String())
+	defer web.Close(context.Background())
+	conn, err := net.Dial("tcp", web.Addr(1).String())
 	if err != nil {
 		b.Fatal(err)
 	}
-	defer c.Close()
+	defer conn.Close()
 	buf := make([]byte, 4096)
 	b.ReportAllocs()
 	for b.Loop() {
-		_, _ = io.WriteString(c, "POST /v1/text HTTP/1.1\r\nHost: x\r\nX-A: 1\r\nContent-Length: 2\r\n\r\nok")
-		if _, err := c.Read(buf); err != nil {
+		_, _ = io.WriteString(conn, "POST /v1/text HTTP/1.1\r\nHost: x\r\nX-A: 1\r\nContent-Length: 2\r\n\r\nok")
+		if _, err := conn.Read(buf); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/shell/web/serve.go
+++ b/shell/web/serve.go
@@ -24,7 +24,7 @@
 }
 
 // serve turns a request into a call and writes its answer.
-func (w *Web) serve(rw http.ResponseWriter, req *http.Request, r *Route, vars map[string]string, s side) {
+func (w *Web) serve(rw http.ResponseWriter, req *http.Request, route *Route, vars map[string]string, s side) {
 	body, err := w.body(rw, req, s.limits.Load())
 	if err == errLarge {
 		problem(rw, 413, "larger than is taken here", "Connection", "close")
@@ -34,7 +34,7 @@
 		problem(rw, 400, "the request broke off", "Connection", "close")
 		return
 	}
-	c := &flow.Call{ID: w.ids.Add(1), Name: r.Name, Host: hostOf(req.Host), Vars: vars, Query: map[string]string{}, Head: map[string]string{},
+	c := &flow.Call{ID: w.ids.Add(1), Name: route.Name, Host: hostOf(req.Host), Vars: vars, Query: map[string]string{}, Head: map[string]string{},
 		Fields: fieldsOf(req.Header), Verb: req.Method, Path: pathOf(req), Body: body}
 	if req.URL.RawQuery != "" {
 		for k, v := range req.URL.Query() {
@@ -48,8 +48,8 @@
 		}
 	}
 	id := c.ID
-	if r.Into != nil {
-		if p := r.Into(c); p != nil {
+	if route.Into != nil {
+		if p := route.Into(c); p != nil {
 			p.More = false
 			_ = w.write(rw, req, *p, true)
 			return
@@ -69,7 +69,7 @@
 		problem(rw, 503, "too much at once", "Retry-After", "1")
 		return
 	}
-	w.answer(rw, req, id, x, r.Back)
+	w.answer(rw, req, id, x, route.Back)
 }
 
 // fieldsOf gives the headers that pass on, in the order of their names.
@@ -78,17 +78,17 @@
 	for _, v := range h["Connection"] {
 		skip = append(skip, field.Named(v)...)
 	}
-	out := make([]flow.Field, 0, len(h))
+	fields := make([]flow.Field, 0, len(h))
 	for k, vs := range h {
 		if field.Hop(k) || k == "Host" || slices.Contains(skip, k) {
 			continue
 		}
 		for _, v := range vs {
-			out = append(out, flow.Field{Name: k, Value: v})
+			fields = append(fields, flow.Field{Name: k, Value: v})
 		}
 	}
-	slices.SortStableFunc(out, func(a, b flow.Field) int { return strings.Compare(a.Name, b.Name) })
-	return out
+	slices.SortStableFunc(fields, func(a, b flow.Field) int { return strings.Compare(a.Name, b.Name) })
+	return fields
 }
 
 // answer writes the parts of an answer as they come.
@@ -105,16 +105,16 @@
 		parts, slow := x.parts, x.slow
 		x.parts, x.bytes = nil, 0
 		w.mu.Unlock()
-		for _, p := range parts {
-			if first && back != nil && !p.More && !p.Cut {
-				p = back(p)
+		for _, reply := range parts {
+			if first && back != nil && !reply.More && !reply.Cut {
+				reply = back(reply)
 			}
-			if err := w.write(rw, req, p, first); err != nil {
+			if err := w.write(rw, req, reply, first); err != nil {
 				gone()
 				return
 			}
 			first = false
-			if !p.More {
+			if !reply.More {
 				return
 			}
 		}
@@ -133,36 +133,36 @@
 
 // write writes one part of an answer. It has only the headers that were given,
 // and its connection's own.
-func (w *Web) write(rw http.ResponseWriter, req *http.Request, p flow.Reply, first bool) error {
-	if p.Cut {
+func (w *Web) write(rw http.ResponseWriter, req *http.Request, reply flow.Reply, first bool) error {
+	if reply.Cut {
 		panic(http.ErrAbortHandler) // the connection closes without an end mark
 	}
 	if first {
-		if p.Code < 200 || p.Code > 999 {
-			p.Code = 500
+		if reply.Code < 200 || reply.Code > 999 {
+			reply.Code = 500
 		}
-		h := rw.Header()
-		h["Content-Type"] = nil // else the server guesses one
-		for k, v := range p.Head {
-			h.Set(k, v)
+		header := rw.Header()
+		header["Content-Type"] = nil // else the server guesses one
+		for k, v := range reply.Head {
+			header.Set(k, v)
 		}
-		for _, f := range p.Fields {
+		for _, f := range reply.Fields {
 			if !field.Hop(textproto.CanonicalMIMEHeaderKey(f.Name)) {
-				h[f.Name] = append(h[f.Name], f.Value)
+				header[f.Name] = append(header[f.Name], f.Value)
 			}
 		}
-		if !p.More && p.Code != 204 && p.Code != 304 && (len(p.Body) > 0 || req.Method != "HEAD") {
-			h["Content-Length"] = []string{strconv.Itoa(len(p.Body))}
+		if !reply.More && reply.Code != 204 && reply.Code != 304 && (len(reply.Body) > 0 || req.Method != "HEAD") {
+			header["Content-Length"] = []string{strconv.Itoa(len(reply.Body))}
 		}
-		rw.WriteHeader(p.Code)
+		rw.WriteHeader(reply.Code)
 	}
-	if first && !p.More && len(p.Body) <= 64<<10 {
-		return writeBody(rw, p.Body) // it goes out at once, and bounds no task
+	if first && !reply.More && len(reply.Body) <= 64<<10 {
+		return writeBody(rw, reply.Body) // it goes out at once, and bounds no task
 	}
 	ctl := http.NewResponseController(rw)
 	_ = ctl.SetWriteDeadline(time.Now().Add(writeWait))
-	err := writeBody(rw, p.Body)
-	if err == nil && p.More {
+	err := writeBody(rw, reply.Body)
+	if err == nil && reply.More {
 		err = ctl.Flush()
 	}
 	return err
@@ -182,20 +182,20 @@
 
 // Reply hands an answer to the task that owns the request. It never waits. A
 // reader that lags too far hears no more.
-func (w *Web) Reply(p flow.Reply) {
+func (w *Web) Reply(reply flow.Reply) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	x := w.open[p.ID]
-	if x == nil || x.slow {
+	call := w.open[reply.ID]
+	if call == nil || call.slow {
 		return
 	}
-	if len(x.parts) >= x.most || len(x.parts) > 0 && x.bytes+len(p.Body) > LagMost && x.most == StreamMost {
-		x.slow = true
+	if len(call.parts) >= call.most || len(call.parts) > 0 && call.bytes+len(reply.Body) > LagMost && call.most == StreamMost {
+		call.slow = true
 	} else {
-		x.parts, x.bytes = append(x.parts, p), x.bytes+len(p.Body)
+		call.parts, call.bytes = append(call.parts, reply), call.bytes+len(reply.Body)
 	}
 	select {
-	case x.wake <- struct{}{}:
+	case call.wake <- struct{}{}:
 	default:
 	}
 }
--- a/shell/web/smuggle_test.go
+++ b/shell/web/smuggle_test.go
@@ -59,15 +59,15 @@
 func TestPlainChunksAreKept(t *testing.T) {
 	h := opened(t, Listener{Rest: "rest"}, ok)
 	const chunks = "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"
-	c := h.dial()
+	line := h.dial()
 	for range 3 {
-		if head, body := c.ask(chunks); strings.Contains(strings.Join(head, "|"), "Connection: close") || body != "rest" {
+		if head, body := line.ask(chunks); strings.Contains(strings.Join(head, "|"), "Connection: close") || body != "rest" {
 			t.Fatalf("%q %q", head, body)
 		}
 	}
-	_, _ = io.WriteString(c, "GET /first HTTP/1.1\r\nHost: x\r\n\r\n"+chunks)
+	_, _ = io.WriteString(line, "GET /first HTTP/1.1\r\nHost: x\r\n\r\n"+chunks)
 	for _, closes := range []bool{false, true} {
-		answer, err := http.ReadResponse(c.r, nil)
+		answer, err := http.ReadResponse(line.r, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -106,35 +106,35 @@
 
 // OpenListeners listens and serves the administration API and listeners.
 func OpenListeners(o Options) (*Web, error) {
-	w := &Web{In: o.In, open: map[uint64]*call{}}
-	w.limits.Store(&Usual)
-	w.own.Store(&Usual)
-	sides := []side{{WatchMost, &w.own}}
-	hands := []http.Handler{w.admin(sides[0])}
+	web := &Web{In: o.In, open: map[uint64]*call{}}
+	web.limits.Store(&Usual)
+	web.own.Store(&Usual)
+	sides := []side{{WatchMost, &web.own}}
+	hands := []http.Handler{web.admin(sides[0])}
 	addrs := []string{o.Addr}
 	for _, d := range o.Listeners {
-		s := side{StreamMost, &w.own}
+		s := side{StreamMost, &web.own}
 		if d.Rest != "" {
-			s.limits = &w.limits
+			s.limits = &web.limits
 		}
-		sides, hands, addrs = append(sides, s), append(hands, w.listener(d, s)), append(addrs, d.Addr)
+		sides, hands, addrs = append(sides, s), append(hands, web.listener(d, s)), append(addrs, d.Addr)
 	}
 	for _, addr := range addrs {
 		socket, err := net.Listen("tcp", addr)
 		if err != nil {
-			for _, e := range w.sockets {
+			for _, e := range web.sockets {
 				_ = e.Close()
 			}
 			return nil, errors.Wrap(err, "web: listen")
 		}
-		w.sockets = append(w.sockets, socket)
+		web.sockets = append(web.sockets, socket)
 	}
-	for i, socket := range w.sockets {
-		srv := &http.Server{Handler: w.guard(hands[i], sides[i].limits), MaxHeaderBytes: headerMost, ConnState: state, ConnContext: withConn, DisableGeneralOptionsHandler: true}
-		w.srvs = append(w.srvs, srv)
+	for i, socket := range web.sockets {
+		srv := &http.Server{Handler: web.guard(hands[i], sides[i].limits), MaxHeaderBytes: headerMost, ConnState: state, ConnContext: withConn, DisableGeneralOptionsHandler: true}
+		web.srvs = append(web.srvs, srv)
 		go func() { _ = srv.Serve(&limitedListener{socket, sides[i].limits}) }()
 	}
-	return w, nil
+	return web, nil
 }
 
 // Addr is where the administration API listens (0) or a listener (1 and on, in the
@@ -171,52 +171,52 @@
 }
 
 func (w *Web) admin(s side) http.Handler {
-	r := mux.NewRouter()
-	r.UseEncodedPath()
+	router := mux.NewRouter()
+	router.UseEncodedPath()
 	allow := map[string][]string{}
 	plain := func(name string) http.HandlerFunc {
 		x := &Route{Name: name}
 		return func(rw http.ResponseWriter, req *http.Request) { w.serve(rw, req, x, mux.Vars(req), s) }
 	}
 	for _, x := range Routes {
-		r.Methods(x.verb).Path(x.path).HandlerFunc(plain(x.name))
+		router.Methods(x.verb).Path(x.path).HandlerFunc(plain(x.name))
 		allow[x.path] = append(allow[x.path], x.verb)
 	}
-	r.Methods("GET").Path("/v1/schema").HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+	router.Methods("GET").Path("/v1/schema").HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
 		rw.Header().Set("Content-Type", "application/schema+json")
 		_, _ = rw.Write(api.Schema)
 	})
 	for _, x := range Routes {
 		verbs := strings.Join(allow[x.path], ", ")
-		r.Path(x.path).HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+		router.Path(x.path).HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
 			problem(rw, 405, "this method is not allowed here", "Allow", verbs)
 		})
 	}
-	r.PathPrefix("/v1/").HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { problem(rw, 404, "no such listener in the API") })
-	r.PathPrefix("/").HandlerFunc(plain("app"))
-	return r
+	router.PathPrefix("/v1/").HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { problem(rw, 404, "no such listener in the API") })
+	router.PathPrefix("/").HandlerFunc(plain("app"))
+	return router
 }
 
 // listener serves one listener's routes.
-func (w *Web) listener(d Listener, s side) http.Handler {
-	r := mux.NewRouter()
+func (w *Web) listener(listener Listener, s side) http.Handler {
+	router := mux.NewRouter()
 	routes := map[*mux.Route]*Route{}
 	fixed := map[[2]string]*Route{} // by verb and path
-	for i := range d.Routes {
-		x := &d.Routes[i]
-		if key := [2]string{x.Verb, x.Path}; !strings.Contains(x.Path, "{") {
+	for i := range listener.Routes {
+		route := &listener.Routes[i]
+		if key := [2]string{route.Verb, route.Path}; !strings.Contains(route.Path, "{") {
 			if fixed[key] == nil {
-				fixed[key] = x
+				fixed[key] = route
 			}
 			continue
 		}
-		m := r.NewRoute().Path(x.Path).HandlerFunc(http.NotFound)
-		if x.Verb != "" {
-			m.Methods(x.Verb)
+		m := router.NewRoute().Path(route.Path).HandlerFunc(http.NotFound)
+		if route.Verb != "" {
+			m.Methods(route.Verb)
 		}
-		routes[m] = x
+		routes[m] = route
 	}
-	rest := &Route{Name: d.Rest}
+	rest := &Route{Name: listener.Rest}
 	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
 		path := pathOf(req)
 		x := fixed[[2]string{req.Method, path}]
@@ -230,12 +230,12 @@
 		if len(routes) > 0 {
 			var m mux.RouteMatch
 			asWritten := &http.Request{Method: req.Method, Host: req.Host, Header: req.Header, URL: &url.URL{Path: path}}
-			if r.Match(asWritten, &m) && m.MatchErr == nil {
+			if router.Match(asWritten, &m) && m.MatchErr == nil {
 				w.serve(rw, req, routes[m.Route], m.Vars, s)
 				return
 			}
 		}
-		if d.Rest == "" {
+		if listener.Rest == "" {
 			problem(rw, 404, "there is nothing here")
 			return
 		}
--- a/shell/web/web_test.go
+++ b/shell/web/web_test.go
@@ -16,24 +16,24 @@
 // unknown, of the wrong method, too large or too many, then each is answered
 // at once with what is wrong.
 func TestListeners(t *testing.T) {
-	var w *Web
+	var web *Web
 	full := false
 	in := func(e flow.Event) bool {
 		if full {
 			return false
 		}
 		if e.Call != nil {
-			w.Reply(flow.Reply{ID: e.Call.ID, Code: 200, Body: []byte(e.Call.Name + " " + e.Call.Vars["id"] + " " + e.Call.Path)})
+			web.Reply(flow.Reply{ID: e.Call.ID, Code: 200, Body: []byte(e.Call.Name + " " + e.Call.Vars["id"] + " " + e.Call.Path)})
 		}
 		return true
 	}
-	w, err := Open("127.0.0.1:0", in)
+	web, err := Open("127.0.0.1:0", in)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer w.Close(context.Background())
+	defer web.Close(context.Background())
 	ask := func(verb, path string, body []byte) (int, string, http.Header) {
-		req, _ := http.NewRequest(verb, "http://"+w.Addr(0).String()+path, bytes.NewReader(body))
+		req, _ := http.NewRequest(verb, "http://"+web.Addr(0).String()+path, bytes.NewReader(body))
 		res, err := (&http.Client{Timeout: 30 * time.Second}).Do(req)
 		if err != nil {
 			t.Fatal(err)
@@ -71,7 +71,7 @@
 func TestSlowWatcher(t *testing.T) {
 	gone, full := make(chan uint64, 1), make(chan bool)
 	calls := make(chan uint64, 1)
-	w, err := Open("127.0.0.1:0", func(e flow.Event) bool {
+	web, err := Open("127.0.0.1:0", func(e flow.Event) bool {
 		if e.Call != nil {
 			calls <- e.Call.ID
 		}
@@ -83,10 +83,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer w.Close(context.Background())
+	defer web.Close(context.Background())
 	res := make(chan string, 1)
 	go func() {
-		r, err := http.Get("http://" + w.Addr(0).String() + "/v1/watch/usage")
+		r, err := http.Get("http://" + web.Addr(0).String() + "/v1/watch/usage")
 		if err != nil {
 			res <- err.Error()
 			return
@@ -99,7 +99,7 @@
 	id := <-calls
 	line := bytes.Repeat([]byte("x"), 64<<10)
 	for i := 0; i < 40*WatchMost; i++ {
-		w.Reply(flow.Reply{ID: id, Code: 200, Body: line, More: true})
+		web.Reply(flow.Reply{ID: id, Code: 200, Body: line, More: true})
 	}
 	close(full)
 	if <-gone != id {
