--- a/shell/web/adversary_test.go
+++ b/shell/web/adversary_test.go
@@ -120,7 +120,7 @@
 // client is one caller that goes wrong in its own ways.
 type client struct {
 	t    *testing.T
-	h    *hall
+	h    *testServer
 	core *oddCore
 	rand *rand.Rand
 	name string
@@ -194,7 +194,7 @@
 // come and go, then each answer reaches its own caller, and none that was cut looks whole.
 func TestAnswersReachTheirOwnCallers(t *testing.T) {
 	core := newOddCore()
-	h := &hall{t: t}
+	h := &testServer{t: t}
 	var web *Web
 	ready := make(chan bool)
 	web, err := OpenListeners(Options{Addr: "127.0.0.1:0", Listeners: []Listener{{Addr: "127.0.0.1:0", Rest: "rest"}}, In: func(e flow.Event) bool {
@@ -220,7 +220,7 @@
 		}()
 	}
 	running.Wait()
-	for _, s := range web.srvs {
+	for _, s := range web.servers {
 		_ = s.Close()
 	}
 	core.mu.Lock()
--- a/shell/web/limits.go
+++ b/shell/web/limits.go
@@ -16,13 +16,13 @@
 // BodyMost is the largest request in bytes, where nothing else is said.
 const BodyMost = 8 << 20
 
-// headerMost is the most that any limit lets a header have; trustMost how much
-// room a body gets on its word of its length; drainMost how much of a body that
+// headerMost is the most that any limit lets a header have; prealloc how many
+// bytes are allocated for a body by the length that its header names; drainMost how much of a body that
 // is too large is read off, so that its sender hears why, and drainWait for how
 // long. Sizes are in bytes.
 const (
 	headerMost = 1 << 20
-	trustMost  = 64 << 10
+	prealloc   = 64 << 10
 	drainMost  = 16 << 20
 	drainWait  = 2 * time.Second
 )
@@ -41,8 +41,11 @@
 var Usual = Limits{HeaderBytes: 64 << 10, BodyBytes: BodyMost, Header: 10 * time.Second, Idle: 2 * time.Minute}
 
 // Or gives the limits with others where they say nothing.
-func (l Limits) Or(x Limits) Limits {
-	return Limits{cmp.Or(l.HeaderBytes, x.HeaderBytes), cmp.Or(l.BodyBytes, x.BodyBytes), cmp.Or(l.Header, x.Header), cmp.Or(l.Idle, x.Idle)}
+func (l Limits) Or(other Limits) Limits {
+	return Limits{
+		HeaderBytes: cmp.Or(l.HeaderBytes, other.HeaderBytes), BodyBytes: cmp.Or(l.BodyBytes, other.BodyBytes),
+		Header: cmp.Or(l.Header, other.Header), Idle: cmp.Or(l.Idle, other.Idle),
+	}
 }
 
 // Limit changes the limits of listeners that pass requests on. They hold for what is
@@ -91,13 +94,13 @@
 var closing = []string{"close"}
 
 func headerBytes(req *http.Request) int {
-	n := len(req.Method) + len(req.RequestURI) + len(req.Host) + len(" HTTP/1.1\r\nHost: \r\n\r\n")
+	size := len(req.Method) + len(req.RequestURI) + len(req.Host) + len(" HTTP/1.1\r\nHost: \r\n\r\n")
 	for k, vs := range req.Header {
 		for _, v := range vs {
-			n += len(k) + len(v) + 4
+			size += len(k) + len(v) + 4
 		}
 	}
-	return n
+	return size
 }
 
 var errLarge = errors.New("web: larger than is taken")
@@ -108,18 +111,18 @@
 	if req.ContentLength == 0 {
 		return nil, nil
 	}
-	ctl := http.NewResponseController(rw)
-	b, err := read(&patient{req.Body, ctl, l.Idle}, req.ContentLength, int64(l.BodyBytes))
-	if err == errLarge && req.Header.Get("Expect") == "" { // one that expects a word first has not sent it
-		_ = ctl.SetReadDeadline(time.Now().Add(drainWait))
+	controller := http.NewResponseController(rw)
+	body, err := read(&patient{req.Body, controller, l.Idle}, req.ContentLength, int64(l.BodyBytes))
+	if err == errLarge && req.Header.Get("Expect") == "" { // one that waits for 100 Continue has not sent it
+		_ = controller.SetReadDeadline(time.Now().Add(drainWait))
 		_, _ = io.CopyN(io.Discard, req.Body, drainMost)
 	}
 	if err != nil {
-		_ = ctl.SetReadDeadline(time.Now())
+		_ = controller.SetReadDeadline(time.Now())
 		return nil, err
 	}
-	_ = ctl.SetReadDeadline(time.Time{})
-	return b, nil
+	_ = controller.SetReadDeadline(time.Time{})
+	return body, nil
 }
 
 // read takes a body of a size in bytes, below zero when that is unknown.
@@ -127,19 +130,19 @@
 	if size > most {
 		return nil, errLarge
 	}
-	if size > 0 && size <= trustMost {
-		b := make([]byte, size)
-		_, err := io.ReadFull(input, b)
-		return b, err
+	if size > 0 && size <= prealloc {
+		body := make([]byte, size)
+		_, err := io.ReadFull(input, body)
+		return body, err
 	}
-	var b bytes.Buffer
-	if _, err := b.ReadFrom(io.LimitReader(input, most+1)); err != nil {
+	var body bytes.Buffer
+	if _, err := body.ReadFrom(io.LimitReader(input, most+1)); err != nil {
 		return nil, err
 	}
-	if int64(b.Len()) > most {
+	if int64(body.Len()) > most {
 		return nil, errLarge
 	}
-	return b.Bytes(), nil
+	return body.Bytes(), nil
 }
 
 // patient waits a bounded time for each piece of a body.
@@ -154,7 +157,7 @@
 	return p.in.Read(b)
 }
 
-// listener gives connections that know the limits.
+// limitedListener gives connections that know the limits.
 type limitedListener struct {
 	net.Listener
 	limits *limits
--- a/shell/web/listener_test.go
+++ b/shell/web/listener_test.go
@@ -17,17 +17,17 @@
 	"fernlink/core/flow"
 )
 
-// hall is a web with one listener and a core that is a function.
-type hall struct {
+// testServer is a web with one listener and a core that is a function.
+type testServer struct {
 	*Web
 	t     *testing.T
 	calls chan flow.Call
 	gone  chan uint64
 }
 
-func opened(t *testing.T, d Listener, core func(*Web, flow.Call)) *hall {
+func opened(t *testing.T, d Listener, core func(*Web, flow.Call)) *testServer {
 	t.Helper()
-	h := &hall{t: t, calls: make(chan flow.Call, 64), gone: make(chan uint64, 64)}
+	h := &testServer{t: t, calls: make(chan flow.Call, 64), gone: make(chan uint64, 64)}
 	ready := make(chan bool)
 	d.Addr = "127.0.0.1:0"
 	web, err := OpenListeners(Options{Addr: "127.0.0.1:0", Listeners: []Listener{d}, In: func(event flow.Event) bool {
@@ -65,7 +65,7 @@
 	r *bufio.Reader
 }
 
-func (h *hall) dial() *line {
+func (h *testServer) dial() *line {
 	h.t.Helper()
 	c, err := net.Dial("tcp", h.Addr(1).String())
 	if err != nil {
@@ -160,11 +160,11 @@
 // Given a request with all sorts of headers and an odd path, when it comes at a
 // listener, then the call has what was written but what concerns the connection.
 func TestListenerCall(t *testing.T) {
-	hall := opened(t, Listener{Routes: []Route{{Verb: "PUT", Path: "/a/{id}", Name: "a"}}, Rest: "rest"}, ok)
-	line := hall.dial()
+	testServer := opened(t, Listener{Routes: []Route{{Verb: "PUT", Path: "/a/{id}", Name: "a"}}, Rest: "rest"}, ok)
+	line := testServer.dial()
 	line.ask("PUT /a/%41%2f|x?q=1&q=2&r=%20+&;z HTTP/1.1\r\nHOST: App.Example:8080\r\nx-b: 2\r\nX-A: 1\r\nx-b:  3 \r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\nTe: x\r\n" +
 		"Upgrade: h2c\r\nProxy-Authorization: z\r\nContent-Type: a/b\r\nTransfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\nX-T: 1\r\n\r\n")
-	c := wait(t, hall.calls)
+	c := wait(t, testServer.calls)
 	fields := "[{Content-Type a/b} {X-A 1} {X-B 2} {X-B 3}]"
 	if c.Name != "a" || c.Host != "app.example" || c.Verb != "PUT" || c.Path != "/a/%41%2f|x" || c.Query["?"] != "q=1&q=2&r=%20+&;z" || c.Query["q"] != "1" || c.Query["r"] != "  " ||
 		string(c.Body) != "abcde" || fmt.Sprint(c.Fields) != fields || c.Head["Content-Type"] != "a/b" {
@@ -172,7 +172,7 @@
 	}
 	for host, want := range map[string]string{"[::1]:80": "::1", "[FE80::1]": "fe80::1", "10.0.0.1": "10.0.0.1", "X": "x"} {
 		line.ask("GET / HTTP/1.1\r\nHost: " + host + "\r\n\r\n")
-		if c := wait(t, hall.calls); c.Host != want || c.Name != "rest" {
+		if c := wait(t, testServer.calls); c.Host != want || c.Name != "rest" {
 			t.Errorf("%s: %q", host, c.Host)
 		}
 	}
@@ -181,7 +181,7 @@
 // Given routes that rewrite, when calls and answers pass, then the core sees the
 // rewritten call, or none, and the client the rewritten answer.
 func TestListenerRewrites(t *testing.T) {
-	hall := opened(t, Listener{Routes: []Route{
+	testServer := opened(t, Listener{Routes: []Route{
 		{Verb: "GET", Path: "/in", Name: "in", Into: func(c *flow.Call) *flow.Reply { c.Name, c.ID = "other", 99; return nil }},
 		{Verb: "GET", Path: "/no", Name: "no", Into: func(*flow.Call) *flow.Reply { return &flow.Reply{Code: 422, Body: []byte("no")} }},
 		{Verb: "GET", Path: "/back", Name: "back", Back: func(p flow.Reply) flow.Reply { p.Body = append(p.Body, '!'); return p }},
@@ -192,15 +192,15 @@
 		}
 		ok(w, c)
 	})
-	l := hall.dial()
+	l := testServer.dial()
 	for path, want := range map[string]string{"/in": "200 other", "/no": "422 no", "/back": "200 back!", "/more": "200 1more"} {
 		head, body := l.ask("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n")
 		if got := strings.Fields(head[0])[1] + " " + body; got != want {
 			t.Errorf("%s: %q, want %q", path, got, want)
 		}
 	}
-	if len(hall.calls) != 3 {
-		t.Errorf("%d calls", len(hall.calls))
+	if len(testServer.calls) != 3 {
+		t.Errorf("%d calls", len(testServer.calls))
 	}
 }
 
@@ -258,24 +258,24 @@
 // Given a streamed answer, when its parts come one by one, then each is there
 // before the next, and only an end shows a whole body; a cut shows none.
 func TestListenerStreams(t *testing.T) {
-	hall := opened(t, Listener{Rest: "rest"}, nil)
+	testServer := opened(t, Listener{Rest: "rest"}, nil)
 	for _, cut := range []bool{false, true} {
-		line := hall.dial()
+		line := testServer.dial()
 		_, _ = io.WriteString(line, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-		id := wait(t, hall.calls).ID
-		hall.Reply(flow.Reply{ID: id, Code: 200, Fields: []flow.Field{{Name: "Content-Type", Value: "text/event-stream"}}, More: true})
+		id := wait(t, testServer.calls).ID
+		testServer.Reply(flow.Reply{ID: id, Code: 200, Fields: []flow.Field{{Name: "Content-Type", Value: "text/event-stream"}}, More: true})
 		res, raw, err := line.answer()
 		if err != nil || strings.Join(raw, "|") != "HTTP/1.1 200 OK|Content-Type: text/event-stream|Transfer-Encoding: chunked" {
 			t.Fatalf("%q %v", raw, err)
 		}
 		b := make([]byte, 3)
 		for i := range 3 {
-			hall.Reply(flow.Reply{ID: id, Body: fmt.Appendf(nil, "e%d\n", i), More: true})
+			testServer.Reply(flow.Reply{ID: id, Body: fmt.Appendf(nil, "e%d\n", i), More: true})
 			if _, err := io.ReadFull(res.Body, b); err != nil || string(b) != fmt.Sprintf("e%d\n", i) {
 				t.Fatalf("%q %v", b, err)
 			}
 		}
-		hall.Reply(flow.Reply{ID: id, Cut: cut})
+		testServer.Reply(flow.Reply{ID: id, Cut: cut})
 		rest, err := io.ReadAll(res.Body)
 		if (err != nil) != cut || len(rest) != 0 {
 			t.Errorf("cut %v: %q %v", cut, rest, err)
@@ -285,9 +285,9 @@
 		}
 	}
 	// A cut before anything was said.
-	l := hall.dial()
+	l := testServer.dial()
 	_, _ = io.WriteString(l, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-	hall.Reply(flow.Reply{ID: wait(t, hall.calls).ID, Cut: true})
+	testServer.Reply(flow.Reply{ID: wait(t, testServer.calls).ID, Cut: true})
 	if !l.closed() {
 		t.Error("an answer after a cut")
 	}
@@ -296,12 +296,12 @@
 // Given a reader of a stream that reads nothing, when it falls too far behind,
 // then it is cut, the core is told, and nothing was dropped before.
 func TestListenerSlowReader(t *testing.T) {
-	hall := opened(t, Listener{Rest: "rest"}, nil)
-	l := hall.dial()
+	testServer := opened(t, Listener{Rest: "rest"}, nil)
+	l := testServer.dial()
 	_, _ = io.WriteString(l, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-	id := wait(t, hall.calls).ID
+	id := wait(t, testServer.calls).ID
 	for i := range 20 * StreamMost { // far more than the connection's own buffers take
-		hall.Reply(flow.Reply{ID: id, Code: 200, Body: fmt.Appendf(nil, "%08d %s\n", i, strings.Repeat("x", 4<<10)), More: true})
+		testServer.Reply(flow.Reply{ID: id, Code: 200, Body: fmt.Appendf(nil, "%08d %s\n", i, strings.Repeat("x", 4<<10)), More: true})
 	}
 	res, _, err := l.answer()
 	if err != nil {
@@ -320,7 +320,7 @@
 			t.Fatalf("part %d is missing: %.20q", i, s)
 		}
 	}
-	if wait(t, hall.gone) != id {
+	if wait(t, testServer.gone) != id {
 		t.Error("somebody else is gone")
 	}
 }
@@ -343,10 +343,10 @@
 // Given limits that change while requests come, when a header or a body is
 // larger, then it is refused with what is wrong, and one at the limit passes.
 func TestLimitsOfSize(t *testing.T) {
-	hall := opened(t, Listener{Rest: "rest"}, ok)
+	testServer := opened(t, Listener{Rest: "rest"}, ok)
 	want := func(request, code string) {
 		t.Helper()
-		line := hall.dial()
+		line := testServer.dial()
 		head, body := line.ask(request)
 		if !strings.Contains(head[0], " "+code+" ") {
 			t.Errorf("%.40q: %q, want %s", request, head[0], code)
@@ -369,7 +369,7 @@
 	want(header(8000), "200")
 	want(header(70<<10), "431")
 	want(sized(100000), "200")
-	hall.Limit(Limits{HeaderBytes: 4000, BodyBytes: 5000})
+	testServer.Limit(Limits{HeaderBytes: 4000, BodyBytes: 5000})
 	want(header(3900), "200")
 	want(header(4000), "431")
 	want(sized(5000), "200")
@@ -378,10 +378,10 @@
 	want(chunked(5000), "200")
 	want(chunked(5001), "413")
 	want("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5001\r\nExpect: 100-continue\r\n\r\n", "413")
-	hall.Limit(Limits{HeaderBytes: 100 << 10})
+	testServer.Limit(Limits{HeaderBytes: 100 << 10})
 	want(header(70<<10), "200")
 	want(sized(5001), "413") // what was not named stays
-	if l := hall.dial(); true {
+	if l := testServer.dial(); true {
 		if head, _ := l.ask(header(2 << 20)); !strings.Contains(head[0], " 431 ") {
 			t.Errorf("above every limit: %q", head[0])
 		}
@@ -391,29 +391,29 @@
 // Given clients that are slow with a header or a body, or idle, when their time
 // is over, then they are closed; one that is waiting for its answer is not.
 func TestLimitsOfTime(t *testing.T) {
-	hall := opened(t, Listener{Rest: "rest"}, nil)
-	hall.Limit(Limits{Header: 30 * time.Millisecond, Idle: 30 * time.Millisecond})
+	testServer := opened(t, Listener{Rest: "rest"}, nil)
+	testServer.Limit(Limits{Header: 30 * time.Millisecond, Idle: 30 * time.Millisecond})
 	for name, start := range map[string]string{"silent": "", "half a header": "GET / HTTP/1.1\r\nHo", "half a body": "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nok"} {
-		l := hall.dial()
+		l := testServer.dial()
 		_, _ = io.WriteString(l, start)
 		said, err := io.ReadAll(l.r)
 		if err != nil || len(said) > 0 && !strings.HasPrefix(string(said), "HTTP/1.1 400 ") {
 			t.Errorf("%s: %q %v", name, said, err)
 		}
 	}
-	line := hall.dial()
+	line := testServer.dial()
 	for _, request := range []string{"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok"} {
 		_, _ = io.WriteString(line, request)
-		call := wait(t, hall.calls)
+		call := wait(t, testServer.calls)
 		for range 3 {
-			if !hall.dial().closed() {
+			if !testServer.dial().closed() {
 				t.Error("a silent one is open")
 			}
 		}
-		if len(hall.gone) > 0 {
+		if len(testServer.gone) > 0 {
 			t.Fatal("a caller who waits is closed")
 		}
-		ok(hall.Web, call)
+		ok(testServer.Web, call)
 		if _, body := line.ask(""); body != "rest" {
 			t.Errorf("%q", body)
 		}
@@ -421,17 +421,17 @@
 	if !line.closed() {
 		t.Error("an idle one is open")
 	}
-	hall.Limit(Limits{Header: time.Hour, Idle: time.Hour})
-	line = hall.dial()
+	testServer.Limit(Limits{Header: time.Hour, Idle: time.Hour})
+	line = testServer.dial()
 	_, _ = io.WriteString(line, "GET / HTTP/1.1\r\nHost: x\r\n\r\nGET /half HT")
-	ok(hall.Web, wait(t, hall.calls))
+	ok(testServer.Web, wait(t, testServer.calls))
 	line.ask("")
-	hall.Limit(Limits{Header: 30 * time.Millisecond})
+	testServer.Limit(Limits{Header: 30 * time.Millisecond})
 	_, _ = io.WriteString(line, "TP/1.1\r\nHost: x\r\n\r\n")
-	if c := wait(t, hall.calls); c.Path != "/half" {
+	if c := wait(t, testServer.calls); c.Path != "/half" {
 		t.Errorf("%+v", c)
 	} else {
-		ok(hall.Web, c)
+		ok(testServer.Web, c)
 	}
 	line.ask("")
 }
@@ -439,20 +439,20 @@
 // Given a web that drains, when requests come on old and new connections, then
 // they are served, and each answer closes its connection.
 func TestDrain(t *testing.T) {
-	hall := opened(t, Listener{Rest: "rest"}, ok)
+	testServer := opened(t, Listener{Rest: "rest"}, ok)
 	const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
-	old := hall.dial()
+	old := testServer.dial()
 	if head, _ := old.ask(request); len(head) != 2 {
 		t.Errorf("before: %q", head)
 	}
-	hall.Drain()
-	for _, l := range []*line{old, hall.dial()} {
+	testServer.Drain()
+	for _, l := range []*line{old, testServer.dial()} {
 		head, body := l.ask(request)
 		if body != "rest" || !strings.Contains(strings.Join(head, "|"), "|Connection: close") || !l.closed() {
 			t.Errorf("%q %q", head, body)
 		}
 	}
-	if head, _ := hall.dial().ask("GET / HTTP/1.1\r\nHost: x\r\nX-A: " + strings.Repeat("a", 70<<10) + "\r\n\r\n"); strings.Count(strings.Join(head, "|"), "Connection: close") != 1 {
+	if head, _ := testServer.dial().ask("GET / HTTP/1.1\r\nHost: x\r\nX-A: " + strings.Repeat("a", 70<<10) + "\r\n\r\n"); strings.Count(strings.Join(head, "|"), "Connection: close") != 1 {
 		t.Errorf("%q", head)
 	}
 }
--- a/shell/web/serve.go
+++ b/shell/web/serve.go
@@ -14,18 +14,21 @@
 	"fernlink/shell/field"
 )
 
+// wholeMost is the largest body in bytes that is written without a deadline.
+const wholeMost = 64 << 10
+
 // call is a request that is being answered. The parts wait under the web's lock.
 type call struct {
 	parts []flow.Reply
-	bytes int
-	most  int
-	slow  bool
-	wake  chan struct{}
+	bytes int           // of the parts that wait
+	most  int           // parts that may wait
+	slow  bool          // more came than may wait: it gets no more
+	wake  chan struct{} // has an element when there is something to do
 }
 
 // serve turns a request into a call and writes its answer.
-func (w *Web) serve(rw http.ResponseWriter, req *http.Request, route *Route, vars map[string]string, s side) {
-	body, err := w.body(rw, req, s.limits.Load())
+func (w *Web) serve(rw http.ResponseWriter, req *http.Request, route *Route, vars map[string]string, shared side) {
+	body, err := w.body(rw, req, shared.limits.Load())
 	if err == errLarge {
 		problem(rw, 413, "larger than is taken here", "Connection", "close")
 		return
@@ -34,57 +37,78 @@
 		problem(rw, 400, "the request broke off", "Connection", "close")
 		return
 	}
-	c := &flow.Call{ID: w.ids.Add(1), Name: route.Name, Host: hostOf(req.Host), Vars: vars, Query: map[string]string{}, Head: map[string]string{},
-		Fields: fieldsOf(req.Header), Verb: req.Method, Path: pathOf(req), Body: body}
-	if req.URL.RawQuery != "" {
-		for k, v := range req.URL.Query() {
-			c.Query[k] = v[0]
-		}
-	}
-	c.Query["?"] = req.URL.RawQuery
-	for _, k := range []string{"Content-Type", "Accept", "Idempotency-Key"} {
-		if v := req.Header.Get(k); v != "" {
-			c.Head[k] = v
-		}
-	}
-	id := c.ID
+	request := callOf(req, route.Name, vars, body)
+	id := w.ids.Add(1)
+	request.ID = id
 	if route.Into != nil {
-		if p := route.Into(c); p != nil {
-			p.More = false
-			_ = w.write(rw, req, *p, true)
+		if reply := route.Into(request); reply != nil {
+			reply.More = false
+			_ = w.write(rw, req, *reply, true)
 			return
 		}
-		c.ID = id
+		request.ID = id
 	}
-	x := &call{most: s.most, wake: make(chan struct{}, 1)}
-	w.mu.Lock()
-	w.open[id] = x
-	w.mu.Unlock()
-	defer func() {
-		w.mu.Lock()
-		delete(w.open, id)
-		w.mu.Unlock()
-	}()
-	if !w.In(flow.Event{Call: c}) {
+	pending := &call{most: shared.most, wake: make(chan struct{}, 1)}
+	w.track(id, pending)
+	defer w.untrack(id)
+	if !w.In(flow.Event{Call: request}) {
 		problem(rw, 503, "too much at once", "Retry-After", "1")
 		return
 	}
-	w.answer(rw, req, id, x, route.Back)
+	w.answer(rw, req, id, pending, route.Back)
+}
+
+// headOf are the headers that a call carries by name, besides all its fields.
+var headOf = []string{"Content-Type", "Accept", "Idempotency-Key"}
+
+// rawQuery is the key under which a call has its query as it was written.
+const rawQuery = "?"
+
+// callOf is a request as the core gets it.
+func callOf(req *http.Request, name string, vars map[string]string, body []byte) *flow.Call {
+	call := &flow.Call{
+		Name: name, Host: hostOf(req.Host), Vars: vars, Query: map[string]string{}, Head: map[string]string{},
+		Fields: fieldsOf(req.Header), Verb: req.Method, Path: pathOf(req), Body: body,
+	}
+	if req.URL.RawQuery != "" {
+		for key, values := range req.URL.Query() {
+			call.Query[key] = values[0]
+		}
+	}
+	call.Query[rawQuery] = req.URL.RawQuery
+	for _, key := range headOf {
+		if value := req.Header.Get(key); value != "" {
+			call.Head[key] = value
+		}
+	}
+	return call
+}
+
+func (w *Web) track(id uint64, pending *call) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.open[id] = pending
+}
+
+func (w *Web) untrack(id uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.open, id)
 }
 
 // fieldsOf gives the headers that pass on, in the order of their names.
-func fieldsOf(h http.Header) []flow.Field {
-	var skip []string
-	for _, v := range h["Connection"] {
-		skip = append(skip, field.Named(v)...)
-	}
-	fields := make([]flow.Field, 0, len(h))
-	for k, vs := range h {
-		if field.Hop(k) || k == "Host" || slices.Contains(skip, k) {
+func fieldsOf(header http.Header) []flow.Field {
+	var hops []string
+	for _, value := range header["Connection"] {
+		hops = append(hops, field.Named(value)...)
+	}
+	fields := make([]flow.Field, 0, len(header))
+	for name, values := range header {
+		if field.Hop(name) || name == "Host" || slices.Contains(hops, name) {
 			continue
 		}
-		for _, v := range vs {
-			fields = append(fields, flow.Field{Name: k, Value: v})
+		for _, value := range values {
+			fields = append(fields, flow.Field{Name: name, Value: value})
 		}
 	}
 	slices.SortStableFunc(fields, func(a, b flow.Field) int { return strings.Compare(a.Name, b.Name) })
@@ -92,19 +116,16 @@
 }
 
 // answer writes the parts of an answer as they come.
-func (w *Web) answer(rw http.ResponseWriter, req *http.Request, id uint64, x *call, back func(flow.Reply) flow.Reply) {
+func (w *Web) answer(rw http.ResponseWriter, req *http.Request, id uint64, pending *call, back func(flow.Reply) flow.Reply) {
 	gone := func() { w.In(flow.Event{Gone: id}) }
 	for first := true; ; {
 		select {
 		case <-req.Context().Done():
 			gone()
 			return
-		case <-x.wake:
+		case <-pending.wake:
 		}
-		w.mu.Lock()
-		parts, slow := x.parts, x.slow
-		x.parts, x.bytes = nil, 0
-		w.mu.Unlock()
+		parts, slow := w.takeParts(pending)
 		for _, reply := range parts {
 			if first && back != nil && !reply.More && !reply.Cut {
 				reply = back(reply)
@@ -120,17 +141,30 @@
 		}
 		if slow {
 			gone()
-			if x.most == StreamMost {
-				panic(http.ErrAbortHandler) // what was sent must not look whole
-			}
-			// A watcher that lags: the reason, then the end.
-			_ = http.NewResponseController(rw).SetWriteDeadline(time.Now().Add(writeWait))
-			_, _ = rw.Write([]byte(`{"end":"too slow: the watcher fell behind"}` + "\n"))
+			endSlow(rw, pending)
 			return
 		}
 	}
 }
 
+// takeParts takes what waits to be written, and says whether its reader lags too far.
+func (w *Web) takeParts(pending *call) ([]flow.Reply, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	parts := pending.parts
+	pending.parts, pending.bytes = nil, 0
+	return parts, pending.slow
+}
+
+// endSlow ends an answer whose reader lags: a watcher is told why.
+func endSlow(rw http.ResponseWriter, pending *call) {
+	if pending.most == StreamMost {
+		panic(http.ErrAbortHandler) // what was sent must not look whole
+	}
+	_ = http.NewResponseController(rw).SetWriteDeadline(time.Now().Add(writeWait))
+	_, _ = rw.Write([]byte(`{"end":"too slow: the watcher fell behind"}` + "\n"))
+}
+
 // write writes one part of an answer. It has only the headers that were given,
 // and its connection's own.
 func (w *Web) write(rw http.ResponseWriter, req *http.Request, reply flow.Reply, first bool) error {
@@ -138,36 +172,42 @@
 		panic(http.ErrAbortHandler) // the connection closes without an end mark
 	}
 	if first {
-		if reply.Code < 200 || reply.Code > 999 {
-			reply.Code = 500
-		}
-		header := rw.Header()
-		header["Content-Type"] = nil // else the server guesses one
-		for k, v := range reply.Head {
-			header.Set(k, v)
-		}
-		for _, f := range reply.Fields {
-			if !field.Hop(textproto.CanonicalMIMEHeaderKey(f.Name)) {
-				header[f.Name] = append(header[f.Name], f.Value)
-			}
-		}
-		if !reply.More && reply.Code != 204 && reply.Code != 304 && (len(reply.Body) > 0 || req.Method != "HEAD") {
-			header["Content-Length"] = []string{strconv.Itoa(len(reply.Body))}
-		}
-		rw.WriteHeader(reply.Code)
+		writeHead(rw, req, reply)
 	}
-	if first && !reply.More && len(reply.Body) <= 64<<10 {
-		return writeBody(rw, reply.Body) // it goes out at once, and bounds no task
+	if first && !reply.More && len(reply.Body) <= wholeMost {
+		return writeBody(rw, reply.Body) // it goes out at once and needs no deadline
 	}
-	ctl := http.NewResponseController(rw)
-	_ = ctl.SetWriteDeadline(time.Now().Add(writeWait))
+	controller := http.NewResponseController(rw)
+	_ = controller.SetWriteDeadline(time.Now().Add(writeWait))
 	err := writeBody(rw, reply.Body)
 	if err == nil && reply.More {
-		err = ctl.Flush()
+		err = controller.Flush()
 	}
 	return err
 }
 
+// writeHead writes status and headers: those of the reply and no others.
+func writeHead(rw http.ResponseWriter, req *http.Request, reply flow.Reply) {
+	if reply.Code < 200 || reply.Code > 999 {
+		reply.Code = 500
+	}
+	header := rw.Header()
+	header["Content-Type"] = nil // else the server guesses one
+	for key, value := range reply.Head {
+		header.Set(key, value)
+	}
+	for _, f := range reply.Fields {
+		if !field.Hop(textproto.CanonicalMIMEHeaderKey(f.Name)) {
+			header[f.Name] = append(header[f.Name], f.Value)
+		}
+	}
+	mayHaveBody := reply.Code != 204 && reply.Code != 304
+	if !reply.More && mayHaveBody && (len(reply.Body) > 0 || req.Method != "HEAD") {
+		header["Content-Length"] = []string{strconv.Itoa(len(reply.Body))}
+	}
+	rw.WriteHeader(reply.Code)
+}
+
 // writeBody writes bytes where the answer may have any.
 func writeBody(rw http.ResponseWriter, b []byte) error {
 	if len(b) == 0 {
@@ -180,8 +220,8 @@
 	return err
 }
 
-// Reply hands an answer to the task that owns the request. It never waits. A
-// reader that lags too far hears no more.
+// Reply hands a part of an answer to the goroutine that owns the request. It never
+// waits. A reader that lags too far gets no more.
 func (w *Web) Reply(reply flow.Reply) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -189,10 +229,13 @@
 	if call == nil || call.slow {
 		return
 	}
-	if len(call.parts) >= call.most || len(call.parts) > 0 && call.bytes+len(reply.Body) > LagMost && call.most == StreamMost {
+	tooMany := len(call.parts) >= call.most
+	tooLarge := len(call.parts) > 0 && call.bytes+len(reply.Body) > LagMost && call.most == StreamMost
+	if tooMany || tooLarge {
 		call.slow = true
 	} else {
-		call.parts, call.bytes = append(call.parts, reply), call.bytes+len(reply.Body)
+		call.parts = append(call.parts, reply)
+		call.bytes += len(reply.Body)
 	}
 	select {
 	case call.wake <- struct{}{}:
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -1,5 +1,7 @@
-// Package web takes HTTP/1.1 from callers, trainers and operators (design
-// 10.1), turns each request into a Call and writes its answer.
+// Package web takes HTTP/1.1 from callers, trainers and operators (design 10.1), turns
+// each request into a flow.Call and writes its answer. It owns the listeners, their
+// connections and the limits of what a client may send, and decides nothing about a
+// request. shell/run opens it and hands it the core's replies.
 package web
 
 import (
@@ -7,16 +9,12 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"net/url"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
-	"fernlink/api"
 	"fernlink/core/flow"
 	"fernlink/core/listener"
 )
@@ -32,8 +30,8 @@
 // writeWait is how long one part of an answer may take to be written.
 const writeWait = 10 * time.Second
 
-// Options say where a web listens. In takes what comes, and says no when there
-// is no room. Addr is the administration API's.
+// Options say where a web listens. In takes what comes, and is false when there
+// is too much to do. Addr is the administration API's.
 type Options struct {
 	Addr      string
 	In        func(flow.Event) bool
@@ -52,11 +50,11 @@
 
 	ids     atomic.Uint64
 	limits  limits // of listeners that pass requests on
-	own     limits // of all others
+	usual   limits // of all others
 	ending  atomic.Bool
 	mu      sync.Mutex
 	open    map[uint64]*call
-	srvs    []*http.Server
+	servers []*http.Server
 	sockets []net.Listener
 }
 
@@ -70,10 +68,11 @@
 	limits *limits
 }
 
-type route struct{ verb, path, name string }
+// adminRoute is one route of the administration API, with the name of its calls.
+type adminRoute struct{ verb, path, name string }
 
 // Routes are the administration API.
-var Routes = []route{
+var Routes = []adminRoute{
 	{"GET", "/healthz", "healthz"},
 	{"GET", "/status", "status"},
 	{"GET", "/metrics", "metrics"},
@@ -105,38 +104,52 @@
 }
 
 // OpenListeners listens and serves the administration API and listeners.
-func OpenListeners(o Options) (*Web, error) {
-	web := &Web{In: o.In, open: map[uint64]*call{}}
+func OpenListeners(options Options) (*Web, error) {
+	web := &Web{In: options.In, open: map[uint64]*call{}}
 	web.limits.Store(&Usual)
-	web.own.Store(&Usual)
-	sides := []side{{WatchMost, &web.own}}
-	hands := []http.Handler{web.admin(sides[0])}
-	addrs := []string{o.Addr}
-	for _, d := range o.Listeners {
-		s := side{StreamMost, &web.own}
-		if d.Rest != "" {
-			s.limits = &web.limits
+	web.usual.Store(&Usual)
+	admin := side{WatchMost, &web.usual}
+	sites := []site{{options.Addr, admin, web.admin(admin)}}
+	for _, listener := range options.Listeners {
+		shared := side{StreamMost, &web.usual}
+		if listener.Rest != "" {
+			shared.limits = &web.limits
 		}
-		sides, hands, addrs = append(sides, s), append(hands, web.listener(d, s)), append(addrs, d.Addr)
+		sites = append(sites, site{listener.Addr, shared, web.listener(listener, shared)})
 	}
-	for _, addr := range addrs {
-		socket, err := net.Listen("tcp", addr)
+	for _, site := range sites {
+		socket, err := net.Listen("tcp", site.addr)
 		if err != nil {
-			for _, e := range web.sockets {
-				_ = e.Close()
+			for _, opened := range web.sockets {
+				_ = opened.Close()
 			}
 			return nil, errors.Wrap(err, "web: listen")
 		}
 		web.sockets = append(web.sockets, socket)
 	}
 	for i, socket := range web.sockets {
-		srv := &http.Server{Handler: web.guard(hands[i], sides[i].limits), MaxHeaderBytes: headerMost, ConnState: state, ConnContext: withConn, DisableGeneralOptionsHandler: true}
-		web.srvs = append(web.srvs, srv)
-		go func() { _ = srv.Serve(&limitedListener{socket, sides[i].limits}) }()
+		web.start(sites[i], socket)
 	}
 	return web, nil
 }
 
+// site is one address that is listened at.
+type site struct {
+	addr    string
+	shared  side
+	handler http.Handler
+}
+
+// start serves one address in a goroutine of its own.
+func (w *Web) start(site site, socket net.Listener) {
+	server := &http.Server{
+		Handler: w.guard(site.handler, site.shared.limits), MaxHeaderBytes: headerMost,
+		ConnState: state, ConnContext: withConn, DisableGeneralOptionsHandler: true,
+	}
+	w.servers = append(w.servers, server)
+	go func() { _ = server.Serve(&limitedListener{socket, site.shared.limits}) }()
+}
+
 // Addr is where the administration API listens (0) or a listener (1 and on, in the
 // order of the options).
 func (w *Web) Addr(i int) net.Addr { return w.sockets[i].Addr() }
@@ -149,12 +162,12 @@
 // Close stops taking requests and gives open ones a moment to end.
 func (w *Web) Close(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, srv := range w.srvs {
+	for _, server := range w.servers {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			if srv.Shutdown(ctx) != nil {
-				_ = srv.Close()
+			if server.Shutdown(ctx) != nil {
+				_ = server.Close()
 			}
 		}()
 	}
@@ -169,85 +182,3 @@
 	rw.WriteHeader(code)
 	_ = json.NewEncoder(rw).Encode(map[string]string{"error": text})
 }
-
-func (w *Web) admin(s side) http.Handler {
-	router := mux.NewRouter()
-	router.UseEncodedPath()
-	allow := map[string][]string{}
-	plain := func(name string) http.HandlerFunc {
-		x := &Route{Name: name}
-		return func(rw http.ResponseWriter, req *http.Request) { w.serve(rw, req, x, mux.Vars(req), s) }
-	}
-	for _, x := range Routes {
-		router.Methods(x.verb).Path(x.path).HandlerFunc(plain(x.name))
-		allow[x.path] = append(allow[x.path], x.verb)
-	}
-	router.Methods("GET").Path("/v1/schema").HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
-		rw.Header().Set("Content-Type", "application/schema+json")
-		_, _ = rw.Write(api.Schema)
-	})
-	for _, x := range Routes {
-		verbs := strings.Join(allow[x.path], ", ")
-		router.Path(x.path).HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
-			problem(rw, 405, "this method is not allowed here", "Allow", verbs)
-		})
-	}
-	router.PathPrefix("/v1/").HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { problem(rw, 404, "no such listener in the API") })
-	router.PathPrefix("/").HandlerFunc(plain("app"))
-	return router
-}
-
-// listener serves one listener's routes.
-func (w *Web) listener(listener Listener, s side) http.Handler {
-	router := mux.NewRouter()
-	routes := map[*mux.Route]*Route{}
-	fixed := map[[2]string]*Route{} // by verb and path
-	for i := range listener.Routes {
-		route := &listener.Routes[i]
-		if key := [2]string{route.Verb, route.Path}; !strings.Contains(route.Path, "{") {
-			if fixed[key] == nil {
-				fixed[key] = route
-			}
-			continue
-		}
-		m := router.NewRoute().Path(route.Path).HandlerFunc(http.NotFound)
-		if route.Verb != "" {
-			m.Methods(route.Verb)
-		}
-		routes[m] = route
-	}
-	rest := &Route{Name: listener.Rest}
-	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
-		path := pathOf(req)
-		x := fixed[[2]string{req.Method, path}]
-		if x == nil {
-			x = fixed[[2]string{"", path}]
-		}
-		if x != nil {
-			w.serve(rw, req, x, nil, s)
-			return
-		}
-		if len(routes) > 0 {
-			var m mux.RouteMatch
-			asWritten := &http.Request{Method: req.Method, Host: req.Host, Header: req.Header, URL: &url.URL{Path: path}}
-			if router.Match(asWritten, &m) && m.MatchErr == nil {
-				w.serve(rw, req, routes[m.Route], m.Vars, s)
-				return
-			}
-		}
-		if listener.Rest == "" {
-			problem(rw, 404, "there is nothing here")
-			return
-		}
-		w.serve(rw, req, rest, nil, s)
-	})
-}
-
-// pathOf is a request's path as it was written.
-func pathOf(req *http.Request) string {
-	if strings.HasPrefix(req.RequestURI, "/") {
-		path, _, _ := strings.Cut(req.RequestURI, "?")
-		return path
-	}
-	return req.URL.EscapedPath()
-}
