--- a/shell/daemon/daemon.go
+++ b/shell/daemon/daemon.go
@@ -1,4 +1,5 @@
-// Package daemon builds one node from its config as fx modules (design 1).
+// Package daemon builds one node's process from its config as fx modules (design 1): the
+// data folder, the cores, the loop and its shells. cmd/fernlink and platform start it.
 package daemon
 
 import (
@@ -43,27 +44,28 @@
 	Known      gossip.Known
 }
 
-func random() string {
-	var b [8]byte
-	if _, err := rand.Read(b[:]); err != nil {
+func randomID() string {
+	var id [8]byte
+	if _, err := rand.Read(id[:]); err != nil {
 		panic(err)
 	}
-	return hex.EncodeToString(b[:])
+	return hex.EncodeToString(id[:])
 }
 
-// unkept is the identity of a node that keeps nothing: its address names it, so
-// that a later start is known for one (design 8.7). One that votes is never named
-// so, for a blank voter is somebody new (design 4.4).
-func unkept(p config.Config) string {
-	if p.Data != "" || p.Addr == "" || slices.Contains(p.Roles, "store") || slices.Contains(p.Roles, "coordinator") {
-		return random()
+// processID is a new identity for a process. One that keeps nothing is named by its
+// address, so that a later start is known for one (design 8.7). One that votes is never
+// named so, for a blank voter is somebody new (design 4.4).
+func processID(settings config.Config) string {
+	votes := slices.Contains(settings.Roles, "store") || slices.Contains(settings.Roles, "coordinator")
+	if settings.Data != "" || settings.Addr == "" || votes {
+		return randomID()
 	}
-	h := sha256.Sum256([]byte(p.Addr))
-	return hex.EncodeToString(h[:8])
+	hash := sha256.Sum256([]byte(settings.Addr))
+	return hex.EncodeToString(hash[:8])
 }
 
 func openFolder(settings config.Config, logger log.Logger) (Folder, error) {
-	folder := Folder{Identity: disk.Identity{ID: unkept(settings), Inc: clock.Wall()}}
+	folder := Folder{Identity: disk.Identity{ID: processID(settings), Inc: clock.Wall()}}
 	if settings.Data == "" {
 		return folder, nil
 	}
@@ -106,21 +108,31 @@
 	if _, err := rand.Read(seed[:]); err != nil {
 		return nil, errors.Wrap(err, "daemon: seed")
 	}
-	list, keep := settings.Platform, flow.Time(0)
+	list := settings.Platform
 	if platform.Codec != nil {
 		list = "" // the serving side reads it
 	}
+	var lotKeep flow.Time
 	if settings.Times != nil {
-		keep = flow.Time(settings.Times.Report) * time.Millisecond
+		lotKeep = flow.Time(settings.Times.Report) * time.Millisecond
 	}
-	return node.New(clock.Now(), node.Config{Debug: settings.LogLevel == "debug", Name: settings.Name, Cpu: int(1000 * settings.CPUShare), Codec: platform.Codec, LotKeep: keep, First: settings.FirstStart, Want: 2*settings.CoreLosses + 1, ID: folder.Identity.ID, Inc: folder.Identity.Inc, Addr: settings.Addr, Web: settings.Web, Zone: settings.Zone, Roles: settings.Roles,
-		Seeds: settings.Seeds, Form: settings.Form, Platform: list, Seed: int64(binary.LittleEndian.Uint64(seed[:]) >> 8), Keep: settings.Keep, Bounds: settings.Bounds(), BlocksMost: settings.Blocks,
-		Off: settings.Off, Stop: time.Duration(settings.Stop) * time.Second, Data: folder.FS != nil, Disk: folder.Disk, Checkpoint: folder.Checkpoint, Known: folder.Known})
+	return node.New(clock.Now(), node.Config{
+		ID: folder.Identity.ID, Inc: folder.Identity.Inc, Name: settings.Name,
+		Addr: settings.Addr, Web: settings.Web, Zone: settings.Zone, Roles: settings.Roles,
+		Cpu: int(1000 * settings.CPUShare), Seeds: settings.Seeds, Form: settings.Form,
+		First: settings.FirstStart, Want: 2*settings.CoreLosses + 1,
+		Platform: list, Codec: platform.Codec, LotKeep: lotKeep,
+		Seed: int64(binary.LittleEndian.Uint64(seed[:]) >> 8),
+		Keep: settings.Keep, Bounds: settings.Bounds(), BlocksMost: settings.Blocks,
+		Off: settings.Off, Stop: time.Duration(settings.Stop) * time.Second, Debug: settings.LogLevel == "debug",
+		Data: folder.FS != nil, Disk: folder.Disk, Checkpoint: folder.Checkpoint, Known: folder.Known,
+	})
 }
 
-func makeLoop(settings config.Config, f Folder, platform Platform, n *node.Node, logger log.Logger) (*run.Loop, error) {
+func makeLoop(settings config.Config, folder Folder, platform Platform, core *node.Node, logger log.Logger) (*run.Loop, error) {
 	loop := run.New(logger)
-	loop.Node, loop.Log, loop.FS, loop.Least = n, f.Log, f.FS, run.Levels[settings.LogLevel]
+	loop.Node, loop.Log, loop.FS = core, folder.Log, folder.FS
+	loop.Least = run.Levels[settings.LogLevel]
 	listen := settings.Listen
 	if listen == "" {
 		listen = settings.Addr
@@ -133,7 +145,7 @@
 		loop.Link.Close()
 		return nil, err
 	}
-	loop.Caller = outcall.New(func(e flow.Event) { loop.Put(e) })
+	loop.Caller = outcall.New(func(event flow.Event) { loop.Put(event) })
 	return loop, nil
 }
 
--- a/shell/disk/blobs.go
+++ b/shell/disk/blobs.go
@@ -24,11 +24,11 @@
 // and offset. A segment is synced when the next is started, and with each snapshot.
 type BlobStore struct {
 	fs      FS
-	racks   map[string]*rack
+	kinds   map[string]*blobKind
 	release release
 }
 
-type rack struct {
+type blobKind struct {
 	kind     string
 	segments []*blobSegment
 	next     uint64
@@ -77,9 +77,9 @@
 // openBlobStore reads every segment. What is torn at the end of a kind's last segment was
 // never synced, and its items still stand in the log.
 func openBlobStore(fs FS, names []string) (*BlobStore, error) {
-	blobs := &BlobStore{fs: fs, racks: map[string]*rack{}, release: newRelease()}
+	blobs := &BlobStore{fs: fs, kinds: map[string]*blobKind{}, release: newRelease()}
 	blobs.fill(names)
-	for _, r := range blobs.racks {
+	for _, r := range blobs.kinds {
 		for i, t := range r.segments {
 			if err := blobs.scan(t, i == len(r.segments)-1); err != nil {
 				return nil, err
@@ -116,7 +116,7 @@
 				return errors.Wrapf(ErrCorrupt, "%s at byte %d", segment.name, at)
 			}
 			if err := s.fs.Truncate(segment.name, int64(at)); err != nil {
-				return turned(err)
+				return diskError(err)
 			}
 			break
 		}
@@ -144,11 +144,11 @@
 	return -1
 }
 
-func (s *BlobStore) rack(kind string) *rack {
-	r := s.racks[kind]
+func (s *BlobStore) rack(kind string) *blobKind {
+	r := s.kinds[kind]
 	if r == nil {
-		r = &rack{kind: kind, next: 1}
-		s.racks[kind] = r
+		r = &blobKind{kind: kind, next: 1}
+		s.kinds[kind] = r
 	}
 	return r
 }
@@ -172,7 +172,7 @@
 			}
 		}
 		s.release.put(change)
-		var r *rack
+		var r *blobKind
 		var b []byte
 		var ids []uint64
 		var at []int
@@ -201,7 +201,7 @@
 	return nil
 }
 
-func (s *BlobStore) append(r *rack, b []byte, ids []uint64, at []int) error {
+func (s *BlobStore) append(r *blobKind, b []byte, ids []uint64, at []int) error {
 	var segment *blobSegment
 	if n := len(r.segments); n > 0 {
 		segment = r.segments[n-1]
@@ -209,16 +209,16 @@
 	if segment == nil || segment.full || segment.size > BlobSegmentMost || len(segment.ids) > 0 && segment.ids[len(segment.ids)-1] >= ids[0] {
 		if segment != nil && segment.dirty {
 			if err := s.fs.Sync(segment.name); err != nil {
-				return turned(err)
+				return diskError(err)
 			}
 			segment.dirty = false
 		}
 		n := &blobSegment{name: blobSegmentName(r.kind, r.next)}
 		if err := s.fs.Write(n.name, nil); err != nil {
-			return turned(err)
+			return diskError(err)
 		}
 		if err := s.fs.SyncDir(); err != nil {
-			return turned(err)
+			return diskError(err)
 		}
 		if segment != nil {
 			segment.full = true
@@ -227,10 +227,10 @@
 		r.segments, r.next = append(r.segments, n), r.next+1
 	}
 	if err := s.fs.Append(segment.name, b); err != nil {
-		e := turned(err)
+		e := diskError(err)
 		if errors.Is(e, ErrFull) {
 			if e2 := s.fs.Truncate(segment.name, segment.size); e2 != nil {
-				return turned(e2)
+				return diskError(e2)
 			}
 		}
 		return e
@@ -245,11 +245,11 @@
 
 // sync brings all to disk, before a snapshot that names it.
 func (s *BlobStore) sync() error {
-	for _, r := range s.racks {
+	for _, r := range s.kinds {
 		for _, t := range r.segments {
 			if t.dirty {
 				if err := s.fs.Sync(t.name); err != nil {
-					return turned(err)
+					return diskError(err)
 				}
 				t.dirty = false
 			}
@@ -259,7 +259,7 @@
 }
 
 func (s *BlobStore) sweep() error {
-	for _, r := range s.racks {
+	for _, r := range s.kinds {
 		left := r.segments[:0:0]
 		for _, t := range r.segments {
 			if t.gone < len(t.ids) {
@@ -267,7 +267,7 @@
 				continue
 			}
 			if err := s.fs.Remove(t.name); err != nil {
-				return turned(err)
+				return diskError(err)
 			}
 		}
 		r.segments = left
@@ -328,7 +328,7 @@
 // Stats counts items and bytes of each kind.
 func (s *BlobStore) Stats() (items, bytes map[string]int64) {
 	items, bytes = map[string]int64{}, map[string]int64{}
-	for k, r := range s.racks {
+	for k, r := range s.kinds {
 		for _, t := range r.segments {
 			items[k] += int64(len(t.ids) - t.gone)
 			bytes[k] += t.size
--- a/shell/disk/disk.go
+++ b/shell/disk/disk.go
@@ -28,7 +28,7 @@
 )
 
 // turned gives a failure of the folder this layer's own name.
-func turned(err error) error {
+func diskError(err error) error {
 	if err == nil {
 		return nil
 	}
@@ -310,17 +310,17 @@
 	}
 	names, err := l.fs.List()
 	if err != nil {
-		return turned(err)
+		return diskError(err)
 	}
 	for _, n := range names {
 		if x, ok := number(n, "log-", ".seg"); ok && x < l.seg {
 			if err := l.fs.Remove(n); err != nil {
-				return turned(err)
+				return diskError(err)
 			}
 		}
 		if x, ok := number(n, "digest-", ".json"); ok && x < l.base {
 			if err := l.fs.Remove(n); err != nil {
-				return turned(err)
+				return diskError(err)
 			}
 		}
 	}
@@ -348,7 +348,7 @@
 	} {
 		if err := f(); err != nil {
 			_ = l.fs.Remove("new") // room for others, should there be none
-			return turned(err)
+			return diskError(err)
 		}
 	}
 	return nil
@@ -408,14 +408,14 @@
 	b := append(frame(record{Saves: saves}), frame(record{Mark: markOf(l.hard, saves)})...)
 	name := segName(l.seg)
 	if err := l.fs.Append(name, b); err != nil {
-		if e := turned(err); !errors.Is(e, ErrFull) {
+		if e := diskError(err); !errors.Is(e, ErrFull) {
 			return e
 		}
 		// A part may have got there: without it the log is as it was.
 		if e := l.fs.Truncate(name, l.size); e != nil {
 			return errors.Wrap(ErrSync, e.Error())
 		}
-		return turned(err)
+		return diskError(err)
 	}
 	if err := l.fs.Sync(name); err != nil {
 		return errors.Wrap(ErrSync, err.Error())
--- a/shell/disk/inspect.go
+++ b/shell/disk/inspect.go
@@ -266,16 +266,16 @@
 }
 
 func (r *Report) blobs(fs FS, names []string) *BlobStore {
-	blobs := &BlobStore{fs: fs, racks: map[string]*rack{}}
+	blobs := &BlobStore{fs: fs, kinds: map[string]*blobKind{}}
 	blobs.fill(slices.Clone(names))
-	for _, k := range sorted.Keys(blobs.racks) {
+	for _, k := range sorted.Keys(blobs.kinds) {
 		kind := Kind{Name: k}
-		for i, segment := range blobs.racks[k].segments {
+		for i, segment := range blobs.kinds[k].segments {
 			b, ok := r.read(fs, segment.name)
 			if !ok {
 				continue
 			}
-			last := i == len(blobs.racks[k].segments)-1
+			last := i == len(blobs.kinds[k].segments)-1
 			if err := blobs.scan(segment, last); err != nil {
 				r.find("%v", err)
 				continue
--- a/shell/disk/release.go
+++ b/shell/disk/release.go
@@ -100,7 +100,7 @@
 
 // deleteOthers deletes all that is not on a list and was there when it was made.
 func (s *BlobStore) deleteOthers(all map[string][]uint64) {
-	for kind, r := range s.racks {
+	for kind, r := range s.kinds {
 		for _, segment := range r.segments {
 			for i, id := range segment.ids {
 				_, named := slices.BinarySearch(all[kind], id)
--- a/shell/link/envelope.go
+++ b/shell/link/envelope.go
@@ -11,8 +11,8 @@
 	"fernlink/core/flow"
 )
 
-// spare is the largest buffer, in bytes, that outlives its line or batch.
-const spare = 64 << 10
+// spareBytes is the largest buffer, in bytes, that outlives its line or batch.
+const spareBytes = 64 << 10
 
 var errLong = errors.New("link: line too long")
 
@@ -29,7 +29,8 @@
 // pack adds a line as it is sent. The body was marshalled once already; only
 // what is out of the ordinary is marshalled again.
 func pack(b []byte, line flow.Line) ([]byte, error) {
-	if len(line.Body) == 0 || bytes.IndexByte(line.Body, '\n') >= 0 || !plain(line.Cluster) || !plain(line.Kind) || !plain(line.From) || !plain(line.Addr) {
+	oneLine := len(line.Body) > 0 && bytes.IndexByte(line.Body, '\n') < 0
+	if !oneLine || !plain(line.Cluster) || !plain(line.Kind) || !plain(line.From) || !plain(line.Addr) {
 		raw, err := json.Marshal(line)
 		if err != nil {
 			return b, errors.Wrap(err, "link")
@@ -47,11 +48,12 @@
 	return append(b, "}\n"...), nil
 }
 
-// names remembers the texts of the line before, which are mostly those of the
+// lastNames remembers the texts of the line before, which are mostly those of the
 // next too.
-type names struct{ cluster, kind, from, addr string }
+type lastNames struct{ cluster, kind, from, addr string }
 
-func same(was *string, b []byte) string {
+// intern gives the text of the line before where it is the same.
+func intern(was *string, b []byte) string {
 	if *was != string(b) {
 		*was = string(b)
 	}
@@ -60,61 +62,80 @@
 
 // unpack reads a line. One that is written as pack does is taken apart without
 // a general decoder.
-func unpack(b []byte, n *names) (flow.Line, error) {
-	if x, ok := quick(b, n); ok {
-		return x, nil
+func unpack(raw []byte, last *lastNames) (flow.Line, error) {
+	if line, ok := unpackFast(raw, last); ok {
+		return line, nil
 	}
-	var x flow.Line
-	return x, json.Unmarshal(b, &x)
+	var line flow.Line
+	return line, json.Unmarshal(raw, &line)
 }
 
-func quick(b []byte, n *names) (flow.Line, bool) {
+// unpackFast reads a line that is written as pack does, and says whether it is one.
+func unpackFast(raw []byte, last *lastNames) (flow.Line, bool) {
 	var line flow.Line
-	rest, ok := bytes.CutPrefix(b, []byte(`{"v":`))
-	comma := bytes.IndexByte(rest, ',')
-	if !ok || comma < 1 || comma > 4 || rest[0] == '0' {
-		return line, false
-	}
-	for _, c := range rest[:comma] {
-		if c < '0' || c > '9' {
-			return line, false
-		}
-		line.Ver = line.Ver*10 + int(c-'0')
-	}
-	rest = rest[comma:]
-	text := func(key string, was *string, may bool) (string, bool) {
-		if len(rest) < len(key) || string(rest[:len(key)]) != key {
-			return "", may
-		}
-		end := bytes.IndexByte(rest[len(key):], '"')
-		if end < 0 || !plain(rest[len(key):len(key)+end]) {
-			return "", false
-		}
-		s := same(was, rest[len(key):len(key)+end])
-		rest = rest[len(key)+end+1:]
-		return s, true
-	}
-	if line.Cluster, ok = text(`,"c":"`, &n.cluster, true); !ok {
+	version, rest, ok := versionOf(raw)
+	if !ok {
 		return line, false
 	}
-	if line.Kind, ok = text(`,"k":"`, &n.kind, false); !ok {
+	line.Ver = version
+	fields := fieldReader{rest: rest, ok: true}
+	line.Cluster = fields.text(`,"c":"`, &last.cluster, true)
+	line.Kind = fields.text(`,"k":"`, &last.kind, false)
+	line.From = fields.text(`,"f":"`, &last.from, false)
+	line.Addr = fields.text(`,"a":"`, &last.addr, false)
+	if !fields.ok {
 		return line, false
 	}
-	if line.From, ok = text(`,"f":"`, &n.from, false); !ok {
+	body, ok := bytes.CutPrefix(fields.rest, []byte(`,"b":`))
+	if !ok || len(body) < 2 || body[len(body)-1] != '}' || !json.Valid(body[:len(body)-1]) {
 		return line, false
 	}
-	if line.Addr, ok = text(`,"a":"`, &n.addr, false); !ok {
-		return line, false
+	line.Body = bytes.Clone(body[:len(body)-1])
+	return line, true
+}
+
+// versionOf reads the version that a line begins with: one to four digits.
+func versionOf(raw []byte) (version int, rest []byte, ok bool) {
+	rest, ok = bytes.CutPrefix(raw, []byte(`{"v":`))
+	comma := bytes.IndexByte(rest, ',')
+	if !ok || comma < 1 || comma > 4 || rest[0] == '0' {
+		return 0, nil, false
 	}
-	rest, ok = bytes.CutPrefix(rest, []byte(`,"b":`))
-	if !ok || len(rest) < 2 || rest[len(rest)-1] != '}' || !json.Valid(rest[:len(rest)-1]) {
-		return line, false
+	for _, digit := range rest[:comma] {
+		if digit < '0' || digit > '9' {
+			return 0, nil, false
+		}
+		version = version*10 + int(digit-'0')
 	}
-	line.Body = bytes.Clone(rest[:len(rest)-1])
-	return line, true
+	return version, rest[comma:], true
+}
+
+// fieldReader takes the texts of a line apart, one after the other.
+type fieldReader struct {
+	rest []byte
+	ok   bool // all was well so far
+}
+
+// text reads a text behind its key. Only one that is optional may be missing.
+func (f *fieldReader) text(key string, last *string, optional bool) string {
+	if !f.ok {
+		return ""
+	}
+	value, found := bytes.CutPrefix(f.rest, []byte(key))
+	if !found {
+		f.ok = optional
+		return ""
+	}
+	end := bytes.IndexByte(value, '"')
+	if end < 0 || !plain(value[:end]) {
+		f.ok = false
+		return ""
+	}
+	f.rest = value[end+1:]
+	return intern(last, value[:end])
 }
 
-// reader reads lines without holding on to the room of a long one.
+// reader reads lines without keeping the buffer of a long one.
 type reader struct {
 	in   *bufio.Reader
 	long []byte
@@ -122,7 +143,7 @@
 
 // next gives a line that is good until the next call.
 func (r *reader) next() ([]byte, error) {
-	if cap(r.long) > spare {
+	if cap(r.long) > spareBytes {
 		r.long = nil
 	}
 	b, err := r.in.ReadSlice('\n')
--- a/shell/link/lane_test.go
+++ b/shell/link/lane_test.go
@@ -8,20 +8,20 @@
 
 func TestBytesThatWaitForAPeerAreBounded(t *testing.T) {
 	// Given a connection that takes nothing.
-	w := &wire{lines: make(chan flow.Line, queueSize)}
+	w := &peerQueue{lines: make(chan flow.Line, queueSize)}
 	// When large lines are put in.
 	for i := range 64 {
 		w.put(flow.Line{Kind: "k", From: string(rune('0' + i)), Body: make([]byte, 1<<20)})
 	}
 	// Then no more than the bound wait, and they are the newest.
-	if n := w.bytes.Load(); n > laneBytes || len(w.lines) != laneBytes>>20 {
+	if n := w.bytes.Load(); n > queueBytesMost || len(w.lines) != queueBytesMost>>20 {
 		t.Errorf("%d bytes in %d lines wait", n, len(w.lines))
 	}
 	if x, _ := w.take(); x.From != string(rune('0'+60)) {
 		t.Errorf("the oldest is %s", x.From)
 	}
 	// And a line larger than the bound takes the place of all.
-	w.put(flow.Line{Body: make([]byte, 2*laneBytes)})
+	w.put(flow.Line{Body: make([]byte, 2*queueBytesMost)})
 	if len(w.lines) != 1 {
 		t.Errorf("%d lines wait", len(w.lines))
 	}
@@ -33,7 +33,7 @@
 
 func TestTheOldestLineLeavesAFullQueue(t *testing.T) {
 	// Given a full queue of short lines.
-	w := &wire{lines: make(chan flow.Line, 2)}
+	w := &peerQueue{lines: make(chan flow.Line, 2)}
 	for _, from := range []string{"a", "b", "c"} {
 		w.put(flow.Line{From: from, Body: []byte("1")})
 	}
--- a/shell/link/speak_test.go
+++ b/shell/link/speak_test.go
@@ -153,7 +153,7 @@
 	_ = socket.Close()
 	here := opened(t, "127.0.0.1:0", lines(nil))
 	for i := range 2 * queueSize {
-		here.Send(line(to, i, strings.Repeat("x", batch)))
+		here.Send(line(to, i, strings.Repeat("x", batchBytes)))
 	}
 	got := make(chan flow.Line, 1024)
 	opened(t, to, lines(got))
@@ -172,7 +172,7 @@
 	defer socket.Close()
 	here := opened(t, "127.0.0.1:0", lines(nil))
 	for i := range 2 * queueSize {
-		here.Send(line(socket.Addr().String(), i, strings.Repeat("x", batch)))
+		here.Send(line(socket.Addr().String(), i, strings.Repeat("x", batchBytes)))
 	}
 	c, err := socket.Accept()
 	if err != nil {
@@ -214,7 +214,7 @@
 // and without the general decoder, on one line.
 func TestEnvelope(t *testing.T) {
 	body := json.RawMessage(`{"a":"}\",\"b\":","n":[1,2.5e3,null]}`)
-	var last names
+	var last lastNames
 	for _, line := range []flow.Line{
 		{Ver: 2, Cluster: "c", Kind: "k", From: "f", Addr: "a:1", Body: body},
 		{Ver: 2, Kind: "k", Body: json.RawMessage("1")},
@@ -254,8 +254,8 @@
 	f.Add([]byte(`{"v":2,"k":"k","f":"f","a":"a","b":[1],"b":2}`))
 	f.Add([]byte(`{"v":02,"k":"k","f":"f","a":"a","b":1 }`))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		var last names
-		got, ok := quick(b, &last)
+		var last lastNames
+		got, ok := unpackFast(b, &last)
 		if !ok {
 			return
 		}
@@ -283,7 +283,7 @@
 	raw = raw[:len(raw)-1]
 	b.Run("quick", func(b *testing.B) {
 		b.ReportAllocs()
-		var last names
+		var last lastNames
 		for b.Loop() {
 			if _, err := unpack(raw, &last); err != nil {
 				b.Fatal(err)
--- a/shell/link/wire.go
+++ b/shell/link/wire.go
@@ -6,4 +6,4 @@
 func Pack(b []byte, x flow.Line) ([]byte, error) { return pack(b, x) }
 
 // Unpack reads one line as a peer's connection does, without its end mark.
-func Unpack(b []byte) (flow.Line, error) { return unpack(b, &names{}) }
+func Unpack(b []byte) (flow.Line, error) { return unpack(b, &lastNames{}) }
--- a/shell/run/run.go
+++ b/shell/run/run.go
@@ -1,7 +1,7 @@
 // Package run is the loop that drives a node's cores: it takes events from the
-// shells, advances, and carries out what comes back. A task of its own owns the
-// disk, so that nothing but what depends on a save waits for it (design 3.1,
-// 4.2).
+// shells, advances, and carries out what comes back. A goroutine of its own owns the
+// disk, so that nothing but what depends on a save waits for it (design 3.1, 4.2).
+// shell/daemon builds one Loop a process, starts and stops it.
 package run
 
 import (
@@ -34,29 +34,31 @@
 	Logger log.Logger
 	Least  flow.Level // notes below it are not written
 
-	events *queue
-	Link   *link.Link
-	Web    *web.Web
-	Caller *outcall.Caller
-	quit   chan struct{}
-	done   chan struct{}
-	Halted chan error
-	known  gossip.Known // as it was last written
-	todo   chore        // gathers while the disk's task is busy
-	chores chan chore   // no room: the disk's task takes one when it is free
-	rest   chan struct{}
-	left   chan struct{} // closed when a clean stop is over
+	events   *queue
+	Link     *link.Link
+	Web      *web.Web
+	Caller   *outcall.Caller
+	quit     chan struct{}
+	done     chan struct{}
+	Halted   chan error
+	known    gossip.Known  // as it was last written
+	nextWork diskWork      // gathers while the disk's goroutine is busy
+	work     chan diskWork // unbuffered: the disk's goroutine takes one when it is free
+	diskDone chan struct{}
+	stopped  chan struct{} // closed when a clean stop is over
 }
 
 // New makes a loop without its shells.
 func New(logger log.Logger) *Loop {
-	return &Loop{Logger: logger, events: newQueue(), quit: make(chan struct{}), done: make(chan struct{}), Halted: make(chan error, 1),
-		chores: make(chan chore), rest: make(chan struct{}), left: make(chan struct{})}
+	return &Loop{
+		Logger: logger, events: newQueue(), quit: make(chan struct{}), done: make(chan struct{}), Halted: make(chan error, 1),
+		work: make(chan diskWork), diskDone: make(chan struct{}), stopped: make(chan struct{}),
+	}
 }
 
 // Start runs the loop.
 func (l *Loop) Start() {
-	go l.disk()
+	go l.runDisk()
 	go l.run()
 }
 
@@ -66,21 +68,21 @@
 	l.Web.Drain()
 	l.Put(flow.Event{Stop: true})
 	select {
-	case <-l.left:
+	case <-l.stopped:
 	case <-l.done:
 	case <-ctx.Done():
 	}
 	close(l.quit)
 	<-l.done
-	<-l.rest
+	<-l.diskDone
 	l.Web.Close(ctx)
 	l.Caller.Close()
 	l.Link.Close()
 }
 
-// chore is what the disk's task does in one go: saves in their order, then
-// small files. What gathers while it works is the next.
-type chore struct {
+// diskWork is what the disk's goroutine does in one go: saves in their order, reads,
+// then small files. What gathers while it works is the next.
+type diskWork struct {
 	batch uint64
 	blobs []flow.BlobChange
 	saves []flow.Save
@@ -88,46 +90,67 @@
 	files []flow.File
 }
 
-func (c chore) empty() bool { return len(c.blobs)+len(c.saves)+len(c.fetch)+len(c.files) == 0 }
-
-// disk owns the data folder. A disk without room is tried again for as long as
-// it takes; any other failure ends the node (design 4.6).
-func (l *Loop) disk() {
-	defer close(l.rest)
-	for chore := range l.chores {
-		for len(chore.saves)+len(chore.blobs) > 0 {
-			err := l.Log.Save(chore.blobs, chore.saves)
-			if err == nil {
-				if len(chore.saves) > 0 {
-					l.Put(flow.Event{Saved: chore.batch})
-				}
-				break
-			}
-			if !errors.Is(err, disk.ErrFull) {
-				l.fail(err)
-				return
-			}
-			l.Put(flow.Event{Full: true})
-			select {
-			case <-l.quit:
-				return
-			case <-time.After(budget.FailureTimeout / 4):
-			}
+func (w diskWork) empty() bool { return len(w.blobs)+len(w.saves)+len(w.fetch)+len(w.files) == 0 }
+
+// runDisk owns the data folder. Any failure but a full disk ends the node (design 4.6).
+func (l *Loop) runDisk() {
+	defer close(l.diskDone)
+	for work := range l.work {
+		if !l.save(work) || !l.fetch(work.fetch) {
+			return
 		}
-		for _, f := range chore.fetch {
-			got, err := l.Log.Fetch(f)
-			if err != nil {
-				l.fail(err)
-				return
+		l.writeFiles(work.files)
+		l.events.wake(l.quit, l.done) // it is free again
+	}
+}
+
+// save puts blobs and log on disk. A disk without room is tried again for as long as
+// it takes. It says whether the node goes on.
+func (l *Loop) save(work diskWork) bool {
+	for len(work.saves)+len(work.blobs) > 0 {
+		err := l.Log.Save(work.blobs, work.saves)
+		if err == nil {
+			if len(work.saves) > 0 {
+				l.Put(flow.Event{Saved: work.batch})
 			}
-			l.Put(flow.Event{Blobs: &got})
+			return true
 		}
-		for _, f := range chore.files {
-			if err := disk.PutFile(l.FS, f.Name, f.Body); err != nil {
-				_ = level.Warn(l.Logger).Log("part", "run", "msg", "a file was not written, trying again later", "file", f.Name, "failure", err)
-			}
+		if !errors.Is(err, disk.ErrFull) {
+			l.fail(err)
+			return false
+		}
+		l.Put(flow.Event{Full: true})
+		select {
+		case <-l.quit:
+			return false
+		case <-time.After(fullDiskRetry):
+		}
+	}
+	return true
+}
+
+// fullDiskRetry is how long a full disk is left alone before it is tried again.
+const fullDiskRetry = budget.FailureTimeout / 4
+
+// fetch reads blobs back, and says whether the node goes on.
+func (l *Loop) fetch(wanted []flow.Fetch) bool {
+	for _, fetch := range wanted {
+		fetched, err := l.Log.Fetch(fetch)
+		if err != nil {
+			l.fail(err)
+			return false
+		}
+		l.Put(flow.Event{Blobs: &fetched})
+	}
+	return true
+}
+
+// writeFiles writes small files; one that can't be written comes again later.
+func (l *Loop) writeFiles(files []flow.File) {
+	for _, file := range files {
+		if err := disk.PutFile(l.FS, file.Name, file.Body); err != nil {
+			_ = level.Warn(l.Logger).Log("part", "run", "msg", "a file was not written, trying again later", "file", file.Name, "failure", err)
 		}
-		l.events.wake(l.quit, l.done) // it is free again
 	}
 }
 
@@ -140,16 +163,16 @@
 
 func (l *Loop) run() {
 	defer close(l.done)
-	defer close(l.chores)
+	defer close(l.work)
 	pause := time.NewTimer(budget.TickInterval)
 	defer pause.Stop()
-	var in []flow.Event
+	var events []flow.Event
 	for {
 		var ok bool
-		if in, ok = l.events.wait(in[:0], pause.C, l.quit); !ok {
+		if events, ok = l.events.wait(events[:0], pause.C, l.quit); !ok {
 			return
 		}
-		if err := l.turn(in); err != nil {
+		if err := l.advance(events); err != nil {
 			l.fail(err)
 			return
 		}
@@ -157,33 +180,35 @@
 	}
 }
 
-func (l *Loop) turn(in []flow.Event) error {
-	outbox := l.Node.Advance(clock.Now(), clock.Wall(), in)
+// advance gives the node its events and carries out what it wants.
+func (l *Loop) advance(events []flow.Event) error {
+	outbox := l.Node.Advance(clock.Now(), clock.Wall(), events)
 	if len(outbox.Save)+len(outbox.Blobs)+len(outbox.Fetch) > 0 && l.Log == nil {
 		return errors.New("run: a store without a data folder")
 	}
 	if len(outbox.Save) > 0 {
-		l.todo.batch, l.todo.saves = outbox.Batch, append(l.todo.saves, outbox.Save...)
+		l.nextWork.batch = outbox.Batch
+		l.nextWork.saves = append(l.nextWork.saves, outbox.Save...)
 	}
-	l.todo.blobs = append(l.todo.blobs, outbox.Blobs...)
-	l.todo.fetch = append(l.todo.fetch, outbox.Fetch...)
+	l.nextWork.blobs = append(l.nextWork.blobs, outbox.Blobs...)
+	l.nextWork.fetch = append(l.nextWork.fetch, outbox.Fetch...)
 	if l.FS != nil {
-		l.todo.files = append(l.todo.files, outbox.Files...)
+		l.nextWork.files = append(l.nextWork.files, outbox.Files...)
 	}
-	l.remember()
-	if !l.todo.empty() {
+	l.keepKnown()
+	if !l.nextWork.empty() {
 		select {
-		case l.chores <- l.todo:
-			l.todo = chore{}
+		case l.work <- l.nextWork:
+			l.nextWork = diskWork{}
 		default: // it is busy; this goes with what comes next
 		}
 	}
 	l.emit(outbox)
 	if outbox.Done {
 		select {
-		case <-l.left:
+		case <-l.stopped:
 		default:
-			close(l.left)
+			close(l.stopped)
 		}
 	}
 	if outbox.Halt != "" {
@@ -192,8 +217,8 @@
 	return nil
 }
 
-// remember keeps the cluster's id and stores for the next start.
-func (l *Loop) remember() {
+// keepKnown keeps the cluster's id and stores for the next start.
+func (l *Loop) keepKnown() {
 	known := l.Node.Known()
 	id := known.Cluster
 	if id != *l.Link.Cluster.Load() {
@@ -206,41 +231,43 @@
 	if known.Cluster == l.known.Cluster && slices.Equal(known.Stores, l.known.Stores) {
 		return
 	}
-	b, err := json.Marshal(known)
+	body, err := json.Marshal(known)
 	if err != nil {
 		return
 	}
-	l.todo.files = append(l.todo.files, flow.File{Name: KnownFile, Body: b})
+	l.nextWork.files = append(l.nextWork.files, flow.File{Name: KnownFile, Body: body})
 	l.known = known
 }
 
 // KnownFile holds the cluster's id and store addresses as last heard.
 const KnownFile = "known.json"
 
+// emit hands on what is not for the disk.
 func (l *Loop) emit(outbox flow.Outbox) {
-	for _, n := range outbox.Notes {
-		if n.Level >= l.Least {
-			_ = write[n.Level](l.Logger).Log(append([]any{"part", n.Part, "msg", n.Text}, n.Args...)...)
+	for _, note := range outbox.Notes {
+		if note.Level >= l.Least {
+			_ = leveled[note.Level](l.Logger).Log(append([]any{"part", note.Part, "msg", note.Text}, note.Args...)...)
 		}
 	}
 	if outbox.Limits != nil {
 		l.Web.Limit(web.Limits(*outbox.Limits).Or(web.Usual))
 	}
-	for _, x := range outbox.Lines {
-		l.Link.Send(x)
+	for _, line := range outbox.Lines {
+		l.Link.Send(line)
 	}
-	for _, p := range outbox.Replies {
-		l.Web.Reply(p)
+	for _, reply := range outbox.Replies {
+		l.Web.Reply(reply)
 	}
 	for _, id := range outbox.Cuts {
 		l.Caller.Cut(id)
 	}
-	for _, s := range outbox.Sends {
-		l.Caller.Start(s)
+	for _, send := range outbox.Sends {
+		l.Caller.Start(send)
 	}
 }
 
-var write = map[flow.Level]func(log.Logger) log.Logger{flow.Debug: level.Debug, flow.Info: level.Info, flow.Warn: level.Warn, flow.Error: level.Error}
+// leveled gives the logger of each level.
+var leveled = map[flow.Level]func(log.Logger) log.Logger{flow.Debug: level.Debug, flow.Info: level.Info, flow.Warn: level.Warn, flow.Error: level.Error}
 
 // Levels are the names of the log's levels.
 var Levels = map[string]flow.Level{"debug": flow.Debug, "info": flow.Info, "warn": flow.Warn, "error": flow.Error}
