Disk: opening, appending and inspecting by step, whole names

After: a function a step, a blobKind's segments, encodeBlob and decodeBlob. File names, frames and what a report says are unchanged; tests untouched but for names.

--- a/shell/disk/blobs.go
+++ b/shell/disk/blobs.go
@@ -28,48 +28,52 @@
 	release release
 }
 
+// blobKind are the segments of one kind of items, oldest first.
 type blobKind struct {
-	kind     string
+	name     string
 	segments []*blobSegment
 	next     uint64
 }
 
+// blobSegment is one file. Its three lists have an element for each item in it.
 type blobSegment struct {
-	name  string
-	ids   []uint64
-	at    []uint32
-	dead  []bool
-	gone  int
-	size  int64
-	dirty bool
-	full  bool
+	name     string
+	ids      []uint64
+	offsets  []uint32
+	dead     []bool
+	released int
+	size     int64
+	dirty    bool
+	full     bool
 }
 
-const headBytes = 8 + 1 + 10 + 1 + 20 + 1 // checksum, size, number
+const blobHeadBytes = 8 + 1 + 10 + 1 + 20 + 1 // checksum, size, number
 
-func cover(id uint64, body []byte) []byte {
+// encodeBlob gives an item as it lies in a segment: checksum, size and number, then the
+// body.
+func encodeBlob(id uint64, body []byte) []byte {
 	sum := crc32.Update(crc32.ChecksumIEEE([]byte(fmt.Sprintf("%020d", id))), crc32.IEEETable, body)
-	b := make([]byte, 0, headBytes+len(body)+1)
+	b := make([]byte, 0, blobHeadBytes+len(body)+1)
 	b = append(b, fmt.Sprintf("%08x %010d %020d\n", sum, len(body), id)...)
 	return append(append(b, body...), '\n')
 }
 
-// uncover reads one item and gives its number, its body and its size on disk.
-func uncover(b []byte) (id uint64, body []byte, n int, ok bool) {
-	if len(b) < headBytes+1 || b[8] != ' ' || b[19] != ' ' || b[headBytes-1] != '\n' {
+// decodeBlob reads one item and gives its number, its body and its size on disk.
+func decodeBlob(b []byte) (id uint64, body []byte, n int, ok bool) {
+	if len(b) < blobHeadBytes+1 || b[8] != ' ' || b[19] != ' ' || b[blobHeadBytes-1] != '\n' {
 		return
 	}
 	sum, e1 := strconv.ParseUint(string(b[:8]), 16, 32)
 	size, e2 := strconv.ParseUint(string(b[9:19]), 10, 32)
 	id, e3 := strconv.ParseUint(string(b[20:40]), 10, 64)
-	if e1 != nil || e2 != nil || e3 != nil || uint64(len(b)) < headBytes+size+1 || b[headBytes+size] != '\n' {
+	if e1 != nil || e2 != nil || e3 != nil || uint64(len(b)) < blobHeadBytes+size+1 || b[blobHeadBytes+size] != '\n' {
 		return
 	}
-	body = b[headBytes : headBytes+size]
+	body = b[blobHeadBytes : blobHeadBytes+size]
 	if uint64(crc32.Update(crc32.ChecksumIEEE(b[20:40]), crc32.IEEETable, body)) != sum {
 		return
 	}
-	return id, body, headBytes + int(size) + 1, true
+	return id, body, blobHeadBytes + int(size) + 1, true
 }
 
 func blobSegmentName(kind string, n uint64) string { return fmt.Sprintf("shelf-%s-%012d.seg", kind, n) }
@@ -78,10 +82,10 @@
 // never synced, and its items still stand in the log.
 func openBlobStore(fs FS, names []string) (*BlobStore, error) {
 	blobs := &BlobStore{fs: fs, kinds: map[string]*blobKind{}, release: newRelease()}
-	blobs.fill(names)
-	for _, r := range blobs.kinds {
-		for i, t := range r.segments {
-			if err := blobs.scan(t, i == len(r.segments)-1); err != nil {
+	blobs.listSegments(names)
+	for _, kind := range blobs.kinds {
+		for i, segment := range kind.segments {
+			if err := blobs.scan(segment, i == len(kind.segments)-1); err != nil {
 				return nil, err
 			}
 		}
@@ -89,8 +93,8 @@
 	return blobs, nil
 }
 
-// fill puts the segments of a folder into their racks, unread.
-func (s *BlobStore) fill(names []string) {
+// listSegments puts the segments of a folder to their kinds, unread.
+func (s *BlobStore) listSegments(names []string) {
 	sort.Strings(names)
 	for _, name := range names {
 		rest, ok := strings.CutPrefix(name, "shelf-")
@@ -99,8 +103,9 @@
 		if !ok || !ok2 || err != nil || !strings.HasSuffix(name, ".seg") {
 			continue
 		}
-		r := s.rack(kind)
-		r.segments, r.next = append(r.segments, &blobSegment{name: name}), n+1
+		entry := s.kindOf(kind)
+		entry.segments = append(entry.segments, &blobSegment{name: name})
+		entry.next = n + 1
 	}
 }
 
@@ -110,7 +115,7 @@
 		return errors.Wrap(err, "disk: blobSegment")
 	}
 	for at := 0; at < len(b); {
-		id, _, n, ok := uncover(b[at:])
+		id, _, n, ok := decodeBlob(b[at:])
 		if !ok {
 			if !last {
 				return errors.Wrapf(ErrCorrupt, "%s at byte %d", segment.name, at)
@@ -130,7 +135,7 @@
 }
 
 func (t *blobSegment) add(id uint64, at int) {
-	t.ids, t.at, t.dead = append(t.ids, id), append(t.at, uint32(at)), append(t.dead, false)
+	t.ids, t.offsets, t.dead = append(t.ids, id), append(t.offsets, uint32(at)), append(t.dead, false)
 }
 
 // find gives an item's place, or -1. Numbers in one segment only grow.
@@ -144,27 +149,27 @@
 	return -1
 }
 
-func (s *BlobStore) rack(kind string) *blobKind {
-	r := s.kinds[kind]
-	if r == nil {
-		r = &blobKind{kind: kind, next: 1}
-		s.kinds[kind] = r
+func (s *BlobStore) kindOf(name string) *blobKind {
+	kind := s.kinds[name]
+	if kind == nil {
+		kind = &blobKind{name: name, next: 1}
+		s.kinds[name] = kind
 	}
-	return r
+	return kind
 }
 
 func (s *BlobStore) find(ref flow.Ref) (*blobSegment, int) {
-	r := s.rack(ref.Kind)
-	for i := len(r.segments) - 1; i >= 0; i-- {
-		if at := r.segments[i].find(ref.ID); at >= 0 && !r.segments[i].dead[at] {
-			return r.segments[i], at
+	segments := s.kindOf(ref.Kind).segments
+	for i := len(segments) - 1; i >= 0; i-- {
+		if at := segments[i].find(ref.ID); at >= 0 && !segments[i].dead[at] {
+			return segments[i], at
 		}
 	}
 	return nil, 0
 }
 
-// do makes changes. It may be tried again after ErrFull.
-func (s *BlobStore) do(ops []flow.BlobChange) error {
+// apply makes changes. It may be tried again after ErrFull.
+func (s *BlobStore) apply(ops []flow.BlobChange) error {
 	for _, change := range ops {
 		if change.Only != nil {
 			if err := s.only(change); err != nil {
@@ -172,77 +177,104 @@
 			}
 		}
 		s.release.put(change)
-		var r *blobKind
-		var b []byte
-		var ids []uint64
-		var at []int
-		for i, it := range change.Put {
-			if t, _ := s.find(it.Ref); t != nil {
-				continue
-			}
-			r = s.rack(it.Kind)
-			at, ids = append(at, len(b)), append(ids, it.ID)
-			b = append(b, cover(it.ID, it.Body)...)
-			if i+1 < len(change.Put) && change.Put[i+1].Kind == it.Kind && change.Put[i+1].ID > it.ID && len(b) < BlobSegmentMost {
-				continue
-			}
-			if err := s.append(r, b, ids, at); err != nil {
-				return err
-			}
-			b, ids, at = nil, nil, nil
-		}
-		if len(ids) > 0 {
-			if err := s.append(r, b, ids, at); err != nil {
-				return err
-			}
+		if err := s.put(change.Put); err != nil {
+			return err
 		}
 		s.release.drop(change)
 	}
 	return nil
 }
 
-func (s *BlobStore) append(r *blobKind, b []byte, ids []uint64, at []int) error {
-	var segment *blobSegment
-	if n := len(r.segments); n > 0 {
-		segment = r.segments[n-1]
-	}
-	if segment == nil || segment.full || segment.size > BlobSegmentMost || len(segment.ids) > 0 && segment.ids[len(segment.ids)-1] >= ids[0] {
-		if segment != nil && segment.dirty {
-			if err := s.fs.Sync(segment.name); err != nil {
-				return diskError(err)
-			}
-			segment.dirty = false
-		}
-		n := &blobSegment{name: blobSegmentName(r.kind, r.next)}
-		if err := s.fs.Write(n.name, nil); err != nil {
-			return diskError(err)
+// put writes items that are not there yet, in runs of one kind with growing numbers.
+func (s *BlobStore) put(items []flow.Item) error {
+	var kind *blobKind
+	var run []byte
+	var ids []uint64
+	var offsets []int
+	for i, item := range items {
+		if segment, _ := s.find(item.Ref); segment != nil {
+			continue
 		}
-		if err := s.fs.SyncDir(); err != nil {
-			return diskError(err)
+		kind = s.kindOf(item.Kind)
+		offsets, ids = append(offsets, len(run)), append(ids, item.ID)
+		run = append(run, encodeBlob(item.ID, item.Body)...)
+		more := i+1 < len(items) && items[i+1].Kind == item.Kind && items[i+1].ID > item.ID
+		if more && len(run) < BlobSegmentMost {
+			continue
 		}
-		if segment != nil {
-			segment.full = true
+		if err := s.append(kind, run, ids, offsets); err != nil {
+			return err
 		}
-		segment = n
-		r.segments, r.next = append(r.segments, n), r.next+1
+		run, ids, offsets = nil, nil, nil
 	}
-	if err := s.fs.Append(segment.name, b); err != nil {
-		e := diskError(err)
-		if errors.Is(e, ErrFull) {
-			if e2 := s.fs.Truncate(segment.name, segment.size); e2 != nil {
-				return diskError(e2)
+	if len(ids) == 0 {
+		return nil
+	}
+	return s.append(kind, run, ids, offsets)
+}
+
+// append writes items behind a kind's last segment, or to a new one.
+func (s *BlobStore) append(kind *blobKind, items []byte, ids []uint64, offsets []int) error {
+	segment, err := s.segmentFor(kind, ids[0])
+	if err != nil {
+		return err
+	}
+	if err := s.fs.Append(segment.name, items); err != nil {
+		failure := diskError(err)
+		if errors.Is(failure, ErrFull) {
+			if err := s.fs.Truncate(segment.name, segment.size); err != nil {
+				return diskError(err)
 			}
 		}
-		return e
+		return failure
 	}
 	for i, id := range ids {
-		segment.add(id, int(segment.size)+at[i])
+		segment.add(id, int(segment.size)+offsets[i])
 	}
-	segment.size += int64(len(b))
+	segment.size += int64(len(items))
 	segment.dirty = true
 	return nil
 }
 
+// segmentFor gives the segment that an item with this number goes to. Numbers in one
+// segment only grow.
+func (s *BlobStore) segmentFor(kind *blobKind, id uint64) (*blobSegment, error) {
+	var last *blobSegment
+	if n := len(kind.segments); n > 0 {
+		last = kind.segments[n-1]
+	}
+	if last != nil && last.takes(id) {
+		return last, nil
+	}
+	if last != nil && last.dirty {
+		if err := s.fs.Sync(last.name); err != nil {
+			return nil, diskError(err)
+		}
+		last.dirty = false
+	}
+	next := &blobSegment{name: blobSegmentName(kind.name, kind.next)}
+	if err := s.fs.Write(next.name, nil); err != nil {
+		return nil, diskError(err)
+	}
+	if err := s.fs.SyncDir(); err != nil {
+		return nil, diskError(err)
+	}
+	if last != nil {
+		last.full = true
+	}
+	kind.segments = append(kind.segments, next)
+	kind.next++
+	return next, nil
+}
+
+// takes says whether an item with this number may go into the segment.
+func (t *blobSegment) takes(id uint64) bool {
+	if t.full || t.size > BlobSegmentMost {
+		return false
+	}
+	return len(t.ids) == 0 || t.ids[len(t.ids)-1] < id
+}
+
 // sync brings all to disk, before a snapshot that names it.
 func (s *BlobStore) sync() error {
 	for _, r := range s.kinds {
@@ -262,7 +294,7 @@
 	for _, r := range s.kinds {
 		left := r.segments[:0:0]
 		for _, t := range r.segments {
-			if t.gone < len(t.ids) {
+			if t.released < len(t.ids) {
 				left = append(left, t)
 				continue
 			}
@@ -303,7 +335,7 @@
 		if fetch.Most > 0 && len(part.Body) > fetch.Most-sent {
 			part.Body = part.Body[:fetch.Most-sent]
 		}
-		sent += len(part.Body) + headBytes
+		sent += len(part.Body) + blobHeadBytes
 		fetched.Parts = append(fetched.Parts, part)
 	}
 	return fetched, nil
@@ -311,16 +343,16 @@
 
 func (s *BlobStore) read(segment *blobSegment, i int) ([]byte, error) {
 	end := segment.size
-	if i+1 < len(segment.at) {
-		end = int64(segment.at[i+1])
+	if i+1 < len(segment.offsets) {
+		end = int64(segment.offsets[i+1])
 	}
-	b, err := s.fs.ReadAt(segment.name, int64(segment.at[i]), int(end-int64(segment.at[i])))
+	b, err := s.fs.ReadAt(segment.name, int64(segment.offsets[i]), int(end-int64(segment.offsets[i])))
 	if err != nil {
 		return nil, errors.Wrap(err, "disk: blobSegment")
 	}
-	id, body, _, ok := uncover(b)
+	id, body, _, ok := decodeBlob(b)
 	if !ok || id != segment.ids[i] {
-		return nil, errors.Wrapf(ErrCorrupt, "%s at byte %d", segment.name, segment.at[i])
+		return nil, errors.Wrapf(ErrCorrupt, "%s at byte %d", segment.name, segment.offsets[i])
 	}
 	return body, nil
 }
@@ -330,7 +362,7 @@
 	items, bytes = map[string]int64{}, map[string]int64{}
 	for k, r := range s.kinds {
 		for _, t := range r.segments {
-			items[k] += int64(len(t.ids) - t.gone)
+			items[k] += int64(len(t.ids) - t.released)
 			bytes[k] += t.size
 		}
 	}
--- a/shell/disk/disk.go
+++ b/shell/disk/disk.go
@@ -1,6 +1,7 @@
-// Package disk keeps the segmented log and the snapshots beside it (design
-// 4.6). One frame holds one Save batch and is synced before anything that
-// depends on it leaves, so only the last frame can be torn.
+// Package disk keeps a store's data folder: the segmented log, the snapshots beside it
+// (design 4.6) and the blob store (4.9). One frame holds one Save batch and is synced
+// before anything that depends on it leaves, so only the last frame can be torn.
+// shell/run's disk goroutine is the one writer; cmd/fernlink reads a folder with Inspect.
 package disk
 
 import (
@@ -8,7 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/crc32"
-	"sort"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -27,7 +28,7 @@
 	ErrFull    = errors.New("disk: no room; nothing of the save counts, and it may be tried again")
 )
 
-// turned gives a failure of the folder this layer's own name.
+// diskError gives a failure of the folder this layer's own name.
 func diskError(err error) error {
 	if err == nil {
 		return nil
@@ -57,18 +58,19 @@
 
 // Log is the open log.
 type Log struct {
-	fs   FS
-	seg  uint64
-	size int64
-	hard flow.Hard
-	tail []flow.Entry // entries after the snapshot, for rewriting on a snapshot
-	base uint64
+	fs      FS
+	segment uint64 // the one that is appended to
+	size    int64  // its bytes
+	hard    flow.Hard
+	tail    []flow.Entry // entries after the snapshot, for rewriting on a snapshot
+	base    uint64       // index of the snapshot
 
 	damage tailDamage
 	marks  markState
 	Blobs  *BlobStore
 }
 
+// record is one frame of a segment.
 type record struct {
 	Saves []flow.Save `json:"saves,omitempty"`
 	Mark  *tailMark   `json:"mark,omitempty"`
@@ -83,8 +85,8 @@
 	Seg      uint64        `json:"seg"`
 }
 
-func segName(n uint64) string { return fmt.Sprintf("log-%016d.seg", n) }
-func digName(n uint64) string { return fmt.Sprintf("digest-%016d.json", n) }
+func segmentName(n uint64) string  { return fmt.Sprintf("log-%016d.seg", n) }
+func snapshotName(n uint64) string { return fmt.Sprintf("digest-%016d.json", n) }
 
 func number(name, head, tail string) (uint64, bool) {
 	if !strings.HasPrefix(name, head) || !strings.HasSuffix(name, tail) {
@@ -94,19 +96,20 @@
 	return n, err == nil
 }
 
-// parts gives the numbers of segments, oldest first, and snapshots, newest first.
-func parts(names []string) (segs, digs []uint64) {
-	for _, n := range names {
-		if x, ok := number(n, "log-", ".seg"); ok {
-			segs = append(segs, x)
+// logFiles gives the numbers of segments, oldest first, and snapshots, newest first.
+func logFiles(names []string) (segments, snapshots []uint64) {
+	for _, name := range names {
+		if n, ok := number(name, "log-", ".seg"); ok {
+			segments = append(segments, n)
 		}
-		if x, ok := number(n, "digest-", ".json"); ok {
-			digs = append(digs, x)
+		if n, ok := number(name, "digest-", ".json"); ok {
+			snapshots = append(snapshots, n)
 		}
 	}
-	sort.Slice(segs, func(a, b int) bool { return segs[a] < segs[b] })
-	sort.Slice(digs, func(a, b int) bool { return digs[a] > digs[b] })
-	return segs, digs
+	slices.Sort(segments)
+	slices.Sort(snapshots)
+	slices.Reverse(snapshots)
+	return segments, snapshots
 }
 
 func frame(v any) []byte {
@@ -145,21 +148,17 @@
 func Open(files FS) (*Log, store.Disk, error) {
 	log := &Log{fs: files}
 	var disk store.Disk
-	var file snapshotFile
 	names, err := files.List()
 	if err != nil {
 		return nil, disk, errors.Wrap(err, "disk: list")
 	}
-	segs, digs := parts(names)
-	if len(digs) > 0 {
-		b, err := files.Read(digName(digs[0]))
-		if err != nil {
-			return nil, disk, errors.Wrap(err, "disk: snapshot")
-		}
-		if _, ok := unframe(b, &file); !ok {
-			return nil, disk, errors.Wrap(ErrCorrupt, digName(digs[0]))
-		}
-		disk.Snapshot, log.base = &file.Snapshot, file.Snapshot.Index
+	segments, snapshots := logFiles(names)
+	file, err := log.readSnapshot(snapshots)
+	if err != nil {
+		return nil, disk, err
+	}
+	if file != nil {
+		disk.Snapshot = &file.Snapshot
 	}
 	if log.Blobs, err = openBlobStore(files, names); err != nil {
 		return nil, disk, err
@@ -167,21 +166,8 @@
 	if disk.Items, err = log.needs(disk.Snapshot); err != nil {
 		return nil, disk, err
 	}
-	for i, s := range segs {
-		if err := log.replay(s, i == len(segs)-1); err != nil {
-			return nil, disk, err
-		}
-		log.seg = s
-		if file.Ends && s <= file.Seg {
-			log.tail = nil
-		}
-	}
-	// Entries that the snapshot stands for are not needed any more.
-	for len(log.tail) > 0 && log.tail[0].Index <= log.base {
-		log.tail = log.tail[1:]
-	}
-	if len(log.tail) > 0 && log.tail[0].Index != log.base+1 {
-		return nil, disk, errors.Wrapf(ErrCorrupt, "entries start at %d after a snapshot at %d", log.tail[0].Index, log.base)
+	if err := log.replayAll(segments, file); err != nil {
+		return nil, disk, err
 	}
 	log.hard = log.damage.applyTo(log.hard)
 	disk.Hard, disk.Entries = log.hard, append([]flow.Entry(nil), log.tail...)
@@ -191,12 +177,51 @@
 	return log, disk, markLogged(files)
 }
 
+// readSnapshot reads the newest snapshot; nil if there is none.
+func (l *Log) readSnapshot(snapshots []uint64) (*snapshotFile, error) {
+	if len(snapshots) == 0 {
+		return nil, nil
+	}
+	name := snapshotName(snapshots[0])
+	raw, err := l.fs.Read(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "disk: snapshot")
+	}
+	var file snapshotFile
+	if _, ok := unframe(raw, &file); !ok {
+		return nil, errors.Wrap(ErrCorrupt, name)
+	}
+	l.base = file.Snapshot.Index
+	return &file, nil
+}
+
+// replayAll folds all segments and leaves the entries after the snapshot.
+func (l *Log) replayAll(segments []uint64, file *snapshotFile) error {
+	for i, segment := range segments {
+		if err := l.replay(segment, i == len(segments)-1); err != nil {
+			return err
+		}
+		l.segment = segment
+		if file != nil && file.Ends && segment <= file.Seg {
+			l.tail = nil
+		}
+	}
+	// Entries that the snapshot stands for are not needed any more.
+	for len(l.tail) > 0 && l.tail[0].Index <= l.base {
+		l.tail = l.tail[1:]
+	}
+	if len(l.tail) > 0 && l.tail[0].Index != l.base+1 {
+		return errors.Wrapf(ErrCorrupt, "entries start at %d after a snapshot at %d", l.tail[0].Index, l.base)
+	}
+	return nil
+}
+
 // needs reads the items without which the snapshot can't be loaded.
-func (l *Log) needs(g *flow.Snapshot) (map[flow.Ref][]byte, error) {
-	if g == nil {
+func (l *Log) needs(snapshot *flow.Snapshot) (map[flow.Ref][]byte, error) {
+	if snapshot == nil {
 		return nil, nil
 	}
-	refs, err := ledger.Needs(g.State)
+	refs, err := ledger.Needs(snapshot.State)
 	if err != nil {
 		return nil, errors.Wrap(ErrCorrupt, err.Error())
 	}
@@ -207,15 +232,15 @@
 	if len(got.Missing) > 0 {
 		return nil, errors.Wrapf(ErrMissing, "%s %d", got.Missing[0].Kind, got.Missing[0].ID)
 	}
-	out := map[flow.Ref][]byte{}
-	for _, p := range got.Parts {
-		out[p.Ref] = p.Body
+	items := map[flow.Ref][]byte{}
+	for _, part := range got.Parts {
+		items[part.Ref] = part.Body
 	}
-	return out, nil
+	return items, nil
 }
 
 func (l *Log) replay(seg uint64, last bool) error {
-	name := segName(seg)
+	name := segmentName(seg)
 	b, err := l.fs.Read(name)
 	if err != nil {
 		return errors.Wrap(err, "disk: segment")
@@ -313,7 +338,7 @@
 		return diskError(err)
 	}
 	for _, n := range names {
-		if x, ok := number(n, "log-", ".seg"); ok && x < l.seg {
+		if x, ok := number(n, "log-", ".seg"); ok && x < l.segment {
 			if err := l.fs.Remove(n); err != nil {
 				return diskError(err)
 			}
@@ -330,10 +355,10 @@
 // open puts the next segment beside the others.
 func (l *Log) open(r record) error {
 	b := frame(r)
-	if err := l.put(segName(l.seg+1), b); err != nil {
+	if err := l.put(segmentName(l.segment+1), b); err != nil {
 		return err
 	}
-	l.seg++
+	l.segment++
 	l.size = int64(len(b))
 	return nil
 }
@@ -357,7 +382,7 @@
 // Save writes and syncs. After ErrFull the same saves may be given again; after
 // any other failure nothing of this log may be trusted, and the role stops.
 func (l *Log) Save(blobs []flow.BlobChange, saves []flow.Save) error {
-	if err := l.Blobs.do(blobs); err != nil {
+	if err := l.Blobs.apply(blobs); err != nil {
 		return err
 	}
 	var rest []flow.Save
@@ -385,7 +410,7 @@
 	if err := l.Blobs.sync(); err != nil {
 		return err
 	}
-	if err := l.put(digName(save.Snapshot.Index), frame(snapshotFile{*save.Snapshot, save.Cut > 0, l.seg})); err != nil {
+	if err := l.put(snapshotName(save.Snapshot.Index), frame(snapshotFile{*save.Snapshot, save.Cut > 0, l.segment})); err != nil {
 		return err
 	}
 	l.fold(save)
@@ -406,7 +431,7 @@
 		}
 	}
 	b := append(frame(record{Saves: saves}), frame(record{Mark: markOf(l.hard, saves)})...)
-	name := segName(l.seg)
+	name := segmentName(l.segment)
 	if err := l.fs.Append(name, b); err != nil {
 		if e := diskError(err); !errors.Is(e, ErrFull) {
 			return e
--- a/shell/disk/disk_test.go
+++ b/shell/disk/disk_test.go
@@ -207,7 +207,7 @@
 		t.Fatalf("%+v %+v %v %v", a, b, err, err2)
 	}
 	g, _ := OpenFolder(t.TempDir())
-	_ = g.Write(segName(1), nil)
+	_ = g.Write(segmentName(1), nil)
 	if _, err := Identify(g, "x", 1); !errors.Is(err, ErrCorrupt) {
 		t.Fatalf("a log without an identity: %v", err)
 	}
@@ -340,12 +340,12 @@
 	for i := uint64(1); i <= 30; i++ {
 		save(i)
 	}
-	was := log.seg
+	was := log.segment
 	for i := uint64(31); i <= 40; i++ {
 		save(i)
 	}
-	if log.seg > was+2 {
-		t.Errorf("ten saves began %d segments", log.seg-was)
+	if log.segment > was+2 {
+		t.Errorf("ten saves began %d segments", log.segment-was)
 	}
 	if _, last, err := open(t, dir); err != nil || last != 40 {
 		t.Errorf("read back to %d: %v", last, err)
@@ -438,7 +438,7 @@
 	if err := log.Save([]flow.BlobChange{{Only: map[string][]uint64{}, At: 9}}, []flow.Save{aged(5), later}); err != nil {
 		t.Fatal(err)
 	}
-	segment, snapshot := fs.place("remove "+blobSegmentName("text", 1)), fs.place("rename "+digName(9))
+	segment, snapshot := fs.place("remove "+blobSegmentName("text", 1)), fs.place("rename "+snapshotName(9))
 	if segment < 0 || segment < snapshot {
 		t.Errorf("the segment went at %d, before the snapshot that lets it go was there at %d", segment, snapshot)
 	}
--- a/shell/disk/fuzz_test.go
+++ b/shell/disk/fuzz_test.go
@@ -14,7 +14,7 @@
 func FuzzFolder(f *testing.F) {
 	seg := frame(record{Saves: []flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: entries(1, 3)}}})
 	dig := frame(snapshotFile{Snapshot: flow.Snapshot{Index: 2, Term: 1, Conf: json.RawMessage(`{}`), State: ledger.New().Snapshot()}})
-	item := cover(3, []byte("abc"))
+	item := encodeBlob(3, []byte("abc"))
 	f.Add(seg, dig, item)
 	f.Add(seg[:len(seg)-3], []byte{}, item[:20])
 	f.Add([]byte("00000000 99999999999 {}\n"), dig[:9], []byte("x"))
@@ -23,9 +23,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		_ = dir.Write(segName(1), a)
+		_ = dir.Write(segmentName(1), a)
 		if len(b) > 0 {
-			_ = dir.Write(digName(2), b)
+			_ = dir.Write(snapshotName(2), b)
 		}
 		_ = dir.Write(blobSegmentName("text", 1), c)
 		l, d, err := Open(dir)
@@ -59,16 +59,16 @@
 	seg := frame(record{Saves: []flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: entries(1, 3)}}})
 	dig := frame(snapshotFile{Snapshot: flow.Snapshot{Index: 2, Term: 1, Conf: json.RawMessage(`{}`), State: ledger.New().Snapshot()}})
 	id := frame(Identity{ID: "me", Inc: 1})
-	f.Add(seg, dig, cover(3, []byte("abc")), id)
+	f.Add(seg, dig, encodeBlob(3, []byte("abc")), id)
 	f.Add(seg, []byte{}, []byte{}, id)
-	f.Add(seg[:len(seg)-3], []byte{}, cover(3, []byte("abc"))[:20], id)
+	f.Add(seg[:len(seg)-3], []byte{}, encodeBlob(3, []byte("abc"))[:20], id)
 	f.Add(append(append([]byte{}, seg...), "00000000 2 {}\n"...), dig, []byte{}, id[:9])
 	f.Fuzz(func(t *testing.T, a, b, c, d []byte) {
 		dir, err := OpenFolder(t.TempDir())
 		if err != nil {
 			t.Fatal(err)
 		}
-		for name, x := range map[string][]byte{segName(1): a, digName(2): b, blobSegmentName("text", 1): c, "identity": d} {
+		for name, x := range map[string][]byte{segmentName(1): a, snapshotName(2): b, blobSegmentName("text", 1): c, "identity": d} {
 			if len(x) > 0 {
 				_ = dir.Write(name, x)
 			}
--- a/shell/disk/identity.go
+++ b/shell/disk/identity.go
@@ -33,7 +33,7 @@
 	} else if slices.ContainsFunc(names, func(name string) bool { return strings.HasSuffix(name, ".seg") }) {
 		return id, errors.Wrap(ErrCorrupt, "a log without an identity")
 	}
-	if segments, _ := parts(names); id.Logged && len(segments) == 0 {
+	if segments, _ := logFiles(names); id.Logged && len(segments) == 0 {
 		id.ID, id.Logged = fresh, false
 	}
 	id.Inc = max(id.Inc+1, wall)
--- a/shell/disk/inspect.go
+++ b/shell/disk/inspect.go
@@ -123,13 +123,13 @@
 
 func look(fs FS, names []string) Report {
 	report := Report{Segments: []Segment{}, Blobs: []Kind{}, Lots: []LotState{}}
-	segs, digs := parts(names)
-	report.identity(fs, names, len(segs) > 0)
+	segments, snapshots := logFiles(names)
+	report.identity(fs, names, len(segments) > 0)
 	log := &Log{fs: fs}
-	file := report.snapshot(log, digs)
+	file := report.snapshot(log, snapshots)
 	blobs := report.blobs(fs, names)
-	for i, s := range segs {
-		report.segment(log, s, i == len(segs)-1)
+	for i, s := range segments {
+		report.segment(log, s, i == len(segments)-1)
 		if file != nil && file.Ends && s <= file.Seg {
 			log.tail = nil
 		}
@@ -138,7 +138,7 @@
 		log.tail = log.tail[1:]
 	}
 	report.entries(log)
-	if len(segs) == 0 && len(digs)+len(report.Blobs) > 0 {
+	if len(segments) == 0 && len(snapshots)+len(report.Blobs) > 0 {
 		report.find("a snapshot or a blob store without a log")
 	}
 	report.state(file, blobs, log.tail)
@@ -187,11 +187,11 @@
 	r.Identity = &id
 }
 
-func (r *Report) snapshot(log *Log, digs []uint64) *snapshotFile {
-	if len(digs) == 0 {
+func (r *Report) snapshot(log *Log, snapshots []uint64) *snapshotFile {
+	if len(snapshots) == 0 {
 		return nil
 	}
-	name := digName(digs[0])
+	name := snapshotName(snapshots[0])
 	b, ok := r.read(log.fs, name)
 	if !ok {
 		return nil
@@ -206,7 +206,7 @@
 	if json.Unmarshal(file.Snapshot.Conf, &c) == nil {
 		r.Snapshot.Voters, r.Snapshot.Members = c.Voters(), len(c.Members)
 	}
-	if file.Snapshot.Index != digs[0] {
+	if file.Snapshot.Index != snapshots[0] {
 		r.find("%s holds the snapshot of %d", name, file.Snapshot.Index)
 	}
 	log.base = file.Snapshot.Index
@@ -214,7 +214,7 @@
 }
 
 func (r *Report) segment(log *Log, n uint64, last bool) {
-	segment := Segment{Name: segName(n), Tail: "whole"}
+	segment := Segment{Name: segmentName(n), Tail: "whole"}
 	b, ok := r.read(log.fs, segment.Name)
 	if !ok {
 		return
@@ -267,7 +267,7 @@
 
 func (r *Report) blobs(fs FS, names []string) *BlobStore {
 	blobs := &BlobStore{fs: fs, kinds: map[string]*blobKind{}}
-	blobs.fill(slices.Clone(names))
+	blobs.listSegments(slices.Clone(names))
 	for _, k := range sorted.Keys(blobs.kinds) {
 		kind := Kind{Name: k}
 		for i, segment := range blobs.kinds[k].segments {
@@ -290,67 +290,86 @@
 	return blobs
 }
 
-// state folds what the folder holds and holds the blob store against the snapshot.
+// state folds what the folder has and checks the blob store against the snapshot.
 func (r *Report) state(file *snapshotFile, blobs *BlobStore, tail []flow.Entry) {
-	led := ledger.New()
+	folded := ledger.New()
 	if file != nil {
-		refs, err := ledger.Needs(file.Snapshot.State)
-		if err != nil {
-			r.find("the snapshot does not read: %v", err)
-			return
-		}
-		items := map[flow.Ref][]byte{}
-		if got, err := blobs.fetch(flow.Fetch{Refs: refs}); err == nil {
-			r.Missing = got.Missing
-			for _, p := range got.Parts {
-				items[p.Ref] = p.Body
-			}
-		} else {
-			r.find("%v", err)
-		}
-		if led, err = ledger.Load(file.Snapshot.State, items); err != nil {
-			r.Needs = len(refs)
-			r.find("the snapshot does not load, %d items are missing: %v", len(r.Missing), err)
+		var ok bool
+		if folded, ok = r.loadSnapshot(file, blobs); !ok {
 			return
 		}
-		r.Missing = nil
-		all := led.Items()
-		for _, kind := range sorted.Keys(all) {
-			for _, id := range all[kind] {
-				r.Needs++
-				if t, _ := blobs.find(flow.Ref{Kind: kind, ID: id}); t == nil {
-					r.Missing = append(r.Missing, flow.Ref{Kind: kind, ID: id})
-				}
-			}
-		}
-		if n := len(r.Missing); n > 0 {
-			r.find("the blob store lacks %d items that the snapshot names, first %s %d", n, r.Missing[0].Kind, r.Missing[0].ID)
-		}
 	}
 	if file == nil && len(tail) > 0 && tail[0].Index > 1 {
 		return // said already: what came before is not here
 	}
-	for _, e := range tail {
-		if e.Kind == "cmd" {
-			led.Apply(e.Index, e.Data)
-			led.Box() // what it wants of the blob store is the node's to do
+	for _, entry := range tail {
+		if entry.Kind == "cmd" {
+			folded.Apply(entry.Index, entry.Data)
+			folded.Box() // what it wants of the blob store is the node's to do
 		}
 	}
 	if len(tail) > 0 {
 		r.note("plan, steps and lots are as of entry %d, which need not have committed", tail[len(tail)-1].Index)
 	}
-	r.Plan = led.Plan().Version
-	for _, id := range sorted.Keys(led.Steps) {
-		if led.Steps[id].State == "open" {
+	r.contents(folded)
+}
+
+// loadSnapshot loads the snapshot's state with its items, and says whether it could.
+func (r *Report) loadSnapshot(file *snapshotFile, blobs *BlobStore) (*ledger.Ledger, bool) {
+	refs, err := ledger.Needs(file.Snapshot.State)
+	if err != nil {
+		r.find("the snapshot does not read: %v", err)
+		return nil, false
+	}
+	items := map[flow.Ref][]byte{}
+	if got, err := blobs.fetch(flow.Fetch{Refs: refs}); err == nil {
+		r.Missing = got.Missing
+		for _, part := range got.Parts {
+			items[part.Ref] = part.Body
+		}
+	} else {
+		r.find("%v", err)
+	}
+	loaded, err := ledger.Load(file.Snapshot.State, items)
+	if err != nil {
+		r.Needs = len(refs)
+		r.find("the snapshot does not load, %d items are missing: %v", len(r.Missing), err)
+		return nil, false
+	}
+	r.findMissing(loaded.Items(), blobs)
+	return loaded, true
+}
+
+// findMissing looks for every item that the snapshot names.
+func (r *Report) findMissing(named map[string][]uint64, blobs *BlobStore) {
+	r.Missing = nil
+	for _, kind := range sorted.Keys(named) {
+		for _, id := range named[kind] {
+			r.Needs++
+			if segment, _ := blobs.find(flow.Ref{Kind: kind, ID: id}); segment == nil {
+				r.Missing = append(r.Missing, flow.Ref{Kind: kind, ID: id})
+			}
+		}
+	}
+	if n := len(r.Missing); n > 0 {
+		r.find("the blob store lacks %d items that the snapshot names, first %s %d", n, r.Missing[0].Kind, r.Missing[0].ID)
+	}
+}
+
+// contents tells what plan, steps and lots there are.
+func (r *Report) contents(folded *ledger.Ledger) {
+	r.Plan = folded.Plan().Version
+	for _, id := range sorted.Keys(folded.Steps) {
+		if folded.Steps[id].State == "open" {
 			r.Steps++
 		}
 	}
-	for _, id := range sorted.Keys(led.Lots) {
-		t := led.Lots[id]
-		if t.Ended {
+	for _, id := range sorted.Keys(folded.Lots) {
+		lot := folded.Lots[id]
+		if lot.Ended {
 			r.LotsEnded++
 			continue
 		}
-		r.Lots = append(r.Lots, LotState{id, t.Doc.Owner, len(t.List), len(t.IDs)})
+		r.Lots = append(r.Lots, LotState{id, lot.Doc.Owner, len(lot.List), len(lot.IDs)})
 	}
 }
--- a/shell/disk/inspect_test.go
+++ b/shell/disk/inspect_test.go
@@ -162,12 +162,12 @@
 		"damaged before":     {flip(segment, 20), false, "before its tail"},
 		"no segment":         {func(t *testing.T, d string) { _ = os.Remove(segment(t, d)) }, false, "a snapshot or a blob store without a log"},
 		"only a blob store": {func(t *testing.T, d string) {
-			for _, n := range []string{segment(t, d), filepath.Join(d, digName(4)), filepath.Join(d, "identity")} {
+			for _, n := range []string{segment(t, d), filepath.Join(d, snapshotName(4)), filepath.Join(d, "identity")} {
 				_ = os.Remove(n)
 			}
 		}, false, "a blob store without a log"},
-		"snapshot":           {flip(file(digName(4)), 40), false, "digest-0000000000000004.json is damaged"},
-		"no snapshot":        {gone(file(digName(4))), false, "entries start at 5 after a snapshot at 0"},
+		"snapshot":           {flip(file(snapshotName(4)), 40), false, "digest-0000000000000004.json is damaged"},
+		"no snapshot":        {gone(file(snapshotName(4))), false, "entries start at 5 after a snapshot at 0"},
 		"no identity":        {gone(file("identity")), false, "a log without an identity"},
 		"identity":           {flip(file("identity"), 20), false, "the identity is damaged"},
 		"a lost blobSegment": {gone(partSegment), false, "the blob store lacks 2 items"},
--- a/shell/disk/release.go
+++ b/shell/disk/release.go
@@ -114,5 +114,5 @@
 
 func (t *blobSegment) delete(i int) {
 	t.dead[i] = true
-	t.gone++
+	t.released++
 }
