--- a/core/coord/checkpoint.go
+++ b/core/coord/checkpoint.go
@@ -2,10 +2,11 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"hash/crc32"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 	"fernlink/core/index/gate"
 	"fernlink/core/index/view"
--- a/core/coord/lease.go
+++ b/core/coord/lease.go
@@ -1,9 +1,10 @@
 package coord
 
 import (
-	"encoding/json"
 	"slices"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/api"
 	"fernlink/core/ask"
 	"fernlink/core/budget"
--- a/core/coord/watch.go
+++ b/core/coord/watch.go
@@ -1,11 +1,12 @@
 package coord
 
 import (
-	"encoding/json"
 	"fmt"
 	"strconv"
 	"strings"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/flow"
 	"fernlink/core/index/view"
 	"fernlink/core/sorted"
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -44,6 +44,8 @@
 	liveView    entryView           // peers whose heartbeats still grow
 	fullView    entryView           // the same and this node itself
 	selfInFull  Entry               // this node's entry as it stands in fullView
+	// This node's entry has news that all live peers are to hear at once.
+	announceNow bool
 }
 
 // Config are the options of a table.
@@ -82,8 +84,13 @@
 	}
 }
 
-// Retire says from now on that an operator empties this machine.
-func (g *Gossip) Retire() { g.self.Retired = true }
+// Retire says from now on that an operator empties this machine. All live peers are
+// told at once: until the store's leader has heard it, the machine's lots stay, and
+// the operator waits for that (design 12.8).
+func (g *Gossip) Retire() {
+	g.announceNow = g.announceNow || !g.self.Retired
+	g.self.Retired = true
+}
 
 // Known gives the cluster's id and store addresses as last heard.
 func (g *Gossip) Known() Known { return g.known }
--- a/core/gossip/round.go
+++ b/core/gossip/round.go
@@ -63,6 +63,10 @@
 func (g *Gossip) Advance(now flow.Time, outbox *flow.Outbox) {
 	g.refresh(now)
 	g.reply(outbox)
+	if g.announceNow {
+		outbox.LineToAll(g.liveAddrs(now), "gossip", Body{Entries: []Entry{g.self}, Known: g.known})
+		g.announceNow = false
+	}
 	if now < g.gossipAt {
 		return
 	}
--- a/core/gossip/views.go
+++ b/core/gossip/views.go
@@ -52,3 +52,12 @@
 	g.fullView = entryView{entries: append(live, g.self), valid: true}
 	return g.fullView.entries
 }
+
+// liveAddrs gives the addresses of the peers whose heartbeats still grow.
+func (g *Gossip) liveAddrs(now flow.Time) []string {
+	var addrs []string
+	for _, entry := range g.Live(now) {
+		addrs = append(addrs, entry.Addr)
+	}
+	return addrs
+}
--- a/core/gossip/wire_test.go
+++ b/core/gossip/wire_test.go
@@ -1,9 +1,10 @@
 package gossip
 
 import (
-	"encoding/json"
 	"strings"
 	"testing"
+
+	"github.com/go-json-experiment/json/v1"
 )
 
 // Given an entry as earlier builds sent it, when it is read and written again,
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -199,7 +199,7 @@
 	return out
 }
 
-// Multiples of budget.Tick that a node rests for at most while nothing happens: a
+// Multiples of budget.TickInterval that a node rests for at most while nothing happens: a
 // follower's shortest deadline is an election, that of a node without a store and
 // without work a renewal.
 const (
--- a/core/raft/explore/lease.go
+++ b/core/raft/explore/lease.go
@@ -5,7 +5,7 @@
 // a leader grants it to a successor once it heard no renewal, and has led, for
 // twice as long.
 const (
-	leaseSteps = 2 // budget.Lease in steps of 0.75 s
+	leaseSteps = 2 // budget.LeaseDuration in steps of 0.75 s
 	takeSteps  = 2 * leaseSteps
 )
 
--- a/core/raft/wire_test.go
+++ b/core/raft/wire_test.go
@@ -1,8 +1,9 @@
 package raft
 
 import (
-	"encoding/json"
 	"testing"
+
+	"github.com/go-json-experiment/json/v1"
 )
 
 // Given a membership record as earlier builds wrote it, when it is read and
--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -1,10 +1,11 @@
 package lots
 
 import (
-	"encoding/json"
 	"strconv"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/core/ask"
 	"fernlink/core/budget"
 	"fernlink/core/dialect"
@@ -38,7 +39,8 @@
 	doc.Single, doc.Tries, doc.WaitMS, doc.DueMS, doc.KeepMS = r.Single, r.Tries, int64(r.WaitMS), int64(r.DueMS), keep.Milliseconds()
 	came := t.env.Now
 	t.putting[c.ID] = true
-	t.env.Ask(budget.AskTimeout, "lot.put", doc, func(a ask.Answer) {
+	packed := ledger.PackLot(doc)
+	t.env.Ask(budget.AskTimeout, "lot.put", packed.Encode(), func(a ask.Answer) {
 		delete(t.putting, c.ID)
 		var x struct {
 			Fresh bool `json:"fresh"`
@@ -50,7 +52,7 @@
 			t.env.Counts["lots_taken"]++
 			t.env.Out.Answer(c.ID, 202, struct{}{}, nil)
 			if x.Fresh {
-				t.hand(doc, t.env.Now-came)
+				t.hand(doc, packed, t.env.Now-came)
 			}
 			return
 		}
@@ -72,14 +74,13 @@
 }
 
 // hand gives a lot that was just committed to its owner.
-func (t *Table) hand(doc ledger.LotDoc, age flow.Time) {
+func (t *Table) hand(doc ledger.LotDoc, packed ledger.PackedLot, age flow.Time) {
 	if doc.Owner == t.env.Me {
 		t.Adopt(doc, age)
 		return
 	}
 	if to := t.addr(doc.Owner); to != "" {
-		doc.AgeMS = age.Milliseconds()
-		t.env.Out.Line(to, "lot.hand", doc)
+		t.env.Out.EncodedLine(to, "lot.hand", packed.EncodeWhole(age.Milliseconds()), nil)
 	}
 }
 
@@ -116,7 +117,7 @@
 			t.fetch(id)
 			return
 		}
-		if a.Code != 200 || json.Unmarshal(a.Body, &x) != nil || x.Ended || x.Doc.Owner != t.env.Me {
+		if a.Code != 200 || flow.Decode(a.Body, &x) != nil || x.Ended || x.Doc.Owner != t.env.Me {
 			return
 		}
 		t.Adopt(x.Doc, flow.Time(x.Doc.AgeMS)*time.Millisecond)
@@ -231,7 +232,7 @@
 			return
 		}
 		var x ledger.LotRead
-		if a.Code != 200 || json.Unmarshal(a.Body, &x) != nil {
+		if a.Code != 200 || flow.Decode(a.Body, &x) != nil {
 			delete(t.readers, r.call.ID)
 			t.told(r.call, a)
 			return
--- a/core/store/asks.go
+++ b/core/store/asks.go
@@ -3,7 +3,7 @@
 package store
 
 import (
-	"encoding/json"
+	"github.com/go-json-experiment/json/v1"
 
 	"fernlink/core/ask"
 	"fernlink/core/flow"
@@ -20,8 +20,9 @@
 
 // Ask takes a question.
 func (s *Store) Ask(now flow.Time, l flow.Line, out *flow.Outbox) {
-	var a ask.Ask
-	if json.Unmarshal(l.Body, &a) != nil {
+	a, err := ask.Decode(l.Body, ledger.ReadsWholeBody)
+	if err != nil {
+		s.counts["strays"]++
 		return
 	}
 	s.now = now
@@ -102,7 +103,7 @@
 }
 
 func (s *Store) write(w wait, kind string, body json.RawMessage, out *flow.Outbox) {
-	data, _ := json.Marshal(ledger.Command{Kind: kind, At: s.time(), Body: body})
+	data := ledger.Command{Kind: kind, At: s.time(), Body: body}.Encode()
 	at, term, err := s.raft.Propose("cmd", data)
 	s.hold(w, at, term, err, out)
 }
--- a/shell/disk/disk.go
+++ b/shell/disk/disk.go
@@ -6,9 +6,7 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
-	"hash/crc32"
 	"slices"
 	"strconv"
 	"strings"
@@ -112,37 +110,6 @@
 	return segments, snapshots
 }
 
-func frame(v any) []byte {
-	b, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // only plain structs come here
-	}
-	return append([]byte(fmt.Sprintf("%08x %d ", crc32.ChecksumIEEE(b), len(b))), append(b, '\n')...)
-}
-
-// unframe reads one frame and gives its size, or false where it is not whole.
-func unframe(b []byte, into any) (int, bool) {
-	at := bytes.IndexByte(b, ' ')
-	if at != 8 {
-		return 0, false
-	}
-	end := bytes.IndexByte(b[9:min(len(b), 30)], ' ')
-	if end < 0 {
-		return 0, false
-	}
-	sum, err1 := strconv.ParseUint(string(b[:8]), 16, 32)
-	n, err2 := strconv.Atoi(string(b[9 : 9+end]))
-	from := 9 + end + 1
-	if err1 != nil || err2 != nil || n < 0 || from+n > len(b) {
-		return 0, false
-	}
-	body := b[from : from+n]
-	if uint64(crc32.ChecksumIEEE(body)) != sum || json.Unmarshal(body, into) != nil {
-		return 0, false
-	}
-	return min(from+n+1, len(b)), true // its end mark need not have got there
-}
-
 // Open reads what is there. A torn last frame is cut off; anything else that
 // does not read is a stop.
 func Open(files FS) (*Log, store.Disk, error) {
@@ -354,7 +321,7 @@
 
 // open puts the next segment beside the others.
 func (l *Log) open(r record) error {
-	b := frame(r)
+	b := frameOf(r)
 	if err := l.put(segmentName(l.segment+1), b); err != nil {
 		return err
 	}
@@ -430,7 +397,7 @@
 			return err
 		}
 	}
-	b := append(frame(record{Saves: saves}), frame(record{Mark: markOf(l.hard, saves)})...)
+	b := append(frameOf(record{Saves: saves}), frame(record{Mark: markOf(l.hard, saves)})...)
 	name := segmentName(l.segment)
 	if err := l.fs.Append(name, b); err != nil {
 		if e := diskError(err); !errors.Is(e, ErrFull) {
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -6,13 +6,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"github.com/pkg/errors"
 
 	"fernlink/core/flow"
