--- a/shell/disk/disk.go
+++ b/shell/disk/disk.go
@@ -1,18 +1,17 @@
-// Package disk keeps the segmented log and the snapshots beside it (design
-// 4.6). One frame holds one Save batch and is synced before anything that
-// depends on it leaves, so only the last frame can be torn.
+// Package disk keeps a store's data folder: the segmented log, the snapshots beside it
+// (design 4.6) and the blob store (4.9). One frame holds one Save batch and is synced
+// before anything that depends on it leaves, so only the last frame can be torn.
+// shell/run's disk goroutine is the one writer; cmd/fernlink reads a folder with Inspect.
 package disk
 
 import (
 	"bytes"
 	"fmt"
-	"hash/crc32"
-	"sort"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 
-	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
 
 	"fernlink/core/flow"
@@ -27,8 +26,8 @@
 	ErrFull    = errors.New("disk: no room; nothing of the save counts, and it may be tried again")
 )
 
-// turned gives a failure of the folder this layer's own name.
-func turned(err error) error {
+// diskError gives a failure of the folder this layer's own name.
+func diskError(err error) error {
 	if err == nil {
 		return nil
 	}
@@ -57,18 +56,19 @@
 
 // Log is the open log.
 type Log struct {
-	fs   FS
-	seg  uint64
-	size int64
-	hard flow.Hard
-	tail []flow.Entry // entries after the snapshot, for rewriting on a snapshot
-	base uint64
+	fs      FS
+	segment uint64 // the one that is appended to
+	size    int64  // its bytes
+	hard    flow.Hard
+	tail    []flow.Entry // entries after the snapshot, for rewriting on a snapshot
+	base    uint64       // index of the snapshot
 
 	damage tailDamage
 	marks  markState
 	Blobs  *BlobStore
 }
 
+// record is one frame of a segment.
 type record struct {
 	Saves []flow.Save `json:"saves,omitempty"`
 	Mark  *tailMark   `json:"mark,omitempty"`
@@ -83,8 +83,8 @@
 	Seg      uint64        `json:"seg"`
 }
 
-func segName(n uint64) string { return fmt.Sprintf("log-%016d.seg", n) }
-func digName(n uint64) string { return fmt.Sprintf("digest-%016d.json", n) }
+func segmentName(n uint64) string  { return fmt.Sprintf("log-%016d.seg", n) }
+func snapshotName(n uint64) string { return fmt.Sprintf("digest-%016d.json", n) }
 
 func number(name, head, tail string) (uint64, bool) {
 	if !strings.HasPrefix(name, head) || !strings.HasSuffix(name, tail) {
@@ -94,131 +94,82 @@
 	return n, err == nil
 }
 
-// parts gives the numbers of segments, oldest first, and snapshots, newest first.
-func parts(names []string) (segs, digs []uint64) {
-	for _, n := range names {
-		if x, ok := number(n, "log-", ".seg"); ok {
-			segs = append(segs, x)
+// logFiles gives the numbers of segments, oldest first, and snapshots, newest first.
+func logFiles(names []string) (segments, snapshots []uint64) {
+	for _, name := range names {
+		if n, ok := number(name, "log-", ".seg"); ok {
+			segments = append(segments, n)
 		}
-		if x, ok := number(n, "digest-", ".json"); ok {
-			digs = append(digs, x)
+		if n, ok := number(name, "digest-", ".json"); ok {
+			snapshots = append(snapshots, n)
 		}
 	}
-	sort.Slice(segs, func(a, b int) bool { return segs[a] < segs[b] })
-	sort.Slice(digs, func(a, b int) bool { return digs[a] > digs[b] })
-	return segs, digs
-}
-
-func frame(v any) []byte {
-	return framed(encoded(v))
-}
-
-// framed covers an encoded text.
-func framed(text []byte) []byte {
-	head := fmt.Sprintf("%08x %d ", crc32.ChecksumIEEE(text), len(text))
-	b := make([]byte, 0, len(head)+len(text)+1)
-	return append(append(append(b, head...), text...), '\n')
+	slices.Sort(segments)
+	slices.Sort(snapshots)
+	slices.Reverse(snapshots)
+	return segments, snapshots
 }
 
-// frameOf gives the frame of a record, whose entries are copied as they stand.
-func frameOf(r record) []byte {
-	if r.Mark != nil {
-		return frame(r)
-	}
-	size := 0
-	for _, s := range r.Saves {
-		size += flow.EncodedSize(s.Add) + saveOverhead
-	}
-	text := append(make([]byte, 0, size), `{"saves":[`...)
-	for i, s := range r.Saves {
-		if i > 0 {
-			text = append(text, ',')
-		}
-		text = appendSave(text, s)
+// Open reads what is there. A torn last frame is cut off; anything else that
+// does not read is a stop.
+func Open(files FS) (*Log, store.Disk, error) {
+	log := &Log{fs: files}
+	var disk store.Disk
+	names, err := files.List()
+	if err != nil {
+		return nil, disk, errors.Wrap(err, "disk: list")
 	}
-	return framed(append(text, `]}`...))
-}
-
-// saveOverhead is about what a save without entries takes, in bytes.
-const saveOverhead = 256
-
-// appendSave adds a save to a text as its fields are encoded.
-func appendSave(text []byte, s flow.Save) []byte {
-	text = append(append(text, `{"Hard":`...), encoded(s.Hard)...)
-	text = strconv.AppendUint(append(text, `,"Cut":`...), s.Cut, 10)
-	text = append(text, `,"Add":`...)
-	if s.Add == nil {
-		text = append(text, `null`...)
-	} else {
-		text = flow.AppendEntries(text, s.Add)
-	}
-	return append(append(append(text, `,"Snapshot":`...), encoded(s.Snapshot)...), '}')
-}
-
-func encoded(v any) []byte {
-	b, err := json.Marshal(v)
+	segments, snapshots := logFiles(names)
+	file, err := log.readSnapshot(snapshots)
 	if err != nil {
-		panic(err) // only plain structs come here
+		return nil, disk, err
 	}
-	return b
-}
-
-// unframe reads one frame and gives its size, or false where it is not whole.
-func unframe(b []byte, into any) (int, bool) {
-	at := bytes.IndexByte(b, ' ')
-	if at != 8 {
-		return 0, false
+	if file != nil {
+		disk.Snapshot = &file.Snapshot
 	}
-	end := bytes.IndexByte(b[9:min(len(b), 30)], ' ')
-	if end < 0 {
-		return 0, false
+	if log.Blobs, err = openBlobStore(files, names); err != nil {
+		return nil, disk, err
 	}
-	sum, err1 := strconv.ParseUint(string(b[:8]), 16, 32)
-	n, err2 := strconv.Atoi(string(b[9 : 9+end]))
-	from := 9 + end + 1
-	if err1 != nil || err2 != nil || n < 0 || from+n > len(b) {
-		return 0, false
+	if disk.Items, err = log.needs(disk.Snapshot); err != nil {
+		return nil, disk, err
 	}
-	body := b[from : from+n]
-	if uint64(crc32.ChecksumIEEE(body)) != sum || json.Unmarshal(body, into) != nil {
-		return 0, false
+	if err := log.replayAll(segments, file); err != nil {
+		return nil, disk, err
+	}
+	log.hard = log.damage.applyTo(log.hard)
+	disk.Hard, disk.Entries = log.hard, append([]flow.Entry(nil), log.tail...)
+	if err := log.start(); err != nil {
+		return nil, disk, err
 	}
-	return min(from+n+1, len(b)), true // its end mark need not have got there
+	return log, disk, markLogged(files)
 }
 
-// Open reads what is there. A torn last frame is cut off; anything else that
-// does not read is a stop.
-func Open(fs FS) (*Log, store.Disk, error) {
-	l := &Log{fs: fs}
-	var d store.Disk
-	var file snapshotFile
-	names, err := fs.List()
-	if err != nil {
-		return nil, d, errors.Wrap(err, "disk: list")
-	}
-	segs, digs := parts(names)
-	if len(digs) > 0 {
-		b, err := fs.Read(digName(digs[0]))
-		if err != nil {
-			return nil, d, errors.Wrap(err, "disk: snapshot")
-		}
-		if _, ok := unframe(b, &file); !ok {
-			return nil, d, errors.Wrap(ErrCorrupt, digName(digs[0]))
-		}
-		d.Snapshot, l.base = &file.Snapshot, file.Snapshot.Index
+// readSnapshot reads the newest snapshot; nil if there is none.
+func (l *Log) readSnapshot(snapshots []uint64) (*snapshotFile, error) {
+	if len(snapshots) == 0 {
+		return nil, nil
 	}
-	if l.Blobs, err = openBlobStore(fs, names); err != nil {
-		return nil, d, err
+	name := snapshotName(snapshots[0])
+	raw, err := l.fs.Read(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "disk: snapshot")
 	}
-	if d.Items, err = l.needs(d.Snapshot); err != nil {
-		return nil, d, err
+	var file snapshotFile
+	if _, ok := unframe(raw, &file); !ok {
+		return nil, errors.Wrap(ErrCorrupt, name)
 	}
-	for i, s := range segs {
-		if err := l.replay(s, i == len(segs)-1); err != nil {
-			return nil, d, err
+	l.base = file.Snapshot.Index
+	return &file, nil
+}
+
+// replayAll folds all segments and leaves the entries after the snapshot.
+func (l *Log) replayAll(segments []uint64, file *snapshotFile) error {
+	for i, segment := range segments {
+		if err := l.replay(segment, i == len(segments)-1); err != nil {
+			return err
 		}
-		l.seg = s
-		if file.Ends && s <= file.Seg {
+		l.segment = segment
+		if file != nil && file.Ends && segment <= file.Seg {
 			l.tail = nil
 		}
 	}
@@ -227,22 +178,17 @@
 		l.tail = l.tail[1:]
 	}
 	if len(l.tail) > 0 && l.tail[0].Index != l.base+1 {
-		return nil, d, errors.Wrapf(ErrCorrupt, "entries start at %d after a snapshot at %d", l.tail[0].Index, l.base)
+		return errors.Wrapf(ErrCorrupt, "entries start at %d after a snapshot at %d", l.tail[0].Index, l.base)
 	}
-	l.hard = l.damage.applyTo(l.hard)
-	d.Hard, d.Entries = l.hard, append([]flow.Entry(nil), l.tail...)
-	if err := l.start(); err != nil {
-		return nil, d, err
-	}
-	return l, d, markLogged(fs)
+	return nil
 }
 
 // needs reads the items without which the snapshot can't be loaded.
-func (l *Log) needs(g *flow.Snapshot) (map[flow.Ref][]byte, error) {
-	if g == nil {
+func (l *Log) needs(snapshot *flow.Snapshot) (map[flow.Ref][]byte, error) {
+	if snapshot == nil {
 		return nil, nil
 	}
-	refs, err := ledger.Needs(g.State)
+	refs, err := ledger.Needs(snapshot.State)
 	if err != nil {
 		return nil, errors.Wrap(ErrCorrupt, err.Error())
 	}
@@ -253,15 +199,15 @@
 	if len(got.Missing) > 0 {
 		return nil, errors.Wrapf(ErrMissing, "%s %d", got.Missing[0].Kind, got.Missing[0].ID)
 	}
-	out := map[flow.Ref][]byte{}
-	for _, p := range got.Parts {
-		out[p.Ref] = p.Body
+	items := map[flow.Ref][]byte{}
+	for _, part := range got.Parts {
+		items[part.Ref] = part.Body
 	}
-	return out, nil
+	return items, nil
 }
 
 func (l *Log) replay(seg uint64, last bool) error {
-	name := segName(seg)
+	name := segmentName(seg)
 	b, err := l.fs.Read(name)
 	if err != nil {
 		return errors.Wrap(err, "disk: segment")
@@ -321,26 +267,26 @@
 	}
 }
 
-func (l *Log) fold(s flow.Save) {
-	if s.Hard != nil {
-		l.hard = *s.Hard
+func (l *Log) fold(save flow.Save) {
+	if save.Hard != nil {
+		l.hard = *save.Hard
 	}
-	if s.Snapshot != nil && s.Snapshot.Index > l.base {
-		l.base = s.Snapshot.Index
+	if save.Snapshot != nil && save.Snapshot.Index > l.base {
+		l.base = save.Snapshot.Index
 		i := 0
 		for i < len(l.tail) && l.tail[i].Index <= l.base {
 			i++
 		}
 		l.tail = append([]flow.Entry(nil), l.tail[i:]...)
 	}
-	if s.Cut > 0 {
+	if save.Cut > 0 {
 		i := len(l.tail)
-		for i > 0 && l.tail[i-1].Index >= s.Cut {
+		for i > 0 && l.tail[i-1].Index >= save.Cut {
 			i--
 		}
 		l.tail = l.tail[:i]
 	}
-	for _, e := range s.Add {
+	for _, e := range save.Add {
 		if n := len(l.tail); n > 0 && l.tail[n-1].Index >= e.Index {
 			continue
 		}
@@ -356,17 +302,17 @@
 	}
 	names, err := l.fs.List()
 	if err != nil {
-		return turned(err)
+		return diskError(err)
 	}
 	for _, n := range names {
-		if x, ok := number(n, "log-", ".seg"); ok && x < l.seg {
+		if x, ok := number(n, "log-", ".seg"); ok && x < l.segment {
 			if err := l.fs.Remove(n); err != nil {
-				return turned(err)
+				return diskError(err)
 			}
 		}
 		if x, ok := number(n, "digest-", ".json"); ok && x < l.base {
 			if err := l.fs.Remove(n); err != nil {
-				return turned(err)
+				return diskError(err)
 			}
 		}
 	}
@@ -376,10 +322,10 @@
 // open puts the next segment beside the others.
 func (l *Log) open(r record) error {
 	b := frameOf(r)
-	if err := l.put(segName(l.seg+1), b); err != nil {
+	if err := l.put(segmentName(l.segment+1), b); err != nil {
 		return err
 	}
-	l.seg++
+	l.segment++
 	l.size = int64(len(b))
 	return nil
 }
@@ -394,7 +340,7 @@
 	} {
 		if err := f(); err != nil {
 			_ = l.fs.Remove("new") // room for others, should there be none
-			return turned(err)
+			return diskError(err)
 		}
 	}
 	return nil
@@ -403,23 +349,23 @@
 // Save writes and syncs. After ErrFull the same saves may be given again; after
 // any other failure nothing of this log may be trusted, and the role stops.
 func (l *Log) Save(blobs []flow.BlobChange, saves []flow.Save) error {
-	if err := l.Blobs.do(blobs); err != nil {
+	if err := l.Blobs.apply(blobs); err != nil {
 		return err
 	}
 	var rest []flow.Save
-	for _, s := range saves {
-		if s.Snapshot != nil {
+	for _, save := range saves {
+		if save.Snapshot != nil {
 			// What was saved before the snapshot goes first.
 			if err := l.append(rest); err != nil {
 				return err
 			}
 			rest = nil
-			if err := l.snapshot(s); err != nil {
+			if err := l.snapshot(save); err != nil {
 				return err
 			}
 			continue
 		}
-		rest = append(rest, s)
+		rest = append(rest, save)
 	}
 	return l.append(rest)
 }
@@ -427,18 +373,18 @@
 // Fetch reads from the blob store.
 func (l *Log) Fetch(f flow.Fetch) (flow.Fetched, error) { return l.Blobs.fetch(f) }
 
-func (l *Log) snapshot(s flow.Save) error {
+func (l *Log) snapshot(save flow.Save) error {
 	if err := l.Blobs.sync(); err != nil {
 		return err
 	}
-	if err := l.put(digName(s.Snapshot.Index), frame(snapshotFile{*s.Snapshot, s.Cut > 0, l.seg})); err != nil {
+	if err := l.put(snapshotName(save.Snapshot.Index), frame(snapshotFile{*save.Snapshot, save.Cut > 0, l.segment})); err != nil {
 		return err
 	}
-	l.fold(s)
+	l.fold(save)
 	if err := l.start(); err != nil {
 		return err
 	}
-	return l.Blobs.settle(s.Snapshot.Index)
+	return l.Blobs.settle(save.Snapshot.Index)
 }
 
 func (l *Log) append(saves []flow.Save) error {
@@ -452,16 +398,16 @@
 		}
 	}
 	b := append(frameOf(record{Saves: saves}), frame(record{Mark: markOf(l.hard, saves)})...)
-	name := segName(l.seg)
+	name := segmentName(l.segment)
 	if err := l.fs.Append(name, b); err != nil {
-		if e := turned(err); !errors.Is(e, ErrFull) {
+		if e := diskError(err); !errors.Is(e, ErrFull) {
 			return e
 		}
 		// A part may have got there: without it the log is as it was.
 		if e := l.fs.Truncate(name, l.size); e != nil {
 			return errors.Wrap(ErrSync, e.Error())
 		}
-		return turned(err)
+		return diskError(err)
 	}
 	if err := l.fs.Sync(name); err != nil {
 		return errors.Wrap(ErrSync, err.Error())
@@ -474,16 +420,16 @@
 }
 
 // PutFile replaces one small file beside the log.
-func PutFile(fs FS, name string, b []byte) error {
+func PutFile(files FS, name string, b []byte) error {
 	tmp := name + ".new"
-	if err := fs.Write(tmp, b); err != nil {
+	if err := files.Write(tmp, b); err != nil {
 		return errors.Wrap(err, "disk: file")
 	}
-	if err := fs.Sync(tmp); err != nil {
+	if err := files.Sync(tmp); err != nil {
 		return errors.Wrap(err, "disk: file")
 	}
-	if err := fs.Rename(tmp, name); err != nil {
+	if err := files.Rename(tmp, name); err != nil {
 		return errors.Wrap(err, "disk: file")
 	}
-	return errors.Wrap(fs.SyncDir(), "disk: file")
+	return errors.Wrap(files.SyncDir(), "disk: file")
 }
