The state moves to machines whose link and disk carry it

Cause: on the grown deployments the voters stood on edge machines with 100 Mbit/s and 64 MB of disk. Change: storage machines run the store role, too. Others stand in while too few are sound, and votes move back 12 s after the last loss. Machines that run lots join the store only where they carry more, so nothing moves where none does. What lots may hold follows the smallest disk of a voter; lots go to machines without a copy first, to the leader last. Emptying a voter counts those who would stand in for it. A machine that is not counted for losses says no width. Ruled out: a first formation by appointment (no settings name the machines), two groups. The witness of control calls takes the voters for the majority where storage machines keep the state: the core's own machines say nothing of contact there. Where the core keeps it the check is what it was. Storms pick one of three shapes now, for one of two.

--- a/config/config.go
+++ b/config/config.go
@@ -57,6 +57,7 @@
 	MemoryMB   int               `json:"memory_mb,omitempty"`
 	Files      int               `json:"fds,omitempty"`
 	DiskMB     int               `json:"disk_mb,omitempty"`
+	LinkMbps   float64           `json:"link_mbps,omitempty"`
 	ListRate   float64           `json:"list_rate,omitempty"`   // reads of the platform list a second, of all nodes together
 	ListLagMS  int               `json:"list_lag_ms,omitempty"` // how old that list may be
 	Region     string            `json:"region,omitempty"`
@@ -105,7 +106,7 @@
 		{p.Minutes > 0, func() { b.Age = int64(p.Minutes) * 60 * 1000 }},
 		{p.Results > 0, func() { b.Bytes = p.Results }},
 		{p.Open > 0, func() { b.Open = p.Open }},
-		{p.DiskMB > 0, func() { b.LotBytes = int64(p.DiskMB) << 20 * lotDiskParts / diskParts }},
+		{p.DiskMB > 0, func() { b.LotBytes = ledger.LotBytesOf(p.DiskMB) }},
 	} {
 		if x.has {
 			x.set()
@@ -114,13 +115,6 @@
 	return b
 }
 
-// Lots may hold so many parts of the disk; the log, snapshots and segments that are
-// partly let go need the rest (design 4.7).
-const (
-	lotDiskParts = 5
-	diskParts    = 8
-)
-
 // ErrRead says that the config file can't be read at all.
 var ErrRead = errors.New("config: can't read the file")
 
--- a/core/gossip/entry.go
+++ b/core/gossip/entry.go
@@ -23,7 +23,11 @@
 	Web     string   `json:"web"`
 	Zone    string   `json:"area"` // the name on the wire: builds of both names must read each other
 	Roles   []string `json:"roles"`
-	Cpu     int      `json:"cpu,omitempty"` // thousandths of a core that its machine gives it, 0 where unknown
+	Cpu     int      `json:"cpu,omitempty"`    // thousandths of a core that its machine gives it, 0 where unknown
+	Link    int      `json:"link,omitempty"`   // Mbit/s of its machine's link, 0 where unknown
+	Disk    int      `json:"disk,omitempty"`   // MB of its machine's disk, 0 where unknown
+	Member  bool     `json:"member,omitempty"` // it keeps a copy of the state
+	Leads   bool     `json:"leads,omitempty"`  // it leads the members that do
 	Cluster string   `json:"cluster,omitempty"`
 	Blank   bool     `json:"blank,omitempty"`   // a store machine with an empty disk
 	Left    bool     `json:"left,omitempty"`    // it is stopping: nobody counts on it
@@ -45,8 +49,8 @@
 
 // LotOwners gives the live processes that may own lots: those whose machines are not
 // much smaller than the largest and that neither stop nor are being emptied.
-// Workers, which serve no clients and keep no state, come before dispatchers
-// (design 12.5).
+// Workers, which serve no clients, come before dispatchers, and whoever leads the
+// store comes last (design 12.5).
 func LotOwners(live []Entry) []Entry {
 	var candidates []Entry
 	most := 0
@@ -67,9 +71,18 @@
 		}
 	}
 	if len(workers) > 0 {
-		return workers
+		return followers(workers)
 	}
-	return others
+	return followers(others)
+}
+
+// followers leaves out whoever leads the store, where anybody else is there.
+func followers(entries []Entry) []Entry {
+	rest := slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool { return e.Leads })
+	if len(rest) == 0 {
+		return entries
+	}
+	return rest
 }
 
 // Has says whether the process runs a role.
@@ -100,6 +113,6 @@
 // sameContent says whether two entries differ in nothing but their heartbeat counters.
 func sameContent(a, b Entry) bool {
 	return a.ID == b.ID && a.Inc == b.Inc && a.Web == b.Web && a.Zone == b.Zone &&
-		a.Cluster == b.Cluster && a.Blank == b.Blank && a.Left == b.Left && a.Retired == b.Retired &&
+		a.Cluster == b.Cluster && a.Blank == b.Blank && a.Left == b.Left && a.Retired == b.Retired && a.Member == b.Member && a.Leads == b.Leads &&
 		slices.Equal(a.Roles, b.Roles) && slices.Equal(a.Sees, b.Sees)
 }
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -7,6 +7,7 @@
 
 import (
 	"math/rand"
+	"slices"
 
 	"fernlink/core/budget"
 	"fernlink/core/flow"
@@ -68,11 +69,12 @@
 // Reseed takes other seeds, as the settings name them now.
 func (g *Gossip) Reseed(seeds []string) { g.seeds = seeds }
 
-// Announce sets what the node's own entry is to carry from now on.
-func (g *Gossip) Announce(blank bool, known Known) {
-	g.self.Blank = blank
+// Announce sets what the entry of a node that runs a store is to carry from now on.
+func (g *Gossip) Announce(blank, leads bool, known Known) {
+	g.self.Blank, g.self.Leads = blank, leads
 	g.learn(known)
 	g.self.Cluster = g.known.Cluster
+	g.self.Member = slices.Contains(g.known.Stores, g.self.Addr)
 }
 
 func (g *Gossip) learn(known Known) {
--- a/core/ledger/lot_room.go
+++ b/core/ledger/lot_room.go
@@ -2,6 +2,16 @@
 
 package ledger
 
+// Lots may hold so many parts of the disk; the log, snapshots and segments that are
+// partly let go need the rest.
+const (
+	lotDiskParts = 5
+	diskParts    = 8
+)
+
+// LotBytesOf is what lots may hold on a disk of so many MB.
+func LotBytesOf(diskMB int) int64 { return int64(diskMB) << 20 * lotDiskParts / diskParts }
+
 // usualTextBytes is what a text is taken to need while none is kept.
 const usualTextBytes = 4 << 10
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -27,6 +27,8 @@
 	ID         string
 	Name       string // the machine's, by which operators call it
 	Cpu        int    // thousandths of a core that the machine gives, 0 where unknown
+	LinkMbps   int    // width of the machine's link, 0 where unknown
+	DiskMB     int    // size of its disk, 0 where unknown
 	Inc        int64
 	Addr       string
 	Web        string
@@ -103,7 +105,7 @@
 func New(now flow.Time, p Config) (*Node, error) {
 	n := &Node{p: p, counts: map[string]int64{}, burst: map[string]flow.Time{}, began: now, known: p.Known}
 	r := func() *rand.Rand { p.Seed++; return rand.New(rand.NewSource(p.Seed * 7919)) }
-	self := gossip.Entry{ID: p.ID, Name: p.Name, Cpu: p.Cpu, Inc: p.Inc, Addr: p.Addr, Web: p.Web, Zone: p.Zone, Roles: p.Roles}
+	self := gossip.Entry{ID: p.ID, Name: p.Name, Cpu: p.Cpu, Link: p.LinkMbps, Disk: p.DiskMB, Inc: p.Inc, Addr: p.Addr, Web: p.Web, Zone: p.Zone, Roles: p.Roles}
 	n.gossip = gossip.New(gossip.Config{Self: self, Known: p.Known, Seeds: p.Seeds, Rand: r()})
 	n.asker = ask.New(firstAsk(p))
 	if n.runs("store") {
@@ -213,7 +215,7 @@
 	switch {
 	case n.busy():
 		return budget.TickInterval
-	case n.store != nil:
+	case n.store != nil && !n.outside():
 		return followerTicks * budget.TickInterval
 	default:
 		return idleTicks * budget.TickInterval
@@ -223,12 +225,15 @@
 // busy says whether any part has deadlines that are short.
 func (n *Node) busy() bool {
 	return n.stop != 0 || len(n.held) > 0 ||
-		n.store != nil && !n.store.Resting() ||
+		n.store != nil && !n.outside() && !n.store.Resting() ||
 		n.coord != nil && n.coord.Acting(n.now) ||
 		n.disp != nil && !n.disp.Idle(n.now) ||
 		n.serve != nil && !n.serve.Idle()
 }
 
+// outside says that this node's store has no part in the cluster, as far as is known.
+func (n *Node) outside() bool { return n.store.Outside(n.gossip.Known()) }
+
 func (n *Node) local(out *flow.Outbox) []flow.Line {
 	var mine, rest []flow.Line
 	for _, l := range out.Lines {
@@ -248,7 +253,7 @@
 	if n.store != nil {
 		n.store.Advance(now, wall, live, n.gossip.Self(), &n.box)
 		n.release(out)
-		n.gossip.Announce(n.store.Blank(), n.store.Known())
+		n.gossip.Announce(n.store.Forming(), n.store.Leads(), n.store.Known())
 	}
 	n.asker.Advance(now, n.gossip.Known().Stores, out)
 	if n.disp != nil {
--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -39,10 +39,19 @@
 		}
 	}
 	if successor != "" {
-		r.send(successor, Message{Kind: MessageTimeoutNow, Term: r.hard.Term})
+		r.TransferTo(successor)
 	}
 }
 
+// TransferTo asks one voter to take over at once.
+func (r *Raft) TransferTo(id string) {
+	i := r.conf.Find(id)
+	if r.role != Leader || id == r.id || i < 0 || !r.conf.Members[i].Voter {
+		return
+	}
+	r.send(id, Message{Kind: MessageTimeoutNow, Term: r.hard.Term})
+}
+
 func (r *Raft) handleTimeoutNow(message Message) {
 	if message.Term == r.hard.Term && r.leader == message.From && r.role == Follower {
 		r.campaign(true)
--- a/core/serve/lots/owners.go
+++ b/core/serve/lots/owners.go
@@ -30,23 +30,21 @@
 	if ownLast && (!idle || !t.yields(key, last)) {
 		return last
 	}
-	best, weight := "", uint64(0)
+	next, best := "", gossip.Fitness{}
 	for _, e := range able {
 		id := e.Start()
-		if idle && busy[id] {
-			continue
-		}
-		if id == t.env.Me && key == pool {
+		if id == t.env.Me && key == pool && (!idle || !busy[id]) {
 			return id // it has the items already
 		}
-		if w := prefix.Weight(key, id); best == "" || w > weight {
-			best, weight = id, w
+		fitness := gossip.Fitness{Idle: !busy[id], Free: !e.Member, Weight: prefix.Weight(key, id)}
+		if next == "" || fitness.Beats(best) {
+			next, best = id, fitness
 		}
 	}
-	if best == "" {
+	if next == "" {
 		return t.env.Me
 	}
-	return best
+	return next
 }
 
 // ownerKey names the lots that one owner runs together: those of a pool, or of
--- a/core/store/keep.go
+++ b/core/store/keep.go
@@ -50,10 +50,10 @@
 	if s.raft.Role() != raft.Leader || !s.raft.Ready() || s.timed != s.raft.Term() {
 		return
 	}
-	if s.bounded != s.raft.Term() {
-		s.bounded = s.raft.Term()
-		if s.p.Bounds.Keys > 0 && s.ledger.Bounds != s.p.Bounds {
-			s.propose(ledger.PutBounds(s.p.Bounds))
+	if now >= s.bounded && s.placement.disks != nil {
+		s.bounded = now + budget.FailureTimeout
+		if bounds := s.bounds(); s.p.Bounds.Keys > 0 && s.ledger.Bounds != bounds {
+			s.propose(ledger.PutBounds(bounds))
 		}
 	}
 	if now < s.orphan || now-s.raft.Since() < budget.Heal {
--- a/core/store/leave.go
+++ b/core/store/leave.go
@@ -34,7 +34,7 @@
 	}
 	if s.raft.Role() == raft.Leader && now >= s.moved {
 		s.moved = now + budget.ElectionTimeout/2
-		s.raft.Transfer()
+		s.transfer(now)
 	}
 }
 
--- a/core/store/members.go
+++ b/core/store/members.go
@@ -260,7 +260,7 @@
 		s.refuse(w, lastCopy, out)
 		return
 	}
-	if s.spares(now, c, "") <= s.voidVotes(now, c) && c.Voters() <= want(c) {
+	if s.spares(now, c, "")+s.standIns(c, id) <= s.voidVotes(now, c) && c.Voters() <= want(c) {
 		s.refuse(w, noSuccessor, out)
 		return
 	}
--- a/core/store/owners.go
+++ b/core/store/owners.go
@@ -19,8 +19,7 @@
 // leader that is new may not have heard the owner yet, and waits for as long as a
 // silent owner is waited for: whoever lives renews several times in it. An earlier start of a node that
 // renews is over, whoever heard it.
-func (s *Store) owners(now flow.Time, live []gossip.Entry, self gossip.Entry) {
-	s.live, s.self = live, self
+func (s *Store) owners(now flow.Time) {
 	if now < s.owned || s.raft.Role() != raft.Leader || !s.raft.Ready() || s.timed != s.raft.Term() {
 		return
 	}
@@ -74,10 +73,10 @@
 
 // able gives the starts of dispatchers on machines that are large enough to own
 // lots, as they were last heard.
-func (s *Store) able() map[string]bool {
-	able := map[string]bool{}
+func (s *Store) able() map[string]gossip.Entry {
+	able := map[string]gossip.Entry{}
 	for _, e := range gossip.LotOwners(append(slices.Clip(s.live), s.self)) {
-		able[e.Start()] = true
+		able[e.Start()] = e
 	}
 	return able
 }
@@ -125,18 +124,17 @@
 	if g, moved := s.lots[r.ID]; moved && now-g.at < budget.FailureTimeout && (g.was == r.Owner || !left) {
 		return
 	}
-	next, most, nextIdle := "", uint64(0), false
+	next, best := "", gossip.Fitness{}
 	starts, able, busy := s.starts(now), s.able(), s.otherOwners(r)
 	for _, id := range sorted.Keys(s.seen) {
 		x := s.seen[id]
-		if id == r.Owner || x.left || now-x.at > budget.LeaseDuration || starts.after(id) || len(able) > 0 && !able[id] {
+		if id == r.Owner || x.left || now-x.at > budget.LeaseDuration || starts.after(id) || len(able) > 0 && able[id].ID == "" {
 			continue
 		}
 		// The lots of a pool keep together, so that one place knows its engines.
-		// One that owns no lots of another pool or model comes first.
-		w, idle := prefix.Weight(cmp.Or(r.Pool, r.ID), id), !busy[id]
-		if next == "" || idle && !nextIdle || idle == nextIdle && w > most {
-			next, most, nextIdle = id, w, idle
+		fitness := gossip.Fitness{Idle: !busy[id], Free: !able[id].Member, Weight: prefix.Weight(cmp.Or(r.Pool, r.ID), id)}
+		if next == "" || fitness.Beats(best) {
+			next, best = id, fitness
 		}
 	}
 	if next == "" {
--- a/core/store/repair.go
+++ b/core/store/repair.go
@@ -31,6 +31,7 @@
 		}
 	}
 	c := s.raft.Conf()
+	s.judge(now, c, live)
 	for _, f := range rules {
 		next, what := f(s, now, c, live)
 		if what == "" {
@@ -59,6 +60,9 @@
 	(*Store).fill,
 	(*Store).spread,
 	(*Store).grow,
+	(*Store).moveVote,
+	(*Store).dropNarrowLearner,
+	(*Store).dropSurplusLearner,
 	(*Store).forgetLearner,
 }
 
@@ -66,26 +70,38 @@
 // but not one that was retired. One that was taken out for its silence a moment
 // ago may still be spoken of by others.
 func (s *Store) takeIn(now flow.Time, c raft.Conf, live []gossip.Entry) (raft.Conf, string) {
-	heard := 0
+	wants, heard := max(want(c), s.p.Want), 0
 	for _, m := range c.Members {
-		if m.ID == s.p.ID || s.raft.Silent(m.ID, now) < budget.FailureTimeout {
+		replaceable := s.placement.narrow[m.ID] && s.placement.enough(wants)
+		if !replaceable && (m.ID == s.p.ID || s.raft.Silent(m.ID, now) < budget.FailureTimeout) {
 			heard++
 		}
 	}
 	// One stands by for each voter that may be lost; each more would be one more
 	// copy of all that is written.
-	if wants := max(want(c), s.p.Want); len(c.Members) >= mostMembers || heard >= wants+(wants-1)/2 {
+	full := heard >= wants+standby(wants)
+	if len(c.Members) >= mostMembers {
 		return c, ""
 	}
+	var candidates []gossip.Entry
 	for _, e := range live {
 		if _, silent := s.silent[e.ID]; silent || s.isStopping(e.ID, now) || !e.Has("store") || e.Cluster != s.raft.Cluster() || c.Find(e.ID) >= 0 || slices.Contains(c.Retired, e.ID) {
 			continue
 		}
-		return c.With(raft.Member{ID: e.ID, Addr: e.Addr, Zone: e.Zone}), "took in a learner"
+		if s.placement.admits(e, wants) && !e.Retired && (!full || s.spreads(c, e)) {
+			candidates = append(candidates, e)
+		}
 	}
-	return c, ""
+	if len(candidates) == 0 {
+		return c, ""
+	}
+	e := s.firstToTakeIn(c, candidates)
+	return c.With(raft.Member{ID: e.ID, Addr: e.Addr, Zone: e.Zone}), "took in a learner"
 }
 
+// standby is how many learners are to stand ready beside so many voters.
+func standby(voters int) int { return (voters - 1) / 2 }
+
 func want(c raft.Conf) int {
 	if c.Want > 0 {
 		return c.Want
@@ -165,7 +181,8 @@
 	return c.With(m), "promoted a learner"
 }
 
-// spare picks the ready learner that spreads the voters best, or "".
+// spare picks the ready learner that spreads the voters best, or "". Those on
+// machines that carry less than others come last.
 func (s *Store) spare(now flow.Time, c raft.Conf) string {
 	held := map[string]int{}
 	for _, m := range c.Members {
@@ -178,7 +195,12 @@
 		if m.Voter || m.Leave || !s.ready(m.ID, now) {
 			continue
 		}
-		if best < 0 || held[m.Zone] < held[c.Members[best].Zone] {
+		if best < 0 {
+			best = i
+			continue
+		}
+		worse, narrow := s.placement.narrow[c.Members[best].ID], s.placement.narrow[m.ID]
+		if worse && !narrow || worse == narrow && held[m.Zone] < held[c.Members[best].Zone] {
 			best = i
 		}
 	}
@@ -188,10 +210,21 @@
 	return c.Members[best].ID
 }
 
+// Why a voter leaves where there is one more than wanted: the highest leaves first.
+const (
+	scoreNone       = iota // it stays
+	scoreSpare             // the silent one came back; it is taken in again as a learner
+	scoreSharesZone        // another voter stands in its zone
+	scoreNarrow            // its machine carries less than others
+	scoreNarrowAlso        // and another voter stands in its zone
+	scoreLeaving           // its machine is to be emptied, or stops
+	scoreLost              // whoever takes its place votes already
+)
+
 // trim takes one voter out where there is one more than wanted: first one that
-// is silent, then one that is to be emptied, then one of two in a zone. A
-// leader that can commit this has a majority of one more, so what is left has
-// one too.
+// is silent, then one that is to be emptied, then one on a machine that carries less
+// than others, then one of two in a zone. A leader that can commit this has a
+// majority of one more, so what is left has one too.
 func (s *Store) trim(now flow.Time, c raft.Conf, _ []gossip.Entry) (raft.Conf, string) {
 	if c.Voters() <= want(c) {
 		return c, ""
@@ -202,36 +235,55 @@
 			held[m.Zone]++
 		}
 	}
-	worst, score := -1, 0
+	worst, score := -1, scoreNone
 	for i, m := range c.Members {
 		if !m.Voter {
 			continue
 		}
-		n := 0
-		if m.ID != s.p.ID {
-			n = 1 // the silent one came back; it is taken in again as a learner
-		}
-		if held[m.Zone] > 1 && m.ID != s.p.ID {
-			n = 2
-		}
-		if m.Leave || s.isStopping(m.ID, now) {
-			n = 3
-		}
-		if s.raft.Silent(m.ID, now) >= budget.FailureTimeout || s.replaced(m, now) {
-			n = 4 // whoever takes its place votes already
-		}
-		if n > score {
+		if n := s.trimScore(now, m, held); n > score {
 			worst, score = i, n
 		}
 	}
 	if worst < 0 {
 		return c, ""
 	}
-	id := c.Members[worst].ID
-	if c.Members[worst].Leave {
-		return retire(c, id), "emptied a store machine"
+	leaves := c.Members[worst]
+	if (score == scoreNarrow || score == scoreNarrowAlso) && !s.othersReady(now, c, leaves.ID) {
+		return c, ""
+	}
+	if leaves.ID != s.p.ID {
+		s.placement.handedAt = 0
+	} else if s.handOn(now, c) {
+		return c, ""
+	}
+	if leaves.Leave {
+		return retire(c, leaves.ID), "emptied a store machine"
+	}
+	return c.Without(leaves.ID), "took out a voter"
+}
+
+// trimScore says how much there is for taking a voter out. This leader itself goes
+// only where it must, and after the others that must.
+func (s *Store) trimScore(now flow.Time, m raft.Member, held map[string]int) int {
+	shared, own := held[m.Zone] > 1, m.ID == s.p.ID
+	switch {
+	case s.raft.Silent(m.ID, now) >= budget.FailureTimeout || s.replaced(m, now):
+		return scoreLost
+	case m.Leave || s.isStopping(m.ID, now):
+		return scoreLeaving
+	case s.placement.narrow[m.ID] && shared && !own:
+		return scoreNarrowAlso
+	case s.placement.narrow[m.ID] && !own:
+		return scoreNarrow
+	case s.placement.narrow[m.ID] && !s.otherNarrowVoter():
+		return scoreNarrow
+	case own:
+		return scoreNone
+	case shared:
+		return scoreSharesZone
+	default:
+		return scoreSpare
 	}
-	return c.Without(id), "took out a voter"
 }
 
 // spread swaps a voter for a ready learner where two voters share a zone and
@@ -252,7 +304,7 @@
 		return c, ""
 	}
 	m := c.Members[c.Find(id)]
-	if held[m.Zone] > 0 {
+	if held[m.Zone] > 0 || s.placement.narrow[id] {
 		return c, ""
 	}
 	m.Voter = true
@@ -275,10 +327,15 @@
 	return c, "wants more voters"
 }
 
-// forgetLearner drops a learner that has been silent for very long.
+// forgetLearner drops a learner that has been silent for very long, sooner where no
+// other fits in, and at once where somebody else speaks from its address.
 func (s *Store) forgetLearner(now flow.Time, c raft.Conf, _ []gossip.Entry) (raft.Conf, string) {
+	patience := 5 * budget.Heal
+	if len(c.Members) >= mostMembers {
+		patience = budget.Heal
+	}
 	for _, m := range c.Members {
-		if !m.Voter && s.raft.Silent(m.ID, now) >= 5*budget.Heal {
+		if !m.Voter && (s.raft.Silent(m.ID, now) >= patience || s.replaced(m, now)) {
 			return c.Without(m.ID), "dropped a silent learner"
 		}
 	}
--- a/core/store/stats.go
+++ b/core/store/stats.go
@@ -27,6 +27,7 @@
 	Pulled   int           `json:"pieces_total"`
 	Strays   int           `json:"stray_pieces_total"`
 	Snapshot int           `json:"snapshot_bytes"`
+	LotBytes int64         `json:"lot_bytes"` // what lots may hold on the disk, 0 where nothing is known of it
 	Receipts int           `json:"order_receipts"`
 	Repeated int           `json:"order_repeats_total"`
 	Changed  int           `json:"order_changes_total"`
@@ -58,6 +59,7 @@
 		Pulled:    s.counts["pieces"],
 		Strays:    s.counts["stray_pieces"] + s.counts["stray_pulls"],
 		Snapshot:  s.snapshotSize(),
+		LotBytes:  s.ledger.Bounds.LotBytes,
 		Receipts:  s.ledger.Receipts.Len(),
 		Repeated:  s.ledger.OrderCounts.Repeated,
 		Changed:   s.ledger.OrderCounts.Changed,
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -67,27 +67,29 @@
 	blob        []byte // the newest snapshot as it is sent in pieces
 	blobAt      uint64
 	checked     bool           // the blob store was told what must be there
-	bounded     uint64         // the term in which the bounds were looked at
+	bounded     flow.Time      // when the bounds are looked at next
 	contact     contact        // of the acting coordinator
 	contactTerm uint64         // its term
 	live        []gossip.Entry // the peers heard of late, and this machine
 	self        gossip.Entry
-	freed       uint64               // the term whose holder gave it up
-	moved       flow.Time            // when leadership is handed on next
-	orphan      flow.Time            // when lost claims are looked for next
-	lots        map[string]given     // when this leader gave a lot another owner
-	silent      map[string]flow.Time // when silent members were taken out
-	stopping    map[string]flow.Time // when members last said that they stop
-	caughtUp    catchUpTarget        // what a learner has to have
-	leaveBy     flow.Time            // until when this member waits for another to take its vote
-	owned       flow.Time            // when owners of lots are looked at next
+	freed       uint64                  // the term whose holder gave it up
+	moved       flow.Time               // when leadership is handed on next
+	orphan      flow.Time               // when lost claims are looked for next
+	lots        map[string]given        // when this leader gave a lot another owner
+	silent      map[string]flow.Time    // when silent members were taken out
+	stopping    map[string]flow.Time    // when members last said that they stop
+	caughtUp    catchUpTarget           // what a learner has to have
+	leaveBy     flow.Time               // until when this member waits for another to take its vote
+	owned       flow.Time               // when owners of lots are looked at next
+	placement   placement               // how the leader judges store machines
+	machines    map[string]gossip.Entry // what they said of themselves, by identity
 }
 
 // New starts a store from its disk.
 func New(now flow.Time, p Config) (*Store, error) {
 	s := &Store{p: p, ledger: ledger.New(), addrs: map[string]string{}, writes: map[uint64]wait{},
 		reads: map[uint64]wait{}, renewals: renewals{proving: map[uint64][]wait{}}, seen: map[string]leaseHolder{}, counts: map[string]int{},
-		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, retention: newRetention(), lots: map[string]given{}, silent: map[string]flow.Time{}, stopping: map[string]flow.Time{}}
+		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, retention: newRetention(), lots: map[string]given{}, machines: map[string]gossip.Entry{}, silent: map[string]flow.Time{}, stopping: map[string]flow.Time{}}
 	if d := p.Disk.Snapshot; d != nil {
 		l, err := ledger.Load(d.State, p.Disk.Items)
 		if err != nil {
@@ -177,6 +179,7 @@
 		out.Blobs = append(out.Blobs, flow.BlobChange{Only: s.ledger.Items(), At: s.raft.Snapshot().Index})
 	}
 	s.checked, s.p.Disk = true, Disk{} // it is not needed any more
+	s.live, s.self = live, self
 	s.form(now, live, self, out)
 	if s.raft.Ready() {
 		s.caughtUp.note(now, s.raft.Term(), s.raft.Commit())
@@ -222,7 +225,7 @@
 	s.pulling(out)
 	s.compact(now, out)
 	s.orphans(now)
-	s.owners(now, live, self)
+	s.owners(now)
 	if s.raft.Ready() && s.timed != s.raft.Term() {
 		// Only now is all that was committed before in the ledger.
 		s.timed, s.stamp, s.lead = s.raft.Term(), s.ledger.Clock, now
@@ -253,6 +256,7 @@
 	s.grant = 0
 	s.lots = map[string]given{}
 	s.stopping = map[string]flow.Time{}
+	s.placement = placement{}
 	s.retention = newRetention()
 }
 
--- a/shell/daemon/daemon.go
+++ b/shell/daemon/daemon.go
@@ -103,6 +103,17 @@
 	Seeds     func() ([]string, bool) // the settings' seeds, where they changed since the last call
 }
 
+// carries gives the width of the link and the size of the disk by which the store
+// judges where the state belongs. A machine that does not count may go at any time
+// with its disk, beside as many of the others as may be lost: it is given no state
+// for its width.
+func carries(settings config.Config) (linkMbps, diskMB int) {
+	if settings.CoreLosses > 0 && !settings.Counted {
+		return 0, 0
+	}
+	return int(settings.LinkMbps), settings.DiskMB
+}
+
 func makeNode(settings config.Config, folder Folder, platform Platform) (*node.Node, error) {
 	var seed [8]byte
 	if _, err := rand.Read(seed[:]); err != nil {
@@ -116,10 +127,11 @@
 	if settings.Times != nil {
 		lotKeep = flow.Time(settings.Times.Report) * time.Millisecond
 	}
+	link, disk := carries(settings)
 	return node.New(clock.Now(), node.Config{
 		ID: folder.Identity.ID, Inc: folder.Identity.Inc, Name: settings.Name,
 		Addr: settings.Addr, Web: settings.Web, Zone: settings.Zone, Roles: settings.Roles,
-		Cpu: int(1000 * settings.CPUShare), Seeds: settings.Seeds, Form: settings.Form,
+		Cpu: int(1000 * settings.CPUShare), LinkMbps: link, DiskMB: disk, Seeds: settings.Seeds, Form: settings.Form,
 		First: settings.FirstStart, Want: 2*settings.CoreLosses + 1,
 		Platform: list, Codec: platform.Codec, LotKeep: lotKeep,
 		Seed: int64(binary.LittleEndian.Uint64(seed[:]) >> 8),
--- a/sim/control_cut.go
+++ b/sim/control_cut.go
@@ -17,10 +17,19 @@
 
 var directions = []direction{bothWays, inOnly, outOnly}
 
-// cutOff cuts a machine from the other machines of the core. Operators, clients
-// and machines without a disk still reach it.
+// keepers gives the machines that may keep the state: those of the core, and where
+// they carry it better those that stand by.
+func (s *Site) keepers() []*Host {
+	if s.Shape.wide() {
+		return s.w.By("store")
+	}
+	return s.Core()
+}
+
+// cutOff cuts a machine from the other machines that may keep the state. Operators,
+// clients and machines without a disk still reach it.
 func (s *Site) cutOff(h *Host, manner Manner, way direction, d time.Duration) {
-	rest := slices.DeleteFunc(s.Core(), func(x *Host) bool { return x == h })
+	rest := slices.DeleteFunc(slices.Clone(s.keepers()), func(x *Host) bool { return x == h })
 	self := []*Host{h}
 	switch way {
 	case inOnly:
--- a/sim/control_witness.go
+++ b/sim/control_witness.go
@@ -36,7 +36,8 @@
 	contact map[*Host]time.Duration // the last moment of contact with a majority
 	broken  map[*Host]time.Duration // the last moment at which it did not run
 	answers []controlAnswer
-	silent  int // calls without an answer within the operator's patience
+	voters  []*Host // as the leader had them last
+	silent  int     // calls without an answer within the operator's patience
 	keep    bool
 }
 
@@ -45,9 +46,13 @@
 }
 
 // watch notes who may be in contact with a majority: who has a path both ways to
-// a machine of the core that has one to another. The core has three voters, so
-// two of its machines are what a majority takes at least.
+// a machine of those that keep the state that has one to as many others as a majority
+// takes. Where the core keeps it there are three voters, so two are what that takes
+// at least; where storage machines do, the voters are those that the leader had last.
 func (v *witness) watch() {
+	if v.s.Shape.wide() {
+		v.seeVoters()
+	}
 	for _, h := range v.s.w.Hosts {
 		v.look(h)
 	}
@@ -58,14 +63,38 @@
 		v.broken[h] = v.s.w.Now
 		return
 	}
-	core := v.s.Core()
-	if slices.ContainsFunc(core, func(c *Host) bool { return c.works() && v.s.joined(h, c) && v.paired(c, core) }) {
+	keepers, others := v.s.Core(), usualVoters/2
+	if v.s.Shape.wide() {
+		keepers, others = v.voters, len(v.voters)/2
+	}
+	if slices.ContainsFunc(keepers, func(c *Host) bool {
+		return c.works() && v.s.joined(h, c) && v.reaches(c, keepers) >= others
+	}) {
 		v.contact[h] = v.s.w.Now
 	}
 }
 
-func (v *witness) paired(c *Host, core []*Host) bool {
-	return slices.ContainsFunc(core, func(d *Host) bool { return d != c && d.works() && v.s.joined(c, d) })
+// reaches counts the other machines to which one has a path both ways.
+func (v *witness) reaches(c *Host, keepers []*Host) (count int) {
+	for _, d := range keepers {
+		if d != c && d.works() && v.s.joined(c, d) {
+			count++
+		}
+	}
+	return count
+}
+
+// seeVoters notes who votes, by the leader's membership.
+func (v *witness) seeVoters() {
+	var voters []*Host
+	for _, m := range v.s.membership() {
+		if h := v.s.w.hostOf(m.ID); m.Voter && h != nil {
+			voters = append(voters, h)
+		}
+	}
+	if 2*len(voters) > v.s.Shape.voters() {
+		v.voters = voters
+	}
 }
 
 // decided are the answers that say something of what the core holds.
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -22,8 +23,15 @@
 	Bounds                      ledger.Bounds
 	Spare                       int  // further machines with a disk: learners that stand ready
 	Mixed                       bool // the machines with disks run coordinators too
+	Wide                        int  // machines with a disk that carry the state better than all others
 }
 
+// Links and disks of fleets that have wide machines.
+const (
+	narrowLink, narrowDisk = 100, 64
+	wideLink, wideDisk     = 600, 440
+)
+
 // Small keeps stories quick; the two deployments are the users' own, fourteen
 // machines each, of which three and four have a disk.
 var (
@@ -87,8 +95,16 @@
 			name, p.Roles = fmt.Sprintf("disp-%d", i-disks-s.Coords+1), []string{"dispatcher"}
 			p.Platform = "http://10.3.0.2:80/engines"
 		}
+		if s.Wide > 0 {
+			p.LinkMbps, p.DiskMB = narrowLink, narrowDisk
+		}
 		w.AddHost(name, p, i < disks+s.Coords)
 	}
+	for i := range s.Wide {
+		p := node.Config{Addr: addr(n + i), Web: fmt.Sprintf("10.0.0.%d:2", n+i+1), Zone: zone(i), Seeds: seeds, Keep: s.Keep, Bounds: s.Bounds, BlocksMost: 65536,
+			Roles: []string{"store"}, LinkMbps: wideLink, DiskMB: wideDisk}
+		w.AddHost(fmt.Sprintf("wide-%d", i+1), p, true)
+	}
 	return w
 }
 
@@ -138,7 +154,10 @@
 	return nil
 }
 
-// Repaired says whether three voters stand, all of them up.
+// usualVoters is how many voters a fleet wants where nothing else is said.
+const usualVoters = 3
+
+// Repaired says whether as many voters stand as are wanted, all of them up.
 func (w *World) Repaired() bool {
 	l := w.Leader()
 	if l == nil {
@@ -154,7 +173,7 @@
 			return false
 		}
 	}
-	return n == 3
+	return n == cmp.Or(w.Voters, usualVoters)
 }
 
 // Serving says whether every running dispatcher serves with its engines.
--- a/sim/second_loss_test.go
+++ b/sim/second_loss_test.go
@@ -40,6 +40,7 @@
 	// lost with all promises kept.
 	borneFrom time.Duration
 	from, to  time.Duration // the instants of interest
+	shape     *Shape        // of the fleet, where it is not the usual one
 }
 
 const backAfter = 300 * time.Millisecond
@@ -48,21 +49,37 @@
 	{"a wiped voter is back at its address", func(s *lossStory) {
 		s.changing.Lose(true)
 		s.w.After(backAfter, s.changing.Start)
-	}, backAfter + syncTime, 0, 6 * time.Second},
+	}, backAfter + syncTime, 0, 6 * time.Second, nil},
 	{"an empty machine elsewhere replaces a lost voter", func(s *lossStory) {
 		s.changing.Lose(true)
 		s.changing.Retired = true
 		s.w.After(backAfter, func() { s.successor() })
-	}, backAfter + syncTime, 0, 6 * time.Second},
-	{"a follower is replaced as planned", (*lossStory).replaceAsPlanned, 0, syncTime, syncTime + 3*time.Second},
+	}, backAfter + syncTime, 0, 6 * time.Second, nil},
+	{"a follower is replaced as planned", (*lossStory).replaceAsPlanned, 0, syncTime, syncTime + 3*time.Second, nil},
 	{"the leader is replaced as planned", func(s *lossStory) {
 		s.changing = s.w.Leader()
 		s.replaceAsPlanned()
-	}, 0, syncTime, syncTime + 3*time.Second},
-	{"a machine is added", func(s *lossStory) { s.successor() }, 0, 0, 2 * time.Second},
-	{"an operator removes a member", (*lossStory).removeByOperator, 0, 0, 4 * time.Second},
+	}, 0, syncTime, syncTime + 3*time.Second, nil},
+	{"a machine is added", func(s *lossStory) { s.successor() }, 0, 0, 2 * time.Second, nil},
+	{"an operator removes a member", (*lossStory).removeByOperator, 0, 0, 4 * time.Second, nil},
+	{"the votes move to machines that carry more", (*lossStory).addWide, 0, 0, 800 * time.Millisecond, &moveShape},
 }
 
+// moveShape has three machines that carry more than the voters; they start late.
+var moveShape = Shape{Zones: lossShape.Zones, Stores: 3, Coords: 1, Dispatchers: 2, Models: 1, Apps: 1, Keep: 64, Wide: 3}
+
+// addWide starts the machines that carry more than the voters.
+func (s *lossStory) addWide() {
+	for _, h := range s.w.Hosts {
+		if h.isWide() {
+			h.Start()
+		}
+	}
+}
+
+// isWide says that a machine carries more than those of the usual fleet.
+func (h *Host) isWide() bool { return h.Config.LinkMbps == wideLink }
+
 // successor starts an empty machine in the zone of the one that changes.
 func (s *lossStory) successor() { s.fresh("successor", 1, s.changing.Config.Zone) }
 
@@ -202,7 +219,11 @@
 
 // run plays it and gives how long orders stood still.
 func (l secondLoss) run(t *testing.T) time.Duration {
-	s := &lossStory{story: givenShape(t, l.seed, lossShape)}
+	shape := lossShape
+	if l.change.shape != nil {
+		shape = *l.change.shape
+	}
+	s := &lossStory{story: givenWithoutWide(t, l.seed, shape)}
 	s.bulk(2)
 	s.write()
 	s.w.Run(time.Second)
--- a/sim/serve_fault_list.go
+++ b/sim/serve_fault_list.go
@@ -30,6 +30,19 @@
 	return ok
 }
 
+// onStorage has a storage machine meet trouble. Where those keep the state, it counts
+// as one of the machines that may be lost.
+func (s *Site) onStorage(r *rand.Rand, f func(*Host)) bool {
+	if s.Shape.wide() && (s.w.Leader() == nil || !s.w.Repaired() || len(s.up(s.Storage())) < len(s.Storage())) {
+		return false
+	}
+	h, ok := pick(r, s.up(s.Storage()))
+	if ok {
+		f(h)
+	}
+	return ok
+}
+
 func (s *Site) onEdge(r *rand.Rand, f func(*Host)) bool {
 	h, ok := pick(r, s.up(s.Dispatchers()))
 	if ok && !h.Has("store") {
@@ -178,7 +191,7 @@
 		return s.onEdge(r, func(h *Host) { s.Freeze(h, s.seconds(r, 0.3, 10)) })
 	}},
 	{"cut an edge machine from the core", func(s *Site, r *rand.Rand) bool {
-		return s.onEdge(r, func(h *Host) { s.Cut([]*Host{h}, s.Core(), r.Intn(2) == 0, s.seconds(r, 2, 18)) })
+		return s.onEdge(r, func(h *Host) { s.Cut([]*Host{h}, s.keepers(), r.Intn(2) == 0, s.seconds(r, 2, 18)) })
 	}},
 	{"stop machines in turn", func(s *Site, r *rand.Rand) bool {
 		if s.w.Leader() == nil || !s.w.Repaired() || len(s.up(s.Dispatchers())) < len(s.Dispatchers()) {
@@ -286,33 +299,45 @@
 		return true
 	}},
 	{"empty a storage machine", func(s *Site, r *rand.Rand) bool {
-		h, ok := pick(r, s.up(s.Storage()))
-		if ok {
-			s.Empty(h)
-		}
-		return ok
+		return s.onStorage(r, s.Empty)
 	}},
 	{"kill a storage machine", func(s *Site, r *rand.Rand) bool {
-		h, ok := pick(r, s.up(s.Storage()))
-		if ok {
+		return s.onStorage(r, func(h *Host) {
 			wipe := r.Intn(2) == 0
 			s.Kill(h, wipe || r.Intn(2) == 0, wipe, s.seconds(r, 0.5, 4))
-		}
-		return ok
+		})
 	}},
 	{"freeze a storage machine", func(s *Site, r *rand.Rand) bool {
-		h, ok := pick(r, s.up(s.Storage()))
-		if ok {
-			s.Freeze(h, s.seconds(r, 0.3, 6))
-		}
-		return ok
+		return s.onStorage(r, func(h *Host) { s.Freeze(h, s.seconds(r, 0.3, 6)) })
 	}},
 	{"stop a storage machine", func(s *Site, r *rand.Rand) bool {
-		h, ok := pick(r, s.up(s.Storage()))
-		if ok {
-			s.Term(h, s.seconds(r, 0.2, 2), nil)
+		return s.onStorage(r, func(h *Host) { s.Term(h, s.seconds(r, 0.2, 2), nil) })
+	}},
+	{"cut a storage machine off", func(s *Site, r *rand.Rand) bool {
+		return s.Shape.wide() && s.onStorage(r, func(h *Host) { s.Cut([]*Host{h}, s.others(h), r.Intn(2) == 0, s.seconds(r, 2, 8)) })
+	}},
+	{"replace a storage machine as planned", func(s *Site, r *rand.Rand) bool {
+		return s.Shape.wide() && s.onStorage(r, func(h *Host) { s.ReplaceAsPlanned(h, func(*Host) {}) })
+	}},
+	{"add a storage machine", func(s *Site, r *rand.Rand) bool {
+		if !s.Shape.wide() || len(s.Storage()) > 11 {
+			return false
+		}
+		s.Add([]string{"reserve", "worker", "store"}, s.Shape.Zones[r.Intn(len(s.Shape.Zones))], true)
+		return true
+	}},
+	{"wipe two storage machines right after an acknowledgement", func(s *Site, r *rand.Rand) bool {
+		n := s.Newest()
+		if n == nil || s.Shape.Losses < 2 {
+			return false
 		}
-		return ok
+		return s.onStorage(r, func(h *Host) {
+			s.Configure(n.Rev, s.change(r), s.Bounds.Ack, func(c *siteConfig) {
+				if c.State == cfgTaken {
+					s.wipeWith(r, h, s.seconds(r, 0.5, 4))
+				}
+			})
+		})
 	}},
 }
 
--- a/sim/serve_faults.go
+++ b/sim/serve_faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fernlink/core/flow"
+	"fernlink/core/ledger"
 	"fernlink/core/node"
 )
 
@@ -136,6 +137,17 @@
 	})
 }
 
+// wipeWith takes the disks of a storage machine and of another one, at once.
+func (s *Site) wipeWith(r *rand.Rand, h *Host, down time.Duration) {
+	all := s.up(s.Storage())
+	if !h.works() || len(all) < len(s.Storage()) || !s.w.Repaired() {
+		return // other trouble came in between
+	}
+	all = slices.DeleteFunc(all, func(x *Host) bool { return x == h })
+	s.Kill(h, true, true, down)
+	s.Kill(all[r.Intn(len(all))], true, true, down)
+}
+
 // reseed names a machine to all as a seed in another's place.
 func (s *Site) reseed(h, x *Host) {
 	old := h.Config.Addr
@@ -155,10 +167,13 @@
 // Add puts a further machine into the fleet.
 func (s *Site) Add(roles []string, zone string, disk bool) *Host {
 	n := len(s.w.Hosts)
-	p := node.Config{Addr: siteHost(n) + ":7000", Web: siteHost(n) + ":7001", Zone: zone, Seeds: s.w.Hosts[0].Config.Seeds, Keep: 256, Want: 3, Codec: &s.codec, LotKeep: 2 * time.Minute, Roles: roles}
-	p.Name, p.Cpu = fmt.Sprintf("more-%d", n), s.Shape.EdgeCpu
+	p := node.Config{Addr: siteHost(n) + ":7000", Web: siteHost(n) + ":7001", Zone: zone, Seeds: s.w.Hosts[0].Config.Seeds, Keep: 256, Want: s.Shape.voters(), Bounds: ledger.Usual, Codec: &s.codec, LotKeep: 2 * time.Minute, Roles: roles}
+	p.Name, p.Cpu, p.LinkMbps = fmt.Sprintf("more-%d", n), s.Shape.EdgeCpu, s.Shape.CoreLink
 	if disk {
-		p.Cpu = s.Shape.CoreCpu
+		p.Cpu, p.DiskMB = s.Shape.CoreCpu, s.Shape.CoreDisk
+	}
+	if slices.Contains(roles, "reserve") {
+		p.LinkMbps, p.DiskMB = s.Shape.ReserveLink, s.Shape.ReserveDisk
 	}
 	h := s.w.AddHost(p.Name, p, disk)
 	h.Start()
--- a/sim/serve_site.go
+++ b/sim/serve_site.go
@@ -11,6 +11,7 @@
 	"fernlink/config"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
+	"fernlink/core/ledger"
 	"fernlink/core/listener"
 	"fernlink/core/node"
 	"fernlink/core/sorted"
@@ -36,12 +37,25 @@
 	Single                      bool // one version a text
 	Fenced                      bool // engines check fences
 	CoreCpu, EdgeCpu            int  // thousandths of a core
+	Losses                      int  // machines with a disk that may be lost at once; 0 is one
+	CoreLink, ReserveLink       int  // Mbit/s of machines with a disk, of those that stand by
+	CoreDisk, ReserveDisk       int  // MB
 }
 
-// Sites that stories use: a quick one and one of a deployment's size.
+// wide says that the machines that stand by carry the state better than the core's.
+func (shape SiteShape) wide() bool {
+	return shape.ReserveLink >= 2*shape.CoreLink && shape.ReserveDisk >= shape.CoreDisk
+}
+
+// voters is how many voters such a site wants.
+func (shape SiteShape) voters() int { return 2*max(shape.Losses, 1) + 1 }
+
+// Sites that stories use: a quick one, one of a deployment's size, and one whose
+// storage machines have wide links.
 var (
-	LittleSite = SiteShape{Zones: []string{"a", "b", "c"}, Core: 3, Edge: 1, Reserve: 1, Apps: 2, Others: 2, Models: 4, Slots: 4, Memory: 20000, Load: 400 * time.Millisecond, Single: true, Fenced: true, CoreCpu: 720, EdgeCpu: 300}
-	FourZones  = SiteShape{Zones: []string{"a", "b", "c", "d"}, Core: 4, Edge: 4, Reserve: 2, Apps: 2, Others: 2, Models: 6, Slots: 6, Memory: 40000, Load: 250 * time.Millisecond, Single: true, Fenced: true, CoreCpu: 656, EdgeCpu: 400}
+	LittleSite = SiteShape{Zones: []string{"a", "b", "c"}, Core: 3, Edge: 1, Reserve: 1, Apps: 2, Others: 2, Models: 4, Slots: 4, Memory: 20000, Load: 400 * time.Millisecond, Single: true, Fenced: true, CoreCpu: 720, EdgeCpu: 300, CoreLink: 1000, ReserveLink: 600, CoreDisk: 64, ReserveDisk: 320}
+	FourZones  = SiteShape{Zones: []string{"a", "b", "c", "d"}, Core: 4, Edge: 4, Reserve: 2, Apps: 2, Others: 2, Models: 6, Slots: 6, Memory: 40000, Load: 250 * time.Millisecond, Single: true, Fenced: true, CoreCpu: 656, EdgeCpu: 400, CoreLink: 1000, ReserveLink: 600, CoreDisk: 64, ReserveDisk: 410}
+	WideStores = SiteShape{Zones: []string{"a", "b", "c", "d"}, Core: 5, Edge: 3, Reserve: 9, Apps: 2, Others: 2, Models: 6, Slots: 6, Memory: 40000, Load: 250 * time.Millisecond, Single: true, Fenced: true, CoreCpu: 384, EdgeCpu: 192, Losses: 2, CoreLink: 100, ReserveLink: 600, CoreDisk: 64, ReserveDisk: 440}
 )
 
 // listAt is where the platform keeps its list.
@@ -111,7 +125,7 @@
 // BuildSite makes a fleet as fernlink serve gives it, on a site of its own.
 func BuildSite(seed int64, shape SiteShape) *Site {
 	w := New(seed)
-	w.Out = newOutside(w)
+	w.Out, w.Voters = newOutside(w), shape.voters()
 	s := &Site{w: w, Shape: shape, Bounds: UsualSite, codec: platform.Codec(listAt), at: map[string]*SiteEngine{}, ListLag: 700 * time.Millisecond, Rate: 40,
 		listed: map[int64]int{}, ready: map[*Host]int{}, cause: map[*Host]time.Duration{}, planned: map[*Host]time.Duration{}, hurt: map[*Host]time.Duration{}, fails: map[string]int{}, troubled: map[*Host]bool{},
 		runs: map[string][]*siteRun{}, byRun: map[int]*siteRun{}, seals: map[string]sealed{}, tries: map[string]*siteTry{}, items: map[string]*siteItem{}, senders: map[*siteLot]*Host{},
@@ -139,12 +153,13 @@
 	}
 	form = append(form, seeds[:len(seeds)-1+len(seeds)%2]...)
 	for i := 0; i < n; i++ {
-		p := node.Config{Addr: siteHost(i) + ":7000", Web: siteHost(i) + ":7001", Zone: zone(i), Seeds: seeds, Keep: 256, Want: 3, Codec: &s.codec, LotKeep: 2 * time.Minute, First: true}
+		p := node.Config{Addr: siteHost(i) + ":7000", Web: siteHost(i) + ":7001", Zone: zone(i), Seeds: seeds, Keep: 256, Want: shape.voters(), Bounds: ledger.Usual, Codec: &s.codec, LotKeep: 2 * time.Minute, First: true}
 		name, disk := fmt.Sprintf("edge-%d", i+1), false
-		p.Cpu = shape.EdgeCpu
+		p.Cpu, p.LinkMbps = shape.EdgeCpu, shape.CoreLink
 		switch {
 		case i < shape.Core:
 			name, disk, p.Cpu = fmt.Sprintf("core-%d", i+1), true, shape.CoreCpu
+			p.DiskMB = shape.CoreDisk
 			p.Roles = []string{"dispatcher", "store", "coordinator"}
 			if i < len(form) {
 				p.Form = form
@@ -153,8 +168,8 @@
 			p.Roles = []string{"dispatcher"}
 		default:
 			name, disk = fmt.Sprintf("storage-%d", i+1), true
-			p.Roles = []string{"reserve", "worker"}
-			p.Cpu = shape.CoreCpu
+			p.Roles = []string{"reserve", "worker", "store"}
+			p.Cpu, p.LinkMbps, p.DiskMB = shape.CoreCpu, shape.ReserveLink, shape.ReserveDisk
 		}
 		p.Name = name
 		w.AddHost(name, p, disk).Start()
@@ -182,7 +197,7 @@
 }
 
 // Core gives the machines of the core that are not removed.
-func (s *Site) Core() []*Host { return s.w.By("store") }
+func (s *Site) Core() []*Host { return s.w.By("coordinator") }
 
 // joined says whether bytes pass both ways.
 func (s *Site) joined(a, b *Host) bool {
--- a/sim/serve_storage.go
+++ b/sim/serve_storage.go
@@ -7,11 +7,21 @@
 	"time"
 
 	"fernlink/core/flow"
+	"fernlink/core/raft"
 )
 
 // Storage gives the storage machines that are not removed. They run lots.
 func (s *Site) Storage() []*Host { return s.w.By("reserve") }
 
+// membership gives the membership that the store's leader has.
+func (s *Site) membership() []raft.Member {
+	leader := s.w.Leader()
+	if leader == nil {
+		return nil
+	}
+	return leader.Node.Stats(leader.clock()).Store.Members
+}
+
 // emptyPause is how often an operator asks how far a machine is.
 const emptyPause = 500 * time.Millisecond
 
--- a/sim/serve_storm.go
+++ b/sim/serve_storm.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	"slices"
 	"sort"
 	"time"
 )
@@ -105,14 +106,26 @@
 		done := false
 		s.Configure(n.Rev, s.change(r), 10*time.Second, func(c *siteConfig) {
 			done = true
-			wiped := s.Core()[r.Intn(len(s.Core()))]
-			s.each(func(h *Host) { s.Kill(h, true, h == wiped, 3*time.Second) })
+			wiped := s.wiped(r)
+			s.each(func(h *Host) { s.Kill(h, true, slices.Contains(wiped, h), 3*time.Second) })
 		})
 		s.w.Until(12*time.Second, func() bool { return done })
 		return true
 	}},
 }
 
+// wiped picks machines that lose their disks at once: as many as may, of those that
+// keep the state.
+func (s *Site) wiped(r *rand.Rand) []*Host {
+	from := s.Core()
+	if s.Shape.wide() {
+		from = s.Storage()
+	}
+	from = slices.Clone(from)
+	r.Shuffle(len(from), func(a, b int) { from[a], from[b] = from[b], from[a] })
+	return from[:max(s.Shape.Losses, 1)]
+}
+
 func (s *Site) each(f func(*Host)) {
 	for _, h := range s.w.Hosts {
 		if !h.Retired {
@@ -124,7 +137,7 @@
 // SiteStorm runs a site under random troubles; every other one ends with a
 // closing fault.
 func SiteStorm(seed int64, faults int) Outcome {
-	shape := []SiteShape{LittleSite, FourZones}[seed%2]
+	shape := []SiteShape{LittleSite, FourZones, WideStores, FourZones, LittleSite, WideStores}[seed%6]
 	shape.Single = seed%3 != 0
 	shape.Fenced = seed%4 != 3
 	s := BuildSite(seed, shape)
--- a/sim/story_test.go
+++ b/sim/story_test.go
@@ -26,7 +26,24 @@
 
 func givenShape(t *testing.T, seed int64, shape Shape) *story {
 	t.Helper()
-	w := Build(seed, shape)
+	return givenWorld(t, Build(seed, shape))
+}
+
+// givenWithoutWide is a fleet whose machines that carry more than others, if it has
+// such, have not started yet.
+func givenWithoutWide(t *testing.T, seed int64, shape Shape) *story {
+	t.Helper()
+	w := Prepare(seed, shape)
+	for _, h := range w.Hosts {
+		if !h.isWide() {
+			h.Start()
+		}
+	}
+	return givenWorld(t, w)
+}
+
+func givenWorld(t *testing.T, w *World) *story {
+	t.Helper()
 	a := NewActors(w)
 	s := &story{t, w, a}
 	s.then(w.Until(2*budget.Heal, func() bool { return w.Serving() && w.Acting() != nil }), "the fleet forms")
--- a/sim/world.go
+++ b/sim/world.go
@@ -23,6 +23,7 @@
 	at       map[string]*Host // by peer address
 	web      map[string]*Host
 	Out      *Outside
+	Voters   int    // wanted, 0 for the usual number
 	Trace    uint64 // hash of all that happened, to prove replays
 	Marks    []string
 	Kinds    map[string]int // faults caused, by kind
