--- a/core/store/pull.go
+++ b/core/store/pull.go
@@ -27,16 +27,6 @@
 	Most  int        `json:"m,omitempty"` // about how many bytes the piece may have
 }
 
-// Piece is what comes back.
-type Piece struct {
-	Index uint64      `json:"i"`
-	From  string      `json:"f"`
-	At    int         `json:"at"`
-	Size  int         `json:"n,omitempty"` // of the whole state
-	State []byte      `json:"s,omitempty"`
-	Parts []flow.Part `json:"p,omitempty"`
-}
-
 // pull is a snapshot on its way here.
 type pull struct {
 	offer    raft.Offer
@@ -110,7 +100,7 @@
 	if len(q.Refs) > 0 {
 		s.fetch(flow.Fetch{Refs: q.Refs, At: q.At, Most: most}, out, func(got flow.Fetched, out *flow.Outbox) {
 			if len(got.Parts) > 0 {
-				out.Line(l.Addr, "piece", Piece{Index: q.Index, From: s.p.ID, At: q.At, Parts: got.Parts})
+				out.Line(l.Addr, "piece", Piece{Index: q.Index, From: s.p.ID, At: q.At, Parts: got.Parts}.sealed())
 			}
 		})
 		return
@@ -121,14 +111,19 @@
 	if q.At > len(s.blob) {
 		return
 	}
-	out.Line(l.Addr, "piece", Piece{Index: q.Index, From: s.p.ID, At: q.At, Size: len(s.blob), State: s.blob[q.At:min(len(s.blob), q.At+most)]})
+	out.Line(l.Addr, "piece", Piece{Index: q.Index, From: s.p.ID, At: q.At, Size: len(s.blob), State: s.blob[q.At:min(len(s.blob), q.At+most)]}.sealed())
 }
 
-// Piece takes a piece. One that is old, doubled or of another leader is dropped.
+// Piece takes a piece. One that is damaged, old, doubled or of another leader is
+// dropped; it is asked for again as one that did not come.
 func (s *Store) Piece(now flow.Time, l flow.Line, out *flow.Outbox) {
 	var x Piece
+	if json.Unmarshal(l.Body, &x) != nil || x.damaged() {
+		s.counts["damaged_pieces"]++
+		return
+	}
 	p := s.pull
-	if json.Unmarshal(l.Body, &x) != nil || p == nil || x.Index != p.offer.Index || x.From != p.offer.From || p.busy {
+	if p == nil || x.Index != p.offer.Index || x.From != p.offer.From || p.busy {
 		s.counts["stray_pieces"]++
 		return
 	}
--- a/core/store/stats.go
+++ b/core/store/stats.go
@@ -26,6 +26,7 @@
 	Pulling  bool          `json:"fetching_snapshot,omitempty"`
 	Pulled   int           `json:"pieces_total"`
 	Strays   int           `json:"stray_pieces_total"`
+	Damaged  int           `json:"damaged_pieces_total"`
 	Snapshot int           `json:"snapshot_bytes"`
 	Receipts int           `json:"order_receipts"`
 	Repeated int           `json:"order_repeats_total"`
@@ -57,6 +58,7 @@
 		Pulling:   s.pull != nil,
 		Pulled:    s.counts["pieces"],
 		Strays:    s.counts["stray_pieces"] + s.counts["stray_pulls"],
+		Damaged:   s.counts["damaged_pieces"],
 		Snapshot:  s.snapshotSize(),
 		Receipts:  s.ledger.Receipts.Len(),
 		Repeated:  s.ledger.OrderCounts.Repeated,
--- a/sim/host.go
+++ b/sim/host.go
@@ -246,6 +246,9 @@
 			h.w.Net.Send(h.Name, to.Name, func() { to.hear(l) })
 			continue
 		}
+		if h.w.Net.Damage != nil {
+			l = h.w.Net.Damage(l)
+		}
 		h.w.Net.Line(h.Name, to.Name, l, func() { to.offer(to.life, flow.Event{Line: &l}) })
 	}
 	for _, r := range out.Replies {
--- a/sim/net.go
+++ b/sim/net.go
@@ -55,6 +55,7 @@
 	Late        float64                      // share of lines that come late by up to a second
 	Twice       float64                      // share of lines that come twice
 	Count       func(kind string, bytes int) // sees each line between peers
+	Damage      func(flow.Line) flow.Line    // what becomes of a line between peers on its way
 	thin        map[string]int               // bytes a second of bulk, to and from an end
 	lanes       map[string]*lane
 }
@@ -179,7 +180,7 @@
 // Heal undoes all cuts; nothing that was held arrives.
 func (n *Net) Heal() {
 	n.cut, n.links, n.thin = map[string]bool{}, map[string]*link{}, map[string]int{}
-	n.Late, n.Twice = 0, 0
+	n.Late, n.Twice, n.Damage = 0, 0, nil
 }
 
 // passes says whether a line that is sent now arrives, and keeps it where the
--- a/sim/snapshot_test.go
+++ b/sim/snapshot_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -14,6 +15,7 @@
 	"fernlink/core/ledger"
 	"fernlink/core/raft"
 	"fernlink/core/store"
+	"fernlink/shell/disk"
 )
 
 // bulky puts plans of many routes, so that the state takes many pieces.
@@ -138,6 +140,54 @@
 	s.caughtUp(h)
 }
 
+// sameItems fails where an item of a machine's newest snapshot is not as it is on
+// another machine, and gives how many were compared.
+func (s *story) sameItems(of, other *Host) (compared int) {
+	s.Helper()
+	_, kept, err := disk.Open(of.Disk.Copy())
+	s.then(err == nil && kept.Snapshot != nil, "%s has a snapshot: %v", of.Name, err)
+	state, err := ledger.Load(kept.Snapshot.State, kept.Items)
+	s.then(err == nil, "its snapshot loads: %v", err)
+	for kind, ids := range state.Items() {
+		for _, id := range ids {
+			want := flow.Fetch{Refs: []flow.Ref{{Kind: kind, ID: id}}}
+			here, err := of.log.Fetch(want)
+			s.then(err == nil, "%s reads %v: %v", of.Name, want.Refs, err)
+			there, err := other.log.Fetch(want)
+			s.then(err == nil, "%s reads %v: %v", other.Name, want.Refs, err)
+			if len(here.Parts)+len(there.Parts) < 2 {
+				continue // one of them needs it no more
+			}
+			s.then(bytes.Equal(here.Parts[0].Body, there.Parts[0].Body), "%s has the same %s %d as %s", of.Name, kind, id, other.Name)
+			compared++
+		}
+	}
+	return compared
+}
+
+// Given pieces of which each third is damaged on its way, when an empty machine
+// fetches a snapshot, then it counts them, and ends with the leader's state.
+func TestDamagedPieces(t *testing.T) {
+	t.Parallel()
+	pieces, damaged, items := 0, 0, 0
+	for seed := int64(221); seed < 227; seed++ {
+		s := given(t, seed)
+		s.w.Net.Damage = s.w.damagedPiece
+		h := s.behind()
+		s.then(s.w.Until(2*budget.Heal, func() bool { return !s.stats(h).Pulling && s.stats(h).Applied > 0 }), "it has the snapshot: %d of its pieces were damaged", s.stats(h).Damaged)
+		s.then(!strings.Contains(strings.Join(h.Notes, " "), "does not"), "no damaged piece is taken: %q", h.Notes)
+		pieces, damaged = pieces+s.stats(h).Pulled, damaged+s.stats(h).Damaged
+		s.w.Net.Damage = nil
+		s.w.Run(time.Second)
+		items += s.sameItems(h, s.w.Leader())
+		s.caughtUp(h)
+	}
+	t.Logf("%d pieces, %d damaged, %d items are the same", pieces, damaged, items)
+	if damaged < 15 || items < 50 {
+		t.Errorf("too little was tried: %d damaged pieces, %d items", damaged, items)
+	}
+}
+
 // Given one damaged byte among a store's results, when they are read or the
 // store starts, then that store stops rather than serve it, and the results are
 // read from the others.
