A frame of the log is put together in one buffer

Cause: a frame's text was copied behind its head, and again when the mark's frame came behind it: 1.3 MB twice for a lot.

The text is put together behind room for its head, with room for the mark. Bytes are the same (TestRecordsAreFramedAsTheirFieldsSay).

--- a/shell/disk/disk.go
+++ b/shell/disk/disk.go
@@ -113,33 +113,45 @@
 	return framed(encoded(v))
 }
 
+// headRoom is the most that the head of a frame takes: checksum, size and two spaces.
+const headRoom = 8 + 1 + 20 + 1
+
 // framed covers an encoded text.
 func framed(text []byte) []byte {
+	b := make([]byte, headRoom, headRoom+len(text)+1)
+	return sealed(append(b, text...))
+}
+
+// sealed makes a frame of a text that has room for a head before it.
+func sealed(b []byte) []byte {
+	text := b[headRoom:]
 	head := fmt.Sprintf("%08x %d ", crc32.ChecksumIEEE(text), len(text))
-	b := make([]byte, 0, len(head)+len(text)+1)
-	return append(append(append(b, head...), text...), '\n')
+	start := headRoom - len(head)
+	copy(b[start:], head)
+	return append(b, '\n')[start:]
 }
 
-// frameOf gives the frame of a record, whose entries are copied as they stand.
+// frameOf gives the frame of a record, whose entries are copied as they stand. It has
+// room behind it for the frame of a mark.
 func frameOf(r record) []byte {
 	if r.Mark != nil {
 		return frame(r)
 	}
-	size := 0
+	size := headRoom + saveOverhead
 	for _, s := range r.Saves {
 		size += flow.EncodedSize(s.Add) + saveOverhead
 	}
-	text := append(make([]byte, 0, size), `{"saves":[`...)
+	text := append(make([]byte, headRoom, size), `{"saves":[`...)
 	for i, s := range r.Saves {
 		if i > 0 {
 			text = append(text, ',')
 		}
 		text = appendSave(text, s)
 	}
-	return framed(append(text, `]}`...))
+	return sealed(append(text, `]}`...))
 }
 
-// saveOverhead is about what a save without entries takes, in bytes.
+// saveOverhead is about what a save without entries takes, or a mark, in bytes.
 const saveOverhead = 256
 
 // appendSave adds a save to a text as its fields are encoded.
