--- a/core/ask/ask.go
+++ b/core/ask/ask.go
@@ -11,13 +11,14 @@
 
 	"fernlink/core/budget"
 	"fernlink/core/flow"
+	"fernlink/core/ledger"
 	"fernlink/core/sorted"
 )
 
 // Ask is a question to the leader; Told is its answer.
 type Ask struct {
 	ID   uint64          `json:"id"`
-	Kind string          `json:"kind"`
+	Kind ledger.Kind     `json:"kind"`
 	Body json.RawMessage `json:"body"`
 }
 
@@ -28,9 +29,7 @@
 	LeaseLine = "lease"
 )
 
-var ofLeases = map[string]bool{"renew": true, "coord.renew": true, "coord.take": true}
-
-func lineOf(kind string) string {
+func lineOf(kind ledger.Kind) string {
 	if ofLeases[kind] {
 		return LeaseLine
 	}
@@ -41,8 +40,8 @@
 // not, and is copied as it stands.
 func (a Ask) Encode() (json.RawMessage, error) {
 	head, err := json.Marshal(struct {
-		ID   uint64 `json:"id"`
-		Kind string `json:"kind"`
+		ID   uint64      `json:"id"`
+		Kind ledger.Kind `json:"kind"`
 	}{a.ID, a.Kind})
 	if err != nil {
 		return nil, err
@@ -52,7 +51,7 @@
 
 // Decode reads a question. Where readsWhole says so of its kind, its body is taken as it
 // stands, and whoever reads the body has to refuse one that is no single value.
-func Decode(text json.RawMessage, readsWhole func(kind string) bool) (Ask, error) {
+func Decode(text json.RawMessage, readsWhole func(ledger.Kind) bool) (Ask, error) {
 	if a, ok := split(text); ok && readsWhole(a.Kind) {
 		return a, nil
 	}
@@ -70,7 +69,7 @@
 	if !isAsk || !hasKind || !hasBody || err != nil || len(body) < 2 || body[len(body)-1] != '}' {
 		return Ask{}, false
 	}
-	return Ask{ID: id, Kind: string(kind), Body: json.RawMessage(body[:len(body)-1])}, true
+	return Ask{ID: id, Kind: ledger.Kind(kind), Body: json.RawMessage(body[:len(body)-1])}, true
 }
 
 // Told answers one Ask. Retry says to ask again, at Leader if that is known.
@@ -78,7 +77,7 @@
 	ID     uint64          `json:"id"`
 	Retry  bool            `json:"retry,omitempty"`
 	Leader string          `json:"leader,omitempty"`
-	Code   int             `json:"code"`
+	Code   ledger.Outcome  `json:"code"`
 	Body   json.RawMessage `json:"body,omitempty"`
 }
 
@@ -94,10 +93,10 @@
 	return flow.WithField(head, "body", body), nil
 }
 
-// Answer is what comes back to the asker. Code 0 means given up: whether the
-// command took effect is not known.
+// Answer is what comes back to the asker. It is ledger.Unanswered where the ask was
+// given up: whether the command took effect is not known.
 type Answer struct {
-	Code int
+	Code ledger.Outcome
 	Body json.RawMessage
 	Sent flow.Time // when the answered try was sent
 }
@@ -129,12 +128,21 @@
 // New starts an asker; base keeps the ids of two incarnations apart.
 func New(base uint64) *Asker { return &Asker{next: base, open: map[uint64]*open{}} }
 
-// Put opens an ask. A body that is a json.RawMessage was encoded by this program and
-// is not read again.
-func (a *Asker) Put(now, limit flow.Time, kind string, body any, done func(flow.Time, Answer)) {
+// Ask opens an ask.
+func (a *Asker) Ask(now, limit flow.Time, question ledger.Body, done func(flow.Time, Answer)) {
+	if own, ok := question.(ledger.SelfEncoded); ok {
+		a.Put(now, limit, own.Kind(), own.Encode(), done)
+		return
+	}
+	a.Put(now, limit, question.Kind(), question, done)
+}
+
+// Put opens an ask whose kind is told apart from its body. A body that is a
+// json.RawMessage was encoded by this program and is not read again.
+func (a *Asker) Put(now, limit flow.Time, kind ledger.Kind, body any, done func(flow.Time, Answer)) {
 	text, err := encode(Ask{ID: a.next + 1, Kind: kind}, body)
 	if err != nil {
-		done(now, Answer{Code: 500})
+		done(now, Answer{Code: ledger.Failed})
 		return
 	}
 	a.next++
--- a/core/disp/step.go
+++ b/core/disp/step.go
@@ -196,8 +196,8 @@
 			continue
 		}
 		s.ending = true
-		d.p.Asker.Put(d.now, budget.AskTimeout, "step.end", id, func(now flow.Time, a ask.Answer) {
-			s.ending = a.Code != 0
+		d.p.Asker.Ask(d.now, budget.AskTimeout, ledger.EndStep(id), func(now flow.Time, a ask.Answer) {
+			s.ending = a.Code != ledger.Unanswered
 		})
 	}
 }
--- a/core/ledger/lots.go
+++ b/core/ledger/lots.go
@@ -114,9 +114,6 @@
 	return hex.EncodeToString(h.Sum(nil)[:16])
 }
 
-// otherLot answers a hand-in under an id that stands for another lot.
-const otherLot = "a lot of this id exists with other content"
-
 // LotPut answers a lot.put.
 type LotPut struct {
 	ID    string `json:"id"`
@@ -124,59 +121,78 @@
 	Fresh bool   `json:"fresh"` // false for a repeat
 }
 
-func (l *Ledger) putLot(c Command) Result {
-	l.retireLots()
-	var body PutLot
-	if flow.Decode(c.Body, &body) != nil {
-		return fail(400, "lot does not parse")
-	}
+func (l *Ledger) putLot(body PutLot, c Command) Result {
 	p, size := body.packed()
 	d := p.Doc
 	if d.ID == "" || !p.whole() {
-		return fail(400, "lot does not parse")
+		return badLot.Result()
+	}
+	if answer, known := l.recallLot(p); known {
+		return answer
+	}
+	t := &Lot{Hash: p.Hash, IDs: p.IDs, Parts: p.Parts, requestBytes: size, Item: l.Index, Mod: l.Index}
+	if why, refused := t.refusesItems(); refused {
+		return why.Result()
 	}
+	if why, refused := l.noRoomFor(t, c.At); refused {
+		return why.Result()
+	}
+	if d.KeepMS <= 0 {
+		d.KeepMS = l.Bounds.Age
+	}
+	d.KeepMS, d.WaitMS = min(d.KeepMS, lotKeepMost), min(max(d.WaitMS, 0), lotKeepMost)
+	d.Opened, d.AgeMS = c.At, 0
+	t.Doc = d
+	l.keepLot(t, p.Requests, c.At)
+	return good(LotPut{d.ID, len(t.IDs), true})
+}
+
+// recallLot answers a hand-in of a lot that was handed in before, and one whose id
+// stands for another.
+func (l *Ledger) recallLot(p PackedLot) (Result, bool) {
+	d := p.Doc
 	if old := l.Lots[d.ID]; old != nil {
 		if old.Hash != p.Hash {
 			l.OrderCounts.Changed++
-			return fail(409, otherLot)
+			return otherLot.Result(), true
 		}
 		l.OrderCounts.Repeated++
-		return good(LotPut{d.ID, len(old.IDs), false})
+		return good(LotPut{d.ID, len(old.IDs), false}), true
 	}
 	switch known, total := l.recall(lotID(d.ID, p.Hash)); known {
 	case repeated: // its time is over: it is not run again
-		return good(LotPut{d.ID, int(total), false})
+		return good(LotPut{d.ID, int(total), false}), true
 	case changed:
-		return fail(409, otherLot)
+		return otherLot.Result(), true
 	}
-	if len(p.IDs) > LotItemsMost {
-		return fail(400, "more items than a lot may have")
+	return Result{}, false
+}
+
+// refusesItems says why a lot's items can't be taken, if they can't. It makes those
+// that can findable.
+func (t *Lot) refusesItems() (why Refusal, refused bool) {
+	if len(t.IDs) > LotItemsMost {
+		return lotTooLarge, true
 	}
-	if slices.Contains(p.IDs, "") {
-		return fail(400, "an item of the lot has no id")
+	if slices.Contains(t.IDs, "") {
+		return itemWithoutID, true
 	}
-	t := &Lot{Hash: p.Hash, IDs: p.IDs, Parts: p.Parts, requestBytes: size, Item: l.Index, Mod: l.Index}
 	if id, twice := t.index(); twice {
-		return fail(400, "item "+id+" stands twice in the lot")
+		return itemTwice(id), true
 	}
-	if refused := l.roomFor(t, c.At); refused != nil {
-		return *refused
-	}
-	if d.KeepMS <= 0 {
-		d.KeepMS = l.Bounds.Age
-	}
-	d.KeepMS, d.WaitMS = min(d.KeepMS, lotKeepMost), min(max(d.WaitMS, 0), lotKeepMost)
-	d.Opened, d.AgeMS = c.At, 0
-	t.Doc = d
-	for k, part := range p.Requests {
+	return Refusal{}, false
+}
+
+// keepLot keeps a lot, and its requests on the blob store.
+func (l *Ledger) keepLot(t *Lot, requests []json.RawMessage, at int64) {
+	for k, part := range requests {
 		ref := t.partRef(k)
 		l.put(ref.Kind, ref.ID, part)
 	}
-	l.put(DocItem, l.Index, raw(lotHead{d, t.IDs, t.Parts}))
-	l.Lots[d.ID] = t
-	l.acknowledge(lotID(d.ID, p.Hash), c.At, uint64(len(t.IDs)))
+	l.put(DocItem, l.Index, raw(lotHead{t.Doc, t.IDs, t.Parts}))
+	l.Lots[t.Doc.ID] = t
+	l.acknowledge(lotID(t.Doc.ID, t.Hash), at, uint64(len(t.IDs)))
 	l.lotsDue = min(l.lotsDue, t.due())
-	return good(LotPut{d.ID, len(t.IDs), true})
 }
 
 // packed gives the lot of a command, and what its requests need on the blob store.
@@ -189,9 +205,8 @@
 	return PackLot(b.LotDoc), requestBytes(b.Items)
 }
 
-// roomFor says why there is no room for a lot, if there is none.
-func (l *Ledger) roomFor(t *Lot, at int64) *Result {
-	refusal := func(code int, text string) *Result { r := fail(code, text); return &r }
+// noRoomFor says why there is no room for a lot, if there is none.
+func (l *Ledger) noRoomFor(t *Lot, at int64) (why Refusal, refused bool) {
 	open, items := 0, len(t.IDs)
 	for _, x := range l.Lots {
 		items += len(x.IDs)
@@ -200,18 +215,18 @@
 		}
 	}
 	if open >= OpenLots {
-		return refusal(429, "too many open lots")
+		return openLotsFull, true
 	}
 	if len(l.Lots) >= KeepLots || items > KeepLotItems {
-		return refusal(429, "too many lots or items of lots are kept")
+		return lotsKeptFull, true
 	}
 	if !l.roomForLot(t) {
-		return refusal(429, lotsFull)
+		return lotBytesFull, true
 	}
 	if !l.roomForReceipts(at, 1) {
-		return refusal(503, receiptsFull)
+		return receiptsFull, true
 	}
-	return nil
+	return Refusal{}, false
 }
 
 // LotCount answers a lot.list. Refused counts results that the lot does not
@@ -221,17 +236,23 @@
 	Refused int `json:"refused,omitempty"`
 }
 
+// ListLot lists results in one lot, in this order, but for items that are
+// listed already (design 8.7). listLot applies it; TestLotVersions,
+// TestLotPositionsNeverMove.
+type ListLot struct {
+	Lot     string      `json:"lot"`
+	Results []LotResult `json:"results"`
+}
+
+// Kind names the command.
+func (ListLot) Kind() Kind { return KindLotList }
+
 // listLot lists results in their order, each item once. It checks again what
 // must never be listed (design 8.7).
-func (l *Ledger) listLot(c Command) Result {
-	l.retireLots()
-	x, err := decodeListing(c.Body)
-	if err != nil {
-		return fail(400, "results do not parse")
-	}
+func (l *Ledger) listLot(x listing, _ Command) Result {
 	t := l.Lots[x.lot]
 	if t == nil {
-		return fail(404, "no such lot")
+		return noSuchLot.Result()
 	}
 	n, refused := uint64(0), 0
 	for i, r := range x.results {
@@ -278,10 +299,15 @@
 
 func (t *Lot) sum() LotSum { return LotSum{t.Doc.ID, t.Doc.Owner, len(t.IDs), len(t.List), t.Ended} }
 
-func (l *Ledger) endLot(c Command) Result {
-	l.retireLots()
-	var id string
-	_ = json.Unmarshal(c.Body, &id)
+// EndLot ends the lot of this id (design 8.7). endLot applies it;
+// TestLateLotIsNotTakenAnew.
+type EndLot string
+
+// Kind names the command.
+func (EndLot) Kind() Kind { return KindLotEnd }
+
+func (l *Ledger) endLot(end EndLot, _ Command) Result {
+	id := string(end)
 	t := l.Lots[id]
 	if t == nil {
 		return l.endPastLot(id)
@@ -298,23 +324,31 @@
 func (l *Ledger) endPastLot(id string) Result {
 	row, known := l.Receipts.Find(lotID(id, "").key())
 	if !known {
-		return fail(404, "no such lot")
+		return noSuchLot.Result()
 	}
 	l.OrderCounts.Repeated++
 	return good(LotSum{ID: id, Total: int(l.Receipts.Row(row).Item), Ended: true})
 }
 
+// OwnLot moves a lot to another dispatcher, if Was still owns it (design 8.7).
+// ownLot applies it; TestLotOwners.
+type OwnLot struct {
+	Lot   string `json:"lot"`
+	Was   string `json:"was"`
+	Owner string `json:"owner"`
+}
+
+// Kind names the command.
+func (OwnLot) Kind() Kind { return KindLotOwn }
+
 // ownLot moves a lot whose owner is lost; only the leader says so.
-func (l *Ledger) ownLot(c Command) Result {
-	l.retireLots()
-	var o OwnLot
-	_ = json.Unmarshal(c.Body, &o)
+func (l *Ledger) ownLot(o OwnLot, _ Command) Result {
 	t := l.Lots[o.Lot]
 	if t == nil {
-		return fail(404, "no such lot")
+		return noSuchLot.Result()
 	}
 	if t.Ended || t.Doc.Owner != o.Was || o.Owner == "" {
-		return fail(409, "the lot has ended or moved on")
+		return lotMoved.Result()
 	}
 	t.Doc.Owner, t.Mod = o.Owner, l.Index
 	return good(t.sum())
--- a/core/ledger/packed_test.go
+++ b/core/ledger/packed_test.go
@@ -78,7 +78,7 @@
 	}
 }
 
-func asked(t *testing.T, l *Ledger, blobs map[flow.Ref][]byte, kind string, question any) Result {
+func asked(t *testing.T, l *Ledger, blobs map[flow.Ref][]byte, kind Kind, question any) Result {
 	t.Helper()
 	return whole(t, l.Query(kind, raw(question)), blobs)
 }
--- a/core/ledger/steps.go
+++ b/core/ledger/steps.go
@@ -9,58 +9,75 @@
 	"fernlink/core/sorted"
 )
 
-func (l *Ledger) openStep(c Command) Result {
-	var d StepDoc
-	if json.Unmarshal(c.Body, &d) != nil {
-		return fail(400, "step does not parse")
-	}
+// OpenStep opens a step (design 8.3). openStep applies it; TestRetention,
+// TestKeptWithinBounds.
+type OpenStep StepDoc
+
+// Kind names the command.
+func (OpenStep) Kind() Kind { return KindStepOpen }
+
+func (l *Ledger) openStep(step OpenStep, c Command) Result {
+	d := StepDoc(step)
 	if d.tooMany() {
-		return fail(400, "more groups or samples than a step may have")
+		return stepTooLarge.Result()
 	}
-	h := Hash(c.Body)
+	hash := Hash(c.Body)
 	if old := l.Steps[d.ID]; old != nil {
-		if old.Hash != h {
-			return fail(409, "a step of this id exists with other content")
+		if old.Hash != hash {
+			return otherStep.Result()
 		}
 		return good(l.Sum(old))
 	}
-	name, id := keys.Name("step", d.ID), uint64(0)
-	if _, used := l.Keys.Find(name); used {
-		return fail(410, "a step of this id has ended and was retired")
-	}
-	t := l.Targets[d.Pool]
-	if t != nil && d.Revision < t.Revision-d.Lag {
-		return fail(409, "the pool has gone on to newer weights than this step allows")
-	}
-	all, own := 0, 0
-	for _, s := range l.Steps {
-		if s.State == "open" {
-			all++
-			if s.Doc.Trainer == d.Trainer {
-				own++
-			}
-		}
+	if why, refused := l.refusesStep(d, c.At); refused {
+		return why.Result()
 	}
-	if own >= l.Bounds.Open {
-		return fail(429, "too many open steps of this trainer (open_steps)")
-	}
-	if all >= KeepOpen {
-		return fail(429, "too many open steps")
-	}
-	if !l.room(c.At) {
-		return fail(503, "too many run-once keys and step ids are remembered (keys_most)")
-	}
-	if t == nil || d.Revision > t.Revision {
+	if t := l.Targets[d.Pool]; t == nil || d.Revision > t.Revision {
 		l.target(d.Pool, d.Revision)
 	}
-	id = l.Index
-	l.Keys.Add(keys.Row{Key: name, Hash: keys.Short(h), At: stamp(c.At), State: keys.Step})
-	s := &Step{Doc: d, Wants: d.Wanted(), Hash: h, State: "open", Opened: c.At, Item: id, Mod: l.Index}
+	l.Keys.Add(keys.Row{Key: d.keyName(), Hash: keys.Short(hash), At: stamp(c.At), State: keys.Step})
+	s := &Step{Doc: d, Wants: d.Wanted(), Hash: hash, State: "open", Opened: c.At, Item: l.Index, Mod: l.Index}
 	l.Steps[d.ID] = s
-	l.put(DocItem, id, c.Body)
+	l.put(DocItem, l.Index, c.Body)
 	return good(l.Sum(s))
 }
 
+// keyName is how a step's id stands among the run-once keys.
+func (d StepDoc) keyName() [16]byte { return keys.Name("step", d.ID) }
+
+// refusesStep says why a step that is new can't be opened, if it can't.
+func (l *Ledger) refusesStep(d StepDoc, at int64) (why Refusal, refused bool) {
+	if _, used := l.Keys.Find(d.keyName()); used {
+		return stepIDUsed, true
+	}
+	if t := l.Targets[d.Pool]; t != nil && d.Revision < t.Revision-d.Lag {
+		return stepTooOld, true
+	}
+	all, ofTrainer := l.openSteps(d.Trainer)
+	switch {
+	case ofTrainer >= l.Bounds.Open:
+		return trainerFull, true
+	case all >= KeepOpen:
+		return stepsFull, true
+	case !l.room(at):
+		return keysFull, true
+	}
+	return Refusal{}, false
+}
+
+// openSteps counts the open steps, and those of one trainer.
+func (l *Ledger) openSteps(trainer string) (all, ofTrainer int) {
+	for _, s := range l.Steps {
+		if s.State != "open" {
+			continue
+		}
+		all++
+		if s.Doc.Trainer == trainer {
+			ofTrainer++
+		}
+	}
+	return all, ofTrainer
+}
+
 // knownStep answers a question about a step that is kept (KnownOrder).
 func (l *Ledger) knownStep(body json.RawMessage) (Result, bool) {
 	var d StepDoc
@@ -88,12 +105,17 @@
 	return Sum{s.Doc.ID, s.Doc.Trainer, s.Doc.Pool, s.Doc.Revision, s.State, s.Wants, len(s.List)}
 }
 
-func (l *Ledger) endStep(c Command) Result {
-	var id string
-	_ = json.Unmarshal(c.Body, &id)
+// EndStep ends the step of this id (design 8.4). endStep applies it; TestRetention.
+type EndStep string
+
+// Kind names the command.
+func (EndStep) Kind() Kind { return KindStepEnd }
+
+func (l *Ledger) endStep(end EndStep, c Command) Result {
+	id := string(end)
 	s := l.Steps[id]
 	if s == nil {
-		return fail(404, "no such step")
+		return noSuchStep.Result()
 	}
 	if s.State == "open" {
 		s.State, s.Ended, s.Mod, s.Doc.Groups = "ended", c.At, l.Index, nil
@@ -162,16 +184,22 @@
 	l.Ends = append(l.Ends[:i:i], l.Ends[i+1:]...)
 }
 
+// AddEntry lists one result in one step (design 8.3). addEntry applies it;
+// TestNeverListed, TestListNeverMoves.
+type AddEntry struct {
+	Step  string `json:"step"`
+	Entry Entry  `json:"entry"`
+}
+
+// Kind names the command.
+func (AddEntry) Kind() Kind { return KindResultAdd }
+
 // addEntry lists the first result for a sample and drops later ones. It
 // checks again what must never be listed (design 8.3).
-func (l *Ledger) addEntry(c Command) Result {
-	var a AddEntry
-	if json.Unmarshal(c.Body, &a) != nil {
-		return fail(400, "result does not parse")
-	}
+func (l *Ledger) addEntry(a AddEntry, _ Command) Result {
 	s := l.Steps[a.Step]
 	if s == nil {
-		return fail(404, "no such step")
+		return noSuchStep.Result()
 	}
 	g := s.group(a.Entry.Group)
 	for i, r := range s.List {
@@ -180,10 +208,10 @@
 		}
 	}
 	if s.State != "open" {
-		return fail(409, "the step has ended")
+		return stepEnded.Result()
 	}
-	if why := s.wrong(a.Entry); why != "" {
-		return fail(422, why)
+	if why, wrong := s.wrong(a.Entry); wrong {
+		return why.Result()
 	}
 	a.Entry.Seq, a.Entry.Mod = len(s.List)+1, l.Index
 	b := raw(a.Entry)
@@ -205,33 +233,38 @@
 	return -1
 }
 
-func (s *Step) wrong(e Entry) string {
+// wrong says why a result must not be listed, if it must not.
+func (s *Step) wrong(e Entry) (why Refusal, wrong bool) {
 	g := s.group(e.Group)
-	if g < 0 || e.Sample < 0 || e.Sample >= s.Doc.Groups[g].Samples {
-		return "no such sample in the step"
-	}
-	if e.Finish != "stop" && e.Finish != "length" {
-		return "the text is not whole"
-	}
-	if e.Verdict.Hash != Hash([]byte(e.Text)) {
-		return "the verdict is not of this text"
-	}
-	at, revs := 0, map[int]bool{}
-	for _, p := range e.Spans {
-		if p.From != at || p.To < p.From {
-			return "the weights do not cover the text"
+	switch {
+	case g < 0 || e.Sample < 0 || e.Sample >= s.Doc.Groups[g].Samples:
+		return noSuchSample, true
+	case e.Finish != "stop" && e.Finish != "length":
+		return textCut, true
+	case e.Verdict.Hash != Hash([]byte(e.Text)):
+		return otherVerdict, true
+	}
+	return s.wrongSpans(e)
+}
+
+// wrongSpans says why the weights that a result names do not allow it.
+func (s *Step) wrongSpans(e Entry) (why Refusal, wrong bool) {
+	covered, revisions := 0, map[int]bool{}
+	for _, span := range e.Spans {
+		if span.From != covered || span.To < span.From {
+			return spansIncomplete, true
 		}
-		at = p.To
-		revs[p.Revision] = true
-		if p.Revision < s.Doc.Revision-s.Doc.Lag || p.Revision > s.Doc.Revision {
-			return "made under weights that the step does not allow"
+		covered = span.To
+		revisions[span.Revision] = true
+		if span.Revision < s.Doc.Revision-s.Doc.Lag || span.Revision > s.Doc.Revision {
+			return otherWeights, true
 		}
 	}
-	if at != len(e.Text) || len(e.Spans) == 0 {
-		return "the weights do not cover the text"
+	if covered != len(e.Text) || len(e.Spans) == 0 {
+		return spansIncomplete, true
 	}
-	if s.Doc.OneVersion && len(revs) > 1 {
-		return "the step requires one version of the weights"
+	if s.Doc.OneVersion && len(revisions) > 1 {
+		return mixedWeights, true
 	}
-	return ""
+	return Refusal{}, false
 }
--- a/core/ledger/weights.go
+++ b/core/ledger/weights.go
@@ -2,11 +2,7 @@
 
 package ledger
 
-import (
-	"github.com/go-json-experiment/json/v1"
-
-	"fernlink/core/sorted"
-)
+import "fernlink/core/sorted"
 
 func (l *Ledger) target(pool string, rev int) {
 	t := l.Targets[pool]
@@ -17,25 +13,40 @@
 	t.Revision, t.Mod = rev, l.Index
 }
 
-func (l *Ledger) grantCoord(c Command) Result {
-	var g GrantCoord
-	_ = json.Unmarshal(c.Body, &g)
+// GrantCoord moves the coordinator's lease, if Term is still the one that was read
+// (design 9.2). grantCoord applies it; TestOldTermOrdersNothing.
+type GrantCoord struct {
+	Term uint64 `json:"term"`
+	ID   string `json:"id"`
+	Addr string `json:"addr"`
+}
+
+// Kind names the command.
+func (GrantCoord) Kind() Kind { return KindCoordGrant }
+
+func (l *Ledger) grantCoord(g GrantCoord, _ Command) Result {
 	if g.Term != l.Coord.Term {
-		return fail(409, "the lease has moved on")
+		return leaseMoved.Result()
 	}
 	l.Coord = Coord{Term: g.Term + 1, ID: g.ID, Addr: g.Addr, Mod: l.Index}
 	return good(l.Coord)
 }
 
+// PutOrder orders an engine to change weights (design 8.5). putOrder applies it;
+// TestOldTermOrdersNothing.
+type PutOrder Order
+
+// Kind names the command.
+func (PutOrder) Kind() Kind { return KindOrderPut }
+
 // putOrder is the fence: only the acting coordinator's term passes.
-func (l *Ledger) putOrder(c Command) Result {
-	var o Order
-	_ = json.Unmarshal(c.Body, &o)
+func (l *Ledger) putOrder(put PutOrder, _ Command) Result {
+	o := Order(put)
 	if o.Term != l.Coord.Term {
-		return fail(409, "the order's lease has passed")
+		return orderLeasePassed.Result()
 	}
 	if old := l.Orders[o.Engine]; old != nil && old.Inc == o.Inc && old.Revision > o.Revision {
-		return fail(409, "the engine was ordered to newer weights")
+		return orderOvertaken.Result()
 	}
 	o.State, o.Mod = "ordered", l.Index
 	l.Orders[o.Engine] = &o
@@ -67,32 +78,49 @@
 	}
 }
 
-func (l *Ledger) stateOrder(c Command) Result {
-	var o Order
-	_ = json.Unmarshal(c.Body, &o)
+// StateOrder says what became of an order (design 8.5). stateOrder applies it;
+// TestCommandsOfAnEarlierBuild.
+type StateOrder Order
+
+// Kind names the command.
+func (StateOrder) Kind() Kind { return KindOrderState }
+
+func (l *Ledger) stateOrder(o StateOrder, _ Command) Result {
 	old := l.Orders[o.Engine]
 	if o.Term != l.Coord.Term || old == nil || old.Inc != o.Inc || old.Revision != o.Revision {
-		return fail(409, "not the order that stands")
+		return otherOrder.Result()
 	}
 	old.State, old.Mod = o.State, l.Index
 	return good(old)
 }
 
+// PutTarget names weights for a pool (design 8.5). Where Paused is set it also
+// pauses or resumes the roll-out, and Request tells it from the next order of the
+// same content. putTarget applies it; TestNamedWeightsAreKnownAgain,
+// TestLatePauseChangesNothing.
+type PutTarget struct {
+	Pool     string `json:"pool"`
+	Revision int    `json:"revision"`
+	Paused   *bool  `json:"paused,omitempty"`
+	Request  string `json:"request,omitempty"`
+}
+
+// Kind names the command.
+func (PutTarget) Kind() Kind { return KindTargetPut }
+
 // putTarget names weights for a pool, or pauses a roll-out. A repeat of what was
 // acknowledged changes nothing; what was never named and lies below the target is
 // refused.
-func (l *Ledger) putTarget(c Command) Result {
-	var p PutTarget
-	_ = json.Unmarshal(c.Body, &p)
+func (l *Ledger) putTarget(p PutTarget, c Command) Result {
 	if answer, known := l.recallTarget(p); known {
 		return answer
 	}
 	old := l.Targets[p.Pool]
 	if old != nil && p.Revision < old.Revision {
-		return fail(409, "weights only go forward")
+		return weightsBackward.Result()
 	}
 	if !l.roomForReceipts(c.At, receiptsOf(p.Request)) {
-		return fail(503, receiptsFull)
+		return receiptsFull.Result()
 	}
 	newer := old == nil || p.Revision > old.Revision
 	if newer {
@@ -132,34 +160,34 @@
 	case repeated:
 		return good(l.Targets[p.Pool]), true
 	case changed:
-		return fail(422, requestUsed), true
+		return requestUsed.Result(), true
 	}
 	return Result{}, false
 }
 
-// knownTarget answers a question about an order on weights (KnownOrder).
-func (l *Ledger) knownTarget(body json.RawMessage) (Result, bool) {
-	var p PutTarget
-	_ = json.Unmarshal(body, &p)
-	return l.recallTarget(p)
+// PutDrain takes an engine out of placement or back in (design 8.5). Request tells
+// it from the next order of the same content. putDrain applies it;
+// TestLateDrainChangesNothing.
+type PutDrain struct {
+	Engine  string `json:"engine"`
+	On      bool   `json:"drained"`
+	Request string `json:"request,omitempty"`
 }
 
-// requestUsed answers an order whose request id stands for another one.
-const requestUsed = "this request id was used for another order"
+// Kind names the command.
+func (PutDrain) Kind() Kind { return KindDrainPut }
 
 // putDrain takes an engine out of placement, or back in. A repeat of what was
 // acknowledged changes nothing.
-func (l *Ledger) putDrain(c Command) Result {
-	var p PutDrain
-	_ = json.Unmarshal(c.Body, &p)
+func (l *Ledger) putDrain(p PutDrain, c Command) Result {
 	if answer, known := l.recallDrain(p); known {
 		return answer
 	}
 	if !l.roomForReceipts(c.At, 1) {
-		return fail(503, receiptsFull)
+		return receiptsFull.Result()
 	}
 	if !l.roomForDrain(p.Engine) {
-		return fail(429, "too many drained engines are remembered")
+		return drainsFull.Result()
 	}
 	if p.Request != "" {
 		l.acknowledge(p.requestID(), c.At, 0)
@@ -190,18 +218,11 @@
 		}
 		return good(Drain{Engine: p.Engine}), true
 	case changed:
-		return fail(422, requestUsed), true
+		return requestUsed.Result(), true
 	}
 	return Result{}, false
 }
 
-// knownDrain answers a question about an order on an engine (KnownOrder).
-func (l *Ledger) knownDrain(body json.RawMessage) (Result, bool) {
-	var p PutDrain
-	_ = json.Unmarshal(body, &p)
-	return l.recallDrain(p)
-}
-
 // roomForDrain says whether an engine's row has room. Engines that are back in
 // placement give way.
 func (l *Ledger) roomForDrain(engine string) bool {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -248,7 +248,7 @@
 	if n.store != nil {
 		n.store.Advance(now, wall, live, n.gossip.Self(), &n.box)
 		n.release(out)
-		n.gossip.Tell(n.store.Blank(), n.store.Known())
+		n.gossip.Announce(n.store.Blank(), n.store.Known())
 	}
 	n.asker.Advance(now, n.gossip.Known().Stores, out)
 	if n.disp != nil {
@@ -356,7 +356,7 @@
 		return
 	}
 	n.announce = now + budget.ElectionTimeout/2
-	n.asker.Put(now, budget.ElectionTimeout, "store.stop", notice, func(flow.Time, ask.Answer) {})
+	n.asker.Ask(now, budget.ElectionTimeout, notice, func(flow.Time, ask.Answer) {})
 }
 
 func (n *Node) event(now flow.Time, wall int64, e flow.Event, out *flow.Outbox) {
--- a/core/serve/env/env.go
+++ b/core/serve/env/env.go
@@ -10,6 +10,7 @@
 	"fernlink/core/ask"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
+	"fernlink/core/ledger"
 	"fernlink/core/resend"
 )
 
@@ -87,25 +88,9 @@
 func (e *Env) Sends() int { return len(e.sends) }
 
 // Ask puts a question to the store's leader; f runs in a turn of its own.
-func (e *Env) Ask(limit flow.Time, kind string, body any, f func(ask.Answer)) {
-	e.Asker.Put(e.Now, limit, kind, body, func(now flow.Time, a ask.Answer) {
+func (e *Env) Ask(limit flow.Time, question ledger.Body, f func(ask.Answer)) {
+	e.Asker.Ask(e.Now, limit, question, func(now flow.Time, a ask.Answer) {
 		e.Now = now
 		f(a)
 	})
 }
-
-// Refuse answers a call that has not run and never will, and when to come back.
-func (e *Env) Refuse(call uint64, why string, again flow.Time) {
-	e.Counts["refused"]++
-	e.Out.Answer(call, 503, Problem{why}, e.After(again))
-}
-
-// After is the head that says when to come back.
-func (e *Env) After(again flow.Time) map[string]string {
-	return map[string]string{"Retry-After": seconds(again)}
-}
-
-// Problem is the body of an answer of this node's own.
-type Problem struct {
-	Error string `json:"error"`
-}
--- a/core/store/members.go
+++ b/core/store/members.go
@@ -3,8 +3,7 @@
 import (
 	"slices"
 
-	"github.com/go-json-experiment/json/v1"
-
+	"fernlink/core/ask"
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
@@ -94,7 +93,13 @@
 	Leader bool   `json:"leader"`
 }
 
-func (s *Store) list(_ flow.Time, _ wait) ledger.Result {
+// ListMembers asks for the store machines (design 4.4).
+type ListMembers struct{ ledger.NoBody }
+
+// Kind names the ask.
+func (ListMembers) Kind() ledger.Kind { return ask.KindMembers }
+
+func (s *Store) list(_ flow.Time, _ ListMembers) ledger.Result {
 	out := []MemberView{}
 	for _, m := range s.raft.Conf().Members {
 		v := MemberView{Member: m, Match: s.raft.Match(m.ID), Leader: m.ID == s.p.ID}
@@ -103,21 +108,17 @@
 		}
 		out = append(out, v)
 	}
-	return ledger.Result{Code: 200, Body: body(map[string]any{"stores": out, "commit": s.raft.Commit()})}
-}
-
-func (s *Store) no(w wait, why string, out *flow.Outbox) {
-	s.tell(w, 409, map[string]string{"error": why}, out)
+	return ledger.Result{Code: ledger.Accepted, Body: body(map[string]any{"stores": out, "commit": s.raft.Commit()})}
 }
 
 // repeat acknowledges a change of membership that was made before, but not while
 // that is still on its way: it may yet be undone by another leader.
 func (s *Store) repeat(w wait, body any, out *flow.Outbox) {
 	if s.raft.Busy() {
-		s.tell(w, 503, map[string]string{"error": "a change of membership is under way; say the same again"}, out)
+		s.refuse(w, changeUnderWay, out)
 		return
 	}
-	s.tell(w, 200, body, out)
+	s.tell(w, ledger.Accepted, body, out)
 }
 
 // removal tells that a store machine is out for good.
@@ -128,11 +129,17 @@
 
 func removed(id string) removal { return removal{"removed", id} }
 
+// AddMember asks to take a machine in as a learner (design 4.4).
+type AddMember raft.Member
+
+// Kind names the ask.
+func (AddMember) Kind() ledger.Kind { return ask.KindMemberAdd }
+
 // add takes a blank machine in as a learner (design 4.4).
-func (s *Store) add(_ flow.Time, w wait, out *flow.Outbox) {
-	var m raft.Member
-	if json.Unmarshal(w.ask.Body, &m) != nil || m.Addr == "" {
-		s.tell(w, 400, map[string]string{"error": "a store machine needs an address"}, out)
+func (s *Store) add(_ flow.Time, w wait, machine AddMember, out *flow.Outbox) {
+	m := raft.Member(machine)
+	if m.Addr == "" {
+		s.refuse(w, memberWithoutAddress, out)
 		return
 	}
 	c := s.raft.Conf()
@@ -144,7 +151,7 @@
 	}
 	switch {
 	case m.ID == "":
-		s.tell(w, 404, map[string]string{"error": "no process is heard at that address"}, out)
+		s.refuse(w, nobodyThere, out)
 		return
 	case slices.Contains(c.Retired, m.ID):
 		s.repeat(w, removed(m.ID), out) // it was taken in once, and is out for good
@@ -155,17 +162,22 @@
 	s.hold(w, at, term, err, out)
 }
 
+// PromoteMember asks to make the learner of this identity a voter (design 4.4).
+type PromoteMember string
+
+// Kind names the ask.
+func (PromoteMember) Kind() ledger.Kind { return ask.KindMemberPromote }
+
 // promote makes a learner that has caught up a voter.
-func (s *Store) promote(now flow.Time, w wait, out *flow.Outbox) {
-	id, c := "", s.raft.Conf()
-	_ = json.Unmarshal(w.ask.Body, &id)
+func (s *Store) promote(now flow.Time, w wait, learner PromoteMember, out *flow.Outbox) {
+	id, c := string(learner), s.raft.Conf()
 	i := c.Find(id)
 	if i < 0 && slices.Contains(c.Retired, id) {
 		s.repeat(w, removed(id), out)
 		return
 	}
 	if i < 0 {
-		s.tell(w, 404, map[string]string{"error": "no such store machine"}, out)
+		s.refuse(w, noSuchMember, out)
 		return
 	}
 	m := c.Members[i]
@@ -174,7 +186,7 @@
 		return
 	}
 	if !s.ready(id, now) {
-		s.no(w, "the learner has not caught up", out)
+		s.refuse(w, learnerBehind, out)
 		return
 	}
 	m.Voter = true
@@ -214,12 +226,17 @@
 // target is the index that a learner must have; none is known in another term.
 func (t *catchUpTarget) target(term uint64) (uint64, bool) { return t.older, t.term == term }
 
+// RemoveMember asks to empty the store machine of this identity (design 4.8).
+type RemoveMember string
+
+// Kind names the ask.
+func (RemoveMember) Kind() ledger.Kind { return ask.KindMemberRemove }
+
 // remove empties a machine. A learner leaves at once; a voter is marked, and
 // leaves when another has taken its place (repair.go). What would leave too
 // few voters is refused.
-func (s *Store) remove(now flow.Time, w wait, out *flow.Outbox) {
-	id, c := "", s.raft.Conf()
-	_ = json.Unmarshal(w.ask.Body, &id)
+func (s *Store) remove(now flow.Time, w wait, machine RemoveMember, out *flow.Outbox) {
+	id, c := string(machine), s.raft.Conf()
 	i := c.Find(id)
 	if i < 0 {
 		s.repeat(w, removed(id), out)
@@ -228,7 +245,7 @@
 	m := c.Members[i]
 	if !m.Voter {
 		if s.needed(now, c, id) {
-			s.no(w, "too few store machines would remain: it stands ready for a voter that is lost", out)
+			s.refuse(w, lastReadyLearner, out)
 			return
 		}
 		at, term, err := s.raft.Change(retire(c, id))
@@ -240,11 +257,11 @@
 		return
 	}
 	if c.Voters() == 1 && len(c.Members) == 1 {
-		s.no(w, "this is the last copy", out)
+		s.refuse(w, lastCopy, out)
 		return
 	}
 	if s.spares(now, c, "") <= s.voidVotes(now, c) && c.Voters() <= want(c) {
-		s.no(w, "no store machine stands ready to take its place", out)
+		s.refuse(w, noSuccessor, out)
 		return
 	}
 	m.Leave = true
--- a/core/store/owners.go
+++ b/core/store/owners.go
@@ -76,7 +76,7 @@
 // lots, as they were last heard.
 func (s *Store) able() map[string]bool {
 	able := map[string]bool{}
-	for _, e := range gossip.Able(append(slices.Clip(s.live), s.self)) {
+	for _, e := range gossip.LotOwners(append(slices.Clip(s.live), s.self)) {
 		able[e.Start()] = true
 	}
 	return able
@@ -143,5 +143,5 @@
 		return
 	}
 	s.lots[r.ID] = given{now, r.Owner}
-	s.propose("lot.own", ledger.OwnLot{Lot: r.ID, Was: r.Owner, Owner: next})
+	s.propose(ledger.OwnLot{Lot: r.ID, Was: r.Owner, Owner: next})
 }
--- a/rig/scale/things.go
+++ b/rig/scale/things.go
@@ -84,34 +84,32 @@
 	{"store", "bytes in memory, an item of a kept lot, listed", []float64{2048, 4096, 8192, 16384}, func(n int) any {
 		l := ledger.New()
 		doc, _ := platform.Codec("10.255.0.1:80").ReadLot("lot", lotBody("lot", n))
-		apply := func(i uint64, kind string, body any) {
-			b, _ := json.Marshal(body)
-			c, _ := json.Marshal(ledger.Command{Kind: kind, At: int64(i), Body: b})
-			l.Apply(i, c)
+		apply := func(i uint64, change ledger.Body) {
+			l.Apply(i, ledger.NewCommand(int64(i), change).Encode())
 			l.Box() // its bulk lies on the blob store
 		}
-		apply(1, "lot.put", doc)
+		apply(1, ledger.PackLot(doc))
 		for i := range n {
-			apply(uint64(i+2), "lot.list", ledger.ListLot{Lot: "lot", Results: []ledger.LotResult{{Item: doc.Items[i].ID, State: ledger.LotComplete}}})
+			apply(uint64(i+2), ledger.ListLot{Lot: "lot", Results: []ledger.LotResult{{Item: doc.Items[i].ID, State: ledger.LotComplete}}})
 		}
 		return l
 	}},
 }
 
 func things() ([]Slope, error) {
-	var out []Slope
-	for _, t := range thingsOf {
+	var slopes []Slope
+	for _, thing := range thingsOf {
 		var pts []Point
-		t.make(10) // what is made once
-		for _, x := range t.values {
+		thing.make(10) // what is made once
+		for _, x := range thing.values {
 			before := heap()
-			v := t.make(int(x))
+			v := thing.make(int(x))
 			pts = append(pts, Point{x, heap() - before})
 			runtime.KeepAlive(v)
 		}
-		out = append(out, Slope{"things", t.what, "thing", t.role, t.what, Line(pts)})
+		slopes = append(slopes, Slope{"things", thing.what, "thing", thing.role, thing.what, Line(pts)})
 	}
-	return out, nil
+	return slopes, nil
 }
 
 // processTime is the processor time of this whole process.
