A lot that is handed in again is not written again

Cause: a trainer that hears nothing for a second or two sends its lot to another node. Each such try was a command in the log, 1.2 MB to each of six members, though the ledger only called it a repeat; so it took as long as the first, and the trainer went on to the next node.

The leader reads a hand-in's id and hash, and none of its requests. A lot that is committed and kept is answered from the ledger at once: that holds whoever leads now. One whose entry is under way waits for that entry; one node alone hears that it is fresh and hands it on. Another content, another id and lots that are not packed go through the log as before.

Ruled out: a small question of each node before it sends a lot (one more round for each first hand-in, and it would not see what is under way).

TestALotThatIsHandedInAgainIsWrittenOnce.

--- a/core/store/asks.go
+++ b/core/store/asks.go
@@ -16,6 +16,7 @@
 	ask  ask.Ask
 	term uint64
 	at   flow.Time
+	lot  ledger.LotName // that it hands in, packed
 }
 
 // Ask takes a question.
@@ -42,8 +43,12 @@
 		s.read(w, out)
 		return
 	}
+	if a.Kind == ledger.KindLotPut {
+		s.putLot(w, out)
+		return
+	}
 	if ledger.Knows(a.Kind) {
-		s.write(w, ledger.Command{Kind: a.Kind, At: s.time(), Body: a.Body}, out)
+		s.write(w, s.command(w), out)
 		return
 	}
 	s.refuse(w, unknownAsk, out)
@@ -60,7 +65,12 @@
 			}
 		}
 	}
-	return s.renewals.open(w)
+	return s.renewals.open(w) || s.lotRepeats.open(w)
+}
+
+// command is the command that an ask is.
+func (s *Store) command(w wait) ledger.Command {
+	return ledger.Command{Kind: w.ask.Kind, At: s.time(), Body: w.ask.Body}
 }
 
 // own has the asks that are no command or question of the ledger, or that only this
@@ -166,6 +176,9 @@
 	s.counts["writes"]++
 	w.term = term
 	s.writes[at] = w
+	if w.lot.ID != "" {
+		s.lotRepeats.underWay[w.lot] = at
+	}
 }
 
 func (s *Store) read(w wait, out *flow.Outbox) {
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -43,6 +43,7 @@
 	ledger      *ledger.Ledger
 	addrs       map[string]string
 	writes      map[uint64]wait
+	lotRepeats  lotRepeats
 	reads       map[uint64]wait
 	renewals    renewals
 	token       uint64
@@ -85,7 +86,7 @@
 
 // New starts a store from its disk.
 func New(now flow.Time, p Config) (*Store, error) {
-	s := &Store{p: p, ledger: ledger.New(), addrs: map[string]string{}, writes: map[uint64]wait{},
+	s := &Store{p: p, ledger: ledger.New(), addrs: map[string]string{}, writes: map[uint64]wait{}, lotRepeats: newLotRepeats(),
 		reads: map[uint64]wait{}, renewals: renewals{proving: map[uint64][]wait{}}, seen: map[string]leaseHolder{}, counts: map[string]int{},
 		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, retention: newRetention(), lots: map[string]given{}, silent: map[string]flow.Time{}, stopping: map[string]flow.Time{}}
 	if d := p.Disk.Snapshot; d != nil {
@@ -249,6 +250,7 @@
 	}
 	s.writes, s.reads = map[uint64]wait{}, map[uint64]wait{}
 	s.voidRenewals(out)
+	s.voidLotRepeats(out)
 	s.seen = map[string]leaseHolder{}
 	s.grant = 0
 	s.lots = map[string]given{}
@@ -276,9 +278,11 @@
 	delete(s.writes, e.Index)
 	if w.term != e.Term {
 		s.retry(w, out) // another leader's entry stands here
+		s.lotRepeats.forget(e.Index, w, func(other wait) { s.retry(other, out) })
 		return
 	}
 	s.reply(w, res, out)
+	s.lotApplied(e.Index, w, res, out)
 }
 
 func (s *Store) fetch(f flow.Fetch, out *flow.Outbox, then func(flow.Fetched, *flow.Outbox)) {
