Dispatcher, requests: long functions are split by what they do

Cause: fold, report, part and send did several things in 37 to 46 lines. After: a renewal is folded by plan, orders and steps; events are gathered and batched; heads and events of streams, and the URL and fields of a send, have a function each. Behaviour and order of effects are the same. Test runs: core/disp, core/serve, core/node and sim Orders|Site|Story pass; five mutants of these places are caught.

--- a/core/disp/disp.go
+++ b/core/disp/disp.go
@@ -186,14 +186,7 @@
 // fold takes what changed in the ledger. An older view never replaces a
 // newer one, since the index only grows (design 6.2).
 func (d *Disp) fold(x ledger.Delta) {
-	if x.Plan != nil && x.Plan.Version > d.version {
-		var p api.Plan
-		if err := json.Unmarshal(x.Plan.Doc, &p); err == nil {
-			p.Index()
-			d.plan, d.version = &p, x.Plan.Version
-			d.out.Note("disp", "plan in force", "version", d.version)
-		}
-	}
+	d.foldPlan(x.Plan)
 	if len(x.Open) > 0 && !slices.Equal(d.roster, x.Roster) {
 		d.roster, d.rosters = x.Roster, d.rosters+1
 	}
@@ -201,17 +194,42 @@
 	if d.p.Heard != nil {
 		d.p.Heard(d.now, x, d.version, d.plan)
 	}
-	for _, o := range x.Orders {
+	d.foldOrders(x.Orders)
+	for _, r := range x.Drains {
+		d.drains[r.Engine] = r.On
+	}
+	d.prune()
+	d.foldSteps(x)
+}
+
+// foldPlan takes a plan that is newer than the one in force here.
+func (d *Disp) foldPlan(newest *ledger.Plan) {
+	if newest == nil || newest.Version <= d.version {
+		return
+	}
+	var p api.Plan
+	if json.Unmarshal(newest.Doc, &p) != nil {
+		return
+	}
+	p.Index()
+	d.plan, d.version = &p, newest.Version
+	d.out.Note("disp", "plan in force", "version", d.version)
+}
+
+// foldOrders takes weight orders that are new or have changed.
+func (d *Disp) foldOrders(orders []ledger.Order) {
+	for _, o := range orders {
 		d.Nudge() // the coordinator waits to hear that this was read
 		d.orders[o.Engine] = o
 		if e := d.engines[o.Engine]; e != nil && o.State == "done" {
 			e.due = d.now // read its new weights soon
 		}
 	}
-	for _, r := range x.Drains {
-		d.drains[r.Engine] = r.On
-	}
-	d.prune()
+}
+
+// foldSteps takes steps that were opened, results that were listed, and drops the
+// steps that are not open any more.
+func (d *Disp) foldSteps(x ledger.Delta) {
 	for i, doc := range x.Steps {
 		if d.steps[doc.ID] == nil {
 			d.addStep(doc, flow.Time(x.Wall-x.Opened[i])*1e6)
--- a/core/disp/events.go
+++ b/core/disp/events.go
@@ -200,38 +200,44 @@
 	d.evDue = d.now + budget.EventBatchInterval
 	line := Batches{Term: d.coord.Term}
 	for _, id := range sorted.Keys(d.slices) {
-		s, e := d.slices[id], d.engines[id]
-		if e == nil {
-			continue
-		}
-		if s.signed {
-			l := e.load
-			s.events = append(s.events, Event{Kind: "sign", Rev: l.Revision, Load: &l,
-				Seat: &Seat{e.URL, e.Kind, e.Pool, e.Zone, d.usable(e) || d.ordered(e)}})
-			s.signed = false
-		}
-		if s.full {
-			s.events, s.open, s.full = s.whole(s.events), nil, false
-			s.seq++
-			s.open = append(s.open, Batch{id, s.inc, d.p.ID, s.seq, true, s.events})
-			s.events = nil
-		}
-		if len(s.events) > 0 {
-			s.seq++
-			s.open = append(s.open, Batch{id, s.inc, d.p.ID, s.seq, false, s.events})
-			s.events = nil
-		}
-		if n := len(s.open); n > keepBatches {
-			s.open = append([]Batch(nil), s.open[n-keepBatches:]...)
-			d.counts["batches_lost"]++
+		if e := d.engines[id]; e != nil {
+			d.gather(d.slices[id], e)
+			line.Batches = append(line.Batches, d.slices[id].open...)
 		}
-		line.Batches = append(line.Batches, s.open...)
 	}
 	if len(line.Batches) > 0 {
 		d.out.Line(d.coord.Addr, "events", line)
 	}
 }
 
+// gather puts an engine's new events into its open batches.
+func (d *Disp) gather(s *slice, e *engine) {
+	if s.signed {
+		l := e.load
+		s.events = append(s.events, Event{Kind: "sign", Rev: l.Revision, Load: &l,
+			Seat: &Seat{e.URL, e.Kind, e.Pool, e.Zone, d.usable(e) || d.ordered(e)}})
+		s.signed = false
+	}
+	if s.full {
+		s.events, s.open, s.full = s.whole(s.events), nil, false
+		d.batch(s, e, true)
+	}
+	if len(s.events) > 0 {
+		d.batch(s, e, false)
+	}
+	if n := len(s.open); n > keepBatches {
+		s.open = append([]Batch(nil), s.open[n-keepBatches:]...)
+		d.counts["batches_lost"]++
+	}
+}
+
+// batch makes the next batch of the events that wait.
+func (d *Disp) batch(s *slice, e *engine, whole bool) {
+	s.seq++
+	s.open = append(s.open, Batch{e.ID, s.inc, d.p.ID, s.seq, whole, s.events})
+	s.events = nil
+}
+
 // whole is all that is known of the engine start, as events.
 func (s *slice) whole(tail []Event) []Event {
 	blocks := sorted.Keys(s.blocks)
--- a/core/serve/requests/requests.go
+++ b/core/serve/requests/requests.go
@@ -134,27 +134,25 @@
 }
 
 func (t *Table) send(q *Request, e *engines.Engine) {
-	now, w := t.env.Now, t.env.Codec.Words
+	now := t.env.Now
 	q.sends++
 	q.tried = append(q.tried, e)
 	x := &try{engine: e, at: now}
 	q.tries = append(q.tries, x)
-	url := "http://" + e.Addr + q.call.Path
-	if s := q.call.Query["?"]; s != "" {
-		url += "?" + s
-	}
-	fields := make([]flow.Field, 0, len(q.call.Fields)+2)
-	for _, f := range q.call.Fields {
-		if f.Name != w.TimeLeft && f.Name != w.Expect && (f.Name != w.LastEvent || q.stream == nil) {
-			fields = append(fields, f)
-		}
+	if q.repeats() && q.stream == nil && q.route.Target > 0 {
+		q.hedge = now + q.route.Target/hedgePart
 	}
-	fields = append(fields, flow.Field{Name: w.TimeLeft, Value: strconv.FormatInt(max(1, (q.late-now-margin).Milliseconds()), 10)},
-		flow.Field{Name: w.Expect, Value: e.ID})
-	if q.stream != nil && q.stream.after >= 0 {
-		fields = append(fields, flow.Field{Name: w.LastEvent, Value: strconv.Itoa(q.stream.after)})
+	e.Begin()
+	if t.env.Debug {
+		t.trace(q, "sent", "engine", e.ID, "try", q.sends)
 	}
-	s := flow.Send{Verb: q.call.Verb, URL: url, Host: q.call.Host, Fields: fields, Body: q.call.Body, Until: q.late, Limit: q.late,
+	x.id = t.env.Send(t.sendTo(q, e), func(b flow.Back) { t.back(q, x, b) })
+}
+
+// sendTo makes the send of a request to an engine.
+func (t *Table) sendTo(q *Request, e *engines.Engine) flow.Send {
+	w := t.env.Codec.Words
+	s := flow.Send{Verb: q.call.Verb, URL: q.urlAt(e), Host: q.call.Host, Fields: t.fieldsFor(q, e), Body: q.call.Body, Until: q.late, Limit: q.late,
 		Raw: q.stream != nil, Stream: q.stream != nil, Once: !q.repeats(),
 		Name: w.Attempt, Match: flow.Get(q.call.Fields, w.Attempt)}
 	if s.Match == "" {
@@ -163,14 +161,35 @@
 	// One that runs once has a connection of its own, since a kept one may be reset by
 	// an engine that forgot it; so has one whose answer can't be told from a surplus one.
 	s.Keep = q.repeats() && s.Name != ""
-	if q.repeats() && q.stream == nil && q.route.Target > 0 {
-		q.hedge = now + q.route.Target/hedgePart
+	return s
+}
+
+// urlAt is where an engine serves a request.
+func (q *Request) urlAt(e *engines.Engine) string {
+	url := "http://" + e.Addr + q.call.Path
+	if query := q.call.Query["?"]; query != "" {
+		url += "?" + query
 	}
-	e.Begin()
-	if t.env.Debug {
-		t.trace(q, "sent", "engine", e.ID, "try", q.sends)
+	return url
+}
+
+// fieldsFor are the caller's fields, but for those that this node says itself: the
+// time left, the start of the engine that may run it, and the last event passed on.
+func (t *Table) fieldsFor(q *Request, e *engines.Engine) []flow.Field {
+	w := t.env.Codec.Words
+	fields := make([]flow.Field, 0, len(q.call.Fields)+3)
+	for _, f := range q.call.Fields {
+		if f.Name != w.TimeLeft && f.Name != w.Expect && (f.Name != w.LastEvent || q.stream == nil) {
+			fields = append(fields, f)
+		}
+	}
+	left := max(1, (q.late - t.env.Now - margin).Milliseconds())
+	fields = append(fields, flow.Field{Name: w.TimeLeft, Value: strconv.FormatInt(left, 10)})
+	fields = append(fields, flow.Field{Name: w.Expect, Value: e.ID})
+	if q.stream != nil && q.stream.after >= 0 {
+		fields = append(fields, flow.Field{Name: w.LastEvent, Value: strconv.Itoa(q.stream.after)})
 	}
-	x.id = t.env.Send(s, func(b flow.Back) { t.back(q, x, b) })
+	return fields
 }
 
 func (q *Request) drop(x *try) {
--- a/core/serve/requests/streams.go
+++ b/core/serve/requests/streams.go
@@ -41,34 +41,45 @@
 
 // part takes the head or an event of a stream.
 func (t *Table) part(q *Request, x *try, b flow.Back) {
-	s := q.stream
-	if s == nil || q.over {
+	if q.stream == nil || q.over {
 		return
 	}
 	t.engines.Good(x.engine)
 	if b.Open {
-		if word := flow.Get(b.Fields, t.env.Codec.Load); word != "" {
-			t.engines.Load(x.engine, word)
-		}
-		if s.open != nil {
-			t.drop(q, x)
-			return
-		}
-		s.open, s.last = x, t.env.Now
-		if !s.begun {
-			// One answer keeps the head of its first engine.
-			s.begun = true
-			if t.env.Debug {
-				t.trace(q, "first token", "engine", x.engine.ID)
-			}
-			t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: q.call.ID, Code: b.Code, Fields: b.Fields, More: true})
-		}
+		t.opened(q, x, b)
+		return
+	}
+	if q.stream.open == x {
+		t.event(q, x, b.Event)
+	}
+}
+
+// opened takes the head of an engine's answer. The first engine that answers is the
+// one whose events are passed on, and one answer keeps the head of its first engine.
+func (t *Table) opened(q *Request, x *try, b flow.Back) {
+	if word := flow.Get(b.Fields, t.env.Codec.Load); word != "" {
+		t.engines.Load(x.engine, word)
+	}
+	s := q.stream
+	if s.open != nil {
+		t.drop(q, x)
 		return
 	}
-	if s.open != x {
+	s.open, s.last = x, t.env.Now
+	if s.begun {
 		return
 	}
-	id := eventID(b.Event)
+	s.begun = true
+	if t.env.Debug {
+		t.trace(q, "first token", "engine", x.engine.ID)
+	}
+	t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: q.call.ID, Code: b.Code, Fields: b.Fields, More: true})
+}
+
+// event passes an event on, once and in its place.
+func (t *Table) event(q *Request, x *try, event []byte) {
+	s := q.stream
+	id := eventID(event)
 	if id >= 0 && id <= s.after {
 		return // it was passed on before
 	}
@@ -82,7 +93,7 @@
 	gap := float64(t.env.Now-s.last) / 1e6
 	s.gap += (gap - s.gap) / 4
 	s.last = t.env.Now
-	t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: q.call.ID, Body: append(append([]byte(nil), b.Event...), '\n', '\n'), More: true})
+	t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: q.call.ID, Body: append(append([]byte(nil), event...), '\n', '\n'), More: true})
 }
 
 // spoilt cuts a try that brings nothing of use, and goes on without it where it may.
