--- a/core/ledger/command.go
+++ b/core/ledger/command.go
@@ -51,7 +51,7 @@
 	lenient((*Ledger).putTarget),
 	lenient((*Ledger).putDrain),
 	bulk((*Ledger).putLot, badLot).onLots(),
-	bulk((*Ledger).listLot, badLotResults).onLots(),
+	bulkAs(KindLotList, decodeListing, (*Ledger).listLot, badLotResults).onLots(),
 	lenient((*Ledger).endLot).onLots(),
 	lenient((*Ledger).ownLot).onLots(),
 )
@@ -135,6 +135,17 @@
 	}}
 }
 
+// bulkAs is a command of bulk whose body is decoded by a function of its own.
+func bulkAs[B any](kind Kind, decode func(json.RawMessage) (B, error), apply func(*Ledger, B, Command) Result, bad Refusal) command {
+	return command{kind: kind, bulk: true, apply: func(l *Ledger, c Command) Result {
+		body, err := decode(c.Body)
+		if err != nil {
+			return bad.Result()
+		}
+		return apply(l, body, c)
+	}}
+}
+
 // lenient is a command whose body is taken as far as it parses. Earlier builds
 // applied it so, and every build must come to the same state.
 func lenient[B Body](apply func(*Ledger, B, Command) Result) command {
--- a/core/ledger/lots.go
+++ b/core/ledger/lots.go
@@ -249,13 +249,13 @@
 
 // listLot lists results in their order, each item once. It checks again what
 // must never be listed (design 8.7).
-func (l *Ledger) listLot(x ListLot, _ Command) Result {
-	t := l.Lots[x.Lot]
+func (l *Ledger) listLot(x listing, _ Command) Result {
+	t := l.Lots[x.lot]
 	if t == nil {
 		return noSuchLot.Result()
 	}
 	n, refused := uint64(0), 0
-	for _, r := range x.Results {
+	for i, r := range x.results {
 		p := t.place(r.Item)
 		if p < 0 || t.done[p] {
 			continue
@@ -264,7 +264,7 @@
 			refused++
 			continue
 		}
-		b, id := raw(r), l.Index<<lotShift|n
+		b, id := x.texts[i], l.Index<<lotShift|n
 		n++
 		t.done[p] = true
 		t.List = append(t.List, Row{Sample: uint16(p), Size: uint32(len(b)), Item: id})
--- a/core/serve/env/answers.go
+++ b/core/serve/env/answers.go
@@ -16,6 +16,7 @@
 	NoEngine        Reason = "no engine can take this just now"
 	MayBeBehind     Reason = "this node may be behind"
 	StoreUnheard    Reason = "the store is not heard just now"
+	LotsUnderWay    Reason = "other lots are on their way to the store"
 	OpenLotsFull    Reason = "too many open lots"
 	StoreSilent     Reason = "the store did not answer in time"
 	StoreSilentSame Reason = "the store did not answer in time; say the same again"
--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -20,26 +20,26 @@
 // Put hands a lot in: it is kept by the ledger before it is accepted.
 func (t *Table) Put(c flow.Call, r *route.Route, keep flow.Time) {
 	id := flow.Get(c.Fields, t.env.Codec.Attempt)
-	doc, err := t.env.Codec.ReadLot(id, c.Body)
-	if id == "" || err != nil {
+	if why := t.busy(len(c.Body)); why != "" {
 		if t.env.Debug {
-			t.env.Trace("lots", "refused", "lot", id, "why", env.BadLot.Reason)
+			t.env.Trace("lots", "refused", "lot", id, "why", why)
 		}
-		t.env.Answer(c.ID, env.BadLot)
+		t.env.Refuse(c.ID, why, budget.RenewInterval)
 		return
 	}
-	if !t.env.Fresh() || t.leaving {
+	doc, err := t.env.Codec.ReadLot(id, c.Body)
+	if id == "" || err != nil {
 		if t.env.Debug {
-			t.env.Trace("lots", "refused", "lot", id, "why", env.StoreUnheard)
+			t.env.Trace("lots", "refused", "lot", id, "why", env.BadLot.Reason)
 		}
-		t.env.Refuse(c.ID, env.StoreUnheard, budget.RenewInterval)
+		t.env.Answer(c.ID, env.BadLot)
 		return
 	}
 	doc.Host, doc.Path, doc.Route, doc.Pool = c.Host, c.Path, r.Name, r.Pool
 	doc.Owner = t.ownerOf(r.Pool, doc.Model)
 	doc.Single, doc.Tries, doc.WaitMS, doc.DueMS, doc.KeepMS = r.Single, r.Tries, int64(r.WaitMS), int64(r.DueMS), keep.Milliseconds()
 	came := t.env.Now
-	t.putting[c.ID] = true
+	t.putting[c.ID] = len(c.Body)
 	packed := ledger.PackLot(doc)
 	t.env.Ask(budget.AskTimeout, packed, func(a ask.Answer) {
 		delete(t.putting, c.ID)
@@ -61,6 +61,26 @@
 	})
 }
 
+// handInBytes is how many bytes of lots may be under way to the store from one node: what
+// waits for a peer beyond 4 MB is dropped, the oldest first (design 5.1). One lot is
+// taken whatever its size.
+const handInBytes = 4 << 20
+
+// busy says why a lot can't be taken in time, before any of it is read, or "".
+func (t *Table) busy(size int) env.Reason {
+	if !t.env.Fresh() || t.leaving {
+		return env.StoreUnheard
+	}
+	under := 0
+	for _, bytes := range t.putting {
+		under += bytes
+	}
+	if under > 0 && under+size > handInBytes {
+		return env.LotsUnderWay
+	}
+	return ""
+}
+
 // notTaken answers a hand-in that the store did not accept.
 func (t *Table) notTaken(c flow.Call, a ask.Answer) {
 	switch a.Code {
@@ -236,7 +256,7 @@
 		if t.readers[r.call.ID] != r {
 			return
 		}
-		var x ledger.LotRead
+		var x ledger.EncodedRead
 		if a.Code != ledger.Accepted || flow.Decode(a.Body, &x) != nil {
 			delete(t.readers, r.call.ID)
 			t.told(r.call, a)
