--- a/core/coord/roll.go
+++ b/core/coord/roll.go
@@ -1,6 +1,8 @@
 package coord
 
 import (
+	"net/http"
+
 	"github.com/go-json-experiment/json/v1"
 
 	"fernlink/core/ask"
@@ -122,7 +124,7 @@
 			return
 		}
 		l, err := dialect.ReadLoad(b.Body)
-		if b.Err != "" || b.Code != 200 || err != nil {
+		if b.Err != "" || b.Code != http.StatusOK || err != nil {
 			c.counts["order_reads_failed"]++
 			if c.views.Registry[m.order.Engine] == nil {
 				m.state = "dropped"
--- a/core/coord/watch.go
+++ b/core/coord/watch.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/crc32"
+	"net/http"
 	"strconv"
 	"strings"
 
@@ -117,7 +118,7 @@
 		}
 		w.at = f.next - 1
 		if len(body) > 0 {
-			c.out.Replies = append(c.out.Replies, flow.Reply{ID: id, Code: 200, Body: body, More: true})
+			c.out.Replies = append(c.out.Replies, flow.Reply{ID: id, Code: http.StatusOK, Body: body, More: true})
 		}
 	}
 }
@@ -135,7 +136,7 @@
 	c.now, c.out = now, out
 	slice := call.Vars["slice"]
 	if _, ok := slices[slice]; !ok {
-		out.Answer(call.ID, 404, map[string]string{"error": "no such slice; there are engines, prefixes and usage"}, nil)
+		out.Answer(call.ID, http.StatusNotFound, map[string]string{"error": "no such slice; there are engines, prefixes and usage"}, nil)
 		return
 	}
 	c.feed()
@@ -161,12 +162,12 @@
 			body = append(body, c.line(mark{Cursor: c.cursor(w.at), Slice: slice, Key: k, Value: v})...)
 		}
 	}
-	out.Replies = append(out.Replies, flow.Reply{ID: call.ID, Code: 200, Head: map[string]string{"Content-Type": "application/x-ndjson"}, Body: body, More: true})
+	out.Replies = append(out.Replies, flow.Reply{ID: call.ID, Code: http.StatusOK, Head: map[string]string{"Content-Type": "application/x-ndjson"}, Body: body, More: true})
 }
 
 // Usage answers with the usage view as it is now.
 func (c *Coord) Usage(_ flow.Time, call flow.Call, out *flow.Outbox) {
-	out.Answer(call.ID, 200, map[string]any{"term": c.term, "bytes_by_trainer": c.views.Trainers, "bytes_by_engine": c.views.Engines}, nil)
+	out.Answer(call.ID, http.StatusOK, map[string]any{"term": c.term, "bytes_by_trainer": c.views.Trainers, "bytes_by_engine": c.views.Engines}, nil)
 }
 
 func cut(s string) (uint64, uint64) {
@@ -181,7 +182,7 @@
 
 func (c *Coord) closeWatch(id uint64, why string) {
 	delete(c.watchers, id)
-	c.out.Replies = append(c.out.Replies, flow.Reply{ID: id, Code: 200, Body: c.line(mark{End: why})})
+	c.out.Replies = append(c.out.Replies, flow.Reply{ID: id, Code: http.StatusOK, Body: c.line(mark{End: why})})
 }
 
 // saved is the checkpoint: views, order of use, cursors and offset together.
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -4,6 +4,7 @@
 package flow
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/go-json-experiment/json/v1"
@@ -351,7 +352,7 @@
 func (o *Outbox) Answer(id uint64, code int, body any, head map[string]string) {
 	raw, err := json.Marshal(body)
 	if err != nil {
-		code, raw = 500, []byte(`{"error":"answer does not marshal"}`)
+		code, raw = http.StatusInternalServerError, []byte(`{"error":"answer does not marshal"}`)
 	}
 	if head == nil {
 		head = map[string]string{}
--- a/core/httpstatus/httpstatus_test.go
+++ b/core/httpstatus/httpstatus_test.go
@@ -70,7 +70,8 @@
 // writes the number of an outcome: they go by its name.
 func TestOutcomesGoByTheirNames(t *testing.T) {
 	for dir, except := range map[string][]string{"../ledger": {"outcome.go"}, "../store": nil, "../ask": nil, "../disp": nil,
-		"../serve": nil, "../serve/env": nil, "../serve/lots": {"owners.go"}, "../serve/requests": nil} {
+		"../serve": nil, "../serve/env": nil, "../serve/lots": {"owners.go"}, "../serve/requests": nil,
+		"../coord": nil, "../node": nil, "../flow": nil, "../../platform": nil} {
 		for _, place := range numbersIn(t, dir, except...) {
 			t.Errorf("%s: the number of an outcome", place)
 		}
--- a/core/node/calls.go
+++ b/core/node/calls.go
@@ -3,6 +3,8 @@
 package node
 
 import (
+	"net/http"
+
 	"fernlink/core/coord"
 	"fernlink/core/disp"
 	"fernlink/core/flow"
@@ -11,13 +13,13 @@
 
 var calls = map[string]func(*Node, flow.Time, flow.Call, *flow.Outbox){
 	"healthz": func(n *Node, _ flow.Time, c flow.Call, out *flow.Outbox) {
-		out.Answer(c.ID, 200, map[string]string{"state": "up"}, nil)
+		out.Answer(c.ID, http.StatusOK, map[string]string{"state": "up"}, nil)
 	},
 	"status": func(n *Node, now flow.Time, c flow.Call, out *flow.Outbox) {
-		out.Answer(c.ID, 200, n.Stats(now), nil)
+		out.Answer(c.ID, http.StatusOK, n.Stats(now), nil)
 	},
 	"metrics": func(n *Node, now flow.Time, c flow.Call, out *flow.Outbox) {
-		out.Replies = append(out.Replies, flow.Reply{ID: c.ID, Code: 200, Body: Metrics(n.Stats(now)),
+		out.Replies = append(out.Replies, flow.Reply{ID: c.ID, Code: http.StatusOK, Body: Metrics(n.Stats(now)),
 			Head: map[string]string{"Content-Type": "text/plain; version=0.0.4"}})
 	},
 	"watch": func(n *Node, now flow.Time, c flow.Call, out *flow.Outbox) {
@@ -44,13 +46,13 @@
 		at := n.disp.Stats(now).Coord.Addr
 		for _, e := range n.gossip.Live(now) {
 			if e.Addr == at && at != "" {
-				out.Answer(c.ID, 307, map[string]string{"error": "the coordinator serves this"},
+				out.Answer(c.ID, http.StatusTemporaryRedirect, map[string]string{"error": "the coordinator serves this"},
 					map[string]string{"Location": "http://" + e.Web + c.Path + "?" + c.Query["?"]})
 				return
 			}
 		}
 	}
-	out.Answer(c.ID, 503, map[string]string{"error": "no coordinator is known just now"}, map[string]string{"Retry-After": "2"})
+	out.Answer(c.ID, http.StatusServiceUnavailable, map[string]string{"error": "no coordinator is known just now"}, map[string]string{"Retry-After": "2"})
 }
 
 func (n *Node) call(now flow.Time, c flow.Call, out *flow.Outbox) {
@@ -63,7 +65,7 @@
 		return
 	}
 	if n.disp == nil || !disp.Serves(c.Name) {
-		out.Answer(c.ID, 503, map[string]string{"error": "this node runs no dispatcher"}, map[string]string{"Retry-After": "5"})
+		out.Answer(c.ID, http.StatusServiceUnavailable, map[string]string{"error": "this node runs no dispatcher"}, map[string]string{"Retry-After": "5"})
 		return
 	}
 	n.disp.Call(now, c, n.gossip.Live(now), out)
