--- a/shell/disk/blobs.go
+++ b/shell/disk/blobs.go
@@ -24,52 +24,56 @@
 // and offset. A segment is synced when the next is started, and with each snapshot.
 type BlobStore struct {
 	fs      FS
-	racks   map[string]*rack
+	kinds   map[string]*blobKind
 	release release
 }
 
-type rack struct {
-	kind     string
+// blobKind are the segments of one kind of items, oldest first.
+type blobKind struct {
+	name     string
 	segments []*blobSegment
 	next     uint64
 }
 
+// blobSegment is one file. Its three lists have an element for each item in it.
 type blobSegment struct {
-	name  string
-	ids   []uint64
-	at    []uint32
-	dead  []bool
-	gone  int
-	size  int64
-	dirty bool
-	full  bool
+	name     string
+	ids      []uint64
+	offsets  []uint32
+	dead     []bool
+	released int
+	size     int64
+	dirty    bool
+	full     bool
 }
 
-const headBytes = 8 + 1 + 10 + 1 + 20 + 1 // checksum, size, number
+const blobHeadBytes = 8 + 1 + 10 + 1 + 20 + 1 // checksum, size, number
 
-func cover(id uint64, body []byte) []byte {
+// encodeBlob gives an item as it lies in a segment: checksum, size and number, then the
+// body.
+func encodeBlob(id uint64, body []byte) []byte {
 	sum := crc32.Update(crc32.ChecksumIEEE([]byte(fmt.Sprintf("%020d", id))), crc32.IEEETable, body)
-	b := make([]byte, 0, headBytes+len(body)+1)
+	b := make([]byte, 0, blobHeadBytes+len(body)+1)
 	b = append(b, fmt.Sprintf("%08x %010d %020d\n", sum, len(body), id)...)
 	return append(append(b, body...), '\n')
 }
 
-// uncover reads one item and gives its number, its body and its size on disk.
-func uncover(b []byte) (id uint64, body []byte, n int, ok bool) {
-	if len(b) < headBytes+1 || b[8] != ' ' || b[19] != ' ' || b[headBytes-1] != '\n' {
+// decodeBlob reads one item and gives its number, its body and its size on disk.
+func decodeBlob(b []byte) (id uint64, body []byte, n int, ok bool) {
+	if len(b) < blobHeadBytes+1 || b[8] != ' ' || b[19] != ' ' || b[blobHeadBytes-1] != '\n' {
 		return
 	}
 	sum, e1 := strconv.ParseUint(string(b[:8]), 16, 32)
 	size, e2 := strconv.ParseUint(string(b[9:19]), 10, 32)
 	id, e3 := strconv.ParseUint(string(b[20:40]), 10, 64)
-	if e1 != nil || e2 != nil || e3 != nil || uint64(len(b)) < headBytes+size+1 || b[headBytes+size] != '\n' {
+	if e1 != nil || e2 != nil || e3 != nil || uint64(len(b)) < blobHeadBytes+size+1 || b[blobHeadBytes+size] != '\n' {
 		return
 	}
-	body = b[headBytes : headBytes+size]
+	body = b[blobHeadBytes : blobHeadBytes+size]
 	if uint64(crc32.Update(crc32.ChecksumIEEE(b[20:40]), crc32.IEEETable, body)) != sum {
 		return
 	}
-	return id, body, headBytes + int(size) + 1, true
+	return id, body, blobHeadBytes + int(size) + 1, true
 }
 
 func blobSegmentName(kind string, n uint64) string { return fmt.Sprintf("shelf-%s-%012d.seg", kind, n) }
@@ -77,20 +81,20 @@
 // openBlobStore reads every segment. What is torn at the end of a kind's last segment was
 // never synced, and its items still stand in the log.
 func openBlobStore(fs FS, names []string) (*BlobStore, error) {
-	s := &BlobStore{fs: fs, racks: map[string]*rack{}, release: newRelease()}
-	s.fill(names)
-	for _, r := range s.racks {
-		for i, t := range r.segments {
-			if err := s.scan(t, i == len(r.segments)-1); err != nil {
+	blobs := &BlobStore{fs: fs, kinds: map[string]*blobKind{}, release: newRelease()}
+	blobs.listSegments(names)
+	for _, kind := range blobs.kinds {
+		for i, segment := range kind.segments {
+			if err := blobs.scan(segment, i == len(kind.segments)-1); err != nil {
 				return nil, err
 			}
 		}
 	}
-	return s, nil
+	return blobs, nil
 }
 
-// fill puts the segments of a folder into their racks, unread.
-func (s *BlobStore) fill(names []string) {
+// listSegments puts the segments of a folder to their kinds, unread.
+func (s *BlobStore) listSegments(names []string) {
 	sort.Strings(names)
 	for _, name := range names {
 		rest, ok := strings.CutPrefix(name, "shelf-")
@@ -99,38 +103,39 @@
 		if !ok || !ok2 || err != nil || !strings.HasSuffix(name, ".seg") {
 			continue
 		}
-		r := s.rack(kind)
-		r.segments, r.next = append(r.segments, &blobSegment{name: name}), n+1
+		entry := s.kindOf(kind)
+		entry.segments = append(entry.segments, &blobSegment{name: name})
+		entry.next = n + 1
 	}
 }
 
-func (s *BlobStore) scan(t *blobSegment, last bool) error {
-	b, err := s.fs.Read(t.name)
+func (s *BlobStore) scan(segment *blobSegment, last bool) error {
+	b, err := s.fs.Read(segment.name)
 	if err != nil {
 		return errors.Wrap(err, "disk: blobSegment")
 	}
 	for at := 0; at < len(b); {
-		id, _, n, ok := uncover(b[at:])
+		id, _, n, ok := decodeBlob(b[at:])
 		if !ok {
 			if !last {
-				return errors.Wrapf(ErrCorrupt, "%s at byte %d", t.name, at)
+				return errors.Wrapf(ErrCorrupt, "%s at byte %d", segment.name, at)
 			}
-			if err := s.fs.Truncate(t.name, int64(at)); err != nil {
-				return turned(err)
+			if err := s.fs.Truncate(segment.name, int64(at)); err != nil {
+				return diskError(err)
 			}
 			break
 		}
-		t.add(id, at)
+		segment.add(id, at)
 		at += n
-		t.size = int64(at)
+		segment.size = int64(at)
 	}
-	t.full = !last || t.size > BlobSegmentMost
-	t.dirty = last // an earlier process may have left it unsynced
+	segment.full = !last || segment.size > BlobSegmentMost
+	segment.dirty = last // an earlier process may have left it unsynced
 	return nil
 }
 
 func (t *blobSegment) add(id uint64, at int) {
-	t.ids, t.at, t.dead = append(t.ids, id), append(t.at, uint32(at)), append(t.dead, false)
+	t.ids, t.offsets, t.dead = append(t.ids, id), append(t.offsets, uint32(at)), append(t.dead, false)
 }
 
 // find gives an item's place, or -1. Numbers in one segment only grow.
@@ -144,112 +149,139 @@
 	return -1
 }
 
-func (s *BlobStore) rack(kind string) *rack {
-	r := s.racks[kind]
-	if r == nil {
-		r = &rack{kind: kind, next: 1}
-		s.racks[kind] = r
+func (s *BlobStore) kindOf(name string) *blobKind {
+	kind := s.kinds[name]
+	if kind == nil {
+		kind = &blobKind{name: name, next: 1}
+		s.kinds[name] = kind
 	}
-	return r
+	return kind
 }
 
 func (s *BlobStore) find(ref flow.Ref) (*blobSegment, int) {
-	r := s.rack(ref.Kind)
-	for i := len(r.segments) - 1; i >= 0; i-- {
-		if at := r.segments[i].find(ref.ID); at >= 0 && !r.segments[i].dead[at] {
-			return r.segments[i], at
+	segments := s.kindOf(ref.Kind).segments
+	for i := len(segments) - 1; i >= 0; i-- {
+		if at := segments[i].find(ref.ID); at >= 0 && !segments[i].dead[at] {
+			return segments[i], at
 		}
 	}
 	return nil, 0
 }
 
-// do makes changes. It may be tried again after ErrFull.
-func (s *BlobStore) do(ops []flow.BlobChange) error {
-	for _, op := range ops {
-		if op.Only != nil {
-			if err := s.only(op); err != nil {
+// apply makes changes. It may be tried again after ErrFull.
+func (s *BlobStore) apply(ops []flow.BlobChange) error {
+	for _, change := range ops {
+		if change.Only != nil {
+			if err := s.only(change); err != nil {
 				return err
 			}
 		}
-		s.release.put(op)
-		var r *rack
-		var b []byte
-		var ids []uint64
-		var at []int
-		for i, it := range op.Put {
-			if t, _ := s.find(it.Ref); t != nil {
-				continue
-			}
-			r = s.rack(it.Kind)
-			at, ids = append(at, len(b)), append(ids, it.ID)
-			b = append(b, cover(it.ID, it.Body)...)
-			if i+1 < len(op.Put) && op.Put[i+1].Kind == it.Kind && op.Put[i+1].ID > it.ID && len(b) < BlobSegmentMost {
-				continue
-			}
-			if err := s.append(r, b, ids, at); err != nil {
-				return err
-			}
-			b, ids, at = nil, nil, nil
-		}
-		if len(ids) > 0 {
-			if err := s.append(r, b, ids, at); err != nil {
-				return err
-			}
+		s.release.put(change)
+		if err := s.put(change.Put); err != nil {
+			return err
 		}
-		s.release.drop(op)
+		s.release.drop(change)
 	}
 	return nil
 }
 
-func (s *BlobStore) append(r *rack, b []byte, ids []uint64, at []int) error {
-	var t *blobSegment
-	if n := len(r.segments); n > 0 {
-		t = r.segments[n-1]
-	}
-	if t == nil || t.full || t.size > BlobSegmentMost || len(t.ids) > 0 && t.ids[len(t.ids)-1] >= ids[0] {
-		if t != nil && t.dirty {
-			if err := s.fs.Sync(t.name); err != nil {
-				return turned(err)
-			}
-			t.dirty = false
-		}
-		n := &blobSegment{name: blobSegmentName(r.kind, r.next)}
-		if err := s.fs.Write(n.name, nil); err != nil {
-			return turned(err)
+// put writes items that are not there yet, in runs of one kind with growing numbers.
+func (s *BlobStore) put(items []flow.Item) error {
+	var kind *blobKind
+	var run []byte
+	var ids []uint64
+	var offsets []int
+	for i, item := range items {
+		if segment, _ := s.find(item.Ref); segment != nil {
+			continue
 		}
-		if err := s.fs.SyncDir(); err != nil {
-			return turned(err)
+		kind = s.kindOf(item.Kind)
+		offsets, ids = append(offsets, len(run)), append(ids, item.ID)
+		run = append(run, encodeBlob(item.ID, item.Body)...)
+		more := i+1 < len(items) && items[i+1].Kind == item.Kind && items[i+1].ID > item.ID
+		if more && len(run) < BlobSegmentMost {
+			continue
 		}
-		if t != nil {
-			t.full = true
+		if err := s.append(kind, run, ids, offsets); err != nil {
+			return err
 		}
-		t = n
-		r.segments, r.next = append(r.segments, n), r.next+1
+		run, ids, offsets = nil, nil, nil
 	}
-	if err := s.fs.Append(t.name, b); err != nil {
-		e := turned(err)
-		if errors.Is(e, ErrFull) {
-			if e2 := s.fs.Truncate(t.name, t.size); e2 != nil {
-				return turned(e2)
+	if len(ids) == 0 {
+		return nil
+	}
+	return s.append(kind, run, ids, offsets)
+}
+
+// append writes items behind a kind's last segment, or to a new one.
+func (s *BlobStore) append(kind *blobKind, items []byte, ids []uint64, offsets []int) error {
+	segment, err := s.segmentFor(kind, ids[0])
+	if err != nil {
+		return err
+	}
+	if err := s.fs.Append(segment.name, items); err != nil {
+		failure := diskError(err)
+		if errors.Is(failure, ErrFull) {
+			if err := s.fs.Truncate(segment.name, segment.size); err != nil {
+				return diskError(err)
 			}
 		}
-		return e
+		return failure
 	}
 	for i, id := range ids {
-		t.add(id, int(t.size)+at[i])
+		segment.add(id, int(segment.size)+offsets[i])
 	}
-	t.size += int64(len(b))
-	t.dirty = true
+	segment.size += int64(len(items))
+	segment.dirty = true
 	return nil
 }
 
+// segmentFor gives the segment that an item with this number goes to. Numbers in one
+// segment only grow.
+func (s *BlobStore) segmentFor(kind *blobKind, id uint64) (*blobSegment, error) {
+	var last *blobSegment
+	if n := len(kind.segments); n > 0 {
+		last = kind.segments[n-1]
+	}
+	if last != nil && last.takes(id) {
+		return last, nil
+	}
+	if last != nil && last.dirty {
+		if err := s.fs.Sync(last.name); err != nil {
+			return nil, diskError(err)
+		}
+		last.dirty = false
+	}
+	next := &blobSegment{name: blobSegmentName(kind.name, kind.next)}
+	if err := s.fs.Write(next.name, nil); err != nil {
+		return nil, diskError(err)
+	}
+	if err := s.fs.SyncDir(); err != nil {
+		return nil, diskError(err)
+	}
+	if last != nil {
+		last.full = true
+	}
+	kind.segments = append(kind.segments, next)
+	kind.next++
+	return next, nil
+}
+
+// takes says whether an item with this number may go into the segment.
+func (t *blobSegment) takes(id uint64) bool {
+	if t.full || t.size > BlobSegmentMost {
+		return false
+	}
+	return len(t.ids) == 0 || t.ids[len(t.ids)-1] < id
+}
+
 // sync brings all to disk, before a snapshot that names it.
 func (s *BlobStore) sync() error {
-	for _, r := range s.racks {
+	for _, r := range s.kinds {
 		for _, t := range r.segments {
 			if t.dirty {
 				if err := s.fs.Sync(t.name); err != nil {
-					return turned(err)
+					return diskError(err)
 				}
 				t.dirty = false
 			}
@@ -259,15 +291,15 @@
 }
 
 func (s *BlobStore) sweep() error {
-	for _, r := range s.racks {
+	for _, r := range s.kinds {
 		left := r.segments[:0:0]
 		for _, t := range r.segments {
-			if t.gone < len(t.ids) {
+			if t.released < len(t.ids) {
 				left = append(left, t)
 				continue
 			}
 			if err := s.fs.Remove(t.name); err != nil {
-				return turned(err)
+				return diskError(err)
 			}
 		}
 		r.segments = left
@@ -276,51 +308,51 @@
 }
 
 // fetch reads items.
-func (s *BlobStore) fetch(f flow.Fetch) (flow.Fetched, error) {
-	out := flow.Fetched{ID: f.ID}
+func (s *BlobStore) fetch(fetch flow.Fetch) (flow.Fetched, error) {
+	fetched := flow.Fetched{ID: fetch.ID}
 	sent := 0
-	for i, ref := range f.Refs {
-		t, at := s.find(ref)
-		if t == nil {
-			out.Missing = append(out.Missing, ref)
+	for i, ref := range fetch.Refs {
+		segment, at := s.find(ref)
+		if segment == nil {
+			fetched.Missing = append(fetched.Missing, ref)
 			continue
 		}
-		if f.Check {
+		if fetch.Check {
 			continue
 		}
-		if f.Most > 0 && sent >= f.Most {
+		if fetch.Most > 0 && sent >= fetch.Most {
 			break
 		}
-		body, err := s.read(t, at)
+		body, err := s.read(segment, at)
 		if err != nil {
-			return out, err
+			return fetched, err
 		}
-		p := flow.Part{Ref: ref, Size: len(body), Body: body}
-		if i == 0 && f.At > 0 {
-			p.At = min(f.At, len(body))
-			p.Body = body[p.At:]
+		part := flow.Part{Ref: ref, Size: len(body), Body: body}
+		if i == 0 && fetch.At > 0 {
+			part.At = min(fetch.At, len(body))
+			part.Body = body[part.At:]
 		}
-		if f.Most > 0 && len(p.Body) > f.Most-sent {
-			p.Body = p.Body[:f.Most-sent]
+		if fetch.Most > 0 && len(part.Body) > fetch.Most-sent {
+			part.Body = part.Body[:fetch.Most-sent]
 		}
-		sent += len(p.Body) + headBytes
-		out.Parts = append(out.Parts, p)
+		sent += len(part.Body) + blobHeadBytes
+		fetched.Parts = append(fetched.Parts, part)
 	}
-	return out, nil
+	return fetched, nil
 }
 
-func (s *BlobStore) read(t *blobSegment, i int) ([]byte, error) {
-	end := t.size
-	if i+1 < len(t.at) {
-		end = int64(t.at[i+1])
+func (s *BlobStore) read(segment *blobSegment, i int) ([]byte, error) {
+	end := segment.size
+	if i+1 < len(segment.offsets) {
+		end = int64(segment.offsets[i+1])
 	}
-	b, err := s.fs.ReadAt(t.name, int64(t.at[i]), int(end-int64(t.at[i])))
+	b, err := s.fs.ReadAt(segment.name, int64(segment.offsets[i]), int(end-int64(segment.offsets[i])))
 	if err != nil {
 		return nil, errors.Wrap(err, "disk: blobSegment")
 	}
-	id, body, _, ok := uncover(b)
-	if !ok || id != t.ids[i] {
-		return nil, errors.Wrapf(ErrCorrupt, "%s at byte %d", t.name, t.at[i])
+	id, body, _, ok := decodeBlob(b)
+	if !ok || id != segment.ids[i] {
+		return nil, errors.Wrapf(ErrCorrupt, "%s at byte %d", segment.name, segment.offsets[i])
 	}
 	return body, nil
 }
@@ -328,9 +360,9 @@
 // Stats counts items and bytes of each kind.
 func (s *BlobStore) Stats() (items, bytes map[string]int64) {
 	items, bytes = map[string]int64{}, map[string]int64{}
-	for k, r := range s.racks {
+	for k, r := range s.kinds {
 		for _, t := range r.segments {
-			items[k] += int64(len(t.ids) - t.gone)
+			items[k] += int64(len(t.ids) - t.released)
 			bytes[k] += t.size
 		}
 	}
--- a/shell/link/speak_test.go
+++ b/shell/link/speak_test.go
@@ -153,7 +153,7 @@
 	_ = socket.Close()
 	here := opened(t, "127.0.0.1:0", lines(nil))
 	for i := range 2 * queueSize {
-		here.Send(line(to, i, strings.Repeat("x", batch)))
+		here.Send(line(to, i, strings.Repeat("x", batchBytes)))
 	}
 	got := make(chan flow.Line, 1024)
 	opened(t, to, lines(got))
@@ -172,7 +172,7 @@
 	defer socket.Close()
 	here := opened(t, "127.0.0.1:0", lines(nil))
 	for i := range 2 * queueSize {
-		here.Send(line(socket.Addr().String(), i, strings.Repeat("x", batch)))
+		here.Send(line(socket.Addr().String(), i, strings.Repeat("x", batchBytes)))
 	}
 	c, err := socket.Accept()
 	if err != nil {
@@ -214,8 +214,8 @@
 // and without the general decoder, on one line.
 func TestEnvelope(t *testing.T) {
 	body := json.RawMessage(`{"a":"}\",\"b\":","n":[1,2.5e3,null]}`)
-	var last names
-	for _, x := range []flow.Line{
+	var last lastNames
+	for _, line := range []flow.Line{
 		{Ver: 2, Cluster: "c", Kind: "k", From: "f", Addr: "a:1", Body: body},
 		{Ver: 2, Kind: "k", Body: json.RawMessage("1")},
 		{Ver: 0, Kind: "k", Body: body},
@@ -224,9 +224,9 @@
 		{Ver: 2, Cluster: `"`, Kind: "k\n", From: `\`, Addr: "ü", Body: body},
 		{Ver: 2, Kind: "k", Body: json.RawMessage("{\n}")},
 	} {
-		b, err := pack(nil, x)
+		b, err := pack(nil, line)
 		if err != nil || bytes.Count(b, []byte("\n")) != 1 || b[len(b)-1] != '\n' {
-			t.Fatalf("%+v: %q %v", x, b, err)
+			t.Fatalf("%+v: %q %v", line, b, err)
 		}
 		b = b[:len(b)-1]
 		var slow flow.Line
@@ -237,8 +237,8 @@
 		if err != nil || !reflect.DeepEqual(got, slow) {
 			t.Errorf("%q: %+v, want %+v, %v", b, got, slow, err)
 		}
-		if string(x.Body) != "{\n}" && !reflect.DeepEqual(got, x) {
-			t.Errorf("%+v came as %+v", x, got)
+		if string(line.Body) != "{\n}" && !reflect.DeepEqual(got, line) {
+			t.Errorf("%+v came as %+v", line, got)
 		}
 	}
 	for _, bad := range []string{`{"v":2,"k":"k","f":"","a":"","b":{}`, `{"v":2,"k":"k","f":"","a":"","b":}`, `{"v":2,"k":"k","f":"","a":"","b":{}}}`, `{"v":2,`, `{"v":}`, ``} {
@@ -254,8 +254,8 @@
 	f.Add([]byte(`{"v":2,"k":"k","f":"f","a":"a","b":[1],"b":2}`))
 	f.Add([]byte(`{"v":02,"k":"k","f":"f","a":"a","b":1 }`))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		var last names
-		got, ok := quick(b, &last)
+		var last lastNames
+		got, ok := unpackFast(b, &last)
 		if !ok {
 			return
 		}
@@ -283,7 +283,7 @@
 	raw = raw[:len(raw)-1]
 	b.Run("quick", func(b *testing.B) {
 		b.ReportAllocs()
-		var last names
+		var last lastNames
 		for b.Loop() {
 			if _, err := unpack(raw, &last); err != nil {
 				b.Fatal(err)
