--- a/core/coord/watch.go
+++ b/core/coord/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 
@@ -124,7 +125,7 @@
 		body := feed.since(watcher.at)
 		watcher.at = feed.next - 1
 		if len(body) > 0 {
-			c.outbox.Replies = append(c.outbox.Replies, flow.Reply{ID: id, Code: 200, Body: body, More: true})
+			c.outbox.Replies = append(c.outbox.Replies, flow.Reply{ID: id, Code: http.StatusOK, Body: body, More: true})
 		}
 	}
 }
@@ -152,7 +153,7 @@
 	c.now, c.outbox = now, outbox
 	name := call.Vars["slice"]
 	if _, ok := watchSlices[name]; !ok {
-		outbox.Answer(call.ID, 404, map[string]string{"error": "no such slice; there are engines, prefixes and usage"}, nil)
+		outbox.Answer(call.ID, http.StatusNotFound, map[string]string{"error": "no such slice; there are engines, prefixes and usage"}, nil)
 		return
 	}
 	c.publishChanges()
@@ -165,7 +166,7 @@
 	} else {
 		body = c.fullState(name, feed.next-1)
 	}
-	outbox.Replies = append(outbox.Replies, flow.Reply{ID: call.ID, Code: 200, Head: map[string]string{"Content-Type": "application/x-ndjson"}, Body: body, More: true})
+	outbox.Replies = append(outbox.Replies, flow.Reply{ID: call.ID, Code: http.StatusOK, Head: map[string]string{"Content-Type": "application/x-ndjson"}, Body: body, More: true})
 }
 
 // fullState is a slice as it is now: a reset mark, then a line for each key.
@@ -180,7 +181,7 @@
 
 // Usage answers with the usage view as it is now.
 func (c *Coord) Usage(_ flow.Time, call flow.Call, outbox *flow.Outbox) {
-	outbox.Answer(call.ID, 200, map[string]any{"term": c.term, "bytes_by_trainer": c.views.Trainers, "bytes_by_engine": c.views.Engines}, nil)
+	outbox.Answer(call.ID, http.StatusOK, map[string]any{"term": c.term, "bytes_by_trainer": c.views.Trainers, "bytes_by_engine": c.views.Engines}, nil)
 }
 
 // parseCursor reads a cursor's term and place; what can't be read is 0.
@@ -196,5 +197,5 @@
 
 func (c *Coord) closeWatch(id uint64, why string) {
 	delete(c.watchers, id)
-	c.outbox.Replies = append(c.outbox.Replies, flow.Reply{ID: id, Code: 200, Body: watchLine(watchMark{End: why})})
+	c.outbox.Replies = append(c.outbox.Replies, flow.Reply{ID: id, Code: http.StatusOK, Body: watchLine(watchMark{End: why})})
 }
