--- a/api/api.go
+++ b/api/api.go
@@ -303,70 +303,87 @@
 // Meaning checks what a schema can't say (design 6.1). policies are the
 // placement policies that exist.
 func (p *Plan) Meaning(policies []string) []ledger.Fault {
-	var faults []ledger.Fault
-	bad := func(at, text string, a ...any) {
-		faults = append(faults, ledger.Fault{At: at, Text: fmt.Sprintf(text, a...)})
-	}
-	pools := make(map[string]*Pool, len(p.Pools))
-	for i, x := range p.Pools {
-		if pools[x.Name] != nil {
-			bad("/pools/"+strconv.Itoa(i)+"/name", "pool %q is named twice", x.Name)
-		} else {
-			pools[x.Name] = &p.Pools[i]
-		}
-		if x.Kind == "app" && x.Keep != 0 {
-			bad("/pools/"+strconv.Itoa(i)+"/keep_share", "only model pools roll weights out")
-		}
+	check := planCheck{pools: make(map[string]*Pool, len(p.Pools)), names: map[string]bool{}, taken: map[string]bool{}, hosts: map[[2]string]bool{}}
+	for i := range p.Pools {
+		check.pool("/pools/"+strconv.Itoa(i), &p.Pools[i])
 	}
-	names, taken, hosts := map[string]bool{}, map[string]int{}, map[[2]string]bool{}
 	for i, route := range p.Routes {
-		at := "/routes/" + strconv.Itoa(i)
-		if names[route.Name] {
-			bad(at+"/name", "route %q is named twice", route.Name)
-		}
-		names[route.Name] = true
-		if route.Host != "" {
-			route.hosted(pools, hosts, func(field, text string, a ...any) { bad(at+field, text, a...) })
-			continue
-		}
-		x := pools[route.Pool]
-		if x == nil {
-			bad(at+"/pool", "no pool %q in this plan", route.Pool)
-		} else if x.Kind != "app" {
-			bad(at+"/pool", "pool %q serves steps, not routes", route.Pool)
-		}
-		if under("/v1", route.Path) || under(route.Path, "/v1") {
-			bad(at+"/path", "would hide or be hidden by the administration API")
-		}
-		path := strings.TrimSuffix(route.Path, "/")
-		verbs := route.Verbs
-		if len(verbs) == 0 {
-			verbs = []string{"GET", "POST", "PUT", "DELETE", "PATCH"}
-		}
-		left := 0
-		for _, v := range verbs {
-			if _, ok := taken[v+" "+path]; !ok {
-				taken[v+" "+path] = i
-				left++
-			}
-		}
-		if left == 0 {
-			bad(at, "is shadowed by earlier routes on the same path")
-		}
+		check.route("/routes/"+strconv.Itoa(i), route)
 	}
-	for i, x := range p.Pins {
-		if q := pools[x.Pool]; q == nil || q.Kind != "model" {
-			bad("/pins/"+strconv.Itoa(i)+"/pool", "no model pool %q in this plan", x.Pool)
+	for i, pin := range p.Pins {
+		if pool := check.pools[pin.Pool]; pool == nil || pool.Kind != "model" {
+			check.fault("/pins/"+strconv.Itoa(i)+"/pool", "no model pool %q in this plan", pin.Pool)
 		}
 	}
-	if p.Placement != "" {
-		ok := false
-		for _, n := range policies {
-			ok = ok || n == p.Placement
-		}
-		if !ok {
-			bad("/placement", "no placement policy %q; there are %s", p.Placement, strings.Join(policies, ", "))
+	if p.Placement != "" && !slices.Contains(policies, p.Placement) {
+		check.fault("/placement", "no placement policy %q; there are %s", p.Placement, strings.Join(policies, ", "))
+	}
+	return check.faults
+}
+
+// planCheck gathers a plan's faults and what of it was seen so far.
+type planCheck struct {
+	faults []ledger.Fault
+	pools  map[string]*Pool
+	names  map[string]bool    // of routes
+	taken  map[string]bool    // a verb and a path
+	hosts  map[[2]string]bool // of routes with a host
+}
+
+func (c *planCheck) fault(at, text string, args ...any) {
+	c.faults = append(c.faults, ledger.Fault{At: at, Text: fmt.Sprintf(text, args...)})
+}
+
+func (c *planCheck) pool(at string, pool *Pool) {
+	if c.pools[pool.Name] != nil {
+		c.fault(at+"/name", "pool %q is named twice", pool.Name)
+	} else {
+		c.pools[pool.Name] = pool
+	}
+	if pool.Kind == "app" && pool.Keep != 0 {
+		c.fault(at+"/keep_share", "only model pools roll weights out")
+	}
+}
+
+func (c *planCheck) route(at string, route Route) {
+	if c.names[route.Name] {
+		c.fault(at+"/name", "route %q is named twice", route.Name)
+	}
+	c.names[route.Name] = true
+	if route.Host != "" {
+		route.hosted(c.pools, c.hosts, func(field, text string, args ...any) { c.fault(at+field, text, args...) })
+		return
+	}
+	pool := c.pools[route.Pool]
+	if pool == nil {
+		c.fault(at+"/pool", "no pool %q in this plan", route.Pool)
+	} else if pool.Kind != "app" {
+		c.fault(at+"/pool", "pool %q serves steps, not routes", route.Pool)
+	}
+	if under("/v1", route.Path) || under(route.Path, "/v1") {
+		c.fault(at+"/path", "would hide or be hidden by the administration API")
+	}
+	if !c.take(route) {
+		c.fault(at, "is shadowed by earlier routes on the same path")
+	}
+}
+
+// allVerbs are the verbs of a route that names none.
+var allVerbs = []string{"GET", "POST", "PUT", "DELETE", "PATCH"}
+
+// take notes a route's verbs on its path, and says whether any was left.
+func (c *planCheck) take(route Route) bool {
+	path := strings.TrimSuffix(route.Path, "/")
+	verbs := route.Verbs
+	if len(verbs) == 0 {
+		verbs = allVerbs
+	}
+	left := false
+	for _, verb := range verbs {
+		if !c.taken[verb+" "+path] {
+			c.taken[verb+" "+path] = true
+			left = true
 		}
 	}
-	return faults
+	return left
 }
--- a/config/config.go
+++ b/config/config.go
@@ -1,4 +1,6 @@
-// Package config reads and checks the config of one node (design 1).
+// Package config reads and checks the config of one node (design 1): a JSON file, flags
+// over it, the schema, then what the schema can't say. It owns no state; cmd/fernlink and
+// platform read a config, shell/daemon builds a node from it.
 package config
 
 import (
@@ -23,7 +25,7 @@
 //go:embed schema.json
 var schema []byte
 
-// Config are what a process learns its place from.
+// Config is what a process is told at its start.
 type Config struct {
 	Addr     string   `json:"addr"`
 	Web      string   `json:"web"`
@@ -86,13 +88,13 @@
 	SeedLag int `json:"seed_lag_ms,omitempty"` // the list of seeds is behind
 }
 
-// Defaults where the config are silent.
+// Defaults where the config does not say.
 const (
 	Keep   = 4096
 	Blocks = 65536
 )
 
-// Bounds are what a store keeps, with the usual ones where the config are silent.
+// Bounds are what a store keeps, with the usual ones where the config does not say.
 func (p Config) Bounds() ledger.Bounds {
 	b := ledger.Usual
 	for _, x := range []struct {
@@ -206,60 +208,82 @@
 	return config, config.meaning(), nil
 }
 
+// meaning checks what the schema can't say.
 func (p Config) meaning() []ledger.Fault {
-	var faults []ledger.Fault
-	bad := func(at, text string) { faults = append(faults, ledger.Fault{At: at, Text: text}) }
-	one := func(at, a string) {
-		if _, err := netip.ParseAddrPort(a); err != nil {
-			bad(at, "not an IP number and port")
-		}
+	var check configCheck
+	check.addresses(p)
+	check.roles(p)
+	check.bounds(p.Bounds())
+	for _, name := range coord.Check(p.Off) {
+		check.fault("/policies_off", "no policy "+strconv.Quote(name))
 	}
-	one("/addr", p.Addr)
-	one("/web", p.Web)
-	if p.Listen != "" {
-		one("/listen", p.Listen)
+	return check.faults
+}
+
+// configCheck gathers a config's faults.
+type configCheck struct{ faults []ledger.Fault }
+
+func (c *configCheck) fault(at, text string) {
+	c.faults = append(c.faults, ledger.Fault{At: at, Text: text})
+}
+
+func (c *configCheck) address(at, addr string) {
+	if _, err := netip.ParseAddrPort(addr); err != nil {
+		c.fault(at, "not an IP number and port")
 	}
-	for _, x := range [][2]string{{"/front", p.Front}, {"/ready", p.Ready}, {"/control", p.Control}} {
-		if x[1] != "" {
-			one(x[0], x[1])
+}
+
+func (c *configCheck) addresses(p Config) {
+	c.address("/addr", p.Addr)
+	c.address("/web", p.Web)
+	for _, optional := range []struct{ at, addr string }{
+		{"/listen", p.Listen}, {"/front", p.Front}, {"/ready", p.Ready}, {"/control", p.Control},
+	} {
+		if optional.addr != "" {
+			c.address(optional.at, optional.addr)
 		}
 	}
-	for i, s := range p.Seeds {
-		one("/seeds/"+strconv.Itoa(i), s)
+	for i, addr := range p.Seeds {
+		c.address("/seeds/"+strconv.Itoa(i), addr)
 	}
-	for i, s := range p.Form {
-		one("/form/"+strconv.Itoa(i), s)
+	for i, addr := range p.Form {
+		c.address("/form/"+strconv.Itoa(i), addr)
 	}
 	if p.Addr == p.Web {
-		bad("/web", "is the same as /addr")
+		c.fault("/web", "is the same as /addr")
 	}
-	if slices.Contains(p.Roles, "store") && p.Data == "" {
-		bad("/data", "a store needs a data folder")
+}
+
+func (c *configCheck) roles(p Config) {
+	isStore := slices.Contains(p.Roles, "store")
+	if isStore && p.Data == "" {
+		c.fault("/data", "a store needs a data folder")
 	}
 	if slices.Contains(p.Roles, "dispatcher") && p.Platform == "" {
-		bad("/platform", "a dispatcher needs the platform list")
+		c.fault("/platform", "a dispatcher needs the platform list")
 	}
-	if len(p.Form) > 0 && !slices.Contains(p.Form, p.Addr) {
-		bad("/form", "does not name this node's own address")
+	if len(p.Form) == 0 {
+		return
 	}
-	if len(p.Form) > 0 && !slices.Contains(p.Roles, "store") {
-		bad("/form", "only a store forms a cluster")
+	if !slices.Contains(p.Form, p.Addr) {
+		c.fault("/form", "does not name this node's own address")
 	}
-	if n := len(p.Form); n > 0 && n%2 == 0 {
-		bad("/form", "an even number of voters survives no more than one less")
+	if !isStore {
+		c.fault("/form", "only a store forms a cluster")
 	}
-	b := p.Bounds()
-	if b.Keys < 2*keys.PageRows {
-		bad("/keys_most", "keys are forgotten by pages of "+strconv.Itoa(keys.PageRows)+"; there must be room for two")
+	if len(p.Form)%2 == 0 {
+		c.fault("/form", "an even number of voters survives no more than one less")
 	}
-	if b.Age > b.KeyAge {
-		bad("/result_minutes", "results would be kept for longer than the id of their step (key_hours)")
+}
+
+func (c *configCheck) bounds(bounds ledger.Bounds) {
+	if bounds.Keys < 2*keys.PageRows {
+		c.fault("/keys_most", "keys are forgotten by pages of "+strconv.Itoa(keys.PageRows)+"; there must be room for two")
 	}
-	if b.Open > ledger.KeepOpen {
-		bad("/open_steps", "more than all trainers together may open ("+strconv.Itoa(ledger.KeepOpen)+")")
+	if bounds.Age > bounds.KeyAge {
+		c.fault("/result_minutes", "results would be kept for longer than the id of their step (key_hours)")
 	}
-	for _, n := range coord.Check(p.Off) {
-		bad("/policies_off", "no policy "+strconv.Quote(n))
+	if bounds.Open > ledger.KeepOpen {
+		c.fault("/open_steps", "more than all trainers together may open ("+strconv.Itoa(ledger.KeepOpen)+")")
 	}
-	return faults
 }
