fernlink check: findings by subject, each in a function of its own

After: poolState holds what one pool's engines are like. Findings, their order and their words are the same; tests untouched.

--- a/cmd/fernlink/check/check.go
+++ b/cmd/fernlink/check/check.go
@@ -114,24 +114,15 @@
 func Plan(raw []byte, fleet Fleet) Report {
 	report := Report{Findings: []Finding{}, Changes: []string{}}
 	doc, base := raw, ""
-	var put api.PlanPut
-	var probe map[string]json.RawMessage
-	if json.Unmarshal(raw, &probe) == nil && probe["plan"] != nil {
+	if isPut(raw) {
+		var put api.PlanPut
 		bad, err := api.Check("plan_put", raw, &put)
 		if err != nil || len(bad) > 0 {
 			report.faults(bad)
 			return report
 		}
+		report.versions(put, fleet)
 		doc, base = put.Plan, "/plan"
-		now := uint64(0)
-		if fleet.Plan != nil {
-			now = fleet.Plan.Version
-		}
-		if put.Read != now {
-			report.add("fault", "/read", "was made from version %d; version %d is in force", put.Read, now)
-		} else if put.Version != 0 && put.Version <= now {
-			report.add("fault", "/version", "is not above version %d, which is in force", now)
-		}
 	}
 	var plan api.Plan
 	bad, err := api.Check("plan", doc, &plan)
@@ -149,108 +140,126 @@
 	if len(bad) > 0 {
 		return report
 	}
-	report.live(base, plan, fleet)
+	report.pools(base, plan, fleet)
+	report.voters(fleet)
 	report.diff(plan, fleet)
 	return report
 }
 
-// live holds a plan against the engines as they are.
-func (r *Report) live(base string, plan api.Plan, fleet Fleet) {
-	ready, there, slots, busy := map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}
-	kinds := map[string]string{}
-	zones := map[string]map[string]bool{}
-	for _, engine := range fleet.Engines {
-		there[engine.Pool]++
-		kinds[engine.Pool] = engine.Kind
+// isPut says whether a document is what a put would send, and not a plan by itself.
+func isPut(raw []byte) bool {
+	var probe map[string]json.RawMessage
+	return json.Unmarshal(raw, &probe) == nil && probe["plan"] != nil
+}
+
+// versions checks a put's versions against the plan in force.
+func (r *Report) versions(put api.PlanPut, fleet Fleet) {
+	now := uint64(0)
+	if fleet.Plan != nil {
+		now = fleet.Plan.Version
+	}
+	if put.Read != now {
+		r.add("fault", "/read", "was made from version %d; version %d is in force", put.Read, now)
+	} else if put.Version != 0 && put.Version <= now {
+		r.add("fault", "/version", "is not above version %d, which is in force", now)
+	}
+}
+
+// poolState is what the engines of one pool are like just now.
+type poolState struct {
+	listed, usable int
+	slots, busy    int // of the usable ones
+	kind           string
+	zones          map[string]bool // of the usable ones
+}
+
+func poolStates(engines []disp.EngineView) map[string]*poolState {
+	states := map[string]*poolState{}
+	for _, engine := range engines {
+		state := states[engine.Pool]
+		if state == nil {
+			state = &poolState{zones: map[string]bool{}}
+			states[engine.Pool] = state
+		}
+		state.listed++
+		state.kind = engine.Kind
 		if engine.Usable || engine.Ordered {
-			ready[engine.Pool]++
-			slots[engine.Pool] += engine.Slots
-			busy[engine.Pool] += engine.Running
-			if zones[engine.Pool] == nil {
-				zones[engine.Pool] = map[string]bool{}
-			}
-			zones[engine.Pool][engine.Zone] = true
+			state.usable++
+			state.slots += engine.Slots
+			state.busy += engine.Running
+			state.zones[engine.Zone] = true
 		}
 	}
-	for i, pool := range plan.Pools {
-		at := fmt.Sprintf("%s/pools/%d", base, i)
-		// The first that holds is told; the rest would only follow from it.
-		for _, c := range []struct {
-			holds     bool
-			level, at string
-			text      string
-		}{
-			{there[pool.Name] == 0, "fault", at, fmt.Sprintf("no engine of pool %q is on the platform list", pool.Name)},
-			{kinds[pool.Name] != pool.Kind, "fault", at + "/kind", fmt.Sprintf("pool %q has %s engines", pool.Name, kinds[pool.Name])},
-			{ready[pool.Name] == 0, "fault", at, fmt.Sprintf("none of the %d engines of pool %q is usable just now", there[pool.Name], pool.Name)},
-			{ready[pool.Name] == 1, "warning", at, fmt.Sprintf("pool %q hangs on one usable engine", pool.Name)},
-			{len(zones[pool.Name]) == 1, "warning", at, fmt.Sprintf("all usable engines of pool %q stand in one zone", pool.Name)},
-			{busy[pool.Name]*10 >= slots[pool.Name]*9, "warning", at, fmt.Sprintf("pool %q has %d of %d slots taken", pool.Name, busy[pool.Name], slots[pool.Name])},
-		} {
-			if c.holds {
-				r.add(c.level, c.at, "%s", c.text)
-				break
-			}
+	return states
+}
+
+// pools checks a plan against the engines as they are.
+func (r *Report) pools(base string, plan api.Plan, fleet Fleet) {
+	states := poolStates(fleet.Engines)
+	stateOf := func(pool string) poolState {
+		if state := states[pool]; state != nil {
+			return *state
 		}
+		return poolState{}
+	}
+	for i, pool := range plan.Pools {
+		r.pool(fmt.Sprintf("%s/pools/%d", base, i), pool, stateOf(pool.Name))
 	}
-	for i, rt := range plan.Routes {
-		if rt.Most > 0 && slots[rt.Pool] > 0 && rt.Most > 4*slots[rt.Pool] {
-			r.add("warning", fmt.Sprintf("%s/routes/%d/most", base, i), "lets %d requests be under way at each dispatcher; pool %q has %d slots", rt.Most, rt.Pool, slots[rt.Pool])
+	for i, route := range plan.Routes {
+		slots := stateOf(route.Pool).slots
+		if route.Most > 0 && slots > 0 && route.Most > 4*slots {
+			r.add("warning", fmt.Sprintf("%s/routes/%d/most", base, i), "lets %d requests be under way at each dispatcher; pool %q has %d slots", route.Most, route.Pool, slots)
 		}
 	}
-	voters := map[string]int{}
-	n := 0
-	for _, m := range fleet.Stores {
-		if m.Voter {
-			voters[m.Zone]++
-			n++
+}
+
+// pool finds what is wrong with one pool. Only the first that holds is told; the rest
+// would only follow from it.
+func (r *Report) pool(at string, pool api.Pool, state poolState) {
+	switch {
+	case state.listed == 0:
+		r.add("fault", at, "no engine of pool %q is on the platform list", pool.Name)
+	case state.kind != pool.Kind:
+		r.add("fault", at+"/kind", "pool %q has %s engines", pool.Name, state.kind)
+	case state.usable == 0:
+		r.add("fault", at, "none of the %d engines of pool %q is usable just now", state.listed, pool.Name)
+	case state.usable == 1:
+		r.add("warning", at, "pool %q hangs on one usable engine", pool.Name)
+	case len(state.zones) == 1:
+		r.add("warning", at, "all usable engines of pool %q stand in one zone", pool.Name)
+	case state.busy*10 >= state.slots*9:
+		r.add("warning", at, "pool %q has %d of %d slots taken", pool.Name, state.busy, state.slots)
+	}
+}
+
+// voters finds losses of store machines that the fleet would not survive.
+func (r *Report) voters(fleet Fleet) {
+	byZone := map[string]int{}
+	total := 0
+	for _, member := range fleet.Stores {
+		if member.Voter {
+			byZone[member.Zone]++
+			total++
 		}
 	}
-	if n < 3 {
-		r.add("warning", "", "%d store machines vote: the loss of one is not survived", n)
+	if total < 3 {
+		r.add("warning", "", "%d store machines vote: the loss of one is not survived", total)
 	}
-	for _, a := range sorted.Keys(voters) {
-		if n >= 3 && voters[a]*2 > n {
-			r.add("warning", "", "%d of %d voters stand in zone %q: its loss is not survived", voters[a], n, a)
+	for _, zone := range sorted.Keys(byZone) {
+		if total >= 3 && byZone[zone]*2 > total {
+			r.add("warning", "", "%d of %d voters stand in zone %q: its loss is not survived", byZone[zone], total, zone)
 		}
 	}
 }
 
 // diff says what would change.
-func (r *Report) diff(plan api.Plan, f Fleet) {
+func (r *Report) diff(plan api.Plan, fleet Fleet) {
 	var old api.Plan
-	if f.Plan != nil {
-		_ = json.Unmarshal(f.Plan.Doc, &old)
-	}
-	named := func(what string, was, is map[string]string) {
-		for _, k := range sorted.Keys(is) {
-			if _, ok := was[k]; !ok {
-				r.Changes = append(r.Changes, what+" "+k+" is new")
-			} else if was[k] != is[k] {
-				r.Changes = append(r.Changes, what+" "+k+" changes")
-			}
-		}
-		for _, k := range sorted.Keys(was) {
-			if _, ok := is[k]; !ok {
-				r.Changes = append(r.Changes, what+" "+k+" goes")
-			}
-		}
-	}
-	pools, routes := func(x api.Plan) map[string]string {
-		m := map[string]string{}
-		for _, v := range x.Pools {
-			m[v.Name] = fmt.Sprint(v)
-		}
-		return m
-	}, func(x api.Plan) map[string]string {
-		m := map[string]string{}
-		for _, v := range x.Routes {
-			m[v.Name] = fmt.Sprint(v)
-		}
-		return m
+	if fleet.Plan != nil {
+		_ = json.Unmarshal(fleet.Plan.Doc, &old)
 	}
-	named("pool", pools(old), pools(plan))
-	named("route", routes(old), routes(plan))
+	r.named("pool", poolTexts(old), poolTexts(plan))
+	r.named("route", routeTexts(old), routeTexts(plan))
 	if old.Placement != plan.Placement {
 		r.Changes = append(r.Changes, fmt.Sprintf("placement changes from %q to %q", old.Placement, plan.Placement))
 	}
@@ -259,6 +268,40 @@
 	}
 }
 
+// named tells which of some named things are new, change or go.
+func (r *Report) named(what string, before, after map[string]string) {
+	for _, name := range sorted.Keys(after) {
+		if _, known := before[name]; !known {
+			r.Changes = append(r.Changes, what+" "+name+" is new")
+		} else if before[name] != after[name] {
+			r.Changes = append(r.Changes, what+" "+name+" changes")
+		}
+	}
+	for _, name := range sorted.Keys(before) {
+		if _, stays := after[name]; !stays {
+			r.Changes = append(r.Changes, what+" "+name+" goes")
+		}
+	}
+}
+
+// poolTexts gives each pool of a plan as a text to compare, by name.
+func poolTexts(plan api.Plan) map[string]string {
+	texts := map[string]string{}
+	for _, pool := range plan.Pools {
+		texts[pool.Name] = fmt.Sprint(pool)
+	}
+	return texts
+}
+
+// routeTexts gives each route of a plan as a text to compare, by name.
+func routeTexts(plan api.Plan) map[string]string {
+	texts := map[string]string{}
+	for _, route := range plan.Routes {
+		texts[route.Name] = fmt.Sprint(route)
+	}
+	return texts
+}
+
 // Config checks a node's config against the fleet that it would join.
 func Config(raw []byte, fleet Fleet) Report {
 	report := Report{Findings: []Finding{}, Changes: []string{}}
@@ -271,33 +314,14 @@
 	if len(bad) > 0 {
 		return report
 	}
-	live := map[string]bool{fleet.Status.Addr: true}
-	for _, e := range fleet.Status.Live {
-		live[e.Addr] = true
-		if e.Addr == settings.Addr {
-			report.add("warning", "/addr", "a process of zone %q with roles %v speaks from this address now", e.Zone, e.Roles)
-		}
-		if e.Web == settings.Web && e.Addr != settings.Addr {
-			report.add("fault", "/web", "is the web address of the process at %s", e.Addr)
-		}
-	}
-	n := 0
-	for _, s := range settings.Seeds {
-		if live[s] {
-			n++
-		}
-	}
-	if n == 0 {
-		report.add("fault", "/seeds", "no seed is alive: this node would not find the fleet")
-	} else if n < len(settings.Seeds) {
-		report.add("warning", "/seeds", "only %d of %d seeds are alive", n, len(settings.Seeds))
-	}
+	report.addresses(settings, fleet.Status)
+	report.seeds(settings, fleet.Status)
 	if len(settings.Form) > 0 && fleet.Status.Cluster != "" {
 		report.add("warning", "/form", "a cluster stands already: form will be passed over")
 	}
 	zones := map[string]bool{}
-	for _, e := range fleet.Status.Live {
-		zones[e.Zone] = true
+	for _, entry := range fleet.Status.Live {
+		zones[entry.Zone] = true
 	}
 	if !zones[settings.Zone] {
 		report.add("warning", "/zone", "no living process is in zone %q; there are %s", settings.Zone, strings.Join(sorted.Keys(zones), ", "))
@@ -308,6 +332,37 @@
 	return report
 }
 
+// addresses finds addresses of a config that other processes have.
+func (r *Report) addresses(settings config.Config, status node.Stats) {
+	for _, entry := range status.Live {
+		if entry.Addr == settings.Addr {
+			r.add("warning", "/addr", "a process of zone %q with roles %v speaks from this address now", entry.Zone, entry.Roles)
+		}
+		if entry.Web == settings.Web && entry.Addr != settings.Addr {
+			r.add("fault", "/web", "is the web address of the process at %s", entry.Addr)
+		}
+	}
+}
+
+// seeds finds seeds of a config that are not alive.
+func (r *Report) seeds(settings config.Config, status node.Stats) {
+	live := map[string]bool{status.Addr: true}
+	for _, entry := range status.Live {
+		live[entry.Addr] = true
+	}
+	alive := 0
+	for _, seed := range settings.Seeds {
+		if live[seed] {
+			alive++
+		}
+	}
+	if alive == 0 {
+		r.add("fault", "/seeds", "no seed is alive: this node would not find the fleet")
+	} else if alive < len(settings.Seeds) {
+		r.add("warning", "/seeds", "only %d of %d seeds are alive", alive, len(settings.Seeds))
+	}
+}
+
 // Write prints a report for people.
 func (r Report) Write(output io.Writer) {
 	sort.SliceStable(r.Findings, func(a, b int) bool { return r.Findings[a].Level < r.Findings[b].Level })
