--- a/cmd/fernlink/folder.go
+++ b/cmd/fernlink/folder.go
@@ -46,50 +46,66 @@
 	return 0
 }
 
-func writeFolder(out io.Writer, report disk.Report) {
-	table := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
-	row := func(name, text string, a ...any) { fmt.Fprintf(table, "%s\t%s\n", name, fmt.Sprintf(text, a...)) }
+// writeFolder prints a report as a table of names and texts.
+func writeFolder(output io.Writer, report disk.Report) {
+	table := folderTable{tabwriter.NewWriter(output, 0, 8, 2, ' ', 0)}
+	table.log(report)
+	table.state(report)
+	for _, name := range report.Other {
+		table.row("beside", "%s", name)
+	}
+	for _, note := range report.Notes {
+		table.row("note", "%s", note)
+	}
+	for _, finding := range report.Findings {
+		table.row("FINDING", "%s", finding)
+	}
+	whole := "no"
+	if report.Whole() {
+		whole = "yes"
+	}
+	table.row("whole", "%s", whole)
+	_ = table.Flush()
+}
+
+type folderTable struct{ *tabwriter.Writer }
+
+func (t folderTable) row(name, text string, args ...any) {
+	fmt.Fprintf(t, "%s\t%s\n", name, fmt.Sprintf(text, args...))
+}
+
+// log prints identity, log, snapshot and blob store.
+func (t folderTable) log(report disk.Report) {
 	if id := report.Identity; id != nil {
-		row("identity", "%s, start %d", id.ID, id.Inc)
+		t.row("identity", "%s, start %d", id.ID, id.Inc)
 	}
 	if report.Cluster != "" {
-		row("cluster", "%s, term %d, vote %q", report.Cluster, report.Term, report.Vote)
+		t.row("cluster", "%s, term %d, vote %q", report.Cluster, report.Term, report.Vote)
 	}
-	for _, s := range report.Segments {
-		row("segment", "%s: %d frames, %d bytes, tail %s", s.Name, s.Frames, s.Bytes, s.Tail)
+	for _, segment := range report.Segments {
+		t.row("segment", "%s: %d frames, %d bytes, tail %s", segment.Name, segment.Frames, segment.Bytes, segment.Tail)
 	}
-	if s := report.Snapshot; s != nil {
-		row("snapshot", "index %d, term %d, %d bytes, %d members (%d voters)", s.Index, s.Term, s.Bytes, s.Members, s.Voters)
+	if snapshot := report.Snapshot; snapshot != nil {
+		t.row("snapshot", "index %d, term %d, %d bytes, %d members (%d voters)", snapshot.Index, snapshot.Term, snapshot.Bytes, snapshot.Members, snapshot.Voters)
 	}
 	if report.Entries > 0 {
-		row("entries", "%d to %d", report.First, report.Last)
+		t.row("entries", "%d to %d", report.First, report.Last)
 	}
-	for _, k := range report.Blobs {
-		row("blobs", "%s: %d items, %d segments, %d bytes", k.Name, k.Items, k.Segments, k.Bytes)
+	for _, kind := range report.Blobs {
+		t.row("blobs", "%s: %d items, %d segments, %d bytes", kind.Name, kind.Items, kind.Segments, kind.Bytes)
 	}
+}
+
+// state prints what the log and the snapshot fold to.
+func (t folderTable) state(report disk.Report) {
 	if report.Snapshot != nil {
-		row("needs", "%d items, %d missing", report.Needs, len(report.Missing))
+		t.row("needs", "%d items, %d missing", report.Needs, len(report.Missing))
 	}
 	if report.Cluster != "" {
-		row("plan", "version %d", report.Plan)
-		row("open", "%d steps, %d lots; %d lots ended", report.Steps, len(report.Lots), report.LotsEnded)
-	}
-	for _, l := range report.Lots {
-		row("lot", "%s: %d of %d listed, owner %s", l.ID, l.Listed, l.Total, l.Owner)
-	}
-	for _, n := range report.Other {
-		row("beside", "%s", n)
+		t.row("plan", "version %d", report.Plan)
+		t.row("open", "%d steps, %d lots; %d lots ended", report.Steps, len(report.Lots), report.LotsEnded)
 	}
-	for _, n := range report.Notes {
-		row("note", "%s", n)
+	for _, lot := range report.Lots {
+		t.row("lot", "%s: %d of %d listed, owner %s", lot.ID, lot.Listed, lot.Total, lot.Owner)
 	}
-	for _, f := range report.Findings {
-		row("FINDING", "%s", f)
-	}
-	if report.Whole() {
-		row("whole", "yes")
-	} else {
-		row("whole", "no")
-	}
-	_ = table.Flush()
 }
--- a/cmd/fernlink/timeline/timeline.go
+++ b/cmd/fernlink/timeline/timeline.go
@@ -6,11 +6,11 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"math"
 	"slices"
-	"sort"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -168,13 +168,7 @@
 // sort orders events by time; those of one moment stay as they were read.
 func (l *Log) sort() {
 	slices.SortStableFunc(l.Events, func(a, b Event) int {
-		switch {
-		case a.At < b.At:
-			return -1
-		case a.At > b.At:
-			return 1
-		}
-		return 0
+		return cmp.Compare(a.At, b.At)
 	})
 }
 
@@ -203,9 +197,9 @@
 	fmt.Fprintf(table, "TIME\tAFTER\tSINCE LAST\tNODE\tPART\tEVENT\n")
 	for _, event := range l.Events {
 		var rest []string
-		for _, x := range event.Fields {
-			if x.Value != "" && (x.Key != "request" || filter.Request == "") && (x.Key != "lot" || filter.Lot == "") && (x.Key != "engine" || filter.Engine == "") {
-				rest = append(rest, x.Key+"="+quoted(x.Value))
+		for _, field := range event.Fields {
+			if field.Value != "" && !filter.fixes(field.Key) {
+				rest = append(rest, field.Key+"="+quoted(field.Value))
 			}
 		}
 		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", clock(event.At), span(event.At-first), span(event.At-last), event.Node, event.Part, strings.TrimSpace(event.Text+"  "+strings.Join(rest, " ")))
@@ -214,6 +208,19 @@
 	_ = table.Flush()
 }
 
+// fixes says whether all lines that the filter lets through have one value of a field.
+func (f Filter) fixes(key string) bool {
+	switch key {
+	case "request":
+		return f.Request != ""
+	case "lot":
+		return f.Lot != ""
+	case "engine":
+		return f.Engine != ""
+	}
+	return false
+}
+
 func quoted(v string) string {
 	if strings.ContainsAny(v, " \t\n\"=") {
 		return strconv.Quote(v)
@@ -238,8 +245,8 @@
 	key        []string // whose life it is
 }
 
-// stages are what the summary times. Events are those of the serving side's
-// rooms (design 12).
+// stages are what the summary times. Events are those of the serving side
+// (design 12).
 var stages = []stage{
 	{"request: accepted to sent", "requests", []string{"accepted"}, []string{"sent"}, []string{"request"}},
 	{"request: sent to first token", "requests", []string{"sent"}, []string{"first token"}, []string{"request"}},
@@ -252,15 +259,17 @@
 	{"weights: ordered to over", "rollout", []string{"ordered"}, []string{"order over"}, []string{"engine", "model"}},
 }
 
-func (s stage) id(e Event) string {
-	var out []string
-	for _, k := range s.key {
-		out = append(out, e.Get(k))
+// id names whose stage an event is of.
+func (s stage) id(event Event) string {
+	var values []string
+	for _, key := range s.key {
+		values = append(values, event.Get(key))
 	}
-	return strings.Join(out, " ")
+	return strings.Join(values, " ")
 }
 
-type took struct {
+// stretch is one stage that ended: how long it took in seconds, of what and where.
+type stretch struct {
 	time float64
 	id   string
 	node string
@@ -268,7 +277,7 @@
 
 // times gives every stretch of a stage, the longest first, and how many have not
 // ended.
-func (l *Log) times(s stage) (out []took, open int) {
+func (l *Log) times(s stage) (ended []stretch, open int) {
 	began := map[string]float64{}
 	for _, event := range l.Events {
 		if event.Part != s.part {
@@ -282,57 +291,73 @@
 			continue
 		}
 		if at, ok := began[id]; ok && slices.Contains(s.to, event.Text) {
-			out = append(out, took{event.At - at, id, event.Node})
+			ended = append(ended, stretch{event.At - at, id, event.Node})
 			delete(began, id)
 		}
 	}
-	sort.SliceStable(out, func(a, b int) bool { return out[a].time > out[b].time })
-	return out, len(began)
+	slices.SortStableFunc(ended, func(a, b stretch) int { return cmp.Compare(b.time, a.time) })
+	return ended, len(began)
 }
 
 // rank is the value at a part of a list with the longest first.
-func rank(t []took, part float64) float64 { return t[int(float64(len(t)-1)*(1-part))].time }
+func rank(ended []stretch, part float64) float64 {
+	return ended[int(float64(len(ended)-1)*(1-part))].time
+}
 
+// summary tells what there is of each event and how long each stage took.
 func (l *Log) summary(output io.Writer) {
 	fmt.Fprintf(output, "%d lines, %d of them no log lines\n", l.Lines, l.Skipped)
 	if len(l.Events) == 0 {
 		return
 	}
-	nodes, counts := map[string]bool{}, map[[3]string]int{}
-	for _, e := range l.Events {
-		nodes[e.Node] = true
-		counts[[3]string{e.Part, e.Text, e.Get("why")}]++
+	nodes := map[string]bool{}
+	for _, event := range l.Events {
+		nodes[event.Node] = true
 	}
 	first, last := l.Events[0].At, l.Events[len(l.Events)-1].At
 	fmt.Fprintf(output, "%d nodes, from %s to %s (%s s)\n\n", len(nodes), clock(first), clock(last), strconv.FormatFloat(last-first, 'f', 3, 64))
-	table := tabwriter.NewWriter(output, 0, 8, 2, ' ', 0)
-	fmt.Fprintf(table, "COUNT\tPART\tEVENT\tWHY\n")
-	keys := make([][3]string, 0, len(counts))
-	for k := range counts {
-		keys = append(keys, k)
+	l.writeCounts(output)
+	fmt.Fprintln(output)
+	l.writeStages(output)
+}
+
+// eventKind is what the summary counts events by.
+type eventKind struct{ part, text, why string }
+
+// writeCounts prints how often each event came, the most frequent first.
+func (l *Log) writeCounts(output io.Writer) {
+	counts := map[eventKind]int{}
+	for _, event := range l.Events {
+		counts[eventKind{event.Part, event.Text, event.Get("why")}]++
 	}
-	sort.Slice(keys, func(a, b int) bool {
-		if x, y := counts[keys[a]], counts[keys[b]]; x != y {
-			return x > y
-		}
-		return slices.Compare(keys[a][:], keys[b][:]) < 0
+	kinds := make([]eventKind, 0, len(counts))
+	for kind := range counts {
+		kinds = append(kinds, kind)
+	}
+	slices.SortFunc(kinds, func(a, b eventKind) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a.part, b.part), cmp.Compare(a.text, b.text), cmp.Compare(a.why, b.why))
 	})
-	for _, k := range keys {
-		fmt.Fprintf(table, "%d\t%s\t%s\t%s\n", counts[k], k[0], k[1], k[2])
+	table := tabwriter.NewWriter(output, 0, 8, 2, ' ', 0)
+	fmt.Fprintf(table, "COUNT\tPART\tEVENT\tWHY\n")
+	for _, kind := range kinds {
+		fmt.Fprintf(table, "%d\t%s\t%s\t%s\n", counts[kind], kind.part, kind.text, kind.why)
 	}
 	_ = table.Flush()
-	fmt.Fprintln(output)
-	table = tabwriter.NewWriter(output, 0, 8, 2, ' ', 0)
+}
+
+// writeStages prints how long each stage took.
+func (l *Log) writeStages(output io.Writer) {
+	table := tabwriter.NewWriter(output, 0, 8, 2, ' ', 0)
 	fmt.Fprintf(table, "STAGE\tENDED\tOPEN\tMEDIAN\t95 OF 100\tSLOWEST\tOF\tAT\n")
 	for _, stage := range stages {
-		t, open := l.times(stage)
-		if len(t) == 0 {
-			if open > 0 {
-				fmt.Fprintf(table, "%s\t0\t%d\t\t\t\t\t\n", stage.name, open)
-			}
-			continue
+		ended, open := l.times(stage)
+		if len(ended) > 0 {
+			slowest := ended[0]
+			fmt.Fprintf(table, "%s\t%d\t%d\t%s\t%s\t%s\t%s\t%s\n", stage.name, len(ended), open,
+				span(rank(ended, 0.5)), span(rank(ended, 0.95)), span(slowest.time), slowest.id, slowest.node)
+		} else if open > 0 {
+			fmt.Fprintf(table, "%s\t0\t%d\t\t\t\t\t\n", stage.name, open)
 		}
-		fmt.Fprintf(table, "%s\t%d\t%d\t%s\t%s\t%s\t%s\t%s\n", stage.name, len(t), open, span(rank(t, 0.5)), span(rank(t, 0.95)), span(t[0].time), t[0].id, t[0].node)
 	}
 	_ = table.Flush()
 }
