--- a/rig/fleet/drill.go
+++ b/rig/fleet/drill.go
@@ -339,70 +339,85 @@
 var hurried = &http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // proof shows that service is whole: a booking or lookup goes through, a plan
-// is put, and a small step under new weights gets all of its results.
+// is put, and a small step under new weights gets all of its results. It gives what is
+// wrong with them.
 func (f *Fleet) proof(random *rand.Rand, rev int) (string, error) {
-	live := func() string {
-		for i := range f.By("dispatcher") {
-			if f.serves(i) {
-				return f.disp(i)
-			}
+	if err := f.proveRequest(rev); err != nil {
+		return "", err
+	}
+	trainer := f.Shape.Trainers[0]
+	doc := ledger.StepDoc{ID: fmt.Sprintf("drill-%d", rev), Trainer: trainer.Name, Pool: trainer.Pool, Revision: rev, OneVersion: true, Judge: f.Judge, DeadlineMS: 100000}
+	for group := 0; group < 6; group++ {
+		doc.Groups = append(doc.Groups, ledger.Group{ID: fmt.Sprintf("g%d", group), Prompt: prompt(random, 512), Samples: 2, Tokens: 32})
+	}
+	if err := f.openStep(doc); err != nil {
+		return "", err
+	}
+	results, err := f.allResults(doc)
+	if err != nil {
+		return "", err
+	}
+	for _, entry := range results {
+		if err := standin.CheckEntry(doc, entry, standin.Usual.Stop); err != nil {
+			return err.Error(), nil
 		}
-		return f.disp(0)
 	}
-	at := live() // callers go to a dispatcher that answers
+	_, _, _ = Do("POST", f.serving()+"/v1/steps/"+doc.ID+"/end", nil, nil)
+	return "", nil
+}
+
+// serving is a dispatcher that answers, as callers go to one.
+func (f *Fleet) serving() string {
+	for i := range f.By("dispatcher") {
+		if f.serves(i) {
+			return f.disp(i)
+		}
+	}
+	return f.disp(0)
+}
+
+// proveRequest makes one plain request, again until it is served.
+func (f *Fleet) proveRequest(rev int) error {
 	verb, path := "GET", "/parts/1"
 	if f.Shape.Once {
 		verb, path = "POST", "/book/x"
 	}
-	n := 0
-	err := Retry(patience, func() error {
-		n++
-		at = live()
-		body, _ := json.Marshal(map[string]string{"id": fmt.Sprintf("drill-%d-%d", rev, n)})
+	tries := 0
+	return Retry(patience, func() error {
+		tries++
+		at := f.serving()
+		body, _ := json.Marshal(map[string]string{"id": fmt.Sprintf("drill-%d-%d", rev, tries)})
 		code, _, err := Do(verb, at+path, body, nil)
 		if err == nil && code != 200 {
 			err = errors.Errorf("fleet: request answered %d", code)
 		}
 		return err
 	})
-	if err != nil {
-		return "", err
-	}
-	t := f.Shape.Trainers[0]
-	doc := ledger.StepDoc{ID: fmt.Sprintf("drill-%d", rev), Trainer: t.Name, Pool: t.Pool, Revision: rev, OneVersion: true, Judge: f.Judge, DeadlineMS: 100000}
-	for g := 0; g < 6; g++ {
-		doc.Groups = append(doc.Groups, ledger.Group{ID: fmt.Sprintf("g%d", g), Prompt: prompt(random, 512), Samples: 2, Tokens: 32})
-	}
+}
+
+func (f *Fleet) openStep(doc ledger.StepDoc) error {
 	body, _ := json.Marshal(doc)
-	if err := Retry(patience, func() error {
-		at = live()
-		code, b, err := Do("POST", at+"/v1/steps", body, nil)
+	return Retry(patience, func() error {
+		code, answer, err := Do("POST", f.serving()+"/v1/steps", body, nil)
 		if err == nil && code != 200 {
-			err = errors.Errorf("fleet: step answered %d %s", code, b)
+			err = errors.Errorf("fleet: step answered %d %s", code, answer)
 		}
 		return err
-	}); err != nil {
-		return "", err
-	}
+	})
+}
+
+// allResults waits until a step has all of its results.
+func (f *Fleet) allResults(doc ledger.StepDoc) ([]ledger.Entry, error) {
 	var pages ledger.Pages
-	if err := Retry(patience, func() error {
-		at = live()
-		_, b, err := Do("GET", at+"/v1/steps/"+doc.ID+"/results", nil, nil)
+	err := Retry(patience, func() error {
+		_, answer, err := Do("GET", f.serving()+"/v1/steps/"+doc.ID+"/results", nil, nil)
 		if err != nil {
 			return err
 		}
-		if json.Unmarshal(b, &pages) != nil || len(pages.Results) < doc.Wanted() {
+		if json.Unmarshal(answer, &pages) != nil || len(pages.Results) < doc.Wanted() {
 			return errors.Errorf("fleet: %d of %d results", len(pages.Results), doc.Wanted())
 		}
 		return nil
-	}); err != nil {
-		return "", err
-	}
-	for _, e := range pages.Results {
-		if err := standin.CheckEntry(doc, e, standin.Usual.Stop); err != nil {
-			return err.Error(), nil
-		}
-	}
-	_, _, _ = Do("POST", at+"/v1/steps/"+doc.ID+"/end", nil, nil)
-	return "", nil
+	})
+	return pages.Results, err
 }
--- a/rig/fleet/fleet.go
+++ b/rig/fleet/fleet.go
@@ -121,69 +121,93 @@
 	return out, nil
 }
 
-// Start builds nothing: bin is the folder with both programs.
+// Start starts a fleet's processes. It builds nothing: bin is the folder with both
+// programs.
 func Start(shape Shape, bin, dir string) (*Fleet, error) {
 	fleet := &Fleet{Shape: shape, Dir: dir, bin: bin, Relays: NewRelays()}
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, errors.Wrap(err, "fleet")
 	}
-	disks := shape.Stores + shape.Spare
-	nodes := disks + shape.Dispatchers
-	ps, err := ports(3*nodes + shape.Models + shape.Apps + 2)
+	nodes := shape.Stores + shape.Spare + shape.Dispatchers
+	free, err := ports(3*nodes + shape.Models + shape.Apps + 2)
 	if err != nil {
 		return nil, errors.Wrap(err, "fleet: ports")
 	}
-	take := func() string { p := ps[0]; ps = ps[1:]; return p }
-	rig := filepath.Join(bin, "rig")
-	zone := func(i int) string { return shape.Zones[i%len(shape.Zones)] }
-	pool := shape.Trainers[0].Pool
-	for i := 0; i < shape.Models; i++ {
+	take := func() string {
+		port := free[0]
+		free = free[1:]
+		return port
+	}
+	fleet.addEngines(take)
+	fleet.addOutside(take)
+	if err := fleet.addNodes(take, nodes); err != nil {
+		fleet.Close()
+		return nil, err
+	}
+	for _, process := range fleet.Procs {
+		if err := fleet.Launch(process); err != nil {
+			fleet.Close()
+			return nil, err
+		}
+	}
+	return fleet, fleet.Publish()
+}
+
+func (f *Fleet) rig() string { return filepath.Join(f.bin, "rig") }
+
+func (f *Fleet) zone(i int) string { return f.Shape.Zones[i%len(f.Shape.Zones)] }
+
+// addEngines adds the stand-ins of engines, each at an address of its own.
+func (f *Fleet) addEngines(take func() string) {
+	pool := f.Shape.Trainers[0].Pool
+	for i := 0; i < f.Shape.Models; i++ {
 		id, at := fmt.Sprintf("model-%d", i+1), take()
-		fleet.Engines = append(fleet.Engines, dialect.Listed{ID: id, URL: "http://" + at, Kind: "model", Pool: pool, Zone: zone(i), State: "ready"})
-		fleet.add(&Proc{Name: id, Web: at, Role: "model", Zone: zone(i), Args: []string{rig, "engine", "--addr", at, "--id", id, "--pool", pool}})
+		f.Engines = append(f.Engines, dialect.Listed{ID: id, URL: "http://" + at, Kind: "model", Pool: pool, Zone: f.zone(i), State: "ready"})
+		f.add(&Proc{Name: id, Web: at, Role: "model", Zone: f.zone(i), Args: []string{f.rig(), "engine", "--addr", at, "--id", id, "--pool", pool}})
 	}
-	var app struct {
+	var plan struct {
 		Pools []struct{ Name, Kind string }
 	}
-	_ = json.Unmarshal([]byte(shape.Plan), &app)
-	appPool := app.Pools[len(app.Pools)-1].Name
-	for i := 0; i < shape.Apps; i++ {
+	_ = json.Unmarshal([]byte(f.Shape.Plan), &plan)
+	appPool := plan.Pools[len(plan.Pools)-1].Name
+	for i := 0; i < f.Shape.Apps; i++ {
 		id, at := fmt.Sprintf("app-%d", i+1), take()
-		fleet.Engines = append(fleet.Engines, dialect.Listed{ID: id, URL: "http://" + at, Kind: "app", Pool: appPool, Zone: zone(i), State: "ready"})
-		fleet.add(&Proc{Name: id, Web: at, Role: "app", Zone: zone(i), Args: []string{rig, "app", "--addr", at, "--id", id}})
+		f.Engines = append(f.Engines, dialect.Listed{ID: id, URL: "http://" + at, Kind: "app", Pool: appPool, Zone: f.zone(i), State: "ready"})
+		f.add(&Proc{Name: id, Web: at, Role: "app", Zone: f.zone(i), Args: []string{f.rig(), "app", "--addr", at, "--id", id}})
 	}
-	judge, plat := take(), take()
-	fleet.Judge, fleet.List = "http://"+judge+"/judge", "http://"+plat+"/engines"
-	fleet.add(&Proc{Name: "judge", Web: judge, Role: "judge", Args: []string{rig, "judge", "--addr", judge}})
-	fleet.add(&Proc{Name: "platform", Web: plat, Role: "platform", Args: []string{rig, "list", "--addr", plat}})
+}
+
+// addOutside adds the stand-ins of the judge and of the platform's list.
+func (f *Fleet) addOutside(take func() string) {
+	judge, platform := take(), take()
+	f.Judge, f.List = "http://"+judge+"/judge", "http://"+platform+"/engines"
+	f.add(&Proc{Name: "judge", Web: judge, Role: "judge", Args: []string{f.rig(), "judge", "--addr", judge}})
+	f.add(&Proc{Name: "platform", Web: platform, Role: "platform", Args: []string{f.rig(), "list", "--addr", platform}})
+}
+
+// addNodes adds the nodes: those with a disk, then the dispatchers.
+func (f *Fleet) addNodes(take func() string, nodes int) error {
+	disks := f.Shape.Stores + f.Shape.Spare
 	var addrs, webs []string
 	for i := 0; i < nodes; i++ {
 		addrs, webs = append(addrs, take()), append(webs, take())
 	}
-	seeds := strings.Join([]string{addrs[0], addrs[disks], addrs[nodes-1]}, ",")
-	form := strings.Join(addrs[:shape.Stores], ",")
-	fleet.seeds = seeds
+	f.seeds = strings.Join([]string{addrs[0], addrs[disks], addrs[nodes-1]}, ",")
+	form := strings.Join(addrs[:f.Shape.Stores], ",")
 	for i := 0; i < nodes; i++ {
-		name, more := fmt.Sprintf("disp-%d", i-disks+1), []string{"--roles", "dispatcher", "--platform", fleet.List}
+		name, more := fmt.Sprintf("disp-%d", i-disks+1), []string{"--roles", "dispatcher", "--platform", f.List}
 		if i < disks {
 			name = fmt.Sprintf("store-%d", i+1)
-			more = []string{"--roles", "store,coordinator", "--data", filepath.Join(dir, name)}
-			if i < shape.Stores {
+			more = []string{"--roles", "store,coordinator", "--data", filepath.Join(f.Dir, name)}
+			if i < f.Shape.Stores {
 				more = append(more, "--form", form)
 			}
 		}
-		if _, err := fleet.node(name, addrs[i], take(), webs[i], zone(i), more...); err != nil {
-			fleet.Close()
-			return nil, err
-		}
-	}
-	for _, p := range fleet.Procs {
-		if err := fleet.Launch(p); err != nil {
-			fleet.Close()
-			return nil, err
+		if _, err := f.node(name, addrs[i], take(), webs[i], f.zone(i), more...); err != nil {
+			return err
 		}
 	}
-	return fleet, fleet.Publish()
+	return nil
 }
 
 // node puts one node into the fleet, behind a relay, not yet started.
--- a/rig/scale/host.go
+++ b/rig/scale/host.go
@@ -128,72 +128,84 @@
 	return int64(len(b) - 1 + len(body))
 }
 
+// emit carries out what the node wants, and counts it.
 func (h *Host) emit() {
-	world, outbox := h.world, h.out
+	outbox := h.out
 	h.out = flow.Outbox{}
-	for _, n := range outbox.Notes {
-		h.note(n)
+	for _, note := range outbox.Notes {
+		h.note(note)
 	}
+	h.store(&outbox)
+	h.sendLines(outbox.Lines)
+	for _, reply := range outbox.Replies {
+		if answer := h.calls[reply.ID]; answer != nil {
+			if !reply.More {
+				delete(h.calls, reply.ID)
+			}
+			answer(reply)
+		}
+	}
+	for _, send := range outbox.Sends {
+		h.Spent.Sends++
+		h.world.Out.send(h, send)
+	}
+	if outbox.Halt != "" {
+		panic("scale: " + h.Name + " halted: " + outbox.Halt)
+	}
+}
+
+// store does what is for the disk.
+func (h *Host) store(outbox *flow.Outbox) {
 	if len(outbox.Save) > 0 {
 		h.Spent.Writes++
-		for _, s := range outbox.Save {
-			for _, e := range s.Add {
-				h.Spent.Bytes += int64(len(e.Data))
+		for _, save := range outbox.Save {
+			for _, entry := range save.Add {
+				h.Spent.Bytes += int64(len(entry.Data))
 			}
 		}
 		h.offer(1, flow.Event{Saved: outbox.Batch})
 	}
-	for _, s := range outbox.Blobs {
-		for _, x := range s.Put {
-			h.blobs[x.Ref] = x.Body
+	for _, change := range outbox.Blobs {
+		for _, item := range change.Put {
+			h.blobs[item.Ref] = item.Body
 		}
-		for _, r := range s.Drop {
-			delete(h.blobs, r)
+		for _, ref := range change.Drop {
+			delete(h.blobs, ref)
 		}
 	}
-	for _, f := range outbox.Fetch {
-		h.fetched(f)
+	for _, fetch := range outbox.Fetch {
+		h.fetched(fetch)
 	}
-	var same json.RawMessage // of a large line to many
-	for i := range outbox.Lines {
-		line := &outbox.Lines[i]
+}
+
+// sendLines brings lines to their hosts. A large line to many is kept once.
+func (h *Host) sendLines(lines []flow.Line) {
+	world := h.world
+	var shared json.RawMessage
+	for i := range lines {
+		line := &lines[i]
 		if len(line.Body) >= large {
 			world.said += len(line.Body)
-			if bytes.Equal(line.Body, same) {
-				line.Body = same
+			if bytes.Equal(line.Body, shared) {
+				line.Body = shared
 			}
-			same = line.Body
+			shared = line.Body
 		}
-		n := wireSize(*line)
+		size := wireSize(*line)
 		h.Spent.Out++
-		h.Spent.Sent += n
-		h.Spent.Kinds[line.Kind] += n
+		h.Spent.Sent += size
+		h.Spent.Kinds[line.Kind] += size
 		if line.To == operator {
 			world.heard(*line)
 			continue
 		}
 		if to := world.byAddr[line.To]; to != nil && to.Up {
 			to.Spent.In++
-			to.Spent.Heard += n
-			to.Spent.KindsIn[line.Kind] += n
+			to.Spent.Heard += size
+			to.Spent.KindsIn[line.Kind] += size
 			to.offer(world.rounds(h, to), flow.Event{Line: line})
 		}
 	}
-	for _, r := range outbox.Replies {
-		if f := h.calls[r.ID]; f != nil {
-			if !r.More {
-				delete(h.calls, r.ID)
-			}
-			f(r)
-		}
-	}
-	for _, s := range outbox.Sends {
-		h.Spent.Sends++
-		world.Out.send(h, s)
-	}
-	if outbox.Halt != "" {
-		panic("scale: " + h.Name + " halted: " + outbox.Halt)
-	}
 }
 
 func (h *Host) fetched(fetch flow.Fetch) {
--- a/rig/scale/things.go
+++ b/rig/scale/things.go
@@ -121,65 +121,90 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
+// wireTimes is how often each size of a line is measured.
+const wireTimes = 5000
+
 // wire measures what a line costs on loopback, writer and reader together, over
 // real sockets with the link's own writing and reading.
 func wire() ([]Slope, error) {
-	sizes := []float64{200, 2000, 8000, 32000, 128000}
 	var pack, both []Point
-	free := func() (string, error) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", err
-		}
-		defer l.Close()
-		return l.Addr().String(), nil
-	}
-	for _, size := range sizes {
-		line := flow.Line{Ver: flow.Version, Cluster: "c-node-0-1", Kind: "told", From: "node-0-1", Addr: "10.1.0.1:7000", Body: json.RawMessage(`{"x":"` + strings.Repeat("roster ", int(size)/7) + `"}`)}
-		const times = 5000
-		runtime.LockOSThread()
-		from := threadTime()
-		var buf []byte
-		for range times {
-			buf, _ = link.Pack(buf[:0], line)
-			if _, err := link.Unpack(buf[:len(buf)-1]); err != nil {
-				return nil, err
-			}
-		}
-		pack = append(pack, Point{float64(len(buf)), float64(threadTime()-from) / 1e3 / times})
-		runtime.UnlockOSThread()
-		addr, err := free()
-		if err != nil {
-			return nil, err
+	for _, size := range []int{200, 2000, 8000, 32000, 128000} {
+		line := flow.Line{
+			Ver: flow.Version, Cluster: "c-node-0-1", Kind: "told", From: "node-0-1", Addr: "10.1.0.1:7000",
+			Body: json.RawMessage(`{"x":"` + strings.Repeat("roster ", size/7) + `"}`),
 		}
-		here, err := free()
+		packed, err := packCost(line)
 		if err != nil {
 			return nil, err
 		}
-		got := make(chan bool, times)
-		socket, err := link.Open(addr, log.NewNopLogger(), func(flow.Event) bool { got <- true; return true })
+		pack = append(pack, packed)
+		cost, err := loopbackCost(line)
 		if err != nil {
 			return nil, err
 		}
-		mouth, err := link.Open(here, log.NewNopLogger(), func(flow.Event) bool { return true })
-		if err != nil {
-			socket.Close()
-			return nil, err
-		}
-		line.To = addr
-		mouth.Send(line)
-		<-got
-		cpu := processTime()
-		for range times {
-			mouth.Send(line)
-			<-got
-		}
-		both = append(both, Point{float64(len(buf)), float64(processTime()-cpu) / 1e3 / times})
-		mouth.Close()
-		socket.Close()
+		both = append(both, Point{packed.X, cost})
 	}
 	return []Slope{
 		{"wire", "byte of a line", "line", "link", "us to write and read a line in memory", Line(pack)},
 		{"wire", "byte of a line", "line", "link", "us of both ends for a line over loopback, one at a time", Line(both)},
 	}, nil
 }
+
+// packCost gives a line's size on the wire and the microseconds to write and read it in
+// memory.
+func packCost(line flow.Line) (Point, error) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	from := threadTime()
+	var buffer []byte
+	for range wireTimes {
+		buffer, _ = link.Pack(buffer[:0], line)
+		if _, err := link.Unpack(buffer[:len(buffer)-1]); err != nil {
+			return Point{}, err
+		}
+	}
+	return Point{float64(len(buffer)), float64(threadTime()-from) / 1e3 / wireTimes}, nil
+}
+
+// loopbackCost gives the microseconds of both ends for a line over loopback, one at a
+// time.
+func loopbackCost(line flow.Line) (float64, error) {
+	receiverAddr, err := freeAddr()
+	if err != nil {
+		return 0, err
+	}
+	senderAddr, err := freeAddr()
+	if err != nil {
+		return 0, err
+	}
+	received := make(chan bool, wireTimes)
+	receiver, err := link.Open(receiverAddr, log.NewNopLogger(), func(flow.Event) bool { received <- true; return true })
+	if err != nil {
+		return 0, err
+	}
+	defer receiver.Close()
+	sender, err := link.Open(senderAddr, log.NewNopLogger(), func(flow.Event) bool { return true })
+	if err != nil {
+		return 0, err
+	}
+	defer sender.Close()
+	line.To = receiverAddr
+	sender.Send(line)
+	<-received
+	from := processTime()
+	for range wireTimes {
+		sender.Send(line)
+		<-received
+	}
+	return float64(processTime()-from) / 1e3 / wireTimes, nil
+}
+
+// freeAddr gives a loopback address that nobody listens at.
+func freeAddr() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
--- a/rig/site/day.go
+++ b/rig/site/day.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/base64"
 	"fmt"
 	"io"
 	"net/http"
@@ -204,99 +203,6 @@
 	return made
 }
 
-type result struct {
-	InstanceId, State, Message string
-	WeightVersions             []int
-}
-
-// lot hands a lot in, reads it until its time is over, and ends it.
-func (d *day) lot(step int) {
-	id := d.id("l")
-	most := map[string]int{}
-	reqs := []any{}
-	for g := range 6 {
-		for range 4 {
-			i := d.id("i")
-			most[i] = 8 + len(most)%12
-			reqs = append(reqs, map[string]any{"InstanceId": i, "Path": "/sync/" + strconv.Itoa(step) + "/" + i, "Body": base64.StdEncoding.EncodeToString([]byte(i)), "Tokens": 500, "GroupId": fmt.Sprint(id, g),
-				"Headers": map[string]string{"Model": model, "Token-Counts": fmt.Sprintf("480,%d", most[i]), "Prompt-Prefix": fmt.Sprintf("5a:300,%d:180", g)}})
-		}
-	}
-	body, _ := json.Marshal(map[string]any{"TrainStep": step, "Model": model, "MinVersion": step, "Desired": 6, "Requests": reqs})
-	end := time.Now().Add(6 * time.Second)
-	taken := false
-	for n := step; !taken && time.Now().Before(end); n++ {
-		code, _, b, _ := d.ask("POST", d.machines[n%len(d.machines)].front()+"/sync/"+id, host, map[string]string{"Attempt-Id": id, "Content-Type": "application/json"}, body, 1500*time.Millisecond)
-		taken = code == 202
-		if code/100 == 4 && code != 429 {
-			d.t.bad("DENIED: lot %s got %d %s", id, code, b)
-			return
-		}
-		if !taken {
-			time.Sleep(100 * time.Millisecond)
-		}
-	}
-	d.mu.Lock()
-	d.rep.Lots++
-	d.mu.Unlock()
-	if !taken {
-		return
-	}
-	var seen []result
-	place := map[string]bool{}
-	for n := step; len(seen) < len(most) && time.Now().Before(end); n++ {
-		from := len(seen)
-		if n%4 == 3 {
-			from /= 2
-		}
-		code, _, b, _ := d.ask("GET", fmt.Sprintf("%s/lots/%s?SinceToken=%d", d.machines[n%len(d.machines)].front(), id, from), host, map[string]string{"Wait-Ms": "300"}, nil, 1800*time.Millisecond)
-		var page struct {
-			Total, NextToken int
-			Outputs          []result
-		}
-		if code != 200 {
-			if code == 404 {
-				d.t.bad("LOST: lot %s got 404", id)
-			}
-			time.Sleep(50 * time.Millisecond)
-			continue
-		}
-		if json.Unmarshal(b, &page) != nil || page.Total != len(most) || page.NextToken != from+len(page.Outputs) {
-			d.t.bad("MIXED: lot %s reads %.200s", id, b)
-		}
-		for k, o := range page.Outputs {
-			if from+k < len(seen) {
-				if fmt.Sprint(seen[from+k]) != fmt.Sprint(o) {
-					d.t.bad("TWICE: position %d of lot %s changed", from+k, id)
-				}
-				continue
-			}
-			if _, mine := most[o.InstanceId]; !mine || place[o.InstanceId] || o.State != "complete" {
-				d.t.bad("MIXED: lot %s lists %s as %s", id, o.InstanceId, o.State)
-			}
-			place[o.InstanceId] = true
-			made := d.text("item", o.InstanceId, most[o.InstanceId], strings.Split(o.Message, "\n"))
-			if len(made) != 1 || len(o.WeightVersions) != 1 || !made[o.WeightVersions[0]] || o.WeightVersions[0] < step {
-				d.t.bad("VERSION: %s of step %d says %v, made under %v", o.InstanceId, step, o.WeightVersions, made)
-			}
-			seen = append(seen, o)
-		}
-	}
-	d.mu.Lock()
-	d.rep.Items += len(seen)
-	if len(seen) == len(most) {
-		d.rep.Whole++
-	}
-	d.mu.Unlock()
-	for n := range 20 {
-		if code, _, _, _ := d.ask("DELETE", d.machines[n%len(d.machines)].front()+"/lots/"+id, host, nil, nil, 1500*time.Millisecond); code == 200 {
-			return
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	d.t.bad("lot %s could not be ended", id)
-}
-
 // name names a version of the weights.
 func (d *day) name(v int) {
 	d.t.mu.Lock()
