--- a/core/ask/encode_test.go
+++ b/core/ask/encode_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/go-json-experiment/json/v1"
+
+	"fernlink/core/ledger"
 )
 
 func TestAnswersAreEncodedAsTheirFieldsSay(t *testing.T) {
@@ -45,7 +47,7 @@
 // then each reads as what it was; only of the kinds that say so is a body taken as it
 // stands.
 func TestQuestionsAreReadAsTheyWereSent(t *testing.T) {
-	bulk := func(kind string) bool { return kind == "lot.put" }
+	bulk := func(kind ledger.Kind) bool { return kind == "lot.put" }
 	for _, question := range []Ask{
 		{ID: 7, Kind: "lot.put", Body: json.RawMessage(`{"id":"a","items":[1,null]}`)},
 		{ID: 1<<64 - 1, Kind: "renew", Body: json.RawMessage(`{"kind":"lot.put","body":1}`)},
--- a/core/coord/lease.go
+++ b/core/coord/lease.go
@@ -38,7 +38,7 @@
 	c.released = true
 	body := store.CoordRenew{ID: c.config.ID, Addr: c.config.Addr, Term: c.term}
 	c.leaseUntil = c.now // nothing is ordered from here on, whatever the answer
-	c.config.Asker.Put(c.now, budget.LeaseDuration, "coord.leave", body, func(now flow.Time, _ ask.Answer) {
+	c.config.Asker.Ask(c.now, budget.LeaseDuration, store.LeaveCoord(body), func(now flow.Time, _ ask.Answer) {
 		c.now = now
 		c.standDown()
 	})
@@ -58,32 +58,37 @@
 	if c.now < c.renewAt || c.leaving && c.term == 0 {
 		return
 	}
-	kind := "coord.renew"
-	body := store.CoordRenew{ID: c.config.ID, Addr: c.config.Addr, Term: c.term, Plan: c.planVersion, Heard: c.answeredRenewals}
-	c.renewAt, c.renewedAt = c.now+budget.RenewInterval, c.now
+	c.renewedAt = c.now
+	lease := store.CoordRenew{ID: c.config.ID, Addr: c.config.Addr, Term: c.term, Plan: c.planVersion, Heard: c.answeredRenewals}
 	if c.term == 0 {
-		kind = "coord.take"
-		c.renewAt = c.now + takeInterval
+		c.takeLease(store.TakeCoord(lease))
+		return
 	}
-	c.config.Asker.Put(c.now, budget.LeaseDuration, kind, body, func(now flow.Time, answer ask.Answer) {
+	c.renewAt = c.now + budget.RenewInterval
+	c.config.Asker.Ask(c.now, budget.LeaseDuration, lease, func(now flow.Time, answer ask.Answer) {
 		c.now = now
-		if kind == "coord.take" {
-			c.leaseGranted(answer)
-			return
-		}
-		if answer.Code != 0 {
+		if answer.Code != ledger.Unanswered {
 			c.answeredRenewals++
 		}
-		if answer.Code == 503 {
+		if answer.Code == ledger.Unavailable {
 			c.renewAt = now
 		}
-		c.leaseRenewed(body.Term, answer)
+		c.leaseRenewed(lease.Term, answer)
+	})
+}
+
+// takeLease asks for the lease while nobody is known to have it.
+func (c *Coord) takeLease(lease store.TakeCoord) {
+	c.renewAt = c.now + takeInterval
+	c.config.Asker.Ask(c.now, budget.LeaseDuration, lease, func(now flow.Time, answer ask.Answer) {
+		c.now = now
+		c.leaseGranted(answer)
 	})
 }
 
 func (c *Coord) leaseGranted(answer ask.Answer) {
 	var lease ledger.Coord
-	if answer.Code != 200 || json.Unmarshal(answer.Body, &lease) != nil {
+	if answer.Code != ledger.Accepted || json.Unmarshal(answer.Body, &lease) != nil {
 		return
 	}
 	if lease.ID != c.config.ID || c.term != 0 {
@@ -103,12 +108,12 @@
 	if term != c.term || c.term == 0 {
 		return
 	}
-	if answer.Code == 409 {
+	if answer.Code == ledger.Conflict {
 		c.standDown()
 		return
 	}
 	var delta ledger.Delta
-	if answer.Code != 200 || json.Unmarshal(answer.Body, &delta) != nil {
+	if answer.Code != ledger.Accepted || json.Unmarshal(answer.Body, &delta) != nil {
 		return
 	}
 	if !c.released {
--- a/core/coord/orders.go
+++ b/core/coord/orders.go
@@ -106,13 +106,13 @@
 func (c *Coord) commitOrder(pending *pendingOrder) {
 	pending.open = true
 	term := c.term
-	c.config.Asker.Put(c.now, budget.AskTimeout, "order.put", pending.order, func(now flow.Time, answer ask.Answer) {
+	c.config.Asker.Ask(c.now, budget.AskTimeout, ledger.PutOrder(pending.order), func(now flow.Time, answer ask.Answer) {
 		c.now = now
 		pending.open = false
 		if c.term != term || c.pending[pending.order.Engine] != pending {
 			return
 		}
-		if answer.Code == 200 {
+		if answer.Code == ledger.Accepted {
 			c.counts["orders"]++
 			_ = json.Unmarshal(answer.Body, &pending.order)
 			pending.enter(c.now, phaseTell, 0)
@@ -213,13 +213,13 @@
 	term := c.term
 	order := pending.order
 	order.State = pending.result
-	c.config.Asker.Put(c.now, budget.AskTimeout, "order.state", order, func(now flow.Time, answer ask.Answer) {
+	c.config.Asker.Ask(c.now, budget.AskTimeout, ledger.StateOrder(order), func(now flow.Time, answer ask.Answer) {
 		c.now = now
 		pending.open = false
 		if c.term != term || c.pending[order.Engine] != pending {
 			return
 		}
-		if answer.Code == 0 {
+		if answer.Code == ledger.Unanswered {
 			return // no answer: asked again at the next Advance
 		}
 		c.counts["orders_"+pending.result]++
--- a/core/disp/gen_judge.go
+++ b/core/disp/gen_judge.go
@@ -3,6 +3,8 @@
 package disp
 
 import (
+	"net/http"
+
 	"github.com/go-json-experiment/json/v1"
 
 	"fernlink/core/ask"
@@ -50,7 +52,7 @@
 		Body: body, Until: min(d.till, s.late), Limit: min(s.late, d.now+budget.Heal/2)}, func(b flow.Back) {
 		g.judge = 0
 		var v dialect.JudgeBack
-		if resend.Decide(resend.Judgement, resend.Protocol{}.Observe(b)) == resend.Accept && b.Code == 200 && json.Unmarshal(b.Body, &v) == nil && v.Hash == hash && len(v.Score) > 0 && string(v.Score) != "null" {
+		if resend.Decide(resend.Judgement, resend.Protocol{}.Observe(b)) == resend.Accept && b.Code == http.StatusOK && json.Unmarshal(b.Body, &v) == nil && v.Hash == hash && len(v.Score) > 0 && string(v.Score) != "null" {
 			g.verdict(ledger.Verdict{State: "given", Hash: hash, Score: v.Score})
 			return
 		}
@@ -69,20 +71,20 @@
 				continue
 			}
 			g.again = d.now + budget.AskTimeout + budget.AskRetryInterval
-			d.p.Asker.Put(d.now, budget.AskTimeout, "result.add", ledger.AddEntry{Step: id, Entry: g.whole}, func(now flow.Time, a ask.Answer) {
+			d.p.Asker.Ask(d.now, budget.AskTimeout, ledger.AddEntry{Step: id, Entry: g.whole}, func(now flow.Time, a ask.Answer) {
 				d.now = now
-				if a.Code == 0 {
+				if a.Code == ledger.Unanswered {
 					g.again = now // not known: ask again, the ledger lists it once
 					return
 				}
-				if a.Code == 422 {
+				if a.Code == ledger.Rejected {
 					// The ledger's own check: never listed, made anew.
 					flow.Warn.Note(d.out, "disp", "a result was not listed", "step", id, "group", g.group.doc.ID, "why", string(a.Body))
 					d.counts["unlisted"]++
 					g.whole, g.state, g.again, g.tries = ledger.Entry{}, held, now+budget.Listed, 0
 					return
 				}
-				if a.Code == 200 {
+				if a.Code == ledger.Accepted {
 					d.counts["listed"]++
 					d.counts["prompt_tokens"] += int64(g.whole.Prompt)
 					d.counts["cached_tokens"] += int64(g.whole.Cached)
--- a/core/disp/leave.go
+++ b/core/disp/leave.go
@@ -38,17 +38,17 @@
 	d.now, d.out, d.leaving = now, out, true
 	for _, id := range sorted.Keys(d.reqs) {
 		if q := d.reqs[id]; q.state == held {
-			d.refuse(q, "this node is stopping")
+			d.refuse(q, nodeStops)
 		}
 	}
-	d.p.Asker.Put(now, budget.LeaseDuration, "renew", store.Renew{ID: d.p.ID, Have: d.index, Left: true, Heard: d.heard}, func(now flow.Time, a ask.Answer) {
+	d.p.Asker.Ask(now, budget.LeaseDuration, store.Renew{ID: d.p.ID, Have: d.index, Left: true, Heard: d.heard}, func(now flow.Time, a ask.Answer) {
 		d.now = now
 		var x ledger.Delta
-		if a.Code == 200 && json.Unmarshal(a.Body, &x) == nil {
+		if a.Code == ledger.Accepted && json.Unmarshal(a.Body, &x) == nil {
 			d.handOn(x.Roster)
 		}
 		// All its streams are cut: weight orders need not wait for it to lapse.
-		d.p.Asker.Put(now, budget.LeaseDuration, "gone", d.p.ID, func(flow.Time, ask.Answer) { d.handed = true })
+		d.p.Asker.Ask(now, budget.LeaseDuration, store.Gone(d.p.ID), func(flow.Time, ask.Answer) { d.handed = true })
 	})
 }
 
--- a/core/ledger/lot_reads.go
+++ b/core/ledger/lot_reads.go
@@ -60,22 +60,23 @@
 	}
 }
 
+// rawLotRead is a LotRead whose results are encoded already.
 type rawLotRead struct {
 	Total   int               `json:"total"`
 	Next    int               `json:"next"`
 	Listed  int               `json:"listed"`
 	Ended   bool              `json:"ended,omitempty"`
-	Results []json.RawMessage `json:"results"`
+	Results []json.RawMessage `json:"-"`
 }
 
-func (l *Ledger) readLot(body json.RawMessage) Result {
-	var q ReadLot
-	if json.Unmarshal(body, &q) != nil {
-		return fail(400, "the question does not parse")
-	}
+func (r rawLotRead) encode() json.RawMessage {
+	return flow.WithField(raw(r), "results", listOf(r.Results))
+}
+
+func (l *Ledger) readLot(q ReadLot) Result {
 	t := l.Lots[q.Lot]
 	if t == nil {
-		return fail(404, "no such lot")
+		return noSuchLot.Result()
 	}
 	if q.Bytes <= 0 {
 		q.Bytes = PageBytes
@@ -96,23 +97,21 @@
 		out.Results = append(out.Results, b)
 	}
 	if len(need) == 0 {
-		return good(out)
+		return Result{Code: Accepted, Body: out.encode()}
 	}
-	return Result{Code: 200, Need: need, With: func(items [][]byte) Result {
+	return Result{Code: Accepted, Need: need, With: func(items [][]byte) Result {
 		for i, at := range holes {
 			out.Results[at] = items[i]
 		}
-		return good(out)
+		return Result{Code: Accepted, Body: out.encode()}
 	}}
 }
 
 // lotItems tells an owner what is left of its lot.
-func (l *Ledger) lotItems(body json.RawMessage) Result {
-	var id string
-	_ = json.Unmarshal(body, &id)
-	t := l.Lots[id]
+func (l *Ledger) lotItems(lot GetLotItems) Result {
+	t := l.Lots[string(lot)]
 	if t == nil {
-		return fail(404, "no such lot")
+		return noSuchLot.Result()
 	}
 	var need []flow.Ref
 	var parts []int
@@ -128,19 +127,19 @@
 	doc, listed, ended := t.Doc, len(t.List), t.Ended
 	doc.AgeMS = l.Clock - t.Doc.Opened
 	if len(need) == 0 {
-		return Result{Code: 200, Body: encodeItems(doc, listed, ended, nil)}
+		return Result{Code: Accepted, Body: encodeItems(doc, listed, ended, nil)}
 	}
 	done := slices.Clone(t.done) // Listed and what is left must agree
-	return Result{Code: 200, Need: need, With: func(items [][]byte) Result {
+	return Result{Code: Accepted, Need: need, With: func(items [][]byte) Result {
 		var left []json.RawMessage
 		for i, b := range items {
 			stretch, err := unlisted(b, done[starts[parts[i]]:])
 			if err != nil {
-				return fail(500, "a lot's requests do not parse")
+				return lotUnreadable.Result()
 			}
 			left = append(left, stretch)
 		}
-		return Result{Code: 200, Body: encodeItems(doc, listed, ended, left)}
+		return Result{Code: Accepted, Body: encodeItems(doc, listed, ended, left)}
 	}}
 }
 
@@ -163,7 +162,11 @@
 
 // listOf makes a list of encoded values.
 func listOf(values []json.RawMessage) json.RawMessage {
-	text := []byte{'['}
+	size := len(`[]`)
+	for _, value := range values {
+		size += len(value) + 1
+	}
+	text := append(make([]byte, 0, size), '[')
 	for i, value := range values {
 		if i > 0 {
 			text = append(text, ',')
@@ -188,22 +191,20 @@
 }
 
 // lotItem gives the body of one item that is not listed, until the lot ends.
-func (l *Ledger) lotItem(body json.RawMessage) Result {
-	var q FindItem
-	_ = json.Unmarshal(body, &q)
+func (l *Ledger) lotItem(q FindItem) Result {
 	t, p := l.Lots[q.Lot], -1
 	if t != nil && !t.Ended {
 		p = t.place(q.Item)
 	}
 	if p < 0 || t.done[p] {
-		return fail(404, "no such item is open")
+		return noSuchItem.Result()
 	}
 	k := t.part(p)
 	start := t.Parts[k]
-	return Result{Code: 200, Need: []flow.Ref{t.partRef(k)}, With: func(items [][]byte) Result {
+	return Result{Code: Accepted, Need: []flow.Ref{t.partRef(k)}, With: func(items [][]byte) Result {
 		var part []LotItem
 		if json.Unmarshal(items[0], &part) != nil || p-start >= len(part) {
-			return fail(500, "a lot's requests do not parse")
+			return lotUnreadable.Result()
 		}
 		return good(LotBody{part[p-start].Body})
 	}}
--- a/core/ledger/packed.go
+++ b/core/ledger/packed.go
@@ -17,12 +17,19 @@
 	Requests []json.RawMessage `json:"requests"` // the stretches, each a list of items
 }
 
-// PutLot is the body of a lot.put. Builds before lots were packed wrote the lot itself.
+// PutLot hands a lot in (design 8.7). Builds before lots were packed wrote the lot
+// itself. putLot applies it; TestLotPutTwice, TestLateLotIsNotTakenAnew.
 type PutLot struct {
 	LotDoc
 	Packed *PackedLot `json:"packed"`
 }
 
+// Kind names the command.
+func (PutLot) Kind() Kind { return KindLotPut }
+
+// Kind names the command that a packed lot is the body of.
+func (PackedLot) Kind() Kind { return KindLotPut }
+
 // PackLot makes a lot ready for its hand-in.
 func PackLot(d LotDoc) PackedLot {
 	items := d.Items
--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -10,6 +10,7 @@
 	"fernlink/core/budget"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
+	"fernlink/core/httpstatus"
 	"fernlink/core/ledger"
 	"fernlink/core/serve/env"
 	"fernlink/core/serve/route"
@@ -19,60 +20,84 @@
 // Put hands a lot in: it is kept by the ledger before it is accepted.
 func (t *Table) Put(c flow.Call, r *route.Route, keep flow.Time) {
 	id := flow.Get(c.Fields, t.env.Codec.Attempt)
-	doc, err := t.env.Codec.ReadLot(id, c.Body)
-	if id == "" || err != nil {
+	if why := t.busy(len(c.Body)); why != "" {
 		if t.env.Debug {
-			t.env.Trace("lots", "refused", "lot", id, "why", "the lot can't be read")
+			t.env.Trace("lots", "refused", "lot", id, "why", why)
 		}
-		t.env.Out.Answer(c.ID, 400, env.Problem{Error: "the lot can't be read"}, nil)
+		t.env.Refuse(c.ID, why, budget.RenewInterval)
 		return
 	}
-	if !t.env.Fresh() || t.leaving {
+	doc, err := t.env.Codec.ReadLot(id, c.Body)
+	if id == "" || err != nil {
 		if t.env.Debug {
-			t.env.Trace("lots", "refused", "lot", id, "why", "the store is not heard just now")
+			t.env.Trace("lots", "refused", "lot", id, "why", env.BadLot.Reason)
 		}
-		t.env.Refuse(c.ID, "the store is not heard just now", budget.RenewInterval)
+		t.env.Answer(c.ID, env.BadLot)
 		return
 	}
 	doc.Host, doc.Path, doc.Route, doc.Pool = c.Host, c.Path, r.Name, r.Pool
 	doc.Owner = t.ownerOf(r.Pool, doc.Model)
 	doc.Single, doc.Tries, doc.WaitMS, doc.DueMS, doc.KeepMS = r.Single, r.Tries, int64(r.WaitMS), int64(r.DueMS), keep.Milliseconds()
 	came := t.env.Now
-	t.putting[c.ID] = true
+	t.putting[c.ID] = len(c.Body)
 	packed := ledger.PackLot(doc)
-	t.env.Ask(budget.AskTimeout, "lot.put", packed.Encode(), func(a ask.Answer) {
+	t.env.Ask(budget.AskTimeout, packed, func(a ask.Answer) {
 		delete(t.putting, c.ID)
 		var x struct {
 			Fresh bool `json:"fresh"`
 		}
 		if t.env.Debug {
-			t.env.Trace("lots", handIn[a.Code == 200], "lot", id, "code", a.Code, "items", len(doc.Items))
+			t.env.Trace("lots", handIn[a.Code == ledger.Accepted], "lot", id, "code", a.Code, "items", len(doc.Items))
 		}
-		if a.Code == 200 && json.Unmarshal(a.Body, &x) == nil {
+		if a.Code == ledger.Accepted && json.Unmarshal(a.Body, &x) == nil {
 			t.env.Counts["lots_taken"]++
-			t.env.Out.Answer(c.ID, 202, struct{}{}, nil)
+			t.env.Out.Answer(c.ID, env.StatusLotTaken, struct{}{}, nil)
 			if x.Fresh {
 				t.hand(doc, packed, t.env.Now-came)
 			}
 			return
 		}
-		codes := map[int]func(){
-			429: func() { t.env.Refuse(c.ID, "too many open lots", budget.Listed) },
-			400: func() { t.env.Out.Answer(c.ID, 400, a.Body, nil) },
-			409: func() { t.env.Out.Answer(c.ID, 409, a.Body, nil) },
-			// The store says why, but an earlier try may yet be taken: no promise goes
-			// with this.
-			503: func() { t.env.Out.Answer(c.ID, 504, a.Body, nil) },
-		}
-		if f := codes[a.Code]; f != nil {
-			f()
-			return
-		}
-		// Whether the store took it is not known: no promise goes with this.
-		t.env.Out.Answer(c.ID, 504, env.Problem{Error: "the store did not answer in time"}, nil)
+		t.notTaken(c, a)
 	})
 }
 
+// handInBytes is how many bytes of lots may be under way to the store from one node: what
+// waits for a peer beyond 4 MB is dropped, the oldest first (design 5.1). One lot is
+// taken whatever its size.
+const handInBytes = 4 << 20
+
+// busy says why a lot can't be taken in time, before any of it is read, or "".
+func (t *Table) busy(size int) env.Reason {
+	if !t.env.Fresh() || t.leaving {
+		return env.StoreUnheard
+	}
+	under := 0
+	for _, bytes := range t.putting {
+		under += bytes
+	}
+	if under > 0 && under+size > handInBytes {
+		return env.LotsUnderWay
+	}
+	return ""
+}
+
+// notTaken answers a hand-in that the store did not accept.
+func (t *Table) notTaken(c flow.Call, a ask.Answer) {
+	switch a.Code {
+	case ledger.Full:
+		t.env.Refuse(c.ID, env.OpenLotsFull, budget.Listed)
+	case ledger.Invalid, ledger.Conflict:
+		t.env.Out.Answer(c.ID, httpstatus.Of(a.Code), a.Body, nil)
+	case ledger.Unavailable:
+		// The store says why, but an earlier try may yet be taken: no promise goes
+		// with this.
+		t.env.Out.Answer(c.ID, env.LotMayBeTaken.Status, a.Body, nil)
+	default:
+		// Whether the store took it is not known: no promise goes with this.
+		t.env.Answer(c.ID, env.LotMayBeTaken)
+	}
+}
+
 // hand gives a lot that was just committed to its owner.
 func (t *Table) hand(doc ledger.LotDoc, packed ledger.PackedLot, age flow.Time) {
 	if doc.Owner == t.env.Me {
@@ -110,14 +135,14 @@
 		return
 	}
 	t.asked[id] = true
-	t.env.Ask(budget.AskTimeout, "lot.items", id, func(a ask.Answer) {
+	t.env.Ask(budget.AskTimeout, ledger.GetLotItems(id), func(a ask.Answer) {
 		delete(t.asked, id)
 		var x ledger.LotItems
-		if a.Code == 0 {
+		if a.Code == ledger.Unanswered {
 			t.fetch(id)
 			return
 		}
-		if a.Code != 200 || flow.Decode(a.Body, &x) != nil || x.Ended || x.Doc.Owner != t.env.Me {
+		if a.Code != ledger.Accepted || flow.Decode(a.Body, &x) != nil || x.Ended || x.Doc.Owner != t.env.Me {
 			return
 		}
 		t.Adopt(x.Doc, flow.Time(x.Doc.AgeMS)*time.Millisecond)
@@ -127,14 +152,14 @@
 // End ends a lot for its trainer.
 func (t *Table) End(c flow.Call) {
 	id := c.Vars["id"]
-	t.env.Ask(budget.AskTimeout, "lot.end", id, func(a ask.Answer) {
+	t.env.Ask(budget.AskTimeout, ledger.EndLot(id), func(a ask.Answer) {
 		if t.env.Debug {
 			t.env.Trace("lots", "ended", "lot", id, "code", a.Code)
 		}
-		if a.Code == 200 {
+		if a.Code == ledger.Accepted {
 			t.drop(id)
 			t.cutAtOwner(id)
-			t.env.Out.Answer(c.ID, 200, struct{}{}, nil)
+			t.env.Out.Answer(c.ID, env.StatusDone, struct{}{}, nil)
 			return
 		}
 		t.told(c, a)
@@ -165,25 +190,25 @@
 
 // told passes a store's other answer on: 404 only as its own word.
 func (t *Table) told(c flow.Call, a ask.Answer) {
-	if a.Code == 404 || a.Code == 400 {
-		t.env.Out.Answer(c.ID, a.Code, a.Body, nil)
+	if a.Code == ledger.NotFound || a.Code == ledger.Invalid {
+		t.env.Out.Answer(c.ID, httpstatus.Of(a.Code), a.Body, nil)
 		return
 	}
-	t.env.Refuse(c.ID, "the store did not answer in time", budget.RenewInterval)
+	t.env.Refuse(c.ID, env.StoreSilent, budget.RenewInterval)
 }
 
 // Item gives the body of an item that is not listed.
 func (t *Table) Item(c flow.Call) {
 	q := ledger.FindItem{Lot: c.Vars["id"], Item: c.Query[t.env.Codec.Item]}
-	t.env.Ask(budget.AskTimeout, "lot.item", q, func(a ask.Answer) {
+	t.env.Ask(budget.AskTimeout, q, func(a ask.Answer) {
 		var x struct {
 			Body []byte `json:"body"`
 		}
-		if a.Code != 200 || json.Unmarshal(a.Body, &x) != nil {
+		if a.Code != ledger.Accepted || json.Unmarshal(a.Body, &x) != nil {
 			t.told(c, a)
 			return
 		}
-		t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: c.ID, Code: 200, Body: x.Body,
+		t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: c.ID, Code: env.StatusDone, Body: x.Body,
 			Fields: []flow.Field{{Name: "Content-Type", Value: "application/octet-stream"}}})
 	})
 }
@@ -211,7 +236,7 @@
 		from, err = strconv.Atoi(word)
 	}
 	if err != nil || from < 0 {
-		t.env.Out.Answer(c.ID, 400, env.Problem{Error: "the position can't be read"}, nil)
+		t.env.Answer(c.ID, env.BadPosition)
 		return
 	}
 	wait, _ := strconv.ParseFloat(flow.Get(c.Fields, t.env.Codec.Wait), 64)
@@ -226,13 +251,13 @@
 func (t *Table) ask(r *reader) {
 	r.open = true
 	id := r.call.Vars["id"]
-	t.env.Ask(budget.Listed, "lot.read", ledger.ReadLot{Lot: id, From: r.from, Bytes: PageBytes}, func(a ask.Answer) {
+	t.env.Ask(budget.Listed, ledger.ReadLot{Lot: id, From: r.from, Bytes: PageBytes}, func(a ask.Answer) {
 		r.open = false
 		if t.readers[r.call.ID] != r {
 			return
 		}
-		var x ledger.LotRead
-		if a.Code != 200 || flow.Decode(a.Body, &x) != nil {
+		var x ledger.EncodedRead
+		if a.Code != ledger.Accepted || flow.Decode(a.Body, &x) != nil {
 			delete(t.readers, r.call.ID)
 			t.told(r.call, a)
 			return
@@ -242,7 +267,7 @@
 			return
 		}
 		delete(t.readers, r.call.ID)
-		t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: r.call.ID, Code: 200,
+		t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: r.call.ID, Code: env.StatusDone,
 			Fields: []flow.Field{{Name: "Content-Type", Value: "application/json"}},
 			Body:   t.env.Codec.WritePage(dialect.LotPage{Total: x.Total, Next: x.Next, Results: x.Results})})
 	})
@@ -294,9 +319,9 @@
 			n++
 		}
 		l.flight, l.flushed = n, t.env.Now
-		t.env.Ask(budget.AskTimeout, "lot.list", ledger.ListLot{Lot: id, Results: l.ready[:n:n]}, func(a ask.Answer) {
+		t.env.Ask(budget.AskTimeout, ledger.ListLot{Lot: id, Results: l.ready[:n:n]}, func(a ask.Answer) {
 			l.flight = 0
-			if a.Code == 0 || a.Code >= 500 || a.Code == 429 {
+			if a.Code.Retryable() {
 				return // it is said again
 			}
 			if t.env.Debug {
--- a/core/store/holding.go
+++ b/core/store/holding.go
@@ -1,17 +1,22 @@
 package store
 
 import (
-	"github.com/go-json-experiment/json/v1"
-
+	"fernlink/core/ask"
 	"fernlink/core/flow"
 	"fernlink/core/ledger"
 )
 
+// GetHolding asks what the machine of this identity holds (design 12.8).
+type GetHolding string
+
+// Kind names the ask.
+func (GetHolding) Kind() ledger.Kind { return ask.KindHolding }
+
 // holding answers what the machine of an identity holds, after a proved read.
-func (s *Store) holding(_ flow.Time, w wait) ledger.Result {
-	id := ""
-	if json.Unmarshal(w.ask.Body, &id) != nil || id == "" {
-		return ledger.Result{Code: 400, Body: body(map[string]string{"error": "a machine needs an id"})}
+func (s *Store) holding(_ flow.Time, machine GetHolding) ledger.Result {
+	id := string(machine)
+	if id == "" {
+		return machineWithoutID.Result()
 	}
 	held := ledger.Holding{Member: s.raft.Conf().Find(id) >= 0}
 	for _, lot := range s.ledger.LotRows() {
@@ -19,5 +24,5 @@
 			held.Lots++
 		}
 	}
-	return ledger.Result{Code: 200, Body: body(held)}
+	return ledger.Result{Code: ledger.Accepted, Body: body(held)}
 }
--- a/rig/scale/idle_test.go
+++ b/rig/scale/idle_test.go
@@ -32,7 +32,7 @@
 		h.Start()
 	}
 	world.Run(5 * time.Second)
-	world.Ask("plan.put", ledger.PutPlan{Version: 1, Request: "p1", Doc: plan(1, 4, 10)}, nil)
+	world.Ask(ledger.PutPlan{Version: 1, Request: "p1", Doc: plan(1, 4, 10)}, nil)
 	world.Run(3 * time.Second)
 	world.Clear()
 	b.ResetTimer()
--- a/shell/web/serve.go
+++ b/shell/web/serve.go
@@ -28,6 +28,10 @@
 
 // serve turns a request into a call and writes its answer.
 func (w *Web) serve(rw http.ResponseWriter, req *http.Request, route *Route, vars map[string]string, shared side) {
+	if !w.bodies.room(req.ContentLength) {
+		problem(rw, 503, "too much at once", "Retry-After", "1", "Connection", "close")
+		return
+	}
 	body, err := w.body(rw, req, shared.limits.Load())
 	if err == errLarge {
 		problem(rw, 413, "larger than is taken here", "Connection", "close")
@@ -37,6 +41,7 @@
 		problem(rw, 400, "the request broke off", "Connection", "close")
 		return
 	}
+	defer w.bodies.hold(len(body))()
 	request := callOf(req, route.Name, vars, body)
 	id := w.ids.Add(1)
 	request.ID = id
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -52,6 +52,7 @@
 	ids     atomic.Uint64
 	limits  limits // of listeners that pass requests on
 	usual   limits // of all others
+	bodies  bodies
 	ending  atomic.Bool
 	mu      sync.Mutex
 	open    map[uint64]*call
