Storms: slow disk with a thin link, two restarts, wiped while slow, amid a fetch

These troubles were met in TestManyChanges alone, and so never beside others.

Test seen to fail with it: TestSiteOperatorsAskAfterAStorageMachineThatIsGone.

--- a/sim/fault_list.go
+++ b/sim/fault_list.go
@@ -319,4 +319,8 @@
 		w.Net.Late, w.Net.Twice = 0.1, 0.1
 		w.After(w.between(time.Second, 5*time.Second), func() { w.Net.Late, w.Net.Twice = 0, 0 })
 	}},
+	{"slow-member", (*World).slowMember},
+	{"restart-twice", (*World).restartTwice},
+	{"wiped-while-slow", func(w *World) { w.wipedWhileSlow() }},
+	{"restart-amid-fetch", (*World).restartAmidFetch},
 }
--- a/sim/serve_fault_list.go
+++ b/sim/serve_fault_list.go
@@ -314,6 +314,10 @@
 		}
 		return ok
 	}},
+	{"slow disk and thin link of a core machine", slowMember},
+	{"restart a core machine twice", restartTwice},
+	{"wipe a core machine that comes back slow", wipedWhileSlow},
+	{"wipe a core machine, and its power amid its fetch", restartAmidFetch},
 }
 
 // shown404 has each machine asked on the routes that a configuration changed.
--- a/sim/serve_storage_test.go
+++ b/sim/serve_storage_test.go
@@ -110,3 +110,19 @@
 	s.owner(t)
 	s.over(t)
 }
+
+// Given a site whose only storage machine was emptied and taken away, when operators
+// go on asking after it, then they are answered, and the day goes on.
+func TestSiteOperatorsAskAfterAStorageMachineThatIsGone(t *testing.T) {
+	t.Parallel()
+	s := site(t, 35, LittleSite)
+	for _, h := range s.Storage() {
+		s.Empty(h)
+	}
+	if !s.w.Until(20*time.Second, func() bool { return len(s.Storage()) == 0 }) {
+		t.Fatal("the storage machine is not emptied")
+	}
+	s.Hammer(s.Core()[0], s.w.Now+2*time.Second)
+	s.w.Run(3 * time.Second)
+	s.over(t)
+}
