Rig: a plan without a clear outcome is said again, as the API asks

The test command's short real run failed on a busy machine (load 50 on 12 cores), two of two times, once seen as: 'a plan of 10000 routes: plan answered 503, the store did not answer in time; say the same again to learn the outcome'. The rig gave up at the first such answer; what a 503 means is that its outcome is not known yet (docs/api.md).

Any other answer but 200 is wrong at once, as before.

--- a/rig/fleet/drive.go
+++ b/rig/fleet/drive.go
@@ -93,19 +93,39 @@
 	return nil
 }
 
+// sayPlan says a plan until its outcome is known: 503 says that the store did not
+// answer in time, and to say the same again (docs/api.md). Any other answer than 200
+// is an error at once.
+func (f *Fleet) sayPlan(body []byte) (ledger.Plan, error) {
+	var p ledger.Plan
+	var refused error
+	err := Retry(patience, func() error {
+		code, b, err := Do("PUT", f.disp(0)+"/v1/plan", body, nil)
+		switch {
+		case err != nil:
+			refused = err
+		case code == 503:
+			return errors.Errorf("fleet: plan answered %d %s", code, b)
+		case code != 200 || json.Unmarshal(b, &p) != nil:
+			refused = errors.Errorf("fleet: plan answered %d %s", code, b)
+		}
+		return nil
+	})
+	if err != nil {
+		return p, err
+	}
+	return p, refused
+}
+
 // PutPlan puts a plan made from version read and gives the time until every
 // dispatcher has it.
 func (f *Fleet) PutPlan(read uint64, doc string) (uint64, time.Duration, error) {
 	body, _ := json.Marshal(map[string]any{"read": read, "request": fmt.Sprintf("rig-%d-%d", read, time.Now().UnixNano()), "plan": json.RawMessage(doc)})
-	code, b, err := Do("PUT", f.disp(0)+"/v1/plan", body, nil)
+	p, err := f.sayPlan(body)
 	if err != nil {
 		return 0, 0, err
 	}
 	acked := time.Now()
-	var p ledger.Plan
-	if code != 200 || json.Unmarshal(b, &p) != nil {
-		return 0, 0, errors.Errorf("fleet: plan answered %d %s", code, b)
-	}
 	for i := range f.By("dispatcher") {
 		err := Retry(patience, func() error {
 			_, b, err := Do("GET", f.disp(i)+"/v1/engines", nil, nil)
