--- a/api/api.go
+++ b/api/api.go
@@ -1,5 +1,6 @@
-// Package api is the one shared schema (design 10.1): what it says is what
-// requests are checked by.
+// Package api is the one shared schema (design 10.1), which requests are checked by, and
+// the documents that it describes. It keeps no state; core/disp and core/serve check
+// plans, steps and puts by it, shell/web serves the schema, cmd/fernlink reads plans.
 package api
 
 import (
--- a/core/ask/ask.go
+++ b/core/ask/ask.go
@@ -1,6 +1,7 @@
-// Package ask carries questions and commands to the store's leader (design
-// 5.2): tried again elsewhere until answered or given up. Every command is
-// idempotent in the ledger, so a second try is safe.
+// Package ask carries questions and commands to the store's leader (design 5.2). Each
+// is tried again elsewhere until it is answered or its time is over. Every command is
+// idempotent in the ledger, so a second try is safe. An Asker owns one node's open asks;
+// core/node owns the one Asker, and core/disp, core/coord and core/serve ask by it.
 package ask
 
 import (
--- a/core/dialect/dialect.go
+++ b/core/dialect/dialect.go
@@ -1,6 +1,7 @@
 // Package dialect is the one place that knows how engines, the platform list
 // and judges speak (design 10.3): completions with streamed events in the
-// OpenAI style, as vLLM publishes it, with the weights named in each event.
+// OpenAI style, as vLLM publishes it, with the weights named in each event. It keeps no
+// state and decides nothing; core/disp, core/coord and core/serve read and write by it.
 package dialect
 
 import (
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -1,6 +1,7 @@
 // Package flow holds what goes into a core and what comes out of it
 // (design 3.1). A core never touches a socket, a file or a clock: shells turn
-// the outside into Events and carry Outboxes out.
+// the outside into Events and carry Outboxes out. Times are elapsed time of the process
+// and sizes bytes. Every package may import it; it imports none of the cores.
 package flow
 
 import (
--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -1,5 +1,6 @@
 // Package listener describes the listeners that a node has beside its administration
-// API: an address, and what each request there is called inside (design 10.1).
+// API: an address, and what each request there is called inside (design 10.1). It keeps
+// no state; platform describes them, shell/web opens them.
 package listener
 
 import "fernlink/core/flow"
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -1,5 +1,7 @@
 // Package node wires the cores of one process together (design 3.1): the same
-// wiring runs in the daemon and in the simulator.
+// wiring runs in the daemon and in the simulator. It owns the parts that the process's
+// roles ask for and holds back what must not leave before a save is on disk. shell/run
+// and sim call Advance, one call at a time.
 package node
 
 import (
--- a/core/prefix/prefix.go
+++ b/core/prefix/prefix.go
@@ -1,5 +1,6 @@
 // Package prefix cuts prompts into blocks and names each block by the hash of
-// everything up to its end (design 9.1), so equal names mean equal prefixes.
+// everything up to its end (design 9.1), so equal names mean equal prefixes. Its
+// functions are pure; placement and the index call them.
 package prefix
 
 import (
--- a/core/serve/env/env.go
+++ b/core/serve/env/env.go
@@ -1,6 +1,5 @@
-// Package env is what the rooms of the serving side share: the moment, the
-// outbox, sends and questions to the store (design 12.1). It holds no table of
-// any room.
+// Package env is what the packages of the serving side share: the time, the outbox,
+// sends and questions to the store (design 12.1). It owns none of their tables.
 package env
 
 import (
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -1,6 +1,6 @@
-// Package serve wires the rooms of the serving side (design 12): host routes,
-// lots, engines, the platform's list and weight roll-outs. It holds no row of
-// any table; it only runs the rooms' systems in the order of a tick.
+// Package serve wires the packages of the serving side (design 12): host routes,
+// lots, engines, the platform's list and weight roll-outs. It owns no table; it only
+// runs the packages' systems in the order of a tick. core/node calls it.
 package serve
 
 import (
@@ -74,7 +74,7 @@
 // Bind sets where answers to asks write what they want done.
 func (s *Serve) Bind(now flow.Time, out *flow.Outbox) { s.env.Turn(now, out) }
 
-// Advance runs the rooms' systems.
+// Advance runs the packages' systems.
 func (s *Serve) Advance(now flow.Time, live []gossip.Entry, out *flow.Outbox) {
 	s.env.Turn(now, out)
 	s.live = live
--- a/core/sorted/sorted.go
+++ b/core/sorted/sorted.go
@@ -1,5 +1,5 @@
 // Package sorted walks maps in order, so that cores stay deterministic
-// (design 3.1).
+// (design 3.1). Its functions are pure, and any package may call them.
 package sorted
 
 import (
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -1,5 +1,6 @@
 // Package store is the store role (design 4): Raft and the ledger together,
-// answering asks, forming the cluster and changing its members.
+// answering asks, forming the cluster and changing its members. A Store owns one
+// member's raft, ledger and leases; core/node calls it, one call at a time.
 package store
 
 import (
--- a/shell/clock/clock.go
+++ b/shell/clock/clock.go
@@ -1,5 +1,6 @@
 // Package clock is the only reader of real time. It counts time spent frozen
-// too, so that a machine that wakes knows its lease is over (design 5.2).
+// too, so that a machine that wakes knows its lease is over (design 5.2). The shells
+// and the rigs call it, the cores never do.
 package clock
 
 import (
--- a/shell/field/field.go
+++ b/shell/field/field.go
@@ -1,5 +1,5 @@
 // Package field knows which headers concern one connection only and so pass no
-// further (design 7.3).
+// further (design 7.3). Its functions are pure; shell/web and shell/outcall call them.
 package field
 
 import (
--- a/shell/sock/sock.go
+++ b/shell/sock/sock.go
@@ -1,5 +1,6 @@
-// Package sock holds what the shells ask of TCP: a connection behind a cut
-// ends soon, and a kept one can be looked at without reading it (design 5.1, 7.3).
+// Package sock sets up TCP connections for the shells: one behind a cut ends soon, and
+// an idle one can be looked at without reading it (design 5.1, 7.3). It owns no
+// connection; shell/link and shell/outcall call it.
 package sock
 
 import (
