--- a/api/api.go
+++ b/api/api.go
@@ -87,20 +87,20 @@
 
 var plain = message.NewPrinter(language.English)
 
-func leaves(failure *jsonschema.ValidationError, out *[]ledger.Fault) {
+func leaves(failure *jsonschema.ValidationError, faults *[]ledger.Fault) {
 	if len(failure.Causes) == 0 {
 		at := pointer(failure.InstanceLocation)
 		if k, ok := failure.ErrorKind.(*kind.AdditionalProperties); ok {
 			for _, p := range k.Properties {
-				*out = append(*out, ledger.Fault{At: at + "/" + escape(p), Text: NoField})
+				*faults = append(*faults, ledger.Fault{At: at + "/" + escape(p), Text: NoField})
 			}
 			return
 		}
-		*out = append(*out, ledger.Fault{At: at, Text: failure.ErrorKind.LocalizedString(plain)})
+		*faults = append(*faults, ledger.Fault{At: at, Text: failure.ErrorKind.LocalizedString(plain)})
 		return
 	}
 	for _, c := range failure.Causes {
-		leaves(c, out)
+		leaves(c, faults)
 	}
 }
 
--- a/cmd/fernlink/main.go
+++ b/cmd/fernlink/main.go
@@ -32,10 +32,10 @@
 	sub.Description = "run one node until SIGTERM"
 	flags.bind(sub)
 	flaggy.AttachSubcommand(sub, 1)
-	var v serveFlags
+	var settings serveFlags
 	command := flaggy.NewSubcommand("serve")
 	command.Description = "run one node on the platform until SIGTERM"
-	v.bind(command)
+	settings.bind(command)
 	flaggy.AttachSubcommand(command, 1)
 	tools := append(bindTools(), bindCheck(), bindFolder(), bindTimeline())
 	flaggy.Parse()
@@ -43,7 +43,7 @@
 		os.Exit(flags.run())
 	}
 	if command.Used {
-		os.Exit(v.run())
+		os.Exit(settings.run())
 	}
 	for _, t := range tools {
 		if t.sub.Used {
--- a/cmd/fernlink/timeline/timeline.go
+++ b/cmd/fernlink/timeline/timeline.go
@@ -127,42 +127,42 @@
 // parse reads one line. Words before the first key=value are a prefix: a time in
 // seconds and a node's name.
 func parse(line []byte, name string) (parsed, bool) {
-	p := parsed{Event: Event{Node: name}, bare: true}
+	event := parsed{Event: Event{Node: name}, bare: true}
 	decoder := logfmt.NewDecoder(bytes.NewReader(line))
 	if !decoder.ScanRecord() {
-		return p, false
+		return event, false
 	}
 	began := false
 	for decoder.ScanKeyval() {
-		k, v := string(decoder.Key()), string(decoder.Value())
+		key, value := string(decoder.Key()), string(decoder.Value())
 		if decoder.Value() == nil && !began {
-			if s, err := strconv.ParseFloat(strings.TrimSuffix(strings.Trim(k, "[]"), "s"), 64); err == nil && !math.IsNaN(s) && !math.IsInf(s, 0) {
-				p.At, p.bare = s, false
+			if s, err := strconv.ParseFloat(strings.TrimSuffix(strings.Trim(key, "[]"), "s"), 64); err == nil && !math.IsNaN(s) && !math.IsInf(s, 0) {
+				event.At, event.bare = s, false
 			} else {
-				p.Node = strings.TrimRight(k, ":")
+				event.Node = strings.TrimRight(key, ":")
 			}
 			continue
 		}
 		began = true
-		switch k {
+		switch key {
 		case "ts":
-			t, err := time.Parse(time.RFC3339Nano, v)
+			t, err := time.Parse(time.RFC3339Nano, value)
 			if err != nil {
-				return p, false
+				return event, false
 			}
-			if p.bare {
-				p.At = float64(t.UnixMicro()) / 1e6
+			if event.bare {
+				event.At = float64(t.UnixMicro()) / 1e6
 			}
 		case "part":
-			p.Part = v
+			event.Part = value
 		case "msg":
-			p.Text = v
+			event.Text = value
 		case "level":
 		default:
-			p.Fields = append(p.Fields, Field{k, v})
+			event.Fields = append(event.Fields, Field{key, value})
 		}
 	}
-	return p, decoder.Err() == nil && p.Text != ""
+	return event, decoder.Err() == nil && event.Text != ""
 }
 
 // sort orders events by time; those of one moment stay as they were read.
@@ -277,20 +277,20 @@
 
 // times gives every stretch of a stage, the longest first, and how many have not
 // ended.
-func (l *Log) times(s stage) (ended []stretch, open int) {
+func (l *Log) times(timed stage) (ended []stretch, open int) {
 	began := map[string]float64{}
 	for _, event := range l.Events {
-		if event.Part != s.part {
+		if event.Part != timed.part {
 			continue
 		}
-		id := s.id(event)
-		if slices.Contains(s.from, event.Text) {
+		id := timed.id(event)
+		if slices.Contains(timed.from, event.Text) {
 			if _, ok := began[id]; !ok {
 				began[id] = event.At
 			}
 			continue
 		}
-		if at, ok := began[id]; ok && slices.Contains(s.to, event.Text) {
+		if at, ok := began[id]; ok && slices.Contains(timed.to, event.Text) {
 			ended = append(ended, stretch{event.At - at, id, event.Node})
 			delete(began, id)
 		}
--- a/cmd/fernlink/tools.go
+++ b/cmd/fernlink/tools.go
@@ -101,9 +101,9 @@
 	return tools
 }
 
-func ask(name string, d listener, at, file, arg string) int {
+func ask(name string, target listener, at, file, arg string) int {
 	var body io.Reader
-	if d.body {
+	if target.body {
 		b, err := read(file)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "fernlink:", err)
@@ -111,14 +111,14 @@
 		}
 		body = strings.NewReader(b)
 	}
-	if f, ok := bodies[name+" "+d.name]; ok {
+	if f, ok := bodies[name+" "+target.name]; ok {
 		body = strings.NewReader(f(arg))
 	}
-	path := d.path
+	path := target.path
 	if strings.Contains(path, "%s") {
 		path = fmt.Sprintf(path, arg)
 	}
-	req, err := http.NewRequest(d.verb, "http://"+at+path, body)
+	req, err := http.NewRequest(target.verb, "http://"+at+path, body)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "fernlink:", err)
 		return 2
--- a/cmd/rig/fleet.go
+++ b/cmd/rig/fleet.go
@@ -9,8 +9,6 @@
 	"syscall"
 	"time"
 
-	"github.com/go-json-experiment/json/v1"
-
 	"fernlink/rig/fleet"
 )
 
@@ -124,8 +122,7 @@
 func (o *opts) drive(started *fleet.Fleet, shape fleet.Shape, ready float64) error {
 	report := started.Drive(time.Duration(o.seconds)*time.Second, int64(o.seed))
 	report.Ready = ready
-	text, _ := json.MarshalIndent(report, "", "  ")
-	fmt.Println(string(text))
+	printJSON(report)
 	if len(report.Wrong) > 0 || report.Twice > 0 || report.Reused > 0 || report.Listed == 0 {
 		return fmt.Errorf("the run of %s found something wrong", shape.Name)
 	}
--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -129,6 +129,12 @@
 	return command
 }
 
+// printJSON prints a report.
+func printJSON(report any) {
+	text, _ := json.MarshalIndent(report, "", "  ")
+	fmt.Println(string(text))
+}
+
 func inc() string { return fmt.Sprintf("%d-%d", time.Now().UnixNano(), os.Getpid()) }
 
 func engine(o *opts) error {
@@ -156,8 +162,7 @@
 	}
 	for _, troubled := range []bool{false, true} {
 		report, err := site.Day(filepath.Dir(self), dir, troubled, time.Duration(options.seconds)*time.Second)
-		text, _ := json.MarshalIndent(report, "", "  ")
-		fmt.Println(string(text))
+		printJSON(report)
 		if err != nil {
 			return err
 		}
@@ -187,8 +192,7 @@
 	}
 	config.Progress = func(text string) { fmt.Fprintln(os.Stderr, text) }
 	report := sim.Day(config)
-	text, _ := json.MarshalIndent(report, "", "  ")
-	fmt.Println(string(text))
+	printJSON(report)
 	if len(report.Bad) > 0 {
 		return fmt.Errorf("the day of %s found something", options.shape)
 	}
@@ -201,8 +205,7 @@
 
 func sweep(o *opts) error {
 	sum := sim.Sweep(int64(o.from), int64(o.to), o.faults, runtime.NumCPU())
-	b, _ := json.MarshalIndent(sum, "", "  ")
-	fmt.Println(string(b))
+	printJSON(sum)
 	if len(sum.Found) > 0 {
 		return fmt.Errorf("%d of %d seeds found something", len(sum.Found), sum.Seeds)
 	}
@@ -211,8 +214,7 @@
 
 func sites(o *opts) error {
 	sum := sim.SiteSweep(int64(o.from), int64(o.to), o.faults, runtime.NumCPU())
-	b, _ := json.MarshalIndent(sum, "", "  ")
-	fmt.Println(string(b))
+	printJSON(sum)
 	if len(sum.Found) > 0 {
 		return fmt.Errorf("%d of %d seeds found something", len(sum.Found), sum.Seeds)
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -96,24 +96,24 @@
 
 // Bounds are what a store keeps, with the usual ones where the config does not say.
 func (p Config) Bounds() ledger.Bounds {
-	b := ledger.Usual
+	bounds := ledger.Usual
 	for _, x := range []struct {
 		has bool
 		set func()
 	}{
-		{p.Keys > 0, func() { b.Keys = p.Keys }},
-		{p.KeyHours > 0, func() { b.KeyAge = int64(p.KeyHours) * 3600 * 1000 }},
-		{p.Answers > 0, func() { b.Answers = p.Answers }},
-		{p.Minutes > 0, func() { b.Age = int64(p.Minutes) * 60 * 1000 }},
-		{p.Results > 0, func() { b.Bytes = p.Results }},
-		{p.Open > 0, func() { b.Open = p.Open }},
-		{p.DiskMB > 0, func() { b.LotBytes = int64(p.DiskMB) << 20 * lotDiskParts / diskParts }},
+		{p.Keys > 0, func() { bounds.Keys = p.Keys }},
+		{p.KeyHours > 0, func() { bounds.KeyAge = int64(p.KeyHours) * 3600 * 1000 }},
+		{p.Answers > 0, func() { bounds.Answers = p.Answers }},
+		{p.Minutes > 0, func() { bounds.Age = int64(p.Minutes) * 60 * 1000 }},
+		{p.Results > 0, func() { bounds.Bytes = p.Results }},
+		{p.Open > 0, func() { bounds.Open = p.Open }},
+		{p.DiskMB > 0, func() { bounds.LotBytes = int64(p.DiskMB) << 20 * lotDiskParts / diskParts }},
 	} {
 		if x.has {
 			x.set()
 		}
 	}
-	return b
+	return bounds
 }
 
 // Lots may hold so many parts of the disk; the log, snapshots and segments that are
@@ -181,9 +181,9 @@
 })
 
 // Check checks config by schema, then by meaning, and lists every fault.
-func Check(b []byte) (Config, []ledger.Fault, error) {
+func Check(raw []byte) (Config, []ledger.Fault, error) {
 	var config Config
-	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(b))
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(raw))
 	if err != nil {
 		return config, nil, errors.Wrap(ErrRead, "not JSON")
 	}
@@ -193,10 +193,10 @@
 	if bad := api.Faults(compiled().Validate(doc)); len(bad) > 0 {
 		return config, bad, nil
 	}
-	if b, err = json.Marshal(doc); err != nil {
+	if raw, err = json.Marshal(doc); err != nil {
 		return config, nil, errors.Wrap(ErrRead, err.Error())
 	}
-	if err := json.Unmarshal(b, &config); err != nil {
+	if err := json.Unmarshal(raw, &config); err != nil {
 		return config, nil, errors.Wrap(ErrRead, err.Error())
 	}
 	if config.Keep == 0 {
@@ -233,45 +233,45 @@
 	}
 }
 
-func (c *configCheck) addresses(p Config) {
-	c.address("/addr", p.Addr)
-	c.address("/web", p.Web)
+func (c *configCheck) addresses(config Config) {
+	c.address("/addr", config.Addr)
+	c.address("/web", config.Web)
 	for _, optional := range []struct{ at, addr string }{
-		{"/listen", p.Listen}, {"/front", p.Front}, {"/ready", p.Ready}, {"/control", p.Control},
+		{"/listen", config.Listen}, {"/front", config.Front}, {"/ready", config.Ready}, {"/control", config.Control},
 	} {
 		if optional.addr != "" {
 			c.address(optional.at, optional.addr)
 		}
 	}
-	for i, addr := range p.Seeds {
+	for i, addr := range config.Seeds {
 		c.address("/seeds/"+strconv.Itoa(i), addr)
 	}
-	for i, addr := range p.Form {
+	for i, addr := range config.Form {
 		c.address("/form/"+strconv.Itoa(i), addr)
 	}
-	if p.Addr == p.Web {
+	if config.Addr == config.Web {
 		c.fault("/web", "is the same as /addr")
 	}
 }
 
-func (c *configCheck) roles(p Config) {
-	isStore := slices.Contains(p.Roles, "store")
-	if isStore && p.Data == "" {
+func (c *configCheck) roles(config Config) {
+	isStore := slices.Contains(config.Roles, "store")
+	if isStore && config.Data == "" {
 		c.fault("/data", "a store needs a data folder")
 	}
-	if slices.Contains(p.Roles, "dispatcher") && p.Platform == "" {
+	if slices.Contains(config.Roles, "dispatcher") && config.Platform == "" {
 		c.fault("/platform", "a dispatcher needs the platform list")
 	}
-	if len(p.Form) == 0 {
+	if len(config.Form) == 0 {
 		return
 	}
-	if !slices.Contains(p.Form, p.Addr) {
+	if !slices.Contains(config.Form, config.Addr) {
 		c.fault("/form", "does not name this node's own address")
 	}
 	if !isStore {
 		c.fault("/form", "only a store forms a cluster")
 	}
-	if len(p.Form)%2 == 0 {
+	if len(config.Form)%2 == 0 {
 		c.fault("/form", "an even number of voters survives no more than one less")
 	}
 }
--- a/core/raft/replication_test.go
+++ b/core/raft/replication_test.go
@@ -78,17 +78,7 @@
 // A leader sends nothing but heartbeats to a member that does not answer: entries
 // would pile up on the way to it, and fill the leader's memory.
 func TestNothingPilesUpForASilentMember(t *testing.T) {
-	trio := newTrio(3)
-	trio.run(3 * time.Second)
-	node := trio.leader()
-	if node == nil {
-		t.Fatal("no leader")
-	}
-	gone := "b"
-	if node.id == gone {
-		gone = "c"
-	}
-	trio.cut[gone] = true
+	trio, node, gone := withoutMember(t)
 	trio.run(time.Second)
 	big := json.RawMessage(fmt.Sprintf(`"%01000d"`, 0))
 	sent := 0
@@ -127,17 +117,7 @@
 		{"far behind", 80, time.Second, false},
 		{"silent for long", 30, 13 * time.Second, false},
 	} {
-		trio := newTrio(3)
-		trio.run(3 * time.Second)
-		node := trio.leader()
-		if node == nil {
-			t.Fatal("no leader")
-		}
-		gone := "b"
-		if node.id == gone {
-			gone = "c"
-		}
-		trio.cut[gone] = true
+		trio, node, gone := withoutMember(t)
 		match := node.Match(gone)
 		for range c.entries {
 			if _, _, err := node.Propose("cmd", json.RawMessage(fmt.Sprintf(`"%01000d"`, 0))); err != nil {
@@ -196,3 +176,20 @@
 		t.Errorf("%d messages follow 20 refusals at one instant", sent)
 	}
 }
+
+// withoutMember gives three members with their leader and one that is cut off.
+func withoutMember(t *testing.T) (cluster *trio, leader *Raft, gone string) {
+	t.Helper()
+	cluster = newTrio(3)
+	cluster.run(3 * time.Second)
+	leader = cluster.leader()
+	if leader == nil {
+		t.Fatal("no leader")
+	}
+	gone = "b"
+	if leader.id == gone {
+		gone = "c"
+	}
+	cluster.cut[gone] = true
+	return cluster, leader, gone
+}
--- a/rig/fleet/drill.go
+++ b/rig/fleet/drill.go
@@ -28,7 +28,7 @@
 	do   func(*Fleet) (undo func() error, err error)
 }
 
-func (f *Fleet) status(process *Proc) (s struct {
+func (f *Fleet) status(process *Proc) (status struct {
 	ID    string `json:"id"`
 	Store struct {
 		Role string `json:"role"`
@@ -38,9 +38,9 @@
 	} `json:"coordinator"`
 }) {
 	if _, b, err := Do("GET", "http://"+process.Web+"/status", nil, nil); err == nil {
-		_ = json.Unmarshal(b, &s)
+		_ = json.Unmarshal(b, &status)
 	}
-	return s
+	return status
 }
 
 // find gives the process that a status picks, with patience.
@@ -120,33 +120,33 @@
 // still there, and none of them is going.
 func (f *Fleet) sound() error {
 	return Retry(patience, func() error {
-		_, b, err := Do("GET", f.disp(0)+"/v1/stores", nil, nil)
+		_, body, err := Do("GET", f.disp(0)+"/v1/stores", nil, nil)
 		if err != nil {
 			return err
 		}
-		var s struct {
+		var listed struct {
 			Stores []struct {
 				Addr    string `json:"addr"`
 				Voter   bool   `json:"voter"`
 				Leaving bool   `json:"leaving"`
 			} `json:"stores"`
 		}
-		_ = json.Unmarshal(b, &s)
-		n := 0
-		for _, m := range s.Stores {
+		_ = json.Unmarshal(body, &listed)
+		voters := 0
+		for _, member := range listed.Stores {
 			gone := true
 			for _, p := range f.By("store") {
-				gone = gone && p.Addr != m.Addr
+				gone = gone && p.Addr != member.Addr
 			}
-			if m.Voter && (gone || m.Leaving) {
-				return errors.Errorf("fleet: %s still votes", m.Addr)
+			if member.Voter && (gone || member.Leaving) {
+				return errors.Errorf("fleet: %s still votes", member.Addr)
 			}
-			if m.Voter {
-				n++
+			if member.Voter {
+				voters++
 			}
 		}
-		if n != 3 {
-			return errors.Errorf("fleet: %d voters: %s", n, b)
+		if voters != 3 {
+			return errors.Errorf("fleet: %d voters: %s", voters, body)
 		}
 		return nil
 	})
@@ -297,33 +297,33 @@
 	if _, err := f.proof(random, rev); err != nil {
 		return nil, err
 	}
-	var out []Drill
+	var done []Drill
 	for _, drill := range drills {
 		undo, err := drill.do(f)
 		if err != nil {
-			return out, errors.Wrap(err, drill.name)
+			return done, errors.Wrap(err, drill.name)
 		}
 		began := time.Now()
 		rev++
 		wrong, err := f.proof(random, rev)
 		d := Drill{Fault: drill.name, Heal: time.Since(began).Seconds(), Wrong: wrong}
 		if err != nil {
-			return append(out, d), errors.Wrap(err, drill.name)
+			return append(done, d), errors.Wrap(err, drill.name)
 		}
-		out = append(out, d)
+		done = append(done, d)
 		if err := undo(); err != nil {
-			return out, err
+			return done, err
 		}
 		if err := f.Ready(2 * time.Minute); err != nil {
-			return out, err
+			return done, err
 		}
 	}
-	return out, nil
+	return done, nil
 }
 
 // serves asks one dispatcher, in a hurry.
 func (f *Fleet) serves(i int) bool {
-	var s struct {
+	var status struct {
 		Dispatcher struct {
 			Serving bool `json:"serving"`
 		} `json:"dispatcher"`
@@ -333,7 +333,7 @@
 		return false
 	}
 	defer res.Body.Close()
-	return json.NewDecoder(res.Body).Decode(&s) == nil && s.Dispatcher.Serving
+	return json.NewDecoder(res.Body).Decode(&status) == nil && status.Dispatcher.Serving
 }
 
 var hurried = &http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/rig/fleet/drive.go
+++ b/rig/fleet/drive.go
@@ -70,19 +70,19 @@
 func (f *Fleet) Ready(most time.Duration) error {
 	for i := range f.By("dispatcher") {
 		err := Retry(most, func() error {
-			_, b, err := Do("GET", f.disp(i)+"/status", nil, nil)
+			_, body, err := Do("GET", f.disp(i)+"/status", nil, nil)
 			if err != nil {
 				return err
 			}
-			var s struct {
+			var status struct {
 				Dispatcher struct {
 					Serving bool `json:"serving"`
 					Engines int  `json:"engines_usable"`
 				} `json:"dispatcher"`
 			}
-			_ = json.Unmarshal(b, &s)
-			if !s.Dispatcher.Serving || s.Dispatcher.Engines < len(f.Engines) {
-				return errors.Errorf("fleet: dispatcher %d serves=%v engines=%d", i+1, s.Dispatcher.Serving, s.Dispatcher.Engines)
+			_ = json.Unmarshal(body, &status)
+			if !status.Dispatcher.Serving || status.Dispatcher.Engines < len(f.Engines) {
+				return errors.Errorf("fleet: dispatcher %d serves=%v engines=%d", i+1, status.Dispatcher.Serving, status.Dispatcher.Engines)
 			}
 			return nil
 		})
@@ -136,61 +136,61 @@
 
 // Drive runs trainers and clients for a while and reports.
 func (f *Fleet) Drive(length time.Duration, seed int64) Report {
-	d := &driver{f: f, rng: rand.New(rand.NewSource(seed))}
-	d.rep.Shape, d.rep.Memory = f.Shape.Name, map[string]int64{}
-	d.rep.CPU = map[string]float64{}
+	traffic := &driver{f: f, rng: rand.New(rand.NewSource(seed))}
+	traffic.rep.Shape, traffic.rep.Memory = f.Shape.Name, map[string]int64{}
+	traffic.rep.CPU = map[string]float64{}
 	began := time.Now()
 	version, took, err := f.PutPlan(0, f.Shape.Plan)
 	if err != nil {
-		d.wrong("plan: %v", err)
-		return d.rep
+		traffic.wrong("plan: %v", err)
+		return traffic.rep
 	}
-	d.rep.PlanTimes = append(d.rep.PlanTimes, took.Seconds())
+	traffic.rep.PlanTimes = append(traffic.rep.PlanTimes, took.Seconds())
 	end := began.Add(length)
 	var wg sync.WaitGroup
 	wg.Add(1)
-	go func() { defer wg.Done(); d.train(seed, end) }()
+	go func() { defer wg.Done(); traffic.train(seed, end) }()
 	wg.Add(1)
-	go func() { defer wg.Done(); d.consume(seed, end) }()
+	go func() { defer wg.Done(); traffic.consume(seed, end) }()
 	for i := 0; i < 3; i++ {
 		time.Sleep(length / 5)
 		v, took, err := f.PutPlan(version, f.Shape.Plan)
 		if err != nil {
-			d.wrong("plan: %v", err)
+			traffic.wrong("plan: %v", err)
 			break
 		}
 		version = v
-		d.mu.Lock()
-		d.rep.PlanTimes = append(d.rep.PlanTimes, took.Seconds())
-		d.mu.Unlock()
+		traffic.mu.Lock()
+		traffic.rep.PlanTimes = append(traffic.rep.PlanTimes, took.Seconds())
+		traffic.mu.Unlock()
 	}
 	wg.Wait()
-	d.rep.Seconds = time.Since(began).Seconds()
-	d.finish()
+	traffic.rep.Seconds = time.Since(began).Seconds()
+	traffic.finish()
 	big := f.grown(10000)
-	d.rep.BigBytes = len(big)
+	traffic.rep.BigBytes = len(big)
 	if _, took, err := f.PutPlan(version, big); err != nil {
-		d.wrong("a plan of 10000 routes: %v", err)
+		traffic.wrong("a plan of 10000 routes: %v", err)
 	} else {
-		d.rep.BigTime = took.Seconds()
+		traffic.rep.BigTime = took.Seconds()
 	}
 	for _, p := range f.By("dispatcher") {
-		d.rep.BigMemory = max(d.rep.BigMemory, p.Memory())
+		traffic.rep.BigMemory = max(traffic.rep.BigMemory, p.Memory())
 	}
-	return d.rep
+	return traffic.rep
 }
 
 // grown is the shape's plan with many routes more.
 func (f *Fleet) grown(n int) string {
-	var p struct {
+	var plan struct {
 		Pools  []map[string]any `json:"pools"`
 		Routes []map[string]any `json:"routes"`
 	}
-	_ = json.Unmarshal([]byte(f.Shape.Plan), &p)
-	for i := len(p.Routes); i < n; i++ {
-		p.Routes = append(p.Routes, map[string]any{"name": fmt.Sprint("r", i), "path": fmt.Sprintf("/more-%d/%d", i%97, i), "verbs": []string{"GET"}, "pool": p.Routes[0]["pool"]})
+	_ = json.Unmarshal([]byte(f.Shape.Plan), &plan)
+	for i := len(plan.Routes); i < n; i++ {
+		plan.Routes = append(plan.Routes, map[string]any{"name": fmt.Sprint("r", i), "path": fmt.Sprintf("/more-%d/%d", i%97, i), "verbs": []string{"GET"}, "pool": plan.Routes[0]["pool"]})
 	}
-	b, _ := json.Marshal(p)
+	b, _ := json.Marshal(plan)
 	return string(b)
 }
 
--- a/rig/fleet/fleet.go
+++ b/rig/fleet/fleet.go
@@ -103,22 +103,22 @@
 }
 
 func ports(n int) ([]string, error) {
-	var ls []net.Listener
+	var listeners []net.Listener
 	defer func() {
-		for _, l := range ls {
+		for _, l := range listeners {
 			_ = l.Close()
 		}
 	}()
-	var out []string
+	var addrs []string
 	for i := 0; i < n; i++ {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, err
 		}
-		ls = append(ls, l)
-		out = append(out, l.Addr().String())
+		listeners = append(listeners, l)
+		addrs = append(addrs, l.Addr().String())
 	}
-	return out, nil
+	return addrs, nil
 }
 
 // Start starts a fleet's processes. It builds nothing: bin is the folder with both
--- a/rig/scale/axes.go
+++ b/rig/scale/axes.go
@@ -237,11 +237,11 @@
 	return w.lots(1, items, events, text, more)
 }
 
-func (w *World) lots(n, items, events, text int, more map[string]float64) time.Duration {
+func (w *World) lots(count, items, events, text int, more map[string]float64) time.Duration {
 	from, h := w.Now, w.owner()
 	w.Out.Events, w.Out.Text, w.Out.Takes = events, text, 50*time.Millisecond
 	done := 0
-	for i := range n {
+	for i := range count {
 		id := fmt.Sprintf("lot-%d", i)
 		h.Call(flow.Call{Name: "request", Host: lotHost, Verb: "POST", Path: "/lots/", Body: lotBody(id, items), Query: map[string]string{},
 			Fields: []flow.Field{{Name: "Attempt-Id", Value: id}}}, func(r flow.Reply) {
@@ -252,7 +252,7 @@
 			w.listed(id, items, func() { done++ })
 		})
 	}
-	w.Until(2*time.Minute, func() bool { return done == n })
+	w.Until(2*time.Minute, func() bool { return done == count })
 	more["seconds until all is listed"] = (w.Now - from).Seconds()
 	return w.Now - from
 }
@@ -326,13 +326,13 @@
 	if totals {
 		per = 1
 	}
-	for _, r := range roleOf {
-		sum, n := map[string]float64{}, 0.0
+	for _, role := range roleOf {
+		sum, hosts := map[string]float64{}, 0.0
 		for _, h := range w.Hosts {
-			if !h.Up || !r.is(w, h) {
+			if !h.Up || !role.is(w, h) {
 				continue
 			}
-			n++
+			hosts++
 			spent := &h.Spent
 			sum["cpu_ms"] += float64(spent.CPU) / 1e6 * per
 			sum["lines_out"] += float64(spent.Out) * per
@@ -351,9 +351,9 @@
 			}
 		}
 		for k := range sum {
-			sum[k] /= n
+			sum[k] /= hosts
 		}
-		measured[r.name] = sum
+		measured[role.name] = sum
 	}
 	return measured
 }
@@ -390,16 +390,16 @@
 // Measure varies one size alone and fits a line for each role and cost.
 func (a Axis) Measure(progress func(string)) ([]Slope, error) {
 	points := map[[2]string][]Point{}
-	for i, x := range a.Values {
+	for i, size := range a.Values {
 		before := heap()
-		world := New(a.Base(x))
+		world := New(a.Base(size))
 		if !world.Ready() {
-			return nil, fmt.Errorf("scale: %s at %v: the fleet does not serve", a.Name, x)
+			return nil, fmt.Errorf("scale: %s at %v: the fleet does not serve", a.Name, size)
 		}
 		world.Run(3 * time.Second)
 		world.Clear()
 		more := map[string]float64{}
-		window := a.Run(world, x, more)
+		window := a.Run(world, size, more)
 		got := world.measure(window, a.Totals)
 		more["heap a node"] = (heap() - before - world.shelved()) / float64(len(world.Hosts))
 		got["fleet"] = more
@@ -409,15 +409,15 @@
 				for len(points[k]) < i { // not seen at smaller sizes
 					points[k] = append(points[k], Point{X: a.Values[len(points[k])]})
 				}
-				points[k] = append(points[k], Point{x, v})
+				points[k] = append(points[k], Point{size, v})
 			}
 		}
 		for k, p := range points {
 			if len(p) <= i {
-				points[k] = append(p, Point{X: x})
+				points[k] = append(p, Point{X: size})
 			}
 		}
-		progress(fmt.Sprintf("%s = %v is done", a.Name, x))
+		progress(fmt.Sprintf("%s = %v is done", a.Name, size))
 		runtime.KeepAlive(world)
 	}
 	per := "second"
--- a/rig/scale/forecast.go
+++ b/rig/scale/forecast.go
@@ -184,17 +184,17 @@
 }
 
 // human writes a value with its unit in a size that reads.
-func human(x float64, unit string) string {
+func human(number float64, unit string) string {
 	if unit == "ms/s" || unit == "ms" {
-		return fmt.Sprintf("%s %s", round3(x), unit)
+		return fmt.Sprintf("%s %s", round3(number), unit)
 	}
 	for _, u := range []struct {
 		most float64
 		name string
 	}{{1e9, "G"}, {1e6, "M"}, {1e3, "k"}} {
-		if x >= u.most {
-			return fmt.Sprintf("%s %s%s", round3(x/u.most), u.name, unit)
+		if number >= u.most {
+			return fmt.Sprintf("%s %s%s", round3(number/u.most), u.name, unit)
 		}
 	}
-	return round3(x) + " " + unit
+	return round3(number) + " " + unit
 }
--- a/rig/scale/host.go
+++ b/rig/scale/host.go
@@ -224,17 +224,17 @@
 }
 
 // Call makes a request of a host from outside.
-func (h *Host) Call(call flow.Call, f func(flow.Reply)) {
+func (h *Host) Call(call flow.Call, answer func(flow.Reply)) {
 	if !h.Up {
 		return
 	}
 	h.callID++
 	h.Spent.Calls++
 	call.ID = h.callID
-	if f == nil {
-		f = func(flow.Reply) {}
+	if answer == nil {
+		answer = func(flow.Reply) {}
 	}
-	h.calls[call.ID] = f
+	h.calls[call.ID] = answer
 	h.offer(1, flow.Event{Call: &call})
 }
 
@@ -259,13 +259,13 @@
 }
 
 func (h *Host) note(n flow.Note) {
-	f := notes[n.Text]
-	if f == nil {
+	handle := notes[n.Text]
+	if handle == nil {
 		return
 	}
 	args := map[string]any{}
 	for i := 0; i+1 < len(n.Args); i += 2 {
 		args[fmt.Sprint(n.Args[i])] = n.Args[i+1]
 	}
-	f(h.world, h, args)
+	handle(h.world, h, args)
 }
--- a/rig/scale/outside.go
+++ b/rig/scale/outside.go
@@ -234,7 +234,7 @@
 		Backend                                string
 		MaxTries                               int
 	}
-	p := api.Plan{}
+	made := api.Plan{}
 	var src struct {
 		Revision   uint64
 		RouteTable []sourceRoute
@@ -243,11 +243,11 @@
 	src.Revision = version
 	words := map[string]string{"again": "idempotent", "samples": "sampling"}
 	add := func(name, host, path, kind, pool string) {
-		p.Routes = append(p.Routes, api.Route{Name: name, Host: host, Path: path, Kind: kind, Pool: pool, Timeout: 5000, TargetMS: 1000, Tries: 3, WaitMS: 600000, DueMS: 420000})
+		made.Routes = append(made.Routes, api.Route{Name: name, Host: host, Path: path, Kind: kind, Pool: pool, Timeout: 5000, TargetMS: 1000, Tries: 3, WaitMS: 600000, DueMS: 420000})
 		src.RouteTable = append(src.RouteTable, sourceRoute{name, host, path, words[kind], 5000, 1000, 1, pool, 3})
 	}
 	for i := range max(models, 1) {
-		p.Pools = append(p.Pools, api.Pool{Name: pool(i), Kind: "model", Health: "/health", Conns: 160, Slots: 8, KvTokens: 100000, Models: []string{model(i)}})
+		made.Pools = append(made.Pools, api.Pool{Name: pool(i), Kind: "model", Health: "/health", Conns: 160, Slots: 8, KvTokens: 100000, Models: []string{model(i)}})
 		src.Backends = append(src.Backends, map[string]any{"Label": pool(i), "HealthPath": "/health", "MaxConns": 160,
 			"Engine": map[string]any{"Capacity": 8, "KvCapacity": 100000, "Models": []map[string]string{{"Label": model(i)}}}})
 	}
@@ -256,7 +256,7 @@
 	for i := 2; i < routes; i++ {
 		add(fmt.Sprintf("route-%05d", i), fmt.Sprintf("host-%05d.example", i), "/v1/serve/", "again", pool(i%max(models, 1)))
 	}
-	p.Source, _ = json.Marshal(src)
-	b, _ := json.Marshal(p)
+	made.Source, _ = json.Marshal(src)
+	b, _ := json.Marshal(made)
 	return b
 }
--- a/rig/scale/report.go
+++ b/rig/scale/report.go
@@ -87,33 +87,33 @@
 	var all []Slope
 	known := false
 	tell := func(s string) { fmt.Fprintln(config.Notes, s) }
-	for _, a := range Axes {
-		if config.Axis != "" && config.Axis != a.Name {
+	for _, axis := range Axes {
+		if config.Axis != "" && config.Axis != axis.Name {
 			continue
 		}
 		known = true
-		for _, x := range a.Values {
-			if err := Fits(a.Base(x)); err != nil {
+		for _, x := range axis.Values {
+			if err := Fits(axis.Base(x)); err != nil {
 				return err
 			}
 		}
-		s, err := a.Measure(tell)
+		s, err := axis.Measure(tell)
 		if err != nil {
 			return err
 		}
-		table(config.Out, a.Name+", a "+a.Unit, s)
+		table(config.Out, axis.Name+", a "+axis.Unit, s)
 		all = append(all, s...)
 	}
-	for _, x := range Extras {
-		if config.Axis != "" && config.Axis != x.Name {
+	for _, extra := range Extras {
+		if config.Axis != "" && config.Axis != extra.Name {
 			continue
 		}
 		known = true
-		s, err := x.Measure()
+		s, err := extra.Measure()
 		if err != nil {
 			return err
 		}
-		table(config.Out, x.Name, s)
+		table(config.Out, extra.Name, s)
 		all = append(all, s...)
 	}
 	if !known {
@@ -138,21 +138,21 @@
 		return
 	}
 	fmt.Fprintf(to, "\n## %s\n\n| role | what, a %s | each one more, or each square | at none | R2 | worst | measured |\n|---|---|---|---|---|---|---|\n", title, s[0].Per)
-	for _, x := range s {
+	for _, row := range s {
 		most := 0.0
 		var points []string
-		for _, p := range x.Points {
+		for _, p := range row.Points {
 			most = max(most, math.Abs(p.Y))
 			points = append(points, round3(p.X)+": "+round3(p.Y))
 		}
 		if most == 0 {
 			continue
 		}
-		slope := round3(x.Slope)
-		if x.Power == 2 {
+		slope := round3(row.Slope)
+		if row.Power == 2 {
 			slope += " (square)"
 		}
-		fmt.Fprintf(to, "| %s | %s | %s | %s | %.3f | %.0f%% | %s |\n", x.Role, x.What, slope, round3(x.Base), x.R2, 100*x.Worst, strings.Join(points, ", "))
+		fmt.Fprintf(to, "| %s | %s | %s | %s | %.3f | %.0f%% | %s |\n", row.Role, row.What, slope, round3(row.Base), row.R2, 100*row.Worst, strings.Join(points, ", "))
 	}
 }
 
@@ -210,10 +210,10 @@
 
 // draw plots the points and the line of a slope.
 func draw(folder, title string, slope Slope) error {
-	p := plot.New()
-	p.Title.Text, p.X.Label.Text = title, slope.Unit
-	p.Title.Padding = vg.Points(6)
-	p.Y.Min = 0
+	chart := plot.New()
+	chart.Title.Text, chart.X.Label.Text = title, slope.Unit
+	chart.Title.Padding = vg.Points(6)
+	chart.Y.Min = 0
 	var pts plotter.XYs
 	for _, x := range slope.Points {
 		pts = append(pts, plotter.XY{X: x.X, Y: x.Y})
@@ -232,7 +232,7 @@
 	if err != nil {
 		return errors.Wrap(err, "scale")
 	}
-	p.Add(plotter.NewGrid(), line, dots)
+	chart.Add(plotter.NewGrid(), line, dots)
 	name := strings.NewReplacer(",", "", " ", "-", ".", "-", "_", "-", "'", "").Replace(slope.Axis + "-" + slope.Role + "-" + slope.What)
-	return errors.Wrap(p.Save(12*vg.Centimeter, 8*vg.Centimeter, filepath.Join(folder, name+".svg")), "scale")
+	return errors.Wrap(chart.Save(12*vg.Centimeter, 8*vg.Centimeter, filepath.Join(folder, name+".svg")), "scale")
 }
--- a/rig/scale/whole.go
+++ b/rig/scale/whole.go
@@ -80,32 +80,32 @@
 		fmt.Fprintf(r.out, "- %s: %.2f\n", k, phase.Times[k])
 	}
 	fmt.Fprintf(r.out, "\n| role | processor ms | longest turn, ms | lines out | bytes out | bytes in | largest kinds in |\n|---|---|---|---|---|---|---|\n")
-	for _, x := range roleOf {
-		m := phase.Roles[x.name]
-		if len(m) == 0 {
+	for _, role := range roleOf {
+		spent := phase.Roles[role.name]
+		if len(spent) == 0 {
 			continue
 		}
 		var kinds []string
-		for _, k := range sortedKeys(m) {
-			if kind, ok := strings.CutPrefix(k, "in."); ok && m[k] > m["bytes_in"]/50 {
-				kinds = append(kinds, kind+" "+round3(m[k]))
+		for _, k := range sortedKeys(spent) {
+			if kind, ok := strings.CutPrefix(k, "in."); ok && spent[k] > spent["bytes_in"]/50 {
+				kinds = append(kinds, kind+" "+round3(spent[k]))
 			}
 		}
-		fmt.Fprintf(r.out, "| %s | %s | %s | %s | %s | %s | %s |\n", x.name, round3(m["cpu_ms"]), round3(phase.Longest[x.name]), round3(m["lines_out"]), round3(m["bytes_out"]), round3(m["bytes_in"]), strings.Join(kinds, ", "))
+		fmt.Fprintf(r.out, "| %s | %s | %s | %s | %s | %s | %s |\n", role.name, round3(spent["cpu_ms"]), round3(phase.Longest[role.name]), round3(spent["lines_out"]), round3(spent["bytes_out"]), round3(spent["bytes_in"]), strings.Join(kinds, ", "))
 	}
 }
 
 func sortedKeys(m map[string]float64) []string {
-	var out []string
+	var keys []string
 	for k := range m {
-		out = append(out, k)
+		keys = append(keys, k)
 	}
-	for i := range out {
-		for j := i; j > 0 && out[j] < out[j-1]; j-- {
-			out[j], out[j-1] = out[j-1], out[j]
+	for i := range keys {
+		for j := i; j > 0 && keys[j] < keys[j-1]; j-- {
+			keys[j], keys[j-1] = keys[j-1], keys[j]
 		}
 	}
-	return out
+	return keys
 }
 
 func (r *wholeRun) bad(format string, a ...any) {
@@ -249,7 +249,7 @@
 		return
 	}
 	const items = 1024
-	r.phase("a zone is lost: its nodes, engines, the acting coordinator, and the owner of a lot", func(t map[string]float64) {
+	r.phase("a zone is lost: its nodes, engines, the acting coordinator, and the owner of a lot", func(took map[string]float64) {
 		listed, taken := false, false
 		world.Out.Events, world.Out.Text, world.Out.Takes = 8, 64, 500*time.Millisecond
 		owner.Call(flow.Call{Name: "request", Host: lotHost, Verb: "POST", Path: "/lots/", Body: lotBody("zone-lot", items), Query: map[string]string{},
@@ -267,12 +267,12 @@
 				nodes++
 			}
 		}
-		t["(nodes lost)"], t["(engines lost)"] = float64(nodes), float64(world.Out.lose(zone))
-		world.listed("zone-lot", items, func() { listed = true; t["the lot is whole"] = (world.Now - from).Seconds() })
-		r.put(4, t)
-		r.reach(4, t, time.Minute)
+		took["(nodes lost)"], took["(engines lost)"] = float64(nodes), float64(world.Out.lose(zone))
+		world.listed("zone-lot", items, func() { listed = true; took["the lot is whole"] = (world.Now - from).Seconds() })
+		r.put(4, took)
+		r.reach(4, took, time.Minute)
 		world.Until(30*time.Second, func() bool { return world.acts != nil })
-		t["another coordinator acts"] = (world.Now - from).Seconds()
+		took["another coordinator acts"] = (world.Now - from).Seconds()
 		if !world.Until(time.Minute, func() bool { return listed }) {
 			r.bad("the lot is not whole a minute after its owner's zone was lost")
 		}
--- a/rig/scale/world.go
+++ b/rig/scale/world.go
@@ -213,30 +213,30 @@
 const operator = "10.254.0.1:1"
 
 // Ask puts a command or a question to the store's leader, as a node does.
-func (w *World) Ask(question ledger.Body, f func(ledger.Result)) {
+func (w *World) Ask(question ledger.Body, done func(ledger.Result)) {
 	raw, _ := json.Marshal(question)
 	w.asks++
 	id := w.asks
 	lead := w.Leader()
 	if lead == nil {
-		w.After(10*Round, func() { w.Ask(question, f) })
+		w.After(10*Round, func() { w.Ask(question, done) })
 		return
 	}
 	a, _ := json.Marshal(ask.Ask{ID: id, Kind: question.Kind(), Body: raw})
 	w.told[id] = func(r ledger.Result) {
 		if r.Code == ledger.Unanswered {
-			w.After(5*Round, func() { w.Ask(question, f) })
+			w.After(5*Round, func() { w.Ask(question, done) })
 			return
 		}
-		if f != nil {
-			f(r)
+		if done != nil {
+			done(r)
 		}
 	}
 	lead.offer(1, flow.Event{Line: &flow.Line{Ver: flow.Version, Cluster: lead.Node.Cluster(), Kind: "ask", From: "operator", Addr: operator, Body: a}})
 	w.After(100*Round, func() { // the leader may have died
 		if w.told[id] != nil {
 			delete(w.told, id)
-			w.Ask(question, f)
+			w.Ask(question, done)
 		}
 	})
 }
--- a/rig/serve/serve.go
+++ b/rig/serve/serve.go
@@ -98,17 +98,17 @@
 }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
-	b, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	c := make(chan standin.Event, 4096)
+	events := make(chan standin.Event, 4096)
 	e.mu.Lock()
 	e.next++
 	id := e.next
-	ok := e.core.Start(clock.Now(), id, b)
+	ok := e.core.Start(clock.Now(), id, body)
 	if ok {
-		e.outs[id] = c
+		e.outs[id] = events
 	}
 	e.mu.Unlock()
 	if !ok {
@@ -129,7 +129,7 @@
 		select {
 		case <-r.Context().Done():
 			return
-		case ev := <-c:
+		case ev := <-events:
 			if ev.End {
 				return
 			}
@@ -145,7 +145,7 @@
 func App(core *standin.App) http.Handler {
 	var mu sync.Mutex
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		b, err := io.ReadAll(r.Body)
+		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
 		}
@@ -157,7 +157,7 @@
 		case "/truth":
 			give(w, 200, toJSON(core.Ran))
 		default:
-			give(w, 200, core.Serve(r.Method, r.URL.Path, b))
+			give(w, 200, core.Serve(r.Method, r.URL.Path, body))
 		}
 	})
 }
--- a/rig/site/day.go
+++ b/rig/site/day.go
@@ -49,17 +49,17 @@
 
 // ask makes one call on a connection of its own.
 func (d *day) ask(verb, url, host string, head map[string]string, body []byte, most time.Duration) (int, http.Header, []byte, error) {
-	r, err := http.NewRequest(verb, url, bytes.NewReader(body))
+	request, err := http.NewRequest(verb, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, nil, errors.Wrap(err, "site")
 	}
-	r.Host, r.Close = host, true
+	request.Host, request.Close = host, true
 	for k, v := range head {
-		r.Header.Set(k, v)
+		request.Header.Set(k, v)
 	}
 	c := *d.client
 	c.Timeout = most
-	x, err := c.Do(r)
+	x, err := c.Do(request)
 	if err != nil {
 		return 0, nil, nil, errors.Wrap(err, "site")
 	}
@@ -204,18 +204,18 @@
 }
 
 // name names a version of the weights.
-func (d *day) name(v int) {
+func (d *day) name(version int) {
 	d.t.mu.Lock()
-	d.t.named = max(d.t.named, v)
+	d.t.named = max(d.t.named, version)
 	d.t.mu.Unlock()
 	for n := range 40 {
 		if code, _, _, _ := d.ask("POST", d.machines[n%len(d.machines)].control()+"/version-put", "", map[string]string{"Content-Type": "application/json"},
-			fmt.Appendf(nil, `{"Model":%q,"Revision":%d}`, model, v), time.Second); code/100 == 2 {
+			fmt.Appendf(nil, `{"Model":%q,"Revision":%d}`, model, version), time.Second); code/100 == 2 {
 			return
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	d.t.bad("version %d was never noted", v)
+	d.t.bad("version %d was never noted", version)
 }
 
 // Day runs one day: calm, or with troubles one after the other.
@@ -232,56 +232,69 @@
 	if err != nil {
 		return Report{}, err
 	}
-	d := &day{site: site, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
-	d.rep.Day = name
+	client := &day{site: site, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
+	client.rep.Day = name
+	if err := client.begin(); err != nil {
+		return client.rep, err
+	}
+	client.run(troubled, length)
+	client.readBack()
+	client.t.mu.Lock()
+	defer client.t.mu.Unlock()
+	client.rep.Broken, client.rep.Wrong = client.t.drops, client.t.wrong
+	return client.rep, nil
+}
+
+// begin puts the first configuration and waits until all machines take clients.
+func (d *day) begin() error {
 	began := time.Now()
 	if err := d.put(1, "app", 20*time.Second); err != nil {
-		return d.rep, err
+		return err
 	}
 	d.rep.Ready = time.Since(began).Seconds()
 	if err := d.wait(10 * time.Second); err != nil {
-		return d.rep, err
+		return err
 	}
-	for _, m := range site.machines { // later starts are not the first
-		if err := site.write(m, false); err != nil {
-			return d.rep, err
+	for _, machine := range d.site.machines { // later starts are not the first
+		if err := d.site.write(machine, false); err != nil {
+			return err
 		}
 	}
+	return nil
+}
+
+// run sends requests, lots and versions, and has changes or troubles happen meanwhile.
+func (d *day) run(troubled bool, length time.Duration) {
 	end := time.Now().Add(length)
 	var all sync.WaitGroup
-	run := func(f func()) {
+	start := func(task func()) {
 		all.Add(1)
-		go func() { defer all.Done(); f() }()
+		go func() { defer all.Done(); task() }()
 	}
-	run(func() {
+	start(func() {
 		for n := 0; time.Now().Before(end); n++ {
-			run(func() { d.request(n) })
+			start(func() { d.request(n) })
 			time.Sleep(20 * time.Millisecond)
 		}
 	})
-	run(func() {
+	start(func() {
 		for step := 1; time.Now().Before(end); step++ {
 			d.lot(step)
 			d.name(step + 1)
 			d.rep.Version = step + 1
 		}
 	})
-	if troubled {
-		run(func() { d.troubles(length) })
-	} else {
-		run(func() {
-			time.Sleep(length / 2)
-			if err := d.put(4, "other", 4*time.Second); err != nil {
-				d.t.bad("%v", err)
-			}
-		})
-	}
+	start(func() {
+		if troubled {
+			d.troubles(length)
+			return
+		}
+		time.Sleep(length / 2)
+		if err := d.put(4, "other", 4*time.Second); err != nil {
+			d.t.bad("%v", err)
+		}
+	})
 	all.Wait()
-	d.readBack()
-	d.t.mu.Lock()
-	defer d.t.mu.Unlock()
-	d.rep.Broken, d.rep.Wrong = d.t.drops, d.t.wrong
-	return d.rep, nil
 }
 
 // wait lets all machines become ready.
@@ -309,7 +322,7 @@
 			d.t.bad("%v", err)
 		}
 	}
-	for _, f := range []func(){
+	for _, fault := range []func(){
 		func() {
 			for _, e := range d.engines {
 				e.mu.Lock()
@@ -345,7 +358,7 @@
 		},
 	} {
 		time.Sleep(part)
-		f()
+		fault()
 	}
 }
 
--- a/rig/site/engine.go
+++ b/rig/site/engine.go
@@ -102,12 +102,12 @@
 }
 
 func (e *engine) order(w http.ResponseWriter, b []byte) {
-	var o struct {
+	var sent struct {
 		OpKind, Model, Mode, Owner string
 		Revision                   int
 		FenceToken                 uint64
 	}
-	if json.Unmarshal(b, &o) != nil || o.OpKind != "Revision" || o.Owner == "" || o.Mode != "hold" {
+	if json.Unmarshal(b, &sent) != nil || sent.OpKind != "Revision" || sent.Owner == "" || sent.Mode != "hold" {
 		e.t.bad("%s got the order %s", e.id, b)
 		w.WriteHeader(400)
 		return
@@ -117,26 +117,26 @@
 	e.t.mu.Unlock()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if o.FenceToken == e.fence && e.owner != "" && o.Owner != e.owner {
-		e.t.bad("ONE: %s has orders of %s and %s under fence %d", e.id, e.owner, o.Owner, o.FenceToken)
+	if sent.FenceToken == e.fence && e.owner != "" && sent.Owner != e.owner {
+		e.t.bad("ONE: %s has orders of %s and %s under fence %d", e.id, e.owner, sent.Owner, sent.FenceToken)
 	}
 	code := 202
 	switch {
-	case o.FenceToken < e.fence:
+	case sent.FenceToken < e.fence:
 		code = 412
-	case o.Revision > named:
+	case sent.Revision > named:
 		code = 400
-	case o.Revision == e.version && e.loading == 0:
+	case sent.Revision == e.version && e.loading == 0:
 		code = 200
 	case e.loading > 0:
 		code = 409
 	default:
 		e.orders++
-		e.loading = o.Revision
+		e.loading = sent.Revision
 		go e.load()
 	}
-	if o.FenceToken >= e.fence {
-		e.fence, e.owner = o.FenceToken, o.Owner
+	if sent.FenceToken >= e.fence {
+		e.fence, e.owner = sent.FenceToken, sent.Owner
 	}
 	w.WriteHeader(code)
 }
@@ -160,7 +160,7 @@
 
 // ServeHTTP is all listeners of an engine.
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	b, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
@@ -168,40 +168,53 @@
 	if id != "" {
 		w.Header().Set("Attempt-Id", id)
 	}
-	if x := r.Header.Get("Expect-Instance"); x != "" && x != e.id {
+	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != e.id {
 		e.away(w, 421)
 		return
 	}
-	switch r.URL.Path {
-	case "/report":
+	switch {
+	case r.URL.Path == "/report":
 		e.mu.Lock()
 		doc := e.report()
 		e.mu.Unlock()
 		say(w, 200, doc)
-		return
-	case "/order":
-		e.order(w, b)
-		return
-	}
-	if id == "" {
+	case r.URL.Path == "/order":
+		e.order(w, body)
+	case id == "":
 		e.away(w, 400)
-		return
+	default:
+		e.work(w, r, id, body)
 	}
+}
+
+// admitted is a request that has a slot.
+type admitted struct {
+	version int    // of the weights that run it
+	load    string // the engine's word on its load
+	rough   bool   // its answer breaks off
+}
+
+// admit gives a request a slot, or the status by which it is turned away.
+func (e *engine) admit(r *http.Request) (admitted, int) {
 	e.mu.Lock()
-	full := e.running >= e.slots || e.loading > 0
-	stale := r.Header.Get("Expect-Weights") != "" && r.Header.Get("Expect-Weights") != strconv.Itoa(e.version)
-	if !full && !stale {
-		e.running++
-		e.count++
+	defer e.mu.Unlock()
+	expected := r.Header.Get("Expect-Weights")
+	if expected != "" && expected != strconv.Itoa(e.version) {
+		return admitted{}, 421
 	}
-	v, load, rough := e.version, fmt.Sprintf("%d,0,%d", e.running, e.slots), e.rough && e.count%6 == 0
-	e.mu.Unlock()
-	if stale {
-		e.away(w, 421)
-		return
+	if e.running >= e.slots || e.loading > 0 {
+		return admitted{}, 503
 	}
-	if full {
-		e.away(w, 503)
+	e.running++
+	e.count++
+	return admitted{e.version, fmt.Sprintf("%d,0,%d", e.running, e.slots), e.rough && e.count%6 == 0}, 0
+}
+
+// work runs a request or makes a text.
+func (e *engine) work(w http.ResponseWriter, r *http.Request, id string, body []byte) {
+	slot, refusal := e.admit(r)
+	if refusal != 0 {
+		e.away(w, refusal)
 		return
 	}
 	defer func() {
@@ -209,30 +222,29 @@
 		e.running--
 		e.mu.Unlock()
 	}()
-	w.Header().Set("Engine-Load", load)
-	run := e.t.ran(id)
-	seal := fmt.Sprintf("s.%s.%s.%d", e.id, id, run)
+	w.Header().Set("Engine-Load", slot.load)
+	seal := fmt.Sprintf("s.%s.%s.%d", e.id, id, e.t.ran(id))
 	w.Header().Set("Engine-Seal", seal)
-	if _, out, ok := strings.Cut(r.Header.Get("Token-Counts"), ","); ok && e.pool == "llm" {
-		e.text(w, r, id, seal, out, v, rough)
+	if _, tokens, ok := strings.Cut(r.Header.Get("Token-Counts"), ","); ok && e.pool == "llm" {
+		e.text(w, r, id, seal, tokens, slot.version, slot.rough)
 		return
 	}
 	time.Sleep(12 * time.Millisecond)
-	body := fmt.Sprintf("%s at %s: %s", id, r.URL.RequestURI(), b)
+	answer := fmt.Sprintf("%s at %s: %s", id, r.URL.RequestURI(), body)
 	e.t.mu.Lock()
-	e.t.seals[seal] = id + "\n" + body
-	if rough {
+	e.t.seals[seal] = id + "\n" + answer
+	if slot.rough {
 		e.t.drops++
 	}
 	e.t.mu.Unlock()
-	if rough {
+	if slot.rough {
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = io.WriteString(w, body)
+	_, _ = io.WriteString(w, answer)
 }
 
 // text makes a text, event by event.
-func (e *engine) text(w http.ResponseWriter, r *http.Request, id, seal, out string, v int, rough bool) {
+func (e *engine) text(w http.ResponseWriter, r *http.Request, id, seal, out string, version int, rough bool) {
 	most, _ := strconv.Atoi(out)
 	from := 0
 	if n, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
@@ -241,7 +253,7 @@
 	e.t.mu.Lock()
 	e.t.seals[seal] = id + "\n"
 	e.t.mu.Unlock()
-	w.Header().Set("Weight-Versions", strconv.Itoa(v))
+	w.Header().Set("Weight-Versions", strconv.Itoa(version))
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(200)
 	controller := http.NewResponseController(w)
@@ -257,7 +269,7 @@
 			e.t.mu.Unlock()
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s:%d:%d\n\n", n, id, n, v); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s:%d:%d\n\n", n, id, n, version); err != nil {
 			return
 		}
 		_ = controller.Flush()
--- a/rig/site/lot.go
+++ b/rig/site/lot.go
@@ -41,10 +41,10 @@
 
 // lot hands a lot in, reads it until its time is over, and ends it.
 func (d *day) lot(step int) {
-	r := &lotRun{day: d, id: d.id("l"), step: step, tokens: map[string]int{}, listed: map[string]bool{}}
-	body := r.document()
-	r.until = time.Now().Add(lotTime)
-	taken, denied := r.handIn(body)
+	run := &lotRun{day: d, id: d.id("l"), step: step, tokens: map[string]int{}, listed: map[string]bool{}}
+	body := run.document()
+	run.until = time.Now().Add(lotTime)
+	taken, denied := run.handIn(body)
 	if denied {
 		return
 	}
@@ -54,14 +54,14 @@
 	if !taken {
 		return
 	}
-	r.read()
+	run.read()
 	d.mu.Lock()
-	d.rep.Items += len(r.seen)
-	if len(r.seen) == len(r.tokens) {
+	d.rep.Items += len(run.seen)
+	if len(run.seen) == len(run.tokens) {
 		d.rep.Whole++
 	}
 	d.mu.Unlock()
-	r.end()
+	run.end()
 }
 
 // document is the lot as it is handed in.
--- a/rig/site/site.go
+++ b/rig/site/site.go
@@ -56,74 +56,74 @@
 }
 
 func start(bin, dir string) (*site, error) {
-	n, err := fresh()
+	network, err := fresh()
 	if err != nil {
 		return nil, err
 	}
-	s := &site{dir: dir, bin: bin, net: n, t: &truth{runs: map[string]int{}, seals: map[string]string{}, named: 1}}
+	started := &site{dir: dir, bin: bin, net: network, t: &truth{runs: map[string]int{}, seals: map[string]string{}, named: 1}}
 	for i := range 8 {
-		if _, err := s.add([]string{"app", "llm", "llm", "app", "llm", "llm", "other", "other"}[i], zones[i%3]); err != nil {
-			return s, err
+		if _, err := started.add([]string{"app", "llm", "llm", "app", "llm", "llm", "other", "other"}[i], zones[i%3]); err != nil {
+			return started, err
 		}
 	}
-	l, err := net.Listen("tcp", n+".250:9000")
+	l, err := net.Listen("tcp", network+".250:9000")
 	if err != nil {
-		return s, errors.Wrap(err, "site: list")
+		return started, errors.Wrap(err, "site: list")
 	}
-	s.srv = &http.Server{Handler: http.HandlerFunc(s.list), ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = s.srv.Serve(l) }()
+	started.srv = &http.Server{Handler: http.HandlerFunc(started.list), ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = started.srv.Serve(l) }()
 	for i := range 4 {
-		m := &machine{name: fmt.Sprintf("edge-%d", i+1), ip: fmt.Sprintf("%s.%d", n, i+1), zone: zones[i%3], disk: i < 3}
-		s.machines = append(s.machines, m)
+		m := &machine{name: fmt.Sprintf("edge-%d", i+1), ip: fmt.Sprintf("%s.%d", network, i+1), zone: zones[i%3], disk: i < 3}
+		started.machines = append(started.machines, m)
 	}
-	for _, m := range s.machines {
-		if err := s.write(m, true); err != nil {
-			return s, err
+	for _, m := range started.machines {
+		if err := started.write(m, true); err != nil {
+			return started, err
 		}
-		if err := s.launch(m); err != nil {
-			return s, err
+		if err := started.launch(m); err != nil {
+			return started, err
 		}
 	}
-	return s, nil
+	return started, nil
 }
 
 // write writes a machine's settings file.
-func (s *site) write(m *machine, first bool) error {
+func (s *site) write(target *machine, first bool) error {
 	var seeds []string
 	for _, x := range s.machines {
 		if x.disk {
 			seeds = append(seeds, x.ip+":8083")
 		}
 	}
-	lines := []string{"NodeName=" + m.name, "Serves=edge,control_plane", "Ip=" + m.ip, "Zone=" + m.zone, "Region=here", "PortRange=7000,7009",
-		"BindAddrs.Front=" + m.ip + ":8081", "BindAddrs.Readiness=" + m.ip + ":8082", "BindAddrs.Control=" + m.ip + ":8083",
+	lines := []string{"NodeName=" + target.name, "Serves=edge,control_plane", "Ip=" + target.ip, "Zone=" + target.zone, "Region=here", "PortRange=7000,7009",
+		"BindAddrs.Front=" + target.ip + ":8081", "BindAddrs.Readiness=" + target.ip + ":8082", "BindAddrs.Control=" + target.ip + ":8083",
 		"SeedNodes=" + strings.Join(seeds, ","), fmt.Sprintf("Bootstrap=%v", first), "FaultBudget.Machines=1", "Limits.CpuShare=0.5", "Limits.MemoryMb=284", "Limits.MaxFds=4100",
 		"CloudApi.Address=" + s.net + ".250:9000", "CloudApi.RatePerS=20", "CloudApi.MaxLagMs=200", "Bounds.ApplyMs=2000", "Bounds.DrainMs=3000", "Bounds.ContactMs=3000", "Bounds.AckMs=4000",
 		"Bounds.GraceS=8", "Bounds.RecoverS=12", "Bounds.ReportS=120", "Bounds.CancelMs=3000", "Bounds.SettleMs=1000"}
-	if m.disk {
-		data := filepath.Join(s.dir, m.name)
+	if target.disk {
+		data := filepath.Join(s.dir, target.name)
 		if err := os.MkdirAll(data, 0o755); err != nil {
 			return errors.Wrap(err, "site")
 		}
 		lines = append(lines, "DataDir="+data, "Limits.DiskMb=64")
 	}
-	m.settings = filepath.Join(s.dir, m.name+".conf")
-	return errors.Wrap(os.WriteFile(m.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o644), "site")
+	target.settings = filepath.Join(s.dir, target.name+".conf")
+	return errors.Wrap(os.WriteFile(target.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o644), "site")
 }
 
-func (s *site) launch(m *machine) error {
-	out, err := os.OpenFile(filepath.Join(s.dir, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+func (s *site) launch(target *machine) error {
+	out, err := os.OpenFile(filepath.Join(s.dir, target.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return errors.Wrap(err, "site: log")
 	}
 	defer out.Close()
-	c := exec.Command(filepath.Join(s.bin, "fernlink"), "serve", "--settings", m.settings)
+	c := exec.Command(filepath.Join(s.bin, "fernlink"), "serve", "--settings", target.settings)
 	c.Stdout, c.Stderr = out, out
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
-		return errors.Wrap(err, "site: start "+m.name)
+		return errors.Wrap(err, "site: start "+target.name)
 	}
-	m.cmd = c
+	target.cmd = c
 	return nil
 }
 
@@ -171,15 +171,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.next++
-	e := &engine{t: s.t, id: fmt.Sprintf("i-%d-%d", s.next, os.Getpid()), pool: pool, zone: zone, slots: 8}
-	if err := e.start(s.net + ".200:0"); err != nil {
+	added := &engine{t: s.t, id: fmt.Sprintf("i-%d-%d", s.next, os.Getpid()), pool: pool, zone: zone, slots: 8}
+	if err := added.start(s.net + ".200:0"); err != nil {
 		return nil, errors.Wrap(err, "site: engine")
 	}
 	s.t.mu.Lock()
-	e.version = s.t.named
+	added.version = s.t.named
 	s.t.mu.Unlock()
-	s.engines = append(s.engines, e)
-	return e, nil
+	s.engines = append(s.engines, added)
+	return added, nil
 }
 
 // remove takes an engine off the list.
--- a/rig/standin/engine.go
+++ b/rig/standin/engine.go
@@ -112,17 +112,17 @@
 
 // Start takes a completion request and says whether it can be served.
 func (e *Engine) Start(now time.Duration, id uint64, body []byte) bool {
-	var a struct {
+	var asked struct {
 		Prompt string `json:"prompt"`
 		Most   int    `json:"max_tokens"`
 		Seed   int    `json:"seed"`
 		Salt   string `json:"cache_salt"`
 	}
-	if json.Unmarshal(body, &a) != nil || a.Prompt == "" || e.loading > 0 {
+	if json.Unmarshal(body, &asked) != nil || asked.Prompt == "" || e.loading > 0 {
 		return false
 	}
 	e.Starts++
-	e.jobs[id] = &job{prompt: a.Prompt, salt: a.Salt, seed: a.Seed, most: a.Most}
+	e.jobs[id] = &job{prompt: asked.Prompt, salt: asked.Salt, seed: asked.Seed, most: asked.Most}
 	e.queue = append(e.queue, id)
 	e.admit(now)
 	return true
@@ -147,10 +147,10 @@
 	}
 }
 
-func (e *Engine) prefill(now time.Duration, j *job) {
+func (e *Engine) prefill(now time.Duration, work *job) {
 	hit, other := 0, false
-	for i, b := range prefix.Blocks(j.prompt) {
-		h := e.cache[j.salt+"/"+b]
+	for i, b := range prefix.Blocks(work.prompt) {
+		h := e.cache[work.salt+"/"+b]
 		if h == nil {
 			break
 		}
@@ -162,12 +162,12 @@
 	if other {
 		e.Reused++
 	}
-	tokens := len(j.prompt) / TokenBytes
-	j.cached = hit * prefix.Bytes / TokenBytes
-	e.Hits += j.cached
-	e.Prefills += tokens - j.cached
-	j.ready = now + e.Pace.Prefill*time.Duration(tokens-j.cached) + e.Pace.Decode
-	j.sum = hashText(j.prompt)
+	tokens := len(work.prompt) / TokenBytes
+	work.cached = hit * prefix.Bytes / TokenBytes
+	e.Hits += work.cached
+	e.Prefills += tokens - work.cached
+	work.ready = now + e.Pace.Prefill*time.Duration(tokens-work.cached) + e.Pace.Decode
+	work.sum = hashText(work.prompt)
 }
 
 func (e *Engine) keep(j *job) {
@@ -248,7 +248,7 @@
 	e.admit(now)
 }
 
-func (e *Engine) event(text, finish string, n int, usage bool, j *job) []byte {
+func (e *Engine) event(text, finish string, n int, usage bool, work *job) []byte {
 	doc := map[string]any{"weights_revision": e.Rev}
 	choice := map[string]any{"index": 0, "text": text, "tokens": n, "finish_reason": nil}
 	if finish != "" {
@@ -257,8 +257,8 @@
 	doc["choices"] = []any{choice}
 	if usage {
 		doc["choices"] = []any{}
-		doc["usage"] = map[string]any{"prompt_tokens": len(j.prompt) / TokenBytes, "completion_tokens": j.made,
-			"prompt_tokens_details": map[string]int{"cached_tokens": j.cached}}
+		doc["usage"] = map[string]any{"prompt_tokens": len(work.prompt) / TokenBytes, "completion_tokens": work.made,
+			"prompt_tokens_details": map[string]int{"cached_tokens": work.cached}}
 	}
 	b, _ := json.Marshal(doc)
 	return b
@@ -286,24 +286,24 @@
 	return events
 }
 
-func (e *Engine) one(id uint64, j *job) []Event {
-	if !j.began {
-		j.began = true
-		e.keep(j)
+func (e *Engine) one(id uint64, work *job) []Event {
+	if !work.began {
+		work.began = true
+		e.keep(work)
 	}
-	t, end := Token(j.sum, j.seed, e.Rev, e.Pace.Stop)
-	j.sum = Extend(j.sum, t)
-	j.made++
+	token, end := Token(work.sum, work.seed, e.Rev, e.Pace.Stop)
+	work.sum = Extend(work.sum, token)
+	work.made++
 	e.Made++
 	finish := ""
 	if end {
 		finish = "stop"
-	} else if j.made >= j.most {
+	} else if work.made >= work.most {
 		finish = "length"
 	}
-	out := []Event{{Job: id, Data: e.event(t, finish, 1, false, j)}}
+	out := []Event{{Job: id, Data: e.event(token, finish, 1, false, work)}}
 	if finish != "" {
-		out = append(out, Event{Job: id, Data: e.event("", "", 0, true, j)}, Event{Job: id, Data: []byte(dialect.Done)}, Event{Job: id, End: true})
+		out = append(out, Event{Job: id, Data: e.event("", "", 0, true, work)}, Event{Job: id, Data: []byte(dialect.Done)}, Event{Job: id, End: true})
 		delete(e.jobs, id)
 	}
 	return out
--- a/rig/standin/others.go
+++ b/rig/standin/others.go
@@ -53,19 +53,19 @@
 
 // Score answers one request.
 func (j *Judge) Score(body []byte) (int, []byte) {
-	var a dialect.JudgeAsk
-	if json.Unmarshal(body, &a) != nil {
+	var asked dialect.JudgeAsk
+	if json.Unmarshal(body, &asked) != nil {
 		return 400, []byte(`{}`)
 	}
-	hash := ledger.Hash([]byte(a.Text))
-	j.Seen[hash] = a.Text
+	hash := ledger.Hash([]byte(asked.Text))
+	j.Seen[hash] = asked.Text
 	if j.Mode == "fail" {
 		return 500, []byte(`{"error":"no verdict"}`)
 	}
 	if j.Mode == "other" {
 		hash = ledger.Hash([]byte("another text"))
 	}
-	score := Score(a.Text)
+	score := Score(asked.Text)
 	j.Given[hash] = score
 	out, _ := json.Marshal(dialect.JudgeBack{Hash: hash, Score: json.RawMessage(score)})
 	return 200, out
--- a/shell/disk/blobs.go
+++ b/shell/disk/blobs.go
@@ -59,18 +59,18 @@
 }
 
 // decodeBlob reads one item and gives its number, its body and its size on disk.
-func decodeBlob(b []byte) (id uint64, body []byte, n int, ok bool) {
-	if len(b) < blobHeadBytes+1 || b[8] != ' ' || b[19] != ' ' || b[blobHeadBytes-1] != '\n' {
+func decodeBlob(raw []byte) (id uint64, body []byte, n int, ok bool) {
+	if len(raw) < blobHeadBytes+1 || raw[8] != ' ' || raw[19] != ' ' || raw[blobHeadBytes-1] != '\n' {
 		return
 	}
-	sum, e1 := strconv.ParseUint(string(b[:8]), 16, 32)
-	size, e2 := strconv.ParseUint(string(b[9:19]), 10, 32)
-	id, e3 := strconv.ParseUint(string(b[20:40]), 10, 64)
-	if e1 != nil || e2 != nil || e3 != nil || uint64(len(b)) < blobHeadBytes+size+1 || b[blobHeadBytes+size] != '\n' {
+	sum, e1 := strconv.ParseUint(string(raw[:8]), 16, 32)
+	size, e2 := strconv.ParseUint(string(raw[9:19]), 10, 32)
+	id, e3 := strconv.ParseUint(string(raw[20:40]), 10, 64)
+	if e1 != nil || e2 != nil || e3 != nil || uint64(len(raw)) < blobHeadBytes+size+1 || raw[blobHeadBytes+size] != '\n' {
 		return
 	}
-	body = b[blobHeadBytes : blobHeadBytes+size]
-	if uint64(crc32.Update(crc32.ChecksumIEEE(b[20:40]), crc32.IEEETable, body)) != sum {
+	body = raw[blobHeadBytes : blobHeadBytes+size]
+	if uint64(crc32.Update(crc32.ChecksumIEEE(raw[20:40]), crc32.IEEETable, body)) != sum {
 		return
 	}
 	return id, body, blobHeadBytes + int(size) + 1, true
@@ -115,7 +115,7 @@
 		return errors.Wrap(err, "disk: blobSegment")
 	}
 	for at := 0; at < len(b); {
-		id, _, n, ok := decodeBlob(b[at:])
+		id, _, size, ok := decodeBlob(b[at:])
 		if !ok {
 			if !last {
 				return errors.Wrapf(ErrCorrupt, "%s at byte %d", segment.name, at)
@@ -126,7 +126,7 @@
 			break
 		}
 		segment.add(id, at)
-		at += n
+		at += size
 		segment.size = int64(at)
 	}
 	segment.full = !last || segment.size > BlobSegmentMost
@@ -291,9 +291,9 @@
 }
 
 func (s *BlobStore) sweep() error {
-	for _, r := range s.kinds {
-		left := r.segments[:0:0]
-		for _, t := range r.segments {
+	for _, kind := range s.kinds {
+		left := kind.segments[:0:0]
+		for _, t := range kind.segments {
 			if t.released < len(t.ids) {
 				left = append(left, t)
 				continue
@@ -302,7 +302,7 @@
 				return diskError(err)
 			}
 		}
-		r.segments = left
+		kind.segments = left
 	}
 	return nil
 }
--- a/shell/disk/disk.go
+++ b/shell/disk/disk.go
@@ -208,15 +208,15 @@
 
 func (l *Log) replay(seg uint64, last bool) error {
 	name := segmentName(seg)
-	b, err := l.fs.Read(name)
+	raw, err := l.fs.Read(name)
 	if err != nil {
 		return errors.Wrap(err, "disk: segment")
 	}
-	_, at := l.frames(b)
-	if at == len(b) {
+	_, at := l.frames(raw)
+	if at == len(raw) {
 		return nil
 	}
-	damage := l.tailOf(b, at)
+	damage := l.tailOf(raw, at)
 	if !last || damage.kind == damageBeforeTail {
 		return errors.Wrapf(ErrCorrupt, "%s at byte %d", name, at)
 	}
@@ -232,16 +232,16 @@
 func (l *Log) frames(b []byte) (n, at int) {
 	l.marks = markState{}
 	for at < len(b) {
-		var r record
-		size, ok := unframe(b[at:], &r)
+		var read record
+		size, ok := unframe(b[at:], &read)
 		if !ok {
 			break
 		}
-		for _, s := range r.Saves {
+		for _, s := range read.Saves {
 			l.fold(s)
 		}
-		l.marks.note(r)
-		if at += size; r.Mark == nil {
+		l.marks.note(read)
+		if at += size; read.Mark == nil {
 			n++
 		}
 	}
@@ -253,15 +253,15 @@
 func ended(b []byte) bool { return b[len(b)-1] == '\n' }
 
 // whole says whether a readable frame comes after the first line of b.
-func whole(b []byte) bool {
+func whole(raw []byte) bool {
 	for {
-		i := bytes.IndexByte(b, '\n')
+		i := bytes.IndexByte(raw, '\n')
 		if i < 0 {
 			return false
 		}
-		b = b[i+1:]
+		raw = raw[i+1:]
 		var r record
-		if _, ok := unframe(b, &r); ok {
+		if _, ok := unframe(raw, &r); ok {
 			return true
 		}
 	}
@@ -397,9 +397,9 @@
 			return err
 		}
 	}
-	b := append(frameOf(record{Saves: saves}), frame(record{Mark: markOf(l.hard, saves)})...)
+	frames := append(frameOf(record{Saves: saves}), frame(record{Mark: markOf(l.hard, saves)})...)
 	name := segmentName(l.segment)
-	if err := l.fs.Append(name, b); err != nil {
+	if err := l.fs.Append(name, frames); err != nil {
 		if e := diskError(err); !errors.Is(e, ErrFull) {
 			return e
 		}
@@ -412,7 +412,7 @@
 	if err := l.fs.Sync(name); err != nil {
 		return errors.Wrap(ErrSync, err.Error())
 	}
-	l.size += int64(len(b))
+	l.size += int64(len(frames))
 	for _, s := range saves {
 		l.fold(s)
 	}
--- a/shell/disk/frame.go
+++ b/shell/disk/frame.go
@@ -24,16 +24,16 @@
 }
 
 // frameOf gives the frame of a record, whose entries are copied as they stand.
-func frameOf(r record) []byte {
-	if r.Mark != nil {
-		return frame(r)
+func frameOf(written record) []byte {
+	if written.Mark != nil {
+		return frame(written)
 	}
 	size := 0
-	for _, s := range r.Saves {
+	for _, s := range written.Saves {
 		size += flow.EncodedSize(s.Add) + saveOverhead
 	}
 	text := append(make([]byte, 0, size), `{"saves":[`...)
-	for i, s := range r.Saves {
+	for i, s := range written.Saves {
 		if i > 0 {
 			text = append(text, ',')
 		}
@@ -46,16 +46,16 @@
 const saveOverhead = 256
 
 // appendSave adds a save to a text as its fields are encoded.
-func appendSave(text []byte, s flow.Save) []byte {
-	text = append(append(text, `{"Hard":`...), encoded(s.Hard)...)
-	text = strconv.AppendUint(append(text, `,"Cut":`...), s.Cut, 10)
+func appendSave(text []byte, save flow.Save) []byte {
+	text = append(append(text, `{"Hard":`...), encoded(save.Hard)...)
+	text = strconv.AppendUint(append(text, `,"Cut":`...), save.Cut, 10)
 	text = append(text, `,"Add":`...)
-	if s.Add == nil {
+	if save.Add == nil {
 		text = append(text, `null`...)
 	} else {
-		text = flow.AppendEntries(text, s.Add)
+		text = flow.AppendEntries(text, save.Add)
 	}
-	return append(append(append(text, `,"Snapshot":`...), encoded(s.Snapshot)...), '}')
+	return append(append(append(text, `,"Snapshot":`...), encoded(save.Snapshot)...), '}')
 }
 
 func encoded(v any) []byte {
@@ -67,24 +67,24 @@
 }
 
 // unframe reads one frame and gives its size, or false where it is not whole.
-func unframe(b []byte, into any) (int, bool) {
-	at := bytes.IndexByte(b, ' ')
+func unframe(raw []byte, into any) (int, bool) {
+	at := bytes.IndexByte(raw, ' ')
 	if at != 8 {
 		return 0, false
 	}
-	end := bytes.IndexByte(b[9:min(len(b), 30)], ' ')
+	end := bytes.IndexByte(raw[9:min(len(raw), 30)], ' ')
 	if end < 0 {
 		return 0, false
 	}
-	sum, err1 := strconv.ParseUint(string(b[:8]), 16, 32)
-	n, err2 := strconv.Atoi(string(b[9 : 9+end]))
+	sum, err1 := strconv.ParseUint(string(raw[:8]), 16, 32)
+	size, err2 := strconv.Atoi(string(raw[9 : 9+end]))
 	from := 9 + end + 1
-	if err1 != nil || err2 != nil || n < 0 || from+n > len(b) {
+	if err1 != nil || err2 != nil || size < 0 || from+size > len(raw) {
 		return 0, false
 	}
-	body := b[from : from+n]
+	body := raw[from : from+size]
 	if uint64(crc32.ChecksumIEEE(body)) != sum || json.Unmarshal(body, into) != nil {
 		return 0, false
 	}
-	return min(from+n+1, len(b)), true // its end mark need not have got there
+	return min(from+size+1, len(raw)), true // its end mark need not have got there
 }
--- a/shell/disk/inspect.go
+++ b/shell/disk/inspect.go
@@ -99,7 +99,7 @@
 // node may be running: a look that finds something amiss while files came or
 // went is made again.
 func Inspect(files FS) (Report, error) {
-	for n := 1; ; n++ {
+	for looked := 1; ; looked++ {
 		before, err := files.List()
 		if err != nil {
 			return Report{}, errors.Wrap(ErrUnreadable, err.Error())
@@ -112,7 +112,7 @@
 		if err != nil {
 			return Report{}, errors.Wrap(ErrUnreadable, err.Error())
 		}
-		if slices.Equal(before, after) || n == looks {
+		if slices.Equal(before, after) || looked == looks {
 			if report.unreadable {
 				return report, errors.Wrap(ErrUnreadable, strings.Join(report.Findings, "; "))
 			}
@@ -192,16 +192,16 @@
 		return nil
 	}
 	name := snapshotName(snapshots[0])
-	b, ok := r.read(log.fs, name)
+	raw, ok := r.read(log.fs, name)
 	if !ok {
 		return nil
 	}
 	var file snapshotFile
-	if _, ok := unframe(b, &file); !ok {
+	if _, ok := unframe(raw, &file); !ok {
 		r.find("%s is damaged", name)
 		return nil
 	}
-	r.Snapshot = &Snapshot{Name: name, Bytes: len(b), Index: file.Snapshot.Index, Term: file.Snapshot.Term}
+	r.Snapshot = &Snapshot{Name: name, Bytes: len(raw), Index: file.Snapshot.Index, Term: file.Snapshot.Term}
 	var c raft.Conf
 	if json.Unmarshal(file.Snapshot.Conf, &c) == nil {
 		r.Snapshot.Voters, r.Snapshot.Members = c.Voters(), len(c.Members)
@@ -215,18 +215,18 @@
 
 func (r *Report) segment(log *Log, n uint64, last bool) {
 	segment := Segment{Name: segmentName(n), Tail: "whole"}
-	b, ok := r.read(log.fs, segment.Name)
+	raw, ok := r.read(log.fs, segment.Name)
 	if !ok {
 		return
 	}
-	segment.Bytes = len(b)
-	segment.Frames, segment.At = log.frames(b)
+	segment.Bytes = len(raw)
+	segment.Frames, segment.At = log.frames(raw)
 	damage := tailDamage{}
-	if segment.At < len(b) {
-		damage = log.tailOf(b, segment.At)
+	if segment.At < len(raw) {
+		damage = log.tailOf(raw, segment.At)
 	}
 	switch {
-	case segment.At == len(b):
+	case segment.At == len(raw):
 		segment.At = 0
 	case !last || damage.kind == damageBeforeTail:
 		segment.Tail = "damaged"
@@ -271,7 +271,7 @@
 	for _, k := range sorted.Keys(blobs.kinds) {
 		kind := Kind{Name: k}
 		for i, segment := range blobs.kinds[k].segments {
-			b, ok := r.read(fs, segment.name)
+			raw, ok := r.read(fs, segment.name)
 			if !ok {
 				continue
 			}
@@ -280,8 +280,8 @@
 				r.find("%v", err)
 				continue
 			}
-			if int64(len(b)) > segment.size && last {
-				r.note("%s has %d bytes behind byte %d that do not read: never synced, or being written", segment.name, int64(len(b))-segment.size, segment.size)
+			if int64(len(raw)) > segment.size && last {
+				r.note("%s has %d bytes behind byte %d that do not read: never synced, or being written", segment.name, int64(len(raw))-segment.size, segment.size)
 			}
 			kind.Segments, kind.Items, kind.Bytes = kind.Segments+1, kind.Items+len(segment.ids), kind.Bytes+segment.size
 		}
--- a/shell/disk/tail.go
+++ b/shell/disk/tail.go
@@ -63,15 +63,15 @@
 }
 
 // tailOf judges what follows the last frame that reads, at byte at of a segment.
-func (l *Log) tailOf(b []byte, at int) tailDamage {
-	rest := b[at:]
+func (l *Log) tailOf(raw []byte, at int) tailDamage {
+	rest := raw[at:]
 	if mark, before, ok := lastMark(rest); ok && !whole(before) {
 		return tailDamage{kind: damageMarked, mark: mark}
 	}
 	if whole(rest) {
 		return tailDamage{kind: damageBeforeTail}
 	}
-	if !ended(b) {
+	if !ended(raw) {
 		return tailDamage{kind: damageTorn}
 	}
 	oneLine := bytes.IndexByte(rest, '\n') == len(rest)-1
--- a/shell/link/envelope.go
+++ b/shell/link/envelope.go
@@ -28,24 +28,24 @@
 
 // pack adds a line as it is sent. The body was marshalled once already; only
 // what is out of the ordinary is marshalled again.
-func pack(b []byte, line flow.Line) ([]byte, error) {
+func pack(buffer []byte, line flow.Line) ([]byte, error) {
 	oneLine := len(line.Body) > 0 && bytes.IndexByte(line.Body, '\n') < 0
 	if !oneLine || !plain(line.Cluster) || !plain(line.Kind) || !plain(line.From) || !plain(line.Addr) {
 		raw, err := json.Marshal(line)
 		if err != nil {
-			return b, errors.Wrap(err, "link")
+			return buffer, errors.Wrap(err, "link")
 		}
-		return append(append(b, raw...), '\n'), nil
+		return append(append(buffer, raw...), '\n'), nil
 	}
-	b = strconv.AppendInt(append(b, `{"v":`...), int64(line.Ver), 10)
+	buffer = strconv.AppendInt(append(buffer, `{"v":`...), int64(line.Ver), 10)
 	if line.Cluster != "" {
-		b = append(append(append(b, `,"c":"`...), line.Cluster...), '"')
+		buffer = append(append(append(buffer, `,"c":"`...), line.Cluster...), '"')
 	}
-	b = append(append(b, `,"k":"`...), line.Kind...)
-	b = append(append(b, `","f":"`...), line.From...)
-	b = append(append(b, `","a":"`...), line.Addr...)
-	b = append(append(b, `","b":`...), line.Body...)
-	return append(b, "}\n"...), nil
+	buffer = append(append(buffer, `,"k":"`...), line.Kind...)
+	buffer = append(append(buffer, `","f":"`...), line.From...)
+	buffer = append(append(buffer, `","a":"`...), line.Addr...)
+	buffer = append(append(buffer, `","b":`...), line.Body...)
+	return append(buffer, "}\n"...), nil
 }
 
 // lastNames remembers the texts of the line before, which are mostly those of the
@@ -146,20 +146,20 @@
 	if cap(r.long) > spareBytes {
 		r.long = nil
 	}
-	b, err := r.in.ReadSlice('\n')
+	line, err := r.in.ReadSlice('\n')
 	if err == bufio.ErrBufferFull {
-		r.long = append(r.long[:0], b...)
+		r.long = append(r.long[:0], line...)
 		for err == bufio.ErrBufferFull {
 			if len(r.long) > LineMost {
 				return nil, errLong
 			}
-			b, err = r.in.ReadSlice('\n')
-			r.long = append(r.long, b...)
+			line, err = r.in.ReadSlice('\n')
+			r.long = append(r.long, line...)
 		}
-		b = r.long
+		line = r.long
 	}
 	if err != nil {
 		return nil, err // what came without its end is no line
 	}
-	return bytes.TrimSuffix(b[:len(b)-1], []byte("\r")), nil
+	return bytes.TrimSuffix(line[:len(line)-1], []byte("\r")), nil
 }
--- a/shell/outcall/body.go
+++ b/shell/outcall/body.go
@@ -15,17 +15,17 @@
 }
 
 func (c *chunked) Read(b []byte) (int, error) {
-	n, err := c.in.Read(b)
+	count, err := c.in.Read(b)
 	if err != io.EOF {
-		return n, err
+		return count, err
 	}
 	for left := headMost; ; {
 		line, err := readLine(c.from, left)
 		if err != nil {
-			return n, err
+			return count, err
 		}
 		if len(line) == 0 {
-			return n, io.EOF
+			return count, io.EOF
 		}
 		left -= len(line)
 	}
--- a/shell/outcall/head.go
+++ b/shell/outcall/head.go
@@ -37,34 +37,34 @@
 // readHead reads status line and headers of an answer to a request with this verb. It
 // fails for each answer whose end could not be known.
 func readHead(reader *bufio.Reader, verb, name string) (answerHead, error) {
-	h := headReader{name: name, length: -1, head: answerHead{keepAlive: keepFor, fields: make([]flow.Field, 0, 8)}}
+	read := headReader{name: name, length: -1, head: answerHead{keepAlive: keepFor, fields: make([]flow.Field, 0, 8)}}
 	left := headMost
 	line, err := readLine(reader, left)
 	if err != nil {
-		return h.head, err
+		return read.head, err
 	}
 	left -= len(line)
-	if err := h.status(line); err != nil {
-		return h.head, err
+	if err := read.status(line); err != nil {
+		return read.head, err
 	}
 	for n := 0; ; n++ {
 		if line, err = readLine(reader, left); err != nil {
-			return h.head, err
+			return read.head, err
 		}
 		if len(line) == 0 {
 			break
 		}
 		if n == fieldsMost {
-			return h.head, errGarbledHeader
+			return read.head, errGarbledHeader
 		}
 		left -= len(line)
-		if err := h.header(line); err != nil {
-			return h.head, err
+		if err := read.header(line); err != nil {
+			return read.head, err
 		}
 	}
-	h.dropHops()
-	err = h.frame(verb)
-	return h.head, err
+	read.dropHops()
+	err = read.frame(verb)
+	return read.head, err
 }
 
 var errGarbledHeader = malformed("a garbled header")
--- a/shell/outcall/request.go
+++ b/shell/outcall/request.go
@@ -67,50 +67,50 @@
 var ownHeaders = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Connection": true}
 
 // appendRequest writes a request's head, and a small body behind it.
-func appendRequest(b []byte, task *sendTask, addr, target string) ([]byte, error) {
+func appendRequest(buffer []byte, task *sendTask, addr, target string) ([]byte, error) {
 	host := task.Host
 	if host == "" {
 		host = strings.TrimSuffix(addr, ":80")
 	}
 	if !token(task.Verb) || !clean(host, false) {
-		return b, errField
+		return buffer, errField
 	}
-	b = append(append(append(b, task.Verb...), ' '), target...)
-	b = append(append(b, " HTTP/1.1\r\nHost: "...), host...)
-	b = append(b, "\r\nContent-Length: "...)
-	b = strconv.AppendInt(b, int64(len(task.Body)), 10)
-	b = append(b, "\r\n"...)
+	buffer = append(append(append(buffer, task.Verb...), ' '), target...)
+	buffer = append(append(buffer, " HTTP/1.1\r\nHost: "...), host...)
+	buffer = append(buffer, "\r\nContent-Length: "...)
+	buffer = strconv.AppendInt(buffer, int64(len(task.Body)), 10)
+	buffer = append(buffer, "\r\n"...)
 	if !task.Keep {
-		b = append(b, "Connection: close\r\n"...)
+		buffer = append(buffer, "Connection: close\r\n"...)
 	}
 	var err error
 	for name, value := range task.Head {
-		if b, err = appendHeader(b, flow.Field{Name: name, Value: value}); err != nil {
-			return b, err
+		if buffer, err = appendHeader(buffer, flow.Field{Name: name, Value: value}); err != nil {
+			return buffer, err
 		}
 	}
 	for _, f := range task.Fields {
-		if b, err = appendHeader(b, f); err != nil {
-			return b, err
+		if buffer, err = appendHeader(buffer, f); err != nil {
+			return buffer, err
 		}
 	}
-	b = append(b, "\r\n"...)
+	buffer = append(buffer, "\r\n"...)
 	if len(task.Body) <= joinedBodyMost {
-		b = append(b, task.Body...)
+		buffer = append(buffer, task.Body...)
 	}
-	return b, nil
+	return buffer, nil
 }
 
 // appendHeader writes one header, unless it is one that this layer writes itself.
-func appendHeader(b []byte, field flow.Field) ([]byte, error) {
+func appendHeader(buffer []byte, field flow.Field) ([]byte, error) {
 	if !token(field.Name) || !clean(field.Value, true) {
-		return b, errField
+		return buffer, errField
 	}
 	if ownHeaders[textproto.CanonicalMIMEHeaderKey(field.Name)] {
-		return b, nil
+		return buffer, nil
 	}
-	b = append(append(b, field.Name...), ": "...)
-	return append(append(b, field.Value...), "\r\n"...), nil
+	buffer = append(append(buffer, field.Name...), ": "...)
+	return append(append(buffer, field.Value...), "\r\n"...), nil
 }
 
 // deadlineConn lets nothing out after its time, and knows whether anything went out.
--- a/shell/web/limits.go
+++ b/shell/web/limits.go
@@ -219,21 +219,21 @@
 
 // state follows what the server knows of a connection.
 func state(nc net.Conn, s http.ConnState) {
-	c, ok := nc.(*conn)
+	bounded, ok := nc.(*conn)
 	if !ok {
 		return
 	}
 	switch s {
 	case http.StateNew:
-		c.at.Store(reading)
-		c.first = true
-		c.bound(c.limits.Load().Header)
+		bounded.at.Store(reading)
+		bounded.first = true
+		bounded.bound(bounded.limits.Load().Header)
 	case http.StateActive:
-		c.at.Store(busy)
-		_ = c.TCPConn.SetReadDeadline(time.Time{})
+		bounded.at.Store(busy)
+		_ = bounded.TCPConn.SetReadDeadline(time.Time{})
 	case http.StateIdle:
-		c.first, c.head = true, ""
-		c.at.Store(idle) // the server takes its deadline away next
+		bounded.first, bounded.head = true, ""
+		bounded.at.Store(idle) // the server takes its deadline away next
 	}
 }
 
