--- a/core/coord/orders.go
+++ b/core/coord/orders.go
@@ -1,6 +1,8 @@
 package coord
 
 import (
+	"net/http"
+
 	"github.com/go-json-experiment/json/v1"
 
 	"fernlink/core/ask"
@@ -154,7 +156,7 @@
 			return
 		}
 		load, err := dialect.ReadLoad(back.Body)
-		if back.Err != "" || back.Code != 200 || err != nil {
+		if back.Err != "" || back.Code != http.StatusOK || err != nil {
 			c.counts["order_reads_failed"]++
 			if c.views.Registry[pending.order.Engine] == nil {
 				pending.end(c.now, orderDropped)
