A large lot is not fetched while it is handed over

Cause: an owner that heard of a new lot fetched it from the leader after 0.2 s. A lot of 1.2 MB needs as long from a node with a link of 60 Mbit/s, so it was fetched as well: by the leader's link, which is the fullest.

A lot's row says how many bytes its requests have, and its owner waits for a hand-over half as long beyond 0.2 s as a question of that size is given for both ways. What remains: where the node that took the lot is lost in that time, its owner begins up to 0.6 s later.

TestALargeLotIsGivenLongerToBeHandedOver failed before. TestLotOwners now names the bytes of its rows; it is as strict as it was. How often lots were fetched in vain was not counted.

--- a/core/ledger/lot_reads.go
+++ b/core/ledger/lot_reads.go
@@ -25,7 +25,7 @@
 
 // row is what dispatchers hear of a lot.
 func (t *Lot) row(id string) LotRow {
-	return LotRow{ID: id, Owner: t.Doc.Owner, Ended: t.Ended, Pool: t.Doc.Pool, Model: t.Doc.Model, Least: t.Doc.Least}
+	return LotRow{ID: id, Owner: t.Doc.Owner, Ended: t.Ended, Pool: t.Doc.Pool, Model: t.Doc.Model, Least: t.Doc.Least, Bytes: t.requestBytes}
 }
 
 // lotsSince gives the rows that changed after an index.
--- a/core/ledger/lots_test.go
+++ b/core/ledger/lots_test.go
@@ -368,7 +368,7 @@
 			t.Errorf("%+v: %d", c.o, r.Code)
 		}
 	}
-	if d := l.Since(have); !reflect.DeepEqual(d.Lots, []LotRow{{ID: "a", Owner: "d2", Ended: false}}) {
+	if d := l.Since(have); !reflect.DeepEqual(d.Lots, []LotRow{{ID: "a", Owner: "d2", Ended: false, Bytes: 70}}) {
 		t.Errorf("told: %+v", d.Lots)
 	}
 	have = l.Index
@@ -387,7 +387,7 @@
 	if r := do(l, "lot.own", OwnLot{"b", "d1", "d2"}); r.Code != 409 {
 		t.Errorf("an ended lot moved: %d", r.Code)
 	}
-	if d := l.Since(0); !reflect.DeepEqual(d.Lots, []LotRow{{ID: "a", Owner: "d2", Ended: false}, {ID: "b", Owner: "d1", Ended: true}}) || !reflect.DeepEqual(l.LotRows(), []LotRow{{ID: "a", Owner: "d2", Ended: false}}) {
+	if d := l.Since(0); !reflect.DeepEqual(d.Lots, []LotRow{{ID: "a", Owner: "d2", Ended: false, Bytes: 70}, {ID: "b", Owner: "d1", Ended: true}}) || !reflect.DeepEqual(l.LotRows(), []LotRow{{ID: "a", Owner: "d2", Ended: false, Bytes: 70}}) {
 		t.Errorf("all: %+v", d.Lots)
 	}
 }
--- a/core/ledger/lottypes.go
+++ b/core/ledger/lottypes.go
@@ -120,4 +120,5 @@
 	Pool  string `json:"pool,omitempty"`
 	Model string `json:"model,omitempty"`
 	Least int    `json:"least,omitempty"` // the oldest weights that may make its texts
+	Bytes int64  `json:"bytes,omitempty"` // of its requests; none once it has ended
 }
--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"fernlink/core/ask"
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
@@ -230,7 +231,7 @@
 		case t.rows[r.ID] == nil && t.others[r.ID]:
 			t.fetch(r.ID) // it was another's: nobody hands it over
 		case t.rows[r.ID] == nil:
-			t.wanted[r.ID] = t.env.Now + handTime
+			t.wanted[r.ID] = t.env.Now + handTime(r.Bytes)
 		}
 		if r.Ended {
 			delete(t.others, r.ID)
@@ -240,9 +241,15 @@
 	}
 }
 
-// handTime is how long the node that took a lot may need to hand it over; then
-// its owner fetches it.
-const handTime = budget.Listed / 5
+// handOver is how long the node that took a lot may need to hand it over, where it is
+// small.
+const handOver = budget.Listed / 5
+
+// handTime is how long a hand-over of so many bytes may take; then the owner fetches the
+// lot. A question is given time for its way and its answer's (ask.Carry), a hand-over
+// for one of the two. A lot that is on its way must not be fetched as well: that goes by
+// the leader's link.
+func handTime(bytes int64) flow.Time { return handOver + ask.Carry(int(bytes))/2 }
 
 // fetches asks for lots that fell to this node and were not handed to it.
 func (t *Table) fetches() {
--- a/core/serve/lots_test.go
+++ b/core/serve/lots_test.go
@@ -458,3 +458,16 @@
 	w.pass(150 * time.Millisecond)
 	w.want(len(w.llm()) == 1, "and then fetches it")
 }
+
+// A large lot that is new is given the time that its bytes take on their way: while it
+// comes it is not fetched, and where it does not come it is.
+func TestALargeLotIsGivenLongerToBeHandedOver(t *testing.T) {
+	w := two(t)
+	doc := ledger.LotDoc{ID: "n", Owner: "me.0", Host: "h", Path: "/l/x", Model: "m", Least: 1, KeepMS: 10_000, DueMS: 8000, WaitMS: 9000, Items: []ledger.LotItem{{ID: "i", Path: "/l/i", Body: make([]byte, 750<<10)}}}
+	w.want(w.answer(ask.Ask{Kind: ledger.KindLotPut, Body: ledger.PackLot(doc).Encode()}).Code == ledger.Accepted, "put by another")
+	w.renew(nil)
+	w.pass(600 * time.Millisecond)
+	w.want(len(w.llm()) == 0, "a megabyte is fetched while it is on its way")
+	w.pass(200 * time.Millisecond)
+	w.want(len(w.llm()) == 1, "a megabyte that does not come is not fetched")
+}
