Simulator: a text that is taken up at its end gets no event more

Cause: the stream broke between its last event and its end. The node can't know that nothing is missing and has another engine go on after the last event; the simulator's engine then made one event beyond the text. An engine goes on at the next event, and there is none, so it ends the stream. Ruled out: an event that came twice.

--- a/sim/serve_engine_run.go
+++ b/sim/serve_engine_run.go
@@ -230,6 +230,12 @@
 		e.broken(j)
 		return
 	}
+	if j.at >= j.total { // it was taken up after its last event, whose stream's end got lost
+		s.Count["texts taken up at their end"]++
+		e.drop(j)
+		e.back(j.h, j.life, flow.Back{ID: j.send.ID, End: true, Code: 200})
+		return
+	}
 	if e.Skips > 0 && j.at > 0 && j.at+1 < j.total && s.w.Rand.Float64() < e.Skips {
 		s.Count["events left out"]++
 		j.run.broke = true
@@ -243,6 +249,11 @@
 	e.back(j.h, j.life, flow.Back{ID: j.send.ID, Event: []byte(block)})
 	if j.at++; j.at >= j.total {
 		e.drop(j)
+		if j.cutAt == j.total {
+			s.Count["ends of streams lost"]++
+			e.broken(j)
+			return
+		}
 		e.back(j.h, j.life, flow.Back{ID: j.send.ID, End: true, Code: 200})
 	}
 }
--- a/sim/serve_story_test.go
+++ b/sim/serve_story_test.go
@@ -392,3 +392,17 @@
 		})
 	}
 }
+
+// Given streams that break between their last event and their end, when their texts
+// are taken up there, then each is whole with no event more.
+func TestSiteTextsTakenUpAtTheirEnd(t *testing.T) {
+	t.Parallel()
+	s := site(t, 36, LittleSite)
+	for _, e := range append(s.Pool("llm"), s.Pool("llm2")...) {
+		e.Cut = 0.5
+	}
+	s.w.Run(15 * time.Second)
+	s.wantCount(t, "ends of streams lost")
+	s.wantCount(t, "texts taken up at their end")
+	s.over(t)
+}
