Store: a plan or version that comes again gets no entry of its own

Cause: where a commit takes longer than an operator's call waits (0.6 s), the call ends with 503 and the same order comes again. Each repeat was a new entry of the log, which took as long as the first, so no answer came in time though the order was committed long before.

The leader remembers by their hash into which entries the last 256 plans and weights went. A repeat under way waits for that entry; one whose entry is applied is answered by a proved read. What the ledger does not know was refused, and is judged again. All is void with the lead.

Ruled out: a longer wait for the store (the caller asks another node after a second), and an answer without a proof (it would rest on this leader's word alone).

--- a/core/ledger/plans.go
+++ b/core/ledger/plans.go
@@ -94,6 +94,11 @@
 	return Result{}, false
 }
 
+// recallPlanPut is recallPlan for a put as it came.
+func (l *Ledger) recallPlanPut(p PutPlan) (Result, bool) {
+	return l.recallPlan(p, Hash(p.Doc))
+}
+
 // keptPlan finds a put among the plans that are kept: these are known for longer
 // than any receipt.
 func (l *Ledger) keptPlan(p PutPlan, hash string) (Plan, bool) {
--- a/core/ledger/receipts.go
+++ b/core/ledger/receipts.go
@@ -162,6 +162,24 @@
 	KindDrainPut:  recalled((*Ledger).recallDrain),
 }
 
+// recalls answer for the kinds of orders that are sent again until they are
+// acknowledged, by what an order of the same text would be answered. Lots have a
+// way of their own (lot_name.go), which reads nothing of their requests.
+var recalls = map[Kind]func(*Ledger, json.RawMessage) (Result, bool){
+	KindPlanPut:   recalled((*Ledger).recallPlanPut),
+	KindTargetPut: recalled((*Ledger).recallTarget),
+}
+
+// Recalls says whether Known answers for a kind of order.
+func Recalls(kind Kind) bool { return recalls[kind] != nil }
+
+// Known answers an order that was taken before as its repeat would be answered. It
+// changes nothing (design 4.7). Its test is core/store's
+// TestAnAcknowledgedOrderIsProvedAndNotWritten.
+func (l *Ledger) Known(kind Kind, body json.RawMessage) (Result, bool) {
+	return recalls[kind](l, body)
+}
+
 // recalled decodes an order, as far as it parses, and looks it up.
 func recalled[Order Body](recall func(*Ledger, Order) (Result, bool)) func(*Ledger, json.RawMessage) (Result, bool) {
 	return func(l *Ledger, body json.RawMessage) (Result, bool) {
--- a/core/store/asks.go
+++ b/core/store/asks.go
@@ -47,6 +47,10 @@
 		s.putLot(w, out)
 		return
 	}
+	if ledger.Recalls(a.Kind) {
+		s.order(w, out)
+		return
+	}
 	if ledger.Knows(a.Kind) {
 		s.write(w, s.command(w), out)
 		return
@@ -65,7 +69,7 @@
 			}
 		}
 	}
-	return s.renewals.open(w) || s.lotRepeats.open(w)
+	return s.renewals.open(w) || s.lotRepeats.open(w) || s.repeats.open(w)
 }
 
 // command is the command that an ask is.
@@ -160,9 +164,11 @@
 // refuse tells why an ask is not taken.
 func (s *Store) refuse(w wait, why ledger.Refusal, out *flow.Outbox) { s.reply(w, why.Result(), out) }
 
-func (s *Store) write(w wait, c ledger.Command, out *flow.Outbox) {
+// write proposes a command and tells its index in the log, unless it is refused.
+func (s *Store) write(w wait, c ledger.Command, out *flow.Outbox) (uint64, bool) {
 	at, term, err := s.raft.Propose(commandEntry, c.Encode())
 	s.hold(w, at, term, err, out)
+	return at, err == nil
 }
 
 // commandEntry is the kind of the log's entries that hold commands of the ledger.
--- a/core/store/renewals_test.go
+++ b/core/store/renewals_test.go
@@ -15,9 +15,10 @@
 	"fernlink/core/ledger"
 )
 
-// lone is a cluster of one store, whose disk syncs at once.
+// lone is a cluster of one store, whose disk syncs at once unless it stalls.
 type lone struct {
 	store *Store
+	stall bool
 	now   flow.Time
 	batch uint64
 	lines []flow.Line
@@ -47,6 +48,8 @@
 	if len(out.Save) > 0 {
 		l.batch++
 		l.store.Mark(l.batch)
+	}
+	if !l.stall {
 		l.store.Synced(l.batch)
 	}
 	l.lines = append(l.lines, out.Lines...)
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -46,6 +46,7 @@
 	lotRepeats  lotRepeats
 	reads       map[uint64]wait
 	renewals    renewals
+	repeats     repeats
 	token       uint64
 	seen        map[string]leaseHolder // dispatchers by their last renewal
 	coord       flow.Time              // the coordinator's last renewal
@@ -90,7 +91,7 @@
 func New(now flow.Time, p Config) (*Store, error) {
 	s := &Store{p: p, ledger: ledger.New(), addrs: map[string]string{}, writes: map[uint64]wait{}, lotRepeats: newLotRepeats(),
 		reads: map[uint64]wait{}, renewals: renewals{proving: map[uint64][]wait{}}, seen: map[string]leaseHolder{}, counts: map[string]int{},
-		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, retention: newRetention(), lots: map[string]given{}, machines: map[string]gossip.Entry{}, silent: map[string]flow.Time{}, stopping: map[string]flow.Time{}}
+		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, retention: newRetention(), repeats: newRepeats(), lots: map[string]given{}, machines: map[string]gossip.Entry{}, silent: map[string]flow.Time{}, stopping: map[string]flow.Time{}}
 	if d := p.Disk.Snapshot; d != nil {
 		l, err := ledger.Load(d.State, p.Disk.Items)
 		if err != nil {
@@ -215,6 +216,11 @@
 			s.answerRenewals(now, batch, out)
 			continue
 		}
+		if w, ok := s.repeats.proved[t]; ok {
+			delete(s.repeats.proved, t)
+			s.answerProved(w, out)
+			continue
+		}
 		w := s.reads[t]
 		delete(s.reads, t)
 		s.answer(now, w, out)
@@ -254,6 +260,7 @@
 	s.writes, s.reads = map[uint64]wait{}, map[uint64]wait{}
 	s.voidRenewals(out)
 	s.voidLotRepeats(out)
+	s.voidRepeats(out)
 	s.seen = map[string]leaseHolder{}
 	s.grant = 0
 	s.lots = map[string]given{}
@@ -282,10 +289,12 @@
 	delete(s.writes, e.Index)
 	if w.term != e.Term {
 		s.retry(w, out) // another leader's entry stands here
+		s.retryJoined(e.Index, out)
 		s.lotRepeats.forget(e.Index, w, func(other wait) { s.retry(other, out) })
 		return
 	}
 	s.reply(w, res, out)
+	s.answerJoined(e.Index, res, out)
 	s.lotApplied(e.Index, w, res, out)
 }
 
