Simulator: a fleet is repaired once the change of membership is committed

Repaired counted the voters by the leader's newest membership, also while that was in its own log alone. It is no fault of the store: the second loss came before the first was repaired. Now a change under way is no repair, which asks for more than before.

--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -163,8 +163,12 @@
 	if l == nil {
 		return false
 	}
+	stats := l.Node.Stats(l.clock()).Store
+	if stats.Changing {
+		return false // the leader alone may have the change: it is lost with it
+	}
 	n := 0
-	for _, m := range l.Node.Stats(l.clock()).Store.Members {
+	for _, m := range stats.Members {
 		if !m.Voter {
 			continue
 		}
