Store: tests for its time after a start and for other content under a known lot

Since what is known to be committed is applied at the start, the story of a jumped clock no longer needs that a leader's time begins only once all is applied; and other content under a lot's id came in the test before the first was committed, where it is another entry anyhow.

--- a/core/store/lot_repeats_test.go
+++ b/core/store/lot_repeats_test.go
@@ -81,6 +81,14 @@
 	if a := answers["n:2"]; a.Code != ledger.Conflict {
 		t.Errorf("%+v", a)
 	}
+	// And the same once the lot is committed.
+	l.handIn("n:4", 1, handedIn("a", "z"))
+	for range 5 {
+		l.advance(10 * time.Millisecond)
+	}
+	if a := l.told(t)["n:4"]; a.Code != ledger.Conflict {
+		t.Errorf("after the commit: %+v", a)
+	}
 }
 
 // Given a lot whose id does not stand where it is looked for, as builds wrote it that
--- a/core/store/renewals_test.go
+++ b/core/store/renewals_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,17 +21,23 @@
 	store *Store
 	stall bool
 	now   flow.Time
+	wall  int64 // date, in milliseconds
 	batch uint64
 	lines []flow.Line
+	disk  Disk // what it has saved; no snapshot is made
+}
+
+func loneConfig(disk Disk) Config {
+	return Config{ID: "s", Addr: "s:1", Form: []string{"s:1"}, First: true, Keep: 1000, Bounds: ledger.Usual, Rand: rand.New(rand.NewSource(1)), Disk: disk}
 }
 
 func newLone(t *testing.T) *lone {
 	t.Helper()
-	s, err := New(time.Hour, Config{ID: "s", Addr: "s:1", Form: []string{"s:1"}, First: true, Keep: 1000, Bounds: ledger.Usual, Rand: rand.New(rand.NewSource(1))})
+	s, err := New(time.Hour, loneConfig(Disk{}))
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &lone{store: s, now: time.Hour}
+	l := &lone{store: s, now: time.Hour, wall: 1_700_000_000_000}
 	for range 300 {
 		l.advance(10 * time.Millisecond)
 	}
@@ -44,7 +51,8 @@
 	l.now += d
 	var out flow.Outbox
 	self := gossip.Entry{ID: "s", Addr: "s:1", Roles: []string{"store"}, Blank: l.store.Blank(), Cluster: l.store.Known().Cluster}
-	l.store.Advance(l.now, 1_700_000_000_000, nil, self, &out)
+	l.store.Advance(l.now, l.wall, nil, self, &out)
+	l.disk.keep(out.Save)
 	if len(out.Save) > 0 {
 		l.batch++
 		l.store.Mark(l.batch)
@@ -55,6 +63,19 @@
 	l.lines = append(l.lines, out.Lines...)
 }
 
+// keep applies saves to what a disk holds.
+func (d *Disk) keep(saves []flow.Save) {
+	for _, save := range saves {
+		if save.Hard != nil {
+			d.Hard = *save.Hard
+		}
+		if save.Cut > 0 {
+			d.Entries = slices.DeleteFunc(d.Entries, func(e flow.Entry) bool { return e.Index >= save.Cut })
+		}
+		d.Entries = append(d.Entries, save.Add...)
+	}
+}
+
 func (l *lone) ask(from string, id uint64, kind ledger.Kind, question any) {
 	raw, _ := json.Marshal(question)
 	line, _ := json.Marshal(ask.Ask{ID: id, Kind: kind, Body: raw})
