--- a/core/serve/lots_test.go
+++ b/core/serve/lots_test.go
@@ -197,6 +197,17 @@
 	w.want(len(w.llm()) == 0, "%d run on", len(w.llm()))
 }
 
+// An owner that reads of an end with its renewal stops, whether or not a line told it.
+func TestAnOwnerThatReadsOfAnEndStops(t *testing.T) {
+	w := two(t)
+	w.lot(4, 4, 1)
+	w.want(len(w.llm()) == 8, "running: %d", len(w.llm()))
+	w.want(w.answer(ask.Ask{Kind: "lot.end", Body: []byte(`"lot1"`)}).Code == 200, "ended by another")
+	w.renew(nil)
+	w.turn(0)
+	w.want(len(w.llm()) == 0, "%d run on", len(w.llm()))
+}
+
 // A hand-over that comes after its lot's end, or after another owner was named,
 // starts nothing.
 func TestALateHandOverStartsNothing(t *testing.T) {
--- a/sim/members_test.go
+++ b/sim/members_test.go
@@ -199,6 +199,9 @@
 func TestMatchIsOnDisk(t *testing.T) {
 	t.Parallel()
 	s := &lossStory{story: givenShape(t, 447, lossShape)}
+	for _, h := range s.w.By("store") {
+		h.Disk.Slow = 8 * time.Millisecond // so that much is under way when it is looked at
+	}
 	s.bulk(4)
 	s.write()
 	s.a.Consume(30 * time.Millisecond)
