--- a/rig/scale/forecast.go
+++ b/rig/scale/forecast.go
@@ -128,9 +128,9 @@
 	{"store leader", "answers to renewals, out", "nodes/store leader/out.told", "bytes/s", valueAt(nodesOf), "x nodes"},
 	{"store leader", "gossip, in", "nodes/store leader/in.gossip", "bytes/s", valueAt(nodesOf), "x nodes"},
 	{"store leader", "changed configurations, out", "routes/store leader/out.told", "bytes/s", rate(leaderRoutes), "x routes x changes a second x nodes"},
-	{"store leader", "items, out to followers", "voters/store leader/out.raft", "bytes/s",
+	{"store leader", "items, out to followers", "voters/store leader/out.log", "bytes/s",
 		func(s Fit, f Full) float64 { return s.Slope / 512 * f.ItemRate() * (f.Voters - 1) }, "x items a second x followers, texts of 256 bytes"},
-	{"store leader", "items' texts, out to followers", "text/store leader/out.raft", "bytes/s",
+	{"store leader", "items' texts, out to followers", "text/store leader/out.log", "bytes/s",
 		func(s Fit, f Full) float64 {
 			return s.Slope / 512 / 2 * (f.Text - 256) * f.ItemRate() * (f.Voters - 1)
 		}, "x further bytes of text x items a second x followers"},
