Rig: soak, real processes under troubles that overlap

What was acknowledged, refused, ended or drained is checked throughout; logs and troubles of a seed that finds something stay.

--- a/cmd/fernlink/serve.go
+++ b/cmd/fernlink/serve.go
@@ -15,10 +15,11 @@
 )
 
 // serveFlags are those of `fernlink serve`.
-type serveFlags struct{ settings, level, profile string }
+type serveFlags struct{ settings, level, listen, profile string }
 
 func (v *serveFlags) bind(s *flaggy.Subcommand) {
 	s.String(&v.level, "", "log-level", "error, warn, info or debug (warn)")
+	s.String(&v.listen, "", "listen", "IP:port where peers reach this process, if a relay stands at the address that they are told")
 	bindProfile(s, &v.profile)
 	s.String(&v.settings, "s", "settings", "settings file; $"+platform.SettingsEnv+" where it is not given")
 }
@@ -50,6 +51,7 @@
 		fmt.Fprintf(failures, "fernlink: --log-level is error, warn, info or debug, not %q\n", settings.LogLevel)
 		return settings, false
 	}
+	settings.Listen = v.listen
 	return settings, len(bad) == 0
 }
 
--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -29,6 +29,7 @@
 	seed, from, to, faults     int
 	runs, hours, keys          int
 	keep, drill                bool
+	rounds, jobs               int
 	rev                        int
 	spread                     []spread
 	axis, out, slopes          string
@@ -47,6 +48,7 @@
 	{"app", "an application engine", app},
 	{"judge", "a judge", judge},
 	{"list", "the platform's list of engines", list},
+	{"soak", "real processes under troubles that overlap, a seed after the other; logs of a seed that finds something stay", runSoak},
 	{"platform", "a calm and a troubled day on the users' platform: real processes, stand-ins on loopback", platform},
 	{"fleet", "a whole fleet: drive it for a while and report, or keep it up", runFleet},
 	{"bench", "placement policies side by side in the simulator, on the same seeds", bench},
@@ -70,7 +72,7 @@
 	flaggy.DefaultParser.ShowHelpOnUnexpected = true
 	options := &opts{
 		addr: "127.0.0.1:9000", id: "one", pool: "draft", shape: "fibrarmor", seconds: 20, seed: 1,
-		from: 1, to: 100, faults: 10, runs: 1, hours: 24, keys: 6, nodes: 840, engines: 10000,
+		from: 1, to: 100, faults: 10, runs: 1, hours: 24, keys: 6, nodes: 840, engines: 10000, rounds: 4, jobs: 2,
 	}
 	commands := make([]*flaggy.Subcommand, len(verbs))
 	for i, verb := range verbs {
@@ -118,6 +120,8 @@
 	command.Int(&o.faults, "", "faults", "faults in each storm")
 	command.Int(&o.hours, "", "hours", "how long a day is")
 	command.Int(&o.keys, "", "keys", "run-once requests a second of a day")
+	command.Int(&o.rounds, "", "rounds", "rounds of troubles in each seed of a soak")
+	command.Int(&o.jobs, "", "jobs", "seeds of a soak at once")
 	command.Int(&o.runs, "", "runs", "how many fleets a drill goes through")
 	command.String(&o.axis, "", "axis", "only this size of a scale is varied")
 	command.String(&o.out, "", "out", "folder for a scale's slopes as JSON and its plots")
--- a/rig/fleet/drill.go
+++ b/rig/fleet/drill.go
@@ -90,6 +90,17 @@
 	return func() error { f.Relays.Join(); return nil }, nil
 }
 
+// cut stops lines from one group of nodes to another, one way.
+func (f *Fleet) cut(from, to []*Proc) { f.Relays.Cut(addresses(from), addresses(to)) }
+
+func addresses(procs []*Proc) []string {
+	out := make([]string, len(procs))
+	for i, p := range procs {
+		out[i] = p.Addr
+	}
+	return out
+}
+
 func (f *Fleet) but(not ...*Proc) []*Proc {
 	var out []*Proc
 	for _, p := range f.Nodes {
@@ -191,15 +202,15 @@
 	}},
 	{"cut the store's leader off, both ways", func(f *Fleet) (func() error, error) {
 		p, err := f.leader()
-		return cut(f, err, func() { f.Relays.Cut([]*Proc{p}, f.but(p)); f.Relays.Cut(f.but(p), []*Proc{p}) })
+		return cut(f, err, func() { f.cut([]*Proc{p}, f.but(p)); f.cut(f.but(p), []*Proc{p}) })
 	}},
 	{"cut the store's leader off, one way out", func(f *Fleet) (func() error, error) {
 		p, err := f.leader()
-		return cut(f, err, func() { f.Relays.Cut([]*Proc{p}, f.but(p)) })
+		return cut(f, err, func() { f.cut([]*Proc{p}, f.but(p)) })
 	}},
 	{"cut the store's leader off, one way in", func(f *Fleet) (func() error, error) {
 		p, err := f.leader()
-		return cut(f, err, func() { f.Relays.Cut(f.but(p), []*Proc{p}) })
+		return cut(f, err, func() { f.cut(f.but(p), []*Proc{p}) })
 	}},
 	{"split the core: the leader and every third node", func(f *Fleet) (func() error, error) {
 		p, err := f.leader()
@@ -209,7 +220,7 @@
 				few = append(few, d)
 			}
 		}
-		return cut(f, err, func() { f.Relays.Cut(few, f.but(few...)); f.Relays.Cut(f.but(few...), few) })
+		return cut(f, err, func() { f.cut(few, f.but(few...)); f.cut(f.but(few...), few) })
 	}},
 	{"two at once: kill the leader, freeze a dispatcher", func(f *Fleet) (func() error, error) {
 		p, err := f.leader()
--- a/rig/fleet/fleet.go
+++ b/rig/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 
 	"fernlink/core/dialect"
+	"fernlink/rig/relay"
 )
 
 // Shape is a deployment.
@@ -94,7 +95,7 @@
 	Engines []dialect.Listed
 	Judge   string
 	List    string
-	Relays  *Relays
+	Relays  *relay.Relays
 	bin     string
 	fresh   int
 	seeds   string
@@ -124,7 +125,7 @@
 // Start starts a fleet's processes. It builds nothing: bin is the folder with both
 // programs.
 func Start(shape Shape, bin, dir string) (*Fleet, error) {
-	fleet := &Fleet{Shape: shape, Dir: dir, bin: bin, Relays: NewRelays()}
+	fleet := &Fleet{Shape: shape, Dir: dir, bin: bin, Relays: relay.New()}
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, errors.Wrap(err, "fleet")
 	}
--- a/rig/fleet/relay.go
+++ b/rig/relay/relay.go
@@ -1,4 +1,7 @@
-package fleet
+// Package relay stands between the peers of a fleet of real processes, so that the ways
+// between them can be cut without touching the machine's network. It is for development
+// only; rig/fleet and rig/site use it.
+package relay
 
 import (
 	"bufio"
@@ -20,14 +23,14 @@
 	wg      sync.WaitGroup
 }
 
-// NewRelays cuts nothing yet.
-func NewRelays() *Relays { return &Relays{cut: map[[2]string]bool{}} }
+// New cuts nothing yet.
+func New() *Relays { return &Relays{cut: map[[2]string]bool{}} }
 
 // Open puts a relay at a listener, on to where the node listens.
 func (r *Relays) Open(listener, to string) error {
 	socket, err := net.Listen("tcp", listener)
 	if err != nil {
-		return errors.Wrap(err, "fleet: relay")
+		return errors.Wrap(err, "relay")
 	}
 	r.mu.Lock()
 	r.sockets = append(r.sockets, socket)
@@ -72,14 +75,15 @@
 	}
 }
 
-// Cut stops lines from one group of nodes to another, one way.
-func (r *Relays) Cut(from, to []*Proc) {
+// Cut stops lines from one group of peers to another, one way. Peers are named by the
+// addresses that they tell others.
+func (r *Relays) Cut(from, to []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, a := range from {
 		for _, b := range to {
 			if a != b {
-				r.cut[[2]string{a.Addr, b.Addr}] = true
+				r.cut[[2]string{a, b}] = true
 			}
 		}
 	}
--- a/rig/site/day.go
+++ b/rig/site/day.go
@@ -43,6 +43,16 @@
 	config int
 	body   []byte
 	client *http.Client
+
+	refusedIDs sync.Map // run-once requests that were told that they did not run
+}
+
+// newDay makes the clients of a site, which follow nothing and keep no connection.
+func newDay(site *site) *day {
+	return &day{site: site, client: &http.Client{
+		Transport:     &http.Transport{DisableKeepAlives: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
 }
 
 func (d *day) id(kind string) string { return fmt.Sprintf("%s%08x", kind, d.ids.Add(1)) }
@@ -137,8 +147,11 @@
 			if runs > 1 {
 				d.t.bad("TWICE: %s ran %d times", id, runs)
 			}
-			if (code == 503 || code == 429) && runs > 0 {
-				d.t.bad("REFUSED: %s got %d and ran", id, code)
+			if code == 503 || code == 429 {
+				d.refusedIDs.Store(id, true)
+				if runs > 0 {
+					d.t.bad("REFUSED: %s got %d and ran", id, code)
+				}
 			}
 		}
 		if err == nil && code == 200 {
@@ -232,7 +245,7 @@
 	if err != nil {
 		return Report{}, err
 	}
-	client := &day{site: site, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
+	client := newDay(site)
 	client.rep.Day = name
 	if err := client.begin(); err != nil {
 		return client.rep, err
@@ -302,7 +315,7 @@
 	end := time.Now().Add(most)
 	for _, m := range d.machines {
 		for {
-			if code, _, _, _ := d.ask("GET", "http://"+m.ip+":8082/ready", "", nil, nil, time.Second); code == 200 {
+			if code, _, _, _ := d.ask("GET", "http://"+m.ip+readyPort+"/ready", "", nil, nil, time.Second); code == 200 {
 				break
 			}
 			if time.Now().After(end) {
@@ -332,9 +345,9 @@
 		},
 		func() { d.kill(d.machines[0]); time.Sleep(300 * time.Millisecond); again(d.machines[0]) },
 		func() {
-			_ = d.machines[3].cmd.Process.Signal(syscall.SIGSTOP)
+			d.machines[3].current().signal(syscall.SIGSTOP)
 			time.Sleep(700 * time.Millisecond)
-			_ = d.machines[3].cmd.Process.Signal(syscall.SIGCONT)
+			d.machines[3].current().signal(syscall.SIGCONT)
 		},
 		func() {
 			e := d.engines[1]
--- a/rig/site/engine.go
+++ b/rig/site/engine.go
@@ -4,6 +4,7 @@
 package site
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -22,9 +23,10 @@
 // truth is what reached all engines, for checks.
 type truth struct {
 	mu    sync.Mutex
-	runs  map[string]int    // by the request's id
-	seals map[string]string // stamp: id and body
-	named int               // the newest version of the weights that was named
+	runs  map[string]int       // by the request's id
+	seals map[string]string    // stamp: id and body
+	ended map[string]time.Time // by an item's id, when the end of its lot was acknowledged
+	named int                  // the newest version of the weights that was named
 	wrong []string
 	drops int
 }
@@ -62,7 +64,10 @@
 	fence    uint64
 	owner    string
 	draining bool
-	rough    bool // breaks every sixth answer off
+	drained  time.Time     // since when the list says so
+	rough    bool          // breaks every sixth answer off
+	hung     bool          // takes requests and never answers
+	delay    time.Duration // of each answer
 	count    int
 }
 
@@ -192,6 +197,8 @@
 	version int    // of the weights that run it
 	load    string // the engine's word on its load
 	rough   bool   // its answer breaks off
+	hung    bool   // it never comes
+	delay   time.Duration
 }
 
 // admit gives a request a slot, or the status by which it is turned away.
@@ -207,11 +214,57 @@
 	}
 	e.running++
 	e.count++
-	return admitted{e.version, fmt.Sprintf("%d,0,%d", e.running, e.slots), e.rough && e.count%6 == 0}, 0
+	load := fmt.Sprintf("%d,0,%d", e.running, e.slots)
+	return admitted{version: e.version, load: load, rough: e.rough && e.count%6 == 0, hung: e.hung, delay: e.delay}, 0
+}
+
+// Times after which nothing may reach an engine any more, and what is granted beyond
+// them for a process that was frozen meanwhile.
+const (
+	drainBound  = 3 * time.Second
+	cancelBound = 3 * time.Second
+	thawSlack   = longestTrouble + time.Second
+)
+
+// late finds what comes after a drain or an end that was acknowledged.
+func (e *engine) late(id string) {
+	e.mu.Lock()
+	drained := e.drained
+	e.mu.Unlock()
+	if !drained.IsZero() && time.Since(drained) > drainBound+thawSlack {
+		e.t.bad("DRAIN: %s reached %s %v after its drain was listed", id, e.id, time.Since(drained).Round(time.Millisecond))
+	}
+	e.t.mu.Lock()
+	ended, over := e.t.ended[id]
+	e.t.mu.Unlock()
+	if over && time.Since(ended) > cancelBound+thawSlack {
+		e.t.bad("UNASKED: %s reached %s %v after the end of its lot", id, e.id, time.Since(ended).Round(time.Millisecond))
+	}
+}
+
+// hungFor is how long a request is kept without an answer.
+const hungFor = 4 * time.Second
+
+// wait holds an answer back as long as its engine does, and says whether it comes.
+func (a admitted) wait(ctx context.Context) bool {
+	delay := a.delay
+	if a.hung {
+		delay = hungFor
+	}
+	if delay == 0 {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(delay):
+		return !a.hung
+	}
 }
 
 // work runs a request or makes a text.
 func (e *engine) work(w http.ResponseWriter, r *http.Request, id string, body []byte) {
+	e.late(id)
 	slot, refusal := e.admit(r)
 	if refusal != 0 {
 		e.away(w, refusal)
@@ -224,6 +277,9 @@
 	}()
 	w.Header().Set("Engine-Load", slot.load)
 	seal := fmt.Sprintf("s.%s.%s.%d", e.id, id, e.t.ran(id))
+	if !slot.wait(r.Context()) {
+		return
+	}
 	w.Header().Set("Engine-Seal", seal)
 	if _, tokens, ok := strings.Cut(r.Header.Get("Token-Counts"), ","); ok && e.pool == "llm" {
 		e.text(w, r, id, seal, tokens, slot.version, slot.rough)
--- a/rig/site/lot.go
+++ b/rig/site/lot.go
@@ -157,9 +157,20 @@
 	for n := range 20 {
 		code, _, _, _ := r.ask("DELETE", r.front(n)+"/lots/"+r.id, host, nil, nil, 1500*time.Millisecond)
 		if code == 200 {
+			r.noteEnd()
 			return
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
 	r.t.bad("lot %s could not be ended", r.id)
 }
+
+// noteEnd notes that none of the lot's items may run any more.
+func (r *lotRun) noteEnd() {
+	now := time.Now()
+	r.t.mu.Lock()
+	defer r.t.mu.Unlock()
+	for item := range r.tokens {
+		r.t.ended[item] = now
+	}
+}
--- /dev/null
+++ b/rig/site/process.go
@@ -0,0 +1,113 @@
+package site
+
+import (
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+// process is one run of a machine's program.
+type process struct {
+	cmd      *exec.Cmd
+	log      *logReader
+	expected atomic.Bool   // its end was asked for
+	killed   atomic.Bool   // ... without grace
+	ended    chan struct{} // closed once it is over
+}
+
+// spawn starts a program whose output goes through a pipe into a file.
+func spawn(program string, args []string, logFile string) (*process, error) {
+	file, err := os.OpenFile(logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, errors.Wrap(err, "site: log")
+	}
+	input, output, err := os.Pipe()
+	if err != nil {
+		_ = file.Close()
+		return nil, errors.Wrap(err, "site: log")
+	}
+	defer output.Close()
+	if _, err := unix.FcntlInt(output.Fd(), unix.F_SETPIPE_SZ, logChunk); err != nil {
+		return nil, errors.Wrap(err, "site: log")
+	}
+	cmd := exec.Command(program, args...)
+	cmd.Stdout, cmd.Stderr = output, output
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		_, _ = input.Close(), file.Close()
+		return nil, errors.Wrap(err, "site: start "+filepath.Base(logFile))
+	}
+	started := &process{cmd: cmd, log: &logReader{input: input, file: file}, ended: make(chan struct{})}
+	go started.log.copy()
+	go func() {
+		_ = cmd.Wait()
+		close(started.ended)
+	}()
+	return started, nil
+}
+
+// signal sends a signal; one to a process that is over goes nowhere.
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill ends the process at once and waits for that.
+func (p *process) kill() {
+	p.expected.Store(true)
+	p.killed.Store(true)
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+// endsWithin says whether the process is over within a time.
+func (p *process) endsWithin(most time.Duration) bool {
+	select {
+	case <-p.ended:
+		return true
+	case <-time.After(most):
+		return false
+	}
+}
+
+// logReader reads what a process writes, as long as it is let.
+type logReader struct {
+	input, file *os.File
+	paused      sync.Mutex // held while nothing is to be read
+}
+
+// pause reads nothing for a while, but for what is being read.
+func (r *logReader) pause(length time.Duration) {
+	r.paused.Lock()
+	defer r.paused.Unlock()
+	time.Sleep(length)
+}
+
+// logChunk is how many bytes are read at once, and how many wait in the pipe before the
+// writer is held up.
+const logChunk = 4 << 10
+
+func (r *logReader) copy() {
+	defer r.file.Close()
+	defer r.input.Close()
+	buffer := make([]byte, logChunk)
+	for {
+		n, err := r.input.Read(buffer)
+		r.paused.Lock()
+		r.paused.Unlock() //nolint:staticcheck // it only waits
+		if n > 0 {
+			_, _ = r.file.Write(buffer[:n])
+		}
+		if err != nil {
+			if err != io.EOF {
+				_, _ = io.WriteString(r.file, "log reader: "+err.Error()+"\n")
+			}
+			return
+		}
+	}
+}
--- a/rig/site/site.go
+++ b/rig/site/site.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -14,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"fernlink/rig/relay"
 )
 
 // machine is one machine with its process.
@@ -21,12 +22,30 @@
 	name, ip, zone string
 	settings       string
 	disk           bool
-	cmd            *exec.Cmd
+	mu             sync.Mutex // held while its process is replaced
+	process        *process
 }
 
-func (m *machine) front() string { return "http://" + m.ip + ":8081" }
+// Ports of every machine: the one that peers are told, where a relay stands, and the one
+// behind it; the administration API; those that the settings name.
+const (
+	peerPort    = ":7000"
+	adminPort   = ":7001"
+	listenPort  = ":7008"
+	frontPort   = ":8081"
+	readyPort   = ":8082"
+	controlPort = ":8083"
+)
+
+// stopGrace is how long a process may take to stop in order.
+const stopGrace = 8 * time.Second
 
-func (m *machine) control() string { return "http://" + m.ip + ":8083" }
+func (m *machine) front() string { return "http://" + m.ip + frontPort }
+
+func (m *machine) control() string { return "http://" + m.ip + controlPort }
+
+// peer is the address by which other machines know this one.
+func (m *machine) peer() string { return m.ip + peerPort }
 
 // site is a fleet, its engines and the platform's list.
 type site struct {
@@ -38,6 +57,8 @@
 	srv      *http.Server
 	next     int
 	net      string
+	relays   *relay.Relays
+	closed   sync.Once
 }
 
 // Zones of every site here.
@@ -60,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	started := &site{dir: dir, bin: bin, net: network, t: &truth{runs: map[string]int{}, seals: map[string]string{}, named: 1}}
+	started := &site{dir: dir, bin: bin, net: network, t: &truth{runs: map[string]int{}, seals: map[string]string{}, ended: map[string]time.Time{}, named: 1}, relays: relay.New()}
 	for i := range 8 {
 		if _, err := started.add([]string{"app", "llm", "llm", "app", "llm", "llm", "other", "other"}[i], zones[i%3]); err != nil {
 			return started, err
@@ -77,9 +98,14 @@
 		started.machines = append(started.machines, m)
 	}
 	for _, m := range started.machines {
+		if err := started.relays.Open(m.peer(), m.ip+listenPort); err != nil {
+			return started, err
+		}
 		if err := started.write(m, true); err != nil {
 			return started, err
 		}
+	}
+	for _, m := range started.machines {
 		if err := started.launch(m); err != nil {
 			return started, err
 		}
@@ -92,11 +118,11 @@
 	var seeds []string
 	for _, x := range s.machines {
 		if x.disk {
-			seeds = append(seeds, x.ip+":8083")
+			seeds = append(seeds, x.ip+controlPort)
 		}
 	}
 	lines := []string{"NodeName=" + target.name, "Serves=edge,control_plane", "Ip=" + target.ip, "Zone=" + target.zone, "Region=here", "PortRange=7000,7009",
-		"BindAddrs.Front=" + target.ip + ":8081", "BindAddrs.Readiness=" + target.ip + ":8082", "BindAddrs.Control=" + target.ip + ":8083",
+		"BindAddrs.Front=" + target.ip + frontPort, "BindAddrs.Readiness=" + target.ip + readyPort, "BindAddrs.Control=" + target.ip + controlPort,
 		"SeedNodes=" + strings.Join(seeds, ","), fmt.Sprintf("Bootstrap=%v", first), "FaultBudget.Machines=1", "Limits.CpuShare=0.5", "Limits.MemoryMb=284", "Limits.MaxFds=4100",
 		"CloudApi.Address=" + s.net + ".250:9000", "CloudApi.RatePerS=20", "CloudApi.MaxLagMs=200", "Bounds.ApplyMs=2000", "Bounds.DrainMs=3000", "Bounds.ContactMs=3000", "Bounds.AckMs=4000",
 		"Bounds.GraceS=8", "Bounds.RecoverS=12", "Bounds.ReportS=120", "Bounds.CancelMs=3000", "Bounds.SettleMs=1000"}
@@ -111,51 +137,77 @@
 	return errors.Wrap(os.WriteFile(target.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o644), "site")
 }
 
+// serveArgs are the arguments of a machine's program with a settings file.
+func serveArgs(target *machine, settings string) []string {
+	return []string{"serve", "--settings", settings, "--listen", target.ip + listenPort, "--log-level", "debug"}
+}
+
+// launch starts a machine's process and holds its end against what was asked.
 func (s *site) launch(target *machine) error {
-	out, err := os.OpenFile(filepath.Join(s.dir, target.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	return s.launchLocked(target)
+}
+
+func (s *site) launchLocked(target *machine) error {
+	started, err := spawn(filepath.Join(s.bin, "fernlink"), serveArgs(target, target.settings), filepath.Join(s.dir, target.name+".log"))
 	if err != nil {
-		return errors.Wrap(err, "site: log")
-	}
-	defer out.Close()
-	c := exec.Command(filepath.Join(s.bin, "fernlink"), "serve", "--settings", target.settings)
-	c.Stdout, c.Stderr = out, out
-	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := c.Start(); err != nil {
-		return errors.Wrap(err, "site: start "+target.name)
+		return err
 	}
-	target.cmd = c
+	target.process = started
+	go func() {
+		<-started.ended
+		if !started.expected.Load() {
+			s.t.bad("FAULT: %s ended by itself: %s", target.name, started.cmd.ProcessState)
+		}
+	}()
 	return nil
 }
 
-// kill ends a machine's process at once.
-func (s *site) kill(m *machine) {
-	_ = m.cmd.Process.Kill()
-	_, _ = m.cmd.Process.Wait()
+// relaunch starts a machine's process if the last one is over.
+func (s *site) relaunch(target *machine) error {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	select {
+	case <-target.process.ended:
+		return s.launchLocked(target)
+	default:
+		return nil
+	}
 }
 
+// current is the newest process of a machine.
+func (m *machine) current() *process {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.process
+}
+
+// kill ends a machine's process at once.
+func (s *site) kill(m *machine) { m.current().kill() }
+
 // term stops a process in order and says whether it ended within its grace.
 func (s *site) term(m *machine) bool {
-	_ = m.cmd.Process.Signal(syscall.SIGTERM)
-	done := make(chan struct{})
-	p := m.cmd.Process
-	go func() { _, _ = p.Wait(); close(done) }()
-	select {
-	case <-done:
+	p := m.current()
+	p.expected.Store(true)
+	p.signal(syscall.SIGTERM)
+	if p.endsWithin(stopGrace) {
 		return true
-	case <-time.After(8 * time.Second):
-		_ = p.Kill()
-		<-done
-		return false
 	}
+	p.kill()
+	return false
 }
 
-func (s *site) close() {
+// close ends all processes and stand-ins. It may be called again.
+func (s *site) close() { s.closed.Do(s.end) }
+
+func (s *site) end() {
 	for _, m := range s.machines {
-		if m.cmd != nil {
-			_ = m.cmd.Process.Signal(syscall.SIGCONT)
+		if m.process != nil {
 			s.kill(m)
 		}
 	}
+	s.relays.Close()
 	if s.srv != nil {
 		_ = s.srv.Close()
 	}
