Invariants: twelve promises are checked while they run

Cause: a broken promise was seen only by whoever stood outside; a log could not say which. core/invariant names them; each check stands beside its guard in raft, node, dispatcher and serving side, is counted by name in /metrics, logged with ids, panics in tests of single cores and is a finding in the simulator and the soak.

--- a/core/disp/app.go
+++ b/core/disp/app.go
@@ -7,6 +7,7 @@
 	"fernlink/core/ask"
 	"fernlink/core/budget"
 	"fernlink/core/flow"
+	"fernlink/core/invariant"
 	"fernlink/core/ledger"
 	"fernlink/core/resend"
 	"fernlink/core/sorted"
@@ -170,7 +171,10 @@
 			head[k] = v
 		}
 	}
-	q.send = d.send(flow.Send{Verb: q.call.Verb, URL: best.URL + q.call.Path + query(q.call), Head: head, Body: q.call.Body,
+	if q.route.Once && !q.known.DidNotRun() {
+		d.p.Invariants.Violated(invariant.RunOnceSentAgain, "call", q.call.ID, "path", q.call.Path, "engine", best.ID)
+	}
+	q.send = d.sendWork(flow.Send{Verb: q.call.Verb, URL: best.URL + q.call.Path + query(q.call), Head: head, Body: q.call.Body,
 		Until: min(d.till, q.limit), Limit: q.limit, Once: q.route.Once}, func(b flow.Back) {
 		best.mine--
 		if b.Err != "" {
@@ -262,6 +266,9 @@
 	if q.state != held {
 		return
 	}
+	if !q.known.MayResend() {
+		d.p.Invariants.Violated(invariant.RefusedMayHaveRun, "call", q.call.ID, "path", q.call.Path)
+	}
 	q.state = refused
 	d.counts["refused"]++
 	d.settle(q, ledger.Claim{State: refused}, nil)
--- a/core/disp/disp.go
+++ b/core/disp/disp.go
@@ -15,6 +15,7 @@
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
+	"fernlink/core/invariant"
 	"fernlink/core/ledger"
 	"fernlink/core/sorted"
 	"fernlink/core/store"
@@ -28,6 +29,7 @@
 	Asker          *ask.Asker
 	IDs            func() uint64
 	BlocksMost     int // prefix blocks remembered for one engine
+	Invariants     *invariant.Monitor
 	// Heard, if any, is told of each renewal and the plan that stands after it.
 	Heard func(flow.Time, ledger.Delta, uint64, *api.Plan)
 }
@@ -43,6 +45,7 @@
 	asked    flow.Time // the last one
 	renewing bool      // it is not answered yet
 	index    uint64
+	indexAt  flow.Time // when it was heard
 	version  uint64
 	plan     *api.Plan
 	steps    map[string]*step
@@ -123,6 +126,14 @@
 	f(b)
 }
 
+// sendWork sends what may only be sent under a lease (design 5.2).
+func (d *Disp) sendWork(s flow.Send, f func(flow.Back)) uint64 {
+	if !d.Fresh(d.now) || s.Until > d.till {
+		d.p.Invariants.Violated(invariant.SentWithoutLease, "url", s.URL, "until", s.Until, "lease_until", d.till, "now", d.now)
+	}
+	return d.send(s, f)
+}
+
 func (d *Disp) send(s flow.Send, f func(flow.Back)) uint64 {
 	s.ID = d.p.IDs()
 	d.sends[s.ID] = f
@@ -174,6 +185,9 @@
 			return
 		}
 		d.till = max(d.till, a.Sent+budget.LeaseDuration)
+		if x.Index < d.index && a.Sent > d.indexAt {
+			d.p.Invariants.Violated(invariant.LedgerWentBack, "index", x.Index, "known", d.index)
+		}
 		if x.Index >= d.index {
 			d.fold(x)
 		}
@@ -190,6 +204,9 @@
 	if len(x.Open) > 0 && !slices.Equal(d.roster, x.Roster) {
 		d.roster, d.rosters = x.Roster, d.rosters+1
 	}
+	if x.Index > d.index {
+		d.indexAt = d.now
+	}
 	d.index, d.coord = x.Index, x.Coord
 	if d.p.Heard != nil {
 		d.p.Heard(d.now, x, d.version, d.plan)
@@ -212,6 +229,9 @@
 		return
 	}
 	p.Index()
+	if newest.Version < d.version {
+		d.p.Invariants.Violated(invariant.PlanWentBack, "version", newest.Version, "in_force", d.version)
+	}
 	d.plan, d.version = &p, newest.Version
 	d.out.Note("disp", "plan in force", "version", d.version)
 }
--- a/core/disp/gen.go
+++ b/core/disp/gen.go
@@ -109,7 +109,7 @@
 	if r.hits == 0 && g.group.first == nil {
 		g.group.first = r
 	}
-	r.id = d.send(flow.Send{Verb: "POST", URL: dialect.TextURL(e.URL), Stream: true,
+	r.id = d.sendWork(flow.Send{Verb: "POST", URL: dialect.TextURL(e.URL), Stream: true,
 		Head: map[string]string{"Content-Type": "application/json"},
 		Body: dialect.Text(doc.Pool, prompt, max(1, g.group.doc.Tokens-g.tokens), g.sample, e.load.Revision, e.load.Inc),
 		// The lease proves the step is open; the deadline bounds the rest.
--- a/core/node/metrics.go
+++ b/core/node/metrics.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
-	"strconv"
 	"strings"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/common/expfmt"
+
 	"fernlink/core/sorted"
 )
 
@@ -43,6 +45,7 @@
 	one("asks_open", "questions to the store without an answer", float64(s.Asks))
 	one("disk_full", "the disk has no room", flag(s.Full))
 	by("node_total", "lines and connections that were dropped", "kind", s.Counts)
+	many("invariant_violations_total", "promises that were found broken here, by name", labelled("name", s.Invariants))
 	if x := s.Store; x != nil {
 		one("store_leader", "this store leads", flag(x.Role == "leader"))
 		one("store_term", "term of the store", float64(x.Term))
@@ -106,9 +109,9 @@
 	return out
 }
 
-func labelled[V int | int64](name string, m map[string]V) (out []sample) {
+func labelled[K ~string, V int | int64](name string, m map[K]V) (out []sample) {
 	for _, k := range sorted.Keys(m) {
-		out = append(out, sample{[]label{{name, k}}, float64(m[k])})
+		out = append(out, sample{[]label{{name, string(k)}}, float64(m[k])})
 	}
 	return out
 }
@@ -120,29 +123,47 @@
 	return 0
 }
 
-// Metrics writes a snapshot for scraping, in the text format 0.0.4. A library
-// would hold 0.8 to 2.1 MB for it in every process (docs/measurements.md); its
-// parser and its linter read this in the tests.
-func Metrics(s Stats) []byte {
-	var b bytes.Buffer
-	for _, f := range families(s) {
-		kind := "gauge"
+// collector gives a snapshot's families to the library that writes them.
+type collector []family
+
+// Describe names nothing beforehand: which families there are depends on the roles.
+func (c collector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect gives each sample.
+func (c collector) Collect(metrics chan<- prometheus.Metric) {
+	for _, f := range c {
+		kind := prometheus.GaugeValue
 		if strings.HasSuffix(f.name, "_total") {
-			kind = "counter"
+			kind = prometheus.CounterValue
 		}
-		b.WriteString("# HELP fernlink_" + f.name + " " + f.help + "\n# TYPE fernlink_" + f.name + " " + kind + "\n")
-		for _, x := range f.samples {
-			b.WriteString("fernlink_" + f.name)
-			for i, l := range x.labels {
-				b.WriteString(map[bool]string{true: "{", false: ","}[i == 0] + l.name + `="` + escaped.Replace(l.value) + `"`)
-			}
-			if len(x.labels) > 0 {
-				b.WriteByte('}')
-			}
-			b.WriteString(" " + strconv.FormatFloat(x.value, 'g', -1, 64) + "\n")
+		for _, s := range f.samples {
+			metrics <- f.metric(kind, s)
 		}
 	}
-	return b.Bytes()
 }
 
-var escaped = strings.NewReplacer(`\`, `\\`, "\n", `\n`, `"`, `\"`)
+func (f family) metric(kind prometheus.ValueType, s sample) prometheus.Metric {
+	names, values := make([]string, len(s.labels)), make([]string, len(s.labels))
+	for i, l := range s.labels {
+		names[i], values[i] = l.name, l.value
+	}
+	description := prometheus.NewDesc("fernlink_"+f.name, f.help, names, nil)
+	metric, err := prometheus.NewConstMetric(description, kind, s.value, values...)
+	if err != nil {
+		return prometheus.NewInvalidMetric(description, err)
+	}
+	return metric
+}
+
+// Metrics writes a snapshot for scraping, in the text format 0.0.4. A sample that the
+// library does not take, such as a second one of the same labels, is left out.
+func Metrics(s Stats) []byte {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collector(families(s)))
+	gathered, _ := registry.Gather()
+	var page bytes.Buffer
+	for _, f := range gathered {
+		_, _ = expfmt.MetricFamilyToText(&page, f) // a buffer takes all
+	}
+	return page.Bytes()
+}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -19,6 +19,7 @@
 	"fernlink/core/disp"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
+	"fernlink/core/invariant"
 	"fernlink/core/ledger"
 	"fernlink/core/serve"
 	"fernlink/core/store"
@@ -54,6 +55,7 @@
 	Codec      *dialect.Codec // how a platform speaks; nil where none is served
 	Debug      bool           // notes at the debug level are wanted
 	LotKeep    flow.Time      // for how long a lot's results stay readable
+	Invariants *invariant.Monitor
 }
 
 // Node is one process.
@@ -111,7 +113,7 @@
 	n.gossip = gossip.New(gossip.Config{Self: self, Known: p.Known, Seeds: p.Seeds, Rand: r()})
 	n.asker = ask.New(firstAsk(p))
 	if n.runs("store") {
-		s, err := store.New(now, store.Config{ID: p.ID, Addr: p.Addr, Zone: p.Zone, Form: p.Form, Keep: p.Keep, Bounds: p.Bounds, Rand: r(), Disk: p.Disk, First: p.First, Want: p.Want})
+		s, err := store.New(now, store.Config{ID: p.ID, Addr: p.Addr, Zone: p.Zone, Form: p.Form, Keep: p.Keep, Bounds: p.Bounds, Rand: r(), Disk: p.Disk, First: p.First, Want: p.Want, Invariants: p.Invariants})
 		if err != nil {
 			return nil, err
 		}
@@ -120,7 +122,7 @@
 	me := self.Start()
 	var heard func(flow.Time, ledger.Delta, uint64, *api.Plan)
 	if self.RunsLots() && p.Codec != nil {
-		n.serve = serve.New(serve.Config{Debug: p.Debug, ID: me, Zone: p.Zone, Codec: *p.Codec, Asker: n.asker, Rand: r(), IDs: n.idsOf("serve"), Keep: p.LotKeep,
+		n.serve = serve.New(serve.Config{Debug: p.Debug, ID: me, Zone: p.Zone, Codec: *p.Codec, Asker: n.asker, Rand: r(), IDs: n.idsOf("serve"), Keep: p.LotKeep, Invariants: p.Invariants,
 			Fresh: func() bool { return n.disp.Fresh(n.now) },
 			Acting: func() (uint64, flow.Time, bool) {
 				if n.coord == nil {
@@ -134,7 +136,7 @@
 		// A start is somebody of its own: what an earlier one claimed or
 		// numbered is not this one's, though the identity on disk is.
 		n.disp = disp.New(disp.Config{ID: me, Addr: p.Addr, Zone: p.Zone, Platform: p.Platform, Rand: r(), Asker: n.asker,
-			IDs: n.idsOf("disp"), BlocksMost: p.BlocksMost, Heard: heard})
+			IDs: n.idsOf("disp"), BlocksMost: p.BlocksMost, Heard: heard, Invariants: p.Invariants})
 	}
 	if n.runs("coordinator") {
 		n.coord = coord.New(coord.Config{ID: p.ID, Addr: p.Addr, Asker: n.asker, IDs: n.idsOf("coord"), File: p.Checkpoint, Off: p.Off, Keeps: p.Data})
@@ -197,12 +199,20 @@
 		n.tick(now, wall, &out)
 	}
 	n.leaving(now, &out)
+	n.noteViolations(&out)
 	for i := range out.Lines {
 		out.Lines[i].Cluster, out.Lines[i].From, out.Lines[i].Addr = n.Cluster(), n.p.ID, n.p.Addr
 	}
 	return out
 }
 
+// noteViolations logs the promises that were found broken in this turn or by a shell.
+func (n *Node) noteViolations(out *flow.Outbox) {
+	for _, found := range n.p.Invariants.Pending() {
+		flow.Error.Note(out, "invariant", invariant.Text, append([]any{"name", found.Name}, found.Trace...)...)
+	}
+}
+
 // Multiples of budget.TickInterval that a node rests for at most while nothing happens: a
 // follower's shortest deadline is an election, that of a node without a store and
 // without work a renewal.
@@ -295,6 +305,9 @@
 
 // synced lets go what waited for saves that are on disk now.
 func (n *Node) synced(number uint64, out *flow.Outbox) {
+	if number > n.given || number <= n.saved {
+		n.p.Invariants.Violated(invariant.SaveOutOfOrder, "batch", number, "given", n.given, "saved", n.saved)
+	}
 	n.saved, n.full = max(n.saved, number), false
 	if n.store != nil {
 		n.store.Synced(number)
--- a/core/node/stats.go
+++ b/core/node/stats.go
@@ -5,6 +5,7 @@
 	"fernlink/core/disp"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
+	"fernlink/core/invariant"
 	"fernlink/core/serve"
 	"fernlink/core/store"
 )
@@ -22,16 +23,19 @@
 	Counts  map[string]int64 `json:"counts"`
 	Rows    map[string]int   `json:"rows"` // entities in each table
 	Full    bool             `json:"disk_full,omitempty"`
-	Store   *store.Stats     `json:"store,omitempty"`
-	Disp    *disp.Stats      `json:"dispatcher,omitempty"`
-	Coord   *coord.Stats     `json:"coordinator,omitempty"`
-	Serve   *serve.Stats     `json:"serving,omitempty"`
+
+	Invariants map[invariant.Name]int64 `json:"invariant_violations"`
+
+	Store *store.Stats `json:"store,omitempty"`
+	Disp  *disp.Stats  `json:"dispatcher,omitempty"`
+	Coord *coord.Stats `json:"coordinator,omitempty"`
+	Serve *serve.Stats `json:"serving,omitempty"`
 }
 
 // Stats gives the snapshot.
 func (n *Node) Stats(now flow.Time) Stats {
 	s := Stats{ID: n.p.ID, Addr: n.p.Addr, Zone: n.p.Zone, Roles: n.p.Roles, Cluster: n.Cluster(), Up: (now - n.began).Seconds(),
-		Live: n.gossip.Live(now), Asks: n.asker.Open(), Counts: map[string]int64{}}
+		Live: n.gossip.Live(now), Asks: n.asker.Open(), Counts: map[string]int64{}, Invariants: n.p.Invariants.Counts()}
 	for k, v := range n.counts {
 		s.Counts[k] = v
 	}
--- a/core/raft/follower.go
+++ b/core/raft/follower.go
@@ -1,6 +1,9 @@
 package raft
 
-import "fernlink/core/flow"
+import (
+	"fernlink/core/flow"
+	"fernlink/core/invariant"
+)
 
 // How a follower takes entries (design 4.2).
 
@@ -11,6 +14,9 @@
 		r.respond(message, r.refusal(message, r.lastIndex()))
 		return false
 	}
+	if r.role == Leader || r.leader != "" && r.leader != message.From {
+		r.invariants.Violated(invariant.TwoLeaders, "term", r.hard.Term, "leader", r.leader, "other", message.From)
+	}
 	r.role, r.leader, r.leaderSeen = Follower, message.From, true
 	r.leaderHeard = r.now
 	r.resetElectionTimer()
@@ -82,6 +88,9 @@
 
 // truncate drops the entries from an index on.
 func (r *Raft) truncate(index uint64) {
+	if index <= r.commit {
+		r.invariants.Violated(invariant.CommittedReplaced, "index", index, "commit", r.commit, "term", r.hard.Term, "leader", r.leader)
+	}
 	r.log = append([]flow.Entry(nil), r.log[:index-r.base.Index-1]...)
 	r.stable = min(r.stable, r.lastIndex())
 	for i := range r.unsynced {
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"fernlink/core/flow"
+	"fernlink/core/invariant"
 )
 
 // Role is what a member does in its term.
@@ -40,12 +41,14 @@
 // Raft is one member.
 type Raft struct {
 	id                string
+	invariants        *invariant.Monitor
 	random            *rand.Rand
 	heartbeatInterval flow.Time
 	electionTimeout   flow.Time
 	messageEntries    int
 
 	hard         flow.Hard
+	savedVote    ballot     // as it was given out to be saved last
 	base         flow.Entry // index and term of the entry before the log's first
 	snapshot     *flow.Snapshot
 	log          []flow.Entry
@@ -83,6 +86,8 @@
 func New(now flow.Time, config Config) *Raft {
 	node := &Raft{
 		id:                config.ID,
+		invariants:        config.Invariants,
+		savedVote:         ballot{config.Hard.Term, config.Hard.Vote},
 		random:            config.Rand,
 		heartbeatInterval: config.HeartbeatInterval,
 		electionTimeout:   config.ElectionTimeout,
@@ -208,7 +213,25 @@
 
 func (r *Raft) save(s flow.Save) { r.out.Saves = append(r.out.Saves, s) }
 
-func (r *Raft) saveHardState() { r.save(flow.Save{Hard: r.hardState()}) }
+func (r *Raft) saveHardState() {
+	r.checkVote()
+	r.save(flow.Save{Hard: r.hardState()})
+}
+
+// ballot is a vote with its term.
+type ballot struct {
+	term uint64
+	vote string
+}
+
+// checkVote finds a term that went back, and a vote that changed within its term.
+func (r *Raft) checkVote() {
+	now, was := ballot{r.hard.Term, r.hard.Vote}, r.savedVote
+	if now.term < was.term || now.term == was.term && was.vote != "" && now.vote != was.vote {
+		r.invariants.Violated(invariant.VoteChanged, "term", now.term, "vote", now.vote, "earlier_term", was.term, "earlier_vote", was.vote)
+	}
+	r.savedVote = now
+}
 
 // Propose appends a command and gives its index and term.
 func (r *Raft) Propose(kind string, data json.RawMessage) (uint64, uint64, error) {
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -7,6 +7,7 @@
 	"github.com/go-json-experiment/json/v1"
 
 	"fernlink/core/flow"
+	"fernlink/core/invariant"
 )
 
 // Member is one store machine of the cluster.
@@ -87,6 +88,7 @@
 	Hard              flow.Hard
 	Snapshot          *flow.Snapshot
 	Entries           []flow.Entry
+	Invariants        *invariant.Monitor // counts broken promises; nil panics at one
 }
 
 // Applied is a committed entry on its way to the ledger.
--- a/core/serve/env/env.go
+++ b/core/serve/env/env.go
@@ -9,6 +9,7 @@
 	"fernlink/core/ask"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
+	"fernlink/core/invariant"
 	"fernlink/core/ledger"
 	"fernlink/core/resend"
 )
@@ -27,6 +28,8 @@
 	Debug  bool        // trace notes are wanted; without it nothing of them is made
 	Fresh  func() bool // the view of the ledger is under a lease (design 5.2)
 
+	Invariants *invariant.Monitor
+
 	sends map[uint64]func(flow.Back)
 }
 
--- a/core/serve/lots/runs.go
+++ b/core/serve/lots/runs.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fernlink/core/flow"
+	"fernlink/core/invariant"
 	"fernlink/core/ledger"
 	"fernlink/core/resend"
 	"fernlink/core/serve/engines"
@@ -50,6 +51,9 @@
 			fields = append(fields, flow.Field{Name: w.ExpectWeights, Value: strconv.Itoa(from.made())})
 		}
 	}
+	if !t.env.Fresh() || t.rows[i.lot.doc.ID] != i.lot {
+		t.env.Invariants.Violated(invariant.SentWithoutLease, "lot", i.lot.doc.ID, "item", i.ID, "engine", e.ID, "owned", t.rows[i.lot.doc.ID] == i.lot)
+	}
 	i.state = running
 	if i.begun == 0 {
 		i.begun = now
@@ -238,12 +242,24 @@
 			t.paces[i.lot.doc.Route] = &pace{}
 		}
 		t.paces[i.lot.doc.Route].took(t.env.Now - i.begun)
+		t.checkWeights(r)
 		t.finish(i, ledger.LotResult{Item: i.ID, State: ledger.LotComplete, Text: strings.Join(r.text.events, "\n"), Versions: r.text.versions})
 	default:
 		t.engines.Full(r.engine)
 	}
 }
 
+// checkWeights finds a text whose weights its lot does not allow. The ledger would not
+// list it (design 8.7).
+func (t *Table) checkWeights(r *run) {
+	d, versions := &r.item.lot.doc, r.text.versions
+	for _, v := range versions {
+		if v < d.Least || d.Single && v != versions[0] {
+			t.env.Invariants.Violated(invariant.DisallowedWeights, "lot", d.ID, "item", r.item.ID, "engine", r.engine.ID, "version", v, "least", d.Least)
+		}
+	}
+}
+
 // failed counts a failed attempt, of which an item has so many.
 func (t *Table) failed(i *item, b flow.Back) {
 	if b.Code != http.StatusInternalServerError {
--- a/core/serve/lots_test.go
+++ b/core/serve/lots_test.go
@@ -151,6 +151,22 @@
 	}
 }
 
+// Given a text whose engine changes weights amid it, when its run comes to its end all
+// the same, then nothing of two versions is listed.
+func TestATextOfTwoVersionsIsNotListed(t *testing.T) {
+	w := two(t)
+	lot, _ := w.lot(1, 1, 1)
+	x := w.llm()[0]
+	w.head(x, 1)
+	w.event(x, 0, "a")
+	w.event(x, 1, "b", "weights: 2")
+	w.done(x)
+	w.pass(300 * time.Millisecond)
+	for _, r := range w.read(lot, 0).Results {
+		w.want(len(r.Versions) == 1, "%+v", r)
+	}
+}
+
 func TestTooOldWeightsMakeNoText(t *testing.T) {
 	w := two(t)
 	w.lot(1, 1, 2)
--- a/core/serve/requests/requests.go
+++ b/core/serve/requests/requests.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fernlink/core/flow"
+	"fernlink/core/invariant"
 	"fernlink/core/resend"
 	"fernlink/core/serve/engines"
 	"fernlink/core/serve/env"
@@ -73,6 +74,11 @@
 	t.env.Trace("requests", text, append([]any{"request", flow.Get(q.call.Fields, t.env.Codec.Attempt), "call", q.call.ID}, args...)...)
 }
 
+// violated notes a broken promise, by the name of the request's try.
+func (t *Table) violated(name invariant.Name, q *Request, args ...any) {
+	t.env.Invariants.Violated(name, append([]any{"request", flow.Get(q.call.Fields, t.env.Codec.Attempt), "call", q.call.ID, "route", q.route.Name}, args...)...)
+}
+
 // Take takes a request that a route serves.
 func (t *Table) Take(c flow.Call, r *route.Route) {
 	now := t.env.Now
@@ -135,6 +141,9 @@
 
 func (t *Table) send(q *Request, e *engines.Engine) {
 	now := t.env.Now
+	if !q.repeats() && (len(q.tries) > 0 || !q.known.DidNotRun()) {
+		t.violated(invariant.RunOnceSentAgain, q, "engine", e.ID)
+	}
 	q.sends++
 	q.tried = append(q.tried, e)
 	x := &try{engine: e, at: now}
@@ -305,6 +314,9 @@
 		t.lost(q)
 		return
 	}
+	if !q.repeats() && (len(q.tries) > 0 || !q.known.DidNotRun()) {
+		t.violated(invariant.RefusedMayHaveRun, q)
+	}
 	t.finish(q)
 	if t.env.Debug {
 		t.trace(q, "refused", "why", env.NoEngine)
@@ -328,6 +340,9 @@
 
 // pass hands an engine's answer on as it came.
 func (t *Table) pass(q *Request, b flow.Back) {
+	if b.Failure != flow.None || b.Err != "" || b.Code == 0 {
+		t.violated(invariant.PartialPassed, q, "failure", b.Failure.String(), "code", b.Code, "why", b.Err)
+	}
 	t.finish(q)
 	t.env.Counts["passed"]++
 	if t.env.Debug {
--- a/core/serve/rollout/rollout.go
+++ b/core/serve/rollout/rollout.go
@@ -10,6 +10,7 @@
 	"fernlink/core/budget"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
+	"fernlink/core/invariant"
 	"fernlink/core/resend"
 	"fernlink/core/serve/engines"
 	"fernlink/core/serve/env"
@@ -200,6 +201,9 @@
 	if r.env.Debug {
 		r.env.Trace("rollout", "ordered", "engine", j.engine.ID, "model", j.model, "version", j.rev, "term", r.term)
 	}
+	if term, until, acting := r.acting(); !acting || term != r.term || now >= until {
+		r.env.Invariants.Violated(invariant.OrderWithoutLease, "engine", j.engine.ID, "model", j.model, "version", j.rev, "term", r.term, "acting_term", term)
+	}
 	body := r.env.Codec.WriteOrder(dialect.WeightOrder{Model: j.model, Revision: j.rev, Mode: "hold", Owner: r.env.Me, Fence: r.term})
 	until := min(till, now+sendBy)
 	r.send(flow.Send{Verb: "POST", URL: "http://" + j.engine.Addr + r.env.Codec.OrderPath, Body: body, Until: until, Limit: now + sendBy,
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -16,6 +16,7 @@
 	"fernlink/core/disp"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
+	"fernlink/core/invariant"
 	"fernlink/core/ledger"
 	"fernlink/core/serve/engines"
 	"fernlink/core/serve/env"
@@ -38,6 +39,8 @@
 	Fresh    func() bool  // the view of the ledger is under a lease
 	Debug    bool         // trace notes are wanted
 	Acting   fleet.Acting // of this node's coordinator
+
+	Invariants *invariant.Monitor
 }
 
 // Serve is the serving side of one node.
@@ -61,7 +64,7 @@
 // New starts without a plan or an engine.
 func New(p Config) *Serve {
 	s := &Serve{p: p, open: map[string]bool{}, retiring: map[string]retirement{}, env: &env.Env{Me: p.ID, Zone: p.Zone, Asker: p.Asker, Rand: p.Rand, Codec: p.Codec, IDs: p.IDs,
-		Counts: map[string]int64{}, Fresh: p.Fresh, Debug: p.Debug}}
+		Counts: map[string]int64{}, Fresh: p.Fresh, Debug: p.Debug, Invariants: p.Invariants}}
 	s.engines = engines.New(s.env)
 	s.index = prefixes.New(s.env)
 	s.requests = requests.New(s.env, s.engines)
@@ -96,6 +99,9 @@
 // after this process started (design 12.4).
 func (s *Serve) adopt(version uint64, p *api.Plan) {
 	if s.routes == nil || version > s.routes.Version {
+		if s.routes != nil && version < s.routes.Version {
+			s.env.Invariants.Violated(invariant.PlanWentBack, "version", version, "in_force", s.routes.Version)
+		}
 		s.routes = route.New(version, p)
 		s.env.Out.Limits = limits(p.Limits)
 	}
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -12,6 +12,7 @@
 	"fernlink/core/budget"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
+	"fernlink/core/invariant"
 	"fernlink/core/ledger"
 	"fernlink/core/raft"
 	"fernlink/core/sorted"
@@ -35,6 +36,7 @@
 	Bounds         ledger.Bounds
 	Rand           *rand.Rand
 	Disk           Disk
+	Invariants     *invariant.Monitor
 }
 
 // Store is one store machine.
@@ -101,7 +103,7 @@
 		s.ledger = l
 	}
 	s.raft = raft.New(now, raft.Config{ID: p.ID, Rand: p.Rand, HeartbeatInterval: budget.HeartbeatInterval, ElectionTimeout: budget.ElectionTimeout,
-		Hard: p.Disk.Hard, Snapshot: p.Disk.Snapshot, Entries: p.Disk.Entries})
+		Hard: p.Disk.Hard, Snapshot: p.Disk.Snapshot, Entries: p.Disk.Entries, Invariants: p.Invariants})
 	return s, nil
 }
 
--- a/shell/daemon/daemon.go
+++ b/shell/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
+	"fernlink/core/invariant"
 	"fernlink/core/listener"
 	"fernlink/core/node"
 	"fernlink/core/store"
@@ -138,6 +139,7 @@
 		Keep: settings.Keep, Bounds: settings.Bounds(), BlocksMost: settings.Blocks,
 		Off: settings.Off, Stop: time.Duration(settings.Stop) * time.Second, Debug: settings.LogLevel == "debug",
 		Data: folder.FS != nil, Disk: folder.Disk, Checkpoint: folder.Checkpoint, Known: folder.Known,
+		Invariants: invariant.NewMonitor(),
 	})
 }
 
--- a/sim/host.go
+++ b/sim/host.go
@@ -11,6 +11,7 @@
 	"fernlink/core/coord"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
+	"fernlink/core/invariant"
 	"fernlink/core/node"
 	"fernlink/core/sorted"
 	"fernlink/shell/disk"
@@ -42,6 +43,8 @@
 	mute   map[uint64]bool   // sends whose connection lost bytes
 	Notes  []string
 	starts int64
+
+	invariants *invariant.Monitor // of the running process
 	Jump   time.Duration // how far its wall clock is off
 	saves  []flow.Save   // what waits for the disk
 	blobs  []flow.BlobChange
@@ -78,6 +81,8 @@
 	p := h.Config
 	p.Inc = h.wall() + h.starts
 	p.Seed = h.w.Rand.Int63()
+	h.invariants = invariant.NewMonitor()
+	p.Invariants = h.invariants
 	if h.Config.ID == "" {
 		p.ID = fmt.Sprintf("%s-%d-%x", h.Name, h.starts, h.w.Rand.Uint32())
 	}
@@ -228,8 +233,19 @@
 	})
 }
 
+// checkInvariants makes each promise that the process found broken a finding.
+func (h *Host) checkInvariants() {
+	counts := h.invariants.Counts()
+	for _, name := range invariant.Names {
+		if counts[name] > 0 {
+			h.w.Wrong("%s %s: %s %d times", h.Name, invariant.Text, name, counts[name])
+		}
+	}
+}
+
 func (h *Host) emit(out flow.Outbox) {
 	life := h.life
+	h.checkInvariants()
 	for _, n := range out.Notes {
 		h.Notes = append(h.Notes, fmt.Sprint(h.w.Now, " ", n.Part, ": ", n.Text, " ", n.Args))
 	}
