--- a/rig/site/process.go
+++ b/rig/site/process.go
@@ -92,17 +92,20 @@
 // writer is held up.
 const logChunk = 4 << 10
 
+// keep writes what was read, once reading is not paused.
+func (r *logReader) keep(text []byte) {
+	r.paused.Lock()
+	defer r.paused.Unlock()
+	_, _ = r.file.Write(text)
+}
+
 func (r *logReader) copy() {
 	defer r.file.Close()
 	defer r.input.Close()
 	buffer := make([]byte, logChunk)
 	for {
 		n, err := r.input.Read(buffer)
-		r.paused.Lock()
-		r.paused.Unlock() //nolint:staticcheck // it only waits
-		if n > 0 {
-			_, _ = r.file.Write(buffer[:n])
-		}
+		r.keep(buffer[:n])
 		if err != nil {
 			if err != io.EOF {
 				_, _ = io.WriteString(r.file, "log reader: "+err.Error()+"\n")
--- a/sim/host.go
+++ b/sim/host.go
@@ -45,13 +45,13 @@
 	starts int64
 
 	invariants *invariant.Monitor // of the running process
-	Jump   time.Duration // how far its wall clock is off
-	saves  []flow.Save   // what waits for the disk
-	blobs  []flow.BlobChange
-	fetch  []flow.Fetch
-	hear   func(flow.Line) // somebody who is no node of the fleet
-	batch  uint64
-	busy   bool
+	Jump       time.Duration      // how far its wall clock is off
+	saves      []flow.Save        // what waits for the disk
+	blobs      []flow.BlobChange
+	fetch      []flow.Fetch
+	hear       func(flow.Line) // somebody who is no node of the fleet
+	batch      uint64
+	busy       bool
 }
 
 // AddHost puts a machine into the world, not yet started.
