Findings, by tests that fail on the code as it is: folder, log, signals

TestASecondProcessLeavesTheFolderAlone: a second process on a data folder counts its identity up, opens a new segment and deletes the old; with other ports it goes on and leads under the same identity.

--- /dev/null
+++ b/cmd/fernlink/process_test.go
@@ -0,0 +1,254 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"fernlink/platform"
+)
+
+// asProgram makes a child of the test binary run as the program itself.
+const asProgram = "FERNLINK_TEST_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// patience is how long a process may take for what it does at once on a calm machine.
+const patience = 20 * time.Second
+
+// child is a real process of the program.
+type child struct {
+	t      *testing.T
+	cmd    *exec.Cmd
+	ended  chan error
+	output bytes.Buffer
+}
+
+// program starts the program with arguments. Its output goes to a file if one is given.
+func program(t *testing.T, output *os.File, args ...string) *child {
+	t.Helper()
+	c := &child{t: t, cmd: exec.Command(os.Args[0], args...), ended: make(chan error, 1)}
+	c.cmd.Env = append(os.Environ(), asProgram+"=1")
+	c.cmd.Stdout, c.cmd.Stderr = &c.output, &c.output
+	if output != nil {
+		c.cmd.Stdout, c.cmd.Stderr = output, output
+	}
+	if err := c.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { c.ended <- c.cmd.Wait() }()
+	t.Cleanup(func() { _ = c.cmd.Process.Kill() })
+	return c
+}
+
+// code waits for the process to end and gives its exit code, below zero for a signal.
+func (c *child) code() int {
+	c.t.Helper()
+	select {
+	case <-c.ended:
+		return c.cmd.ProcessState.ExitCode()
+	case <-time.After(patience):
+		c.t.Fatalf("the process goes on: %s", c.output.String())
+		return 0
+	}
+}
+
+// answers waits until a URL answers 200, and fails if the process ends before.
+func (c *child) answers(url string) {
+	c.t.Helper()
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	again := time.NewTicker(20 * time.Millisecond)
+	defer again.Stop()
+	for end := time.Now().Add(patience); ; {
+		select {
+		case err := <-c.ended:
+			c.t.Fatalf("the process ended by itself: %v %s", err, c.output.String())
+		case <-again.C:
+		}
+		if response, err := client.Get(url); err == nil {
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		if time.Now().After(end) {
+			c.t.Fatalf("%s does not answer: %s", url, c.output.String())
+		}
+	}
+}
+
+// place is a node's addresses, with free ports.
+type place struct{ addr, web, data string }
+
+func newPlace(t *testing.T) place {
+	ports := free(t, 2)
+	return place{fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[1]), filepath.Join(t.TempDir(), "data")}
+}
+
+// alone are the arguments of a node that forms a cluster of itself.
+func (p place) alone(more ...string) []string {
+	return append([]string{"node", "--addr", p.addr, "--web", p.web, "--zone", "a", "--roles", "store,coordinator", "--seeds", p.addr, "--form", p.addr, "--data", p.data}, more...)
+}
+
+func (p place) health() string { return "http://" + p.web + "/healthz" }
+
+// contents gives all files of a folder.
+func contents(t *testing.T, folder string) map[string]string {
+	t.Helper()
+	names, err := os.ReadDir(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	files := map[string]string{}
+	for _, name := range names {
+		raw, err := os.ReadFile(filepath.Join(folder, name.Name()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		files[name.Name()] = string(raw)
+	}
+	return files
+}
+
+// Given a store that runs, frozen so that its own files stand still, when a second
+// process is started on its data folder, with its ports or with others, then the second
+// ends with 1 and says why, no file has changed, and the first goes on.
+func TestASecondProcessLeavesTheFolderAlone(t *testing.T) {
+	for name, second := range map[string]func(place) place{
+		"the same ports": func(p place) place { return p },
+		"other ports": func(p place) place {
+			other := newPlace(t)
+			other.data = p.data
+			return other
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first := newPlace(t)
+			running := program(t, nil, first.alone()...)
+			running.answers(first.health())
+			if err := running.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+				t.Fatal(err)
+			}
+			before := contents(t, first.data)
+			late := program(t, nil, second(first).alone()...)
+			code := late.code()
+			if code != 1 || !strings.Contains(late.output.String(), "in use") {
+				t.Errorf("the second process ended with %d: %s", code, late.output.String())
+			}
+			after := contents(t, first.data)
+			for file, was := range before {
+				if after[file] != was {
+					t.Errorf("%s was changed", file)
+				}
+			}
+			if len(after) != len(before) {
+				t.Errorf("%d files became %d", len(before), len(after))
+			}
+			if err := running.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+				t.Fatal(err)
+			}
+			running.answers(first.health())
+		})
+	}
+}
+
+// smallPipe is the least that a pipe holds, in bytes.
+const smallPipe = 4096
+
+// Given a node whose output nobody reads, or whose reader is gone, when it logs more
+// than a pipe takes, then it goes on answering and ends in order.
+func TestAnUnreadLogStopsNothing(t *testing.T) {
+	for name, reader := range map[string]func(*os.File){
+		"nobody reads":       func(*os.File) {},
+		"the reader is gone": func(input *os.File) { _ = input.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			input, output, err := os.Pipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer input.Close()
+			if _, err := unix.FcntlInt(output.Fd(), unix.F_SETPIPE_SZ, smallPipe); err != nil {
+				t.Fatal(err)
+			}
+			file := settings(t)
+			where, _, err := platform.Settings(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			running := program(t, output, "serve", "--settings", file, "--log-level", "debug")
+			_ = output.Close()
+			health := "http://" + where.Web + "/healthz"
+			running.answers(health)
+			reader(input)
+			for range smallPipe / 16 { // each refused request is a line of well over 16 bytes
+				running.refused("http://" + where.Front + "/nothing")
+			}
+			running.answers(health)
+			if err := running.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			if code := running.code(); code != 0 {
+				t.Errorf("ended with %d (%s)", code, running.cmd.ProcessState)
+			}
+		})
+	}
+}
+
+// refused makes a request that is refused at once.
+func (c *child) refused(url string) {
+	c.t.Helper()
+	client := http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get(url)
+	if err != nil {
+		c.t.Fatalf("no answer: %v", err)
+	}
+	_ = response.Body.Close()
+}
+
+// Given a node, when SIGHUP comes at any time of its life, or SIGTERM twice, then it
+// goes on until it is told to stop, and ends with 0.
+func TestSignalsAtAnyTime(t *testing.T) {
+	for name, signals := range map[string][]syscall.Signal{
+		"a reload":           {syscall.SIGHUP},
+		"a reload at a stop": {syscall.SIGTERM, syscall.SIGHUP},
+		"a second stop":      {syscall.SIGTERM, syscall.SIGTERM},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlace(t)
+			running := program(t, nil, p.alone()...)
+			running.answers(p.health())
+			for _, s := range signals {
+				if err := running.cmd.Process.Signal(s); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if signals[0] != syscall.SIGTERM {
+				running.answers(p.health())
+				if err := running.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if code := running.code(); code != 0 {
+				t.Errorf("ended with %d (%s): %s", code, running.cmd.ProcessState, running.output.String())
+			}
+		})
+	}
+}
