A data folder has one process

Cause: a start read and changed the folder before anything proved that nobody else had it: two processes under one identity, and a running store whose log was deleted under it. Class: a shared thing is acted on before it is owned. Ruled out: that the listeners' ports are enough (they are bound after the folder is opened, and other ports are free); a file with a process's number. An exclusive lock on the folder comes before the identity, crash files, tail and segments, and a look at the own addresses before the lock. The same cause elsewhere: crash.txt was truncated by a second start (behind the lock now).

--- a/shell/daemon/daemon.go
+++ b/shell/daemon/daemon.go
@@ -3,11 +3,13 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"net"
 	"os"
 	"slices"
 	"time"
@@ -43,6 +45,7 @@
 	Identity   disk.Identity
 	Checkpoint []byte
 	Known      gossip.Known
+	close      func() error // lets another process have it
 }
 
 func randomID() string {
@@ -65,16 +68,47 @@
 	return hex.EncodeToString(hash[:8])
 }
 
-func openFolder(settings config.Config, logger log.Logger) (Folder, error) {
-	folder := Folder{Identity: disk.Identity{ID: processID(settings), Inc: clock.Wall()}}
+// peerAddress is where peers are listened for.
+func peerAddress(settings config.Config) string { return cmp.Or(settings.Listen, settings.Addr) }
+
+// addresses are all that a process listens at.
+func addresses(settings config.Config, platform Platform) []string {
+	all := []string{peerAddress(settings), settings.Web}
+	for _, listener := range platform.Listeners {
+		all = append(all, listener.Addr)
+	}
+	return all
+}
+
+// checkAddresses fails if anybody listens at one of the addresses. Nothing is held: the
+// listeners are opened once the data folder is read, so that callers of a process that is
+// not ready yet are turned away at once.
+func checkAddresses(addresses []string) error {
+	for _, address := range addresses {
+		socket, err := net.Listen("tcp", address)
+		if err != nil {
+			return errors.Wrap(err, "daemon: start")
+		}
+		_ = socket.Close()
+	}
+	return nil
+}
+
+func openFolder(settings config.Config, platform Platform, logger log.Logger) (Folder, error) {
+	folder := Folder{Identity: disk.Identity{ID: processID(settings), Inc: clock.Wall()}, close: func() error { return nil }}
 	if settings.Data == "" {
 		return folder, nil
 	}
+	// What was there before may still be at work on the folder. Where file systems have no
+	// locks its addresses tell.
+	if err := checkAddresses(addresses(settings, platform)); err != nil {
+		return folder, err
+	}
 	dir, err := disk.OpenFolder(settings.Data)
 	if err != nil {
 		return folder, err
 	}
-	folder.FS = dir
+	folder.FS, folder.close = dir, dir.Close
 	if err := keepCrashes(settings.Data, logger); err != nil {
 		_ = level.Warn(logger).Log("part", "daemon", "msg", "crashes are not kept", "failure", err)
 	}
@@ -147,12 +181,8 @@
 	loop := run.New(logger)
 	loop.Node, loop.Log, loop.FS = core, folder.Log, folder.FS
 	loop.Least = run.Levels[settings.LogLevel]
-	listen := settings.Listen
-	if listen == "" {
-		listen = settings.Addr
-	}
 	var err error
-	if loop.Link, err = link.Open(listen, logger, loop.Offer); err != nil {
+	if loop.Link, err = link.Open(peerAddress(settings), logger, loop.Offer); err != nil {
 		return nil, err
 	}
 	if loop.Web, err = web.OpenListeners(web.Options{Addr: settings.Web, In: loop.Offer, Listeners: platform.Listeners}); err != nil {
@@ -168,7 +198,7 @@
 	return fx.Module("fernlink",
 		fx.Supply(settings, platform),
 		fx.Provide(func() log.Logger { return run.Logger(os.Stderr, settings.LogLevel) }, openFolder, makeNode, makeLoop),
-		fx.Invoke(func(life fx.Lifecycle, quit fx.Shutdowner, loop *run.Loop, logger log.Logger) {
+		fx.Invoke(func(life fx.Lifecycle, quit fx.Shutdowner, folder Folder, loop *run.Loop, logger log.Logger) {
 			watch, end := context.WithCancel(context.Background())
 			life.Append(fx.Hook{
 				OnStart: func(context.Context) error {
@@ -188,6 +218,9 @@
 				OnStop: func(ctx context.Context) error {
 					end()
 					loop.Stop(ctx)
+					if err := folder.close(); err != nil {
+						_ = level.Warn(logger).Log("part", "daemon", "msg", "the data folder was not closed", "failure", err)
+					}
 					_ = level.Info(logger).Log("part", "daemon", "msg", "stopped")
 					return nil
 				},
--- a/shell/disk/disk_test.go
+++ b/shell/disk/disk_test.go
@@ -26,10 +26,7 @@
 
 func open(t *testing.T, dir string) (*Log, uint64, error) {
 	t.Helper()
-	f, err := OpenFolder(dir)
-	if err != nil {
-		t.Fatal(err)
-	}
+	f := past(t, dir)
 	log, disk, err := Open(f)
 	if err != nil {
 		return nil, 0, err
@@ -106,7 +103,7 @@
 		other := t.TempDir()
 		_ = os.WriteFile(filepath.Join(other, filepath.Base(seg)), b, 0o644)
 		for _, when := range []string{"opened", "opened again"} {
-			f, _ := OpenFolder(other)
+			f := past(t, other)
 			_, d, err := Open(f)
 			if err != nil || len(d.Entries) < 5 || len(d.Entries) < 7 && !d.Hard.Unsure {
 				t.Fatalf("byte %d, %s: %v, %d entries, unsure %v", at, when, err, len(d.Entries), d.Hard.Unsure)
@@ -145,7 +142,7 @@
 			b[len(b)-at] ^= 1
 		}
 		_ = os.WriteFile(seg, b, 0o644)
-		f, _ := OpenFolder(dir)
+		f := past(t, dir)
 		_, d, err := Open(f)
 		if err != nil || len(d.Entries) != 5 || d.Hard.Unsure != c.unsure || d.Hard.LostIndex != 0 || d.Hard.Vote != c.vote {
 			t.Errorf("%s: %v, %d entries, %+v", c.name, err, len(d.Entries), d.Hard)
@@ -184,7 +181,7 @@
 	}
 	_ = l.Save(nil, []flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: entries(1, 9)}})
 	_ = l.Save(nil, []flow.Save{{Snapshot: &flow.Snapshot{Index: 6, Term: 1, Conf: json.RawMessage(`{}`), State: json.RawMessage(`{}`)}}, {Add: entries(10, 11)}})
-	f, _ := OpenFolder(dir)
+	f := past(t, dir)
 	_, d, err := Open(f)
 	if err != nil || d.Snapshot.Index != 6 || len(d.Entries) != 5 || d.Entries[0].Index != 7 || d.Hard.Cluster != "c" {
 		t.Fatalf("%v %+v", err, d)
@@ -201,13 +198,13 @@
 // Given a blank folder, when it is opened twice, then it has one identity and
 // a growing incarnation; a log without its identity is damaged.
 func TestIdentity(t *testing.T) {
-	f, _ := OpenFolder(t.TempDir())
+	f := past(t, t.TempDir())
 	a, err := Identify(f, "fresh", 10)
 	b, err2 := Identify(f, "other", 5)
 	if err != nil || err2 != nil || a.ID != "fresh" || b.ID != "fresh" || b.Inc <= a.Inc {
 		t.Fatalf("%+v %+v %v %v", a, b, err, err2)
 	}
-	g, _ := OpenFolder(t.TempDir())
+	g := past(t, t.TempDir())
 	_ = g.Write(segmentName(1), nil)
 	if _, err := Identify(g, "x", 1); !errors.Is(err, ErrCorrupt) {
 		t.Fatalf("a log without an identity: %v", err)
@@ -218,7 +215,7 @@
 // opened, then it is somebody new: the old voter's votes and entries are forgotten,
 // and nobody may count on them. One that never had a log keeps its identity.
 func TestIdentityThatLostItsLog(t *testing.T) {
-	folder, _ := OpenFolder(t.TempDir())
+	folder := past(t, t.TempDir())
 	old, err := Identify(folder, "voter", 10)
 	if err != nil {
 		t.Fatal(err)
@@ -268,7 +265,7 @@
 	}
 	look := func(when string) {
 		t.Helper()
-		f, _ := OpenFolder(dir)
+		f := past(t, dir)
 		_, d, err := Open(f)
 		if err != nil || d.Snapshot == nil || d.Snapshot.Index != 6 || len(d.Entries) != 0 {
 			t.Fatalf("%s: %v: snapshot %v, entries left: %v", when, err, d.Snapshot != nil, d.Entries)
@@ -285,7 +282,7 @@
 // Given items that a killed process put on the blob store unsynced, when the next
 // process makes a snapshot that names them, then it syncs their segment first.
 func TestKilledThenPowerLost(t *testing.T) {
-	fs := &counted{FS: must(OpenFolder(t.TempDir()))}
+	fs := &counted{FS: past(t, t.TempDir())}
 	log, _, err := Open(fs)
 	if err != nil {
 		t.Fatal(err)
@@ -316,13 +313,6 @@
 
 func (c *counted) Sync(n string) error { c.synced = append(c.synced, n); return c.FS.Sync(n) }
 
-func must(f *Folder, err error) *Folder {
-	if err != nil {
-		panic(err)
-	}
-	return f
-}
-
 // Given a log that holds more than a segment since its last snapshot, when more
 // is saved, then what is there already is not written again, and all of it is
 // read back. (Found by a simulated day: each save wrote the whole log anew.)
@@ -426,7 +416,7 @@
 // Given an own snapshot and a leader's later one in one batch, when the first is
 // on disk, then nothing that it names is let go for the second.
 func TestTwoSnapshotsInOneBatch(t *testing.T) {
-	fs := &watched{FS: must(OpenFolder(t.TempDir()))}
+	fs := &watched{FS: past(t, t.TempDir())}
 	log, _, err := Open(fs)
 	if err != nil {
 		t.Fatal(err)
@@ -459,7 +449,7 @@
 	if err := log.Save([]flow.BlobChange{{Put: []flow.Item{textItem(8)}, At: 9}}, nil); err != nil {
 		t.Fatal(err)
 	}
-	if log, _, err = Open(must(OpenFolder(dir))); err != nil {
+	if log, _, err = Open(past(t, dir)); err != nil {
 		t.Fatal(err)
 	}
 	named := map[string][]uint64{"text": {3}}
--- a/shell/disk/earlier_build_test.go
+++ b/shell/disk/earlier_build_test.go
@@ -20,10 +20,10 @@
 	if err := os.CopyFS(dir, os.DirFS("testdata/folder-of-earlier-build")); err != nil {
 		t.Fatal(err)
 	}
-	if report, err := Inspect(&Folder{dir}); err != nil || !report.Whole() {
+	if report, err := Inspect(&Folder{Path: dir}); err != nil || !report.Whole() {
 		t.Fatalf("%v %q", err, report.Findings)
 	}
-	log, found, err := Open(&Folder{dir})
+	log, found, err := Open(&Folder{Path: dir})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/shell/disk/folder.go
+++ b/shell/disk/folder.go
@@ -5,27 +5,70 @@
 	"path/filepath"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
-// Folder is a data folder on a real disk.
-type Folder struct{ Path string }
+// ErrInUse says that another process has the data folder.
+var ErrInUse = errors.New("disk: the data folder is in use by another process")
 
-// OpenFolder makes the folder if need be, durably.
+// Folder is a data folder on a real disk. One that OpenFolder gave is this process's
+// alone until Close; a literal one may only be read.
+type Folder struct {
+	Path string
+	lock *os.File // the folder itself, under an exclusive lock
+}
+
+// OpenFolder makes the folder if need be, durably, and takes it for this process
+// (design 4.6). Nothing in it was read or changed when it fails; the failure is ErrInUse
+// where another process has it.
 func OpenFolder(path string) (*Folder, error) {
 	if err := os.MkdirAll(path, 0o755); err != nil {
 		return nil, errors.Wrap(err, "disk: folder")
 	}
-	folder := &Folder{path}
-	if up, err := os.Open(filepath.Dir(path)); err == nil {
-		err = up.Sync()
-		_ = up.Close()
-		if err != nil {
-			return nil, errors.Wrap(err, "disk: folder")
-		}
+	lock, err := lockFolder(path)
+	if err != nil {
+		return nil, err
+	}
+	folder := &Folder{path, lock}
+	if err := folder.syncParent(); err != nil {
+		_ = folder.Close()
+		return nil, err
 	}
 	return folder, nil
 }
 
+// lockFolder locks the folder itself, so that there is no file that somebody may delete.
+// The kernel lets go of the lock when the process is gone, however it ends, and never
+// while it is only stopped.
+func lockFolder(path string) (*os.File, error) {
+	folder, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "disk: folder")
+	}
+	err = unix.Flock(int(folder.Fd()), unix.LOCK_EX|unix.LOCK_NB)
+	if err == nil {
+		return folder, nil
+	}
+	_ = folder.Close()
+	if errors.Is(err, unix.EWOULDBLOCK) {
+		return nil, errors.Wrap(ErrInUse, path)
+	}
+	return nil, errors.Wrap(err, "disk: lock the folder")
+}
+
+// Close lets another process have the folder.
+func (f *Folder) Close() error { return errors.Wrap(f.lock.Close(), "disk: folder") }
+
+// syncParent makes the folder's own name durable.
+func (f *Folder) syncParent() error {
+	up, err := os.Open(filepath.Dir(f.Path))
+	if err != nil {
+		return nil // a parent that can't be read needs no sync of ours
+	}
+	defer up.Close()
+	return errors.Wrap(up.Sync(), "disk: folder")
+}
+
 func (f *Folder) at(name string) string { return filepath.Join(f.Path, name) }
 
 // List names the files.
--- a/shell/disk/fuzz_test.go
+++ b/shell/disk/fuzz_test.go
@@ -20,10 +20,7 @@
 	f.Add(seg[:len(seg)-3], []byte{}, item[:20])
 	f.Add([]byte("00000000 99999999999 {}\n"), dig[:9], []byte("x"))
 	f.Fuzz(func(t *testing.T, a, b, c []byte) {
-		dir, err := OpenFolder(t.TempDir())
-		if err != nil {
-			t.Fatal(err)
-		}
+		dir := past(t, t.TempDir())
 		_ = dir.Write(segmentName(1), a)
 		if len(b) > 0 {
 			_ = dir.Write(snapshotName(2), b)
@@ -65,10 +62,7 @@
 	f.Add(seg[:len(seg)-3], []byte{}, encodeBlob(3, []byte("abc"))[:20], id)
 	f.Add(append(append([]byte{}, seg...), "00000000 2 {}\n"...), dig, []byte{}, id[:9])
 	f.Fuzz(func(t *testing.T, a, b, c, d []byte) {
-		dir, err := OpenFolder(t.TempDir())
-		if err != nil {
-			t.Fatal(err)
-		}
+		dir := past(t, t.TempDir())
 		for name, x := range map[string][]byte{segmentName(1): a, snapshotName(2): b, blobSegmentName("text", 1): c, "identity": d} {
 			if len(x) > 0 {
 				_ = dir.Write(name, x)
--- a/shell/disk/inspect_test.go
+++ b/shell/disk/inspect_test.go
@@ -20,10 +20,7 @@
 func filled(t *testing.T) string {
 	t.Helper()
 	dir := t.TempDir()
-	f, err := OpenFolder(dir)
-	if err != nil {
-		t.Fatal(err)
-	}
+	f := past(t, dir)
 	if _, err := Identify(f, "me", 7); err != nil {
 		t.Fatal(err)
 	}
@@ -106,7 +103,7 @@
 func TestInspectWhole(t *testing.T) {
 	dir := filled(t)
 	before := content(t, dir)
-	report, err := Inspect(&Folder{dir})
+	report, err := Inspect(&Folder{Path: dir})
 	if err != nil || !report.Whole() {
 		t.Fatalf("%v %q", err, report.Findings)
 	}
@@ -178,7 +175,7 @@
 			dir := filled(t)
 			x.do(t, dir)
 			before := content(t, dir)
-			r, err := Inspect(&Folder{dir})
+			r, err := Inspect(&Folder{Path: dir})
 			if err != nil || r.Whole() != x.whole {
 				t.Errorf("%v %q %q", err, r.Findings, r.Notes)
 			}
@@ -195,11 +192,11 @@
 // Given a folder that is blank or not there, when it is looked at, then neither
 // is taken for whole.
 func TestInspectNothing(t *testing.T) {
-	r, err := Inspect(&Folder{t.TempDir()})
+	r, err := Inspect(&Folder{Path: t.TempDir()})
 	if err != nil || r.Whole() {
 		t.Errorf("blank: %v %+v", err, r)
 	}
-	if _, err := Inspect(&Folder{filepath.Join(t.TempDir(), "none")}); !errors.Is(err, ErrUnreadable) {
+	if _, err := Inspect(&Folder{Path: filepath.Join(t.TempDir(), "none")}); !errors.Is(err, ErrUnreadable) {
 		t.Errorf("absent: %v", err)
 	}
 }
@@ -228,7 +225,7 @@
 	if err := os.WriteFile(filepath.Join(dir, "index.ckpt"), nil, 0o644); err != nil {
 		t.Fatal(err)
 	}
-	r, err := Inspect(&moving{FS: &Folder{dir}, dir: dir})
+	r, err := Inspect(&moving{FS: &Folder{Path: dir}, dir: dir})
 	if err != nil || !r.Whole() || r.Plan != 5 {
 		t.Errorf("%v %+v", err, r)
 	}
@@ -268,11 +265,11 @@
 				t.Fatal(err)
 			}
 		}
-		rep, err := Inspect(&Folder{dir})
+		rep, err := Inspect(&Folder{Path: dir})
 		if err != nil {
 			t.Fatal(err)
 		}
-		folder := &Folder{dir}
+		folder := &Folder{Path: dir}
 		_, idErr := Identify(folder, "fresh", 1)
 		_, disk, openErr := Open(folder)
 		if !rep.Whole() {
