Signals and the log can neither end nor stop a process

Cause: whatever is outside decided on the process's life and on the loop's time: SIGHUP had its default action but while a reload was waited for, a write to a closed pipe raised SIGPIPE, and the loop wrote its notes itself, so a full pipe stopped elections, leases and calls. Class: an effect of the outside that nobody bounded. Ruled out: a handler in OnStart (too late, and gone too early); a larger pipe. A process takes its signals from its first moment to its last and ignores SIGPIPE; lines wait in a bounded ring (zerolog's diode), drops are counted. The same cause elsewhere: what a start says before it ends went straight to standard error, and goes the same way now; a SIGTERM amid the start is heeded after it; fernlink node reads its config again on SIGHUP; a change of the settings between their two reads at a start was missed, and is not any more.

--- a/cmd/fernlink/main.go
+++ b/cmd/fernlink/main.go
@@ -3,16 +3,12 @@
 
 import (
 	"cmp"
-	"context"
 	"fmt"
 	"io"
 	"os"
 	"strings"
-	"time"
 
 	"github.com/integrii/flaggy"
-	"go.uber.org/dig"
-	"go.uber.org/fx"
 
 	"fernlink/config"
 	"fernlink/core/ledger"
@@ -51,7 +47,7 @@
 		}
 	}
 	flaggy.ShowHelp("")
-	os.Exit(2)
+	os.Exit(exitUsage)
 }
 
 type nodeFlags struct {
@@ -89,56 +85,28 @@
 			flags[k] = strings.Split(v, ",")
 		}
 	}
+	process := newProcess()
+	defer process.Log.Close()
 	settings, bad, err := config.Read(n.file, flags)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "fernlink:", err)
-		return 2
+		fmt.Fprintln(process.Log, "fernlink:", err)
+		return exitUsage
 	}
 	if len(bad) > 0 {
-		tell(bad)
-		return 2
+		tell(process.Log, bad)
+		return exitUsage
 	}
-	return start(settings, daemon.Platform{}, n.profile, os.Stderr)
-}
-
-// start runs one node until it is told to stop.
-func start(settings config.Config, platform daemon.Platform, dir string, failures io.Writer) (code int) {
-	measured, err := profile(dir, cmp.Or(settings.Name, settings.Addr))
-	if err != nil {
-		fmt.Fprintln(failures, "fernlink:", err)
-		return 1
-	}
-	defer func() {
-		if err := measured(); err != nil {
-			fmt.Fprintln(failures, "fernlink:", err)
-			code = max(code, 1)
-		}
-	}()
-	app := fx.New(fx.NopLogger, daemon.Module(settings, platform), fx.StopTimeout(75*time.Second))
-	if err := app.Err(); err != nil {
-		fmt.Fprintln(failures, "fernlink:", dig.RootCause(err))
-		return 1
-	}
-	if err := app.Start(context.Background()); err != nil {
-		fmt.Fprintln(failures, "fernlink:", err)
-		return 1
+	if n.file != "" {
+		process.Seeds = changedSeeds(settings.Seeds, func() ([]string, bool) {
+			read, bad, err := config.Read(n.file, flags)
+			return read.Seeds, err == nil && len(bad) == 0
+		})
 	}
-	sig := <-app.Wait()
-	ctx, quit := context.WithTimeout(context.Background(), 70*time.Second)
-	defer quit()
-	if err := app.Stop(ctx); err != nil {
-		fmt.Fprintln(failures, "fernlink:", err)
-		return 1
-	}
-	return sig.ExitCode
+	return start(settings, daemon.Platform{}, process, n.profile)
 }
 
-func tell(bad []ledger.Fault) {
+func tell(failures io.Writer, bad []ledger.Fault) {
 	for _, f := range bad {
-		at := f.At
-		if at == "" {
-			at = "/"
-		}
-		fmt.Fprintf(os.Stderr, "fernlink: config %s: %s\n", at, f.Text)
+		fmt.Fprintf(failures, "fernlink: config %s: %s\n", cmp.Or(f.At, "/"), f.Text)
 	}
 }
--- a/cmd/fernlink/serve.go
+++ b/cmd/fernlink/serve.go
@@ -59,24 +59,31 @@
 	if v.settings == "" {
 		v.settings = os.Getenv(platform.SettingsEnv)
 	}
-	settings, ok := v.read(os.Stderr)
+	process := newProcess()
+	defer process.Log.Close()
+	settings, ok := v.read(process.Log)
 	if !ok {
-		return 2
+		return exitUsage
 	}
 	if settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.MemoryMB<<20) * memoryPart))
 	}
 	debug.SetGCPercent(gcPercent)
 	codec := platform.Codec(settings.Platform)
-	last, _ := os.ReadFile(v.settings)
-	seeds := func() ([]string, bool) {
-		b, changed := platform.Changed(v.settings, last)
+	process.Seeds = v.seeds(settings.Seeds)
+	return start(settings, daemon.Platform{Codec: &codec, Listeners: platform.Listeners(settings)}, process, v.profile)
+}
+
+// seeds reads the settings file again where it has changed since it was read last.
+func (v *serveFlags) seeds(known []string) daemon.SeedReader {
+	var last []byte
+	return changedSeeds(known, func() ([]string, bool) {
+		raw, changed := platform.Changed(v.settings, last)
 		if !changed {
 			return nil, false
 		}
-		last = b
-		q, bad, err := platform.Settings(v.settings)
-		return q.Seeds, err == nil && len(bad) == 0 && len(q.Seeds) > 0
-	}
-	return start(settings, daemon.Platform{Codec: &codec, Listeners: platform.Listeners(settings), Seeds: seeds}, v.profile, os.Stderr)
+		last = raw
+		settings, bad, err := platform.Settings(v.settings)
+		return settings.Seeds, err == nil && len(bad) == 0
+	})
 }
--- a/cmd/fernlink/serve_test.go
+++ b/cmd/fernlink/serve_test.go
@@ -10,8 +10,10 @@
 	"testing"
 
 	"fernlink/cmd/fernlink/timeline"
+	"fernlink/config"
 	"fernlink/platform"
 	"fernlink/shell/daemon"
+	"fernlink/shell/logging"
 )
 
 // free gives so many ports that were free a moment ago, one after the other.
@@ -115,6 +117,13 @@
 	}
 }
 
+// startLogged starts a node whose log goes to a buffer.
+func startLogged(settings config.Config, platform daemon.Platform, log *bytes.Buffer) int {
+	process := daemon.Process{Log: logging.Open(log)}
+	defer process.Log.Close()
+	return start(settings, platform, process, "")
+}
+
 // Given a port that is taken and a data folder that can't be made, when a node
 // is to start, then it ends with 1 and says which.
 func TestServeThatCanNotStart(t *testing.T) {
@@ -135,7 +144,7 @@
 		}
 		p.LogLevel = "error"
 		codec := platform.Codec(p.Platform)
-		if code := start(p, daemon.Platform{Codec: &codec, Listeners: platform.Listeners(p)}, "", &buffer); code != 1 || !strings.Contains(buffer.String(), want) {
+		if code := startLogged(p, daemon.Platform{Codec: &codec, Listeners: platform.Listeners(p)}, &buffer); code != 1 || !strings.Contains(buffer.String(), want) {
 			t.Errorf("%s: %d %q", change, code, buffer.String())
 		}
 	}
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -147,6 +147,8 @@
 	Stop  bool     // an operator wants this process to end (design 5.5)
 	Full  bool     // a batch is tried again: the disk has no room
 	Seeds []string // the settings name these seeds from now on
+
+	Unlogged int64 // log lines that were dropped since the last of these
 }
 
 // Level is how much a note matters; the usual is Info.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -402,6 +402,9 @@
 	if e.Call != nil {
 		n.call(now, *e.Call, out)
 	}
+	if e.Unlogged > 0 {
+		n.counts["unlogged_lines"] += e.Unlogged
+	}
 	if e.Stray != "" {
 		n.counts["closed_connections"]++
 	}
--- a/shell/daemon/daemon.go
+++ b/shell/daemon/daemon.go
@@ -10,7 +10,6 @@
 	"encoding/binary"
 	"encoding/hex"
 	"net"
-	"os"
 	"slices"
 	"time"
 
@@ -32,6 +31,7 @@
 	"fernlink/shell/clock"
 	"fernlink/shell/disk"
 	"fernlink/shell/link"
+	"fernlink/shell/logging"
 	"fernlink/shell/outcall"
 	"fernlink/shell/run"
 	"fernlink/shell/web"
@@ -135,7 +135,13 @@
 type Platform struct {
 	Codec     *dialect.Codec
 	Listeners []listener.Listener
-	Seeds     func() ([]string, bool) // the settings' seeds, where they changed since the last call
+}
+
+// Process is what a node has of its process.
+type Process struct {
+	Signals Signals
+	Log     *logging.Sink
+	Seeds   SeedReader // nil where the settings can't be read again
 }
 
 // carries gives the width of the link and the size of the disk by which the store
@@ -177,10 +183,10 @@
 	})
 }
 
-func makeLoop(settings config.Config, folder Folder, platform Platform, core *node.Node, logger log.Logger) (*run.Loop, error) {
+func makeLoop(settings config.Config, folder Folder, platform Platform, process Process, core *node.Node, logger log.Logger) (*run.Loop, error) {
 	loop := run.New(logger)
 	loop.Node, loop.Log, loop.FS = core, folder.Log, folder.FS
-	loop.Least = run.Levels[settings.LogLevel]
+	loop.Least, loop.Unlogged = run.Levels[settings.LogLevel], process.Log.Dropped
 	var err error
 	if loop.Link, err = link.Open(peerAddress(settings), logger, loop.Offer); err != nil {
 		return nil, err
@@ -194,17 +200,17 @@
 }
 
 // Module is the daemon.
-func Module(settings config.Config, platform Platform) fx.Option {
+func Module(settings config.Config, platform Platform, process Process) fx.Option {
 	return fx.Module("fernlink",
-		fx.Supply(settings, platform),
-		fx.Provide(func() log.Logger { return run.Logger(os.Stderr, settings.LogLevel) }, openFolder, makeNode, makeLoop),
+		fx.Supply(settings, platform, process),
+		fx.Provide(func() log.Logger { return logging.New(process.Log, settings.LogLevel) }, openFolder, makeNode, makeLoop),
 		fx.Invoke(func(life fx.Lifecycle, quit fx.Shutdowner, folder Folder, loop *run.Loop, logger log.Logger) {
 			watch, end := context.WithCancel(context.Background())
 			life.Append(fx.Hook{
 				OnStart: func(context.Context) error {
 					loop.Start()
-					if platform.Seeds != nil {
-						go reload(watch, platform.Seeds, loop, logger)
+					if process.Seeds != nil {
+						go reload(watch, process.Seeds, process.Signals.Reload, loop, logger)
 					}
 					go func() {
 						if err, ok := <-loop.Halted; ok {
--- a/shell/run/run.go
+++ b/shell/run/run.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"io"
 	"slices"
 	"time"
 
@@ -34,6 +33,8 @@
 	Logger log.Logger
 	Least  flow.Level // notes below it are not written
 
+	Unlogged func() int64 // counts the log lines that were dropped; nil where none are
+
 	events   *queue
 	Link     *link.Link
 	Web      *web.Web
@@ -41,6 +42,7 @@
 	quit     chan struct{}
 	done     chan struct{}
 	Halted   chan error
+	unlogged int64         // lines dropped, as the node was last told
 	known    gossip.Known  // as it was last written
 	nextWork diskWork      // gathers while the disk's goroutine is busy
 	work     chan diskWork // unbuffered: the disk's goroutine takes one when it is free
@@ -182,6 +184,7 @@
 
 // advance gives the node its events and carries out what it wants.
 func (l *Loop) advance(events []flow.Event) error {
+	events = l.countUnlogged(events)
 	outbox := l.Node.Advance(clock.Now(), clock.Wall(), events)
 	if len(outbox.Save)+len(outbox.Blobs)+len(outbox.Fetch) > 0 && l.Log == nil {
 		return errors.New("run: a store without a data folder")
@@ -217,6 +220,20 @@
 	return nil
 }
 
+// countUnlogged tells the node of log lines that were dropped since its last turn.
+func (l *Loop) countUnlogged(events []flow.Event) []flow.Event {
+	if l.Unlogged == nil {
+		return events
+	}
+	lost := l.Unlogged()
+	if lost == l.unlogged {
+		return events
+	}
+	events = append(events, flow.Event{Unlogged: lost - l.unlogged})
+	l.unlogged = lost
+	return events
+}
+
 // keepKnown keeps the cluster's id and stores for the next start.
 func (l *Loop) keepKnown() {
 	known := l.Node.Known()
@@ -271,10 +288,3 @@
 
 // Levels are the names of the log's levels.
 var Levels = map[string]flow.Level{"debug": flow.Debug, "info": flow.Info, "warn": flow.Warn, "error": flow.Error}
-
-// Logger is the process's one log: lines below the named level are not written;
-// "" is info.
-func Logger(to io.Writer, least string) log.Logger {
-	all := log.With(log.NewLogfmtLogger(log.NewSyncWriter(to)), "ts", log.DefaultTimestampUTC)
-	return level.NewFilter(all, level.Allow(level.ParseDefault(least, level.InfoValue())))
-}
--- a/shell/run/run_test.go
+++ b/shell/run/run_test.go
@@ -10,9 +10,11 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"fernlink/core/flow"
+	"fernlink/shell/logging"
 	"fernlink/shell/web"
 )
 
@@ -21,7 +23,7 @@
 func TestOneLevelForAll(t *testing.T) {
 	for name, want := range map[string]string{"": "info warn error", "debug": "debug info warn error", "info": "info warn error", "warn": "warn error", "error": "error"} {
 		var buffer bytes.Buffer
-		l := New(Logger(&buffer, name))
+		l := New(logging.New(&buffer, name))
 		l.Least = Levels[name]
 		var out flow.Outbox
 		for _, v := range []flow.Level{flow.Debug, flow.Info, flow.Warn, flow.Error} {
@@ -48,7 +50,7 @@
 // them at once and operators are not, and a plan that says nothing brings the
 // usual ones back.
 func TestLimitsReachTheFrontListener(t *testing.T) {
-	loop := New(Logger(io.Discard, "error"))
+	loop := New(logging.New(io.Discard, "error"))
 	var err error
 	loop.Web, err = web.OpenListeners(web.Options{Addr: "127.0.0.1:0", Listeners: []web.Listener{{Addr: "127.0.0.1:0", Rest: "request"}, {Addr: "127.0.0.1:0", Routes: []web.Route{{Verb: "PUT", Path: "/config", Name: "plan.put"}}}}, In: loop.Offer})
 	if err != nil {
@@ -107,7 +109,7 @@
 func BenchmarkNotes(b *testing.B) {
 	for _, name := range []string{"info", "debug"} {
 		b.Run(name, func(b *testing.B) {
-			loop := New(Logger(io.Discard, name))
+			loop := New(logging.New(io.Discard, name))
 			loop.Least = Levels[name]
 			var out flow.Outbox
 			for range 4 {
@@ -120,3 +122,28 @@
 		})
 	}
 }
+
+// Given log lines that were dropped, when the loop takes a turn, then the node counts
+// them, each once.
+func TestDroppedLinesAreCounted(t *testing.T) {
+	loop := New(log.NewNopLogger())
+	dropped := int64(0)
+	loop.Unlogged = func() int64 { return dropped }
+	count := func() int64 {
+		total := int64(0)
+		for _, event := range loop.countUnlogged(nil) {
+			total += event.Unlogged
+		}
+		return total
+	}
+	if got := count(); got != 0 {
+		t.Errorf("counted %d of none", got)
+	}
+	dropped = 5
+	if got := count(); got != 5 {
+		t.Errorf("counted %d of 5", got)
+	}
+	if got := count(); got != 0 {
+		t.Errorf("counted %d again", got)
+	}
+}
