--- a/core/serve/world_test.go
+++ b/core/serve/world_test.go
@@ -284,3 +284,10 @@
 		w.t.Fatalf(text, args...)
 	}
 }
+
+// gone has the caller of a call go away.
+func (w *world) gone(call uint64) {
+	var out flow.Outbox
+	w.s.Gone(w.now, call, &out)
+	w.take(&out)
+}
--- a/rig/site/trouble.go
+++ b/rig/site/trouble.go
@@ -56,9 +56,16 @@
 	}
 }
 
-// stopMachine sends SIGTERM, at times twice or with a SIGHUP right before or after it.
+// stopMachine stops machines one after the other.
 func stopMachine(s *soak, random *rand.Rand, length time.Duration) {
-	m := s.machine(random)
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		s.stopOne(s.machine(random), random)
+	}
+}
+
+// stopOne sends SIGTERM, at times twice or with a SIGHUP right before or after it, and
+// starts the machine again.
+func (s *soak) stopOne(m *machine, random *rand.Rand) {
 	p := m.current()
 	variant := random.Intn(4)
 	s.note("stop %s, variant %d", m.name, variant)
@@ -109,17 +116,20 @@
 	}
 }
 
-// restartMachine kills a process and starts it again, or starts a second one beside it.
+// restartMachine restarts machines one after the other: a process is killed and started
+// again, or a second one is started beside it.
 func restartMachine(s *soak, random *rand.Rand, length time.Duration) {
-	m := s.machine(random)
-	if random.Intn(3) == 0 {
-		s.secondStart(m, random)
-		return
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		m := s.machine(random)
+		if random.Intn(3) == 0 {
+			s.secondStart(m, random)
+			continue
+		}
+		s.note("restart %s", m.name)
+		s.kill(m)
+		time.Sleep(time.Duration(random.Int63n(int64(length))))
+		s.again(m)
 	}
-	s.note("restart %s", m.name)
-	s.kill(m)
-	time.Sleep(time.Duration(random.Int63n(int64(length))))
-	s.again(m)
 }
 
 // secondStart starts a machine's program while its process is still there, with the same
