Requests: what may run again ends at its engines when its caller leaves

Cause: only streams were ended, so that their outcome is recorded; that holds for requests that run once alone. Class: work that nobody waits for. The same cause elsewhere: core/disp cuts what may run again already; reads of lots end with their reader.

--- a/core/serve/requests/requests.go
+++ b/core/serve/requests/requests.go
@@ -411,8 +411,8 @@
 	t.env.Answer(q.call.ID, env.NoEngineInTime)
 }
 
-// Gone hears that a caller went away. What is held is never sent; a stream is
-// ended, and a plain request is seen to its end by its engine.
+// Gone hears that a caller went away. What is held is never sent. What may run again, or
+// streams, is ended at its engines; what may run once is seen to its end.
 func (t *Table) Gone(call uint64) {
 	q := t.rows[call]
 	if q == nil {
@@ -422,7 +422,7 @@
 	if t.env.Debug {
 		t.trace(q, "caller gone")
 	}
-	if q.stream != nil {
+	if q.stream != nil || q.repeats() {
 		t.cutAll(q)
 	}
 }
