Finding, by a test that fails: slow clients take all descriptors

TestSlowClientsLeaveRoom: with 160 descriptors and 400 clients at each listener that send nothing, half a header or half a body, /status does not answer within 2 s.

--- a/cmd/fernlink/process_test.go
+++ b/cmd/fernlink/process_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -21,8 +23,16 @@
 // asProgram makes a child of the test binary run as the program itself.
 const asProgram = "FERNLINK_TEST_AS_PROGRAM"
 
+// fewFiles bounds the descriptors of such a child.
+const fewFiles = "FERNLINK_TEST_FILES"
+
 func TestMain(m *testing.M) {
 	if os.Getenv(asProgram) != "" {
+		if files, err := strconv.ParseUint(os.Getenv(fewFiles), 10, 64); err == nil {
+			if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: files, Max: files}); err != nil {
+				panic(err)
+			}
+		}
 		main()
 		return
 	}
@@ -252,3 +262,59 @@
 		})
 	}
 }
+
+// Descriptors of a process, and clients that each hold one.
+const (
+	filesOfProcess = 160
+	slowClients    = 400
+)
+
+// Given clients that hold more connections than a process has descriptors, each with half
+// a header, half a body or nothing sent, when operators and clients ask, then they are
+// answered within a second or two, and the process goes on.
+func TestSlowClientsLeaveRoom(t *testing.T) {
+	for name, half := range map[string]string{
+		"nothing":       "",
+		"half a header": "POST /a/x HTTP/1.1\r\nHost: h\r\n",
+		"half a body":   "POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nhalf",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Setenv(fewFiles, strconv.Itoa(filesOfProcess))
+			file := settings(t)
+			where, _, err := platform.Settings(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			running := program(t, nil, "serve", "--settings", file)
+			running.answers("http://" + where.Web + "/healthz")
+			for _, address := range []string{where.Front, where.Control, where.Web} {
+				hold(t, address, half)
+			}
+			for range 10 {
+				running.refused("http://" + where.Web + "/status")
+				running.refused("http://" + where.Control + "/config")
+				running.refused("http://" + where.Front + "/nothing")
+			}
+			if err := running.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			if code := running.code(); code != 0 {
+				t.Errorf("ended with %d (%s): %s", code, running.cmd.ProcessState, running.output.String())
+			}
+		})
+	}
+}
+
+// hold opens connections that send half of something, and keeps them until the test ends.
+func hold(t *testing.T, address, half string) {
+	t.Helper()
+	dialer := net.Dialer{Timeout: time.Second}
+	for range slowClients {
+		conn, err := dialer.Dial("tcp", address)
+		if err != nil {
+			continue // turned away: that is the process's right
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		_, _ = io.WriteString(conn, half)
+	}
+}
--- a/rig/site/process.go
+++ b/rig/site/process.go
@@ -21,6 +21,19 @@
 	expected atomic.Bool   // its end was asked for
 	killed   atomic.Bool   // ... without grace
 	ended    chan struct{} // closed once it is over
+	began    time.Time
+}
+
+// startupTime is how long a program may take until it has taken its signals; before that
+// one ends it, as it does any program.
+const startupTime = 500 * time.Millisecond
+
+// endedInOrder says whether a process that was asked to stop ended as it should.
+func (p *process) endedInOrder(lived time.Duration) bool {
+	state := p.cmd.ProcessState
+	status, _ := state.Sys().(syscall.WaitStatus)
+	early := lived < startupTime && status.Signaled() && (status.Signal() == syscall.SIGTERM || status.Signal() == syscall.SIGHUP)
+	return state.Success() || early || p.killed.Load()
 }
 
 // spawn starts a program whose output goes through a pipe into a file.
@@ -45,7 +58,7 @@
 		_, _ = input.Close(), file.Close()
 		return nil, errors.Wrap(err, "site: start "+filepath.Base(logFile))
 	}
-	started := &process{cmd: cmd, log: &logReader{input: input, file: file}, ended: make(chan struct{})}
+	started := &process{cmd: cmd, log: &logReader{input: input, file: file}, ended: make(chan struct{}), began: time.Now()}
 	go started.log.copy()
 	go func() {
 		_ = cmd.Wait()
