Web: each listener has a share of the descriptors

Cause: listeners took all connections that came, so clients that send half of something left none for operators, peers, files; the HTTP server read on without a bound for a body that nobody wanted, and a stop waited for it up to 70 s; its own messages went straight to standard error. Class: an effect of the outside that nobody bounded. Ruled out: a backlog that fills (callers hang); shorter time limits (design 10.7).

--- /dev/null
+++ b/shell/web/connections_test.go
@@ -0,0 +1,106 @@
+package web
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"fernlink/core/flow"
+)
+
+// fewFiles leaves each listener its least: answerLeast connections.
+const fewFiles = 16
+
+// narrow is a server with room for few connections, whose calls are answered by the test.
+func narrow(t *testing.T) *testServer {
+	t.Helper()
+	return openedWith(t, Options{Files: fewFiles}, Listener{Rest: "rest"}, nil)
+}
+
+const whole = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// Given a listener that is full of clients that keep it waiting, each in another way, and
+// of one whose request is being answered, when another comes, then the one that has kept
+// it waiting the longest goes, and the request is answered to its end.
+func TestTheLongestWaitingMakesRoom(t *testing.T) {
+	for name, half := range map[string]string{"nothing": "", "half a header": "GET / HT", "half a body": "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf"} {
+		t.Run(name, func(t *testing.T) {
+			server := narrow(t)
+			served := server.dial()
+			_, _ = io.WriteString(served, whole)
+			first := <-server.calls
+			var waiting []*line
+			for range answerLeast - 1 {
+				c := server.dial()
+				_, _ = io.WriteString(c, half)
+				waiting = append(waiting, c)
+				server.until(t, len(waiting)+1)
+			}
+			late := server.dial()
+			_, _ = io.WriteString(late, whole)
+			ok(server.Web, <-server.calls)
+			if response, _, err := late.answer(); err != nil || response.StatusCode != 200 {
+				t.Errorf("the late one got %v, %v", response, err)
+			}
+			ended(t, waiting[0])
+			ok(server.Web, first)
+			if response, _, err := served.answer(); err != nil || response.StatusCode != 200 {
+				t.Errorf("the one that was being answered got %v, %v", response, err)
+			}
+		})
+	}
+}
+
+// Given a listener whose connections are all being answered, when another comes, then
+// that is turned away, and nothing of it is passed on.
+func TestNobodyMakesRoomWhileAnswered(t *testing.T) {
+	server := narrow(t)
+	var calls []flow.Call
+	for range answerLeast {
+		_, _ = io.WriteString(server.dial(), whole)
+		calls = append(calls, <-server.calls)
+	}
+	late := server.dial()
+	_, _ = io.WriteString(late, whole)
+	ended(t, late)
+	for _, call := range calls {
+		ok(server.Web, call)
+	}
+	select {
+	case call := <-server.calls:
+		t.Errorf("passed on: %+v", call)
+	default:
+	}
+}
+
+// ended waits until the server has ended a connection.
+func ended(t *testing.T, c *line) {
+	t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	text, err := io.ReadAll(c)
+	if err != nil && strings.Contains(err.Error(), "timeout") {
+		t.Errorf("it stays open")
+	}
+	if bytes.Contains(text, []byte("200 OK")) {
+		t.Errorf("it was answered: %q", text)
+	}
+}
+
+// until waits until so many connections are known to the listener.
+func (h *testServer) until(t *testing.T, connections int) {
+	t.Helper()
+	end := time.After(5 * time.Second)
+	table := h.connections[1]
+	for known := 0; known < connections; {
+		select {
+		case <-end:
+			t.Fatalf("%d of %d connections", known, connections)
+		default:
+		}
+		table.mu.Lock()
+		known = len(table.open)
+		table.mu.Unlock()
+	}
+}
--- a/shell/web/limits.go
+++ b/shell/web/limits.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"fernlink/shell/clock"
 )
 
 // BodyMost is the largest request in bytes, where nothing else is said.
@@ -73,10 +75,31 @@
 	}
 }
 
+// waitForRest bounds how long the server reads on for the rest of a body that nobody
+// wanted, once its request is answered.
+func waitForRest(req *http.Request, l *limits) {
+	c, ok := req.Context().Value(connKey{}).(*conn)
+	if !ok || req.ContentLength == 0 || c.bodyRead {
+		return
+	}
+	c.bound(l.Load().Header)
+	c.move(receiving, busy)
+}
+
+// wasEvicted says that a request's connection was ended before the request had come whole.
+func wasEvicted(req *http.Request) bool {
+	c, ok := req.Context().Value(connKey{}).(*conn)
+	return ok && c.at.Load() == evicted
+}
+
 // guard holds requests against the limit of headers, and says when the
 // connection ends with the answer.
 func (w *Web) guard(next http.Handler, l *limits) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+		if wasEvicted(req) {
+			panic(http.ErrAbortHandler) // its connection is closed: nothing of it is passed on
+		}
+		defer waitForRest(req, l)
 		head := rw.Header()
 		head["Date"] = nil
 		if w.ending.Load() || mayHide(req) {
@@ -135,6 +158,12 @@
 		return nil, nil
 	}
 	controller := http.NewResponseController(rw)
+	c, ok := req.Context().Value(connKey{}).(*conn)
+	if ok {
+		c.bodyRead = true
+		c.move(receiving, busy)
+		defer c.move(busy, receiving)
+	}
 	body, err := read(&patient{req.Body, controller, l.Idle}, req.ContentLength, int64(l.BodyBytes))
 	if err == errLarge && req.Header.Get("Expect") == "" { // one that waits for 100 Continue has not sent it
 		_ = controller.SetReadDeadline(time.Now().Add(drainWait))
@@ -180,30 +209,42 @@
 	return p.in.Read(b)
 }
 
-// limitedListener gives connections that know the limits.
+// limitedListener gives connections that know the limits, and no more than there is
+// room for.
 type limitedListener struct {
 	net.Listener
 	limits *limits
+	open   *connections
 }
 
 func (l *limitedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return c, nil
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := c.(*net.TCPConn)
+		if !ok {
+			return c, nil
+		}
+		bounded := &conn{TCPConn: tcp, limits: l.limits, table: l.open}
+		bounded.since.Store(int64(clock.Now()))
+		if l.open.admit(bounded) {
+			return bounded, nil
+		}
+		_ = tcp.Close()
 	}
-	return &conn{TCPConn: tcp, limits: l.limits}, nil
 }
 
 // The states of a connection: its next header is being read, a request is being
-// answered, or nothing was heard since the last answer.
+// answered, its body is being read, nothing was heard since the last answer, or it was
+// ended for want of room.
 const (
 	reading int32 = iota
 	busy
+	receiving
 	idle
+	evicted
 )
 
 // conn bounds how long its client may be silent. The server's own limits of time
@@ -211,10 +252,13 @@
 // deadline away, the one of the connection's state is set in its place.
 type conn struct {
 	*net.TCPConn
-	limits *limits
-	at     atomic.Int32
-	first  bool   // nothing of the next request was read
-	head   string // of a request with chunks, where its first read brought it whole
+	limits   *limits
+	table    *connections
+	at       atomic.Int32
+	since    atomic.Int64 // when its state changed, on the process's clock
+	first    bool         // nothing of the next request was read
+	bodyRead bool         // the newest request's body was read, to its end or a fault
+	head     string       // of a request with chunks, where its first read brought it whole
 }
 
 // state follows what the server knows of a connection.
@@ -225,15 +269,16 @@
 	}
 	switch s {
 	case http.StateNew:
-		bounded.at.Store(reading)
 		bounded.first = true
 		bounded.bound(bounded.limits.Load().Header)
 	case http.StateActive:
-		bounded.at.Store(busy)
+		bounded.move(busy, reading, idle)
 		_ = bounded.TCPConn.SetReadDeadline(time.Time{})
 	case http.StateIdle:
-		bounded.first, bounded.head = true, ""
-		bounded.at.Store(idle) // the server takes its deadline away next
+		bounded.first, bounded.bodyRead, bounded.head = true, false, ""
+		bounded.move(idle, busy, receiving) // the server takes its deadline away next
+	case http.StateClosed, http.StateHijacked:
+		bounded.table.remove(bounded)
 	}
 }
 
@@ -257,7 +302,7 @@
 // Read begins the time of a header with its first byte.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
-	if n > 0 && c.at.CompareAndSwap(idle, reading) {
+	if n > 0 && c.move(reading, idle) {
 		c.bound(c.limits.Load().Header)
 	}
 	if n > 0 && c.at.Load() == reading && c.first {
--- a/shell/web/listener_test.go
+++ b/shell/web/listener_test.go
@@ -27,11 +27,17 @@
 }
 
 func opened(t *testing.T, d Listener, core func(*Web, flow.Call)) *testServer {
+	t.Helper()
+	return openedWith(t, Options{}, d, core)
+}
+
+func openedWith(t *testing.T, options Options, d Listener, core func(*Web, flow.Call)) *testServer {
 	t.Helper()
 	h := &testServer{t: t, calls: make(chan flow.Call, 64), gone: make(chan uint64, 64)}
 	ready := make(chan bool)
 	d.Addr = "127.0.0.1:0"
-	web, err := OpenListeners(Options{Addr: "127.0.0.1:0", Listeners: []Listener{d}, In: func(event flow.Event) bool {
+	options.Addr, options.Listeners = "127.0.0.1:0", []Listener{d}
+	options.In = func(event flow.Event) bool {
 		<-ready
 		if event.Call != nil {
 			h.calls <- *event.Call
@@ -43,7 +49,8 @@
 			h.gone <- event.Gone
 		}
 		return true
-	}})
+	}
+	web, err := OpenListeners(options)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/shell/web/serve.go
+++ b/shell/web/serve.go
@@ -41,6 +41,9 @@
 		problem(rw, 400, "the request broke off", "Connection", "close")
 		return
 	}
+	if wasEvicted(req) {
+		panic(http.ErrAbortHandler)
+	}
 	defer w.bodies.hold(len(body))()
 	request := callOf(req, route.Name, vars, body)
 	id := w.ids.Add(1)
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	stdlog "log"
 	"net"
 	"net/http"
 	"sync"
@@ -13,7 +14,8 @@
 	"time"
 
 	"github.com/go-json-experiment/json/v1"
-
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
 	"fernlink/core/flow"
@@ -37,6 +39,8 @@
 	Addr      string
 	In        func(flow.Event) bool
 	Listeners []Listener
+	Files     int        // descriptors of the process, 0 for what the system lets it have
+	Logger    log.Logger // of what the HTTP server has to say; nil for nobody
 }
 
 // Listener and Route describe one more address at which a node takes requests.
@@ -58,6 +62,8 @@
 	open    map[uint64]*call
 	servers []*http.Server
 	sockets []net.Listener
+
+	connections []*connections // of each listener
 }
 
 // limits are those in force at some listeners.
@@ -110,14 +116,18 @@
 	web := &Web{In: options.In, open: map[uint64]*call{}}
 	web.limits.Store(&Usual)
 	web.usual.Store(&Usual)
+	files, err := filesOf(options.Files)
+	if err != nil {
+		return nil, err
+	}
 	admin := side{WatchMost, &web.usual}
-	sites := []site{{options.Addr, admin, web.admin(admin)}}
+	sites := []site{{options.Addr, admin, web.admin(admin), connectionsMost(files, false)}}
 	for _, listener := range options.Listeners {
 		shared := side{StreamMost, &web.usual}
 		if listener.Rest != "" {
 			shared.limits = &web.limits
 		}
-		sites = append(sites, site{listener.Addr, shared, web.listener(listener, shared)})
+		sites = append(sites, site{listener.Addr, shared, web.listener(listener, shared), connectionsMost(files, listener.Rest != "")})
 	}
 	for _, site := range sites {
 		socket, err := net.Listen("tcp", site.addr)
@@ -130,7 +140,7 @@
 		web.sockets = append(web.sockets, socket)
 	}
 	for i, socket := range web.sockets {
-		web.start(sites[i], socket)
+		web.start(sites[i], socket, options.Logger)
 	}
 	return web, nil
 }
@@ -140,16 +150,22 @@
 	addr    string
 	shared  side
 	handler http.Handler
+	most    int // connections
 }
 
 // start serves one address in a goroutine of its own.
-func (w *Web) start(site site, socket net.Listener) {
+func (w *Web) start(site site, socket net.Listener, logger log.Logger) {
 	server := &http.Server{
 		Handler: w.guard(site.handler, site.shared.limits), MaxHeaderBytes: headerMost,
 		ConnState: state, ConnContext: withConn, DisableGeneralOptionsHandler: true,
 	}
+	if logger != nil {
+		server.ErrorLog = stdlog.New(log.NewStdlibAdapter(log.With(level.Warn(logger), "part", "web")), "", 0)
+	}
 	w.servers = append(w.servers, server)
-	go func() { _ = server.Serve(&limitedListener{socket, site.shared.limits}) }()
+	open := &connections{most: site.most, open: map[*conn]struct{}{}}
+	w.connections = append(w.connections, open)
+	go func() { _ = server.Serve(&limitedListener{socket, site.shared.limits, open}) }()
 }
 
 // Addr is where the administration API listens (0) or a listener (1 and on, in the
@@ -161,8 +177,17 @@
 // request may be on its way there.
 func (w *Web) Drain() { w.ending.Store(true) }
 
-// Close stops taking requests and gives open ones a moment to end.
+// closeMost is how long answers that are under way at the end may take to be read.
+const closeMost = 2 * time.Second
+
+// Close stops taking requests and gives open ones a moment to end. A client that keeps
+// the server waiting is not waited for.
 func (w *Web) Close(ctx context.Context) {
+	ctx, quit := context.WithTimeout(ctx, closeMost)
+	defer quit()
+	for _, open := range w.connections {
+		open.endWaiting()
+	}
 	var wg sync.WaitGroup
 	for _, server := range w.servers {
 		wg.Add(1)
