--- a/cmd/fernlink/process_test.go
+++ b/cmd/fernlink/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -318,3 +320,75 @@
 		_, _ = io.WriteString(conn, half)
 	}
 }
+
+// Given settings that are being written while a process starts, so that its first look
+// finds them cut off, when they are whole a moment later, then it starts by the whole
+// ones; settings that stay wrong are told, and it ends with 2.
+func TestSettingsThatAreWrittenAtAStart(t *testing.T) {
+	raw, err := os.ReadFile(settings(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.SplitAfter(string(raw), "\n")
+	slices.SortFunc(lines, func(a, b string) int { // what a node can do without comes last
+		return cmp.Compare(strings.Count(a, "DataDir")-strings.Count(b, "DataDir"), 0)
+	})
+	text := strings.Join(lines, "")
+	withoutFolder := strings.Index(text, "DataDir")
+	for name, cut := range map[string]int{"in the middle": len(text) / 2, "nothing yet": 0, "amid the last line": withoutFolder + 4} {
+		t.Run(name, func(t *testing.T) {
+			file := settingsFile(t, text[:cut])
+			looked := whenRead(t, file)
+			running := program(t, nil, "serve", "--settings", file, "--log-level", "info")
+			select {
+			case <-looked:
+			case <-time.After(patience):
+				t.Fatalf("it never looked: %s", running.output.String())
+			}
+			if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			where, _, err := platform.Settings(settingsFile(t, text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			running.answers("http://" + where.Web + "/healthz")
+			if _, err := os.Stat(where.Data); err != nil {
+				t.Errorf("it started without its folder: %v", err)
+			}
+		})
+	}
+	wrong := program(t, nil, "serve", "--settings", settingsFile(t, text[:len(text)/2]))
+	if code := wrong.code(); code != exitUsage || !strings.Contains(wrong.output.String(), "is missing") {
+		t.Errorf("%d: %s", code, wrong.output.String())
+	}
+}
+
+// whenRead tells when a file was read and closed for the first time from now on.
+func whenRead(t *testing.T, file string) <-chan error {
+	t.Helper()
+	watch, err := unix.InotifyInit1(unix.IN_CLOEXEC)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := unix.InotifyAddWatch(watch, file, unix.IN_CLOSE_NOWRITE); err != nil {
+		t.Fatal(err)
+	}
+	looked := make(chan error, 1)
+	go func() {
+		_, err := unix.Read(watch, make([]byte, unix.SizeofInotifyEvent))
+		_ = unix.Close(watch)
+		looked <- err
+	}()
+	return looked
+}
+
+// settingsFile writes a text into a file.
+func settingsFile(t *testing.T, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "whole.conf")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
