Serve: settings that are being written are looked at again at a start

Cause: the first look was taken for the whole file. Class: a shared thing is acted on before it is owned, here a file that somebody else writes in place. Ruled out: a wait at each start; a checksum that the platform doesn't write.

--- a/cmd/fernlink/serve.go
+++ b/cmd/fernlink/serve.go
@@ -1,15 +1,18 @@
 package main
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"io"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/integrii/flaggy"
 
 	"fernlink/config"
+	"fernlink/core/ledger"
 	"fernlink/platform"
 	"fernlink/shell/daemon"
 )
@@ -33,13 +36,36 @@
 // memoryPart is the share of the machine's memory that the heap may fill.
 const memoryPart = 0.6
 
+// Settings that are wrong, or end amid a line, may be in the middle of being written: they
+// are looked at again.
+const (
+	settledMost  = time.Second / 2       // for so long where they stay wrong
+	settledAgain = 50 * time.Millisecond // after so long
+)
+
+// settled reads the settings until they are sound and whole as far as can be told, or
+// have been wrong for a while. A file without a last end of line is taken for whole once
+// it has not changed between two looks.
+func (v *serveFlags) settled() (config.Config, []ledger.Fault, error) {
+	var last []byte
+	for end := time.Now().Add(settledMost); ; time.Sleep(settledAgain) {
+		raw, _ := os.ReadFile(v.settings)
+		settings, bad, err := platform.Settings(v.settings)
+		whole := bytes.HasSuffix(raw, []byte("\n")) || last != nil && bytes.Equal(raw, last)
+		if err != nil || len(bad) == 0 && whole || time.Now().After(end) {
+			return settings, bad, err
+		}
+		last = raw
+	}
+}
+
 // read gives the config of the settings, or says all that is wrong with them.
 func (v *serveFlags) read(failures io.Writer) (config.Config, bool) {
 	if v.settings == "" {
 		fmt.Fprintln(failures, "fernlink: name the settings file with --settings or in $"+platform.SettingsEnv)
 		return config.Config{}, false
 	}
-	settings, bad, err := platform.Settings(v.settings)
+	settings, bad, err := v.settled()
 	if err != nil {
 		fmt.Fprintln(failures, "fernlink:", err)
 		return settings, false
