--- a/cmd/fernlink/process_test.go
+++ b/cmd/fernlink/process_test.go
@@ -325,19 +325,15 @@
 // finds them cut off, when they are whole a moment later, then it starts by the whole
 // ones; settings that stay wrong are told, and it ends with 2.
 func TestSettingsThatAreWrittenAtAStart(t *testing.T) {
-	raw, err := os.ReadFile(settings(t))
-	if err != nil {
-		t.Fatal(err)
-	}
-	lines := strings.SplitAfter(string(raw), "\n")
-	slices.SortFunc(lines, func(a, b string) int { // what a node can do without comes last
-		return cmp.Compare(strings.Count(a, "DataDir")-strings.Count(b, "DataDir"), 0)
-	})
-	text := strings.Join(lines, "")
-	withoutFolder := strings.Index(text, "DataDir")
-	for name, cut := range map[string]int{"in the middle": len(text) / 2, "nothing yet": 0, "amid the last line": withoutFolder + 4, "amid the last value": len(text) - 3} {
+	for name, cut := range map[string]func(text string) int{
+		"in the middle":       func(text string) int { return len(text) / 2 },
+		"nothing yet":         func(string) int { return 0 },
+		"amid the last line":  func(text string) int { return strings.Index(text, "DataDir") + 4 },
+		"amid the last value": func(text string) int { return len(text) - 3 },
+	} {
 		t.Run(name, func(t *testing.T) {
-			file := settingsFile(t, text[:cut])
+			text := folderLast(t)
+			file := settingsFile(t, text[:cut(text)])
 			looked := whenRead(t, file)
 			running := program(t, nil, "serve", "--settings", file, "--log-level", "info")
 			select {
@@ -358,12 +354,27 @@
 			}
 		})
 	}
+	text := folderLast(t)
 	wrong := program(t, nil, "serve", "--settings", settingsFile(t, text[:len(text)/2]))
 	if code := wrong.code(); code != exitUsage || !strings.Contains(wrong.output.String(), "is missing") {
 		t.Errorf("%d: %s", code, wrong.output.String())
 	}
 }
 
+// folderLast is the text of good settings whose last line a node could do without.
+func folderLast(t *testing.T) string {
+	t.Helper()
+	raw, err := os.ReadFile(settings(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.SplitAfter(string(raw), "\n")
+	slices.SortFunc(lines, func(a, b string) int {
+		return cmp.Compare(strings.Count(a, "DataDir"), strings.Count(b, "DataDir"))
+	})
+	return strings.Join(lines, "")
+}
+
 // whenRead tells when a file was read and closed for the first time from now on.
 func whenRead(t *testing.T, file string) <-chan error {
 	t.Helper()
