--- a/cmd/fernlink/process_test.go
+++ b/cmd/fernlink/process_test.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -49,7 +50,39 @@
 	t      *testing.T
 	cmd    *exec.Cmd
 	ended  chan error
-	output bytes.Buffer
+	output sharedBuffer
+}
+
+// sharedBuffer is written by a process while the test reads it.
+type sharedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *sharedBuffer) Write(text []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(text)
+}
+
+func (b *sharedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// logs waits until the process has logged a text.
+func (c *child) logs(text string) {
+	c.t.Helper()
+	again := time.NewTicker(10 * time.Millisecond)
+	defer again.Stop()
+	for end := time.After(patience); !strings.Contains(c.output.String(), text); {
+		select {
+		case <-again.C:
+		case <-end:
+			c.t.Fatalf("%q is never logged: %s", text, c.output.String())
+		}
+	}
 }
 
 // program starts the program with arguments. Its output goes to a file if one is given.
@@ -403,3 +436,35 @@
 	}
 	return file
 }
+
+// failedDiskMost is how long a process may take to end once its disk has failed.
+const failedDiskMost = 3 * time.Second
+
+// Given a store whose disk fails, when it is to save something, then its process ends with
+// 3 and the reason at once, so that its supervisor can go on.
+func TestAFailedDiskEndsTheProcessAtOnce(t *testing.T) {
+	file := settings(t)
+	where, _, err := platform.Settings(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	running := program(t, nil, "serve", "--settings", file, "--log-level", "info")
+	running.logs("took up serving")
+	if err := os.RemoveAll(where.Data); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	request, err := http.NewRequest("PUT", "http://"+where.Web+"/v1/plan", strings.NewReader(`{"read":0,"request":"r","plan":{"pools":[{"name":"app","kind":"app"}],"routes":[]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response, err := http.DefaultClient.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+	if code := running.code(); code != 3 || !strings.Contains(running.output.String(), "stopped by a failure") {
+		t.Errorf("ended with %d: %s", code, running.output.String())
+	}
+	if took := time.Since(began); took > failedDiskMost {
+		t.Errorf("it took %v to end", took)
+	}
+}
