Node: a stop does not wait for a disk that has failed

Cause: a clean stop waits for saves under way, also for those that can't come any more. Class: a wait for what is known not to come. Ruled out: an end without the offer, which leaves lots and groups to be found out.

--- a/cmd/fernlink/process_test.go
+++ b/cmd/fernlink/process_test.go
@@ -20,6 +20,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"fernlink/core/budget"
 	"fernlink/platform"
 )
 
@@ -437,8 +438,9 @@
 	return file
 }
 
-// failedDiskMost is how long a process may take to end once its disk has failed.
-const failedDiskMost = 3 * time.Second
+// failedDiskMost is how long a process may take to end once its disk has failed: what it
+// has is offered to others twice, for a lease each time, which nobody hears here.
+const failedDiskMost = 2*budget.LeaseDuration + time.Second
 
 // Given a store whose disk fails, when it is to save something, then its process ends with
 // 3 and the reason at once, so that its supervisor can go on.
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -137,16 +137,17 @@
 
 // Event is one thing that happened outside a core.
 type Event struct {
-	Line  *Line
-	Call  *Call
-	Gone  uint64 // a Call whose client went away
-	Back  *Back
-	Stray string // why a connection from a peer was closed
-	Saved uint64 // the newest batch of saves that is on disk
-	Blobs *Fetched
-	Stop  bool     // an operator wants this process to end (design 5.5)
-	Full  bool     // a batch is tried again: the disk has no room
-	Seeds []string // the settings name these seeds from now on
+	Line    *Line
+	Call    *Call
+	Gone    uint64 // a Call whose client went away
+	Back    *Back
+	Stray   string // why a connection from a peer was closed
+	Saved   uint64 // the newest batch of saves that is on disk
+	Blobs   *Fetched
+	Stop    bool     // an operator wants this process to end (design 5.5)
+	Full    bool     // a batch is tried again: the disk has no room
+	Unsaved bool     // the disk has failed: no batch will ever be saved
+	Seeds   []string // the settings name these seeds from now on
 
 	Unlogged int64 // log lines that were dropped since the last of these
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -79,6 +79,7 @@
 	given     uint64      // the newest batch of saves given out
 	saved     uint64      // the newest that is on disk
 	full      bool        // the disk has no room
+	unsaved   bool        // the disk has failed, and this process ends
 	stop      flow.Time   // when a clean stop is over at the latest
 	announce  flow.Time   // when the store's leader hears next that this member stops
 }
@@ -355,7 +356,12 @@
 	if n.stop == 0 {
 		return
 	}
-	done := (n.serve == nil || n.serve.Left()) && (n.disp == nil || n.disp.Left()) && (n.coord == nil || n.coord.Left(now))
+	done := (n.serve == nil || n.serve.Left()) && (n.disp == nil || n.disp.Left())
+	if n.unsaved { // its store is silent for good: nothing of it is waited for
+		out.Done = done || now >= n.stop
+		return
+	}
+	done = done && (n.coord == nil || n.coord.Left(now))
 	if n.store != nil {
 		n.store.Leave(now)
 		n.announceStop(now)
@@ -392,6 +398,7 @@
 	if e.Blobs != nil && n.store != nil {
 		n.store.Fetched(now, *e.Blobs, &n.box)
 	}
+	n.unsaved = n.unsaved || e.Unsaved
 	if e.Full && !n.full {
 		n.full = true
 		flow.Warn.Note(out, "node", "the disk has no room; what was to be saved is tried again")
--- a/shell/run/run.go
+++ b/shell/run/run.go
@@ -99,6 +99,7 @@
 	defer close(l.diskDone)
 	for work := range l.work {
 		if !l.save(work) || !l.fetch(work.fetch) {
+			l.Put(flow.Event{Unsaved: true})
 			return
 		}
 		l.writeFiles(work.files)
