--- a/rig/site/site.go
+++ b/rig/site/site.go
@@ -95,7 +95,7 @@
 	started.srv = &http.Server{Handler: http.HandlerFunc(started.list), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = started.srv.Serve(l) }()
 	for i := range 4 {
-		m := &machine{name: fmt.Sprintf("edge-%d", i+1), ip: fmt.Sprintf("%s.%d", network, i+1), zone: zones[i%3], disk: i < 3}
+		m := &machine{name: fmt.Sprintf("edge-%d", i+1), ip: fmt.Sprintf("%s.%d", network, i+1), zone: zones[i%3], disk: i < stores}
 		started.machines = append(started.machines, m)
 	}
 	for _, m := range started.machines {
@@ -114,6 +114,12 @@
 	return started, nil
 }
 
+// stores is how many machines, the first ones, have a disk.
+const stores = 3
+
+// folder is where a machine's disk is.
+func (s *site) folder(m *machine) string { return filepath.Join(s.dir, m.name) }
+
 // write writes a machine's settings file.
 func (s *site) write(target *machine, first bool) error {
 	var seeds []string
@@ -128,7 +134,7 @@
 		"CloudApi.Address=" + s.net + ".250:9000", "CloudApi.RatePerS=20", "CloudApi.MaxLagMs=200", "Bounds.ApplyMs=2000", "Bounds.DrainMs=3000", "Bounds.ContactMs=3000", "Bounds.AckMs=4000",
 		"Bounds.GraceS=8", "Bounds.RecoverS=12", "Bounds.ReportS=120", "Bounds.CancelMs=3000", "Bounds.SettleMs=1000"}
 	if target.disk {
-		data := filepath.Join(s.dir, target.name)
+		data := s.folder(target)
 		if err := os.MkdirAll(data, 0o755); err != nil {
 			return errors.Wrap(err, "site")
 		}
--- a/rig/site/soak.go
+++ b/rig/site/soak.go
@@ -75,6 +75,7 @@
 		s.acknowledge()
 		s.play(config)
 	}
+	s.closing(config.Seed)
 	s.readBack()
 	s.checkRefused()
 	s.scrape()
@@ -245,6 +246,7 @@
 	}
 	s.change(rand.New(rand.NewSource(1)))
 	took := time.Since(healed)
+	s.awaitVoters(kinds)
 	s.note("well %v after %v", took.Round(time.Millisecond), kinds)
 	if took > recoverBound {
 		s.t.bad("RECOVER: a change took until %v after %v", took.Round(time.Millisecond), kinds)
@@ -252,6 +254,61 @@
 	s.report.Slowest = max(s.report.Slowest, took.Seconds())
 }
 
+// voterBound is how long a store may take to vote again after its disk was lost.
+const voterBound = 30 * time.Second
+
+// awaitVoters waits until all stores vote, so that the next disk may be lost.
+func (s *soak) awaitVoters(kinds []Kind) {
+	for end := time.Now().Add(voterBound); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if s.voters() == stores {
+			return
+		}
+	}
+	s.t.bad("RECOVER: %d of %d stores vote %v after %v", s.voters(), stores, voterBound, kinds)
+}
+
+// voters counts the machines that vote, 0 where nobody says.
+func (s *soak) voters() int {
+	for _, m := range s.machines {
+		code, _, body, err := s.ask("GET", "http://"+m.ip+adminPort+"/v1/stores", "", nil, nil, time.Second)
+		var listed struct {
+			Stores []struct {
+				Addr  string `json:"addr"`
+				Voter bool   `json:"voter"`
+			} `json:"stores"`
+		}
+		if err != nil || code != 200 || json.Unmarshal(body, &listed) != nil {
+			continue
+		}
+		voting := map[string]bool{}
+		for _, member := range listed.Stores {
+			if member.Voter {
+				voting[member.Addr] = true
+			}
+		}
+		return len(voting)
+	}
+	return 0
+}
+
+// closing ends a soak as the platform ends its days: right after a configuration was
+// acknowledged all processes are killed, and all start again.
+func (s *soak) closing(seed int64) {
+	random := rand.New(rand.NewSource(seed))
+	s.change(random)
+	s.note("all are killed")
+	var all sync.WaitGroup
+	for _, m := range s.machines {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			s.kill(m)
+		}()
+	}
+	all.Wait()
+	s.recover([]Kind{Restart})
+}
+
 // sound says what a machine does not do, "" if it does all.
 func (s *soak) sound(m *machine) string {
 	if code, _, _, _ := s.ask("GET", "http://"+m.ip+readyPort+"/ready", "", nil, nil, time.Second); code != 200 {
--- a/rig/site/trouble.go
+++ b/rig/site/trouble.go
@@ -25,9 +25,10 @@
 	EngineFault               // engines break off, hang, are slow, go for good
 	ClientFault               // clients hold halves of requests, leave, read slowly
 	LogFault                  // nobody reads what a process writes
+	DiskLoss                  // a store is killed and starts again with an empty folder
 )
 
-var kindNames = [...]string{"stop", "reload", "restart", "configuration", "cut", "freeze", "slow disk", "engine", "client", "log"}
+var kindNames = [...]string{"stop", "reload", "restart", "configuration", "cut", "freeze", "slow disk", "engine", "client", "log", "disk loss"}
 
 // Kinds counts the kinds of trouble.
 const Kinds = len(kindNames)
@@ -43,7 +44,7 @@
 
 var troubles = [...]trouble{
 	Stop: stopMachine, Reload: reloadMachine, Restart: restartMachine, Configuration: changeConfiguration, Cut: cutPeers,
-	Freeze: freezeMachine, SlowDisk: slowDisk, EngineFault: troubleEngines, ClientFault: troubleClients, LogFault: troubleLog,
+	Freeze: freezeMachine, SlowDisk: slowDisk, EngineFault: troubleEngines, ClientFault: troubleClients, LogFault: troubleLog, DiskLoss: loseDisk,
 }
 
 // machine picks one, mostly one of those that keep the state.
@@ -314,6 +315,25 @@
 	log.pause(length)
 }
 
+// loseDisk takes one store's folder. As many may be lost at once as the fleet bears: one,
+// and the next round begins once its successor votes.
+func loseDisk(s *soak, random *rand.Rand, length time.Duration) {
+	m := s.machines[random.Intn(stores)]
+	s.note("disk of %s lost", m.name)
+	m.replacing.Lock() // nothing starts on the folder meanwhile
+	m.current().kill()
+	err := os.RemoveAll(s.folder(m))
+	if err == nil {
+		err = os.MkdirAll(s.folder(m), 0o755)
+	}
+	m.replacing.Unlock()
+	if err != nil {
+		s.t.bad("soak: %v", err)
+	}
+	time.Sleep(length / 4)
+	s.again(m)
+}
+
 // note keeps what happens in a soak, with its time, beside the logs.
 func (s *soak) note(format string, args ...any) {
 	line := fmt.Sprintf("%s %s\n", time.Now().UTC().Format("2006-01-02T15:04:05.000Z"), fmt.Sprintf(format, args...))
