--- a/rig/site/process.go
+++ b/rig/site/process.go
@@ -24,20 +24,20 @@
 	began    time.Time
 }
 
-// startupTime is how long a program may take until it has taken its signals; before that
-// one ends it, as it does any program.
+// startupTime is within what two starts of one machine are told to be at the same moment.
 const startupTime = 500 * time.Millisecond
 
-// endedEarly says whether a signal ended a process that had lived for so long before it
-// can have taken its signals.
-func (p *process) endedEarly(lived time.Duration) bool {
+// endedEarly says whether a signal ended a process before it had taken its signals, as it
+// ends any program. It has taken them before it writes its first line.
+func (p *process) endedEarly() bool {
+	<-p.log.over
 	status, _ := p.cmd.ProcessState.Sys().(syscall.WaitStatus)
-	return lived < startupTime && status.Signaled() && (status.Signal() == syscall.SIGTERM || status.Signal() == syscall.SIGHUP)
+	return !p.log.any.Load() && status.Signaled() && (status.Signal() == syscall.SIGTERM || status.Signal() == syscall.SIGHUP)
 }
 
 // endedInOrder says whether a process that was asked to stop ended as it should.
-func (p *process) endedInOrder(lived time.Duration) bool {
-	return p.cmd.ProcessState.Success() || p.endedEarly(lived) || p.killed.Load()
+func (p *process) endedInOrder() bool {
+	return p.cmd.ProcessState.Success() || p.killed.Load() || p.endedEarly()
 }
 
 // spawn starts a program whose output goes through a pipe into a file.
@@ -62,7 +62,7 @@
 		_, _ = input.Close(), file.Close()
 		return nil, errors.Wrap(err, "site: start "+filepath.Base(logFile))
 	}
-	started := &process{cmd: cmd, log: &logReader{input: input, file: file}, ended: make(chan struct{}), began: time.Now()}
+	started := &process{cmd: cmd, log: &logReader{input: input, file: file, over: make(chan struct{})}, ended: make(chan struct{}), began: time.Now()}
 	go started.log.copy()
 	go func() {
 		_ = cmd.Wait()
@@ -95,7 +95,9 @@
 // logReader reads what a process writes, as long as it is let.
 type logReader struct {
 	input, file *os.File
-	paused      sync.Mutex // held while nothing is to be read
+	paused      sync.Mutex    // held while nothing is to be read
+	any         atomic.Bool   // something was read
+	over        chan struct{} // closed once nothing more comes
 }
 
 // pause reads nothing for a while, but for what is being read.
@@ -117,12 +119,16 @@
 }
 
 func (r *logReader) copy() {
+	defer close(r.over)
 	defer r.file.Close()
 	defer r.input.Close()
 	buffer := make([]byte, logChunk)
 	for {
 		n, err := r.input.Read(buffer)
-		r.keep(buffer[:n])
+		if n > 0 {
+			r.any.Store(true)
+			r.keep(buffer[:n])
+		}
 		if err != nil {
 			if err != io.EOF {
 				_, _ = io.WriteString(r.file, "log reader: "+err.Error()+"\n")
--- a/rig/site/site.go
+++ b/rig/site/site.go
@@ -164,7 +164,7 @@
 	target.process.Store(started)
 	go func() {
 		<-started.ended
-		if !started.expected.Load() && !started.endedEarly(time.Since(started.began)) {
+		if !started.expected.Load() && !started.endedEarly() {
 			s.t.bad("FAULT: %s ended by itself: %s", target.name, started.cmd.ProcessState)
 		}
 	}()
--- a/rig/site/trouble.go
+++ b/rig/site/trouble.go
@@ -70,7 +70,6 @@
 	p := m.current()
 	variant := random.Intn(4)
 	s.note("stop %s, variant %d", m.name, variant)
-	lived := time.Since(p.began)
 	p.expected.Store(true)
 	if variant == 1 {
 		p.signal(syscall.SIGHUP)
@@ -87,8 +86,8 @@
 		s.t.bad("STOP: %s did not stop in time", m.name)
 		p.kill()
 	}
-	if !p.endedInOrder(lived) {
-		s.t.bad("STOP: %s was stopped in order after %v and ended with %s", m.name, lived.Round(time.Millisecond), p.cmd.ProcessState)
+	if !p.endedInOrder() {
+		s.t.bad("STOP: %s was stopped in order and ended with %s", m.name, p.cmd.ProcessState)
 	}
 	s.again(m)
 }
