Routes: a split's shares are kept by turns, not by draws

Cause: each request drew its pool by itself. Class: a bound left to luck. Ruled out: one turn for the whole fleet, which needs agreement for each request.

--- a/core/serve/requests/requests.go
+++ b/core/serve/requests/requests.go
@@ -59,11 +59,12 @@
 	env     *env.Env
 	engines *engines.Table
 	rows    map[uint64]*Request
+	turns   *route.Turns
 }
 
 // New makes an empty table.
 func New(e *env.Env, t *engines.Table) *Table {
-	return &Table{env: e, engines: t, rows: map[uint64]*Request{}}
+	return &Table{env: e, engines: t, rows: map[uint64]*Request{}, turns: route.NewTurns(e.Rand)}
 }
 
 // Len counts the requests that are held or under way.
@@ -82,7 +83,7 @@
 // Take takes a request that a route serves.
 func (t *Table) Take(c flow.Call, r *route.Route) {
 	now := t.env.Now
-	q := &Request{call: c, route: r, pool: r.Pick(t.env.Rand), came: now, late: now + r.Limit, known: resend.Call{Kind: kindOf(r)}}
+	q := &Request{call: c, route: r, pool: t.turns.Pick(r), came: now, late: now + r.Limit, known: resend.Call{Kind: kindOf(r)}}
 	if left, err := strconv.ParseFloat(flow.Get(c.Fields, t.env.Codec.TimeLeft), 64); err == nil {
 		q.late = min(q.late, now+flow.Time(left*1e6))
 	}
--- a/core/serve/route/route.go
+++ b/core/serve/route/route.go
@@ -3,7 +3,6 @@
 package route
 
 import (
-	"math/rand"
 	"strings"
 	"time"
 
@@ -83,24 +82,6 @@
 	return t.names[name]
 }
 
-// Pick draws the pool of one request by the shares of a split.
-func (r *Route) Pick(rand *rand.Rand) string {
-	all := 0
-	for _, s := range r.Split {
-		all += s.Share
-	}
-	if all == 0 {
-		return r.Pool
-	}
-	n := rand.Intn(all)
-	for _, s := range r.Split {
-		if n -= s.Share; n < 0 {
-			return s.Pool
-		}
-	}
-	return r.Pool
-}
-
 // Uses says whether a pool may serve the route.
 func (r *Route) Uses(pool string) bool {
 	for _, s := range r.Split {
--- a/core/serve/route/split_test.go
+++ b/core/serve/route/split_test.go
@@ -19,7 +19,7 @@
 
 // node gives what picks pools at one node.
 func node(random *rand.Rand) func(*Route) string {
-	return func(r *Route) string { return r.Pick(random) }
+	return NewTurns(random).Pick
 }
 
 // Bounds of the test: how far a pool's share of some hundred requests may be off.
