--- a/cmd/fernlink/process_test.go
+++ b/cmd/fernlink/process_test.go
@@ -388,6 +388,21 @@
 			}
 		})
 	}
+	t.Run("between two lines", func(t *testing.T) {
+		text := folderLast(t)
+		file := settingsFile(t, text[:strings.Index(text, "DataDir")])
+		running := program(t, nil, "serve", "--settings", file, "--log-level", "info")
+		running.logs("msg=started")
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := running.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		if code := running.code(); code != 4 || !strings.Contains(running.output.String(), "differs=data") {
+			t.Errorf("it goes on without its folder, %d: %s", code, running.output.String())
+		}
+	})
 	text := folderLast(t)
 	wrong := program(t, nil, "serve", "--settings", settingsFile(t, text[:len(text)/2]))
 	if code := wrong.code(); code != exitUsage || !strings.Contains(wrong.output.String(), "is missing") {
