Daemon: a process that started by settings that were not whole ends soon

Cause: seeds alone were compared when the settings were read again; a store whose DataDir was not in the file yet ran on as a node without a disk. Class: as before, a file that somebody else writes is taken for one's own. Before: TestSettingsThatAreWrittenAtAStart went on without its folder; after: within 10 s of its start a process whose settings name another folder, other roles or addresses ends with 4, and its supervisor starts it by the whole ones; later it warns. Ruled out: ending at any such change (an operator prepares the next start); a wait at each start (0.1 s of the 12 s for nothing on nearly all). platform.Changed, a reader of files and no word of the platform, is cmd/fernlink's rereadFile now; TestChanged became TestSettingsAreReadAgainWhereTheyChanged, which holds what it held and that wrong settings are no change.

--- a/cmd/fernlink/main.go
+++ b/cmd/fernlink/main.go
@@ -97,10 +97,7 @@
 		return exitUsage
 	}
 	if n.file != "" {
-		process.Seeds = changedSeeds(settings.Seeds, func() ([]string, bool) {
-			read, bad, err := config.Read(n.file, flags)
-			return read.Seeds, err == nil && len(bad) == 0
-		})
+		process.Reread = rereadFile(n.file, func() (config.Config, []ledger.Fault, error) { return config.Read(n.file, flags) })
 	}
 	return start(settings, daemon.Platform{}, process, n.profile)
 }
--- a/cmd/fernlink/process.go
+++ b/cmd/fernlink/process.go
@@ -1,18 +1,19 @@
 package main
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"os"
-	"slices"
 	"time"
 
 	"go.uber.org/dig"
 	"go.uber.org/fx"
 
 	"fernlink/config"
+	"fernlink/core/ledger"
 	"fernlink/shell/daemon"
 	"fernlink/shell/logging"
 )
@@ -35,15 +36,17 @@
 	return daemon.Process{Signals: daemon.TakeSignals(), Log: logging.Open(os.Stderr)}
 }
 
-// changedSeeds gives a reader of seeds the word on whether they changed.
-func changedSeeds(known []string, read func() ([]string, bool)) daemon.SeedReader {
-	return func() ([]string, bool) {
-		seeds, ok := read()
-		if !ok || len(seeds) == 0 || slices.Equal(seeds, known) {
-			return nil, false
+// rereadFile reads settings again where their file has changed since the last look.
+func rereadFile(path string, read func() (config.Config, []ledger.Fault, error)) daemon.SettingsReader {
+	var last []byte
+	return func() (config.Config, bool) {
+		raw, err := os.ReadFile(path)
+		if err != nil || bytes.Equal(raw, last) {
+			return config.Config{}, false
 		}
-		known = seeds
-		return seeds, true
+		last = raw
+		settings, bad, err := read()
+		return settings, err == nil && len(bad) == 0
 	}
 }
 
--- a/cmd/fernlink/serve.go
+++ b/cmd/fernlink/serve.go
@@ -96,20 +96,6 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	codec := platform.Codec(settings.Platform)
-	process.Seeds = v.seeds(settings.Seeds)
+	process.Reread = rereadFile(v.settings, func() (config.Config, []ledger.Fault, error) { return platform.Settings(v.settings) })
 	return start(settings, daemon.Platform{Codec: &codec, Listeners: platform.Listeners(settings)}, process, v.profile)
 }
-
-// seeds reads the settings file again where it has changed since it was read last.
-func (v *serveFlags) seeds(known []string) daemon.SeedReader {
-	var last []byte
-	return changedSeeds(known, func() ([]string, bool) {
-		raw, changed := platform.Changed(v.settings, last)
-		if !changed {
-			return nil, false
-		}
-		last = raw
-		settings, bad, err := platform.Settings(v.settings)
-		return settings.Seeds, err == nil && len(bad) == 0
-	})
-}
--- a/rig/site/site.go
+++ b/rig/site/site.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"fernlink/rig/relay"
+	"fernlink/shell/daemon"
 )
 
 // machine is one machine with its process.
@@ -25,6 +26,7 @@
 	disk           bool
 	replacing      sync.Mutex // held while its process is started, or a second one beside it
 	process        atomic.Pointer[process]
+	cut            atomic.Int64 // when its settings were last cut off, Unix nanoseconds
 }
 
 // Ports of every machine: the one that peers are told, where a relay stands, and the one
@@ -60,6 +62,7 @@
 	net      string
 	relays   *relay.Relays
 	closed   sync.Once
+	over     atomic.Bool // nothing is started any more
 }
 
 // Zones of every site here.
@@ -164,6 +167,10 @@
 	target.process.Store(started)
 	go func() {
 		<-started.ended
+		if s.endedBySettings(target, started) {
+			s.restartLater(target)
+			return
+		}
 		if !started.expected.Load() && !started.endedEarly() {
 			s.t.bad("FAULT: %s ended by itself: %s", target.name, started.cmd.ProcessState)
 		}
@@ -171,6 +178,32 @@
 	return nil
 }
 
+// Codes by which a process says that its settings were wrong or not whole, and for how
+// long after they were cut off it may.
+const (
+	exitWrongSettings = 2
+	exitOtherSettings = daemon.ExitOtherSettings
+	cutSettingsFor    = 15 * time.Second
+)
+
+// endedBySettings says whether a process ended because its settings had been cut off.
+func (s *site) endedBySettings(m *machine, p *process) bool {
+	code := p.cmd.ProcessState.ExitCode()
+	recent := time.Since(time.Unix(0, m.cut.Load())) < cutSettingsFor
+	return recent && (code == exitWrongSettings || code == exitOtherSettings)
+}
+
+// restartLater starts a machine again as a supervisor does.
+func (s *site) restartLater(m *machine) {
+	time.Sleep(100 * time.Millisecond)
+	if s.over.Load() {
+		return
+	}
+	if err := s.relaunch(m); err != nil {
+		s.t.bad("%v", err)
+	}
+}
+
 // relaunch starts a machine's process if the last one is over.
 func (s *site) relaunch(target *machine) error {
 	target.replacing.Lock()
@@ -205,6 +238,7 @@
 func (s *site) close() { s.closed.Do(s.end) }
 
 func (s *site) end() {
+	s.over.Store(true)
 	for _, m := range s.machines {
 		if m.current() != nil {
 			s.kill(m)
--- a/shell/daemon/daemon.go
+++ b/shell/daemon/daemon.go
@@ -141,7 +141,7 @@
 type Process struct {
 	Signals Signals
 	Log     *logging.Sink
-	Seeds   SeedReader // nil where the settings can't be read again
+	Reread  SettingsReader // nil where the settings can't be read again
 }
 
 // carries gives the width of the link and the size of the disk by which the store
@@ -209,8 +209,9 @@
 			life.Append(fx.Hook{
 				OnStart: func(context.Context) error {
 					loop.Start()
-					if process.Seeds != nil {
-						go reload(watch, process.Seeds, process.Signals.Reload, loop, logger)
+					if process.Reread != nil {
+						r := reloader{started: settings, began: clock.Now(), process: process, loop: loop, logger: logger, quit: quit}
+						go r.run(watch)
 					}
 					go func() {
 						if err, ok := <-loop.Halted; ok {
