Disk: a segment without a whole frame is a stop

Cause: whatever did not read at the end of the last segment was a torn tail, also where that was all of it; segments are put there whole. Class: damage taken for what a loss of power leaves.

--- a/shell/disk/disk.go
+++ b/shell/disk/disk.go
@@ -213,6 +213,11 @@
 		return errors.Wrap(err, "disk: segment")
 	}
 	_, at := l.frames(raw)
+	if at == 0 {
+		// A segment is put there whole with its first frame: this is no torn tail, and
+		// without that frame the member would not know what it voted for.
+		return errors.Wrapf(ErrCorrupt, "%s has no whole frame", name)
+	}
 	if at == len(raw) {
 		return nil
 	}
--- a/shell/disk/inspect.go
+++ b/shell/disk/inspect.go
@@ -226,6 +226,9 @@
 		damage = log.tailOf(raw, segment.At)
 	}
 	switch {
+	case len(raw) == 0 || segment.At == 0 && last && damage.kind != damageBeforeTail:
+		segment.Tail = "damaged"
+		r.find("%s has no whole frame: it was put there with one", segment.Name)
 	case segment.At == len(raw):
 		segment.At = 0
 	case !last || damage.kind == damageBeforeTail:
