--- a/rig/site/process.go
+++ b/rig/site/process.go
@@ -82,6 +82,16 @@
 	<-p.ended
 }
 
+// isOver says whether the process has ended.
+func (p *process) isOver() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // endsWithin says whether the process is over within a time.
 func (p *process) endsWithin(most time.Duration) bool {
 	select {
--- a/rig/site/site.go
+++ b/rig/site/site.go
@@ -208,12 +208,10 @@
 func (s *site) relaunch(target *machine) error {
 	target.replacing.Lock()
 	defer target.replacing.Unlock()
-	select {
-	case <-target.current().ended:
-		return s.launchLocked(target)
-	default:
+	if !target.current().isOver() {
 		return nil
 	}
+	return s.launchLocked(target)
 }
 
 // current is the newest process of a machine, nil before the first.
--- a/rig/site/trouble.go
+++ b/rig/site/trouble.go
@@ -169,7 +169,7 @@
 	if second.endsWithin(longestTrouble) {
 		return
 	}
-	if !first.endsWithin(0) { // else the first is over, and the second may run
+	if !first.isOver() { // else the first is over, and the second may run
 		s.t.bad("TWO: a second process of %s runs beside the first", m.name)
 	}
 	second.kill()
