Requests: one that fails is explained at the log's usual level

Cause: what became of a request was told at the debug level alone, which no fleet runs at; counters say how many failed and not which. One a second is noted, with its name, route, engine, evidence and time; those between are counted.

--- a/core/serve/requests/requests.go
+++ b/core/serve/requests/requests.go
@@ -44,7 +44,9 @@
 	known  resend.Call // what its sends have shown
 	stream *stream     // what was passed on of a series of events
 	over   bool
-	last   flow.Back // the newest answer that is not to be trusted as final
+	last   flow.Back       // the newest answer that is not to be trusted as final
+	seen   resend.Evidence // of the newest send that ended
+	ended  bool            // one has
 }
 
 // try is one send of it.
@@ -60,6 +62,8 @@
 	engines *engines.Table
 	rows    map[uint64]*Request
 	turns   *route.Turns
+
+	failures failures
 }
 
 // New makes an empty table.
@@ -242,6 +246,7 @@
 // ended decides on a request after a send that brought no stream (design 7.4).
 func (t *Table) ended(q *Request, x *try, b flow.Back) {
 	evidence := t.env.Observe(b)
+	q.saw(evidence)
 	t.judge(x, evidence)
 	decision := q.known.Saw(evidence)
 	switch evidence {
@@ -319,6 +324,7 @@
 		t.violated(invariant.RefusedMayHaveRun, q)
 	}
 	t.finish(q)
+	t.failed(q, "refused: no engine")
 	if t.env.Debug {
 		t.trace(q, "refused", "why", env.NoEngine)
 	}
@@ -333,6 +339,7 @@
 	}
 	t.finish(q)
 	t.env.Counts["unknown"]++
+	t.failed(q, "it may have run")
 	if t.env.Debug {
 		t.trace(q, "unknown", "why", "it may have run")
 	}
@@ -406,6 +413,7 @@
 		t.cutAll(q)
 	}
 	t.env.Counts["late"]++
+	t.failed(q, "no answer in time")
 	if t.env.Debug {
 		t.trace(q, "late", "tries", q.sends)
 	}
--- a/core/serve/requests/streams.go
+++ b/core/serve/requests/streams.go
@@ -135,6 +135,7 @@
 	t.finish(q)
 	t.cutAll(q)
 	t.env.Counts["streams_broken"]++
+	t.failed(q, "stream broken")
 	if t.env.Debug {
 		t.trace(q, "broken", "last", q.stream.after)
 	}
