Finding, by a test that fails: a limit on files ends a store

TestALimitOnFilesIsAFullDisk: EFBIG is taken for a disk that failed, and the process ends with 3, where a full disk waits for room.

--- a/cmd/fernlink/process_test.go
+++ b/cmd/fernlink/process_test.go
@@ -472,13 +472,7 @@
 		t.Fatal(err)
 	}
 	began := time.Now()
-	request, err := http.NewRequest("PUT", "http://"+where.Web+"/v1/plan", strings.NewReader(`{"read":0,"request":"r","plan":{"pools":[{"name":"app","kind":"app"}],"routes":[]}}`))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if response, err := http.DefaultClient.Do(request); err == nil {
-		_ = response.Body.Close()
-	}
+	running.put(where.Web, `{"read":0,"request":"r","plan":{"pools":[{"name":"app","kind":"app"}],"routes":[]}}`)
 	if code := running.code(); code != 3 || !strings.Contains(running.output.String(), "stopped by a failure") {
 		t.Errorf("ended with %d: %s", code, running.output.String())
 	}
@@ -486,3 +480,39 @@
 		t.Errorf("it took %v to end", took)
 	}
 }
+
+// Given a process that may not write larger files, when its log grows beyond that, then it
+// says that its disk is full, as it does for any other want of room, and goes on once there
+// is room again.
+func TestALimitOnFilesIsAFullDisk(t *testing.T) {
+	file := settings(t)
+	where, _, err := platform.Settings(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	running := program(t, nil, "serve", "--settings", file, "--log-level", "info")
+	running.logs("took up serving")
+	limit := func(bytes uint64) {
+		if err := unix.Prlimit(running.cmd.Process.Pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: bytes, Max: unix.RLIM_INFINITY}, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	limit(1)
+	running.put(where.Web, `{"read":0,"request":"r","plan":{"pools":[{"name":"app","kind":"app"}],"routes":[]}}`)
+	running.logs("the disk has no room")
+	running.answers("http://" + where.Web + "/healthz")
+	limit(unix.RLIM_INFINITY)
+	running.logs("plan in force")
+}
+
+// put puts a plan, whatever comes of it.
+func (c *child) put(web, plan string) {
+	c.t.Helper()
+	request, err := http.NewRequest("PUT", "http://"+web+"/v1/plan", strings.NewReader(plan))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if response, err := http.DefaultClient.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+}
