Disk: a limit on files is a want of room

Cause: one errno was not known. Before: TestALimitOnFilesIsAFullDisk ended with 3; after: the node says that its disk has no room, goes on answering, and carries the change out once the limit is lifted.

--- a/shell/disk/disk.go
+++ b/shell/disk/disk.go
@@ -31,7 +31,7 @@
 	if err == nil {
 		return nil
 	}
-	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EFBIG) {
 		return errors.Wrap(ErrFull, err.Error())
 	}
 	return errors.Wrap(ErrSync, err.Error())
