Web: the only listener of a node has room for callers as well

Cause: operators' share was given to the listener that serves callers and trainers too where a platform is not served. Seen by reading, before it ran anywhere; the test failed with 128 of 4,096.

--- a/shell/web/connections_test.go
+++ b/shell/web/connections_test.go
@@ -104,3 +104,28 @@
 		table.mu.Unlock()
 	}
 }
+
+// Given a node whose one listener serves operators, callers and trainers, when its room is
+// reckoned, then it is that of a listener that passes requests on.
+func TestTheOnlyListenerHasRoomForCallers(t *testing.T) {
+	const files = 4096
+	alone, err := OpenListeners(Options{Addr: "127.0.0.1:0", Files: files})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer alone.Close(t.Context())
+	if most := alone.connections[0].most; most != files*3/8 {
+		t.Errorf("the only listener has room for %d", most)
+	}
+	beside, err := OpenListeners(Options{Addr: "127.0.0.1:0", Files: files, Listeners: []Listener{{Addr: "127.0.0.1:0", Rest: "rest"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer beside.Close(t.Context())
+	if most := beside.connections[0].most; most != files/32 {
+		t.Errorf("operators' listener has room for %d", most)
+	}
+	if most := beside.connections[1].most; most != files*3/8 {
+		t.Errorf("callers' listener has room for %d", most)
+	}
+}
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -121,7 +121,8 @@
 		return nil, err
 	}
 	admin := side{WatchMost, &web.usual}
-	sites := []site{{options.Addr, admin, web.admin(admin), connectionsMost(files, false)}}
+	callersToo := len(options.Listeners) == 0 // then callers and trainers come here as well
+	sites := []site{{options.Addr, admin, web.admin(admin), connectionsMost(files, callersToo)}}
 	for _, listener := range options.Listeners {
 		shared := side{StreamMost, &web.usual}
 		if listener.Rest != "" {
