Finding, by a test that fails: a start on a full disk ends again and again

TestAStartWaitsForRoomOnItsDisk: identity, crash file and segment are written at the start; a write that finds no room ends it with 1, where a running process waits for room.

--- a/cmd/fernlink/process_test.go
+++ b/cmd/fernlink/process_test.go
@@ -28,16 +28,32 @@
 // asProgram makes a child of the test binary run as the program itself.
 const asProgram = "FERNLINK_TEST_AS_PROGRAM"
 
-// fewFiles bounds the descriptors of such a child.
-const fewFiles = "FERNLINK_TEST_FILES"
+// fewFiles bounds the descriptors of such a child, smallFiles how many bytes its files may
+// have.
+const (
+	fewFiles   = "FERNLINK_TEST_FILES"
+	smallFiles = "FERNLINK_TEST_FILE_BYTES"
+)
+
+// setLimit takes a limit of the process from a variable, if it is there.
+func setLimit(variable string, resource int) {
+	most, err := strconv.ParseUint(os.Getenv(variable), 10, 64)
+	if err != nil {
+		return
+	}
+	limit := unix.Rlimit{Cur: most, Max: most}
+	if resource == unix.RLIMIT_FSIZE {
+		limit.Max = unix.RLIM_INFINITY // it may be lifted again
+	}
+	if err := unix.Setrlimit(resource, &limit); err != nil {
+		panic(err)
+	}
+}
 
 func TestMain(m *testing.M) {
 	if os.Getenv(asProgram) != "" {
-		if files, err := strconv.ParseUint(os.Getenv(fewFiles), 10, 64); err == nil {
-			if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: files, Max: files}); err != nil {
-				panic(err)
-			}
-		}
+		setLimit(fewFiles, unix.RLIMIT_NOFILE)
+		setLimit(smallFiles, unix.RLIMIT_FSIZE)
 		main()
 		return
 	}
@@ -81,6 +97,8 @@
 	for end := time.After(patience); !strings.Contains(c.output.String(), text); {
 		select {
 		case <-again.C:
+		case err := <-c.ended:
+			c.t.Fatalf("it ended before it logged %q: %v %s", text, err, c.output.String())
 		case <-end:
 			c.t.Fatalf("%q is never logged: %s", text, c.output.String())
 		}
@@ -516,3 +534,20 @@
 		_ = response.Body.Close()
 	}
 }
+
+// Given a process that starts while its disk has no room, when there is room again, then it
+// has waited for it and starts; it does not end again and again meanwhile.
+func TestAStartWaitsForRoomOnItsDisk(t *testing.T) {
+	t.Setenv(smallFiles, "1")
+	file := settings(t)
+	where, _, err := platform.Settings(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	running := program(t, nil, "serve", "--settings", file, "--log-level", "info")
+	running.logs("no room")
+	if err := unix.Prlimit(running.cmd.Process.Pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: unix.RLIM_INFINITY, Max: unix.RLIM_INFINITY}, nil); err != nil {
+		t.Fatal(err)
+	}
+	running.answers("http://" + where.Web + "/healthz")
+}
