--- a/rig/site/trouble.go
+++ b/rig/site/trouble.go
@@ -108,7 +108,7 @@
 			m.cut.Store(time.Now().UnixNano())
 			_ = os.WriteFile(m.settings, whole[:random.Intn(len(whole))], 0o644)
 		case 1: // other machines are named
-			_ = os.WriteFile(m.settings, []byte(strings.ReplaceAll(string(whole), s.machines[0].ip+controlPort, s.machines[3].ip+controlPort)), 0o644)
+			_ = os.WriteFile(m.settings, otherSeeds(whole, s.machines[0].ip+controlPort, s.machines[3].ip+controlPort), 0o644)
 		}
 		m.current().signal(syscall.SIGHUP)
 		time.Sleep(time.Duration(20+random.Intn(200)) * time.Millisecond)
@@ -118,6 +118,18 @@
 	}
 }
 
+// otherSeeds is a settings file in which one seed is another machine; all else stays, also
+// where the machine's own address is that of the seed.
+func otherSeeds(settings []byte, seed, other string) []byte {
+	lines := strings.Split(string(settings), "\n")
+	for i, line := range lines {
+		if strings.HasPrefix(line, "SeedNodes=") {
+			lines[i] = strings.ReplaceAll(line, seed, other)
+		}
+	}
+	return []byte(strings.Join(lines, "\n"))
+}
+
 // restartMachine restarts machines one after the other: a process is killed and started
 // again, or a second one is started beside it.
 func restartMachine(s *soak, random *rand.Rand, length time.Duration) {
