--- a/rig/site/site.go
+++ b/rig/site/site.go
@@ -68,10 +68,17 @@
 // Zones of every site here.
 var zones = []string{"a", "b", "c"}
 
+// given are the networks that this process has used: sites that start at the same moment
+// may not draw the same.
+var given sync.Map
+
 // fresh is an unused loopback network: every machine has the same ports.
 func fresh() (string, error) {
 	for range 50 {
 		n := fmt.Sprintf("127.%d.%d", 20+rand.Intn(200), rand.Intn(256))
+		if _, used := given.LoadOrStore(n, true); used {
+			continue
+		}
 		l, err := net.Listen("tcp", n+".1:7000")
 		if err == nil {
 			return n, l.Close()
