Simulator: a violated invariant is found in the notes of the turn that logs it

Before: all twelve counts were read and compared for each turn of each host. The finding says what traces it now; scripts/mutants still finds it by name.

--- a/sim/host.go
+++ b/sim/host.go
@@ -43,15 +43,13 @@
 	mute   map[uint64]bool   // sends whose connection lost bytes
 	Notes  []string
 	starts int64
-
-	invariants *invariant.Monitor // of the running process
-	Jump       time.Duration      // how far its wall clock is off
-	saves      []flow.Save        // what waits for the disk
-	blobs      []flow.BlobChange
-	fetch      []flow.Fetch
-	hear       func(flow.Line) // somebody who is no node of the fleet
-	batch      uint64
-	busy       bool
+	Jump   time.Duration // how far its wall clock is off
+	saves  []flow.Save   // what waits for the disk
+	blobs  []flow.BlobChange
+	fetch  []flow.Fetch
+	hear   func(flow.Line) // somebody who is no node of the fleet
+	batch  uint64
+	busy   bool
 }
 
 // AddHost puts a machine into the world, not yet started.
@@ -81,8 +79,7 @@
 	p := h.Config
 	p.Inc = h.wall() + h.starts
 	p.Seed = h.w.Rand.Int63()
-	h.invariants = invariant.NewMonitor()
-	p.Invariants = h.invariants
+	p.Invariants = invariant.NewMonitor()
 	if h.Config.ID == "" {
 		p.ID = fmt.Sprintf("%s-%d-%x", h.Name, h.starts, h.w.Rand.Uint32())
 	}
@@ -233,20 +230,17 @@
 	})
 }
 
-// checkInvariants makes each promise that the process found broken a finding.
-func (h *Host) checkInvariants() {
-	counts := h.invariants.Counts()
-	for _, name := range invariant.Names {
-		if counts[name] > 0 {
-			h.w.Wrong("%s %s: %s %d times", h.Name, invariant.Text, name, counts[name])
-		}
+// checkInvariant makes a promise that the process found broken a finding.
+func (h *Host) checkInvariant(note flow.Note) {
+	if note.Text == invariant.Text {
+		h.w.Wrong("%s %s: %v %v", h.Name, invariant.Text, note.Args[1], note.Args[2:])
 	}
 }
 
 func (h *Host) emit(out flow.Outbox) {
 	life := h.life
-	h.checkInvariants()
 	for _, n := range out.Notes {
+		h.checkInvariant(n)
 		h.Notes = append(h.Notes, fmt.Sprint(h.w.Now, " ", n.Part, ": ", n.Text, " ", n.Args))
 	}
 	for _, l := range out.Lines {
