--- a/rig/site/soak.go
+++ b/rig/site/soak.go
@@ -58,8 +58,8 @@
 // Soak runs one soak: real processes, and the troubles of its seed.
 func Soak(config SoakConfig) (SoakReport, error) {
 	began := time.Now()
-	if err := os.MkdirAll(config.Folder, 0o755); err != nil {
-		return SoakReport{}, errors.Wrap(err, "soak")
+	if err := emptyFolder(config.Folder); err != nil {
+		return SoakReport{}, err
 	}
 	site, err := start(config.Bin, config.Folder)
 	if site != nil {
@@ -85,6 +85,18 @@
 	return s.finish(config.Folder), nil
 }
 
+// emptyFolder makes a folder for a soak. What an earlier one of the seed has left is put
+// aside: its data folders are those of another cluster.
+func emptyFolder(path string) error {
+	if _, err := os.Stat(path); err == nil {
+		aside := fmt.Sprintf("%s-until-%s", path, time.Now().UTC().Format("20060102T150405"))
+		if err := os.Rename(path, aside); err != nil {
+			return errors.Wrap(err, "soak")
+		}
+	}
+	return errors.Wrap(os.MkdirAll(path, 0o755), "soak")
+}
+
 // finish writes the report; the logs stay where something was found.
 func (s *soak) finish(folder string) SoakReport {
 	s.t.mu.Lock()
