--- a/core/serve/lots_test.go
+++ b/core/serve/lots_test.go
@@ -131,13 +131,27 @@
 	_ = lot
 }
 
+// changedAmid is a lot of one text whose engine changes weights after its first event.
+func changedAmid(t *testing.T) (w *world, lot string, sent flow.Send) {
+	w = two(t)
+	lot, _ = w.lot(1, 1, 1)
+	sent = w.llm()[0]
+	w.head(sent, 1)
+	w.event(sent, 0, "a")
+	w.event(sent, 1, "b", "weights: 2")
+	return w, lot, sent
+}
+
+// wantOneVersion wants all results of a lot to be made under one version each.
+func (w *world) wantOneVersion(lot string) {
+	w.t.Helper()
+	for _, r := range w.read(lot, 0).Results {
+		w.want(len(r.Versions) == 1, "%+v", r)
+	}
+}
+
 func TestOneVersionATextAndNoneTooOld(t *testing.T) {
-	w := two(t)
-	lot, _ := w.lot(1, 1, 1)
-	x := w.llm()[0]
-	w.head(x, 1)
-	w.event(x, 0, "a")
-	w.event(x, 1, "b", "weights: 2")
+	w, lot, x := changedAmid(t)
 	w.want(w.cuts[x.ID], "a change in mid-text ends the run")
 	w.pass(100 * time.Millisecond)
 	for _, y := range w.llm() {
@@ -146,25 +160,16 @@
 		w.done(y)
 	}
 	w.pass(300 * time.Millisecond)
-	for _, r := range w.read(lot, 0).Results {
-		w.want(len(r.Versions) == 1, "%+v", r)
-	}
+	w.wantOneVersion(lot)
 }
 
 // Given a text whose engine changes weights amid it, when its run comes to its end all
 // the same, then nothing of two versions is listed.
 func TestATextOfTwoVersionsIsNotListed(t *testing.T) {
-	w := two(t)
-	lot, _ := w.lot(1, 1, 1)
-	x := w.llm()[0]
-	w.head(x, 1)
-	w.event(x, 0, "a")
-	w.event(x, 1, "b", "weights: 2")
+	w, lot, x := changedAmid(t)
 	w.done(x)
 	w.pass(300 * time.Millisecond)
-	for _, r := range w.read(lot, 0).Results {
-		w.want(len(r.Versions) == 1, "%+v", r)
-	}
+	w.wantOneVersion(lot)
 }
 
 func TestTooOldWeightsMakeNoText(t *testing.T) {
