Stop: what nobody heard for a whole lease is not offered again

TestAFailedDiskEndsTheProcessAtOnce took 3.03 s of 3: the word that a process leaves, and the word that it is gone, were each tried for a lease (1.5 s) although nobody answers a store whose disk has failed. After the first lease without an answer the lease has lapsed, so nobody waits for the second word. Ruled out: a shorter limit for both, which would cut off a hand-over to a slow leader.

--- a/core/disp/leave.go
+++ b/core/disp/leave.go
@@ -43,6 +43,12 @@
 	}
 	d.p.Asker.Ask(now, budget.LeaseDuration, store.Renew{ID: d.p.ID, Have: d.index, Left: true, Heard: d.heard}, func(now flow.Time, a ask.Answer) {
 		d.now = now
+		if a.Code == ledger.Unanswered {
+			// Nobody heard it for a whole lease, which has lapsed by now: there is nobody
+			// to hand anything to, and nobody waits for the word below.
+			d.handed = true
+			return
+		}
 		var x ledger.Delta
 		if a.Code == ledger.Accepted && json.Unmarshal(a.Body, &x) == nil {
 			d.handOn(x.Roster)
