Web: a connection waits since its state changed, not since it was last looked at

TestAByteNowAndThenIsNoHeader: a move that fails noted the time all the same, so each byte of a slow header began its wait anew. A move that changes nothing now notes nothing. The time is set before the state, since evict reads it by the state.

--- a/shell/web/connections.go
+++ b/shell/web/connections.go
@@ -1,6 +1,7 @@
 package web
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -109,13 +110,17 @@
 	return false
 }
 
-// move changes a connection's state and notes when; it fails for one that was ended.
+// move changes a connection's state and notes when. It fails, and changes nothing, for one
+// that is in another state than those named, or was ended meanwhile.
 func (c *conn) move(to int32, from ...int32) bool {
-	c.since.Store(int64(clock.Now()))
-	for _, at := range from {
+	for {
+		at := c.at.Load()
+		if !slices.Contains(from, at) {
+			return false
+		}
+		c.since.Store(int64(clock.Now())) // before the state, by which evict reads it
 		if c.at.CompareAndSwap(at, to) {
 			return true
 		}
 	}
-	return false
 }
