Daemon: a start on a full disk waits for room and heeds a stop

The start now tries again as a running store does, every half second, and says so once. A stop that comes meanwhile ends it with 0 (TestAStartThatWaitsForRoomHeedsAStop).

--- a/cmd/fernlink/disk_failure_test.go
+++ b/cmd/fernlink/disk_failure_test.go
@@ -78,3 +78,12 @@
 	running.limitFiles(unix.RLIM_INFINITY)
 	running.answers(running.health())
 }
+
+// Given a process that waits for room at its start, when it is told to stop, then it ends
+// with 0 at once, as one that has started does.
+func TestAStartThatWaitsForRoomHeedsAStop(t *testing.T) {
+	t.Setenv(smallFiles, "1")
+	waiting := serve(t, nil, "--log-level", "info")
+	waiting.logs("no room")
+	waiting.end()
+}
--- a/cmd/fernlink/process.go
+++ b/cmd/fernlink/process.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/dig"
 	"go.uber.org/fx"
 
@@ -64,6 +65,9 @@
 	}()
 	app := fx.New(fx.NopLogger, daemon.Module(settings, platform, process), fx.StopTimeout(hookMost))
 	if err := app.Err(); err != nil {
+		if errors.Is(dig.RootCause(err), daemon.ErrStopped) {
+			return 0
+		}
 		return failed(failures, dig.RootCause(err))
 	}
 	if err := app.Start(context.Background()); err != nil {
--- a/shell/daemon/daemon.go
+++ b/shell/daemon/daemon.go
@@ -94,7 +94,9 @@
 	return nil
 }
 
-func openFolder(settings config.Config, platform Platform, logger log.Logger) (Folder, error) {
+// openFolder opens the data folder, if there is one. While its disk has no room the
+// process waits there, with its addresses free, until there is some or it is to stop.
+func openFolder(settings config.Config, platform Platform, process Process, logger log.Logger) (Folder, error) {
 	folder := Folder{Identity: disk.Identity{ID: processID(settings), Inc: clock.Wall()}, close: func() error { return nil }}
 	if settings.Data == "" {
 		return folder, nil
@@ -112,23 +114,34 @@
 	if err := keepCrashes(settings.Data, logger); err != nil {
 		_ = level.Warn(logger).Log("part", "daemon", "msg", "crashes are not kept", "failure", err)
 	}
-	if folder.Identity, err = disk.Identify(dir, folder.Identity.ID, folder.Identity.Inc); err != nil {
+	room := waitForRoom{stop: process.Signals.Stop, logger: logger}
+	if err := room.retry(func() error { return folder.read(dir, settings) }); err != nil {
+		_ = dir.Close()
 		return folder, err
 	}
+	_ = level.Info(logger).Log("part", "daemon", "msg", "data folder opened", "id", folder.Identity.ID, "entries", len(folder.Disk.Entries))
+	return folder, nil
+}
+
+// read takes what is in the data folder, and makes the process's identity and its log
+// ready there. It may be called again where it failed for want of room.
+func (f *Folder) read(dir disk.FS, settings config.Config) error {
+	identity, err := disk.Identify(dir, f.Identity.ID, f.Identity.Inc)
+	if err != nil {
+		return err
+	}
+	f.Identity = identity
 	if slices.Contains(settings.Roles, "store") {
-		if folder.Log, folder.Disk, err = disk.Open(dir); err != nil {
-			return folder, err
+		if f.Log, f.Disk, err = disk.Open(dir); err != nil {
+			return err
 		}
 	}
 	// Both files are advice: what does not read is as good as absent.
-	folder.Checkpoint, _ = dir.Read(coord.File)
-	if b, err := dir.Read(run.KnownFile); err == nil {
-		if json.Unmarshal(b, &folder.Known) != nil {
-			folder.Known = gossip.Known{}
-		}
+	f.Checkpoint, _ = dir.Read(coord.File)
+	if known, err := dir.Read(run.KnownFile); err == nil && json.Unmarshal(known, &f.Known) != nil {
+		f.Known = gossip.Known{}
 	}
-	_ = level.Info(logger).Log("part", "daemon", "msg", "data folder opened", "id", folder.Identity.ID, "entries", len(folder.Disk.Entries))
-	return folder, nil
+	return nil
 }
 
 // Platform is how the platform speaks, where this node serves one.
--- a/shell/daemon/identity_test.go
+++ b/shell/daemon/identity_test.go
@@ -12,7 +12,7 @@
 // has the same identity; one with another address, or a store, is somebody else.
 func TestIdentityWithoutAFolder(t *testing.T) {
 	id := func(addr string, roles ...string) string {
-		f, err := openFolder(config.Config{Addr: addr, Roles: roles}, Platform{}, log.NewNopLogger())
+		f, err := openFolder(config.Config{Addr: addr, Roles: roles}, Platform{}, Process{}, log.NewNopLogger())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/shell/daemon/start_test.go
+++ b/shell/daemon/start_test.go
@@ -27,7 +27,7 @@
 	} {
 		settings.Data = filepath.Join(t.TempDir(), "data")
 		settings.Roles = []string{"store"}
-		if _, err := openFolder(settings, Platform{}, log.NewNopLogger()); err == nil {
+		if _, err := openFolder(settings, Platform{}, Process{}, log.NewNopLogger()); err == nil {
 			t.Errorf("%s: no error", name)
 		}
 		if _, err := os.Stat(settings.Data); !os.IsNotExist(err) {
--- a/shell/disk/disk.go
+++ b/shell/disk/disk.go
@@ -26,12 +26,22 @@
 	ErrFull    = errors.New("disk: no room; nothing of the save counts, and it may be tried again")
 )
 
+// NoRoom says that something failed for want of room on the disk: it may be tried again.
+func NoRoom(err error) bool {
+	for _, want := range []error{ErrFull, syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG} {
+		if errors.Is(err, want) {
+			return true
+		}
+	}
+	return false
+}
+
 // diskError gives a failure of the folder this layer's own name.
 func diskError(err error) error {
 	if err == nil {
 		return nil
 	}
-	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EFBIG) {
+	if NoRoom(err) {
 		return errors.Wrap(ErrFull, err.Error())
 	}
 	return errors.Wrap(ErrSync, err.Error())
