Rewards: an item that carries a reward call is listed with its score

One state machine: an item is held, runs, waits for its score, is done. Once the text is whole its reward call goes out by the route of its host and path, carried by core/serve/requests as any call of that route: placed, limited, retried, hedged, cut when the lot ends. A text that waits for longer than results wait for their listing is kept by the ledger with the next listing, so that a new owner asks for the score alone.

--- a/core/ledger/lot_reads.go
+++ b/core/ledger/lot_reads.go
@@ -113,33 +113,37 @@
 	if t == nil {
 		return noSuchLot.Result()
 	}
-	var need []flow.Ref
 	var parts []int
+	var stretches []flow.Ref
 	starts := t.Parts // they are gone once the lot ends
 	for p, done := range t.done {
 		if t.Ended {
 			break // nothing of it runs any more
 		}
 		if k := t.part(p); !done && (len(parts) == 0 || parts[len(parts)-1] != k) {
-			parts, need = append(parts, k), append(need, t.partRef(k))
+			parts, stretches = append(parts, k), append(stretches, t.partRef(k))
 		}
 	}
 	doc, listed, ended := t.Doc, len(t.List), t.Ended
 	doc.AgeMS = l.Clock - t.Doc.Opened
-	if len(need) == 0 {
+	if len(stretches) == 0 {
 		return Result{Code: Accepted, Body: encodeItems(doc, listed, ended, nil)}
 	}
 	done := slices.Clone(t.done) // Listed and what is left must agree
+	need := append(stretches, t.wholeRefs()...)
 	return Result{Code: Accepted, Need: need, With: func(items [][]byte) Result {
-		var left []json.RawMessage
-		for i, b := range items {
+		var left, texts []json.RawMessage
+		for _, text := range items[len(parts):] {
+			texts = append(texts, text)
+		}
+		for i, b := range items[:len(parts)] {
 			stretch, err := unlisted(b, done[starts[parts[i]]:])
 			if err != nil {
 				return lotUnreadable.Result()
 			}
 			left = append(left, stretch)
 		}
-		return Result{Code: Accepted, Body: encodeItems(doc, listed, ended, left)}
+		return Result{Code: Accepted, Body: withTexts(encodeItems(doc, listed, ended, left), texts)}
 	}}
 }
 
--- a/core/ledger/lot_retention.go
+++ b/core/ledger/lot_retention.go
@@ -3,6 +3,8 @@
 package ledger
 
 import (
+	"slices"
+
 	"github.com/go-json-experiment/json/v1"
 
 	"fernlink/core/sorted"
@@ -34,6 +36,7 @@
 		for _, r := range t.List {
 			l.drop(LotTextItem, r.Item)
 		}
+		l.dropAllWhole(t)
 	}
 }
 
@@ -54,6 +57,7 @@
 	Hash  string `json:"hash"`
 	Ended bool   `json:"ended,omitempty"`
 	List  []byte `json:"list,omitempty"`
+	Whole []byte `json:"whole,omitempty"`
 	Item  uint64 `json:"item"`
 	Mod   uint64 `json:"mod"`
 	Bytes int64  `json:"request_bytes,omitempty"`
@@ -63,7 +67,7 @@
 	var out []lotRow
 	for _, id := range sorted.Keys(l.Lots) {
 		t := l.Lots[id]
-		out = append(out, lotRow{t.Doc.Owner, t.Hash, t.Ended, packRows(t.List), t.Item, t.Mod, t.requestBytes})
+		out = append(out, lotRow{t.Doc.Owner, t.Hash, t.Ended, packRows(t.List), packRows(t.Whole), t.Item, t.Mod, t.requestBytes})
 	}
 	return out
 }
@@ -93,6 +97,9 @@
 		t.done[x.Sample] = true
 		t.textBytes += int64(x.Size)
 	}
+	if err := t.loadWhole(r.Whole); err != nil {
+		return err
+	}
 	l.Lots[t.Doc.ID] = t
 	return nil
 }
@@ -105,7 +112,7 @@
 		for k := range t.Parts {
 			to[LotPartItem] = append(to[LotPartItem], t.partRef(k).ID)
 		}
-		for _, r := range t.List {
+		for _, r := range slices.Concat(t.List, t.Whole) {
 			to[LotTextItem] = append(to[LotTextItem], r.Item)
 		}
 	}
--- a/core/ledger/lots.go
+++ b/core/ledger/lots.go
@@ -39,6 +39,7 @@
 	Hash  string   // of its items' ids and bodies
 	Ended bool
 	List  []Row  // Sample is the item's place in IDs
+	Whole []Row  // texts that wait for their scores, by place; none once it has ended
 	Item  uint64 // the index of the command that brought it
 	Mod   uint64
 
@@ -110,6 +111,10 @@
 	for _, x := range items {
 		put([]byte(x.ID))
 		put(x.Body)
+		if x.Reward != nil {
+			put([]byte(x.Reward.ID))
+			put(x.Reward.Body)
+		}
 	}
 	return hex.EncodeToString(h.Sum(nil)[:16])
 }
@@ -237,11 +242,12 @@
 }
 
 // ListLot lists results in one lot, in this order, but for items that are
-// listed already (design 8.7). listLot applies it; TestLotVersions,
-// TestLotPositionsNeverMove.
+// listed already, and keeps texts that wait for their scores (design 8.7). listLot applies
+// it; TestLotVersions, TestLotPositionsNeverMove, TestAWholeTextIsKeptUntilItIsListed.
 type ListLot struct {
 	Lot     string      `json:"lot"`
 	Results []LotResult `json:"results"`
+	Whole   []LotResult `json:"whole,omitempty"`
 }
 
 // Kind names the command.
@@ -271,7 +277,9 @@
 		t.textBytes += int64(len(b))
 		l.put(LotTextItem, id, b)
 		l.recent.add(id, b)
+		l.dropWhole(t, p)
 	}
+	refused += l.keepWhole(t, x.whole, n)
 	return good(LotCount{len(t.List), refused})
 }
 
@@ -280,8 +288,13 @@
 	if r.State != LotComplete && r.State != LotAbandoned {
 		return false
 	}
-	for _, v := range r.Versions {
-		if v < t.Doc.Least || t.Doc.Single && v != r.Versions[0] {
+	return t.allowsVersions(r.Versions)
+}
+
+// allowsVersions says whether a text of these weights may be a result.
+func (t *Lot) allowsVersions(versions []int) bool {
+	for _, v := range versions {
+		if v < t.Doc.Least || t.Doc.Single && v != versions[0] {
 			return false
 		}
 	}
@@ -315,6 +328,7 @@
 	if !t.Ended {
 		t.Ended, t.Mod = true, l.Index
 		l.dropRequests(t)
+		l.dropAllWhole(t)
 		l.lotsDue = min(l.lotsDue, t.due())
 	}
 	return good(t.sum())
--- a/core/ledger/lottypes.go
+++ b/core/ledger/lottypes.go
@@ -14,6 +14,16 @@
 	Fields []flow.Field `json:"h,omitempty"`
 	Body   []byte       `json:"b,omitempty"`
 	Tokens int          `json:"t,omitempty"` // of the prompt and the most out, summed
+	Reward *RewardCall  `json:"r,omitempty"` // what scores its text; nil where nothing does
+}
+
+// RewardCall is the request whose answer's seal is the score of an item's text. It goes out
+// by the route of its host and path once the text is whole, and may be repeated.
+type RewardCall struct {
+	ID   string `json:"id"`
+	Host string `json:"host"`
+	Path string `json:"p"`
+	Body []byte `json:"b,omitempty"`
 }
 
 // LotDoc is a lot as it was handed in: requests that run after the answer.
@@ -44,12 +54,17 @@
 	LotAbandoned = "abandoned"
 )
 
+// LotUnscored is the state of a text that is whole and waits for its score. It is kept for
+// the lot's next owner and is no result.
+const LotUnscored = "unscored"
+
 // LotResult is one listed result. Its position is its number in the list.
 type LotResult struct {
 	Item     string `json:"i"`
 	State    string `json:"s"`
 	Text     string `json:"t,omitempty"`
 	Versions []int  `json:"v,omitempty"` // every version that made an event of the text
+	Score    string `json:"c,omitempty"` // the seal of its reward call's answer
 }
 
 // ReadLot asks for the results from a position on: at most Bytes of them, but
@@ -78,6 +93,7 @@
 	State    string          `json:"s"`
 	Text     json.RawMessage `json:"t,omitempty"`
 	Versions []int           `json:"v,omitempty"`
+	Score    string          `json:"c,omitempty"`
 }
 
 // EncodedRead is a LotRead as it is passed on.
@@ -96,11 +112,12 @@
 func (GetLotItems) Kind() Kind { return KindLotItems }
 
 // LotItems answers an owner that asks for what is left of its lot: Doc has only
-// the items that are not listed.
+// the items that are not listed, and Texts those of their texts that are whole.
 type LotItems struct {
-	Doc    LotDoc `json:"doc"`
-	Listed int    `json:"listed"`
-	Ended  bool   `json:"ended,omitempty"`
+	Doc    LotDoc      `json:"doc"`
+	Texts  []LotResult `json:"texts,omitempty"`
+	Listed int         `json:"listed"`
+	Ended  bool        `json:"ended,omitempty"`
 }
 
 // FindItem asks for one item's body that is not listed.
--- a/core/ledger/packed.go
+++ b/core/ledger/packed.go
@@ -40,8 +40,8 @@
 	}
 	for at := 0; at < len(items); {
 		end, size := at, 0
-		for end < len(items) && (end == at || size+len(items[end].Body) <= LotPartBytes) {
-			size += len(items[end].Body) + sizeOf
+		for end < len(items) && (end == at || size+items[end].bytes() <= LotPartBytes) {
+			size += items[end].bytes() + sizeOf
 			end++
 		}
 		p.Parts = append(p.Parts, at)
@@ -51,6 +51,14 @@
 	return p
 }
 
+// bytes is about what an item holds.
+func (x LotItem) bytes() int {
+	if x.Reward == nil {
+		return len(x.Body)
+	}
+	return len(x.Body) + len(x.Reward.Body)
+}
+
 // Encode gives the body of the lot.put. Its requests are copied as they stand.
 func (p PackedLot) Encode() json.RawMessage {
 	head := raw(struct {
--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -145,7 +145,7 @@
 		if a.Code != ledger.Accepted || flow.Decode(a.Body, &x) != nil || x.Ended || x.Doc.Owner != t.env.Me {
 			return
 		}
-		t.Adopt(x.Doc, flow.Time(x.Doc.AgeMS)*time.Millisecond)
+		t.Adopt(x.Doc, flow.Time(x.Doc.AgeMS)*time.Millisecond, x.Texts...)
 	})
 }
 
@@ -296,7 +296,7 @@
 
 // mayFlush says whether a lot's finished items are to be listed now.
 func (t *Table) mayFlush(l *lot) bool {
-	if l.flight > 0 || len(l.ready) == 0 {
+	if l.flight > 0 || len(l.ready) == 0 && !t.mustKeep(l) {
 		return false
 	}
 	if l.left == 0 {
@@ -318,12 +318,14 @@
 			size += len(l.ready[n].Text)
 			n++
 		}
-		l.flight, l.flushed = n, t.env.Now
-		t.env.Ask(budget.AskTimeout, ledger.ListLot{Lot: id, Results: l.ready[:n:n]}, func(a ask.Answer) {
+		keep := t.unsaved(l, flushBytes-size)
+		l.flight, l.flushed = n+len(keep), t.env.Now
+		t.env.Ask(budget.AskTimeout, ledger.ListLot{Lot: id, Results: l.ready[:n:n], Whole: keep}, func(a ask.Answer) {
 			l.flight = 0
 			if a.Code.Retryable() {
 				return // it is said again
 			}
+			l.saved(keep)
 			if t.env.Debug {
 				for _, r := range l.ready[:n] {
 					t.env.Trace("lots", "listed", "lot", id, "item", r.Item, "state", r.State, "code", a.Code)
--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -16,6 +16,7 @@
 	"fernlink/core/serve/engines"
 	"fernlink/core/serve/env"
 	"fernlink/core/serve/prefixes"
+	"fernlink/core/serve/requests"
 	"fernlink/core/serve/route"
 	"fernlink/core/sorted"
 )
@@ -27,6 +28,7 @@
 	routes   func() *route.Table
 	live     func() []gossip.Entry
 	index    *prefixes.Table
+	calls    *requests.Table // makes reward calls
 	rows     map[string]*lot
 	asked    map[string]bool      // lots whose items are being fetched
 	wanted   map[string]flow.Time // lots that fell to this node, and when to fetch them
@@ -45,8 +47,8 @@
 }
 
 // New makes an empty table.
-func New(e *env.Env, t *engines.Table, routes func() *route.Table, live func() []gossip.Entry, index *prefixes.Table) *Table {
-	return &Table{env: e, engines: t, routes: routes, live: live, index: index, rows: map[string]*lot{}, asked: map[string]bool{}, wanted: map[string]flow.Time{}, others: map[string]bool{}, open: map[string]openLot{}, over: map[string]flow.Time{}, last: map[string]string{}, paces: map[string]*pace{}, partials: partials{},
+func New(e *env.Env, t *engines.Table, routes func() *route.Table, live func() []gossip.Entry, index *prefixes.Table, calls *requests.Table) *Table {
+	return &Table{env: e, engines: t, routes: routes, live: live, index: index, calls: calls, rows: map[string]*lot{}, asked: map[string]bool{}, wanted: map[string]flow.Time{}, others: map[string]bool{}, open: map[string]openLot{}, over: map[string]flow.Time{}, last: map[string]string{}, paces: map[string]*pace{}, partials: partials{},
 		readers: map[uint64]*reader{}, putting: map[uint64]int{}}
 }
 
@@ -61,6 +63,8 @@
 	flight  int                // how many of them a listing under way has
 	flushed flow.Time          // when the last listing was asked for
 	left    int                // items that are not finished
+	unmade  int                // items whose texts are not whole
+	whole   []*item            // those that wait for their scores, the oldest first
 }
 
 // group is the items of one prompt.
@@ -76,6 +80,7 @@
 const (
 	held = iota
 	running
+	scoring // its text is whole, and waits for its score
 	done
 )
 
@@ -86,7 +91,8 @@
 	group *group
 	state int
 	runs  []*run
-	kept  text      // the longest text of a run that broke off
+	kept  text // the longest text of a run that broke off
+	score *scoreCall
 	fails int       // answers of 500
 	begun flow.Time // its first send
 	again flow.Time
@@ -150,7 +156,7 @@
 			return false
 		}
 		for _, i := range l.items {
-			if len(i.runs) > 0 {
+			if len(i.runs) > 0 || i.score.unsaved() {
 				return false
 			}
 		}
@@ -161,12 +167,13 @@
 // Leave stops starting items; what runs is seen to its end.
 func (t *Table) Leave() { t.leaving = true }
 
-// Adopt takes a lot over: the items in doc are those that are not listed.
-func (t *Table) Adopt(doc ledger.LotDoc, age flow.Time) {
+// Adopt takes a lot over: the items in doc are those that are not listed, and whole those of
+// their texts that wait for their scores.
+func (t *Table) Adopt(doc ledger.LotDoc, age flow.Time, whole ...ledger.LotResult) {
 	if t.rows[doc.ID] != nil || t.superseded(doc.ID) {
 		return
 	}
-	l := &lot{doc: doc, opened: t.env.Now - age, byID: map[string]*item{}, left: len(doc.Items)}
+	l := &lot{doc: doc, opened: t.env.Now - age, byID: map[string]*item{}, left: len(doc.Items), unmade: len(doc.Items)}
 	at := map[string]*group{}
 	for _, x := range doc.Items {
 		name := x.Group
@@ -181,12 +188,20 @@
 		}
 		i := &item{LotItem: x, lot: l, group: g, kept: text{last: -1}}
 		i.kept = t.partials.take(x.ID, &doc)
+		if r, ok := t.partials.takeWhole(x.ID, &doc); ok && x.Reward != nil {
+			t.await(i, r, false)
+		}
 		g.items = append(g.items, i)
 		g.left++
 		l.items = append(l.items, i)
 		l.byID[x.ID] = i
 	}
 	l.doc.Items = nil
+	for _, r := range whole {
+		if i := l.byID[r.Item]; i != nil && i.state == held && i.Reward != nil {
+			t.await(i, r, true)
+		}
+	}
 	t.rows[doc.ID] = l
 	t.changed = true
 	t.advise(l)
@@ -280,6 +295,7 @@
 			}
 		}
 		t.stop(i)
+		t.unscore(i)
 		if i.state != done {
 			t.partials.put(i.ID, i.kept, t.env.Now)
 		}
@@ -318,6 +334,7 @@
 	if scan || t.changed {
 		t.changed = false
 		t.place()
+		t.score()
 	}
 	if scan {
 		t.second()
@@ -385,6 +402,11 @@
 	if i.state == done {
 		return
 	}
+	t.checkScored(i, r)
+	if i.state != scoring {
+		i.lot.unmade--
+	}
+	t.unscore(i)
 	i.state = done
 	i.kept = text{last: -1}
 	i.group.left--
--- a/core/serve/lots/pace.go
+++ b/core/serve/lots/pace.go
@@ -41,7 +41,7 @@
 	if begin <= 0 {
 		return math.MaxInt
 	}
-	return int(math.Ceil(float64(l.left) * p.mean / begin))
+	return int(math.Ceil(float64(l.unmade) * p.mean / begin))
 }
 
 // spread sets how many slots of each engine of a pool are used: no more than the
@@ -52,7 +52,7 @@
 	need := map[string]int{}
 	for _, l := range lots {
 		r := t.pool(l)
-		if r == nil || l.left == 0 {
+		if r == nil || l.unmade == 0 {
 			continue
 		}
 		n := t.need(l)
--- a/core/serve/lots/place.go
+++ b/core/serve/lots/place.go
@@ -37,7 +37,7 @@
 	t.spread(lots)
 	for _, l := range lots {
 		r := t.pool(l)
-		if r == nil || l.left == 0 {
+		if r == nil || l.unmade == 0 {
 			continue
 		}
 		t.placeLot(l, r)
--- a/core/serve/lots/runs.go
+++ b/core/serve/lots/runs.go
@@ -243,7 +243,7 @@
 		}
 		t.paces[i.lot.doc.Route].took(t.env.Now - i.begun)
 		t.checkWeights(r)
-		t.finish(i, ledger.LotResult{Item: i.ID, State: ledger.LotComplete, Text: strings.Join(r.text.events, "\n"), Versions: r.text.versions})
+		t.made(i, ledger.LotResult{Item: i.ID, State: ledger.LotComplete, Text: strings.Join(r.text.events, "\n"), Versions: r.text.versions})
 	default:
 		t.engines.Full(r.engine)
 	}
--- a/core/serve/requests/requests.go
+++ b/core/serve/requests/requests.go
@@ -47,6 +47,7 @@
 	last   flow.Back       // the newest answer that is not to be trusted as final
 	seen   resend.Evidence // of the newest send that ended
 	ended  bool            // one has
+	own    *ownCall        // what hears of it, where this node itself makes the call
 }
 
 // try is one send of it.
@@ -256,6 +257,7 @@
 		x.engine.Took(float64(t.env.Now-x.at) / 1e6)
 	case resend.Failed:
 		q.last = b
+		q.own.failed(b)
 	}
 	switch decision {
 	case resend.Accept:
@@ -324,6 +326,10 @@
 		t.violated(invariant.RefusedMayHaveRun, q)
 	}
 	t.finish(q)
+	if q.own != nil {
+		q.own.end(flow.Back{})
+		return
+	}
 	t.failed(q, "refused: no engine")
 	if t.env.Debug {
 		t.trace(q, "refused", "why", env.NoEngine)
@@ -338,6 +344,10 @@
 		return
 	}
 	t.finish(q)
+	if q.own != nil {
+		q.own.end(flow.Back{})
+		return
+	}
 	t.env.Counts["unknown"]++
 	t.failed(q, "it may have run")
 	if t.env.Debug {
@@ -352,6 +362,10 @@
 		t.violated(invariant.PartialPassed, q, "failure", b.Failure.String(), "code", b.Code, "why", b.Err)
 	}
 	t.finish(q)
+	if q.own != nil {
+		q.own.end(b)
+		return
+	}
 	t.env.Counts["passed"]++
 	if t.env.Debug {
 		t.trace(q, "passed", "code", b.Code)
@@ -397,7 +411,8 @@
 	if t.place(q) {
 		return
 	}
-	if now >= q.late-margin || now-q.came >= max(q.route.Target/refusePart, margin) || q.sends >= q.most() {
+	waited := q.own == nil && now-q.came >= max(q.route.Target/refusePart, margin)
+	if now >= q.late-margin || waited || q.sends >= q.most() {
 		t.giveUp(q)
 	}
 }
@@ -412,6 +427,11 @@
 	if q.stream != nil {
 		t.cutAll(q)
 	}
+	if q.own != nil {
+		t.cutAll(q)
+		q.own.end(flow.Back{})
+		return
+	}
 	t.env.Counts["late"]++
 	t.failed(q, "no answer in time")
 	if t.env.Debug {
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -68,7 +68,7 @@
 	s.engines = engines.New(s.env)
 	s.index = prefixes.New(s.env)
 	s.requests = requests.New(s.env, s.engines)
-	s.lots = lots.New(s.env, s.engines, func() *route.Table { return s.routes }, func() []gossip.Entry { return s.live }, s.index)
+	s.lots = lots.New(s.env, s.engines, func() *route.Table { return s.routes }, func() []gossip.Entry { return s.live }, s.index, s.requests)
 	s.fleet = fleet.New(s.env, s.engines, p.Acting)
 	s.roll = rollout.New(s.env, s.engines, s.fleet, p.Acting)
 	return s
@@ -282,7 +282,7 @@
 // sees them rise from 0.
 var counted = []string{"passed", "refused", "hedged", "late", "unknown", "streams_broken", "streams_moved", "lots_taken", "lots_adopted", "items_sent",
 	"items_listed", "items_complete", "items_abandoned", "second_runs", "runs_broken", "runs_silent", "weight_orders", "reports_read", "list_calls",
-	"list_failures", "engine_failures", "turned_away"}
+	"list_failures", "engine_failures", "turned_away", "reward_calls", "rewards_failed", "texts_kept"}
 
 // Stats gives the snapshot.
 func (s *Serve) Stats() Stats {
--- a/rig/scale/things.go
+++ b/rig/scale/things.go
@@ -73,7 +73,7 @@
 		return []any{&p, route.New(1, &p)}
 	}},
 	{"lot owner", "bytes in memory, an item that is not listed", []float64{2048, 4096, 8192, 16384}, func(n int) any {
-		t := lots.New(&env.Env{Counts: map[string]int64{}, Codec: platform.Codec("10.255.0.1:80")}, nil, func() *route.Table { return nil }, func() []gossip.Entry { return nil }, prefixes.New(&env.Env{}))
+		t := lots.New(&env.Env{Counts: map[string]int64{}, Codec: platform.Codec("10.255.0.1:80")}, nil, func() *route.Table { return nil }, func() []gossip.Entry { return nil }, prefixes.New(&env.Env{}), nil)
 		doc, err := platform.Codec("10.255.0.1:80").ReadLot("lot", lotBody("lot", n))
 		if err != nil {
 			panic(err)
--- a/sim/serve_engine.go
+++ b/sim/serve_engine.go
@@ -77,6 +77,7 @@
 	id   string
 	code int
 	body string
+	came time.Duration // when the request reached the engine
 }
 
 // siteJob is a request at an engine.
--- a/sim/serve_site.go
+++ b/sim/serve_site.go
@@ -103,6 +103,7 @@
 	Configs []*siteConfig
 	floors  map[string][]floor
 	Count   map[string]int // what happened, by kind
+	rewards siteRewards
 	off     bool           // traffic has ended
 	named   map[string]int // the newest version of a model's weights that was named
 	noted   []int          // versions that were acknowledged
@@ -131,6 +132,7 @@
 		runs: map[string][]*siteRun{}, byRun: map[int]*siteRun{}, seals: map[string]sealed{}, tries: map[string]*siteTry{}, items: map[string]*siteItem{}, senders: map[*siteLot]*Host{},
 		floors: map[string][]floor{}, Count: map[string]int{}, named: map[string]int{siteModel: 1}}
 	w.Out.Site = s
+	s.rewards = newSiteRewards()
 	s.witness = newWitness(s)
 	s.listeners = map[string]listener.Listener{}
 	for i, d := range platform.Listeners(config.Config{Front: "front", Ready: "ready", Control: "control"}) {
--- a/sim/serve_storm.go
+++ b/sim/serve_storm.go
@@ -32,7 +32,7 @@
 	}
 	s.RepeatOrders(600 * time.Millisecond)
 	s.AddTrainer(s.Shape.Zones[0], 8, 3, 6, 4*time.Second, 5*time.Second)
-	s.AddTrainer(s.Shape.Zones[1], 4, 4, 4, 5*time.Second, 6*time.Second)
+	s.AddTrainer(s.Shape.Zones[1], 4, 4, 4, 5*time.Second, 6*time.Second).Rewards = true
 }
 
 // Begin has the first configuration taken and lets traffic start.
--- a/sim/serve_trainer.go
+++ b/sim/serve_trainer.go
@@ -17,6 +17,7 @@
 	id, path, body, group string
 	out                   int
 	never                 bool // engines say that it can never be done
+	reward                *siteReward
 	lots                  []*siteLot
 }
 
@@ -48,6 +49,7 @@
 
 type siteOutput struct {
 	InstanceId, State, Message string
+	Score                      string
 	WeightVersions             []int
 }
 
@@ -68,6 +70,7 @@
 	carry         [][]*siteItem
 	Steps, Missed int
 	shared        string
+	Rewards       bool // its items carry reward calls
 }
 
 // AddTrainer starts a trainer: a lot each so often, of groups of items.
@@ -96,6 +99,9 @@
 			i := &siteItem{id: s.name("i"), group: name, out: 6 + s.w.Rand.Intn(14), never: s.w.Rand.Intn(400) == 0}
 			i.path, i.body = "/sync/"+strconv.Itoa(t.Step)+"/"+i.id, "body of "+i.id
 			s.items[i.id] = i
+			if t.Rewards {
+				s.addReward(i)
+			}
 			g = append(g, i)
 		}
 		groups = append(groups, g)
@@ -105,8 +111,12 @@
 		for _, i := range g {
 			i.lots = append(i.lots, l)
 			l.items = append(l.items, i)
-			reqs = append(reqs, map[string]any{"InstanceId": i.id, "Path": i.path, "Body": base64.StdEncoding.EncodeToString([]byte(i.body)), "Tokens": 516 + i.out, "GroupId": i.group,
-				"Headers": map[string]string{"Model": siteModel, "Token-Counts": fmt.Sprintf("516,%d", i.out), "Prompt-Prefix": fmt.Sprintf("%s:400,%s:100,%s:16", t.shared, i.group, i.id)}})
+			request := map[string]any{"InstanceId": i.id, "Path": i.path, "Body": base64.StdEncoding.EncodeToString([]byte(i.body)), "Tokens": 516 + i.out, "GroupId": i.group,
+				"Headers": map[string]string{"Model": siteModel, "Token-Counts": fmt.Sprintf("516,%d", i.out), "Prompt-Prefix": fmt.Sprintf("%s:400,%s:100,%s:16", t.shared, i.group, i.id)}}
+			if i.reward != nil {
+				request["Scorer"] = i.reward.request()
+			}
+			reqs = append(reqs, request)
 		}
 	}
 	l.body, _ = json.Marshal(map[string]any{"TrainStep": t.Step, "Model": siteModel, "MinVersion": l.least, "Desired": t.Desired, "Requests": reqs})
