Plans: named items are changed by PATCH, agreed on and told as what changed

Cause: PATCH /config was answered 404, and no change was ever acknowledged. A change of named items is checked as a whole where it comes in; the log, the blob store and renewals carry only what changed. A node whose plan the changes do not fit asks for all. The simulator's operator sends half of its changes so, and reads back. In the simulator a configuration was made from the routes of an invalid one that had taken the same number; it is made from the valid one now.

--- a/cmd/fernlink/tools.go
+++ b/cmd/fernlink/tools.go
@@ -30,6 +30,7 @@
 		{"get", "print the plan in force", "GET", "/v1/plan", false, ""},
 		{"list", "list the kept versions", "GET", "/v1/plans", false, ""},
 		{"put", "put a plan from a file: {read, request, plan}", "PUT", "/v1/plan", true, ""},
+		{"patch", "change named items from a file: {read, request, upsert, remove}", "PATCH", "/v1/plan", true, ""},
 	},
 	"step": {
 		{"open", "open a step from a file", "POST", "/v1/steps", true, ""},
--- a/core/coord/coord.go
+++ b/core/coord/coord.go
@@ -8,6 +8,7 @@
 import (
 	"slices"
 
+	"fernlink/api"
 	"fernlink/core/ask"
 	"fernlink/core/budget"
 	"fernlink/core/disp"
@@ -46,6 +47,7 @@
 	fleet       policy.Fleet
 	pending     map[string]*pendingOrder
 	sends       map[uint64]func(flow.Back)
+	plan        *api.Plan // without what it was made from
 	planVersion uint64
 	readUpTo    uint64 // the ledger index up to which every dispatcher with a lease has read
 
--- a/core/coord/lease.go
+++ b/core/coord/lease.go
@@ -128,18 +128,14 @@
 	for _, target := range delta.Targets {
 		c.fleet.Targets[target.Pool] = target
 	}
-	if delta.Plan != nil && delta.Plan.Version > c.planVersion {
-		c.takePlan(delta.Plan)
+	if version, plan, newer := api.Follow(c.planVersion, c.plan, delta.Plan, delta.Changes); newer {
+		c.takePlan(version, plan)
 	}
 }
 
 // takePlan reads from a plan what the policies need.
-func (c *Coord) takePlan(stored *ledger.Plan) {
-	var plan api.Plan
-	if json.Unmarshal(stored.Doc, &plan) != nil {
-		return
-	}
-	c.planVersion = stored.Version
+func (c *Coord) takePlan(version uint64, plan *api.Plan) {
+	c.planVersion, c.plan = version, plan
 	c.fleet.Keep, c.fleet.Pins = map[string]float64{}, map[string]bool{}
 	for _, pool := range plan.Pools {
 		if pool.Keep > 0 {
@@ -156,7 +152,7 @@
 // standDown gives up all that was done under the lease.
 func (c *Coord) standDown() {
 	flow.Warn.Note(c.outbox, "coord", "stood down", "term", c.term)
-	c.term, c.leaseUntil, c.planVersion = 0, 0, 0
+	c.term, c.leaseUntil, c.planVersion, c.plan = 0, 0, 0, nil
 	for _, id := range sorted.Keys(c.watchers) {
 		c.closeWatch(id, "this coordinator stood down")
 	}
--- a/core/disp/admin.go
+++ b/core/disp/admin.go
@@ -24,6 +24,7 @@
 	"plan.version": (*Disp).planVersion,
 	"plan.list":    func(d *Disp, c flow.Call) { d.up(c, ledger.ListPlans{}) },
 	"plan.put":     (*Disp).planPut,
+	"plan.patch":   (*Disp).planPatch,
 	"step.open":    (*Disp).stepOpen,
 	"step.list":    func(d *Disp, c flow.Call) { d.up(c, ledger.ListSteps{}) },
 	"step.get":     func(d *Disp, c flow.Call) { d.up(c, ledger.GetStep(c.Vars["id"])) },
--- a/core/disp/answers.go
+++ b/core/disp/answers.go
@@ -108,6 +108,17 @@
 	return ownAnswer{http.StatusUnprocessableEntity, faults{"does not make sense", bad}, false}
 }
 
+// planMoved answers a change of a plan that is not the one in force any more.
+func planMoved(version uint64) ownAnswer {
+	return ownAnswer{http.StatusConflict, movedPlan{"the plan has moved on", version}, false}
+}
+
+// movedPlan is its body.
+type movedPlan struct {
+	Error   string `json:"error"`
+	Version uint64 `json:"version"`
+}
+
 // notANumber answers a query whose value is none.
 func notANumber(name string) ownAnswer {
 	return ownAnswer{http.StatusBadRequest, answer{Error: name + " is not a number"}, false}
--- a/core/disp/disp.go
+++ b/core/disp/disp.go
@@ -48,6 +48,7 @@
 	indexAt  flow.Time // when it was heard
 	version  uint64
 	plan     *api.Plan
+	whole    bool // the plan's changes did not fit: all is asked for again
 	steps    map[string]*step
 	roster   []string
 	coord    ledger.Coord
@@ -165,7 +166,11 @@
 	}
 	d.renewing = true
 	d.next, d.asked = d.now+budget.RenewInterval, d.now
-	d.p.Asker.Ask(d.now, budget.LeaseDuration, store.Renew{ID: d.p.ID, Have: d.index, Heard: d.heard}, func(now flow.Time, a ask.Answer) {
+	have := d.index
+	if d.whole {
+		have = 0
+	}
+	d.p.Asker.Ask(d.now, budget.LeaseDuration, store.Renew{ID: d.p.ID, Have: have, Heard: d.heard}, func(now flow.Time, a ask.Answer) {
 		var x ledger.Delta
 		d.renewing = false
 		if a.Code != ledger.Unanswered {
@@ -200,14 +205,14 @@
 // fold takes what changed in the ledger. An older view never replaces a
 // newer one, since the index only grows (design 6.2).
 func (d *Disp) fold(x ledger.Delta) {
-	d.foldPlan(x.Plan)
+	d.foldPlan(x)
 	if len(x.Open) > 0 && !slices.Equal(d.roster, x.Roster) {
 		d.roster, d.rosters = x.Roster, d.rosters+1
 	}
 	if x.Index > d.index {
 		d.indexAt = d.now
 	}
-	d.index, d.coord = x.Index, x.Coord
+	d.index, d.coord, d.whole = x.Index, x.Coord, api.Behind(d.version, x.Changes)
 	if d.p.Heard != nil {
 		d.p.Heard(d.now, x, d.version, d.plan)
 	}
@@ -220,19 +225,15 @@
 }
 
 // foldPlan takes a plan that is newer than the one in force here.
-func (d *Disp) foldPlan(newest *ledger.Plan) {
-	if newest == nil || newest.Version <= d.version {
-		return
-	}
-	var p api.Plan
-	if json.Unmarshal(newest.Doc, &p) != nil {
+func (d *Disp) foldPlan(x ledger.Delta) {
+	version, plan, newer := api.Follow(d.version, d.plan, x.Plan, x.Changes)
+	if !newer {
 		return
 	}
-	p.Index()
-	if newest.Version < d.version {
-		d.p.Invariants.Violated(invariant.PlanWentBack, "version", newest.Version, "in_force", d.version)
+	if version < d.version {
+		d.p.Invariants.Violated(invariant.PlanWentBack, "version", version, "in_force", d.version)
 	}
-	d.plan, d.version = &p, newest.Version
+	d.plan, d.version = plan, version
 	d.out.Note("disp", "plan in force", "version", d.version)
 }
 
--- a/core/ledger/command.go
+++ b/core/ledger/command.go
@@ -17,6 +17,7 @@
 // says where it is applied and tested.
 const (
 	KindPlanPut    Kind = "plan.put"    // PutPlan
+	KindPlanPatch  Kind = "plan.patch"  // PatchPlan
 	KindStepOpen   Kind = "step.open"   // OpenStep
 	KindStepEnd    Kind = "step.end"    // EndStep
 	KindResultAdd  Kind = "result.add"  // AddEntry
@@ -38,6 +39,7 @@
 // commands has all commands, by the kinds of their bodies.
 var commands = commandTable(
 	strict((*Ledger).putPlan, badPlan),
+	strict((*Ledger).patchPlan, badPlan),
 	strict((*Ledger).openStep, badStep),
 	lenient((*Ledger).endStep),
 	strict((*Ledger).addEntry, badEntry),
--- a/core/ledger/earlier_build_test.go
+++ b/core/ledger/earlier_build_test.go
@@ -123,8 +123,8 @@
 		}
 	}
 	for kind := range commands {
-		if !kinds[kind] {
-			t.Errorf("no %s is among the commands", kind)
+		if kinds[kind] == (kind == KindPlanPatch) { // it came after that build
+			t.Errorf("%s among the commands: %v", kind, kinds[kind])
 		}
 	}
 	if got := l.Snapshot(); !bytes.Equal(got, readRecorded(t, "snapshot-at-end.json")) {
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -17,7 +17,7 @@
 	Clock  int64 // the newest stamp; it never goes back
 	Last   Kind  // of the command applied last
 	Bounds Bounds
-	Plans  []Plan // only the newest has its document here
+	Plans  []Plan // only the newest whole one has its document here
 	Steps  map[string]*Step
 	Ends   []string         // ended steps, oldest first
 	Kept   map[string]int64 // bytes of results by trainer
@@ -31,8 +31,9 @@
 	Targets     map[string]*Target
 	Drains      map[string]*Drain
 	Lots        map[string]*Lot
-	lotsDue     int64 // no lot is to be retired before
-	recent      texts // of lots
+	patched     json.RawMessage // the document of the plan in force, once it was asked for
+	lotsDue     int64           // no lot is to be retired before
+	recent      texts           // of lots
 	box         flow.BlobChange
 }
 
--- a/core/ledger/plans.go
+++ b/core/ledger/plans.go
@@ -6,7 +6,7 @@
 	"github.com/go-json-experiment/json/v1"
 )
 
-// Plan gives the plan in force.
+// Plan gives the plan in force. Its document is not always at hand: PlanDoc.
 func (l *Ledger) Plan() Plan {
 	if n := len(l.Plans); n > 0 {
 		return l.Plans[n-1]
@@ -35,40 +35,64 @@
 	if answer, done := l.recallPlan(p, hash); done {
 		return answer
 	}
+	next, why, refused := l.nextPlan(p, hash, c)
+	if refused {
+		return why
+	}
+	l.adoptPlan(next)
+	next.Doc = nil
+	return good(next)
+}
+
+// nextPlan is the plan that a put makes, with its receipts, or why it is refused.
+func (l *Ledger) nextPlan(p PutPlan, hash string, c Command) (next Plan, why Result, refused bool) {
 	now := l.Plan()
 	if p.Read != now.Version {
-		return planMoved.atVersion(now.Version)
+		return next, planMoved.atVersion(now.Version), true
 	}
 	if p.Version != 0 && p.Version <= now.Version {
-		return planNotAbove.atVersion(now.Version)
+		return next, planNotAbove.atVersion(now.Version), true
 	}
 	request := p.Request
 	if p.Version != 0 {
 		request = "" // its version is its name
 	}
 	if !l.roomForReceipts(c.At, receiptsOf(request)) {
-		return receiptsFull.Result()
+		return next, receiptsFull.Result(), true
 	}
-	next := Plan{Version: max(p.Version, now.Version+1), Request: p.Request, Hash: hash, Doc: p.Doc, Mod: l.Index, At: c.At}
+	next = Plan{Version: max(p.Version, now.Version+1), Request: p.Request, Hash: hash, Doc: p.Doc, Mod: l.Index, At: c.At}
 	l.acknowledge(planVersionID(next.Version, hash), c.At, next.Version)
 	if request != "" {
 		l.acknowledge(planRequestID(request, hash), c.At, next.Version)
 	}
-	l.adoptPlan(next)
-	next.Doc = nil
-	return good(next)
+	return next, Result{}, false
 }
 
-// adoptPlan puts a plan in force.
+// adoptPlan puts a plan in force whose document is whole.
 func (l *Ledger) adoptPlan(next Plan) {
-	if n := len(l.Plans); n > 0 {
-		l.Plans[n-1].Doc = nil
+	for i := range l.Plans {
+		l.Plans[i].Doc = nil
+		if next.Patch == nil {
+			l.Plans[i].Patch = nil // nobody goes on from it by changes
+		}
 	}
-	l.Plans = append(l.Plans, next)
+	l.Plans, l.patched = append(l.Plans, next), nil
 	l.put(DocItem, l.Index, next.Doc)
-	for len(l.Plans) > KeepPlans {
-		l.drop(DocItem, l.Plans[0].Mod)
-		l.Plans = append([]Plan(nil), l.Plans[1:]...)
+	l.prunePlans()
+}
+
+// prunePlans drops the oldest plans beyond those that are kept. One on whose document
+// others build stays for as long as they do.
+func (l *Ledger) prunePlans() {
+	for next := 1; next <= len(l.Plans)-KeepPlans; next++ {
+		if l.Plans[next].Base != 0 {
+			continue
+		}
+		for _, old := range l.Plans[:next] {
+			l.drop(DocItem, old.Mod)
+		}
+		l.Plans = append([]Plan(nil), l.Plans[next:]...)
+		next = 0
 	}
 }
 
@@ -108,7 +132,7 @@
 			same = p.Request != "" && old.Request == p.Request
 		}
 		if same && old.Hash == hash {
-			old.Doc = nil
+			old.Doc, old.Patch = nil, nil
 			return old, true
 		}
 	}
--- a/core/ledger/query.go
+++ b/core/ledger/query.go
@@ -18,7 +18,8 @@
 // Delta is what changed since a dispatcher last asked (design 5.2).
 type Delta struct {
 	Index   uint64    `json:"index"`
-	Plan    *Plan     `json:"plan,omitempty"`
+	Plan    *Plan     `json:"plan,omitempty"`    // the one in force, whole
+	Changes []Plan    `json:"changes,omitempty"` // or what changed of it, the oldest first
 	Steps   []StepDoc `json:"steps,omitempty"`
 	Opened  []int64   `json:"opened,omitempty"`
 	Ended   []string  `json:"ended,omitempty"`
@@ -37,9 +38,7 @@
 // Since gives what changed after index have.
 func (l *Ledger) Since(have uint64) Delta {
 	d := Delta{Index: l.Index, Coord: l.Coord, Lots: l.lotsSince(have)}
-	if p := l.Plan(); p.Version > 0 && p.Mod > have {
-		d.Plan = &p
-	}
+	l.planSince(have, &d)
 	l.stepsSince(have, &d)
 	for _, id := range sorted.Keys(l.Orders) {
 		if o := l.Orders[id]; o.Mod > have {
@@ -106,16 +105,14 @@
 func (l *Ledger) getPlan(want GetPlan) Result {
 	if want == 0 {
 		if p := l.Plan(); p.Version > 0 {
+			p.Doc, p.Patch = l.PlanDoc(), nil
 			return good(p)
 		}
 		return noPlan.Result()
 	}
-	for _, p := range l.Plans {
-		if p.Version == uint64(want) {
-			return Result{Code: Accepted, Need: []flow.Ref{{Kind: DocItem, ID: p.Mod}}, With: func(items [][]byte) Result {
-				p.Doc = items[0]
-				return good(p)
-			}}
+	for at := range l.Plans {
+		if l.Plans[at].Version == uint64(want) {
+			return l.planAt(at)
 		}
 	}
 	return noSuchPlan.Result()
@@ -130,7 +127,7 @@
 func (l *Ledger) listPlans(ListPlans) Result {
 	out := []Plan{}
 	for _, p := range l.Plans {
-		p.Doc = nil
+		p.Doc, p.Patch = nil, nil
 		out = append(out, p)
 	}
 	return good(map[string]any{"plans": out})
--- a/core/ledger/receipts.go
+++ b/core/ledger/receipts.go
@@ -157,6 +157,7 @@
 
 // knownOrders answer for the kinds of orders that may be refused elsewhere.
 var knownOrders = map[Kind]func(*Ledger, json.RawMessage) (Result, bool){
+	KindPlanPatch: recalled((*Ledger).recallPlanPatch),
 	KindStepOpen:  (*Ledger).knownStep,
 	KindTargetPut: recalled((*Ledger).recallTarget),
 	KindDrainPut:  recalled((*Ledger).recallDrain),
@@ -167,6 +168,7 @@
 // way of their own (lot_name.go), which reads nothing of their requests.
 var recalls = map[Kind]func(*Ledger, json.RawMessage) (Result, bool){
 	KindPlanPut:   recalled((*Ledger).recallPlanPut),
+	KindPlanPatch: recalled((*Ledger).recallPlanPatch),
 	KindTargetPut: recalled((*Ledger).recallTarget),
 }
 
--- a/core/ledger/snapshot.go
+++ b/core/ledger/snapshot.go
@@ -92,7 +92,7 @@
 	d := snapshot{Receipts: &receipts, Index: l.Index, Clock: l.Clock, Bounds: l.Bounds, Keys: l.Keys.Snapshot(), Owners: l.Owners, Coord: l.Coord,
 		Orders: l.Orders, Targets: l.Targets, Drains: l.Drains, Lots: l.lotRows()}
 	for _, p := range l.Plans {
-		p.Doc = nil
+		p.Doc, p.Patch = nil, nil
 		d.Plans = append(d.Plans, p)
 	}
 	row := func(s *Step) {
@@ -135,7 +135,7 @@
 		out = append(out, flow.Ref{Kind: DocItem, ID: t.Item})
 	}
 	if n := len(d.Plans); n > 0 {
-		out = append(out, flow.Ref{Kind: DocItem, ID: d.Plans[n-1].Mod})
+		out = append(out, (&Ledger{Plans: d.Plans}).planRefs(n-1)...)
 	}
 	return out, nil
 }
@@ -219,19 +219,6 @@
 	return nil
 }
 
-// loadPlan reads the document of the plan in force.
-func (l *Ledger) loadPlan(_ snapshot, items map[flow.Ref][]byte) error {
-	if len(l.Plans) == 0 {
-		return nil
-	}
-	newest := &l.Plans[len(l.Plans)-1]
-	newest.Doc = items[flow.Ref{Kind: DocItem, ID: newest.Mod}]
-	if newest.Doc == nil {
-		return errors.Wrap(ErrSnapshot, "the plan's document is missing")
-	}
-	return nil
-}
-
 // loadReceipts reads the receipts. A snapshot of an earlier build has none: they
 // are made of what it still holds.
 func (l *Ledger) loadReceipts(d snapshot, items map[flow.Ref][]byte) error {
--- a/core/ledger/types.go
+++ b/core/ledger/types.go
@@ -18,12 +18,16 @@
 	With func([][]byte) Result `json:"-"`
 }
 
-// Plan is a whole service plan at a version.
+// Plan is a service plan at a version. Where it was put as a change of the one before it,
+// Base says on which whole document it builds.
 type Plan struct {
 	Version uint64          `json:"version"`
 	Request string          `json:"request,omitempty"`
-	Hash    string          `json:"sha256,omitempty"`
+	Hash    string          `json:"sha256,omitempty"` // of what was put: the document, or the change
 	Doc     json.RawMessage `json:"doc,omitempty"`
+	Patch   json.RawMessage `json:"patch,omitempty"` // what changed, where that is known
+	Read    uint64          `json:"read,omitempty"`  // the version that a change was made from
+	Base    uint64          `json:"base,omitempty"`  // Mod of the plan whose document is kept whole, 0 for its own
 	Mod     uint64          `json:"mod"`
 	At      int64           `json:"at"`
 }
--- a/core/store/leases.go
+++ b/core/store/leases.go
@@ -140,7 +140,7 @@
 // nudges are the commands that others should hear of soon. They renew at once
 // then; what is promised rests on the renewals alone (design 5.2).
 var nudges = map[ledger.Kind]bool{
-	ledger.KindPlanPut: true, ledger.KindStepOpen: true, ledger.KindStepEnd: true, ledger.KindOrderPut: true, ledger.KindOrderState: true,
+	ledger.KindPlanPut: true, ledger.KindPlanPatch: true, ledger.KindStepOpen: true, ledger.KindStepEnd: true, ledger.KindOrderPut: true, ledger.KindOrderState: true,
 	ledger.KindTargetPut: true, ledger.KindDrainPut: true, ledger.KindLotPut: true, ledger.KindLotEnd: true, ledger.KindLotOwn: true,
 }
 
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -86,6 +86,7 @@
 	{"GET", "/metrics", "metrics"},
 	{"GET", "/v1/plan", "plan.get"},
 	{"PUT", "/v1/plan", "plan.put"},
+	{"PATCH", "/v1/plan", "plan.patch"},
 	{"GET", "/v1/plans", "plan.list"},
 	{"GET", "/v1/plans/{version}", "plan.version"},
 	{"POST", "/v1/steps", "step.open"},
--- a/shell/web/web_test.go
+++ b/shell/web/web_test.go
@@ -48,7 +48,7 @@
 	if c, b, _ := ask("POST", "/book/x?y=1", []byte("{}")); c != 200 || !strings.HasPrefix(b, "app ") {
 		t.Errorf("application traffic: %d %q", c, b)
 	}
-	if c, _, h := ask("PATCH", "/v1/plan", nil); c != 405 || h.Get("Allow") != "GET, PUT" {
+	if c, _, h := ask("DELETE", "/v1/plan", nil); c != 405 || h.Get("Allow") != "GET, PUT, PATCH" {
 		t.Errorf("a wrong method: %d %q", c, h.Get("Allow"))
 	}
 	if c, _, _ := ask("GET", "/v1/nothing", nil); c != 404 {
--- a/sim/serve_config.go
+++ b/sim/serve_config.go
@@ -36,6 +36,7 @@
 	State     string
 	Acked     time.Duration
 	unclear   bool
+	patch     bool // body is a change of the version that it was made from
 }
 
 // find gives the route with the longest prefix.
@@ -75,8 +76,8 @@
 
 func (s *Site) body(c *siteConfig) []byte {
 	routes := []any{}
-	for i, r := range c.Routes {
-		x := map[string]any{"Label": r.Name, "Hostname": r.Host, "PathPrefix": r.Path, "RouteKind": r.Kind, "LimitMs": 2000, "TargetMs": 150, "Rank": i % 3, "MaxTries": 3}
+	for _, r := range c.Routes {
+		x := map[string]any{"Label": r.Name, "Hostname": r.Host, "PathPrefix": r.Path, "RouteKind": r.Kind, "LimitMs": 2000, "TargetMs": 150, "Rank": len(r.Name) % 3, "MaxTries": siteTries}
 		if len(r.Pools) == 1 {
 			x["Backend"] = r.Pools[0]
 		} else {
@@ -129,7 +130,7 @@
 func (s *Site) configureAt(h *Host, base int, change func([]siteRoute) []siteRoute, most time.Duration, then func(*siteConfig)) *siteConfig {
 	var routes []siteRoute
 	for _, c := range s.Configs {
-		if c.Rev == base && c.State != cfgRefused {
+		if c.Valid && c.Rev == base && c.State != cfgRefused {
 			routes = slices.Clone(c.Routes)
 		}
 	}
@@ -139,6 +140,9 @@
 	}
 	c := &siteConfig{Rev: rev, Base: base, Routes: change(routes), Valid: true, State: cfgOpen, sent: s.w.Now}
 	c.body = s.body(c)
+	if c.patch = base > 0 && s.w.Rand.Intn(2) == 0; c.patch {
+		c.body = s.patchBody(routes, c)
+	}
 	s.Configs = append(s.Configs, c)
 	s.putAt(h, c, s.w.Now+most, 100*time.Millisecond, then)
 	return c
@@ -211,7 +215,7 @@
 			then(c)
 		}
 	}
-	s.Listener(h, "control", "PUT", "/config", "", []flow.Field{{Name: "If-Match", Value: strconv.Itoa(c.Base)}}, c.body, func(r flow.Reply) {
+	s.Listener(h, "control", c.verb(), "/config", "", []flow.Field{{Name: "If-Match", Value: strconv.Itoa(c.Base)}}, c.body, func(r flow.Reply) {
 		if r.Code == 200 && !strings.HasPrefix(string(c.body), "{") {
 			return
 		}
@@ -226,7 +230,7 @@
 	hosts := s.w.By("dispatcher")
 	h := hosts[s.w.Rand.Intn(len(hosts))]
 	fields := []flow.Field{{Name: "If-Match", Value: strconv.Itoa(c.Base)}}
-	s.Listener(h, "control", "PUT", "/config", "", fields, c.body, func(r flow.Reply) {
+	s.Listener(h, "control", c.verb(), "/config", "", fields, c.body, func(r flow.Reply) {
 		s.Count[fmt.Sprint("configs again ", r.Code)]++
 		if refusedClearly(r.Code) {
 			s.wrong("CONFIG", "version %d was acknowledged, and is refused with %d when it is sent again to %s", c.Rev, r.Code, h.Name)
@@ -260,7 +264,7 @@
 			same := false
 			for _, c := range s.Configs {
 				if c.Rev == doc.Revision && c.State != cfgRefused {
-					same = same || string(c.body) == strings.TrimSpace(string(r.Body))
+					same = same || sameConfig(s.body(c), r.Body)
 				}
 			}
 			if !same {
