--- a/core/serve/requests/requests.go
+++ b/core/serve/requests/requests.go
@@ -155,7 +155,7 @@
 	x := &try{engine: e, at: now}
 	q.tries = append(q.tries, x)
 	if q.repeats() && q.stream == nil && q.route.Target > 0 {
-		q.hedge = now + q.route.Target/hedgePart
+		q.hedge = now + q.hedgeAfter()
 	}
 	e.Begin()
 	if t.env.Debug {
@@ -164,6 +164,15 @@
 	x.id = t.env.Send(t.sendTo(q, e), func(b flow.Back) { t.back(q, x, b) })
 }
 
+// hedgeAfter is how long a send may take before a second engine is asked. Nobody waits for
+// a call of this node's own within its target.
+func (q *Request) hedgeAfter() flow.Time {
+	if q.own != nil {
+		return q.route.Target
+	}
+	return q.route.Target / hedgePart
+}
+
 // sendTo makes the send of a request to an engine.
 func (t *Table) sendTo(q *Request, e *engines.Engine) flow.Send {
 	w := t.env.Codec.Words
--- a/core/serve/world_test.go
+++ b/core/serve/world_test.go
@@ -66,11 +66,14 @@
 	}
 }
 
-func newWorld(t testing.TB) *world {
+func newWorld(t testing.TB) *world { return newWorldOf(t, "me.0") }
+
+// newWorldOf is the world of a node of another name.
+func newWorldOf(t testing.TB, id string) *world {
 	w := &world{t: t, asker: ask.New(0), led: ledger.New(), blobs: map[flow.Ref][]byte{}, fresh: true, now: time.Second,
 		sends: map[uint64]flow.Send{}, cuts: map[uint64]bool{}}
 	ids := uint64(0)
-	w.s = New(Config{ID: "me.0", Zone: "a", Codec: words(), Asker: w.asker, Rand: rand.New(rand.NewSource(1)), Keep: time.Minute,
+	w.s = New(Config{ID: id, Zone: "a", Codec: words(), Asker: w.asker, Rand: rand.New(rand.NewSource(1)), Keep: time.Minute,
 		IDs:    func() uint64 { ids++; return ids },
 		Fresh:  func() bool { return w.fresh },
 		Acting: func() (uint64, flow.Time, bool) { return 7, w.now + time.Second, w.acting }})
