Lots: an answer to a reader holds up to the megabyte that it may

Cause: results of a step were listed 2.8 s after its hand-in and read 4.8 s after it. Readers come about twice a second, and each answer held 192 kB of some 900.

--- a/core/ledger/lot_reads.go
+++ b/core/ledger/lot_reads.go
@@ -87,7 +87,7 @@
 	var holes []int
 	for size := 0; out.Next < len(t.List); out.Next++ {
 		r := t.List[out.Next]
-		if size += int(r.Size); size > q.Bytes && out.Next > from {
+		if size += int(r.Size) + sizeOf; size > q.Bytes && out.Next > from {
 			break
 		}
 		b := l.recent.by[r.Item]
--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -213,9 +213,10 @@
 	})
 }
 
-// PageBytes bounds the results in one answer; one more than that comes alone. The
-// leader holds several copies of each page that is on its way, so pages are small.
-const PageBytes = 192 << 10
+// PageBytes bounds the results in one answer, encoded, to the megabyte that an answer may
+// have; one that is larger comes alone. Who reads a lot comes back some time after each
+// answer, so a page that is smaller than what there is holds up all that comes after it.
+const PageBytes = 960 << 10
 
 // readersMost bounds the readers that wait.
 const readersMost = 1024
