Lots: one owner for all models of a pool while one machine can serve its slots

Hypothesis: three owners of 45 engines learn of each other's load from answers up to 0.4 s old, overfill engines (0.5 s from a send to its first event, 2.5 s at most), and the lot that is due first waits behind others. One owner places all by due time, and its connections serve all trainers.

--- a/core/serve/lots/owners.go
+++ b/core/serve/lots/owners.go
@@ -12,8 +12,10 @@
 )
 
 // slotsEach is how many slots of engines one core of an owner can serve; a pool
-// that has more is shared out by model.
-const slotsEach = 200
+// that has more is shared out by model. An owner of 270 slots was seen to need 0.21 of a
+// core on days of high load (docs/decisions.md): half of a core is left for the hours
+// between, and for what else its process does.
+const slotsEach = 600
 
 // ownerOf picks who runs a new lot: whoever ran the last one of its kind, unless
 // that one also runs another kind that a free process could take, else this node
