Engines: one with an idle connection is chosen before others

An engine counts until when its idle connections are kept, as the pool of connections keeps them, and one with an idle connection is taken before one that has up to half as much to do.

--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -113,6 +113,7 @@
 	Err    string
 
 	Failure Failure
+	KeptFor Time // how long the connection that carried it is kept for another send, at most
 }
 
 // Failure is why a send brought no whole answer.
--- a/core/serve/engines/engines.go
+++ b/core/serve/engines/engines.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"strings"
 
-	"fernlink/core/budget"
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
 	"fernlink/core/serve/env"
@@ -26,11 +25,12 @@
 	// Changing says until when at the latest it takes new weights of a model.
 	Changing map[string]flow.Time
 
-	others int       // what others had under way when it last told
-	told   flow.Time // and when that was
-	rest   flow.Time // out of placement until then
-	strike int       // failures in a row
-	seen   flow.Time // its last sign of life
+	others int         // what others had under way when it last told
+	told   flow.Time   // and when that was
+	rest   flow.Time   // out of placement until then
+	strike int         // failures in a row
+	idle   []flow.Time // until when each idle connection to it is kept, the newest last
+	seen   flow.Time   // its last sign of life
 }
 
 // Table is all engines by their start.
@@ -101,9 +101,43 @@
 	}
 }
 
-// Begin and End count a request of this node's.
-func (e *Engine) Begin() { e.Mine++ }
-func (e *Engine) End()   { e.Mine-- }
+// Begin counts a request of this node's. It takes the newest idle connection, as the pool of
+// connections does.
+func (e *Engine) Begin() {
+	e.Mine++
+	if n := len(e.idle); n > 0 {
+		e.idle = e.idle[:n-1]
+	}
+}
+
+// End counts one that is over, whose connection is kept no longer than until a time; zero
+// where it is not kept.
+func (e *Engine) End(kept flow.Time) {
+	e.Mine--
+	if kept > 0 {
+		e.idle = append(e.idle, kept)
+	}
+}
+
+// idleMost is how many idle connections to one engine are counted on: the pool keeps no more.
+const idleMost = 8
+
+// Idle counts the idle connections to an engine that are likely to be open still.
+func (t *Table) Idle(e *Engine) int {
+	for len(e.idle) > 0 && (e.idle[0] <= t.env.Now || len(e.idle) > idleMost) {
+		e.idle = e.idle[1:]
+	}
+	return len(e.idle)
+}
+
+// KeptUntil is until when the connection of a send that has ended is kept, zero where it is
+// not.
+func (t *Table) KeptUntil(b flow.Back) flow.Time {
+	if b.KeptFor <= 0 {
+		return 0
+	}
+	return t.env.Now + b.KeptFor
+}
 
 // Usable says whether new work may go there now.
 func (t *Table) Usable(e *Engine) bool {
@@ -200,8 +234,9 @@
 	return best
 }
 
-// linger is how long an idle connection is likely to stay open.
-const linger = budget.Listed
+// IdleFactor is what an engine with an idle connection counts for: it is chosen before one
+// that has up to as much less to do for its pace as a full engine has than an empty one.
+const IdleFactor = 0.5
 
 func (t *Table) score(e *Engine) float64 {
 	s := (1 + float64(t.Busy(e))/float64(max(e.Slots, 1))) * max(e.Pace, 1)
@@ -211,8 +246,8 @@
 	if e.Zone != t.env.Zone {
 		s *= 1.2
 	}
-	if t.env.Now-e.seen < linger {
-		s *= 0.8 // a connection to it is likely to be open still
+	if t.Idle(e) > 0 {
+		s *= IdleFactor
 	}
 	if e.strike > 0 {
 		s *= 8
--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -317,7 +317,7 @@
 func (t *Table) stop(i *item) {
 	t.changed = t.changed || len(i.runs) > 0
 	for _, r := range i.runs {
-		r.engine.End()
+		r.engine.End(0)
 		t.env.Cut(r.id)
 	}
 	i.runs = nil
--- a/core/serve/lots/place.go
+++ b/core/serve/lots/place.go
@@ -126,6 +126,9 @@
 		if !e.Sound() {
 			s /= 8
 		}
+		if t.engines.Idle(e) > 0 {
+			s /= engines.IdleFactor
+		}
 		if best == nil || s > most {
 			best, most = e, s
 		}
--- a/core/serve/lots/runs.go
+++ b/core/serve/lots/runs.go
@@ -191,14 +191,14 @@
 	if t.env.Debug {
 		t.trace(r.item, "run given up", "engine", r.engine.ID, "events", len(r.text.events))
 	}
-	r.engine.End()
+	r.engine.End(0)
 	t.env.Cut(r.id)
 	t.leave(r)
 }
 
 // ended hears the end of a run.
 func (t *Table) ended(r *run, b flow.Back) {
-	r.engine.End()
+	r.engine.End(t.engines.KeptUntil(b))
 	i := r.item
 	if t.env.Debug {
 		t.trace(i, "run over", "engine", r.engine.ID, "code", b.Code, "events", len(r.text.events), "failure", b.Err)
--- a/core/serve/requests/requests.go
+++ b/core/serve/requests/requests.go
@@ -233,7 +233,7 @@
 		t.part(q, x, b)
 		return
 	}
-	x.engine.End()
+	x.engine.End(t.engines.KeptUntil(b))
 	q.drop(x)
 	if t.env.Debug {
 		t.trace(q, "answered", "engine", x.engine.ID, "code", b.Code, "evidence", t.env.Observe(b).String(), "failure", b.Err)
@@ -469,7 +469,7 @@
 // cutAll ends what engines do for a request.
 func (t *Table) cutAll(q *Request) {
 	for _, x := range q.tries {
-		x.engine.End()
+		x.engine.End(0)
 		t.env.Cut(x.id)
 	}
 	q.tries = nil
--- a/core/serve/requests/streams.go
+++ b/core/serve/requests/streams.go
@@ -107,7 +107,7 @@
 
 // drop cuts one try of a stream.
 func (t *Table) drop(q *Request, x *try) {
-	x.engine.End()
+	x.engine.End(0)
 	t.env.Cut(x.id)
 	q.drop(x)
 }
--- a/shell/outcall/answer.go
+++ b/shell/outcall/answer.go
@@ -54,6 +54,7 @@
 	reader.Reset(nil)
 	readers.Put(reader)
 	if reusable {
+		back.KeptFor = head.keepAlive
 		c.release(task, conn, clock.Now()+head.keepAlive)
 	} else {
 		c.discard(task, conn)
