--- a/core/serve/engines/engines.go
+++ b/core/serve/engines/engines.go
@@ -149,7 +149,7 @@
 
 // Good is a sign of life.
 func (t *Table) Good(e *Engine) {
-	e.strike, e.seen, e.rest = 0, t.env.Now, min(e.rest, t.env.Now)
+	e.strike, e.rest = 0, min(e.rest, t.env.Now)
 }
 
 // Rests in milliseconds: ratios of the bound in which service must heal.
@@ -222,11 +222,12 @@
 func (t *Table) Spare(pool string, tried []*Engine) *Engine {
 	var best *Engine
 	var least float64
+	unknown := t.shortest(pool)
 	for _, e := range t.pools[pool] {
 		if !t.Usable(e) || slices.Contains(tried, e) {
 			continue
 		}
-		s := t.score(e)
+		s := t.score(e, unknown)
 		if best == nil || s < least {
 			best, least = e, s
 		}
@@ -238,8 +239,25 @@
 // that has up to as much less to do for its pace as a full engine has than an empty one.
 const IdleFactor = 0.5
 
-func (t *Table) score(e *Engine) float64 {
-	s := (1 + float64(t.Busy(e))/float64(max(e.Slots, 1))) * max(e.Pace, 1)
+// shortest is the pace of the engine of a pool that is known to need the least, which those
+// of which nothing is known are taken to need. Were it less, each node would call each engine
+// once before it calls one again.
+func (t *Table) shortest(pool string) float64 {
+	least := 0.0
+	for _, e := range t.pools[pool] {
+		if e.Pace > 0 && (least == 0 || e.Pace < least) {
+			least = e.Pace
+		}
+	}
+	return least
+}
+
+func (t *Table) score(e *Engine, unknown float64) float64 {
+	pace := e.Pace
+	if pace == 0 {
+		pace = unknown
+	}
+	s := (1 + float64(t.Busy(e))/float64(max(e.Slots, 1))) * max(pace, 1)
 	if e.WarmMS > 0 {
 		s *= 2
 	}
