Lots: who owns open lots outweighs owners of lots that are over

Three owners overfill engines, the lot that is due first comes 3 s late, and a trainer misses a step. First seen to fail: TestTheOwnerOfOpenLotsOutweighsThoseOfOldOnes.

--- a/core/serve/lots/owners.go
+++ b/core/serve/lots/owners.go
@@ -110,11 +110,16 @@
 	return ""
 }
 
-// heardOwner keeps who owns an open lot, and who owned the newest of its kind.
+// heardOwner keeps who owns an open lot, and who owned the newest of its kind. Rows come in
+// no order of time: a node that starts hears of all lots at once, most of them over, whose
+// owners may be gone.
 func (t *Table) heardOwner(r ledger.LotRow) {
 	if r.Pool != "" {
-		t.last[r.Pool] = r.Owner
-		t.last[r.Pool+modelSeparator+r.Model] = r.Owner
+		for _, key := range []string{r.Pool, r.Pool + modelSeparator + r.Model} {
+			if t.last[key] == "" || !r.Ended {
+				t.last[key] = r.Owner
+			}
+		}
 	}
 	if r.Ended {
 		t.heardEnd(r.ID)
