--- a/core/serve/engines/engines.go
+++ b/core/serve/engines/engines.go
@@ -30,7 +30,6 @@
 	rest   flow.Time   // out of placement until then
 	strike int         // failures in a row
 	idle   []flow.Time // until when each idle connection to it is kept, the newest last
-	seen   flow.Time   // its last sign of life
 }
 
 // Table is all engines by their start.
