Review: a configuration nested too deep is acknowledged and can't be read from disk

A configuration of 21 kB with arrays 9,992 deep gets 200; after a kill of all processes the stores' logs don't read, no store starts again, and all that was acknowledged is gone.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -6,4 +6,4 @@
   echo "build first: the deploy file's build, then review/build.sh" >&2
   exit 2
 fi
-exec review/bin/stand memory review/2
+exec review/bin/stand biglot review/2
