--- a/review/stand/window.go
+++ b/review/stand/window.go
@@ -15,11 +15,11 @@
 // Load and length of the case.
 const (
 	windowEdges   = 8                      // edge machines without a disk, beside three with one
-	windowClients = 7                      // of each edge machine
+	windowClients = 10                     // of each edge machine
 	windowThink   = 100 * time.Millisecond // between a client's answer and its next request
 	windowWork    = 10 * time.Millisecond
 	windowLength  = 95 * time.Second
-	windowGap     = time.Second // after a machine is back, before the next is stopped
+	windowGap     = time.Second // between one SIGTERM and the next, at another machine
 	slack         = 200 * time.Millisecond
 )
 
@@ -74,23 +74,24 @@
 		}
 	}
 	began, stops := time.Now(), 0
+	var rolls sync.WaitGroup
 	for n := 0; time.Since(began) < windowLength; n++ {
 		m := f.edges[n%len(f.edges)]
 		if trouble {
-			f.stop(m)
 			stops++
-			time.Sleep(200 * time.Millisecond)
-			if err := f.launch(m, false); err != nil {
-				return failed, err
-			}
-		}
-		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-			if code, _, _, _ := call("GET", m.ready(), "/ready", m.ready(), nil, "", time.Second); code == 200 {
-				break
-			}
+			rolls.Add(1)
+			go func() {
+				defer rolls.Done()
+				f.stop(m)
+				time.Sleep(200 * time.Millisecond)
+				if err := f.launch(m, false); err != nil {
+					rec.note("%s: %v", m.name, err)
+				}
+			}()
 		}
 		time.Sleep(windowGap)
 	}
+	rolls.Wait()
 	over.Store(true)
 	all.Wait()
 	rec.note("%d stops; %d requests were sent, %d answered, %d cut within %v without being passed on, %d lost; %d connections were refused", stops, asked.Load(), answered.Load(), crossed.Load(), slack, lost.Load(), refused.Load())
