Configurations: the operator's document goes along as a text, so that its depth is its own

Cause: the document stood as JSON within JSON in plan, command, entry, message, line, save and frame, each some levels deeper; the reader takes 10,000. Ruled out: the file (as written), the length (21 kB), the schema. A start took the frame, whose checksum fits, for damage.

Now the document and its changes are texts that no layer reads; what can't be carried is refused before it is asked or proposed (flow.CheckCarried); a whole frame that does not parse is a stop and is never cut off.

--- a/api/patch.go
+++ b/api/patch.go
@@ -11,7 +11,8 @@
 
 // PlanPatch changes named items of the plan that stands at version Read: those of Upsert
 // replace the item of their name or are added, those of Remove are taken out. Source changes
-// what the plan was made from, as docpatch has it. Version is as in PlanPut.
+// what the plan was made from, as docpatch has it, and SourceText says the same as a text,
+// which may be nested as deep as can be read. Version is as in PlanPut.
 type PlanPatch struct {
 	Version uint64          `json:"version,omitempty"`
 	Read    uint64          `json:"read"`
@@ -20,6 +21,8 @@
 	Remove  NameLists       `json:"remove"`
 	Limits  json.RawMessage `json:"limits,omitempty"`
 	Source  *docpatch.Patch `json:"source,omitempty"`
+
+	SourceText string `json:"source_text,omitempty"`
 }
 
 // ItemLists are items of a plan's lists, each as it stands in the plan.
@@ -67,6 +70,9 @@
 			patch.Lists = append(patch.Lists, list)
 		}
 	}
+	if p.SourceText != "" {
+		patch.Texts = append(patch.Texts, docpatch.Text{Path: []string{sourceField}, Patch: p.SourceText})
+	}
 	if err := patch.Check(); err != nil {
 		return patch, []ledger.Fault{{Text: err.Error()}}
 	}
--- a/core/ask/ask.go
+++ b/core/ask/ask.go
@@ -138,14 +138,22 @@
 	a.Put(now, limit, question.Kind(), question, done)
 }
 
+// uncarried are the refusals of questions that no store could read or keep.
+var uncarried = map[error]ledger.Refusal{flow.ErrTooDeep: ledger.TooDeep, flow.ErrTooLarge: ledger.TooLarge}
+
 // Put opens an ask whose kind is told apart from its body. A body that is a
-// json.RawMessage was encoded by this program and is not read again.
+// json.RawMessage was encoded by this program and is not read again. One that can't be
+// carried is refused at once: it would reach nobody.
 func (a *Asker) Put(now, limit flow.Time, kind ledger.Kind, body any, done func(flow.Time, Answer)) {
 	text, err := encode(Ask{ID: a.next + 1, Kind: kind}, body)
 	if err != nil {
 		done(now, Answer{Code: ledger.Failed})
 		return
 	}
+	if err := flow.CheckCarried(text); err != nil {
+		done(now, Answer{Code: uncarried[err].Outcome, Body: uncarried[err].Result().Body})
+		return
+	}
 	a.next++
 	a.open[a.next] = &open{line: lineOf(kind), text: text, done: done, limit: now + limit, again: now, sent: -1}
 }
--- a/core/docpatch/docpatch.go
+++ b/core/docpatch/docpatch.go
@@ -16,11 +16,12 @@
 // ErrPatch says that a patch does not make sense, whatever document it is for.
 var ErrPatch = errors.New("docpatch: the patch does not make sense")
 
-// Patch is what changes in a document. Fields are set first, then lists are changed, each
-// in their order.
+// Patch is what changes in a document. Fields are set first, then lists are changed, then
+// texts, each in their order.
 type Patch struct {
 	Fields []Field `json:"fields,omitempty"`
 	Lists  []List  `json:"lists,omitempty"`
+	Texts  []Text  `json:"texts,omitempty"`
 }
 
 // Field replaces the value at a path of field names, or adds it.
@@ -38,6 +39,14 @@
 	Remove []string          `json:"remove,omitempty"` // names that are not there are passed over
 }
 
+// Text changes a document that stands at a path of field names as a text. Both it and its
+// patch are texts, so that the layers that carry them never read them: however deep they
+// are nested, they nest what they stand in no deeper.
+type Text struct {
+	Path  []string `json:"path"`
+	Patch string   `json:"patch"` // a Patch as JSON
+}
+
 // Check gives ErrPatch where an item has no name, or a name stands twice in one list.
 func (p Patch) Check() error {
 	for _, list := range p.Lists {
@@ -53,9 +62,49 @@
 			seen[name] = true
 		}
 	}
+	for _, text := range p.Texts {
+		inner, err := text.inner()
+		if err != nil {
+			return err
+		}
+		if err := inner.Check(); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
+// inner reads the patch of a text.
+func (t Text) inner() (patch Patch, err error) {
+	if err := json.Unmarshal([]byte(t.Patch), &patch); err != nil {
+		return patch, errors.Wrap(ErrPatch, err.Error())
+	}
+	return patch, nil
+}
+
+// apply gives the document after the change, as a text where it was one.
+func (t Text) apply(document json.RawMessage) json.RawMessage {
+	patch, err := t.inner()
+	if err != nil {
+		return document // Check refuses it
+	}
+	text, isText := TextOf(document)
+	if !isText {
+		return patch.Apply(document)
+	}
+	encoded, _ := json.Marshal(string(patch.Apply(text))) // a text always marshals
+	return encoded
+}
+
+// TextOf gives the document that a JSON text holds, and whether it is a text.
+func TextOf(value []byte) (document []byte, isText bool) {
+	var text string
+	if len(value) == 0 || value[0] != '"' || json.Unmarshal(value, &text) != nil {
+		return nil, false
+	}
+	return []byte(text), true
+}
+
 // Apply gives the document as it is after the patch. What stands at a path and is no object
 // or list, as the path wants it, counts as if it were not there; all that the patch does not
 // name is copied as it stands. document must be valid JSON.
@@ -66,6 +115,9 @@
 	for _, list := range p.Lists {
 		document = at(document, list.Path, list.apply)
 	}
+	for _, text := range p.Texts {
+		document = at(document, text.Path, text.apply)
+	}
 	return document
 }
 
--- a/core/httpstatus/httpstatus.go
+++ b/core/httpstatus/httpstatus.go
@@ -15,6 +15,7 @@
 	ledger.NotFound:    http.StatusNotFound,
 	ledger.Conflict:    http.StatusConflict,
 	ledger.Retired:     http.StatusGone,
+	ledger.Oversized:   http.StatusRequestEntityTooLarge,
 	ledger.Rejected:    http.StatusUnprocessableEntity,
 	ledger.Full:        http.StatusTooManyRequests,
 	ledger.Failed:      http.StatusInternalServerError,
--- a/core/httpstatus/httpstatus_test.go
+++ b/core/httpstatus/httpstatus_test.go
@@ -18,7 +18,7 @@
 // own, the one that callers have always heard; one of another build is a fault.
 func TestEveryOutcomeHasItsStatus(t *testing.T) {
 	want := map[ledger.Outcome]int{ledger.Accepted: 200, ledger.Invalid: 400, ledger.NotFound: 404, ledger.Conflict: 409, ledger.Retired: 410,
-		ledger.Rejected: 422, ledger.Full: 429, ledger.Failed: 500, ledger.Unavailable: 503}
+		ledger.Oversized: 413, ledger.Rejected: 422, ledger.Full: 429, ledger.Failed: 500, ledger.Unavailable: 503}
 	if len(ledger.Outcomes()) != len(want) {
 		t.Errorf("outcomes: %v", ledger.Outcomes())
 	}
--- a/core/ledger/outcome.go
+++ b/core/ledger/outcome.go
@@ -20,6 +20,8 @@
 	Conflict Outcome = 409
 	// Retired is what names something that is kept no more.
 	Retired Outcome = 410
+	// Oversized is what is larger than can be kept.
+	Oversized Outcome = 413
 	// Rejected is what parses and can never be taken as it is.
 	Rejected Outcome = 422
 	// Full is what would pass a bound on open work.
@@ -37,5 +39,5 @@
 
 // Outcomes lists those that the store answers with.
 func Outcomes() []Outcome {
-	return []Outcome{Accepted, Invalid, NotFound, Conflict, Retired, Rejected, Full, Failed, Unavailable}
+	return []Outcome{Accepted, Invalid, NotFound, Conflict, Retired, Oversized, Rejected, Full, Failed, Unavailable}
 }
--- a/core/ledger/refusal.go
+++ b/core/ledger/refusal.go
@@ -1,5 +1,7 @@
 package ledger
 
+import "fernlink/core/flow"
+
 // Refusal is why a command or a question is not taken: its outcome, and the reason
 // in words for whoever asked.
 type Refusal struct {
@@ -37,6 +39,12 @@
 	badLotResults  = Refusal{Invalid, "results do not parse"}
 )
 
+// What no layer could carry (flow.CheckCarried).
+var (
+	TooDeep  = Refusal{Rejected, flow.ErrTooDeep.Error()}
+	TooLarge = Refusal{Oversized, flow.ErrTooLarge.Error()}
+)
+
 // Plans (design 6.2).
 var (
 	noPlan          = Refusal{NotFound, "no plan yet"}
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -233,11 +233,15 @@
 	r.savedVote = now
 }
 
-// Propose appends a command and gives its index and term.
+// Propose appends a command and gives its index and term. What followers or a later start
+// could not read is not appended: every later entry would wait behind it for good.
 func (r *Raft) Propose(kind string, data json.RawMessage) (uint64, uint64, error) {
 	if r.role != Leader {
 		return 0, 0, ErrNotLeader
 	}
+	if err := flow.CheckCarried(data); err != nil {
+		return 0, 0, err
+	}
 	entry := flow.Entry{Index: r.lastIndex() + 1, Term: r.hard.Term, Kind: kind, Data: data}
 	r.appendEntry(entry)
 	r.save(flow.Save{Hard: r.hardState(), Add: []flow.Entry{entry}})
--- a/core/store/refusal.go
+++ b/core/store/refusal.go
@@ -1,6 +1,9 @@
 package store
 
-import "fernlink/core/ledger"
+import (
+	"fernlink/core/flow"
+	"fernlink/core/ledger"
+)
 
 // Why an ask is not taken (design 4.3, 5.2).
 var (
@@ -28,5 +31,11 @@
 
 // notProposed refuses what Raft does not take, in its own words.
 func notProposed(err error) ledger.Refusal {
+	switch err {
+	case flow.ErrTooDeep:
+		return ledger.TooDeep
+	case flow.ErrTooLarge:
+		return ledger.TooLarge
+	}
 	return ledger.Refusal{Outcome: ledger.Conflict, Reason: err.Error()}
 }
--- a/shell/disk/disk.go
+++ b/shell/disk/disk.go
@@ -22,6 +22,7 @@
 // Failures of this layer.
 var (
 	ErrCorrupt = errors.New("disk: the log is damaged before its tail")
+	ErrUnread  = errors.New("disk: a frame of the log is whole and does not parse")
 	ErrSync    = errors.New("disk: a write or sync failed")
 	ErrFull    = errors.New("disk: no room; nothing of the save counts, and it may be tried again")
 )
@@ -232,6 +233,9 @@
 		return nil
 	}
 	damage := l.tailOf(raw, at)
+	if damage.kind == damageUnread {
+		return errors.Wrapf(ErrUnread, "%s at byte %d", name, at)
+	}
 	if !last || damage.kind == damageBeforeTail {
 		return errors.Wrapf(ErrCorrupt, "%s at byte %d", name, at)
 	}
--- a/shell/disk/disk_test.go
+++ b/shell/disk/disk_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -171,6 +172,28 @@
 	}
 }
 
+// Guards against an acknowledged entry that is cut off as a torn tail since no reader takes it.
+//
+// Given a log whose last save is whole and nested deeper than can be read, when it is opened,
+// then that is a stop with a reason of its own, and nothing of it is cut off.
+func TestAWholeFrameThatDoesNotParseIsNoTornTail(t *testing.T) {
+	dir := t.TempDir()
+	log, _, err := open(t, dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	deep := json.RawMessage(strings.Repeat("[", 9_999) + strings.Repeat("]", 9_999))
+	_ = log.Save(nil, []flow.Save{{Hard: &flow.Hard{Cluster: "c", Term: 1}, Add: entries(1, 5)}})
+	_ = log.Save(nil, []flow.Save{{Add: []flow.Entry{{Index: 6, Term: 1, Kind: "cmd", Data: deep}}}})
+	before, _ := os.ReadFile(segment(t, dir))
+	if _, _, err := open(t, dir); !errors.Is(err, ErrUnread) {
+		t.Fatalf("it opened: %v", err)
+	}
+	if after, _ := os.ReadFile(segment(t, dir)); !bytes.Equal(before, after) {
+		t.Errorf("%d bytes of the segment are left of %d", len(after), len(before))
+	}
+}
+
 // Given a snapshot, when the log is opened, then entries before it are gone,
 // those after it are there, and a damaged snapshot is a stop.
 func TestSnapshot(t *testing.T) {
--- a/shell/disk/frame.go
+++ b/shell/disk/frame.go
@@ -78,25 +78,36 @@
 	return b
 }
 
-// unframe reads one frame and gives its size, or false where it is not whole.
+// unframe reads one frame and gives its size, or false where it is not whole or does not
+// parse.
 func unframe(raw []byte, into any) (int, bool) {
+	body, size, ok := frameBody(raw)
+	if !ok || json.Unmarshal(body, into) != nil {
+		return 0, false
+	}
+	return size, true
+}
+
+// frameBody gives the text of a frame and the frame's size, or false where its checksum does
+// not fit.
+func frameBody(raw []byte) (body []byte, size int, ok bool) {
 	at := bytes.IndexByte(raw, ' ')
 	if at != 8 {
-		return 0, false
+		return nil, 0, false
 	}
 	end := bytes.IndexByte(raw[9:min(len(raw), 30)], ' ')
 	if end < 0 {
-		return 0, false
+		return nil, 0, false
 	}
 	sum, err1 := strconv.ParseUint(string(raw[:8]), 16, 32)
 	size, err2 := strconv.Atoi(string(raw[9 : 9+end]))
 	from := 9 + end + 1
 	if err1 != nil || err2 != nil || size < 0 || from+size > len(raw) {
-		return 0, false
+		return nil, 0, false
 	}
-	body := raw[from : from+size]
-	if uint64(crc32.ChecksumIEEE(body)) != sum || json.Unmarshal(body, into) != nil {
-		return 0, false
+	body = raw[from : from+size]
+	if uint64(crc32.ChecksumIEEE(body)) != sum {
+		return nil, 0, false
 	}
-	return min(from+size+1, len(raw)), true // its end mark need not have got there
+	return body, min(from+size+1, len(raw)), true // its end mark need not have got there
 }
--- a/shell/disk/inspect.go
+++ b/shell/disk/inspect.go
@@ -231,6 +231,9 @@
 		r.find("%s has no whole frame: it was put there with one", segment.Name)
 	case segment.At == len(raw):
 		segment.At = 0
+	case damage.kind == damageUnread:
+		segment.Tail = "damaged"
+		r.find("%s holds a frame at byte %d that is whole and does not parse", segment.Name, segment.At)
 	case !last || damage.kind == damageBeforeTail:
 		segment.Tail = "damaged"
 		r.find("%s is damaged at byte %d, before its tail", segment.Name, segment.At)
--- a/shell/disk/tail.go
+++ b/shell/disk/tail.go
@@ -54,6 +54,7 @@
 	damageMarked                // the last save is damaged, and its mark says where it led
 	damageUnknown               // the last save is damaged, and nothing is known of it
 	damageBeforeTail            // whole frames follow: this is no matter of the tail
+	damageUnread                // its checksum fits and it does not parse: it was written so, and may have been acknowledged
 )
 
 // tailDamage is what is wrong with the end of the last segment.
@@ -65,6 +66,9 @@
 // tailOf judges what follows the last frame that reads, at byte at of a segment.
 func (l *Log) tailOf(raw []byte, at int) tailDamage {
 	rest := raw[at:]
+	if _, _, isWhole := frameBody(rest); isWhole {
+		return tailDamage{kind: damageUnread}
+	}
 	if mark, before, ok := lastMark(rest); ok && !whole(before) {
 		return tailDamage{kind: damageMarked, mark: mark}
 	}
