Lots: one that is large is handed in in parts, and told to its owner in pages

Cause: a lot was one command, one entry and one line; this one's line was longer than a peer reads, the link dropped it at each send, and every later entry waited behind it. Ruled out: the disk (synced), elections (none), the link's queue (empty).

Lots over 2 MB go as commands of some 128 KiB and one that names them; requests that are too large for one piece go in fragments; owners and readers of bodies are told piece by piece. A leader refuses parts while it hears a member that does not apply them.

--- a/core/dialect/codec.go
+++ b/core/dialect/codec.go
@@ -62,6 +62,35 @@
 	Results []ledger.EncodedResult
 }
 
+// LotReader reads a lot as it was handed in, one item after the other, so that a large one
+// is never held in another form as a whole. Host, path and what its route says are filled
+// in by whoever takes it.
+type LotReader interface {
+	// Next gives the next item, or false after the last. After a fault nothing more is read.
+	Next() (item ledger.LotItem, more bool, err error)
+	// Head gives all else of the lot. It is whole once there are no more items.
+	Head() ledger.LotDoc
+	// Offset is how many bytes were read.
+	Offset() int
+}
+
+// ReadWhole reads a lot with all its items.
+func ReadWhole(in LotReader) (ledger.LotDoc, error) {
+	var items []ledger.LotItem
+	for {
+		item, more, err := in.Next()
+		if err != nil {
+			return ledger.LotDoc{}, err
+		}
+		if !more {
+			doc := in.Head()
+			doc.Items = items
+			return doc, nil
+		}
+		items = append(items, item)
+	}
+}
+
 // Codec is how one platform speaks: names, formats and paths, and nothing that
 // decides. Every function is pure and may be called from any task.
 type Codec struct {
@@ -74,5 +103,6 @@
 	OrderPath  string
 	WriteOrder func(WeightOrder) []byte
 	ReadLot    func(id string, body []byte) (ledger.LotDoc, error)
+	OpenLot    func(id string, body []byte) LotReader // reads the same, item by item; nil where it is only read whole
 	WritePage  func(LotPage) []byte
 }
--- a/core/flow/decode.go
+++ b/core/flow/decode.go
@@ -1,7 +1,10 @@
 package flow
 
 import (
+	"bytes"
+
 	jsonv2 "github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
 	"github.com/go-json-experiment/json/v1"
 )
 
@@ -13,3 +16,13 @@
 // one pass for two. What was read before a fault stands in into, so a caller uses it
 // only where there is no error.
 func Decode(text []byte, into any) error { return jsonv2.Unmarshal(text, into, inOnePass) }
+
+// NewDecoder reads a text value by value, by the rules of Decode. The text is not copied.
+func NewDecoder(text []byte) *jsontext.Decoder {
+	return jsontext.NewDecoder(bytes.NewBuffer(text), inOnePass)
+}
+
+// DecodeNext reads the next value of a text.
+func DecodeNext(in *jsontext.Decoder, into any) error {
+	return jsonv2.UnmarshalDecode(in, into, inOnePass)
+}
--- a/core/gossip/entry.go
+++ b/core/gossip/entry.go
@@ -26,6 +26,8 @@
 	Cpu     int      `json:"cpu,omitempty"`    // thousandths of a core that its machine gives it, 0 where unknown
 	Link    int      `json:"link,omitempty"`   // Mbit/s of its machine's link, 0 where unknown
 	Disk    int      `json:"disk,omitempty"`   // MB of its machine's disk, 0 where unknown
+	Memory  int      `json:"memory,omitempty"` // MB of its machine's memory, 0 where unknown
+	Format  int      `json:"format,omitempty"` // newest format of the log that it applies (ledger.FormatNewest)
 	Member  bool     `json:"member,omitempty"` // it keeps a copy of the state
 	Leads   bool     `json:"leads,omitempty"`  // it leads the members that do
 	Cluster string   `json:"cluster,omitempty"`
--- a/core/ledger/command.go
+++ b/core/ledger/command.go
@@ -31,6 +31,7 @@
 	KindTargetPut  Kind = "target.put"  // PutTarget
 	KindDrainPut   Kind = "drain.put"   // PutDrain
 	KindLotPut     Kind = "lot.put"     // PutLot
+	KindLotPart    Kind = "lot.part"    // LotPart
 	KindLotList    Kind = "lot.list"    // ListLot
 	KindLotEnd     Kind = "lot.end"     // EndLot
 	KindLotOwn     Kind = "lot.own"     // OwnLot
@@ -53,6 +54,7 @@
 	lenient((*Ledger).putTarget),
 	lenient((*Ledger).putDrain),
 	bulk((*Ledger).putLot, badLot).onLots(),
+	bulk((*Ledger).putLotPart, badLot).onLots(),
 	bulkAs(KindLotList, decodeListing, (*Ledger).listLot, badLotResults).onLots(),
 	lenient((*Ledger).endLot).onLots(),
 	lenient((*Ledger).ownLot).onLots(),
--- a/core/ledger/earlier_build_test.go
+++ b/core/ledger/earlier_build_test.go
@@ -123,7 +123,7 @@
 		}
 	}
 	for kind := range commands {
-		if kinds[kind] == (kind == KindPlanPatch) { // it came after that build
+		if kinds[kind] == (kind == KindPlanPatch || kind == KindLotPart) { // these came after that build
 			t.Errorf("%s among the commands: %v", kind, kinds[kind])
 		}
 	}
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -31,16 +31,17 @@
 	Targets     map[string]*Target
 	Drains      map[string]*Drain
 	Lots        map[string]*Lot
-	patched     json.RawMessage // the document of the plan in force, once it was asked for
-	lotsDue     int64           // no lot is to be retired before
-	recent      texts           // of lots
+	Staged      map[PartsName]*stagedLot // parts of lots that are not handed in yet
+	patched     json.RawMessage          // the document of the plan in force, once it was asked for
+	lotsDue     int64                    // no lot is to be retired before
+	recent      texts                    // of lots
 	box         flow.BlobChange
 }
 
 // New is an empty ledger.
 func New() *Ledger {
 	return &Ledger{Bounds: Usual, Steps: map[string]*Step{}, Kept: map[string]int64{}, Keys: keys.New(), Receipts: keys.New(), Owners: map[uint64]string{},
-		Orders: map[string]*Order{}, Targets: map[string]*Target{}, Drains: map[string]*Drain{}, Lots: map[string]*Lot{}}
+		Orders: map[string]*Order{}, Targets: map[string]*Target{}, Drains: map[string]*Drain{}, Lots: map[string]*Lot{}, Staged: map[PartsName]*stagedLot{}}
 }
 
 // Kinds of items.
--- a/core/ledger/lot_reads.go
+++ b/core/ledger/lot_reads.go
@@ -25,7 +25,7 @@
 
 // row is what dispatchers hear of a lot.
 func (t *Lot) row(id string) LotRow {
-	return LotRow{ID: id, Owner: t.Doc.Owner, Ended: t.Ended, Pool: t.Doc.Pool, Model: t.Doc.Model, Least: t.Doc.Least, Bytes: t.requestBytes}
+	return LotRow{ID: id, Owner: t.Doc.Owner, Ended: t.Ended, Pool: t.Doc.Pool, Model: t.Doc.Model, Least: t.Doc.Least, Bytes: t.requestBytes, Parts: t.pieces != nil}
 }
 
 // lotsSince gives the rows that changed after an index.
@@ -107,41 +107,61 @@
 	}}
 }
 
-// lotItems tells an owner what is left of its lot.
+// openStretch is a stretch of requests of which some are not listed, as it is to be read.
+type openStretch struct {
+	start  int // the place of its first item
+	pieces int // how many hold it
+}
+
+// openStretches gives the stretches of a lot that have items which are not listed, and their
+// pieces in the same order.
+func (t *Lot) openStretches() (stretches []openStretch, pieces []flow.Ref) {
+	if t.Ended {
+		return nil, nil // nothing of it runs any more
+	}
+	last := -1
+	for place, isDone := range t.done {
+		if isDone {
+			continue
+		}
+		from, to := t.stretch(place)
+		if from == last {
+			continue
+		}
+		last = from
+		stretches = append(stretches, openStretch{t.Parts[from], to - from})
+		for k := from; k < to; k++ {
+			pieces = append(pieces, t.partRef(k))
+		}
+	}
+	return stretches, pieces
+}
+
+// lotItems tells an owner what is left of its lot, in one answer.
 func (l *Ledger) lotItems(lot GetLotItems) Result {
 	t := l.Lots[string(lot)]
 	if t == nil {
 		return noSuchLot.Result()
 	}
-	var parts []int
-	var stretches []flow.Ref
-	starts := t.Parts // they are gone once the lot ends
-	for p, done := range t.done {
-		if t.Ended {
-			break // nothing of it runs any more
-		}
-		if k := t.part(p); !done && (len(parts) == 0 || parts[len(parts)-1] != k) {
-			parts, stretches = append(parts, k), append(stretches, t.partRef(k))
-		}
-	}
+	stretches, pieces := t.openStretches()
 	doc, listed, ended := t.Doc, len(t.List), t.Ended
 	doc.AgeMS = l.Clock - t.Doc.Opened
 	if len(stretches) == 0 {
 		return Result{Code: Accepted, Body: encodeItems(doc, listed, ended, nil)}
 	}
 	done := slices.Clone(t.done) // Listed and what is left must agree
-	need := append(stretches, t.wholeRefs()...)
+	need := append(slices.Clip(pieces), t.wholeRefs()...)
 	return Result{Code: Accepted, Need: need, With: func(items [][]byte) Result {
 		var left, texts []json.RawMessage
-		for _, text := range items[len(parts):] {
+		for _, text := range items[len(pieces):] {
 			texts = append(texts, text)
 		}
-		for i, b := range items[:len(parts)] {
-			stretch, err := unlisted(b, done[starts[parts[i]]:])
+		for _, s := range stretches {
+			stretch, err := unlisted(slices.Concat(items[:s.pieces]...), done[s.start:])
 			if err != nil {
 				return lotUnreadable.Result()
 			}
-			left = append(left, stretch)
+			left, items = append(left, stretch), items[s.pieces:]
 		}
 		return Result{Code: Accepted, Body: withTexts(encodeItems(doc, listed, ended, left), texts)}
 	}}
@@ -194,18 +214,30 @@
 	Body []byte `json:"body"`
 }
 
+// open gives the place of an item that is not listed, until its lot ends, or -1.
+func (t *Lot) open(item string) int {
+	if t == nil || t.Ended {
+		return -1
+	}
+	if place := t.place(item); place >= 0 && !t.done[place] {
+		return place
+	}
+	return -1
+}
+
 // lotItem gives the body of one item that is not listed, until the lot ends.
 func (l *Ledger) lotItem(q FindItem) Result {
-	t, p := l.Lots[q.Lot], -1
-	if t != nil && !t.Ended {
-		p = t.place(q.Item)
-	}
-	if p < 0 || t.done[p] {
+	t := l.Lots[q.Lot]
+	p := t.open(q.Item)
+	if p < 0 {
 		return noSuchItem.Result()
 	}
-	k := t.part(p)
-	start := t.Parts[k]
-	return Result{Code: Accepted, Need: []flow.Ref{t.partRef(k)}, With: func(items [][]byte) Result {
+	from, to := t.stretch(p)
+	if to-from > 1 {
+		return itemInFragments.Result()
+	}
+	start := t.Parts[from]
+	return Result{Code: Accepted, Need: []flow.Ref{t.partRef(from)}, With: func(items [][]byte) Result {
 		var part []LotItem
 		if json.Unmarshal(items[0], &part) != nil || p-start >= len(part) {
 			return lotUnreadable.Result()
--- a/core/ledger/lot_retention.go
+++ b/core/ledger/lot_retention.go
@@ -38,6 +38,7 @@
 		}
 		l.dropAllWhole(t)
 	}
+	l.retireParts()
 }
 
 // dropRequests lets a lot's requests go: nobody runs or reads them once it has
@@ -46,7 +47,7 @@
 	for k := range t.Parts {
 		l.drop(LotPartItem, t.partRef(k).ID)
 	}
-	t.Parts, t.requestBytes = nil, 0
+	t.Parts, t.pieces, t.requestBytes = nil, nil, 0
 }
 
 const never = int64(1) << 62
@@ -78,9 +79,9 @@
 	if json.Unmarshal(head, &h) != nil {
 		return ErrSnapshot
 	}
-	t := &Lot{Doc: h.Doc, IDs: h.IDs, Parts: h.Parts, Hash: r.Hash, Ended: r.Ended, Item: r.Item, Mod: r.Mod, requestBytes: r.Bytes}
+	t := &Lot{Doc: h.Doc, IDs: h.IDs, Parts: h.Parts, pieces: h.Pieces, Hash: r.Hash, Ended: r.Ended, Item: r.Item, Mod: r.Mod, requestBytes: r.Bytes}
 	if t.Ended {
-		t.Parts = nil
+		t.Parts, t.pieces = nil, nil
 	}
 	t.Doc.Owner = r.Owner
 	if _, twice := t.index(); twice {
@@ -116,4 +117,11 @@
 			to[LotTextItem] = append(to[LotTextItem], r.Item)
 		}
 	}
+	for _, staged := range l.Staged {
+		for _, part := range staged.Parts {
+			for at := range part.Firsts {
+				to[LotPartItem] = append(to[LotPartItem], part.piece(at))
+			}
+		}
+	}
 }
--- a/core/ledger/lot_room.go
+++ b/core/ledger/lot_room.go
@@ -29,8 +29,9 @@
 
 // roomForLot says whether a lot fits beside those that are kept, with the texts
 // that it and the open ones are still to get. A disk that fills up stops reads as
-// well as changes, so what can't be kept is refused before any of it runs.
-func (l *Ledger) roomForLot(lot *Lot) bool {
+// well as changes, so what can't be kept is refused before any of it runs. Lots of which
+// there are parts alone count as if they were whole, but for its own.
+func (l *Ledger) roomForLot(lot *Lot, parts PartsName) bool {
 	if l.Bounds.LotBytes <= 0 {
 		return true
 	}
@@ -44,6 +45,12 @@
 			missing += int64(len(t.IDs) - len(t.List))
 		}
 	}
+	for name, staged := range l.Staged {
+		if name != parts {
+			held += staged.held()
+			missing += int64(staged.Items)
+		}
+	}
 	mean := int64(usualTextBytes)
 	if texts > 0 {
 		mean = textBytes / texts
--- a/core/ledger/lots.go
+++ b/core/ledger/lots.go
@@ -1,9 +1,6 @@
 package ledger
 
 import (
-	"crypto/sha256"
-	"encoding/binary"
-	"encoding/hex"
 	"slices"
 	"sort"
 
@@ -43,8 +40,9 @@
 	Item  uint64 // the index of the command that brought it
 	Mod   uint64
 
-	requestBytes int64 // of its requests on the blob store; none once it has ended
-	textBytes    int64 // of its listed results there
+	pieces       []uint64 // numbers of its requests' pieces, where it was handed in in parts
+	requestBytes int64    // of its requests on the blob store; none once it has ended
+	textBytes    int64    // of its listed results there
 
 	byID []uint16 // places, by id
 	done []bool   // listed, by place
@@ -52,9 +50,10 @@
 
 // lotHead is what lies on the blob store of a lot besides its requests.
 type lotHead struct {
-	Doc   LotDoc   `json:"doc"`
-	IDs   []string `json:"ids"`
-	Parts []int    `json:"parts"`
+	Doc    LotDoc   `json:"doc"`
+	IDs    []string `json:"ids"`
+	Parts  []int    `json:"parts"`
+	Pieces []uint64 `json:"pieces,omitempty"`
 }
 
 // index makes items findable. It says which id stands twice, if one does.
@@ -86,37 +85,42 @@
 	return int(t.byID[i])
 }
 
-// part gives which stretch of requests has an item.
-func (t *Lot) part(place int) int {
-	i, ok := slices.BinarySearch(t.Parts, place)
-	if ok {
-		return i
+// stretch gives the pieces that hold the request of an item: one, or the fragments of a
+// request that is too large for one.
+func (t *Lot) stretch(place int) (from, to int) {
+	to = sort.SearchInts(t.Parts, place+1)
+	from = sort.SearchInts(t.Parts[:to], t.Parts[to-1])
+	return from, to
+}
+
+// isFragment says whether a piece holds a part of a request alone.
+func (t *Lot) isFragment(k int) bool {
+	from, to := t.stretch(t.Parts[k])
+	return to-from > 1
+}
+
+// placesEnd gives the place after the items of the stretch that a piece belongs to.
+func (t *Lot) placesEnd(k int) int {
+	if _, to := t.stretch(t.Parts[k]); to < len(t.Parts) {
+		return t.Parts[to]
 	}
-	return i - 1
+	return len(t.IDs)
 }
 
 func (t *Lot) partRef(k int) flow.Ref {
+	if t.pieces != nil {
+		return flow.Ref{Kind: LotPartItem, ID: t.pieces[k]}
+	}
 	return flow.Ref{Kind: LotPartItem, ID: t.Item<<lotShift | uint64(k)}
 }
 
 // lotHash binds a repeat to what was handed in first.
 func lotHash(items []LotItem) string {
-	h := sha256.New()
-	put := func(b []byte) {
-		var n [8]byte
-		binary.BigEndian.PutUint64(n[:], uint64(len(b)))
-		_, _ = h.Write(n[:])
-		_, _ = h.Write(b)
-	}
-	for _, x := range items {
-		put([]byte(x.ID))
-		put(x.Body)
-		if x.Reward != nil {
-			put([]byte(x.Reward.ID))
-			put(x.Reward.Body)
-		}
+	hash := NewLotHash()
+	for _, item := range items {
+		hash.Add(item)
 	}
-	return hex.EncodeToString(h.Sum(nil)[:16])
+	return hash.String()
 }
 
 // LotPut answers a lot.put.
@@ -128,28 +132,48 @@
 
 func (l *Ledger) putLot(body PutLot, c Command) Result {
 	p, size := body.packed()
-	d := p.Doc
-	if d.ID == "" || !p.whole() {
+	inParts := p.PartCount > 0
+	if p.Doc.ID == "" || !inParts && !p.whole() {
 		return badLot.Result()
 	}
 	if answer, known := l.recallLot(p); known {
+		l.dropParts(p.partsName())
 		return answer
 	}
-	t := &Lot{Hash: p.Hash, IDs: p.IDs, Parts: p.Parts, requestBytes: size, Item: l.Index, Mod: l.Index}
-	if why, refused := t.refusesItems(); refused {
-		return why.Result()
+	var pieces []uint64
+	if inParts {
+		whole := false
+		if pieces, size, whole = l.assemble(&p); !whole {
+			return partsMissing.Result()
+		}
 	}
-	if why, refused := l.noRoomFor(t, c.At); refused {
+	t := &Lot{Hash: p.Hash, IDs: p.IDs, Parts: p.Parts, pieces: pieces, requestBytes: size, Item: l.Index, Mod: l.Index}
+	if why, refused := l.refusesLot(t, p.partsName(), c.At); refused {
+		l.dropParts(p.partsName())
 		return why.Result()
 	}
+	t.Doc = l.opened(p.Doc, c.At)
+	l.keepLot(t, p.Requests, c.At)
+	delete(l.Staged, p.partsName())
+	return good(LotPut{p.Doc.ID, len(t.IDs), true})
+}
+
+// refusesLot says why a lot can't be taken, if it can't.
+func (l *Ledger) refusesLot(t *Lot, parts PartsName, at int64) (why Refusal, refused bool) {
+	if why, refused := t.refusesItems(); refused {
+		return why, true
+	}
+	return l.noRoomFor(t, parts, at)
+}
+
+// opened gives the head of a lot that is taken, with its times within their bounds.
+func (l *Ledger) opened(d LotDoc, at int64) LotDoc {
 	if d.KeepMS <= 0 {
 		d.KeepMS = l.Bounds.Age
 	}
 	d.KeepMS, d.WaitMS = min(d.KeepMS, lotKeepMost), min(max(d.WaitMS, 0), lotKeepMost)
-	d.Opened, d.AgeMS = c.At, 0
-	t.Doc = d
-	l.keepLot(t, p.Requests, c.At)
-	return good(LotPut{d.ID, len(t.IDs), true})
+	d.Opened, d.AgeMS = at, 0
+	return d
 }
 
 // recallLot answers a hand-in of a lot that was handed in before, and one whose id
@@ -194,7 +218,7 @@
 		ref := t.partRef(k)
 		l.put(ref.Kind, ref.ID, part)
 	}
-	l.put(DocItem, l.Index, raw(lotHead{t.Doc, t.IDs, t.Parts}))
+	l.put(DocItem, l.Index, raw(lotHead{t.Doc, t.IDs, t.Parts, t.pieces}))
 	l.Lots[t.Doc.ID] = t
 	l.acknowledge(lotID(t.Doc.ID, t.Hash), at, uint64(len(t.IDs)))
 	l.lotsDue = min(l.lotsDue, t.due())
@@ -210,8 +234,9 @@
 	return PackLot(b.LotDoc), requestBytes(b.Items)
 }
 
-// noRoomFor says why there is no room for a lot, if there is none.
-func (l *Ledger) noRoomFor(t *Lot, at int64) (why Refusal, refused bool) {
+// noRoomFor says why there is no room for a lot, if there is none. Its own parts take none
+// beside it.
+func (l *Ledger) noRoomFor(t *Lot, parts PartsName, at int64) (why Refusal, refused bool) {
 	open, items := 0, len(t.IDs)
 	for _, x := range l.Lots {
 		items += len(x.IDs)
@@ -225,7 +250,7 @@
 	if len(l.Lots) >= KeepLots || items > KeepLotItems {
 		return lotsKeptFull, true
 	}
-	if !l.roomForLot(t) {
+	if !l.roomForLot(t, parts) {
 		return lotBytesFull, true
 	}
 	if !l.roomForReceipts(at, 1) {
--- a/core/ledger/lottypes.go
+++ b/core/ledger/lottypes.go
@@ -138,4 +138,5 @@
 	Model string `json:"model,omitempty"`
 	Least int    `json:"least,omitempty"` // the oldest weights that may make its texts
 	Bytes int64  `json:"bytes,omitempty"` // of its requests; none once it has ended
+	Parts bool   `json:"parts,omitempty"` // it was handed in in parts: nobody hands it over
 }
--- a/core/ledger/packed.go
+++ b/core/ledger/packed.go
@@ -15,6 +15,16 @@
 	Hash     string            `json:"hash"`
 	Parts    []int             `json:"parts"`    // the first item of each stretch of requests
 	Requests []json.RawMessage `json:"requests"` // the stretches, each a list of items
+	// Where it was handed in in parts, Text names them and PartCount counts them; ids and
+	// requests are theirs.
+	Text      string `json:"text,omitempty"`
+	PartCount int    `json:"part_count,omitempty"`
+}
+
+// LotOfParts makes a lot of parts that were handed in.
+func LotOfParts(head LotDoc, hash, text string, parts int) PackedLot {
+	head.Items = nil
+	return PackedLot{Doc: head, Hash: hash, Text: text, PartCount: parts}
 }
 
 // PutLot hands a lot in (design 8.7). Builds before lots were packed wrote the lot
@@ -62,11 +72,13 @@
 // Encode gives the body of the lot.put. Its requests are copied as they stand.
 func (p PackedLot) Encode() json.RawMessage {
 	head := raw(struct {
-		Doc   encodedHead `json:"doc"`
-		IDs   []string    `json:"ids"`
-		Hash  string      `json:"hash"`
-		Parts []int       `json:"parts"`
-	}{headOf(p.Doc), p.IDs, p.Hash, p.Parts})
+		Doc       encodedHead `json:"doc"`
+		IDs       []string    `json:"ids"`
+		Hash      string      `json:"hash"`
+		Parts     []int       `json:"parts"`
+		Text      string      `json:"text,omitempty"`
+		PartCount int         `json:"part_count,omitempty"`
+	}{headOf(p.Doc), p.IDs, p.Hash, p.Parts, p.Text, p.PartCount})
 	size := len(head) + len(`{"packed":,"requests":[]}}`)
 	for _, part := range p.Requests {
 		size += len(part) + 1
--- a/core/ledger/question.go
+++ b/core/ledger/question.go
@@ -14,6 +14,11 @@
 	KindLotRead    Kind = "lot.read"    // ReadLot
 	KindLotItems   Kind = "lot.items"   // GetLotItems
 	KindLotItem    Kind = "lot.item"    // FindItem
+	KindLotParts   Kind = "lot.parts"   // KnownParts
+	KindLotPage    Kind = "lot.page"    // ReadRequests
+	KindLotTexts   Kind = "lot.texts"   // ReadTexts
+
+	KindLotFragment Kind = "lot.fragment" // FindFragment
 )
 
 // questions has all questions, by the kinds of their bodies.
@@ -28,6 +33,10 @@
 	strictQuestion((*Ledger).readLot),
 	lenientQuestion((*Ledger).lotItems),
 	lenientQuestion((*Ledger).lotItem),
+	strictQuestion((*Ledger).knownParts),
+	strictQuestion((*Ledger).lotPage),
+	strictQuestion((*Ledger).lotTexts),
+	strictQuestion((*Ledger).lotFragment),
 )
 
 // NoBody is embedded by questions that say nothing but their kind.
--- a/core/ledger/refusal.go
+++ b/core/ledger/refusal.go
@@ -104,16 +104,18 @@
 
 // Lots (design 8.7).
 var (
-	otherLot      = Refusal{Conflict, "a lot of this id exists with other content"}
-	lotTooLarge   = Refusal{Invalid, "more items than a lot may have"}
-	itemWithoutID = Refusal{Invalid, "an item of the lot has no id"}
-	openLotsFull  = Refusal{Full, "too many open lots"}
-	lotsKeptFull  = Refusal{Full, "too many lots or items of lots are kept"}
-	lotBytesFull  = Refusal{Full, "lots hold as much as the disk may (lot_bytes)"}
-	noSuchLot     = Refusal{NotFound, "no such lot"}
-	lotMoved      = Refusal{Conflict, "the lot has ended or moved on"}
-	noSuchItem    = Refusal{NotFound, "no such item is open"}
-	lotUnreadable = Refusal{Failed, "a lot's requests do not parse"}
+	otherLot        = Refusal{Conflict, "a lot of this id exists with other content"}
+	lotTooLarge     = Refusal{Invalid, "more items than a lot may have"}
+	itemWithoutID   = Refusal{Invalid, "an item of the lot has no id"}
+	openLotsFull    = Refusal{Full, "too many open lots"}
+	lotsKeptFull    = Refusal{Full, "too many lots or items of lots are kept"}
+	lotBytesFull    = Refusal{Full, "lots hold as much as the disk may (lot_bytes)"}
+	partsMissing    = Refusal{Unavailable, "a part of the lot is missing"}
+	noSuchLot       = Refusal{NotFound, "no such lot"}
+	lotMoved        = Refusal{Conflict, "the lot has ended or moved on"}
+	noSuchItem      = Refusal{NotFound, "no such item is open"}
+	itemInFragments = Refusal{Oversized, "the item is told in fragments"}
+	lotUnreadable   = Refusal{Failed, "a lot's requests do not parse"}
 )
 
 // itemTwice refuses a lot in which an id stands twice.
--- a/core/ledger/snapshot.go
+++ b/core/ledger/snapshot.go
@@ -29,6 +29,7 @@
 	Targets map[string]*Target `json:"targets"`
 	Drains  map[string]*Drain  `json:"drains"`
 	Lots    []lotRow           `json:"lots,omitempty"`
+	Staged  []stagedRow        `json:"lot_parts,omitempty"`
 	// Receipts is missing in snapshots of earlier builds.
 	Receipts *keys.Snapshot `json:"receipts,omitempty"`
 }
@@ -90,7 +91,7 @@
 	}
 	receipts := l.Receipts.Snapshot()
 	d := snapshot{Receipts: &receipts, Index: l.Index, Clock: l.Clock, Bounds: l.Bounds, Keys: l.Keys.Snapshot(), Owners: l.Owners, Coord: l.Coord,
-		Orders: l.Orders, Targets: l.Targets, Drains: l.Drains, Lots: l.lotRows()}
+		Orders: l.Orders, Targets: l.Targets, Drains: l.Drains, Lots: l.lotRows(), Staged: l.stagedRows()}
 	for _, p := range l.Plans {
 		p.Doc, p.Patch = nil, nil
 		d.Plans = append(d.Plans, p)
@@ -148,6 +149,7 @@
 	}
 	l := New()
 	l.loadTables(d)
+	l.loadStaged(d.Staged)
 	for _, load := range []func(snapshot, map[flow.Ref][]byte) error{l.loadKeys, l.loadSteps, l.loadLots, l.loadPlan, l.loadReceipts} {
 		if err := load(d, items); err != nil {
 			return nil, err
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -33,6 +33,7 @@
 	Cpu        int    // thousandths of a core that the machine gives, 0 where unknown
 	LinkMbps   int    // width of the machine's link, 0 where unknown
 	DiskMB     int    // size of its disk, 0 where unknown
+	MemoryMB   int    // size of its memory, 0 where unknown
 	Inc        int64
 	Addr       string
 	Web        string
@@ -112,7 +113,7 @@
 func New(now flow.Time, p Config) (*Node, error) {
 	n := &Node{p: p, counts: map[string]int64{}, burst: map[string]flow.Time{}, began: now, known: p.Known}
 	r := func() *rand.Rand { p.Seed++; return rand.New(rand.NewSource(p.Seed * 7919)) }
-	self := gossip.Entry{ID: p.ID, Name: p.Name, Cpu: p.Cpu, Link: p.LinkMbps, Disk: p.DiskMB, Inc: p.Inc, Addr: p.Addr, Web: p.Web, Zone: p.Zone, Roles: p.Roles}
+	self := gossip.Entry{ID: p.ID, Name: p.Name, Cpu: p.Cpu, Link: p.LinkMbps, Disk: p.DiskMB, Memory: p.MemoryMB, Format: ledger.FormatNewest, Inc: p.Inc, Addr: p.Addr, Web: p.Web, Zone: p.Zone, Roles: p.Roles}
 	n.gossip = gossip.New(gossip.Config{Self: self, Known: p.Known, Seeds: p.Seeds, Rand: r()})
 	n.asker = ask.New(firstAsk(p))
 	if n.runs("store") {
--- a/core/serve/env/answers.go
+++ b/core/serve/env/answers.go
@@ -18,6 +18,8 @@
 	StoreUnheard    Reason = "the store is not heard just now"
 	LotsUnderWay    Reason = "other lots are on their way to the store"
 	OpenLotsFull    Reason = "too many open lots"
+	NoMemory        Reason = "no process has the memory to run this lot beside those that are open"
+	TooLargeToKeep  Reason = "the lot is larger than the store takes at once"
 	StoreSilent     Reason = "the store did not answer in time"
 	StoreSilentSame Reason = "the store did not answer in time; say the same again"
 	MachineUnknown  Reason = "the store did not say what the machine holds"
--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -27,6 +27,10 @@
 		t.env.Refuse(c.ID, why, budget.RenewInterval)
 		return
 	}
+	if id != "" && len(c.Body) > wholeMost && t.env.Codec.OpenLot != nil {
+		t.beginHandIn(c, id, r, keep)
+		return
+	}
 	doc, err := t.env.Codec.ReadLot(id, c.Body)
 	if id == "" || err != nil {
 		if t.env.Debug {
@@ -35,32 +39,54 @@
 		t.env.Answer(c.ID, env.BadLot)
 		return
 	}
+	var memory int64
+	for _, item := range doc.Items {
+		memory += memoryOf(item)
+	}
+	if !t.fillHead(&doc, c, r, keep, memory) {
+		t.env.Refuse(c.ID, env.NoMemory, budget.Listed)
+		return
+	}
+	t.putWhole(c, doc, t.env.Now)
+}
+
+// fillHead fills in what a lot does not say itself. It gives false where no process has the
+// memory to run it.
+func (t *Table) fillHead(doc *ledger.LotDoc, c flow.Call, r *route.Route, keep flow.Time, memory int64) bool {
 	doc.Host, doc.Path, doc.Route, doc.Pool = c.Host, c.Path, r.Name, r.Pool
-	doc.Owner = t.ownerOf(r.Pool, doc.Model)
 	doc.Single, doc.Tries, doc.WaitMS, doc.DueMS, doc.KeepMS = r.Single, r.Tries, int64(r.WaitMS), int64(r.DueMS), keep.Milliseconds()
-	came := t.env.Now
+	doc.Owner = t.ownerOf(r.Pool, doc.Model, memory)
+	return doc.Owner != ""
+}
+
+// putWhole hands a lot in as one command.
+func (t *Table) putWhole(c flow.Call, doc ledger.LotDoc, came flow.Time) {
 	t.putting[c.ID] = len(c.Body)
 	packed := ledger.PackLot(doc)
 	t.env.Ask(budget.AskTimeout, packed, func(a ask.Answer) {
 		delete(t.putting, c.ID)
-		var x struct {
-			Fresh bool `json:"fresh"`
-		}
-		if t.env.Debug {
-			t.env.Trace("lots", handIn[a.Code == ledger.Accepted], "lot", id, "code", a.Code, "items", len(doc.Items))
-		}
-		if a.Code == ledger.Accepted && json.Unmarshal(a.Body, &x) == nil {
-			t.env.Counts["lots_taken"]++
-			t.env.Out.Answer(c.ID, env.StatusLotTaken, struct{}{}, nil)
-			if x.Fresh {
-				t.hand(doc, packed, t.env.Now-came)
-			}
-			return
-		}
-		t.notTaken(c, a)
+		t.handedIn(c, doc, len(doc.Items), a, func() { t.hand(doc, packed, t.env.Now-came) })
 	})
 }
 
+// handedIn answers a hand-in as the store did. fresh is called for a lot that is taken just
+// now.
+func (t *Table) handedIn(c flow.Call, doc ledger.LotDoc, items int, a ask.Answer, fresh func()) {
+	if t.env.Debug {
+		t.env.Trace("lots", handInTold[a.Code == ledger.Accepted], "lot", doc.ID, "code", a.Code, "items", items)
+	}
+	var put ledger.LotPut
+	if a.Code != ledger.Accepted || json.Unmarshal(a.Body, &put) != nil {
+		t.notTaken(c, a)
+		return
+	}
+	t.env.Counts["lots_taken"]++
+	t.env.Out.Answer(c.ID, env.StatusLotTaken, struct{}{}, nil)
+	if put.Fresh {
+		fresh()
+	}
+}
+
 // handInBytes is how many bytes of lots may be under way to the store from one node: what
 // waits for a peer beyond 4 MB is dropped, the oldest first (design 5.1). One lot is
 // taken whatever its size.
@@ -86,6 +112,8 @@
 	switch a.Code {
 	case ledger.Full:
 		t.env.Refuse(c.ID, env.OpenLotsFull, budget.Listed)
+	case ledger.Oversized, ledger.Rejected: // it never reached the store
+		t.env.Refuse(c.ID, env.TooLargeToKeep, budget.Listed)
 	case ledger.Invalid, ledger.Conflict:
 		t.env.Out.Answer(c.ID, httpstatus.Of(a.Code), a.Body, nil)
 	case ledger.Unavailable:
@@ -126,28 +154,8 @@
 	return over || known && x.owner != t.env.Me
 }
 
-// handIn names what came of a hand-in.
-var handIn = map[bool]string{true: "accepted", false: "refused"}
-
-// fetch asks for the items of a lot that fell to this node.
-func (t *Table) fetch(id string) {
-	if t.asked[id] || t.leaving {
-		return
-	}
-	t.asked[id] = true
-	t.env.Ask(budget.AskTimeout, ledger.GetLotItems(id), func(a ask.Answer) {
-		delete(t.asked, id)
-		var x ledger.LotItems
-		if a.Code == ledger.Unanswered {
-			t.fetch(id)
-			return
-		}
-		if a.Code != ledger.Accepted || flow.Decode(a.Body, &x) != nil || x.Ended || x.Doc.Owner != t.env.Me {
-			return
-		}
-		t.Adopt(x.Doc, flow.Time(x.Doc.AgeMS)*time.Millisecond, x.Texts...)
-	})
-}
+// handInTold names what came of a hand-in.
+var handInTold = map[bool]string{true: "accepted", false: "refused"}
 
 // End ends a lot for its trainer.
 func (t *Table) End(c flow.Call) {
@@ -197,22 +205,6 @@
 	t.env.Refuse(c.ID, env.StoreSilent, budget.RenewInterval)
 }
 
-// Item gives the body of an item that is not listed.
-func (t *Table) Item(c flow.Call) {
-	q := ledger.FindItem{Lot: c.Vars["id"], Item: c.Query[t.env.Codec.Item]}
-	t.env.Ask(budget.AskTimeout, q, func(a ask.Answer) {
-		var x struct {
-			Body []byte `json:"body"`
-		}
-		if a.Code != ledger.Accepted || json.Unmarshal(a.Body, &x) != nil {
-			t.told(c, a)
-			return
-		}
-		t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: c.ID, Code: env.StatusDone, Body: x.Body,
-			Fields: []flow.Field{{Name: "Content-Type", Value: "application/octet-stream"}}})
-	})
-}
-
 // PageBytes bounds the results in one answer, encoded, to the megabyte that an answer may
 // have; one that is larger comes alone. Who reads a lot comes back some time after each
 // answer, so a page that is smaller than what there is holds up all that comes after it.
@@ -283,8 +275,11 @@
 	}
 }
 
-// Gone hears that a reader went away.
-func (t *Table) Gone(call uint64) { delete(t.readers, call) }
+// Gone hears that a reader, or the trainer of a hand-in, went away.
+func (t *Table) Gone(call uint64) {
+	delete(t.readers, call)
+	t.goneHandIn(call)
+}
 
 // Bounds of one listing. While items of a lot finish one after the other, each
 // command lists those of an eighth of a second: a command costs the leader and every
--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -41,7 +41,8 @@
 	share    map[string]int       // slots of each engine in use, by pool, where that is bounded
 	partials partials             // texts of items that may come again
 	readers  map[uint64]*reader
-	putting  map[uint64]int // hand-ins that are not answered yet, and their bytes
+	putting  map[uint64]int // hand-ins that are not answered yet, and their bytes on the way to the store
+	handIns  map[uint64]*handIn
 	leaving  bool
 	scanned  flow.Time // when all items were last looked through
 	changed  bool      // a slot became free, or an item may run
@@ -50,7 +51,7 @@
 // New makes an empty table.
 func New(e *env.Env, t *engines.Table, routes func() *route.Table, live func() []gossip.Entry, index *prefixes.Table, calls *requests.Table) *Table {
 	return &Table{env: e, engines: t, routes: routes, live: live, index: index, calls: calls, rows: map[string]*lot{}, asked: map[string]bool{}, wanted: map[string]flow.Time{}, others: map[string]bool{}, open: map[string]openLot{}, over: map[string]flow.Time{}, last: map[string]string{}, paces: map[string]*pace{}, partials: partials{},
-		readers: map[uint64]*reader{}, putting: map[uint64]int{}}
+		readers: map[uint64]*reader{}, putting: map[uint64]int{}, handIns: map[uint64]*handIn{}}
 }
 
 // lot is an open lot that this node owns.
@@ -249,8 +250,8 @@
 		case r.Ended || r.Owner != t.env.Me:
 			delete(t.wanted, r.ID)
 			t.drop(r.ID)
-		case t.rows[r.ID] == nil && t.others[r.ID]:
-			t.fetch(r.ID) // it was another's: nobody hands it over
+		case t.rows[r.ID] == nil && (t.others[r.ID] || r.Parts):
+			t.fetch(r.ID) // nobody hands it over
 		case t.rows[r.ID] == nil:
 			t.wanted[r.ID] = t.env.Now + handTime(r.Bytes)
 		}
@@ -330,6 +331,7 @@
 
 // Advance runs the room's systems.
 func (t *Table) Advance() {
+	t.advanceHandIns()
 	t.fetches()
 	scan := t.env.Now >= t.scanned+scanEvery
 	if scan {
--- a/core/serve/lots/owners.go
+++ b/core/serve/lots/owners.go
@@ -19,12 +19,17 @@
 
 // ownerOf picks who runs a new lot: whoever ran the last one of its kind, unless
 // that one also runs another kind that a free process could take, else this node
-// itself or one by rendezvous (design 12.5).
-func (t *Table) ownerOf(pool, model string) string {
+// itself or one by rendezvous (design 12.5). It gives "" where no process has room for so
+// many bytes of items in its memory.
+func (t *Table) ownerOf(pool, model string, memory int64) string {
 	if !t.env.Policies.On(policy.SharedOwner) {
 		return t.env.Me
 	}
-	able := gossip.LotOwners(t.live())
+	all := gossip.LotOwners(t.live())
+	able := t.withMemory(all, memory)
+	if len(able) == 0 && len(all) > 0 {
+		return ""
+	}
 	key := t.ownerKey(pool, model, able)
 	busy := t.busyOwners(key)
 	last, ownLast := t.last[key], false
@@ -53,6 +58,26 @@
 	return next
 }
 
+// lotMemoryPart is the part of its machine's memory that the requests of open lots may take
+// in their owner's: the texts that come of them, their sends and all else need the rest.
+const lotMemoryPart = 4
+
+// withMemory gives the processes that have room for so many bytes of items beside the open
+// lots that they own. One whose memory is not known has room.
+func (t *Table) withMemory(entries []gossip.Entry, memory int64) []gossip.Entry {
+	held := map[string]int64{}
+	for _, lot := range t.open {
+		held[lot.owner] += lot.bytes
+	}
+	var able []gossip.Entry
+	for _, e := range entries {
+		if e.Memory == 0 || held[e.Start()]+memory <= int64(e.Memory)<<20/lotMemoryPart {
+			able = append(able, e)
+		}
+	}
+	return able
+}
+
 // ownerKey names the lots that one owner runs together: those of a pool, or of
 // one model where the pool has more slots than one machine can serve.
 func (t *Table) ownerKey(pool, model string, able []gossip.Entry) string {
@@ -125,7 +150,7 @@
 		t.heardEnd(r.ID)
 		return
 	}
-	t.open[r.ID] = openLot{owner: r.Owner, heard: t.env.Now}
+	t.open[r.ID] = openLot{owner: r.Owner, heard: t.env.Now, bytes: r.Bytes}
 	forgetOldest(t.open, func(x openLot) flow.Time { return x.heard })
 }
 
@@ -136,10 +161,11 @@
 	forgetOldest(t.over, func(at flow.Time) flow.Time { return at })
 }
 
-// openLot is who owns a lot that has not ended, and when that was heard.
+// openLot is who owns a lot that has not ended, when that was heard, and how large it is.
 type openLot struct {
 	owner string
 	heard flow.Time
+	bytes int64 // of its requests
 }
 
 // forgetOldest keeps no more lots than the ledger has open ones, of which some ran
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -170,7 +170,7 @@
 
 // Idle says that a plan is known, and that nothing is under way here.
 func (s *Serve) Idle() bool {
-	return s.routes != nil && !s.leaving && s.requests.Len()+s.lots.Len()+s.lots.Readers()+s.env.Sends() == 0
+	return s.routes != nil && !s.leaving && s.requests.Len()+s.lots.Len()+s.lots.Readers()+s.lots.HandIns()+s.env.Sends() == 0
 }
 
 // Left says that nothing is under way any more.
--- a/core/store/asks.go
+++ b/core/store/asks.go
@@ -35,6 +35,10 @@
 		s.retry(w, out)
 		return
 	}
+	if !s.membersApply(formats[a.Kind]) {
+		s.refuse(w, unknownAsk, out)
+		return
+	}
 	if f, ok := own[a.Kind]; ok {
 		f(s, now, w, out)
 		return
@@ -58,6 +62,25 @@
 	s.refuse(w, unknownAsk, out)
 }
 
+// formats has the format of the log that each kind of command needs, where earlier builds
+// don't know it. Whoever hands in a lot asks for its parts first.
+var formats = map[ledger.Kind]int{ledger.KindLotParts: ledger.FormatLotParts, ledger.KindLotPart: ledger.FormatLotParts}
+
+// membersApply says whether all members that are heard apply a format of the log. During an
+// upgrade those of an earlier build would come to another state.
+func (s *Store) membersApply(format int) bool {
+	if format == 0 {
+		return true
+	}
+	members := s.raft.Conf()
+	for _, e := range s.live {
+		if members.Find(e.ID) >= 0 && e.ID != s.p.ID && e.Format < format {
+			return false
+		}
+	}
+	return true
+}
+
 // same says whether two tries are of one question.
 func (w wait) same(o wait) bool { return o.addr == w.addr && o.ask.ID == w.ask.ID }
 
--- a/shell/daemon/daemon.go
+++ b/shell/daemon/daemon.go
@@ -187,7 +187,7 @@
 	return node.New(clock.Now(), node.Config{
 		ID: folder.Identity.ID, Inc: folder.Identity.Inc, Name: settings.Name,
 		Addr: settings.Addr, Web: settings.Web, Zone: settings.Zone, Roles: settings.Roles,
-		Cpu: int(1000 * settings.CPUShare), LinkMbps: link, DiskMB: disk, Seeds: settings.Seeds, Form: settings.Form,
+		Cpu: int(1000 * settings.CPUShare), LinkMbps: link, DiskMB: disk, MemoryMB: settings.MemoryMB, Seeds: settings.Seeds, Form: settings.Form,
 		First: settings.FirstStart, Want: 2*settings.CoreLosses + 1,
 		Platform: list, Codec: platform.Codec, LotKeep: lotKeep,
 		Seed: int64(binary.LittleEndian.Uint64(seed[:]) >> 8),
