Memory: large bodies and open lots take a part of the process's memory at most

Cause: a lot was held some ten times over while it was taken, and what a client may send was never set against what a process may have: bodies counted once they had been read, and one of any size was taken alone. Ruled out: a leak (memory falls back), the collector's limit, answers.

--- a/core/gossip/entry.go
+++ b/core/gossip/entry.go
@@ -78,6 +78,16 @@
 	return followers(others)
 }
 
+// lotMemoryPart is the part of its machine's memory that the requests of open lots may take
+// in their owner's: the texts that come of them, their sends and all else need the rest.
+const lotMemoryPart = 4
+
+// HoldsLots says whether the process has the memory for so many bytes of requests of open
+// lots. One whose memory is not known has.
+func (e Entry) HoldsLots(bytes int64) bool {
+	return e.Memory == 0 || bytes <= int64(e.Memory)<<20/lotMemoryPart
+}
+
 // followers leaves out whoever leads the store, where anybody else is there.
 func followers(entries []Entry) []Entry {
 	rest := slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool { return e.Leads })
--- a/core/serve/lots/owners.go
+++ b/core/serve/lots/owners.go
@@ -47,7 +47,7 @@
 		if id == t.env.Me && key == pool && (!idle || !busy[id]) {
 			return id // it has the items already
 		}
-		fitness := gossip.Fitness{Idle: !busy[id], Free: !e.Member, Weight: prefix.Weight(key, id)}
+		fitness := gossip.Fitness{Roomy: true, Idle: !busy[id], Free: !e.Member, Weight: prefix.Weight(key, id)}
 		if next == "" || fitness.Beats(best) {
 			next, best = id, fitness
 		}
@@ -58,12 +58,8 @@
 	return next
 }
 
-// lotMemoryPart is the part of its machine's memory that the requests of open lots may take
-// in their owner's: the texts that come of them, their sends and all else need the rest.
-const lotMemoryPart = 4
-
 // withMemory gives the processes that have room for so many bytes of items beside the open
-// lots that they own. One whose memory is not known has room.
+// lots that they own.
 func (t *Table) withMemory(entries []gossip.Entry, memory int64) []gossip.Entry {
 	held := map[string]int64{}
 	for _, lot := range t.open {
@@ -71,7 +67,7 @@
 	}
 	var able []gossip.Entry
 	for _, e := range entries {
-		if e.Memory == 0 || held[e.Start()]+memory <= int64(e.Memory)<<20/lotMemoryPart {
+		if e.HoldsLots(held[e.Start()] + memory) {
 			able = append(able, e)
 		}
 	}
--- a/core/store/owners.go
+++ b/core/store/owners.go
@@ -112,6 +112,15 @@
 	return busy
 }
 
+// heldLots gives how many bytes of requests of open lots each process owns.
+func (s *Store) heldLots() map[string]int64 {
+	held := map[string]int64{}
+	for _, r := range s.ledger.LotRows() {
+		held[r.Owner] += r.Bytes
+	}
+	return held
+}
+
 // given is when this leader took a lot from whom.
 type given struct {
 	at  flow.Time
@@ -125,14 +134,14 @@
 		return
 	}
 	next, best := "", gossip.Fitness{}
-	starts, able, busy := s.starts(now), s.able(), s.otherOwners(r)
+	starts, able, busy, held := s.starts(now), s.able(), s.otherOwners(r), s.heldLots()
 	for _, id := range sorted.Keys(s.seen) {
 		x := s.seen[id]
 		if id == r.Owner || x.left || now-x.at > budget.LeaseDuration || starts.after(id) || len(able) > 0 && able[id].ID == "" {
 			continue
 		}
 		// The lots of a pool keep together, so that one place knows its engines.
-		fitness := gossip.Fitness{Idle: !busy[id], Free: !able[id].Member, Weight: prefix.Weight(cmp.Or(r.Pool, r.ID), id)}
+		fitness := gossip.Fitness{Roomy: able[id].HoldsLots(held[id] + r.Bytes), Idle: !busy[id], Free: !able[id].Member, Weight: prefix.Weight(cmp.Or(r.Pool, r.ID), id)}
 		if next == "" || fitness.Beats(best) {
 			next, best = id, fitness
 		}
--- a/shell/daemon/daemon.go
+++ b/shell/daemon/daemon.go
@@ -206,7 +206,7 @@
 	if loop.Link, err = link.Open(peerAddress(settings), logger, loop.Offer); err != nil {
 		return nil, err
 	}
-	if loop.Web, err = web.OpenListeners(web.Options{Addr: settings.Web, In: loop.Offer, Listeners: platform.Listeners, Files: settings.Files, Logger: logger}); err != nil {
+	if loop.Web, err = web.OpenListeners(web.Options{Addr: settings.Web, In: loop.Offer, Listeners: platform.Listeners, Files: settings.Files, Memory: int64(settings.MemoryMB) << 20, Logger: logger}); err != nil {
 		loop.Link.Close()
 		return nil, err
 	}
--- a/shell/web/limits.go
+++ b/shell/web/limits.go
@@ -1,7 +1,6 @@
 package web
 
 import (
-	"bytes"
 	"cmp"
 	"io"
 	"net"
@@ -126,34 +125,11 @@
 	return size
 }
 
-// bodies counts the bytes of large bodies that were read and are not answered yet. Those
-// that were only announced don't count, so that nobody takes room by a promise.
-type bodies struct{ bytes atomic.Int64 }
-
-// bodiesMost is how many bytes these may be. Beyond it a request is refused before its
-// body is read; a body is taken whatever its size where no other is.
-const bodiesMost = 16 << 20
-
-// room says whether a body of an announced size may be read.
-func (b *bodies) room(size int64) bool {
-	under := b.bytes.Load()
-	return size <= prealloc || under == 0 || under+size <= bodiesMost
-}
-
-// hold counts a body until the function that it gives is called.
-func (b *bodies) hold(size int) (free func()) {
-	if size <= prealloc {
-		return func() {}
-	}
-	b.bytes.Add(int64(size))
-	return func() { b.bytes.Add(-int64(size)) }
-}
-
 var errLarge = errors.New("web: larger than is taken")
 
-// body reads a request's body whole. What is left of one that is not taken is
-// not waited for.
-func (w *Web) body(rw http.ResponseWriter, req *http.Request, l *Limits) ([]byte, error) {
+// body reads a request's body whole, into memory that held counts. What is left of one that
+// is not taken is not waited for.
+func (w *Web) body(rw http.ResponseWriter, req *http.Request, l *Limits, held *heldBody) ([]byte, error) {
 	if req.ContentLength == 0 {
 		return nil, nil
 	}
@@ -164,8 +140,8 @@
 		c.move(receiving, busy)
 		defer c.move(busy, receiving)
 	}
-	body, err := read(&patient{req.Body, controller, l.Idle}, req.ContentLength, int64(l.BodyBytes))
-	if err == errLarge && req.Header.Get("Expect") == "" { // one that waits for 100 Continue has not sent it
+	body, err := held.read(&patient{req.Body, controller, l.Idle}, req.ContentLength, int64(l.BodyBytes))
+	if (err == errLarge || err == errNoRoom) && req.Header.Get("Expect") == "" { // one that waits for 100 Continue has not sent it
 		_ = controller.SetReadDeadline(time.Now().Add(drainWait))
 		_, _ = io.CopyN(io.Discard, req.Body, drainMost)
 	}
@@ -177,26 +153,6 @@
 	return body, nil
 }
 
-// read takes a body of a size in bytes, below zero when that is unknown.
-func read(input io.Reader, size, most int64) ([]byte, error) {
-	if size > most {
-		return nil, errLarge
-	}
-	if size > 0 && size <= prealloc {
-		body := make([]byte, size)
-		_, err := io.ReadFull(input, body)
-		return body, err
-	}
-	var body bytes.Buffer
-	if _, err := body.ReadFrom(io.LimitReader(input, most+1)); err != nil {
-		return nil, err
-	}
-	if int64(body.Len()) > most {
-		return nil, errLarge
-	}
-	return body.Bytes(), nil
-}
-
 // patient waits a bounded time for each piece of a body.
 type patient struct {
 	in   io.Reader
--- a/shell/web/serve.go
+++ b/shell/web/serve.go
@@ -32,11 +32,17 @@
 		problem(rw, 503, "too much at once", "Retry-After", "1", "Connection", "close")
 		return
 	}
-	body, err := w.body(rw, req, shared.limits.Load())
+	held := &heldBody{of: &w.bodies}
+	defer held.free()
+	body, err := w.body(rw, req, shared.limits.Load(), held)
 	if err == errLarge {
 		problem(rw, 413, "larger than is taken here", "Connection", "close")
 		return
 	}
+	if err == errNoRoom {
+		problem(rw, 503, "too much at once", "Retry-After", "1", "Connection", "close")
+		return
+	}
 	if err != nil {
 		problem(rw, 400, "the request broke off", "Connection", "close")
 		return
@@ -44,7 +50,6 @@
 	if wasEvicted(req) {
 		panic(http.ErrAbortHandler)
 	}
-	defer w.bodies.hold(len(body))()
 	request := callOf(req, route.Name, vars, body)
 	id := w.ids.Add(1)
 	request.ID = id
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -40,6 +40,7 @@
 	In        func(flow.Event) bool
 	Listeners []Listener
 	Files     int        // descriptors of the process, 0 for what the system lets it have
+	Memory    int64      // bytes that the process may have, 0 where unknown
 	Logger    log.Logger // of what the HTTP server has to say; nil for nobody
 }
 
@@ -115,6 +116,7 @@
 // OpenListeners listens and serves the administration API and listeners.
 func OpenListeners(options Options) (*Web, error) {
 	web := &Web{In: options.In, open: map[uint64]*call{}}
+	web.bodies.most = options.Memory / bodiesPart
 	web.limits.Store(&Usual)
 	web.usual.Store(&Usual)
 	files, err := filesOf(options.Files)
