Stop: a request of the last moments is answered or refused, and all that is open at the end

Cause: the core's loop ended at the stop's time with requests under way, nothing answered them, and what came meanwhile was taken whatever time was left; the web's own end had 2 s of the one that the platform leaves. Ruled out: engines (answered), listeners (open), clients (waited).

--- a/core/disp/leave.go
+++ b/core/disp/leave.go
@@ -85,6 +85,20 @@
 	}
 }
 
+// Close answers all requests that are open, since this process ends now: what was sent may
+// have run.
+func (d *Disp) Close(now flow.Time, out *flow.Outbox) {
+	d.now, d.out = now, out
+	for _, id := range sorted.Keys(d.reqs) {
+		q := d.reqs[id]
+		if q.state == held && q.known.MayResend() {
+			d.refuse(q, nodeStops)
+		} else {
+			d.finish(q, mayHaveRun)
+		}
+	}
+}
+
 // Left says that nothing is open any more.
 func (d *Disp) Left() bool {
 	if !d.handed || len(d.reqs) > 0 || d.owed > 0 {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -349,20 +349,26 @@
 		n.coord.Leave()
 	}
 	if n.serve != nil {
-		n.serve.Leave(now, out)
+		n.serve.Leave(now, n.stop, out)
 	}
 }
 
 // leaving goes on with it, and says when it is over. Others hear of it once
-// nothing is owed to them any more.
+// nothing is owed to them any more. Whoever still waits then is answered.
 func (n *Node) leaving(now flow.Time, out *flow.Outbox) {
 	if n.stop == 0 {
 		return
 	}
+	if out.Done = n.left(now) || now >= n.stop; out.Done {
+		n.close(now, out)
+	}
+}
+
+// left says that all that a clean stop waits for is over.
+func (n *Node) left(now flow.Time) bool {
 	done := (n.serve == nil || n.serve.Left()) && (n.disp == nil || n.disp.Left())
 	if n.unsaved { // its store is silent for good: nothing of it is waited for
-		out.Done = done || now >= n.stop
-		return
+		return done
 	}
 	done = done && (n.coord == nil || n.coord.Left(now))
 	if n.store != nil {
@@ -372,9 +378,19 @@
 	}
 	if done && !n.gossip.Self().Left {
 		n.gossip.Leave(now)
-		return // with the next turn, so that the word gets out
+		return false // with the next turn, so that the word gets out
+	}
+	return done && len(n.held) == 0
+}
+
+// close answers all callers that still wait.
+func (n *Node) close(now flow.Time, out *flow.Outbox) {
+	if n.serve != nil {
+		n.serve.Close(now, out)
+	}
+	if n.disp != nil {
+		n.disp.Close(now, out)
 	}
-	out.Done = done && len(n.held) == 0 || now >= n.stop
 }
 
 // announceStop tells the store's leader, again and again, that this member stops,
--- a/core/serve/env/answers.go
+++ b/core/serve/env/answers.go
@@ -15,6 +15,7 @@
 	TooMuch         Reason = "too much at once"
 	NoEngine        Reason = "no engine can take this just now"
 	MayBeBehind     Reason = "this node may be behind"
+	Stopping        Reason = "this process stops"
 	StoreUnheard    Reason = "the store is not heard just now"
 	LotsUnderWay    Reason = "other lots are on their way to the store"
 	OpenLotsFull    Reason = "too many open lots"
--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -169,6 +169,24 @@
 // Leave stops starting items; what runs is seen to its end.
 func (t *Table) Leave() { t.leaving = true }
 
+// Close answers hand-ins and readers that still wait: this process ends now. A hand-in that may
+// be taken yet gets no promise.
+func (t *Table) Close() {
+	for _, call := range sorted.Keys(t.putting) {
+		if h := t.handIns[call]; h != nil && h.step != naming {
+			t.refuseHandIn(h, env.Stopping)
+			continue
+		}
+		delete(t.putting, call)
+		delete(t.handIns, call)
+		t.env.Answer(call, env.LotMayBeTaken)
+	}
+	for _, call := range sorted.Keys(t.readers) {
+		delete(t.readers, call)
+		t.env.Refuse(call, env.Stopping, budget.RenewInterval)
+	}
+}
+
 // Adopt takes a lot over: the items in doc are those that are not listed, and whole those of
 // their texts that wait for their scores.
 func (t *Table) Adopt(doc ledger.LotDoc, age flow.Time, whole ...ledger.LotResult) {
--- a/core/serve/requests/requests.go
+++ b/core/serve/requests/requests.go
@@ -64,6 +64,7 @@
 	engines *engines.Table
 	rows    map[uint64]*Request
 	turns   *route.Turns
+	stop    stop // zero while this process goes on
 
 	failures failures
 }
@@ -96,11 +97,11 @@
 	if t.env.Debug {
 		t.trace(q, "accepted", "route", r.Name, "pool", q.pool)
 	}
-	if len(t.rows) >= Most {
+	if why := t.refuses(q); why != "" {
 		if t.env.Debug {
-			t.trace(q, "refused", "why", env.TooMuch)
+			t.trace(q, "refused", "why", why)
 		}
-		t.env.Refuse(c.ID, env.TooMuch, t.again(q))
+		t.env.Refuse(c.ID, why, t.again(q))
 		return
 	}
 	t.rows[c.ID] = q
@@ -474,12 +475,3 @@
 	}
 	q.tries = nil
 }
-
-// Leave refuses what is held: this process stops.
-func (t *Table) Leave() {
-	for _, id := range sorted.Keys(t.rows) {
-		if q := t.rows[id]; len(q.tries) == 0 {
-			t.giveUp(q)
-		}
-	}
-}
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -152,14 +152,21 @@
 	return &flow.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, Header: ms(l.HeaderMS), Idle: ms(l.IdleMS)}
 }
 
-// Leave begins a clean stop.
-func (s *Serve) Leave(now flow.Time, out *flow.Outbox) {
+// Leave begins a clean stop, which is over by ends at the latest.
+func (s *Serve) Leave(now, ends flow.Time, out *flow.Outbox) {
 	s.env.Turn(now, out)
 	s.leaving = true
-	s.requests.Leave()
+	s.requests.Leave(ends)
 	s.lots.Leave()
 }
 
+// Close answers all callers that still wait: this process ends now.
+func (s *Serve) Close(now flow.Time, out *flow.Outbox) {
+	s.env.Turn(now, out)
+	s.requests.Close()
+	s.lots.Close()
+}
+
 // Acked and Looked take what the acting coordinator says to events and questions.
 func (s *Serve) Acked(a disp.Ack) { s.index.Acked(a) }
 
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -181,13 +181,14 @@
 // request may be on its way there.
 func (w *Web) Drain() { w.ending.Store(true) }
 
-// closeMost is how long answers that are under way at the end may take to be read.
-const closeMost = 2 * time.Second
+// CloseMost is how long answers that are under way at the end may take to be read. A process
+// on the platform has a second for all that comes behind its core's stop.
+const CloseMost = 800 * time.Millisecond
 
 // Close stops taking requests and gives open ones a moment to end. A client that keeps
 // the server waiting is not waited for.
 func (w *Web) Close(ctx context.Context) {
-	ctx, quit := context.WithTimeout(ctx, closeMost)
+	ctx, quit := context.WithTimeout(ctx, CloseMost)
 	defer quit()
 	for _, open := range w.connections {
 		open.endWaiting()
