Stop: the listeners refuse before the loop ends, and all that came before is answered

Cause: the loop ended first and the listeners after it; what was read between the two went into a queue that nobody looked at any more. Ruled out: requests that crossed the close (they end at once), engines (none was asked).

Before: TestRequestsThatComeAsTheLoopEndsAreAnswered fails, requests are held until the listeners give up; so does TestRequestsAfterALoopThatFailedAreAnswered.

A stop has a step more: the listeners put no more calls in and refuse what comes, the core hears that no more come and answers those that came, then the loop ends. What a failed loop leaves is answered by the listeners' end.

--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -146,6 +146,7 @@
 	Saved   uint64 // the newest batch of saves that is on disk
 	Blobs   *Fetched
 	Stop    bool     // an operator wants this process to end (design 5.5)
+	Closed  bool     // no call comes after those before this event
 	Full    bool     // a batch is tried again: the disk has no room
 	Unsaved bool     // the disk has failed: no batch will ever be saved
 	Seeds   []string // the settings name these seeds from now on
@@ -195,7 +196,8 @@
 	Fetch   []Fetch
 	Limits  *Limits // those of a plan that came in force
 	Halt    string
-	Done    bool // all that a clean stop waits for is over
+	Done    bool // all that a clean stop waits for is over: no more calls are to be taken
+	Over    bool // and those that came before are answered
 }
 
 // Ref names one item on the blob store (design 4.9). An item never changes.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -84,6 +84,7 @@
 	full      bool        // the disk has no room
 	unsaved   bool        // the disk has failed, and this process ends
 	stop      flow.Time   // when a clean stop is over at the latest
+	closed    bool        // no more calls come
 	announce  flow.Time   // when the store's leader hears next that this member stops
 }
 
@@ -353,13 +354,15 @@
 	}
 }
 
-// leaving goes on with it, and says when it is over. Others hear of it once
-// nothing is owed to them any more. Whoever still waits then is answered.
+// leaving goes on with it, and says when it is over. Others hear of it once nothing is owed
+// to them any more. Callers are taken until the shell says that no more come; only then is it
+// known that none of them waits, and whoever does at the stop's last moment is answered.
 func (n *Node) leaving(now flow.Time, out *flow.Outbox) {
 	if n.stop == 0 {
 		return
 	}
-	if out.Done = n.left(now) || now >= n.stop; out.Done {
+	out.Done = n.left(now) || now >= n.stop
+	if out.Over = out.Done && n.closed; out.Over {
 		n.close(now, out)
 	}
 }
@@ -408,6 +411,7 @@
 	if e.Stop {
 		n.leave(now, out)
 	}
+	n.closed = n.closed || e.Closed
 	if len(e.Seeds) > 0 {
 		n.gossip.Reseed(e.Seeds)
 	}
--- a/shell/run/run.go
+++ b/shell/run/run.go
@@ -47,14 +47,15 @@
 	nextWork diskWork      // gathers while the disk's goroutine is busy
 	work     chan diskWork // unbuffered: the disk's goroutine takes one when it is free
 	diskDone chan struct{}
-	stopped  chan struct{} // closed when a clean stop is over
+	stopped  chan struct{} // closed when a clean stop waits for nothing but callers that still come
+	over     chan struct{} // closed when those are answered
 }
 
 // New makes a loop without its shells.
 func New(logger log.Logger) *Loop {
 	return &Loop{
 		Logger: logger, events: newQueue(), quit: make(chan struct{}), done: make(chan struct{}), Halted: make(chan error, 1),
-		work: make(chan diskWork), diskDone: make(chan struct{}), stopped: make(chan struct{}),
+		work: make(chan diskWork), diskDone: make(chan struct{}), stopped: make(chan struct{}), over: make(chan struct{}),
 	}
 }
 
@@ -64,16 +65,15 @@
 	go l.run()
 }
 
-// Stop lets the node hand on what it has, then ends the loop and the shells. The
-// node bounds the first itself (design 5.5).
+// Stop lets the node hand on what it has, then takes no more calls, has those that came
+// answered, and ends the loop and the shells. The node bounds the first itself (design 5.5).
 func (l *Loop) Stop(ctx context.Context) {
 	l.Web.Drain()
 	l.Put(flow.Event{Stop: true})
-	select {
-	case <-l.stopped:
-	case <-l.done:
-	case <-ctx.Done():
-	}
+	l.await(ctx, l.stopped)
+	l.Web.Refuse()
+	l.Put(flow.Event{Closed: true}) // behind all that Web has put in
+	l.await(ctx, l.over)
 	close(l.quit)
 	<-l.done
 	<-l.diskDone
@@ -82,6 +82,15 @@
 	l.Link.Close()
 }
 
+// await waits for a step of a stop, unless the loop has ended.
+func (l *Loop) await(ctx context.Context, step <-chan struct{}) {
+	select {
+	case <-step:
+	case <-l.done:
+	case <-ctx.Done():
+	}
+}
+
 // diskWork is what the disk's goroutine does in one go: saves in their order, reads,
 // then small files. What gathers while it works is the next.
 type diskWork struct {
@@ -209,11 +218,10 @@
 	}
 	l.emit(outbox)
 	if outbox.Done {
-		select {
-		case <-l.stopped:
-		default:
-			close(l.stopped)
-		}
+		reach(l.stopped)
+	}
+	if outbox.Over {
+		reach(l.over)
 	}
 	if outbox.Halt != "" {
 		return errors.New(outbox.Halt)
@@ -221,6 +229,15 @@
 	return nil
 }
 
+// reach closes the channel of a step of a stop; only the loop's goroutine does so.
+func reach(step chan struct{}) {
+	select {
+	case <-step:
+	default:
+		close(step)
+	}
+}
+
 // countUnlogged tells the node of log lines that were dropped since its last turn.
 func (l *Loop) countUnlogged(events []flow.Event) []flow.Event {
 	if l.Unlogged == nil {
--- a/shell/web/serve.go
+++ b/shell/web/serve.go
@@ -23,6 +23,8 @@
 	bytes int           // of the parts that wait
 	most  int           // parts that may wait
 	slow  bool          // more came than may wait: it gets no more
+	begun bool          // a part came
+	ended bool          // the last part came
 	wake  chan struct{} // has an element when there is something to do
 }
 
@@ -64,8 +66,8 @@
 	pending := &call{most: shared.most, wake: make(chan struct{}, 1)}
 	w.track(id, pending)
 	defer w.untrack(id)
-	if !w.In(flow.Event{Call: request}) {
-		problem(rw, 503, "too much at once", "Retry-After", "1")
+	if refused := w.put(flow.Event{Call: request}); refused != nil {
+		problem(rw, 503, refused.why, "Retry-After", refused.again)
 		return
 	}
 	w.answer(rw, req, id, pending, route.Back)
@@ -239,9 +241,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	call := w.open[reply.ID]
-	if call == nil || call.slow {
+	if call == nil || call.slow || call.ended {
 		return
 	}
+	call.begun, call.ended = true, !reply.More
 	tooMany := len(call.parts) >= call.most
 	tooLarge := len(call.parts) > 0 && call.bytes+len(reply.Body) > LagMost && call.most == StreamMost
 	if tooMany || tooLarge {
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -59,6 +59,8 @@
 	usual   limits // of all others
 	bodies  bodies
 	ending  atomic.Bool
+	gate    sync.RWMutex // held for reading while a call is put in
+	refuses bool         // no more calls are put in
 	mu      sync.Mutex
 	open    map[uint64]*call
 	servers []*http.Server
@@ -185,9 +187,40 @@
 // on the platform has a second for all that comes behind its core's stop.
 const CloseMost = 800 * time.Millisecond
 
+// Refuse puts no more calls in: requests that come from now on are refused, with their
+// connections. Once it returns, all that were put in are.
+func (w *Web) Refuse() {
+	w.gate.Lock()
+	defer w.gate.Unlock()
+	w.refuses = true
+}
+
+// refusal is why a call is not put in, and when its caller may come again, in seconds.
+type refusal struct{ why, again string }
+
+var (
+	stopping = &refusal{"this process stops", "0.05"} // elsewhere
+	tooMuch  = &refusal{"too much at once", "1"}
+)
+
+// put puts a call in, unless no more are or there is too much to do.
+func (w *Web) put(call flow.Event) *refusal {
+	w.gate.RLock()
+	defer w.gate.RUnlock()
+	if w.refuses {
+		return stopping
+	}
+	if !w.In(call) {
+		return tooMuch
+	}
+	return nil
+}
+
 // Close stops taking requests and gives open ones a moment to end. A client that keeps
 // the server waiting is not waited for.
 func (w *Web) Close(ctx context.Context) {
+	w.Refuse()
+	w.answerAll()
 	ctx, quit := context.WithTimeout(ctx, CloseMost)
 	defer quit()
 	for _, open := range w.connections {
@@ -206,6 +239,27 @@
 	wg.Wait()
 }
 
+// answerAll answers what the core has not: it ended by a failure, or too late. What became of
+// such a call is not known; an answer that was begun must not look whole.
+func (w *Web) answerAll() {
+	w.mu.Lock()
+	var begun, waiting []uint64
+	for id, call := range w.open {
+		if call.begun {
+			begun = append(begun, id)
+		} else {
+			waiting = append(waiting, id)
+		}
+	}
+	w.mu.Unlock()
+	for _, id := range begun {
+		w.Reply(flow.Reply{ID: id, Cut: true})
+	}
+	for _, id := range waiting {
+		w.Reply(flow.Reply{ID: id, Code: http.StatusGatewayTimeout, Head: map[string]string{"Content-Type": "application/json"}, Body: []byte(`{"error":"this process has stopped; whether this was done is not known"}` + "\n")})
+	}
+}
+
 func problem(rw http.ResponseWriter, code int, text string, more ...string) {
 	rw.Header().Set("Content-Type", "application/json")
 	for i := 0; i+1 < len(more); i += 2 {
--- a/sim/host.go
+++ b/sim/host.go
@@ -30,6 +30,7 @@
 	Up      bool
 	Froze   bool
 	Retired bool // its machine is gone for good
+	closed  bool // its process stops and takes no more calls
 	life    int  // counts starts, so that news of a past life is dropped
 
 	inbox  []flow.Event
@@ -98,7 +99,7 @@
 		h.Notes = append(h.Notes, err.Error())
 		return
 	}
-	h.Node, h.Up, h.Froze = n, true, false
+	h.Node, h.Up, h.Froze, h.closed = n, true, false, false
 	h.inbox, h.due = nil, false
 	h.saves, h.blobs, h.fetch, h.busy = nil, nil, nil, false
 	h.calls, h.sends = map[uint64]func(flow.Reply){}, map[uint64]func(){}
@@ -174,7 +175,11 @@
 	h.blobs, h.fetch = append(h.blobs, out.Blobs...), append(h.fetch, out.Fetch...)
 	h.save()
 	h.emit(out)
-	if out.Done {
+	if out.Done && !h.closed {
+		h.closed = true // the shell takes no more calls, and says so
+		h.offer(h.life, flow.Event{Closed: true})
+	}
+	if out.Over {
 		h.w.trace(h.Name, "stopped")
 		h.Kill()
 		return
@@ -295,6 +300,10 @@
 			h.w.Net.Flow(h.Name, "outside", func() { f(flow.Reply{Code: 0}) })
 			return
 		}
+		if h.closed {
+			h.w.Net.Flow(h.Name, "outside", func() { f(stopReply) })
+			return
+		}
 		h.callID++
 		c.ID = h.callID
 		h.calls[c.ID] = f
@@ -302,6 +311,9 @@
 	})
 }
 
+// stopReply is what a process answers that takes no more calls.
+var stopReply = flow.Reply{ID: 1, Code: 503, Head: map[string]string{"Retry-After": "0.05"}}
+
 // Stop asks the process to end cleanly (design 5.5).
 func (h *Host) Stop() { h.offer(h.life, flow.Event{Stop: true}) }
 
--- a/sim/serve_site.go
+++ b/sim/serve_site.go
@@ -369,6 +369,14 @@
 			})
 			return
 		}
+		if h.closed {
+			s.w.Net.Flow(h.Name, "outside", func() {
+				if !over {
+					f(stopReply)
+				}
+			})
+			return
+		}
 		h.callID++
 		c.ID, life = h.callID, h.life
 		id = c.ID
