Changes of a configuration: names that stand twice and half pairs stay as they stand

Cause: docpatch took documents apart with a decoder that refuses such names and such texts, and took what came before the fault for the whole object. Whoever reads the whole takes the last of such names; the patch changed the first.

Before: TestOddDocumentsAreChangedAsTheyAreRead fails in seven of its ten documents. After: it passes, and so does TestSiteAnOddConfigurationIsChanged.

--- a/core/docpatch/docpatch.go
+++ b/core/docpatch/docpatch.go
@@ -6,8 +6,8 @@
 
 import (
 	"bytes"
-	"slices"
 
+	jsonv2 "github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
 	"github.com/go-json-experiment/json/v1"
 	"github.com/pkg/errors"
@@ -55,7 +55,7 @@
 		if err != nil {
 			return err
 		}
-		for _, name := range slices.Concat(names, list.Remove) {
+		for _, name := range append(names, list.Remove...) {
 			if seen[name] {
 				return errors.Wrapf(ErrPatch, "%q is named twice", name)
 			}
@@ -121,45 +121,59 @@
 	return document
 }
 
-// at changes the value at a path. A value that is not there is changed as nil.
+// at changes the value at a path. A value that is not there is changed as nil. Of a name that
+// stands several times the last counts, as for whoever reads the document whole.
 func at(document json.RawMessage, path []string, change func(json.RawMessage) json.RawMessage) json.RawMessage {
 	if len(path) == 0 {
 		return change(document)
 	}
 	members := membersOf(document)
-	place := slices.IndexFunc(members, func(m member) bool { return m.name == path[0] })
+	place := -1
+	for i, m := range members {
+		if m.name == path[0] {
+			place = i
+		}
+	}
 	if place < 0 {
 		place = len(members)
-		members = append(members, member{name: path[0]})
+		name, _ := json.Marshal(path[0]) // a text always marshals
+		members = append(members, member{name: path[0], text: name})
 	}
 	members[place].value = at(members[place].value, path[1:], change)
 	return join(members)
 }
 
-// member is one field of an object.
+// member is one field of an object. Its text is its name as it stands there.
 type member struct {
 	name  string
+	text  []byte
 	value json.RawMessage
 }
 
+// asItStands are the rules by which a document is taken apart: whatever a reader of the whole
+// takes stands in it, also names that stand twice and texts that are no sound Unicode.
+var asItStands = jsonv2.JoinOptions(jsontext.AllowDuplicateNames(true), jsontext.AllowInvalidUTF8(true))
+
 // membersOf takes an object apart, in its order. What is no object has no members.
 func membersOf(object json.RawMessage) []member {
-	in := jsontext.NewDecoder(bytes.NewReader(object))
+	in := jsontext.NewDecoder(bytes.NewReader(object), asItStands)
 	if token, err := in.ReadToken(); err != nil || token.Kind() != '{' {
 		return nil
 	}
 	var members []member
 	for in.PeekKind() == '"' {
-		token, err := in.ReadToken()
+		text, err := in.ReadValue()
 		if err != nil {
 			return members
 		}
-		name := token.String()
+		m := member{text: bytes.Clone(text)}
+		_ = json.Unmarshal(text, &m.name) // it was read as a text
 		value, err := in.ReadValue()
 		if err != nil {
 			return members
 		}
-		members = append(members, member{name, json.RawMessage(value.Clone())})
+		m.value = json.RawMessage(value.Clone())
+		members = append(members, m)
 	}
 	return members
 }
@@ -168,15 +182,14 @@
 func join(members []member) json.RawMessage {
 	size := 2
 	for _, m := range members {
-		size += len(m.name) + len(m.value) + 4
+		size += len(m.text) + len(m.value) + 2
 	}
 	text := append(make([]byte, 0, size), '{')
 	for i, m := range members {
 		if i > 0 {
 			text = append(text, ',')
 		}
-		name, _ := json.Marshal(m.name) // a text always marshals
-		text = append(append(append(text, name...), ':'), m.value...)
+		text = append(append(append(text, m.text...), ':'), m.value...)
 	}
 	return append(text, '}')
 }
@@ -250,31 +263,35 @@
 	return names, nil
 }
 
-// nameOf reads the name of an item, and nothing behind it.
-func nameOf(item json.RawMessage, field string) (string, error) {
-	in := jsontext.NewDecoder(bytes.NewReader(item))
+// nameOf reads the name of an item. Of several fields of that name the last counts.
+func nameOf(item json.RawMessage, field string) (name string, err error) {
+	in := jsontext.NewDecoder(bytes.NewBuffer(item), asItStands)
 	if token, err := in.ReadToken(); err != nil || token.Kind() != '{' {
 		return "", errors.Wrap(ErrPatch, "an item is no object")
 	}
-	for in.PeekKind() != '}' {
+	isNamed := false
+	for in.PeekKind() == '"' {
 		token, err := in.ReadToken()
 		if err != nil {
-			return "", errors.Wrap(ErrPatch, err.Error())
+			break
 		}
 		if token.String() != field {
-			if err := in.SkipValue(); err != nil {
-				return "", errors.Wrap(ErrPatch, err.Error())
+			if in.SkipValue() != nil {
+				break
 			}
 			continue
 		}
-		if in.PeekKind() != '"' {
-			break
+		if isNamed = in.PeekKind() == '"'; !isNamed {
+			_ = in.SkipValue()
+			continue
 		}
-		name, err := in.ReadToken()
-		if err != nil {
-			return "", errors.Wrap(ErrPatch, err.Error())
+		if token, err = in.ReadToken(); err != nil {
+			break
 		}
-		return name.String(), nil
+		name = token.String()
+	}
+	if !isNamed {
+		return "", errors.Wrapf(ErrPatch, "an item has no %q", field)
 	}
-	return "", errors.Wrapf(ErrPatch, "an item has no %q", field)
+	return name, nil
 }
--- a/sim/serve_odd_config_test.go
+++ b/sim/serve_odd_config_test.go
@@ -106,3 +106,31 @@
 		}
 	}
 }
+
+// Guards against a change that is acknowledged and after which the configuration is read back
+// without its services and all other routes.
+//
+// Given a configuration in which names stand twice and a text holds half a pair, when named
+// items of it are changed, then all of it is read back but for what was changed.
+func TestSiteAnOddConfigurationIsChanged(t *testing.T) {
+	t.Parallel()
+	s := site(t, 32, LittleSite)
+	base := s.newestOf(t)
+	c := &siteConfig{Rev: base + 5, Routes: s.baseRoutes()}
+	odd := `"Notes":1,"Notes":"\ud800","Notes":{"a":1,"a":2}`
+	if code := s.tell(t, "PUT", base, withField(s.body(c), odd)); code != 200 {
+		t.Fatalf("answered %d", code)
+	}
+	const route = `{"Label":"added","Hostname":"` + siteName + `","PathPrefix":"/added/","RouteKind":"idempotent","LimitMs":2000,"Backend":"app","Notes":1,"Notes":2}`
+	change := fmt.Sprintf(`{"Revision":%d,"Upsert":{"RouteTable":[%s]},"upsert":{"RouteTable":[]}}`, base+7, route)
+	if code := s.tell(t, "PATCH", base+5, change); code != 200 {
+		t.Fatalf("the change was answered %d", code)
+	}
+	for name, text := range s.readConfig(t, 5*time.Second) {
+		for _, want := range []string{odd, route, `"Label":"book"`, `"Label":"sync"`, `"Backends":[`, `"Limits":{`, fmt.Sprintf(`"Revision":%d`, base+7)} {
+			if !strings.Contains(text, want) {
+				t.Errorf("%s reads back without %s:\n%.300s", name, want, text)
+			}
+		}
+	}
+}
