Answers of engines: one that has no length and ends with its connection passes

Before: TestAnswersThatEndWithTheirConnection fails, "neither length nor end mark". After: an answer that says that its connection closes is read to the connection's end; a reset is no end, one that does not say so never passes, and a body that begins as chunks do has lost its header and is malformed, so that a header with a wrong byte does not make chunks a body.

--- a/shell/outcall/body.go
+++ b/shell/outcall/body.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net/http/httputil"
+	"strconv"
 
 	"github.com/pkg/errors"
 )
@@ -33,12 +35,51 @@
 
 // bodyOf reads a body to its known end, and gives io.EOF only there.
 func bodyOf(reader *bufio.Reader, size int) io.Reader {
-	if size < 0 {
+	switch size {
+	case inChunks:
 		return &chunked{reader, httputil.NewChunkedReader(reader)}
+	case untilClose:
+		return &closing{in: reader}
 	}
 	return &sized{reader, size}
 }
 
+// closing reads a body that ends with its connection: a reset is no end. One that begins as
+// chunks do has lost the header that says so, and is none.
+type closing struct {
+	in      *bufio.Reader
+	checked bool
+	end     error // what ended it, where that was seen while it was checked: it is told once
+}
+
+// chunkHeadMost is how many bytes tell whether a body begins as chunks do.
+const chunkHeadMost = 18
+
+func (c *closing) Read(b []byte) (int, error) {
+	if !c.checked {
+		c.checked = true
+		begin, err := c.in.Peek(chunkHeadMost)
+		if beginsAsChunk(begin) {
+			return 0, malformed("chunks without the header that says so")
+		}
+		c.end = err
+	}
+	if c.end != nil && c.in.Buffered() == 0 {
+		return 0, c.end
+	}
+	return c.in.Read(b)
+}
+
+// beginsAsChunk says whether a body begins with a chunk's size on a line.
+func beginsAsChunk(body []byte) bool {
+	line, _, isLine := bytes.Cut(body, []byte("\r\n"))
+	if !isLine || len(line) == 0 {
+		return false
+	}
+	_, err := strconv.ParseUint(string(bytes.TrimSpace(line)), 16, 64)
+	return err == nil
+}
+
 // sized reads a body of a known length.
 type sized struct {
 	in   *bufio.Reader
@@ -60,7 +101,7 @@
 	return n, err
 }
 
-// readBody reads a whole body; a size below zero means chunks.
+// readBody reads a whole body.
 func readBody(reader *bufio.Reader, size int) ([]byte, error) {
 	if size > BodyMost {
 		return nil, malformed("larger than is allowed")
--- a/shell/outcall/head.go
+++ b/shell/outcall/head.go
@@ -18,13 +18,19 @@
 	code       int
 	fields     []flow.Field
 	http10     bool
-	size       int  // of the body in bytes; below zero when it is in chunks
+	size       int  // of the body in bytes, inChunks or untilClose
 	closes     bool // the server closes the connection after it
 	keepAlive  time.Duration
 	compressed bool
 	names      []string // the values of the header that names the answer
 }
 
+// Sizes of bodies whose length no header tells.
+const (
+	inChunks   = -1
+	untilClose = -2 // it ends with its connection
+)
+
 // headReader reads one answer's head.
 type headReader struct {
 	head    answerHead
@@ -156,9 +162,11 @@
 	case code < 200 || code == 204 || code == 304 || verb == "HEAD":
 		h.head.closes = h.head.closes || h.chunked || h.length > 0
 	case h.chunked:
-		h.head.size = -1
-	case h.length < 0:
+		h.head.size = inChunks
+	case h.length < 0 && !h.head.closes:
 		return malformed("neither length nor end mark") // never known whole
+	case h.length < 0:
+		h.head.size = untilClose
 	default:
 		h.head.size = h.length
 	}
