--- a/api/api.go
+++ b/api/api.go
@@ -208,8 +208,9 @@
 	RouteMost    = 64
 )
 
-// HostTimeout is the longest time-out of a route with a host, in milliseconds.
-const HostTimeout = 600_000
+// MostMS is the longest time in milliseconds that a plan's times count for: what is longer
+// is taken and counts as that, since nothing lasts as long.
+const MostMS = 30 * 24 * 3600 * 1000
 
 // Serves says whether a route takes this request, whatever its host.
 func (r Route) Serves(verb, path string) bool {
@@ -283,8 +284,8 @@
 	if r.Kind == "" {
 		bad("/kind", "a route with a host needs a kind")
 	}
-	if r.Timeout <= 0 || r.Timeout > HostTimeout {
-		bad("/timeout_ms", "a route with a host needs a time-out of 1 to %d", HostTimeout)
+	if r.Timeout <= 0 {
+		bad("/timeout_ms", "a route with a host needs a time-out")
 	}
 	if pools[r.Pool] == nil {
 		bad("/pool", "no pool %q in this plan", r.Pool)
--- a/core/serve/route/route.go
+++ b/core/serve/route/route.go
@@ -43,6 +43,7 @@
 		if r.Host == "" {
 			continue
 		}
+		r.DueMS, r.WaitMS = min(r.DueMS, api.MostMS), min(r.WaitMS, api.MostMS)
 		x := &Route{Route: r, Limit: ms(r.Timeout), Target: ms(r.TargetMS)}
 		if t.hosts[r.Host] == nil {
 			t.hosts[r.Host] = map[string]*Route{}
@@ -53,7 +54,8 @@
 	return t
 }
 
-func ms(n int) flow.Time { return flow.Time(n) * time.Millisecond }
+// ms is a time of the plan's; one beyond api.MostMS counts as that.
+func ms(n int) flow.Time { return flow.Time(min(n, api.MostMS)) * time.Millisecond }
 
 // Find gives the route with the longest prefix of the path, or nil.
 func (t *Table) Find(host, path string) *Route {
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -148,7 +148,7 @@
 	if l == nil {
 		return &flow.Limits{}
 	}
-	ms := func(n int) flow.Time { return flow.Time(n) * time.Millisecond }
+	ms := func(n int) flow.Time { return flow.Time(min(n, api.MostMS)) * time.Millisecond }
 	return &flow.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, Header: ms(l.HeaderMS), Idle: ms(l.IdleMS)}
 }
 
