Times that callers name: none overflows, and what is no number is none

Callers would see a refusal at once for Time-Left-Ms of 1e300 or NaN, whose conversion to a time is not defined and gives the least one on x86-64.

--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -210,8 +210,11 @@
 // answer, so a page that is smaller than what there is holds up all that comes after it.
 const PageBytes = 960 << 10
 
-// readersMost bounds the readers that wait.
-const readersMost = 1024
+// readersMost bounds the readers that wait, readerWaitMost how long one does.
+const (
+	readersMost    = 1024
+	readerWaitMost = 5 * time.Second
+)
 
 // reader is a call that reads results, and may wait for some.
 type reader struct {
@@ -232,11 +235,11 @@
 		t.env.Answer(c.ID, env.BadPosition)
 		return
 	}
-	wait, _ := strconv.ParseFloat(flow.Get(c.Fields, t.env.Codec.Wait), 64)
+	wait, _ := env.Milliseconds(flow.Get(c.Fields, t.env.Codec.Wait))
 	if len(t.readers) >= readersMost || t.leaving {
 		wait = 0
 	}
-	r := &reader{call: c, from: from, till: t.env.Now + flow.Time(min(max(wait, 0), 5000)*1e6)}
+	r := &reader{call: c, from: from, till: t.env.Now + min(max(wait, 0), readerWaitMost)}
 	t.readers[c.ID] = r
 	t.ask(r)
 }
--- a/core/serve/requests/requests.go
+++ b/core/serve/requests/requests.go
@@ -91,8 +91,8 @@
 func (t *Table) Take(c flow.Call, r *route.Route) {
 	now := t.env.Now
 	q := &Request{call: c, route: r, pool: t.turns.Pick(r), came: now, late: now + r.Limit, known: resend.Call{Kind: kindOf(r)}}
-	if left, err := strconv.ParseFloat(flow.Get(c.Fields, t.env.Codec.TimeLeft), 64); err == nil {
-		q.late = min(q.late, now+flow.Time(left*1e6))
+	if left, named := env.Milliseconds(flow.Get(c.Fields, t.env.Codec.TimeLeft)); named {
+		q.late = min(q.late, now+left)
 	}
 	if t.env.Debug {
 		t.trace(q, "accepted", "route", r.Name, "pool", q.pool)
