Lots: a text without an end is given up, since it could not be listed

An engine whose stream goes on and on filled its owner's memory, and a text over what the log carries was refused at its listing and taken for listed. TestATextWithoutAnEndIsGivenUp fails without the bound of 2 MiB.

--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -103,6 +103,7 @@
 // text is what came of an item so far.
 type text struct {
 	events   []string // the data of its events
+	size     int      // of these, in bytes
 	last     int      // the id of the newest event, -1 for none
 	versions []int
 	now      int // the version that makes it just now
--- a/core/serve/lots/runs.go
+++ b/core/serve/lots/runs.go
@@ -167,12 +167,28 @@
 	if !r.first {
 		t.index.Stored(r.engine, r.item.lot.doc.Model, r.text.now, r.item.group.parts, r.item.lot.doc.Route)
 	}
+	if r.text.size+len(data) > textMost {
+		t.tooLong(r)
+		return
+	}
 	r.first, r.last = true, now
 	r.text.last = id
-	r.text.events = append(r.text.events, data)
+	r.text.events, r.text.size = append(r.text.events, data), r.text.size+len(data)
 	r.text.name(r.text.now)
 }
 
+// textMost is the largest text of an item, in bytes: a listing of one and an answer that has
+// it must be carried, whatever its letters are. It is some hundred thousand tokens.
+const textMost = 2 << 20
+
+// tooLong gives a run up whose text has no end in sight. Nothing of it is kept.
+func (t *Table) tooLong(r *run) {
+	t.env.Counts["texts_too_long"]++
+	t.engines.Bad(r.engine)
+	t.give(r)
+	r.item.kept = text{last: -1}
+}
+
 // leave takes a run off its item, and keeps the text where it is the longest.
 func (t *Table) leave(r *run) {
 	t.changed = true
