--- a/shell/web/connections_test.go
+++ b/shell/web/connections_test.go
@@ -22,11 +22,37 @@
 
 const whole = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
 
+// untilAt waits until the server waits for something of so many clients.
+func (h *testServer) untilAt(t *testing.T, at int32, count int) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		open, waits := h.connections[1], 0
+		open.mu.Lock()
+		for c := range open.open {
+			if c.at.Load() == at {
+				waits++
+			}
+		}
+		open.mu.Unlock()
+		if waits == count {
+			return
+		}
+	}
+	t.Fatalf("the server does not wait for %d clients", count)
+}
+
 // Given a listener that is full of clients that keep it waiting, each in another way, and
 // of one whose request is being answered, when another comes, then the one that has kept
 // it waiting the longest goes, and the request is answered to its end.
 func TestTheLongestWaitingMakesRoom(t *testing.T) {
-	for name, half := range map[string]string{"nothing": "", "half a header": "GET / HT", "half a body": "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf"} {
+	for name, c := range map[string]struct {
+		half string
+		at   int32 // what the server waits for then
+	}{
+		"nothing":       {"", reading},
+		"half a header": {"GET / HT", reading},
+		"half a body":   {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf", receiving},
+	} {
 		t.Run(name, func(t *testing.T) {
 			server := narrow(t)
 			served := server.dial()
@@ -34,10 +60,11 @@
 			first := <-server.calls
 			var waiting []*line
 			for range answerLeast - 1 {
-				c := server.dial()
-				_, _ = io.WriteString(c, half)
-				waiting = append(waiting, c)
+				line := server.dial()
+				_, _ = io.WriteString(line, c.half)
+				waiting = append(waiting, line)
 				server.until(t, len(waiting)+1)
+				server.untilAt(t, c.at, len(waiting)) // else the next may be waited for sooner
 			}
 			late := server.dial()
 			_, _ = io.WriteString(late, whole)
