Answers: those that wait for slow readers, and large ones of engines, have a bound in sum

Before: nothing counted them. An eighth of the process's memory is the room: an engine whose large answer finds none is held up, readers that lag by more than their part are cut off when it is full.

--- a/shell/daemon/daemon.go
+++ b/shell/daemon/daemon.go
@@ -34,6 +34,7 @@
 	"fernlink/shell/link"
 	"fernlink/shell/logging"
 	"fernlink/shell/outcall"
+	"fernlink/shell/room"
 	"fernlink/shell/run"
 	"fernlink/shell/web"
 )
@@ -198,6 +199,21 @@
 	})
 }
 
+// The part of the process's memory that large answers may take, and the bytes where it is
+// not known.
+const (
+	answersPart  = 8
+	answersUsual = 64 << 20
+)
+
+// answersOf is the room for large answers, in bytes.
+func answersOf(memoryMB int) int64 {
+	if memoryMB == 0 {
+		return answersUsual
+	}
+	return int64(memoryMB) << 20 / answersPart
+}
+
 func makeLoop(settings config.Config, folder Folder, platform Platform, process Process, core *node.Node, logger log.Logger) (*run.Loop, error) {
 	loop := run.New(logger)
 	loop.Node, loop.Log, loop.FS = core, folder.Log, folder.FS
@@ -206,11 +222,13 @@
 	if loop.Link, err = link.Open(peerAddress(settings), logger, loop.Offer); err != nil {
 		return nil, err
 	}
-	if loop.Web, err = web.OpenListeners(web.Options{Addr: settings.Web, In: loop.Offer, Listeners: platform.Listeners, Files: settings.Files, Memory: int64(settings.MemoryMB) << 20, Logger: logger}); err != nil {
+	answers := room.New(answersOf(settings.MemoryMB))
+	if loop.Web, err = web.OpenListeners(web.Options{Addr: settings.Web, In: loop.Offer, Listeners: platform.Listeners, Files: settings.Files, Memory: int64(settings.MemoryMB) << 20, Answers: answers, Logger: logger}); err != nil {
 		loop.Link.Close()
 		return nil, err
 	}
 	loop.Caller = outcall.New(func(event flow.Event) { loop.Put(event) })
+	loop.Caller.Answers = answers
 	return loop, nil
 }
 
--- a/shell/outcall/answer.go
+++ b/shell/outcall/answer.go
@@ -132,7 +132,7 @@
 	if head.code == 200 && task.Stream && !task.Raw {
 		return back, head, c.stream(task, reader, head.size, c.reportData)
 	}
-	body, err := readBody(reader, head.size)
+	body, err := c.readBody(task, reader, head.size)
 	if err != nil {
 		return flow.Back{}, answerHead{}, err
 	}
--- a/shell/outcall/body.go
+++ b/shell/outcall/body.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net/http/httputil"
 	"strconv"
 
 	"github.com/pkg/errors"
+
+	"fernlink/shell/clock"
 )
 
 // chunked reads a body in chunks up to and with its end mark.
@@ -101,8 +104,9 @@
 	return n, err
 }
 
-// readBody reads a whole body.
-func readBody(reader *bufio.Reader, size int) ([]byte, error) {
+// readBody reads a whole body. A large one takes room before it is read, and waits for it
+// until the task's time is over: its engine is held up meanwhile, and nothing else.
+func (c *Caller) readBody(task *sendTask, reader *bufio.Reader, size int) ([]byte, error) {
 	if size > BodyMost {
 		return nil, malformed("larger than is allowed")
 	}
@@ -114,14 +118,61 @@
 		}
 		return body, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(bodyOf(reader, size), BodyMost+1))
-	if err != nil {
+	if size > prealloc {
+		if err := c.holdRoom(task, size); err != nil {
+			return nil, err
+		}
+		body := make([]byte, size)
+		_, err := io.ReadFull(bodyOf(reader, size), body)
+		return body, errors.Wrap(err, "outcall")
+	}
+	return c.readUnknown(task, bodyOf(reader, size))
+}
+
+// readUnknown reads a body of unknown length. A large one takes room for the largest at once:
+// several that grew piece by piece could fill the room with halves of each.
+func (c *Caller) readUnknown(task *sendTask, input io.Reader) ([]byte, error) {
+	var body bytes.Buffer
+	if _, err := io.CopyN(&body, input, prealloc); err == io.EOF {
+		return body.Bytes(), nil
+	} else if err != nil {
 		return nil, errors.Wrap(err, "outcall")
 	}
-	if len(body) > BodyMost {
+	if err := c.holdRoom(task, BodyMost); err != nil {
+		return nil, err
+	}
+	if _, err := body.ReadFrom(io.LimitReader(input, BodyMost+1)); err != nil {
+		return nil, errors.Wrap(err, "outcall")
+	}
+	if body.Len() > BodyMost {
 		return nil, malformed("larger than is allowed")
 	}
-	return body, nil
+	c.freeRoom(task, BodyMost-body.Len())
+	return body.Bytes(), nil
+}
+
+// holdRoom takes room for bytes of a task's answer, which is given back once the answer was
+// handed on.
+func (c *Caller) holdRoom(task *sendTask, bytes int) error {
+	ctx, stop := context.WithTimeout(context.Background(), task.Limit-clock.Now())
+	defer stop()
+	c.mu.Lock()
+	task.stopWait = stop
+	c.mu.Unlock()
+	if task.aborted.Load() {
+		return context.Canceled
+	}
+	if err := c.Answers.Wait(ctx, int64(bytes)); err != nil {
+		return errors.Wrap(err, "outcall: no room for the answer")
+	}
+	task.held += int64(bytes)
+	return nil
+}
+
+// freeRoom gives back what a task's answer does not need.
+func (c *Caller) freeRoom(task *sendTask, bytes int) {
+	task.held -= int64(bytes)
+	c.Answers.Free(int64(bytes))
 }
 
 // discardBody reads a body off.
--- a/shell/outcall/outcall.go
+++ b/shell/outcall/outcall.go
@@ -17,6 +17,7 @@
 
 	"fernlink/core/flow"
 	"fernlink/shell/clock"
+	"fernlink/shell/room"
 	"fernlink/shell/sock"
 )
 
@@ -37,6 +38,7 @@
 // Caller runs sends, each in a goroutine of its own.
 type Caller struct {
 	In      func(flow.Event)
+	Answers *room.Room // for large answers that are read, and those that wait for their callers
 	mu      sync.Mutex
 	open    map[uint64]*sendTask
 	running sync.WaitGroup
@@ -45,18 +47,22 @@
 	dial    net.Dialer
 }
 
-// sendTask is one send that is under way. Its conn and stopDial are under the
+// sendTask is one send that is under way. Its conn and stopWait are under the
 // caller's lock, so that a cut closes them only while the task owns them.
 type sendTask struct {
 	flow.Send
+	held     int64 // bytes of its answer, of the room
 	aborted  atomic.Bool
 	conn     net.Conn
-	stopDial context.CancelFunc
+	stopWait context.CancelFunc // of what the task waits for: a dial, or room
 }
 
+// answersMost is the room for large answers, in bytes, where nobody gives another.
+const answersMost = 16 << 20
+
 // New gives a caller that hands what comes back to a function.
 func New(in func(flow.Event)) *Caller {
-	return &Caller{In: in, open: map[uint64]*sendTask{}, dial: sock.Dialer()}
+	return &Caller{In: in, Answers: room.New(answersMost), open: map[uint64]*sendTask{}, dial: sock.Dialer()}
 }
 
 // Start begins a send.
@@ -80,6 +86,7 @@
 		}
 		c.mu.Unlock()
 		c.report(task, back)
+		c.Answers.Free(task.held)
 	}()
 }
 
@@ -104,8 +111,8 @@
 func (c *Caller) abort(task *sendTask) {
 	delete(c.open, task.ID)
 	task.aborted.Store(true)
-	if task.stopDial != nil {
-		task.stopDial()
+	if task.stopWait != nil {
+		task.stopWait()
 	}
 	if task.conn != nil {
 		_ = task.conn.Close()
@@ -186,7 +193,7 @@
 	ctx, stop := context.WithTimeout(context.Background(), min(wait, sock.Connect))
 	defer stop()
 	c.mu.Lock()
-	task.stopDial = stop
+	task.stopWait = stop
 	c.mu.Unlock()
 	if task.aborted.Load() {
 		return nil, context.Canceled
@@ -202,7 +209,7 @@
 func (c *Caller) assign(task *sendTask, conn *pooledConn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	task.stopDial = nil
+	task.stopWait = nil
 	if task.aborted.Load() {
 		_ = conn.Close()
 		return false
--- a/shell/web/bodies.go
+++ b/shell/web/bodies.go
@@ -2,7 +2,10 @@
 
 import (
 	"io"
+	"slices"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -21,6 +24,29 @@
 type bodies struct {
 	most  int64 // 0 where the process's memory is not known
 	bytes atomic.Int64
+
+	mu      sync.Mutex
+	growing []*heldBody // those of unknown length, in the order of their coming
+}
+
+// begin and end say that a body of unknown length is being read.
+func (b *bodies) begin(body *heldBody) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.growing = append(b.growing, body)
+}
+
+func (b *bodies) end(body *heldBody) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.growing = slices.DeleteFunc(b.growing, func(x *heldBody) bool { return x == body })
+}
+
+// isOldest says whether a body came before all others of unknown length.
+func (b *bodies) isOldest(body *heldBody) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.growing) > 0 && b.growing[0] == body
 }
 
 // room says whether a body of an announced size may be read: beyond the bound a request is
@@ -118,11 +144,30 @@
 	return body, err
 }
 
+// growOldest is grow for a body of unknown length. Several that grow at once could fill the
+// room with halves of each: the oldest waits for the others, which are refused.
+func (h *heldBody) growOldest(size int) error {
+	for end := time.Now().Add(oldestWait); ; time.Sleep(oldestAgain) {
+		err := h.grow(size)
+		if err == nil || !h.of.isOldest(h) || time.Now().After(end) {
+			return err
+		}
+	}
+}
+
+// oldestWait is how long the oldest body waits for room, and oldestAgain how often it looks.
+const (
+	oldestWait  = time.Second
+	oldestAgain = 2 * time.Millisecond
+)
+
 // readChunks reads the rest of a body of unknown length.
 func (h *heldBody) readChunks(input io.Reader, first []byte, most int64) ([]byte, error) {
+	h.of.begin(h)
+	defer h.of.end(h)
 	chunks, size := [][]byte{first}, int64(len(first))
 	for {
-		if err := h.grow(chunkBytes); err != nil {
+		if err := h.growOldest(chunkBytes); err != nil {
 			return nil, err
 		}
 		chunk := make([]byte, chunkBytes)
--- a/shell/web/limits.go
+++ b/shell/web/limits.go
@@ -141,6 +141,9 @@
 		defer c.move(busy, receiving)
 	}
 	body, err := held.read(&patient{req.Body, controller, l.Idle}, req.ContentLength, int64(l.BodyBytes))
+	if err != nil {
+		held.free()
+	}
 	if (err == errLarge || err == errNoRoom) && req.Header.Get("Expect") == "" { // one that waits for 100 Continue has not sent it
 		_ = controller.SetReadDeadline(time.Now().Add(drainWait))
 		_, _ = io.CopyN(io.Discard, req.Body, drainMost)
--- a/shell/web/serve.go
+++ b/shell/web/serve.go
@@ -20,7 +20,7 @@
 // call is a request that is being answered. The parts wait under the web's lock.
 type call struct {
 	parts []flow.Reply
-	bytes int           // of the parts that wait
+	bytes int           // of the parts that wait or are being written: of the room
 	most  int           // parts that may wait
 	slow  bool          // more came than may wait: it gets no more
 	begun bool          // a part came
@@ -108,9 +108,24 @@
 func (w *Web) untrack(id uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.freeParts(w.open[id])
 	delete(w.open, id)
 }
 
+// freeParts gives back what the parts of a call hold; mu is held.
+func (w *Web) freeParts(call *call) {
+	w.answers.Free(int64(call.bytes))
+	call.bytes = 0
+}
+
+// written says that a call's reader has taken a part.
+func (w *Web) written(call *call, bytes int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	call.bytes -= bytes
+	w.answers.Free(int64(bytes))
+}
+
 // fieldsOf gives the headers that pass on, in the order of their names.
 func fieldsOf(header http.Header) []flow.Field {
 	var hops []string
@@ -142,6 +157,7 @@
 		}
 		parts, slow := w.takeParts(pending)
 		for _, reply := range parts {
+			size := len(reply.Body)
 			if first && back != nil && !reply.More && !reply.Cut {
 				reply = back(reply)
 			}
@@ -149,6 +165,7 @@
 				gone()
 				return
 			}
+			w.written(pending, size)
 			first = false
 			if !reply.More {
 				return
@@ -167,7 +184,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	parts := pending.parts
-	pending.parts, pending.bytes = nil, 0
+	pending.parts = nil
 	return parts, pending.slow
 }
 
@@ -235,6 +252,14 @@
 	return err
 }
 
+// lagMost is how many bytes one reader may lag now; mu is held.
+func (w *Web) lagMost() int {
+	if w.answers.Held() < w.answers.Most() {
+		return LagMost
+	}
+	return max(int(w.answers.Most())/(len(w.open)+1), LagLeast)
+}
+
 // Reply hands a part of an answer to the goroutine that owns the request. It never
 // waits. A reader that lags too far gets no more.
 func (w *Web) Reply(reply flow.Reply) {
@@ -246,12 +271,13 @@
 	}
 	call.begun, call.ended = true, !reply.More
 	tooMany := len(call.parts) >= call.most
-	tooLarge := len(call.parts) > 0 && call.bytes+len(reply.Body) > LagMost && call.most == StreamMost
+	tooLarge := len(call.parts) > 0 && call.bytes+len(reply.Body) > w.lagMost() && call.most == StreamMost
 	if tooMany || tooLarge {
 		call.slow = true
 	} else {
 		call.parts = append(call.parts, reply)
 		call.bytes += len(reply.Body)
+		w.answers.Add(int64(len(reply.Body)))
 	}
 	select {
 	case call.wake <- struct{}{}:
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -20,14 +20,18 @@
 
 	"fernlink/core/flow"
 	"fernlink/core/listener"
+	"fernlink/shell/room"
 )
 
 // WatchMost is the lines a slow watcher may lag, StreamMost the parts that a
-// slow reader at a listener may lag, and LagMost how many bytes of them.
+// slow reader at a listener may lag, and LagMost how many bytes of them. Where the answers of
+// all have no room any more, a reader that lags by more than its part of it, and by LagLeast,
+// gets no more either.
 const (
 	WatchMost  = 256
 	StreamMost = 1024
 	LagMost    = 16 << 20
+	LagLeast   = 32 << 10
 )
 
 // writeWait is how long one part of an answer may take to be written.
@@ -41,6 +45,7 @@
 	Listeners []Listener
 	Files     int        // descriptors of the process, 0 for what the system lets it have
 	Memory    int64      // bytes that the process may have, 0 where unknown
+	Answers   *room.Room // for answers that wait for their readers; nil for LagMost
 	Logger    log.Logger // of what the HTTP server has to say; nil for nobody
 }
 
@@ -58,6 +63,7 @@
 	limits  limits // of listeners that pass requests on
 	usual   limits // of all others
 	bodies  bodies
+	answers *room.Room
 	ending  atomic.Bool
 	gate    sync.RWMutex // held for reading while a call is put in
 	refuses bool         // no more calls are put in
@@ -119,6 +125,9 @@
 func OpenListeners(options Options) (*Web, error) {
 	web := &Web{In: options.In, open: map[uint64]*call{}}
 	web.bodies.most = options.Memory / bodiesPart
+	if web.answers = options.Answers; web.answers == nil {
+		web.answers = room.New(LagMost)
+	}
 	web.limits.Store(&Usual)
 	web.usual.Store(&Usual)
 	files, err := filesOf(options.Files)
