Limits: before a plan names them, what is larger than usual is told to come again

Cause: a listener that passes requests on began with the usual limit of 8 MB and said for good what only a plan can say. Such a process says 503 and when to come back, as it does for routes.

Before: TestABodyBeforeTheLimitsAreKnown fails with 413. After: it passes.

--- a/shell/web/bodies_test.go
+++ b/shell/web/bodies_test.go
@@ -140,3 +140,33 @@
 		}
 	}
 }
+
+// Guards against a refusal for good of what every plan allows, by a process that has just
+// started and knows none.
+//
+// Given a listener that passes requests on, when a body comes that is larger than the usual
+// limit, then its client may come again until a plan has named the limits, and then it is
+// taken or refused by these; a listener that passes nothing on refuses it at once.
+func TestABodyBeforeTheLimitsAreKnown(t *testing.T) {
+	h := openedWith(t, Options{Memory: 256 << 20}, Listener{Rest: "rest"}, ok)
+	large := func() string {
+		answer, _ := h.dial().ask(fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", BodyMost+1, strings.Repeat("b", BodyMost+1)))
+		return strings.Join(answer, "\n")
+	}
+	if answer := large(); !strings.Contains(answer, " 503 ") || !strings.Contains(answer, "Retry-After") {
+		t.Errorf("before: %.200s", answer)
+	}
+	h.Limit(Limits{BodyBytes: BodyMost + 1})
+	if answer := large(); !strings.Contains(answer, " 200 ") {
+		t.Errorf("within the limits: %.200s", answer)
+	}
+	h.Limit(Limits{BodyBytes: BodyMost})
+	if answer := large(); !strings.Contains(answer, " 413 ") {
+		t.Errorf("beyond the limits: %.200s", answer)
+	}
+	own := openedWith(t, Options{}, Listener{Routes: []Route{{Verb: "POST", Path: "/", Name: "own"}}}, ok)
+	answer, _ := own.dial().ask(fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", BodyMost+1, strings.Repeat("b", BodyMost+1)))
+	if !strings.Contains(answer[0], " 413 ") {
+		t.Errorf("at a listener that passes nothing on: %q", answer)
+	}
+}
--- a/shell/web/limits.go
+++ b/shell/web/limits.go
@@ -74,6 +74,12 @@
 	}
 }
 
+// unlimited says that a listener's requests pass on by a plan's limits, and that no plan has
+// named any yet: what is beyond the usual ones may be within those.
+func (w *Web) unlimited(shared side) bool {
+	return shared.limits == &w.limits && w.limits.Load() == &Usual
+}
+
 // waitForRest bounds how long the server reads on for the rest of a body that nobody
 // wanted, once its request is answered.
 func waitForRest(req *http.Request, l *limits) {
@@ -106,6 +112,10 @@
 		}
 		if headerBytes(req) > l.Load().HeaderBytes {
 			head["Connection"] = closing
+			if l == &w.limits && l.Load() == &Usual {
+				problem(rw, 503, noLimits.why, "Retry-After", noLimits.again)
+				return
+			}
 			problem(rw, 431, "the header is larger than is taken here")
 			return
 		}
--- a/shell/web/serve.go
+++ b/shell/web/serve.go
@@ -37,6 +37,10 @@
 	held := &heldBody{of: &w.bodies}
 	defer held.free()
 	body, err := w.body(rw, req, shared.limits.Load(), held)
+	if err == errLarge && w.unlimited(shared) {
+		problem(rw, 503, noLimits.why, "Retry-After", noLimits.again, "Connection", "close")
+		return
+	}
 	if err == errLarge {
 		problem(rw, 413, "larger than is taken here", "Connection", "close")
 		return
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -210,6 +210,7 @@
 var (
 	stopping = &refusal{"this process stops", "0.05"} // elsewhere
 	tooMuch  = &refusal{"too much at once", "1"}
+	noLimits = &refusal{"this process knows no limits yet", "0.2"}
 )
 
 // put puts a call in, unless no more are or there is too much to do.
