--- a/shell/web/limits.go
+++ b/shell/web/limits.go
@@ -112,10 +112,6 @@
 		}
 		if headerBytes(req) > l.Load().HeaderBytes {
 			head["Connection"] = closing
-			if l == &w.limits && l.Load() == &Usual {
-				problem(rw, 503, noLimits.why, "Retry-After", noLimits.again)
-				return
-			}
 			problem(rw, 431, "the header is larger than is taken here")
 			return
 		}
