--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -29,7 +29,7 @@
 	seed, from, to, faults     int
 	runs, hours, keys          int
 	keep, drill                bool
-	rounds, jobs               int
+	rounds, jobs, machines     int
 	rev                        int
 	spread                     []spread
 	axis, out, slopes          string
@@ -122,6 +122,7 @@
 	command.Int(&o.keys, "", "keys", "run-once requests a second of a day")
 	command.Int(&o.rounds, "", "rounds", "rounds of troubles in each seed of a soak")
 	command.Int(&o.jobs, "", "jobs", "seeds of a soak at once")
+	command.Int(&o.machines, "", "machines", "machines of a soak's fleet, three of them with a disk; 0 for the usual four")
 	command.Int(&o.runs, "", "runs", "how many fleets a drill goes through")
 	command.String(&o.axis, "", "axis", "only this size of a scale is varied")
 	command.String(&o.out, "", "out", "folder for a scale's slopes as JSON and its plots")
--- a/cmd/rig/soak.go
+++ b/cmd/rig/soak.go
@@ -22,6 +22,7 @@
 type soakSummary struct {
 	Seeds, Asked, Served, Lots, Whole int
 	Slowest                           float64
+	MostMB                            int
 	Found                             []site.SoakReport
 	Pairs                             map[string]int
 }
@@ -55,7 +56,7 @@
 		go func() {
 			defer all.Done()
 			for seed := range seeds {
-				report, err := site.Soak(site.SoakConfig{Bin: filepath.Dir(self), Folder: filepath.Join(folder, fmt.Sprintf("seed-%d", seed)), Seed: seed, Rounds: options.rounds})
+				report, err := site.Soak(site.SoakConfig{Bin: filepath.Dir(self), Folder: filepath.Join(folder, fmt.Sprintf("seed-%d", seed)), Seed: seed, Rounds: options.rounds, Machines: options.machines})
 				mu.Lock()
 				summary.add(report)
 				if err != nil {
@@ -80,6 +81,7 @@
 	s.Lots += report.Lots
 	s.Whole += report.Whole
 	s.Slowest = max(s.Slowest, report.Slowest)
+	s.MostMB = max(s.MostMB, report.MostMB)
 	for pair, n := range report.Pairs {
 		s.Pairs[pair] += n
 	}
@@ -112,8 +114,8 @@
 	}
 	_ = table.Flush()
 	sort.Strings(missing)
-	fmt.Printf("%d seeds, %d requests asked, %d served, %d lots, %d read whole, slowest recovery %.1f s, %d pairs never overlapped %v\n",
-		s.Seeds, s.Asked, s.Served, s.Lots, s.Whole, s.Slowest, len(missing), missing)
+	fmt.Printf("%d seeds, %d requests asked, %d served, %d lots, %d read whole, slowest recovery %.1f s, %d MB at most, %d pairs never overlapped %v\n",
+		s.Seeds, s.Asked, s.Served, s.Lots, s.Whole, s.Slowest, s.MostMB, len(missing), missing)
 	for _, report := range s.Found {
 		fmt.Printf("seed %d (%s):\n", report.Seed, report.Folder)
 		for _, found := range report.Found {
--- a/rig/site/day.go
+++ b/rig/site/day.go
@@ -41,6 +41,7 @@
 	rep    Report
 	ids    atomic.Int64
 	config int
+	odd    string // a field that no page names, in the next configuration
 	body   []byte
 	client *http.Client
 
@@ -59,7 +60,20 @@
 
 // ask makes one call on a connection of its own.
 func (d *day) ask(verb, url, host string, head map[string]string, body []byte, most time.Duration) (int, http.Header, []byte, error) {
-	request, err := http.NewRequest(verb, url, bytes.NewReader(body))
+	return d.askWith(verb, url, host, head, bytes.NewReader(body), most)
+}
+
+// bodyOf is a body whose length is told, or one that goes in chunks.
+func bodyOf(text string, inChunks bool) io.Reader {
+	if inChunks {
+		return chunked{strings.NewReader(text)}
+	}
+	return strings.NewReader(text)
+}
+
+// askWith is ask with any body.
+func (d *day) askWith(verb, url, host string, head map[string]string, body io.Reader, most time.Duration) (int, http.Header, []byte, error) {
+	request, err := http.NewRequest(verb, url, body)
 	if err != nil {
 		return 0, nil, nil, errors.Wrap(err, "site")
 	}
@@ -104,7 +118,7 @@
 
 // put has a configuration taken, by any machine.
 func (d *day) put(rev int, book string, most time.Duration) error {
-	body := d.plan(rev, book)
+	body := withOdd(d.plan(rev, book), d.odd)
 	end := time.Now().Add(most)
 	for n := 0; time.Now().Before(end); n++ {
 		m := d.machines[n%len(d.machines)]
@@ -238,7 +252,7 @@
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return Report{}, errors.Wrap(err, "site")
 	}
-	site, err := start(bin, folder)
+	site, err := start(bin, folder, usual)
 	if site != nil {
 		defer site.close()
 	}
--- a/rig/site/site.go
+++ b/rig/site/site.go
@@ -27,8 +27,21 @@
 	replacing      sync.Mutex // held while its process is started, or a second one beside it
 	process        atomic.Pointer[process]
 	cut            atomic.Int64 // when its settings were last cut off, Unix nanoseconds
+	frozen         atomic.Int64 // when it last went on after a freeze, Unix nanoseconds
 }
 
+// wasFrozen says whether a machine may have been frozen since a moment.
+func (m *machine) wasFrozen(since time.Time) bool {
+	thawed := m.frozen.Load()
+	return thawed != 0 && time.Unix(0, thawed).After(since)
+}
+
+// size says how many machines a site has, and how much memory each.
+type size struct{ machines, memoryMB int }
+
+// usual is the size of a day's site.
+var usual = size{machines: 4, memoryMB: 284}
+
 // Ports of every machine: the one that peers are told, where a relay stands, and the one
 // behind it; the administration API; those that the settings name.
 const (
@@ -61,6 +74,7 @@
 	next     int
 	net      string
 	relays   *relay.Relays
+	memoryMB int // of each machine
 	closed   sync.Once
 	over     atomic.Bool // nothing is started any more
 }
@@ -87,12 +101,12 @@
 	return "", errors.New("site: no free network on loopback")
 }
 
-func start(bin, dir string) (*site, error) {
+func start(bin, dir string, size size) (*site, error) {
 	network, err := fresh()
 	if err != nil {
 		return nil, err
 	}
-	started := &site{dir: dir, bin: bin, net: network, t: &truth{runs: map[string]int{}, seals: map[string]string{}, ended: map[string]time.Time{}, named: 1}, relays: relay.New()}
+	started := &site{dir: dir, bin: bin, net: network, memoryMB: size.memoryMB, t: &truth{runs: map[string]int{}, seals: map[string]string{}, ended: map[string]time.Time{}, named: 1}, relays: relay.New()}
 	for i := range 8 {
 		if _, err := started.add([]string{"app", "llm", "llm", "app", "llm", "llm", "other", "other"}[i], zones[i%3]); err != nil {
 			return started, err
@@ -104,7 +118,7 @@
 	}
 	started.srv = &http.Server{Handler: http.HandlerFunc(started.list), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = started.srv.Serve(l) }()
-	for i := range 4 {
+	for i := range size.machines {
 		m := &machine{name: fmt.Sprintf("edge-%d", i+1), ip: fmt.Sprintf("%s.%d", network, i+1), zone: zones[i%3], disk: i < stores}
 		started.machines = append(started.machines, m)
 	}
@@ -140,7 +154,7 @@
 	}
 	lines := []string{"NodeName=" + target.name, "Serves=edge,control_plane", "Ip=" + target.ip, "Zone=" + target.zone, "Region=here", "PortRange=7000,7009",
 		"BindAddrs.Front=" + target.ip + frontPort, "BindAddrs.Readiness=" + target.ip + readyPort, "BindAddrs.Control=" + target.ip + controlPort,
-		"SeedNodes=" + strings.Join(seeds, ","), fmt.Sprintf("Bootstrap=%v", first), "FaultBudget.Machines=1", "Limits.CpuShare=0.5", "Limits.MemoryMb=284", "Limits.MaxFds=4100",
+		"SeedNodes=" + strings.Join(seeds, ","), fmt.Sprintf("Bootstrap=%v", first), "FaultBudget.Machines=1", "Limits.CpuShare=0.5", fmt.Sprint("Limits.MemoryMb=", s.memoryMB), "Limits.MaxFds=4100",
 		"CloudApi.Address=" + s.net + ".250:9000", "CloudApi.RatePerS=20", "CloudApi.MaxLagMs=200", "Bounds.ApplyMs=2000", "Bounds.DrainMs=3000", "Bounds.ContactMs=3000", "Bounds.AckMs=4000",
 		"Bounds.GraceS=8", "Bounds.RecoverS=12", "Bounds.ReportS=120", "Bounds.CancelMs=3000", "Bounds.SettleMs=1000"}
 	if target.disk {
--- a/rig/site/soak.go
+++ b/rig/site/soak.go
@@ -21,6 +21,8 @@
 	Folder string // where its logs go; they stay if anything was found
 	Seed   int64  // of the troubles; timing differs between runs all the same
 	Rounds int    // of troubles that overlap
+
+	Machines int // of the fleet, 0 for the usual
 }
 
 // SoakReport is what one soak came to.
@@ -33,6 +35,8 @@
 	Whole    int            `json:"lots_read_whole"`
 	Pairs    map[string]int `json:"pairs"` // kinds of trouble that overlapped in time
 	Slowest  float64        `json:"slowest_recovery_seconds"`
+	Machines int            `json:"machines"`
+	MostMB   int            `json:"most_mb"` // that any process had
 	Found    []string       `json:"found,omitempty"`
 	Folder   string         `json:"folder,omitempty"` // logs of a soak that found something
 	TookSecs float64        `json:"seconds"`
@@ -61,14 +65,15 @@
 	if err := emptyFolder(config.Folder); err != nil {
 		return SoakReport{}, err
 	}
-	site, err := start(config.Bin, config.Folder)
+	size := sizeOf(config)
+	site, err := start(config.Bin, config.Folder, size)
 	if site != nil {
 		defer site.close()
 	}
 	if err != nil {
 		return SoakReport{}, err
 	}
-	s := &soak{day: newDay(site), report: SoakReport{Seed: config.Seed, Rounds: config.Rounds, Pairs: map[string]int{}}}
+	s := &soak{day: newDay(site), report: SoakReport{Seed: config.Seed, Rounds: config.Rounds, Machines: size.machines, Pairs: map[string]int{}}}
 	if err := s.begin(); err != nil {
 		s.t.bad("START: %v", err)
 	} else {
@@ -85,6 +90,21 @@
 	return s.finish(config.Folder), nil
 }
 
+// smallMemoryMB is what the machines of every other soak have.
+const smallMemoryMB = 184
+
+// sizeOf is the size of a soak's site.
+func sizeOf(config SoakConfig) size {
+	of := usual
+	if config.Machines > 0 {
+		of.machines = config.Machines
+	}
+	if config.Seed%2 == 0 {
+		of.memoryMB = smallMemoryMB
+	}
+	return of
+}
+
 // emptyFolder makes a folder for a soak. What an earlier one of the seed has left is put
 // aside: its data folders are those of another cluster.
 func emptyFolder(path string) error {
@@ -150,12 +170,15 @@
 			time.Sleep(requestGap)
 		}
 	})
+	background(func() { s.watchMemory(running) })
+	kept := s.keep(config.Seed, running)
 	random := rand.New(rand.NewSource(config.Seed))
 	for round := range config.Rounds {
 		s.round(random, int(config.Seed)*config.Rounds+round)
 	}
 	close(over)
 	traffic.Wait()
+	kept.Wait()
 }
 
 // requestGap is the pause between two requests of clients.
@@ -343,6 +366,7 @@
 func (s *soak) change(random *rand.Rand) {
 	s.changing.Lock()
 	defer s.changing.Unlock()
+	s.odd = oddFields[random.Intn(len(oddFields))]
 	if err := s.put(s.config+1, []string{"app", "other"}[random.Intn(2)], 3*recoverBound); err != nil {
 		s.t.bad("CONFIG: %v", err)
 		return
--- a/rig/site/trouble.go
+++ b/rig/site/trouble.go
@@ -26,9 +26,10 @@
 	ClientFault               // clients hold halves of requests, leave, read slowly
 	LogFault                  // nobody reads what a process writes
 	DiskLoss                  // a store is killed and starts again with an empty folder
+	Oversize                  // clients send what is large, several at once
 )
 
-var kindNames = [...]string{"stop", "reload", "restart", "configuration", "cut", "freeze", "slow disk", "engine", "client", "log", "disk loss"}
+var kindNames = [...]string{"stop", "reload", "restart", "configuration", "cut", "freeze", "slow disk", "engine", "client", "log", "disk loss", "oversize"}
 
 // Kinds counts the kinds of trouble.
 const Kinds = len(kindNames)
@@ -44,7 +45,7 @@
 
 var troubles = [...]trouble{
 	Stop: stopMachine, Reload: reloadMachine, Restart: restartMachine, Configuration: changeConfiguration, Cut: cutPeers,
-	Freeze: freezeMachine, SlowDisk: slowDisk, EngineFault: troubleEngines, ClientFault: troubleClients, LogFault: troubleLog, DiskLoss: loseDisk,
+	Freeze: freezeMachine, SlowDisk: slowDisk, EngineFault: troubleEngines, ClientFault: troubleClients, LogFault: troubleLog, DiskLoss: loseDisk, Oversize: oversize,
 }
 
 // machine picks one, mostly one of those that keep the state.
@@ -227,6 +228,7 @@
 	s.note("freeze %s", m.name)
 	p.signal(syscall.SIGSTOP)
 	time.Sleep(length)
+	m.frozen.Store(time.Now().UnixNano())
 	p.signal(syscall.SIGCONT)
 }
 
