Soak: a store that is to vote again is not taken for the one that it was before

The list had the first one's old identity, a voter at the same address whose disk was gone, beside the new one, which was still fetching 24 MB of a large lot. Two losses at once are beyond what the fleet bears; the check counted addresses. An address with two members now counts for nothing.

--- a/rig/site/soak.go
+++ b/rig/site/soak.go
@@ -302,7 +302,9 @@
 	s.t.bad("RECOVER: %d of %d stores vote %v after %v", s.voters(), stores, voterBound, kinds)
 }
 
-// voters counts the machines that vote, 0 where nobody says.
+// voters counts the stores that vote, 0 where nobody says. While a member is there that does
+// not, a store has not been taken in yet, and the one that it was before counts for nothing:
+// that has the same address, and its disk is gone.
 func (s *soak) voters() int {
 	for _, m := range s.machines {
 		code, _, body, err := s.ask("GET", "http://"+m.ip+adminPort+"/v1/stores", "", nil, nil, time.Second)
@@ -315,12 +317,18 @@
 		if err != nil || code != 200 || json.Unmarshal(body, &listed) != nil {
 			continue
 		}
-		voting := map[string]bool{}
+		voting, members := map[string]bool{}, map[string]int{}
 		for _, member := range listed.Stores {
+			members[member.Addr]++
 			if member.Voter {
 				voting[member.Addr] = true
 			}
 		}
+		for addr, count := range members {
+			if count > 1 {
+				delete(voting, addr)
+			}
+		}
 		return len(voting)
 	}
 	return 0
