--- a/review/stand2/engines.go
+++ b/review/stand2/engines.go
@@ -30,7 +30,7 @@
 	all      []*engine
 	runs     map[string][]runNote // by id
 	named    int                  // the newest version that was named
-	delay    func(id string) time.Duration
+	delay    func(id string, nth int) time.Duration
 	events   func(id string) int
 	data     func(id string, n int) string
 	pace     time.Duration
@@ -39,6 +39,8 @@
 	unfenced bool                             // engines take lower fences than they have seen
 	hold     func(order []byte) time.Duration // for how long the path to an engine holds an order
 	orders   []orderNote
+	again    func(answer []byte) time.Duration // how late an answer comes a second time, 0 for never
+	fails    func(id string, nth int) int      // the status by which a run fails, 0 for none; nth counts from 1
 }
 
 // orderNote is one order as it reached its engine.
@@ -56,6 +58,7 @@
 	engine string
 	from   int
 	done   bool
+	failed int // the status by which it failed
 }
 
 // engine is one engine.
@@ -72,7 +75,6 @@
 	fence    uint64
 	callSeq  int
 	draining bool
-	failNext func(id string) int
 }
 
 func newEngines(network string) (*engines, error) {
@@ -291,13 +293,16 @@
 	}
 	if x.of.delay != nil {
 		select {
-		case <-time.After(x.of.delay(id)):
+		case <-time.After(x.of.delay(id, nth+1)):
 		case <-r.Context().Done():
 			return
 		}
 	}
-	if x.failNext != nil {
-		if code := x.failNext(id); code != 0 {
+	if x.of.fails != nil {
+		if code := x.of.fails(id, nth+1); code != 0 {
+			x.of.mu.Lock()
+			x.of.runs[id][nth].failed = code
+			x.of.mu.Unlock()
 			w.WriteHeader(code)
 			return
 		}
--- a/review/stand2/path.go
+++ b/review/stand2/path.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"io"
 	"net"
+	"sync"
 	"time"
 )
 
@@ -28,10 +29,7 @@
 		return
 	}
 	defer far.Close()
-	go func() {
-		_, _ = io.Copy(near, far)
-		_ = near.(*net.TCPConn).CloseWrite()
-	}()
+	go e.carryBack(near, far)
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := near.Read(buffer)
@@ -52,3 +50,31 @@
 		}
 	}
 }
+
+// carryBack carries what an engine answers. An answer that the case names comes a second
+// time, a while later, as an engine in trouble may send it.
+func (e *engines) carryBack(near, far net.Conn) {
+	var writes sync.Mutex
+	write := func(b []byte) {
+		writes.Lock()
+		defer writes.Unlock()
+		_, _ = near.Write(b)
+	}
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := far.Read(buffer)
+		if n > 0 {
+			write(buffer[:n])
+			if again := e.again; again != nil {
+				if late := again(buffer[:n]); late > 0 {
+					copied := bytes.Clone(buffer[:n])
+					time.AfterFunc(late, func() { write(copied) })
+				}
+			}
+		}
+		if err != nil {
+			_ = near.(*net.TCPConn).CloseWrite()
+			return
+		}
+	}
+}
