--- a/review/stand2/engines.go
+++ b/review/stand2/engines.go
@@ -40,7 +40,9 @@
 	hold     func(order []byte) time.Duration // for how long the path to an engine holds an order
 	orders   []orderNote
 	again    func(answer []byte) time.Duration // how late an answer comes a second time, 0 for never
-	fails    func(id string, nth int) int      // the status by which a run fails, 0 for none; nth counts from 1
+	pause    func(id string, event int) time.Duration
+	cut      func() bool                  // whether an answer breaks off now
+	fails    func(id string, nth int) int // the status by which a run fails, 0 for none; nth counts from 1
 }
 
 // orderNote is one order as it reached its engine.
@@ -308,7 +310,9 @@
 		}
 	}
 	if x.pool == llmPool && strings.Contains(r.Header.Get("Token-Counts"), ",") {
-		x.text(w, r, id, from)
+		if !x.text(w, r, id, from) {
+			return
+		}
 	} else {
 		_, _ = fmt.Fprintf(w, "%s %s", id, strings.Repeat("x", 760))
 	}
@@ -317,21 +321,23 @@
 	x.of.mu.Unlock()
 }
 
-func (x *engine) text(w http.ResponseWriter, r *http.Request, id string, from int) {
+// text makes a text, event by event, and says whether it came to its end.
+func (x *engine) text(w http.ResponseWriter, r *http.Request, id string, from int) bool {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(200)
 	flush := http.NewResponseController(w)
 	for n := from; n <= x.of.events(id); n++ {
 		select {
 		case <-r.Context().Done():
-			return
-		case <-time.After(x.of.pace):
+			return false
+		case <-time.After(x.of.pauseBefore(id, n)):
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, x.of.data(id, n)); err != nil {
-			return
+			return false
 		}
 		_ = flush.Flush()
 	}
+	return true
 }
 
 // runsOf gives the runs of a request.
@@ -340,3 +346,11 @@
 	defer e.mu.Unlock()
 	return append([]runNote(nil), e.runs[id]...)
 }
+
+// pauseBefore is how long an engine takes for an event.
+func (e *engines) pauseBefore(id string, event int) time.Duration {
+	if e.pause == nil {
+		return e.pace
+	}
+	return e.pace + e.pause(id, event)
+}
--- a/review/stand2/path.go
+++ b/review/stand2/path.go
@@ -55,20 +55,37 @@
 // time, a while later, as an engine in trouble may send it.
 func (e *engines) carryBack(near, far net.Conn) {
 	var writes sync.Mutex
-	write := func(b []byte) {
+	answers := 0
+	write := func(b []byte) int {
 		writes.Lock()
 		defer writes.Unlock()
 		_, _ = near.Write(b)
+		answers++
+		return answers
+	}
+	// The copy stands where the next answer is expected, never inside one.
+	writeCopy := func(b []byte, after int) {
+		writes.Lock()
+		defer writes.Unlock()
+		if answers == after {
+			_, _ = near.Write(b)
+		}
 	}
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := far.Read(buffer)
 		if n > 0 {
-			write(buffer[:n])
+			if e.cut != nil && e.cut() {
+				write(buffer[:n/2])
+				_ = near.(*net.TCPConn).SetLinger(0)
+				_ = near.Close()
+				return
+			}
+			count := write(buffer[:n])
 			if again := e.again; again != nil {
 				if late := again(buffer[:n]); late > 0 {
 					copied := bytes.Clone(buffer[:n])
-					time.AfterFunc(late, func() { write(copied) })
+					time.AfterFunc(late, func() { writeCopy(copied, count) })
 				}
 			}
 		}
