--- a/review/stand2/clients.go
+++ b/review/stand2/clients.go
@@ -84,7 +84,7 @@
 	body, _ := json.Marshal(doc)
 	for n := range 200 {
 		m := f.edges()[n%len(f.edges())]
-		code, told, _ := call("PUT", m.control()+"/config", "", map[string]string{"If-Match": fmt.Sprint(read), "Content-Type": "application/json"}, body, time.Second)
+		code, told, _ := call("PUT", m.control()+"/config", "", map[string]string{"If-Match": fmt.Sprint(read), "Content-Type": "application/json"}, body, time.Second+time.Duration(len(body)/250)*time.Millisecond)
 		if code == 200 {
 			note("configuration %d acknowledged by %s", version, m.name)
 			return true
