--- a/review/stand2/engines.go
+++ b/review/stand2/engines.go
@@ -74,6 +74,7 @@
 	version  int
 	loading  bool
 	running  int
+	waiting  int
 	fence    uint64
 	callSeq  int
 	draining bool
@@ -254,6 +255,25 @@
 	x.mu.Unlock()
 }
 
+// queueMost is how many requests wait at an engine for a slot.
+const queueMost = 4
+
+// queue waits for a slot, and says whether the caller is still there; mu is held before and
+// after.
+func (x *engine) queue(r *http.Request) bool {
+	x.waiting++
+	defer func() { x.waiting-- }()
+	for x.running >= x.slots {
+		x.mu.Unlock()
+		time.Sleep(time.Millisecond)
+		x.mu.Lock()
+		if r.Context().Err() != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // run runs a request: a text where tokens are asked for, else one answer.
 func (x *engine) run(w http.ResponseWriter, r *http.Request, id string) {
 	x.mu.Lock()
@@ -266,14 +286,18 @@
 		w.WriteHeader(421)
 		return
 	}
-	if x.running >= x.slots || x.loading {
+	if x.loading || x.running >= x.slots && x.waiting >= queueMost {
 		x.mu.Unlock()
 		w.Header().Set("Not-Run", "1")
 		w.WriteHeader(503)
 		return
 	}
+	if !x.queue(r) {
+		x.mu.Unlock()
+		return
+	}
 	x.running++
-	load := fmt.Sprintf("%d,0,%d", x.running, x.slots)
+	load := fmt.Sprintf("%d,%d,%d", x.running, x.waiting, x.slots)
 	x.mu.Unlock()
 	defer func() {
 		x.mu.Lock()
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -45,7 +46,8 @@
 	root, dir, network string
 	machines           []*machine
 	engines            *engines
-	fenced             bool // as the settings say
+	fenced             bool        // as the settings say
+	over               atomic.Bool // nothing is started any more
 }
 
 // freeNetwork gives a loopback network in which nobody listens.
@@ -191,6 +193,7 @@
 
 // close ends all processes.
 func (f *fleet) close() {
+	f.over.Store(true)
 	for _, m := range f.machines {
 		if m.cmd != nil && m.cmd.Process != nil {
 			m.signal(syscall.SIGCONT)
--- a/review/stand2/paused.go
+++ b/review/stand2/paused.go
@@ -20,7 +20,7 @@
 // The streams: how many clients have one at each machine, how many events each has and how
 // far apart, and the one pause in it, as an engine makes that has put a request back.
 const (
-	streamsEach  = 12
+	streamsEach  = 18
 	streamEvents = 140
 	streamGap    = 15 * time.Millisecond
 	pauseAt      = 70
@@ -29,6 +29,7 @@
 	streamLimit  = 10 * time.Second
 	filledAfter  = 3 * time.Second
 	graceTime    = 8 * time.Second
+	stopGap      = 1300 * time.Millisecond
 )
 
 // streamNote is what a client saw of one stream.
@@ -41,8 +42,8 @@
 	whole       bool
 }
 
-// paused: resumable streams, some with a pause, run on engines that are full; one machine is
-// stopped in order. Its streams have all of GraceS to end.
+// paused: resumable streams, some with a pause, run on engines that are full; three machines
+// are stopped in order, one after the other. Their streams have all of GraceS to end.
 func paused(f *fleet, trouble bool) int {
 	stream := route{"Label": "r-st", "Hostname": siteHost, "PathPrefix": "/st/", "RouteKind": "streaming", "LimitMs": streamLimit.Milliseconds(), "TargetMs": 500, "Rank": 1, "Backend": llmPool,
 		"MaxTries": 3, "Sticky": true, "Resumable": true}
@@ -59,7 +60,7 @@
 	}
 	time.Sleep(5 * time.Second)
 	began := time.Now()
-	over := began.Add(filledAfter + 4*time.Second)
+	over := began.Add(filledAfter + 3*stopGap + 3*time.Second)
 	var mu sync.Mutex
 	var seen []streamNote
 	var wg sync.WaitGroup
@@ -83,13 +84,15 @@
 		}
 	}
 	time.Sleep(filledAfter)
-	stopped := f.edges()[4]
-	var term time.Time
-	if trouble {
-		term = time.Now()
-		stopped.asked = true
-		stopped.signal(syscall.SIGTERM)
-		note("%s gets SIGTERM", stopped.name)
+	stops := map[*machine]time.Time{}
+	for _, m := range f.edges()[3:] {
+		if trouble {
+			stops[m] = time.Now()
+			m.asked = true
+			m.signal(syscall.SIGTERM)
+			note("%s gets SIGTERM", m.name)
+		}
+		time.Sleep(stopGap)
 	}
 	wg.Wait()
 	lost, cut := 0, 0
@@ -105,7 +108,8 @@
 		}
 		note("stream %s at %s: broken off %v after it was sent, with %d of %d events; it was at engines %d times, and none broke it off", s.id, s.at.name,
 			s.ended.Sub(s.sent).Round(time.Millisecond), s.events, streamEvents, len(runs))
-		around := !term.IsZero() && s.at == stopped && s.ended.After(term) && s.ended.Before(term.Add(graceTime*5/6))
+		term, stopped := stops[s.at]
+		around := stopped && s.ended.After(term) && s.ended.Before(term.Add(graceTime*5/6))
 		if around && len(runs) > 0 && !ownEnd && s.ended.Sub(s.sent) < streamLimit {
 			note("LOST: %s, %v after the SIGTERM", s.id, s.ended.Sub(term).Round(time.Millisecond))
 			lost++
