--- a/review/stand2/clients.go
+++ b/review/stand2/clients.go
@@ -195,15 +195,3 @@
 	note("end of lot %s at %s: %d", l.id, m.name, code)
 	return code
 }
-
-// lotsOwned asks a machine how many open lots it owns.
-func (m *machine) lotsOwned() int {
-	_, body, _ := call("GET", m.admin()+"/status", "", nil, nil, time.Second)
-	var status struct {
-		Serving struct {
-			Lots int `json:"lots_owned"`
-		} `json:"serving"`
-	}
-	_ = json.Unmarshal(body, &status)
-	return status.Serving.Lots
-}
--- a/review/stand2/engines.go
+++ b/review/stand2/engines.go
@@ -41,7 +41,6 @@
 	orders   []orderNote
 	again    func(answer []byte) time.Duration // how late an answer comes a second time, 0 for never
 	pause    func(id string, event int) time.Duration
-	cut      func() bool                  // whether an answer breaks off now
 	fails    func(id string, nth int) int // the status by which a run fails, 0 for none; nth counts from 1
 }
 
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -206,9 +206,6 @@
 // edges gives the machines that clients reach.
 func (f *fleet) edges() []*machine { return f.machines[:len(f.machines)-3] }
 
-// storages gives the storage machines.
-func (f *fleet) storages() []*machine { return f.machines[len(f.machines)-3:] }
-
 // waitReady waits until all edge machines call themselves ready.
 func (f *fleet) waitReady(most time.Duration) bool {
 	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
--- a/review/stand2/path.go
+++ b/review/stand2/path.go
@@ -75,12 +75,6 @@
 	for {
 		n, err := far.Read(buffer)
 		if n > 0 {
-			if e.cut != nil && e.cut() {
-				write(buffer[:n/2])
-				_ = near.(*net.TCPConn).SetLinger(0)
-				_ = near.Close()
-				return
-			}
 			count := write(buffer[:n])
 			if again := e.again; again != nil {
 				if late := again(buffer[:n]); late > 0 {
