Lots: a lot names the plan that took it, and only a plan as new says that its route is gone

The owner's plan, though under a fresh lease, may be older than the plan of the node that took the lot: a lot comes by a line of that node, not by the owner's renewal.

A lot carries the version of the plan by which it was taken. An owner whose plan is older neither gives it up nor runs it by an older route; its next renewal brings the plan.

--- a/core/ledger/lottypes.go
+++ b/core/ledger/lottypes.go
@@ -32,6 +32,7 @@
 	Host   string    `json:"host"`
 	Path   string    `json:"path"`           // where it was handed in; with Host it finds the route
 	Route  string    `json:"route"`          // the route's name at that time
+	Plan   uint64    `json:"plan,omitempty"` // the version of the plan that had this route
 	Owner  string    `json:"owner"`          // the dispatcher that runs it
 	Pool   string    `json:"pool,omitempty"` // of engines; its lots keep together
 	Model  string    `json:"model,omitempty"`
--- a/core/serve/lots/calls.go
+++ b/core/serve/lots/calls.go
@@ -53,7 +53,7 @@
 // fillHead fills in what a lot does not say itself. It gives false where no process has the
 // memory to run it.
 func (t *Table) fillHead(doc *ledger.LotDoc, c flow.Call, r *route.Route, keep flow.Time, memory int64) bool {
-	doc.Host, doc.Path, doc.Route, doc.Pool = c.Host, c.Path, r.Name, r.Pool
+	doc.Host, doc.Path, doc.Route, doc.Pool, doc.Plan = c.Host, c.Path, r.Name, r.Pool, t.routes().Version
 	doc.Single, doc.Tries, doc.WaitMS, doc.DueMS, doc.KeepMS = r.Single, r.Tries, int64(r.WaitMS), int64(r.DueMS), keep.Milliseconds()
 	doc.Owner = t.ownerOf(r.Pool, doc.Model, memory)
 	return doc.Owner != ""
--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -67,6 +67,7 @@
 	left    int                // items that are not finished
 	unmade  int                // items whose texts are not whole
 	whole   []*item            // those that wait for their scores, the oldest first
+	advised bool               // engines that hold its prompts were looked for
 }
 
 // group is the items of one prompt.
@@ -240,8 +241,9 @@
 func (t *Table) advise(l *lot) {
 	r := t.pool(l)
 	if r == nil {
-		return
+		return // looked for once the plan is here
 	}
+	l.advised = true
 	if !t.env.Policies.On(policy.PrefixIndex) {
 		return
 	}
@@ -400,10 +402,7 @@
 	for _, id := range sorted.Keys(t.rows) {
 		l := t.rows[id]
 		over := l.doc.WaitMS > 0 && t.env.Now-l.opened > flow.Time(l.doc.WaitMS)*time.Millisecond+time.Second
-		if !over && t.routes() != nil && t.env.Fresh() {
-			over = t.pool(l) == nil
-		}
-		if !over {
+		if !over && !t.routeGone(l) {
 			continue
 		}
 		for _, i := range l.items {
@@ -414,8 +413,23 @@
 	}
 }
 
-// pool gives the route of a lot, or nil where there is none any more.
+// knowsRoute says whether this node's plan is as new as the one by which a lot was taken. What
+// an older one says of the lot's route, or does not say, is no word on it (design 12.5).
+func (t *Table) knowsRoute(l *lot) bool {
+	routes := t.routes()
+	return routes != nil && routes.Version >= l.doc.Plan
+}
+
+// routeGone says that the route of a lot has ended.
+func (t *Table) routeGone(l *lot) bool {
+	return t.env.Fresh() && t.knowsRoute(l) && t.pool(l) == nil
+}
+
+// pool gives the route of a lot, or nil where there is none that this node knows of.
 func (t *Table) pool(l *lot) *route.Route {
+	if !t.knowsRoute(l) {
+		return nil
+	}
 	r := t.routes().Find(l.doc.Host, l.doc.Path)
 	if r == nil || r.Kind != route.Samples {
 		return nil
--- a/core/serve/lots/place.go
+++ b/core/serve/lots/place.go
@@ -47,6 +47,9 @@
 }
 
 func (t *Table) placeLot(l *lot, r *route.Route) {
+	if !l.advised {
+		t.advise(l)
+	}
 	for _, g := range l.groups {
 		if g.left == 0 {
 			continue
