Test: an answer's room is looked at once its send has ended

TestLargeAnswersWaitForRoom looked whether all room was given back as soon as the last answer was told. A send tells its answer first and gives its room back then, in another goroutine: beside load the test saw 1 MiB held once in 1 run.

--- a/shell/outcall/room_test.go
+++ b/shell/outcall/room_test.go
@@ -59,6 +59,7 @@
 				if back, _ := k.do(flow.Send{URL: peer.url}); back.Err != "" || len(back.Body) != size {
 					t.Errorf("%s: %q, %d bytes", name, back.Err, len(back.Body))
 				}
+				k.c.Close() // a send gives its room back after its answer was told
 			}()
 		}
 		all.Wait()
