Kept connections: no name is sent twice on one connection

After a whole 500 the connection is kept and the item is sent again at once, as a rule on that connection: a copy of the first answer was taken for the second try's.

A weight order, whose answer bears no name, goes on a connection that carried nothing before, and the platform's list on one of its own: an older page would make engines appear to be gone.

--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -91,6 +91,7 @@
 	Stream bool
 	Once   bool
 	Keep   bool    // a kept connection may carry it; never a repeat of it
+	Alone  bool    // its connection has carried nothing before: its answer bears no name and is acted on
 	Host   string  // the Host header, where it is not the address's
 	Fields []Field // headers as they are to be written, beside Head
 	Name   string  // the header that an answer must carry back ...
--- a/core/serve/fleet/fleet.go
+++ b/core/serve/fleet/fleet.go
@@ -135,10 +135,12 @@
 	f.next, f.nth, f.again, f.slowed = page, n, f.env.Now+pause, true
 }
 
+// read asks for one page, on a connection of its own: no answer names its page, and a late one
+// of an earlier reading would make engines appear to be gone.
 func (f *Fleet) read(page string, n int) {
 	until := f.env.Now + budget.PollTimeout
 	f.env.Counts["list_calls"]++
-	f.env.Send(flow.Send{Verb: "GET", URL: f.env.Codec.ListURL + f.env.Codec.ListQuery(page), Until: until, Limit: until, Keep: true}, func(b flow.Back) {
+	f.env.Send(flow.Send{Verb: "GET", URL: f.env.Codec.ListURL + f.env.Codec.ListQuery(page), Until: until, Limit: until}, func(b flow.Back) {
 		seats, next, err := f.env.Codec.ReadList(b.Body)
 		if resend.Decide(resend.Read, f.env.Observe(b)) != resend.Accept || b.Code != http.StatusOK || err != nil {
 			f.env.Counts["list_failures"]++
--- a/core/serve/rollout/rollout.go
+++ b/core/serve/rollout/rollout.go
@@ -206,7 +206,7 @@
 	}
 	body := r.env.Codec.WriteOrder(dialect.WeightOrder{Model: j.model, Revision: j.rev, Mode: "hold", Owner: r.env.Me, Fence: r.term})
 	until := min(till, now+sendBy)
-	r.send(flow.Send{Verb: "POST", URL: "http://" + j.engine.Addr + r.env.Codec.OrderPath, Body: body, Until: until, Limit: now + sendBy,
+	r.send(flow.Send{Verb: "POST", URL: "http://" + j.engine.Addr + r.env.Codec.OrderPath, Body: body, Until: until, Limit: now + sendBy, Alone: true,
 		Fields: []flow.Field{{Name: "Content-Type", Value: "application/json"}, {Name: r.env.Codec.Expect, Value: j.engine.ID}}}, func(b flow.Back) {
 		j.open = false
 		j.due = r.env.Now + look*2
@@ -227,9 +227,10 @@
 	})
 }
 
-// send makes a call on a kept connection. Answers to reports and orders carry no
-// id: what comes is only trusted as far as a report reads as one, and an order's
-// effect is always read.
+// send makes a call whose connection is kept. Answers to reports and orders carry no id. What
+// comes for a report is only trusted as far as it reads as one; an order's answer tells whether
+// the order may still be under way, so its connection has carried nothing before, and its
+// effect is read all the same.
 func (r *Roll) send(s flow.Send, f func(flow.Back)) {
 	s.Keep = true
 	r.env.Send(s, f)
--- a/shell/outcall/outcall.go
+++ b/shell/outcall/outcall.go
@@ -143,7 +143,7 @@
 	if *head, err = appendRequest((*head)[:0], task, addr, target); err != nil {
 		return unsent(err)
 	}
-	for kept := task.Keep; ; kept = false {
+	for kept := task.Keep && !task.Alone; ; kept = false {
 		if clock.Now() >= task.Until {
 			return unsent(ErrLate)
 		}
@@ -172,7 +172,7 @@
 	limit := time.Now().Add(task.Limit - clock.Now())
 	var conn *pooledConn
 	if kept {
-		conn = c.pool.take(addr)
+		conn = c.pool.take(addr, task.Match)
 	}
 	if conn == nil {
 		var err error
@@ -183,6 +183,7 @@
 	if !c.assign(task, conn) {
 		return nil, context.Canceled
 	}
+	conn.names.add(task.Match)
 	_ = conn.SetDeadline(limit)
 	return conn, nil
 }
--- a/shell/outcall/pool.go
+++ b/shell/outcall/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -29,6 +30,7 @@
 	addr      string
 	expiresAt flow.Time
 	reused    bool // it has carried a request before
+	names     carriedNames
 }
 
 // pool holds idle connections. It has no task of its own for them: they are
@@ -42,23 +44,25 @@
 	closed  bool
 }
 
-// take gives the newest idle connection of an address that is still good.
-func (p *pool) take(to string) *pooledConn {
+// take gives the newest idle connection of an address that is still good and has not carried
+// a name.
+func (p *pool) take(to, name string) *pooledConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for {
+	for at := len(p.idle[to]) - 1; at >= 0; at-- {
 		conns := p.idle[to]
-		if len(conns) == 0 {
-			return nil
+		conn := conns[at]
+		if conn.names.has(name) {
+			continue
 		}
-		conn := conns[len(conns)-1]
-		p.setIdle(to, conns[:len(conns)-1])
+		p.setIdle(to, slices.Delete(conns, at, at+1))
 		p.count--
 		if clock.Now() < conn.expiresAt && sock.Quiet(conn.raw) {
 			return conn
 		}
 		_ = conn.Close()
 	}
+	return nil
 }
 
 // put keeps a connection until the time given, if there is room.
