Streams: an engine keeps a silent stream until another makes its next event

Another engine is asked beside the one at work. Whoever makes the next event first has the stream, and the others are cut then; one that declines, fails or brings nothing of use ends only itself. A stream whose engine broke off waits for half of the route's target for another one.

--- a/core/serve/requests/requests.go
+++ b/core/serve/requests/requests.go
@@ -56,6 +56,7 @@
 	engine *engines.Engine
 	id     uint64
 	at     flow.Time
+	opened bool // the head of its answer, which is a stream, has come
 }
 
 // Table is all requests by call.
@@ -270,8 +271,14 @@
 		q.last = b
 		q.own.failed(b)
 	}
+	if len(q.tries) > 0 && q.stream != nil && (q.stream.begun || decision != resend.Accept) {
+		return // another engine is at work on it, which this one's end does not concern
+	}
 	switch decision {
 	case resend.Accept:
+		if q.stream != nil {
+			t.cutAll(q)
+		}
 		if q.stream != nil && q.stream.begun {
 			t.broken(q) // it is no series that goes on with the one that was begun
 			return
@@ -310,12 +317,15 @@
 	if t.place(q) {
 		return
 	}
-	if q.sends >= q.most() || !q.known.DidNotRun() {
+	if q.sends >= q.most() || !q.known.DidNotRun() && !q.goesOn() {
 		t.giveUp(q)
 	}
 	// Otherwise it is held until an engine can be had, or it is given up.
 }
 
+// goesOn says that the request is a stream that was begun and that any engine may go on with.
+func (q *Request) goesOn() bool { return q.stream != nil && q.stream.begun && q.repeats() }
+
 // giveUp ends a request that no engine is at work on.
 func (t *Table) giveUp(q *Request) {
 	if q.over {
@@ -423,6 +433,9 @@
 		return
 	}
 	waited := q.own == nil && t.env.Policies.On(policy.EarlyRefusal) && now-q.came >= max(q.route.Target/refusePart, margin)
+	if q.goesOn() {
+		waited = now >= q.stream.last+q.route.Target/firstPart // its caller may go on elsewhere then
+	}
 	if now >= q.late-margin || waited || q.sends >= q.most() {
 		t.giveUp(q)
 	}
--- a/core/serve/requests/streams.go
+++ b/core/serve/requests/streams.go
@@ -1,25 +1,26 @@
 package requests
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"fernlink/core/flow"
 	"fernlink/core/resend"
-	"fernlink/core/serve/engines"
 )
 
 // stream is what was passed on of a series of events.
 type stream struct {
-	after int  // the id of the last event that was passed on
-	begun bool // the head was passed on
-	open  *try // whose events are passed on
-	last  flow.Time
-	gap   float64 // a smoothed time between events, in ms
+	after int       // the id of the last event that was passed on
+	begun bool      // the head was passed on
+	open  *try      // whose events are passed on
+	last  flow.Time // when the newest of them came, or its engine broke off
+	asked flow.Time // when another engine was last asked to go on
+	gap   float64   // a smoothed time between events, in ms
 }
 
-// Silences after which a resumable stream goes on at another engine: ratios of
+// Silences after which another engine is asked to go on with a resumable stream: ratios of
 // the route's target before the first event, and of the usual gap after it.
 const (
 	firstPart = 2
@@ -49,23 +50,19 @@
 		t.opened(q, x, b)
 		return
 	}
-	if q.stream.open == x {
-		t.event(q, x, b.Event)
-	}
+	t.event(q, x, b.Event)
 }
 
-// opened takes the head of an engine's answer. The first engine that answers is the
-// one whose events are passed on, and one answer keeps the head of its first engine.
+// opened takes the head of an engine's answer. One answer keeps the head of its first engine.
 func (t *Table) opened(q *Request, x *try, b flow.Back) {
 	if word := flow.Get(b.Fields, t.env.Codec.Load); word != "" {
 		t.engines.Load(x.engine, word)
 	}
 	s := q.stream
-	if s.open != nil {
-		t.drop(q, x)
-		return
+	x.opened = true
+	if s.open == nil {
+		s.open, s.last = x, t.env.Now
 	}
-	s.open, s.last = x, t.env.Now
 	if s.begun {
 		return
 	}
@@ -87,6 +84,7 @@
 		t.spoilt(q, x, resend.Malformed)
 		return
 	}
+	t.takeOver(q, x)
 	if id >= 0 {
 		s.after = id
 	}
@@ -96,15 +94,42 @@
 	t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: q.call.ID, Body: append(append([]byte(nil), event...), '\n', '\n'), More: true})
 }
 
+// takeOver makes an engine the one whose events are passed on, as it makes the next: only now
+// are others cut that were at work on the stream.
+func (t *Table) takeOver(q *Request, x *try) {
+	if q.stream.open != x {
+		t.env.Counts["streams_moved"]++
+		q.stream.open = x
+	}
+	for _, other := range slices.Clone(q.tries) {
+		if other != x {
+			t.drop(q, other)
+		}
+	}
+}
+
 // spoilt cuts a try that brings nothing of use, and goes on without it where it may.
 func (t *Table) spoilt(q *Request, x *try, evidence resend.Evidence) {
 	t.engines.Bad(x.engine)
 	t.drop(q, x)
-	q.stream.open = nil
+	q.left(x)
 	q.known.Saw(evidence)
 	t.next(q)
 }
 
+// left takes a try that is over off its stream: another engine's whose head has come, if there
+// is one, is the stream's now.
+func (q *Request) left(x *try) {
+	s := q.stream
+	if s.open != x {
+		return
+	}
+	s.open = nil
+	if at := slices.IndexFunc(q.tries, func(y *try) bool { return y.opened }); at >= 0 {
+		s.open = q.tries[at]
+	}
+}
+
 // drop cuts one try of a stream.
 func (t *Table) drop(q *Request, x *try) {
 	x.engine.End(0)
@@ -115,9 +140,10 @@
 // closed hears the end of the try whose events were passed on.
 func (t *Table) closed(q *Request, x *try, b flow.Back) {
 	s := q.stream
-	s.open = nil
+	q.left(x)
 	if b.Err == "" && b.Code < 300 {
 		t.finish(q)
+		t.cutAll(q)
 		t.env.Counts["passed"]++
 		if t.env.Debug {
 			t.trace(q, "passed", "last", s.after)
@@ -125,6 +151,7 @@
 		t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: q.call.ID})
 		return
 	}
+	s.last = t.env.Now
 	t.engines.Bad(x.engine)
 	q.known.Saw(resend.Incomplete)
 	t.next(q)
@@ -142,21 +169,32 @@
 	t.env.Out.Replies = append(t.env.Out.Replies, flow.Reply{ID: q.call.ID, Cut: true})
 }
 
-// silent takes a resumable stream to another engine when nothing comes of it.
+// silent asks another engine to go on with a resumable stream of which nothing comes. The
+// engines at work keep it until the other makes its next event: it may decline, and a silence
+// is no end.
 func (t *Table) silent(q *Request, now flow.Time) {
-	s := q.stream
-	if !q.repeats() || q.sends >= q.most() || len(q.tries) != 1 {
+	if !q.repeats() || q.sends >= q.most() || now < t.askAgainAt(q) {
 		return
 	}
-	x := q.tries[0]
-	limit := max(q.route.Target/firstPart, gapLeast)
-	since := x.at
-	if s.open != nil {
-		limit, since = max(flow.Time(s.gap*gapTimes*1e6), gapLeast), s.last
-	}
-	if now-since < limit || t.engines.Spare(q.pool, append([]*engines.Engine{}, q.tried...)) == nil {
+	doubted := q.tries[0].engine
+	if !t.place(q) {
 		return
 	}
-	t.env.Counts["streams_moved"]++
-	t.spoilt(q, x, resend.Silent)
+	q.stream.asked = now
+	t.engines.Bad(doubted)
+	t.env.Counts["streams_doubted"]++
+}
+
+// askAgainAt is when a stream of which nothing comes has been silent for long enough to ask
+// another engine.
+func (t *Table) askAgainAt(q *Request) flow.Time {
+	s := q.stream
+	beforeFirst := max(q.route.Target/firstPart, gapLeast)
+	switch {
+	case len(q.tries) > 1: // the one that was asked last is to begin
+		return s.asked + beforeFirst
+	case s.open == nil:
+		return max(q.tries[0].at, s.asked) + beforeFirst
+	}
+	return max(s.last, s.asked) + max(flow.Time(s.gap*gapTimes*1e6), gapLeast)
 }
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -291,7 +291,7 @@
 
 // counted are counts that are shown before they first happen, so that a scraper
 // sees them rise from 0.
-var counted = []string{"passed", "refused", "hedged", "late", "unknown", "streams_broken", "streams_moved", "lots_taken", "lots_adopted", "items_sent",
+var counted = []string{"passed", "refused", "hedged", "late", "unknown", "streams_broken", "streams_doubted", "streams_moved", "lots_taken", "lots_adopted", "items_sent",
 	"items_listed", "items_complete", "items_abandoned", "second_runs", "runs_broken", "runs_silent", "weight_orders", "reports_read", "list_calls",
 	"list_failures", "engine_failures", "turned_away", "reward_calls", "rewards_failed", "texts_kept", "texts_too_long"}
 
