Lots: a silent run is cut once another engine has made an event of its text

It is placed beside its run now, among the items that are held, at two engines at most; at a stop it is cut as before.

Before: TestASilentItemKeepsItsEngine and TestASilentItemIsTakenOver fail. After: they pass.

--- a/core/serve/lots/place.go
+++ b/core/serve/lots/place.go
@@ -55,13 +55,14 @@
 			continue
 		}
 		for _, i := range g.items {
-			if i.state != held || t.env.Now < i.again {
+			if !i.toPlace(t.env.Now) {
 				continue
 			}
-			e := t.seat(l, g, r, i.kept, nil)
-			if e == nil && i.kept.last >= 0 && l.doc.Single && !t.can(l, r, i.kept) {
-				i.kept = text{last: -1} // no engine has the weights that made it
-				e = t.seat(l, g, r, i.kept, nil)
+			from, not := i.longest(), i.engines()
+			e := t.seat(l, g, r, from, not)
+			if e == nil && from.last >= 0 && l.doc.Single && !t.can(l, r, from) {
+				from, i.kept = text{last: -1}, text{last: -1} // no engine has the weights that made it
+				e = t.seat(l, g, r, from, not)
 			}
 			if e == nil {
 				if t.room(l, r) == 0 {
@@ -69,14 +70,27 @@
 				}
 				continue
 			}
-			t.start(i, e, i.kept)
-			if g.home == nil || i.kept.last < 0 {
+			if len(i.runs) >= runsMost {
+				t.env.Counts["runs_silent"]++
+				t.give(i.runs[0])
+			}
+			t.start(i, e, from)
+			if g.home == nil || from.last < 0 {
 				g.home = e
 			}
 		}
 	}
 }
 
+// engines are those that an item runs at.
+func (i *item) engines() []*engines.Engine {
+	var out []*engines.Engine
+	for _, r := range i.runs {
+		out = append(out, r.engine)
+	}
+	return out
+}
+
 // can says whether any engine could go on from a text, now or soon.
 func (t *Table) can(l *lot, r *route.Route, from text) bool {
 	for _, e := range t.pools(r) {
--- a/core/serve/lots/runs.go
+++ b/core/serve/lots/runs.go
@@ -172,6 +172,7 @@
 		return
 	}
 	r.first, r.last = true, now
+	t.giveOverdue(r)
 	r.text.last = id
 	r.text.events, r.text.size = append(r.text.events, data), r.text.size+len(data)
 	r.text.name(r.text.now)
@@ -299,7 +300,7 @@
 	t.engines.Full(r.engine)
 }
 
-// Silences after which a run is doubted, and given up.
+// Silences after which a run is doubted, and after which its item is placed again.
 const (
 	firstMost = 400 * time.Millisecond // before its first event
 	gapMost   = 250 * time.Millisecond // between events, at least
@@ -315,7 +316,50 @@
 	return now-r.last > max(gapMost, flow.Time(r.gap*gapTimes*1e6))
 }
 
-// watch looks for runs that went silent, and for engines that left.
+// overdue says that nothing is likely to come of a run any more: its item is placed again, as
+// one that is held. Its engine keeps it until another has made an event, since a silence is no
+// end.
+func (r *run) overdue(now flow.Time) bool {
+	return r.doubt(now) && (now-r.last > lostAfter || r.engine.Gone)
+}
+
+// runsMost is how many runs of an item are under way at once.
+const runsMost = 2
+
+// toPlace says whether an item waits for an engine.
+func (i *item) toPlace(now flow.Time) bool {
+	switch i.state {
+	case held:
+		return now >= i.again
+	case running:
+		return !slices.ContainsFunc(i.runs, func(r *run) bool { return !r.overdue(now) })
+	}
+	return false
+}
+
+// longest is the longest text that there is of an item.
+func (i *item) longest() text {
+	best := i.kept
+	for _, r := range i.runs {
+		if len(r.text.events) > len(best.events) {
+			best = r.text
+		}
+	}
+	return best
+}
+
+// giveOverdue cuts the overdue runs of an item beside one that has made an event.
+func (t *Table) giveOverdue(r *run) {
+	for _, other := range slices.Clone(r.item.runs) {
+		if other != r && other.overdue(t.env.Now) {
+			t.env.Counts["runs_silent"]++
+			t.give(other)
+		}
+	}
+}
+
+// watch looks for runs that went silent. While this node stops, no engine is looked for in
+// their place, and the lot's next owner goes on with their texts.
 func (t *Table) watch() {
 	now := t.env.Now
 	for _, id := range sortedIDs(t.rows) {
@@ -327,7 +371,11 @@
 					continue
 				}
 				t.engines.Bad(r.engine)
-				if now-r.last > lostAfter || r.engine.Gone {
+				if !r.overdue(now) {
+					continue
+				}
+				t.changed = true
+				if t.leaving {
 					t.env.Counts["runs_silent"]++
 					t.give(r)
 				}
