--- a/shell/outcall/answer.go
+++ b/shell/outcall/answer.go
@@ -50,7 +50,7 @@
 	received := &counter{Conn: conn.Conn}
 	reader.Reset(received)
 	back, head, err := c.read(task, reader)
-	reusable := err == nil && task.Keep && !conn.names.full() && !head.closes && head.keepAlive > 0 && task.Verb != "HEAD" && reader.Buffered() == 0
+	reusable := err == nil && task.Keep && !conn.names.Full() && !head.closes && head.keepAlive > 0 && task.Verb != "HEAD" && reader.Buffered() == 0
 	reader.Reset(nil)
 	readers.Put(reader)
 	if reusable {
--- a/shell/outcall/carried_test.go
+++ b/shell/outcall/carried_test.go
@@ -96,6 +96,9 @@
 	}
 }
 
+// namesOfOne is how many names one connection carries.
+const namesOfOne = 1024
+
 // Given a connection that carries one name after the other, when it has carried as many as are
 // kept of it, then the next goes on another.
 func TestNamesOfAConnectionAreBounded(t *testing.T) {
@@ -105,14 +108,14 @@
 		}
 	})
 	k := caller(t)
-	for n := range carriedMost + 1 {
+	for n := range namesOfOne + 1 {
 		name := fmt.Sprint(n)
 		if b, _ := k.do(flow.Send{URL: peer.url, Keep: true, Name: "X-Request", Match: name, Head: map[string]string{"X-Request": name}}); b.Err != "" {
 			t.Fatalf("%d: %+v", n, b)
 		}
 	}
 	if n := peer.conns.Load(); n != 2 {
-		t.Errorf("%d connections for %d names", n, carriedMost+1)
+		t.Errorf("%d connections for %d names", n, namesOfOne+1)
 	}
 }
 
--- a/shell/outcall/outcall.go
+++ b/shell/outcall/outcall.go
@@ -183,7 +183,7 @@
 	if !c.assign(task, conn) {
 		return nil, context.Canceled
 	}
-	conn.names.add(task.Match)
+	conn.names.Add(task.Match)
 	_ = conn.SetDeadline(limit)
 	return conn, nil
 }
--- a/shell/outcall/pool.go
+++ b/shell/outcall/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fernlink/core/flow"
+	"fernlink/core/keepalive"
 	"fernlink/shell/clock"
 	"fernlink/shell/sock"
 )
@@ -29,8 +30,8 @@
 	raw       syscall.RawConn
 	addr      string
 	expiresAt flow.Time
-	reused    bool // it has carried a request before
-	names     carriedNames
+	reused    bool            // it has carried a request before
+	names     keepalive.Names // what it has carried
 }
 
 // pool holds idle connections. It has no task of its own for them: they are
@@ -52,7 +53,7 @@
 	for at := len(p.idle[to]) - 1; at >= 0; at-- {
 		conns := p.idle[to]
 		conn := conns[at]
-		if conn.names.has(name) {
+		if conn.names.Has(name) {
 			continue
 		}
 		p.setIdle(to, slices.Delete(conns, at, at+1))
--- a/sim/host.go
+++ b/sim/host.go
@@ -280,6 +280,7 @@
 	for _, id := range out.Cuts {
 		if f := h.sends[id]; f != nil {
 			delete(h.sends, id)
+			h.w.Out.conns.ended(h, life, id, false)
 			f()
 		}
 	}
--- a/sim/outside.go
+++ b/sim/outside.go
@@ -35,6 +35,7 @@
 	// Whole checks a text that the judge is sent, if set.
 	Whole func(dialect.JudgeAsk) error
 	Site  *Site // the users' platform, where the fleet serves on it
+	conns *connections
 }
 
 // Model is a model engine on its machine.
@@ -86,7 +87,7 @@
 }
 
 func newOutside(w *World) *Outside {
-	return &Outside{w: w, Model: map[string]*Model{}, App: map[string]*AppHost{}, Judge: standin.NewJudge(),
+	return &Outside{w: w, Model: map[string]*Model{}, App: map[string]*AppHost{}, Judge: standin.NewJudge(), conns: newConnections(),
 		Gone: map[string]time.Duration{}, Ends: map[string]time.Duration{}}
 }
 
@@ -203,24 +204,28 @@
 	if h.life == life && h.mute[b.ID] {
 		return // bytes of this connection were lost before: it hangs
 	}
-	passed := o.w.Net.Flow(from, h.Name, func() {
-		if h.life != life {
-			return
-		}
-		if _, open := h.sends[b.ID]; !open {
-			return
-		}
-		if b.End {
-			delete(h.sends, b.ID)
-		}
-		o.w.trace(h.Name, "back", b.ID, len(b.Event), b.Code, b.Err)
-		h.offer(life, flow.Event{Back: &b})
-	})
+	passed := o.w.Net.Flow(from, h.Name, func() { o.took(h, life, b) })
 	if !passed && h.life == life {
 		h.mute[b.ID] = true
 	}
 }
 
+// took has a host's process hear news of a send that is open.
+func (o *Outside) took(h *Host, life int, b flow.Back) {
+	if h.life != life {
+		return
+	}
+	if _, open := h.sends[b.ID]; !open {
+		return
+	}
+	if b.End {
+		delete(h.sends, b.ID)
+		o.conns.ended(h, life, b.ID, b.Err == "")
+	}
+	o.w.trace(h.Name, "back", b.ID, len(b.Event), b.Code, b.Err)
+	h.offer(life, flow.Event{Back: &b})
+}
+
 // send carries out a Send of a host. Between its making and its writing the
 // host may freeze; the gate on its own clock decides then.
 func (o *Outside) send(h *Host, life int, s flow.Send) {
@@ -248,6 +253,7 @@
 	}
 	f()
 	delete(h.sends, id)
+	o.conns.ended(h, life, id, false)
 	h.offer(life, flow.Event{Back: &flow.Back{ID: id, End: true, Err: "limit", Failure: flow.TimedOut}})
 }
 
@@ -289,6 +295,7 @@
 		if h.life != life || h.sends[s.ID] == nil {
 			return
 		}
+		o.conns.carry(h, life, u.Host, s)
 		to.serve(h, life, s, u.Path)
 	})
 }
--- a/sim/serve_client.go
+++ b/sim/serve_client.go
@@ -159,6 +159,7 @@
 			return
 		}
 		s.Count["broken off"]++
+		s.checkBrokenOff(t, began)
 		if at, planned := s.planned[t.at]; planned && s.w.Now-at < 9*time.Second && s.calm(t.at, t.sent) && s.w.Now-at < Grace/2 && s.w.Now < t.late && len(s.runs[t.id]) <= 1 && !s.cutByEngine(t) {
 			s.wrong("LOST", "%s was cut by %s, which was told to stop %v before", t.id, t.at.Name, s.w.Now-at)
 		}
@@ -207,6 +208,21 @@
 	s.again(a, pause)
 }
 
+// checkBrokenOff finds a stream that its machine broke off though an engine was at work on it,
+// and had not broken off: an engine's silence is no reason to end an answer.
+func (s *Site) checkBrokenOff(t *siteTry, began bool) {
+	at, stopped := s.planned[t.at]
+	if !began || t.kind != "streaming" || !t.resumable || !t.at.Up || !s.calm(t.at, t.sent) || s.w.Now >= t.late || stopped && s.w.Now-at < Grace || s.cutByEngine(t) {
+		return
+	}
+	for _, run := range s.runs[t.id] {
+		if !run.engine.Up || run.engine.Leaving {
+			return
+		}
+	}
+	s.wrong("LOST", "the stream %s was broken off by %s after %d events; none of its %d engines had ended it", t.id, t.at.Name, len(t.events), len(s.runs[t.id]))
+}
+
 func (s *Site) cutByEngine(t *siteTry) bool {
 	for _, r := range s.runs[t.id] {
 		if r.broke || r.engine.Dark {
--- a/sim/serve_engine.go
+++ b/sim/serve_engine.go
@@ -33,6 +33,9 @@
 	Fails                float64       // share of requests that it fails at
 	Bare                 float64       // share of requests that it runs and answers 503 without a word that they did not run
 	Skips                float64       // share of events that it leaves out
+	Repeats              float64       // share of whole answers that come again on their connection
+	Pauses               float64       // share of streams that pause once
+	Crowded              bool          // it is full of others' requests and declines all
 	Far                  time.Duration // how long a weight order is on its way to it
 
 	warm    time.Duration
@@ -103,6 +106,8 @@
 	came    time.Duration
 	cutAt   int // breaks off before this event, when above zero
 	removed bool
+	pauseAt int           // the event before which it pauses, 0 for none
+	paused  time.Duration // until when
 }
 
 // AddEngine starts an engine and puts it on the list. Without an address it gets
@@ -188,9 +193,14 @@
 }
 
 func (e *SiteEngine) back(h *Host, life int, b flow.Back) {
-	if !e.Dark {
-		e.s.w.Out.back(e.Addr, h, life, b)
+	if e.Dark {
+		return
 	}
+	if b.End && b.Code != 0 && len(b.Fields) > 0 && e.Repeats > 0 && e.s.w.Rand.Float64() < e.Repeats {
+		e.s.Count["answers repeated"]++
+		e.s.w.Out.repeat(e.Addr, h, life, b, e.s.w.between(time.Millisecond, 80*time.Millisecond))
+	}
+	e.s.w.Out.back(e.Addr, h, life, b)
 }
 
 func (e *SiteEngine) broken(j *siteJob) {
@@ -326,7 +336,7 @@
 		e.away(h, life, x, 421)
 		return
 	}
-	if e.order != nil && model != "" || len(e.jobs) >= e.Slots+e.Queue {
+	if e.Crowded || e.order != nil && model != "" || len(e.jobs) >= e.Slots+e.Queue {
 		e.away(h, life, x, 503)
 		return
 	}
@@ -353,6 +363,9 @@
 	if s.Rough && j.cutAt == 0 && s.w.Rand.Intn(30) == 0 {
 		j.cutAt = j.at + 1 + s.w.Rand.Intn(max(1, j.total-j.at))
 	}
+	if j.total > 1 && s.w.Rand.Float64() < e.Pauses {
+		j.pauseAt = j.at + 1 + s.w.Rand.Intn(j.total)
+	}
 	e.jobs = append(e.jobs, j)
 	h.sends[x.ID] = func() {
 		s.w.Net.Flow(h.Name, e.Addr, func() { e.drop(j) })
--- a/sim/serve_engine_run.go
+++ b/sim/serve_engine_run.go
@@ -200,11 +200,22 @@
 		e.keep(j)
 	}
 	j.read = -1
+	if j.pauses(s.w) {
+		return
+	}
 	for j.step -= dt; j.step <= 0 && !j.removed; j.step += 6 {
 		e.event(j)
 	}
 }
 
+// pauses says whether a stream makes no event now, as that of a request does that was put back.
+func (j *siteJob) pauses(w *World) bool {
+	if j.pauseAt > 0 && j.at >= j.pauseAt {
+		j.pauseAt, j.paused = 0, w.Now+w.between(150*time.Millisecond, 1500*time.Millisecond)
+	}
+	return w.Now < j.paused
+}
+
 // event makes the next event of a text.
 func (e *SiteEngine) event(j *siteJob) {
 	s := e.s
--- a/sim/serve_fault_list.go
+++ b/sim/serve_fault_list.go
@@ -343,6 +343,10 @@
 	{"restart a core machine twice", restartTwice},
 	{"wipe a core machine that comes back slow", wipedWhileSlow},
 	{"wipe a core machine, and its power amid its fetch", restartAmidFetch},
+	{"lots on a route the moment that it is acknowledged", lotsOnNewRoutes},
+	{"engines pause amid streams while the others are full", pausesWhileFull},
+	{"whole answers come again while items are tried again", repeatedAnswers},
+	{"orders stay on their way while their holder leaves", ordersOnALongWay},
 }
 
 // shown404 has each machine asked on the routes that a configuration changed.
--- a/sim/serve_trainer.go
+++ b/sim/serve_trainer.go
@@ -29,6 +29,7 @@
 	least      int
 	desired    int
 	path       string
+	since      int // the version of the configuration that added its route, 0 for the first
 	items      []*siteItem
 	body       []byte
 	sent, due  time.Duration
@@ -70,23 +71,35 @@
 	carry         [][]*siteItem
 	Steps, Missed int
 	shared        string
-	Rewards       bool // its items carry reward calls
+	Rewards       bool   // its items carry reward calls
+	prefix        string // of its paths
+	since         int    // the version of the configuration that added its route, 0 for the first
+	single        bool   // it asks for one step only
 }
 
 // AddTrainer starts a trainer: a lot each so often, of groups of items.
 func (s *Site) AddTrainer(zone string, groups, size, desired int, every, due time.Duration) *Trainer {
-	t := &Trainer{s: s, Zone: zone, Groups: groups, Size: size, Desired: desired, Every: every, Due: due, shared: s.name("5a")}
+	t := &Trainer{s: s, Zone: zone, Groups: groups, Size: size, Desired: desired, Every: every, Due: due, shared: s.name("5a"), prefix: syncPath}
 	t.open()
 	return t
 }
 
+// syncPath is the prefix of the route that the usual trainers use.
+const syncPath = "/sync/"
+
+// handInOnce has a trainer hand in one lot by a route that a configuration has added.
+func (s *Site) handInOnce(zone string, route siteRoute, since int) {
+	t := &Trainer{s: s, Zone: zone, Groups: 2, Size: 3, Desired: 2, Due: 8 * time.Second, shared: s.name("5a"), prefix: route.Path, since: since, single: true}
+	t.open()
+}
+
 func (t *Trainer) open() {
 	s := t.s
 	if s.off {
 		return
 	}
 	l := &siteLot{s: s, id: s.name("l"), zone: t.Zone, step: t.Step, least: max(t.Step, 1), desired: t.Desired, sent: s.w.Now, due: s.w.Now + t.Due, place: map[string]int{}, readAt: map[int]time.Duration{}, promised: true}
-	l.path = "/sync/" + l.id
+	l.path, l.since = t.prefix+l.id, t.since
 	groups := t.carry
 	if len(groups) > t.Desired/2 {
 		groups = groups[:t.Desired/2]
@@ -97,7 +110,7 @@
 		name := s.name("g")
 		for range t.Size {
 			i := &siteItem{id: s.name("i"), group: name, out: 6 + s.w.Rand.Intn(14), never: s.w.Rand.Intn(400) == 0}
-			i.path, i.body = "/sync/"+strconv.Itoa(t.Step)+"/"+i.id, "body of "+i.id
+			i.path, i.body = t.prefix+strconv.Itoa(t.Step)+"/"+i.id, "body of "+i.id
 			s.items[i.id] = i
 			if t.Rewards {
 				s.addReward(i)
@@ -153,6 +166,9 @@
 		t.carry = broken
 	}
 	t.Step++
+	if t.single {
+		return
+	}
 	s.w.After(500*time.Millisecond, func() { // it trains
 		s.Name(t.Step+1, nil)
 		s.w.After(max(0, t.Every-(s.w.Now-l.sent)), t.open)
--- a/sim/serve_trainer_lots.go
+++ b/sim/serve_trainer_lots.go
@@ -88,7 +88,7 @@
 	}
 	l.place[i.id] = at
 	if o.State == "abandoned" {
-		if s.always(siteName, l.path) && !i.never && l.ended == 0 && !l.closed && s.w.Now < l.sent+40*time.Second && s.fails[i.id] < 3 && !s.rewards.spent(s, i) {
+		if s.alwaysSince(l.since, siteName, l.path) && !i.never && l.ended == 0 && !l.closed && s.w.Now < l.sent+40*time.Second && s.fails[i.id] < 3 && !s.rewards.spent(s, i) {
 			s.wrong("MIXED", "lot %s abandons %s early", l.id, i.id)
 		}
 		return
@@ -124,9 +124,12 @@
 
 // always says whether all configurations that may have been in force have a
 // route for a path.
-func (s *Site) always(host, path string) bool {
+func (s *Site) always(host, path string) bool { return s.alwaysSince(0, host, path) }
+
+// alwaysSince says so of a version and those after it.
+func (s *Site) alwaysSince(rev int, host, path string) bool {
 	for _, c := range s.Configs {
-		if c.State != cfgRefused && c.find(host, path) == nil {
+		if c.Rev >= rev && c.State != cfgRefused && c.find(host, path) == nil {
 			return false
 		}
 	}
