Lots: a route is gone only by a view that was proved after the lot came

Where a route was taken away and added again, a node that knew neither yet could take a lot by the oldest plan; its owner, which knew that the route was taken away, gave the lot up. The version of the plan that took a lot is no bound on the plan that was in force when it was committed.

An owner gives a lot up by a renewal that it sent after the lot came: by then all that was committed before is in its view (disp.ViewAt).

Soak: trainers begin on routes the moment that these are acknowledged, the machine that gives orders stops with one on its way, engines pause amid streams while the others are full, whole answers come again on kept connections.

--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -30,6 +30,7 @@
 	runs, hours, keys          int
 	keep, drill                bool
 	rounds, jobs, machines     int
+	kinds                      string
 	rev                        int
 	spread                     []spread
 	axis, out, slopes          string
@@ -122,6 +123,7 @@
 	command.Int(&o.keys, "", "keys", "run-once requests a second of a day")
 	command.Int(&o.rounds, "", "rounds", "rounds of troubles in each seed of a soak")
 	command.Int(&o.jobs, "", "jobs", "seeds of a soak at once")
+	command.String(&o.kinds, "", "kinds", "kinds of trouble, separated by commas, that come at once in each round of a soak; none for pairs in turn")
 	command.Int(&o.machines, "", "machines", "machines of a soak's fleet, three of them with a disk; 0 for the usual four")
 	command.Int(&o.runs, "", "runs", "how many fleets a drill goes through")
 	command.String(&o.axis, "", "axis", "only this size of a scale is varied")
--- a/core/disp/disp.go
+++ b/core/disp/disp.go
@@ -41,6 +41,7 @@
 	out *flow.Outbox
 
 	till     flow.Time // the lease's end; nothing starts after it
+	viewAt   flow.Time // up to when all that was committed is known here
 	next     flow.Time // the next renewal
 	asked    flow.Time // the last one
 	renewing bool      // it is not answered yet
@@ -196,9 +197,16 @@
 		if x.Index >= d.index {
 			d.fold(x)
 		}
+		if !d.whole {
+			d.viewAt = max(d.viewAt, a.Sent)
+		}
 	})
 }
 
+// ViewAt is a moment up to which this view of the ledger has all that was committed, also the
+// plan: when the newest renewal that proved it was sent (design 5.2).
+func (d *Disp) ViewAt() flow.Time { return d.viewAt }
+
 // Nudge hears that something changed: the renewal comes sooner.
 func (d *Disp) Nudge() { d.next = min(d.next, d.asked+budget.RenewMinInterval) }
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -130,7 +130,8 @@
 	var heard func(flow.Time, ledger.Delta, uint64, *api.Plan)
 	if self.RunsLots() && p.Codec != nil {
 		n.serve = serve.New(serve.Config{Debug: p.Debug, ID: me, Zone: p.Zone, Codec: *p.Codec, Asker: n.asker, Rand: r(), IDs: n.idsOf("serve"), Keep: p.LotKeep, Orders: orders, Invariants: p.Invariants, Policies: p.Policies,
-			Fresh: func() bool { return n.disp.Fresh(n.now) },
+			Fresh:  func() bool { return n.disp.Fresh(n.now) },
+			ViewAt: func() flow.Time { return n.disp.ViewAt() },
 			Acting: func() (uint64, flow.Time, bool) {
 				if n.coord == nil {
 					return 0, 0, false
--- a/core/serve/env/env.go
+++ b/core/serve/env/env.go
@@ -27,8 +27,9 @@
 	Codec  dialect.Codec
 	IDs    func() uint64
 	Counts map[string]int64
-	Debug  bool        // trace notes are wanted; without it nothing of them is made
-	Fresh  func() bool // the view of the ledger is under a lease (design 5.2)
+	Debug  bool             // trace notes are wanted; without it nothing of them is made
+	Fresh  func() bool      // the view of the ledger is under a lease (design 5.2)
+	ViewAt func() flow.Time // up to when that view has all that was committed
 
 	Orders     *inflight.Orders // weight orders that may be on their way
 	Invariants *invariant.Monitor
--- a/core/serve/lot_plan_test.go
+++ b/core/serve/lot_plan_test.go
@@ -70,6 +70,23 @@
 	w.want(w.s.env.Counts["items_abandoned"] == 1, "the route has ended: %v", w.s.env.Counts)
 }
 
+// Given a route that was taken away and added again, when a node that knows neither yet takes a
+// lot, and its owner knows only that the route was taken away, then the lot waits; the owner's
+// next renewal tells.
+func TestARouteIsGoneOnlyByAViewProvedAfterTheLotCame(t *testing.T) {
+	w := two(t)
+	w.renew(usualPlan(newRoute))
+	older := w.version
+	w.renew(usualPlan())
+	w.pass(100 * time.Millisecond)
+	w.handNew(older)
+	w.pass(500 * time.Millisecond)
+	w.want(w.s.env.Counts["items_abandoned"] == 0, "given up by a view from before the lot came")
+	w.renew(usualPlan(newRoute))
+	w.pass(100 * time.Millisecond)
+	w.want(len(w.llm()) == 1 && w.s.env.Counts["items_abandoned"] == 0, "it runs: %v", w.s.env.Counts)
+}
+
 // Given a lot that is taken here, when it is kept by the store, then it names the version of
 // the plan by which it was taken.
 func TestALotNamesThePlanThatTookIt(t *testing.T) {
--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -58,7 +58,8 @@
 type lot struct {
 	doc     ledger.LotDoc
 	opened  flow.Time
-	items   []*item // those that are not listed, in the lot's order
+	adopted flow.Time // when this node took it over, after it was committed
+	items   []*item   // those that are not listed, in the lot's order
 	byID    map[string]*item
 	groups  []*group
 	ready   []ledger.LotResult // finished and not listed yet
@@ -195,7 +196,7 @@
 	if t.rows[doc.ID] != nil || t.superseded(doc.ID) {
 		return
 	}
-	l := &lot{doc: doc, opened: t.env.Now - age, byID: map[string]*item{}, left: len(doc.Items), unmade: len(doc.Items)}
+	l := &lot{doc: doc, opened: t.env.Now - age, adopted: t.env.Now, byID: map[string]*item{}, left: len(doc.Items), unmade: len(doc.Items)}
 	at := map[string]*group{}
 	for _, x := range doc.Items {
 		name := x.Group
@@ -420,9 +421,12 @@
 	return routes != nil && routes.Version >= l.doc.Plan
 }
 
-// routeGone says that the route of a lot has ended.
+// routeGone says that the route of a lot has ended: this node's plan has none for it, and is as
+// new as the one by which the lot was taken and as all that was committed before the lot came. A
+// route may have been taken away and added again when an older plan, which still had it, took
+// the lot.
 func (t *Table) routeGone(l *lot) bool {
-	return t.env.Fresh() && t.knowsRoute(l) && t.pool(l) == nil
+	return t.env.Fresh() && t.env.ViewAt() >= l.adopted && t.knowsRoute(l) && t.pool(l) == nil
 }
 
 // pool gives the route of a lot, or nil where there is none that this node knows of.
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -37,10 +37,11 @@
 	Asker    *ask.Asker
 	Rand     *rand.Rand
 	IDs      func() uint64
-	Keep     flow.Time    // for how long after its hand-in a lot's results stay
-	Fresh    func() bool  // the view of the ledger is under a lease
-	Debug    bool         // trace notes are wanted
-	Acting   fleet.Acting // of this node's coordinator
+	Keep     flow.Time        // for how long after its hand-in a lot's results stay
+	Fresh    func() bool      // the view of the ledger is under a lease
+	ViewAt   func() flow.Time // up to when that view has all that was committed
+	Debug    bool             // trace notes are wanted
+	Acting   fleet.Acting     // of this node's coordinator
 
 	Orders     *inflight.Orders // weight orders that may be on their way
 	Invariants *invariant.Monitor
@@ -68,7 +69,7 @@
 // New starts without a plan or an engine.
 func New(p Config) *Serve {
 	s := &Serve{p: p, open: map[string]bool{}, retiring: map[string]retirement{}, env: &env.Env{Me: p.ID, Zone: p.Zone, Asker: p.Asker, Rand: p.Rand, Codec: p.Codec, IDs: p.IDs,
-		Counts: map[string]int64{}, Fresh: p.Fresh, Debug: p.Debug, Orders: p.Orders, Invariants: p.Invariants, Policies: p.Policies}}
+		Counts: map[string]int64{}, Fresh: p.Fresh, ViewAt: p.ViewAt, Debug: p.Debug, Orders: p.Orders, Invariants: p.Invariants, Policies: p.Policies}}
 	s.engines = engines.New(s.env)
 	s.index = prefixes.New(s.env)
 	s.requests = requests.New(s.env, s.engines)
--- a/rig/site/day.go
+++ b/rig/site/day.go
@@ -41,7 +41,8 @@
 	rep    Report
 	ids    atomic.Int64
 	config int
-	odd    string // a field that no page names, in the next configuration
+	odd    string   // a field that no page names, in the next configuration
+	extra  []string // routes for lots that configurations have besides
 	body   []byte
 	client *http.Client
 
@@ -108,11 +109,18 @@
 		}
 		return x
 	}
-	b, _ := json.Marshal(map[string]any{"Revision": rev, "Backends": pools, "RouteTable": []any{
+	lots := func(name string) map[string]any {
+		return route(name, "sampling", "llm", map[string]any{"LimitMs": 8000, "TargetMs": 500, "MaxWaitS": 40.0, "DueMs": 5000, "OnPolicy": true, "Sticky": true, "Resumable": true})
+	}
+	routes := []any{
 		route("book", "idempotent", book, nil), route("pay", "mutating", "app", nil),
 		route("chat", "streaming", "llm", map[string]any{"LimitMs": 8000, "TargetMs": 500, "Sticky": true, "Resumable": true}),
-		route("sync", "sampling", "llm", map[string]any{"LimitMs": 8000, "TargetMs": 500, "MaxWaitS": 40.0, "DueMs": 5000, "OnPolicy": true, "Sticky": true, "Resumable": true}),
-	}, "Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 33554432, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}})
+		lots(syncRoute),
+	}
+	for _, name := range d.extra {
+		routes = append(routes, lots(name))
+	}
+	b, _ := json.Marshal(map[string]any{"Revision": rev, "Backends": pools, "RouteTable": routes, "Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 33554432, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}})
 	return b
 }
 
@@ -153,7 +161,9 @@
 			head["Model"], head["Token-Counts"], head["Prompt-Prefix"] = model, "400,20", "5a:300,"+id+":100"
 		}
 		path := "/" + kind + "/x?q=" + id
-		code, back, body, err := d.ask("POST", d.machines[(n+try)%len(d.machines)].front()+path, host, head, []byte("body "+id), left)
+		m := d.machines[(n+try)%len(d.machines)]
+		process, sent := m.current(), time.Now()
+		code, back, body, err := d.ask("POST", m.front()+path, host, head, []byte("body "+id), left)
 		if kind == "pay" {
 			d.t.mu.Lock()
 			runs := d.t.runs[id]
@@ -168,6 +178,9 @@
 				}
 			}
 		}
+		if err != nil && code == 200 && kind == "chat" {
+			d.brokenOff(m, process, id, sent, left)
+		}
 		if err == nil && code == 200 {
 			d.check(kind, id, path, back, body)
 			return
--- a/rig/site/site.go
+++ b/rig/site/site.go
@@ -37,7 +37,10 @@
 }
 
 // size says how many machines a site has, and how much memory each.
-type size struct{ machines, memoryMB int }
+type size struct {
+	machines, memoryMB int
+	unfenced           bool // engines don't check fences
+}
 
 // usual is the size of a day's site.
 var usual = size{machines: 4, memoryMB: 284}
@@ -75,6 +78,7 @@
 	net      string
 	relays   *relay.Relays
 	memoryMB int // of each machine
+	unfenced bool
 	closed   sync.Once
 	over     atomic.Bool // nothing is started any more
 }
@@ -106,7 +110,7 @@
 	if err != nil {
 		return nil, err
 	}
-	started := &site{dir: dir, bin: bin, net: network, memoryMB: size.memoryMB, t: &truth{runs: map[string]int{}, seals: map[string]string{}, ended: map[string]time.Time{}, named: 1}, relays: relay.New()}
+	started := &site{dir: dir, bin: bin, net: network, memoryMB: size.memoryMB, t: &truth{runs: map[string]int{}, seals: map[string]string{}, ended: map[string]time.Time{}, fails: map[string]int{}, ends: map[string]bool{}, named: 1}, unfenced: size.unfenced, relays: relay.New()}
 	for i := range 8 {
 		if _, err := started.add([]string{"app", "llm", "llm", "app", "llm", "llm", "other", "other"}[i], zones[i%3]); err != nil {
 			return started, err
@@ -279,7 +283,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.next++
-	added := &engine{t: s.t, id: fmt.Sprintf("i-%d-%d", s.next, os.Getpid()), pool: pool, zone: zone, slots: 8}
+	added := &engine{t: s.t, id: fmt.Sprintf("i-%d-%d", s.next, os.Getpid()), pool: pool, zone: zone, slots: 8, unfenced: s.unfenced}
 	if err := added.start(s.net + ".200:0"); err != nil {
 		return nil, errors.Wrap(err, "site: engine")
 	}
--- a/rig/site/soak.go
+++ b/rig/site/soak.go
@@ -22,7 +22,8 @@
 	Seed   int64  // of the troubles; timing differs between runs all the same
 	Rounds int    // of troubles that overlap
 
-	Machines int // of the fleet, 0 for the usual
+	Machines int    // of the fleet, 0 for the usual
+	Kinds    []Kind // of trouble, all of them in each round; none for pairs in turn
 }
 
 // SoakReport is what one soak came to.
@@ -102,6 +103,7 @@
 	if config.Seed%2 == 0 {
 		of.memoryMB = smallMemoryMB
 	}
+	of.unfenced = config.Seed%3 == 0
 	return of
 }
 
@@ -174,7 +176,11 @@
 	kept := s.keep(config.Seed, running)
 	random := rand.New(rand.NewSource(config.Seed))
 	for round := range config.Rounds {
-		s.round(random, int(config.Seed)*config.Rounds+round)
+		kinds := config.Kinds
+		if len(kinds) == 0 {
+			kinds = kindsOf(random, int(config.Seed)*config.Rounds+round)
+		}
+		s.round(random, kinds)
 	}
 	close(over)
 	traffic.Wait()
@@ -211,13 +217,18 @@
 	start, end time.Time
 }
 
-// round has two or three troubles at once, and waits until the site is well again.
-func (s *soak) round(random *rand.Rand, number int) {
+// kindsOf gives the two or three kinds of trouble of a round.
+func kindsOf(random *rand.Rand, number int) []Kind {
 	first, second := pairOf(number)
 	kinds := []Kind{first, second}
 	if third := Kind(random.Intn(Kinds)); third != first && third != second && random.Intn(2) == 0 {
 		kinds = append(kinds, third)
 	}
+	return kinds
+}
+
+// round has troubles at once, and waits until the site is well again.
+func (s *soak) round(random *rand.Rand, kinds []Kind) {
 	spans := make([]span, len(kinds))
 	var all sync.WaitGroup
 	for i, kind := range kinds {
--- a/rig/site/trouble.go
+++ b/rig/site/trouble.go
@@ -5,9 +5,12 @@
 	"math/rand"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Kind is a class of trouble. A round of a soak has two or three kinds at once.
@@ -27,9 +30,13 @@
 	LogFault                  // nobody reads what a process writes
 	DiskLoss                  // a store is killed and starts again with an empty folder
 	Oversize                  // clients send what is large, several at once
+	NewRoute                  // trainers begin on a route the moment that it is acknowledged
+	LongWay                   // the machine that gives orders stops with one on its way
+	Pause                     // engines pause amid streams while the others are full
+	Repeat                    // whole answers come again on kept connections, and some are failures
 )
 
-var kindNames = [...]string{"stop", "reload", "restart", "configuration", "cut", "freeze", "slow disk", "engine", "client", "log", "disk loss", "oversize"}
+var kindNames = [...]string{"stop", "reload", "restart", "configuration", "cut", "freeze", "slow disk", "engine", "client", "log", "disk loss", "oversize", "new route", "long way", "pause", "repeat"}
 
 // Kinds counts the kinds of trouble.
 const Kinds = len(kindNames)
@@ -37,6 +44,19 @@
 // String names the kind in reports.
 func (k Kind) String() string { return kindNames[k] }
 
+// KindsNamed reads kinds of trouble from their names, separated by commas.
+func KindsNamed(names string) ([]Kind, error) {
+	var kinds []Kind
+	for _, name := range strings.Split(names, ",") {
+		at := slices.Index(kindNames[:], strings.TrimSpace(name))
+		if at < 0 {
+			return nil, errors.Errorf("soak: no kind of trouble is named %q; there are %s", name, strings.Join(kindNames[:], ", "))
+		}
+		kinds = append(kinds, Kind(at))
+	}
+	return kinds, nil
+}
+
 // longestTrouble bounds how long one trouble lasts; a freeze lasts no longer.
 const longestTrouble = 2500 * time.Millisecond
 
@@ -46,6 +66,7 @@
 var troubles = [...]trouble{
 	Stop: stopMachine, Reload: reloadMachine, Restart: restartMachine, Configuration: changeConfiguration, Cut: cutPeers,
 	Freeze: freezeMachine, SlowDisk: slowDisk, EngineFault: troubleEngines, ClientFault: troubleClients, LogFault: troubleLog, DiskLoss: loseDisk, Oversize: oversize,
+	NewRoute: newRoutes, LongWay: longWay, Pause: pauseWhileFull, Repeat: repeatAnswers,
 }
 
 // machine picks one, mostly one of those that keep the state.
--- a/sim/serve_fault_list.go
+++ b/sim/serve_fault_list.go
@@ -246,8 +246,7 @@
 		})
 	}},
 	{"platform away", func(s *Site, r *rand.Rand) bool {
-		s.Dark = true
-		s.w.After(s.seconds(r, 1, 5), func() { s.Dark = false })
+		s.hideList(s.seconds(r, 1, 5))
 		return true
 	}},
 	{"configuration", func(s *Site, r *rand.Rand) bool {
--- a/sim/serve_faults.go
+++ b/sim/serve_faults.go
@@ -253,6 +253,28 @@
 	next(s.Pool(pool))
 }
 
+// hideList has nobody answer for the platform's list for a while.
+func (s *Site) hideList(d time.Duration) {
+	from := s.w.Now
+	s.Dark = true
+	s.w.After(d, func() {
+		s.Dark = false
+		s.hidden = append(s.hidden, span{from, s.w.Now})
+	})
+}
+
+// span is a time from one moment to another.
+type span struct{ from, to time.Duration }
+
+// listedSince is for how long the list has been there for all to read since a moment.
+func (s *Site) listedSince(from time.Duration) time.Duration {
+	sum := s.w.Now - from
+	for _, x := range s.hidden {
+		sum -= max(0, x.to-max(x.from, from))
+	}
+	return sum
+}
+
 func (s *Site) up(list []*Host) []*Host {
 	var out []*Host
 	for _, h := range list {
--- a/sim/serve_site.go
+++ b/sim/serve_site.go
@@ -81,6 +81,7 @@
 	listed  map[int64]int
 	Calls   int // of the list
 	Dark    bool
+	hidden  []span // when nobody answered for the list
 
 	ready    map[*Host]int // misses in a row
 	cause    map[*Host]time.Duration
