--- a/core/disp/admin.go
+++ b/core/disp/admin.go
@@ -143,11 +143,24 @@
 	if !d.checked(c, "step", &s) {
 		return
 	}
+	if d.plan != nil && !d.hasModelPool(s.Pool) {
+		d.onceProved(c, func() { d.stepOpenProved(c, s) })
+		return
+	}
+	d.stepOpenProved(c, s)
+}
+
+// hasModelPool says whether the plan in force here has a pool of model engines.
+func (d *Disp) hasModelPool(name string) bool {
+	pool := d.plan.Pool(name)
+	return pool != nil && pool.Kind == "model"
+}
+
+// stepOpenProved opens a step whose pool is in the plan in force, or in none.
+func (d *Disp) stepOpenProved(c flow.Call, s ledger.StepDoc) {
 	var bad []ledger.Fault
-	if d.plan != nil {
-		if x := d.plan.Pool(s.Pool); x == nil || x.Kind != "model" {
-			bad = append(bad, ledger.Fault{At: "/pool", Text: "no such model pool in the plan in force"})
-		}
+	if d.plan != nil && !d.hasModelPool(s.Pool) {
+		bad = append(bad, ledger.Fault{At: "/pool", Text: "no such model pool in the plan in force"})
 	}
 	if s.OneVersion && s.Lag > 0 {
 		bad = append(bad, ledger.Fault{At: "/allowed_lag", Text: "a step of one version allows no lag"})
@@ -173,11 +186,17 @@
 		return
 	}
 	t.Pool = c.Vars["pool"]
-	if d.plan != nil && !d.plan.Names(t.Pool) {
-		d.unlessKnown(c, t, noSuchModel)
+	if d.plan == nil || d.plan.Names(t.Pool) {
+		d.up(c, t)
 		return
 	}
-	d.up(c, t)
+	d.onceProved(c, func() {
+		if d.plan.Names(t.Pool) {
+			d.up(c, t)
+			return
+		}
+		d.unlessKnown(c, t, noSuchModel)
+	})
 }
 
 // EngineView is one engine as operators see it.
--- a/core/disp/app.go
+++ b/core/disp/app.go
@@ -346,6 +346,7 @@
 func (d *Disp) Gone(now flow.Time, id uint64, out *flow.Outbox) {
 	d.now, d.out = now, out
 	delete(d.parked, id)
+	delete(d.doubts, id)
 	q := d.reqs[id]
 	if q == nil {
 		return
--- a/core/disp/disp.go
+++ b/core/disp/disp.go
@@ -70,6 +70,7 @@
 	live    []gossip.Entry
 	counts  map[string]int64
 	tries   uint64
+	doubts  map[uint64]doubt  // calls that wait for a proved view
 	parked  map[uint64]reader // readers that wait for results
 	lists   map[string]int    // results heard of, by open step
 	stirred map[string]bool   // steps with news since the last turn
@@ -85,12 +86,13 @@
 	return &Disp{p: p, steps: map[string]*step{}, orders: map[string]ledger.Order{}, drains: map[string]bool{},
 		engines: map[string]*engine{}, sends: map[uint64]func(flow.Back){},
 		reqs: map[uint64]*req{}, busy: map[string]int{}, slices: map[string]*slice{}, lookups: map[uint64]*group{},
-		counts: map[string]int64{}, parked: map[uint64]reader{}, lists: map[string]int{}, stirred: map[string]bool{}}
+		counts: map[string]int64{}, parked: map[uint64]reader{}, doubts: map[uint64]doubt{}, lists: map[string]int{}, stirred: map[string]bool{}}
 }
 
 // systems run over the tables each tick, in this order.
 var systems = []func(*Disp){
 	(*Disp).renew,
+	(*Disp).proveCalls,
 	(*Disp).readList,
 	(*Disp).readLoads,
 	(*Disp).own,
--- a/core/disp/leave.go
+++ b/core/disp/leave.go
@@ -89,6 +89,7 @@
 // have run.
 func (d *Disp) Close(now flow.Time, out *flow.Outbox) {
 	d.now, d.out = now, out
+	d.proveCalls()
 	for _, id := range sorted.Keys(d.reqs) {
 		q := d.reqs[id]
 		if q.state == held && q.known.MayResend() {
--- a/core/serve/fleet/fleet.go
+++ b/core/serve/fleet/fleet.go
@@ -47,22 +47,24 @@
 	acting  Acting
 	live    []gossip.Entry
 
-	list    []dialect.Seat
-	seq     uint64
-	term    uint64 // of whom the list was heard
-	heard   flow.Time
-	fresh   flow.Time // when the list was last read or said to stand
-	failing bool      // it was told that the list can't be read
-	asked   flow.Time
-	due     flow.Time
-	open    bool
-	pages   []dialect.Seat
-	next    string    // the page that is asked for again at again
-	nth     int       // its number
-	again   flow.Time // 0: no page waits
-	slowed  bool      // this reading met the platform's bound on calls
-	rows    []Row
-	started bool
+	list []dialect.Seat
+	seq  uint64
+	term uint64 // of whom the list was heard
+
+	heardSeq uint64 // the newest that was heard of that term
+	heard    flow.Time
+	fresh    flow.Time // when the list was last read or said to stand
+	failing  bool      // it was told that the list can't be read
+	asked    flow.Time
+	due      flow.Time
+	open     bool
+	pages    []dialect.Seat
+	next     string    // the page that is asked for again at again
+	nth      int       // its number
+	again    flow.Time // 0: no page waits
+	slowed   bool      // this reading met the platform's bound on calls
+	rows     []Row
+	started  bool
 }
 
 // New starts without a list.
@@ -246,12 +248,13 @@
 		return // one's own
 	}
 	if n.Term > f.term {
-		f.term, f.seq = n.Term, 0
+		f.term, f.seq, f.heardSeq = n.Term, 0, 0
 	}
 	f.heard = f.env.Now
-	if n.Reads {
-		return
+	if n.Reads || n.Seq < f.heardSeq {
+		return // news from before what was heard lack the engines that came since
 	}
+	f.heardSeq = n.Seq
 	if n.Whole {
 		f.seq, f.list, f.started = n.Seq, n.Seats, true
 		f.engines.Take(n.Seats)
--- a/core/serve/list_test.go
+++ b/core/serve/list_test.go
@@ -14,6 +14,7 @@
 	"fernlink/core/dialect"
 	"fernlink/core/flow"
 	"fernlink/core/gossip"
+	"fernlink/core/serve/fleet"
 )
 
 // Given a list that can't be read for a while, when it is read again, then each
@@ -178,3 +179,32 @@
 		}
 	}
 }
+
+// Given a node that has heard a list, when an older one of the same reader comes late, then the
+// engines that came since are not gone; a new reader's list counts from its own beginning.
+func TestAnOlderListIsNotTaken(t *testing.T) {
+	w := newWorld(t)
+	older, newer := []dialect.Seat{seat("e1", "10.0.0.1:1", "app", 4)}, []dialect.Seat{seat("e1", "10.0.0.1:1", "app", 4), seat("e2", "10.0.0.2:1", "app", 4)}
+	w.line("fleet", fleet.News{Term: 9, Seq: 3, Seats: newer, Whole: true})
+	w.line("fleet", fleet.News{Term: 9, Seq: 2, Seats: older, Whole: true})
+	w.want(len(w.s.engines.Pool("app")) == 2, "%d engines after an older list", len(w.s.engines.Pool("app")))
+	w.line("fleet", fleet.News{Term: 10, Seq: 1, Seats: older, Whole: true})
+	w.want(len(w.s.engines.Pool("app")) == 1, "%d engines after a new reader's list", len(w.s.engines.Pool("app")))
+}
+
+// Given a node that reads the list, when it asks for a page, then it does so on a connection that
+// carried nothing before: no answer names its page, and a late one would have engines appear gone.
+func TestTheListIsReadAlone(t *testing.T) {
+	w := newWorld(t)
+	var out flow.Outbox
+	w.now += 10 * time.Second
+	w.s.Advance(w.now, nil, &out)
+	read := 0
+	for _, x := range out.Sends {
+		if strings.HasPrefix(x.URL, "http://list") {
+			read++
+			w.want(!x.Keep || x.Alone, "a kept connection carries it: %+v", x)
+		}
+	}
+	w.want(read == 1, "%d pages are read", read)
+}
--- a/core/serve/lots/lots.go
+++ b/core/serve/lots/lots.go
@@ -426,7 +426,7 @@
 // route may have been taken away and added again when an older plan, which still had it, took
 // the lot.
 func (t *Table) routeGone(l *lot) bool {
-	return t.env.Fresh() && t.env.ViewAt() >= l.adopted && t.knowsRoute(l) && t.pool(l) == nil
+	return t.env.Fresh() && t.env.ViewAt() > l.adopted && t.knowsRoute(l) && t.pool(l) == nil
 }
 
 // pool gives the route of a lot, or nil where there is none that this node knows of.
--- a/core/serve/machines.go
+++ b/core/serve/machines.go
@@ -125,9 +125,16 @@
 			return
 		}
 	}
+	if s.env.Now-s.started < acquaintance {
+		s.env.Refuse(c.ID, env.MayBeBehind, budget.RenewInterval)
+		return
+	}
 	s.env.Answer(c.ID, env.NoSuchMachine)
 }
 
+// acquaintance is how long after its start a process may not have heard of all machines yet.
+const acquaintance = budget.FailureTimeout
+
 // holding asks the store what a machine holds. A process without a role that keeps
 // anything for others holds nothing, and nobody has to be asked.
 func (s *Serve) holding(c flow.Call, machine gossip.Entry, then func(ledger.Holding)) {
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -62,6 +62,7 @@
 	live     []gossip.Entry
 	open     map[string]bool // lots that were heard of and are open
 	leaving  bool
+	started  flow.Time             // when it first advanced
 	fresh    flow.Time             // when there was a lease last, or the start
 	retiring map[string]retirement // by the machine's identity
 }
@@ -86,6 +87,9 @@
 func (s *Serve) Advance(now flow.Time, live []gossip.Entry, out *flow.Outbox) {
 	s.env.Turn(now, out)
 	s.live = live
+	if s.started == 0 {
+		s.started = now
+	}
 	if s.fresh == 0 || s.p.Fresh() {
 		s.fresh = now
 	}
--- a/core/serve/world_test.go
+++ b/core/serve/world_test.go
@@ -31,7 +31,7 @@
 	have   uint64
 	fresh  bool
 	acting bool
-	viewed flow.Time // when the newest renewal was sent
+	viewed flow.Time                     // when the newest renewal was sent
 	silent bool                          // the store answers nothing
 	told   map[ledger.Kind]ledger.Result // what the store's leader answers to asks that are not the ledger's
 	others []gossip.Entry                // other live dispatchers
