--- a/rig/site/day.go
+++ b/rig/site/day.go
@@ -42,6 +42,7 @@
 	ids    atomic.Int64
 	config int
 	odd    string   // a field that no page names, in the next configuration
+	many   int      // routes of further hosts that configurations have besides
 	extra  []string // routes for lots that configurations have besides
 	body   []byte
 	client *http.Client
@@ -120,6 +121,9 @@
 	for _, name := range d.extra {
 		routes = append(routes, lots(name))
 	}
+	for n := range d.many {
+		routes = append(routes, route(fmt.Sprint("many-", n), "idempotent", "app", map[string]any{"Hostname": fmt.Sprint("host-", n%97, ".example")}))
+	}
 	b, _ := json.Marshal(map[string]any{"Revision": rev, "Backends": pools, "RouteTable": routes, "Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 33554432, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}})
 	return b
 }
@@ -130,7 +134,7 @@
 	end := time.Now().Add(most)
 	for n := 0; time.Now().Before(end); n++ {
 		m := d.machines[n%len(d.machines)]
-		code, _, b, _ := d.ask("PUT", m.control()+"/config", "", map[string]string{"If-Match": strconv.Itoa(d.config)}, body, time.Second)
+		code, _, b, _ := d.ask("PUT", m.control()+"/config", "", map[string]string{"If-Match": strconv.Itoa(d.config)}, body, callTime(body))
 		if code == 200 {
 			d.config, d.body = rev, body
 			return nil
@@ -143,6 +147,12 @@
 	return errors.Errorf("site: the configuration %d was never taken", rev)
 }
 
+// callTime is how long an operator waits for an answer: longer for a large body.
+func callTime(body []byte) time.Duration {
+	const each = 4 * time.Second // for a megabyte
+	return time.Second + time.Duration(len(body))*each/(1<<20)
+}
+
 // request makes one request of a client, with its tries.
 func (d *day) request(n int) {
 	kind := []string{"book", "pay", "chat"}[n%3]
@@ -407,7 +417,7 @@
 	for _, machine := range d.machines {
 		ok := false
 		for end := time.Now().Add(6 * time.Second); !ok && time.Now().Before(end); {
-			code, _, b, _ := d.ask("GET", machine.control()+"/config", "", nil, nil, time.Second)
+			code, _, b, _ := d.ask("GET", machine.control()+"/config", "", nil, nil, callTime(d.body))
 			ok = code == 200
 			if ok && strings.TrimSpace(string(b)) != string(d.body) {
 				d.t.bad("CONFIG: %s gives %.200s", machine.name, b)
--- a/rig/site/lot.go
+++ b/rig/site/lot.go
@@ -155,7 +155,7 @@
 		r.t.bad("MIXED: lot %s lists %s as %s after %d answers of 500", r.id, item.InstanceId, item.State, r.failures(item.InstanceId))
 	}
 	r.listed[item.InstanceId] = true
-	if spent {
+	if item.State != "complete" {
 		r.seen = append(r.seen, item)
 		return
 	}
--- a/rig/site/oversize.go
+++ b/rig/site/oversize.go
@@ -175,3 +175,36 @@
 	}
 	return []byte("{" + field + "," + string(document[1:]))
 }
+
+// Routes of a large configuration: in rounds of several troubles, and alone on machines of the
+// usual memory.
+const (
+	manyRoutes = 3_000
+	mostRoutes = 30_000
+)
+
+// largePlan has the configuration grow to thousands of routes, again and again, and shrink.
+func largePlan(s *soak, random *rand.Rand, length time.Duration) {
+	routes := 1 + random.Intn(manyRoutes)
+	if s.alone && s.memoryMB >= usual.memoryMB {
+		routes = mostRoutes
+	}
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		s.putMany(routes)
+		routes++
+	}
+	s.putMany(0)
+}
+
+// putMany puts a configuration with so many routes more.
+func (s *soak) putMany(routes int) {
+	s.changing.Lock()
+	defer s.changing.Unlock()
+	s.note("a configuration of %d routes more", routes)
+	s.many = routes
+	if err := s.put(s.config+1, "app", 3*recoverBound); err != nil {
+		s.t.bad("CONFIG: %v", err)
+		return
+	}
+	s.acknowledge()
+}
--- a/rig/site/soak.go
+++ b/rig/site/soak.go
@@ -46,12 +46,14 @@
 // soak is a day with troubles that overlap.
 type soak struct {
 	*day
-	report   SoakReport
-	notesMu  sync.Mutex
-	notes    []byte
-	changing sync.Mutex // one configuration after the other
-	acked    []ackedVersion
-	ackedMu  sync.Mutex
+	report     SoakReport
+	notesMu    sync.Mutex
+	notes      []byte
+	changing   sync.Mutex // one configuration after the other
+	alone      bool       // one kind of trouble comes at a time
+	acked      []ackedVersion
+	ackedBytes int // of the newest
+	ackedMu    sync.Mutex
 }
 
 // ackedVersion is a configuration with the time of its acknowledgement.
@@ -169,10 +171,11 @@
 	background(func() {
 		for n := 0; running(); n++ {
 			s.readConfiguration(s.machines[n%len(s.machines)])
-			time.Sleep(requestGap)
+			time.Sleep(requestGap + s.pauseAfterRead())
 		}
 	})
 	background(func() { s.watchMemory(running) })
+	s.alone = len(config.Kinds) == 1
 	kept := s.keep(config.Seed, running)
 	random := rand.New(rand.NewSource(config.Seed))
 	for round := range config.Rounds {
@@ -187,6 +190,14 @@
 	kept.Wait()
 }
 
+// pauseAfterRead is longer after a large configuration was read.
+func (s *soak) pauseAfterRead() time.Duration {
+	s.ackedMu.Lock()
+	defer s.ackedMu.Unlock()
+	const each = 200 * time.Millisecond // for a megabyte
+	return time.Duration(s.ackedBytes) * each / (1 << 20)
+}
+
 // requestGap is the pause between two requests of clients.
 const requestGap = 25 * time.Millisecond
 
@@ -398,6 +409,7 @@
 	s.ackedMu.Lock()
 	defer s.ackedMu.Unlock()
 	s.acked = append(s.acked, ackedVersion{s.config, time.Now()})
+	s.ackedBytes = len(s.body)
 }
 
 // applyBound is how old a configuration may be that a machine answers.
--- a/rig/site/trouble.go
+++ b/rig/site/trouble.go
@@ -33,10 +33,11 @@
 	NewRoute                  // trainers begin on a route the moment that it is acknowledged
 	LongWay                   // the machine that gives orders stops with one on its way
 	Pause                     // engines pause amid streams while the others are full
+	LargePlan                 // a configuration has thousands of routes
 	Repeat                    // whole answers come again on kept connections, and some are failures
 )
 
-var kindNames = [...]string{"stop", "reload", "restart", "configuration", "cut", "freeze", "slow disk", "engine", "client", "log", "disk loss", "oversize", "new route", "long way", "pause", "repeat"}
+var kindNames = [...]string{"stop", "reload", "restart", "configuration", "cut", "freeze", "slow disk", "engine", "client", "log", "disk loss", "oversize", "new route", "long way", "pause", "large plan", "repeat"}
 
 // Kinds counts the kinds of trouble.
 const Kinds = len(kindNames)
@@ -66,7 +67,7 @@
 var troubles = [...]trouble{
 	Stop: stopMachine, Reload: reloadMachine, Restart: restartMachine, Configuration: changeConfiguration, Cut: cutPeers,
 	Freeze: freezeMachine, SlowDisk: slowDisk, EngineFault: troubleEngines, ClientFault: troubleClients, LogFault: troubleLog, DiskLoss: loseDisk, Oversize: oversize,
-	NewRoute: newRoutes, LongWay: longWay, Pause: pauseWhileFull, Repeat: repeatAnswers,
+	NewRoute: newRoutes, LongWay: longWay, Pause: pauseWhileFull, LargePlan: largePlan, Repeat: repeatAnswers,
 }
 
 // machine picks one, mostly one of those that keep the state.
--- a/sim/host.go
+++ b/sim/host.go
@@ -242,8 +242,24 @@
 	}
 }
 
+// toldAtOnceMost is how many bytes of lines a process makes in one turn, in copies of its own:
+// what many are told at once is shared.
+const toldAtOnceMost = 2 << 20
+
+// checkTold finds a turn in which a process copies much for each peer that is told of it.
+func (h *Host) checkTold(lines []flow.Line) {
+	own := 0
+	for _, l := range lines {
+		own += len(l.Body)
+	}
+	if own > toldAtOnceMost {
+		h.w.Wrong("%s makes %d bytes of lines at once", h.Name, own)
+	}
+}
+
 func (h *Host) emit(out flow.Outbox) {
 	life := h.life
+	h.checkTold(out.Lines)
 	for _, n := range out.Notes {
 		h.checkInvariant(n)
 		h.Notes = append(h.Notes, fmt.Sprint(h.w.Now, " ", n.Part, ": ", n.Text, " ", n.Args))
--- a/sim/serve_fault_review.go
+++ b/sim/serve_fault_review.go
@@ -1,8 +1,10 @@
 package sim
 
 import (
+	"fmt"
 	"math/rand"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -133,3 +135,33 @@
 	})
 	return true
 }
+
+// largePlanRoutes is how many routes a large configuration adds: some hundred kilobytes.
+const largePlanRoutes = 1200
+
+// largePlans has the configuration grow by many routes, and shrink again.
+func largePlans(s *Site, r *rand.Rand) bool {
+	newest := s.Newest()
+	if newest == nil {
+		return false
+	}
+	name := s.name("many")
+	add := func(list []siteRoute) []siteRoute {
+		list = slices.Clone(list)
+		for n := range largePlanRoutes {
+			label := fmt.Sprint(name, "-", n)
+			list = append(list, siteRoute{label, siteName, "/" + label + "/", "idempotent", []string{"app"}, false})
+		}
+		return list
+	}
+	remove := func(list []siteRoute) []siteRoute {
+		return slices.DeleteFunc(slices.Clone(list), func(x siteRoute) bool { return strings.HasPrefix(x.Name, name) })
+	}
+	s.Configure(newest.Rev, add, s.Bounds.Ack, func(c *siteConfig) {
+		if c.State == cfgTaken {
+			s.Count["large configurations"]++
+			s.w.After(s.seconds(r, 1, 3), func() { s.Configure(c.Rev, remove, s.Bounds.Ack, nil) })
+		}
+	})
+	return true
+}
--- a/sim/serve_fault_review_test.go
+++ b/sim/serve_fault_review_test.go
@@ -58,3 +58,10 @@
 	shape.Fenced = false
 	underTrouble(t, shape, ordersOnALongWay, 3, "orders")
 }
+
+// Given configurations that grow by thousands of routes, when all machines are told of them at
+// once, then no machine makes as many copies for them.
+func TestSiteLargePlans(t *testing.T) {
+	t.Parallel()
+	underTrouble(t, FourZones, largePlans, 1, "large configurations")
+}
