--- a/core/serve/lot_silence_test.go
+++ b/core/serve/lot_silence_test.go
@@ -11,14 +11,20 @@
 // longSilence is one after which nothing is likely to come of an item's run any more.
 const longSilence = 3 * time.Second
 
+// begunItem is a lot of one item, whose run has made its first event.
+func begunItem(t *testing.T) (w *world, lot string, first flow.Send) {
+	w = two(t)
+	lot, _ = w.lot(1, 1, 1)
+	first = w.llm()[0]
+	w.head(first, 1)
+	w.event(first, 0, "a")
+	return w, lot, first
+}
+
 // Given an item whose run falls silent for long, while all other engines decline it, when its
 // engine goes on, then its run was never cut and makes the text.
 func TestASilentItemKeepsItsEngine(t *testing.T) {
-	w := two(t)
-	lot, _ := w.lot(1, 1, 1)
-	first := w.llm()[0]
-	w.head(first, 1)
-	w.event(first, 0, "a")
+	w, lot, first := begunItem(t)
 	declined := 0
 	for range int(longSilence / (10 * time.Millisecond)) {
 		w.turn(10 * time.Millisecond)
@@ -41,11 +47,7 @@
 // Given an item whose run falls silent for long, when another engine goes on with its text, then
 // the silent run is cut with the first event of the other and not before.
 func TestASilentItemIsTakenOver(t *testing.T) {
-	w := two(t)
-	lot, _ := w.lot(1, 1, 1)
-	first := w.llm()[0]
-	w.head(first, 1)
-	w.event(first, 0, "a")
+	w, lot, first := begunItem(t)
 	w.pass(longSilence)
 	var second flow.Send
 	for _, x := range w.llm() {
