Orders: one that arrives after another was taken is declined

An order names how many the engine has taken, as it reported last; where that is not known the report is read first. TestWeightsReachAThirdAtATime and TestAnOrderToAnotherInstanceWasNotTaken answer the report before the order, and check what it names.

--- a/core/dialect/codec.go
+++ b/core/dialect/codec.go
@@ -53,6 +53,8 @@
 	Mode     string // hold, truncate or retain
 	Owner    string
 	Fence    uint64
+	// Expected is how many orders the engine has taken: with more it declines.
+	Expected uint64
 }
 
 // LotPage is a stretch of a lot's results.
--- a/core/serve/resend_test.go
+++ b/core/serve/resend_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json/v1"
+
 	"fernlink/api"
+	"fernlink/core/dialect"
 	"fernlink/core/flow"
 )
 
@@ -94,6 +97,8 @@
 	w.pass(100 * time.Millisecond)
 	w.s.roll.Target("m", 2)
 	w.pass(100 * time.Millisecond)
+	w.reports(dialect.Report{Models: map[string]int{"m": 1}})
+	w.pass(100 * time.Millisecond)
 	orders := w.llm()
 	w.want(len(orders) == 1, "one order: %v", orders)
 	w.end(orders[0], 421, "")
@@ -102,3 +107,44 @@
 		w.want(x.URL != "http://10.0.1.1:1/report" && x.URL != "http://10.0.1.2:1/report", "the report of another engine is read: %s", x.URL)
 	}
 }
+
+// reports has the engine whose report is read answer it.
+func (w *world) reports(report dialect.Report) {
+	w.t.Helper()
+	sent := w.llm()
+	w.want(len(sent) == 1 && sent[0].Verb == "GET", "one report is read: %+v", sent)
+	body, _ := json.Marshal(report)
+	w.end(sent[0], 200, string(body))
+}
+
+// weightOrder gives the weight order that is under way.
+func (w *world) weightOrder() (sent flow.Send, order dialect.WeightOrder) {
+	w.t.Helper()
+	all := w.llm()
+	w.want(len(all) == 1 && all[0].Verb == "POST", "one order: %+v", all)
+	_ = json.Unmarshal(all[0].Body, &order)
+	return all[0], order
+}
+
+// Given an engine, when it is ordered, then the order names how many it has taken, read from it
+// before; where that has changed, or another is under way, it is read again first.
+func TestAnOrderNamesHowManyTheEngineHasTaken(t *testing.T) {
+	w := two(t)
+	w.acting = true
+	w.pass(100 * time.Millisecond)
+	w.s.roll.Target("m", 2)
+	w.pass(100 * time.Millisecond)
+	old := map[string]int{"m": 1}
+	w.reports(dialect.Report{Models: old, Orders: 5, Busy: true})
+	w.pass(300 * time.Millisecond)
+	w.reports(dialect.Report{Models: old, Orders: 6}) // it was busy: nothing is ordered
+	w.pass(100 * time.Millisecond)
+	sent, order := w.weightOrder()
+	w.want(order.Expected == 6, "%+v", order)
+	w.end(sent, 409, "")
+	w.pass(300 * time.Millisecond)
+	w.reports(dialect.Report{Models: old, Orders: 7})
+	w.pass(100 * time.Millisecond)
+	_, order = w.weightOrder()
+	w.want(order.Expected == 7, "%+v", order)
+}
--- a/core/serve/rollout/rollout.go
+++ b/core/serve/rollout/rollout.go
@@ -26,6 +26,7 @@
 	acting  fleet.Acting
 	targets map[string]target // by model
 	jobs    map[string]*job
+	taken   map[string]uint64 // orders that each engine has taken, as it reported last
 	term    uint64
 	next    flow.Time // when engines that are behind are looked for next
 }
@@ -45,7 +46,7 @@
 
 // New has no targets.
 func New(e *env.Env, t *engines.Table, f *fleet.Fleet, acting fleet.Acting) *Roll {
-	return &Roll{env: e, engines: t, fleet: f, acting: acting, targets: map[string]target{}, jobs: map[string]*job{}}
+	return &Roll{env: e, engines: t, fleet: f, acting: acting, targets: map[string]target{}, jobs: map[string]*job{}, taken: map[string]uint64{}}
 }
 
 // target is what is wanted of a model's engines.
@@ -106,7 +107,7 @@
 func (r *Roll) Advance() {
 	term, till, ok := r.acting()
 	if !ok || term != r.term {
-		r.jobs = map[string]*job{}
+		r.jobs, r.taken = map[string]*job{}, map[string]uint64{}
 		r.term = term
 		if !ok {
 			return
@@ -114,6 +115,7 @@
 	}
 	if r.env.Now >= r.next {
 		r.next = r.env.Now + look/4
+		r.forgetGone()
 		for _, m := range sorted.Keys(r.targets) {
 			r.begin(m, r.targets[m])
 		}
@@ -159,6 +161,7 @@
 func (r *Roll) follow(id string, j *job, till flow.Time) {
 	now := r.env.Now
 	if j.engine.Gone {
+		delete(r.taken, id)
 		r.close(id, j)
 		return
 	}
@@ -173,8 +176,8 @@
 	if j.open || now < j.due {
 		return
 	}
-	if !j.sent {
-		r.order(j, till)
+	if taken, known := r.taken[id]; known && !j.sent {
+		r.order(j, taken, till)
 		return
 	}
 	r.read(j)
@@ -193,8 +196,9 @@
 	r.show(j, false)
 }
 
-// order sends the order. Without an answer it may have been taken.
-func (r *Roll) order(j *job, till flow.Time) {
+// order sends the order to an engine that has taken so many before. Without an answer it may
+// have been taken; one that arrives after the engine has taken another is declined.
+func (r *Roll) order(j *job, taken uint64, till flow.Time) {
 	now := r.env.Now
 	j.open, j.sent, j.since = true, true, now
 	r.env.Counts["weight_orders"]++
@@ -204,7 +208,7 @@
 	if term, until, acting := r.acting(); !acting || term != r.term || now >= until {
 		r.env.Invariants.Violated(invariant.OrderWithoutLease, "engine", j.engine.ID, "model", j.model, "version", j.rev, "term", r.term, "acting_term", term)
 	}
-	body := r.env.Codec.WriteOrder(dialect.WeightOrder{Model: j.model, Revision: j.rev, Mode: "hold", Owner: r.env.Me, Fence: r.term})
+	body := r.env.Codec.WriteOrder(dialect.WeightOrder{Model: j.model, Revision: j.rev, Mode: "hold", Owner: r.env.Me, Fence: r.term, Expected: taken})
 	until := min(till, now+sendBy)
 	var id uint64
 	id = r.send(flow.Send{Verb: "POST", URL: "http://" + j.engine.Addr + r.env.Codec.OrderPath, Body: body, Until: until, Limit: now + sendBy, Alone: true,
@@ -222,6 +226,9 @@
 		switch {
 		case resend.Decide(resend.WeightOrder, evidence) == resend.Resend:
 			j.sent, j.due = false, r.env.Now+look
+		case b.Code == http.StatusConflict:
+			delete(r.taken, j.engine.ID) // another is under way, or was taken since
+			j.sent, j.due = false, r.env.Now+look
 		case b.Code == http.StatusPreconditionFailed:
 			flow.Warn.Note(r.env.Out, "rollout", "an engine has seen a higher fence", "engine", j.engine.ID, "term", r.term)
 			j.due = r.env.Now + orderAgain
@@ -230,6 +237,28 @@
 	r.env.Orders.Sent(now, id)
 }
 
+// forgetGone forgets engines that left the list.
+func (r *Roll) forgetGone() {
+	for id := range r.taken {
+		if r.engines.Get(id) == nil {
+			delete(r.taken, id)
+		}
+	}
+}
+
+// reported takes how many orders an engine has taken: with one under way it is not asked for
+// another.
+func (r *Roll) reported(j *job, x dialect.Report) {
+	delete(r.taken, j.engine.ID)
+	if x.Busy {
+		return
+	}
+	r.taken[j.engine.ID] = x.Orders
+	if !j.sent {
+		j.due = r.env.Now // it is ordered now
+	}
+}
+
 // send makes a call whose connection is kept. Answers to reports and orders carry no id. What
 // comes for a report is only trusted as far as it reads as one; an order's answer tells whether
 // the order may still be under way, so its connection has carried nothing before, and its
@@ -254,6 +283,7 @@
 		for _, m := range sorted.Keys(x.Models) {
 			j.engine.Learn(m, x.Models[m])
 		}
+		r.reported(j, x)
 		if j.engine.Held[j.model] < j.rev && !x.Busy && r.env.Now-j.since > orderAgain {
 			j.sent = false
 		}
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -222,14 +222,17 @@
 				if x.Verb == "POST" {
 					var o dialect.WeightOrder
 					_ = json.Unmarshal(x.Body, &o)
-					w.want(o.Fence == 7 && o.Revision == 2 && o.Mode == "hold", "%+v", o)
+					w.want(o.Fence == 7 && o.Revision == 2 && o.Mode == "hold" && o.Expected == 3, "%+v", o)
 					w.want(!done[at], "ordered twice")
 					done[at] = true
 					w.end(x, 202, "")
 					continue
 				}
 				orders++
-				if w.now.Milliseconds()%300 < 10 {
+				if !done[at] {
+					rep, _ := json.Marshal(dialect.Report{Models: map[string]int{"m": 1}, Orders: 3})
+					w.end(x, 200, string(rep))
+				} else if w.now.Milliseconds()%300 < 10 {
 					rep, _ := json.Marshal(dialect.Report{Models: map[string]int{"m": 2}})
 					w.end(x, 200, string(rep))
 				}
