Large plans: one text for all members, one large order and one large call at a time

The leader encoded a large entry for each member; a node that is handed a configuration takes many times its size to read it, for each that comes; the leader had all of them in its log. Entries are encoded once and shared; a process rewrites one large call at a time; the leader writes one large order at a time and tells others to come again.

--- a/core/ask/ask.go
+++ b/core/ask/ask.go
@@ -91,9 +91,12 @@
 	if err != nil || len(body) == 0 {
 		return head, err
 	}
-	return flow.WithField(head, "body", body), nil
+	return flow.WithField(head, ToldBody, body), nil
 }
 
+// ToldBody is the last field of an encoded answer.
+const ToldBody = "body"
+
 // Answer is what comes back to the asker. It is ledger.Unanswered where the ask was
 // given up: whether the command took effect is not known.
 type Answer struct {
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -24,28 +24,26 @@
 	Addr    string          `json:"a"`
 	To      string          `json:"-"`
 	Body    json.RawMessage `json:"b"`
-	// Shared is the value of a last field, "body", of the object that Body is; nil for none.
-	// Lines to many peers have the same large one, which is never copied.
-	Shared json.RawMessage `json:"-"`
+	// Shared is the value of a last field, by its name, of the object that Body is; nil for
+	// none. Lines to many peers have the same large one, which is never copied.
+	Shared     json.RawMessage `json:"-"`
+	SharedName string          `json:"-"`
 }
 
-// sharedField is the field whose value a line may share.
-const sharedField = "body"
-
 // Size is how many bytes the line's body has in all.
 func (l Line) Size() int { return len(l.Body) + len(l.Shared) }
 
 // Joined is the line with all of its body in one piece.
 func (l Line) Joined() Line {
 	if l.Shared != nil {
-		l.Body, l.Shared = WithField(l.Body, sharedField, l.Shared), nil
+		l.Body, l.Shared = WithField(l.Body, l.SharedName, l.Shared), nil
 	}
 	return l
 }
 
 // AroundShared gives what comes before the shared value in the body, and what behind it.
 func (l Line) AroundShared() (before, after []byte) {
-	whole := WithField(l.Body, sharedField, nil)
+	whole := WithField(l.Body, l.SharedName, nil)
 	return whole[:len(whole)-1], whole[len(whole)-1:]
 }
 
@@ -363,8 +361,8 @@
 }
 
 // SharedLine adds a line to a peer whose body ends with a value that lines to others have too.
-func (o *Outbox) SharedLine(to, kind string, body, shared json.RawMessage) {
-	o.Lines = append(o.Lines, Line{Ver: Version, Kind: kind, To: to, Body: body, Shared: shared})
+func (o *Outbox) SharedLine(to, kind string, body json.RawMessage, name string, shared json.RawMessage) {
+	o.Lines = append(o.Lines, Line{Ver: Version, Kind: kind, To: to, Body: body, Shared: shared, SharedName: name})
 }
 
 // LineToAll adds the same line to several peers, which is encoded once.
--- a/core/raft/encode.go
+++ b/core/raft/encode.go
@@ -15,6 +15,15 @@
 		return head, err
 	}
 	text := append(make([]byte, 0, len(head)+flow.EncodedSize(entries)), head[:len(head)-1]...)
-	text = flow.AppendEntries(append(text, `,"e":`...), entries)
+	text = flow.AppendEntries(append(text, `,"`+EntriesField+`":`...), entries)
 	return append(text, '}'), nil
 }
+
+// EntriesField is the last field of an encoded message that has entries.
+const EntriesField = "e"
+
+// Head is the message without its entries.
+func (m Message) Head() Message {
+	m.Entries = nil
+	return m
+}
--- a/core/store/asks.go
+++ b/core/store/asks.go
@@ -241,8 +241,8 @@
 	})
 }
 
-// sharedFrom is the size of an answer in bytes from which askers who get the same share it: a
-// plan goes to all dispatchers at once.
+// sharedFrom is the size in bytes from which peers who are told the same share it: a plan goes
+// to all dispatchers at once, and its entry to all members.
 const sharedFrom = 64 << 10
 
 // tellEncoded sends an answer whose body is encoded.
@@ -259,7 +259,7 @@
 		out.EncodedLine(w.addr, "told", nil, err)
 		return
 	}
-	out.SharedLine(w.addr, "told", head, res.Body)
+	out.SharedLine(w.addr, "told", head, ask.ToldBody, res.Body)
 }
 
 // ownAnswer answers one ask once its read is proved.
--- a/core/store/refusal.go
+++ b/core/store/refusal.go
@@ -10,6 +10,7 @@
 	unknownAsk     = ledger.Refusal{Outcome: ledger.Invalid, Reason: "no such ask"}
 	leadersOwn     = ledger.Refusal{Outcome: ledger.Invalid, Reason: "only the leader says this"}
 	retiredJustNow = ledger.Refusal{Outcome: ledger.Retired, Reason: "this was retired just now"}
+	largeUnderWay  = ledger.Refusal{Outcome: ledger.Unavailable, Reason: "another large order is under way"}
 	answersUnheard = ledger.Refusal{Outcome: ledger.Unavailable, Reason: "earlier answers were not heard"}
 )
 
--- a/core/store/repeats.go
+++ b/core/store/repeats.go
@@ -84,9 +84,23 @@
 	}
 }
 
+// largeOrderFrom is the size of an order in bytes from which one is written at a time: each
+// member has its text several times over until it is applied.
+const largeOrderFrom = 1 << 20
+
 func (s *Store) writeOrder(w wait, text orderText, out *flow.Outbox) {
-	if index, ok := s.write(w, s.command(w), out); ok {
-		s.repeats.note(text, index)
+	large := len(w.ask.Body) >= largeOrderFrom
+	if large && s.largeOrder > s.ledger.Index {
+		s.refuse(w, largeUnderWay, out)
+		return
+	}
+	index, ok := s.write(w, s.command(w), out)
+	if !ok {
+		return
+	}
+	s.repeats.note(text, index)
+	if large {
+		s.largeOrder = index
 	}
 }
 
@@ -132,7 +146,7 @@
 	for _, token := range sorted.Keys(s.repeats.proved) {
 		s.retry(s.repeats.proved[token], out)
 	}
-	s.repeats = newRepeats()
+	s.repeats, s.largeOrder = newRepeats(), 0
 }
 
 func (s *Store) retryJoined(index uint64, out *flow.Outbox) {
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -50,6 +50,8 @@
 	reads       map[uint64]wait
 	renewals    renewals
 	repeats     repeats
+	entries     sharedEntries
+	largeOrder  uint64 // the index of the newest large order in the log
 	token       uint64
 	seen        map[string]leaseHolder // dispatchers by their last renewal
 	coord       flow.Time              // the coordinator's last renewal
@@ -198,14 +200,10 @@
 			d.Addr = s.addrs[d.Message.ToID]
 		}
 		if d.Addr != "" {
-			kind := "raft"
-			if len(d.Message.Entries) > 0 {
-				kind = flow.Entries
-			}
-			body, err := d.Message.Encode()
-			out.EncodedLine(d.Addr, kind, body, err)
+			s.sendRaft(d, out)
 		}
 	}
+	s.entries.forget(s.ledger.Index)
 	if o.Lost {
 		s.void(out)
 	}
--- a/shell/link/shared_test.go
+++ b/shell/link/shared_test.go
@@ -15,7 +15,7 @@
 // sharing is a line whose body ends with a shared value.
 func sharing(to string, i int, shared json.RawMessage) flow.Line {
 	x := line(to, i, "head")
-	x.Shared = shared
+	x.Shared, x.SharedName = shared, "body"
 	return x
 }
 
--- a/shell/web/serve.go
+++ b/shell/web/serve.go
@@ -56,6 +56,13 @@
 	if wasEvicted(req) {
 		panic(http.ErrAbortHandler)
 	}
+	if route.Into != nil && len(body) >= largeCall {
+		if !w.takeLarge(req.Context()) {
+			problem(rw, 503, "too much at once", "Retry-After", "1")
+			return
+		}
+		defer w.freeLarge()
+	}
 	request := callOf(req, route.Name, vars, body)
 	id := w.ids.Add(1)
 	request.ID = id
--- a/shell/web/web.go
+++ b/shell/web/web.go
@@ -69,6 +69,7 @@
 	refuses bool         // no more calls are put in
 	mu      sync.Mutex
 	open    map[uint64]*call
+	large   chan struct{} // has an element while a large call is under way
 	servers []*http.Server
 	sockets []net.Listener
 
@@ -123,7 +124,7 @@
 
 // OpenListeners listens and serves the administration API and listeners.
 func OpenListeners(options Options) (*Web, error) {
-	web := &Web{In: options.In, open: map[uint64]*call{}}
+	web := &Web{In: options.In, open: map[uint64]*call{}, large: make(chan struct{}, 1)}
 	web.bodies.most = options.Memory / bodiesPart
 	if web.answers = options.Answers; web.answers == nil {
 		web.answers = room.New(LagMost)
