Observability: a store without a leader, a leader that commits nothing and a node without a lease name whom they lack

The incident's hypotheses could not be told apart: at the level of the logs that are kept a store said when it leads and nothing of its voters. Now each process says by itself, at most every few seconds, who the voters are by which entry and term, where each is sought and since when it is silent, and what it answered in the newest election (log is behind, voted already, newer term, hears the leader, granted without weight, no answer). A voter that hears a leader answers a vote request with that reason, in term 0, which changes nothing at the candidate. The same in /status, four gauges in /metrics.

--- a/core/ask/ask.go
+++ b/core/ask/ask.go
@@ -201,6 +201,14 @@
 	o.done(now, Answer{t.Code, t.Body, o.sent})
 }
 
+// Asked is where the oldest open ask was last sent, "" where none is open.
+func (a *Asker) Asked() string {
+	for _, id := range sorted.Keys(a.open) {
+		return a.open[id].to
+	}
+	return ""
+}
+
 // giveUp ends an ask whose outcome is not known.
 func (a *Asker) giveUp(now flow.Time, id uint64) {
 	o := a.open[id]
--- a/core/disp/disp.go
+++ b/core/disp/disp.go
@@ -40,21 +40,22 @@
 	now flow.Time
 	out *flow.Outbox
 
-	till     flow.Time // the lease's end; nothing starts after it
-	viewAt   flow.Time // up to when all that was committed is known here
-	next     flow.Time // the next renewal
-	asked    flow.Time // the last one
-	renewing bool      // it is not answered yet
-	index    uint64
-	indexAt  flow.Time // when it was heard
-	version  uint64
-	plan     *api.Plan
-	whole    bool // the plan's changes did not fit: all is asked for again
-	steps    map[string]*step
-	roster   []string
-	coord    ledger.Coord
-	orders   map[string]ledger.Order
-	drains   map[string]bool
+	till        flow.Time // the lease's end; nothing starts after it
+	lastRenewal ledger.Outcome
+	viewAt      flow.Time // up to when all that was committed is known here
+	next        flow.Time // the next renewal
+	asked       flow.Time // the last one
+	renewing    bool      // it is not answered yet
+	index       uint64
+	indexAt     flow.Time // when it was heard
+	version     uint64
+	plan        *api.Plan
+	whole       bool // the plan's changes did not fit: all is asked for again
+	steps       map[string]*step
+	roster      []string
+	coord       ledger.Coord
+	orders      map[string]ledger.Order
+	drains      map[string]bool
 
 	engines  map[string]*engine
 	listDue  flow.Time
@@ -175,7 +176,7 @@
 	}
 	d.p.Asker.Ask(d.now, budget.LeaseDuration, store.Renew{ID: d.p.ID, Have: have, Heard: d.heard}, func(now flow.Time, a ask.Answer) {
 		var x ledger.Delta
-		d.renewing = false
+		d.renewing, d.lastRenewal = false, a.Code
 		if a.Code != ledger.Unanswered {
 			d.heard++
 		}
@@ -205,6 +206,9 @@
 	})
 }
 
+// LastRenewal is what the newest renewal came to.
+func (d *Disp) LastRenewal() ledger.Outcome { return d.lastRenewal }
+
 // ViewAt is a moment up to which this view of the ledger has all that was committed, also the
 // plan: when the newest renewal that proved it was sent (design 5.2).
 func (d *Disp) ViewAt() flow.Time { return d.viewAt }
--- a/core/node/metrics.go
+++ b/core/node/metrics.go
@@ -59,6 +59,10 @@
 		one("store_order_repeats_total", "orders acknowledged again", float64(x.Repeated))
 		one("store_order_changes_total", "orders refused for other content under a known name", float64(x.Changed))
 		one("store_writes_total", "commands proposed here", float64(x.Writes))
+		one("store_leaderless_seconds", "since this member heard a leader", x.Health.Leaderless)
+		one("store_commit_stalled_seconds", "for how long this leader has committed nothing although something waits", x.Health.CommitStalled)
+		one("store_voters", "voters by the membership that this member has", float64(len(x.Health.Voters)))
+		one("store_voters_silent", "of them, those that this member has not heard for two seconds", float64(x.Health.SilentVoters()))
 		one("store_reads_total", "queries proved here", float64(x.Reads))
 	}
 	if x := s.Disp; x != nil {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -87,6 +87,7 @@
 	stop      flow.Time   // when a clean stop is over at the latest
 	closed    bool        // no more calls come
 	announce  flow.Time   // when the store's leader hears next that this member stops
+	lease     leaseHealth
 }
 
 // batch is what may leave once the saves up to its number are on disk.
@@ -286,6 +287,7 @@
 		n.serve.Advance(now, n.gossip.Everyone(now), out)
 	}
 	n.gossip.Advance(now, out)
+	n.watchLease(now, out)
 }
 
 // release gives the store's saves to the disk's task, and keeps what depends on
--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -84,6 +84,7 @@
 // requestVotes votes for this member itself and asks the other voters.
 func (r *Raft) requestVotes(request Message) {
 	r.leader = ""
+	r.noteElection(request)
 	r.votes = map[string]bool{r.id: true}
 	r.uncertainVoters = map[string]bool{r.id: r.hard.Unsure}
 	request.Index, request.LogTerm = r.lastIndex(), r.lastTerm()
@@ -175,7 +176,12 @@
 
 func (r *Raft) handlePreVote(request Message) {
 	response := Message{Kind: MessagePreVoteResponse, Term: r.hard.Term, UncertainTail: r.isUncertainOf(request)}
-	if request.Term > r.hard.Term && r.isUpToDate(request) {
+	switch {
+	case request.Term <= r.hard.Term:
+		response.Refusal = RefusalTerm
+	case !r.isUpToDate(request):
+		response.Refusal = RefusalLog
+	default:
 		response.OK, response.Term = true, request.Term
 	}
 	r.respond(request, response)
@@ -188,23 +194,31 @@
 }
 
 func (r *Raft) handleVote(request Message) {
-	granted := r.grantsVote(request)
+	refusal := r.refusesVote(request)
+	granted := refusal == ""
 	if granted {
 		r.hard.Vote = request.From
 		r.saveHardState()
 		r.resetElectionTimer()
 	}
-	r.respond(request, Message{Kind: MessageVoteResponse, Term: r.hard.Term, OK: granted, UncertainTail: r.isUncertainOf(request)})
+	r.respond(request, Message{Kind: MessageVoteResponse, Term: r.hard.Term, OK: granted, Refusal: refusal, UncertainTail: r.isUncertainOf(request)})
 }
 
-func (r *Raft) grantsVote(request Message) bool {
-	if request.Term != r.hard.Term || r.role != Follower {
-		return false
+// refusesVote says why this member does not vote for a candidate, "" where it does.
+func (r *Raft) refusesVote(request Message) Refusal {
+	switch {
+	case request.Term != r.hard.Term:
+		return RefusalTerm
+	case r.role != Follower:
+		return RefusalVoted
 	}
 	if r.hard.Vote != "" && r.hard.Vote != request.From {
-		return false
+		return RefusalVoted
+	}
+	if !r.isUpToDate(request) {
+		return RefusalLog
 	}
-	return r.isUpToDate(request)
+	return ""
 }
 
 func (r *Raft) handleVoteResponse(response Message) {
--- a/core/raft/explore_support.go
+++ b/core/raft/explore_support.go
@@ -21,6 +21,8 @@
 	clone.unsynced = slices.Clone(r.unsynced)
 	clone.votes = maps.Clone(r.votes)
 	clone.uncertainVoters = maps.Clone(r.uncertainVoters)
+	clone.heardAt = maps.Clone(r.heardAt)
+	clone.election.Answers = maps.Clone(r.election.Answers)
 	clone.reads = slices.Clone(r.reads)
 	clone.progress = make(map[string]*progress, len(r.progress))
 	for id, peer := range r.progress {
--- a/core/raft/membership.go
+++ b/core/raft/membership.go
@@ -14,6 +14,7 @@
 			r.conf, r.confIndex = conf, index
 		}
 	}
+	r.forgetHeard()
 	if r.role == Leader {
 		r.trackMembers()
 	}
--- a/core/raft/message.go
+++ b/core/raft/message.go
@@ -23,6 +23,14 @@
 	return k == MessagePreVote || k == MessageVote
 }
 
+// voteResponse is the kind that answers a vote request.
+func (k MessageKind) voteResponse() MessageKind {
+	if k == MessagePreVote {
+		return MessagePreVoteResponse
+	}
+	return MessageVoteResponse
+}
+
 // isFromLeader says whether only the leader of the message's term sends it.
 func (k MessageKind) isFromLeader() bool {
 	return k == MessageAppend || k == MessageSnapshotOffer
@@ -44,6 +52,7 @@
 	Entries        []flow.Entry `json:"e,omitempty"`
 	UncertainTail  bool         `json:"u,omitempty"`  // the sender may have lost entries that it acknowledged
 	LeaderTransfer bool         `json:"mv,omitempty"` // the leader asked for this election
+	Refusal        Refusal      `json:"w,omitempty"`  // why a vote was refused
 }
 
 // Envelope is a message and the address it goes to. An empty address stands for
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -78,6 +78,8 @@
 	leaderHeard   flow.Time
 	quorumHeard   flow.Time
 	leaderSince   flow.Time
+	heardAt       map[string]flow.Time // when each member was last heard
+	election      Election
 
 	out Out
 }
@@ -98,6 +100,7 @@
 		role:              Follower,
 		confsByIndex:      map[uint64]Conf{},
 		progress:          map[string]*progress{},
+		heardAt:           map[string]flow.Time{},
 	}
 	if config.MaxMessageEntries > 0 {
 		node.messageEntries = config.MaxMessageEntries
@@ -283,7 +286,12 @@
 		return
 	}
 	handle, known := handlers[message.Kind]
-	if !known || r.ignoresVoteRequest(message) {
+	if !known {
+		return
+	}
+	r.noteMessage(message)
+	if r.ignoresVoteRequest(message) {
+		r.respond(message, Message{Kind: message.Kind.voteResponse(), Refusal: RefusalHearsLeader})
 		return
 	}
 	r.observeTerm(message)
--- a/core/store/renewals_test.go
+++ b/core/store/renewals_test.go
@@ -24,6 +24,7 @@
 	wall  int64 // date, in milliseconds
 	batch uint64
 	lines []flow.Line
+	notes []flow.Note
 	disk  Disk // what it has saved; no snapshot is made
 }
 
@@ -50,7 +51,7 @@
 func (l *lone) advance(d flow.Time) {
 	l.now += d
 	var out flow.Outbox
-	self := gossip.Entry{ID: "s", Addr: "s:1", Roles: []string{"store"}, Blank: l.store.Blank(), Cluster: l.store.Known().Cluster}
+	self := gossip.Entry{ID: "s", Addr: "s:1", Roles: []string{"store"}, Blank: l.store.Blank(), Member: true, Cluster: l.store.Known().Cluster}
 	l.store.Advance(l.now, l.wall, nil, self, &out)
 	l.disk.keep(out.Save)
 	if len(out.Save) > 0 {
@@ -61,6 +62,7 @@
 		l.store.Synced(l.batch)
 	}
 	l.lines = append(l.lines, out.Lines...)
+	l.notes = append(l.notes, out.Notes...)
 }
 
 // keep applies saves to what a disk holds.
--- a/core/store/repair.go
+++ b/core/store/repair.go
@@ -45,7 +45,7 @@
 		if _, _, err := s.raft.Change(next); err == nil {
 			s.look = now // the next is looked for as soon as this is committed
 			s.counts["writes"]++
-			flow.Warn.Note(out, "store", what, "members", len(next.Members), "voters", next.Voters())
+			flow.Warn.Note(out, "store", what, "members", len(next.Members), "voters", next.Voters(), "changed", changedText(c, next))
 		}
 		return
 	}
--- a/core/store/stats.go
+++ b/core/store/stats.go
@@ -35,7 +35,8 @@
 	// Match is how much of the log each other member has on its disk, on the leader.
 	Match map[string]uint64 `json:"match,omitempty"`
 	// Strangers counts messages of identities that are no members here.
-	Strangers int `json:"strangers_total"`
+	Strangers int    `json:"strangers_total"`
+	Health    Health `json:"health"`
 }
 
 // Stats gives the snapshot.
@@ -67,6 +68,7 @@
 		Changed:   s.ledger.OrderCounts.Changed,
 		Match:     s.matches(),
 		Strangers: s.counts["strangers"],
+		Health:    s.Health(),
 	}
 }
 
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -90,13 +90,14 @@
 	owned       flow.Time               // when owners of lots are looked at next
 	placement   placement               // how the leader judges store machines
 	machines    map[string]gossip.Entry // what they said of themselves, by identity
+	health      health
 }
 
 // New starts a store from its disk.
 func New(now flow.Time, p Config) (*Store, error) {
 	s := &Store{p: p, ledger: ledger.New(), addrs: map[string]string{}, writes: map[uint64]wait{}, lotRepeats: newLotRepeats(),
 		reads: map[uint64]wait{}, renewals: renewals{proving: map[uint64][]wait{}}, seen: map[string]leaseHolder{}, counts: map[string]int{},
-		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, retention: newRetention(), repeats: newRepeats(), lots: map[string]given{}, machines: map[string]gossip.Entry{}, silent: map[string]flow.Time{}, stopping: map[string]flow.Time{}}
+		fetches: map[uint64]func(flow.Fetched, *flow.Outbox){}, retention: newRetention(), repeats: newRepeats(), lots: map[string]given{}, health: health{commitAt: now}, machines: map[string]gossip.Entry{}, silent: map[string]flow.Time{}, stopping: map[string]flow.Time{}}
 	if d := p.Disk.Snapshot; d != nil {
 		l, err := ledger.Load(d.State, p.Disk.Items)
 		if err != nil {
@@ -241,9 +242,10 @@
 			s.stamp = wall // a new cluster's time starts at the date
 		}
 	}
+	s.watchHealth(now, self, out)
 	if r := s.raft.Role(); r != s.role {
 		if r == raft.Leader || s.role == raft.Leader {
-			flow.Warn.Note(out, "store", "role changed", "role", r, "term", s.raft.Term())
+			flow.Warn.Note(out, "store", "role changed", "role", r, "term", s.raft.Term(), "voters", votersText(s.Health().Voters))
 		}
 		s.role = r
 	}
