Votes: a lost voter is replaced by any learner that stands ready, whatever its zone

Cause: a silent voter counted as lost after 2 s only where a learner stood ready in its zone or in a zone without a sound voter, and after 12 s else, though any learner can take its vote. The platform counts a machine as there SyncS (4.2 to 6 s) after its successor's start, so two more disks may be lost while the dead voter still votes: two of five are left.

--- a/core/store/repair.go
+++ b/core/store/repair.go
@@ -115,12 +115,13 @@
 	return m.Leave || s.isStopping(m.ID, now) || s.lost(m, now)
 }
 
-// lost says that a member is silent for long, sooner where another stands ready
-// for its zone, and soonest where somebody else speaks from its address: its
-// disk was replaced.
+// lost says that a member is silent for long, sooner where a learner stands ready, and
+// soonest where somebody else speaks from its address: its disk was replaced. The learner's
+// zone does not matter: two votes in one zone are worth more than one that is gone, and
+// spread moves them apart later.
 func (s *Store) lost(m raft.Member, now flow.Time) bool {
 	quiet := s.raft.Silent(m.ID, now)
-	return quiet >= budget.Heal || quiet >= budget.FailureTimeout && s.standby(m, now) || s.replaced(m, now)
+	return quiet >= budget.Heal || quiet >= budget.FailureTimeout && s.spares(now, s.raft.Conf(), "") > 0 || s.replaced(m, now)
 }
 
 // replaced says that a silent member's address speaks with another identity.
@@ -128,23 +129,6 @@
 	return s.raft.Silent(m.ID, now) >= budget.FailureTimeout/4 && s.taken[m.Addr] != "" && s.taken[m.Addr] != m.ID
 }
 
-// standby says whether a learner is ready to take a voter's place: one of its
-// zone, or of a zone without a sound voter.
-func (s *Store) standby(lost raft.Member, now flow.Time) bool {
-	c, held := s.raft.Conf(), map[string]bool{}
-	for _, m := range c.Members {
-		if m.Voter && !m.Leave && s.raft.Silent(m.ID, now) < budget.FailureTimeout {
-			held[m.Zone] = true
-		}
-	}
-	for _, m := range c.Members {
-		if !m.Voter && !m.Leave && (m.Zone == lost.Zone || !held[m.Zone]) && s.ready(m.ID, now) {
-			return true
-		}
-	}
-	return false
-}
-
 // dropWiped takes a voter out whose disk is gone for good, as soon as a learner
 // stands ready, and before that learner is promoted: until then exactly the other
 // voters are needed, as they are anyway, and the loss of the learner stops
