Places: a learner that is gone keeps no place from a machine that waits

Cause: of nine places dead learners kept up to four for 12 s each (and for 12 s more with each new leader), so nobody could take a lost voter's vote. With a candidate that waits, a learner goes after 2 s.

The simulator knows now what the platform lets a fleet lose (sim/serve_budget.go): whenever all machines count, the membership must bear as many losses, and somebody must lead; closings strike then and not once the fleet is repaired, and take the oldest disks; a new kind of trouble replaces a voter and loses as many machines once its successor counts.

--- a/core/store/repair.go
+++ b/core/store/repair.go
@@ -70,6 +70,21 @@
 // but not one that was retired. One that was taken out for its silence a moment
 // ago may still be spoken of by others.
 func (s *Store) takeIn(now flow.Time, c raft.Conf, live []gossip.Entry) (raft.Conf, string) {
+	if len(c.Members) >= mostMembers {
+		return c, ""
+	}
+	candidates := s.candidates(now, c, live)
+	if len(candidates) == 0 {
+		return c, ""
+	}
+	e := s.firstToTakeIn(c, candidates)
+	return c.With(raft.Member{ID: e.ID, Addr: e.Addr, Zone: e.Zone}), "took in a learner"
+}
+
+// candidates gives the machines that would become learners if there was room. One stands
+// by for each voter that may be lost; each more would be one more copy of all that is
+// written.
+func (s *Store) candidates(now flow.Time, c raft.Conf, live []gossip.Entry) []gossip.Entry {
 	wants, heard := max(want(c), s.p.Want), 0
 	for _, m := range c.Members {
 		replaceable := s.placement.narrow[m.ID] && s.placement.enough(wants)
@@ -77,12 +92,7 @@
 			heard++
 		}
 	}
-	// One stands by for each voter that may be lost; each more would be one more
-	// copy of all that is written.
 	full := heard >= wants+standby(wants)
-	if len(c.Members) >= mostMembers {
-		return c, ""
-	}
 	var candidates []gossip.Entry
 	for _, e := range live {
 		if _, silent := s.silent[e.ID]; silent || s.isStopping(e.ID, now) || !e.Has("store") || e.Cluster != s.raft.Cluster() || c.Find(e.ID) >= 0 || slices.Contains(c.Retired, e.ID) {
@@ -92,11 +102,7 @@
 			candidates = append(candidates, e)
 		}
 	}
-	if len(candidates) == 0 {
-		return c, ""
-	}
-	e := s.firstToTakeIn(c, candidates)
-	return c.With(raft.Member{ID: e.ID, Addr: e.Addr, Zone: e.Zone}), "took in a learner"
+	return candidates
 }
 
 // standby is how many learners are to stand ready beside so many voters.
@@ -311,12 +317,13 @@
 	return c, "wants more voters"
 }
 
-// forgetLearner drops a learner that has been silent for very long, sooner where no
-// other fits in, and at once where somebody else speaks from its address.
-func (s *Store) forgetLearner(now flow.Time, c raft.Conf, _ []gossip.Entry) (raft.Conf, string) {
+// forgetLearner drops a learner that has been silent for very long, as soon as it counts
+// as lost where another machine waits for its place, and at once where somebody else
+// speaks from its address.
+func (s *Store) forgetLearner(now flow.Time, c raft.Conf, live []gossip.Entry) (raft.Conf, string) {
 	patience := 5 * budget.Heal
-	if len(c.Members) >= mostMembers {
-		patience = budget.Heal
+	if len(c.Members) >= mostMembers && len(s.candidates(now, c, live)) > 0 {
+		patience = budget.FailureTimeout
 	}
 	for _, m := range c.Members {
 		if !m.Voter && (s.raft.Silent(m.ID, now) >= patience || s.replaced(m, now)) {
--- a/sim/host.go
+++ b/sim/host.go
@@ -51,13 +51,15 @@
 	hear   func(flow.Line) // somebody who is no node of the fleet
 	batch  uint64
 	busy   bool
+
+	diskSince time.Duration // when its disk was last blank
 }
 
 // AddHost puts a machine into the world, not yet started.
 func (w *World) AddHost(name string, p node.Config, withDisk bool) *Host {
 	h := &Host{w: w, Config: p, Name: name, rate: 0.995 + w.Rand.Float64()*0.01, origin: time.Duration(w.Rand.Int63n(int64(time.Hour)))}
 	if withDisk {
-		h.Disk = NewDisk(w.Rand)
+		h.Disk, h.diskSince = NewDisk(w.Rand), w.Now
 	}
 	w.Hosts = append(w.Hosts, h)
 	w.at[p.Addr] = h
@@ -360,7 +362,7 @@
 		return
 	}
 	if withDisk {
-		h.Disk = NewDisk(h.w.Rand)
+		h.Disk, h.diskSince = NewDisk(h.w.Rand), h.w.Now
 		return
 	}
 	h.Disk.Lose()
--- a/sim/serve_fault_list.go
+++ b/sim/serve_fault_list.go
@@ -342,6 +342,7 @@
 	{"restart a core machine twice", restartTwice},
 	{"wipe a core machine that comes back slow", wipedWhileSlow},
 	{"wipe a core machine, and its power amid its fetch", restartAmidFetch},
+	{"replace a machine that keeps the state, and lose as many as may be once it counts", replaceThenLose},
 	{"lots on a route the moment that it is acknowledged", lotsOnNewRoutes},
 	{"engines pause amid streams while the others are full", pausesWhileFull},
 	{"whole answers come again while items are tried again", repeatedAnswers},
--- a/sim/serve_lost_voter_test.go
+++ b/sim/serve_lost_voter_test.go
@@ -2,22 +2,10 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 )
 
-// voterHosts gives the machines whose stores vote, by the leader's membership.
-func (s *Site) voterHosts() []*Host {
-	var voters []*Host
-	for _, m := range s.membership() {
-		if h := s.w.hostOf(m.ID); m.Voter && h != nil {
-			voters = append(voters, h)
-		}
-	}
-	return voters
-}
-
 // Given five voters, when one is gone for good and an empty machine that replaces it at
 // another address counts, then two more may lose their disks while all others lose power:
 // wherever the learners stand, a lost voter's vote has moved by then.
@@ -35,7 +23,7 @@
 			lost, wiped := voters[len(voters)-1], voters[:WideStores.Losses]
 			s.Replace(lost)
 			s.w.Run(counts)
-			s.each(func(h *Host) { s.Kill(h, true, slices.Contains(wiped, h), 2*time.Second) })
+			s.losePower(wiped, 2*time.Second)
 			s.closed = s.w.Now + 2*time.Second
 			s.w.Run(2*time.Second + s.Bounds.Recover + 8*time.Second)
 			s.over(t)
--- a/sim/serve_site.go
+++ b/sim/serve_site.go
@@ -87,6 +87,8 @@
 	fails    map[string]int          // failures of items
 	troubled map[*Host]bool          // it is in trouble that lasts
 	coreBad  time.Duration
+	ledAt    time.Duration // when a store last led, or need not have
+	weak     bool          // the store would not survive the losses that are allowed now
 	linkBad  time.Duration // when a link was last in trouble
 
 	names          int
@@ -244,6 +246,8 @@
 			s.cause[h] = s.w.Now
 		}
 	}
+	s.checkVoters()
+	s.checkLeader()
 }
 
 // Touch says that a machine was met by trouble just now, and unsettles the core
--- a/sim/serve_storm.go
+++ b/sim/serve_storm.go
@@ -102,18 +102,26 @@
 		return true
 	}},
 	{"one wiped, the others without power, right after an acknowledgement", func(s *Site, r *rand.Rand) bool {
-		n := s.Newest()
-		done := false
-		s.Configure(n.Rev, s.change(r), 10*time.Second, func(c *siteConfig) {
-			done = true
-			wiped := s.wiped(r)
-			s.each(func(h *Host) { s.Kill(h, true, slices.Contains(wiped, h), 3*time.Second) })
-		})
-		s.w.Until(12*time.Second, func() bool { return done })
-		return true
+		return s.wipeAfterAck(r, func() []*Host { return s.wiped(r) })
+	}},
+	{"the oldest disks wiped, the others without power, right after an acknowledgement", func(s *Site, r *rand.Rand) bool {
+		return s.wipeAfterAck(r, s.oldest)
 	}},
 }
 
+// wipeAfterAck takes the power of all machines, and the disks of some, right after a
+// configuration was acknowledged.
+func (s *Site) wipeAfterAck(r *rand.Rand, wiped func() []*Host) bool {
+	n := s.Newest()
+	done := false
+	s.Configure(n.Rev, s.change(r), 10*time.Second, func(*siteConfig) {
+		done = true
+		s.losePower(wiped(), 3*time.Second)
+	})
+	s.w.Until(12*time.Second, func() bool { return done })
+	return true
+}
+
 // wiped picks machines that lose their disks at once: as many as may, of those that
 // keep the state.
 func (s *Site) wiped(r *rand.Rand) []*Host {
@@ -123,7 +131,7 @@
 	}
 	from = slices.Clone(from)
 	r.Shuffle(len(from), func(a, b int) { from[a], from[b] = from[b], from[a] })
-	return from[:max(s.Shape.Losses, 1)]
+	return from[:s.losses()]
 }
 
 func (s *Site) each(f func(*Host)) {
@@ -155,9 +163,10 @@
 			}
 			w.Run(gap)
 		}
-		w.Run(12 * time.Second)
-		if seed%2 == 1 {
-			w.Until(time.Minute, w.Repaired) // one lost disk at a time is what it is to survive
+		if seed%2 == 0 {
+			w.Run(12 * time.Second)
+		} else {
+			w.Until(time.Minute, s.allCount)
 			f := SiteClosing[w.Rand.Intn(len(SiteClosing))]
 			w.Mark(f.kind, "")
 			f.do(s, w.Rand)
