Stops: a member ends once its vote has moved, also when its successor was promoted at once

A member that stops in order waits until another has its vote, while a learner stands ready. Where the learner was promoted before it looked again there was no learner any more, and it ended with its vote; and a leader new in office, which had not heard yet who stops, took the successor out as the second voter of its zone. For up to 2 s a vote was gone that the platform counts as there.

--- a/core/store/leave.go
+++ b/core/store/leave.go
@@ -49,7 +49,14 @@
 	if s.raft.Role() == raft.Leader && s.otherMember(func(m raft.Member) bool { return m.Voter }) {
 		return false
 	}
-	return now >= s.leaveBy || !s.votes() || !s.otherMember(func(m raft.Member) bool { return !m.Voter && !m.Leave })
+	return now >= s.leaveBy || !s.votes() || !s.hasSuccessor()
+}
+
+// hasSuccessor says that another takes this member's vote: a learner, or one that has just
+// been promoted, so that there is a voter too many.
+func (s *Store) hasSuccessor() bool {
+	conf := s.raft.Conf()
+	return conf.Voters() > want(conf) || s.otherMember(func(m raft.Member) bool { return !m.Voter && !m.Leave })
 }
 
 // votes says that this member is a voter.
--- a/core/store/repair.go
+++ b/core/store/repair.go
@@ -209,6 +209,9 @@
 	scoreLost              // whoever takes its place votes already
 )
 
+// stopWordHeard is after how long in office a leader has heard of all members that stop.
+const stopWordHeard = budget.ElectionTimeout
+
 // trim takes one voter out where there is one more than wanted: first one that
 // is silent, then one that is to be emptied, then one on a machine that carries less
 // than others, then one of two in a zone. A leader that can commit this has a
@@ -232,7 +235,7 @@
 			worst, score = i, n
 		}
 	}
-	if worst < 0 {
+	if worst < 0 || score <= scoreSharesZone && now-s.raft.Since() < stopWordHeard {
 		return c, ""
 	}
 	leaves := c.Members[worst]
--- a/sim/replace_test.go
+++ b/sim/replace_test.go
@@ -115,6 +115,28 @@
 	s.end()
 }
 
+// Given a voter that stops in order while a learner stands ready, when its process ends,
+// then it has no vote any more, however soon the learner was promoted (design 5.5).
+func TestAMemberThatStopsGoesAfterItsVote(t *testing.T) {
+	t.Parallel()
+	for seed := int64(440); seed < 452; seed++ {
+		s := given(t, seed)
+		leaving := s.follower()
+		if seed%2 == 0 {
+			leaving = s.w.Leader()
+		}
+		id := leaving.ID()
+		s.fresh("learner", 1, leaving.Config.Zone)
+		s.then(s.w.Until(10*time.Second, func() bool { return len(s.members()) == 4 }), "a learner")
+		s.w.Run(2 * time.Second)
+		leaving.Stop()
+		s.then(s.w.Until(8*time.Second, func() bool { return !leaving.Up }), "it ends")
+		s.then(s.w.Until(time.Second, func() bool { return len(s.members()) > 0 }), "somebody leads")
+		s.then(!s.members()[id].Voter, "seed %d: it has no vote: %v", seed, s.members())
+		s.end()
+	}
+}
+
 // Given stores that want more voters than formed the cluster, when there are
 // enough machines, then they come to be that many, and one by one.
 func TestMoreVotersThanFormed(t *testing.T) {
