--- a/rig/site/longway.go
+++ b/rig/site/longway.go
@@ -59,7 +59,7 @@
 
 // actingCoordinator gives the machine that gives orders, nil where none says so.
 func (s *soak) actingCoordinator() *machine {
-	for _, m := range s.machines[:stores] {
+	for _, m := range s.storeMachines() {
 		var status struct {
 			Coordinator struct {
 				Acting bool `json:"acting"`
--- a/rig/site/site.go
+++ b/rig/site/site.go
@@ -23,8 +23,10 @@
 type machine struct {
 	name, ip, zone string
 	settings       string
-	disk           bool
-	replacing      sync.Mutex // held while its process is started, or a second one beside it
+	disk           atomic.Bool
+	gone           atomic.Bool // it is not to be started for now
+	editing        sync.Mutex  // held while its settings file is changed for a while
+	replacing      sync.Mutex  // held while its process is started, or a second one beside it
 	process        atomic.Pointer[process]
 	cut            atomic.Int64 // when its settings were last cut off, Unix nanoseconds
 	frozen         atomic.Int64 // when it last went on after a freeze, Unix nanoseconds
@@ -123,7 +125,8 @@
 	started.srv = &http.Server{Handler: http.HandlerFunc(started.list), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = started.srv.Serve(l) }()
 	for i := range size.machines {
-		m := &machine{name: fmt.Sprintf("edge-%d", i+1), ip: fmt.Sprintf("%s.%d", network, i+1), zone: zones[i%3], disk: i < stores}
+		m := &machine{name: fmt.Sprintf("edge-%d", i+1), ip: fmt.Sprintf("%s.%d", network, i+1), zone: zones[i%3]}
+		m.disk.Store(i < stores)
 		started.machines = append(started.machines, m)
 	}
 	for _, m := range started.machines {
@@ -142,7 +145,7 @@
 	return started, nil
 }
 
-// stores is how many machines, the first ones, have a disk.
+// stores is how many machines have a disk, at first the first ones.
 const stores = 3
 
 // folder is where a machine's disk is.
@@ -152,7 +155,7 @@
 func (s *site) write(target *machine, first bool) error {
 	var seeds []string
 	for _, x := range s.machines {
-		if x.disk {
+		if x.disk.Load() {
 			seeds = append(seeds, x.ip+controlPort)
 		}
 	}
@@ -161,7 +164,7 @@
 		"SeedNodes=" + strings.Join(seeds, ","), fmt.Sprintf("Bootstrap=%v", first), "FaultBudget.Machines=1", "Limits.CpuShare=0.5", fmt.Sprint("Limits.MemoryMb=", s.memoryMB), "Limits.MaxFds=4100",
 		"CloudApi.Address=" + s.net + ".250:9000", "CloudApi.RatePerS=20", "CloudApi.MaxLagMs=200", "Bounds.ApplyMs=2000", "Bounds.DrainMs=3000", "Bounds.ContactMs=3000", "Bounds.AckMs=4000",
 		"Bounds.GraceS=8", "Bounds.RecoverS=12", "Bounds.ReportS=120", "Bounds.CancelMs=3000", "Bounds.SettleMs=1000"}
-	if target.disk {
+	if target.disk.Load() {
 		data := s.folder(target)
 		if err := os.MkdirAll(data, 0o755); err != nil {
 			return errors.Wrap(err, "site")
@@ -233,7 +236,7 @@
 func (s *site) relaunch(target *machine) error {
 	target.replacing.Lock()
 	defer target.replacing.Unlock()
-	if !target.current().isOver() {
+	if target.gone.Load() || !target.current().isOver() {
 		return nil
 	}
 	return s.launchLocked(target)
--- a/rig/site/soak.go
+++ b/rig/site/soak.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-json-experiment/json/v1"
@@ -49,8 +50,9 @@
 	report     SoakReport
 	notesMu    sync.Mutex
 	notes      []byte
-	changing   sync.Mutex // one configuration after the other
-	alone      bool       // one kind of trouble comes at a time
+	changing   sync.Mutex  // one configuration after the other
+	diskLost   atomic.Bool // in this round: no other may be until all stores vote
+	alone      bool        // one kind of trouble comes at a time
 	acked      []ackedVersion
 	ackedBytes int // of the newest
 	ackedMu    sync.Mutex
@@ -284,10 +286,8 @@
 // recover waits until every machine serves each kind of request and a change is
 // acknowledged.
 func (s *soak) recover(kinds []Kind) {
+	s.loseOnceItCounts()
 	healed := time.Now()
-	for _, m := range s.machines {
-		s.again(m)
-	}
 	for _, m := range s.machines {
 		for n := 0; ; n++ {
 			why := s.sound(m)
@@ -304,6 +304,7 @@
 	s.change(rand.New(rand.NewSource(1)))
 	took := time.Since(healed)
 	s.awaitVoters(kinds)
+	s.diskLost.Store(false)
 	s.note("well %v after %v", took.Round(time.Millisecond), kinds)
 	if took > recoverBound {
 		s.t.bad("RECOVER: a change took until %v after %v", took.Round(time.Millisecond), kinds)
@@ -362,15 +363,7 @@
 	random := rand.New(rand.NewSource(seed))
 	s.change(random)
 	s.note("all are killed")
-	var all sync.WaitGroup
-	for _, m := range s.machines {
-		all.Add(1)
-		go func() {
-			defer all.Done()
-			s.kill(m)
-		}()
-	}
-	all.Wait()
+	s.killAll()
 	s.recover([]Kind{Restart})
 }
 
--- a/rig/site/trouble.go
+++ b/rig/site/trouble.go
@@ -35,9 +35,10 @@
 	Pause                     // engines pause amid streams while the others are full
 	LargePlan                 // a configuration has thousands of routes
 	Repeat                    // whole answers come again on kept connections, and some are failures
+	Successor                 // a store is replaced at another address, and another is lost once that counts
 )
 
-var kindNames = [...]string{"stop", "reload", "restart", "configuration", "cut", "freeze", "slow disk", "engine", "client", "log", "disk loss", "oversize", "new route", "long way", "pause", "large plan", "repeat"}
+var kindNames = [...]string{"stop", "reload", "restart", "configuration", "cut", "freeze", "slow disk", "engine", "client", "log", "disk loss", "oversize", "new route", "long way", "pause", "large plan", "repeat", "successor"}
 
 // Kinds counts the kinds of trouble.
 const Kinds = len(kindNames)
@@ -68,6 +69,7 @@
 	Stop: stopMachine, Reload: reloadMachine, Restart: restartMachine, Configuration: changeConfiguration, Cut: cutPeers,
 	Freeze: freezeMachine, SlowDisk: slowDisk, EngineFault: troubleEngines, ClientFault: troubleClients, LogFault: troubleLog, DiskLoss: loseDisk, Oversize: oversize,
 	NewRoute: newRoutes, LongWay: longWay, Pause: pauseWhileFull, LargePlan: largePlan, Repeat: repeatAnswers,
+	Successor: replaceStore,
 }
 
 // machine picks one, mostly one of those that keep the state.
@@ -118,6 +120,8 @@
 // reloadMachine sends SIGHUPs while the settings name other seeds, or are cut off.
 func reloadMachine(s *soak, random *rand.Rand, length time.Duration) {
 	m := s.machine(random)
+	m.editing.Lock()
+	defer m.editing.Unlock()
 	whole, err := os.ReadFile(m.settings)
 	if err != nil {
 		s.t.bad("soak: %v", err)
@@ -180,7 +184,7 @@
 	}
 	settings := m.settings
 	args := serveArgs(m, settings)
-	otherPorts := m.disk && random.Intn(2) == 0
+	otherPorts := m.disk.Load() && random.Intn(2) == 0
 	s.note("second start of %s, other ports %v", m.name, otherPorts)
 	if otherPorts {
 		raw, err := os.ReadFile(m.settings)
@@ -354,16 +358,12 @@
 // loseDisk takes one store's folder. As many may be lost at once as the fleet bears: one,
 // and the next round begins once its successor votes.
 func loseDisk(s *soak, random *rand.Rand, length time.Duration) {
-	m := s.machines[random.Intn(stores)]
-	s.note("disk of %s lost", m.name)
-	m.replacing.Lock() // nothing starts on the folder meanwhile
-	m.current().kill()
-	err := os.RemoveAll(s.folder(m))
-	if err == nil {
-		err = os.MkdirAll(s.folder(m), 0o755)
+	if s.diskLost.Swap(true) {
+		return
 	}
-	m.replacing.Unlock()
-	if err != nil {
+	m := pickOf(random, s.storeMachines())
+	s.note("disk of %s lost", m.name)
+	if err := s.blank(m); err != nil {
 		s.t.bad("soak: %v", err)
 	}
 	time.Sleep(length / 4)
