Leadership: it is handed only to a voter that has all entries

A leader that stops in order asked a voter to take over that lacked the newest entries (the promotion of its own successor was on its way): its election failed at those who had more, the leader was elected again, three times in its 2 s, and it ended with its vote; for 0.6 s a vote was gone that the platform counts as there. Now who lacks entries is not asked; the leader looks again at its next turn.

--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -25,9 +25,9 @@
 
 // Transfer asks the voter that has most of the log to take over at once, for a
 // leader that is about to stop (design 5.5).
-func (r *Raft) Transfer() {
+func (r *Raft) Transfer() bool {
 	if r.role != Leader {
-		return
+		return false
 	}
 	successor := ""
 	for _, member := range r.conf.Members {
@@ -38,18 +38,18 @@
 			successor = member.ID
 		}
 	}
-	if successor != "" {
-		r.TransferTo(successor)
-	}
+	return successor != "" && r.TransferTo(successor)
 }
 
-// TransferTo asks one voter to take over at once.
-func (r *Raft) TransferTo(id string) {
+// TransferTo asks one voter to take over at once, and says whether it did: a voter that
+// lacks entries would lose its election to those that have them.
+func (r *Raft) TransferTo(id string) bool {
 	i := r.conf.Find(id)
-	if r.role != Leader || id == r.id || i < 0 || !r.conf.Members[i].Voter {
-		return
+	if r.role != Leader || id == r.id || i < 0 || !r.conf.Members[i].Voter || r.Match(id) < r.lastIndex() {
+		return false
 	}
 	r.send(id, Message{Kind: MessageTimeoutNow, Term: r.hard.Term})
+	return true
 }
 
 func (r *Raft) handleTimeoutNow(message Message) {
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -313,3 +313,29 @@
 		}
 	}
 }
+
+// Given a voter that lacks an entry, when it is to take over, then it is not asked until it
+// has it: it would lose its election to those that have more (design 5.5).
+func TestLeadershipIsHandedToWhoHasAll(t *testing.T) {
+	trio := newTrio(5)
+	trio.run(3 * time.Second)
+	leader := trio.leader()
+	target := "a"
+	if leader.id == target {
+		target = "b"
+	}
+	if _, _, err := leader.Propose(EntryCommand, []byte(`{}`)); err != nil {
+		t.Fatal(err)
+	}
+	if leader.TransferTo(target) {
+		t.Error("a voter that lacks an entry is asked to take over")
+	}
+	trio.run(200 * time.Millisecond)
+	if !leader.TransferTo(target) {
+		t.Error("a voter that has all entries is not asked")
+	}
+	trio.run(200 * time.Millisecond)
+	if trio.all[target].Role() != Leader {
+		t.Errorf("%s is %s", target, trio.all[target].Role())
+	}
+}
--- a/core/store/leave.go
+++ b/core/store/leave.go
@@ -32,9 +32,8 @@
 	if s.leaveBy == 0 {
 		s.leaveBy = now + budget.FailureTimeout
 	}
-	if s.raft.Role() == raft.Leader && now >= s.moved {
+	if s.raft.Role() == raft.Leader && now >= s.moved && s.transfer(now) {
 		s.moved = now + budget.ElectionTimeout/2
-		s.transfer(now)
 	}
 }
 
--- a/core/store/placement.go
+++ b/core/store/placement.go
@@ -237,18 +237,19 @@
 	if id == "" {
 		return false
 	}
-	s.moved = now + budget.ElectionTimeout/2
-	s.raft.TransferTo(id)
+	if s.raft.TransferTo(id) {
+		s.moved = now + budget.ElectionTimeout/2
+	}
 	return true
 }
 
-// transfer hands leadership to the voter that suits best, or to whoever is heard.
-func (s *Store) transfer(now flow.Time) {
+// transfer hands leadership to the voter that suits best, or to whoever is heard, and says
+// whether it did.
+func (s *Store) transfer(now flow.Time) bool {
 	if id := s.successor(now, s.raft.Conf()); id != "" {
-		s.raft.TransferTo(id)
-		return
+		return s.raft.TransferTo(id)
 	}
-	s.raft.Transfer()
+	return s.raft.Transfer()
 }
 
 // successor picks the voter that is to lead next: on a machine that carries no less
