Leadership: after a second it is handed to a voter that lacks entries, too

Under many changes on slow disks every other voter lacks some entry at any moment; a leader that stops would then hand on nothing in its two seconds.

--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -25,7 +25,7 @@
 
 // Transfer asks the voter that has most of the log to take over at once, for a
 // leader that is about to stop (design 5.5).
-func (r *Raft) Transfer() bool {
+func (r *Raft) Transfer(behind bool) bool {
 	if r.role != Leader {
 		return false
 	}
@@ -38,14 +38,18 @@
 			successor = member.ID
 		}
 	}
-	return successor != "" && r.TransferTo(successor)
+	return successor != "" && r.TransferTo(successor, behind)
 }
 
-// TransferTo asks one voter to take over at once, and says whether it did: a voter that
-// lacks entries would lose its election to those that have them.
-func (r *Raft) TransferTo(id string) bool {
+// TransferTo asks one voter to take over at once, and says whether it did. A voter that
+// lacks entries may lose its election to those that have them: it is asked only if behind
+// says so.
+func (r *Raft) TransferTo(id string, behind bool) bool {
 	i := r.conf.Find(id)
-	if r.role != Leader || id == r.id || i < 0 || !r.conf.Members[i].Voter || r.Match(id) < r.lastIndex() {
+	if r.role != Leader || id == r.id || i < 0 || !r.conf.Members[i].Voter {
+		return false
+	}
+	if !behind && r.Match(id) < r.lastIndex() {
 		return false
 	}
 	r.send(id, Message{Kind: MessageTimeoutNow, Term: r.hard.Term})
--- a/core/raft/explore/successors.go
+++ b/core/raft/explore/successors.go
@@ -236,7 +236,7 @@
 	x.each(isLeader, func(machine int, m *member) {
 		next := x.add(action{kind: Transfer, member: m.id})
 		leader := next.edit(machine)
-		leader.raft.Transfer()
+		leader.raft.Transfer(true)
 		next.turn(leader)
 	})
 }
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -327,11 +327,18 @@
 	if _, _, err := leader.Propose(EntryCommand, []byte(`{}`)); err != nil {
 		t.Fatal(err)
 	}
-	if leader.TransferTo(target) {
+	if leader.TransferTo(target, false) {
 		t.Error("a voter that lacks an entry is asked to take over")
 	}
+	if !leader.TransferTo(target, true) {
+		t.Error("it is not asked where it may be behind")
+	}
 	trio.run(200 * time.Millisecond)
-	if !leader.TransferTo(target) {
+	leader = trio.leader()
+	if target == leader.id {
+		target = "c"
+	}
+	if !leader.TransferTo(target, false) {
 		t.Error("a voter that has all entries is not asked")
 	}
 	trio.run(200 * time.Millisecond)
--- a/core/store/leave.go
+++ b/core/store/leave.go
@@ -32,7 +32,8 @@
 	if s.leaveBy == 0 {
 		s.leaveBy = now + budget.FailureTimeout
 	}
-	if s.raft.Role() == raft.Leader && now >= s.moved && s.transfer(now) {
+	behind := now >= s.leaveBy-budget.FailureTimeout+handOnBehind
+	if s.raft.Role() == raft.Leader && now >= s.moved && s.transfer(now, behind) {
 		s.moved = now + budget.ElectionTimeout/2
 	}
 }
--- a/core/store/placement.go
+++ b/core/store/placement.go
@@ -237,19 +237,23 @@
 	if id == "" {
 		return false
 	}
-	if s.raft.TransferTo(id) {
+	if s.raft.TransferTo(id, now-s.placement.handedAt >= handOnBehind) {
 		s.moved = now + budget.ElectionTimeout/2
 	}
 	return true
 }
 
+// handOnBehind is after how long a leader that is to leave hands leadership also to a voter
+// that lacks entries: under many changes on slow disks every other voter always does.
+const handOnBehind = budget.FailureTimeout / 2
+
 // transfer hands leadership to the voter that suits best, or to whoever is heard, and says
 // whether it did.
-func (s *Store) transfer(now flow.Time) bool {
+func (s *Store) transfer(now flow.Time, behind bool) bool {
 	if id := s.successor(now, s.raft.Conf()); id != "" {
-		return s.raft.TransferTo(id)
+		return s.raft.TransferTo(id, behind)
 	}
-	return s.raft.Transfer()
+	return s.raft.Transfer(behind)
 }
 
 // successor picks the voter that is to lead next: on a machine that carries no less
